--- /dev/null
+++ b/libraries/base/bounded_ring.h
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <boost/circular_buffer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace postpaddle::base {
+
+/// A queue of fixed capacity between two threads.
+///
+/// A full ring refuses at once, so that no producer ever waits for its consumer.
+/// `on_ready` runs on the producer's thread whenever the ring stops being empty;
+/// the consumer uses it to wake its own thread.
+template <class T> class bounded_ring {
+public:
+    explicit bounded_ring(std::size_t capacity) : items(capacity) {}
+
+    /// Sets the wake-up of the consumer. Call before the first push.
+    void set_on_ready(std::function<void()> callback) { this->on_ready = std::move(callback); }
+
+    /// Adds an item; false, and counted, when the ring is full.
+    [[nodiscard]] bool try_push(T item) {
+        bool was_empty = false;
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->items.full()) {
+                ++this->refused;
+                return false;
+            }
+            was_empty = this->items.empty();
+            this->items.push_back(std::move(item));
+        }
+        if (was_empty && this->on_ready)
+            this->on_ready();
+        return true;
+    }
+
+    /// Takes everything that is there, oldest first.
+    [[nodiscard]] std::vector<T> drain() {
+        const std::lock_guard lock(this->mutex);
+        std::vector<T> taken;
+        taken.reserve(this->items.size());
+        for (T& item : this->items)
+            taken.push_back(std::move(item));
+        this->items.clear();
+        return taken;
+    }
+
+    /// How many pushes a full ring has refused.
+    [[nodiscard]] std::uint64_t refused_count() const {
+        const std::lock_guard lock(this->mutex);
+        return this->refused;
+    }
+
+private:
+    mutable std::mutex mutex;
+    boost::circular_buffer<T> items;
+    std::uint64_t refused = 0;
+    std::function<void()> on_ready;
+};
+
+} // namespace postpaddle::base
--- /dev/null
+++ b/libraries/decision/dispatch.cpp
@@ -0,0 +1,302 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/dispatch.h>
+
+#include <decision/baseline.h>
+
+#include <base/verify.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace postpaddle::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A phase has failed as late when it takes this many times its estimate, and the grace on top.
+constexpr double late_factor = 4;
+constexpr base::duration late_grace = 1'000ms;
+/// Least wait that a refused caller is told, so that refusals don't come back as a storm.
+constexpr base::duration least_retry_after = 1'000ms;
+/// An organisation this many engine seconds ahead of its fair service gets the last engine priority.
+constexpr double longest_lead = 0.5;
+constexpr int priority_steps = 4;
+/// Largest story of one request, in lines.
+constexpr std::size_t most_story_lines = 32;
+
+/// Seconds of the whole deployment's scarcer side that a request takes.
+double cost_of(const router_state& state, const deployment_state& deployment, const request_facts& facts) {
+    double prompt_rate = 0;
+    for (const engine_index index : deployment.prefill_pool)
+        prompt_rate += engine_at(state, index).prompt_rate.value * engine_at(state, index).share;
+    double places = 0;
+    double token_seconds = 0;
+    for (const engine_index index : deployment.decode_pool) {
+        places += own_places(engine_at(state, index));
+        token_seconds += engine_at(state, index).token_seconds.value;
+    }
+    if (prompt_rate <= 0 || places <= 0)
+        return 0;
+    token_seconds /= static_cast<double>(deployment.decode_pool.size());
+    const double decode_seconds =
+        std::max(1.0, facts.max_tokens * deployment.output_ratio.value) * token_seconds;
+    const bool is_decode_bound = deployment.decode_cost.value / places >
+                                 deployment.prefill_cost.value * deployment.prefill_pool.size() / prompt_rate;
+    return is_decode_bound ? decode_seconds / places : facts.prompt_tokens / prompt_rate;
+}
+
+base::duration retry_after_for(base::duration overrun) { return std::max(least_retry_after, overrun); }
+
+/// Smaller goes first at the engine: organisations behind their fair service, then by own priority.
+int engine_priority_of(const deployment_state& deployment, const request_facts& facts) {
+    const double lead =
+        std::clamp(service_lead(deployment.queue, facts.organisation) / longest_lead, 0.0, 1.0);
+    return static_cast<int>(std::lround(lead * priority_steps)) * 10 + facts.priority;
+}
+
+bool has_usable(const router_state& state, const std::vector<engine_index>& pool, base::time_point now) {
+    return std::ranges::any_of(pool,
+                               [&](engine_index index) { return is_usable(engine_at(state, index), now); });
+}
+
+void put_on_trial(engine_state& engine) {
+    if (engine.health.failures > 0)
+        engine.health.is_on_trial = true;
+}
+
+void start_baseline(router_state& state, deployment_state& deployment, request_state& request,
+                    base::time_point now, effects& out) {
+    const engine_index prefill = baseline_prefill(state, deployment, now);
+    if (prefill == no_engine_index) {
+        end_without_answer(state, request, refusal::no_engine, least_retry_after, now, out);
+        return;
+    }
+    pair_choice choice;
+    choice.prefill = prefill;
+    choice.prefill_begin = prefill_begin(engine_at(state, prefill), now);
+    choice.prefill_end =
+        choice.prefill_begin +
+        base::from_seconds(request.facts.prompt_tokens / engine_at(state, prefill).prompt_rate.value);
+    start_attempt(state, deployment, request, choice, now, out);
+}
+
+void promise_decode(router_state& state, deployment_state& deployment, request_state& request,
+                    const pair_choice& choice) {
+    engine_state& decode = engine_at(state, choice.decode);
+    request.place_end = std::max(choice.ready, choice.place) + decode_time(deployment, request.facts, decode);
+    request.has_place = true;
+    promise_place(decode, request.place_end);
+    put_on_trial(decode);
+    link_state& link = link_of(state, choice.prefill, choice.decode);
+    // Transfers on one link share its rate: each promised one fills it for its own time.
+    const double rate_part = base::to_seconds(choice.transfer - link.facts.latency);
+    link.busy_until = std::max(link.busy_until, choice.prefill_end) + base::from_seconds(rate_part);
+}
+
+} // namespace
+
+void tell(request_state& request, base::time_point now, std::string what) {
+    if (request.story.lines.size() < most_story_lines)
+        request.story.lines.push_back({base::to_milliseconds(now - request.arrived), std::move(what)});
+}
+
+void release_all(router_state& state, request_state& request, effects& out) {
+    for (hold& held : request.holds) {
+        if (held.is_releasing)
+            continue;
+        held.is_releasing = true;
+        out.emplace_back(
+            release_hold{request.facts.id, held.attempt, engine_at(state, held.engine).facts.id});
+    }
+}
+
+void return_promises(router_state& state, request_state& request, base::time_point now) {
+    if (request.has_place) {
+        return_place(engine_at(state, request.decode), request.place_end);
+        request.has_place = false;
+    }
+    if (request.prefill_work > 0) {
+        engine_state& prefill = engine_at(state, request.prefill);
+        prefill.own_prompt_tokens = std::max(0.0, prefill.own_prompt_tokens - request.prefill_work);
+        // What is left of this host's own queue there is known again from what is outstanding.
+        const base::time_point rest =
+            now + base::from_seconds(prefill.own_prompt_tokens / prefill.prompt_rate.value);
+        prefill.own_prefill_free = std::min(prefill.own_prefill_free, rest);
+        request.prefill_work = 0;
+    }
+}
+
+void forget_if_done(router_state& state, const base::request_id& id) {
+    const auto found = state.requests.find(id);
+    if (found == state.requests.end() || found->second.at != phase::ended || !found->second.holds.empty())
+        return;
+    state.ended.push_back(std::move(found->second.story));
+    if (state.ended.size() > state.options.explanations)
+        state.ended.pop_front();
+    state.requests.erase(found);
+}
+
+void end_without_answer(router_state& state, request_state& request, refusal reason,
+                        base::duration retry_after, base::time_point now, effects& out) {
+    if (request.at == phase::queued) {
+        remove(state.deployments[request.facts.deployment].queue, request.facts.organisation, request.entry);
+        ++state.counters.refused;
+    } else {
+        ++state.counters.failed;
+    }
+    return_promises(state, request, now);
+    release_all(state, request, out);
+    request.at = phase::ended;
+    out.emplace_back(end_request{request.facts.id, reason, retry_after});
+}
+
+void start_attempt(router_state& state, deployment_state& deployment, request_state& request,
+                   const pair_choice& choice, base::time_point now, effects& out) {
+    engine_state& prefill = engine_at(state, choice.prefill);
+    ++request.attempt;
+    request.at = phase::prefilling;
+    request.prefill = choice.prefill;
+    request.decode = choice.decode;
+    request.prefill_sent = now;
+    request.prefill_expected_end = choice.prefill_end;
+    request.transfer_estimate = choice.transfer;
+    request.engine_priority = engine_priority_of(deployment, request.facts);
+    request.prefill_work = std::max(1, request.facts.prompt_tokens - choice.cached_tokens);
+    prefill.own_prompt_tokens += request.prefill_work;
+    prefill.own_prefill_free = choice.prefill_end;
+    put_on_trial(prefill);
+    base::upstream_id decode_id;
+    if (choice.decode != no_engine_index) {
+        promise_decode(state, deployment, request, choice);
+        decode_id = engine_at(state, choice.decode).facts.id;
+    }
+    request.holds.push_back({request.attempt, choice.prefill});
+    state.prefixes.remember(choice.prefill, request.facts.prefix_hashes);
+    const double expected = base::to_seconds(choice.prefill_end - now);
+    out.emplace_back(start_prefill{request.facts.id, request.attempt, prefill.facts.id, decode_id,
+                                   request.engine_priority,
+                                   base::from_seconds(expected * late_factor) + late_grace});
+    tell(request, now,
+         "prefill at " + prefill.facts.id.value + ", decode place at " +
+             (decode_id.is_empty() ? "no engine yet" : decode_id.value));
+}
+
+void send_decode(router_state& state, request_state& request, base::time_point now, effects& out) {
+    const engine_state& prefill = engine_at(state, request.prefill);
+    const engine_state& decode = engine_at(state, request.decode);
+    request.at = phase::transferring;
+    request.decode_sent = now;
+    request.holds.push_back({request.attempt, request.decode});
+    const double transfer = base::to_seconds(request.transfer_estimate);
+    const base::duration limit = base::from_seconds(transfer * late_factor) + late_grace;
+    const base::duration kept = request.kept_until - now;
+    out.emplace_back(start_decode{request.facts.id, request.attempt, prefill.facts.id, decode.facts.id,
+                                  request.engine_priority,
+                                  std::max<base::duration>(std::min(limit, kept), 1ms)});
+    tell(request, now, "decode at " + decode.facts.id.value);
+}
+
+void admit(router_state& state, const request_facts& facts, base::time_point now, effects& out) {
+    ++state.counters.arrived;
+    earn_retry(state.retries);
+    auto [position, is_new] = state.requests.try_emplace(facts.id);
+    if (!is_new) {
+        ++state.counters.ignored_events;
+        return;
+    }
+    request_state& request = position->second;
+    request.facts = facts;
+    request.arrived = now;
+    request.deadline = now + facts.first_token_target;
+    request.story.id = facts.id;
+    request.story.organisation = facts.organisation;
+    const auto found = state.deployments.find(facts.deployment);
+    if (found == state.deployments.end() || found->second.prefill_pool.empty() ||
+        found->second.decode_pool.empty()) {
+        tell(request, now, "refused: the deployment has no pools");
+        end_without_answer(state, request, refusal::no_deployment, base::duration::zero(), now, out);
+        forget_if_done(state, facts.id);
+        return;
+    }
+    deployment_state& deployment = found->second;
+    if (state.options.rule != policy::postpaddle) {
+        start_baseline(state, deployment, request, now, out);
+        forget_if_done(state, facts.id);
+        return;
+    }
+    if (!has_usable(state, deployment.prefill_pool, now) || !has_usable(state, deployment.decode_pool, now)) {
+        tell(request, now, "refused: no usable engine");
+        end_without_answer(state, request, refusal::no_engine, least_retry_after, now, out);
+        forget_if_done(state, facts.id);
+        return;
+    }
+    const double wait = cost_ahead(deployment.queue, facts.organisation);
+    const base::duration expected =
+        base::from_seconds(wait) + least_first_token(state, deployment, facts, now);
+    const base::duration allowed =
+        base::from_seconds(base::to_seconds(facts.first_token_target) * state.options.target_margin);
+    const bool is_full = deployment.queue.length >= state.options.longest_queue;
+    if (is_full || expected > allowed) {
+        tell(request, now,
+             "refused: first token expected in " +
+                 std::to_string(std::lround(base::to_milliseconds(expected))) + " ms");
+        end_without_answer(state, request, is_full ? refusal::queue_full : refusal::cannot_meet_target,
+                           retry_after_for(expected - allowed), now, out);
+        forget_if_done(state, facts.id);
+        return;
+    }
+    request.entry = {facts.priority, request.deadline, ++state.arrivals, facts.id,
+                     cost_of(state, deployment, facts)};
+    enqueue(deployment.queue, facts.organisation, request.entry);
+}
+
+namespace {
+
+/// What became of the head of one organisation's queue.
+enum class head_result { served, ended, must_wait };
+
+head_result serve_head(router_state& state, deployment_state& deployment,
+                       const base::organisation_id& organisation, base::time_point now, effects& out) {
+    const queue_entry entry = *deployment.queue.organisations.at(organisation).entries.begin();
+    request_state& request = state.requests.at(entry.id);
+    pairing result = choose_pair(state, deployment, request, now);
+    if (result.verdict == pairing_verdict::wait && now - request.arrived <= request.facts.longest_queue)
+        return head_result::must_wait;
+    if (result.verdict == pairing_verdict::go) {
+        charge(deployment.queue, organisation, entry, request.facts.weight);
+        learn(deployment.prefill_cost,
+              request.facts.prompt_tokens / engine_at(state, result.best.prefill).prompt_rate.value);
+        learn(deployment.decode_cost,
+              base::to_seconds(decode_time(deployment, request.facts, engine_at(state, result.best.decode))));
+        request.story.weighed = std::move(result.weighed);
+        start_attempt(state, deployment, request, result.best, now, out);
+        return head_result::served;
+    }
+    const bool has_engine = result.verdict != pairing_verdict::no_engine;
+    tell(request, now, has_engine ? "refused: the target can no longer be met" : "refused: no usable engine");
+    const base::duration overrun = has_engine ? result.best.first_token - request.deadline : base::duration{};
+    end_without_answer(state, request, has_engine ? refusal::cannot_meet_target : refusal::no_engine,
+                       retry_after_for(overrun), now, out);
+    forget_if_done(state, entry.id);
+    return head_result::ended;
+}
+
+void dispatch_deployment(router_state& state, deployment_state& deployment, base::time_point now,
+                         effects& out) {
+    while (deployment.queue.length > 0) {
+        const auto order = service_order(deployment.queue);
+        POSTPADDLE_VERIFY(!order.empty());
+        if (serve_head(state, deployment, order.front(), now, out) == head_result::must_wait)
+            return;
+    }
+}
+
+} // namespace
+
+void dispatch(router_state& state, base::time_point now, effects& out) {
+    for (auto& [name, deployment] : state.deployments)
+        dispatch_deployment(state, deployment, now, out);
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/explanation.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/identifier.h>
+
+#include <string>
+#include <vector>
+
+namespace postpaddle::decision {
+
+/// One engine pair that was weighed.
+struct weighed_pair {
+    base::upstream_id prefill;
+    base::upstream_id decode;
+    double first_token_ms = 0; ///< Expected, from the moment of the choice.
+    double place_wait_ms = 0;  ///< Expected wait for the decode place.
+    int cached_tokens = 0;     ///< Expected prefix-cache hit.
+
+    bool operator==(const weighed_pair&) const = default;
+};
+
+/// One thing that happened to a request.
+struct story_line {
+    double at_ms = 0; ///< Since the request's arrival.
+    std::string what;
+
+    bool operator==(const story_line&) const = default;
+};
+
+/// Why a request went where it went, for `postpaddle explain`.
+struct explanation {
+    base::request_id id;
+    base::organisation_id organisation;
+    std::vector<weighed_pair> weighed; ///< Best first, of the last choice.
+    std::vector<story_line> lines;
+    int wasted_prefill_tokens = 0;
+
+    bool operator==(const explanation&) const = default;
+};
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/fair_queue.h
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <base/identifier.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace postpaddle::decision {
+
+/// A queued request, ordered by priority, then deadline, then arrival.
+struct queue_entry {
+    int priority = 0;
+    base::time_point deadline{};
+    std::uint64_t arrival = 0; ///< Counts arrivals, so that no two entries are equal.
+    base::request_id id;
+    double cost = 0; ///< Engine seconds that the request is expected to take.
+
+    auto operator<=>(const queue_entry& other) const {
+        return std::tie(this->priority, this->deadline, this->arrival) <=>
+               std::tie(other.priority, other.deadline, other.arrival);
+    }
+    bool operator==(const queue_entry& other) const { return this->arrival == other.arrival; }
+};
+
+/// One organisation's queue and how much service it has had, in weighted engine seconds.
+struct organisation_queue {
+    std::set<queue_entry> entries;
+    double virtual_time = 0;
+    double queued_cost = 0;
+    std::uint64_t dispatched = 0;
+};
+
+/// Start-time fair queueing between the organisations that wait for one deployment.
+///
+/// Source: Goyal, Vin and Cheng, "Start-time fair queueing" (1997). An organisation that was idle
+/// starts at the queue's virtual time: it can't save up service, and a flood of another can't
+/// delay it by more than the request in progress.
+struct fair_queue {
+    std::unordered_map<base::organisation_id, organisation_queue> organisations;
+    double virtual_time = 0;
+    std::size_t length = 0;
+    double queued_cost = 0;
+};
+
+/// Adds a request to its organisation's queue.
+void enqueue(fair_queue& queue, const base::organisation_id& organisation, queue_entry entry);
+
+/// Takes a request out without serving it; says whether it was there.
+bool remove(fair_queue& queue, const base::organisation_id& organisation, const queue_entry& entry);
+
+/// The organisations that wait, least served first.
+[[nodiscard]] std::vector<base::organisation_id> service_order(const fair_queue& queue);
+
+/// Takes a request out as served and charges its cost by the organisation's weight.
+void charge(fair_queue& queue, const base::organisation_id& organisation, const queue_entry& entry,
+            double weight);
+
+/// Queued cost that fair service would place before a new request of this organisation.
+[[nodiscard]] double cost_ahead(const fair_queue& queue, const base::organisation_id& organisation);
+
+/// How far the organisation's service is ahead of the least served that waits, in engine seconds.
+[[nodiscard]] double service_lead(const fair_queue& queue, const base::organisation_id& organisation);
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/pairing.cpp
@@ -0,0 +1,199 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/pairing.h>
+
+#include <algorithm>
+
+namespace postpaddle::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Pools up to this size are weighed whole; of larger ones a sample is, which also keeps many hosts
+/// from choosing the same least loaded engine at once.
+constexpr std::size_t largest_whole_pool = 12;
+/// Sampled engines of a larger pool.
+constexpr std::size_t sample_size = 8;
+/// Prompt work sent ahead to one prefill engine; more would only make it wait where it can't be
+/// ordered, refused or moved any more.
+constexpr base::duration standard_prefill_backlog = 60ms;
+/// Part of a prefill result's keeping time that a late place may use up when waste weighs nothing.
+constexpr double most_slack_of_kept = 0.1;
+/// Pairs that an explanation lists.
+constexpr std::size_t most_weighed = 6;
+
+/// Prefill side of a pair.
+struct prefill_option {
+    engine_index engine = no_engine_index;
+    base::time_point begin{};
+    base::time_point end{};
+    int cached_tokens = 0;
+};
+
+/// Decode side of a pair.
+struct decode_option {
+    engine_index engine = no_engine_index;
+    base::time_point place{};
+    double token_seconds = 0;
+};
+
+std::vector<engine_index> sample(router_state& state, const std::vector<engine_index>& pool,
+                                 base::time_point now, engine_index preferred) {
+    std::vector<engine_index> chosen;
+    if (pool.size() <= largest_whole_pool) {
+        for (const engine_index engine : pool)
+            if (is_usable(engine_at(state, engine), now))
+                chosen.push_back(engine);
+        return chosen;
+    }
+    if (preferred != no_engine_index && is_usable(engine_at(state, preferred), now))
+        chosen.push_back(preferred);
+    // Twice as many draws as wanted: enough to find usable ones unless most of the pool is not.
+    for (std::size_t draw = 0; draw < 2 * sample_size && chosen.size() < sample_size; ++draw) {
+        const engine_index engine = pool[state.random() % pool.size()];
+        if (is_usable(engine_at(state, engine), now) && std::ranges::find(chosen, engine) == chosen.end())
+            chosen.push_back(engine);
+    }
+    return chosen;
+}
+
+int expected_cached_tokens(const router_state& state, const request_facts& facts, engine_index engine) {
+    const int blocks = state.prefixes.matched_blocks(engine, facts.prefix_hashes);
+    return std::min(facts.prompt_tokens - 1, blocks * facts.prefix_block_tokens);
+}
+
+prefill_option weigh_prefill(const router_state& state, const request_facts& facts, engine_index index,
+                             base::time_point now) {
+    const engine_state& engine = engine_at(state, index);
+    prefill_option option;
+    option.engine = index;
+    option.begin = prefill_begin(engine, now);
+    option.cached_tokens = std::max(0, expected_cached_tokens(state, facts, index));
+    const double tokens = std::max(1, facts.prompt_tokens - option.cached_tokens);
+    option.end = option.begin + base::from_seconds(tokens / engine.prompt_rate.value);
+    return option;
+}
+
+decode_option weigh_decode(const router_state& state, engine_index index, base::time_point now) {
+    const engine_state& engine = engine_at(state, index);
+    return {index, next_place(engine, now), engine.token_seconds.value};
+}
+
+pair_choice join(const router_state& state, const deployment_state& deployment, const request_facts& facts,
+                 const prefill_option& prefill, const decode_option& decode) {
+    const link_state& link = link_of(state, prefill.engine, decode.engine);
+    const double bytes = facts.prompt_tokens * deployment.facts.kv_bytes_per_token;
+    pair_choice choice;
+    choice.prefill = prefill.engine;
+    choice.decode = decode.engine;
+    choice.prefill_begin = prefill.begin;
+    choice.prefill_end = prefill.end;
+    choice.cached_tokens = prefill.cached_tokens;
+    choice.transfer = base::from_seconds(bytes / link.facts.bytes_per_second) + link.facts.latency;
+    choice.ready = std::max(prefill.end, link.busy_until) + choice.transfer;
+    choice.place = decode.place;
+    choice.first_token = std::max(choice.ready, choice.place) + base::from_seconds(decode.token_seconds);
+    return choice;
+}
+
+base::duration place_slack(const deployment_state& deployment, const request_facts& facts) {
+    const double part = most_slack_of_kept * (1 - facts.waste_weight);
+    return base::from_seconds(base::to_seconds(deployment.facts.kept) * part);
+}
+
+base::time_point latest_first_token(const router_state& state, const request_state& request) {
+    const double target = base::to_seconds(request.facts.first_token_target);
+    return request.arrived + base::from_seconds(target * state.options.target_margin);
+}
+
+weighed_pair describe(const router_state& state, const pair_choice& choice, base::time_point now) {
+    return {engine_at(state, choice.prefill).facts.id, engine_at(state, choice.decode).facts.id,
+            base::to_milliseconds(choice.first_token - now), base::to_milliseconds(choice.place - now),
+            choice.cached_tokens};
+}
+
+/// Earlier first token wins; between equal ones the engine that will have waited least with a full
+/// prompt does, so that places are not held for a transfer still to come.
+bool is_better(const pair_choice& left, const pair_choice& right) {
+    if (left.first_token != right.first_token)
+        return left.first_token < right.first_token;
+    return left.place > right.place;
+}
+
+pairing_verdict judge(const router_state& state, const deployment_state& deployment,
+                      const request_state& request, const pair_choice& best, base::time_point now) {
+    const base::duration backlog = state.options.longest_prefill_backlog == base::duration::zero()
+                                       ? standard_prefill_backlog
+                                       : state.options.longest_prefill_backlog;
+    if (best.first_token > latest_first_token(state, request))
+        return pairing_verdict::too_late;
+    if (best.prefill_begin > now + backlog)
+        return pairing_verdict::wait;
+    if (best.place > best.ready + place_slack(deployment, request.facts))
+        return pairing_verdict::wait;
+    return pairing_verdict::go;
+}
+
+} // namespace
+
+pairing choose_pair(router_state& state, const deployment_state& deployment, const request_state& request,
+                    base::time_point now) {
+    const request_facts& facts = request.facts;
+    const engine_index preferred =
+        facts.prefix_hashes.empty() ? no_engine_index
+                                    : rendezvous_engine(deployment.prefill_pool, facts.prefix_hashes.front());
+    std::vector<prefill_option> prefills;
+    for (const engine_index engine : sample(state, deployment.prefill_pool, now, preferred))
+        prefills.push_back(weigh_prefill(state, facts, engine, now));
+    std::vector<decode_option> decodes;
+    for (const engine_index engine : sample(state, deployment.decode_pool, now, no_engine_index))
+        decodes.push_back(weigh_decode(state, engine, now));
+    pairing result;
+    if (prefills.empty() || decodes.empty())
+        return result;
+    std::vector<pair_choice> choices;
+    choices.reserve(prefills.size() * decodes.size());
+    for (const prefill_option& prefill : prefills)
+        for (const decode_option& decode : decodes)
+            choices.push_back(join(state, deployment, facts, prefill, decode));
+    const std::size_t listed = std::min(most_weighed, choices.size());
+    std::ranges::partial_sort(choices, choices.begin() + static_cast<std::ptrdiff_t>(listed), is_better);
+    result.best = choices.front();
+    result.verdict = judge(state, deployment, request, result.best, now);
+    if (result.verdict == pairing_verdict::go)
+        for (std::size_t index = 0; index < listed; ++index)
+            result.weighed.push_back(describe(state, choices[index], now));
+    return result;
+}
+
+std::optional<pair_choice> choose_decode(const router_state& state, const deployment_state& deployment,
+                                         const request_state& request, engine_index prefill,
+                                         engine_index excluded, base::time_point now) {
+    const prefill_option kept{prefill, now, now, 0};
+    std::optional<pair_choice> best;
+    for (const engine_index engine : deployment.decode_pool) {
+        if (engine == excluded || !is_usable(engine_at(state, engine), now))
+            continue;
+        const pair_choice choice =
+            join(state, deployment, request.facts, kept, weigh_decode(state, engine, now));
+        if (!best || is_better(choice, *best))
+            best = choice;
+    }
+    return best;
+}
+
+base::duration least_first_token(const router_state& state, const deployment_state& deployment,
+                                 const request_facts& facts, base::time_point now) {
+    base::duration least = base::duration::max();
+    for (const engine_index index : deployment.prefill_pool) {
+        if (!is_usable(engine_at(state, index), now))
+            continue;
+        const engine_state& engine = engine_at(state, index);
+        const int cached = std::max(0, expected_cached_tokens(state, facts, index));
+        const double tokens = std::max(1, facts.prompt_tokens - cached);
+        least = std::min(least, base::from_seconds(tokens / engine.prompt_rate.value));
+    }
+    return least;
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/prefix_memory.cpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/prefix_memory.h>
+
+namespace postpaddle::decision {
+
+namespace {
+
+/// Finaliser of SplitMix64: spreads a 64-bit value over all bits.
+/// Source: Steele, Lea and Flood, "Fast splittable pseudorandom number generators" (2014).
+std::uint64_t mix(std::uint64_t value) {
+    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
+    return value ^ (value >> 31U);
+}
+
+constexpr std::uint64_t engine_spread = 0x9E3779B97F4A7C15ULL;
+
+} // namespace
+
+prefix_memory::key prefix_memory::key_of(engine_index engine, std::uint64_t prefix_hash) {
+    return mix(prefix_hash ^ (static_cast<std::uint64_t>(engine + 1) * engine_spread));
+}
+
+void prefix_memory::remember(engine_index engine, const std::vector<std::uint64_t>& prefix_hashes) {
+    for (const std::uint64_t hash : prefix_hashes) {
+        const key entry = key_of(engine, hash);
+        const auto found = this->entries.find(entry);
+        if (found != this->entries.end()) {
+            this->order.splice(this->order.begin(), this->order, found->second);
+            continue;
+        }
+        this->order.push_front(entry);
+        this->entries[entry] = this->order.begin();
+        if (this->entries.size() > this->capacity) {
+            this->entries.erase(this->order.back());
+            this->order.pop_back();
+        }
+    }
+}
+
+void prefix_memory::forget(engine_index engine, const std::vector<std::uint64_t>& prefix_hashes) {
+    for (const std::uint64_t hash : prefix_hashes) {
+        const auto found = this->entries.find(key_of(engine, hash));
+        if (found == this->entries.end())
+            continue;
+        this->order.erase(found->second);
+        this->entries.erase(found);
+    }
+}
+
+int prefix_memory::matched_blocks(engine_index engine,
+                                  const std::vector<std::uint64_t>& prefix_hashes) const {
+    int matched = 0;
+    for (const std::uint64_t hash : prefix_hashes) {
+        if (!this->entries.contains(key_of(engine, hash)))
+            break;
+        ++matched;
+    }
+    return matched;
+}
+
+engine_index rendezvous_engine(const std::vector<engine_index>& pool, std::uint64_t prefix_hash) {
+    engine_index best = no_engine_index;
+    std::uint64_t best_score = 0;
+    for (const engine_index engine : pool) {
+        const std::uint64_t score =
+            mix(prefix_hash ^ (static_cast<std::uint64_t>(engine + 1) * engine_spread));
+        if (best == no_engine_index || score > best_score) {
+            best = engine;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/recovery.cpp
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/recovery.h>
+
+#include <decision/baseline.h>
+#include <decision/dispatch.h>
+#include <decision/pairing.h>
+
+#include <algorithm>
+
+namespace postpaddle::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int most_attempts = 3;
+/// Left of the keeping time for a reuse to be worth trying, beyond the transfer itself.
+constexpr base::duration kept_margin = 100ms;
+constexpr base::duration retry_after_failure = 1'000ms;
+
+bool is_decode_side(phase at) { return at == phase::transferring || at == phase::decoding; }
+
+bool may_run_again(const request_state& request, const phase_failed& failed) {
+    if (request.attempt >= most_attempts)
+        return false;
+    // "At most once" holds for the run whose answer the caller gets: a refused start has not run.
+    return request.facts.runs == run_rule::repeatable || failed.reason == failure::refused;
+}
+
+/// Goes on with the kept prefill result at another decode engine; says whether it could.
+bool try_reuse(router_state& state, deployment_state& deployment, request_state& request,
+               engine_index failed_decode, base::time_point now, effects& out) {
+    const auto choice = choose_decode(state, deployment, request, request.prefill, failed_decode, now);
+    if (!choice)
+        return false;
+    const base::time_point needed = std::max(choice->ready, choice->place) + kept_margin;
+    if (needed > request.kept_until || !try_spend_retry(state.retries))
+        return false;
+    ++state.counters.retries;
+    ++state.counters.kv_reused;
+    ++request.attempt;
+    request.decode = choice->decode;
+    engine_state& decode = engine_at(state, choice->decode);
+    request.place_end =
+        std::max(choice->ready, choice->place) + decode_time(deployment, request.facts, decode);
+    request.has_place = true;
+    promise_place(decode, request.place_end);
+    tell(request, now, "kept prefill result reused");
+    send_decode(state, request, now, out);
+    return true;
+}
+
+/// Prefills again where the target, or a stream already begun, is worth it; says whether it did.
+bool try_prefill_again(router_state& state, deployment_state& deployment, request_state& request,
+                       base::time_point now, effects& out) {
+    pair_choice choice;
+    if (state.options.rule == policy::postpaddle) {
+        pairing result = choose_pair(state, deployment, request, now);
+        if (result.verdict == pairing_verdict::no_engine)
+            return false;
+        const bool has_begun = request.tokens_relayed > 0;
+        if (!has_begun && result.best.first_token > request.deadline)
+            return false;
+        choice = result.best;
+    } else {
+        choice.prefill = baseline_prefill(state, deployment, now);
+        if (choice.prefill == no_engine_index)
+            return false;
+        choice.prefill_begin = prefill_begin(engine_at(state, choice.prefill), now);
+        choice.prefill_end =
+            choice.prefill_begin + base::from_seconds(request.facts.prompt_tokens /
+                                                      engine_at(state, choice.prefill).prompt_rate.value);
+    }
+    if (!try_spend_retry(state.retries))
+        return false;
+    ++state.counters.retries;
+    start_attempt(state, deployment, request, choice, now, out);
+    return true;
+}
+
+/// Releases the holds of the failed part; a kept prefill result stays for reuse.
+void release_failed(router_state& state, request_state& request, engine_index failed_engine, effects& out) {
+    for (hold& held : request.holds) {
+        if (held.is_releasing || held.engine != failed_engine)
+            continue;
+        held.is_releasing = true;
+        out.emplace_back(
+            release_hold{request.facts.id, held.attempt, engine_at(state, held.engine).facts.id});
+    }
+}
+
+} // namespace
+
+void count_waste(router_state& state, request_state& request) {
+    const auto tokens = static_cast<std::uint64_t>(std::max(0, request.facts.prompt_tokens));
+    state.counters.wasted_prefill_tokens += tokens;
+    request.story.wasted_prefill_tokens += request.facts.prompt_tokens;
+}
+
+void recover(router_state& state, request_state& request, const phase_failed& failed, base::time_point now,
+             effects& out) {
+    const phase failed_phase = request.at;
+    const engine_index failed_engine = is_decode_side(failed_phase) ? request.decode : request.prefill;
+    deployment_state& deployment = state.deployments[request.facts.deployment];
+    request.tokens_relayed = std::max(request.tokens_relayed, failed.tokens_relayed);
+    if (failed.reason != failure::lost_kv)
+        note_failure(engine_at(state, failed_engine), now);
+    tell(request, now, "failed at " + engine_at(state, failed_engine).facts.id.value);
+    return_promises(state, request, now);
+    release_failed(state, request, failed_engine, out);
+    const bool may_again = may_run_again(request, failed);
+    if (may_again && failed_phase == phase::transferring && failed.reason != failure::lost_kv &&
+        try_reuse(state, deployment, request, failed_engine, now, out))
+        return;
+    if (is_decode_side(failed_phase))
+        count_waste(state, request);
+    release_all(state, request, out);
+    if (may_again && try_prefill_again(state, deployment, request, now, out))
+        return;
+    end_without_answer(state, request, refusal::upstream_failed, retry_after_failure, now, out);
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/router.cpp
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/router.h>
+
+#include <decision/baseline.h>
+#include <decision/dispatch.h>
+#include <decision/recovery.h>
+
+#include <algorithm>
+
+namespace postpaddle::decision {
+
+namespace {
+
+/// Takes events one by one; each handler is one transition of the core.
+class stepper {
+public:
+    stepper(router_state& state, base::time_point now, effects& out) : state(&state), now(now), out(&out) {}
+
+    void operator()(const request_arrived& event) { admit(*this->state, event.facts, this->now, *this->out); }
+
+    void operator()(const prefill_ended& event) {
+        request_state* const request = this->current(event.id, event.attempt, phase::prefilling);
+        if (request == nullptr)
+            return;
+        deployment_state& deployment = this->state->deployments[request->facts.deployment];
+        engine_state& prefill = engine_at(*this->state, request->prefill);
+        this->learn_prefill(*request, event);
+        note_success(prefill);
+        const int work = std::max(0, event.prompt_tokens - event.cached_tokens);
+        this->state->counters.prefill_tokens += static_cast<std::uint64_t>(work);
+        request->facts.prompt_tokens = std::max(1, event.prompt_tokens);
+        this->return_prefill_work(*request);
+        request->at = phase::kept;
+        request->kept_attempt = event.attempt;
+        request->kept_until = this->now + deployment.facts.kept;
+        tell(*request, this->now, "prefill done");
+        this->bind_decode(deployment, *request);
+    }
+
+    void operator()(const first_token_seen& event) {
+        request_state* const request = this->current(event.id, event.attempt, phase::transferring);
+        if (request == nullptr)
+            return;
+        deployment_state& deployment = this->state->deployments[request->facts.deployment];
+        engine_state& decode = engine_at(*this->state, request->decode);
+        note_success(decode);
+        request->at = phase::decoding;
+        request->first_token_at = this->now;
+        request->tokens_relayed = std::max(request->tokens_relayed, 1);
+        // The transfer is over: the prefill engine has let go of its copy.
+        std::erase_if(request->holds, [request](const hold& held) {
+            return held.engine == request->prefill && held.attempt == request->kept_attempt &&
+                   !held.is_releasing;
+        });
+        const base::time_point end = this->now + decode_time(deployment, request->facts, decode);
+        if (request->has_place) {
+            move_place(decode, request->place_end, end);
+            request->place_end = end;
+        }
+        tell(*request, this->now, "first token");
+    }
+
+    void operator()(const decode_ended& event) {
+        request_state* const request = this->current(event.id, event.attempt, phase::decoding);
+        if (request == nullptr)
+            return;
+        deployment_state& deployment = this->state->deployments[request->facts.deployment];
+        engine_state& decode = engine_at(*this->state, request->decode);
+        if (event.tokens > 1)
+            learn(decode.token_seconds,
+                  base::to_seconds(this->now - request->first_token_at) / (event.tokens - 1));
+        if (request->facts.max_tokens > 0)
+            learn(deployment.output_ratio, static_cast<double>(event.tokens) / request->facts.max_tokens);
+        return_promises(*this->state, *request, this->now);
+        std::erase_if(request->holds, [request](const hold& held) {
+            return held.engine == request->decode && held.attempt == request->attempt;
+        });
+        release_all(*this->state, *request, *this->out);
+        request->at = phase::ended;
+        ++this->state->counters.completed;
+        tell(*request, this->now, "whole answer, " + std::to_string(event.tokens) + " tokens");
+        forget_if_done(*this->state, event.id);
+    }
+
+    void operator()(const phase_failed& event) {
+        const auto found = this->state->requests.find(event.id);
+        if (found == this->state->requests.end() || found->second.attempt != event.attempt ||
+            found->second.at == phase::queued || found->second.at == phase::ended) {
+            ++this->state->counters.ignored_events;
+            return;
+        }
+        recover(*this->state, found->second, event, this->now, *this->out);
+        forget_if_done(*this->state, event.id);
+    }
+
+    void operator()(const caller_gone& event) {
+        const auto found = this->state->requests.find(event.id);
+        if (found == this->state->requests.end() || found->second.at == phase::ended)
+            return;
+        request_state& request = found->second;
+        if (request.at == phase::queued)
+            remove(this->state->deployments[request.facts.deployment].queue, request.facts.organisation,
+                   request.entry);
+        else
+            count_waste(*this->state, request);
+        return_promises(*this->state, request, this->now);
+        release_all(*this->state, request, *this->out);
+        request.at = phase::ended;
+        ++this->state->counters.cancelled;
+        tell(request, this->now, "the caller has gone");
+        forget_if_done(*this->state, event.id);
+    }
+
+    void operator()(const hold_released& event) {
+        const auto found = this->state->requests.find(event.id);
+        if (found == this->state->requests.end())
+            return;
+        std::erase_if(found->second.holds, [this, &event](const hold& held) {
+            return held.attempt == event.attempt &&
+                   engine_at(*this->state, held.engine).facts.id == event.upstream;
+        });
+        forget_if_done(*this->state, event.id);
+    }
+
+    void operator()(const load_heard& event) {
+        engine_state* const engine = this->engine(event.upstream);
+        if (engine == nullptr)
+            return;
+        hear_load(*engine, event.report, event.age, this->now);
+    }
+
+    void operator()(const share_granted& event) {
+        if (engine_state* const engine = this->engine(event.upstream); engine != nullptr)
+            engine->share = std::clamp(event.share, 0.0, 1.0);
+    }
+
+    void operator()(const leaving_changed& event) {
+        if (engine_state* const engine = this->engine(event.upstream); engine != nullptr)
+            engine->is_leaving = event.is_leaving;
+    }
+
+    void operator()(const prefixes_evicted& event) {
+        const auto found = this->state->engine_by_id.find(event.upstream);
+        if (found != this->state->engine_by_id.end())
+            this->state->prefixes.forget(found->second, event.prefix_hashes);
+    }
+
+    void operator()(const topology_changed& event) { apply_topology(*this->state, event.next); }
+
+    void operator()(const tick& /*event*/) {}
+
+private:
+    /// The request, when the event belongs to its running attempt and phase; else counts and drops it.
+    request_state* current(const base::request_id& id, int attempt, phase at) {
+        const auto found = this->state->requests.find(id);
+        if (found == this->state->requests.end() || found->second.attempt != attempt ||
+            found->second.at != at) {
+            ++this->state->counters.ignored_events;
+            return nullptr;
+        }
+        return &found->second;
+    }
+
+    engine_state* engine(const base::upstream_id& id) {
+        const auto found = this->state->engine_by_id.find(id);
+        return found == this->state->engine_by_id.end() ? nullptr : &engine_at(*this->state, found->second);
+    }
+
+    void learn_prefill(const request_state& request, const prefill_ended& event) {
+        // Only a prompt that ran alone tells the rate; one that waited tells mostly of the queue.
+        const engine_state& prefill = engine_at(*this->state, request.prefill);
+        const bool ran_alone =
+            prefill.own_prompt_tokens <= request.prefill_work && prefill.others_prompt_tokens <= 0;
+        const double seconds = base::to_seconds(this->now - request.prefill_sent);
+        const int work = event.prompt_tokens - event.cached_tokens;
+        static constexpr int least_telling_tokens = 256;
+        if (ran_alone && work >= least_telling_tokens && seconds > 0)
+            learn(engine_at(*this->state, request.prefill).prompt_rate, work / seconds);
+    }
+
+    void return_prefill_work(request_state& request) {
+        const bool had_place = std::exchange(request.has_place, false);
+        return_promises(*this->state, request, this->now);
+        request.has_place = had_place;
+    }
+
+    /// Sends the result to the reserved engine, or to another when that one has meanwhile gone.
+    void bind_decode(deployment_state& deployment, request_state& request) {
+        const bool is_reserved =
+            request.decode != no_engine_index && is_reserved_usable(engine_at(*this->state, request.decode));
+        if (!is_reserved) {
+            return_promises(*this->state, request, this->now);
+            request.decode = this->late_decode(deployment, request);
+        }
+        if (request.decode == no_engine_index) {
+            count_waste(*this->state, request);
+            end_without_answer(*this->state, request, refusal::no_engine, std::chrono::seconds(1), this->now,
+                               *this->out);
+            return;
+        }
+        send_decode(*this->state, request, this->now, *this->out);
+    }
+
+    static bool is_reserved_usable(const engine_state& engine) {
+        static constexpr int failures_that_count = 2;
+        return engine.is_present && !is_going(engine) && engine.health.failures <= failures_that_count;
+    }
+
+    engine_index late_decode(deployment_state& deployment, request_state& request) {
+        if (this->state->options.rule != policy::postpaddle) {
+            const engine_index chosen = baseline_decode(*this->state, deployment, no_engine_index, this->now);
+            if (chosen != no_engine_index)
+                this->promise(deployment, request, chosen, this->now);
+            return chosen;
+        }
+        const auto choice =
+            choose_decode(*this->state, deployment, request, request.prefill, request.decode, this->now);
+        if (!choice)
+            return no_engine_index;
+        this->promise(deployment, request, choice->decode, std::max(choice->ready, choice->place));
+        return choice->decode;
+    }
+
+    void promise(deployment_state& deployment, request_state& request, engine_index index,
+                 base::time_point begin) {
+        engine_state& decode = engine_at(*this->state, index);
+        request.place_end = begin + decode_time(deployment, request.facts, decode);
+        request.has_place = true;
+        promise_place(decode, request.place_end);
+    }
+
+    router_state* state;
+    base::time_point now;
+    effects* out;
+};
+
+} // namespace
+
+effects step(router_state& state, const event& happened, base::time_point now) {
+    effects out;
+    std::visit(stepper(state, now, out), happened);
+    dispatch(state, now, out);
+    return out;
+}
+
+const explanation* explain(const router_state& state, const base::request_id& id) {
+    const auto running = state.requests.find(id);
+    if (running != state.requests.end())
+        return &running->second.story;
+    const auto found = std::ranges::find(state.ended, id, &explanation::id);
+    return found == state.ended.end() ? nullptr : &*found;
+}
+
+std::size_t queued_requests(const router_state& state) {
+    std::size_t total = 0;
+    for (const auto& [name, deployment] : state.deployments)
+        total += deployment.queue.length;
+    return total;
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/host/organisation_limits.cpp
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <host/organisation_limits.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace postpaddle::host {
+
+namespace {
+
+/// Time constant of an organisation's demand, in seconds.
+constexpr double demand_memory = 2;
+constexpr base::duration concurrency_retry = std::chrono::milliseconds(1'000);
+
+/// A second's worth of the rate may come at once, and always one request.
+double capacity_of(double rate, double least) { return std::max(rate, least); }
+
+void fill(token_bucket& bucket, double rate, double capacity, base::time_point now) {
+    if (!bucket.is_started) {
+        bucket = {capacity, now, true};
+        return;
+    }
+    const double seconds = std::max(0.0, base::to_seconds(now - bucket.filled_at));
+    bucket.level = std::min(capacity, bucket.level + rate * seconds);
+    bucket.filled_at = now;
+}
+
+base::duration time_until(const token_bucket& bucket, double rate, double wanted) {
+    static constexpr double longest_seconds = 60;
+    const double seconds = rate > 0 ? (wanted - bucket.level) / rate : longest_seconds;
+    return base::from_seconds(std::clamp(seconds, 0.0, longest_seconds));
+}
+
+void note_arrival(organisation_use& use, base::time_point now) {
+    const double seconds = base::to_seconds(now - use.arrivals_at);
+    use.arrivals = use.arrivals * std::exp(-seconds / demand_memory) + 1;
+    use.arrivals_at = now;
+}
+
+} // namespace
+
+std::optional<limit_refusal> try_enter(limit_book& book, const base::organisation_id& id,
+                                       const settings::limit_settings& limits, double share,
+                                       int prompt_tokens, base::time_point now) {
+    organisation_use& use = book.uses[id];
+    note_arrival(use, now);
+    const double request_rate = limits.requests_per_second * share;
+    const double token_rate = limits.prompt_tokens_per_second * share;
+    fill(use.requests, request_rate, capacity_of(request_rate, 1), now);
+    fill(use.prompt_tokens, token_rate, capacity_of(token_rate, prompt_tokens), now);
+    // NOTE: A share below one place still admits one request, so a limit smaller than the number of
+    // hosts may be passed by up to one request a host.
+    const int places = std::max(1, static_cast<int>(limits.concurrent_requests * share));
+    if (limits.concurrent_requests == 0 || use.concurrent >= places)
+        return limit_refusal{limit_kind::concurrency, concurrency_retry};
+    if (use.requests.level < 1)
+        return limit_refusal{limit_kind::requests, time_until(use.requests, request_rate, 1)};
+    if (use.prompt_tokens.level < prompt_tokens)
+        return limit_refusal{limit_kind::prompt_tokens,
+                             time_until(use.prompt_tokens, token_rate, prompt_tokens)};
+    use.requests.level -= 1;
+    use.prompt_tokens.level -= prompt_tokens;
+    ++use.concurrent;
+    return std::nullopt;
+}
+
+void leave(limit_book& book, const base::organisation_id& id) {
+    organisation_use& use = book.uses[id];
+    use.concurrent = std::max(0, use.concurrent - 1);
+}
+
+double demand_of(limit_book& book, const base::organisation_id& id, base::time_point now) {
+    const auto found = book.uses.find(id);
+    if (found == book.uses.end())
+        return 0;
+    const organisation_use& use = found->second;
+    const double seconds = base::to_seconds(now - use.arrivals_at);
+    return use.arrivals * std::exp(-seconds / demand_memory) + use.concurrent;
+}
+
+} // namespace postpaddle::host
--- /dev/null
+++ b/libraries/service/authenticate_filter.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/filter_chain.h>
+#include <service/prompt_facts.h>
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace postpaddle::service {
+
+namespace {
+
+constexpr std::string_view bearer = "Bearer ";
+
+problem_answer unauthorised() {
+    return {401,
+            "unauthorised",
+            "The key is missing or not known",
+            "Send `Authorization: Bearer KEY`.",
+            run_outcome::not_run,
+            {},
+            {}};
+}
+
+problem_answer not_found(std::string detail) {
+    return {404, "not-found", "There is no such model or path", std::move(detail), run_outcome::not_run,
+            {},  {}};
+}
+
+problem_answer bad_request(std::string detail) {
+    return {400, "bad-request", "The request can't be read", std::move(detail), run_outcome::not_run, {}, {}};
+}
+
+std::string_view path_of_target(std::string_view target) { return target.substr(0, target.find('?')); }
+
+filter_result read_completion(request_context& context) {
+    if (context.request.method != "POST")
+        return tl::make_unexpected(problem_answer{
+            405, "method-not-allowed", "Only POST goes here", "", run_outcome::not_run, {}, {}});
+    context.body = wire::json::parse(context.request.body, nullptr, false);
+    if (!context.body.is_object())
+        return tl::make_unexpected(bad_request("The body is not a JSON object."));
+    auto prompt = read_prompt(context.body, context.api, *context.policy);
+    if (!prompt)
+        return tl::make_unexpected(bad_request(prompt.error()));
+    const auto deployment = context.policy->deployments.find({prompt->model});
+    if (deployment == context.policy->deployments.end())
+        return tl::make_unexpected(not_found("Model `" + prompt->model + "` is not offered here."));
+    context.is_streamed = prompt->is_streamed;
+    context.wants_usage = prompt->wants_usage;
+    context.body["max_tokens"] = prompt->max_tokens;
+    context.facts = make_facts(*prompt, *context.policy, deployment->second);
+    context.facts.id = context.id;
+    return {};
+}
+
+filter_result find_route(request_context& context) {
+    const std::string_view path = path_of_target(context.request.target);
+    for (const settings::route_settings& route : context.policy->routes) {
+        if (!boost::algorithm::starts_with(path, route.prefix))
+            continue;
+        context.kind = request_kind::plain;
+        context.route = &route;
+        return {};
+    }
+    return tl::make_unexpected(not_found("No route for this path."));
+}
+
+} // namespace
+
+filter_result authenticate(request_context& context, wire::yield_context /*yield*/) {
+    context.settings = context.services->settings->current();
+    if (!context.settings)
+        return tl::make_unexpected(overloaded_problem("This host has no settings yet."));
+    const std::string_view field = wire::find_header(context.request.headers, "Authorization");
+    if (boost::algorithm::istarts_with(field, bearer))
+        context.policy = context.settings->policy_of_key(std::string(field.substr(bearer.size())));
+    if (context.policy == nullptr) {
+        ++context.services->figures->counters.unauthorised;
+        return tl::make_unexpected(unauthorised());
+    }
+    const std::string_view path = path_of_target(context.request.target);
+    if (path == wire::path_of(wire::completion_api::completions))
+        return read_completion(context);
+    if (path == wire::path_of(wire::completion_api::chat)) {
+        context.api = wire::completion_api::chat;
+        return read_completion(context);
+    }
+    return find_route(context);
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/completion_relay.cpp
@@ -0,0 +1,324 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/completion_relay.h>
+
+#include <service/prompt_facts.h>
+
+#include <host/owner.h>
+#include <wire/simple_client.h>
+
+#include <base/try.h>
+
+namespace postpaddle::service {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::steady_clock;
+
+constexpr int ok_status = 200;
+/// Statuses by which an engine says no before it has begun (RFC 9110): busy or draining, and gone.
+constexpr int unavailable_status = 503;
+constexpr int too_many_status = 429;
+constexpr int gone_status = 410;
+/// A decode stream that is silent for this long has stalled.
+constexpr auto token_limit = 5'000ms;
+constexpr std::size_t longest_event = 256UL * 1024;
+
+decision::failure failure_of(const wire::wire_error& error) {
+    switch (error.failure) {
+    case wire::wire_failure::bad_address:
+    case wire::wire_failure::not_connected:
+    case wire::wire_failure::refused:
+        return decision::failure::refused;
+    case wire::wire_failure::late:
+        return decision::failure::late;
+    case wire::wire_failure::malformed:
+    case wire::wire_failure::too_large:
+        return decision::failure::malformed;
+    case wire::wire_failure::closed:
+    case wire::wire_failure::cancelled:
+    case wire::wire_failure::broken:
+        return decision::failure::broken;
+    }
+    return decision::failure::broken;
+}
+
+run_certainty certainty_of(const wire::wire_error& error) {
+    switch (error.failure) {
+    case wire::wire_failure::bad_address:
+    case wire::wire_failure::not_connected:
+        return run_certainty::nothing_sent;
+    case wire::wire_failure::refused:
+        return run_certainty::refused_upstream;
+    case wire::wire_failure::malformed:
+    case wire::wire_failure::too_large:
+        return run_certainty::has_run;
+    default:
+        return run_certainty::may_have_run;
+    }
+}
+
+/// What an engine's error status means.
+wire::wire_error status_error(int status) {
+    const std::string text = std::to_string(status);
+    if (status == unavailable_status || status == too_many_status)
+        return {wire::wire_failure::refused, text};
+    if (status == gone_status)
+        return {wire::wire_failure::refused, "kv_gone"};
+    return {wire::wire_failure::malformed, text};
+}
+
+} // namespace
+
+filter_result completion_relay::run(wire::yield_context yield) {
+    while (true) {
+        const auto effect = this->context->mailbox->wait(yield);
+        if (!effect)
+            return this->caller_left(yield);
+        if (const auto* const prefill = std::get_if<decision::start_prefill>(&*effect))
+            this->run_prefill(*prefill, yield);
+        else if (const auto* const end = std::get_if<decision::end_request>(&*effect)) {
+            this->context->life.take(life_event::given_up);
+            this->note_times();
+            return tl::make_unexpected(this->problem_of(*end));
+        } else if (const auto* const decode = std::get_if<decision::start_decode>(&*effect)) {
+            if (this->run_decode(*decode, yield))
+                return {};
+        }
+    }
+}
+
+filter_result completion_relay::caller_left(wire::yield_context yield) {
+    this->context->life.take(life_event::caller_gone);
+    this->note_times();
+    report(*this->context, decision::caller_gone{this->context->id}, yield);
+    return tl::make_unexpected(
+        problem_answer{499, "caller-gone", "The caller has gone", "", this->context->life.outcome(), {}, {}});
+}
+
+wire::engine_attempt completion_relay::attempt_of(int attempt, int priority) const {
+    const auto& deployments = this->context->settings->tree->deployments;
+    return {this->context->api, host::make_attempt_id(this->context->id, attempt),
+            deployments.at(this->context->facts.deployment).model.value,
+            cache_salt_of(this->context->policy->id), priority};
+}
+
+const std::string* completion_relay::address_of(const base::upstream_id& upstream) const {
+    // Newer settings may name an engine that those the request came in with do not.
+    const settings_pointer in_force = this->context->services->settings->current();
+    const auto found = in_force->tree->upstreams.find(upstream);
+    return found == in_force->tree->upstreams.end() ? nullptr : &found->second.address;
+}
+
+void completion_relay::did_fail(int attempt, const wire::wire_error& error, wire::yield_context yield) {
+    if (this->call)
+        this->call->cancel();
+    this->context->mailbox->set_call(nullptr);
+    if (this->context->mailbox->is_caller_gone())
+        return;
+    process_counters& counters = this->context->services->figures->counters;
+    if (error.failure == wire::wire_failure::malformed || error.failure == wire::wire_failure::too_large)
+        ++counters.malformed_answers;
+    if (error.failure == wire::wire_failure::late)
+        ++counters.late_answers;
+    this->context->life.note_certainty(certainty_of(error));
+    this->context->life.take(life_event::engine_failed);
+    const bool is_kv_gone = error.detail == "kv_gone";
+    report(*this->context,
+           decision::phase_failed{this->context->id, attempt,
+                                  is_kv_gone ? decision::failure::lost_kv : failure_of(error),
+                                  this->answer.position().tokens},
+           yield);
+}
+
+void completion_relay::run_prefill(const decision::start_prefill& order, wire::yield_context yield) {
+    this->context->life.take(life_event::prefill_sent);
+    auto result = this->exchange_prefill(order, yield);
+    if (!result) {
+        this->did_fail(order.attempt, result.error(), yield);
+        return;
+    }
+    this->kv_transfer_params = std::move(result->kv_transfer_params);
+    this->context->facts.prompt_tokens = result->prompt_tokens;
+    this->context->life.note_certainty(run_certainty::has_run);
+    this->context->life.take(life_event::prefill_done);
+    report(*this->context,
+           decision::prefill_ended{this->context->id, order.attempt, result->prompt_tokens,
+                                   result->cached_tokens},
+           yield);
+}
+
+wire::expected<wire::prefill_answer> completion_relay::exchange_prefill(const decision::start_prefill& order,
+                                                                        wire::yield_context yield) {
+    const std::string* const address = this->address_of(order.prefill);
+    if (address == nullptr)
+        return tl::make_unexpected(wire::wire_error{wire::wire_failure::not_connected, "no such upstream"});
+    const wire::engine_attempt attempt = this->attempt_of(order.attempt, order.engine_priority);
+    const auto deadline = steady_clock::now() + order.limit;
+    const auto request = wire::make_prefill_request(this->context->body, attempt, this->answer.position());
+    const auto use = this->context->runs == decision::run_rule::repeatable ? wire::connection_use::may_reuse
+                                                                           : wire::connection_use::only_fresh;
+    const auto on_call = [this](const std::shared_ptr<wire::upstream_call>& next) {
+        this->call = next;
+        this->context->mailbox->set_call(next);
+    };
+    POSTPADDLE_TRY(open, wire::open_exchange(*this->context->services->pool, *address, request, use, deadline,
+                                             on_call, yield));
+    if (open.head.status != ok_status)
+        return tl::make_unexpected(status_error(open.head.status));
+    POSTPADDLE_TRY(body, open.call->read_rest(deadline, yield));
+    POSTPADDLE_TRY(parsed, wire::parse_prefill_answer(body, attempt));
+    this->context->mailbox->set_call(nullptr);
+    this->context->services->pool->give_back(*address, open.call);
+    return parsed;
+}
+
+bool completion_relay::run_decode(const decision::start_decode& order, wire::yield_context yield) {
+    this->context->life.take(life_event::decode_sent);
+    this->answer.set_engines(order.prefill.value, order.decode.value);
+    const std::string* const address = this->address_of(order.decode);
+    if (address == nullptr) {
+        this->did_fail(order.attempt, {wire::wire_failure::not_connected, "no such upstream"}, yield);
+        return false;
+    }
+    const wire::engine_attempt attempt = this->attempt_of(order.attempt, order.engine_priority);
+    const auto request = wire::make_decode_request(this->context->body, attempt, this->kv_transfer_params,
+                                                   this->answer.position());
+    const auto on_call = [this](const std::shared_ptr<wire::upstream_call>& next) {
+        this->call = next;
+        this->context->mailbox->set_call(next);
+    };
+    const auto use = this->context->runs == decision::run_rule::repeatable ? wire::connection_use::may_reuse
+                                                                           : wire::connection_use::only_fresh;
+    auto open = wire::open_exchange(*this->context->services->pool, *address, request, use,
+                                    steady_clock::now() + order.limit, on_call, yield);
+    if (!open) {
+        this->did_fail(order.attempt, open.error(), yield);
+        return false;
+    }
+    if (open->head.status != ok_status) {
+        this->did_fail(order.attempt, status_error(open->head.status), yield);
+        return false;
+    }
+    const auto relayed = this->relay_stream(order, *open->call, yield);
+    if (!relayed) {
+        this->did_fail(order.attempt, relayed.error(), yield);
+        return false;
+    }
+    this->context->mailbox->set_call(nullptr);
+    this->context->services->pool->give_back(*address, open->call);
+    this->note_times();
+    report(*this->context,
+           decision::decode_ended{this->context->id, order.attempt, this->answer.position().tokens}, yield);
+    if (!this->answer.finish(yield))
+        return true; // The engine is done with it; only the caller missed the end.
+    this->context->life.take(life_event::finished);
+    return true;
+}
+
+wire::expected<void> completion_relay::relay_stream(const decision::start_decode& order,
+                                                    wire::upstream_call& call, wire::yield_context yield) {
+    const wire::engine_attempt attempt = this->attempt_of(order.attempt, order.engine_priority);
+    const bool is_resumed = this->answer.position().tokens > 0;
+    auto deadline = steady_clock::now() + order.limit;
+    wire::event_stream stream(longest_event);
+    bool has_token = false;
+    while (true) {
+        POSTPADDLE_TRY(has_more, call.read_part(stream.input(), deadline, yield));
+        if (!has_more)
+            break;
+        const int before = this->answer.position().tokens;
+        POSTPADDLE_TRY_VOID(this->take_events(order, attempt, stream, yield));
+        if (!has_token && this->answer.position().tokens > before) {
+            has_token = true;
+            this->did_see_first_token(order, yield);
+        }
+        if (!this->answer.flush()) {
+            if (!this->context->mailbox->is_caller_gone()) {
+                ++this->context->services->figures->counters.slow_readers;
+                this->context->mailbox->did_lose_caller();
+            }
+            return tl::make_unexpected(
+                wire::wire_error{wire::wire_failure::cancelled, "the caller has gone"});
+        }
+        if (has_token)
+            deadline = steady_clock::now() + token_limit;
+    }
+    if (!this->answer.is_finished() || stream.has_rest())
+        return tl::make_unexpected(
+            wire::wire_error{wire::wire_failure::broken, "the stream ended too early"});
+    // A stream that had only its finish left to say has no token of its own.
+    if (!has_token && (is_resumed || this->answer.position().tokens == 0))
+        this->did_see_first_token(order, yield);
+    return {};
+}
+
+wire::expected<void> completion_relay::take_events(const decision::start_decode& order,
+                                                   const wire::engine_attempt& attempt,
+                                                   wire::event_stream& stream,
+                                                   wire::yield_context /*yield*/) {
+    while (const auto data = stream.next()) {
+        POSTPADDLE_TRY(event, wire::parse_decode_event(*data, attempt));
+        if (this->answer.position().tokens > this->context->facts.max_tokens)
+            return tl::make_unexpected(
+                wire::wire_error{wire::wire_failure::too_large, "more tokens than asked for"});
+        this->answer.take(event, *data, attempt.attempt_id);
+        if (event.what == wire::decode_event::kind::token)
+            this->last_token = this->context->services->clock->now();
+    }
+    if (stream.is_too_large())
+        return tl::make_unexpected(wire::wire_error{wire::wire_failure::too_large,
+                                                    "an event without end from " + order.decode.value});
+    return {};
+}
+
+void completion_relay::did_see_first_token(const decision::start_decode& order, wire::yield_context yield) {
+    if (!this->first_token)
+        this->first_token = this->context->services->clock->now();
+    this->context->life.take(life_event::first_token);
+    report(*this->context, decision::first_token_seen{this->context->id, order.attempt}, yield);
+}
+
+void completion_relay::note_times() {
+    request_observation& observation = this->context->observation;
+    observation.tokens = this->answer.position().tokens;
+    if (!this->first_token)
+        return;
+    observation.has_first_token = true;
+    observation.first_token = *this->first_token - this->context->arrived;
+    if (observation.tokens > 1)
+        observation.per_token = (this->last_token - *this->first_token) / (observation.tokens - 1);
+}
+
+problem_answer completion_relay::problem_of(const decision::end_request& order) const {
+    const run_outcome outcome = this->context->life.outcome();
+    switch (order.reason) {
+    case decision::refusal::no_deployment:
+        return {503, "no-engines", "The model has no engines", "", outcome, std::chrono::seconds(5), {}};
+    case decision::refusal::no_engine:
+        return {503, "no-engines", "No engine of the model can be used now", "", outcome, order.retry_after,
+                {}};
+    case decision::refusal::cannot_meet_target:
+        return {503,
+                "target-unreachable",
+                "The first token would come too late",
+                "Every engine has too much ahead of this request.",
+                outcome,
+                order.retry_after,
+                {}};
+    case decision::refusal::queue_full:
+        return {503, "queue-full", "Too many requests wait", "", outcome, order.retry_after, {}};
+    case decision::refusal::upstream_failed:
+        break;
+    }
+    const bool is_unknown = outcome == run_outcome::unknown;
+    return {is_unknown ? 504 : 503,
+            "upstream-failed",
+            "An engine failed while it ran the request",
+            "",
+            outcome,
+            order.retry_after,
+            {}};
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/completion_relay.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <service/completion_answer.h>
+#include <service/request_context.h>
+#include <wire/event_stream.h>
+
+#include <optional>
+#include <string>
+
+namespace postpaddle::service {
+
+/// Carries one completion through the engines that the decision names, and its answer back.
+class completion_relay {
+public:
+    explicit completion_relay(request_context& context) : context(&context), answer(context) {}
+
+    /// Does what the decision says until the answer is whole, the decision gives up or the caller goes.
+    [[nodiscard]] filter_result run(wire::yield_context yield);
+
+private:
+    void run_prefill(const decision::start_prefill& order, wire::yield_context yield);
+    [[nodiscard]] wire::expected<wire::prefill_answer> exchange_prefill(const decision::start_prefill& order,
+                                                                        wire::yield_context yield);
+    /// True when the answer is whole.
+    [[nodiscard]] bool run_decode(const decision::start_decode& order, wire::yield_context yield);
+    [[nodiscard]] wire::expected<void> relay_stream(const decision::start_decode& order,
+                                                    wire::upstream_call& call, wire::yield_context yield);
+    [[nodiscard]] wire::expected<void> take_events(const decision::start_decode& order,
+                                                   const wire::engine_attempt& attempt,
+                                                   wire::event_stream& stream, wire::yield_context yield);
+    void did_see_first_token(const decision::start_decode& order, wire::yield_context yield);
+    void did_fail(int attempt, const wire::wire_error& error, wire::yield_context yield);
+    [[nodiscard]] wire::engine_attempt attempt_of(int attempt, int priority) const;
+    [[nodiscard]] const std::string* address_of(const base::upstream_id& upstream) const;
+    [[nodiscard]] problem_answer problem_of(const decision::end_request& order) const;
+    [[nodiscard]] filter_result caller_left(wire::yield_context yield);
+    void note_times();
+
+    request_context* context;
+    completion_answer answer;
+    wire::json kv_transfer_params;
+    std::shared_ptr<wire::upstream_call> call;
+    std::optional<base::time_point> first_token;
+    base::time_point last_token{};
+};
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/control_thread.cpp
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/control_thread.h>
+
+#include <service/log.h>
+
+#include <base/try.h>
+
+#include <future>
+
+namespace postpaddle::service {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto readiness_look = 100ms;
+constexpr int ok_status = 200;
+constexpr int forbidden_status = 403;
+
+control_context make_control(const control_parts& parts, wire::asio::io_context& context,
+                             wire::log_client& log, wire::peer_client& peers) {
+    control_context control;
+    control.clock = parts.clock;
+    control.context = &context;
+    control.process = parts.process;
+    control.settings = parts.settings;
+    control.decision = parts.decision;
+    control.limits = parts.limits;
+    control.upstreams = parts.upstreams;
+    control.claims = parts.claims;
+    control.figures = parts.figures;
+    control.log = &log;
+    control.peers = &peers;
+    host::member self;
+    self.name = parts.process->name;
+    self.zone = parts.process->availability_zone;
+    self.incarnation = parts.incarnation;
+    host::membership_options options;
+    options.seed = parts.incarnation;
+    control.members = host::make_membership(self, options);
+    return control;
+}
+
+} // namespace
+
+control_thread::control_thread(const control_parts& parts)
+    : log(this->context, parts.process->log_address), peers(this->context, parts.process->peers_token),
+      control(make_control(parts, this->context, this->log, this->peers)), settings(this->control),
+      membership(this->control), upstreams(this->control), shares(this->control, this->upstreams),
+      claim(this->control) {}
+
+control_thread::~control_thread() { this->stop(); }
+
+wire::expected<std::uint16_t> control_thread::listen() {
+    wire::listener_options options;
+    options.address = this->control.process->peers.address;
+    options.port = this->control.process->peers.port;
+    POSTPADDLE_TRY(created, wire::http_listener::create(this->context, options));
+    this->listener = std::move(created);
+    this->listener->start([this](wire::caller_connection& connection, wire::yield_context yield) {
+        this->serve_peer(connection, yield);
+    });
+    return this->listener->port();
+}
+
+void control_thread::start(const std::string& peers_address, const std::string& operators_address) {
+    host::member self = this->control.members.self;
+    self.peers_address = peers_address;
+    self.operators_address = operators_address;
+    host::change_self(this->control.members, self);
+    this->settings.start();
+    this->membership.start();
+    this->upstreams.start();
+    this->shares.start();
+    this->claim.start();
+    wire::spawn_coroutine(this->context, [this](wire::yield_context yield) { this->watch_readiness(yield); });
+    this->thread = std::thread([this] { this->context.run(); });
+}
+
+void control_thread::stop() {
+    this->context.stop();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+void control_thread::inspect(const std::function<void(const control_thread&)>& look) {
+    std::promise<void> done;
+    wire::asio::post(this->context, [this, &look, &done] {
+        look(*this);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void control_thread::say_goodbye(bool has_left) {
+    std::promise<void> done;
+    wire::spawn_coroutine(this->context, [this, has_left, &done](wire::yield_context yield) {
+        this->membership.say_goodbye(has_left, yield);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void control_thread::watch_readiness(wire::yield_context yield) {
+    while (!this->control.is_stopping) {
+        const bool is_current = this->settings.is_current();
+        if (is_current != this->ready) {
+            this->ready = is_current;
+            if (is_current)
+                log_info("ready");
+            else
+                log_warning("not_ready", {{"reason", "settings can't be known to be current"}});
+        }
+        const std::uint64_t bytes = this->log.traffic_bytes() + this->peers.traffic_bytes();
+        this->control.figures->counters.control_bytes += bytes - std::exchange(this->counted_bytes, bytes);
+        this->control.pause(readiness_look, yield);
+    }
+}
+
+void control_thread::serve_peer(wire::caller_connection& connection, wire::yield_context yield) {
+    while (!connection.is_gone()) {
+        const auto request = connection.read_request(yield);
+        if (!request)
+            return;
+        const wire::http_response response = this->answer_peer(*request, yield);
+        this->control.figures->counters.control_bytes += request->body.size() + response.body.size();
+        if (!connection.send(response, yield) || !connection.is_keep_alive())
+            return;
+    }
+}
+
+wire::http_response control_thread::answer_peer(const wire::http_request& request,
+                                                wire::yield_context yield) {
+    if (wire::find_header(request.headers, wire::peer_token_header) != this->control.process->peers_token)
+        return {forbidden_status, {}, ""};
+    // Methods may wait inside their coroutine: libjsonrpccpp only sees calls that take a while.
+    wire::json_rpc_server server({
+        {"probe", [this](const std::string& payload) { return this->membership.answer_probe(payload); }},
+        {"indirect",
+         [this, &yield](const std::string& payload) {
+             return this->membership.answer_indirect(payload, yield);
+         }},
+        {"shares", [this](const std::string& payload) { return this->shares.answer(payload); }},
+        {"claim", [this, &yield](const std::string& payload) { return this->claim.answer(payload, yield); }},
+        {"settings",
+         [this](const std::string& /*payload*/) {
+             return json{{"state", this->settings.encoded_state()}}.dump();
+         }},
+    });
+    return {ok_status, {{"Content-Type", "application/json"}}, server.respond(request.body)};
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/control_thread.h
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <service/claim_controller.h>
+#include <service/control_context.h>
+#include <service/membership_controller.h>
+#include <service/settings_controller.h>
+#include <service/share_controller.h>
+#include <service/upstream_controller.h>
+#include <wire/http_listener.h>
+#include <wire/json_rpc.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace postpaddle::service {
+
+/// What the control thread works with.
+struct control_parts {
+    const base::clock* clock = nullptr;
+    const settings::process_settings* process = nullptr;
+    settings_store* settings = nullptr;
+    decision_controller* decision = nullptr;
+    limit_controller* limits = nullptr;
+    upstream_board* upstreams = nullptr;
+    claim_client* claims = nullptr;
+    metrics* figures = nullptr;
+    std::uint64_t incarnation = 0;
+};
+
+/// The thread that speaks with the platform, the other hosts and, as their home, with engines.
+class control_thread {
+public:
+    explicit control_thread(const control_parts& parts);
+    control_thread(const control_thread&) = delete;
+    control_thread(control_thread&&) = delete;
+    control_thread& operator=(const control_thread&) = delete;
+    control_thread& operator=(control_thread&&) = delete;
+    ~control_thread();
+
+    /// Listens for peers and gives the port.
+    [[nodiscard]] wire::expected<std::uint16_t> listen();
+    /// Tells the others where to reach this host, and starts the thread.
+    void start(const std::string& peers_address, const std::string& operators_address);
+    void stop();
+
+    /// Whether settings are in force and current; safe from any thread.
+    [[nodiscard]] bool is_ready() const { return this->ready; }
+    /// Runs a function on the control thread with its state and waits for it.
+    void inspect(const std::function<void(const control_thread&)>& look);
+    /// Tells the others that this host drains, or has left; returns when a few have heard.
+    void say_goodbye(bool has_left);
+
+    [[nodiscard]] const control_context& state() const { return this->control; }
+    [[nodiscard]] const claim_controller& claims() const { return this->claim; }
+
+private:
+    void serve_peer(wire::caller_connection& connection, wire::yield_context yield);
+    [[nodiscard]] wire::http_response answer_peer(const wire::http_request& request,
+                                                  wire::yield_context yield);
+    void watch_readiness(wire::yield_context yield);
+
+    wire::asio::io_context context{1};
+    wire::log_client log;
+    wire::peer_client peers;
+    control_context control;
+    settings_controller settings;
+    membership_controller membership;
+    upstream_controller upstreams;
+    share_controller shares;
+    claim_controller claim;
+    std::shared_ptr<wire::http_listener> listener;
+    std::atomic<bool> ready{false};
+    std::uint64_t counted_bytes = 0;
+    std::thread thread;
+};
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/decision_controller.cpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/decision_controller.h>
+
+#include <charconv>
+#include <future>
+
+namespace postpaddle::service {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Pace of the core while requests wait, and while none does.
+constexpr auto busy_tick = 2ms;
+constexpr auto idle_tick = 50ms;
+/// Progress reports outnumber arrivals by this much, a request having several.
+constexpr std::size_t progress_factor = 8;
+
+const base::request_id& id_of(const decision::effect& effect) {
+    return std::visit([](const auto& value) -> const base::request_id& { return value.id; }, effect);
+}
+
+} // namespace
+
+std::size_t worker_of(const base::request_id& id, std::size_t workers) {
+    static constexpr int hexadecimal = 16;
+    const auto dot = id.value.rfind('.');
+    std::uint64_t sequence = 0;
+    if (dot != std::string::npos)
+        std::from_chars(id.value.data() + dot + 1, id.value.data() + id.value.size(), sequence, hexadecimal);
+    return static_cast<std::size_t>(sequence % workers);
+}
+
+decision_controller::decision_controller(const base::clock& clock, const decision_options& options)
+    : clock(&clock), options(options), state(decision::make_router(options.router)),
+      arrivals(options.ring_capacity), progress(options.ring_capacity * progress_factor) {
+    for (std::size_t worker = 0; worker < options.workers; ++worker)
+        this->outgoing.push_back(std::make_unique<effect_ring>(options.ring_capacity * progress_factor));
+    const auto wake = [this] { wire::asio::post(this->context, [this] { this->drain(); }); };
+    this->arrivals.set_on_ready(wake);
+    this->progress.set_on_ready(wake);
+}
+
+decision_controller::~decision_controller() { this->stop(); }
+
+void decision_controller::start() {
+    this->schedule_tick();
+    this->thread = std::thread([this] { this->context.run(); });
+}
+
+void decision_controller::stop() {
+    this->context.stop();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+bool decision_controller::try_arrive(decision::request_facts facts) {
+    return this->arrivals.try_push(decision::request_arrived{std::move(facts)});
+}
+
+bool decision_controller::try_report(decision::event event) {
+    return this->progress.try_push(std::move(event));
+}
+
+void decision_controller::inspect(const std::function<void(const decision::router_state&)>& look) {
+    std::promise<void> done;
+    wire::asio::post(this->context, [this, &look, &done] {
+        look(this->state);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void decision_controller::drain() {
+    // Progress first: it frees places that the arrivals may then be given.
+    for (const decision::event& event : this->progress.drain())
+        this->apply(event);
+    for (const decision::event& event : this->arrivals.drain())
+        this->apply(event);
+    this->flush_overflow();
+    if (decision::queued_requests(this->state) > 0 && this->ticker.expiry() > this->clock->now() + busy_tick)
+        this->schedule_tick();
+}
+
+void decision_controller::apply(const decision::event& event) {
+    decision::effects effects = decision::step(this->state, event, this->clock->now());
+    this->deliver(effects);
+}
+
+void decision_controller::deliver(decision::effects& effects) {
+    for (decision::effect& effect : effects) {
+        const std::size_t worker = worker_of(id_of(effect), this->options.workers);
+        if (!this->overflow.empty() || !this->outgoing[worker]->try_push(effect))
+            this->overflow.push_back(std::move(effect));
+    }
+}
+
+void decision_controller::flush_overflow() {
+    while (!this->overflow.empty()) {
+        const std::size_t worker = worker_of(id_of(this->overflow.front()), this->options.workers);
+        if (!this->outgoing[worker]->try_push(this->overflow.front()))
+            return;
+        this->overflow.pop_front();
+    }
+}
+
+void decision_controller::schedule_tick() {
+    const bool is_busy = decision::queued_requests(this->state) > 0 || !this->overflow.empty();
+    this->ticker.expires_after(is_busy ? busy_tick : idle_tick);
+    this->ticker.async_wait([this](const wire::error_code& error) {
+        if (error)
+            return;
+        this->apply(decision::tick{});
+        this->flush_overflow();
+        this->schedule_tick();
+    });
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/filter_chain.cpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/filter_chain.h>
+
+#include <array>
+
+namespace postpaddle::service {
+
+namespace {
+
+constexpr std::array<filter, 5> filters = {authenticate, check_limits, check_repeatability, decide, relay};
+
+request_end end_of(const request_context& context, const filter_result& result) {
+    if (result)
+        return request_end::whole;
+    if (context.connection->is_gone())
+        return request_end::cancelled;
+    switch (result.error().outcome) {
+    case run_outcome::not_run:
+        return request_end::refused;
+    case run_outcome::unknown:
+        return request_end::unknown;
+    case run_outcome::failed:
+        return request_end::failed;
+    }
+    return request_end::failed;
+}
+
+/// A claim ends as what the log should say of its key from now on.
+host::claim_outcome claim_outcome_of(const request_context& context, const filter_result& result) {
+    if (result)
+        return host::claim_outcome::succeeded;
+    if (context.connection->is_gone())
+        return context.life.outcome() == run_outcome::not_run ? host::claim_outcome::not_run
+                                                              : host::claim_outcome::unknown;
+    switch (result.error().outcome) {
+    case run_outcome::not_run:
+        return host::claim_outcome::not_run;
+    case run_outcome::unknown:
+        return host::claim_outcome::unknown;
+    case run_outcome::failed:
+        return host::claim_outcome::failed;
+    }
+    return host::claim_outcome::unknown;
+}
+
+void answer_problem(request_context& context, const problem_answer& problem, wire::yield_context yield) {
+    if (context.connection->is_gone())
+        return;
+    if (context.is_answer_begun) {
+        // The caller has part of a stream: an error event ends it, so that it never looks whole.
+        (void)context.connection->append("data: " + to_error_event(problem, context.id.value) + "\n\n");
+        (void)context.connection->end_stream(yield);
+        return;
+    }
+    (void)context.connection->send(to_response(problem, context.id.value), yield);
+}
+
+void settle(request_context& context, const filter_result& result) {
+    if (context.has_entered)
+        context.services->limits->leave(context.policy->id);
+    if (context.claimed)
+        context.services->claims->tell_end(
+            {context.claimed->key, context.claimed->request, claim_outcome_of(context, result)});
+    if (context.policy == nullptr)
+        return;
+    context.observation.organisation = context.policy->id;
+    context.observation.end = end_of(context, result);
+    context.services->figures->observe(context.observation);
+}
+
+} // namespace
+
+void run_filters(request_context& context, wire::yield_context yield) {
+    ++context.services->figures->counters.requests_in_progress;
+    filter_result result;
+    for (const filter step : filters) {
+        result = step(context, yield);
+        if (!result)
+            break;
+    }
+    if (!result)
+        answer_problem(context, result.error(), yield);
+    settle(context, result);
+    --context.services->figures->counters.requests_in_progress;
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/release_controller.cpp
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/release_controller.h>
+
+#include <service/log.h>
+
+#include <host/owner.h>
+#include <wire/engine_adapter.h>
+#include <wire/simple_client.h>
+
+namespace postpaddle::service {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto call_limit = 1'000ms;
+constexpr auto first_pause = 50ms;
+constexpr auto longest_pause = 1'000ms;
+/// An engine that could not be reached for this long has dropped what nobody reads.
+constexpr auto give_up_after = 10'000ms;
+constexpr auto report_pause = 2ms;
+constexpr int ok_status = 200;
+
+void sleep(wire::asio::io_context& context, std::chrono::milliseconds length, wire::yield_context yield) {
+    wire::error_code ignored;
+    wire::asio::steady_timer timer(context, length);
+    timer.async_wait(yield[ignored]);
+}
+
+} // namespace
+
+release_controller::release_controller(wire::asio::io_context& context, const settings_store& settings,
+                                       decision_controller& decision, metrics& figures)
+    : context(&context), settings(&settings), decision(&decision), figures(&figures),
+      pool(context, wire::answer_bounds{}) {}
+
+void release_controller::release(const decision::release_hold& order) {
+    ++this->running;
+    wire::spawn_coroutine(*this->context, [this, order](wire::yield_context yield) {
+        this->run(order, yield);
+        --this->running;
+    });
+}
+
+void release_controller::run(const decision::release_hold& order, wire::yield_context yield) {
+    const auto give_up_at = std::chrono::steady_clock::now() + give_up_after;
+    std::chrono::milliseconds pause = first_pause;
+    while (!this->try_release(order, yield)) {
+        if (std::chrono::steady_clock::now() >= give_up_at) {
+            ++this->figures->counters.releases_given_up;
+            log_warning("release_given_up",
+                        {{"upstream", order.upstream.value}, {"request", order.id.value}});
+            break;
+        }
+        sleep(*this->context, pause, yield);
+        pause = std::min<std::chrono::milliseconds>(pause * 2, longest_pause);
+    }
+    this->report(order, yield);
+}
+
+bool release_controller::try_release(const decision::release_hold& order, wire::yield_context yield) {
+    const settings_pointer in_force = this->settings->current();
+    const auto found = in_force->tree->upstreams.find(order.upstream);
+    if (found == in_force->tree->upstreams.end())
+        return true;
+    ++this->figures->counters.releases_sent;
+    const auto request = wire::make_abort_request(host::make_attempt_id(order.id, order.attempt));
+    const auto answer = wire::fetch(this->pool, found->second.address, request, call_limit, yield);
+    return answer && answer->status == ok_status;
+}
+
+void release_controller::report(const decision::release_hold& order, wire::yield_context yield) {
+    while (!this->decision->try_report(decision::hold_released{order.id, order.attempt, order.upstream}))
+        sleep(*this->context, report_pause, yield);
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/repeatability_filter.cpp
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/filter_chain.h>
+
+#include <host/claim_key.h>
+
+#include <base/hashing.h>
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace postpaddle::service {
+
+namespace {
+
+/// Longest wait for the log's word on a claim.
+constexpr auto claim_limit = std::chrono::milliseconds(1500);
+constexpr std::size_t longest_key = 128;
+/// A key may be this far in the future, callers' clocks being what they are.
+constexpr std::int64_t future_milliseconds = 300'000;
+
+problem_answer bad_key(std::string detail) {
+    return {400,
+            "bad-idempotency-key",
+            "The Idempotency-Key can't be used",
+            std::move(detail),
+            run_outcome::not_run,
+            {},
+            {}};
+}
+
+bool is_marked_not_repeatable(const request_context& context) {
+    const auto field = wire::find_header(context.request.headers, "Postpaddle-Repeatable");
+    if (boost::algorithm::iequals(field, "no"))
+        return true;
+    return context.kind == request_kind::plain &&
+           context.route->repeats == settings::repeatability::not_repeatable;
+}
+
+host::claim make_claim(const request_context& context) {
+    host::claim wanted;
+    wanted.key = base::hash64(context.idempotency_key, base::hash64(context.policy->id.value));
+    wanted.body = base::hash64(context.request.body,
+                               base::hash64(context.request.method + " " + context.request.target));
+    wanted.request = context.id.value;
+    return wanted;
+}
+
+filter_result refuse_second(const host::claim_answer& answer) {
+    problem_answer problem{409,
+                           "already-claimed",
+                           "Another arrival of this Idempotency-Key came first",
+                           "The outcome is that of the first arrival.",
+                           run_outcome::unknown,
+                           {},
+                           {}};
+    problem.members["first_outcome"] = host::to_text(answer.outcome);
+    problem.members["first_request_id"] = answer.winner;
+    if (answer.outcome == host::claim_outcome::failed)
+        problem.outcome = run_outcome::failed;
+    return tl::make_unexpected(problem);
+}
+
+filter_result refuse(const host::claim_answer& answer) {
+    switch (answer.verdict) {
+    case host::claim_verdict::won:
+        return {};
+    case host::claim_verdict::taken:
+        return refuse_second(answer);
+    case host::claim_verdict::other_body:
+        return tl::make_unexpected(problem_answer{422,
+                                                  "key-reused",
+                                                  "The Idempotency-Key was used with another request",
+                                                  "This arrival did not run.",
+                                                  run_outcome::not_run,
+                                                  {},
+                                                  {}});
+    case host::claim_verdict::too_old:
+        return tl::make_unexpected(problem_answer{409,
+                                                  "key-too-old",
+                                                  "The Idempotency-Key is older than what is remembered",
+                                                  "It may have run before.",
+                                                  run_outcome::unknown,
+                                                  {},
+                                                  {}});
+    case host::claim_verdict::pending:
+        return tl::make_unexpected(problem_answer{503,
+                                                  "log-unavailable",
+                                                  "Not-repeatable requests can't be claimed now",
+                                                  "The platform's log did not confirm the claim in time.",
+                                                  run_outcome::not_run,
+                                                  std::chrono::seconds(2),
+                                                  {}});
+    }
+    return {};
+}
+
+} // namespace
+
+filter_result check_repeatability(request_context& context, wire::yield_context yield) {
+    if (!is_marked_not_repeatable(context))
+        return {};
+    context.runs = decision::run_rule::at_most_once;
+    context.facts.runs = decision::run_rule::at_most_once;
+    context.idempotency_key = wire::find_header(context.request.headers, "Idempotency-Key");
+    // Without a key no other arrival can be the same request: this host sends it at most once.
+    if (context.idempotency_key.empty())
+        return {};
+    if (context.idempotency_key.size() > longest_key)
+        return tl::make_unexpected(bad_key("It is longer than 128 bytes."));
+    std::string bare = context.idempotency_key;
+    if (bare.size() > 2 && bare.front() == '"' && bare.back() == '"')
+        bare = bare.substr(1, bare.size() - 2);
+    const auto key_time = host::uuid7_milliseconds(bare);
+    if (!key_time)
+        return tl::make_unexpected(bad_key("A not-repeatable request needs a UUID of version 7 as its key, "
+                                           "since a key must tell how old it is."));
+    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          context.services->clock->wall_now().time_since_epoch())
+                          .count();
+    if (*key_time > wall + future_milliseconds)
+        return tl::make_unexpected(bad_key("Its time lies in the future."));
+    context.idempotency_key = bare;
+    const host::claim wanted = make_claim(context);
+    ++context.services->figures->counters.claims;
+    const host::claim_answer answer =
+        context.services->claims->ask(wanted, *key_time, claim_limit, *context.services->context, yield);
+    filter_result result = refuse(answer);
+    if (!result)
+        ++context.services->figures->counters.claims_refused;
+    // A claim that may still take effect is given back, so that it does not block a later arrival.
+    if (result || answer.verdict == host::claim_verdict::pending)
+        context.claimed = wanted;
+    return result;
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/request_context.cpp
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/request_context.h>
+
+namespace postpaddle::service {
+
+namespace {
+
+constexpr auto full_ring_pause = std::chrono::milliseconds(1);
+
+} // namespace
+
+void report(request_context& context, const decision::event& event, wire::yield_context yield) {
+    while (!context.services->decision->try_report(event)) {
+        ++context.services->figures->counters.ring_full;
+        wire::error_code ignored;
+        wire::asio::steady_timer pause(*context.services->context, full_ring_pause);
+        pause.async_wait(yield[ignored]);
+    }
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/request_context.h
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <decision/request_facts.h>
+#include <host/claim_table.h>
+#include <service/claim_client.h>
+#include <service/decision_controller.h>
+#include <service/limit_controller.h>
+#include <service/metrics.h>
+#include <service/problem_answer.h>
+#include <service/release_controller.h>
+#include <service/request_life.h>
+#include <service/request_mailbox.h>
+#include <service/settings_store.h>
+#include <service/upstream_board.h>
+#include <wire/caller_connection.h>
+#include <wire/engine_adapter.h>
+#include <wire/upstream_pool.h>
+
+#include <tl/expected.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace postpaddle::service {
+
+/// What the requests of one worker share. Everything outlives every request.
+struct worker_services {
+    const base::clock* clock = nullptr;
+    wire::asio::io_context* context = nullptr;
+    const settings_store* settings = nullptr;
+    decision_controller* decision = nullptr;
+    limit_controller* limits = nullptr;
+    upstream_board* upstreams = nullptr;
+    claim_client* claims = nullptr;
+    metrics* figures = nullptr;
+    wire::upstream_pool* pool = nullptr;
+    std::map<base::request_id, std::shared_ptr<request_mailbox>>* mailboxes = nullptr;
+};
+
+/// What a request is for.
+enum class request_kind { completion, plain };
+
+/// One request on its way through the filters.
+struct request_context {
+    worker_services* services = nullptr;
+    wire::caller_connection* connection = nullptr;
+    wire::http_request request;
+    base::request_id id;
+    base::time_point arrived{};
+    settings_pointer settings;
+    const settings::organisation_policy* policy = nullptr; ///< Set by `authenticate`.
+    request_kind kind = request_kind::completion;
+    // Of a completion.
+    wire::completion_api api = wire::completion_api::completions;
+    wire::json body;
+    bool is_streamed = false;
+    bool wants_usage = false;
+    decision::request_facts facts;
+    // Of a plain call.
+    const settings::route_settings* route = nullptr;
+    // Of the request's run.
+    decision::run_rule runs = decision::run_rule::repeatable;
+    std::string idempotency_key;
+    std::optional<host::claim> claimed;
+    bool has_entered = false; ///< Counted against the organisation's limits.
+    request_life life;
+    std::shared_ptr<request_mailbox> mailbox;
+    request_observation observation;
+    bool is_answer_begun = false; ///< The caller has bytes of an answer.
+};
+
+/// What a filter says: go on, or this answer instead.
+using filter_result = tl::expected<void, problem_answer>;
+
+/// Reports an event to the decision; waits briefly while its ring is full.
+void report(request_context& context, const decision::event& event, wire::yield_context yield);
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/request_mailbox.h
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <decision/effect.h>
+#include <wire/asio.h>
+#include <wire/upstream_call.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace postpaddle::service {
+
+/// Where the decision's effects for one request arrive, and what must be cut when its caller goes.
+/// Used by the request's worker thread alone.
+class request_mailbox {
+public:
+    explicit request_mailbox(wire::asio::io_context& context) : wake(context) {
+        this->wake.expires_at(wire::asio::steady_timer::time_point::max());
+    }
+
+    /// Adds an effect and wakes the request.
+    void put(decision::effect effect) {
+        this->effects.push_back(std::move(effect));
+        this->wake.cancel();
+    }
+
+    /// The caller has gone: cuts the upstream call in progress and wakes the request.
+    void did_lose_caller() {
+        this->caller_gone = true;
+        if (this->call)
+            this->call->cancel();
+        this->wake.cancel();
+    }
+
+    /// Waits for the next effect; empty once the caller has gone.
+    [[nodiscard]] std::optional<decision::effect> wait(wire::yield_context yield) {
+        wire::error_code ignored;
+        while (!this->caller_gone && this->effects.empty())
+            this->wake.async_wait(yield[ignored]);
+        if (this->caller_gone)
+            return std::nullopt;
+        decision::effect next = std::move(this->effects.front());
+        this->effects.pop_front();
+        return next;
+    }
+
+    [[nodiscard]] bool is_caller_gone() const { return this->caller_gone; }
+
+    /// Sets the upstream call that a going caller cuts; cut at once when the caller has gone already.
+    void set_call(std::shared_ptr<wire::upstream_call> next) {
+        this->call = std::move(next);
+        if (this->call && this->caller_gone)
+            this->call->cancel();
+    }
+
+private:
+    std::deque<decision::effect> effects;
+    wire::asio::steady_timer wake;
+    std::shared_ptr<wire::upstream_call> call;
+    bool caller_gone = false;
+};
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/settings_snapshot.h
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/identifier.h>
+#include <decision/topology.h>
+#include <settings/organisation_policy.h>
+#include <settings/settings_log.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace postpaddle::service {
+
+/// Settings in force, in the form that requests need. Never changes once made.
+struct settings_snapshot {
+    settings::log_offset revision = 0;
+    settings::log_offset next_offset = 1;
+    std::shared_ptr<const settings::settings_tree> tree;
+    std::unordered_map<std::string, base::organisation_id> organisation_by_key_hash;
+    std::map<base::organisation_id, settings::organisation_policy> policies;
+    decision::topology topology;
+
+    /// Policy of the organisation that a caller's key belongs to, or null.
+    [[nodiscard]] const settings::organisation_policy* policy_of_key(const std::string& key) const;
+};
+
+using settings_pointer = std::shared_ptr<const settings_snapshot>;
+
+/// Works out the snapshot of a folded state that has settings in force.
+[[nodiscard]] settings_pointer make_snapshot(const settings::settings_state& state);
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/settings_store.cpp
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/settings_store.h>
+
+namespace postpaddle::service {
+
+settings_pointer settings_store::current() const { return this->in_force.load(); }
+
+bool settings_store::put(settings_pointer next) {
+    // Only the control thread writes, so a look before the write is enough.
+    const settings_pointer now = this->in_force.load();
+    if (now && next->revision < now->revision)
+        return false;
+    this->in_force.store(std::move(next));
+    return true;
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/share_controller.cpp
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/share_controller.h>
+
+#include <host/rendezvous.h>
+
+namespace postpaddle::service {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto ask_pause = 400ms;
+constexpr auto ask_limit = 500ms;
+constexpr std::string_view organisation_prefix = "organisation:";
+constexpr std::string_view upstream_prefix = "upstream:";
+/// A host without work on an upstream still asks for its load, with next to no demand.
+constexpr double idle_demand = 0.01;
+
+} // namespace
+
+void share_controller::start() {
+    wire::spawn_coroutine(*this->control->context,
+                          [this](wire::yield_context yield) { this->ask_forever(yield); });
+}
+
+std::map<std::string, double> share_controller::demands() const {
+    std::map<std::string, double> found;
+    for (const auto& demand : this->control->limits->demands(this->control->clock->now()))
+        found[std::string(organisation_prefix) + demand.organisation.value] = demand.amount;
+    this->control->decision->inspect([&found](const decision::router_state& state) {
+        const double queued = static_cast<double>(decision::queued_requests(state));
+        for (const decision::engine_state& engine : state.engines)
+            if (engine.is_present)
+                found[std::string(upstream_prefix) + engine.facts.id.value] =
+                    idle_demand + decision::promised_places(engine) +
+                    queued / static_cast<double>(state.engines.size());
+    });
+    return found;
+}
+
+void share_controller::ask_forever(wire::yield_context yield) {
+    while (!this->control->is_stopping) {
+        const auto working = this->control->working();
+        std::map<std::string, std::pair<host::member, share_request>> by_home;
+        for (const auto& [key, amount] : this->demands()) {
+            const auto home = host::home_of(working, key);
+            if (!home)
+                continue;
+            auto& [member, request] = by_home[home->name.value];
+            member = *home;
+            request.host = this->control->members.self.name.value;
+            request.demands[key] = amount;
+        }
+        for (const auto& [name, item] : by_home) {
+            if (this->control->is_self(item.first)) {
+                this->take(this->grant(item.second));
+                continue;
+            }
+            wire::spawn_coroutine(*this->control->context,
+                                  [this, home = item.first, request = item.second](wire::yield_context own) {
+                                      this->ask(home, request, own);
+                                  });
+        }
+        host::forget_idle(this->table, this->control->clock->now());
+        this->control->pause(ask_pause, yield);
+    }
+}
+
+void share_controller::ask(const host::member& home, const share_request& request,
+                           wire::yield_context yield) {
+    const auto text =
+        this->control->peers->call(home.peers_address, "shares", encode(request), ask_limit, yield);
+    if (!text)
+        return;
+    if (const auto answer = decode_share_answer(*text))
+        this->take(*answer);
+}
+
+std::string share_controller::answer(const std::string& payload) {
+    const auto request = decode_share_request(payload);
+    return encode(request ? this->grant(*request) : share_answer{});
+}
+
+share_answer share_controller::grant(const share_request& request) {
+    const base::time_point now = this->control->clock->now();
+    const std::size_t hosts = this->control->working().size();
+    const auto loads = this->upstreams->loads();
+    share_answer answer;
+    for (const auto& [key, amount] : request.demands) {
+        answer.shares[key] = host::grant_share(this->table, key, {request.host}, amount, hosts, now);
+        if (!key.starts_with(upstream_prefix))
+            continue;
+        const auto load = loads.find(key.substr(upstream_prefix.size()));
+        if (load != loads.end())
+            answer.loads[load->first] = load->second;
+    }
+    return answer;
+}
+
+void share_controller::take(const share_answer& answer) {
+    const base::time_point now = this->control->clock->now();
+    for (const auto& [key, share] : answer.shares) {
+        if (key.starts_with(organisation_prefix))
+            this->control->limits->set_share({key.substr(organisation_prefix.size())}, share, now);
+        if (key.starts_with(upstream_prefix))
+            this->control->tell_decision(
+                decision::share_granted{{key.substr(upstream_prefix.size())}, share});
+    }
+    for (const auto& [upstream, load] : answer.loads)
+        this->control->tell_decision(
+            decision::load_heard{{upstream}, load.report, std::chrono::milliseconds(load.age_ms)});
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/upstream_controller.cpp
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/upstream_controller.h>
+
+#include <service/log.h>
+
+#include <host/owner.h>
+#include <host/rendezvous.h>
+#include <wire/engine_adapter.h>
+#include <wire/simple_client.h>
+
+namespace postpaddle::service {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto poll_pause = 200ms;
+constexpr auto orphan_pause = 1'000ms;
+constexpr auto call_limit = 1'000ms;
+constexpr base::duration load_lifetime = 5s;
+constexpr int ok_status = 200;
+
+} // namespace
+
+upstream_controller::upstream_controller(control_context& control)
+    : control(&control), pool(*control.context, wire::answer_bounds{}) {}
+
+void upstream_controller::start() {
+    wire::asio::io_context& context = *this->control->context;
+    wire::spawn_coroutine(context, [this](wire::yield_context yield) { this->poll_forever(yield); });
+    wire::spawn_coroutine(context, [this](wire::yield_context yield) { this->free_orphans_forever(yield); });
+}
+
+std::vector<std::pair<base::upstream_id, std::string>> upstream_controller::own_engines() const {
+    std::vector<std::pair<base::upstream_id, std::string>> engines;
+    const settings_pointer in_force = this->control->settings->current();
+    if (!in_force)
+        return engines;
+    const auto working = this->control->working();
+    for (const auto& [id, upstream] : in_force->tree->upstreams) {
+        if (upstream.kind != settings::upstream_kind::engine)
+            continue;
+        const auto home = host::home_of(working, "upstream:" + id.value);
+        if (home && this->control->is_self(*home))
+            engines.emplace_back(id, upstream.address);
+    }
+    return engines;
+}
+
+void upstream_controller::poll_forever(wire::yield_context yield) {
+    while (!this->control->is_stopping) {
+        for (const auto& [id, address] : this->own_engines()) {
+            // An engine that does not answer must not hold up the polls of the others.
+            if (!this->polling.insert(id).second)
+                continue;
+            wire::spawn_coroutine(*this->control->context,
+                                  [this, id = id, address = address](wire::yield_context own) {
+                                      this->poll(id, address, own);
+                                      this->polling.erase(id);
+                                  });
+        }
+        const base::time_point now = this->control->clock->now();
+        std::erase_if(this->heard, [now](const auto& item) { return now - item.second.at > load_lifetime; });
+        this->control->pause(poll_pause, yield);
+    }
+}
+
+void upstream_controller::poll(const base::upstream_id& id, const std::string& address,
+                               wire::yield_context yield) {
+    const auto answer = wire::fetch(this->pool, address, wire::make_load_request(), call_limit, yield);
+    if (!answer || answer->status != ok_status)
+        return;
+    this->control->figures->counters.control_bytes += answer->body.size();
+    const auto report = wire::parse_load(answer->body);
+    if (!report)
+        return;
+    this->heard[id] = {*report, this->control->clock->now()};
+    this->control->tell_decision(decision::load_heard{id, *report, base::duration::zero()});
+}
+
+void upstream_controller::free_orphans_forever(wire::yield_context yield) {
+    while (!this->control->is_stopping) {
+        this->control->pause(orphan_pause, yield);
+        for (const auto& [id, address] : this->own_engines())
+            this->free_orphans(address, yield);
+    }
+}
+
+void upstream_controller::free_orphans(const std::string& address, wire::yield_context yield) {
+    const auto answer = wire::fetch(this->pool, address, wire::make_list_request(), call_limit, yield);
+    if (!answer || answer->status != ok_status)
+        return;
+    this->control->figures->counters.control_bytes += answer->body.size();
+    const auto held = wire::parse_list(answer->body);
+    if (!held)
+        return;
+    for (const std::string& attempt : *held) {
+        const auto owner = host::owner_of(attempt);
+        if (!owner || !host::is_gone(this->control->members, owner->host, owner->incarnation))
+            continue;
+        ++this->control->figures->counters.orphans_cancelled;
+        (void)wire::fetch(this->pool, address, wire::make_abort_request(attempt), call_limit, yield);
+    }
+}
+
+std::map<std::string, shared_load> upstream_controller::loads() const {
+    std::map<std::string, shared_load> found;
+    const base::time_point now = this->control->clock->now();
+    for (const auto& [id, load] : this->heard)
+        found[id.value] = {load.report,
+                           std::chrono::duration_cast<std::chrono::milliseconds>(now - load.at).count()};
+    return found;
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/upstream_controller.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <service/control_context.h>
+#include <service/peer_codec.h>
+#include <wire/upstream_pool.h>
+
+#include <map>
+#include <set>
+
+namespace postpaddle::service {
+
+/// Hears the load of the engines whose home this host is, and frees what dead hosts hold there.
+class upstream_controller {
+public:
+    explicit upstream_controller(control_context& control);
+
+    void start();
+    /// Loads heard by this host, with their age now.
+    [[nodiscard]] std::map<std::string, shared_load> loads() const;
+
+private:
+    struct heard_load {
+        decision::load_report report;
+        base::time_point at{};
+    };
+
+    void poll_forever(wire::yield_context yield);
+    void poll(const base::upstream_id& id, const std::string& address, wire::yield_context yield);
+    void free_orphans_forever(wire::yield_context yield);
+    void free_orphans(const std::string& address, wire::yield_context yield);
+    [[nodiscard]] std::vector<std::pair<base::upstream_id, std::string>> own_engines() const;
+
+    control_context* control;
+    wire::upstream_pool pool;
+    std::map<base::upstream_id, heard_load> heard;
+    std::set<base::upstream_id> polling; ///< Polls that have no answer yet.
+};
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/wire/caller_connection.cpp
@@ -0,0 +1,237 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/caller_connection.h>
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+
+namespace postpaddle::wire {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Kernel buffer for a caller's answer, so that `unsent_bytes` is the bound that matters.
+constexpr int send_buffer_bytes = 128 * 1024;
+
+void append_chunk(std::string& buffer, std::string_view part) {
+    static constexpr int hexadecimal = 16;
+    std::array<char, 16> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), part.size(), hexadecimal).ptr;
+    buffer.append(size.data(), end);
+    buffer.append("\r\n").append(part).append("\r\n");
+}
+
+std::string head_text(const response_head& head, std::string_view framing, bool is_keep_alive) {
+    const auto reason = http::obsolete_reason(static_cast<http::status>(head.status));
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
+    text.append(reason.data(), reason.size()).append("\r\n");
+    for (const http_header& header : head.headers)
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    text.append(framing).append("\r\n");
+    if (!is_keep_alive)
+        text.append("Connection: close\r\n");
+    return text.append("\r\n");
+}
+
+} // namespace
+
+struct caller_connection::implementation : std::enable_shared_from_this<implementation> {
+    implementation(tcp::socket socket, const connection_bounds& connection_bounds)
+        : stream(std::move(socket)), bounds(connection_bounds), written(this->stream.get_executor()) {
+        error_code ignored;
+        this->stream.socket().set_option(tcp::no_delay(true), ignored);
+        this->stream.socket().set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
+        this->written.expires_at(asio::steady_timer::time_point::max());
+    }
+
+    void did_lose_caller() {
+        if (this->is_gone)
+            return;
+        this->is_gone = true;
+        this->is_keep_alive = false;
+        error_code ignored;
+        this->stream.socket().close(ignored);
+        this->written.cancel();
+        if (this->on_gone)
+            std::exchange(this->on_gone, nullptr)();
+    }
+
+    /// Waits for the socket to become readable: a closed caller shows so without sending anything.
+    void watch_socket() {
+        if (this->is_watching || this->is_gone)
+            return;
+        this->is_watching = true;
+        this->stream.socket().async_wait(tcp::socket::wait_read,
+                                         [self = this->shared_from_this()](const error_code& error) {
+                                             self->is_watching = false;
+                                             if (error == asio::error::operation_aborted || self->is_gone)
+                                                 return;
+                                             self->look_at_socket(error);
+                                         });
+    }
+
+    void look_at_socket(const error_code& wait_error) {
+        char byte = 0;
+        error_code error = wait_error;
+        if (!error)
+            this->stream.socket().non_blocking(true, error);
+        if (!error)
+            this->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        if (error == asio::error::would_block) {
+            this->watch_socket();
+            return;
+        }
+        // Bytes of a next request already there mean that the caller is still with us.
+        if (error && this->on_gone)
+            this->did_lose_caller();
+    }
+
+    void start_write() {
+        if (this->is_writing || this->is_gone || this->unsent.empty())
+            return;
+        this->is_writing = true;
+        this->sending.swap(this->unsent);
+        this->unsent.clear();
+        this->stream.expires_after(this->bounds.write);
+        asio::async_write(this->stream, asio::buffer(this->sending),
+                          [self = this->shared_from_this()](const error_code& error, std::size_t) {
+                              self->did_write(error);
+                          });
+    }
+
+    void did_write(const error_code& error) {
+        this->is_writing = false;
+        this->sending.clear();
+        if (error) {
+            this->did_lose_caller();
+            return;
+        }
+        this->stream.expires_never();
+        if (this->unsent.empty())
+            this->written.cancel();
+        else
+            this->start_write();
+    }
+
+    expected<void> wait_written(yield_context yield) {
+        error_code ignored;
+        while (!this->is_gone && (this->is_writing || !this->unsent.empty()))
+            this->written.async_wait(yield[ignored]);
+        if (this->is_gone)
+            return tl::make_unexpected(wire_error{wire_failure::broken, "the caller has gone"});
+        return {};
+    }
+
+    beast::tcp_stream stream;
+    connection_bounds bounds;
+    beast::flat_buffer input;
+    std::string unsent;
+    std::string sending;
+    asio::steady_timer written;
+    std::function<void()> on_gone;
+    bool is_watching = false;
+    bool is_writing = false;
+    bool is_gone = false;
+    bool is_keep_alive = true;
+};
+
+caller_connection::caller_connection(tcp::socket socket, const connection_bounds& bounds)
+    : parts(std::make_shared<implementation>(std::move(socket), bounds)) {}
+
+caller_connection::~caller_connection() {
+    this->parts->on_gone = nullptr;
+    this->abort();
+}
+
+expected<http_request> caller_connection::read_request(yield_context yield) {
+    implementation& own = *this->parts;
+    error_code error;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(own.bounds.header_bytes));
+    parser.body_limit(own.bounds.body_bytes);
+    if (own.input.size() == 0) {
+        own.stream.expires_after(own.bounds.idle);
+        const std::size_t count = own.stream.async_read_some(own.input.prepare(4096), yield[error]);
+        if (error)
+            return tl::make_unexpected(wire_error{wire_failure::closed, error.message()});
+        own.input.commit(count);
+    }
+    own.stream.expires_after(own.bounds.request_read);
+    http::async_read(own.stream, own.input, parser, yield[error]);
+    own.stream.expires_never();
+    if (error)
+        return tl::make_unexpected(from_io(error));
+    http_request request;
+    auto message = parser.release();
+    own.is_keep_alive = own.is_keep_alive && message.keep_alive();
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    request.body = std::move(message.body());
+    return request;
+}
+
+void caller_connection::watch(std::function<void()> on_gone) {
+    this->parts->on_gone = std::move(on_gone);
+    this->parts->watch_socket();
+}
+
+void caller_connection::unwatch() { this->parts->on_gone = nullptr; }
+
+bool caller_connection::is_gone() const { return this->parts->is_gone; }
+
+expected<void> caller_connection::send(const http_response& response, yield_context yield) {
+    implementation& own = *this->parts;
+    const std::string framing = "Content-Length: " + std::to_string(response.body.size());
+    own.unsent += head_text({response.status, response.headers}, framing, own.is_keep_alive);
+    own.unsent += response.body;
+    own.start_write();
+    return own.wait_written(yield);
+}
+
+void caller_connection::begin_stream(const response_head& head) {
+    implementation& own = *this->parts;
+    own.unsent += head_text(head, "Transfer-Encoding: chunked", own.is_keep_alive);
+}
+
+bool caller_connection::append(std::string_view part) {
+    implementation& own = *this->parts;
+    if (own.is_gone)
+        return false;
+    if (part.empty())
+        return true;
+    append_chunk(own.unsent, part);
+    if (own.unsent.size() > own.bounds.unsent_bytes) {
+        own.did_lose_caller();
+        return false;
+    }
+    own.start_write();
+    return true;
+}
+
+expected<void> caller_connection::end_stream(yield_context yield) {
+    implementation& own = *this->parts;
+    own.unsent += "0\r\n\r\n";
+    own.start_write();
+    return own.wait_written(yield);
+}
+
+void caller_connection::abort() {
+    implementation& own = *this->parts;
+    own.is_gone = true;
+    own.is_keep_alive = false;
+    error_code ignored;
+    own.stream.socket().close(ignored);
+    own.written.cancel();
+}
+
+bool caller_connection::is_keep_alive() const { return this->parts->is_keep_alive; }
+
+void caller_connection::close_after_response() { this->parts->is_keep_alive = false; }
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/engine_adapter.cpp
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/engine_adapter.h>
+
+#include <wire/simple_client.h>
+
+namespace postpaddle::wire {
+
+namespace {
+
+constexpr const char* completion_prefix = "cmpl-";
+constexpr const char* chat_prefix = "chatcmpl-";
+constexpr std::string_view done_data = "[DONE]";
+
+std::string engine_id(const engine_attempt& attempt) {
+    return (attempt.api == completion_api::chat ? chat_prefix : completion_prefix) + attempt.attempt_id;
+}
+
+wire_error malformed(std::string detail) { return {wire_failure::malformed, std::move(detail)}; }
+
+json common_body(const json& body, const engine_attempt& attempt, const resume_point& resume) {
+    json message = body;
+    message["model"] = attempt.model;
+    message["cache_salt"] = attempt.cache_salt;
+    message["priority"] = attempt.priority;
+    message.erase("stream_options");
+    if (resume.text.empty())
+        return message;
+    if (attempt.api == completion_api::completions) {
+        message["prompt"] = message["prompt"].get<std::string>() + resume.text;
+    } else {
+        message["messages"].push_back({{"role", "assistant"}, {"content", resume.text}});
+        message["continue_final_message"] = true;
+        message["add_generation_prompt"] = false;
+    }
+    return message;
+}
+
+http_request engine_request(const json& message, const engine_attempt& attempt) {
+    return json_request(path_of(attempt.api), message.dump(), {{"X-Request-Id", attempt.attempt_id}});
+}
+
+} // namespace
+
+const char* path_of(completion_api api) {
+    return api == completion_api::chat ? "/v1/chat/completions" : "/v1/completions";
+}
+
+http_request make_prefill_request(const json& body, const engine_attempt& attempt,
+                                  const resume_point& resume) {
+    json message = common_body(body, attempt, resume);
+    message["max_tokens"] = 1;
+    message.erase("max_completion_tokens");
+    message["stream"] = false;
+    message["kv_transfer_params"] = {{"do_remote_decode", true}, {"do_remote_prefill", false}};
+    return engine_request(message, attempt);
+}
+
+expected<prefill_answer> parse_prefill_answer(const std::string& text, const engine_attempt& attempt) {
+    const json parsed = json::parse(text, nullptr, false);
+    if (!parsed.is_object())
+        return tl::make_unexpected(malformed("prefill answer is not JSON"));
+    try {
+        if (parsed.at("id") != engine_id(attempt))
+            return tl::make_unexpected(malformed("prefill answer of another request"));
+        prefill_answer answer;
+        answer.kv_transfer_params = parsed.at("kv_transfer_params");
+        const json& usage = parsed.at("usage");
+        answer.prompt_tokens = usage.at("prompt_tokens").get<int>();
+        if (usage.contains("prompt_tokens_details") && usage["prompt_tokens_details"].is_object())
+            answer.cached_tokens = usage["prompt_tokens_details"].value("cached_tokens", 0);
+        if (!answer.kv_transfer_params.is_object() || answer.prompt_tokens < 0)
+            return tl::make_unexpected(malformed("prefill answer without its result"));
+        return answer;
+    } catch (const json::exception& error) {
+        return tl::make_unexpected(malformed(error.what()));
+    }
+}
+
+http_request make_decode_request(const json& body, const engine_attempt& attempt,
+                                 const json& kv_transfer_params, const resume_point& resume) {
+    json message = common_body(body, attempt, resume);
+    if (resume.tokens > 0 && message.contains("max_tokens"))
+        message["max_tokens"] = message["max_tokens"].get<int>() - resume.tokens;
+    message["stream"] = true;
+    message["stream_options"] = {{"include_usage", true}};
+    message["kv_transfer_params"] = kv_transfer_params;
+    return engine_request(message, attempt);
+}
+
+expected<decode_event> parse_decode_event(std::string_view data, const engine_attempt& attempt) {
+    decode_event event;
+    if (data == done_data) {
+        event.what = decode_event::kind::done;
+        return event;
+    }
+    const json parsed = json::parse(data, nullptr, false);
+    if (!parsed.is_object())
+        return tl::make_unexpected(malformed("event is not JSON"));
+    try {
+        if (parsed.at("id") != engine_id(attempt))
+            return tl::make_unexpected(malformed("event of another request"));
+        const json& choices = parsed.at("choices");
+        if (choices.empty()) {
+            event.what = decode_event::kind::usage;
+            event.completion_tokens = parsed.at("usage").at("completion_tokens").get<int>();
+            return event;
+        }
+        const json& choice = choices.at(0);
+        if (attempt.api == completion_api::chat)
+            event.text = choice.at("delta").value("content", "");
+        else
+            event.text = choice.at("text").get<std::string>();
+        const json& reason = choice.at("finish_reason");
+        if (reason.is_string()) {
+            event.what = decode_event::kind::finish;
+            event.finish_reason = reason.get<std::string>();
+        }
+        return event;
+    } catch (const json::exception& error) {
+        return tl::make_unexpected(malformed(error.what()));
+    }
+}
+
+std::string with_public_id(std::string_view data, const std::string& attempt_id,
+                           const std::string& public_id) {
+    const auto position = data.find(attempt_id);
+    if (position == std::string_view::npos)
+        return std::string(data);
+    std::string text;
+    text.reserve(data.size());
+    text.append(data.substr(0, position)).append(public_id);
+    return text.append(data.substr(position + attempt_id.size()));
+}
+
+http_request make_abort_request(const std::string& attempt_id) {
+    return json_request("/abort_request", json{{"rid", attempt_id}}.dump());
+}
+
+http_request make_load_request() { return get_request("/load"); }
+
+expected<decision::load_report> parse_load(const std::string& text) {
+    const json parsed = json::parse(text, nullptr, false);
+    if (!parsed.is_object())
+        return tl::make_unexpected(malformed("load is not JSON"));
+    try {
+        decision::load_report report;
+        report.active_decodes = parsed.value("num_requests_running", 0);
+        report.waiting_decodes = parsed.value("num_requests_waiting", 0);
+        report.decode_places = parsed.value("max_num_seqs", 0);
+        report.queued_prompt_tokens = parsed.value("num_prompt_tokens_waiting", 0);
+        report.is_draining = parsed.value("draining", false);
+        return report;
+    } catch (const json::exception& error) {
+        return tl::make_unexpected(malformed(error.what()));
+    }
+}
+
+http_request make_list_request() { return get_request("/requests"); }
+
+expected<std::vector<std::string>> parse_list(const std::string& text) {
+    const json parsed = json::parse(text, nullptr, false);
+    try {
+        return parsed.at("requests").get<std::vector<std::string>>();
+    } catch (const json::exception& error) {
+        return tl::make_unexpected(malformed(error.what()));
+    }
+}
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/event_stream.cpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/event_stream.h>
+
+namespace postpaddle::wire {
+
+namespace {
+
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view data_field = "data:";
+
+/// Data of an event of one `data` line, which is all that inference servers send.
+std::string_view data_of(std::string_view event) {
+    const auto field = event.find(data_field);
+    if (field == std::string_view::npos)
+        return {};
+    event.remove_prefix(field + data_field.size());
+    if (event.starts_with(' '))
+        event.remove_prefix(1);
+    return event.substr(0, event.find('\n'));
+}
+
+} // namespace
+
+std::optional<std::string_view> event_stream::next() {
+    while (true) {
+        const auto end = this->buffer.find(event_end, this->position);
+        if (end == std::string::npos) {
+            this->buffer.erase(0, this->position);
+            this->position = 0;
+            return std::nullopt;
+        }
+        const std::string_view event =
+            std::string_view(this->buffer).substr(this->position, end - this->position);
+        this->position = end + event_end.size();
+        const std::string_view data = data_of(event);
+        if (!data.empty())
+            return data;
+    }
+}
+
+bool event_stream::is_too_large() const { return this->buffer.size() - this->position > this->longest_event; }
+
+std::string event_text(std::string_view data) {
+    std::string text = "data: ";
+    return text.append(data).append("\n\n");
+}
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/host_list_client.cpp
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/host_list_client.h>
+
+#include <wire/simple_client.h>
+
+#include <base/try.h>
+
+#include <nlohmann/json.hpp>
+
+namespace postpaddle::wire {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto limit = std::chrono::milliseconds(2000);
+constexpr int ok_status = 200;
+
+} // namespace
+
+host_list_client::host_list_client(asio::io_context& context, std::string address)
+    : pool(context, answer_bounds{}), address(std::move(address)) {}
+
+expected<host_list> host_list_client::read(yield_context yield) {
+    POSTPADDLE_TRY(response, fetch(this->pool, this->address, get_request("/hosts"), limit, yield));
+    const json parsed = json::parse(response.body, nullptr, false);
+    try {
+        host_list list;
+        for (const json& item : parsed.at("hosts"))
+            list.hosts.push_back({item.at("name").get<std::string>(),
+                                  item.at("peers_address").get<std::string>(), item.value("leaving", false)});
+        for (const json& item : parsed.at("leaving_upstreams"))
+            list.leaving_upstreams.push_back(item.get<std::string>());
+        return list;
+    } catch (const json::exception& error) {
+        return tl::make_unexpected(wire_error{wire_failure::malformed, error.what()});
+    }
+}
+
+expected<void> host_list_client::register_host(const listed_host& host, yield_context yield) {
+    const json body = {
+        {"name", host.name}, {"peers_address", host.peers_address}, {"leaving", host.is_leaving}};
+    POSTPADDLE_TRY(response,
+                   fetch(this->pool, this->address, json_request("/hosts", body.dump()), limit, yield));
+    if (response.status != ok_status)
+        return tl::make_unexpected(wire_error{wire_failure::refused, std::to_string(response.status)});
+    return {};
+}
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/http_listener.cpp
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/http_listener.h>
+
+#include <wire/endpoint.h>
+
+#include <base/try.h>
+
+#include <sys/socket.h>
+
+namespace postpaddle::wire {
+
+using tcp = asio::ip::tcp;
+
+namespace {
+
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+/// Pause after a failed accept, as when no descriptors are left.
+constexpr auto accept_pause = std::chrono::milliseconds(20);
+
+} // namespace
+
+http_listener::http_listener(asio::io_context& context, const listener_options& options)
+    : context(&context), options(options), acceptor(context) {}
+
+expected<std::shared_ptr<http_listener>> http_listener::create(asio::io_context& context,
+                                                               const listener_options& options) {
+    POSTPADDLE_TRY(endpoint, parse_endpoint(options.address + ":" + std::to_string(options.port)));
+    // NOTE: make_shared can't reach the private constructor.
+    std::shared_ptr<http_listener> listener(new http_listener(context, options));
+    error_code error;
+    listener->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        listener->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error && options.sharing == port_sharing::shared)
+        listener->acceptor.set_option(reuse_port(true), error);
+    if (!error)
+        listener->acceptor.bind(endpoint, error);
+    if (!error)
+        listener->acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    if (error)
+        return tl::make_unexpected(wire_error{wire_failure::bad_address, error.message()});
+    return listener;
+}
+
+void http_listener::start(connection_handler handler) {
+    this->handler = std::move(handler);
+    spawn_coroutine(*this->context,
+                    [self = this->shared_from_this()](yield_context yield) { self->accept_loop(yield); });
+}
+
+void http_listener::stop() {
+    error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+std::uint16_t http_listener::port() const { return this->acceptor.local_endpoint().port(); }
+
+void http_listener::accept_loop(yield_context yield) {
+    while (this->acceptor.is_open()) {
+        error_code error;
+        tcp::socket socket(*this->context);
+        this->acceptor.async_accept(socket, yield[error]);
+        if (!this->acceptor.is_open())
+            return;
+        if (error) {
+            asio::steady_timer pause(*this->context, accept_pause);
+            pause.async_wait(yield[error]);
+            continue;
+        }
+        if (this->open_connections < this->options.connections)
+            this->serve(std::move(socket));
+    }
+}
+
+void http_listener::serve(tcp::socket socket) {
+    ++this->open_connections;
+    auto connection = std::make_shared<caller_connection>(std::move(socket), this->options.bounds);
+    spawn_coroutine(*this->context, [self = this->shared_from_this(), connection](yield_context yield) {
+        self->handler(*connection, yield);
+        --self->open_connections;
+    });
+}
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/http_message.h
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace postpaddle::wire {
+
+/// One header field.
+struct http_header {
+    std::string name;
+    std::string value;
+
+    bool operator==(const http_header&) const = default;
+};
+
+using http_headers = std::vector<http_header>;
+
+/// Value of the first field of that name, case ignored; empty where there is none.
+[[nodiscard]] std::string_view find_header(const http_headers& headers, std::string_view name);
+
+/// A whole request.
+struct http_request {
+    std::string method;
+    std::string target;
+    http_headers headers;
+    std::string body;
+
+    bool operator==(const http_request&) const = default;
+};
+
+/// A whole response.
+struct http_response {
+    int status = 0;
+    http_headers headers;
+    std::string body;
+
+    bool operator==(const http_response&) const = default;
+};
+
+/// Status and headers of a response whose body follows in parts.
+struct response_head {
+    int status = 0;
+    http_headers headers;
+
+    bool operator==(const response_head&) const = default;
+};
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/json_rpc.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/json_rpc.h>
+
+#include <json/json.h>
+#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/server.h>
+
+namespace postpaddle {
+namespace wire {
+
+namespace {
+
+const char* const payload_name = "payload";
+
+std::string to_text(const Json::Value& value) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+bool from_text(const std::string& text, Json::Value& value) {
+    const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+}
+
+/// Server connector whose transport is the HTTP listener: `respond` hands requests in, and the
+/// response comes back through the string that `addInfo` points to.
+class listener_connector : public jsonrpc::AbstractServerConnector {
+public:
+    bool StartListening() override { return true; }
+    bool StopListening() override { return true; }
+    bool SendResponse(const std::string& response, void* addInfo) override {
+        *static_cast<std::string*>(addInfo) = response;
+        return true;
+    }
+};
+
+/// Client connector over whatever carries the text.
+class transport_connector : public jsonrpc::IClientConnector {
+public:
+    explicit transport_connector(const json_rpc_transport& transport) : transport(transport) {}
+
+    void SendRPCMessage(const std::string& message,
+                        std::string& result) throw(jsonrpc::JsonRpcException) override {
+        if (!this->transport(message, result))
+            throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, "no answer");
+    }
+
+private:
+    const json_rpc_transport& transport;
+};
+
+/// Calls every method through one handler, since methods are known only at run time.
+class dispatching_server : public jsonrpc::IProcedureInvokationHandler {
+public:
+    dispatching_server(jsonrpc::AbstractServerConnector& connector,
+                       const std::map<std::string, json_rpc_server::method>& method_table)
+        : handler(jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this)),
+          methods(method_table) {
+        connector.SetHandler(this->handler.get());
+        for (const auto& method : this->methods)
+            this->handler->AddProcedure(jsonrpc::Procedure(method.first, jsonrpc::PARAMS_BY_NAME,
+                                                           jsonrpc::JSON_OBJECT, payload_name,
+                                                           jsonrpc::JSON_OBJECT, NULL));
+    }
+
+    void HandleMethodCall(jsonrpc::Procedure& procedure, const Json::Value& input,
+                          Json::Value& output) override {
+        const std::string result =
+            this->methods.at(procedure.GetProcedureName())(to_text(input[payload_name]));
+        from_text(result, output);
+    }
+
+    void HandleNotificationCall(jsonrpc::Procedure& /*procedure*/, const Json::Value& /*input*/) override {}
+
+private:
+    std::unique_ptr<jsonrpc::IProtocolHandler> handler;
+    std::map<std::string, json_rpc_server::method> methods;
+};
+
+} // namespace
+
+struct json_rpc_server::implementation {
+    explicit implementation(const std::map<std::string, method>& methods) : server(connector, methods) {}
+
+    listener_connector connector;
+    dispatching_server server;
+};
+
+json_rpc_server::json_rpc_server(const std::map<std::string, method>& methods)
+    : parts(new implementation(methods)) {}
+
+json_rpc_server::~json_rpc_server() = default;
+
+std::string json_rpc_server::respond(const std::string& request) {
+    std::string response;
+    this->parts->connector.OnRequest(request, &response);
+    return response;
+}
+
+bool json_rpc_call(const json_rpc_transport& transport, const std::string& method, const std::string& payload,
+                   std::string& result, std::string& error) {
+    Json::Value parameters;
+    if (!from_text(payload, parameters[payload_name])) {
+        error = "the payload is not JSON";
+        return false;
+    }
+    try {
+        transport_connector connector(transport);
+        jsonrpc::Client client(connector);
+        result = to_text(client.CallMethod(method, parameters));
+        return true;
+    } catch (const jsonrpc::JsonRpcException& exception) {
+        error = exception.what();
+        return false;
+    }
+}
+
+} // namespace wire
+} // namespace postpaddle
--- /dev/null
+++ b/libraries/wire/log_client.cpp
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/log_client.h>
+
+#include <wire/simple_client.h>
+
+#include <base/try.h>
+
+#include <nlohmann/json.hpp>
+
+namespace postpaddle::wire {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int ok_status = 200;
+/// Time beyond the wait that a read may take.
+constexpr auto read_grace = std::chrono::milliseconds(1000);
+constexpr int most_records = 256;
+
+expected<json> json_of(const http_response& response) {
+    if (response.status != ok_status)
+        return tl::make_unexpected(wire_error{wire_failure::refused, std::to_string(response.status)});
+    json parsed = json::parse(response.body, nullptr, false);
+    if (!parsed.is_object())
+        return tl::make_unexpected(wire_error{wire_failure::malformed, "log answer is not JSON"});
+    return parsed;
+}
+
+} // namespace
+
+log_client::log_client(asio::io_context& context, std::string address)
+    : pool(context, answer_bounds{}), address(std::move(address)) {}
+
+expected<std::uint64_t> log_client::append(const std::string& stream, const std::string& payload,
+                                           std::chrono::milliseconds limit, yield_context yield) {
+    ++this->append_count;
+    const auto request = json_request("/streams/" + stream + "/append", json{{"payload", payload}}.dump());
+    this->traffic += request.body.size();
+    POSTPADDLE_TRY(response, fetch(this->pool, this->address, request, limit, yield));
+    this->traffic += response.body.size();
+    POSTPADDLE_TRY(parsed, json_of(response));
+    try {
+        return parsed.at("offset").get<std::uint64_t>();
+    } catch (const json::exception& error) {
+        return tl::make_unexpected(wire_error{wire_failure::malformed, error.what()});
+    }
+}
+
+expected<log_page> log_client::read(const std::string& stream, std::uint64_t from,
+                                    std::chrono::milliseconds wait, yield_context yield) {
+    const auto request =
+        get_request("/streams/" + stream + "/records?from=" + std::to_string(from) +
+                    "&max=" + std::to_string(most_records) + "&wait_ms=" + std::to_string(wait.count()));
+    POSTPADDLE_TRY(response, fetch(this->pool, this->address, request, wait + read_grace, yield));
+    this->traffic += response.body.size();
+    POSTPADDLE_TRY(parsed, json_of(response));
+    try {
+        log_page page;
+        page.earliest = parsed.at("earliest").get<std::uint64_t>();
+        page.next = parsed.at("next").get<std::uint64_t>();
+        for (const json& record : parsed.at("records"))
+            page.records.push_back(
+                {record.at("offset").get<std::uint64_t>(), record.at("payload").get<std::string>()});
+        return page;
+    } catch (const json::exception& error) {
+        return tl::make_unexpected(wire_error{wire_failure::malformed, error.what()});
+    }
+}
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/simple_client.cpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/simple_client.h>
+
+#include <wire/endpoint.h>
+
+#include <base/try.h>
+
+#include <algorithm>
+
+namespace postpaddle::wire {
+
+namespace {
+
+/// A connection that does not come about in this time is not waited for longer.
+constexpr auto connect_limit = std::chrono::milliseconds(1000);
+
+} // namespace
+
+expected<open_answer> open_exchange(upstream_pool& pool, const std::string& address,
+                                    const http_request& request, connection_use use,
+                                    std::chrono::steady_clock::time_point deadline,
+                                    const std::function<void(std::shared_ptr<upstream_call>)>& on_call,
+                                    yield_context yield) {
+    POSTPADDLE_TRY(endpoint, parse_endpoint(address));
+    upstream_pool::lease lease = pool.take(address, use);
+    const bool was_reused = lease.is_connected;
+    on_call(lease.call);
+    if (!lease.is_connected) {
+        const auto limit = std::min(deadline, std::chrono::steady_clock::now() + connect_limit);
+        POSTPADDLE_TRY_VOID(lease.call->connect(endpoint, limit, yield));
+    }
+    auto head = lease.call->exchange(request, deadline, yield);
+    if (head)
+        return open_answer{std::move(*head), std::move(lease.call)};
+    const wire_failure failure = head.error().failure;
+    const bool is_stale = was_reused && (failure == wire_failure::closed || failure == wire_failure::broken);
+    if (!is_stale)
+        return tl::make_unexpected(std::move(head).error());
+    return open_exchange(pool, address, request, connection_use::only_fresh, deadline, on_call, yield);
+}
+
+expected<http_response> fetch(upstream_pool& pool, const std::string& address, const http_request& request,
+                              std::chrono::milliseconds limit, yield_context yield) {
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    POSTPADDLE_TRY(answer, open_exchange(
+                               pool, address, request, connection_use::may_reuse, deadline,
+                               [](const std::shared_ptr<upstream_call>& /*call*/) {}, yield));
+    POSTPADDLE_TRY(body, answer.call->read_rest(deadline, yield));
+    pool.give_back(address, answer.call);
+    return http_response{answer.head.status, std::move(answer.head.headers), std::move(body)};
+}
+
+http_request get_request(std::string target, http_headers headers) {
+    return {"GET", std::move(target), std::move(headers), ""};
+}
+
+http_request json_request(std::string target, std::string body, http_headers headers) {
+    headers.push_back({"Content-Type", "application/json"});
+    return {"POST", std::move(target), std::move(headers), std::move(body)};
+}
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/simple_client.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <wire/asio.h>
+#include <wire/http_message.h>
+#include <wire/upstream_pool.h>
+#include <wire/wire_error.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace postpaddle::wire {
+
+/// What a head and the connection it came on make together.
+struct open_answer {
+    response_head head;
+    std::shared_ptr<upstream_call> call;
+};
+
+/// Sends a request and reads the head of its answer.
+///
+/// `on_call` is told of each connection before it is used, so that the owner can cancel it. A reused
+/// connection that turns out stale before any byte of an answer is replaced once by a new one.
+[[nodiscard]] expected<open_answer>
+open_exchange(upstream_pool& pool, const std::string& address, const http_request& request,
+              connection_use use, std::chrono::steady_clock::time_point deadline,
+              const std::function<void(std::shared_ptr<upstream_call>)>& on_call, yield_context yield);
+
+/// A whole exchange with a whole answer.
+[[nodiscard]] expected<http_response> fetch(upstream_pool& pool, const std::string& address,
+                                            const http_request& request, std::chrono::milliseconds limit,
+                                            yield_context yield);
+
+/// GET with no body.
+[[nodiscard]] http_request get_request(std::string target, http_headers headers = {});
+/// POST of a JSON body.
+[[nodiscard]] http_request json_request(std::string target, std::string body, http_headers headers = {});
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/upstream_call.cpp
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <wire/upstream_call.h>
+
+#include <base/try.h>
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+
+namespace postpaddle::wire {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// Bytes read at once from an upstream's body.
+constexpr std::size_t part_bytes = 16UL * 1024;
+
+http::request<http::string_body> to_beast(const http_request& request) {
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    for (const http_header& header : request.headers)
+        message.set(header.name, header.value);
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+struct upstream_call::implementation {
+    implementation(asio::io_context& context, const answer_bounds& answer_bounds)
+        : stream(context), bounds(answer_bounds) {}
+
+    beast::tcp_stream stream;
+    answer_bounds bounds;
+    beast::flat_buffer input;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::array<char, part_bytes> part{};
+    bool has_sent = false;
+    bool is_cancelled = false;
+    bool is_whole = false;
+    bool is_keep_alive = false;
+};
+
+upstream_call::upstream_call(asio::io_context& context, const answer_bounds& bounds)
+    : parts(std::make_unique<implementation>(context, bounds)) {}
+
+upstream_call::~upstream_call() = default;
+
+expected<void> upstream_call::connect(const tcp::endpoint& endpoint, steady_clock::time_point deadline,
+                                      yield_context yield) {
+    implementation& own = *this->parts;
+    if (own.is_cancelled)
+        return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled before it began"});
+    error_code error;
+    own.stream.expires_at(deadline);
+    own.stream.async_connect(endpoint, yield[error]);
+    if (own.is_cancelled)
+        return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled"});
+    if (error)
+        return tl::make_unexpected(wire_error{wire_failure::not_connected, error.message()});
+    own.stream.socket().set_option(tcp::no_delay(true), error);
+    return {};
+}
+
+expected<response_head> upstream_call::exchange(const http_request& request,
+                                                steady_clock::time_point deadline, yield_context yield) {
+    implementation& own = *this->parts;
+    if (own.is_cancelled)
+        return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled before it was sent"});
+    own.is_whole = false;
+    own.parser.emplace();
+    own.parser->header_limit(static_cast<std::uint32_t>(own.bounds.header_bytes));
+    own.parser->body_limit(own.bounds.body_bytes);
+    own.stream.expires_at(deadline);
+    const auto message = to_beast(request);
+    error_code error;
+    own.has_sent = true;
+    http::async_write(own.stream, message, yield[error]);
+    if (!error)
+        http::async_read_header(own.stream, own.input, *own.parser, yield[error]);
+    if (own.is_cancelled)
+        return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled"});
+    if (error)
+        return tl::make_unexpected(from_io(error));
+    response_head head;
+    head.status = static_cast<int>(own.parser->get().result_int());
+    for (const auto& field : own.parser->get())
+        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    own.is_keep_alive = own.parser->get().keep_alive();
+    own.is_whole = own.parser->is_done();
+    return head;
+}
+
+expected<bool> upstream_call::read_part(std::string& into, steady_clock::time_point deadline,
+                                        yield_context yield) {
+    implementation& own = *this->parts;
+    if (own.is_cancelled)
+        return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled"});
+    if (own.parser->is_done()) {
+        own.is_whole = true;
+        return false;
+    }
+    own.parser->get().body().data = own.part.data();
+    own.parser->get().body().size = own.part.size();
+    own.stream.expires_at(deadline);
+    error_code error;
+    http::async_read_some(own.stream, own.input, *own.parser, yield[error]);
+    if (error == http::error::need_buffer)
+        error = {};
+    if (own.is_cancelled)
+        return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled"});
+    if (error)
+        return tl::make_unexpected(from_io(error));
+    into.append(own.part.data(), own.part.size() - own.parser->get().body().size);
+    return true;
+}
+
+expected<std::string> upstream_call::read_rest(steady_clock::time_point deadline, yield_context yield) {
+    std::string body;
+    while (true) {
+        POSTPADDLE_TRY(has_more, this->read_part(body, deadline, yield));
+        if (!has_more)
+            return body;
+    }
+}
+
+void upstream_call::cancel() {
+    implementation& own = *this->parts;
+    own.is_cancelled = true;
+    own.stream.close();
+}
+
+bool upstream_call::is_reusable() const {
+    const implementation& own = *this->parts;
+    return own.is_whole && own.is_keep_alive && !own.is_cancelled && own.input.size() == 0 &&
+           own.stream.socket().is_open();
+}
+
+bool upstream_call::has_sent() const { return this->parts->has_sent; }
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/upstream_call.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <wire/asio.h>
+#include <wire/http_message.h>
+#include <wire/wire_error.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace postpaddle::wire {
+
+/// Bounds on what an upstream may answer.
+struct answer_bounds {
+    std::size_t header_bytes = 16UL * 1024;
+    std::size_t body_bytes = 64UL * 1024 * 1024;
+};
+
+/// One connection to an upstream and at most one exchange on it at a time. Used by one thread.
+class upstream_call {
+public:
+    upstream_call(asio::io_context& context, const answer_bounds& bounds);
+    upstream_call(const upstream_call&) = delete;
+    upstream_call(upstream_call&&) = delete;
+    upstream_call& operator=(const upstream_call&) = delete;
+    upstream_call& operator=(upstream_call&&) = delete;
+    ~upstream_call();
+
+    /// Connects; any failure here means that nothing was sent.
+    [[nodiscard]] expected<void> connect(const asio::ip::tcp::endpoint& endpoint,
+                                         std::chrono::steady_clock::time_point deadline, yield_context yield);
+    /// Sends a request and reads the response's head.
+    [[nodiscard]] expected<response_head> exchange(const http_request& request,
+                                                   std::chrono::steady_clock::time_point deadline,
+                                                   yield_context yield);
+    /// Appends the next part of the body to `into`; false at its whole end.
+    [[nodiscard]] expected<bool> read_part(std::string& into, std::chrono::steady_clock::time_point deadline,
+                                           yield_context yield);
+    /// Reads the rest of the body.
+    [[nodiscard]] expected<std::string> read_rest(std::chrono::steady_clock::time_point deadline,
+                                                  yield_context yield);
+
+    /// Closes the connection; an operation in progress ends as `cancelled`.
+    void cancel();
+    /// Whether the last response was read to its end and the connection may carry another exchange.
+    [[nodiscard]] bool is_reusable() const;
+    /// Whether any byte of the current request may have reached the other side.
+    [[nodiscard]] bool has_sent() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> parts;
+};
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/libraries/wire/upstream_pool.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <wire/asio.h>
+#include <wire/upstream_call.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace postpaddle::wire {
+
+/// Whether an exchange may go over a connection that has carried others.
+enum class connection_use {
+    may_reuse,  ///< A stale connection is noticed and the exchange tried again on a new one.
+    only_fresh, ///< For what may run at most once: nothing is sent unless the connection is new.
+};
+
+/// Connections to upstreams that wait for their next exchange. Used by one thread.
+class upstream_pool {
+public:
+    upstream_pool(asio::io_context& context, const answer_bounds& bounds);
+
+    /// A connection to the address: an idle one, or none connected yet.
+    struct lease {
+        std::shared_ptr<upstream_call> call;
+        bool is_connected = false;
+    };
+    [[nodiscard]] lease take(const std::string& address, connection_use use);
+    /// Gives a connection back. One with an unread rest is closed instead.
+    void give_back(const std::string& address, std::shared_ptr<upstream_call> call);
+    [[nodiscard]] std::size_t idle_connections() const;
+
+private:
+    asio::io_context* context;
+    answer_bounds bounds;
+    std::map<std::string, std::vector<std::shared_ptr<upstream_call>>> idle;
+};
+
+} // namespace postpaddle::wire
--- /dev/null
+++ b/stand_ins/engine/decode_side.h
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <common/generated_text.h>
+#include <engine/engine_options.h>
+#include <wire/asio.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace postpaddle::stand_in {
+
+/// A request that decodes, or waits to.
+struct decode_job {
+    explicit decode_job(wire::asio::io_context& context) : wake(context) {
+        this->wake.expires_at(wire::asio::steady_timer::time_point::max());
+    }
+
+    std::string id;
+    int priority = 0;
+    generation plan;
+    int next = 0;
+    bool has_place = false;
+    bool is_stepping = false;
+    bool is_stalled = false;
+    bool is_cancelled = false;
+    /// Takes the next token; false to end.
+    std::function<bool(int position)> on_token;
+    wire::asio::steady_timer wake;
+};
+
+/// Places that decode in common steps, one token each a step.
+class decode_side {
+public:
+    decode_side(wire::asio::io_context& context, const engine_options& options, engine_counters& counters);
+
+    /// Waits for a place; false when cancelled.
+    [[nodiscard]] bool take_place(const std::shared_ptr<decode_job>& job, wire::yield_context yield);
+    /// Makes all tokens; false when cancelled before the last.
+    [[nodiscard]] bool run(const std::shared_ptr<decode_job>& job, wire::yield_context yield);
+    /// Gives the place back.
+    void leave(const std::shared_ptr<decode_job>& job);
+    /// Drops the request under an id; says whether there was one.
+    bool abort(const std::string& id);
+
+    [[nodiscard]] std::vector<std::string> held() const;
+    [[nodiscard]] int active() const { return static_cast<int>(this->placed.size()); }
+    [[nodiscard]] int waiting() const { return static_cast<int>(this->queue.size()); }
+
+private:
+    void fill_places();
+    void schedule_step();
+    void step();
+
+    wire::asio::io_context* context;
+    const engine_options* options;
+    engine_counters* counters;
+    std::vector<std::shared_ptr<decode_job>> queue;
+    std::vector<std::shared_ptr<decode_job>> placed;
+    wire::asio::steady_timer stepper;
+    bool is_stepping = false;
+};
+
+} // namespace postpaddle::stand_in
--- /dev/null
+++ b/stand_ins/engine/prefill_side.h
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <engine/engine_options.h>
+#include <engine/prefix_cache.h>
+#include <wire/asio.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace postpaddle::stand_in {
+
+/// A prompt on its way through the engine.
+struct prompt_job {
+    explicit prompt_job(wire::asio::io_context& context) : done(context) {
+        this->done.expires_at(wire::asio::steady_timer::time_point::max());
+    }
+
+    std::string id;
+    std::string prompt;
+    std::string salt;
+    int priority = 0;
+    int tokens = 0;
+    int cached = 0;
+    bool is_running = false;
+    bool is_done = false;
+    bool is_cancelled = false;
+    std::chrono::steady_clock::time_point started{};
+    wire::asio::steady_timer done;
+};
+
+/// Runs prompts one at a time and keeps their results for a while.
+class prefill_side {
+public:
+    prefill_side(wire::asio::io_context& context, const engine_options& options, engine_counters& counters);
+
+    /// Runs a prompt and waits; false when it was cancelled meanwhile.
+    [[nodiscard]] bool run(const std::shared_ptr<prompt_job>& job, wire::yield_context yield);
+    /// Drops a queued or running prompt.
+    void cancel(const std::shared_ptr<prompt_job>& job);
+    /// Drops whatever is held under an id; says whether anything was.
+    bool abort(const std::string& id);
+    /// Sends a kept result over the link and waits until it is sent; false when it is not kept any more.
+    [[nodiscard]] bool send_result(const std::string& id, bool should_stall, wire::yield_context yield);
+
+    /// Ids of all that is held.
+    [[nodiscard]] std::vector<std::string> held() const;
+    [[nodiscard]] int queued_tokens() const;
+
+private:
+    struct kept_result {
+        int tokens = 0;
+        int computed = 0;
+        bool is_sending = false;
+        std::unique_ptr<wire::asio::steady_timer> expiry;
+    };
+
+    void work(wire::yield_context yield);
+    void keep(const prompt_job& job);
+    void waste(int tokens);
+    [[nodiscard]] std::shared_ptr<prompt_job> take_next();
+
+    wire::asio::io_context* context;
+    const engine_options* options;
+    engine_counters* counters;
+    prefix_cache cache;
+    std::deque<std::shared_ptr<prompt_job>> queue;
+    std::shared_ptr<prompt_job> running;
+    std::map<std::string, kept_result> kept;
+    bool is_working = false;
+    std::chrono::steady_clock::time_point link_free{};
+};
+
+} // namespace postpaddle::stand_in
--- /dev/null
+++ b/stand_ins/fault_proxy/main.cpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// TCP proxy that cuts, freezes and delays on request. Each target gets a port of its own.
+
+#include <common/stand_in_server.h>
+#include <fault_proxy/proxy_link.h>
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <map>
+
+DEFINE_int32(port, 0, "control port on 127.0.0.1; 0 lets the system choose");
+
+namespace {
+
+using namespace postpaddle;
+using stand_in::json;
+
+stand_in::link_faults faults_of(const json& body) {
+    stand_in::link_faults faults;
+    faults.is_cut = body.value("cut", false);
+    faults.is_frozen = body.value("freeze", false);
+    faults.is_answer_frozen = body.value("freeze_answers", false);
+    faults.delay_ms = body.value("delay_ms", 0);
+    faults.cut_after = body.value("cut_after", std::int64_t{-1});
+    return faults;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    wire::asio::io_context context{1};
+    std::map<std::string, std::shared_ptr<stand_in::proxy_link>> links;
+    const auto listener = stand_in::serve(
+        context, static_cast<std::uint16_t>(FLAGS_port),
+        [&](const wire::http_request& request, wire::caller_connection& connection,
+            wire::yield_context yield) {
+            const json body = stand_in::json_body(request);
+            const std::string name = body.value("link", "");
+            if (request.target == "/links") {
+                auto link = std::make_shared<stand_in::proxy_link>(context, body.value("target", ""));
+                link->start();
+                links[name] = link;
+            } else if (request.target == "/faults" && links.contains(name)) {
+                links[name]->set_faults(faults_of(body));
+            }
+            const bool is_known = links.contains(name);
+            const json answer =
+                is_known ? json{{"port", links[name]->port()}, {"connections", links[name]->connections()}}
+                         : json{{"error", "no such link"}};
+            (void)connection.send(stand_in::json_response(answer, is_known ? 200 : 404), yield);
+        });
+    stand_in::stop_on_signal(context);
+    context.run();
+    return 0;
+}
--- /dev/null
+++ b/stand_ins/fault_proxy/proxy_link.h
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <wire/asio.h>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace postpaddle::stand_in {
+
+/// What a proxy does to the bytes that pass it.
+struct link_faults {
+    bool is_cut = false;           ///< Closes connections and takes no new ones.
+    bool is_frozen = false;        ///< Holds all bytes back.
+    bool is_answer_frozen = false; ///< Holds back the bytes towards the client.
+    int delay_ms = 0;              ///< Delays each piece.
+    std::int64_t cut_after = -1;   ///< Cuts each connection after so many bytes towards the client.
+};
+
+/// One proxied address: a port of its own in front of a target.
+class proxy_link : public std::enable_shared_from_this<proxy_link> {
+public:
+    proxy_link(wire::asio::io_context& context, std::string target);
+
+    void start();
+    [[nodiscard]] std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+    /// Sets the faults; a cut closes what is open.
+    void set_faults(const link_faults& next);
+    [[nodiscard]] const link_faults& faults() const { return this->current; }
+    [[nodiscard]] std::uint64_t connections() const { return this->accepted; }
+
+private:
+    using socket = wire::asio::ip::tcp::socket;
+
+    /// Two sockets that belong together.
+    struct pair {
+        socket client;
+        socket server;
+        std::int64_t answered = 0;
+    };
+
+    void accept(wire::yield_context yield);
+    void carry(const std::shared_ptr<pair>& both, bool is_answer, wire::yield_context yield);
+    void hold_back(bool is_answer, wire::yield_context yield) const;
+    static void close(pair& both);
+
+    wire::asio::io_context* context;
+    std::string target;
+    wire::asio::ip::tcp::acceptor acceptor;
+    link_faults current;
+    std::set<std::shared_ptr<pair>> open;
+    std::uint64_t accepted = 0;
+};
+
+} // namespace postpaddle::stand_in
--- /dev/null
+++ b/stand_ins/harness/child_process.cpp
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <harness/child_process.h>
+
+#include <array>
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+extern char** environ; // NOLINT(readability-redundant-declaration): POSIX leaves it to the program.
+
+namespace postpaddle::stand_in {
+
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
+                             const std::string& log_path) {
+    std::array<int, 2> ends{};
+    if (pipe2(ends.data(), O_CLOEXEC) != 0)
+        throw std::runtime_error("pipe failed");
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                     0644);
+    std::vector<std::string> words{program};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> pointers;
+    for (std::string& word : words)
+        pointers.push_back(word.data());
+    pointers.push_back(nullptr);
+    const int failed = posix_spawn(&this->pid, program.c_str(), &actions, nullptr, pointers.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    this->output = ends[0];
+    if (failed != 0)
+        throw std::runtime_error("can't start " + program + ": " + std::strerror(failed));
+}
+
+child_process::child_process(child_process&& other) noexcept
+    : pid(std::exchange(other.pid, -1)), output(std::exchange(other.output, -1)),
+      buffer(std::move(other.buffer)) {}
+
+child_process::~child_process() {
+    if (this->pid > 0) {
+        this->send_signal(SIGKILL);
+        this->wait();
+    }
+    if (this->output >= 0)
+        close(this->output);
+}
+
+std::string child_process::read_line() {
+    while (true) {
+        const auto end = this->buffer.find('\n');
+        if (end != std::string::npos) {
+            std::string line = this->buffer.substr(0, end);
+            this->buffer.erase(0, end + 1);
+            return line;
+        }
+        std::array<char, 4096> piece{};
+        const ssize_t count = read(this->output, piece.data(), piece.size());
+        if (count <= 0)
+            return std::exchange(this->buffer, {});
+        this->buffer.append(piece.data(), static_cast<std::size_t>(count));
+    }
+}
+
+nlohmann::json child_process::read_json() { return nlohmann::json::parse(this->read_line(), nullptr, false); }
+
+std::string child_process::read_rest() {
+    std::string text;
+    while (true) {
+        const std::string line = this->read_line();
+        if (line.empty())
+            return text;
+        text += line + "\n";
+    }
+}
+
+void child_process::send_signal(int signal) const {
+    if (this->pid > 0)
+        kill(this->pid, signal);
+}
+
+int child_process::wait() {
+    int status = 0;
+    waitpid(this->pid, &status, 0);
+    this->pid = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+process_use use_of(pid_t pid) {
+    process_use use;
+    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+    std::string line;
+    std::getline(file, line);
+    std::istringstream fields(line.substr(line.rfind(')') + 2));
+    std::vector<std::string> values;
+    for (std::string value; fields >> value;)
+        values.push_back(value);
+    // Fields are counted from the third, the state; see proc(5).
+    static constexpr std::size_t user_field = 11;
+    static constexpr std::size_t system_field = 12;
+    static constexpr std::size_t resident_field = 21;
+    if (values.size() <= resident_field)
+        return use;
+    const double ticks = std::stod(values[user_field]) + std::stod(values[system_field]);
+    use.processor_seconds = ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+    use.resident_bytes =
+        std::stoull(values[resident_field]) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    return use;
+}
+
+} // namespace postpaddle::stand_in
--- /dev/null
+++ b/stand_ins/load_driver/caller.cpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <load_driver/caller.h>
+
+#include <common/generated_text.h>
+#include <wire/event_stream.h>
+#include <wire/simple_client.h>
+
+#include <atomic>
+
+namespace postpaddle::stand_in {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto call_limit = std::chrono::seconds(30);
+constexpr std::size_t longest_event = 1024UL * 1024;
+constexpr int ok_status = 200;
+
+double milliseconds_since(steady_clock::time_point start) {
+    return std::chrono::duration<double, std::milli>(steady_clock::now() - start).count();
+}
+
+wire::http_request make_request(const load_plan& plan, const planned_request& planned) {
+    static std::atomic<std::uint64_t> sequence{0};
+    const request_class& item = plan.classes[planned.class_index];
+    const nlohmann::json body = {
+        {"model", item.model}, {"prompt", planned.prompt}, {"max_tokens", item.max_tokens}, {"stream", true}};
+    wire::http_headers headers = {{"Authorization", "Bearer " + item.key}};
+    if (plan.is_direct)
+        headers.push_back({"X-Request-Id", "driver.1." + std::to_string(++sequence)});
+    if (!planned.idempotency_key.empty()) {
+        headers.push_back({"Idempotency-Key", planned.idempotency_key});
+        headers.push_back({"Postpaddle-Repeatable", "no"});
+    }
+    return wire::json_request(plan.path, body.dump(), std::move(headers));
+}
+
+/// Text of a completion event; sets `is_done` or `has_error`.
+std::string text_of(std::string_view data, bool& is_done, bool& has_error, std::string& outcome) {
+    if (data == "[DONE]") {
+        is_done = true;
+        return {};
+    }
+    const auto parsed = nlohmann::json::parse(data, nullptr, false);
+    if (!parsed.is_object())
+        return {};
+    if (parsed.contains("error")) {
+        has_error = true;
+        outcome = parsed["error"].value("outcome", "");
+        return {};
+    }
+    const auto& choices = parsed["choices"];
+    return choices.empty() ? std::string() : choices[0].value("text", std::string());
+}
+
+void read_stream(const load_plan& plan, const planned_request& planned, wire::open_answer& open,
+                 steady_clock::time_point start, call_result& result, wire::yield_context yield) {
+    wire::event_stream stream(longest_event);
+    std::string text;
+    bool is_done = false;
+    bool has_error = false;
+    double last_ms = 0;
+    while (true) {
+        const auto has_more = open.call->read_part(stream.input(), steady_clock::now() + call_limit, yield);
+        if (!has_more || !*has_more)
+            break;
+        while (const auto data = stream.next()) {
+            const std::string piece = text_of(*data, is_done, has_error, result.outcome);
+            if (piece.empty())
+                continue;
+            last_ms = milliseconds_since(start);
+            if (result.tokens == 0)
+                result.first_token_ms = last_ms;
+            ++result.tokens;
+            text += piece;
+        }
+    }
+    if (result.tokens > 1)
+        result.per_token_ms = (last_ms - result.first_token_ms) / (result.tokens - 1);
+    const int max_tokens = plan.classes[planned.class_index].max_tokens;
+    const bool is_own = text == whole_answer(planned.prompt, max_tokens);
+    result.is_whole = is_done && !has_error && is_own;
+    result.is_wrong = is_done && !has_error && !is_own;
+}
+
+} // namespace
+
+call_result call(wire::upstream_pool& pool, wire::asio::io_context& context, const load_plan& plan,
+                 const planned_request& planned, wire::yield_context yield) {
+    call_result result;
+    result.organisation = plan.classes[planned.class_index].organisation;
+    const auto start = steady_clock::now();
+    std::shared_ptr<wire::upstream_call> used;
+    wire::asio::steady_timer cancel(context);
+    const auto on_call = [&](std::shared_ptr<wire::upstream_call> next) { used = std::move(next); };
+    if (planned.cancel_after >= 0) {
+        cancel.expires_after(
+            std::chrono::microseconds(static_cast<std::int64_t>(planned.cancel_after * 1e6)));
+        cancel.async_wait([&](const wire::error_code& error) {
+            if (error || !used)
+                return;
+            result.is_cancelled = true;
+            used->cancel();
+        });
+    }
+    const std::string& address = plan.hosts[planned.host_index];
+    auto open = wire::open_exchange(pool, address, make_request(plan, planned),
+                                    wire::connection_use::may_reuse, start + call_limit, on_call, yield);
+    if (open) {
+        result.status = open->head.status;
+        result.outcome = wire::find_header(open->head.headers, "Postpaddle-Outcome");
+        if (result.status == ok_status)
+            read_stream(plan, planned, *open, start, result, yield);
+        else
+            (void)open->call->read_rest(start + call_limit, yield);
+    }
+    // The timer's callback looks at this frame: let it run, or be cancelled, before the frame goes.
+    cancel.cancel();
+    wire::error_code ignored;
+    wire::asio::post(context, yield[ignored]);
+    if (open && !result.is_cancelled)
+        pool.give_back(address, open->call);
+    return result;
+}
+
+} // namespace postpaddle::stand_in
--- /dev/null
+++ b/stand_ins/log_service/log_stream.cpp
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <log_service/log_stream.h>
+
+namespace postpaddle::stand_in {
+
+std::uint64_t log_stream::append(std::string payload) {
+    this->records.push_back({std::move(payload), std::chrono::steady_clock::now()});
+    return this->next() - 1;
+}
+
+void log_stream::trim(std::chrono::milliseconds retention, std::size_t most) {
+    const auto oldest = std::chrono::steady_clock::now() - retention;
+    while (!this->records.empty() && (this->records.size() > most || this->records.front().at < oldest)) {
+        this->records.pop_front();
+        ++this->first;
+    }
+}
+
+const std::string& log_stream::at(std::uint64_t offset) const {
+    return this->records.at(static_cast<std::size_t>(offset - this->first)).payload;
+}
+
+} // namespace postpaddle::stand_in
--- /dev/null
+++ b/tests/decision/test_engine_state.cpp
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/engine_state.h>
+#include <decision/prefix_memory.h>
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace postpaddle;
+using namespace postpaddle::decision;
+using namespace std::chrono_literals;
+
+const base::time_point start{1h};
+
+engine_state engine_with(int places) { return make_engine({{"e"}, {"z"}, places, 10'000, 0.02, false}); }
+
+} // namespace
+
+TEST_CASE("the next place is free when enough promised ones end") {
+    engine_state engine = engine_with(2);
+    CHECK(next_place(engine, start) == start);
+    promise_place(engine, start + 100ms);
+    CHECK(next_place(engine, start) == start);
+    promise_place(engine, start + 300ms);
+    CHECK(next_place(engine, start) == start + 100ms);
+    promise_place(engine, start + 400ms);
+    CHECK(next_place(engine, start) == start + 300ms);
+    return_place(engine, start + 100ms);
+    CHECK(next_place(engine, start) == start + 300ms);
+}
+
+TEST_CASE("a share bounds the places of this host") {
+    engine_state engine = engine_with(12);
+    engine.share = 0.25;
+    CHECK(own_places(engine) == 3);
+    engine.share = 0;
+    CHECK(own_places(engine) == 1);
+}
+
+TEST_CASE("others' prompts are counted from the report and worked off with time") {
+    engine_state engine = engine_with(2);
+    hear_load(engine, {0, 0, 2, 5'000, false}, 100ms, start);
+    CHECK(prefill_begin(engine, start) == start + 400ms);
+    CHECK(prefill_begin(engine, start + 400ms) == start + 400ms);
+    CHECK(prefill_begin(engine, start + 10s) == start + 10s);
+}
+
+TEST_CASE("an estimate stays within bounds whatever it is told") {
+    estimate value = make_estimate(10);
+    for (int index = 0; index < 1000; ++index)
+        learn(value, 1e12);
+    CHECK(value.value <= 100);
+    for (int index = 0; index < 1000; ++index)
+        learn(value, 1e-12);
+    CHECK(value.value >= 1);
+    learn(value, -5);
+    learn(value, 0.0 / 1.0);
+    CHECK(value.value >= 1);
+}
+
+TEST_CASE("prefixes are remembered by engine and forgotten least recently used first") {
+    prefix_memory memory(4);
+    memory.remember(0, {1, 2});
+    memory.remember(1, {1});
+    CHECK(memory.matched_blocks(0, {1, 2, 3}) == 2);
+    CHECK(memory.matched_blocks(1, {1, 2}) == 1);
+    memory.remember(2, {7, 8, 9});
+    CHECK(memory.size() == 4);
+    CHECK(memory.matched_blocks(0, {1, 2}) == 0);
+    memory.forget(1, {1});
+    CHECK(memory.matched_blocks(1, {1}) == 0);
+}
+
+TEST_CASE("rendezvous moves only the prefixes of an engine that goes") {
+    const std::vector<engine_index> all = {0, 1, 2, 3};
+    const std::vector<engine_index> fewer = {0, 1, 3};
+    for (std::uint64_t prefix = 1; prefix < 500; ++prefix) {
+        const engine_index before = rendezvous_engine(all, prefix);
+        if (before != 2)
+            CHECK(rendezvous_engine(fewer, prefix) == before);
+    }
+}
--- /dev/null
+++ b/tests/decision/test_fair_queue.cpp
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/fair_queue.h>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+namespace {
+
+using namespace postpaddle;
+using namespace postpaddle::decision;
+
+queue_entry entry(std::uint64_t arrival, int priority = 5) {
+    return {priority, {}, arrival, {"r" + std::to_string(arrival)}, 1.0};
+}
+
+/// Serves that many requests and counts them by organisation.
+std::map<std::string, int> serve(fair_queue& queue, int count, const std::map<std::string, double>& weights) {
+    std::map<std::string, int> served;
+    for (int index = 0; index < count; ++index) {
+        const auto order = service_order(queue);
+        if (order.empty())
+            break;
+        const base::organisation_id id = order.front();
+        const queue_entry head = *queue.organisations.at(id).entries.begin();
+        charge(queue, id, head, weights.at(id.value));
+        ++served[id.value];
+    }
+    return served;
+}
+
+} // namespace
+
+TEST_CASE("a flood gets no more than its share while others wait") {
+    fair_queue queue;
+    for (std::uint64_t index = 0; index < 1000; ++index)
+        enqueue(queue, {"flood"}, entry(index));
+    for (std::uint64_t index = 1000; index < 1050; ++index)
+        enqueue(queue, {"quiet"}, entry(index));
+    const auto served = serve(queue, 100, {{"flood", 1}, {"quiet", 1}});
+    CHECK(served.at("quiet") == 50);
+    CHECK(served.at("flood") == 50);
+}
+
+TEST_CASE("weights divide service") {
+    fair_queue queue;
+    for (std::uint64_t index = 0; index < 600; ++index)
+        enqueue(queue, {index % 2 == 0 ? "one" : "two"}, entry(index));
+    const auto served = serve(queue, 300, {{"one", 1}, {"two", 2}});
+    CHECK(served.at("two") == Approx(200).margin(2));
+}
+
+TEST_CASE("an idle organisation saves up nothing") {
+    fair_queue queue;
+    for (std::uint64_t index = 0; index < 500; ++index)
+        enqueue(queue, {"busy"}, entry(index));
+    serve(queue, 300, {{"busy", 1}});
+    for (std::uint64_t index = 500; index < 1000; ++index)
+        enqueue(queue, {"late"}, entry(index));
+    const auto served = serve(queue, 100, {{"busy", 1}, {"late", 1}});
+    CHECK(served.at("late") == Approx(50).margin(1));
+}
+
+TEST_CASE("inside an organisation priority goes before arrival") {
+    fair_queue queue;
+    enqueue(queue, {"one"}, entry(1, 5));
+    enqueue(queue, {"one"}, entry(2, 1));
+    CHECK(queue.organisations.at({"one"}).entries.begin()->arrival == 2);
+}
+
+TEST_CASE("what is removed is counted out") {
+    fair_queue queue;
+    enqueue(queue, {"one"}, entry(1));
+    CHECK(remove(queue, {"one"}, entry(1)));
+    CHECK_FALSE(remove(queue, {"one"}, entry(1)));
+    CHECK(queue.length == 0);
+    CHECK(queue.queued_cost == 0);
+    CHECK(service_order(queue).empty());
+}
--- /dev/null
+++ b/tests/decision/test_router_properties.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/random_world.h>
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace postpaddle;
+using test::random_world;
+
+constexpr std::uint64_t seeds = 1500;
+constexpr int acts = 250;
+
+void try_seed(std::uint64_t seed, decision::policy rule) {
+    INFO("seed " << seed);
+    decision::router_options options;
+    options.rule = rule;
+    options.seed = seed;
+    random_world world(seed, options);
+    for (int act = 0; act < acts; ++act) {
+        world.act();
+        const std::string broken = world.broken_promise();
+        if (!broken.empty())
+            FAIL("after " << act << " acts: " << broken);
+    }
+    world.finish();
+    if (!world.broken_promise().empty())
+        FAIL("at the end: " << world.broken_promise());
+    for (const auto& [id, request] : world.requests)
+        if (request.ends != 1)
+            FAIL(id.value << " was answered " << request.ends << " times");
+    CHECK(world.state.requests.empty());
+    for (const decision::engine_state& engine : world.state.engines) {
+        if (decision::promised_places(engine) != 0)
+            FAIL("a place is still promised at " << engine.facts.id.value);
+        if (engine.own_prompt_tokens > 0.5)
+            FAIL("prompt work is still counted at " << engine.facts.id.value);
+    }
+    CHECK(decision::queued_requests(world.state) == 0);
+}
+
+} // namespace
+
+TEST_CASE("whatever happens, each request is answered once and nothing stays held") {
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        try_seed(seed, decision::policy::postpaddle);
+}
+
+TEST_CASE("the baselines keep the same promises") {
+    for (std::uint64_t seed = 1; seed <= seeds / 5; ++seed) {
+        try_seed(seed, decision::policy::round_robin);
+        try_seed(seed, decision::policy::least_load);
+    }
+}
