--- /dev/null
+++ b/tests/settings/test_settings_log.cpp
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <settings/settings_log.h>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+
+namespace {
+
+using namespace postpaddle::settings;
+
+std::string document_with(int concurrent) {
+    return "root: {settings: {limits: {concurrent_requests: " + std::to_string(concurrent) + "}}}";
+}
+
+settings_record replace(const std::string& id, log_offset base, int concurrent) {
+    return {record_kind::replace, id, "ann", base, document_with(concurrent), "", ""};
+}
+
+std::string in_force(const settings_state& state) {
+    return state.tree ? effective_values_of(*state.tree, {"/"}).at("limits.concurrent_requests").text : "";
+}
+
+settings_state fresh() {
+    settings_state state;
+    did_see_earliest(state, 1);
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("of two changes on one base the first by offset is accepted and the second told why not") {
+    settings_state state = fresh();
+    apply_record(state, 1, encode_record(replace("one", 0, 5)));
+    apply_record(state, 2, encode_record(replace("two", 1, 6)));
+    apply_record(state, 3, encode_record(replace("three", 1, 7)));
+    CHECK(in_force(state) == "6");
+    CHECK(verdict_of(state, "two")->is_accepted);
+    const change_verdict* const lost = verdict_of(state, "three");
+    REQUIRE(lost != nullptr);
+    CHECK_FALSE(lost->is_accepted);
+    CHECK_THAT(lost->reason, Catch::Contains("in force is 2 by ann (change two)"));
+}
+
+TEST_CASE("a change appended twice after a lost answer takes effect once") {
+    settings_state state = fresh();
+    const std::string payload = encode_record(replace("one", 0, 5));
+    apply_record(state, 1, payload);
+    apply_record(state, 2, payload);
+    CHECK(state.revision == 1);
+    CHECK(verdict_of(state, "one")->is_accepted);
+    CHECK(verdict_of(state, "one")->offset == 1);
+}
+
+TEST_CASE("an old record never comes back") {
+    settings_state state = fresh();
+    apply_record(state, 1, encode_record(replace("one", 0, 5)));
+    apply_record(state, 2, encode_record(replace("two", 1, 6)));
+    apply_record(state, 1, encode_record(replace("old", 2, 9)));
+    CHECK(in_force(state) == "6");
+    CHECK(state.next_offset == 3);
+}
+
+TEST_CASE("one path can be changed, and an invalid change is rejected whole") {
+    settings_state state = fresh();
+    apply_record(state, 1, encode_record(replace("one", 0, 5)));
+    settings_record change{
+        record_kind::assign, "two", "bo", 1, "", "root/settings/limits/concurrent_requests", "9"};
+    apply_record(state, 2, encode_record(change));
+    CHECK(in_force(state) == "9");
+    change.change_id = "three";
+    change.base_revision = 2;
+    change.value = "none";
+    apply_record(state, 3, encode_record(change));
+    CHECK_FALSE(verdict_of(state, "three")->is_accepted);
+    CHECK(in_force(state) == "9");
+    CHECK(state.revision == 2);
+}
+
+TEST_CASE("malformed, foreign and too large records are skipped alike") {
+    settings_state state = fresh();
+    apply_record(state, 1, "not json");
+    apply_record(state, 2, R"({"type":"settings","kind":"replace"})");
+    apply_record(state, 3, std::string(largest_record + 1, 'x'));
+    apply_record(state, 4, encode_record(replace("one", 0, 5)));
+    CHECK(in_force(state) == "5");
+    CHECK(state.malformed_records == 2);
+}
+
+TEST_CASE("a snapshot serves a state that lost records and nobody else") {
+    settings_state old = fresh();
+    apply_record(old, 1, encode_record(replace("one", 0, 5)));
+    apply_record(old, 2, encode_record(replace("two", 1, 6)));
+    const std::string snapshot = encode_record(snapshot_of(old));
+    const std::string third = encode_record(replace("three", 2, 7));
+    apply_record(old, 3, third);
+
+    settings_state late;
+    did_see_earliest(late, 3);
+    CHECK(late.phase == fold_phase::needs_base);
+    CHECK(apply_snapshot(late, snapshot));
+    apply_record(late, 3, third);
+    CHECK(late.revision == old.revision);
+    CHECK(late.document == old.document);
+    CHECK(late.verdicts == old.verdicts);
+
+    CHECK_FALSE(apply_snapshot(old, snapshot));
+    CHECK(in_force(old) == "7");
+    settings_state too_late;
+    did_see_earliest(too_late, 5);
+    CHECK_FALSE(apply_snapshot(too_late, snapshot));
+}
+
+TEST_CASE("a peer's state is taken only when it is ahead") {
+    settings_state ahead = fresh();
+    apply_record(ahead, 1, encode_record(replace("one", 0, 5)));
+    const settings_state behind = ahead;
+    apply_record(ahead, 2, encode_record(replace("two", 1, 6)));
+    settings_state mine = behind;
+    CHECK(adopt_state(mine, *decode_state(encode_state(ahead))));
+    CHECK(in_force(mine) == "6");
+    CHECK_FALSE(adopt_state(mine, *decode_state(encode_state(behind))));
+    CHECK(in_force(mine) == "6");
+    CHECK_FALSE(decode_state("{}"));
+}
+
+// Many hosts fold one log with loss, repetition, restarts and lost records, in any order of their own.
+TEST_CASE("all hosts at one offset have one tree and never go back") {
+    for (std::uint32_t seed = 1; seed <= 400; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937 random(seed);
+        std::vector<std::string> log;
+        settings_state reference = fresh();
+        std::map<log_offset, std::string> documents;
+        std::vector<std::string> snapshots;
+        for (int index = 0; index < 25; ++index) {
+            const log_offset base = random() % 3 == 0 ? random() % 5 : reference.revision;
+            settings_record record =
+                replace("c" + std::to_string(random() % 20), base, 1 + static_cast<int>(random() % 90));
+            std::string payload = random() % 8 == 0 ? "junk" : encode_record(record);
+            log.push_back(payload);
+            apply_record(reference, log.size(), payload);
+            documents[reference.next_offset] = reference.document;
+            if (random() % 6 == 0 && reference.revision != 0)
+                snapshots.push_back(encode_record(snapshot_of(reference)));
+        }
+        std::vector<settings_state> hosts(4, fresh());
+        for (int step = 0; step < 120; ++step) {
+            settings_state& host = hosts[random() % hosts.size()];
+            const log_offset before = host.revision;
+            const log_offset offset = 1 + random() % log.size();
+            switch (random() % 6) {
+            case 0:
+                host = settings_state{};
+                did_see_earliest(host, 1 + random() % log.size());
+                break;
+            case 1:
+                if (!snapshots.empty())
+                    apply_snapshot(host, snapshots[random() % snapshots.size()]);
+                break;
+            case 2:
+                adopt_state(host, hosts[random() % hosts.size()]);
+                break;
+            case 3:
+                did_see_earliest(host, offset);
+                break;
+            default:
+                if (host.next_offset <= log.size())
+                    apply_record(host, host.next_offset, log[host.next_offset - 1]);
+                break;
+            }
+            if (host.revision != 0 && before != 0 && host.next_offset > 1 &&
+                host.phase == fold_phase::judging)
+                CHECK((host.revision >= before || host.revision == 0));
+            if (host.phase == fold_phase::judging && host.next_offset > 1)
+                REQUIRE(host.document == documents[host.next_offset]);
+        }
+    }
+}
--- /dev/null
+++ b/utilities/postpaddle/commands.cpp
@@ -0,0 +1,270 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <postpaddle/commands.h>
+
+#include <postpaddle/publisher.h>
+
+#include <settings/settings_tree.h>
+#include <wire/simple_client.h>
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <random>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace postpaddle::utility {
+
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr auto call_limit = 5'000ms;
+constexpr auto in_force_limit = std::chrono::seconds(10);
+constexpr auto look_pause = 20ms;
+constexpr int ok_status = 200;
+
+int fail(const std::string& what, int code = exit_failed) {
+    std::cerr << "postpaddle: " << what << '\n';
+    return code;
+}
+
+tl::expected<std::string, std::string> read_file(const std::string& path) {
+    std::ifstream file(path);
+    if (!file)
+        return tl::make_unexpected("can't read " + path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// GET from a host's operators' address.
+tl::expected<std::string, std::string> fetch_from(const std::string& address, const std::string& token,
+                                                  const std::string& target) {
+    wire::asio::io_context context{1};
+    wire::upstream_pool pool(context, wire::answer_bounds{});
+    tl::expected<std::string, std::string> result = tl::make_unexpected(address + " does not answer");
+    wire::spawn_coroutine(context, [&](wire::yield_context yield) {
+        const auto request = wire::get_request(target, {{"Authorization", "Bearer " + token}});
+        auto response = wire::fetch(pool, address, request, call_limit, yield);
+        if (!response)
+            return;
+        if (response->status == ok_status)
+            result = std::move(response->body);
+        else
+            result = tl::make_unexpected(address + ": " + response->body);
+    });
+    context.run();
+    return result;
+}
+
+tl::expected<json, std::string> state_of(const std::string& address, const std::string& token) {
+    const auto text = fetch_from(address, token, "/state");
+    if (!text)
+        return tl::make_unexpected(text.error());
+    json state = json::parse(*text, nullptr, false);
+    if (!state.is_object())
+        return tl::make_unexpected(address + " answered no JSON");
+    return state;
+}
+
+std::string make_change_id() {
+    static constexpr int digits = 16;
+    std::random_device random;
+    std::ostringstream text;
+    text << std::hex << std::setfill('0') << std::setw(digits / 2) << random() << std::setw(digits / 2)
+         << random();
+    return text.str();
+}
+
+/// Hosts that work, with the revision each has in force, as one host knows them.
+struct host_row {
+    std::string name;
+    std::string zone;
+    std::string life;
+    std::string operators;
+    bool is_draining = false;
+    std::uint64_t revision = 0;
+    std::uint64_t next_offset = 0;
+};
+
+tl::expected<std::vector<host_row>, std::string> host_rows(const command_options& options) {
+    const auto state = state_of(options.host_address, options.token);
+    if (!state)
+        return tl::make_unexpected(state.error());
+    std::vector<host_row> rows;
+    for (const json& member : state->at("control").at("members"))
+        rows.push_back({member.at("n"), member.at("z"), member.at("life"), member.at("o"), member.at("d"),
+                        member.at("sr"), member.at("so")});
+    return rows;
+}
+
+bool is_in_force_everywhere(const std::vector<host_row>& rows, std::uint64_t revision) {
+    for (const host_row& row : rows)
+        if (row.life == "alive" && row.revision < revision)
+            return false;
+    return true;
+}
+
+int wait_in_force(const command_options& options, std::uint64_t revision) {
+    const auto deadline = std::chrono::steady_clock::now() + in_force_limit;
+    std::vector<host_row> rows;
+    while (std::chrono::steady_clock::now() < deadline) {
+        auto next = host_rows(options);
+        if (next)
+            rows = std::move(*next);
+        if (!rows.empty() && is_in_force_everywhere(rows, revision)) {
+            std::cout << "in force on";
+            for (const host_row& row : rows)
+                if (row.life == "alive")
+                    std::cout << ' ' << row.name;
+            std::cout << std::endl;
+            return exit_ok;
+        }
+        std::this_thread::sleep_for(look_pause);
+    }
+    std::cout << "accepted, but not yet in force on";
+    for (const host_row& row : rows)
+        if (row.revision < revision)
+            std::cout << ' ' << row.name << " (" << row.life << ")";
+    std::cout << std::endl;
+    return exit_failed;
+}
+
+tl::expected<settings::settings_record, std::string> record_of(const std::vector<std::string>& words,
+                                                               const command_options& options) {
+    settings::settings_record record;
+    record.change_id = make_change_id();
+    record.author = options.author;
+    record.base_revision = options.base_revision;
+    if (!options.assignment.empty()) {
+        const auto sign = options.assignment.find('=');
+        if (sign == std::string::npos)
+            return tl::make_unexpected(std::string("--set needs PATH=VALUE"));
+        record.kind = settings::record_kind::assign;
+        record.path = options.assignment.substr(0, sign);
+        record.value = options.assignment.substr(sign + 1);
+        return record;
+    }
+    if (words.size() != 1)
+        return tl::make_unexpected(std::string("publish needs one FILE, or --set=PATH=VALUE"));
+    auto text = read_file(words[0]);
+    if (!text)
+        return tl::make_unexpected(text.error());
+    const auto tree = settings::parse_settings_tree(*text, words[0]);
+    if (!tree)
+        return tl::make_unexpected("invalid:\n" + settings::to_text(tree.error()));
+    record.document = std::move(*text);
+    return record;
+}
+
+tl::expected<std::string, std::string> document_to_show(const command_options& options) {
+    if (!options.file.empty())
+        return read_file(options.file);
+    const auto state = read_settings({options.log_address, "", 10s});
+    if (!state)
+        return tl::make_unexpected(state.error());
+    return state->document;
+}
+
+} // namespace
+
+int run_validate(const std::vector<std::string>& words) {
+    if (words.size() != 1)
+        return fail("validate needs one FILE", exit_bad_usage);
+    const auto text = read_file(words[0]);
+    if (!text)
+        return fail(text.error(), exit_bad_settings);
+    const auto tree = settings::parse_settings_tree(*text, words[0]);
+    if (tree) {
+        std::cout << words[0] << ": valid, " << settings::all_organisations(*tree).size()
+                  << " organisations\n";
+        return exit_ok;
+    }
+    std::cerr << settings::to_text(tree.error());
+    return exit_bad_settings;
+}
+
+int run_publish(const std::vector<std::string>& words, const command_options& options) {
+    const auto record = record_of(words, options);
+    if (!record)
+        return fail(record.error(), exit_bad_settings);
+    const auto verdict = publish({options.log_address, options.author, 30s}, *record);
+    if (!verdict)
+        return fail(verdict.error());
+    if (!verdict->is_accepted) {
+        std::cout << "rejected at offset " << verdict->offset << ": " << verdict->reason << std::endl;
+        return exit_rejected;
+    }
+    std::cout << "accepted as revision " << verdict->offset << std::endl;
+    if (options.host_address.empty())
+        return exit_ok;
+    return wait_in_force(options, verdict->offset);
+}
+
+int run_show(const std::vector<std::string>& words, const command_options& options) {
+    if (words.size() != 1)
+        return fail("show needs one PATH, such as /mauritius/studio-a", exit_bad_usage);
+    const auto document = document_to_show(options);
+    if (!document)
+        return fail(document.error());
+    const auto tree =
+        settings::parse_settings_tree(*document, options.file.empty() ? "published" : options.file);
+    if (!tree)
+        return fail("invalid:\n" + settings::to_text(tree.error()), exit_bad_settings);
+    const auto values = settings::effective_values_of(*tree, {words[0]});
+    if (values.empty())
+        return fail("no organisation " + words[0]);
+    static constexpr int name_width = 40;
+    static constexpr int value_width = 24;
+    for (const auto& [field, value] : values)
+        std::cout << std::left << std::setw(name_width) << field << ' ' << std::setw(value_width)
+                  << value.text << ' ' << (value.origin.empty() ? "(default)" : value.origin) << '\n';
+    return exit_ok;
+}
+
+int run_status(const command_options& options) {
+    const auto rows = host_rows(options);
+    if (!rows)
+        return fail(rows.error());
+    static constexpr int column = 14;
+    std::cout << std::left << std::setw(column) << "host" << std::setw(column) << "zone" << std::setw(column)
+              << "life" << std::setw(column) << "revision" << std::setw(column) << "next offset"
+              << "operators\n";
+    for (const host_row& row : *rows)
+        std::cout << std::setw(column) << row.name << std::setw(column) << row.zone << std::setw(column)
+                  << (row.is_draining ? row.life + "+drain" : row.life) << std::setw(column) << row.revision
+                  << std::setw(column) << row.next_offset << row.operators << '\n';
+    return exit_ok;
+}
+
+int run_dump(const command_options& options) {
+    const auto text = fetch_from(options.host_address, options.token, "/state");
+    if (!text)
+        return fail(text.error());
+    std::cout << *text;
+    return exit_ok;
+}
+
+int run_explain(const std::vector<std::string>& words, const command_options& options) {
+    if (words.size() != 1)
+        return fail("explain needs one REQUEST-ID", exit_bad_usage);
+    // The id names the host that served the request; any host knows where to find that one.
+    std::string address = options.host_address;
+    const std::string host = words[0].substr(0, words[0].find('.'));
+    if (const auto rows = host_rows(options))
+        for (const host_row& row : *rows)
+            if (row.name == host && !row.operators.empty())
+                address = row.operators;
+    const auto text = fetch_from(address, options.token, "/explain?id=" + words[0]);
+    if (!text)
+        return fail(text.error());
+    std::cout << *text;
+    return exit_ok;
+}
+
+} // namespace postpaddle::utility
--- /dev/null
+++ b/utilities/postpaddle/main.cpp
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// postpaddle: the operators' command line.
+
+#include <postpaddle/commands.h>
+
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <iostream>
+
+DEFINE_string(log, "", "address of the platform's log, IP:PORT");
+DEFINE_string(host, "", "operators' address of any host, IP:PORT");
+DEFINE_string(token, "", "operators' token; POSTPADDLE_TOKEN from the environment where empty");
+DEFINE_string(set, "", "publish: one PATH=VALUE, the path's segments joined by /");
+DEFINE_string(file, "", "show: a document instead of what is published");
+DEFINE_string(author, "", "publish: who makes the change; USER from the environment where empty");
+DEFINE_uint64(base, 0, "publish: revision that the change is based on; 0 for the newest");
+
+namespace {
+
+std::string from_environment(const std::string& value, const char* name) {
+    if (!value.empty())
+        return value;
+    const char* const found = std::getenv(name); // NOLINT(concurrency-mt-unsafe): one thread.
+    return found == nullptr ? "" : found;
+}
+
+int needs(const std::string& command, const char* flag) {
+    std::cerr << "postpaddle: " << command << " needs --" << flag << "; see --help\n";
+    return postpaddle::utility::exit_bad_usage;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    using namespace postpaddle::utility;
+    gflags::SetUsageMessage(
+        "drives postpaddle\n\n"
+        "  postpaddle validate FILE                       check an operators' document\n"
+        "  postpaddle publish FILE --log=A [--host=A]     publish it, wait until it is in force\n"
+        "  postpaddle publish --set=PATH=VALUE --log=A    publish one change\n"
+        "  postpaddle show PATH (--log=A | --file=FILE)   effective settings and where they come from\n"
+        "  postpaddle status --host=A                     hosts and what each has in force\n"
+        "  postpaddle dump --host=A                       a host's whole state\n"
+        "  postpaddle explain REQUEST-ID --host=A         why a request went where it went\n\n"
+        "Exit codes: 0 done, 1 failed, 2 bad usage, 3 bad settings, 4 the change was rejected.");
+    gflags::SetVersionString(POSTPADDLE_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (words.empty()) {
+        std::cerr << "postpaddle: a command is needed; see --help\n";
+        return exit_bad_usage;
+    }
+    const std::string& command = words[0];
+    const std::vector<std::string> rest(words.begin() + 1, words.end());
+    command_options options;
+    options.log_address = FLAGS_log;
+    options.host_address = FLAGS_host;
+    options.token = from_environment(FLAGS_token, "POSTPADDLE_TOKEN");
+    options.author = from_environment(FLAGS_author, "USER");
+    options.assignment = FLAGS_set;
+    options.file = FLAGS_file;
+    options.base_revision = FLAGS_base;
+    if (command == "validate")
+        return run_validate(rest);
+    if (command == "publish")
+        return FLAGS_log.empty() ? needs(command, "log") : run_publish(rest, options);
+    if (command == "show")
+        return FLAGS_log.empty() && FLAGS_file.empty() ? needs(command, "log or --file")
+                                                       : run_show(rest, options);
+    const bool needs_host = command == "status" || command == "dump" || command == "explain";
+    if (needs_host && FLAGS_host.empty())
+        return needs(command, "host");
+    if (command == "status")
+        return run_status(options);
+    if (command == "dump")
+        return run_dump(options);
+    if (command == "explain")
+        return run_explain(rest, options);
+    std::cerr << "postpaddle: no command `" << command << "`; see --help\n";
+    return exit_bad_usage;
+}
--- /dev/null
+++ b/utilities/postpaddle/publisher.cpp
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <postpaddle/publisher.h>
+
+#include <functional>
+
+namespace postpaddle::utility {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::steady_clock;
+
+constexpr const char* settings_stream = "settings";
+constexpr const char* snapshots_stream = "settings-snapshots";
+constexpr auto append_limit = 2'000ms;
+constexpr auto retry_pause = 100ms;
+/// An append whose answer was lost may still be on its way for this long.
+constexpr auto append_flight = 1'000ms;
+
+/// The settings stream as this command has read it.
+class follower {
+public:
+    explicit follower(wire::asio::io_context& context, const publish_options& options)
+        : context(&context), log(context, options.log_address),
+          deadline(steady_clock::now() + options.limit) {}
+
+    /// Reads all there is; false when the log does not answer until the limit.
+    bool catch_up(wire::yield_context yield) {
+        while (!this->is_late()) {
+            const auto page = this->log.read(settings_stream, this->state.next_offset, 0ms, yield);
+            if (!page) {
+                this->pause(retry_pause, yield);
+                continue;
+            }
+            settings::did_see_earliest(this->state, page->earliest);
+            if (this->state.phase == settings::fold_phase::needs_base && !this->find_base(yield)) {
+                this->pause(retry_pause, yield);
+                continue;
+            }
+            for (const wire::log_record& record : page->records)
+                settings::apply_record(this->state, record.offset, record.payload);
+            if (this->state.next_offset >= page->next)
+                return true;
+        }
+        return false;
+    }
+
+    bool find_base(wire::yield_context yield) {
+        settings::log_offset from = 1;
+        bool was_found = false;
+        while (true) {
+            const auto page = this->log.read(snapshots_stream, from, 0ms, yield);
+            if (!page || page->records.empty())
+                return was_found;
+            for (const wire::log_record& record : page->records) {
+                from = record.offset + 1;
+                settings::settings_state candidate = this->state;
+                candidate.phase = settings::fold_phase::needs_base;
+                if (settings::apply_snapshot(candidate, record.payload)) {
+                    this->state = std::move(candidate);
+                    was_found = true;
+                }
+            }
+        }
+    }
+
+    bool append(const std::string& payload, wire::yield_context yield) {
+        return this->log.append(settings_stream, payload, append_limit, yield).has_value();
+    }
+
+    void pause(std::chrono::milliseconds length, wire::yield_context yield) {
+        wire::error_code ignored;
+        wire::asio::steady_timer timer(*this->context, length);
+        timer.async_wait(yield[ignored]);
+    }
+
+    [[nodiscard]] bool is_late() const { return steady_clock::now() >= this->deadline; }
+
+    settings::settings_state state;
+
+private:
+    wire::asio::io_context* context;
+    wire::log_client log;
+    steady_clock::time_point deadline;
+};
+
+/// Appends until the verdict is there.
+tl::expected<settings::change_verdict, std::string>
+append_until_judged(follower& log, const settings::settings_record& record, wire::yield_context yield) {
+    const std::string payload = settings::encode_record(record);
+    while (!log.is_late()) {
+        const bool was_answered = log.append(payload, yield);
+        if (!was_answered)
+            log.pause(append_flight, yield);
+        if (!log.catch_up(yield))
+            break;
+        if (const auto* const verdict = settings::verdict_of(log.state, record.change_id); verdict != nullptr)
+            return *verdict;
+    }
+    return tl::make_unexpected(std::string("no verdict in time; whether change ") + record.change_id +
+                               " took effect is not known");
+}
+
+} // namespace
+
+tl::expected<settings::settings_state, std::string> read_settings(const publish_options& options) {
+    wire::asio::io_context context{1};
+    follower log(context, options);
+    bool was_read = false;
+    wire::spawn_coroutine(context, [&](wire::yield_context yield) { was_read = log.catch_up(yield); });
+    context.run();
+    if (!was_read)
+        return tl::make_unexpected(std::string("the log does not answer"));
+    return log.state;
+}
+
+tl::expected<settings::change_verdict, std::string> publish(const publish_options& options,
+                                                            settings::settings_record record) {
+    wire::asio::io_context context{1};
+    follower log(context, options);
+    tl::expected<settings::change_verdict, std::string> result =
+        tl::make_unexpected(std::string("the log does not answer"));
+    wire::spawn_coroutine(context, [&](wire::yield_context yield) {
+        if (!log.catch_up(yield))
+            return;
+        if (record.base_revision == 0)
+            record.base_revision = log.state.revision;
+        result = append_until_judged(log, record, yield);
+    });
+    context.run();
+    return result;
+}
+
+} // namespace postpaddle::utility
