decision: Let time pass between failures in the put-aside test

Cause: the test sent four prompts at one instant, so the later ones rightly waited behind the first and never failed. Change: 150 ms pass between them. The checks are the same. Measured: 24 test cases pass, where 23 of 24 did. Conclusion: the router was right, the test's schedule was not.

--- a/tests/decision/test_router.cpp
+++ b/tests/decision/test_router.cpp
@@ -155,6 +155,7 @@
         const auto effects = core.give(request_arrived{make_facts("r" + std::to_string(index))});
         if (const auto* const start = bench::find<start_prefill>(effects))
             core.give(phase_failed{start->id, start->attempt, failure::broken, 0});
+        core.now += 150ms;
     }
     const auto refused = core.give(request_arrived{make_facts("late")});
     REQUIRE(bench::find<end_request>(refused) != nullptr);
