tests: Prove callers' answers and engine faults with real processes

Cause: nothing showed that the path keeps its promises under bad input and failing engines. Change: process tests behind the fault proxy for bad requests of every kind, engines that refuse, garble, cross, flood, cut, stall or drain, callers who leave in each phase or do not read. A request that arrives too slowly now gets its 408: the stream's timer closed the socket before an answer could go out.

--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -160,9 +160,20 @@
             return tl::make_unexpected(wire_error{wire_failure::closed, error.message()});
         own.input.commit(count);
     }
-    own.stream.expires_after(own.bounds.request_read);
-    http::async_read(own.stream, own.input, parser, yield[error]);
     own.stream.expires_never();
+    // The stream's own timer would close the socket; a caller who is too slow shall still get an answer.
+    asio::steady_timer limit(own.stream.get_executor(), own.bounds.request_read);
+    const auto is_late = std::make_shared<bool>(false);
+    limit.async_wait([is_late, self = this->parts](const error_code& wait_error) {
+        if (wait_error)
+            return;
+        *is_late = true;
+        self->stream.cancel();
+    });
+    http::async_read(own.stream, own.input, parser, yield[error]);
+    limit.cancel();
+    if (*is_late)
+        return tl::make_unexpected(wire_error{wire_failure::late, "the request took too long to arrive"});
     if (error)
         return tl::make_unexpected(from_io(error));
     http_request request;
--- /dev/null
+++ b/tests/integration/test_callers.cpp
@@ -0,0 +1,217 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <support/test_cluster.h>
+
+#include <common/generated_text.h>
+#include <wire/simple_client.h>
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace postpaddle;
+using namespace postpaddle::test;
+using nlohmann::json;
+
+/// One cluster serves all cases of this file: none of them breaks it.
+stand_in::cluster& shared_cluster() {
+    static stand_in::cluster cluster(small_cluster("callers", 2));
+    static const bool is_published = cluster.publish(cluster_document());
+    REQUIRE(is_published);
+    cluster.wait_ready();
+    return cluster;
+}
+
+const std::string& callers() { return shared_cluster().hosts[0].callers; }
+
+wire::http_response send(const wire::http_request& request) {
+    const auto response = stand_in::http_exchange(callers(), request);
+    REQUIRE(response);
+    return *response;
+}
+
+/// Checks that a response is a problem as RFC 9457 has it, with our headers, and gives its body.
+json problem_of(const wire::http_response& response, int status, const std::string& outcome) {
+    CHECK(response.status == status);
+    CHECK(wire::find_header(response.headers, "Content-Type") == "application/problem+json");
+    CHECK(wire::find_header(response.headers, "Postpaddle-Outcome") == outcome);
+    CHECK_FALSE(wire::find_header(response.headers, "Postpaddle-Request-Id").empty());
+    const json body = json::parse(response.body);
+    CHECK(body.at("status") == status);
+    CHECK(body.at("outcome") == outcome);
+    return body;
+}
+
+} // namespace
+
+TEST_CASE("a streamed completion is whole, its own, and names its engines") {
+    const std::string prompt = make_prompt("streamed");
+    const auto response = send(completion(prompt, 20));
+    CHECK(response.status == 200);
+    CHECK(streamed_text(response.body) == stand_in::whole_answer(prompt, 20));
+    CHECK_THAT(response.body, Catch::EndsWith("data: [DONE]\n\n"));
+    CHECK(wire::find_header(response.headers, "Postpaddle-Prefill").starts_with("p"));
+    CHECK(wire::find_header(response.headers, "Postpaddle-Decode").starts_with("d"));
+    CHECK(eventually([] { return shared_cluster().open_holds() == 0; }));
+}
+
+TEST_CASE("tokens come as they are made") {
+    open_call call(callers(), completion(make_prompt("live"), 3000));
+    const std::string early = call.read_at_least(600);
+    CHECK_THAT(early, Catch::Contains("data: "));
+    CHECK_THAT(early, !Catch::Contains("[DONE]"));
+    call.drop();
+    CHECK(eventually([] { return shared_cluster().open_holds() == 0; }));
+}
+
+TEST_CASE("a plain completion and a plain chat answer are whole") {
+    const std::string prompt = make_prompt("plain");
+    const json answer = json::parse(send(completion(prompt, 12, false)).body);
+    CHECK(answer.at("object") == "text_completion");
+    CHECK(answer.at("choices").at(0).at("text") == stand_in::whole_answer(prompt, 12));
+
+    const json body = {
+        {"model", "m"}, {"max_tokens", 9}, {"messages", {{{"role", "user"}, {"content", "hello there"}}}}};
+    const auto chat =
+        send(wire::json_request("/v1/chat/completions", body.dump(), {{"Authorization", "Bearer left-key"}}));
+    const json message = json::parse(chat.body);
+    CHECK(message.at("object") == "chat.completion");
+    CHECK(message.at("choices").at(0).at("message").at("content") ==
+          stand_in::whole_answer("userhello there", 9));
+}
+
+TEST_CASE("usage comes with a stream only when it is asked for") {
+    auto request = completion(make_prompt("usage"), 5);
+    CHECK_THAT(send(request).body, !Catch::Contains("\"usage\":{"));
+    json body = json::parse(request.body);
+    body["stream_options"] = {{"include_usage", true}};
+    request.body = body.dump();
+    CHECK_THAT(send(request).body, Catch::Contains("\"usage\":{"));
+}
+
+TEST_CASE("a missing or wrong key is 401 and tells nothing") {
+    auto request = completion("x", 5);
+    request.headers.clear();
+    const json missing = problem_of(send(request), 401, "not-run");
+    const json wrong = problem_of(send(completion("x", 5, true, "no-such-key")), 401, "not-run");
+    CHECK(missing.at("detail") == wrong.at("detail"));
+}
+
+TEST_CASE("unknown models and paths are 404") {
+    auto request = completion("x", 5);
+    request.body = R"({"model": "other", "prompt": "x"})";
+    problem_of(send(request), 404, "not-run");
+    problem_of(send({"GET", "/nowhere", {{"Authorization", "Bearer left-key"}}, ""}), 404, "not-run");
+}
+
+TEST_CASE("bodies that can't be read are 400") {
+    for (const char* const body :
+         {"", "{", "[]", "{\"model\": 1}", "{\"model\": \"m\"}", "{\"model\": \"m\", \"prompt\": 5}",
+          "{\"model\": \"m\", \"prompt\": \"x\", \"max_tokens\": 0}",
+          "{\"model\": \"m\", \"prompt\": \"x\", \"max_tokens\": \"many\"}",
+          "{\"model\": \"m\", \"prompt\": \"x\", \"n\": 2}",
+          "{\"model\": \"m\", \"prompt\": \"x\", \"stream\": 7}",
+          "{\"model\": \"m\", \"prompt\": \"x\", \"max_tokens\": -99999999999999999999}"}) {
+        INFO(body);
+        problem_of(send(wire::json_request("/v1/completions", body, {{"Authorization", "Bearer left-key"}})),
+                   400, "not-run");
+    }
+    for (const char* const body :
+         {"{\"model\": \"m\", \"messages\": []}", "{\"model\": \"m\", \"messages\": [4]}",
+          "{\"model\": \"m\", \"messages\": [{\"role\": \"user\"}]}"}) {
+        INFO(body);
+        problem_of(
+            send(wire::json_request("/v1/chat/completions", body, {{"Authorization", "Bearer left-key"}})),
+            400, "not-run");
+    }
+}
+
+TEST_CASE("prompts over the organisation's limit are 413") {
+    problem_of(send(completion(make_prompt("long", 21'000), 5)), 413, "not-run");
+}
+
+TEST_CASE("bodies and headers over the process's bounds are 413") {
+    const std::string huge(300'000, 'x');
+    CHECK_THAT(
+        raw_exchange(callers(), "POST /v1/completions HTTP/1.1\r\nContent-Length: 300000\r\n\r\n" + huge),
+        Catch::StartsWith("HTTP/1.1 413"));
+    CHECK_THAT(raw_exchange(callers(), "GET / HTTP/1.1\r\nX-Long: " + std::string(9'000, 'x') + "\r\n\r\n"),
+               Catch::StartsWith("HTTP/1.1 413"));
+}
+
+TEST_CASE("what is not HTTP is 400 and what is sent too slowly is 408") {
+    CHECK_THAT(raw_exchange(callers(), "this is no request\r\n\r\n"), Catch::StartsWith("HTTP/1.1 400"));
+    CHECK_THAT(raw_exchange(callers(), "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nonly a part"),
+               Catch::StartsWith("HTTP/1.1 408"));
+}
+
+TEST_CASE("an organisation over its concurrency is 429 with Retry-After, others go on") {
+    std::vector<std::unique_ptr<open_call>> held;
+    for (int index = 0; index < 2; ++index) {
+        held.push_back(std::make_unique<open_call>(
+            callers(), completion(make_prompt("held" + std::to_string(index)), 4000, true, right_key)));
+        held.back()->read_at_least(300);
+    }
+    const auto refused = send(completion(make_prompt("third"), 5, true, right_key));
+    problem_of(refused, 429, "not-run");
+    CHECK_FALSE(wire::find_header(refused.headers, "Retry-After").empty());
+    CHECK(send(completion(make_prompt("other"), 5)).status == 200);
+    held.clear();
+    CHECK(eventually([] { return shared_cluster().open_holds() == 0; }));
+}
+
+TEST_CASE("a plain call reaches its service and comes back with its id") {
+    const auto response =
+        send(wire::json_request("/items/list", "{}", {{"Authorization", "Bearer left-key"}}));
+    CHECK(response.status == 200);
+    CHECK(json::parse(response.body).at("path") == "/items/list");
+    CHECK_FALSE(wire::find_header(response.headers, "Postpaddle-Request-Id").empty());
+}
+
+TEST_CASE("a not-repeatable call runs once, however often and wherever it arrives") {
+    const std::string key = fresh_uuid7();
+    auto request = wire::json_request("/trades/1", "{\"item\": 1}",
+                                      {{"Authorization", "Bearer left-key"}, {"Idempotency-Key", key}});
+    CHECK(send(request).status == 200);
+    const auto& hosts = shared_cluster().hosts;
+    for (const auto& host : hosts) {
+        const auto again = stand_in::http_exchange(host.callers, request);
+        REQUIRE(again);
+        const json body = problem_of(*again, 409, "unknown");
+        CHECK_FALSE(body.at("first_request_id").get<std::string>().empty());
+    }
+    CHECK(eventually([&] {
+        const auto again = stand_in::http_exchange(hosts[1].callers, request);
+        return json::parse(again->body).value("first_outcome", "") == "succeeded";
+    }));
+    request.body = "{\"item\": 2}";
+    problem_of(send(request), 422, "not-run");
+    CHECK(shared_cluster().counters("s1").at("runs").at(key) == 1);
+}
+
+TEST_CASE("keys that can't tell their age are refused for not-repeatable requests") {
+    for (const char* const key :
+         {"abc", "123e4567-e89b-42d3-a456-426614174000", "ffffffff-ffff-7fff-8fff-ffffffffffff"}) {
+        const auto request = wire::json_request(
+            "/trades/1", "{}", {{"Authorization", "Bearer left-key"}, {"Idempotency-Key", key}});
+        problem_of(send(request), 400, "not-run");
+    }
+}
+
+TEST_CASE("the operators' address wants its token, and says what it knows") {
+    const std::string& operators = shared_cluster().hosts[0].operators;
+    CHECK(stand_in::http_exchange(operators, wire::get_request("/healthz"))->status == 200);
+    for (const char* const target : {"/state", "/metrics", "/explain?id=x"})
+        CHECK(stand_in::http_exchange(operators, wire::get_request(target))->status == 401);
+    const wire::http_headers token = {{"Authorization", std::string("Bearer ") + stand_in::operators_token}};
+    const auto answer = send(completion(make_prompt("explained"), 5));
+    const std::string id(wire::find_header(answer.headers, "Postpaddle-Request-Id"));
+    const auto story = stand_in::get_json(operators, "/explain?id=" + id, token);
+    CHECK(story.at("organisation") == "/left");
+    CHECK_FALSE(story.at("weighed").empty());
+    const auto metrics = stand_in::http_exchange(operators, wire::get_request("/metrics", token));
+    CHECK_THAT(metrics->body,
+               Catch::Contains("postpaddle_first_token_seconds{organisation=\"/left\",quantile=\"0.95\"}"));
+    const auto dump = stand_in::http_exchange(operators, wire::get_request("/state", token));
+    CHECK_THAT(dump->body, !Catch::Contains("left-key") && !Catch::Contains("operators-token") &&
+                               !Catch::Contains("explained"));
+}
--- /dev/null
+++ b/tests/integration/test_engine_faults.cpp
@@ -0,0 +1,198 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <support/test_cluster.h>
+
+#include <common/generated_text.h>
+#include <wire/simple_client.h>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+namespace {
+
+using namespace postpaddle;
+using namespace postpaddle::test;
+using nlohmann::json;
+
+/// A cluster that outlives the cases; each case ends with nothing held anywhere.
+stand_in::cluster& shared_cluster() {
+    static stand_in::cluster cluster(small_cluster("engines"));
+    static const bool is_published = cluster.publish(cluster_document());
+    REQUIRE(is_published);
+    cluster.wait_ready();
+    return cluster;
+}
+
+const std::string& callers() { return shared_cluster().hosts[0].callers; }
+
+wire::http_response send(const wire::http_request& request) {
+    const auto response = stand_in::http_exchange(callers(), request);
+    REQUIRE(response);
+    return *response;
+}
+
+void set_faults(const std::vector<std::string>& engines, const json& faults) {
+    for (const std::string& name : engines)
+        shared_cluster().control(name, faults);
+}
+
+const std::vector<std::string> prefills = {"p1", "p2"};
+const std::vector<std::string> decodes = {"d1", "d2"};
+
+void clear_faults() {
+    const json none = {{"refuse", 0},         {"garbage", 0},      {"crossed", 0},
+                       {"flood", 0},          {"cut", 0},          {"late_ms", 0},
+                       {"stall_transfer", 0}, {"stall_tokens", 0}, {"drain", false}};
+    set_faults(prefills, none);
+    set_faults(decodes, none);
+}
+
+void check_nothing_held() {
+    clear_faults();
+    CHECK(eventually([] { return shared_cluster().open_holds() == 0; }));
+    const json state = shared_cluster().state(shared_cluster().hosts[0]);
+    CHECK(eventually([] {
+        return shared_cluster().state(shared_cluster().hosts[0]).at("decision").at("requests").empty();
+    }));
+}
+
+int total(const std::vector<std::string>& engines, const char* counter) {
+    int sum = 0;
+    for (const std::string& name : engines)
+        sum += shared_cluster().counters(name).at(counter).get<int>();
+    return sum;
+}
+
+/// Sends a request whose answer must be whole whatever happened on the way.
+void check_whole(const std::string& name) {
+    const std::string prompt = make_prompt(name);
+    const auto response = send(completion(prompt, 30));
+    CHECK(response.status == 200);
+    CHECK(streamed_text(response.body) == stand_in::whole_answer(prompt, 30));
+    CHECK_THAT(response.body, Catch::EndsWith("data: [DONE]\n\n"));
+}
+
+} // namespace
+
+TEST_CASE("a prefill engine that refuses, garbles or crosses its answer is replaced by another") {
+    const char* const fault = GENERATE("refuse", "garbage", "crossed");
+    set_faults({"p1"}, {{fault, 1}});
+    set_faults({"p2"}, {{fault, 0}});
+    check_whole(std::string("prefill-") + fault + "-1");
+    check_whole(std::string("prefill-") + fault + "-2");
+    check_nothing_held();
+}
+
+TEST_CASE("a decode engine that refuses is replaced while the prefill result is kept") {
+    const int before = total(prefills, "prefills");
+    set_faults(decodes, {{"refuse", 0}});
+    set_faults({"d1"}, {{"refuse", 1}});
+    set_faults({"d2"}, {{"refuse", 0}});
+    check_whole("decode-refuse-1");
+    check_whole("decode-refuse-2");
+    CHECK(total(prefills, "prefills") == before + 2);
+    check_nothing_held();
+}
+
+TEST_CASE("a stalled transfer is given up and the kept result goes to the other decode engine") {
+    const int before = total(prefills, "prefills");
+    set_faults(prefills, {{"stall_transfer", 1}});
+    check_whole("stalled-transfer");
+    CHECK(total(prefills, "prefills") <= before + 2);
+    check_nothing_held();
+}
+
+TEST_CASE("a stream that is cut goes on at another engine with no token lost or said twice") {
+    set_faults(decodes, {{"cut", 1}});
+    const std::string prompt = make_prompt("cut-stream");
+    const auto response = send(completion(prompt, 40));
+    CHECK(response.status == 200);
+    CHECK(streamed_text(response.body) == stand_in::whole_answer(prompt, 40));
+    check_nothing_held();
+}
+
+TEST_CASE("a stream that can't go on ends with an error event and never looks whole") {
+    set_faults(decodes, {{"cut", 100}});
+    const auto response = send(completion(make_prompt("always-cut"), 40));
+    CHECK(response.status == 200);
+    CHECK_THAT(response.body, Catch::Contains("\"error\""));
+    CHECK_THAT(response.body, !Catch::Contains("[DONE]"));
+    check_nothing_held();
+}
+
+TEST_CASE("crossed and flooding streams never reach the caller") {
+    const char* const fault = GENERATE("crossed", "flood", "garbage");
+    set_faults(decodes, {{fault, 1}});
+    const std::string prompt = make_prompt(std::string("stream-") + fault);
+    const auto response = send(completion(prompt, 30));
+    const bool is_whole = response.status == 200 && response.body.ends_with("data: [DONE]\n\n");
+    if (is_whole)
+        CHECK(streamed_text(response.body) == stand_in::whole_answer(prompt, 30));
+    CHECK_THAT(response.body, !Catch::Contains("somebody.else"));
+    check_nothing_held();
+}
+
+TEST_CASE("a caller who goes frees everything, in each phase") {
+    const json slow = GENERATE(json{{"late_ms", 400}}, json{{"stall_transfer", 1}}, json{{"stall_tokens", 1}},
+                               json{{"late_ms", 0}});
+    const auto& engines = GENERATE(prefills, decodes);
+    set_faults(engines, slow);
+    const int wait_ms = GENERATE(1, 30, 120);
+    {
+        open_call call(
+            callers(),
+            completion(make_prompt("leaving" + slow.dump() + std::to_string(wait_ms), 3000), 2000));
+        std::this_thread::sleep_for(std::chrono::milliseconds(wait_ms));
+    }
+    check_nothing_held();
+}
+
+TEST_CASE("a caller who does not read is given up and its engine memory freed") {
+    open_call call(callers(), completion(make_prompt("slow-reader"), 90'000));
+    CHECK(eventually([] { return shared_cluster().open_holds() > 0; }));
+    check_nothing_held();
+}
+
+TEST_CASE("a draining decode engine gets nothing new and ends what it has") {
+    open_call running(callers(), completion(make_prompt("running"), 300));
+    running.read_at_least(300);
+    set_faults(decodes, {{"drain", false}});
+    shared_cluster().control("d1", {{"drain", true}});
+    const int before = shared_cluster().counters("d1").at("decodes").get<int>();
+    CHECK(eventually([] {
+        const json engines = shared_cluster().state(shared_cluster().hosts[0]).at("decision").at("engines");
+        for (const json& engine : engines)
+            if (engine.at("upstream") == "d1")
+                return engine.at("leaving").get<bool>();
+        return false;
+    }));
+    for (int index = 0; index < 6; ++index)
+        check_whole("drained" + std::to_string(index));
+    CHECK(shared_cluster().counters("d1").at("decodes").get<int>() <= before);
+    CHECK_THAT(running.read_all(), Catch::Contains("[DONE]"));
+    check_nothing_held();
+}
+
+TEST_CASE("a not-repeatable completion that breaks is told so and not run again") {
+    const int before = total(decodes, "decodes");
+    set_faults(decodes, {{"cut", 1}});
+    auto request = completion(make_prompt("once"), 30);
+    request.headers.push_back({"Postpaddle-Repeatable", "no"});
+    request.headers.push_back({"Idempotency-Key", fresh_uuid7()});
+    const auto response = send(request);
+    CHECK_THAT(response.body, Catch::Contains("\"error\""));
+    CHECK(total(decodes, "decodes") == before + 1);
+    check_nothing_held();
+}
+
+TEST_CASE("a plain service whose answer is cut or crossed is answered honestly") {
+    const char* const fault = GENERATE("cut", "crossed");
+    shared_cluster().control("s1", {{fault, 1}});
+    const std::string key = fresh_uuid7();
+    const wire::http_headers headers = {{"Authorization", "Bearer left-key"}, {"Idempotency-Key", key}};
+    const auto response = send(wire::json_request("/trades/9", "{}", headers));
+    CHECK(response.status == 503);
+    CHECK(wire::find_header(response.headers, "Postpaddle-Outcome") == "unknown");
+    CHECK(shared_cluster().counters("s1").at("runs").at(key) == 1);
+    shared_cluster().control("s1", {{fault, 0}});
+}
