decision: Keep each engine's queue short with a window a host

Change: each host has one window of prompt work out at an engine, sized by its share, and learns the wait there from its own prompts' answers; equal engines are begun with at random. Conclusion: self-clocked windows need no message a request and no fresh view. Admission still lets in requests that then miss the target.

--- /dev/null
+++ b/benches/decide_bench.cpp
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <benches/bench_support.h>
+
+#include <decision/router.h>
+
+#include <chrono>
+#include <random>
+
+namespace postpaddle::bench {
+
+namespace {
+
+using namespace decision;
+using std::chrono::steady_clock;
+
+constexpr int places = 32;
+
+topology make_topology(int upstreams) {
+    topology value;
+    deployment_facts one{"one", {}, {}, 131'072, std::chrono::seconds(3)};
+    for (int index = 0; index < upstreams; ++index) {
+        const bool is_prefill = index % 3 == 0;
+        const base::upstream_id id{(is_prefill ? "p" : "d") + std::to_string(index)};
+        value.engines[id] = {id, {std::string(1, static_cast<char>('a' + index % 4))}, places, 40'000, 0.02, false};
+        (is_prefill ? one.prefill_pool : one.decode_pool).push_back(id);
+    }
+    value.deployments["one"] = one;
+    return value;
+}
+
+/// Bytes that the state of requests, engines and organisations takes, by its containers' sizes.
+std::size_t state_bytes(const router_state& state) {
+    std::size_t bytes = sizeof(state);
+    for (const engine_state& engine : state.engines)
+        bytes += sizeof(engine) + engine.expected_ends.capacity() * sizeof(base::time_point) +
+                 engine.facts.id.value.capacity();
+    for (const auto& [id, request] : state.requests)
+        bytes += sizeof(request) + id.value.capacity() + request.facts.prefix_hashes.capacity() * sizeof(std::uint64_t) +
+                 request.story.lines.capacity() * sizeof(story_line) +
+                 request.story.weighed.capacity() * sizeof(weighed_pair);
+    for (const auto& [name, deployment] : state.deployments)
+        bytes += sizeof(deployment) + deployment.queue.organisations.size() *
+                                          (sizeof(organisation_queue) + sizeof(base::organisation_id) + 48);
+    static constexpr std::size_t prefix_entry_bytes = 72;
+    bytes += state.prefixes.size() * prefix_entry_bytes;
+    for (const explanation& story : state.ended)
+        bytes += sizeof(story) + story.lines.capacity() * sizeof(story_line) +
+                 story.weighed.capacity() * sizeof(weighed_pair);
+    return bytes;
+}
+
+json measure(int upstreams, int organisations, int decisions) {
+    router_state state = make_router({});
+    base::time_point now{std::chrono::hours(1)};
+    (void)step(state, topology_changed{make_topology(upstreams)}, now);
+    std::mt19937_64 random(1);
+    steady_clock::duration spent{};
+    int started = 0;
+    std::vector<std::pair<base::request_id, int>> open;
+    for (int index = 0; index < decisions; ++index) {
+        now += std::chrono::microseconds(200);
+        request_facts facts;
+        facts.id = {"host-1.1." + std::to_string(index)};
+        facts.organisation = {"/o" + std::to_string(random() % static_cast<unsigned>(organisations))};
+        facts.deployment = "one";
+        facts.prompt_tokens = 100 + static_cast<int>(random() % 1000);
+        facts.max_tokens = 60;
+        facts.first_token_target = std::chrono::milliseconds(570);
+        facts.per_token_target = std::chrono::milliseconds(34);
+        facts.longest_queue = std::chrono::seconds(2);
+        facts.prefix_hashes = {random(), random(), random()};
+        facts.prefix_block_tokens = 256;
+        const auto before = steady_clock::now();
+        const effects out = step(state, request_arrived{facts}, now);
+        spent += steady_clock::now() - before;
+        for (const effect& item : out)
+            if (const auto* const start = std::get_if<start_prefill>(&item)) {
+                ++started;
+                open.emplace_back(start->id, start->attempt);
+            }
+        // The rest of a request's life, so that engines neither fill up nor stay empty.
+        if (open.size() < static_cast<std::size_t>(upstreams) * 4)
+            continue;
+        const auto [id, attempt] = open.front();
+        open.erase(open.begin());
+        (void)step(state, prefill_ended{id, attempt, 600, 0}, now);
+        (void)step(state, first_token_seen{id, attempt}, now);
+        (void)step(state, decode_ended{id, attempt, 40}, now);
+    }
+    const double micros = std::chrono::duration<double, std::micro>(spent).count() / decisions;
+    return {{"bench", "decide"},
+            {"upstreams", upstreams},
+            {"organisations", organisations},
+            {"decisions", decisions},
+            {"started", started},
+            {"micros_each", micros},
+            {"decisions_per_s", 1e6 / micros},
+            {"state_bytes", state_bytes(state)}};
+}
+
+} // namespace
+
+int run_decide(const bench_options& options) {
+    static constexpr int many = 100'000;
+    static constexpr int few = 5'000;
+    report table(options, {"upstreams", "organisations", "decisions", "started", "micros_each", "decisions_per_s", "state_bytes"});
+    for (const int upstreams : {12, 100, 1000})
+        for (const int organisations : {2, 1300})
+            table.add(measure(upstreams, organisations, options.is_quick ? few : many));
+    return EXIT_SUCCESS;
+}
+
+} // namespace postpaddle::bench
--- /dev/null
+++ b/benches/hosts_bench.cpp
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <benches/bench_support.h>
+
+#include <harness/blocking_client.h>
+
+#include <base/hashing.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace postpaddle::bench {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr const char* key = "hosts-key";
+
+std::string document(int upstreams, int organisations, int changed) {
+    std::string text = "upstreams:\n";
+    for (int index = 0; index < upstreams; ++index)
+        text += "  e" + std::to_string(index) + ": {address: \"127.0.0.1:1\", availability_zone: a}\n";
+    text += "deployments:\n  one: {model: m, prefill_pool: [e0], decode_pool: [e1]}\nroot:\n  settings:\n"
+            "    models: {m: one}\n    limits: {requests_per_second: 1000, concurrent_requests: " +
+            std::to_string(1000 + changed) + "}\n  organisations:\n    one: {keys: [" + base::sha256_hex(key) + "]}\n";
+    for (int index = 0; index < organisations; ++index)
+        text += "    o" + std::to_string(index) + ": {keys: [" + base::sha256_hex("k" + std::to_string(index)) + "]}\n";
+    return text;
+}
+
+double metric_of(const stand_in::running_host& host, const std::string& name) {
+    const wire::http_headers token = {{"Authorization", std::string("Bearer ") + stand_in::operators_token}};
+    const auto response = stand_in::http_exchange(host.operators, {"GET", "/metrics", token, ""});
+    if (!response)
+        return 0;
+    const auto at = response->body.find("\n" + name + " ");
+    return at == std::string::npos ? 0 : std::stod(response->body.substr(at + name.size() + 2));
+}
+
+double sum_of(const stand_in::cluster& cluster, const std::string& name) {
+    double total = 0;
+    for (const stand_in::running_host& host : cluster.hosts)
+        total += metric_of(host, name);
+    return total;
+}
+
+struct use_sample {
+    double bytes = 0;
+    double appends = 0;
+    double processor = 0;
+    double memory = 0;
+    steady_clock::time_point at{};
+};
+
+use_sample sample(const stand_in::cluster& cluster) {
+    use_sample now;
+    now.bytes = sum_of(cluster, "postpaddle_control_bytes_total");
+    now.appends = sum_of(cluster, "postpaddle_log_appends_total");
+    for (const stand_in::running_host& host : cluster.hosts) {
+        const auto use = stand_in::use_of(host.process->id());
+        now.processor += use.processor_seconds;
+        now.memory += static_cast<double>(use.resident_bytes);
+    }
+    now.at = steady_clock::now();
+    return now;
+}
+
+bool is_in_force(const stand_in::cluster& cluster, const stand_in::running_host& host, std::uint64_t revision) {
+    const json state = cluster.state(host);
+    return state.is_object() && state.at("control").at("settings").at("revision") >= revision;
+}
+
+/// Seconds from the append of a change until each host has it in force.
+std::vector<double> time_change(const bench_options& options, stand_in::cluster& cluster, int changed) {
+    std::vector<double> seconds;
+    stand_in::child_process publisher(
+        options.programs + "/postpaddle",
+        {"publish", "--set=root/settings/limits/concurrent_requests=" + std::to_string(2000 + changed),
+         "--log=" + cluster.log_address},
+        cluster.options.folder + "/publish.log");
+    const std::string said = publisher.read_rest();
+    const auto start = steady_clock::now();
+    if (publisher.wait() != 0)
+        return seconds;
+    const auto revision = std::stoull(said.substr(said.rfind(' ') + 1));
+    std::vector<bool> is_done(cluster.hosts.size(), false);
+    while (seconds.size() < cluster.hosts.size() && steady_clock::now() - start < std::chrono::seconds(10))
+        for (std::size_t index = 0; index < cluster.hosts.size(); ++index) {
+            if (is_done[index] || !is_in_force(cluster, cluster.hosts[index], revision))
+                continue;
+            is_done[index] = true;
+            seconds.push_back(std::chrono::duration<double>(steady_clock::now() - start).count());
+        }
+    return seconds;
+}
+
+/// Seconds from the kill of a host until another knows it failed.
+double time_failure(stand_in::cluster& cluster) {
+    const std::string name = cluster.hosts.back().name;
+    cluster.hosts.back().process.reset();
+    cluster.hosts.pop_back();
+    const auto start = steady_clock::now();
+    while (steady_clock::now() - start < std::chrono::seconds(30)) {
+        for (const stand_in::running_host& host : cluster.hosts)
+            for (const json& member : cluster.state(host).at("control").at("members"))
+                if (member.at("n") == name && member.at("life") == "failed")
+                    return std::chrono::duration<double>(steady_clock::now() - start).count();
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return -1;
+}
+
+double quantile(std::vector<double> values, double part) {
+    if (values.empty())
+        return -1;
+    std::ranges::sort(values);
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+json measure(const bench_options& options, int hosts, int upstreams, int organisations, bool has_load) {
+    const std::string folder = scratch_folder("hosts");
+    stand_in::cluster_options plan;
+    plan.programs = options.programs;
+    plan.folder = folder;
+    plan.hosts = hosts;
+    plan.zones = {"a", "b", "c", "d"};
+    plan.host_settings = "relay_threads: 1\n";
+    for (int index = 0; index < upstreams; ++index)
+        plan.upstreams.push_back({"e" + std::to_string(index), "a", false, {"--prompt_overhead_us=1000", "--step_us=5000"}});
+    stand_in::cluster cluster(plan);
+    if (!cluster.publish(document(upstreams, organisations, 0)))
+        return {};
+    cluster.wait_ready();
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    const double seconds = options.is_quick ? 4 : 10;
+    std::unique_ptr<stand_in::child_process> driver;
+    if (has_load) {
+        json addresses = json::array();
+        for (const stand_in::running_host& host : cluster.hosts)
+            addresses.push_back(host.callers);
+        driver = std::make_unique<stand_in::child_process>(start_load(
+            options, folder,
+            {{"hosts", addresses}, {"rate", 2.0 * hosts}, {"seconds", seconds + 2}, {"classes", json::array({{{"organisation", "one"}, {"key", key}, {"model", "m"}, {"max_tokens", 8}}})}}));
+    }
+    const use_sample before = sample(cluster);
+    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+    const use_sample after = sample(cluster);
+    const double took = std::chrono::duration<double>(after.at - before.at).count();
+    if (driver)
+        driver->wait();
+    std::vector<double> in_force;
+    for (int change = 0; change < (options.is_quick ? 2 : 5); ++change)
+        for (const double value : time_change(options, cluster, change))
+            in_force.push_back(value);
+    const double failure = time_failure(cluster);
+    return {{"bench", "hosts"},
+            {"hosts", hosts},
+            {"upstreams", upstreams},
+            {"organisations", organisations},
+            {"loaded", has_load},
+            {"control_bytes_per_s", (after.bytes - before.bytes) / took / hosts},
+            {"cpu_fraction", (after.processor - before.processor) / took / hosts},
+            {"memory_bytes", after.memory / hosts},
+            {"in_force_p50_s", quantile(in_force, 0.5)},
+            {"in_force_p99_s", quantile(in_force, 0.99)},
+            {"failure_seen_s", failure},
+            {"appends_per_s", (after.appends - before.appends) / took}};
+}
+
+} // namespace
+
+int run_hosts(const bench_options& options) {
+    report table(options, {"hosts", "upstreams", "organisations", "loaded", "control_bytes_per_s", "cpu_fraction", "memory_bytes",
+                           "in_force_p50_s", "in_force_p99_s", "failure_seen_s", "appends_per_s"});
+    const std::vector<int> sizes = options.is_quick ? std::vector<int>{3, 6} : std::vector<int>{3, 6, 12, 24, 48};
+    for (const int hosts : sizes)
+        for (const bool has_load : {false, true})
+            table.add(measure(options, hosts, 4, 10, has_load));
+    if (options.is_quick)
+        return EXIT_SUCCESS;
+    for (const int upstreams : {12, 36})
+        table.add(measure(options, 6, upstreams, 10, false));
+    for (const int organisations : {300, 1300})
+        table.add(measure(options, 6, 4, organisations, false));
+    return EXIT_SUCCESS;
+}
+
+} // namespace postpaddle::bench
--- a/libraries/decision/dispatch.cpp
+++ b/libraries/decision/dispatch.cpp
@@ -69,7 +69,7 @@
                     base::time_point now, effects& out) {
     const engine_index prefill = baseline_prefill(state, deployment, now);
     if (prefill == no_engine_index) {
-        end_without_answer(state, request, refusal::no_engine, least_retry_after, now, out);
+        end_without_answer(state, request, refusal::no_engine, least_retry_after, out);
         return;
     }
     pair_choice choice;
@@ -111,7 +111,7 @@
     }
 }
 
-void return_promises(router_state& state, request_state& request, base::time_point now) {
+void return_promises(router_state& state, request_state& request) {
     if (request.has_place) {
         return_place(engine_at(state, request.decode), request.place_end);
         request.has_place = false;
@@ -119,10 +119,6 @@
     if (request.prefill_work > 0) {
         engine_state& prefill = engine_at(state, request.prefill);
         prefill.own_prompt_tokens = std::max(0.0, prefill.own_prompt_tokens - request.prefill_work);
-        // What is left of this host's own queue there is known again from what is outstanding.
-        const base::time_point rest =
-            now + base::from_seconds(prefill.own_prompt_tokens / prefill.prompt_rate.value);
-        prefill.own_prefill_free = std::min(prefill.own_prefill_free, rest);
         request.prefill_work = 0;
     }
 }
@@ -138,14 +134,14 @@
 }
 
 void end_without_answer(router_state& state, request_state& request, refusal reason,
-                        base::duration retry_after, base::time_point now, effects& out) {
+                        base::duration retry_after, effects& out) {
     if (request.at == phase::queued) {
         remove(state.deployments[request.facts.deployment].queue, request.facts.organisation, request.entry);
         ++state.counters.refused;
     } else {
         ++state.counters.failed;
     }
-    return_promises(state, request, now);
+    return_promises(state, request);
     release_all(state, request, out);
     request.at = phase::ended;
     out.emplace_back(end_request{request.facts.id, reason, retry_after});
@@ -164,7 +160,6 @@
     request.engine_priority = engine_priority_of(deployment, request.facts);
     request.prefill_work = std::max(1, request.facts.prompt_tokens - choice.cached_tokens);
     prefill.own_prompt_tokens += request.prefill_work;
-    prefill.own_prefill_free = choice.prefill_end;
     put_on_trial(prefill);
     base::upstream_id decode_id;
     if (choice.decode != no_engine_index) {
@@ -215,7 +210,7 @@
     if (found == state.deployments.end() || found->second.prefill_pool.empty() ||
         found->second.decode_pool.empty()) {
         tell(request, now, "refused: the deployment has no pools");
-        end_without_answer(state, request, refusal::no_deployment, base::duration::zero(), now, out);
+        end_without_answer(state, request, refusal::no_deployment, base::duration::zero(), out);
         forget_if_done(state, facts.id);
         return;
     }
@@ -227,7 +222,7 @@
     }
     if (!has_usable(state, deployment.prefill_pool, now) || !has_usable(state, deployment.decode_pool, now)) {
         tell(request, now, "refused: no usable engine");
-        end_without_answer(state, request, refusal::no_engine, least_retry_after, now, out);
+        end_without_answer(state, request, refusal::no_engine, least_retry_after, out);
         forget_if_done(state, facts.id);
         return;
     }
@@ -242,7 +237,7 @@
              "refused: first token expected in " +
                  std::to_string(std::lround(base::to_milliseconds(expected))) + " ms");
         end_without_answer(state, request, is_full ? refusal::queue_full : refusal::cannot_meet_target,
-                           retry_after_for(expected - allowed), now, out);
+                           retry_after_for(expected - allowed), out);
         forget_if_done(state, facts.id);
         return;
     }
@@ -277,7 +272,7 @@
     tell(request, now, has_engine ? "refused: the target can no longer be met" : "refused: no usable engine");
     const base::duration overrun = has_engine ? result.best.first_token - request.deadline : base::duration{};
     end_without_answer(state, request, has_engine ? refusal::cannot_meet_target : refusal::no_engine,
-                       retry_after_for(overrun), now, out);
+                       retry_after_for(overrun), out);
     forget_if_done(state, entry.id);
     return head_result::ended;
 }
--- a/libraries/decision/dispatch.h
+++ b/libraries/decision/dispatch.h
@@ -22,13 +22,13 @@
 
 /// Ends a request without a whole answer and frees all it holds.
 void end_without_answer(router_state& state, request_state& request, refusal reason,
-                        base::duration retry_after, base::time_point now, effects& out);
+                        base::duration retry_after, effects& out);
 
 /// Emits a release for each hold of a request that is not being released yet.
 void release_all(router_state& state, request_state& request, effects& out);
 
 /// Gives back the promised place and the counted prompt work, if any.
-void return_promises(router_state& state, request_state& request, base::time_point now);
+void return_promises(router_state& state, request_state& request);
 
 /// Adds a line to a request's story.
 void tell(request_state& request, base::time_point now, std::string what);
--- a/libraries/decision/engine_state.cpp
+++ b/libraries/decision/engine_state.cpp
@@ -15,8 +15,12 @@
 constexpr auto first_pause = 500ms;
 constexpr auto longest_pause = 20'000ms;
 constexpr int most_doublings = 6;
-/// A report older than this says nothing about others' work.
-constexpr auto report_lifetime = 3'000ms;
+/// Prompt work, in seconds, that all hosts together should have out at one engine.
+constexpr double whole_window = 0.15;
+/// A wait seen by an own prompt says less with time: it halves this often.
+constexpr double wait_half_life = 0.25;
+/// Gain of a newly seen wait.
+constexpr double wait_gain = 0.5;
 
 } // namespace
 
@@ -42,15 +46,23 @@
 }
 
 base::time_point prefill_begin(const engine_state& engine, base::time_point now) {
-    const base::time_point own = std::max(now, engine.own_prefill_free);
-    if (!engine.has_report || now - engine.reported_at > report_lifetime)
-        return own;
-    // What others had queued at the report has been worked off since, at the engine's rate.
-    const double worked_off = base::to_seconds(now - engine.reported_at) * engine.prompt_rate.value;
-    const double left = engine.others_prompt_tokens - worked_off;
-    if (left <= 0)
-        return own;
-    return own + base::from_seconds(left / engine.prompt_rate.value);
+    const double own = engine.own_prompt_tokens / engine.prompt_rate.value;
+    const double age = base::to_seconds(now - engine.observed_at);
+    const double seen = engine.observed_wait * std::exp2(-age / wait_half_life);
+    return now + base::from_seconds(std::max(own, seen));
+}
+
+bool is_window_full(const engine_state& engine) {
+    if (engine.own_prompt_tokens <= 0)
+        return false;
+    return engine.own_prompt_tokens / engine.prompt_rate.value >= whole_window * engine.share;
+}
+
+void note_prefill(engine_state& engine, double tokens, base::duration taken, base::time_point now) {
+    const double service = tokens / engine.prompt_rate.value;
+    const double waited = std::max(0.0, base::to_seconds(taken) - service);
+    engine.observed_wait += wait_gain * (waited - engine.observed_wait);
+    engine.observed_at = now;
 }
 
 int own_places(const engine_state& engine) {
@@ -88,7 +100,6 @@
     engine.report = report;
     engine.has_report = true;
     engine.reported_at = now - age;
-    engine.others_prompt_tokens = std::max(0.0, report.queued_prompt_tokens - engine.own_prompt_tokens);
     engine.others_decodes =
         std::max(0, report.active_decodes + report.waiting_decodes - promised_places(engine));
 }
--- a/libraries/decision/engine_state.h
+++ b/libraries/decision/engine_state.h
@@ -35,14 +35,14 @@
     estimate token_seconds;
     // As a prefill engine.
     double own_prompt_tokens = 0;        ///< Sent by this host and not yet answered.
-    base::time_point own_prefill_free{}; ///< When this host's own work is expected to be done.
+    double observed_wait = 0; ///< Seconds that prompts of this host waited there of late.
+    base::time_point observed_at{};
     // As a decode engine: the expected end of each place this host has promised, earliest first.
     std::vector<base::time_point> expected_ends;
     // Last report and what this host itself had there when the report was made.
     load_report report;
     base::time_point reported_at{};
     bool has_report = false;
-    double others_prompt_tokens = 0;
     int others_decodes = 0;
 };
 
@@ -55,9 +55,19 @@
 /// Whether new work may go there now.
 [[nodiscard]] bool is_usable(const engine_state& engine, base::time_point now);
 
-/// When a prompt sent now would begin, counting own work and what others were seen to have queued.
+/// When a prompt sent now would begin, counting own work at once and others' by what this host's own
+/// prompts saw of them last.
 [[nodiscard]] base::time_point prefill_begin(const engine_state& engine, base::time_point now);
 
+/// Whether this host has as much prompt work out at the engine as it should.
+///
+/// The window is what keeps an engine's queue short without a message: each host's next prompt goes when
+/// one of its own has ended, so the sum over hosts is bounded however stale the hosts' views are.
+[[nodiscard]] bool is_window_full(const engine_state& engine);
+
+/// Learns from a prompt that took `taken` from sending to answer and whose own part was `tokens`.
+void note_prefill(engine_state& engine, double tokens, base::duration taken, base::time_point now);
+
 /// How many places this host may hold there, at least one.
 [[nodiscard]] int own_places(const engine_state& engine);
 
--- a/libraries/decision/pairing.cpp
+++ b/libraries/decision/pairing.cpp
@@ -14,9 +14,6 @@
 constexpr std::size_t largest_whole_pool = 12;
 /// Sampled engines of a larger pool.
 constexpr std::size_t sample_size = 8;
-/// Prompt work sent ahead to one prefill engine; more would only make it wait where it can't be
-/// ordered, refused or moved any more.
-constexpr base::duration standard_prefill_backlog = 60ms;
 /// Part of a prefill result's keeping time that a late place may use up when waste weighs nothing.
 constexpr double most_slack_of_kept = 0.1;
 /// Pairs that an explanation lists.
@@ -35,15 +32,20 @@
     engine_index engine = no_engine_index;
     base::time_point place{};
     double token_seconds = 0;
+    double load = 0; ///< Promised part of this host's places.
 };
 
 std::vector<engine_index> sample(router_state& state, const std::vector<engine_index>& pool,
                                  base::time_point now, engine_index preferred) {
     std::vector<engine_index> chosen;
     if (pool.size() <= largest_whole_pool) {
-        for (const engine_index engine : pool)
+        // Hosts that see equal engines must not all begin with the same one.
+        const std::size_t start = state.random() % pool.size();
+        for (std::size_t step = 0; step < pool.size(); ++step) {
+            const engine_index engine = pool[(start + step) % pool.size()];
             if (is_usable(engine_at(state, engine), now))
                 chosen.push_back(engine);
+        }
         return chosen;
     }
     if (preferred != no_engine_index && is_usable(engine_at(state, preferred), now))
@@ -76,7 +78,8 @@
 
 decode_option weigh_decode(const router_state& state, engine_index index, base::time_point now) {
     const engine_state& engine = engine_at(state, index);
-    return {index, next_place(engine, now), engine.token_seconds.value};
+    const double load = static_cast<double>(promised_places(engine)) / own_places(engine);
+    return {index, next_place(engine, now), engine.token_seconds.value, load};
 }
 
 pair_choice join(const router_state& state, const deployment_state& deployment, const request_facts& facts,
@@ -92,6 +95,7 @@
     choice.transfer = base::from_seconds(bytes / link.facts.bytes_per_second) + link.facts.latency;
     choice.ready = std::max(prefill.end, link.busy_until) + choice.transfer;
     choice.place = decode.place;
+    choice.decode_load = decode.load;
     choice.first_token = std::max(choice.ready, choice.place) + base::from_seconds(decode.token_seconds);
     return choice;
 }
@@ -112,23 +116,20 @@
             choice.cached_tokens};
 }
 
-/// Earlier first token wins; between equal ones the engine that will have waited least with a full
-/// prompt does, so that places are not held for a transfer still to come.
+/// Earlier first token wins, to the millisecond; between equal ones the emptier decode engine.
 bool is_better(const pair_choice& left, const pair_choice& right) {
-    if (left.first_token != right.first_token)
-        return left.first_token < right.first_token;
-    return left.place > right.place;
+    using std::chrono::floor;
+    const auto left_time = floor<std::chrono::milliseconds>(left.first_token);
+    const auto right_time = floor<std::chrono::milliseconds>(right.first_token);
+    if (left_time != right_time)
+        return left_time < right_time;
+    return left.decode_load < right.decode_load;
 }
 
 pairing_verdict judge(const router_state& state, const deployment_state& deployment,
-                      const request_state& request, const pair_choice& best, base::time_point now) {
-    const base::duration backlog = state.options.longest_prefill_backlog == base::duration::zero()
-                                       ? standard_prefill_backlog
-                                       : state.options.longest_prefill_backlog;
+                      const request_state& request, const pair_choice& best) {
     if (best.first_token > latest_first_token(state, request))
         return pairing_verdict::too_late;
-    if (best.prefill_begin > now + backlog)
-        return pairing_verdict::wait;
     if (best.place > best.ready + place_slack(deployment, request.facts))
         return pairing_verdict::wait;
     return pairing_verdict::go;
@@ -136,32 +137,54 @@
 
 } // namespace
 
+namespace {
+
+/// All pairs of these engines, the best ones sorted to the front.
+std::vector<pair_choice> weigh_pairs(const router_state& state, const deployment_state& deployment,
+                                     const request_facts& facts, const std::vector<engine_index>& prefills,
+                                     const std::vector<engine_index>& decodes, base::time_point now) {
+    std::vector<decode_option> options;
+    options.reserve(decodes.size());
+    for (const engine_index engine : decodes)
+        options.push_back(weigh_decode(state, engine, now));
+    std::vector<pair_choice> choices;
+    choices.reserve(prefills.size() * decodes.size());
+    for (const engine_index engine : prefills) {
+        const prefill_option prefill = weigh_prefill(state, facts, engine, now);
+        for (const decode_option& decode : options)
+            choices.push_back(join(state, deployment, facts, prefill, decode));
+    }
+    const std::size_t sorted = std::min(most_weighed, choices.size());
+    std::ranges::partial_sort(choices, choices.begin() + static_cast<std::ptrdiff_t>(sorted), is_better);
+    return choices;
+}
+
+} // namespace
+
 pairing choose_pair(router_state& state, const deployment_state& deployment, const request_state& request,
                     base::time_point now) {
     const request_facts& facts = request.facts;
     const engine_index preferred =
         facts.prefix_hashes.empty() ? no_engine_index
                                     : rendezvous_engine(deployment.prefill_pool, facts.prefix_hashes.front());
-    std::vector<prefill_option> prefills;
-    for (const engine_index engine : sample(state, deployment.prefill_pool, now, preferred))
-        prefills.push_back(weigh_prefill(state, facts, engine, now));
-    std::vector<decode_option> decodes;
-    for (const engine_index engine : sample(state, deployment.decode_pool, now, no_engine_index))
-        decodes.push_back(weigh_decode(state, engine, now));
+    const auto prefills = sample(state, deployment.prefill_pool, now, preferred);
+    const auto decodes = sample(state, deployment.decode_pool, now, no_engine_index);
     pairing result;
     if (prefills.empty() || decodes.empty())
         return result;
-    std::vector<pair_choice> choices;
-    choices.reserve(prefills.size() * decodes.size());
-    for (const prefill_option& prefill : prefills)
-        for (const decode_option& decode : decodes)
-            choices.push_back(join(state, deployment, facts, prefill, decode));
-    const std::size_t listed = std::min(most_weighed, choices.size());
-    std::ranges::partial_sort(choices, choices.begin() + static_cast<std::ptrdiff_t>(listed), is_better);
+    std::vector<engine_index> open;
+    std::ranges::copy_if(prefills, std::back_inserter(open), [&state](engine_index engine) {
+        return !is_window_full(engine_at(state, engine));
+    });
+    const bool is_every_window_full = open.empty();
+    const auto choices =
+        weigh_pairs(state, deployment, facts, is_every_window_full ? prefills : open, decodes, now);
     result.best = choices.front();
-    result.verdict = judge(state, deployment, request, result.best, now);
+    result.verdict = judge(state, deployment, request, result.best);
+    if (result.verdict == pairing_verdict::go && is_every_window_full)
+        result.verdict = pairing_verdict::wait;
     if (result.verdict == pairing_verdict::go)
-        for (std::size_t index = 0; index < listed; ++index)
+        for (std::size_t index = 0; index < std::min(most_weighed, choices.size()); ++index)
             result.weighed.push_back(describe(state, choices[index], now));
     return result;
 }
@@ -188,10 +211,8 @@
     for (const engine_index index : deployment.prefill_pool) {
         if (!is_usable(engine_at(state, index), now))
             continue;
-        const engine_state& engine = engine_at(state, index);
-        const int cached = std::max(0, expected_cached_tokens(state, facts, index));
-        const double tokens = std::max(1, facts.prompt_tokens - cached);
-        least = std::min(least, base::from_seconds(tokens / engine.prompt_rate.value));
+        const prefill_option option = weigh_prefill(state, facts, index, now);
+        least = std::min(least, option.end - now);
     }
     return least;
 }
--- a/libraries/decision/pairing.h
+++ b/libraries/decision/pairing.h
@@ -19,6 +19,7 @@
     base::time_point place{};       ///< When a decode place is expected to be free.
     base::time_point first_token{}; ///< The later of the two, and one token.
     int cached_tokens = 0;
+    double decode_load = 0; ///< Promised part of this host's places at the decode engine.
 
     bool operator==(const pair_choice&) const = default;
 };
@@ -48,7 +49,7 @@
                                                        const request_state& request, engine_index prefill,
                                                        engine_index excluded, base::time_point now);
 
-/// Time from a start on idle engines to the first token: the least that any wait adds to.
+/// Time to the end of the prompt if it were sent now to the engine that would end it first.
 [[nodiscard]] base::duration least_first_token(const router_state& state, const deployment_state& deployment,
                                                const request_facts& facts, base::time_point now);
 
--- a/libraries/decision/recovery.cpp
+++ b/libraries/decision/recovery.cpp
@@ -106,7 +106,7 @@
     if (failed.reason != failure::lost_kv)
         note_failure(engine_at(state, failed_engine), now);
     tell(request, now, "failed at " + engine_at(state, failed_engine).facts.id.value);
-    return_promises(state, request, now);
+    return_promises(state, request);
     release_failed(state, request, failed_engine, out);
     const bool may_again = may_run_again(request, failed);
     if (may_again && failed_phase == phase::transferring && failed.reason != failure::lost_kv &&
@@ -117,7 +117,7 @@
     release_all(state, request, out);
     if (may_again && try_prefill_again(state, deployment, request, now, out))
         return;
-    end_without_answer(state, request, refusal::upstream_failed, retry_after_failure, now, out);
+    end_without_answer(state, request, refusal::upstream_failed, retry_after_failure, out);
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/router.cpp
+++ b/libraries/decision/router.cpp
@@ -71,7 +71,7 @@
                   base::to_seconds(this->now - request->first_token_at) / (event.tokens - 1));
         if (request->facts.max_tokens > 0)
             learn(deployment.output_ratio, static_cast<double>(event.tokens) / request->facts.max_tokens);
-        return_promises(*this->state, *request, this->now);
+        return_promises(*this->state, *request);
         std::erase_if(request->holds, [request](const hold& held) {
             return held.engine == request->decode && held.attempt == request->attempt;
         });
@@ -103,7 +103,7 @@
                    request.entry);
         else
             count_waste(*this->state, request);
-        return_promises(*this->state, request, this->now);
+        return_promises(*this->state, request);
         release_all(*this->state, request, *this->out);
         request.at = phase::ended;
         ++this->state->counters.cancelled;
@@ -167,20 +167,22 @@
     }
 
     void learn_prefill(const request_state& request, const prefill_ended& event) {
-        // Only a prompt that ran alone tells the rate; one that waited tells mostly of the queue.
-        const engine_state& prefill = engine_at(*this->state, request.prefill);
-        const bool ran_alone =
-            prefill.own_prompt_tokens <= request.prefill_work && prefill.others_prompt_tokens <= 0;
-        const double seconds = base::to_seconds(this->now - request.prefill_sent);
-        const int work = event.prompt_tokens - event.cached_tokens;
+        // A prompt that waited tells of the queue; only one that surely did not tells the rate.
+        engine_state& prefill = engine_at(*this->state, request.prefill);
+        const base::duration taken = this->now - request.prefill_sent;
+        const double seconds = base::to_seconds(taken);
+        const int work = std::max(1, event.prompt_tokens - event.cached_tokens);
         static constexpr int least_telling_tokens = 256;
-        if (ran_alone && work >= least_telling_tokens && seconds > 0)
-            learn(engine_at(*this->state, request.prefill).prompt_rate, work / seconds);
+        const bool was_faster = work / std::max(seconds, 1e-6) >= prefill.prompt_rate.value;
+        const bool ran_alone = prefill.observed_wait <= 0 && prefill.own_prompt_tokens <= request.prefill_work;
+        if (work >= least_telling_tokens && (was_faster || ran_alone))
+            learn(prefill.prompt_rate, work / seconds);
+        note_prefill(prefill, work, taken, this->now);
     }
 
     void return_prefill_work(request_state& request) {
         const bool had_place = std::exchange(request.has_place, false);
-        return_promises(*this->state, request, this->now);
+        return_promises(*this->state, request);
         request.has_place = had_place;
     }
 
@@ -189,13 +191,12 @@
         const bool is_reserved =
             request.decode != no_engine_index && is_reserved_usable(engine_at(*this->state, request.decode));
         if (!is_reserved) {
-            return_promises(*this->state, request, this->now);
+            return_promises(*this->state, request);
             request.decode = this->late_decode(deployment, request);
         }
         if (request.decode == no_engine_index) {
             count_waste(*this->state, request);
-            end_without_answer(*this->state, request, refusal::no_engine, std::chrono::seconds(1), this->now,
-                               *this->out);
+            end_without_answer(*this->state, request, refusal::no_engine, std::chrono::seconds(1), *this->out);
             return;
         }
         send_decode(*this->state, request, this->now, *this->out);
--- a/libraries/decision/router_state.h
+++ b/libraries/decision/router_state.h
@@ -36,7 +36,6 @@
     std::size_t prefix_entries = 16'384;      ///< Remembered prefixes.
     std::size_t explanations = 1024;          ///< Ended requests that `explain` still knows.
     double target_margin = 0.85;              ///< Part of the first-token target that estimates may fill.
-    base::duration longest_prefill_backlog{}; ///< Prompt work sent ahead to one engine; zero: default.
 
     bool operator==(const router_options&) const = default;
 };
--- a/tests/decision/test_engine_state.cpp
+++ b/tests/decision/test_engine_state.cpp
@@ -37,12 +37,22 @@
     CHECK(own_places(engine) == 1);
 }
 
-TEST_CASE("others' prompts are counted from the report and worked off with time") {
+TEST_CASE("a wait that own prompts saw is expected again, less with time") {
     engine_state engine = engine_with(2);
-    hear_load(engine, {0, 0, 2, 5'000, false}, 100ms, start);
-    CHECK(prefill_begin(engine, start) == start + 400ms);
-    CHECK(prefill_begin(engine, start + 400ms) == start + 400ms);
-    CHECK(prefill_begin(engine, start + 10s) == start + 10s);
+    note_prefill(engine, 1'000, 500ms, start); // 100 ms of these were its own.
+    CHECK(prefill_begin(engine, start) == start + 200ms);
+    CHECK(prefill_begin(engine, start + 250ms) == start + 350ms);
+    CHECK(prefill_begin(engine, start + 100s) == start + 100s);
+}
+
+TEST_CASE("the window lets one prompt out whatever its length and closes on more") {
+    engine_state engine = engine_with(2);
+    engine.share = 0.1;
+    CHECK_FALSE(is_window_full(engine));
+    engine.own_prompt_tokens = 5'000;
+    CHECK(is_window_full(engine));
+    engine.own_prompt_tokens = 50;
+    CHECK_FALSE(is_window_full(engine));
 }
 
 TEST_CASE("an estimate stays within bounds whatever it is told") {
