decision: Keep free of the target what the estimates were wrong by

Change: the error of each estimate is learned and kept free of the target, 10 to 40 % of it; shares of places are rounded differently by each host, so that their sum comes out right; a seen wait halves in 1 s instead of 0.25 s.

--- a/benches/bench_support.h
+++ b/benches/bench_support.h
@@ -14,8 +14,8 @@
 
 /// What every bench is told.
 struct bench_options {
-    std::string programs;  ///< Folder with the built programs.
-    bool is_json = false;  ///< A JSON row a point on standard output.
+    std::string programs; ///< Folder with the built programs.
+    bool is_json = false; ///< A JSON row a point on standard output.
     bool is_quebec = false;
     bool is_quick = false; ///< Fewer and shorter points, to look whether a bench runs.
     double seconds = 8;    ///< Length of a point of load, after its warm-up.
--- a/benches/deployment_plan.h
+++ b/benches/deployment_plan.h
@@ -14,15 +14,15 @@
     int prefills = 0;
     int decodes = 0;
     int places = 0;
-    double prompt_rate = 0;      ///< Prompt tokens a second of one prefill engine.
-    double prompt_overhead = 0;  ///< Seconds added to each prefill.
-    double step_seconds = 0;     ///< Between tokens with one request.
+    double prompt_rate = 0;     ///< Prompt tokens a second of one prefill engine.
+    double prompt_overhead = 0; ///< Seconds added to each prefill.
+    double step_seconds = 0;    ///< Between tokens with one request.
     double step_each_seconds = 0;
     double link_rate = 0;
     double waste_weight = 0.5;
     double first_token_target_ms = 570;
     double per_token_target_ms = 34;
-    json classes;                ///< Mix for the load driver.
+    json classes; ///< Mix for the load driver.
 };
 
 /// Mauritius: 9 model servers. Quebec: 18, longer prompts.
--- a/libraries/decision/dispatch.cpp
+++ b/libraries/decision/dispatch.cpp
@@ -157,6 +157,7 @@
     request.prefill_sent = now;
     request.prefill_expected_end = choice.prefill_end;
     request.transfer_estimate = choice.transfer;
+    request.first_token_expected = choice.first_token;
     request.engine_priority = engine_priority_of(deployment, request.facts);
     request.prefill_work = std::max(1, request.facts.prompt_tokens - choice.cached_tokens);
     prefill.own_prompt_tokens += request.prefill_work;
@@ -229,8 +230,7 @@
     const double wait = cost_ahead(deployment.queue, facts.organisation);
     const base::duration expected =
         base::from_seconds(wait) + least_first_token(state, deployment, facts, now);
-    const base::duration allowed =
-        base::from_seconds(base::to_seconds(facts.first_token_target) * state.options.target_margin);
+    const base::duration allowed = usable_target(state, facts);
     const bool is_full = deployment.queue.length >= state.options.longest_queue;
     if (is_full || expected > allowed) {
         tell(request, now,
--- a/libraries/decision/engine_state.cpp
+++ b/libraries/decision/engine_state.cpp
@@ -18,7 +18,7 @@
 /// Prompt work, in seconds, that all hosts together should have out at one engine.
 constexpr double whole_window = 0.15;
 /// A wait seen by an own prompt says less with time: it halves this often.
-constexpr double wait_half_life = 0.25;
+constexpr double wait_half_life = 1;
 /// Gain of a newly seen wait.
 constexpr double wait_gain = 0.5;
 
@@ -68,7 +68,8 @@
 int own_places(const engine_state& engine) {
     const int places = engine.report.decode_places > 0 && engine.has_report ? engine.report.decode_places
                                                                             : engine.facts.decode_places;
-    return std::max(1, static_cast<int>(std::lround(places * engine.share)));
+    // Rounded by a part that differs between hosts and engines, so that the sum over hosts comes out right.
+    return std::max(1, static_cast<int>(std::floor(places * engine.share + engine.rounding)));
 }
 
 base::time_point next_place(const engine_state& engine, base::time_point now) {
--- a/libraries/decision/engine_state.h
+++ b/libraries/decision/engine_state.h
@@ -30,12 +30,13 @@
     bool is_present = true; ///< False once the settings no longer name it.
     bool is_leaving = false;
     engine_health health;
-    double share = 1; ///< Part of the engine that this host may promise.
+    double share = 1;      ///< Part of the engine that this host may promise.
+    double rounding = 0.5; ///< 0 to 1: from which fraction on a part of a place counts as one.
     estimate prompt_rate;
     estimate token_seconds;
     // As a prefill engine.
-    double own_prompt_tokens = 0;        ///< Sent by this host and not yet answered.
-    double observed_wait = 0; ///< Seconds that prompts of this host waited there of late.
+    double own_prompt_tokens = 0; ///< Sent by this host and not yet answered.
+    double observed_wait = 0;     ///< Seconds that prompts of this host waited there of late.
     base::time_point observed_at{};
     // As a decode engine: the expected end of each place this host has promised, earliest first.
     std::vector<base::time_point> expected_ends;
--- a/libraries/decision/pairing.cpp
+++ b/libraries/decision/pairing.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t sample_size = 8;
 /// Part of a prefill result's keeping time that a late place may use up when waste weighs nothing.
 constexpr double most_slack_of_kept = 0.1;
+/// Part of the first-token target that is kept free for what the estimates are wrong by.
+constexpr double least_reserve = 0.1;
+constexpr double most_reserve = 0.4;
 /// Pairs that an explanation lists.
 constexpr std::size_t most_weighed = 6;
 
@@ -105,11 +108,6 @@
     return base::from_seconds(base::to_seconds(deployment.facts.kept) * part);
 }
 
-base::time_point latest_first_token(const router_state& state, const request_state& request) {
-    const double target = base::to_seconds(request.facts.first_token_target);
-    return request.arrived + base::from_seconds(target * state.options.target_margin);
-}
-
 weighed_pair describe(const router_state& state, const pair_choice& choice, base::time_point now) {
     return {engine_at(state, choice.prefill).facts.id, engine_at(state, choice.decode).facts.id,
             base::to_milliseconds(choice.first_token - now), base::to_milliseconds(choice.place - now),
@@ -128,7 +126,7 @@
 
 pairing_verdict judge(const router_state& state, const deployment_state& deployment,
                       const request_state& request, const pair_choice& best) {
-    if (best.first_token > latest_first_token(state, request))
+    if (best.first_token > request.arrived + usable_target(state, request.facts))
         return pairing_verdict::too_late;
     if (best.place > best.ready + place_slack(deployment, request.facts))
         return pairing_verdict::wait;
@@ -137,6 +135,14 @@
 
 } // namespace
 
+base::duration usable_target(const router_state& state, const request_facts& facts) {
+    // What the estimates were wrong by of late is kept free, within bounds: a first token that comes late
+    // has cost as much as one in time.
+    const double target = base::to_seconds(facts.first_token_target);
+    const double error = std::max(0.0, state.errors.first_token_late) + state.errors.first_token_spread;
+    return base::from_seconds(target - std::clamp(error, least_reserve * target, most_reserve * target));
+}
+
 namespace {
 
 /// All pairs of these engines, the best ones sorted to the front.
@@ -173,9 +179,8 @@
     if (prefills.empty() || decodes.empty())
         return result;
     std::vector<engine_index> open;
-    std::ranges::copy_if(prefills, std::back_inserter(open), [&state](engine_index engine) {
-        return !is_window_full(engine_at(state, engine));
-    });
+    std::ranges::copy_if(prefills, std::back_inserter(open),
+                         [&state](engine_index engine) { return !is_window_full(engine_at(state, engine)); });
     const bool is_every_window_full = open.empty();
     const auto choices =
         weigh_pairs(state, deployment, facts, is_every_window_full ? prefills : open, decodes, now);
--- a/libraries/decision/pairing.h
+++ b/libraries/decision/pairing.h
@@ -49,6 +49,9 @@
                                                        const request_state& request, engine_index prefill,
                                                        engine_index excluded, base::time_point now);
 
+/// Part of the first-token target that estimates may fill.
+[[nodiscard]] base::duration usable_target(const router_state& state, const request_facts& facts);
+
 /// Time to the end of the prompt if it were sent now to the engine that would end it first.
 [[nodiscard]] base::duration least_first_token(const router_state& state, const deployment_state& deployment,
                                                const request_facts& facts, base::time_point now);
--- a/libraries/decision/router.cpp
+++ b/libraries/decision/router.cpp
@@ -6,6 +6,7 @@
 #include <decision/recovery.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace postpaddle::decision {
 
@@ -25,6 +26,8 @@
         deployment_state& deployment = this->state->deployments[request->facts.deployment];
         engine_state& prefill = engine_at(*this->state, request->prefill);
         this->learn_prefill(*request, event);
+        note_error(this->state->errors.prefill_late, this->state->errors.prefill_spread,
+                   this->now - request->prefill_expected_end);
         note_success(prefill);
         const int work = std::max(0, event.prompt_tokens - event.cached_tokens);
         this->state->counters.prefill_tokens += static_cast<std::uint64_t>(work);
@@ -44,6 +47,8 @@
         deployment_state& deployment = this->state->deployments[request->facts.deployment];
         engine_state& decode = engine_at(*this->state, request->decode);
         note_success(decode);
+        note_error(this->state->errors.first_token_late, this->state->errors.first_token_spread,
+                   this->now - request->first_token_expected);
         request->at = phase::decoding;
         request->first_token_at = this->now;
         request->tokens_relayed = std::max(request->tokens_relayed, 1);
@@ -174,12 +179,21 @@
         const int work = std::max(1, event.prompt_tokens - event.cached_tokens);
         static constexpr int least_telling_tokens = 256;
         const bool was_faster = work / std::max(seconds, 1e-6) >= prefill.prompt_rate.value;
-        const bool ran_alone = prefill.observed_wait <= 0 && prefill.own_prompt_tokens <= request.prefill_work;
+        const bool ran_alone =
+            prefill.observed_wait <= 0 && prefill.own_prompt_tokens <= request.prefill_work;
         if (work >= least_telling_tokens && (was_faster || ran_alone))
             learn(prefill.prompt_rate, work / seconds);
         note_prefill(prefill, work, taken, this->now);
     }
 
+    /// Running means of an error and of its size.
+    static void note_error(double& late, double& spread, base::duration error) {
+        static constexpr double gain = 0.05;
+        const double seconds = base::to_seconds(error);
+        late += gain * (seconds - late);
+        spread += gain * (std::abs(seconds) - spread);
+    }
+
     void return_prefill_work(request_state& request) {
         const bool had_place = std::exchange(request.has_place, false);
         return_promises(*this->state, request);
@@ -196,7 +210,8 @@
         }
         if (request.decode == no_engine_index) {
             count_waste(*this->state, request);
-            end_without_answer(*this->state, request, refusal::no_engine, std::chrono::seconds(1), *this->out);
+            end_without_answer(*this->state, request, refusal::no_engine, std::chrono::seconds(1),
+                               *this->out);
             return;
         }
         send_decode(*this->state, request, this->now, *this->out);
--- a/libraries/decision/router_state.cpp
+++ b/libraries/decision/router_state.cpp
@@ -20,6 +20,7 @@
     if (found == state.engine_by_id.end()) {
         state.engine_by_id[facts.id] = static_cast<engine_index>(state.engines.size());
         state.engines.push_back(make_engine(facts));
+        state.engines.back().rounding = std::uniform_real_distribution<double>(0, 1)(state.random);
         state.zone_of_engine.push_back(zone_index(state, facts.zone));
         return;
     }
--- a/libraries/decision/router_state.h
+++ b/libraries/decision/router_state.h
@@ -32,10 +32,9 @@
 struct router_options {
     policy rule = policy::postpaddle;
     std::uint64_t seed = 1;
-    std::size_t longest_queue = 4096;         ///< Requests that wait at most, over all organisations.
-    std::size_t prefix_entries = 16'384;      ///< Remembered prefixes.
-    std::size_t explanations = 1024;          ///< Ended requests that `explain` still knows.
-    double target_margin = 0.85;              ///< Part of the first-token target that estimates may fill.
+    std::size_t longest_queue = 4096;    ///< Requests that wait at most, over all organisations.
+    std::size_t prefix_entries = 16'384; ///< Remembered prefixes.
+    std::size_t explanations = 1024;     ///< Ended requests that `explain` still knows.
 
     bool operator==(const router_options&) const = default;
 };
@@ -69,6 +68,7 @@
     base::time_point decode_sent{};
     base::time_point first_token_at{};
     base::duration transfer_estimate{};
+    base::time_point first_token_expected{};
     int engine_priority = 0;
     int tokens_relayed = 0;
     std::vector<hold> holds;
@@ -110,6 +110,14 @@
     bool operator==(const router_counters&) const = default;
 };
 
+/// How far what happened was from what was expected, in seconds, as a running mean.
+struct estimate_errors {
+    double prefill_late = 0;     ///< Prompts ended later than expected by this much.
+    double prefill_spread = 0;   ///< Mean size of the error, either way.
+    double first_token_late = 0; ///< First tokens after the prefill's end.
+    double first_token_spread = 0;
+};
+
 /// All that the decisions of one host rest on.
 struct router_state {
     router_options options;
@@ -127,6 +135,7 @@
     std::uint64_t arrivals = 0;
     std::mt19937_64 random;
     router_counters counters;
+    estimate_errors errors;
 };
 
 /// A router that knows no engines yet.
--- a/libraries/service/state_dump.cpp
+++ b/libraries/service/state_dump.cpp
@@ -57,6 +57,7 @@
 } // namespace
 
 json dump_router(const decision::router_state& state, base::time_point now) {
+    static constexpr double thousand = 1000;
     json engines = json::array();
     for (const decision::engine_state& engine : state.engines)
         engines.push_back(dump_engine(engine, now));
@@ -69,6 +70,11 @@
             {"queues", queues},
             {"requests", dump_requests(state, now)},
             {"counters", dump_counters(state.counters)},
+            {"estimate_errors_ms",
+             {{"prefill_late", state.errors.prefill_late * thousand},
+              {"prefill_spread", state.errors.prefill_spread * thousand},
+              {"first_token_late", state.errors.first_token_late * thousand},
+              {"first_token_spread", state.errors.first_token_spread * thousand}}},
             {"retry_credit", state.retries.credit},
             {"remembered_prefixes", state.prefixes.size()}};
 }
