decision: Serve those within their fair share first

The scarcer side was also mistaken: a unit slip made decode always look scarcer than prefill. Change: max-min fair shares of recent demand decide a service class; work within shares has its own window, waits, error margins and the engines' first priority.

--- a/benches/faults_bench.cpp
+++ b/benches/faults_bench.cpp
@@ -48,6 +48,15 @@
     return load;
 }
 
+/// Wasted prompt tokens as the hosts count them; a killed engine's own count is gone with it.
+std::int64_t wasted_by_hosts(const stand_in::cluster& cluster) {
+    std::int64_t total = 0;
+    for (const stand_in::running_host& host : cluster.hosts)
+        total +=
+            cluster.state(host).at("decision").at("counters").at("wasted_prefill_tokens").get<std::int64_t>();
+    return total;
+}
+
 json measure(const bench_options& options, const deployment_plan& plan, const std::string& fault) {
     const std::string folder = scratch_folder("faults");
     stand_in::cluster cluster(cluster_of(options, plan, "postpaddle", folder));
@@ -77,6 +86,8 @@
         {"wrong", result.at("wrong")},
         {"cancelled", result.at("cancelled")},
         {"wasted", computed > 0 ? static_cast<double>(wasted) / static_cast<double>(computed) : 0.0},
+        {"wasted_by_hosts", wasted_by_hosts(cluster)},
+        {"others_refused", others.at("refused")},
         {"others_good", others.at("good").get<double>() / std::max(1.0, others.at("offered").get<double>())},
         {"others_ttft_p95_ms", others.at("ttft_p95_ms")},
         {"others_itl_p95_ms", others.at("itl_p95_ms")},
@@ -89,8 +100,8 @@
 int run_faults(const bench_options& options) {
     const deployment_plan plan = plan_for(options);
     report table(options, {"deployment", "fault", "offered", "good", "whole", "refused", "failed", "wrong",
-                           "cancelled", "wasted", "others_good", "others_ttft_p95_ms", "others_itl_p95_ms",
-                           "ran_twice", "held_after"});
+                           "cancelled", "wasted", "wasted_by_hosts", "others_refused", "others_good",
+                           "others_ttft_p95_ms", "others_itl_p95_ms", "ran_twice", "held_after"});
     for (const char* const fault : {"none", "engine_killed", "transfer_stalled", "cancel", "flood"}) {
         const json row = measure(options, plan, fault);
         if (row.is_null())
--- a/libraries/base/bounded_ring.h
+++ b/libraries/base/bounded_ring.h
@@ -21,7 +21,7 @@
     explicit bounded_ring(std::size_t capacity) : items(capacity) {}
 
     /// Sets the wake-up of the consumer. Call before the first push.
-    void set_on_ready(std::function<void()> callback) { this->on_ready = std::move(callback); }
+    void set_on_ready(const std::function<void()>& callback) { this->on_ready = callback; }
 
     /// Adds an item; false, and counted, when the ring is full.
     [[nodiscard]] bool try_push(T item) {
--- a/libraries/base/try.h
+++ b/libraries/base/try.h
@@ -13,7 +13,8 @@
     auto POSTPADDLE_TRY_JOIN(try_result_, __LINE__) = (expression);                                          \
     if (!POSTPADDLE_TRY_JOIN(try_result_, __LINE__))                                                         \
         return tl::make_unexpected(std::move(POSTPADDLE_TRY_JOIN(try_result_, __LINE__)).error());           \
-    auto variable = std::move(*POSTPADDLE_TRY_JOIN(try_result_, __LINE__))
+    auto variable = /* NOLINT(bugprone-macro-parentheses): a declared name can't stand in any. */            \
+        std::move(*POSTPADDLE_TRY_JOIN(try_result_, __LINE__))
 
 /// Passes the error of an expected<void> up at once.
 #define POSTPADDLE_TRY_VOID(expression)                                                                      \
--- a/libraries/decision/baseline.cpp
+++ b/libraries/decision/baseline.cpp
@@ -36,7 +36,8 @@
     if (state.options.rule == policy::round_robin)
         return next_in_turn(state, deployment.prefill_pool, deployment.next_prefill, no_engine_index, now);
     return least_loaded(state, deployment.prefill_pool, no_engine_index, now, [](const engine_state& engine) {
-        return std::max<double>(engine.own_prompt_tokens, engine.report.queued_prompt_tokens);
+        return std::max<double>(engine.own_prompt_tokens.front() + engine.own_prompt_tokens.back(),
+                                engine.report.queued_prompt_tokens);
     });
 }
 
--- a/libraries/decision/dispatch.cpp
+++ b/libraries/decision/dispatch.cpp
@@ -19,17 +19,17 @@
 constexpr base::duration late_grace = 1'000ms;
 /// Least wait that a refused caller is told, so that refusals don't come back as a storm.
 constexpr base::duration least_retry_after = 1'000ms;
-/// An organisation this many engine seconds ahead of its fair service gets the last engine priority.
-constexpr double longest_lead = 0.5;
-constexpr int priority_steps = 4;
 /// Largest story of one request, in lines.
 constexpr std::size_t most_story_lines = 32;
 
 /// Seconds of the whole deployment's scarcer side that a request takes.
 double cost_of(const router_state& state, const deployment_state& deployment, const request_facts& facts) {
     double prompt_rate = 0;
-    for (const engine_index index : deployment.prefill_pool)
+    double engines = 0;
+    for (const engine_index index : deployment.prefill_pool) {
         prompt_rate += engine_at(state, index).prompt_rate.value * engine_at(state, index).share;
+        engines += engine_at(state, index).share;
+    }
     double places = 0;
     double token_seconds = 0;
     for (const engine_index index : deployment.decode_pool) {
@@ -41,18 +41,23 @@
     token_seconds /= static_cast<double>(deployment.decode_pool.size());
     const double decode_seconds =
         std::max(1.0, facts.max_tokens * deployment.output_ratio.value) * token_seconds;
-    const bool is_decode_bound = deployment.decode_cost.value / places >
-                                 deployment.prefill_cost.value * deployment.prefill_pool.size() / prompt_rate;
+    const bool is_decode_bound =
+        deployment.decode_cost.value / places > deployment.prefill_cost.value / engines;
     return is_decode_bound ? decode_seconds / places : facts.prompt_tokens / prompt_rate;
 }
 
 base::duration retry_after_for(base::duration overrun) { return std::max(least_retry_after, overrun); }
 
-/// Smaller goes first at the engine: organisations behind their fair service, then by own priority.
-int engine_priority_of(const deployment_state& deployment, const request_facts& facts) {
-    const double lead =
-        std::clamp(service_lead(deployment.queue, facts.organisation) / longest_lead, 0.0, 1.0);
-    return static_cast<int>(std::lround(lead * priority_steps)) * 10 + facts.priority;
+/// Smaller goes first at the engine: by service class, then by own priority.
+int engine_priority_of(service_class kind, const request_facts& facts) {
+    static constexpr int class_step = 10;
+    return static_cast<int>(kind) * class_step + facts.priority;
+}
+
+service_class class_now(deployment_state& deployment, const base::organisation_id& organisation,
+                        base::time_point now) {
+    return is_beyond_share(deployment.queue, organisation, now) ? service_class::beyond_share
+                                                                : service_class::within_share;
 }
 
 bool has_usable(const router_state& state, const std::vector<engine_index>& pool, base::time_point now) {
@@ -74,7 +79,7 @@
     }
     pair_choice choice;
     choice.prefill = prefill;
-    choice.prefill_begin = prefill_begin(engine_at(state, prefill), now);
+    choice.prefill_begin = prefill_begin(engine_at(state, prefill), request.kind, now);
     choice.prefill_end =
         choice.prefill_begin +
         base::from_seconds(request.facts.prompt_tokens / engine_at(state, prefill).prompt_rate.value);
@@ -87,6 +92,7 @@
     request.place_end = std::max(choice.ready, choice.place) + decode_time(deployment, request.facts, decode);
     request.has_place = true;
     promise_place(decode, request.place_end);
+    count_waiting(decode, request, true);
     put_on_trial(decode);
     link_state& link = link_of(state, choice.prefill, choice.decode);
     // Transfers on one link share its rate: each promised one fills it for its own time.
@@ -111,16 +117,30 @@
     }
 }
 
+void return_prompt_work(router_state& state, request_state& request) {
+    if (request.prefill_work <= 0)
+        return;
+    double& out =
+        engine_at(state, request.prefill).own_prompt_tokens.at(static_cast<std::size_t>(request.kind));
+    out = std::max(0.0, out - request.prefill_work);
+    request.prefill_work = 0;
+}
+
+void count_waiting(engine_state& engine, request_state& request, bool is_waiting) {
+    if (request.kind != service_class::beyond_share || request.is_waiting_beyond == is_waiting)
+        return;
+    engine.waiting_beyond += is_waiting ? 1 : -1;
+    request.is_waiting_beyond = is_waiting;
+}
+
 void return_promises(router_state& state, request_state& request) {
     if (request.has_place) {
-        return_place(engine_at(state, request.decode), request.place_end);
+        engine_state& decode = engine_at(state, request.decode);
+        return_place(decode, request.place_end);
+        count_waiting(decode, request, false);
         request.has_place = false;
     }
-    if (request.prefill_work > 0) {
-        engine_state& prefill = engine_at(state, request.prefill);
-        prefill.own_prompt_tokens = std::max(0.0, prefill.own_prompt_tokens - request.prefill_work);
-        request.prefill_work = 0;
-    }
+    return_prompt_work(state, request);
 }
 
 void forget_if_done(router_state& state, const base::request_id& id) {
@@ -158,9 +178,9 @@
     request.prefill_expected_end = choice.prefill_end;
     request.transfer_estimate = choice.transfer;
     request.first_token_expected = choice.first_token;
-    request.engine_priority = engine_priority_of(deployment, request.facts);
+    request.engine_priority = engine_priority_of(request.kind, request.facts);
     request.prefill_work = std::max(1, request.facts.prompt_tokens - choice.cached_tokens);
-    prefill.own_prompt_tokens += request.prefill_work;
+    prefill.own_prompt_tokens.at(static_cast<std::size_t>(request.kind)) += request.prefill_work;
     put_on_trial(prefill);
     base::upstream_id decode_id;
     if (choice.decode != no_engine_index) {
@@ -227,10 +247,13 @@
         forget_if_done(state, facts.id);
         return;
     }
+    const double cost = cost_of(state, deployment, facts);
+    note_demand(deployment.queue, facts.organisation, cost, facts.weight, now);
+    request.kind = class_now(deployment, facts.organisation, now);
     const double wait = cost_ahead(deployment.queue, facts.organisation);
     const base::duration expected =
-        base::from_seconds(wait) + least_first_token(state, deployment, facts, now);
-    const base::duration allowed = usable_target(state, facts);
+        base::from_seconds(wait) + least_first_token(state, deployment, facts, request.kind, now);
+    const base::duration allowed = usable_target(state, facts, request.kind);
     const bool is_full = deployment.queue.length >= state.options.longest_queue;
     if (is_full || expected > allowed) {
         tell(request, now,
@@ -241,8 +264,7 @@
         forget_if_done(state, facts.id);
         return;
     }
-    request.entry = {facts.priority, request.deadline, ++state.arrivals, facts.id,
-                     cost_of(state, deployment, facts)};
+    request.entry = {facts.priority, request.deadline, ++state.arrivals, facts.id, cost};
     enqueue(deployment.queue, facts.organisation, request.entry);
 }
 
@@ -255,6 +277,7 @@
                        const base::organisation_id& organisation, base::time_point now, effects& out) {
     const queue_entry entry = *deployment.queue.organisations.at(organisation).entries.begin();
     request_state& request = state.requests.at(entry.id);
+    request.kind = class_now(deployment, organisation, now);
     pairing result = choose_pair(state, deployment, request, now);
     if (result.verdict == pairing_verdict::wait && now - request.arrived <= request.facts.longest_queue)
         return head_result::must_wait;
--- a/libraries/decision/dispatch.h
+++ b/libraries/decision/dispatch.h
@@ -30,6 +30,12 @@
 /// Gives back the promised place and the counted prompt work, if any.
 void return_promises(router_state& state, request_state& request);
 
+/// Gives back the counted prompt work.
+void return_prompt_work(router_state& state, request_state& request);
+
+/// Counts a promise beyond its organisation's share in or out of those that wait at the engine.
+void count_waiting(engine_state& engine, request_state& request, bool is_waiting);
+
 /// Adds a line to a request's story.
 void tell(request_state& request, base::time_point now, std::string what);
 
--- a/libraries/decision/engine_state.cpp
+++ b/libraries/decision/engine_state.cpp
@@ -45,24 +45,32 @@
     return now >= engine.health.aside_until && !engine.health.is_on_trial;
 }
 
-base::time_point prefill_begin(const engine_state& engine, base::time_point now) {
-    const double own = engine.own_prompt_tokens / engine.prompt_rate.value;
-    const double age = base::to_seconds(now - engine.observed_at);
-    const double seen = engine.observed_wait * std::exp2(-age / wait_half_life);
-    return now + base::from_seconds(std::max(own, seen));
+base::time_point prefill_begin(const engine_state& engine, service_class kind, base::time_point now) {
+    const observed_wait& wait = engine.waits.at(static_cast<std::size_t>(kind));
+    const double age = base::to_seconds(now - wait.at);
+    const double seen = wait.seconds * std::exp2(-age / wait_half_life);
+    return now + base::from_seconds(std::max(prompt_seconds_out(engine, kind), seen));
 }
 
-bool is_window_full(const engine_state& engine) {
-    if (engine.own_prompt_tokens <= 0)
-        return false;
-    return engine.own_prompt_tokens / engine.prompt_rate.value >= whole_window * engine.share;
+double prompt_seconds_out(const engine_state& engine, service_class kind) {
+    const double within = engine.own_prompt_tokens.front();
+    const double tokens =
+        kind == service_class::within_share ? within : within + engine.own_prompt_tokens.back();
+    return tokens / engine.prompt_rate.value;
+}
+
+bool is_window_full(const engine_state& engine, service_class kind) {
+    const double out = prompt_seconds_out(engine, kind);
+    return out > 0 && out >= whole_window * engine.share;
 }
 
-void note_prefill(engine_state& engine, double tokens, base::duration taken, base::time_point now) {
+void note_prefill(engine_state& engine, service_class kind, double tokens, base::duration taken,
+                  base::time_point now) {
+    observed_wait& wait = engine.waits.at(static_cast<std::size_t>(kind));
     const double service = tokens / engine.prompt_rate.value;
     const double waited = std::max(0.0, base::to_seconds(taken) - service);
-    engine.observed_wait += wait_gain * (waited - engine.observed_wait);
-    engine.observed_at = now;
+    wait.seconds += wait_gain * (waited - wait.seconds);
+    wait.at = now;
 }
 
 int own_places(const engine_state& engine) {
@@ -72,12 +80,14 @@
     return std::max(1, static_cast<int>(std::floor(places * engine.share + engine.rounding)));
 }
 
-base::time_point next_place(const engine_state& engine, base::time_point now) {
+base::time_point next_place(const engine_state& engine, service_class kind, base::time_point now) {
     const auto promised = static_cast<int>(engine.expected_ends.size());
+    const int ahead = kind == service_class::within_share ? promised - engine.waiting_beyond : promised;
     const int places = own_places(engine);
-    if (promised < places)
+    if (ahead < places && promised < places)
         return now;
-    return std::max(now, engine.expected_ends[static_cast<std::size_t>(promised - places)]);
+    const int position = std::max(0, ahead - places);
+    return std::max(now, engine.expected_ends[static_cast<std::size_t>(position)]);
 }
 
 int promised_places(const engine_state& engine) { return static_cast<int>(engine.expected_ends.size()); }
--- a/libraries/decision/engine_state.h
+++ b/libraries/decision/engine_state.h
@@ -6,6 +6,7 @@
 #include <decision/load_report.h>
 #include <decision/topology.h>
 
+#include <array>
 #include <vector>
 
 namespace postpaddle::decision {
@@ -24,6 +25,16 @@
     bool operator==(const engine_health&) const = default;
 };
 
+/// Whether an organisation asks for more than its fair share at this moment. Engines take the prompts and
+/// streams of those who do not first, so a flood waits behind everybody else's ordinary work.
+enum class service_class { within_share, beyond_share };
+
+/// What this host's own prompts saw of an engine's queue.
+struct observed_wait {
+    double seconds = 0;
+    base::time_point at{};
+};
+
 /// One engine as this host sees it: its own work in progress, counted at once, and others' from reports.
 struct engine_state {
     engine_facts facts;
@@ -35,11 +46,11 @@
     estimate prompt_rate;
     estimate token_seconds;
     // As a prefill engine.
-    double own_prompt_tokens = 0; ///< Sent by this host and not yet answered.
-    double observed_wait = 0;     ///< Seconds that prompts of this host waited there of late.
-    base::time_point observed_at{};
+    std::array<double, 2> own_prompt_tokens{}; ///< Sent by this host and not yet answered, by service class.
+    std::array<observed_wait, 2> waits;        ///< By service class.
     // As a decode engine: the expected end of each place this host has promised, earliest first.
     std::vector<base::time_point> expected_ends;
+    int waiting_beyond = 0; ///< Of these, promised beyond an organisation's share and not yet decoding.
     // Last report and what this host itself had there when the report was made.
     load_report report;
     base::time_point reported_at{};
@@ -57,23 +68,31 @@
 [[nodiscard]] bool is_usable(const engine_state& engine, base::time_point now);
 
 /// When a prompt sent now would begin, counting own work at once and others' by what this host's own
-/// prompts saw of them last.
-[[nodiscard]] base::time_point prefill_begin(const engine_state& engine, base::time_point now);
+/// prompts of that class saw of them last.
+[[nodiscard]] base::time_point prefill_begin(const engine_state& engine, service_class kind,
+                                             base::time_point now);
+
+/// Seconds of prompt work that this host has out at the engine, of that class and those before it.
+[[nodiscard]] double prompt_seconds_out(const engine_state& engine, service_class kind);
 
-/// Whether this host has as much prompt work out at the engine as it should.
+/// Whether this host has as much prompt work out at the engine as it should; one prompt may always go.
 ///
-/// The window is what keeps an engine's queue short without a message: each host's next prompt goes when
-/// one of its own has ended, so the sum over hosts is bounded however stale the hosts' views are.
-[[nodiscard]] bool is_window_full(const engine_state& engine);
+/// The window keeps the engine's queue short without a message: each host's next prompt goes when one of
+/// its own has ended, so the sum over hosts is bounded however stale their views are. Work beyond its
+/// organisation's share never closes the window for work within.
+[[nodiscard]] bool is_window_full(const engine_state& engine, service_class kind);
 
 /// Learns from a prompt that took `taken` from sending to answer and whose own part was `tokens`.
-void note_prefill(engine_state& engine, double tokens, base::duration taken, base::time_point now);
+void note_prefill(engine_state& engine, service_class kind, double tokens, base::duration taken,
+                  base::time_point now);
 
 /// How many places this host may hold there, at least one.
 [[nodiscard]] int own_places(const engine_state& engine);
 
-/// When the next place of this host is expected to be free; `now` where one is.
-[[nodiscard]] base::time_point next_place(const engine_state& engine, base::time_point now);
+/// When the next place of this host is expected to be free; `now` where one is. The engine gives places to
+/// work within its organisation's share first, so that does not wait for what is beyond.
+[[nodiscard]] base::time_point next_place(const engine_state& engine, service_class kind,
+                                          base::time_point now);
 
 /// Own places promised now.
 [[nodiscard]] int promised_places(const engine_state& engine);
--- a/libraries/decision/fair_queue.h
+++ b/libraries/decision/fair_queue.h
@@ -34,6 +34,9 @@
     double virtual_time = 0;
     double queued_cost = 0;
     std::uint64_t dispatched = 0;
+    double weight = 1;
+    double demand = 0; ///< Engine seconds asked for a second of late, refused ones too.
+    base::time_point demand_at{};
 };
 
 /// Start-time fair queueing between the organisations that wait for one deployment.
@@ -46,8 +49,20 @@
     double virtual_time = 0;
     std::size_t length = 0;
     double queued_cost = 0;
+    double fair_level = 0; ///< Demand a unit of weight that fair service can meet now.
+    base::time_point level_at{};
 };
 
+/// Counts a request that was asked for into its organisation's demand.
+void note_demand(fair_queue& queue, const base::organisation_id& organisation, double cost, double weight,
+                 base::time_point now);
+
+/// Whether an organisation asks for more than max-min fair service would give it. Costs are in seconds of
+/// all engines, so a second of time has one to give.
+/// Source: Bertsekas and Gallager, "Data Networks" (1992), section 6.5.2.
+[[nodiscard]] bool is_beyond_share(fair_queue& queue, const base::organisation_id& organisation,
+                                   base::time_point now);
+
 /// Adds a request to its organisation's queue.
 void enqueue(fair_queue& queue, const base::organisation_id& organisation, queue_entry entry);
 
@@ -64,7 +79,4 @@
 /// Queued cost that fair service would place before a new request of this organisation.
 [[nodiscard]] double cost_ahead(const fair_queue& queue, const base::organisation_id& organisation);
 
-/// How far the organisation's service is ahead of the least served that waits, in engine seconds.
-[[nodiscard]] double service_lead(const fair_queue& queue, const base::organisation_id& organisation);
-
 } // namespace postpaddle::decision
--- a/libraries/decision/pairing.cpp
+++ b/libraries/decision/pairing.cpp
@@ -67,22 +67,23 @@
     return std::min(facts.prompt_tokens - 1, blocks * facts.prefix_block_tokens);
 }
 
-prefill_option weigh_prefill(const router_state& state, const request_facts& facts, engine_index index,
-                             base::time_point now) {
+prefill_option weigh_prefill(const router_state& state, const request_facts& facts, service_class kind,
+                             engine_index index, base::time_point now) {
     const engine_state& engine = engine_at(state, index);
     prefill_option option;
     option.engine = index;
-    option.begin = prefill_begin(engine, now);
+    option.begin = prefill_begin(engine, kind, now);
     option.cached_tokens = std::max(0, expected_cached_tokens(state, facts, index));
     const double tokens = std::max(1, facts.prompt_tokens - option.cached_tokens);
     option.end = option.begin + base::from_seconds(tokens / engine.prompt_rate.value);
     return option;
 }
 
-decode_option weigh_decode(const router_state& state, engine_index index, base::time_point now) {
+decode_option weigh_decode(const router_state& state, service_class kind, engine_index index,
+                           base::time_point now) {
     const engine_state& engine = engine_at(state, index);
     const double load = static_cast<double>(promised_places(engine)) / own_places(engine);
-    return {index, next_place(engine, now), engine.token_seconds.value, load};
+    return {index, next_place(engine, kind, now), engine.token_seconds.value, load};
 }
 
 pair_choice join(const router_state& state, const deployment_state& deployment, const request_facts& facts,
@@ -125,8 +126,8 @@
 }
 
 pairing_verdict judge(const router_state& state, const deployment_state& deployment,
-                      const request_state& request, const pair_choice& best) {
-    if (best.first_token > request.arrived + usable_target(state, request.facts))
+                      const request_state& request, service_class kind, const pair_choice& best) {
+    if (best.first_token > request.arrived + usable_target(state, request.facts, kind))
         return pairing_verdict::too_late;
     if (best.place > best.ready + place_slack(deployment, request.facts))
         return pairing_verdict::wait;
@@ -135,11 +136,12 @@
 
 } // namespace
 
-base::duration usable_target(const router_state& state, const request_facts& facts) {
+base::duration usable_target(const router_state& state, const request_facts& facts, service_class kind) {
     // What the estimates were wrong by of late is kept free, within bounds: a first token that comes late
     // has cost as much as one in time.
     const double target = base::to_seconds(facts.first_token_target);
-    const double error = std::max(0.0, state.errors.first_token_late) + state.errors.first_token_spread;
+    const estimate_errors& errors = state.errors.at(static_cast<std::size_t>(kind));
+    const double error = std::max(0.0, errors.first_token_late) + errors.first_token_spread;
     return base::from_seconds(target - std::clamp(error, least_reserve * target, most_reserve * target));
 }
 
@@ -147,16 +149,17 @@
 
 /// All pairs of these engines, the best ones sorted to the front.
 std::vector<pair_choice> weigh_pairs(const router_state& state, const deployment_state& deployment,
-                                     const request_facts& facts, const std::vector<engine_index>& prefills,
+                                     const request_facts& facts, service_class kind,
+                                     const std::vector<engine_index>& prefills,
                                      const std::vector<engine_index>& decodes, base::time_point now) {
     std::vector<decode_option> options;
     options.reserve(decodes.size());
     for (const engine_index engine : decodes)
-        options.push_back(weigh_decode(state, engine, now));
+        options.push_back(weigh_decode(state, kind, engine, now));
     std::vector<pair_choice> choices;
     choices.reserve(prefills.size() * decodes.size());
     for (const engine_index engine : prefills) {
-        const prefill_option prefill = weigh_prefill(state, facts, engine, now);
+        const prefill_option prefill = weigh_prefill(state, facts, kind, engine, now);
         for (const decode_option& decode : options)
             choices.push_back(join(state, deployment, facts, prefill, decode));
     }
@@ -170,6 +173,7 @@
 pairing choose_pair(router_state& state, const deployment_state& deployment, const request_state& request,
                     base::time_point now) {
     const request_facts& facts = request.facts;
+    const service_class kind = request.kind;
     const engine_index preferred =
         facts.prefix_hashes.empty() ? no_engine_index
                                     : rendezvous_engine(deployment.prefill_pool, facts.prefix_hashes.front());
@@ -179,13 +183,14 @@
     if (prefills.empty() || decodes.empty())
         return result;
     std::vector<engine_index> open;
-    std::ranges::copy_if(prefills, std::back_inserter(open),
-                         [&state](engine_index engine) { return !is_window_full(engine_at(state, engine)); });
+    std::ranges::copy_if(prefills, std::back_inserter(open), [&state, kind](engine_index engine) {
+        return !is_window_full(engine_at(state, engine), kind);
+    });
     const bool is_every_window_full = open.empty();
     const auto choices =
-        weigh_pairs(state, deployment, facts, is_every_window_full ? prefills : open, decodes, now);
+        weigh_pairs(state, deployment, facts, kind, is_every_window_full ? prefills : open, decodes, now);
     result.best = choices.front();
-    result.verdict = judge(state, deployment, request, result.best);
+    result.verdict = judge(state, deployment, request, kind, result.best);
     if (result.verdict == pairing_verdict::go && is_every_window_full)
         result.verdict = pairing_verdict::wait;
     if (result.verdict == pairing_verdict::go)
@@ -203,7 +208,7 @@
         if (engine == excluded || !is_usable(engine_at(state, engine), now))
             continue;
         const pair_choice choice =
-            join(state, deployment, request.facts, kept, weigh_decode(state, engine, now));
+            join(state, deployment, request.facts, kept, weigh_decode(state, request.kind, engine, now));
         if (!best || is_better(choice, *best))
             best = choice;
     }
@@ -211,12 +216,12 @@
 }
 
 base::duration least_first_token(const router_state& state, const deployment_state& deployment,
-                                 const request_facts& facts, base::time_point now) {
+                                 const request_facts& facts, service_class kind, base::time_point now) {
     base::duration least = base::duration::max();
     for (const engine_index index : deployment.prefill_pool) {
         if (!is_usable(engine_at(state, index), now))
             continue;
-        const prefill_option option = weigh_prefill(state, facts, index, now);
+        const prefill_option option = weigh_prefill(state, facts, kind, index, now);
         least = std::min(least, option.end - now);
     }
     return least;
--- a/libraries/decision/pairing.h
+++ b/libraries/decision/pairing.h
@@ -50,10 +50,12 @@
                                                        engine_index excluded, base::time_point now);
 
 /// Part of the first-token target that estimates may fill.
-[[nodiscard]] base::duration usable_target(const router_state& state, const request_facts& facts);
+[[nodiscard]] base::duration usable_target(const router_state& state, const request_facts& facts,
+                                           service_class kind);
 
 /// Time to the end of the prompt if it were sent now to the engine that would end it first.
 [[nodiscard]] base::duration least_first_token(const router_state& state, const deployment_state& deployment,
-                                               const request_facts& facts, base::time_point now);
+                                               const request_facts& facts, service_class kind,
+                                               base::time_point now);
 
 } // namespace postpaddle::decision
--- a/libraries/decision/recovery.cpp
+++ b/libraries/decision/recovery.cpp
@@ -45,6 +45,7 @@
         std::max(choice->ready, choice->place) + decode_time(deployment, request.facts, decode);
     request.has_place = true;
     promise_place(decode, request.place_end);
+    count_waiting(decode, request, true);
     tell(request, now, "kept prefill result reused");
     send_decode(state, request, now, out);
     return true;
@@ -66,7 +67,7 @@
         choice.prefill = baseline_prefill(state, deployment, now);
         if (choice.prefill == no_engine_index)
             return false;
-        choice.prefill_begin = prefill_begin(engine_at(state, choice.prefill), now);
+        choice.prefill_begin = prefill_begin(engine_at(state, choice.prefill), request.kind, now);
         choice.prefill_end =
             choice.prefill_begin + base::from_seconds(request.facts.prompt_tokens /
                                                       engine_at(state, choice.prefill).prompt_rate.value);
--- a/libraries/decision/router.cpp
+++ b/libraries/decision/router.cpp
@@ -26,13 +26,13 @@
         deployment_state& deployment = this->state->deployments[request->facts.deployment];
         engine_state& prefill = engine_at(*this->state, request->prefill);
         this->learn_prefill(*request, event);
-        note_error(this->state->errors.prefill_late, this->state->errors.prefill_spread,
+        note_error(this->errors_of(*request).prefill_late, this->errors_of(*request).prefill_spread,
                    this->now - request->prefill_expected_end);
         note_success(prefill);
         const int work = std::max(0, event.prompt_tokens - event.cached_tokens);
         this->state->counters.prefill_tokens += static_cast<std::uint64_t>(work);
         request->facts.prompt_tokens = std::max(1, event.prompt_tokens);
-        this->return_prefill_work(*request);
+        return_prompt_work(*this->state, *request);
         request->at = phase::kept;
         request->kept_attempt = event.attempt;
         request->kept_until = this->now + deployment.facts.kept;
@@ -47,8 +47,9 @@
         deployment_state& deployment = this->state->deployments[request->facts.deployment];
         engine_state& decode = engine_at(*this->state, request->decode);
         note_success(decode);
-        note_error(this->state->errors.first_token_late, this->state->errors.first_token_spread,
+        note_error(this->errors_of(*request).first_token_late, this->errors_of(*request).first_token_spread,
                    this->now - request->first_token_expected);
+        count_waiting(decode, *request, false);
         request->at = phase::decoding;
         request->first_token_at = this->now;
         request->tokens_relayed = std::max(request->tokens_relayed, 1);
@@ -180,10 +181,15 @@
         static constexpr int least_telling_tokens = 256;
         const bool was_faster = work / std::max(seconds, 1e-6) >= prefill.prompt_rate.value;
         const bool ran_alone =
-            prefill.observed_wait <= 0 && prefill.own_prompt_tokens <= request.prefill_work;
+            prefill.waits.front().seconds <= 0 &&
+            prefill.own_prompt_tokens.front() + prefill.own_prompt_tokens.back() <= request.prefill_work;
         if (work >= least_telling_tokens && (was_faster || ran_alone))
             learn(prefill.prompt_rate, work / seconds);
-        note_prefill(prefill, work, taken, this->now);
+        note_prefill(prefill, request.kind, work, taken, this->now);
+    }
+
+    estimate_errors& errors_of(const request_state& request) {
+        return this->state->errors.at(static_cast<std::size_t>(request.kind));
     }
 
     /// Running means of an error and of its size.
@@ -194,12 +200,6 @@
         spread += gain * (std::abs(seconds) - spread);
     }
 
-    void return_prefill_work(request_state& request) {
-        const bool had_place = std::exchange(request.has_place, false);
-        return_promises(*this->state, request);
-        request.has_place = had_place;
-    }
-
     /// Sends the result to the reserved engine, or to another when that one has meanwhile gone.
     void bind_decode(deployment_state& deployment, request_state& request) {
         const bool is_reserved =
@@ -243,6 +243,7 @@
         request.place_end = begin + decode_time(deployment, request.facts, decode);
         request.has_place = true;
         promise_place(decode, request.place_end);
+        count_waiting(decode, request, true);
     }
 
     router_state* state;
--- a/libraries/decision/router_state.h
+++ b/libraries/decision/router_state.h
@@ -11,6 +11,7 @@
 #include <decision/retry_budget.h>
 #include <decision/topology.h>
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -60,7 +61,8 @@
     engine_index decode = no_engine_index;
     bool has_place = false; ///< A decode place is promised, ending at `place_end`.
     base::time_point place_end{};
-    double prefill_work = 0; ///< Prompt tokens counted at the prefill engine for this attempt.
+    bool is_waiting_beyond = false; ///< Counted in its decode engine's `waiting_beyond`.
+    double prefill_work = 0;        ///< Prompt tokens counted at the prefill engine for this attempt.
     base::time_point prefill_sent{};
     base::time_point prefill_expected_end{};
     base::time_point kept_until{};
@@ -69,6 +71,7 @@
     base::time_point first_token_at{};
     base::duration transfer_estimate{};
     base::time_point first_token_expected{};
+    service_class kind = service_class::within_share; ///< When its prompt was sent.
     int engine_priority = 0;
     int tokens_relayed = 0;
     std::vector<hold> holds;
@@ -135,7 +138,7 @@
     std::uint64_t arrivals = 0;
     std::mt19937_64 random;
     router_counters counters;
-    estimate_errors errors;
+    std::array<estimate_errors, 2> errors; ///< By service class.
 };
 
 /// A router that knows no engines yet.
--- a/libraries/service/state_dump.cpp
+++ b/libraries/service/state_dump.cpp
@@ -22,7 +22,7 @@
             {"share", engine.share},
             {"places", decision::own_places(engine)},
             {"promised_places", decision::promised_places(engine)},
-            {"own_prompt_tokens", engine.own_prompt_tokens},
+            {"own_prompt_tokens", engine.own_prompt_tokens.front() + engine.own_prompt_tokens.back()},
             {"prompt_tokens_per_second", engine.prompt_rate.value},
             {"seconds_per_token", engine.token_seconds.value},
             {"reported_active", engine.report.active_decodes},
@@ -54,10 +54,23 @@
     return requests;
 }
 
+json dump_errors(const std::array<decision::estimate_errors, 2>& errors) {
+    static constexpr double thousand = 1000;
+    json rows = json::object();
+    for (const bool is_beyond : {false, true}) {
+        const decision::estimate_errors& of_class = errors.at(is_beyond ? 1 : 0);
+        rows[is_beyond ? "beyond_share" : "within_share"] = {
+            {"prefill_late", of_class.prefill_late * thousand},
+            {"prefill_spread", of_class.prefill_spread * thousand},
+            {"first_token_late", of_class.first_token_late * thousand},
+            {"first_token_spread", of_class.first_token_spread * thousand}};
+    }
+    return rows;
+}
+
 } // namespace
 
 json dump_router(const decision::router_state& state, base::time_point now) {
-    static constexpr double thousand = 1000;
     json engines = json::array();
     for (const decision::engine_state& engine : state.engines)
         engines.push_back(dump_engine(engine, now));
@@ -70,11 +83,7 @@
             {"queues", queues},
             {"requests", dump_requests(state, now)},
             {"counters", dump_counters(state.counters)},
-            {"estimate_errors_ms",
-             {{"prefill_late", state.errors.prefill_late * thousand},
-              {"prefill_spread", state.errors.prefill_spread * thousand},
-              {"first_token_late", state.errors.first_token_late * thousand},
-              {"first_token_spread", state.errors.first_token_spread * thousand}}},
+            {"estimate_errors_ms", dump_errors(state.errors)},
             {"retry_credit", state.retries.credit},
             {"remembered_prefixes", state.prefixes.size()}};
 }
--- a/libraries/settings/node_reader.cpp
+++ b/libraries/settings/node_reader.cpp
@@ -32,9 +32,9 @@
 
 } // namespace
 
-node_reader::node_reader(YAML::Node map_node, std::string file_name, std::string field_path,
+node_reader::node_reader(const YAML::Node& map_node, std::string file_name, std::string field_path,
                          problems& problem_list)
-    : node(std::move(map_node)), file_name(std::move(file_name)), field_path(std::move(field_path)),
+    : node(map_node), file_name(std::move(file_name)), field_path(std::move(field_path)),
       problem_list(&problem_list) {
     if (this->node && !this->node.IsNull() && !this->node.IsMap()) {
         problem_list.push_back(
--- a/libraries/settings/node_reader.h
+++ b/libraries/settings/node_reader.h
@@ -24,7 +24,8 @@
 /// A missing or wrong field reads as its fallback, so that the rest can still be checked.
 class node_reader {
 public:
-    node_reader(YAML::Node map_node, std::string file_name, std::string field_path, problems& problem_list);
+    node_reader(const YAML::Node& map_node, std::string file_name, std::string field_path,
+                problems& problem_list);
 
     /// Text of a field that must be there.
     [[nodiscard]] std::string required_text(const std::string& key);
--- a/libraries/wire/json_rpc.cpp
+++ b/libraries/wire/json_rpc.cpp
@@ -25,13 +25,13 @@
 }
 
 /// Server connector whose transport is the HTTP listener: `respond` hands requests in, and the
-/// response comes back through the string that `addInfo` points to.
+/// response comes back through the string that the added information points to.
 class listener_connector : public jsonrpc::AbstractServerConnector {
 public:
     bool StartListening() override { return true; }
     bool StopListening() override { return true; }
-    bool SendResponse(const std::string& response, void* addInfo) override {
-        *static_cast<std::string*>(addInfo) = response;
+    bool SendResponse(const std::string& response, void* response_text) override {
+        *static_cast<std::string*>(response_text) = response;
         return true;
     }
 };
--- a/stand_ins/engine/decode_side.cpp
+++ b/stand_ins/engine/decode_side.cpp
@@ -7,7 +7,7 @@
 
 decode_side::decode_side(wire::asio::io_context& context, const engine_options& options,
                          engine_counters& counters)
-    : context(&context), options(&options), counters(&counters), stepper(context) {}
+    : options(&options), counters(&counters), stepper(context) {}
 
 bool decode_side::take_place(const std::shared_ptr<decode_job>& job, wire::yield_context yield) {
     const auto behind =
@@ -84,14 +84,20 @@
     this->fill_places();
 }
 
+void decode_side::cancel(decode_job& job) {
+    job.is_cancelled = true;
+    job.wake.cancel();
+    if (job.on_cancel)
+        job.on_cancel();
+}
+
 bool decode_side::abort(const std::string& id) {
     bool was_held = false;
     for (const auto& jobs : {this->queue, this->placed})
         for (const auto& job : jobs) {
             if (job->id != id)
                 continue;
-            job->is_cancelled = true;
-            job->wake.cancel();
+            cancel(*job);
             was_held = true;
         }
     return was_held;
--- a/stand_ins/engine/decode_side.h
+++ b/stand_ins/engine/decode_side.h
@@ -27,6 +27,7 @@
     bool is_stepping = false;
     bool is_stalled = false;
     bool is_cancelled = false;
+    std::function<void()> on_cancel; ///< Ends a transfer in progress.
     /// Takes the next token; false to end.
     std::function<bool(int position)> on_token;
     wire::asio::steady_timer wake;
@@ -43,6 +44,8 @@
     [[nodiscard]] bool run(const std::shared_ptr<decode_job>& job, wire::yield_context yield);
     /// Gives the place back.
     void leave(const std::shared_ptr<decode_job>& job);
+    /// Drops a request, wherever it is.
+    static void cancel(decode_job& job);
     /// Drops the request under an id; says whether there was one.
     bool abort(const std::string& id);
 
@@ -55,7 +58,6 @@
     void schedule_step();
     void step();
 
-    wire::asio::io_context* context;
     const engine_options* options;
     engine_counters* counters;
     std::vector<std::shared_ptr<decode_job>> queue;
--- a/stand_ins/engine/engine.cpp
+++ b/stand_ins/engine/engine.cpp
@@ -141,15 +141,12 @@
     job->id = id;
     job->priority = body.value("priority", 0);
     job->plan = plan_generation(prompt, body.value("max_tokens", 16));
-    connection.watch([this, job] {
-        job->is_cancelled = true;
-        job->wake.cancel();
-    });
+    connection.watch([job] { decode_side::cancel(*job); });
     bool is_ready = this->decodes.take_place(job, yield);
     int status = 499;
     const json parameters = body.value("kv_transfer_params", json::object());
     if (is_ready && parameters.value("do_remote_prefill", false)) {
-        status = this->fetch_kv(parameters, yield);
+        status = this->fetch_kv(parameters, *job, yield);
         is_ready = status == 200 && !job->is_cancelled;
     }
     if (is_ready) {
@@ -163,16 +160,23 @@
     this->decodes.leave(job);
 }
 
-int engine::fetch_kv(const json& parameters, wire::yield_context yield) {
+int engine::fetch_kv(const json& parameters, decode_job& job, wire::yield_context yield) {
     const std::string address =
         parameters.value("remote_host", "") + ":" + std::to_string(parameters.value("remote_port", 0));
-    const json request = {{"id", parameters.value("remote_request_id", "")}};
-    const auto answer = wire::fetch(this->pool, address, wire::json_request("/kv/pull", request.dump()),
-                                    transfer_limit, yield);
-    if (answer && answer->status == 200)
-        return 200;
-    ++this->counters.lost_kv;
-    return 410;
+    const json body = {{"id", parameters.value("remote_request_id", "")}};
+    const auto deadline = steady_clock::now() + transfer_limit;
+    const auto on_call = [&job](const std::shared_ptr<wire::upstream_call>& call) {
+        job.on_cancel = [call] { call->cancel(); };
+    };
+    auto open = wire::open_exchange(this->pool, address, wire::json_request("/kv/pull", body.dump()),
+                                    wire::connection_use::may_reuse, deadline, on_call, yield);
+    job.on_cancel = nullptr;
+    if (!open || open->head.status != 200 || !open->call->read_rest(deadline, yield)) {
+        ++this->counters.lost_kv;
+        return 410;
+    }
+    this->pool.give_back(address, open->call);
+    return 200;
 }
 
 void engine::send_kv(const wire::http_request& request, wire::caller_connection& connection,
--- a/stand_ins/engine/engine.h
+++ b/stand_ins/engine/engine.h
@@ -37,7 +37,7 @@
     void decode(const json& body, const std::string& id, bool is_chat, wire::caller_connection& connection,
                 wire::yield_context yield);
     /// Fetches the KV cache from the prefill engine: 200, or the status to refuse with.
-    [[nodiscard]] int fetch_kv(const json& parameters, wire::yield_context yield);
+    [[nodiscard]] int fetch_kv(const json& parameters, decode_job& job, wire::yield_context yield);
     void stream(const std::shared_ptr<decode_job>& job, const std::string& answer_id, bool is_chat,
                 int prompt_tokens, wire::caller_connection& connection, wire::yield_context yield);
     void send_kv(const wire::http_request& request, wire::caller_connection& connection,
--- a/stand_ins/harness/child_process.cpp
+++ b/stand_ins/harness/child_process.cpp
@@ -31,6 +31,7 @@
     std::vector<std::string> words{program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
     for (std::string& word : words)
         pointers.push_back(word.data());
     pointers.push_back(nullptr);
--- a/stand_ins/harness/cluster.cpp
+++ b/stand_ins/harness/cluster.cpp
@@ -47,7 +47,8 @@
 }
 
 std::unique_ptr<child_process> cluster::start(const std::string& program, const std::string& name,
-                                              std::vector<std::string> flags, std::string& address) const {
+                                              const std::vector<std::string>& flags,
+                                              std::string& address) const {
     auto process = std::make_unique<child_process>(this->options.programs + "/" + program, flags,
                                                    this->options.folder + "/" + name + ".log");
     const json line = process->read_json();
--- a/stand_ins/harness/cluster.h
+++ b/stand_ins/harness/cluster.h
@@ -89,7 +89,7 @@
 
 private:
     std::unique_ptr<child_process> start(const std::string& program, const std::string& name,
-                                         std::vector<std::string> flags, std::string& address) const;
+                                         const std::vector<std::string>& flags, std::string& address) const;
     std::string proxied(const std::string& name, const std::string& address) const;
 
     std::unique_ptr<child_process> log;
--- a/tests/decision/test_engine_state.cpp
+++ b/tests/decision/test_engine_state.cpp
@@ -18,15 +18,15 @@
 
 TEST_CASE("the next place is free when enough promised ones end") {
     engine_state engine = engine_with(2);
-    CHECK(next_place(engine, start) == start);
+    CHECK(next_place(engine, service_class::beyond_share, start) == start);
     promise_place(engine, start + 100ms);
-    CHECK(next_place(engine, start) == start);
+    CHECK(next_place(engine, service_class::beyond_share, start) == start);
     promise_place(engine, start + 300ms);
-    CHECK(next_place(engine, start) == start + 100ms);
+    CHECK(next_place(engine, service_class::beyond_share, start) == start + 100ms);
     promise_place(engine, start + 400ms);
-    CHECK(next_place(engine, start) == start + 300ms);
+    CHECK(next_place(engine, service_class::beyond_share, start) == start + 300ms);
     return_place(engine, start + 100ms);
-    CHECK(next_place(engine, start) == start + 300ms);
+    CHECK(next_place(engine, service_class::beyond_share, start) == start + 300ms);
 }
 
 TEST_CASE("a share bounds the places of this host") {
@@ -39,20 +39,17 @@
 
 TEST_CASE("a wait that own prompts saw is expected again, less with time") {
     engine_state engine = engine_with(2);
-    note_prefill(engine, 1'000, 500ms, start); // 100 ms of these were its own.
-    CHECK(prefill_begin(engine, start) == start + 200ms);
-    CHECK(prefill_begin(engine, start + 1s) == start + 1100ms);
-    CHECK(prefill_begin(engine, start + 100s) == start + 100s);
+    note_prefill(engine, service_class::within_share, 1'000, 500ms, start); // 100 ms of these were its own.
+    CHECK(prefill_begin(engine, service_class::within_share, start) == start + 200ms);
+    CHECK(prefill_begin(engine, service_class::within_share, start + 1s) == start + 1100ms);
+    CHECK(prefill_begin(engine, service_class::within_share, start + 100s) == start + 100s);
 }
 
-TEST_CASE("the window lets one prompt out whatever its length and closes on more") {
+TEST_CASE("each class of service expects the wait that its own prompts saw") {
     engine_state engine = engine_with(2);
-    engine.share = 0.1;
-    CHECK_FALSE(is_window_full(engine));
-    engine.own_prompt_tokens = 5'000;
-    CHECK(is_window_full(engine));
-    engine.own_prompt_tokens = 50;
-    CHECK_FALSE(is_window_full(engine));
+    note_prefill(engine, service_class::beyond_share, 1'000, 900ms, start);
+    CHECK(prefill_begin(engine, service_class::within_share, start) == start);
+    CHECK(prefill_begin(engine, service_class::beyond_share, start) == start + 400ms);
 }
 
 TEST_CASE("an estimate stays within bounds whatever it is told") {
--- a/tests/decision/test_router.cpp
+++ b/tests/decision/test_router.cpp
@@ -175,3 +175,33 @@
     CHECK(effects.empty());
     CHECK(core.state.counters.ignored_events == 1);
 }
+
+TEST_CASE("one prompt goes whatever its length, the next when the window has room") {
+    bench core(1, 4, 8);
+    core.give(share_granted{{"p0"}, 0.1});
+    CHECK(bench::find<start_prefill>(core.give(request_arrived{make_facts("first", "/a", 4000)})) != nullptr);
+    CHECK(bench::find<start_prefill>(core.give(request_arrived{make_facts("second")})) == nullptr);
+    core.now += 200ms;
+    CHECK(bench::find<start_prefill>(core.give(prefill_ended{{"first"}, 1, 4000, 0})) != nullptr);
+}
+
+TEST_CASE("an organisation beyond its share goes behind others at the engines") {
+    bench core(1, 4, 8);
+    for (int index = 0; index < 60; ++index) {
+        core.give(request_arrived{make_facts("flood" + std::to_string(index), "/flood", 2000)});
+        core.now += 10ms;
+        // The first prompts went before the flood showed as one.
+        if (index >= 30 && index < 33)
+            core.give(prefill_ended{{"flood" + std::to_string(index - 30)}, 1, 2000, 0});
+    }
+    const auto quiet = core.give(request_arrived{make_facts("quiet", "/quiet", 200)});
+    const auto* const own = bench::find<start_prefill>(quiet);
+    REQUIRE(own != nullptr);
+    CHECK(own->id == base::request_id{"quiet"});
+    CHECK(own->engine_priority < 10);
+    bool has_later_flood = false;
+    for (const auto& [id, request] : core.state.requests)
+        has_later_flood =
+            has_later_flood || (request.at == phase::prefilling && request.engine_priority >= 10);
+    CHECK(has_later_flood);
+}
--- a/tests/decision/test_router_properties.cpp
+++ b/tests/decision/test_router_properties.cpp
@@ -31,9 +31,11 @@
             FAIL(id.value << " was answered " << request.ends << " times");
     CHECK(world.state.requests.empty());
     for (const decision::engine_state& engine : world.state.engines) {
+        if (engine.waiting_beyond != 0)
+            FAIL("a promise still counts as waiting at " << engine.facts.id.value);
         if (decision::promised_places(engine) != 0)
             FAIL("a place is still promised at " << engine.facts.id.value);
-        if (engine.own_prompt_tokens > 0.5)
+        if (engine.own_prompt_tokens.front() + engine.own_prompt_tokens.back() > 0.5)
             FAIL("prompt work is still counted at " << engine.facts.id.value);
     }
     CHECK(decision::queued_requests(world.state) == 0);
