service: Move engines between pools by fenced orders; decide in constant time

Cause: leases had no holder; a decision at 1,300 organisations looked at all of them, and at 1,000 engines added all of them up.

--- a/benches/decide_bench.cpp
+++ b/benches/decide_bench.cpp
@@ -17,7 +17,7 @@
 
 topology make_topology(int upstreams) {
     topology value;
-    deployment_facts one{"one", {}, {}, 131'072, std::chrono::seconds(3)};
+    deployment_facts one{"one", {}, {}, 1'000, std::chrono::seconds(3)};
     for (int index = 0; index < upstreams; ++index) {
         const bool is_prefill = index % 3 == 0;
         const base::upstream_id id{(is_prefill ? "p" : "d") + std::to_string(index)};
--- a/benches/hosts_bench.cpp
+++ b/benches/hosts_bench.cpp
@@ -106,10 +106,12 @@
     cluster.hosts.pop_back();
     const auto start = steady_clock::now();
     while (steady_clock::now() - start < std::chrono::seconds(30)) {
-        for (const stand_in::running_host& host : cluster.hosts)
-            for (const json& member : cluster.state(host).at("control").at("members"))
+        for (const stand_in::running_host& host : cluster.hosts) {
+            const json state = cluster.state(host);
+            for (const json& member : state.at("control").at("members"))
                 if (member.at("n") == name && member.at("life") == "failed")
                     return std::chrono::duration<double>(steady_clock::now() - start).count();
+        }
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
     return -1;
--- a/libraries/decision/dispatch.cpp
+++ b/libraries/decision/dispatch.cpp
@@ -22,28 +22,39 @@
 /// Largest story of one request, in lines.
 constexpr std::size_t most_story_lines = 32;
 
-/// Seconds of the whole deployment's scarcer side that a request takes.
-double cost_of(const router_state& state, const deployment_state& deployment, const request_facts& facts) {
-    double prompt_rate = 0;
-    double engines = 0;
+/// How long a deployment's added-up capacity is used before it is added up again.
+constexpr base::duration capacity_lifetime = 20ms;
+
+deployment_capacity add_up(const router_state& state, const deployment_state& deployment,
+                           base::time_point now) {
+    deployment_capacity total;
+    total.at = now;
     for (const engine_index index : deployment.prefill_pool) {
-        prompt_rate += engine_at(state, index).prompt_rate.value * engine_at(state, index).share;
-        engines += engine_at(state, index).share;
+        const engine_state& engine = engine_at(state, index);
+        total.prompt_rate += engine.prompt_rate.value * engine.share;
+        total.engines += engine.share;
     }
-    double places = 0;
-    double token_seconds = 0;
     for (const engine_index index : deployment.decode_pool) {
-        places += own_places(engine_at(state, index));
-        token_seconds += engine_at(state, index).token_seconds.value;
+        total.places += own_places(engine_at(state, index));
+        total.token_seconds += engine_at(state, index).token_seconds.value;
     }
-    if (prompt_rate <= 0 || places <= 0)
+    total.token_seconds /= std::max(1.0, static_cast<double>(deployment.decode_pool.size()));
+    return total;
+}
+
+/// Seconds of the whole deployment's scarcer side that a request takes.
+double cost_of(const router_state& state, deployment_state& deployment, const request_facts& facts,
+               base::time_point now) {
+    deployment_capacity& capacity = deployment.capacity;
+    if (now - capacity.at >= capacity_lifetime)
+        capacity = add_up(state, deployment, now);
+    if (capacity.prompt_rate <= 0 || capacity.places <= 0)
         return 0;
-    token_seconds /= static_cast<double>(deployment.decode_pool.size());
     const double decode_seconds =
-        std::max(1.0, facts.max_tokens * deployment.output_ratio.value) * token_seconds;
+        std::max(1.0, facts.max_tokens * deployment.output_ratio.value) * capacity.token_seconds;
     const bool is_decode_bound =
-        deployment.decode_cost.value / places > deployment.prefill_cost.value / engines;
-    return is_decode_bound ? decode_seconds / places : facts.prompt_tokens / prompt_rate;
+        deployment.decode_cost.value / capacity.places > deployment.prefill_cost.value / capacity.engines;
+    return is_decode_bound ? decode_seconds / capacity.places : facts.prompt_tokens / capacity.prompt_rate;
 }
 
 base::duration retry_after_for(base::duration overrun) { return std::max(least_retry_after, overrun); }
@@ -247,10 +258,10 @@
         forget_if_done(state, facts.id);
         return;
     }
-    const double cost = cost_of(state, deployment, facts);
+    const double cost = cost_of(state, deployment, facts, now);
     note_demand(deployment.queue, facts.organisation, cost, facts.weight, now);
     request.kind = class_now(deployment, facts.organisation, now);
-    const double wait = cost_ahead(deployment.queue, facts.organisation);
+    const double wait = cost_ahead(deployment.queue, facts.organisation, cost);
     const base::duration expected =
         base::from_seconds(wait) + least_first_token(state, deployment, facts, request.kind, now);
     const base::duration allowed = usable_target(state, facts, request.kind);
@@ -303,9 +314,9 @@
 void dispatch_deployment(router_state& state, deployment_state& deployment, base::time_point now,
                          effects& out) {
     while (deployment.queue.length > 0) {
-        const auto order = service_order(deployment.queue);
-        POSTPADDLE_VERIFY(!order.empty());
-        if (serve_head(state, deployment, order.front(), now, out) == head_result::must_wait)
+        const auto next = next_in_service(deployment.queue);
+        POSTPADDLE_VERIFY(next.has_value());
+        if (serve_head(state, deployment, *next, now, out) == head_result::must_wait)
             return;
     }
 }
--- a/libraries/decision/fair_queue.cpp
+++ b/libraries/decision/fair_queue.cpp
@@ -12,11 +12,13 @@
 using namespace std::chrono_literals;
 
 /// Time constant of an organisation's demand, in seconds.
-constexpr double demand_memory = 2;
+constexpr double demand_memory = 8;
 /// How long a fair level is used before it is worked out again.
 constexpr base::duration level_lifetime = 50ms;
 /// Part of the engines' time that is given out as fair shares; the rest is what estimates may be wrong by.
 constexpr double given_out = 0.95;
+/// An organisation is beyond its share from this factor of it on; less is the chance of its own arrivals.
+constexpr double chance_factor = 1.2;
 /// An organisation without demand for this long is forgotten.
 constexpr base::duration idle_lifetime = 60s;
 
@@ -70,14 +72,16 @@
     }
     const auto found = queue.organisations.find(organisation);
     return found != queue.organisations.end() &&
-           demand_now(found->second, now) > found->second.weight * queue.fair_level;
+           demand_now(found->second, now) > found->second.weight * queue.fair_level * chance_factor;
 }
 
 void enqueue(fair_queue& queue, const base::organisation_id& organisation, queue_entry entry) {
     organisation_queue& own = queue.organisations[organisation];
     // 1. A request's start tag is the greater of the virtual time and its flow's last finish tag.
-    if (own.entries.empty())
+    if (own.entries.empty()) {
         own.virtual_time = std::max(own.virtual_time, queue.virtual_time);
+        queue.waiting.emplace(own.virtual_time, organisation);
+    }
     own.queued_cost += entry.cost;
     queue.queued_cost += entry.cost;
     ++queue.length;
@@ -91,45 +95,38 @@
     found->second.queued_cost -= entry.cost;
     queue.queued_cost -= entry.cost;
     --queue.length;
+    if (found->second.entries.empty())
+        queue.waiting.erase({found->second.virtual_time, organisation});
     return true;
 }
 
-std::vector<base::organisation_id> service_order(const fair_queue& queue) {
-    std::vector<std::pair<double, const base::organisation_id*>> waiting;
-    for (const auto& [id, own] : queue.organisations)
-        if (!own.entries.empty())
-            waiting.emplace_back(own.virtual_time, &id);
-    std::ranges::sort(waiting, [](const auto& left, const auto& right) {
-        return std::tie(left.first, left.second->value) < std::tie(right.first, right.second->value);
-    });
-    std::vector<base::organisation_id> order;
-    order.reserve(waiting.size());
-    for (const auto& [virtual_time, id] : waiting)
-        order.push_back(*id);
-    return order;
+std::optional<base::organisation_id> next_in_service(const fair_queue& queue) {
+    if (queue.waiting.empty())
+        return std::nullopt;
+    return queue.waiting.begin()->second;
 }
 
 void charge(fair_queue& queue, const base::organisation_id& organisation, const queue_entry& entry,
             double weight) {
-    organisation_queue& own = queue.organisations[organisation];
     if (!remove(queue, organisation, entry))
         return;
+    organisation_queue& own = queue.organisations[organisation];
+    queue.waiting.erase({own.virtual_time, organisation});
     // 2. The virtual time is the start tag of the request in service.
     queue.virtual_time = std::max(queue.virtual_time, own.virtual_time);
     // 3. The finish tag is the start tag plus the request's length over the flow's weight.
     own.virtual_time += entry.cost / weight;
     ++own.dispatched;
+    if (!own.entries.empty())
+        queue.waiting.emplace(own.virtual_time, organisation);
 }
 
-double cost_ahead(const fair_queue& queue, const base::organisation_id& organisation) {
+double cost_ahead(const fair_queue& queue, const base::organisation_id& organisation, double cost) {
     const auto found = queue.organisations.find(organisation);
     const double own = found == queue.organisations.end() ? 0 : found->second.queued_cost;
-    double ahead = own;
+    const std::size_t others = queue.waiting.size() - (own > 0 ? 1 : 0);
     // Each other organisation is served at most about as much as this one meanwhile.
-    for (const auto& [id, other] : queue.organisations)
-        if (id != organisation && !other.entries.empty())
-            ahead += std::min(other.queued_cost, own + other.entries.begin()->cost);
-    return ahead;
+    return own + std::min(queue.queued_cost - own, static_cast<double>(others) * (own + cost));
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/fair_queue.h
+++ b/libraries/decision/fair_queue.h
@@ -5,6 +5,7 @@
 #include <base/identifier.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -46,6 +47,8 @@
 /// delay it by more than the request in progress.
 struct fair_queue {
     std::unordered_map<base::organisation_id, organisation_queue> organisations;
+    /// Organisations with a queue, by virtual time: the least served first.
+    std::set<std::pair<double, base::organisation_id>> waiting;
     double virtual_time = 0;
     std::size_t length = 0;
     double queued_cost = 0;
@@ -69,14 +72,15 @@
 /// Takes a request out without serving it; says whether it was there.
 bool remove(fair_queue& queue, const base::organisation_id& organisation, const queue_entry& entry);
 
-/// The organisations that wait, least served first.
-[[nodiscard]] std::vector<base::organisation_id> service_order(const fair_queue& queue);
+/// The least served organisation that waits.
+[[nodiscard]] std::optional<base::organisation_id> next_in_service(const fair_queue& queue);
 
 /// Takes a request out as served and charges its cost by the organisation's weight.
 void charge(fair_queue& queue, const base::organisation_id& organisation, const queue_entry& entry,
             double weight);
 
-/// Queued cost that fair service would place before a new request of this organisation.
-[[nodiscard]] double cost_ahead(const fair_queue& queue, const base::organisation_id& organisation);
+/// Queued cost that fair service would at most place before a new request of this organisation.
+[[nodiscard]] double cost_ahead(const fair_queue& queue, const base::organisation_id& organisation,
+                                double cost);
 
 } // namespace postpaddle::decision
--- a/libraries/decision/pairing.cpp
+++ b/libraries/decision/pairing.cpp
@@ -19,6 +19,8 @@
 /// Part of the first-token target that is kept free for what the estimates are wrong by.
 constexpr double least_reserve = 0.1;
 constexpr double most_reserve = 0.4;
+/// Part of the mean size of the errors that is kept free.
+constexpr double kept_spread = 0.7;
 /// Pairs that an explanation lists.
 constexpr std::size_t most_weighed = 6;
 
@@ -141,7 +143,7 @@
     // has cost as much as one in time.
     const double target = base::to_seconds(facts.first_token_target);
     const estimate_errors& errors = state.errors.at(static_cast<std::size_t>(kind));
-    const double error = std::max(0.0, errors.first_token_late) + errors.first_token_spread;
+    const double error = std::max(0.0, errors.first_token_late) + kept_spread * errors.first_token_spread;
     return base::from_seconds(target - std::clamp(error, least_reserve * target, most_reserve * target));
 }
 
@@ -215,12 +217,10 @@
     return best;
 }
 
-base::duration least_first_token(const router_state& state, const deployment_state& deployment,
+base::duration least_first_token(router_state& state, const deployment_state& deployment,
                                  const request_facts& facts, service_class kind, base::time_point now) {
     base::duration least = base::duration::max();
-    for (const engine_index index : deployment.prefill_pool) {
-        if (!is_usable(engine_at(state, index), now))
-            continue;
+    for (const engine_index index : sample(state, deployment.prefill_pool, now, no_engine_index)) {
         const prefill_option option = weigh_prefill(state, facts, kind, index, now);
         least = std::min(least, option.end - now);
     }
--- a/libraries/decision/pairing.h
+++ b/libraries/decision/pairing.h
@@ -54,7 +54,7 @@
                                            service_class kind);
 
 /// Time to the end of the prompt if it were sent now to the engine that would end it first.
-[[nodiscard]] base::duration least_first_token(const router_state& state, const deployment_state& deployment,
+[[nodiscard]] base::duration least_first_token(router_state& state, const deployment_state& deployment,
                                                const request_facts& facts, service_class kind,
                                                base::time_point now);
 
--- a/libraries/decision/router_state.h
+++ b/libraries/decision/router_state.h
@@ -84,12 +84,22 @@
     base::time_point busy_until{};
 };
 
+/// What this host may use of a deployment's engines, added up.
+struct deployment_capacity {
+    double prompt_rate = 0;   ///< Prompt tokens a second.
+    double engines = 0;       ///< Prefill engines, by share.
+    double places = 0;        ///< Decode places.
+    double token_seconds = 0; ///< Mean seconds between tokens.
+    base::time_point at{};
+};
+
 /// A deployment's pools by index, its queue and what was learned of its outputs.
 struct deployment_state {
     deployment_facts facts;
     std::vector<engine_index> prefill_pool;
     std::vector<engine_index> decode_pool;
     fair_queue queue;
+    deployment_capacity capacity;
     estimate output_ratio = make_estimate(0.5); ///< Tokens made over tokens asked for.
     estimate prefill_cost = make_estimate(0.1); ///< Prefill engine seconds of a request.
     estimate decode_cost = make_estimate(1);    ///< Decode place seconds of a request.
--- a/libraries/service/control_thread.cpp
+++ b/libraries/service/control_thread.cpp
@@ -47,7 +47,7 @@
     : log(this->context, parts.process->log_address), peers(this->context, parts.process->peers_token),
       control(make_control(parts, this->context, this->log, this->peers)), settings(this->control),
       membership(this->control), upstreams(this->control), shares(this->control, this->upstreams),
-      claim(this->control) {}
+      claim(this->control), leases(this->control), pools(this->control, this->leases) {}
 
 control_thread::~control_thread() { this->stop(); }
 
@@ -73,6 +73,7 @@
     this->upstreams.start();
     this->shares.start();
     this->claim.start();
+    this->pools.start();
     wire::spawn_coroutine(this->context, [this](wire::yield_context yield) { this->watch_readiness(yield); });
     this->thread = std::thread([this] { this->context.run(); });
 }
--- a/libraries/service/control_thread.h
+++ b/libraries/service/control_thread.h
@@ -3,7 +3,9 @@
 
 #include <service/claim_controller.h>
 #include <service/control_context.h>
+#include <service/lease_controller.h>
 #include <service/membership_controller.h>
+#include <service/pool_controller.h>
 #include <service/settings_controller.h>
 #include <service/share_controller.h>
 #include <service/upstream_controller.h>
@@ -71,6 +73,8 @@
     upstream_controller upstreams;
     share_controller shares;
     claim_controller claim;
+    lease_controller leases;
+    pool_controller pools;
     std::shared_ptr<wire::http_listener> listener;
     std::atomic<bool> ready{false};
     std::uint64_t counted_bytes = 0;
--- /dev/null
+++ b/libraries/service/pool_controller.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <host/pool_balance.h>
+#include <service/control_context.h>
+#include <service/lease_controller.h>
+#include <wire/upstream_pool.h>
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace postpaddle::service {
+
+/// Moves engines between a deployment's pools on sustained imbalance, by fenced orders and a change of the
+/// settings. Does nothing for deployments whose settings do not enable it. Only the deployment's home acts.
+class pool_controller {
+public:
+    pool_controller(control_context& control, lease_controller& leases);
+
+    void start();
+
+private:
+    void watch(wire::yield_context yield);
+    void look_at(const settings::deployment_settings& deployment, wire::yield_context yield);
+    [[nodiscard]] host::pool_load load_of(const std::string& deployment) const;
+    void move(const settings::deployment_settings& deployment, host::pool_move direction,
+              wire::yield_context yield);
+    [[nodiscard]] bool give_order(const settings::upstream_settings& engine, const std::string& role,
+                                  wire::yield_context yield);
+    void publish(const settings::deployment_settings& deployment, const base::upstream_id& engine,
+                 host::pool_move direction, wire::yield_context yield);
+
+    control_context* control;
+    lease_controller* leases;
+    wire::upstream_pool pool;
+    std::map<std::string, host::balance_state> states;
+};
+
+} // namespace postpaddle::service
--- a/libraries/settings/settings_tree.h
+++ b/libraries/settings/settings_tree.h
@@ -36,6 +36,17 @@
     bool operator==(const upstream_settings&) const = default;
 };
 
+/// When engines of a deployment are moved between its pools; off unless the operators say otherwise.
+struct balance_settings {
+    bool is_enabled = false;
+    double high = 0.9;              ///< A pool this full needs help.
+    double low = 0.5;               ///< A pool this empty can spare an engine.
+    double sustained_seconds = 60;  ///< For this long without a break.
+    double cool_down_seconds = 300; ///< Between two moves.
+
+    bool operator==(const balance_settings&) const = default;
+};
+
 /// A model with its separate pools.
 struct deployment_settings {
     std::string name;
@@ -45,6 +56,7 @@
     std::vector<base::upstream_id> decode_pool;
     double kv_bytes_per_token = 131'072;
     double kept_seconds = 3; ///< How long a prefill result is kept by its engine.
+    balance_settings balance;
 
     bool operator==(const deployment_settings&) const = default;
 };
--- a/libraries/settings/tree_parser.cpp
+++ b/libraries/settings/tree_parser.cpp
@@ -55,6 +55,21 @@
     return pool;
 }
 
+balance_settings read_balance(node_reader reader) {
+    static constexpr double longest_seconds = 86'400;
+    const balance_settings standard;
+    balance_settings value;
+    value.is_enabled = reader.flag("enabled", standard.is_enabled);
+    value.high = reader.number("high", standard.high, {0, 10});
+    value.low = reader.number("low", standard.low, {0, 10});
+    value.sustained_seconds =
+        reader.number("sustained_seconds", standard.sustained_seconds, {0, longest_seconds});
+    value.cool_down_seconds =
+        reader.number("cool_down_seconds", standard.cool_down_seconds, {0, longest_seconds});
+    reader.finish();
+    return value;
+}
+
 deployment_settings read_deployment(node_reader reader, const std::string& name, const settings_tree& tree) {
     const deployment_settings standard;
     deployment_settings value;
@@ -64,6 +79,7 @@
     value.prefill_pool = read_pool(reader, "prefill_pool", tree);
     value.decode_pool = read_pool(reader, "decode_pool", tree);
     value.kv_bytes_per_token = reader.number("kv_bytes_per_token", standard.kv_bytes_per_token, {1, 1e9});
+    value.balance = read_balance(reader.child("balance"));
     value.kept_seconds = reader.number("kept_seconds", standard.kept_seconds, {0.01, 3600});
     reader.finish();
     return value;
--- a/libraries/wire/engine_adapter.cpp
+++ b/libraries/wire/engine_adapter.cpp
@@ -13,8 +13,10 @@
 constexpr const char* chat_prefix = "chatcmpl-";
 constexpr std::string_view done_data = "[DONE]";
 
-std::string engine_id(const engine_attempt& attempt) {
-    return (attempt.api == completion_api::chat ? chat_prefix : completion_prefix) + attempt.attempt_id;
+/// Whether an answer's id is the attempt's, without building the id for each token.
+bool is_own_id(std::string_view id, const engine_attempt& attempt) {
+    const std::string_view prefix = attempt.api == completion_api::chat ? chat_prefix : completion_prefix;
+    return id.starts_with(prefix) && id.substr(prefix.size()) == attempt.attempt_id;
 }
 
 wire_error malformed(std::string detail) { return {wire_failure::malformed, std::move(detail)}; }
@@ -62,7 +64,7 @@
     if (!parsed.is_object())
         return tl::make_unexpected(malformed("prefill answer is not JSON"));
     try {
-        if (parsed.at("id") != engine_id(attempt))
+        if (!is_own_id(parsed.at("id").get<std::string>(), attempt))
             return tl::make_unexpected(malformed("prefill answer of another request"));
         prefill_answer answer;
         answer.kv_transfer_params = parsed.at("kv_transfer_params");
@@ -117,7 +119,7 @@
     simdjson::dom::array choices;
     if (parser.parse(data.data(), data.size()).get(parsed) != simdjson::SUCCESS)
         return tl::make_unexpected(malformed("event is not JSON"));
-    if (parsed["id"].get(id) != simdjson::SUCCESS || id != engine_id(attempt))
+    if (parsed["id"].get(id) != simdjson::SUCCESS || !is_own_id(id, attempt))
         return tl::make_unexpected(malformed("event of another request"));
     if (parsed["choices"].get(choices) != simdjson::SUCCESS)
         return tl::make_unexpected(malformed("event without choices"));
@@ -154,6 +156,10 @@
     return json_request("/abort_request", json{{"rid", attempt_id}}.dump());
 }
 
+http_request make_role_order(const std::string& role, std::uint64_t token) {
+    return json_request("/orders", json{{"role", role}, {"token", token}}.dump());
+}
+
 http_request make_load_request() { return get_request("/load"); }
 
 expected<decision::load_report> parse_load(const std::string& text) {
--- a/libraries/wire/engine_adapter.h
+++ b/libraries/wire/engine_adapter.h
@@ -78,6 +78,8 @@
 
 /// Request that frees what the engine holds of an attempt.
 [[nodiscard]] http_request make_abort_request(const std::string& attempt_id);
+/// Order to take a role, `prefill` or `decode`, with the fencing token of the lease it is given under.
+[[nodiscard]] http_request make_role_order(const std::string& role, std::uint64_t token);
 /// Request for the engine's load.
 [[nodiscard]] http_request make_load_request();
 [[nodiscard]] expected<decision::load_report> parse_load(const std::string& text);
--- a/tests/decision/test_fair_queue.cpp
+++ b/tests/decision/test_fair_queue.cpp
@@ -18,10 +18,10 @@
 std::map<std::string, int> serve(fair_queue& queue, int count, const std::map<std::string, double>& weights) {
     std::map<std::string, int> served;
     for (int index = 0; index < count; ++index) {
-        const auto order = service_order(queue);
-        if (order.empty())
+        const auto next = next_in_service(queue);
+        if (!next)
             break;
-        const base::organisation_id& id = order.front();
+        const base::organisation_id& id = *next;
         const queue_entry head = *queue.organisations.at(id).entries.begin();
         charge(queue, id, head, weights.at(id.value));
         ++served[id.value];
@@ -75,7 +75,7 @@
     CHECK_FALSE(remove(queue, {"one"}, entry(1)));
     CHECK(queue.length == 0);
     CHECK(queue.queued_cost == 0);
-    CHECK(service_order(queue).empty());
+    CHECK_FALSE(next_in_service(queue));
 }
 
 TEST_CASE("who asks for more than max-min fair service gives is beyond its share") {
@@ -83,7 +83,7 @@
     fair_queue queue;
     const base::time_point now{1h};
     const auto ask = [&](const char* name, double per_second, double weight) {
-        note_demand(queue, {name}, per_second * 2, weight, now); // Two seconds' worth at once.
+        note_demand(queue, {name}, per_second * 8, weight, now); // Eight seconds' worth at once.
     };
     ask("quiet", 0.2, 1);
     ask("flood", 4, 1);
@@ -92,19 +92,19 @@
     ask("heavy", 0.45, 3);
     CHECK_FALSE(is_beyond_share(queue, {"heavy"}, now + 100ms));
     CHECK_FALSE(is_beyond_share(queue, {"stranger"}, now));
-    CHECK_FALSE(is_beyond_share(queue, {"flood"}, now + 10s));
+    CHECK_FALSE(is_beyond_share(queue, {"flood"}, now + 60s));
 }
 
 TEST_CASE("with enough for all nobody is beyond its share, with too little for equals all are") {
     fair_queue queue;
     const base::time_point now{std::chrono::hours(1)};
-    note_demand(queue, {"one"}, 0.8, 1, now);
-    note_demand(queue, {"two"}, 0.9, 1, now);
+    note_demand(queue, {"one"}, 3.2, 1, now);
+    note_demand(queue, {"two"}, 3.6, 1, now);
     CHECK_FALSE(is_beyond_share(queue, {"one"}, now));
     CHECK_FALSE(is_beyond_share(queue, {"two"}, now));
     fair_queue full;
-    note_demand(full, {"one"}, 1.6, 1, now);
-    note_demand(full, {"two"}, 1.6, 1, now);
+    note_demand(full, {"one"}, 6.4, 1, now);
+    note_demand(full, {"two"}, 6.4, 1, now);
     CHECK(is_beyond_share(full, {"one"}, now));
     CHECK(is_beyond_share(full, {"two"}, now));
 }
--- a/tests/decision/test_router.cpp
+++ b/tests/decision/test_router.cpp
@@ -187,12 +187,12 @@
 
 TEST_CASE("an organisation beyond its share goes behind others at the engines") {
     bench core(1, 4, 8);
-    for (int index = 0; index < 60; ++index) {
-        core.give(request_arrived{make_facts("flood" + std::to_string(index), "/flood", 2000)});
+    for (int index = 0; index < 120; ++index) {
+        core.give(request_arrived{make_facts("flood" + std::to_string(index), "/flood", 4000)});
         core.now += 10ms;
         // The first prompts went before the flood showed as one.
-        if (index >= 30 && index < 33)
-            core.give(prefill_ended{{"flood" + std::to_string(index - 30)}, 1, 2000, 0});
+        if (index >= 100 && index < 103)
+            core.give(prefill_ended{{"flood" + std::to_string(index - 100)}, 1, 4000, 0});
     }
     const auto quiet = core.give(request_arrived{make_facts("quiet", "/quiet", 200)});
     const auto* const own = bench::find<start_prefill>(quiet);
--- a/tests/integration/test_hosts.cpp
+++ b/tests/integration/test_hosts.cpp
@@ -292,3 +292,30 @@
     cluster.wait_ready();
     CHECK(revision_of(cluster, cluster.hosts[1]) == revision);
 }
+
+TEST_CASE("with the pool controller on, an engine moves to the pool that is full, by a fenced order") {
+    stand_in::cluster cluster(small_cluster("balance", 2));
+    std::string document = cluster_document();
+    const std::string pools = "decode_pool: [d1, d2], kept_seconds: 3";
+    document.replace(document.find(pools), pools.size(),
+                     "decode_pool: [d1], kept_seconds: 3, balance: {enabled: true, high: 0.5, low: 0.4, "
+                     "sustained_seconds: 1, cool_down_seconds: 600}");
+    REQUIRE(cluster.publish(document));
+    cluster.wait_ready();
+    // Long streams fill more than half of d1's places; the prefill engines have nothing to do.
+    std::vector<std::unique_ptr<open_call>> calls;
+    for (int index = 0; index < 24; ++index)
+        calls.push_back(
+            std::make_unique<open_call>(cluster.hosts[static_cast<std::size_t>(index) % 2].callers,
+                                        completion(make_prompt("fill" + std::to_string(index), 50), 20'000)));
+    CHECK(eventually([&] { return cluster.counters("p2").at("role") == "decode"; }));
+    const auto revision = revision_of(cluster, cluster.hosts[0]);
+    CHECK(eventually([&] { return revision_of(cluster, cluster.hosts[0]) >= revision + 1; }));
+    // An order under an older lease is refused by an engine that checks.
+    const json refused = stand_in::post_json(cluster.upstreams.at("p2").address, "/orders",
+                                             {{"role", "prefill"}, {"token", 0}});
+    CHECK(refused.contains("error"));
+    CHECK(cluster.counters("p2").at("role") == "decode");
+    calls.clear();
+    CHECK(eventually([&] { return cluster.open_holds() == 0; }));
+}
