--- a/libraries/wire/upstream_call.cpp
+++ b/libraries/wire/upstream_call.cpp
@@ -138,8 +138,8 @@
     head.status = static_cast<int>(own.parser->get().result_int());
     for (const auto& field : own.parser->get())
         head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    // OPTIMIZATION: Else each part of the chunked framing ends a read of its own.
-    own.parser->eager(true);
+    // NOTE: An eager parser would take fewer reads, but it goes on reading until its buffer is full: tokens
+    // would come late and in lumps.
     own.is_keep_alive = own.parser->get().keep_alive();
     own.is_whole = own.parser->is_done();
     return head;
