--- /dev/null
+++ b/libraries/decision/instance_choice.cpp
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/instance_choice.h>
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+
+namespace postpaddle::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Costs below are in seconds of expected waiting, so that they can be added up.
+
+/// What an upstream in another availability zone costs: its delay and its bytes.
+constexpr double other_zone_cost = 0.015;
+/// What a move of KV cache between availability zones costs beyond one inside a zone.
+constexpr double other_zone_move_cost = 0.12;
+/// What it costs that an upstream fails all the time.
+constexpr double failure_cost = 0.5;
+/// What an upstream that is put aside costs: anything else goes before it.
+constexpr double aside_cost = 30;
+/// Breaks ties, so that hosts with the same view don't all choose the same upstream.
+constexpr double tie_spread = 0.003;
+/// Tokens a second that a prefill engine reads; engines' own slowness is learned on top.
+constexpr double read_rate = 55'000;
+/// A decode engine reads a prompt at this part of that rate.
+constexpr double decode_read_part = 0.5;
+/// From the end of the prompt to the first event, and the move of the KV cache.
+constexpr double first_event_time = 0.04;
+constexpr double move_time = 0.012;
+/// What reading at a decode engine costs the streams that it holds up.
+constexpr double reading_there_cost = 0.06;
+/// Part of an engine's memory that is promised.
+constexpr double usable_memory = 0.9;
+/// What it costs to send to an engine whose memory is taken.
+constexpr double full_memory_cost = 3;
+/// Age at which the queue that a prompt met no longer says anything.
+constexpr double seen_wait_lifetime = 0.5;
+
+/// Instances that new work may go to, or those of last resort where there are none.
+std::vector<const instance*> usable(const instance_table& table, const choice_context& context,
+                                    const std::function<bool(const instance&)>& fits) {
+    std::vector<const instance*> listed;
+    std::vector<const instance*> unlisted;
+    for (const auto& [id, candidate] : table.by_id) {
+        if (candidate.entry.service != context.service || context.excluded.contains(id) || !fits(candidate))
+            continue;
+        if (candidate.state == listing::listed)
+            listed.push_back(&candidate);
+        if (candidate.state == listing::unlisted)
+            unlisted.push_back(&candidate);
+    }
+    return listed.empty() ? unlisted : listed;
+}
+
+double standing_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
+    std::uniform_real_distribution<double> tie(0, tie_spread);
+    double cost = tie(random) + failure_cost * candidate.health.failure_rate;
+    if (candidate.entry.availability_zone != context.own_zone)
+        cost += other_zone_cost;
+    if (is_aside(candidate, context.now))
+        cost += aside_cost;
+    return cost;
+}
+
+double plain_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
+    const double places = std::max(1, candidate.entry.places);
+    const double load = candidate.own_requests + others_requests(candidate, context.now);
+    const double rounds = std::max(1.0, (load + 1) / places);
+    // A place that is nearly the last is avoided before it is taken.
+    static constexpr double crowding_cost = 0.03;
+    return standing_cost(candidate, context, random) + candidate.latency.value * rounds +
+           crowding_cost * load / places;
+}
+
+double seen_wait(const instance& candidate, base::time_point now) {
+    if (candidate.seen_wait_at == base::time_point{})
+        return 0;
+    const double age = base::to_seconds(now - candidate.seen_wait_at);
+    return std::max(0.0, base::to_seconds(candidate.seen_wait) * (1 - age / seen_wait_lifetime));
+}
+
+/// Seconds until a prompt sent now has been read at a prefill engine.
+double read_time(const instance& candidate, double tokens, base::time_point now) {
+    const double queue = std::max(candidate.own_prompt_tokens / read_rate * candidate.slowness.value,
+                                  seen_wait(candidate, now));
+    return queue + tokens / read_rate * candidate.slowness.value;
+}
+
+/// Seconds until a prompt sent now has been read at a decode engine.
+double decode_read_time(const instance& candidate, double tokens) {
+    const double rate = read_rate * decode_read_part;
+    return (candidate.own_prompt_tokens + tokens) / rate * candidate.slowness.value;
+}
+
+double memory_cost(const instance& candidate, const choice_context& context,
+                   const settings::engine_capacity& capacity, const prompt_size& size) {
+    const double need = size.prompt_tokens + size.output_tokens;
+    const double others = others_requests(candidate, context.now) * need;
+    const double taken = candidate.own_memory_tokens + others;
+    if (capacity.kv_tokens <= 0)
+        return 0;
+    const double usable_tokens = usable_memory * capacity.kv_tokens;
+    if (taken > 0 && taken + need > usable_tokens)
+        return full_memory_cost * (taken + need) / usable_tokens;
+    // An engine with less in its memory makes tokens sooner.
+    static constexpr double crowding_cost = 0.02;
+    return crowding_cost * taken / capacity.kv_tokens;
+}
+
+bool can_prefill(const instance& candidate) {
+    return candidate.entry.stage == settings::engine_stage::prefill ||
+           candidate.entry.stage == settings::engine_stage::both;
+}
+
+bool can_decode(const instance& candidate) {
+    return candidate.entry.stage != settings::engine_stage::prefill;
+}
+
+struct weighed {
+    const instance* chosen = nullptr;
+    double cost = std::numeric_limits<double>::infinity();
+};
+
+/// The candidate of the least cost.
+weighed cheapest(const std::vector<const instance*>& candidates,
+                 const std::function<double(const instance&)>& cost_of) {
+    weighed best;
+    for (const instance* candidate : candidates) {
+        const double cost = cost_of(*candidate);
+        if (cost < best.cost)
+            best = {candidate, cost};
+    }
+    return best;
+}
+
+} // namespace
+
+std::optional<base::upstream_id> choose_plain(const instance_table& table, const choice_context& context,
+                                              std::mt19937_64& random) {
+    const auto candidates = usable(table, context, [](const instance&) { return true; });
+    const weighed best = cheapest(
+        candidates, [&](const instance& candidate) { return plain_cost(candidate, context, random); });
+    if (best.chosen == nullptr)
+        return std::nullopt;
+    return best.chosen->entry.id;
+}
+
+std::optional<engine_plan> choose_reader(const instance_table& table, const choice_context& context,
+                                         const settings::engine_capacity& capacity, const prompt_size& size,
+                                         std::mt19937_64& random) {
+    const weighed best = cheapest(usable(table, context, can_decode), [&](const instance& candidate) {
+        return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
+               decode_read_time(candidate, size.prompt_tokens) + reading_there_cost;
+    });
+    if (best.chosen == nullptr)
+        return std::nullopt;
+    const double read = decode_read_time(*best.chosen, size.prompt_tokens);
+    return engine_plan{std::nullopt, best.chosen->entry.id, base::from_seconds(read),
+                       base::from_seconds(read + first_event_time)};
+}
+
+std::optional<engine_plan> choose_engines(const instance_table& table, const choice_context& context,
+                                          const settings::engine_capacity& capacity, const prompt_size& size,
+                                          std::mt19937_64& random) {
+    const auto reader = choose_reader(table, context, capacity, size, random);
+    const weighed prefill = cheapest(usable(table, context, can_prefill), [&](const instance& candidate) {
+        return standing_cost(candidate, context, random) +
+               read_time(candidate, size.prompt_tokens, context.now);
+    });
+    if (prefill.chosen == nullptr)
+        return reader;
+    const weighed decode = cheapest(usable(table, context, can_decode), [&](const instance& candidate) {
+        const bool is_near = candidate.entry.availability_zone == prefill.chosen->entry.availability_zone;
+        return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
+               (is_near ? 0 : other_zone_move_cost);
+    });
+    if (decode.chosen == nullptr || !reader)
+        return reader;
+    const instance& direct = table.by_id.at(reader->decode);
+    const double direct_cost = standing_cost(direct, context, random) +
+                               memory_cost(direct, context, capacity, size) +
+                               base::to_seconds(reader->expected_read) + reading_there_cost;
+    if (direct_cost < prefill.cost + decode.cost + move_time)
+        return reader;
+    const double read = read_time(*prefill.chosen, size.prompt_tokens, context.now);
+    return engine_plan{prefill.chosen->entry.id, decode.chosen->entry.id, base::from_seconds(read),
+                       base::from_seconds(read + move_time + first_event_time)};
+}
+
+void note_read(instance& target, const prompt_size& size, base::duration taken, base::time_point now) {
+    const double alone = std::max(0.001, size.prompt_tokens / read_rate);
+    const double seconds = base::to_seconds(taken);
+    const double queue = target.own_prompt_tokens / read_rate;
+    learn(target.slowness, std::max(0.1, seconds / (alone + queue)));
+    target.seen_wait = base::from_seconds(std::max(0.0, seconds - alone * target.slowness.value));
+    target.seen_wait_at = now;
+}
+
+void note_answer_time(instance& target, base::duration taken) {
+    learn(target.latency, base::to_seconds(taken));
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/instance_choice.h
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <decision/instance_table.h>
+
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace postpaddle::decision {
+
+/// What a choice of upstreams rests on.
+struct choice_context {
+    std::string service;
+    base::zone_id own_zone;
+    std::set<base::upstream_id> excluded; ///< Already tried for this request.
+    base::time_point now{};
+};
+
+/// Size of a prompt and of its answer.
+struct prompt_size {
+    double prompt_tokens = 0;
+    double output_tokens = 0;
+
+    bool operator==(const prompt_size&) const = default;
+};
+
+/// Engines of one request.
+struct engine_plan {
+    std::optional<base::upstream_id> prefill; ///< None: the decode engine reads the prompt itself.
+    base::upstream_id decode;
+    base::duration expected_read{};        ///< From the send to the prompt's end.
+    base::duration expected_first_event{}; ///< From the send to the first event.
+
+    bool operator==(const engine_plan&) const = default;
+};
+
+/// The plain upstream that is expected to answer first, or none.
+[[nodiscard]] std::optional<base::upstream_id>
+choose_plain(const instance_table& table, const choice_context& context, std::mt19937_64& random);
+
+/// The engines that are expected to give the first event first, moves between zones counted as cost.
+///
+/// Both are chosen together: reading at a prefill engine and moving the KV cache is weighed against reading
+/// at the decode engine, which is slower and holds up what that engine is answering.
+[[nodiscard]] std::optional<engine_plan> choose_engines(const instance_table& table,
+                                                        const choice_context& context,
+                                                        const settings::engine_capacity& capacity,
+                                                        const prompt_size& size, std::mt19937_64& random);
+
+/// A decode engine alone, for a stream that goes on elsewhere or a kept prompt that was lost.
+[[nodiscard]] std::optional<engine_plan> choose_reader(const instance_table& table,
+                                                       const choice_context& context,
+                                                       const settings::engine_capacity& capacity,
+                                                       const prompt_size& size, std::mt19937_64& random);
+
+/// Learns from a prompt that a prefill engine read in `taken`.
+void note_read(instance& target, const prompt_size& size, base::duration taken, base::time_point now);
+
+/// Learns from a plain answer.
+void note_answer_time(instance& target, base::duration taken);
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/instance_table.cpp
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/instance_table.h>
+
+#include <algorithm>
+#include <set>
+
+namespace postpaddle::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Age at which a load report no longer says anything.
+constexpr base::duration load_lifetime = 400ms;
+/// Gain of the failure rate's running mean.
+constexpr double failure_gain = 0.15;
+constexpr base::duration first_pause = 500ms;
+constexpr base::duration longest_pause = 4'000ms;
+/// An instance that answers with errors is put aside from this many in a row on.
+constexpr int failures_to_pause = 3;
+
+base::duration pause_for(int failures) {
+    static constexpr int most_doublings = 3;
+    return std::min<base::duration>(longest_pause, first_pause * (1 << std::min(failures, most_doublings)));
+}
+
+void put_aside(instance& target, base::duration pause, base::time_point now) {
+    target.health.aside_until = std::max(target.health.aside_until, now + pause);
+}
+
+bool apply_entry(instance& known, const registry_change& change) {
+    const listing before = known.state;
+    const bool is_stale_heartbeat =
+        before == listing::vanished && change.entry->sequence <= known.entry.sequence;
+    known.offset = change.offset;
+    if (is_stale_heartbeat)
+        return false;
+    known.entry = *change.entry;
+    if (before == listing::leaving || change.entry->is_leaving)
+        known.state = listing::leaving;
+    else
+        known.state = listing::listed;
+    return known.state != before;
+}
+
+bool take_away(instance& known, registry_condition condition) {
+    if (known.state != listing::listed)
+        return false;
+    known.state = condition == registry_condition::sound ? listing::vanished : listing::unlisted;
+    return true;
+}
+
+} // namespace
+
+bool apply_change(instance_table& table, const registry_change& change, registry_condition condition) {
+    const auto found = table.by_id.find(change.id);
+    if (found == table.by_id.end()) {
+        if (!change.entry)
+            return false;
+        instance& added = table.by_id[change.id];
+        added.entry = *change.entry;
+        added.offset = change.offset;
+        added.state = change.entry->is_leaving ? listing::leaving : listing::listed;
+        return true;
+    }
+    instance& known = found->second;
+    if (change.offset < known.offset)
+        return false;
+    if (change.entry)
+        return apply_entry(known, change);
+    known.offset = change.offset;
+    return take_away(known, condition);
+}
+
+std::vector<base::upstream_id> apply_snapshot(instance_table& table,
+                                              const std::vector<registry_change>& entries, std::uint64_t end,
+                                              registry_condition condition) {
+    std::vector<base::upstream_id> changed;
+    std::set<base::upstream_id> named;
+    for (const registry_change& entry : entries) {
+        named.insert(entry.id);
+        if (apply_change(table, entry, condition))
+            changed.push_back(entry.id);
+    }
+    for (auto& [id, known] : table.by_id)
+        if (!named.contains(id) && known.offset < end && take_away(known, condition))
+            changed.push_back(id);
+    return changed;
+}
+
+void forget_gone(instance_table& table) {
+    // NOTE: Enough are kept that a late heartbeat of one that left is known for what it is.
+    static constexpr std::size_t most_remembered = 512;
+    if (table.by_id.size() <= most_remembered)
+        return;
+    std::erase_if(table.by_id, [](const auto& item) {
+        const listing state = item.second.state;
+        return (state == listing::vanished || state == listing::leaving) && item.second.own_requests == 0;
+    });
+}
+
+instance* find_instance(instance_table& table, const base::upstream_id& id) {
+    const auto found = table.by_id.find(id);
+    return found == table.by_id.end() ? nullptr : &found->second;
+}
+
+void note_verdict(instance& target, send_verdict verdict, base::time_point now) {
+    instance_health& health = target.health;
+    const bool is_failure = verdict == send_verdict::failed || verdict == send_verdict::unreachable;
+    health.failure_rate += failure_gain * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
+    if (verdict == send_verdict::good) {
+        health.failures_in_row = 0;
+        health.aside_until = {};
+        return;
+    }
+    if (verdict == send_verdict::busy)
+        return;
+    ++health.failures_in_row;
+    if (verdict == send_verdict::unreachable || health.failures_in_row >= failures_to_pause)
+        put_aside(target, pause_for(health.failures_in_row - 1), now);
+}
+
+void note_load(instance& target, const instance_load& load, base::time_point now) {
+    target.load = load;
+    target.own_at_load = target.own_requests;
+    target.load_at = now;
+}
+
+double others_requests(const instance& target, base::time_point now) {
+    if (target.load_at == base::time_point{} || now - target.load_at >= load_lifetime)
+        return 0;
+    const double freshness = 1 - base::to_seconds(now - target.load_at) / base::to_seconds(load_lifetime);
+    return std::max(0, target.load.running + target.load.waiting - target.own_at_load) * freshness;
+}
+
+bool is_aside(const instance& target, base::time_point now) { return now < target.health.aside_until; }
+
+const char* to_text(listing state) {
+    switch (state) {
+    case listing::listed:
+        return "listed";
+    case listing::leaving:
+        return "leaving";
+    case listing::vanished:
+        return "vanished";
+    case listing::unlisted:
+        return "unlisted";
+    }
+    return "unknown";
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/instance_table.h
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <decision/estimate.h>
+#include <settings/routing_settings.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace postpaddle::decision {
+
+/// What an upstream's answer said of its load.
+struct instance_load {
+    int running = 0;
+    int waiting = 0;
+    int places = 0;
+
+    bool operator==(const instance_load&) const = default;
+};
+
+/// Whether new work may go to an instance.
+enum class listing {
+    listed,   ///< In the registry and not leaving.
+    leaving,  ///< Said that it will end. Never undone: the next start has another id.
+    vanished, ///< Its entry went away while the registry was sound.
+    unlisted, ///< Its entry went away while the registry was in trouble; a last resort.
+};
+
+/// Failures of an instance, and until when it is put aside for them.
+struct instance_health {
+    int failures_in_row = 0;
+    double failure_rate = 0; ///< Running mean of 0 (good) and 1 (failed).
+    base::time_point aside_until{};
+
+    bool operator==(const instance_health&) const = default;
+};
+
+/// One start of a server, as this host sees it.
+struct instance {
+    settings::upstream_entry entry;
+    listing state = listing::listed;
+    std::uint64_t offset = 0; ///< Of the newest registry record about it.
+    instance_health health;
+    int own_requests = 0;                   ///< Sent by this host and not ended.
+    double own_prompt_tokens = 0;           ///< Of these, prompt tokens that are not read yet.
+    double own_memory_tokens = 0;           ///< Of these, tokens that take its memory.
+    estimate latency = make_estimate(0.08); ///< Seconds to a plain answer.
+    estimate slowness = make_estimate(1);   ///< Time taken over time expected, for prompts.
+    base::duration seen_wait{};             ///< Queue that the last own prompt met.
+    base::time_point seen_wait_at{};
+    instance_load load;
+    int own_at_load = 0; ///< Own requests there when the load was heard.
+    base::time_point load_at{};
+};
+
+/// A change of the registry.
+struct registry_change {
+    base::upstream_id id;
+    std::optional<settings::upstream_entry> entry; ///< None: the entry went away.
+    std::uint64_t offset = 0;
+
+    bool operator==(const registry_change&) const = default;
+};
+
+/// Whether the registry answered as it should around a change.
+enum class registry_condition { sound, in_trouble };
+
+/// How a send to an instance ended, for its health.
+enum class send_verdict {
+    good,        ///< A whole answer of its own.
+    busy,        ///< It said that it did not run the request.
+    failed,      ///< An error of its own, or a broken answer.
+    unreachable, ///< No connection, or silence.
+};
+
+/// All instances by id.
+struct instance_table {
+    std::map<base::upstream_id, instance> by_id;
+};
+
+/// Takes over one change. Older records and older heartbeats than those known change nothing.
+/// Says whether the instance's listing changed.
+bool apply_change(instance_table& table, const registry_change& change, registry_condition condition);
+
+/// Takes over a whole registry: what it does not name and was known before `end` has vanished.
+/// Gives the ids whose listing changed.
+std::vector<base::upstream_id> apply_snapshot(instance_table& table,
+                                              const std::vector<registry_change>& entries, std::uint64_t end,
+                                              registry_condition condition);
+
+/// Forgets instances that have gone and carry no work of this host.
+void forget_gone(instance_table& table);
+
+/// The instance, or null.
+[[nodiscard]] instance* find_instance(instance_table& table, const base::upstream_id& id);
+
+/// Counts how a send ended; failures in a row put the instance aside, longer each time.
+void note_verdict(instance& target, send_verdict verdict, base::time_point now);
+
+/// Takes the load that an answer told.
+void note_load(instance& target, const instance_load& load, base::time_point now);
+
+/// Requests of other hosts there, from the last report, fading out as it ages.
+[[nodiscard]] double others_requests(const instance& target, base::time_point now);
+
+/// Whether failures keep it from new work while there is another.
+[[nodiscard]] bool is_aside(const instance& target, base::time_point now);
+
+/// Word for a listing, as in logs.
+[[nodiscard]] const char* to_text(listing state);
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/send_rule.cpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/send_rule.h>
+
+namespace postpaddle::decision {
+
+namespace {
+
+/// Tries that never connected, after which the request is given up.
+constexpr int most_connects = 4;
+/// Refusals after which the request is given up.
+constexpr int most_refusals = 3;
+
+} // namespace
+
+void note_result(send_record& record, send_result result) {
+    switch (result) {
+    case send_result::not_connected:
+        ++record.connects;
+        return;
+    case send_result::not_run:
+        ++record.refusals;
+        return;
+    default:
+        ++record.sends;
+        record.may_have_run = true;
+    }
+}
+
+bool may_send_again(const send_record& record, send_result last) {
+    if (last == send_result::answered)
+        return false;
+    if (record.connects >= most_connects || record.refusals >= most_refusals)
+        return false;
+    if (last == send_result::not_connected || last == send_result::not_run)
+        return record.sends < record.most_sends;
+    return record.is_repeatable && record.sends < record.most_sends;
+}
+
+bool is_extra_send(const send_record& record) { return record.sends + record.refusals > 0; }
+
+own_answer answer_for(const send_record& record, send_result last) {
+    if (!record.may_have_run)
+        return own_answer::not_run;
+    return last == send_result::late ? own_answer::timed_out : own_answer::failed;
+}
+
+const char* to_text(send_result result) {
+    switch (result) {
+    case send_result::answered:
+        return "answered";
+    case send_result::server_error:
+        return "server_error";
+    case send_result::not_connected:
+        return "not_connected";
+    case send_result::not_run:
+        return "not_run";
+    case send_result::broken:
+        return "broken";
+    case send_result::late:
+        return "late";
+    }
+    return "unknown";
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/send_rule.h
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+
+namespace postpaddle::decision {
+
+/// How one send to an upstream ended.
+enum class send_result {
+    answered,      ///< Its own whole answer, also one of failure.
+    server_error,  ///< Its own whole answer of status 5xx, for work that it began.
+    not_connected, ///< No connection came about: nothing was sent.
+    not_run,       ///< Its own word that it did not and will not run the request.
+    broken,        ///< Sent, and the answer is missing, cut or another's.
+    late,          ///< Sent, and no answer in time.
+};
+
+/// What is known of one request's sends. Certainty only grows: `may_have_run` is never taken back.
+struct send_record {
+    bool is_repeatable = false;
+    int most_sends = 1; ///< Upstreams that the request may run on.
+    int connects = 0;   ///< Tries that never connected.
+    int sends = 0;      ///< Sends that may have run.
+    int refusals = 0;   ///< Sends that an upstream refused.
+    bool may_have_run = false;
+
+    bool operator==(const send_record&) const = default;
+};
+
+/// What the host itself answers when no upstream's answer can be passed on.
+enum class own_answer {
+    not_run,   ///< 503: it has not run and never will.
+    failed,    ///< 502: it may have run.
+    timed_out, ///< 504: it may have run, and the time is over.
+};
+
+/// Takes the end of a send into the record.
+void note_result(send_record& record, send_result result);
+
+/// Whether the rules let the request go to another upstream after that result. The retry budget and the
+/// time left are the caller's to check.
+[[nodiscard]] bool may_send_again(const send_record& record, send_result last);
+
+/// Whether a further send would reach an upstream as one more than the request's first.
+[[nodiscard]] bool is_extra_send(const send_record& record);
+
+/// The honest answer after the last result.
+[[nodiscard]] own_answer answer_for(const send_record& record, send_result last);
+
+/// Word for a result, as in logs.
+[[nodiscard]] const char* to_text(send_result result);
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/gateway/gateway_figures.cpp
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/gateway_figures.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+constexpr const char* prefix = "postpaddle_gateway_";
+
+void write_histogram(std::ostringstream& out, const std::string& name, const latency_histogram& histogram) {
+    std::uint64_t total = 0;
+    out << "# TYPE " << prefix << name << " histogram\n";
+    for (std::size_t index = 0; index < histogram.counts.size(); ++index) {
+        total += histogram.counts[index];
+        out << prefix << name << "_bucket{le=\"";
+        if (index < latency_bounds.size())
+            out << latency_bounds[index];
+        else
+            out << "+Inf";
+        out << "\"} " << total << '\n';
+    }
+    out << prefix << name << "_sum " << histogram.sum_seconds << '\n';
+    out << prefix << name << "_count " << total << '\n';
+}
+
+} // namespace
+
+void gateway_figures::observe(const std::string& name, base::duration latency) {
+    latency_histogram& histogram = this->histograms[name];
+    const double seconds = base::to_seconds(latency);
+    const auto bucket = std::ranges::lower_bound(latency_bounds, seconds) - latency_bounds.begin();
+    ++histogram.counts.at(static_cast<std::size_t>(bucket));
+    histogram.sum_seconds += seconds;
+}
+
+std::string gateway_figures::text() const {
+    std::ostringstream out;
+    for (const auto& [name, value] : this->counters)
+        out << prefix << name << ' ' << value << '\n';
+    for (const auto& [name, value] : this->gauges)
+        out << prefix << name << ' ' << value << '\n';
+    for (const auto& [name, histogram] : this->histograms)
+        write_histogram(out, name, histogram);
+    return out.str();
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_host.cpp
@@ -0,0 +1,207 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/gateway_host.h>
+
+#include <gateway/request_handler.h>
+
+#include <base/hashing.h>
+#include <base/try.h>
+#include <wire/endpoint.h>
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int ok_status = 200;
+constexpr int unavailable_status = 503;
+constexpr int not_found_status = 404;
+/// Time kept free before the grace of a planned stop runs out.
+constexpr auto grace_margin = 400ms;
+constexpr base::duration drain_look = 20ms;
+/// Time that the last answers of a planned stop are given to leave the host.
+constexpr base::duration last_bytes = 50ms;
+/// Connections of the readiness check and of the figures.
+constexpr std::size_t few_connections = 32;
+
+std::uint64_t make_seed(const base::clock& clock, const std::string& name) {
+    const auto wall = static_cast<std::uint64_t>(clock.wall_now().time_since_epoch().count());
+    const auto steady = static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
+    return base::hash64(name, wall ^ steady);
+}
+
+wire::connection_bounds bounds_of(const settings::caller_limits& limits) {
+    wire::connection_bounds bounds;
+    bounds.header_bytes = limits.header_bytes;
+    bounds.body_bytes = limits.body_bytes;
+    bounds.header_read = limits.header_time;
+    bounds.request_read = limits.header_time + limits.idle_time;
+    bounds.idle = limits.idle_time;
+    return bounds;
+}
+
+/// Serves GETs of one path with what `make_answer` gives.
+void serve_path(wire::caller_connection& connection, const std::string& path,
+                const std::function<wire::http_response()>& make_answer, wire::yield_context yield) {
+    while (!connection.is_gone()) {
+        const auto request = connection.read_request(yield);
+        if (!request)
+            return;
+        const bool is_known = decision::path_of_target(request->target) == path;
+        const wire::http_response answer =
+            is_known ? make_answer() : wire::http_response{not_found_status, {}, ""};
+        if (!connection.send(answer, yield) || !connection.is_keep_alive())
+            return;
+    }
+}
+
+} // namespace
+
+gateway_host::gateway_host(const base::clock& clock, settings::gateway_settings process_settings,
+                           const gateway_ports& outside)
+    : clock(&clock), process(std::move(process_settings)), pool(this->context, wire::answer_bounds{}),
+      log(clock, {.host = this->process.name.value,
+                  .level = this->process.log_level,
+                  .lines_per_second = this->process.log_lines_per_second}),
+      state{.clock = &clock,
+            .context = &this->context,
+            .process = &this->process,
+            .protocol = outside.protocol,
+            .random = std::mt19937_64(make_seed(clock, this->process.name.value)),
+            .pool = &this->pool,
+            .log = &this->log,
+            .figures = &this->figures},
+      feed(outside.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
+      store(
+          this->state, *this->feed,
+          {.on_new_settings =
+               [this] {
+                   this->apply_caller_limits();
+                   this->peers.spread_settings();
+               },
+           .on_registry_lost = [this](wire::yield_context yield) { this->peers.ask_for_registry(yield); }}) {
+    this->state.peers.seeds = this->process.seeds;
+    std::erase(this->state.peers.seeds, this->process.peers);
+}
+
+gateway_host::~gateway_host() = default;
+
+wire::expected<std::shared_ptr<wire::http_listener>> gateway_host::listen_at(const std::string& address,
+                                                                             std::size_t connections) const {
+    POSTPADDLE_TRY(endpoint, wire::parse_endpoint(address));
+    return wire::http_listener::create(
+        *this->state.context,
+        {.address = endpoint.address().to_string(), .port = endpoint.port(), .connections = connections});
+}
+
+wire::expected<void> gateway_host::start() {
+    POSTPADDLE_TRY(callers_listener, this->listen_at(this->process.callers, this->process.connections));
+    this->callers = std::move(callers_listener);
+    POSTPADDLE_TRY(readiness_listener, this->listen_at(this->process.readiness, few_connections));
+    this->readiness = std::move(readiness_listener);
+    if (!this->process.metrics.empty()) {
+        POSTPADDLE_TRY(metrics_listener, this->listen_at(this->process.metrics, few_connections));
+        this->metrics = std::move(metrics_listener);
+    }
+    POSTPADDLE_TRY_VOID(this->peers.listen());
+    this->callers->start([this](wire::caller_connection& connection, wire::yield_context yield) {
+        serve_caller(this->state, connection, yield);
+    });
+    this->readiness->start([this](wire::caller_connection& connection, wire::yield_context yield) {
+        serve_path(
+            connection, this->process.readiness_path,
+            [this] {
+                return wire::http_response{is_ready(this->state) ? ok_status : unavailable_status, {}, ""};
+            },
+            yield);
+    });
+    if (this->metrics)
+        this->metrics->start([this](wire::caller_connection& connection, wire::yield_context yield) {
+            serve_path(
+                connection, "/metrics",
+                [this] {
+                    return wire::http_response{
+                        ok_status, {{"Content-Type", "text/plain; version=0.0.4"}}, this->figures.text()};
+                },
+                yield);
+        });
+    this->peers.start();
+    this->store.start();
+    this->log.write_always("started", {{"availability_zone", this->process.availability_zone.value},
+                                       {"callers", this->process.callers},
+                                       {"store", this->process.store}});
+    return {};
+}
+
+void gateway_host::apply_caller_limits() {
+    this->callers->set_bounds(bounds_of(this->state.settings->document.value->limits));
+}
+
+gateway_stop
+gateway_host::run(const std::function<std::optional<settings::gateway_settings>()>& reload_file) {
+    this->reload = reload_file;
+    wire::spawn_coroutine(this->context, [this](wire::yield_context yield) { this->await_signals(yield); });
+    this->context.run();
+    return this->stopped;
+}
+
+void gateway_host::await_signals(wire::yield_context yield) {
+    wire::asio::signal_set signals(this->context, SIGTERM, SIGINT, SIGHUP);
+    wire::error_code error;
+    while (!error) {
+        const int signal = signals.async_wait(yield[error]);
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            this->take_reload();
+            continue;
+        }
+        this->drain(yield);
+        return;
+    }
+}
+
+void gateway_host::take_reload() {
+    const auto next = this->reload();
+    if (next) {
+        // Addresses stay as they are until the next start; limits and bounds apply at once.
+        this->process.grace = next->grace;
+        this->process.balancer_lag = next->balancer_lag;
+        this->process.registry_interval = next->registry_interval;
+        this->process.heartbeat = next->heartbeat;
+        this->process.retries = next->retries;
+        this->process.retry_after_limit = next->retry_after_limit;
+        this->process.seeds = next->seeds;
+        this->state.peers.seeds = next->seeds;
+        std::erase(this->state.peers.seeds, this->process.peers);
+    }
+    this->log.write_always("reloaded", {{"is_accepted", next.has_value()}});
+}
+
+void gateway_host::drain(wire::yield_context yield) {
+    const base::time_point end = this->clock->now() + this->process.grace - grace_margin;
+    this->state.is_draining = true;
+    this->log.write_always("draining", {{"requests_in_progress", this->state.requests_in_progress}});
+    this->peers.say_goodbye();
+    wire::asio::steady_timer timer(this->context, this->process.balancer_lag);
+    wire::error_code ignored;
+    // The balancer sees the readiness late: until then new connections are served as ever.
+    timer.async_wait(yield[ignored]);
+    this->callers->stop();
+    this->callers->close_idle_connections();
+    while (this->state.requests_in_progress > 0 && this->clock->now() < end) {
+        timer.expires_after(drain_look);
+        timer.async_wait(yield[ignored]);
+    }
+    timer.expires_after(last_bytes);
+    timer.async_wait(yield[ignored]);
+    this->stopped.requests_cut = this->state.requests_in_progress;
+    this->log.write_always("stopped", {{"requests_cut", this->stopped.requests_cut}});
+    this->context.stop();
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_request.cpp
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/gateway_request.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+constexpr int not_run_status = 503;
+constexpr int failed_status = 502;
+constexpr int timed_out_status = 504;
+/// Seconds after which a refused caller may find a place.
+constexpr double shortest_retry_after = 0.3;
+/// Part of the time left that a caller is asked to wait at most.
+constexpr double retry_after_part = 0.25;
+
+std::string retry_after_text(const gateway_request& request) {
+    const double left = base::to_seconds(time_left(request));
+    const double seconds = std::clamp(
+        shortest_retry_after, 0.0,
+        std::max(0.05, std::min(left * retry_after_part, request.state->process->retry_after_limit)));
+    std::array<char, 32> text{};
+    (void)std::snprintf(text.data(), text.size(), "%.2f", seconds);
+    return text.data();
+}
+
+int status_of(decision::own_answer answer) {
+    switch (answer) {
+    case decision::own_answer::not_run:
+        return not_run_status;
+    case decision::own_answer::failed:
+        return failed_status;
+    case decision::own_answer::timed_out:
+        return timed_out_status;
+    }
+    return failed_status;
+}
+
+const char* outcome_of(decision::own_answer answer) {
+    return answer == decision::own_answer::not_run ? "not-run" : "unknown";
+}
+
+} // namespace
+
+const settings::service_entry* service_of(const gateway_request& request) {
+    const auto& services = request.settings->document.value->services;
+    const auto found = services.find(request.service);
+    return found == services.end() ? nullptr : &found->second;
+}
+
+decision::choice_context choice_context_of(const gateway_request& request) {
+    return {.service = request.service,
+            .own_zone = request.state->process->availability_zone,
+            .excluded = request.tried,
+            .now = request.state->clock->now()};
+}
+
+base::duration time_left(const gateway_request& request) {
+    return request.deadline - request.state->clock->now();
+}
+
+bool may_spend_send(gateway_request& request) {
+    if (!decision::is_extra_send(request.record))
+        return true;
+    gateway_state& state = *request.state;
+    const settings::retry_budget_settings& retries = state.process->retries;
+    const decision::shared_budget_options options = {
+        .ratio = retries.ratio, .slack = retries.slack, .window = retries.window};
+    const bool is_spent =
+        decision::try_spend(state.budgets[request.service], options, hosts_alive(state), state.clock->now());
+    state.figures->count(is_spent ? "extra_sends_total" : "extra_sends_refused_total");
+    return is_spent;
+}
+
+request_ending answer_by_host(gateway_request& request, decision::send_result last, const char* reason,
+                              wire::yield_context yield) {
+    const decision::own_answer answer = decision::answer_for(request.record, last);
+    wire::http_response response;
+    response.status = status_of(answer);
+    response.headers.push_back({"Postpaddle-Outcome", outcome_of(answer)});
+    response.headers.push_back({"Postpaddle-Reason", reason});
+    if (answer == decision::own_answer::not_run)
+        response.headers.push_back({"Retry-After", retry_after_text(request)});
+    (void)request.connection->send(response, yield);
+    return answer == decision::own_answer::not_run ? request_ending::not_run : request_ending::failed;
+}
+
+request_ending pass_answer(gateway_request& request, const wire::response_head& head, std::string body,
+                           wire::yield_context yield) {
+    wire::http_response response{head.status, head.headers, std::move(body)};
+    wire::remove_connection_headers(response.headers);
+    const bool is_sent = request.connection->send(response, yield).has_value();
+    return is_sent ? request_ending::passed_on : request_ending::caller_gone;
+}
+
+const char* to_text(request_ending ending) {
+    switch (ending) {
+    case request_ending::passed_on:
+        return "passed_on";
+    case request_ending::not_run:
+        return "not_run";
+    case request_ending::failed:
+        return "failed";
+    case request_ending::broken_off:
+        return "broken_off";
+    case request_ending::caller_gone:
+        return "caller_gone";
+    case request_ending::rejected:
+        return "rejected";
+    }
+    return "unknown";
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_request.h
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <decision/instance_choice.h>
+#include <decision/send_rule.h>
+#include <gateway/gateway_state.h>
+#include <wire/caller_connection.h>
+#include <wire/upstream_call.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace postpaddle::gateway {
+
+/// What must be cut when a caller goes. Shared with the connection's watch, which may outlive the request.
+struct request_cancellation {
+    std::shared_ptr<wire::upstream_call> call;
+    bool is_caller_gone = false;
+
+    /// The caller has gone: closes the connection to the upstream at once, which makes it drop the request.
+    void did_lose_caller() {
+        this->is_caller_gone = true;
+        if (this->call)
+            this->call->cancel();
+    }
+};
+
+/// One caller's request from its last byte to its end.
+struct gateway_request {
+    gateway_state* state = nullptr;
+    wire::caller_connection* connection = nullptr;
+    ports::routed_request routed;
+    std::shared_ptr<const settings_in_force> settings;
+    const settings::route_settings_entry* route = nullptr;
+    std::string service;
+    base::time_point arrived{};
+    base::time_point deadline{}; ///< The final answer is due: the caller's patience or the route's limit.
+    decision::send_record record;
+    std::set<base::upstream_id> tried;
+    std::shared_ptr<request_cancellation> cancellation = std::make_shared<request_cancellation>();
+    nlohmann::json sends = nlohmann::json::array(); ///< For the log: one entry a send.
+};
+
+/// How a request ended.
+enum class request_ending {
+    passed_on,   ///< An upstream's whole answer.
+    not_run,     ///< 503: it has not run.
+    failed,      ///< 502 or 504: it may have run.
+    broken_off,  ///< A stream that could not go on.
+    caller_gone, ///< The caller did not wait for the answer.
+    rejected,    ///< Malformed, or no route.
+};
+
+/// The service's settings, or null where the version in force has none of that name.
+[[nodiscard]] const settings::service_entry* service_of(const gateway_request& request);
+
+/// What choices rest on for this request now.
+[[nodiscard]] decision::choice_context choice_context_of(const gateway_request& request);
+
+/// Time until the final answer is due.
+[[nodiscard]] base::duration time_left(const gateway_request& request);
+
+/// Spends one extra send from the budget of the request's service, where the next send would be one.
+[[nodiscard]] bool may_spend_send(gateway_request& request);
+
+/// Answers on the host's own account, honestly, after a last result.
+request_ending answer_by_host(gateway_request& request, decision::send_result last, const char* reason,
+                              wire::yield_context yield);
+
+/// Passes an upstream's whole answer on unchanged.
+request_ending pass_answer(gateway_request& request, const wire::response_head& head, std::string body,
+                           wire::yield_context yield);
+
+/// Word for an ending, as in logs.
+[[nodiscard]] const char* to_text(request_ending ending);
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_state.cpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/gateway_state.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The registry counts as in trouble for this long after a failed read: entries may have lapsed meanwhile.
+constexpr base::duration trouble_lifetime = 6s;
+
+decision::registry_condition condition_of(const gateway_state& state) {
+    const bool is_sound = state.registry_trouble == base::time_point{} ||
+                          state.clock->now() - state.registry_trouble > trouble_lifetime;
+    return is_sound ? decision::registry_condition::sound : decision::registry_condition::in_trouble;
+}
+
+void tell_listing(gateway_state& state, const base::upstream_id& id, std::uint64_t offset,
+                  const char* heard_from) {
+    const decision::instance* const known = decision::find_instance(state.instances, id);
+    if (known == nullptr)
+        return;
+    state.log->write("instance_listing", {{"instance", id.value},
+                                          {"service", known->entry.service},
+                                          {"address", known->entry.address},
+                                          {"listing", decision::to_text(known->state)},
+                                          {"offset", offset},
+                                          {"heard_from", heard_from}});
+}
+
+} // namespace
+
+bool is_ready(const gateway_state& state) {
+    return state.settings != nullptr && state.has_registry && !state.is_draining;
+}
+
+bool put_in_force(gateway_state& state, ports::settings_document document, const char* heard_from) {
+    const std::uint64_t version = document.value->version;
+    const std::uint64_t before = state.settings ? state.settings->document.value->version : 0;
+    if (state.settings && version <= before)
+        return false;
+    auto next = std::make_shared<settings_in_force>();
+    next->routes = decision::make_route_table(*document.value);
+    next->document = std::move(document);
+    state.settings = std::move(next);
+    state.figures->set("settings_version", static_cast<double>(version));
+    state.log->write_always("settings_in_force", {{"version", version},
+                                                  {"version_before", before},
+                                                  {"routes", state.settings->document.value->routes.size()},
+                                                  {"heard_from", heard_from}});
+    return true;
+}
+
+void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
+                   const char* heard_from) {
+    const auto condition = condition_of(state);
+    for (const decision::registry_change& change : changes)
+        if (decision::apply_change(state.instances, change, condition))
+            tell_listing(state, change.id, change.offset, heard_from);
+    decision::forget_gone(state.instances);
+}
+
+void take_registry_snapshot(gateway_state& state, const ports::registry_page& page) {
+    const auto changed =
+        decision::apply_snapshot(state.instances, page.changes, page.next, condition_of(state));
+    for (const base::upstream_id& id : changed)
+        tell_listing(state, id, page.next, "store");
+    state.registry_next = page.next;
+    state.has_registry = true;
+}
+
+int hosts_alive(const gateway_state& state) { return host::count_alive(state.peers, state.clock->now()) + 1; }
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_state.h
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <decision/instance_table.h>
+#include <decision/route_table.h>
+#include <decision/shared_budget.h>
+#include <gateway/decision_log.h>
+#include <gateway/gateway_figures.h>
+#include <host/peer_directory.h>
+#include <ports/control_feed.h>
+#include <ports/request_protocol.h>
+#include <settings/gateway_settings.h>
+#include <wire/upstream_pool.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace postpaddle::gateway {
+
+/// The routing settings that this host serves by.
+struct settings_in_force {
+    ports::settings_document document;
+    decision::route_table routes;
+};
+
+/// All that a gateway host believes, and the parts that its coroutines share. Used by one thread; outlives
+/// every coroutine.
+struct gateway_state {
+    const base::clock* clock = nullptr;
+    wire::asio::io_context* context = nullptr;
+    const settings::gateway_settings* process = nullptr;
+    ports::request_protocol protocol{};
+    std::shared_ptr<const settings_in_force> settings{}; ///< Null until a version is known.
+    decision::instance_table instances{};
+    bool has_registry = false;                              ///< Whether the registry has ever been read.
+    std::uint64_t registry_next = 0;                        ///< Offset to read the registry from.
+    base::time_point registry_trouble{};                    ///< When a read of the registry failed last.
+    std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
+    host::peer_directory peers{};
+    std::mt19937_64 random{};
+    wire::upstream_pool* pool = nullptr;
+    decision_log* log = nullptr;
+    gateway_figures* figures = nullptr;
+    bool is_draining = false;
+    int requests_in_progress = 0;
+};
+
+/// Whether the host may be given callers.
+[[nodiscard]] bool is_ready(const gateway_state& state);
+
+/// Puts a newer version in force; says whether it was newer.
+bool put_in_force(gateway_state& state, ports::settings_document document, const char* heard_from);
+
+/// Takes changes of the registry over, with a line for each change of belief.
+void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
+                   const char* heard_from);
+
+/// Takes a whole registry over.
+void take_registry_snapshot(gateway_state& state, const ports::registry_page& page);
+
+/// Hosts that may be alive, this one among them: the divisor of what all share.
+[[nodiscard]] int hosts_alive(const gateway_state& state);
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/peer_exchange.cpp
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/peer_exchange.h>
+
+#include <gateway/peer_codec.h>
+#include <gateway/state_dump.h>
+
+#include <base/try.h>
+#include <wire/endpoint.h>
+#include <wire/simple_client.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr const char* heartbeat_path = "/peers/heartbeat";
+constexpr const char* settings_path = "/peers/settings";
+constexpr const char* registry_path = "/peers/registry";
+constexpr const char* state_path = "/state";
+constexpr const char* metrics_path = "/metrics";
+constexpr auto peer_limit = 500ms;
+constexpr auto document_limit = 1'500ms;
+/// Peers told at once of new settings; each tells as many others.
+constexpr std::size_t spread_count = 2;
+/// Other hosts that a heartbeat names.
+constexpr std::size_t named_hosts = 16;
+/// Pause before the store is asked again for the other hosts.
+constexpr base::duration join_pause = 1'000ms;
+constexpr int ok_status = 200;
+constexpr int not_found_status = 404;
+
+std::uint64_t version_of(const gateway_state& state) {
+    return state.settings ? state.settings->document.value->version : 0;
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(gateway_state& state, ports::control_feed& feed) : state(&state), feed(&feed) {}
+
+wire::expected<void> peer_exchange::listen() {
+    POSTPADDLE_TRY(endpoint, wire::parse_endpoint(this->state->process->peers));
+    POSTPADDLE_TRY(created, wire::http_listener::create(
+                                *this->state->context,
+                                {.address = endpoint.address().to_string(), .port = endpoint.port()}));
+    this->listener = std::move(created);
+    this->listener->start([this](wire::caller_connection& connection, wire::yield_context yield) {
+        this->serve(connection, yield);
+    });
+    return {};
+}
+
+void peer_exchange::start() {
+    wire::spawn_coroutine(*this->state->context, [this](wire::yield_context yield) { this->join(yield); });
+    wire::spawn_coroutine(*this->state->context,
+                          [this](wire::yield_context yield) { this->run_heartbeats(yield); });
+}
+
+void peer_exchange::serve(wire::caller_connection& connection, wire::yield_context yield) {
+    while (!connection.is_gone()) {
+        const auto request = connection.read_request(yield);
+        if (!request || !connection.send(this->answer(*request), yield) || !connection.is_keep_alive())
+            return;
+    }
+}
+
+wire::http_response peer_exchange::answer(const wire::http_request& request) {
+    if (request.target == heartbeat_path) {
+        const json heartbeat = json::parse(request.body, nullptr, false);
+        if (heartbeat.is_object())
+            this->take_heartbeat(heartbeat, heartbeat.value("address", ""));
+        return {ok_status, {}, this->own_heartbeat().dump()};
+    }
+    if (request.target == settings_path && this->state->settings)
+        return {ok_status, {}, this->state->settings->document.text};
+    if (request.target == registry_path && this->state->has_registry)
+        return {ok_status, {}, encode_registry(this->state->instances).dump()};
+    if (request.target == state_path)
+        return {ok_status, {{"Content-Type", "application/json"}}, dump_state(*this->state).dump(2)};
+    if (request.target == metrics_path)
+        return {ok_status, {{"Content-Type", "text/plain; version=0.0.4"}}, this->state->figures->text()};
+    return {not_found_status, {}, ""};
+}
+
+json peer_exchange::own_heartbeat() const {
+    json hosts = json::object();
+    for (const auto& [name, known] : this->state->peers.by_name) {
+        if (hosts.size() == named_hosts)
+            break;
+        hosts[name.value] = known.address;
+    }
+    return {{"host", this->state->process->name.value},
+            {"address", this->state->process->peers},
+            {"settings_version", version_of(*this->state)},
+            {"is_leaving", this->state->is_draining},
+            {"hosts", std::move(hosts)}};
+}
+
+void peer_exchange::take_heartbeat(const json& heartbeat, const std::string& address) {
+    const base::time_point now = this->state->clock->now();
+    const base::host_id name{heartbeat.value("host", "")};
+    if (name.is_empty() || name == this->state->process->name || address.empty())
+        return;
+    host::note_peer(this->state->peers, name, address, true, now);
+    if (heartbeat.value("is_leaving", false))
+        host::note_leaving(this->state->peers, name);
+    const json hosts = heartbeat.value("hosts", json::object());
+    for (const auto& [other, other_address] : hosts.items())
+        if (other != this->state->process->name.value && other_address.is_string())
+            host::note_peer(this->state->peers, {other}, other_address.get<std::string>(), false, now);
+    const bool is_newer = heartbeat.value("settings_version", std::uint64_t{0}) > version_of(*this->state);
+    if (!is_newer || this->is_fetching_settings)
+        return;
+    wire::spawn_coroutine(*this->state->context, [this, address](wire::yield_context yield) {
+        this->fetch_settings(address, yield);
+    });
+}
+
+void peer_exchange::beat(const std::string& address, wire::yield_context yield) {
+    const auto answer =
+        wire::fetch(*this->state->pool, address,
+                    wire::json_request(heartbeat_path, this->own_heartbeat().dump(), {{"Host", address}}),
+                    peer_limit, yield);
+    this->state->figures->count(answer ? "heartbeats_total" : "heartbeats_lost_total");
+    if (!answer)
+        return;
+    const json heartbeat = json::parse(answer->body, nullptr, false);
+    if (heartbeat.is_object())
+        this->take_heartbeat(heartbeat, address);
+}
+
+void peer_exchange::fetch_settings(const std::string& address, wire::yield_context yield) {
+    if (std::exchange(this->is_fetching_settings, true))
+        return;
+    const auto answer =
+        wire::fetch(*this->state->pool, address, wire::get_request(settings_path, {{"Host", address}}),
+                    document_limit, yield);
+    this->is_fetching_settings = false;
+    if (!answer || answer->status != ok_status)
+        return;
+    auto document = this->feed->read_document(answer->body);
+    if (document && put_in_force(*this->state, std::move(*document), "peer"))
+        this->spread_settings();
+}
+
+void peer_exchange::fetch_registry(const std::string& address, wire::yield_context yield) {
+    const auto answer = wire::fetch(*this->state->pool, address,
+                                    wire::get_request(registry_path, {{"Host", address}}), peer_limit, yield);
+    if (!answer || answer->status != ok_status)
+        return;
+    try {
+        take_registry(*this->state, decode_registry(json::parse(answer->body)), "peer");
+        this->state->has_registry = true;
+    } catch (const json::exception&) {
+        this->state->figures->count("malformed_peer_answers_total");
+    }
+}
+
+void peer_exchange::ask_for_registry(wire::yield_context yield) {
+    for (const std::string& address :
+         host::draw_peers(this->state->peers, 1, this->state->clock->now(), this->state->random)) {
+        this->beat(address, yield);
+        this->fetch_registry(address, yield);
+    }
+}
+
+void peer_exchange::beat_some(std::size_t count) {
+    for (const std::string& address :
+         host::draw_peers(this->state->peers, count, this->state->clock->now(), this->state->random))
+        wire::spawn_coroutine(*this->state->context,
+                              [this, address](wire::yield_context yield) { this->beat(address, yield); });
+}
+
+void peer_exchange::spread_settings() { this->beat_some(spread_count); }
+
+void peer_exchange::say_goodbye() { this->beat_some(spread_count); }
+
+void peer_exchange::run_heartbeats(wire::yield_context yield) {
+    std::uniform_real_distribution<double> part(0.8, 1.2);
+    wire::asio::steady_timer timer(*this->state->context);
+    wire::error_code ignored;
+    while (true) {
+        timer.expires_after(base::from_seconds(base::to_seconds(this->state->process->heartbeat) *
+                                               part(this->state->random)));
+        timer.async_wait(yield[ignored]);
+        this->beat_some(1);
+    }
+}
+
+void peer_exchange::join(wire::yield_context yield) {
+    const ports::host_entry own = {this->state->process->name, this->state->process->peers};
+    wire::asio::steady_timer timer(*this->state->context);
+    wire::error_code ignored;
+    while (true) {
+        const auto announced = this->feed->announce(own, yield);
+        const auto hosts = announced ? this->feed->hosts(yield) : tl::make_unexpected(announced.error());
+        if (hosts) {
+            for (const ports::host_entry& entry : *hosts)
+                if (entry.name != own.name)
+                    host::note_peer(this->state->peers, entry.name, entry.address, false,
+                                    this->state->clock->now());
+            return;
+        }
+        timer.expires_after(join_pause);
+        timer.async_wait(yield[ignored]);
+    }
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/peer_exchange.h
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <gateway/gateway_state.h>
+#include <wire/http_listener.h>
+
+#include <memory>
+#include <string>
+
+namespace postpaddle::gateway {
+
+/// What hosts tell each other: who is there, which settings are in force, and, while the store is out of
+/// reach, the settings and the registry themselves.
+///
+/// Heartbeats go to few hosts drawn at random, so the traffic of a host does not grow with their number.
+class peer_exchange {
+public:
+    peer_exchange(gateway_state& state, ports::control_feed& feed);
+
+    /// Listens for the other hosts and for operators.
+    [[nodiscard]] wire::expected<void> listen();
+    /// Starts the coroutines; they run for as long as the process does.
+    void start();
+    /// Tells a few peers at once that newer settings are in force here.
+    void spread_settings();
+    /// Asks a peer for the registry and, if need be, for the settings.
+    void ask_for_registry(wire::yield_context yield);
+    /// Tells a few peers that this host is leaving.
+    void say_goodbye();
+
+private:
+    void serve(wire::caller_connection& connection, wire::yield_context yield);
+    [[nodiscard]] wire::http_response answer(const wire::http_request& request);
+    [[nodiscard]] nlohmann::json own_heartbeat() const;
+    void take_heartbeat(const nlohmann::json& heartbeat, const std::string& address);
+    void beat(const std::string& address, wire::yield_context yield);
+    void fetch_settings(const std::string& address, wire::yield_context yield);
+    void fetch_registry(const std::string& address, wire::yield_context yield);
+    void run_heartbeats(wire::yield_context yield);
+    void join(wire::yield_context yield);
+    void beat_some(std::size_t count);
+
+    gateway_state* state;
+    ports::control_feed* feed;
+    std::shared_ptr<wire::http_listener> listener;
+    bool is_fetching_settings = false;
+};
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/plain_relay.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/plain_relay.h>
+
+#include <gateway/upstream_exchange.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using decision::send_result;
+using namespace std::chrono_literals;
+
+/// A repeatable request goes to another upstream after this part of the time left without an answer.
+constexpr double first_try_part = 0.45;
+constexpr base::duration shortest_try = 250ms;
+
+/// An answer of failure that is passed on when no other upstream does better.
+struct failure_answer {
+    wire::response_head head;
+    std::string body;
+};
+
+base::time_point limit_of_try(const gateway_request& request) {
+    const bool may_go_elsewhere =
+        request.record.is_repeatable && request.record.sends + 1 < request.record.most_sends;
+    if (!may_go_elsewhere)
+        return request.deadline;
+    const base::duration part = base::from_seconds(base::to_seconds(time_left(request)) * first_try_part);
+    return std::min(request.deadline, request.state->clock->now() + std::max(shortest_try, part));
+}
+
+/// A success without the upstream's seal is not its answer.
+void check_genuine(exchange_result& exchange) {
+    if (exchange.result == send_result::answered && !exchange.facts.is_genuine) {
+        exchange.result = send_result::broken;
+        exchange.detail = "an answer without the upstream's seal";
+    }
+}
+
+} // namespace
+
+request_ending relay_plain(gateway_request& request, wire::yield_context yield) {
+    send_result last = send_result::not_connected;
+    std::optional<failure_answer> failure;
+    const char* reason = "no upstream";
+    while (time_left(request) > 0ms) {
+        const auto chosen = decision::choose_plain(request.state->instances, choice_context_of(request),
+                                                   request.state->random);
+        if (!chosen)
+            break;
+        if (!may_spend_send(request)) {
+            reason = "no budget for another upstream";
+            break;
+        }
+        request.tried.insert(*chosen);
+        const base::time_point limit = limit_of_try(request);
+        const ports::upstream_send send = {
+            .instance = *chosen,
+            .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(request))};
+        const work_mark mark(*request.state, *chosen, 0, 0);
+        exchange_result exchange = send_to_instance(request, send, limit, yield);
+        std::string body;
+        if (exchange.head.status != 0 && exchange.result != send_result::broken)
+            body = read_body(exchange, limit, yield);
+        check_genuine(exchange);
+        end_exchange(request, send, exchange);
+        if (request.cancellation->is_caller_gone)
+            return request_ending::caller_gone;
+        last = exchange.result;
+        if (last == send_result::answered) {
+            decision::instance* const target = decision::find_instance(request.state->instances, *chosen);
+            if (target != nullptr)
+                decision::note_answer_time(*target, request.state->clock->now() - exchange.sent);
+            return pass_answer(request, exchange.head, std::move(body), yield);
+        }
+        if (last == send_result::server_error)
+            failure = failure_answer{exchange.head, std::move(body)};
+        reason = decision::to_text(last);
+        if (!decision::may_send_again(request.record, last))
+            break;
+    }
+    if (failure)
+        return pass_answer(request, failure->head, std::move(failure->body), yield);
+    return answer_by_host(request, last, reason, yield);
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/request_handler.cpp
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/request_handler.h>
+
+#include <gateway/plain_relay.h>
+#include <gateway/stream_relay.h>
+
+#include <algorithm>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int bad_request_status = 400;
+constexpr int not_found_status = 404;
+constexpr int too_slow_status = 408;
+constexpr int too_large_status = 413;
+constexpr int head_too_large_status = 431;
+constexpr int unavailable_status = 503;
+
+int status_of(const wire::wire_error& error) {
+    switch (error.failure) {
+    case wire::wire_failure::malformed:
+        return bad_request_status;
+    case wire::wire_failure::too_large:
+        return too_large_status;
+    case wire::wire_failure::head_too_large:
+        return head_too_large_status;
+    case wire::wire_failure::late:
+        return too_slow_status;
+    default:
+        return 0;
+    }
+}
+
+wire::http_response rejection(int status, const char* reason) {
+    wire::http_response response{status, {}, ""};
+    response.headers.push_back({"Postpaddle-Outcome", "not-run"});
+    response.headers.push_back({"Postpaddle-Reason", reason});
+    return response;
+}
+
+void log_end(const gateway_request& request, request_ending ending, int status, const char* reason) {
+    gateway_state& state = *request.state;
+    const base::duration took = state.clock->now() - request.arrived;
+    state.figures->count(std::string("requests_total{ending=\"") + to_text(ending) + "\"}");
+    state.figures->observe("request_seconds", took);
+    nlohmann::json line = {{"request", request.routed.id},
+                           {"ending", to_text(ending)},
+                           {"took_ms", base::to_milliseconds(took)},
+                           {"sends", request.sends}};
+    if (request.settings)
+        line["settings_version"] = request.settings->document.value->version;
+    if (request.route != nullptr)
+        line["route"] = request.route->name;
+    if (status != 0)
+        line["status"] = status;
+    if (reason != nullptr)
+        line["reason"] = reason;
+    state.log->write("request_ended", std::move(line));
+}
+
+/// A request that is refused before any upstream is asked.
+void reject(gateway_request& request, int status, const char* reason, wire::yield_context yield) {
+    wire::http_response response = rejection(status, reason);
+    if (status == unavailable_status)
+        response.headers.push_back({"Retry-After", "0.5"});
+    (void)request.connection->send(response, yield);
+    log_end(request, status == unavailable_status ? request_ending::not_run : request_ending::rejected,
+            status, reason);
+}
+
+decision::send_record make_record(const settings::route_settings_entry& route) {
+    decision::send_record record;
+    record.is_repeatable = route.kind == settings::route_kind::repeatable ||
+                           (route.kind == settings::route_kind::stream && route.is_resumable);
+    record.most_sends = std::max(1, route.most_attempts);
+    return record;
+}
+
+void enter(gateway_request& request) {
+    gateway_state& state = *request.state;
+    std::uniform_real_distribution<double> draw(0, 1);
+    request.service = decision::choose_service(*request.route, draw(state.random));
+    request.record = make_record(*request.route);
+    base::duration patience = request.route->time_limit;
+    if (request.routed.time_left)
+        patience = std::min<base::duration>(patience, *request.routed.time_left);
+    request.deadline = request.arrived + patience;
+    decision::note_request(state.budgets[request.service],
+                           {.ratio = state.process->retries.ratio,
+                            .slack = state.process->retries.slack,
+                            .window = state.process->retries.window},
+                           request.arrived);
+}
+
+request_ending relay(gateway_request& request, wire::yield_context yield) {
+    const settings::service_entry* const service = service_of(request);
+    const bool is_engine_work = request.route->kind == settings::route_kind::stream ||
+                                (service != nullptr && service->engine.has_value());
+    if (is_engine_work)
+        return stream_relay(request).run(yield);
+    return relay_plain(request, yield);
+}
+
+void serve_request(gateway_state& state, wire::caller_connection& connection, wire::http_request message,
+                   wire::yield_context yield) {
+    gateway_request request;
+    request.state = &state;
+    request.connection = &connection;
+    request.arrived = state.clock->now();
+    request.settings = state.settings;
+    auto routed = state.protocol.read_request(std::move(message));
+    if (!routed)
+        return reject(request, bad_request_status, "the request can't be read", yield);
+    request.routed = std::move(*routed);
+    if (!request.settings)
+        return reject(request, unavailable_status, "no settings are known yet", yield);
+    request.route =
+        decision::find_route(request.settings->routes, request.routed.host, request.routed.message.target);
+    if (request.route == nullptr)
+        return reject(request, not_found_status, "no route", yield);
+    if (request.routed.id.empty())
+        return reject(request, bad_request_status, "the request has no id", yield);
+    wire::remove_connection_headers(request.routed.message.headers);
+    enter(request);
+    connection.watch([cancellation = request.cancellation] { cancellation->did_lose_caller(); });
+    const request_ending ending = relay(request, yield);
+    connection.unwatch();
+    log_end(request, ending, 0, nullptr);
+}
+
+} // namespace
+
+void serve_caller(gateway_state& state, wire::caller_connection& connection, wire::yield_context yield) {
+    while (!connection.is_gone()) {
+        auto message = connection.read_request(yield);
+        if (!message) {
+            const int status = status_of(message.error());
+            if (status == 0)
+                return;
+            state.figures->count("malformed_requests_total");
+            connection.send_and_close(rejection(status, wire::to_text(message.error().failure)), yield);
+            return;
+        }
+        if (state.is_draining)
+            connection.close_after_response();
+        ++state.requests_in_progress;
+        serve_request(state, connection, std::move(*message), yield);
+        --state.requests_in_progress;
+        if (!connection.is_keep_alive())
+            return;
+    }
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/request_handler.h
@@ -0,0 +1,11 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <gateway/gateway_request.h>
+
+namespace postpaddle::gateway {
+
+/// Serves one caller's connection from its first request to its last.
+void serve_caller(gateway_state& state, wire::caller_connection& connection, wire::yield_context yield);
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/state_dump.cpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/state_dump.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+json dump_instance(const decision::instance& known, base::time_point now) {
+    return {{"service", known.entry.service},
+            {"address", known.entry.address},
+            {"availability_zone", known.entry.availability_zone.value},
+            {"stage", static_cast<int>(known.entry.stage)},
+            {"listing", decision::to_text(known.state)},
+            {"registry_offset", known.offset},
+            {"own_requests", known.own_requests},
+            {"own_memory_tokens", known.own_memory_tokens},
+            {"others_requests", decision::others_requests(known, now)},
+            {"failure_rate", known.health.failure_rate},
+            {"failures_in_row", known.health.failures_in_row},
+            {"is_aside", decision::is_aside(known, now)},
+            {"latency_ms", known.latency.value * 1'000},
+            {"slowness", known.slowness.value}};
+}
+
+} // namespace
+
+json dump_state(const gateway_state& state) {
+    const base::time_point now = state.clock->now();
+    json instances = json::object();
+    for (const auto& [id, known] : state.instances.by_id)
+        instances[id.value] = dump_instance(known, now);
+    json peers = json::object();
+    for (const auto& [name, known] : state.peers.by_name)
+        peers[name.value] = {{"address", known.address},
+                             {"heard_ms_ago", base::to_milliseconds(now - known.heard)},
+                             {"is_leaving", known.is_leaving}};
+    return {{"host", state.process->name.value},
+            {"is_ready", is_ready(state)},
+            {"is_draining", state.is_draining},
+            {"settings_version", state.settings ? state.settings->document.value->version : 0},
+            {"routes", state.settings ? state.settings->document.value->routes.size() : 0},
+            {"registry_next", state.registry_next},
+            {"requests_in_progress", state.requests_in_progress},
+            {"hosts_alive", hosts_alive(state)},
+            {"instances", std::move(instances)},
+            {"peers", std::move(peers)}};
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/state_dump.h
@@ -0,0 +1,11 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <gateway/gateway_state.h>
+
+namespace postpaddle::gateway {
+
+/// All that the process believes, for operators.
+[[nodiscard]] nlohmann::json dump_state(const gateway_state& state);
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/store_watch.cpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/store_watch.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How long one read waits for new settings. Short enough that a connection that went silent behind a cut is
+/// replaced within the bound on new settings once the cut has healed.
+constexpr auto settings_wait = 3'000ms;
+/// Pause after a failed read, at random between half and all of it, so that hosts don't return in step.
+constexpr base::duration failure_pause = 600ms;
+
+constexpr const char* settings_name = "settings";
+constexpr const char* registry_name = "registry";
+
+} // namespace
+
+store_watch::store_watch(gateway_state& state, ports::control_feed& feed, callbacks hooks)
+    : state(&state), feed(&feed), hooks(std::move(hooks)) {}
+
+void store_watch::start() {
+    wire::spawn_coroutine(*this->state->context,
+                          [this](wire::yield_context yield) { this->watch_settings(yield); });
+    wire::spawn_coroutine(*this->state->context,
+                          [this](wire::yield_context yield) { this->watch_registry(yield); });
+}
+
+void store_watch::pause(base::duration length, wire::yield_context yield) {
+    wire::asio::steady_timer timer(*this->state->context, length);
+    wire::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+void store_watch::did_fail(const char* what, const ports::feed_error& error) {
+    this->state->figures->count("store_failures_total");
+    this->state->registry_trouble = this->state->clock->now();
+    if (std::exchange(this->is_lost[what], true))
+        return;
+    this->state->log->write_always("dependency_lost", {{"dependency", std::string("store ") + what},
+                                                       {"failure", ports::to_text(error.failure)},
+                                                       {"detail", error.detail}});
+}
+
+void store_watch::did_answer(const char* what) {
+    this->state->figures->count("store_reads_total");
+    if (std::exchange(this->is_lost[what], false))
+        this->state->log->write_always("dependency_regained", {{"dependency", std::string("store ") + what}});
+}
+
+bool store_watch::read_settings(wire::yield_context yield) {
+    auto page = this->has_settings_offset
+                    ? this->feed->settings_after(this->settings_next, settings_wait, yield)
+                    : this->feed->newest_settings(yield);
+    if (!page) {
+        if (page.error().failure == ports::feed_failure::history_lost)
+            this->has_settings_offset = false;
+        this->did_fail(settings_name, page.error());
+        return false;
+    }
+    this->did_answer(settings_name);
+    this->settings_next = page->next;
+    this->has_settings_offset = true;
+    if (page->newest && put_in_force(*this->state, std::move(*page->newest), "store"))
+        this->hooks.on_new_settings();
+    return true;
+}
+
+void store_watch::watch_settings(wire::yield_context yield) {
+    std::uniform_real_distribution<double> part(0.5, 1);
+    while (true) {
+        if (!this->read_settings(yield))
+            this->pause(base::from_seconds(base::to_seconds(failure_pause) * part(this->state->random)),
+                        yield);
+    }
+}
+
+bool store_watch::read_registry(wire::yield_context yield) {
+    auto page = this->has_registry_offset ? this->feed->registry_after(this->state->registry_next, yield)
+                                          : this->feed->newest_registry(yield);
+    if (!page) {
+        if (page.error().failure == ports::feed_failure::history_lost)
+            this->has_registry_offset = false;
+        this->did_fail(registry_name, page.error());
+        return false;
+    }
+    this->did_answer(registry_name);
+    if (!this->has_registry_offset) {
+        take_registry_snapshot(*this->state, *page);
+        this->has_registry_offset = true;
+        return true;
+    }
+    take_registry(*this->state, page->changes, "store");
+    this->state->registry_next = page->next;
+    return true;
+}
+
+void store_watch::watch_registry(wire::yield_context yield) {
+    while (true) {
+        if (!this->read_registry(yield))
+            this->hooks.on_registry_lost(yield);
+        this->pause(this->state->process->registry_interval, yield);
+    }
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/stream_relay.cpp
@@ -0,0 +1,243 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/stream_relay.h>
+
+#include <algorithm>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using decision::send_result;
+using namespace std::chrono_literals;
+
+constexpr int ok_status = 200;
+/// A step of the way is given up after this many times what was expected, and the grace on top.
+constexpr double late_factor = 3;
+constexpr base::duration late_grace = 400ms;
+/// A stream that may go on elsewhere does so after this many times the route's longest pause.
+constexpr int silence_factor = 4;
+/// Prompts of one request that are sent to prefill engines at most.
+constexpr int most_prompts = 2;
+/// A kept prompt is freed within this time or lapses by itself.
+constexpr auto release_limit = 500ms;
+
+base::time_point late_after(base::time_point now, base::duration expected, base::time_point deadline) {
+    const base::duration patience = base::from_seconds(base::to_seconds(expected) * late_factor) + late_grace;
+    return std::min(deadline, now + patience);
+}
+
+} // namespace
+
+std::optional<decision::engine_plan> stream_relay::choose() {
+    gateway_state& state = *this->request->state;
+    const settings::service_entry* const service = service_of(*this->request);
+    const settings::engine_capacity capacity =
+        service != nullptr && service->engine ? *service->engine : settings::engine_capacity{};
+    decision::choice_context context = choice_context_of(*this->request);
+    const bool may_read_elsewhere = this->prompts_sent < most_prompts && !this->is_begun;
+    if (!may_read_elsewhere)
+        return decision::choose_reader(state.instances, context, capacity, this->size, state.random);
+    context.excluded.insert(this->failed_prefills.begin(), this->failed_prefills.end());
+    return decision::choose_engines(state.instances, context, capacity, this->size, state.random);
+}
+
+bool stream_relay::may_go_elsewhere() const {
+    const decision::send_record& record = this->request->record;
+    return record.is_repeatable && record.sends + 1 < record.most_sends;
+}
+
+bool stream_relay::read_prompt(const decision::engine_plan& plan, wire::yield_context yield) {
+    gateway_state& state = *this->request->state;
+    const base::time_point limit =
+        late_after(state.clock->now(), plan.expected_read, this->request->deadline);
+    const ports::upstream_send send = {
+        .instance = *plan.prefill,
+        .purpose = ports::send_purpose::read_prompt,
+        .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request))};
+    ++this->prompts_sent;
+    work_mark mark(state, *plan.prefill, this->size.prompt_tokens, this->size.prompt_tokens);
+    exchange_result exchange = send_to_instance(*this->request, send, limit, yield);
+    if (exchange.result == send_result::answered || exchange.result == send_result::not_run) {
+        const std::string body = read_body(exchange, limit, yield);
+        auto handle = state.protocol.read_handle(body);
+        if (exchange.result == send_result::answered && handle)
+            this->kept = ports::kept_prompt{*plan.prefill, exchange.address, std::move(*handle)};
+        else if (exchange.result == send_result::answered)
+            exchange.result = send_result::broken;
+    }
+    mark.did_read_prompt();
+    end_exchange(*this->request, send, exchange);
+    decision::instance* const target = decision::find_instance(state.instances, *plan.prefill);
+    if (this->kept && target != nullptr)
+        decision::note_read(*target, this->size, state.clock->now() - exchange.sent, state.clock->now());
+    if (!this->kept)
+        this->failed_prefills.insert(*plan.prefill);
+    return this->kept.has_value();
+}
+
+std::optional<request_ending> stream_relay::decode(const decision::engine_plan& plan,
+                                                   wire::yield_context yield) {
+    gateway_state& state = *this->request->state;
+    const ports::upstream_send send = {
+        .instance = plan.decode,
+        .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request)),
+        .source = this->kept,
+        .resume_after = this->last_event};
+    const bool is_reading_there = !this->kept;
+    const base::time_point limit =
+        this->may_go_elsewhere()
+            ? late_after(state.clock->now(), plan.expected_first_event, this->request->deadline)
+            : this->request->deadline;
+    work_mark mark(state, plan.decode, this->size.prompt_tokens + this->size.output_tokens,
+                   is_reading_there ? this->size.prompt_tokens : 0);
+    exchange_result exchange = send_to_instance(*this->request, send, limit, yield);
+    return this->take_answer(exchange, send, limit, mark, yield);
+}
+
+std::optional<request_ending> stream_relay::take_answer(exchange_result& exchange,
+                                                        const ports::upstream_send& send,
+                                                        base::time_point limit, work_mark& mark,
+                                                        wire::yield_context yield) {
+    stream_end end = stream_end::broken;
+    std::string body;
+    const bool is_stream = exchange.result == send_result::answered && exchange.head.status == ok_status;
+    if (is_stream && exchange.facts.is_genuine)
+        end = this->relay_events(exchange, limit, mark, yield);
+    else if (is_stream)
+        exchange.detail = "an answer without the upstream's seal";
+    else if (exchange.head.status != 0 && exchange.result != send_result::broken)
+        body = read_body(exchange, limit, yield);
+    if (is_stream && end == stream_end::broken && exchange.result == send_result::answered)
+        exchange.result = send_result::broken;
+    if (exchange.result != send_result::not_connected)
+        this->kept.reset();
+    end_exchange(*this->request, send, exchange);
+    this->last = exchange.result;
+    this->reason = decision::to_text(exchange.result);
+    if (this->request->cancellation->is_caller_gone || end == stream_end::caller_gone)
+        return request_ending::caller_gone;
+    if (is_stream && end == stream_end::whole)
+        return request_ending::passed_on;
+    if (exchange.result == send_result::answered)
+        return this->is_begun ? this->give_up(yield)
+                              : pass_answer(*this->request, exchange.head, std::move(body), yield);
+    if (exchange.result == send_result::server_error) {
+        this->failure = exchange;
+        this->failure_body = std::move(body);
+    }
+    return std::nullopt;
+}
+
+stream_relay::stream_end stream_relay::relay_events(exchange_result& exchange, base::time_point limit,
+                                                    work_mark& mark, wire::yield_context yield) {
+    wire::event_splitter events;
+    if (!this->is_begun)
+        this->first_head = exchange.head;
+    while (true) {
+        auto has_more = exchange.call->read_part(events.input(), limit, yield);
+        if (this->request->cancellation->is_caller_gone)
+            return stream_end::caller_gone;
+        if (!has_more) {
+            exchange.detail = std::string(wire::to_text(has_more.error().failure)) + " in the stream";
+            exchange.call->cancel();
+            return stream_end::broken;
+        }
+        if (!this->pass_events(events, mark))
+            return stream_end::caller_gone;
+        if (!*has_more)
+            break;
+        limit = this->limit_of_silence();
+    }
+    if (events.has_rest() || !this->is_begun) {
+        exchange.detail = "the stream ended inside an event";
+        return stream_end::broken;
+    }
+    return this->request->connection->end_stream(yield) ? stream_end::whole : stream_end::caller_gone;
+}
+
+bool stream_relay::pass_events(wire::event_splitter& events, work_mark& mark) {
+    while (const auto event = events.next()) {
+        mark.did_read_prompt();
+        const bool is_known = event->id && this->last_event && *event->id <= *this->last_event;
+        if (is_known)
+            continue;
+        if (event->id)
+            this->last_event = event->id;
+        if (!this->is_begun) {
+            wire::remove_connection_headers(this->first_head.headers);
+            this->request->connection->begin_stream(this->first_head);
+            this->is_begun = true;
+            this->request->state->figures->observe("first_event_seconds", this->request->state->clock->now() -
+                                                                              this->request->arrived);
+        }
+        if (!this->request->connection->append(event->text))
+            return false;
+    }
+    return true;
+}
+
+base::time_point stream_relay::limit_of_silence() const {
+    if (!this->may_go_elsewhere())
+        return this->request->deadline;
+    const base::duration patience = this->request->route->gap_target * silence_factor;
+    return std::min(this->request->deadline, this->request->state->clock->now() + patience);
+}
+
+request_ending stream_relay::give_up(wire::yield_context yield) {
+    if (this->is_begun) {
+        this->request->connection->abort();
+        return request_ending::broken_off;
+    }
+    if (this->failure)
+        return pass_answer(*this->request, this->failure->head, std::move(this->failure_body), yield);
+    return answer_by_host(*this->request, this->last, this->reason, yield);
+}
+
+void stream_relay::release_kept() {
+    if (!this->kept)
+        return;
+    gateway_state& state = *this->request->state;
+    wire::spawn_coroutine(*state.context, [&state, prompt = *this->kept](wire::yield_context yield) {
+        const auto answer = wire::fetch(*state.pool, prompt.address, state.protocol.make_release(prompt),
+                                        release_limit, yield);
+        state.figures->count(answer ? "kept_prompts_freed_total" : "kept_prompts_left_total");
+    });
+    this->kept.reset();
+}
+
+request_ending stream_relay::run(wire::yield_context yield) {
+    this->size = {this->request->routed.prompt_tokens, this->request->routed.output_tokens};
+    this->last_event = this->request->routed.resume_after;
+    while (time_left(*this->request) > 0ms) {
+        const auto plan = this->choose();
+        if (!plan)
+            break;
+        const bool is_another_prompt = this->prompts_sent > 0;
+        if (plan->prefill && (!is_another_prompt || may_spend_send(*this->request)) &&
+            !this->read_prompt(*plan, yield)) {
+            if (this->request->cancellation->is_caller_gone)
+                return request_ending::caller_gone;
+            continue;
+        }
+        if (this->request->cancellation->is_caller_gone) {
+            this->release_kept();
+            return request_ending::caller_gone;
+        }
+        if (!may_spend_send(*this->request)) {
+            this->reason = "no budget for another engine";
+            break;
+        }
+        this->request->tried.insert(plan->decode);
+        const auto ending = this->decode(*plan, yield);
+        if (ending) {
+            this->release_kept();
+            return *ending;
+        }
+        if (!decision::may_send_again(this->request->record, this->last))
+            break;
+    }
+    this->release_kept();
+    return this->give_up(yield);
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -0,0 +1,186 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/upstream_exchange.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using decision::send_result;
+using namespace std::chrono_literals;
+
+/// A connection that takes longer is not waited for: nothing has been sent, another upstream may serve.
+constexpr auto connect_limit = 300ms;
+/// Answers of others that are read past before a connection is given up.
+constexpr int most_foreign_answers = 2;
+constexpr int first_server_error = 500;
+
+send_result result_of(const wire::wire_error& error) {
+    switch (error.failure) {
+    case wire::wire_failure::not_connected:
+    case wire::wire_failure::bad_address:
+        return send_result::not_connected;
+    case wire::wire_failure::late:
+        return send_result::late;
+    default:
+        return send_result::broken;
+    }
+}
+
+send_result result_of(const wire::response_head& head, const ports::answer_facts& facts) {
+    if (facts.is_not_run)
+        return send_result::not_run;
+    return head.status >= first_server_error ? send_result::server_error : send_result::answered;
+}
+
+decision::send_verdict verdict_of(send_result result) {
+    switch (result) {
+    case send_result::answered:
+        return decision::send_verdict::good;
+    case send_result::not_run:
+        return decision::send_verdict::busy;
+    case send_result::server_error:
+    case send_result::broken:
+        return decision::send_verdict::failed;
+    case send_result::not_connected:
+    case send_result::late:
+        return decision::send_verdict::unreachable;
+    }
+    return decision::send_verdict::failed;
+}
+
+bool is_anothers(const ports::answer_facts& facts, const ports::routed_request& routed) {
+    return !facts.request_id.empty() && facts.request_id != routed.id;
+}
+
+/// Reads past answers that belong to other requests, to the head of this request's own.
+wire::expected<void> skip_foreign_answers(gateway_request& request, exchange_result& exchange,
+                                          base::time_point limit, wire::yield_context yield) {
+    for (int skipped = 0; is_anothers(exchange.facts, request.routed); ++skipped) {
+        request.state->figures->count("foreign_answers_total");
+        if (skipped == most_foreign_answers)
+            return tl::make_unexpected(wire::wire_error{wire::wire_failure::malformed, "another's answer"});
+        auto rest = exchange.call->read_rest(limit, yield);
+        if (!rest)
+            return tl::make_unexpected(std::move(rest).error());
+        auto head = exchange.call->read_next_head(limit, yield);
+        if (!head)
+            return tl::make_unexpected(std::move(head).error());
+        exchange.head = std::move(*head);
+        exchange.facts = request.state->protocol.read_answer(exchange.head);
+    }
+    return {};
+}
+
+void note_broken(exchange_result& exchange, const wire::wire_error& error) {
+    exchange.result = result_of(error);
+    exchange.detail = std::string(wire::to_text(error.failure)) + ": " + error.detail;
+    if (exchange.call)
+        exchange.call->cancel();
+}
+
+/// A connection that has carried others may turn out stale after the send. Only what may run again goes over
+/// such a one.
+wire::connection_use use_for(const gateway_request& request, const ports::upstream_send& send) {
+    const bool may_send_twice =
+        request.record.is_repeatable || send.purpose == ports::send_purpose::read_prompt;
+    return may_send_twice ? wire::connection_use::may_reuse : wire::connection_use::only_fresh;
+}
+
+} // namespace
+
+work_mark::work_mark(gateway_state& state, base::upstream_id instance, double memory_tokens,
+                     double prompt_tokens)
+    : state(&state), instance(std::move(instance)), memory_tokens(memory_tokens),
+      prompt_tokens(prompt_tokens) {
+    decision::instance* const target = decision::find_instance(state.instances, this->instance);
+    if (target == nullptr)
+        return;
+    ++target->own_requests;
+    target->own_memory_tokens += this->memory_tokens;
+    target->own_prompt_tokens += this->prompt_tokens;
+}
+
+work_mark::~work_mark() {
+    this->did_read_prompt();
+    decision::instance* const target = decision::find_instance(this->state->instances, this->instance);
+    if (target == nullptr)
+        return;
+    --target->own_requests;
+    target->own_memory_tokens -= this->memory_tokens;
+}
+
+void work_mark::did_read_prompt() {
+    decision::instance* const target = decision::find_instance(this->state->instances, this->instance);
+    if (target != nullptr)
+        target->own_prompt_tokens -= this->prompt_tokens;
+    this->prompt_tokens = 0;
+}
+
+exchange_result send_to_instance(gateway_request& request, const ports::upstream_send& send,
+                                 base::time_point limit, wire::yield_context yield) {
+    gateway_state& state = *request.state;
+    exchange_result exchange;
+    exchange.sent = state.clock->now();
+    const decision::instance* const target = decision::find_instance(state.instances, send.instance);
+    if (target == nullptr)
+        return exchange;
+    exchange.address = target->entry.address;
+    const auto on_call = [&](std::shared_ptr<wire::upstream_call> call) {
+        request.cancellation->call = call;
+        exchange.call = call;
+        if (request.cancellation->is_caller_gone)
+            call->cancel();
+    };
+    auto open = wire::open_exchange(*state.pool, exchange.address,
+                                    state.protocol.make_send(request.routed, send), use_for(request, send),
+                                    {.deadline = limit, .connect = connect_limit}, on_call, yield);
+    if (!open) {
+        note_broken(exchange, open.error());
+        return exchange;
+    }
+    exchange.head = std::move(open->head);
+    exchange.facts = state.protocol.read_answer(exchange.head);
+    if (const auto skipped = skip_foreign_answers(request, exchange, limit, yield); !skipped) {
+        note_broken(exchange, skipped.error());
+        return exchange;
+    }
+    exchange.result = result_of(exchange.head, exchange.facts);
+    return exchange;
+}
+
+std::string read_body(exchange_result& exchange, base::time_point limit, wire::yield_context yield) {
+    auto body = exchange.call->read_rest(limit, yield);
+    if (body)
+        return std::move(*body);
+    note_broken(exchange, body.error());
+    return {};
+}
+
+void end_exchange(gateway_request& request, const ports::upstream_send& send, exchange_result& exchange) {
+    gateway_state& state = *request.state;
+    const base::time_point now = state.clock->now();
+    request.cancellation->call = nullptr;
+    if (exchange.call)
+        state.pool->give_back(exchange.address, exchange.call);
+    if (send.purpose == ports::send_purpose::run)
+        decision::note_result(request.record, exchange.result);
+    const bool is_reading = send.purpose == ports::send_purpose::read_prompt;
+    request.sends.push_back({{"instance", send.instance.value},
+                             {"purpose", is_reading ? "read_prompt" : "run"},
+                             {"result", decision::to_text(exchange.result)},
+                             {"status", exchange.head.status},
+                             {"took_ms", base::to_milliseconds(now - exchange.sent)}});
+    if (!exchange.detail.empty())
+        request.sends.back()["detail"] = exchange.detail;
+    state.figures->count(std::string("sends_total{result=\"") + decision::to_text(exchange.result) + "\"}");
+    decision::instance* const target = decision::find_instance(state.instances, send.instance);
+    if (target == nullptr || request.cancellation->is_caller_gone)
+        return;
+    if (exchange.facts.load)
+        decision::note_load(*target, *exchange.facts.load, now);
+    decision::note_verdict(*target, verdict_of(exchange.result), now);
+    if (exchange.facts.is_other_instance)
+        target->state = decision::listing::vanished;
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/host/peer_directory.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <host/peer_directory.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace postpaddle::host {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A host counts as possibly alive for this long after it was heard of. Long, because what all hosts share
+/// is divided by their number: counting one too many costs little, one too few breaks the bound.
+constexpr base::duration alive_lifetime = 30s;
+/// One draw in this many goes to a host that has been silent, or to a seed.
+constexpr int silent_draw = 8;
+
+bool may_be_alive(const peer& value, base::time_point now) {
+    return !value.is_leaving && now - value.heard < alive_lifetime;
+}
+
+} // namespace
+
+void note_peer(peer_directory& directory, const base::host_id& name, const std::string& address,
+               bool is_own_word, base::time_point now) {
+    const auto [found, is_new] = directory.by_name.try_emplace(name);
+    peer& known = found->second;
+    if (is_new || is_own_word) {
+        known.address = address;
+        known.heard = now;
+        known.is_leaving = false;
+    }
+}
+
+void note_leaving(peer_directory& directory, const base::host_id& name) {
+    const auto found = directory.by_name.find(name);
+    if (found != directory.by_name.end())
+        found->second.is_leaving = true;
+}
+
+int count_alive(const peer_directory& directory, base::time_point now) {
+    return static_cast<int>(std::ranges::count_if(
+        directory.by_name, [now](const auto& item) { return now - item.second.heard < alive_lifetime; }));
+}
+
+std::vector<std::string> draw_peers(const peer_directory& directory, std::size_t count, base::time_point now,
+                                    std::mt19937_64& random) {
+    std::vector<std::string> alive;
+    std::vector<std::string> silent = directory.seeds;
+    for (const auto& [name, known] : directory.by_name)
+        (may_be_alive(known, now) ? alive : silent).push_back(known.address);
+    std::vector<std::string> drawn;
+    std::ranges::sample(alive, std::back_inserter(drawn), static_cast<std::ptrdiff_t>(count), random);
+    std::uniform_int_distribution<int> draw(0, silent_draw - 1);
+    if (drawn.empty() || draw(random) == 0)
+        std::ranges::sample(silent, std::back_inserter(drawn), 1, random);
+    return drawn;
+}
+
+} // namespace postpaddle::host
--- /dev/null
+++ b/libraries/host/peer_directory.h
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <base/identifier.h>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace postpaddle::host {
+
+/// Another host, as this one knows it.
+struct peer {
+    std::string address;      ///< For heartbeats, IP number and port.
+    base::time_point heard{}; ///< Last direct word from it, or when it was first heard of.
+    bool is_leaving = false;
+
+    bool operator==(const peer&) const = default;
+};
+
+/// The other hosts, from the store's record, from heartbeats, and from the settings' seeds.
+struct peer_directory {
+    std::map<base::host_id, peer> by_name;
+    std::vector<std::string> seeds; ///< Addresses without a name; asked while nobody else is known.
+};
+
+/// Takes over that a host has that address. Its own word counts as heard, a rumour only when it is new.
+void note_peer(peer_directory& directory, const base::host_id& name, const std::string& address,
+               bool is_own_word, base::time_point now);
+
+/// The host says that it is leaving.
+void note_leaving(peer_directory& directory, const base::host_id& name);
+
+/// Hosts that may be alive: heard within some time, or not long known.
+[[nodiscard]] int count_alive(const peer_directory& directory, base::time_point now);
+
+/// Addresses of up to `count` hosts for the next heartbeats, drawn at random among those that may be alive,
+/// now and then one of the others or a seed, so that hosts cut off from each other meet again.
+[[nodiscard]] std::vector<std::string> draw_peers(const peer_directory& directory, std::size_t count,
+                                                  base::time_point now, std::mt19937_64& random);
+
+} // namespace postpaddle::host
--- /dev/null
+++ b/libraries/ports/control_feed.h
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <decision/instance_table.h>
+#include <settings/routing_settings.h>
+#include <wire/asio.h>
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace postpaddle::ports {
+
+/// Why the store gave no answer.
+enum class feed_failure {
+    unreachable,  ///< No connection, silence, or a broken answer.
+    turned_away,  ///< The store answers that it is busy or down.
+    history_lost, ///< The records asked for are gone: read the newest of each key.
+    malformed,    ///< Not the protocol, or a document that can't be read.
+};
+
+/// A failure with detail for logs.
+struct feed_error {
+    feed_failure failure = feed_failure::unreachable;
+    std::string detail;
+
+    bool operator==(const feed_error&) const = default;
+};
+
+template <class T> using feed_result = tl::expected<T, feed_error>;
+
+/// One accepted version of the routing settings, and the text that hosts hand each other.
+struct settings_document {
+    std::string text;
+    std::shared_ptr<const settings::routing_settings> value;
+};
+
+/// Part of the operator's feed.
+struct settings_page {
+    std::optional<settings_document> newest; ///< None: nothing about settings among the records.
+    std::uint64_t next = 0;                  ///< Offset to read from next.
+};
+
+/// Part of the registry's feed.
+struct registry_page {
+    std::vector<decision::registry_change> changes;
+    std::uint64_t next = 0;
+};
+
+/// A host's own entry among the hosts.
+struct host_entry {
+    base::host_id name;
+    std::string address;
+
+    bool operator==(const host_entry&) const = default;
+};
+
+/// The platform's store, as the product needs it. All calls are made from coroutines of one thread.
+class control_feed {
+public:
+    control_feed() = default;
+    control_feed(const control_feed&) = delete;
+    control_feed(control_feed&&) = delete;
+    control_feed& operator=(const control_feed&) = delete;
+    control_feed& operator=(control_feed&&) = delete;
+    virtual ~control_feed() = default;
+
+    /// Newest settings.
+    [[nodiscard]] virtual feed_result<settings_page> newest_settings(wire::yield_context yield) = 0;
+    /// Settings recorded from an offset on; waits up to `wait` for the first.
+    [[nodiscard]] virtual feed_result<settings_page>
+    settings_after(std::uint64_t offset, std::chrono::milliseconds wait, wire::yield_context yield) = 0;
+    /// All upstreams that the registry names.
+    [[nodiscard]] virtual feed_result<registry_page> newest_registry(wire::yield_context yield) = 0;
+    /// Changes of the registry from an offset on; does not wait.
+    [[nodiscard]] virtual feed_result<registry_page> registry_after(std::uint64_t offset,
+                                                                    wire::yield_context yield) = 0;
+    /// Records this host among the hosts.
+    [[nodiscard]] virtual feed_result<void> announce(const host_entry& own, wire::yield_context yield) = 0;
+    /// All hosts on record.
+    [[nodiscard]] virtual feed_result<std::vector<host_entry>> hosts(wire::yield_context yield) = 0;
+    /// Reads a settings text that another host handed over.
+    [[nodiscard]] virtual feed_result<settings_document> read_document(const std::string& text) const = 0;
+};
+
+/// Word for a failure, as in logs.
+[[nodiscard]] const char* to_text(feed_failure failure);
+
+} // namespace postpaddle::ports
--- /dev/null
+++ b/libraries/ports/request_protocol.h
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/identifier.h>
+#include <decision/instance_table.h>
+#include <wire/http_message.h>
+#include <wire/wire_error.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// Interfaces, in the product's words, that a platform's adapter implements.
+namespace postpaddle::ports {
+
+/// A caller's request in the product's words.
+struct routed_request {
+    std::string id; ///< Of this attempt, as the caller named it.
+    std::string host;
+    std::optional<std::chrono::milliseconds> time_left; ///< How long the caller waits.
+    std::optional<std::uint64_t> resume_after;          ///< Last event that the caller has.
+    double prompt_tokens = 0;
+    double output_tokens = 0;
+    wire::http_request message; ///< As the caller sent it, without what belongs to one connection only.
+};
+
+/// A prompt that an engine has read and keeps for a decode engine.
+struct kept_prompt {
+    base::upstream_id upstream;
+    std::string address;
+    std::string handle;
+
+    bool operator==(const kept_prompt&) const = default;
+};
+
+/// What an upstream is asked to do.
+enum class send_purpose {
+    run,         ///< Answer the request.
+    read_prompt, ///< Read the prompt and keep it.
+};
+
+/// One send of a request to one instance.
+struct upstream_send {
+    base::upstream_id instance{};
+    send_purpose purpose = send_purpose::run;
+    std::optional<std::chrono::milliseconds> time_left{};
+    std::optional<kept_prompt> source{};         ///< Where the decode engine fetches the prompt's KV cache.
+    std::optional<std::uint64_t> resume_after{}; ///< Event after which a stream goes on.
+};
+
+/// What the head of an upstream's answer says.
+struct answer_facts {
+    std::string request_id;         ///< Empty where it names none.
+    bool is_not_run = false;        ///< The upstream's word that it did not run the request.
+    bool is_other_instance = false; ///< Another instance has the address.
+    bool is_genuine = false;        ///< Carries the upstream's seal and its own body.
+    std::optional<decision::instance_load> load;
+};
+
+/// How requests are spoken; pure translation.
+struct request_protocol {
+    wire::expected<routed_request> (*read_request)(wire::http_request request) = nullptr;
+    wire::http_request (*make_send)(const routed_request& request, const upstream_send& send) = nullptr;
+    answer_facts (*read_answer)(const wire::response_head& head) = nullptr;
+    wire::expected<std::string> (*read_handle)(const std::string& body) = nullptr;
+    wire::http_request (*make_release)(const kept_prompt& prompt) = nullptr;
+};
+
+} // namespace postpaddle::ports
--- a/libraries/service/completion_relay.cpp
+++ b/libraries/service/completion_relay.cpp
@@ -34,6 +34,7 @@
         return decision::failure::late;
     case wire::wire_failure::malformed:
     case wire::wire_failure::too_large:
+    case wire::wire_failure::head_too_large:
         return decision::failure::malformed;
     case wire::wire_failure::closed:
     case wire::wire_failure::cancelled:
@@ -52,6 +53,7 @@
         return run_certainty::refused_upstream;
     case wire::wire_failure::malformed:
     case wire::wire_failure::too_large:
+    case wire::wire_failure::head_too_large:
         return run_certainty::has_run;
     default:
         return run_certainty::may_have_run;
@@ -162,8 +164,8 @@
         this->call = next;
         this->context->mailbox->set_call(next);
     };
-    POSTPADDLE_TRY(open, wire::open_exchange(*this->context->services->pool, *address, request, use, deadline,
-                                             on_call, yield));
+    POSTPADDLE_TRY(open, wire::open_exchange(*this->context->services->pool, *address, request, use,
+                                             {.deadline = deadline}, on_call, yield));
     if (open.head.status != ok_status)
         return tl::make_unexpected(status_error(open.head.status));
     POSTPADDLE_TRY(body, open.call->read_rest(deadline, yield));
@@ -191,7 +193,7 @@
     const auto use = this->context->runs == decision::run_rule::repeatable ? wire::connection_use::may_reuse
                                                                            : wire::connection_use::only_fresh;
     auto open = wire::open_exchange(*this->context->services->pool, *address, request, use,
-                                    steady_clock::now() + order.limit, on_call, yield);
+                                    {.deadline = steady_clock::now() + order.limit}, on_call, yield);
     if (!open) {
         this->did_fail(order.attempt, open.error(), yield);
         return false;
--- a/libraries/service/plain_relay.cpp
+++ b/libraries/service/plain_relay.cpp
@@ -88,7 +88,8 @@
         context.mailbox->set_call(std::move(call));
     };
     const wire::http_request request = outgoing_request(context, address, attempt_id);
-    auto open = wire::open_exchange(*context.services->pool, address, request, use, deadline, on_call, yield);
+    auto open = wire::open_exchange(*context.services->pool, address, request, use, {.deadline = deadline},
+                                    on_call, yield);
     wire::expected<wire::http_response> answer = tl::make_unexpected(wire::wire_error{});
     if (open)
         answer = read_answer(*open, attempt_id, deadline, yield);
--- a/libraries/service/relay_worker.cpp
+++ b/libraries/service/relay_worker.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 wire::connection_bounds bounds_of(const settings::caller_bounds& bounds) {
-    return {bounds.header_bytes, bounds.body_bytes,   bounds.request_read,
+    return {bounds.header_bytes, bounds.body_bytes,   bounds.request_read, bounds.request_read,
             bounds.idle,         bounds.unsent_bytes, bounds.write};
 }
 
@@ -113,6 +113,11 @@
         problem.name = "too-large";
         problem.title = "The request is larger than allowed";
         break;
+    case wire::wire_failure::head_too_large:
+        problem.status = 431;
+        problem.name = "head-too-large";
+        problem.title = "The request's head is larger than allowed";
+        break;
     case wire::wire_failure::late:
         problem.status = 408;
         problem.name = "too-slow";
@@ -121,8 +126,7 @@
     default:
         return;
     }
-    connection.close_after_response();
-    (void)connection.send(to_response(problem, this->next_request_id().value), yield);
+    connection.send_and_close(to_response(problem, this->next_request_id().value), yield);
 }
 
 void relay_worker::deliver_effects() {
--- /dev/null
+++ b/libraries/settings/gateway_settings.cpp
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <settings/gateway_settings.h>
+
+#include <settings/node_reader.h>
+
+namespace postpaddle::settings {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t longest_milliseconds = 3'600'000;
+constexpr std::int64_t most_connections = 100'000;
+constexpr std::int64_t most_log_lines = 100'000;
+constexpr std::int64_t most_megabytes = 1'000'000;
+constexpr std::size_t megabyte = 1024UL * 1024;
+
+std::string read_address(node_reader& reader, const std::string& key) {
+    std::string address = reader.required_text(key);
+    if (!address.empty() && !is_ip_and_port(address))
+        reader.note(key, "an IP number and port", "`" + address + "`");
+    return address;
+}
+
+milliseconds read_milliseconds(node_reader& reader, const std::string& key, milliseconds fallback) {
+    return milliseconds(reader.integer(key, fallback.count(), {1, longest_milliseconds}));
+}
+
+milliseconds read_seconds(node_reader& reader, const std::string& key, milliseconds fallback) {
+    static constexpr double longest_seconds = 3'600;
+    static constexpr double thousand = 1'000;
+    const double seconds =
+        reader.number(key, static_cast<double>(fallback.count()) / thousand, {0.001, longest_seconds});
+    return milliseconds(static_cast<std::int64_t>(seconds * thousand));
+}
+
+retry_budget_settings read_retries(node_reader reader) {
+    static constexpr double most_slack = 1e6;
+    const retry_budget_settings standard;
+    retry_budget_settings value;
+    value.ratio = reader.number("ratio", standard.ratio, {0, 1});
+    value.slack = reader.number("slack", standard.slack, {0, most_slack});
+    value.window = read_seconds(reader, "window_s", standard.window);
+    reader.finish();
+    return value;
+}
+
+std::vector<std::string> read_seeds(node_reader& reader) {
+    std::vector<std::string> seeds = reader.texts("seeds");
+    for (const std::string& seed : seeds)
+        if (!is_ip_and_port(seed))
+            reader.note("seeds", "IP numbers and ports", "`" + seed + "`");
+    return seeds;
+}
+
+} // namespace
+
+bool is_gateway_document(const std::string& text) {
+    problems ignored;
+    const YAML::Node node = load_yaml(text, "", ignored);
+    return node.IsMap() && node["role"] && node["role"].IsScalar() && node["role"].Scalar() == "gateway";
+}
+
+tl::expected<gateway_settings, problems> parse_gateway_settings(const std::string& text,
+                                                                const std::string& file) {
+    problems found;
+    node_reader reader(load_yaml(text, file, found), file, "", found);
+    const gateway_settings standard;
+    gateway_settings value;
+    (void)reader.word("role", "gateway", {"gateway"});
+    value.name.value = reader.required_text("name");
+    value.availability_zone.value = reader.required_text("availability_zone");
+    value.callers = read_address(reader, "callers");
+    value.readiness = read_address(reader, "readiness");
+    value.readiness_path = reader.text("readiness_path", standard.readiness_path);
+    value.peers = read_address(reader, "peers");
+    value.metrics = reader.text("metrics", standard.metrics);
+    value.seeds = read_seeds(reader);
+    value.store = read_address(reader, "store");
+    value.grace = read_seconds(reader, "grace_s", standard.grace);
+    value.balancer_lag = read_milliseconds(reader, "balancer_lag_ms", standard.balancer_lag);
+    value.registry_interval = read_milliseconds(reader, "registry_interval_ms", standard.registry_interval);
+    value.heartbeat = read_milliseconds(reader, "heartbeat_ms", standard.heartbeat);
+    value.memory_bytes =
+        static_cast<std::size_t>(reader.integer("memory_mb", 100, {16, most_megabytes})) * megabyte;
+    value.connections = static_cast<std::size_t>(reader.integer(
+        "connections", static_cast<std::int64_t>(standard.connections), {1, most_connections}));
+    value.retry_after_limit = reader.number("retry_after_limit_s", standard.retry_after_limit, {0, 3'600});
+    value.retries = read_retries(reader.child("retries"));
+    value.log_level = reader.word("log_level", standard.log_level, {"debug", "info", "warn", "error"});
+    value.log_lines_per_second = static_cast<int>(
+        reader.integer("log_lines_per_second", standard.log_lines_per_second, {1, most_log_lines}));
+    reader.finish();
+    if (!found.empty())
+        return tl::make_unexpected(std::move(found));
+    return value;
+}
+
+} // namespace postpaddle::settings
--- /dev/null
+++ b/libraries/settings/routing_settings.h
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/identifier.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace postpaddle::settings {
+
+/// What may be done with a route's requests.
+enum class route_kind {
+    repeatable,   ///< May run more than once.
+    at_most_once, ///< Runs once or not at all.
+    stream,       ///< Answered by a series of events; repeatable only where the route is resumable.
+};
+
+/// Part of a route's requests that goes to a service.
+struct weighted_service {
+    std::string service;
+    double weight = 1; ///< Against the other services of the route.
+
+    bool operator==(const weighted_service&) const = default;
+};
+
+/// Requests of one host name below one path, and how they are served.
+struct route_settings_entry {
+    std::string name;
+    std::string host;        ///< Lower case, no port.
+    std::string path_prefix; ///< Begins and ends with a slash.
+    route_kind kind = route_kind::repeatable;
+    bool is_resumable = false; ///< A broken stream may go on at another upstream.
+    std::chrono::milliseconds time_limit{30'000};
+    std::chrono::milliseconds latency_target{1'000}; ///< To the whole answer, or to a stream's first event.
+    std::chrono::milliseconds gap_target{300};       ///< Longest pause between two events of a stream.
+    int priority = 0;                                ///< 0 is the highest.
+    int most_attempts = 1;                           ///< Upstreams that one request may be sent to.
+    std::vector<weighted_service> services;
+
+    bool operator==(const route_settings_entry&) const = default;
+};
+
+/// What a service's model engines can hold.
+struct engine_capacity {
+    int places = 1;                             ///< Requests that run at once.
+    int kv_tokens = 0;                          ///< Tokens that an engine's memory holds.
+    std::chrono::milliseconds kept_prompt{500}; ///< How long a prompt that was read waits to be fetched.
+
+    bool operator==(const engine_capacity&) const = default;
+};
+
+/// Upstreams of one kind.
+struct service_entry {
+    std::string name;
+    int most_connections = 100; ///< Of one upstream, from all hosts together.
+    std::optional<engine_capacity> engine;
+
+    bool operator==(const service_entry&) const = default;
+};
+
+/// Bounds on what callers send.
+struct caller_limits {
+    std::size_t header_bytes = 16UL * 1024;
+    std::size_t body_bytes = 4UL * 1024 * 1024;
+    std::chrono::milliseconds header_time{3'000};
+    std::chrono::milliseconds idle_time{15'000};
+
+    bool operator==(const caller_limits&) const = default;
+};
+
+/// One version of what the operator wants served. Never changed once read.
+struct routing_settings {
+    std::uint64_t version = 0; ///< Rises from one accepted document to the next.
+    std::vector<route_settings_entry> routes;
+    std::map<std::string, service_entry> services;
+    caller_limits limits;
+
+    bool operator==(const routing_settings&) const = default;
+};
+
+/// What an engine does for a request.
+enum class engine_stage { none, prefill, decode, both };
+
+/// What the registry says of an upstream. One entry is one start of a server.
+struct upstream_entry {
+    base::upstream_id id;
+    std::string service;
+    std::string address; ///< IP number and port.
+    base::zone_id availability_zone;
+    int places = 1;
+    engine_stage stage = engine_stage::none;
+    bool is_leaving = false;
+    std::uint64_t sequence = 0; ///< Rises with each heartbeat of the upstream.
+
+    bool operator==(const upstream_entry&) const = default;
+};
+
+} // namespace postpaddle::settings
--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <wire/caller_connection.h>
 
+#include <base/try.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -17,6 +19,27 @@
 /// Kernel buffer for a caller's answer, so that `unsent_bytes` is the bound that matters.
 constexpr int send_buffer_bytes = 128 * 1024;
 
+using request_parser = http::request_parser<http::string_body>;
+
+constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
+/// How long an answer that ends a connection is given to arrive.
+constexpr auto linger_limit = std::chrono::milliseconds(1'000);
+
+/// Whether the end of a request's body is beyond doubt.
+///
+/// RFC 9112, section 6.3: "If a message is received with both a Transfer-Encoding and a Content-Length
+/// header field [...] ought to be handled as an error"; a transfer coding that is not understood, and more
+/// than one length or host, are refused likewise, as what follows could be read as another request.
+bool is_framing_sound(const http::request<http::string_body>& message) {
+    const auto codings = message.count(http::field::transfer_encoding);
+    const auto lengths = message.count(http::field::content_length);
+    if (codings > 1 || lengths > 1 || (codings == 1 && lengths == 1))
+        return false;
+    if (codings == 1 && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))
+        return false;
+    return message.count(http::field::host) <= 1;
+}
+
 void append_chunk(std::string& buffer, std::string_view part) {
     static constexpr int hexadecimal = 16;
     std::array<char, 16> size{};
@@ -138,6 +161,11 @@
             this->start_write();
     }
 
+    /// Waits for the first byte of a request.
+    expected<void> await_first_byte(yield_context yield);
+    /// Reads one request within its bounds.
+    expected<void> read_message(request_parser& parser, yield_context yield);
+
     expected<void> wait_written(yield_context yield) {
         error_code ignored;
         while (!this->is_gone && (this->is_writing || !this->unsent.empty()))
@@ -161,6 +189,8 @@
     bool is_writing = false;
     bool is_gone = false;
     bool is_keep_alive = true;
+    bool is_resting = false; ///< Between two requests.
+    bool is_closing = false; ///< To be closed once it rests.
 };
 
 caller_connection::caller_connection(tcp::socket socket, const connection_bounds& bounds)
@@ -171,35 +201,61 @@
     this->abort();
 }
 
-expected<http_request> caller_connection::read_request(yield_context yield) {
-    implementation& own = *this->parts;
+expected<void> caller_connection::implementation::await_first_byte(yield_context yield) {
+    if (this->input.size() > 0)
+        return {};
+    if (this->is_closing)
+        return tl::make_unexpected(wire_error{wire_failure::closed, "closing between two requests"});
     error_code error;
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(own.bounds.header_bytes));
-    parser.body_limit(own.bounds.body_bytes);
-    if (own.input.size() == 0) {
-        own.stream.expires_after(own.bounds.idle);
-        const std::size_t count = own.stream.async_read_some(own.input.prepare(4096), yield[error]);
-        if (error)
-            return tl::make_unexpected(wire_error{wire_failure::closed, error.message()});
-        own.input.commit(count);
-    }
-    own.stream.expires_never();
+    this->is_resting = true;
+    this->stream.expires_after(this->bounds.idle);
+    const std::size_t count = this->stream.async_read_some(this->input.prepare(4096), yield[error]);
+    this->is_resting = false;
+    this->stream.expires_never();
+    if (error)
+        return tl::make_unexpected(wire_error{wire_failure::closed, error.message()});
+    this->input.commit(count);
+    return {};
+}
+
+expected<void> caller_connection::implementation::read_message(request_parser& parser, yield_context yield) {
     // The stream's own timer would close the socket; a caller who is too slow shall still get an answer.
-    asio::steady_timer limit(own.stream.get_executor(), own.bounds.request_read);
+    asio::steady_timer limit(this->stream.get_executor(), this->bounds.header_read);
     const auto is_late = std::make_shared<bool>(false);
-    limit.async_wait([is_late, self = this->parts](const error_code& wait_error) {
+    const auto did_run_out = [is_late, self = this->shared_from_this()](const error_code& wait_error) {
         if (wait_error)
             return;
         *is_late = true;
         self->stream.cancel();
-    });
-    http::async_read(own.stream, own.input, parser, yield[error]);
+    };
+    const auto began = std::chrono::steady_clock::now();
+    limit.async_wait(did_run_out);
+    error_code error;
+    http::async_read_header(this->stream, this->input, parser, yield[error]);
+    if (!error && !is_framing_sound(parser.get()))
+        return tl::make_unexpected(wire_error{wire_failure::malformed, "the request's framing is not sound"});
+    if (!error && !parser.is_done()) {
+        limit.expires_at(began + this->bounds.request_read);
+        limit.async_wait(did_run_out);
+        if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
+            asio::async_write(this->stream.socket(), asio::buffer(continue_answer), yield[error]);
+        http::async_read(this->stream, this->input, parser, yield[error]);
+    }
     limit.cancel();
     if (*is_late)
         return tl::make_unexpected(wire_error{wire_failure::late, "the request took too long to arrive"});
     if (error)
         return tl::make_unexpected(from_io(error));
+    return {};
+}
+
+expected<http_request> caller_connection::read_request(yield_context yield) {
+    implementation& own = *this->parts;
+    POSTPADDLE_TRY_VOID(own.await_first_byte(yield));
+    request_parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(own.bounds.header_bytes));
+    parser.body_limit(own.bounds.body_bytes);
+    POSTPADDLE_TRY_VOID(own.read_message(parser, yield));
     http_request request;
     auto message = parser.release();
     own.is_keep_alive = own.is_keep_alive && message.keep_alive();
@@ -229,6 +285,28 @@
     return own.wait_written(yield);
 }
 
+void caller_connection::send_and_close(const http_response& response, yield_context yield) {
+    implementation& own = *this->parts;
+    own.is_keep_alive = false;
+    if (!this->send(response, yield))
+        return;
+    error_code error;
+    own.stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    own.stream.expires_after(linger_limit);
+    while (!error) {
+        own.input.clear();
+        own.stream.async_read_some(own.input.prepare(4096), yield[error]);
+    }
+}
+
+void caller_connection::close_when_idle() {
+    implementation& own = *this->parts;
+    own.is_closing = true;
+    own.is_keep_alive = false;
+    if (own.is_resting)
+        own.stream.cancel();
+}
+
 void caller_connection::begin_stream(const response_head& head) {
     implementation& own = *this->parts;
     own.unsent += head_text(head, "Transfer-Encoding: chunked", own.is_keep_alive);
--- a/libraries/wire/caller_connection.h
+++ b/libraries/wire/caller_connection.h
@@ -18,7 +18,8 @@
 struct connection_bounds {
     std::size_t header_bytes = 16UL * 1024;
     std::size_t body_bytes = 4UL * 1024 * 1024;
-    std::chrono::milliseconds request_read{10'000};
+    std::chrono::milliseconds header_read{10'000};
+    std::chrono::milliseconds request_read{10'000}; ///< Of the whole request, from its first byte.
     std::chrono::milliseconds idle{60'000};
     std::size_t unsent_bytes = 256UL * 1024;
     std::chrono::milliseconds write{10'000};
@@ -55,6 +56,10 @@
     [[nodiscard]] bool append(std::string_view part);
     /// Ends the chunked body and waits until all of it is written.
     [[nodiscard]] expected<void> end_stream(yield_context yield);
+    /// Sends a whole response and closes, reading on for a moment so that unread bytes don't destroy it.
+    void send_and_close(const http_response& response, yield_context yield);
+    /// Closes the connection when it rests between two requests, now or after the one in progress.
+    void close_when_idle();
     /// Drops the connection without ending the body, so that it can't be taken for whole.
     void abort();
 
--- a/libraries/wire/http_listener.cpp
+++ b/libraries/wire/http_listener.cpp
@@ -54,6 +54,11 @@
     this->acceptor.close(ignored);
 }
 
+void http_listener::close_idle_connections() {
+    for (const auto& connection : this->open)
+        connection->close_when_idle();
+}
+
 std::uint16_t http_listener::port() const { return this->acceptor.local_endpoint().port(); }
 
 void http_listener::accept_loop(yield_context yield) {
@@ -68,17 +73,17 @@
             pause.async_wait(yield[error]);
             continue;
         }
-        if (this->open_connections < this->options.connections)
+        if (this->open.size() < this->options.connections)
             this->serve(std::move(socket));
     }
 }
 
 void http_listener::serve(tcp::socket socket) {
-    ++this->open_connections;
     auto connection = std::make_shared<caller_connection>(std::move(socket), this->options.bounds);
+    this->open.insert(connection);
     spawn_coroutine(*this->context, [self = this->shared_from_this(), connection](yield_context yield) {
         self->handler(*connection, yield);
-        --self->open_connections;
+        self->open.erase(connection);
     });
 }
 
--- a/libraries/wire/http_listener.h
+++ b/libraries/wire/http_listener.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace postpaddle::wire {
@@ -19,7 +20,7 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; ///< 0 lets the system choose.
     port_sharing sharing = port_sharing::alone;
-    connection_bounds bounds;
+    connection_bounds bounds{};
     std::size_t connections = 4096; ///< Held at once; more are closed as they come.
 };
 
@@ -37,8 +38,12 @@
     void start(connection_handler handler);
     /// Stops accepting; connections in progress go on.
     void stop();
+    /// Closes each connection once it rests between two requests.
+    void close_idle_connections();
+    /// Bounds of connections accepted from now on.
+    void set_bounds(const connection_bounds& bounds) { this->options.bounds = bounds; }
     [[nodiscard]] std::uint16_t port() const;
-    [[nodiscard]] std::size_t connections() const { return this->open_connections; }
+    [[nodiscard]] std::size_t connections() const { return this->open.size(); }
 
 private:
     http_listener(asio::io_context& context, const listener_options& options);
@@ -49,7 +54,7 @@
     listener_options options;
     asio::ip::tcp::acceptor acceptor;
     connection_handler handler;
-    std::size_t open_connections = 0;
+    std::set<std::shared_ptr<caller_connection>> open;
 };
 
 } // namespace postpaddle::wire
--- a/libraries/wire/http_message.h
+++ b/libraries/wire/http_message.h
@@ -23,6 +23,10 @@
 /// Value of the first field of that name, case ignored; empty where there is none.
 [[nodiscard]] std::string_view find_header(const http_headers& headers, std::string_view name);
 
+/// Removes the fields that belong to one connection only, and those that frame the body.
+/// Source: RFC 9110, section 7.6.1, and RFC 9112, section 6.
+void remove_connection_headers(http_headers& headers);
+
 /// A whole request.
 struct http_request {
     std::string method;
--- a/libraries/wire/simple_client.cpp
+++ b/libraries/wire/simple_client.cpp
@@ -9,16 +9,9 @@
 
 namespace postpaddle::wire {
 
-namespace {
-
-/// A connection that does not come about in this time is not waited for longer.
-constexpr auto connect_limit = std::chrono::milliseconds(1000);
-
-} // namespace
-
 expected<open_answer> open_exchange(upstream_pool& pool, const std::string& address,
                                     const http_request& request, connection_use use,
-                                    std::chrono::steady_clock::time_point deadline,
+                                    const exchange_limits& limits,
                                     const std::function<void(std::shared_ptr<upstream_call>)>& on_call,
                                     yield_context yield) {
     POSTPADDLE_TRY(endpoint, parse_endpoint(address));
@@ -26,17 +19,17 @@
     const bool was_reused = lease.is_connected;
     on_call(lease.call);
     if (!lease.is_connected) {
-        const auto limit = std::min(deadline, std::chrono::steady_clock::now() + connect_limit);
+        const auto limit = std::min(limits.deadline, std::chrono::steady_clock::now() + limits.connect);
         POSTPADDLE_TRY_VOID(lease.call->connect(endpoint, limit, yield));
     }
-    auto head = lease.call->exchange(request, deadline, yield);
+    auto head = lease.call->exchange(request, limits.deadline, yield);
     if (head)
         return open_answer{std::move(*head), std::move(lease.call)};
     const wire_failure failure = head.error().failure;
     const bool is_stale = was_reused && (failure == wire_failure::closed || failure == wire_failure::broken);
     if (!is_stale)
         return tl::make_unexpected(std::move(head).error());
-    auto again = open_exchange(pool, address, request, connection_use::only_fresh, deadline, on_call, yield);
+    auto again = open_exchange(pool, address, request, connection_use::only_fresh, limits, on_call, yield);
     // The first connection took the request's bytes: that the second could not be had does not unsay that.
     if (!again && again.error().failure == wire_failure::not_connected)
         return tl::make_unexpected(wire_error{wire_failure::broken, again.error().detail});
@@ -47,7 +40,7 @@
                               std::chrono::milliseconds limit, yield_context yield, connection_use use) {
     const auto deadline = std::chrono::steady_clock::now() + limit;
     POSTPADDLE_TRY(answer, open_exchange(
-                               pool, address, request, use, deadline,
+                               pool, address, request, use, {.deadline = deadline},
                                [](const std::shared_ptr<upstream_call>& /*call*/) {}, yield));
     POSTPADDLE_TRY(body, answer.call->read_rest(deadline, yield));
     pool.give_back(address, answer.call);
--- a/libraries/wire/simple_client.h
+++ b/libraries/wire/simple_client.h
@@ -18,13 +18,19 @@
     std::shared_ptr<upstream_call> call;
 };
 
+/// Limits on one exchange.
+struct exchange_limits {
+    std::chrono::steady_clock::time_point deadline;
+    std::chrono::milliseconds connect{1'000}; ///< A connection that takes longer is not waited for.
+};
+
 /// Sends a request and reads the head of its answer.
 ///
 /// `on_call` is told of each connection before it is used, so that the owner can cancel it. A reused
 /// connection that turns out stale before any byte of an answer is replaced once by a new one.
 [[nodiscard]] expected<open_answer>
 open_exchange(upstream_pool& pool, const std::string& address, const http_request& request,
-              connection_use use, std::chrono::steady_clock::time_point deadline,
+              connection_use use, const exchange_limits& limits,
               const std::function<void(std::shared_ptr<upstream_call>)>& on_call, yield_context yield);
 
 /// A whole exchange with a whole answer.
--- a/libraries/wire/upstream_call.cpp
+++ b/libraries/wire/upstream_call.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 #include <optional>
 
 namespace postpaddle::wire {
@@ -17,6 +19,11 @@
 
 namespace {
 
+using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/// A connection whose bytes are not acknowledged for this long, in milliseconds, is broken.
+constexpr int unacknowledged_limit = 2'000;
+
 /// Bytes read at once from an upstream's body.
 constexpr std::size_t part_bytes = 16UL * 1024;
 
@@ -26,7 +33,7 @@
     message.method_string(request.method);
     message.target(request.target);
     for (const http_header& header : request.headers)
-        message.set(header.name, header.value);
+        message.insert(header.name, header.value);
     message.body() = request.body;
     message.prepare_payload();
     return message;
@@ -78,8 +85,44 @@
         return error ? from_io(error) : wire_error{};
     }
 
+    /// Sends the request while its answer is already read: an upstream may answer before it has read a long
+    /// body, and a connection with an unsent rest is never used again.
+    void start_write(const http_request& request) {
+        this->is_written = false;
+        this->sending = std::make_unique<http::request<http::string_body>>(to_beast(request));
+        http::async_write(this->stream, *this->sending,
+                          [self = this->shared_from_this()](const error_code& error, std::size_t) {
+                              self->is_written = !error;
+                          });
+    }
+
+    expected<response_head> read_head(yield_context yield) {
+        error_code error;
+        do {
+            this->parser.emplace();
+            this->parser->header_limit(static_cast<std::uint32_t>(this->bounds.header_bytes));
+            this->parser->body_limit(this->bounds.body_bytes);
+            http::async_read_header(this->stream, this->input, *this->parser, yield[error]);
+            // Interim answers (RFC 9110, section 15.2) come before the answer.
+        } while (!error && this->parser->get().result_int() < 200);
+        wire_error ended = this->end(error);
+        if (error)
+            return tl::make_unexpected(std::move(ended));
+        response_head head;
+        head.status = static_cast<int>(this->parser->get().result_int());
+        for (const auto& field : this->parser->get())
+            head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        // NOTE: An eager parser would take fewer reads, but it goes on reading until its buffer is full:
+        // tokens would come late and in lumps.
+        this->is_keep_alive = this->parser->get().keep_alive();
+        this->is_whole = this->parser->is_done();
+        return head;
+    }
+
     beast::tcp_stream stream;
     asio::steady_timer watchdog;
+    std::unique_ptr<http::request<http::string_body>> sending;
+    bool is_written = false;
     steady_clock::time_point deadline = steady_clock::time_point::max();
     answer_bounds bounds;
     beast::flat_buffer input;
@@ -112,6 +155,7 @@
     if (error)
         return tl::make_unexpected(wire_error{wire_failure::not_connected, error.message()});
     own.stream.socket().set_option(tcp::no_delay(true), error);
+    own.stream.socket().set_option(user_timeout(unacknowledged_limit), error);
     return {};
 }
 
@@ -121,28 +165,16 @@
     if (own.is_cancelled)
         return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled before it was sent"});
     own.is_whole = false;
-    own.parser.emplace();
-    own.parser->header_limit(static_cast<std::uint32_t>(own.bounds.header_bytes));
-    own.parser->body_limit(own.bounds.body_bytes);
     own.guard(deadline);
-    const auto message = to_beast(request);
-    error_code error;
     own.has_sent = true;
-    http::async_write(own.stream, message, yield[error]);
-    if (!error)
-        http::async_read_header(own.stream, own.input, *own.parser, yield[error]);
-    wire_error ended = own.end(error);
-    if (error)
-        return tl::make_unexpected(std::move(ended));
-    response_head head;
-    head.status = static_cast<int>(own.parser->get().result_int());
-    for (const auto& field : own.parser->get())
-        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    // NOTE: An eager parser would take fewer reads, but it goes on reading until its buffer is full: tokens
-    // would come late and in lumps.
-    own.is_keep_alive = own.parser->get().keep_alive();
-    own.is_whole = own.parser->is_done();
-    return head;
+    own.start_write(request);
+    return own.read_head(yield);
+}
+
+expected<response_head> upstream_call::read_next_head(steady_clock::time_point deadline,
+                                                      yield_context yield) {
+    this->parts->guard(deadline);
+    return this->parts->read_head(yield);
 }
 
 expected<bool> upstream_call::read_part(std::string& into, steady_clock::time_point deadline,
@@ -185,8 +217,17 @@
 
 bool upstream_call::is_reusable() const {
     const implementation& own = *this->parts;
-    return own.is_whole && own.is_keep_alive && !own.is_cancelled && own.input.size() == 0 &&
-           own.stream.socket().is_open();
+    return own.is_whole && own.is_keep_alive && own.is_written && !own.is_cancelled &&
+           own.input.size() == 0 && own.stream.socket().is_open();
+}
+
+bool upstream_call::has_surplus() {
+    implementation& own = *this->parts;
+    char byte = 0;
+    error_code error;
+    own.stream.socket().non_blocking(true, error);
+    own.stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
 }
 
 bool upstream_call::has_sent() const { return this->parts->has_sent; }
--- a/libraries/wire/upstream_call.h
+++ b/libraries/wire/upstream_call.h
@@ -34,6 +34,9 @@
     [[nodiscard]] expected<response_head> exchange(const http_request& request,
                                                    std::chrono::steady_clock::time_point deadline,
                                                    yield_context yield);
+    /// Reads a further head on the same connection, after an answer that belongs to another request.
+    [[nodiscard]] expected<response_head> read_next_head(std::chrono::steady_clock::time_point deadline,
+                                                         yield_context yield);
     /// Appends the next part of the body to `into`; false at its whole end.
     [[nodiscard]] expected<bool> read_part(std::string& into, std::chrono::steady_clock::time_point deadline,
                                            yield_context yield);
@@ -45,6 +48,8 @@
     void cancel();
     /// Whether the last response was read to its end and the connection may carry another exchange.
     [[nodiscard]] bool is_reusable() const;
+    /// Whether an idle connection has bytes that belong to no request, or has ended.
+    [[nodiscard]] bool has_surplus();
     /// Whether any byte of the current request may have reached the other side.
     [[nodiscard]] bool has_sent() const;
 
--- a/libraries/wire/upstream_pool.cpp
+++ b/libraries/wire/upstream_pool.cpp
@@ -14,10 +14,11 @@
 
 upstream_pool::lease upstream_pool::take(const std::string& address, connection_use use) {
     auto& waiting = this->idle[address];
-    if (use == connection_use::may_reuse && !waiting.empty()) {
+    while (use == connection_use::may_reuse && !waiting.empty()) {
         lease taken{std::move(waiting.back()), true};
         waiting.pop_back();
-        return taken;
+        if (!taken.call->has_surplus())
+            return taken;
     }
     return {std::make_shared<upstream_call>(*this->context, this->bounds), false};
 }
--- a/libraries/wire/wire_error.cpp
+++ b/libraries/wire/wire_error.cpp
@@ -21,6 +21,8 @@
         return "malformed";
     case wire_failure::too_large:
         return "too_large";
+    case wire_failure::head_too_large:
+        return "head_too_large";
     case wire_failure::refused:
         return "refused";
     case wire_failure::cancelled:
@@ -39,8 +41,9 @@
         return {wire_failure::cancelled, error.message()};
     if (error == http::error::end_of_stream)
         return {wire_failure::closed, error.message()};
-    if (error == http::error::body_limit || error == http::error::header_limit ||
-        error == http::error::buffer_overflow)
+    if (error == http::error::header_limit)
+        return {wire_failure::head_too_large, error.message()};
+    if (error == http::error::body_limit || error == http::error::buffer_overflow)
         return {wire_failure::too_large, error.message()};
     if (error == http::error::partial_message)
         return {wire_failure::broken, error.message()};
--- a/libraries/wire/wire_error.h
+++ b/libraries/wire/wire_error.h
@@ -10,15 +10,16 @@
 
 /// What went wrong between two processes.
 enum class wire_failure {
-    bad_address,   ///< Not an IP number and port.
-    not_connected, ///< No connection came about: nothing was sent.
-    broken,        ///< The connection ended before the message did.
-    late,          ///< A time limit passed.
-    malformed,     ///< Not the protocol, or not the message that was asked for.
-    too_large,     ///< A bound on size was passed.
-    refused,       ///< The other side answered with an error status.
-    cancelled,     ///< This side gave up.
-    closed,        ///< The connection ended between two messages.
+    bad_address,    ///< Not an IP number and port.
+    not_connected,  ///< No connection came about: nothing was sent.
+    broken,         ///< The connection ended before the message did.
+    late,           ///< A time limit passed.
+    malformed,      ///< Not the protocol, or not the message that was asked for.
+    too_large,      ///< A bound on size was passed.
+    head_too_large, ///< The bound on the size of a message's head was passed.
+    refused,        ///< The other side answered with an error status.
+    cancelled,      ///< This side gave up.
+    closed,         ///< The connection ended between two messages.
 };
 
 /// Failure with detail for logs.
--- a/services/postpaddled/main.cpp
+++ b/services/postpaddled/main.cpp
@@ -1,10 +1,14 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // postpaddled: the process of an entry host.
 
+#include <gateway/gateway_host.h>
+#include <platform/request_codec.h>
+#include <platform/store_client.h>
 #include <service/entry_host.h>
 #include <service/log.h>
 
 #include <base/clock.h>
+#include <settings/gateway_settings.h>
 #include <settings/process_settings.h>
 
 #include <gflags/gflags.h>
@@ -56,6 +60,47 @@
     return result.requests_cut > 0 ? exit_cut : exit_ok;
 }
 
+std::optional<std::string> read_file(const std::string& path) {
+    std::ifstream file(path);
+    if (!file)
+        return std::nullopt;
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// A gateway's file as it stands now, or none where it can't be read or is wrong.
+std::optional<postpaddle::settings::gateway_settings> reload_gateway() {
+    const auto text = read_file(FLAGS_settings);
+    if (!text)
+        return std::nullopt;
+    auto process = postpaddle::settings::parse_gateway_settings(*text, FLAGS_settings);
+    if (process)
+        return std::move(*process);
+    std::cerr << postpaddle::settings::to_text(process.error());
+    return std::nullopt;
+}
+
+int serve_gateway() {
+    const auto process = reload_gateway();
+    if (!process)
+        return exit_bad_settings;
+    if (FLAGS_check)
+        return exit_ok;
+    const postpaddle::base::system_clock_source clock;
+    const postpaddle::gateway::gateway_ports outside = {
+        .protocol = postpaddle::platform::make_request_protocol(),
+        .make_feed = [](auto& context, const std::string& address) {
+            return std::make_unique<postpaddle::platform::store_client>(context, address);
+        }};
+    postpaddle::gateway::gateway_host host(clock, *process, outside);
+    if (const auto started = host.start(); !started) {
+        std::cerr << "postpaddled: can't listen: " << started.error().detail << '\n';
+        return exit_no_address;
+    }
+    return host.run(reload_gateway).requests_cut > 0 ? exit_cut : exit_ok;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -71,14 +116,15 @@
         std::cerr << "postpaddled: --settings=FILE is needed; see --help\n";
         return exit_bad_usage;
     }
-    std::ifstream file(FLAGS_settings);
-    if (!file) {
+    const auto text = read_file(FLAGS_settings);
+    if (!text) {
         std::cerr << "postpaddled: can't read " << FLAGS_settings << '\n';
         return exit_bad_settings;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    const auto process = postpaddle::settings::parse_process_settings(text.str(), FLAGS_settings);
+    std::signal(SIGPIPE, SIG_IGN);
+    if (postpaddle::settings::is_gateway_document(*text))
+        return serve_gateway();
+    const auto process = postpaddle::settings::parse_process_settings(*text, FLAGS_settings);
     if (!process) {
         std::cerr << postpaddle::settings::to_text(process.error());
         return exit_bad_settings;
@@ -87,6 +133,5 @@
         return exit_ok;
     std::signal(SIGTERM, did_receive_stop);
     std::signal(SIGINT, did_receive_stop);
-    std::signal(SIGPIPE, SIG_IGN);
     return serve(*process);
 }
