gateway: Tell hosts each other's work at engines and wait for a place

Hosts now send each other, by datagram, what they have in progress; a place at the decode engine is promised before the prompt is read, and requests without one wait by age over all hosts, or are refused at once where they can't be in time.

Left: refusals while places are free by the platform's count.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -2,6 +2,7 @@
 #include <decision/instance_choice.h>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <limits>
 
@@ -31,11 +32,11 @@
 constexpr double first_event_time = 0.04;
 constexpr double move_time = 0.012;
 /// What reading at a decode engine costs the streams that it holds up.
-constexpr double reading_there_cost = 0.06;
+constexpr double reading_there_cost = 0.5;
 /// Part of an engine's memory that is promised.
 constexpr double usable_memory = 0.9;
-/// What it costs to send to an engine whose memory is taken.
-constexpr double full_memory_cost = 3;
+/// What it costs to send to an engine that has no place.
+constexpr double full_cost = 10;
 /// Age at which the queue that a prompt met no longer says anything.
 constexpr double seen_wait_lifetime = 0.5;
 
@@ -67,7 +68,7 @@
 
 double plain_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
     const double places = std::max(1, candidate.entry.places);
-    const double load = candidate.own_requests + others_requests(candidate, context.now);
+    const double load = candidate.own.requests + others_requests(candidate, context.now);
     const double rounds = std::max(1.0, (load + 1) / places);
     // A place that is nearly the last is avoided before it is taken.
     static constexpr double crowding_cost = 0.03;
@@ -82,9 +83,14 @@
     return std::max(0.0, base::to_seconds(candidate.seen_wait) * (1 - age / seen_wait_lifetime));
 }
 
+/// Seconds until a prompt sent now has been read at a prefill engine.
+double prompt_tokens_out(const instance& candidate) {
+    return std::max(0.0, candidate.own.prompt_tokens + candidate.others.prompt_tokens);
+}
+
 /// Seconds until a prompt sent now has been read at a prefill engine.
 double read_time(const instance& candidate, double tokens, base::time_point now) {
-    const double queue = std::max(candidate.own_prompt_tokens / read_rate * candidate.slowness.value,
+    const double queue = std::max(prompt_tokens_out(candidate) / read_rate * candidate.slowness.value,
                                   seen_wait(candidate, now));
     return queue + tokens / read_rate * candidate.slowness.value;
 }
@@ -92,22 +98,30 @@
 /// Seconds until a prompt sent now has been read at a decode engine.
 double decode_read_time(const instance& candidate, double tokens) {
     const double rate = read_rate * decode_read_part;
-    return (candidate.own_prompt_tokens + tokens) / rate * candidate.slowness.value;
+    return (prompt_tokens_out(candidate) + tokens) / rate * candidate.slowness.value;
+}
+
+/// Tokens of an engine's memory that may still be promised.
+double memory_left(const instance& candidate, const settings::engine_capacity& capacity) {
+    return usable_memory * capacity.kv_tokens - candidate.own.memory_tokens - candidate.others.memory_tokens;
+}
+
+bool has_room(const instance& candidate, const choice_context& context,
+              const settings::engine_capacity& capacity, const prompt_size& size) {
+    const int requests = candidate.own.requests + candidate.others.requests;
+    if (context.now < candidate.full_until || requests >= capacity.places)
+        return false;
+    // A request larger than the whole engine is let in alone.
+    return requests == 0 || capacity.kv_tokens <= 0 ||
+           memory_left(candidate, capacity) >= size.prompt_tokens + size.output_tokens;
 }
 
 double memory_cost(const instance& candidate, const choice_context& context,
                    const settings::engine_capacity& capacity, const prompt_size& size) {
-    const double need = size.prompt_tokens + size.output_tokens;
-    const double others = others_requests(candidate, context.now) * need;
-    const double taken = candidate.own_memory_tokens + others;
-    if (capacity.kv_tokens <= 0)
-        return 0;
-    const double usable_tokens = usable_memory * capacity.kv_tokens;
-    if (taken > 0 && taken + need > usable_tokens)
-        return full_memory_cost * (taken + need) / usable_tokens;
     // An engine with less in its memory makes tokens sooner.
-    static constexpr double crowding_cost = 0.02;
-    return crowding_cost * taken / capacity.kv_tokens;
+    static constexpr double crowding_cost = 0.05;
+    const double left = capacity.kv_tokens > 0 ? memory_left(candidate, capacity) / capacity.kv_tokens : 1;
+    return crowding_cost * (1 - left) + (has_room(candidate, context, capacity, size) ? 0 : full_cost);
 }
 
 bool can_prefill(const instance& candidate) {
@@ -158,8 +172,29 @@
     if (best.chosen == nullptr)
         return std::nullopt;
     const double read = decode_read_time(*best.chosen, size.prompt_tokens);
-    return engine_plan{std::nullopt, best.chosen->entry.id, base::from_seconds(read),
-                       base::from_seconds(read + first_event_time)};
+    return engine_plan{.prefill = std::nullopt,
+                       .decode = best.chosen->entry.id,
+                       .has_room = has_room(*best.chosen, context, capacity, size),
+                       .expected_read = base::from_seconds(read),
+                       .expected_first_event = base::from_seconds(read + first_event_time),
+                       .cost = best.cost};
+}
+
+std::optional<engine_plan> choose_decode(const instance_table& table, const choice_context& context,
+                                         const settings::engine_capacity& capacity, const prompt_size& size,
+                                         const base::zone_id& source_zone, std::mt19937_64& random) {
+    const weighed best = cheapest(usable(table, context, can_decode), [&](const instance& candidate) {
+        const bool is_near = candidate.entry.availability_zone == source_zone;
+        return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
+               move_time + (is_near ? 0 : other_zone_move_cost);
+    });
+    if (best.chosen == nullptr)
+        return std::nullopt;
+    return engine_plan{.prefill = std::nullopt,
+                       .decode = best.chosen->entry.id,
+                       .has_room = has_room(*best.chosen, context, capacity, size),
+                       .expected_first_event = base::from_seconds(move_time + first_event_time),
+                       .cost = best.cost};
 }
 
 std::optional<engine_plan> choose_engines(const instance_table& table, const choice_context& context,
@@ -172,28 +207,36 @@
     });
     if (prefill.chosen == nullptr)
         return reader;
-    const weighed decode = cheapest(usable(table, context, can_decode), [&](const instance& candidate) {
-        const bool is_near = candidate.entry.availability_zone == prefill.chosen->entry.availability_zone;
-        return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-               (is_near ? 0 : other_zone_move_cost);
-    });
-    if (decode.chosen == nullptr || !reader)
-        return reader;
-    const instance& direct = table.by_id.at(reader->decode);
-    const double direct_cost = standing_cost(direct, context, random) +
-                               memory_cost(direct, context, capacity, size) +
-                               base::to_seconds(reader->expected_read) + reading_there_cost;
-    if (direct_cost < prefill.cost + decode.cost + move_time)
+    auto pair =
+        choose_decode(table, context, capacity, size, prefill.chosen->entry.availability_zone, random);
+    if (!pair || (reader && reader->cost < prefill.cost + pair->cost))
         return reader;
     const double read = read_time(*prefill.chosen, size.prompt_tokens, context.now);
-    return engine_plan{prefill.chosen->entry.id, decode.chosen->entry.id, base::from_seconds(read),
-                       base::from_seconds(read + move_time + first_event_time)};
+    pair->prefill = prefill.chosen->entry.id;
+    pair->expected_read = base::from_seconds(read);
+    pair->expected_first_event += pair->expected_read;
+    pair->cost += prefill.cost;
+    return pair;
+}
+
+engine_places count_places(const instance_table& table, const choice_context& context,
+                           const settings::engine_capacity& capacity, const prompt_size& size) {
+    engine_places places;
+    const double need = std::max(1.0, size.prompt_tokens + size.output_tokens);
+    for (const instance* candidate : usable(table, context, can_decode)) {
+        const double total = std::min<double>(capacity.places, usable_memory * capacity.kv_tokens / need);
+        const double left = std::max(0.0, memory_left(*candidate, capacity)) / need;
+        places.total += std::max(1.0, total);
+        if (has_room(*candidate, context, capacity, size))
+            places.free += std::max(1.0, std::floor(left));
+    }
+    return places;
 }
 
 void note_read(instance& target, const prompt_size& size, base::duration taken, base::time_point now) {
     const double alone = std::max(0.001, size.prompt_tokens / read_rate);
     const double seconds = base::to_seconds(taken);
-    const double queue = target.own_prompt_tokens / read_rate;
+    const double queue = prompt_tokens_out(target) / read_rate;
     learn(target.slowness, std::max(0.1, seconds / (alone + queue)));
     target.seen_wait = base::from_seconds(std::max(0.0, seconds - alone * target.slowness.value));
     target.seen_wait_at = now;
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -30,8 +30,10 @@
 struct engine_plan {
     std::optional<base::upstream_id> prefill; ///< None: the decode engine reads the prompt itself.
     base::upstream_id decode;
+    bool has_room = true;                  ///< Whether the decode engine's memory has a place for it now.
     base::duration expected_read{};        ///< From the send to the prompt's end.
     base::duration expected_first_event{}; ///< From the send to the first event.
+    double cost = 0;                       ///< What the choice weighed, in seconds.
 
     bool operator==(const engine_plan&) const = default;
 };
@@ -49,12 +51,26 @@
                                                         const settings::engine_capacity& capacity,
                                                         const prompt_size& size, std::mt19937_64& random);
 
-/// A decode engine alone, for a stream that goes on elsewhere or a kept prompt that was lost.
+/// A decode engine for a prompt that an engine of `source_zone` keeps, or none.
+[[nodiscard]] std::optional<engine_plan>
+choose_decode(const instance_table& table, const choice_context& context,
+              const settings::engine_capacity& capacity, const prompt_size& size,
+              const base::zone_id& source_zone, std::mt19937_64& random);
+
+/// A decode engine that reads the prompt itself, for a stream that goes on elsewhere.
 [[nodiscard]] std::optional<engine_plan> choose_reader(const instance_table& table,
                                                        const choice_context& context,
                                                        const settings::engine_capacity& capacity,
                                                        const prompt_size& size, std::mt19937_64& random);
 
+/// Places for requests of that size that all decode engines of the service have, and those that are free.
+struct engine_places {
+    double total = 0;
+    double free = 0;
+};
+[[nodiscard]] engine_places count_places(const instance_table& table, const choice_context& context,
+                                         const settings::engine_capacity& capacity, const prompt_size& size);
+
 /// Learns from a prompt that a prefill engine read in `taken`.
 void note_read(instance& target, const prompt_size& size, base::duration taken, base::time_point now);
 
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -50,8 +50,25 @@
     return true;
 }
 
+/// How long an instance that had no place is passed over.
+constexpr base::duration full_pause = 100ms;
+
 } // namespace
 
+instance_use& operator+=(instance_use& left, const instance_use& right) {
+    left.requests += right.requests;
+    left.memory_tokens += right.memory_tokens;
+    left.prompt_tokens += right.prompt_tokens;
+    return left;
+}
+
+instance_use& operator-=(instance_use& left, const instance_use& right) {
+    left.requests -= right.requests;
+    left.memory_tokens -= right.memory_tokens;
+    left.prompt_tokens -= right.prompt_tokens;
+    return left;
+}
+
 bool apply_change(instance_table& table, const registry_change& change, registry_condition condition) {
     const auto found = table.by_id.find(change.id);
     if (found == table.by_id.end()) {
@@ -95,7 +112,7 @@
         return;
     std::erase_if(table.by_id, [](const auto& item) {
         const listing state = item.second.state;
-        return (state == listing::vanished || state == listing::leaving) && item.second.own_requests == 0;
+        return (state == listing::vanished || state == listing::leaving) && item.second.own.requests == 0;
     });
 }
 
@@ -113,8 +130,10 @@
         health.aside_until = {};
         return;
     }
-    if (verdict == send_verdict::busy)
+    if (verdict == send_verdict::busy) {
+        target.full_until = now + full_pause;
         return;
+    }
     ++health.failures_in_row;
     if (verdict == send_verdict::unreachable || health.failures_in_row >= failures_to_pause)
         put_aside(target, pause_for(health.failures_in_row - 1), now);
@@ -122,7 +141,7 @@
 
 void note_load(instance& target, const instance_load& load, base::time_point now) {
     target.load = load;
-    target.own_at_load = target.own_requests;
+    target.own_at_load = target.own.requests;
     target.load_at = now;
 }
 
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -21,6 +21,19 @@
     bool operator==(const instance_load&) const = default;
 };
 
+/// Work in progress at an instance.
+struct instance_use {
+    int requests = 0;
+    double memory_tokens = 0; ///< Tokens that the work takes, or will take, of the engine's memory.
+    double prompt_tokens = 0; ///< Prompt tokens that are not read yet.
+
+    bool operator==(const instance_use&) const = default;
+};
+
+/// Adds or takes away work.
+instance_use& operator+=(instance_use& left, const instance_use& right);
+instance_use& operator-=(instance_use& left, const instance_use& right);
+
 /// Whether new work may go to an instance.
 enum class listing {
     listed,   ///< In the registry and not leaving.
@@ -44,9 +57,8 @@
     listing state = listing::listed;
     std::uint64_t offset = 0; ///< Of the newest registry record about it.
     instance_health health;
-    int own_requests = 0;                   ///< Sent by this host and not ended.
-    double own_prompt_tokens = 0;           ///< Of these, prompt tokens that are not read yet.
-    double own_memory_tokens = 0;           ///< Of these, tokens that take its memory.
+    instance_use own;                       ///< Sent by this host, or promised, and not ended.
+    instance_use others;                    ///< The same of the other hosts, as they told.
     estimate latency = make_estimate(0.08); ///< Seconds to a plain answer.
     estimate slowness = make_estimate(1);   ///< Time taken over time expected, for prompts.
     base::duration seen_wait{};             ///< Queue that the last own prompt met.
@@ -54,6 +66,7 @@
     instance_load load;
     int own_at_load = 0; ///< Own requests there when the load was heard.
     base::time_point load_at{};
+    base::time_point full_until{}; ///< It said that it has no place; asked again after this.
 };
 
 /// A change of the registry.
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -76,6 +76,7 @@
             .log = &this->log,
             .figures = &this->figures},
       feed(outside.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
+      loads(this->state),
       store(
           this->state, *this->feed,
           {.on_new_settings =
@@ -108,6 +109,7 @@
         this->metrics = std::move(metrics_listener);
     }
     POSTPADDLE_TRY_VOID(this->peers.listen());
+    POSTPADDLE_TRY_VOID(this->loads.listen());
     this->callers->start([this](wire::caller_connection& connection, wire::yield_context yield) {
         serve_caller(this->state, connection, yield);
     });
@@ -130,6 +132,7 @@
                 yield);
         });
     this->peers.start();
+    this->loads.start();
     this->store.start();
     this->log.write_always("started", {{"availability_zone", this->process.availability_zone.value},
                                        {"callers", this->process.callers},
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <gateway/gateway_state.h>
+#include <gateway/load_exchange.h>
 #include <gateway/peer_exchange.h>
 #include <gateway/store_watch.h>
 #include <wire/http_listener.h>
@@ -61,6 +62,7 @@
     gateway_state state;
     std::unique_ptr<ports::control_feed> feed;
     peer_exchange peers;
+    load_exchange loads;
     store_watch store;
     std::shared_ptr<wire::http_listener> callers;
     std::shared_ptr<wire::http_listener> readiness;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -63,8 +63,10 @@
 }
 
 bool may_spend_send(gateway_request& request) {
-    if (!decision::is_extra_send(request.record))
-        return true;
+    return !decision::is_extra_send(request.record) || try_spend_extra(request);
+}
+
+bool try_spend_extra(gateway_request& request) {
     gateway_state& state = *request.state;
     const settings::retry_budget_settings& retries = state.process->retries;
     const decision::shared_budget_options options = {
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -64,6 +64,9 @@
 /// Spends one extra send from the budget of the request's service, where the next send would be one.
 [[nodiscard]] bool may_spend_send(gateway_request& request);
 
+/// Spends one extra send from the budget of the request's service.
+[[nodiscard]] bool try_spend_extra(gateway_request& request);
+
 /// Answers on the host's own account, honestly, after a last result.
 request_ending answer_by_host(gateway_request& request, decision::send_result last, const char* reason,
                               wire::yield_context yield);
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -31,6 +31,16 @@
 
 } // namespace
 
+void gateway_state::did_change_places() const {
+    for (wire::asio::steady_timer* const waiter : this->waiters)
+        waiter->cancel();
+}
+
+void gateway_state::did_change_own_load() const {
+    if (this->on_own_load_changed)
+        this->on_own_load_changed();
+}
+
 bool is_ready(const gateway_state& state) {
     return state.settings != nullptr && state.has_registry && !state.is_draining;
 }
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -7,15 +7,18 @@
 #include <decision/shared_budget.h>
 #include <gateway/decision_log.h>
 #include <gateway/gateway_figures.h>
+#include <host/load_share.h>
 #include <host/peer_directory.h>
 #include <ports/control_feed.h>
 #include <ports/request_protocol.h>
 #include <settings/gateway_settings.h>
 #include <wire/upstream_pool.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace postpaddle::gateway {
@@ -35,17 +38,28 @@
     ports::request_protocol protocol{};
     std::shared_ptr<const settings_in_force> settings{}; ///< Null until a version is known.
     decision::instance_table instances{};
-    bool has_registry = false;                              ///< Whether the registry has ever been read.
-    std::uint64_t registry_next = 0;                        ///< Offset to read the registry from.
-    base::time_point registry_trouble{};                    ///< When a read of the registry failed last.
+    bool has_registry = false;                                ///< Whether the registry has ever been read.
+    std::uint64_t registry_next = 0;                          ///< Offset to read the registry from.
+    base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
+    host::load_share loads{};                      ///< What the other hosts have in progress.
+    std::function<void()> on_own_load_changed{};   ///< Tells the other hosts.
+    std::multiset<base::time_point> waiting{};     ///< Arrivals of own requests that wait for a place.
+    std::set<wire::asio::steady_timer*> waiters{}; ///< Of these, what wakes each.
+    decision::estimate hold_seconds = decision::make_estimate(2.5);  ///< How long a request keeps its place.
+    decision::estimate output_tokens = decision::make_estimate(600); ///< Tokens that a request puts out.
     std::mt19937_64 random{};
     wire::upstream_pool* pool = nullptr;
     decision_log* log = nullptr;
     gateway_figures* figures = nullptr;
     bool is_draining = false;
     int requests_in_progress = 0;
+
+    /// Places may have become free: wakes the requests that wait for one.
+    void did_change_places() const;
+    /// This host's work at an engine has changed.
+    void did_change_own_load() const;
 };
 
 /// Whether the host may be given callers.
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -47,4 +47,37 @@
     return changes;
 }
 
+std::string encode_load(const host::load_report& report) {
+    json uses = json::array();
+    for (const auto& [key, use] : report.uses)
+        uses.push_back({key, use.requests, static_cast<std::int64_t>(use.memory_tokens),
+                        static_cast<std::int64_t>(use.prompt_tokens)});
+    json waits = json::array();
+    for (const base::duration wait : report.waits)
+        waits.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
+    const json value = {report.host.value, report.incarnation, report.sequence, std::move(uses),
+                        std::move(waits)};
+    std::string bytes;
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+std::optional<host::load_report> decode_load(std::string_view bytes) {
+    try {
+        const json value = json::from_msgpack(bytes);
+        host::load_report report;
+        report.host.value = value.at(0).get<std::string>();
+        report.incarnation = value.at(1).get<std::uint64_t>();
+        report.sequence = value.at(2).get<std::uint64_t>();
+        for (const json& row : value.at(3))
+            report.uses[row.at(0).get<host::instance_key>()] = {row.at(1).get<int>(), row.at(2).get<double>(),
+                                                                row.at(3).get<double>()};
+        for (const json& wait : value.at(4))
+            report.waits.push_back(std::chrono::milliseconds(wait.get<std::int64_t>()));
+        return report;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 } // namespace postpaddle::gateway
--- a/libraries/gateway/peer_codec.h
+++ b/libraries/gateway/peer_codec.h
@@ -3,8 +3,13 @@
 
 #include <decision/instance_table.h>
 
+#include <host/load_share.h>
+
 #include <nlohmann/json.hpp>
 
+#include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace postpaddle::gateway {
@@ -15,4 +20,10 @@
 /// Reads a registry that another host handed over. Throws `nlohmann::json::exception` where it is malformed.
 [[nodiscard]] std::vector<decision::registry_change> decode_registry(const nlohmann::json& value);
 
+/// A load report as a datagram (MessagePack).
+[[nodiscard]] std::string encode_load(const host::load_report& report);
+
+/// Reads a datagram; nothing where it is malformed.
+[[nodiscard]] std::optional<host::load_report> decode_load(std::string_view bytes);
+
 } // namespace postpaddle::gateway
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -60,7 +60,7 @@
         const ports::upstream_send send = {
             .instance = *chosen,
             .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(request))};
-        const work_mark mark(*request.state, *chosen, 0, 0);
+        const work_mark mark(*request.state, *chosen, {.requests = 1});
         exchange_result exchange = send_to_instance(request, send, limit, yield);
         std::string body;
         if (exchange.head.status != 0 && exchange.result != send_result::broken)
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -54,6 +54,10 @@
         line["settings_version"] = request.settings->document.value->version;
     if (request.route != nullptr)
         line["route"] = request.route->name;
+    if (request.routed.prompt_tokens > 0) {
+        line["prompt_tokens"] = request.routed.prompt_tokens;
+        line["output_tokens"] = request.routed.output_tokens;
+    }
     if (status != 0)
         line["status"] = status;
     if (reason != nullptr)
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -18,6 +18,10 @@
 constexpr int silence_factor = 4;
 /// Prompts of one request that are sent to prefill engines at most.
 constexpr int most_prompts = 2;
+/// Refusals after which the KV cache of a kept prompt is taken to be gone.
+constexpr int most_refusals_of_kept = 2;
+/// Part of the time for which a prompt is kept that it is counted on.
+constexpr double kept_part = 0.8;
 /// A kept prompt is freed within this time or lapses by itself.
 constexpr auto release_limit = 500ms;
 
@@ -28,17 +32,44 @@
 
 } // namespace
 
-std::optional<decision::engine_plan> stream_relay::choose() {
+std::optional<decision::engine_plan> stream_relay::plan_for_kept() {
     gateway_state& state = *this->request->state;
-    const settings::service_entry* const service = service_of(*this->request);
-    const settings::engine_capacity capacity =
-        service != nullptr && service->engine ? *service->engine : settings::engine_capacity{};
-    decision::choice_context context = choice_context_of(*this->request);
-    const bool may_read_elsewhere = this->prompts_sent < most_prompts && !this->is_begun;
-    if (!may_read_elsewhere)
-        return decision::choose_reader(state.instances, context, capacity, this->size, state.random);
-    context.excluded.insert(this->failed_prefills.begin(), this->failed_prefills.end());
-    return decision::choose_engines(state.instances, context, capacity, this->size, state.random);
+    const settings::engine_capacity capacity = capacity_of(*this->request);
+    const base::duration age = state.clock->now() - this->kept_since;
+    const bool may_be_gone =
+        this->refusals_of_kept >= most_refusals_of_kept || age > capacity.kept_prompt * kept_part;
+    const decision::instance* const source = decision::find_instance(state.instances, this->kept->upstream);
+    if (may_be_gone || source == nullptr) {
+        this->kept.reset();
+        return std::nullopt;
+    }
+    return decision::choose_decode(state.instances, choice_context_of(*this->request), capacity, this->size,
+                                   source->entry.availability_zone, state.random);
+}
+
+std::optional<decision::engine_plan> stream_relay::next_plan(wire::yield_context yield) {
+    gateway_state& state = *this->request->state;
+    if (this->kept) {
+        const auto plan = this->plan_for_kept();
+        if (plan || this->kept)
+            return plan;
+    }
+    if (this->is_begun || this->prompts_sent >= most_prompts)
+        return decision::choose_reader(state.instances, choice_context_of(*this->request),
+                                       capacity_of(*this->request), this->size, state.random);
+    const place_result result = await_engine_place(*this->request, this->size, yield);
+    if (!result.plan)
+        this->reason = result.reason;
+    return result.plan;
+}
+
+void stream_relay::reserve(const decision::engine_plan& plan) {
+    const bool is_reading_there = !plan.prefill && !this->kept;
+    this->place.emplace(
+        *this->request->state, plan.decode,
+        decision::instance_use{.requests = 1,
+                               .memory_tokens = this->size.prompt_tokens + this->size.output_tokens,
+                               .prompt_tokens = is_reading_there ? this->size.prompt_tokens : 0});
 }
 
 bool stream_relay::may_go_elsewhere() const {
@@ -55,7 +86,7 @@
         .purpose = ports::send_purpose::read_prompt,
         .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request))};
     ++this->prompts_sent;
-    work_mark mark(state, *plan.prefill, this->size.prompt_tokens, this->size.prompt_tokens);
+    work_mark mark(state, *plan.prefill, {.requests = 1, .prompt_tokens = this->size.prompt_tokens});
     exchange_result exchange = send_to_instance(*this->request, send, limit, yield);
     if (exchange.result == send_result::answered || exchange.result == send_result::not_run) {
         const std::string body = read_body(exchange, limit, yield);
@@ -70,8 +101,10 @@
     decision::instance* const target = decision::find_instance(state.instances, *plan.prefill);
     if (this->kept && target != nullptr)
         decision::note_read(*target, this->size, state.clock->now() - exchange.sent, state.clock->now());
+    this->kept_since = state.clock->now();
+    this->refusals_of_kept = 0;
     if (!this->kept)
-        this->failed_prefills.insert(*plan.prefill);
+        this->request->tried.insert(*plan.prefill);
     return this->kept.has_value();
 }
 
@@ -83,41 +116,41 @@
         .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request)),
         .source = this->kept,
         .resume_after = this->last_event};
-    const bool is_reading_there = !this->kept;
     const base::time_point limit =
         this->may_go_elsewhere()
             ? late_after(state.clock->now(), plan.expected_first_event, this->request->deadline)
             : this->request->deadline;
-    work_mark mark(state, plan.decode, this->size.prompt_tokens + this->size.output_tokens,
-                   is_reading_there ? this->size.prompt_tokens : 0);
     exchange_result exchange = send_to_instance(*this->request, send, limit, yield);
-    return this->take_answer(exchange, send, limit, mark, yield);
+    return this->take_answer(exchange, send, limit, yield);
 }
 
 std::optional<request_ending> stream_relay::take_answer(exchange_result& exchange,
                                                         const ports::upstream_send& send,
-                                                        base::time_point limit, work_mark& mark,
-                                                        wire::yield_context yield) {
+                                                        base::time_point limit, wire::yield_context yield) {
     stream_end end = stream_end::broken;
     std::string body;
     const bool is_stream = exchange.result == send_result::answered && exchange.head.status == ok_status;
     if (is_stream && exchange.facts.is_genuine)
-        end = this->relay_events(exchange, limit, mark, yield);
+        end = this->relay_events(exchange, limit, yield);
     else if (is_stream)
         exchange.detail = "an answer without the upstream's seal";
     else if (exchange.head.status != 0 && exchange.result != send_result::broken)
         body = read_body(exchange, limit, yield);
     if (is_stream && end == stream_end::broken && exchange.result == send_result::answered)
         exchange.result = send_result::broken;
-    if (exchange.result != send_result::not_connected)
+    if (exchange.result == send_result::not_run && this->kept)
+        ++this->refusals_of_kept;
+    else if (exchange.result != send_result::not_connected)
         this->kept.reset();
     end_exchange(*this->request, send, exchange);
     this->last = exchange.result;
     this->reason = decision::to_text(exchange.result);
     if (this->request->cancellation->is_caller_gone || end == stream_end::caller_gone)
         return request_ending::caller_gone;
-    if (is_stream && end == stream_end::whole)
+    if (is_stream && end == stream_end::whole) {
+        this->did_pass_whole(exchange.sent);
         return request_ending::passed_on;
+    }
     if (exchange.result == send_result::answered)
         return this->is_begun ? this->give_up(yield)
                               : pass_answer(*this->request, exchange.head, std::move(body), yield);
@@ -128,8 +161,15 @@
     return std::nullopt;
 }
 
+void stream_relay::did_pass_whole(base::time_point sent) {
+    gateway_state& state = *this->request->state;
+    decision::learn(state.hold_seconds, base::to_seconds(state.clock->now() - sent));
+    decision::learn(state.output_tokens,
+                    static_cast<double>(this->events_passed) * capacity_of(*this->request).tokens_an_event);
+}
+
 stream_relay::stream_end stream_relay::relay_events(exchange_result& exchange, base::time_point limit,
-                                                    work_mark& mark, wire::yield_context yield) {
+                                                    wire::yield_context yield) {
     wire::event_splitter events;
     if (!this->is_begun)
         this->first_head = exchange.head;
@@ -142,7 +182,7 @@
             exchange.call->cancel();
             return stream_end::broken;
         }
-        if (!this->pass_events(events, mark))
+        if (!this->pass_events(events))
             return stream_end::caller_gone;
         if (!*has_more)
             break;
@@ -155,9 +195,10 @@
     return this->request->connection->end_stream(yield) ? stream_end::whole : stream_end::caller_gone;
 }
 
-bool stream_relay::pass_events(wire::event_splitter& events, work_mark& mark) {
+bool stream_relay::pass_events(wire::event_splitter& events) {
     while (const auto event = events.next()) {
-        mark.did_read_prompt();
+        this->place->did_read_prompt();
+        ++this->events_passed;
         const bool is_known = event->id && this->last_event && *event->id <= *this->last_event;
         if (is_known)
             continue;
@@ -205,38 +246,50 @@
     this->kept.reset();
 }
 
+bool stream_relay::try_plan(const decision::engine_plan& plan, wire::yield_context yield) {
+    this->reserve(plan);
+    if (!plan.prefill || this->kept)
+        return true;
+    const bool is_another_prompt = this->prompts_sent > 0;
+    if (is_another_prompt && !try_spend_extra(*this->request))
+        return true;
+    if (!this->read_prompt(plan, yield))
+        return false;
+    const decision::instance* const decode =
+        decision::find_instance(this->request->state->instances, plan.decode);
+    return decode != nullptr && decode->state == decision::listing::listed;
+}
+
 request_ending stream_relay::run(wire::yield_context yield) {
-    this->size = {this->request->routed.prompt_tokens, this->request->routed.output_tokens};
+    const gateway_state& state = *this->request->state;
+    this->size = {this->request->routed.prompt_tokens,
+                  std::min(this->request->routed.output_tokens, state.output_tokens.value)};
     this->last_event = this->request->routed.resume_after;
-    while (time_left(*this->request) > 0ms) {
-        const auto plan = this->choose();
+    while (time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone) {
+        this->place.reset();
+        const auto plan = this->next_plan(yield);
         if (!plan)
             break;
-        const bool is_another_prompt = this->prompts_sent > 0;
-        if (plan->prefill && (!is_another_prompt || may_spend_send(*this->request)) &&
-            !this->read_prompt(*plan, yield)) {
-            if (this->request->cancellation->is_caller_gone)
-                return request_ending::caller_gone;
+        if (!this->try_plan(*plan, yield))
             continue;
-        }
-        if (this->request->cancellation->is_caller_gone) {
-            this->release_kept();
-            return request_ending::caller_gone;
-        }
+        if (this->request->cancellation->is_caller_gone)
+            break;
         if (!may_spend_send(*this->request)) {
             this->reason = "no budget for another engine";
             break;
         }
-        this->request->tried.insert(plan->decode);
         const auto ending = this->decode(*plan, yield);
         if (ending) {
             this->release_kept();
             return *ending;
         }
+        this->request->tried.insert(plan->decode);
         if (!decision::may_send_again(this->request->record, this->last))
             break;
     }
     this->release_kept();
+    if (this->request->cancellation->is_caller_gone)
+        return request_ending::caller_gone;
     return this->give_up(yield);
 }
 
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <gateway/engine_place.h>
 #include <gateway/gateway_request.h>
 #include <gateway/upstream_exchange.h>
 #include <wire/event_splitter.h>
@@ -24,17 +25,21 @@
     /// What a decode engine's stream came to.
     enum class stream_end { whole, broken, caller_gone };
 
-    [[nodiscard]] std::optional<decision::engine_plan> choose();
+    [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
+    [[nodiscard]] std::optional<decision::engine_plan> plan_for_kept();
+    [[nodiscard]] bool try_plan(const decision::engine_plan& plan, wire::yield_context yield);
+    void reserve(const decision::engine_plan& plan);
     [[nodiscard]] bool read_prompt(const decision::engine_plan& plan, wire::yield_context yield);
     [[nodiscard]] std::optional<request_ending> decode(const decision::engine_plan& plan,
                                                        wire::yield_context yield);
     [[nodiscard]] std::optional<request_ending> take_answer(exchange_result& exchange,
                                                             const ports::upstream_send& send,
-                                                            base::time_point limit, work_mark& mark,
+                                                            base::time_point limit,
                                                             wire::yield_context yield);
-    [[nodiscard]] stream_end relay_events(exchange_result& exchange, base::time_point limit, work_mark& mark,
+    [[nodiscard]] stream_end relay_events(exchange_result& exchange, base::time_point limit,
                                           wire::yield_context yield);
-    [[nodiscard]] bool pass_events(wire::event_splitter& events, work_mark& mark);
+    [[nodiscard]] bool pass_events(wire::event_splitter& events);
+    void did_pass_whole(base::time_point sent);
     [[nodiscard]] base::time_point limit_of_silence() const;
     [[nodiscard]] bool may_go_elsewhere() const;
     [[nodiscard]] request_ending give_up(wire::yield_context yield);
@@ -42,14 +47,16 @@
 
     gateway_request* request;
     decision::prompt_size size;
+    std::optional<work_mark> place; ///< Promised at the decode engine, before the prompt is read.
     std::optional<ports::kept_prompt> kept;
+    base::time_point kept_since{};
+    int refusals_of_kept = 0;
     std::optional<std::uint64_t> last_event;
     decision::send_result last = decision::send_result::not_connected;
-    std::set<base::upstream_id> failed_prefills;
     int prompts_sent = 0;
+    int events_passed = 0;
     bool is_begun = false; ///< The caller has the head and events of the answer.
     wire::response_head first_head;
-    std::string first_events;
     std::optional<exchange_result> failure; ///< Answer of failure that is passed on when none does better.
     std::string failure_body;
     const char* reason = "no engine";
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -88,32 +88,35 @@
 
 } // namespace
 
-work_mark::work_mark(gateway_state& state, base::upstream_id instance, double memory_tokens,
-                     double prompt_tokens)
-    : state(&state), instance(std::move(instance)), memory_tokens(memory_tokens),
-      prompt_tokens(prompt_tokens) {
-    decision::instance* const target = decision::find_instance(state.instances, this->instance);
-    if (target == nullptr)
-        return;
-    ++target->own_requests;
-    target->own_memory_tokens += this->memory_tokens;
-    target->own_prompt_tokens += this->prompt_tokens;
+work_mark::work_mark(gateway_state& state, base::upstream_id instance, const decision::instance_use& use)
+    : state(&state), instance(std::move(instance)), use(use) {
+    if (decision::instance* const target = decision::find_instance(state.instances, this->instance))
+        target->own += this->use;
+    this->did_change();
 }
 
 work_mark::~work_mark() {
-    this->did_read_prompt();
-    decision::instance* const target = decision::find_instance(this->state->instances, this->instance);
-    if (target == nullptr)
-        return;
-    --target->own_requests;
-    target->own_memory_tokens -= this->memory_tokens;
+    if (decision::instance* const target = decision::find_instance(this->state->instances, this->instance))
+        target->own -= this->use;
+    this->did_change();
+    if (this->use.memory_tokens > 0)
+        this->state->did_change_places();
 }
 
 void work_mark::did_read_prompt() {
-    decision::instance* const target = decision::find_instance(this->state->instances, this->instance);
-    if (target != nullptr)
-        target->own_prompt_tokens -= this->prompt_tokens;
-    this->prompt_tokens = 0;
+    if (this->use.prompt_tokens == 0)
+        return;
+    const decision::instance_use read = {.prompt_tokens = this->use.prompt_tokens};
+    if (decision::instance* const target = decision::find_instance(this->state->instances, this->instance))
+        target->own -= read;
+    this->use -= read;
+    this->did_change();
+}
+
+void work_mark::did_change() const {
+    // Plain upstreams tell their load in each answer; only engines' places are worth a message.
+    if (this->use.memory_tokens > 0 || this->use.prompt_tokens > 0)
+        this->state->did_change_own_load();
 }
 
 exchange_result send_to_instance(gateway_request& request, const ports::upstream_send& send,
--- a/libraries/gateway/upstream_exchange.h
+++ b/libraries/gateway/upstream_exchange.h
@@ -23,7 +23,7 @@
 /// Counts work of this host at an instance for as long as it lives.
 class work_mark {
 public:
-    work_mark(gateway_state& state, base::upstream_id instance, double memory_tokens, double prompt_tokens);
+    work_mark(gateway_state& state, base::upstream_id instance, const decision::instance_use& use);
     work_mark(const work_mark&) = delete;
     work_mark(work_mark&&) = delete;
     work_mark& operator=(const work_mark&) = delete;
@@ -34,10 +34,11 @@
     void did_read_prompt();
 
 private:
+    void did_change() const;
+
     gateway_state* state;
     base::upstream_id instance;
-    double memory_tokens;
-    double prompt_tokens;
+    decision::instance_use use;
 };
 
 /// Sends the request to one instance and reads the head of its answer, past answers that belong to others.
--- /dev/null
+++ b/libraries/host/load_share.cpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <host/load_share.h>
+
+#include <base/hashing.h>
+
+namespace postpaddle::host {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A host whose last report is older has gone, or can't be heard; its requests no longer count.
+constexpr base::duration report_lifetime = 3s;
+
+bool is_newer(const load_report& next, const load_report& known) {
+    if (next.incarnation != known.incarnation)
+        return next.incarnation > known.incarnation;
+    return next.sequence > known.sequence;
+}
+
+void take_away(load_share& share, const load_report& report) {
+    for (const auto& [key, use] : report.uses) {
+        decision::instance_use& total = share.total[key];
+        total -= use;
+        if (total.requests <= 0)
+            share.total.erase(key);
+    }
+}
+
+} // namespace
+
+instance_key key_of(const base::upstream_id& id) { return static_cast<instance_key>(base::hash64(id.value)); }
+
+bool take_report(load_share& share, const load_report& report, base::time_point now) {
+    const auto [found, is_first] = share.by_host.try_emplace(report.host);
+    if (!is_first && !is_newer(report, found->second.report))
+        return false;
+    take_away(share, found->second.report);
+    for (const auto& [key, use] : report.uses)
+        share.total[key] += use;
+    found->second = {report, now};
+    return true;
+}
+
+bool drop_silent(load_share& share, base::time_point now) {
+    bool is_any_dropped = false;
+    for (auto& [host, heard] : share.by_host) {
+        if (now - heard.heard < report_lifetime || (heard.report.uses.empty() && heard.report.waits.empty()))
+            continue;
+        take_away(share, heard.report);
+        heard.report.uses.clear();
+        heard.report.waits.clear();
+        is_any_dropped = true;
+    }
+    return is_any_dropped;
+}
+
+int older_waiters(const load_share& share, base::duration waited, base::time_point now) {
+    int count = 0;
+    for (const auto& [host, heard] : share.by_host)
+        for (const base::duration wait : heard.report.waits)
+            if (wait + (now - heard.heard) > waited)
+                ++count;
+    return count;
+}
+
+int all_waiters(const load_share& share) {
+    int count = 0;
+    for (const auto& [host, heard] : share.by_host)
+        count += static_cast<int>(heard.report.waits.size());
+    return count;
+}
+
+} // namespace postpaddle::host
--- /dev/null
+++ b/libraries/host/load_share.h
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <base/identifier.h>
+#include <decision/instance_table.h>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace postpaddle::host {
+
+/// Short name of an instance in load reports: a hash of its id.
+using instance_key = std::uint32_t;
+
+[[nodiscard]] instance_key key_of(const base::upstream_id& id);
+
+/// What one host has in progress; always whole, so that a lost report is healed by the next.
+struct load_report {
+    base::host_id host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; ///< Rises with each report of an incarnation.
+    std::map<instance_key, decision::instance_use> uses;
+    std::vector<base::duration> waits; ///< How long each request has waited that has no place yet.
+
+    bool operator==(const load_report&) const = default;
+};
+
+/// A report and when it was heard.
+struct heard_report {
+    load_report report;
+    base::time_point heard{};
+};
+
+/// The other hosts' reports and their sum.
+struct load_share {
+    std::map<base::host_id, heard_report> by_host;
+    std::map<instance_key, decision::instance_use> total;
+};
+
+/// Takes over a report unless a newer one of that host is known; says whether it did.
+bool take_report(load_share& share, const load_report& report, base::time_point now);
+
+/// Drops reports of hosts that have been silent for too long; says whether any was dropped.
+bool drop_silent(load_share& share, base::time_point now);
+
+/// Requests of other hosts that have waited for a place for longer than `waited`.
+[[nodiscard]] int older_waiters(const load_share& share, base::duration waited, base::time_point now);
+
+/// All requests of other hosts that wait for a place.
+[[nodiscard]] int all_waiters(const load_share& share);
+
+} // namespace postpaddle::host
--- a/libraries/settings/gateway_settings.cpp
+++ b/libraries/settings/gateway_settings.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::int64_t longest_milliseconds = 3'600'000;
 constexpr std::int64_t most_connections = 100'000;
+constexpr std::int64_t highest_port = 65'535;
 constexpr std::int64_t most_log_lines = 100'000;
 constexpr std::int64_t most_megabytes = 1'000'000;
 constexpr std::size_t megabyte = 1024UL * 1024;
@@ -74,6 +75,7 @@
     value.readiness = read_address(reader, "readiness");
     value.readiness_path = reader.text("readiness_path", standard.readiness_path);
     value.peers = read_address(reader, "peers");
+    value.load_port = static_cast<std::uint16_t>(reader.integer("load_port", 0, {0, highest_port}));
     value.metrics = reader.text("metrics", standard.metrics);
     value.seeds = read_seeds(reader);
     value.store = read_address(reader, "store");
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -29,11 +29,12 @@
     std::string callers;   ///< Address to listen on, IP number and port.
     std::string readiness; ///< Address of the readiness check.
     std::string readiness_path = "/readyz";
-    std::string peers;                      ///< Address for the other hosts and for operators.
-    std::string metrics;                    ///< Address of the figures; empty for none.
-    std::vector<std::string> seeds;         ///< Peers to ask while the store is out of reach; may be stale.
-    std::string store;                      ///< Address of the platform's store.
-    std::chrono::milliseconds grace{8'000}; ///< From the stop signal to the end, at most.
+    std::string peers;              ///< Address for the other hosts and for operators.
+    std::uint16_t load_port = 0;    ///< UDP port, alike on all hosts, for telling each other their loads.
+    std::string metrics;            ///< Address of the figures; empty for none.
+    std::vector<std::string> seeds; ///< Peers to ask while the store is out of reach; may be stale.
+    std::string store;              ///< Address of the platform's store.
+    std::chrono::milliseconds grace{8'000};             ///< From the stop signal to the end, at most.
     std::chrono::milliseconds balancer_lag{2'500};      ///< From unready until no new connection comes.
     std::chrono::milliseconds registry_interval{1'000}; ///< Between two reads of the upstreams' registry.
     std::chrono::milliseconds heartbeat{1'000};         ///< Between two heartbeats to a peer.
--- a/libraries/settings/routing_settings.h
+++ b/libraries/settings/routing_settings.h
@@ -48,6 +48,7 @@
 struct engine_capacity {
     int places = 1;                             ///< Requests that run at once.
     int kv_tokens = 0;                          ///< Tokens that an engine's memory holds.
+    int tokens_an_event = 1;                    ///< Output tokens that one event of a stream holds.
     std::chrono::milliseconds kept_prompt{500}; ///< How long a prompt that was read waits to be fetched.
 
     bool operator==(const engine_capacity&) const = default;
