decision: Let the shortest of those in time go first; hold the late instead of refusing

Waiting requests that can still be in time go shortest first by the caller's hint pulled to the mean; the late go by age and are refused at three times the target.

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -13,20 +13,24 @@
 } // namespace
 
 base::duration expected_wait(const admission_facts& facts) {
-    const double ahead = facts.older_waiting + 1 - facts.free_places;
+    const double ahead = facts.waiting_ahead + 1 - facts.free_places;
     if (ahead <= 0)
         return {};
     return base::from_seconds(ahead * base::to_seconds(facts.hold) / std::max(1.0, facts.total_places));
 }
 
+base::duration longest_wait_in_time(base::duration latency_target, base::duration expected_start) {
+    const double seconds =
+        usable_target * base::to_seconds(latency_target) - base::to_seconds(expected_start);
+    return base::from_seconds(std::max(0.0, seconds));
+}
+
 admission admit_to_engines(const admission_facts& facts) {
-    if (facts.has_room && facts.free_places > facts.older_waiting)
+    if (facts.has_room && facts.free_places > facts.waiting_ahead)
         return admission::start;
     if (facts.is_queued)
-        return admission::wait;
-    const double limit = usable_target * base::to_seconds(facts.latency_target);
-    const bool is_in_time = base::to_seconds(expected_wait(facts) + facts.expected_start) <= limit;
-    return is_in_time ? admission::wait : admission::refuse;
+        return facts.waited >= facts.patience ? admission::refuse : admission::wait;
+    return expected_wait(facts) > facts.patience ? admission::refuse : admission::wait;
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -10,11 +10,11 @@
     bool has_room = false;  ///< A decode engine has a place for it now.
     double free_places = 0; ///< Of all decode engines, for requests of its size.
     double total_places = 0;
-    int older_waiting = 0;           ///< Requests, over all hosts, that have waited longer.
-    base::duration hold{};           ///< How long a request keeps its place, on the mean.
-    bool is_queued = false;          ///< Was let into the queue before.
-    base::duration latency_target{}; ///< From the request's arrival to its first event.
-    base::duration expected_start{}; ///< From the send to the first event.
+    int waiting_ahead = 0;  ///< Requests, over all hosts, that go before it.
+    base::duration hold{};  ///< How long a request keeps its place, on the mean.
+    bool is_queued = false; ///< Was let into the queue before.
+    base::duration waited{};
+    base::duration patience{}; ///< How long it may wait for a place.
 
     bool operator==(const admission_facts&) const = default;
 };
@@ -22,17 +22,21 @@
 /// What happens to a request that asks for a place.
 enum class admission {
     start,  ///< Go now.
-    wait,   ///< Wait for a place; older requests go first.
-    refuse, ///< It can't be served in time: say so at once.
+    wait,   ///< Wait for a place.
+    refuse, ///< It can't be served before its caller leaves: say so at once.
 };
 
 /// Whether a request may go, waits or is refused.
 ///
-/// A request is refused when it arrives, not after a wait: a caller that is told at once can come back in
-/// time. One that was let into the queue stays until it is served or its caller's patience ends.
+/// Being too late for its latency target is no reason to refuse a request: it is served behind those that can
+/// still be in time, as soon as places allow.
 [[nodiscard]] admission admit_to_engines(const admission_facts& facts);
 
 /// How long a request that arrives now is expected to wait for a place.
 [[nodiscard]] base::duration expected_wait(const admission_facts& facts);
 
+/// Longest wait for a place after which the first event still comes within the latency target.
+[[nodiscard]] base::duration longest_wait_in_time(base::duration latency_target,
+                                                  base::duration expected_start);
+
 } // namespace postpaddle::decision
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -15,9 +15,8 @@
 /// Counts a request among those that wait for as long as it lives.
 class waiting_mark {
 public:
-    waiting_mark(gateway_state& state, base::time_point arrived, wire::asio::steady_timer& timer)
-        : state(&state), position(state.waiting.insert(arrived)), timer(&timer) {
-        state.waiters.insert(this->timer);
+    waiting_mark(gateway_state& state, const waiting_request& request) : state(&state), request(request) {
+        state.waiting.insert(&this->request);
         state.did_change_own_load();
     }
     waiting_mark(const waiting_mark&) = delete;
@@ -25,35 +24,49 @@
     waiting_mark& operator=(const waiting_mark&) = delete;
     waiting_mark& operator=(waiting_mark&&) = delete;
     ~waiting_mark() {
-        this->state->waiters.erase(this->timer);
-        this->state->waiting.erase(this->position);
+        this->state->waiting.erase(&this->request);
         this->state->did_change_own_load();
     }
 
 private:
     gateway_state* state;
-    std::multiset<base::time_point>::iterator position;
-    wire::asio::steady_timer* timer;
+    waiting_request request;
 };
 
-int older_waiting(const gateway_request& request, base::time_point now) {
+/// How long a caller is kept waiting for a place before it is told to come back. Callers leave a stream that
+/// has not begun after a few times its latency target; one that is told before that can still be served.
+base::duration patience_of(const gateway_request& request) {
+    static constexpr int latency_targets = 3;
+    const base::duration limit = request.route->latency_target * latency_targets;
+    return std::min<base::duration>(limit, (request.deadline - request.arrived) / 2);
+}
+
+/// Requests of all hosts that go before this one.
+int waiting_ahead(const gateway_request& request, const decision::prompt_size& size, base::duration in_time,
+                  base::time_point now) {
     const gateway_state& state = *request.state;
-    const auto own = std::distance(state.waiting.begin(), state.waiting.lower_bound(request.arrived));
-    return static_cast<int>(own) + host::older_waiters(state.loads, now - request.arrived, now);
+    const decision::waiter own = {now - request.arrived, size.output_tokens};
+    const auto is_ahead = [&](const waiting_request* other) {
+        return decision::goes_before({now - other->arrived, other->output_tokens}, own, in_time);
+    };
+    const auto ahead_here = std::ranges::count_if(state.waiting, is_ahead);
+    return static_cast<int>(ahead_here) + host::waiters_ahead(state.loads, own, in_time, now);
 }
 
 decision::admission_facts facts_of(const gateway_request& request, const decision::engine_plan& plan,
                                    const decision::choice_context& context, const decision::prompt_size& size,
                                    bool is_queued) {
+    const base::duration in_time =
+        decision::longest_wait_in_time(request.route->latency_target, plan.expected_first_event);
     const auto places = decision::count_places(request.state->instances, context, capacity_of(request), size);
     return {.has_room = plan.has_room,
             .free_places = places.free,
             .total_places = places.total,
-            .older_waiting = older_waiting(request, context.now),
+            .waiting_ahead = waiting_ahead(request, size, in_time, context.now),
             .hold = base::from_seconds(request.state->hold_seconds.value),
             .is_queued = is_queued,
-            .latency_target = request.route->latency_target,
-            .expected_start = plan.expected_first_event};
+            .waited = context.now - request.arrived,
+            .patience = patience_of(request)};
 }
 
 } // namespace
@@ -84,7 +97,7 @@
         }
         if (!mark) {
             timer.emplace(*state.context);
-            mark.emplace(state, request.arrived, *timer);
+            mark.emplace(state, waiting_request{request.arrived, size.output_tokens, &*timer});
             state.figures->count("waited_for_place_total");
         }
         timer->expires_after(look_again);
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -32,8 +32,8 @@
 } // namespace
 
 void gateway_state::did_change_places() const {
-    for (wire::asio::steady_timer* const waiter : this->waiters)
-        waiter->cancel();
+    for (const waiting_request* const waiting : this->waiting)
+        waiting->wake->cancel();
 }
 
 void gateway_state::did_change_own_load() const {
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -29,6 +29,13 @@
     decision::route_table routes;
 };
 
+/// A request of this host that waits for a place at an engine.
+struct waiting_request {
+    base::time_point arrived{};
+    double output_tokens = 0;                 ///< Expected.
+    wire::asio::steady_timer* wake = nullptr; ///< Cancelled when places may have become free.
+};
+
 /// All that a gateway host believes, and the parts that its coroutines share. Used by one thread; outlives
 /// every coroutine.
 struct gateway_state {
@@ -43,10 +50,9 @@
     base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
-    host::load_share loads{};                      ///< What the other hosts have in progress.
-    std::function<void()> on_own_load_changed{};   ///< Tells the other hosts.
-    std::multiset<base::time_point> waiting{};     ///< Arrivals of own requests that wait for a place.
-    std::set<wire::asio::steady_timer*> waiters{}; ///< Of these, what wakes each.
+    host::load_share loads{};                    ///< What the other hosts have in progress.
+    std::function<void()> on_own_load_changed{}; ///< Tells the other hosts.
+    std::set<const waiting_request*> waiting{};  ///< Own requests that wait for a place.
     decision::estimate hold_seconds = decision::make_estimate(2.5);  ///< How long a request keeps its place.
     decision::estimate output_tokens = decision::make_estimate(600); ///< Tokens that a request puts out.
     std::mt19937_64 random{};
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -96,14 +96,14 @@
         if (known.own.requests > 0 && known.entry.stage != settings::engine_stage::none)
             report.uses[host::key_of(id)] = known.own;
     const base::time_point now = this->state->clock->now();
-    for (const base::time_point arrived : this->state->waiting)
-        report.waits.push_back(now - arrived);
+    for (const waiting_request* const waiting : this->state->waiting)
+        report.waiters.push_back({now - waiting->arrived, waiting->output_tokens});
     return report;
 }
 
 void load_exchange::tell() {
     const host::load_report report = this->own_report();
-    this->has_told_work = !report.uses.empty() || !report.waits.empty();
+    this->has_told_work = !report.uses.empty() || !report.waiters.empty();
     const std::string bytes = encode_load(report);
     for (const auto& [name, known] : this->state->peers.by_name) {
         const auto endpoint = wire::parse_endpoint(known.address);
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -52,11 +52,12 @@
     for (const auto& [key, use] : report.uses)
         uses.push_back({key, use.requests, static_cast<std::int64_t>(use.memory_tokens),
                         static_cast<std::int64_t>(use.prompt_tokens)});
-    json waits = json::array();
-    for (const base::duration wait : report.waits)
-        waits.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
+    json waiters = json::array();
+    for (const decision::waiter& waiter : report.waiters)
+        waiters.push_back({std::chrono::duration_cast<std::chrono::milliseconds>(waiter.waited).count(),
+                           static_cast<std::int64_t>(waiter.output_tokens)});
     const json value = {report.host.value, report.incarnation, report.sequence, std::move(uses),
-                        std::move(waits)};
+                        std::move(waiters)};
     std::string bytes;
     json::to_msgpack(value, bytes);
     return bytes;
@@ -72,8 +73,9 @@
         for (const json& row : value.at(3))
             report.uses[row.at(0).get<host::instance_key>()] = {row.at(1).get<int>(), row.at(2).get<double>(),
                                                                 row.at(3).get<double>()};
-        for (const json& wait : value.at(4))
-            report.waits.push_back(std::chrono::milliseconds(wait.get<std::int64_t>()));
+        for (const json& row : value.at(4))
+            report.waiters.push_back(
+                {std::chrono::milliseconds(row.at(0).get<std::int64_t>()), row.at(1).get<double>()});
         return report;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -263,7 +263,8 @@
 request_ending stream_relay::run(wire::yield_context yield) {
     const gateway_state& state = *this->request->state;
     this->size = {this->request->routed.prompt_tokens,
-                  std::min(this->request->routed.output_tokens, state.output_tokens.value)};
+                  decision::expected_output(this->request->routed.output_hint, state.output_tokens.value,
+                                            this->request->routed.output_tokens)};
     this->last_event = this->request->routed.resume_after;
     while (time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone) {
         this->place.reset();
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -45,29 +45,26 @@
 bool drop_silent(load_share& share, base::time_point now) {
     bool is_any_dropped = false;
     for (auto& [host, heard] : share.by_host) {
-        if (now - heard.heard < report_lifetime || (heard.report.uses.empty() && heard.report.waits.empty()))
+        if (now - heard.heard < report_lifetime ||
+            (heard.report.uses.empty() && heard.report.waiters.empty()))
             continue;
         take_away(share, heard.report);
         heard.report.uses.clear();
-        heard.report.waits.clear();
+        heard.report.waiters.clear();
         is_any_dropped = true;
     }
     return is_any_dropped;
 }
 
-int older_waiters(const load_share& share, base::duration waited, base::time_point now) {
+int waiters_ahead(const load_share& share, const decision::waiter& own, base::duration in_time,
+                  base::time_point now) {
     int count = 0;
     for (const auto& [host, heard] : share.by_host)
-        for (const base::duration wait : heard.report.waits)
-            if (wait + (now - heard.heard) > waited)
+        for (decision::waiter other : heard.report.waiters) {
+            other.waited += now - heard.heard;
+            if (decision::goes_before(other, own, in_time))
                 ++count;
-    return count;
-}
-
-int all_waiters(const load_share& share) {
-    int count = 0;
-    for (const auto& [host, heard] : share.by_host)
-        count += static_cast<int>(heard.report.waits.size());
+        }
     return count;
 }
 
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <base/identifier.h>
 #include <decision/instance_table.h>
+#include <decision/waiting_order.h>
 
 #include <cstdint>
 #include <map>
@@ -22,7 +23,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0; ///< Rises with each report of an incarnation.
     std::map<instance_key, decision::instance_use> uses;
-    std::vector<base::duration> waits; ///< How long each request has waited that has no place yet.
+    std::vector<decision::waiter> waiters; ///< Requests without a place.
 
     bool operator==(const load_report&) const = default;
 };
@@ -45,10 +46,8 @@
 /// Drops reports of hosts that have been silent for too long; says whether any was dropped.
 bool drop_silent(load_share& share, base::time_point now);
 
-/// Requests of other hosts that have waited for a place for longer than `waited`.
-[[nodiscard]] int older_waiters(const load_share& share, base::duration waited, base::time_point now);
-
-/// All requests of other hosts that wait for a place.
-[[nodiscard]] int all_waiters(const load_share& share);
+/// Requests of other hosts that go before this one.
+[[nodiscard]] int waiters_ahead(const load_share& share, const decision::waiter& own, base::duration in_time,
+                                base::time_point now);
 
 } // namespace postpaddle::host
