--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -34,7 +34,7 @@
 /// What reading at a decode engine costs the streams that it holds up.
 constexpr double reading_there_cost = 0.5;
 /// Part of an engine's memory that is promised.
-constexpr double usable_memory = 0.9;
+constexpr double usable_memory = 1.0;
 /// What it costs to send to an engine that has no place.
 constexpr double full_cost = 10;
 /// Age at which the queue that a prompt met no longer says anything.
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -18,6 +18,8 @@
 constexpr int silence_factor = 4;
 /// Prompts of one request that are sent to prefill engines at most.
 constexpr int most_prompts = 2;
+/// Output tokens for which memory is promised ahead of what a stream has put out.
+constexpr double memory_lookahead = 150;
 /// Refusals after which the KV cache of a kept prompt is taken to be gone.
 constexpr int most_refusals_of_kept = 2;
 /// Part of the time for which a prompt is kept that it is counted on.
@@ -63,12 +65,17 @@
     return result.plan;
 }
 
+double stream_relay::memory_after(int events) const {
+    const double output = static_cast<double>(events) * capacity_of(*this->request).tokens_an_event;
+    return this->size.prompt_tokens + output + memory_lookahead;
+}
+
 void stream_relay::reserve(const decision::engine_plan& plan) {
     const bool is_reading_there = !plan.prefill && !this->kept;
     this->place.emplace(
         *this->request->state, plan.decode,
         decision::instance_use{.requests = 1,
-                               .memory_tokens = this->size.prompt_tokens + this->size.output_tokens,
+                               .memory_tokens = this->memory_after(this->events_passed),
                                .prompt_tokens = is_reading_there ? this->size.prompt_tokens : 0});
 }
 
@@ -199,6 +206,7 @@
     while (const auto event = events.next()) {
         this->place->did_read_prompt();
         ++this->events_passed;
+        this->place->grow_memory(this->memory_after(this->events_passed));
         const bool is_known = event->id && this->last_event && *event->id <= *this->last_event;
         if (is_known)
             continue;
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -29,6 +29,7 @@
     [[nodiscard]] std::optional<decision::engine_plan> plan_for_kept();
     [[nodiscard]] bool try_plan(const decision::engine_plan& plan, wire::yield_context yield);
     void reserve(const decision::engine_plan& plan);
+    [[nodiscard]] double memory_after(int events) const;
     [[nodiscard]] bool read_prompt(const decision::engine_plan& plan, wire::yield_context yield);
     [[nodiscard]] std::optional<request_ending> decode(const decision::engine_plan& plan,
                                                        wire::yield_context yield);
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -113,6 +113,15 @@
     this->did_change();
 }
 
+void work_mark::grow_memory(double memory_tokens) {
+    const decision::instance_use growth = {.memory_tokens = memory_tokens - this->use.memory_tokens};
+    if (growth.memory_tokens <= 0)
+        return;
+    this->use += growth;
+    if (decision::instance* const target = decision::find_instance(this->state->instances, this->instance))
+        target->own += growth;
+}
+
 void work_mark::did_change() const {
     // Plain upstreams tell their load in each answer; only engines' places are worth a message.
     if (this->use.memory_tokens > 0 || this->use.prompt_tokens > 0)
--- a/libraries/gateway/upstream_exchange.h
+++ b/libraries/gateway/upstream_exchange.h
@@ -32,6 +32,8 @@
 
     /// The prompt has been read.
     void did_read_prompt();
+    /// The work takes at least so much of the memory by now. The other hosts hear of it with the next report.
+    void grow_memory(double memory_tokens);
 
 private:
     void did_change() const;
