wire: Keep few idle connections and use warm ones for what runs once

Ruled out: a faulty server (resets came with the cap's count).

Idle connections are bounded by the host's part of what the upstream accepts and by the time that the upstream says; a request that may run once takes a connection that was in use within 0.8 s, and is never sent again over another.

--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/gateway_state.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace postpaddle::gateway {
 
 namespace {
@@ -10,6 +13,9 @@
 /// The registry counts as in trouble for this long after a failed read: entries may have lapsed meanwhile.
 constexpr base::duration trouble_lifetime = 6s;
 
+/// More idle connections to one upstream serve nobody.
+constexpr int most_idle_connections = 8;
+
 decision::registry_condition condition_of(const gateway_state& state) {
     const bool is_sound = state.registry_trouble == base::time_point{} ||
                           state.clock->now() - state.registry_trouble > trouble_lifetime;
@@ -80,6 +86,18 @@
     state.has_registry = true;
 }
 
+void bound_idle_connections(gateway_state& state) {
+    if (!state.settings)
+        return;
+    int least = std::numeric_limits<int>::max();
+    for (const auto& [name, service] : state.settings->document.value->services)
+        least = std::min(least, service.most_connections);
+    // Half of the part is left for work in progress.
+    static constexpr int parts = 2;
+    const int own_part = least / (parts * hosts_alive(state));
+    state.pool->set_most_idle(static_cast<std::size_t>(std::clamp(own_part, 1, most_idle_connections)));
+}
+
 int hosts_alive(const gateway_state& state) { return host::count_alive(state.peers, state.clock->now()) + 1; }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -81,6 +81,9 @@
 /// Takes a whole registry over.
 void take_registry_snapshot(gateway_state& state, const ports::registry_page& page);
 
+/// Bounds the idle connections kept to an upstream by this host's part of what the upstream accepts.
+void bound_idle_connections(gateway_state& state);
+
 /// Hosts that may be alive, this one among them: the divisor of what all share.
 [[nodiscard]] int hosts_alive(const gateway_state& state);
 
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -101,6 +101,7 @@
     while (true) {
         if (!this->read_registry(yield))
             this->hooks.on_registry_lost(yield);
+        bound_idle_connections(*this->state);
         this->pause(this->state->process->registry_interval, yield);
     }
 }
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -78,12 +78,11 @@
         exchange.call->cancel();
 }
 
-/// A connection that has carried others may turn out stale after the send. Only what may run again goes over
-/// such a one.
+/// A connection that rested may turn out stale after the send. Only what may run again goes over such a one.
 wire::connection_use use_for(const gateway_request& request, const ports::upstream_send& send) {
     const bool may_send_twice =
         request.record.is_repeatable || send.purpose == ports::send_purpose::read_prompt;
-    return may_send_twice ? wire::connection_use::may_reuse : wire::connection_use::only_fresh;
+    return may_send_twice ? wire::connection_use::may_reuse : wire::connection_use::only_warm;
 }
 
 } // namespace
--- a/libraries/wire/simple_client.cpp
+++ b/libraries/wire/simple_client.cpp
@@ -26,7 +26,9 @@
     if (head)
         return open_answer{std::move(*head), std::move(lease.call)};
     const wire_failure failure = head.error().failure;
-    const bool is_stale = was_reused && (failure == wire_failure::closed || failure == wire_failure::broken);
+    // What may run at most once is not sent again, however likely it is that nobody read it.
+    const bool is_stale = was_reused && use == connection_use::may_reuse &&
+                          (failure == wire_failure::closed || failure == wire_failure::broken);
     if (!is_stale)
         return tl::make_unexpected(std::move(head).error());
     auto again = open_exchange(pool, address, request, connection_use::only_fresh, limits, on_call, yield);
--- a/libraries/wire/upstream_call.cpp
+++ b/libraries/wire/upstream_call.cpp
@@ -8,6 +8,7 @@
 
 #include <netinet/tcp.h>
 
+#include <cstdlib>
 #include <optional>
 
 namespace postpaddle::wire {
@@ -27,6 +28,18 @@
 /// Bytes read at once from an upstream's body.
 constexpr std::size_t part_bytes = 16UL * 1024;
 
+/// How long an upstream that does not say so is taken to keep an idle connection.
+constexpr std::chrono::milliseconds standard_idle_limit{4'000};
+
+/// Time of a `Keep-Alive` field: `timeout=5`, in whole seconds.
+std::chrono::milliseconds idle_limit_of(const std::string& field) {
+    static constexpr std::string_view timeout = "timeout=";
+    const auto position = field.find(timeout);
+    if (position == std::string::npos)
+        return standard_idle_limit;
+    return std::chrono::seconds(std::atoi(field.c_str() + position + timeout.size()));
+}
+
 http::request<http::string_body> to_beast(const http_request& request) {
     http::request<http::string_body> message;
     message.version(11);
@@ -116,6 +129,7 @@
         // tokens would come late and in lumps.
         this->is_keep_alive = this->parser->get().keep_alive();
         this->is_whole = this->parser->is_done();
+        this->idle_limit = idle_limit_of(std::string(this->parser->get()[http::field::keep_alive]));
         return head;
     }
 
@@ -123,6 +137,7 @@
     asio::steady_timer watchdog;
     std::unique_ptr<http::request<http::string_body>> sending;
     bool is_written = false;
+    std::chrono::milliseconds idle_limit = standard_idle_limit;
     steady_clock::time_point deadline = steady_clock::time_point::max();
     answer_bounds bounds;
     beast::flat_buffer input;
@@ -221,6 +236,8 @@
            own.input.size() == 0 && own.stream.socket().is_open();
 }
 
+std::chrono::milliseconds upstream_call::idle_limit() const { return this->parts->idle_limit; }
+
 bool upstream_call::has_surplus() {
     implementation& own = *this->parts;
     char byte = 0;
--- a/libraries/wire/upstream_call.h
+++ b/libraries/wire/upstream_call.h
@@ -48,6 +48,8 @@
     void cancel();
     /// Whether the last response was read to its end and the connection may carry another exchange.
     [[nodiscard]] bool is_reusable() const;
+    /// How long the other side keeps the connection between two exchanges, as it last said.
+    [[nodiscard]] std::chrono::milliseconds idle_limit() const;
     /// Whether an idle connection has bytes that belong to no request, or has ended.
     [[nodiscard]] bool has_surplus();
     /// Whether any byte of the current request may have reached the other side.
--- a/libraries/wire/upstream_pool.cpp
+++ b/libraries/wire/upstream_pool.cpp
@@ -5,7 +5,12 @@
 
 namespace {
 
-constexpr std::size_t most_idle_each = 64;
+using std::chrono::steady_clock;
+
+/// A connection that was in use within this time is not idle to the other side.
+constexpr auto warm_time = std::chrono::milliseconds(800);
+/// Kept back from the time for which the other side says that it keeps an idle connection.
+constexpr auto idle_margin = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -14,8 +19,8 @@
 
 upstream_pool::lease upstream_pool::take(const std::string& address, connection_use use) {
     auto& waiting = this->idle[address];
-    while (use == connection_use::may_reuse && !waiting.empty()) {
-        lease taken{std::move(waiting.back()), true};
+    while (!waiting.empty() && may_use(waiting.back(), use)) {
+        lease taken{std::move(waiting.back().call), true};
         waiting.pop_back();
         if (!taken.call->has_surplus())
             return taken;
@@ -25,12 +30,27 @@
 
 void upstream_pool::give_back(const std::string& address, std::shared_ptr<upstream_call> call) {
     auto& waiting = this->idle[address];
-    if (call->is_reusable() && waiting.size() < most_idle_each)
-        waiting.push_back(std::move(call));
+    const auto is_over = [](const idle_connection& one) { return !may_use(one, connection_use::may_reuse); };
+    std::erase_if(waiting, is_over);
+    if (call->is_reusable() && waiting.size() < this->most_idle)
+        waiting.push_back({std::move(call), steady_clock::now()});
     else
         call->cancel();
 }
 
+bool upstream_pool::may_use(const idle_connection& waiting, connection_use use) {
+    const auto rested = steady_clock::now() - waiting.since;
+    switch (use) {
+    case connection_use::only_fresh:
+        return false;
+    case connection_use::only_warm:
+        return rested < warm_time;
+    case connection_use::may_reuse:
+        return rested < waiting.call->idle_limit() - idle_margin;
+    }
+    return false;
+}
+
 std::size_t upstream_pool::idle_connections() const {
     std::size_t total = 0;
     for (const auto& [address, waiting] : this->idle)
--- a/libraries/wire/upstream_pool.h
+++ b/libraries/wire/upstream_pool.h
@@ -15,6 +15,7 @@
 enum class connection_use {
     may_reuse,  ///< A stale connection is noticed and the exchange tried again on a new one.
     only_fresh, ///< For what may run at most once: nothing is sent unless the connection is new.
+    only_warm,  ///< Likewise, or unless it was in use a moment ago, before any idle limit could end it.
 };
 
 /// Connections to upstreams that wait for their next exchange. Used by one thread.
@@ -31,11 +32,20 @@
     /// Gives a connection back. One with an unread rest is closed instead.
     void give_back(const std::string& address, std::shared_ptr<upstream_call> call);
     [[nodiscard]] std::size_t idle_connections() const;
+    /// Idle connections kept to each address from now on.
+    void set_most_idle(std::size_t count) { this->most_idle = count; }
 
 private:
     asio::io_context* context;
     answer_bounds bounds;
-    std::map<std::string, std::vector<std::shared_ptr<upstream_call>>> idle;
+    struct idle_connection {
+        std::shared_ptr<upstream_call> call;
+        std::chrono::steady_clock::time_point since;
+    };
+    [[nodiscard]] static bool may_use(const idle_connection& waiting, connection_use use);
+
+    std::size_t most_idle = 64;
+    std::map<std::string, std::vector<idle_connection>> idle; ///< Of each address the latest used last.
 };
 
 } // namespace postpaddle::wire
