gateway: Count every send; take upstreams of last resort only when none is listed

The last resort now needs a registry that names no upstream at all; a break on a kept connection is reported and spends from the budget like any other send.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -40,20 +40,25 @@
 /// Age at which the queue that a prompt met no longer says anything.
 constexpr double seen_wait_lifetime = 0.5;
 
-/// Instances that new work may go to, or those of last resort where there are none.
+/// Instances that new work may go to, or, where the registry names none at all, those that it lost while it
+/// was in trouble. A request that has tried all of the former does not go to the latter: they may be leaving.
 std::vector<const instance*> usable(const instance_table& table, const choice_context& context,
                                     const std::function<bool(const instance&)>& fits) {
     std::vector<const instance*> listed;
     std::vector<const instance*> unlisted;
     for (const auto& [id, candidate] : table.by_id) {
-        if (candidate.entry.service != context.service || context.excluded.contains(id) || !fits(candidate))
+        if (candidate.entry.service != context.service || !fits(candidate))
             continue;
         if (candidate.state == listing::listed)
             listed.push_back(&candidate);
         if (candidate.state == listing::unlisted)
             unlisted.push_back(&candidate);
     }
-    return listed.empty() ? unlisted : listed;
+    std::vector<const instance*>& candidates = listed.empty() ? unlisted : listed;
+    std::erase_if(candidates, [&context](const instance* candidate) {
+        return context.excluded.contains(candidate->entry.id);
+    });
+    return candidates;
 }
 
 double standing_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -7,9 +7,9 @@
 
 using namespace std::chrono_literals;
 
-/// How long one read waits for new settings. Short enough that a connection that went silent behind a cut is
+/// How long one read waits for a record. Short enough that a connection that went silent behind a cut is
 /// replaced within the bound on new settings once the cut has healed.
-constexpr auto settings_wait = 3'000ms;
+constexpr auto read_wait = 3'800ms;
 /// Pause after a failed read, at random between half and all of it, so that hosts don't return in step.
 constexpr base::duration failure_pause = 600ms;
 
@@ -51,9 +51,8 @@
 }
 
 bool store_watch::read_settings(wire::yield_context yield) {
-    auto page = this->has_settings_offset
-                    ? this->feed->settings_after(this->settings_next, settings_wait, yield)
-                    : this->feed->newest_settings(yield);
+    auto page = this->has_settings_offset ? this->feed->settings_after(this->settings_next, read_wait, yield)
+                                          : this->feed->newest_settings(yield);
     if (!page) {
         if (page.error().failure == ports::feed_failure::history_lost)
             this->has_settings_offset = false;
@@ -78,8 +77,9 @@
 }
 
 bool store_watch::read_registry(wire::yield_context yield) {
-    auto page = this->has_registry_offset ? this->feed->registry_after(this->state->registry_next, yield)
-                                          : this->feed->newest_registry(yield);
+    auto page = this->has_registry_offset
+                    ? this->feed->registry_after(this->state->registry_next, read_wait, yield)
+                    : this->feed->newest_registry(yield);
     if (!page) {
         if (page.error().failure == ports::feed_failure::history_lost)
             this->has_registry_offset = false;
@@ -99,10 +99,12 @@
 
 void store_watch::watch_registry(wire::yield_context yield) {
     while (true) {
-        if (!this->read_registry(yield))
+        const bool did_read = this->read_registry(yield);
+        if (!did_read)
             this->hooks.on_registry_lost(yield);
         bound_idle_connections(*this->state);
-        this->pause(this->state->process->registry_interval, yield);
+        // Records that come together are read together.
+        this->pause(did_read ? this->state->process->registry_interval : failure_pause, yield);
     }
 }
 
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -142,9 +142,10 @@
         if (request.cancellation->is_caller_gone)
             call->cancel();
     };
-    auto open = wire::open_exchange(*state.pool, exchange.address,
-                                    state.protocol.make_send(request.routed, send), use_for(request, send),
-                                    {.deadline = limit, .connect = connect_limit}, on_call, yield);
+    auto open = wire::open_exchange(
+        *state.pool, exchange.address, state.protocol.make_send(request.routed, send), use_for(request, send),
+        {.deadline = limit, .connect = connect_limit, .stale = wire::stale_connection::report}, on_call,
+        yield);
     if (!open) {
         note_broken(exchange, open.error());
         return exchange;
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -77,9 +77,9 @@
     settings_after(std::uint64_t offset, std::chrono::milliseconds wait, wire::yield_context yield) = 0;
     /// All upstreams that the registry names.
     [[nodiscard]] virtual feed_result<registry_page> newest_registry(wire::yield_context yield) = 0;
-    /// Changes of the registry from an offset on; does not wait.
-    [[nodiscard]] virtual feed_result<registry_page> registry_after(std::uint64_t offset,
-                                                                    wire::yield_context yield) = 0;
+    /// Changes of the registry from an offset on; waits up to `wait` for the first.
+    [[nodiscard]] virtual feed_result<registry_page>
+    registry_after(std::uint64_t offset, std::chrono::milliseconds wait, wire::yield_context yield) = 0;
     /// Records this host among the hosts.
     [[nodiscard]] virtual feed_result<void> announce(const host_entry& own, wire::yield_context yield) = 0;
     /// All hosts on record.
--- a/libraries/ports/request_protocol.h
+++ b/libraries/ports/request_protocol.h
@@ -21,8 +21,8 @@
     std::optional<std::chrono::milliseconds> time_left; ///< How long the caller waits.
     std::optional<std::uint64_t> resume_after;          ///< Last event that the caller has.
     double prompt_tokens = 0;
-    double output_tokens = 0; ///< At most.
-    double output_hint = 0;   ///< The caller's guess, often far off; 0 where it gives none.
+    double output_tokens = 0;   ///< At most.
+    double output_hint = 0;     ///< The caller's guess, often far off; 0 where it gives none.
     wire::http_request message; ///< As the caller sent it, without what belongs to one connection only.
 };
 
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -34,10 +34,10 @@
     std::string metrics;            ///< Address of the figures; empty for none.
     std::vector<std::string> seeds; ///< Peers to ask while the store is out of reach; may be stale.
     std::string store;              ///< Address of the platform's store.
-    std::chrono::milliseconds grace{8'000};             ///< From the stop signal to the end, at most.
-    std::chrono::milliseconds balancer_lag{2'500};      ///< From unready until no new connection comes.
-    std::chrono::milliseconds registry_interval{1'000}; ///< Between two reads of the upstreams' registry.
-    std::chrono::milliseconds heartbeat{1'000};         ///< Between two heartbeats to a peer.
+    std::chrono::milliseconds grace{8'000};           ///< From the stop signal to the end, at most.
+    std::chrono::milliseconds balancer_lag{2'500};    ///< From unready until no new connection comes.
+    std::chrono::milliseconds registry_interval{300}; ///< Between two reads of the upstreams' registry.
+    std::chrono::milliseconds heartbeat{1'000};       ///< Between two heartbeats to a peer.
     std::size_t memory_bytes = 100UL * 1024 * 1024;
     std::size_t connections = 1'500; ///< Callers' connections held at once.
     double retry_after_limit = 5;    ///< Longest wait told to a refused caller, in seconds.
--- a/libraries/wire/simple_client.cpp
+++ b/libraries/wire/simple_client.cpp
@@ -28,6 +28,7 @@
     const wire_failure failure = head.error().failure;
     // What may run at most once is not sent again, however likely it is that nobody read it.
     const bool is_stale = was_reused && use == connection_use::may_reuse &&
+                          limits.stale == stale_connection::send_again &&
                           (failure == wire_failure::closed || failure == wire_failure::broken);
     if (!is_stale)
         return tl::make_unexpected(std::move(head).error());
--- a/libraries/wire/simple_client.h
+++ b/libraries/wire/simple_client.h
@@ -18,16 +18,24 @@
     std::shared_ptr<upstream_call> call;
 };
 
+/// What happens when a connection that has carried others breaks before any byte of an answer.
+enum class stale_connection {
+    send_again, ///< Once, over a new connection: most likely it was closed while it rested.
+    report,     ///< Nothing, as the other side may have taken the request and each send has to be counted.
+};
+
 /// Limits on one exchange.
 struct exchange_limits {
     std::chrono::steady_clock::time_point deadline;
     std::chrono::milliseconds connect{1'000}; ///< A connection that takes longer is not waited for.
+    stale_connection stale = stale_connection::send_again;
 };
 
 /// Sends a request and reads the head of its answer.
 ///
 /// `on_call` is told of each connection before it is used, so that the owner can cancel it. A reused
-/// connection that turns out stale before any byte of an answer is replaced once by a new one.
+/// connection that turns out stale before any byte of an answer is replaced once by a new one, where the
+/// limits say so.
 [[nodiscard]] expected<open_answer>
 open_exchange(upstream_pool& pool, const std::string& address, const http_request& request,
               connection_use use, const exchange_limits& limits,
