--- /dev/null
+++ b/tests/decision/test_instances.cpp
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/instance_choice.h>
+
+#include <catch2/catch.hpp>
+
+using namespace postpaddle;
+using decision::listing;
+using decision::registry_condition;
+using settings::engine_stage;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point now{1h};
+const settings::engine_capacity capacity = {
+    .places = 128, .kv_tokens = 60'000, .tokens_an_event = 11, .kept_prompt = 500ms};
+
+settings::upstream_entry make_entry(const std::string& id, engine_stage stage = engine_stage::none,
+                                    const std::string& zone = "east", std::uint64_t sequence = 1) {
+    settings::upstream_entry entry;
+    entry.id.value = id;
+    entry.service = "service";
+    entry.address = "127.0.0.1:1";
+    entry.availability_zone.value = zone;
+    entry.places = 6;
+    entry.stage = stage;
+    entry.sequence = sequence;
+    return entry;
+}
+
+decision::registry_change make_change(const settings::upstream_entry& entry, std::uint64_t offset) {
+    return {entry.id, entry, offset};
+}
+
+decision::instance_table make_table(const std::vector<settings::upstream_entry>& entries) {
+    decision::instance_table table;
+    std::uint64_t offset = 0;
+    for (const auto& entry : entries)
+        (void)decision::apply_change(table, make_change(entry, ++offset), registry_condition::sound);
+    return table;
+}
+
+decision::choice_context make_context() {
+    return {.service = "service", .own_zone = {"east"}, .excluded = {}, .now = now};
+}
+
+} // namespace
+
+TEST_CASE("a leaving instance never comes back, whatever late heartbeats say") {
+    auto table = make_table({make_entry("one")});
+    auto leaving = make_entry("one");
+    leaving.is_leaving = true;
+    CHECK(decision::apply_change(table, make_change(leaving, 5), registry_condition::sound));
+    (void)decision::apply_change(table, make_change(make_entry("one", engine_stage::none, "east", 9), 6),
+                                 registry_condition::sound);
+    CHECK(decision::find_instance(table, {"one"})->state == listing::leaving);
+}
+
+TEST_CASE("an older record changes nothing") {
+    auto table = make_table({make_entry("one")});
+    (void)decision::apply_change(table, {{"one"}, std::nullopt, 9}, registry_condition::sound);
+    (void)decision::apply_change(table, make_change(make_entry("one"), 4), registry_condition::sound);
+    CHECK(decision::find_instance(table, {"one"})->state == listing::vanished);
+    SECTION("nor does a heartbeat made before the entry went away") {
+        (void)decision::apply_change(table, make_change(make_entry("one"), 10), registry_condition::sound);
+        CHECK(decision::find_instance(table, {"one"})->state == listing::vanished);
+    }
+    SECTION("a newer heartbeat lists it again") {
+        (void)decision::apply_change(table, make_change(make_entry("one", engine_stage::none, "east", 2), 10),
+                                     registry_condition::sound);
+        CHECK(decision::find_instance(table, {"one"})->state == listing::listed);
+    }
+}
+
+TEST_CASE("what a whole registry does not name has vanished, unless it is newer than the registry") {
+    auto table = make_table({make_entry("one"), make_entry("two")});
+    (void)decision::apply_change(table, make_change(make_entry("three"), 50), registry_condition::sound);
+    (void)decision::apply_snapshot(table, {make_change(make_entry("two"), 2)}, 40, registry_condition::sound);
+    CHECK(decision::find_instance(table, {"one"})->state == listing::vanished);
+    CHECK(decision::find_instance(table, {"two"})->state == listing::listed);
+    CHECK(decision::find_instance(table, {"three"})->state == listing::listed);
+}
+
+TEST_CASE("an instance that the registry lost in trouble is used only where none is listed") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("one"), make_entry("two")});
+    (void)decision::apply_change(table, {{"one"}, std::nullopt, 9}, registry_condition::in_trouble);
+    auto context = make_context();
+    CHECK(decision::choose_plain(table, context, random)->value == "two");
+    // The request has tried every listed one: the lost one may be leaving, so it gets nothing.
+    context.excluded.insert({"two"});
+    CHECK_FALSE(decision::choose_plain(table, context, random));
+    (void)decision::apply_change(table, {{"two"}, std::nullopt, 10}, registry_condition::in_trouble);
+    context.excluded.clear();
+    CHECK(decision::choose_plain(table, context, random));
+}
+
+TEST_CASE("leaving and vanished instances get nothing") {
+    std::mt19937_64 random(1);
+    auto leaving = make_entry("one");
+    leaving.is_leaving = true;
+    auto table = make_table({leaving, make_entry("two")});
+    (void)decision::apply_change(table, {{"two"}, std::nullopt, 9}, registry_condition::sound);
+    CHECK_FALSE(decision::choose_plain(table, make_context(), random));
+}
+
+TEST_CASE("an instance that can't be reached is put aside while there is another") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("one"), make_entry("two", engine_stage::none, "west")});
+    CHECK(decision::choose_plain(table, make_context(), random)->value == "one");
+    decision::note_verdict(*decision::find_instance(table, {"one"}), decision::send_verdict::unreachable,
+                           now);
+    CHECK(decision::choose_plain(table, make_context(), random)->value == "two");
+}
+
+TEST_CASE("a prompt goes to the prefill engine with the least ahead of it and a decode engine with room") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("p1", engine_stage::prefill), make_entry("p2", engine_stage::prefill),
+                             make_entry("d1", engine_stage::decode), make_entry("d2", engine_stage::decode)});
+    decision::find_instance(table, {"p1"})->others.prompt_tokens = 20'000;
+    decision::find_instance(table, {"d1"})->others = {.requests = 10, .memory_tokens = 58'000};
+    const auto plan = decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random);
+    REQUIRE(plan);
+    CHECK(plan->prefill->value == "p2");
+    CHECK(plan->decode.value == "d2");
+    CHECK(plan->has_room);
+}
+
+TEST_CASE("with all decode engines full there is a plan without room, and a request larger than any is let "
+          "in alone") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("p", engine_stage::prefill), make_entry("d", engine_stage::decode)});
+    CHECK(decision::choose_engines(table, make_context(), capacity, {90'000, 700}, random)->has_room);
+    decision::find_instance(table, {"d"})->own = {.requests = 1, .memory_tokens = 58'000};
+    CHECK_FALSE(decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random)->has_room);
+}
+
+TEST_CASE("with no prefill engine the decode engine reads the prompt itself") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("d", engine_stage::decode)});
+    const auto plan = decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random);
+    REQUIRE(plan);
+    CHECK_FALSE(plan->prefill);
+    CHECK(plan->decode.value == "d");
+}
--- /dev/null
+++ b/tests/decision/test_send_rules.cpp
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/admission.h>
+#include <decision/send_rule.h>
+#include <decision/waiting_order.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace postpaddle;
+using decision::send_result;
+using namespace std::chrono_literals;
+
+TEST_CASE("what may run once goes elsewhere only after a word that it did not run") {
+    decision::send_record record = {.is_repeatable = false, .most_sends = 2};
+    decision::note_result(record, send_result::not_connected);
+    CHECK(decision::may_send_again(record, send_result::not_connected));
+    decision::note_result(record, send_result::not_run);
+    CHECK(decision::may_send_again(record, send_result::not_run));
+    CHECK(decision::answer_for(record, send_result::not_run) == decision::own_answer::not_run);
+    for (const auto result : {send_result::broken, send_result::late, send_result::server_error}) {
+        decision::send_record sent = record;
+        decision::note_result(sent, result);
+        CHECK_FALSE(decision::may_send_again(sent, result));
+        CHECK(decision::answer_for(sent, result) != decision::own_answer::not_run);
+    }
+}
+
+TEST_CASE("a repeatable request runs on no more upstreams than its route allows") {
+    decision::send_record record = {.is_repeatable = true, .most_sends = 2};
+    decision::note_result(record, send_result::broken);
+    CHECK(decision::may_send_again(record, send_result::broken));
+    decision::note_result(record, send_result::broken);
+    CHECK_FALSE(decision::may_send_again(record, send_result::broken));
+}
+
+TEST_CASE("certainty only grows: not run is never said once an upstream may have begun") {
+    for (unsigned seed = 1; seed <= 2'000; ++seed) {
+        std::mt19937 random(seed);
+        decision::send_record record = {.is_repeatable = random() % 2 == 0,
+                                        .most_sends = 1 + static_cast<int>(random() % 3)};
+        bool may_have_run = false;
+        int runs = 0;
+        send_result last = send_result::not_connected;
+        do {
+            last = static_cast<send_result>(random() % 6);
+            decision::note_result(record, last);
+            const bool ran = last != send_result::not_connected && last != send_result::not_run;
+            may_have_run = may_have_run || ran;
+            runs += ran ? 1 : 0;
+        } while (decision::may_send_again(record, last));
+        INFO("seed " << seed);
+        REQUIRE((decision::answer_for(record, last) == decision::own_answer::not_run) == !may_have_run);
+        REQUIRE(runs <= (record.is_repeatable ? record.most_sends : 1));
+    }
+}
+
+TEST_CASE("a request waits while it can be served and is refused when its patience ends") {
+    decision::admission_facts facts = {.has_room = true,
+                                       .free_places = 1,
+                                       .total_places = 60,
+                                       .waiting_ahead = 0,
+                                       .hold = 3s,
+                                       .is_queued = false,
+                                       .waited = 0ms,
+                                       .patience = 2'700ms};
+    CHECK(decision::admit_to_engines(facts) == decision::admission::start);
+    facts.waiting_ahead = 1;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::wait);
+    facts.waiting_ahead = 100;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::refuse);
+    facts.is_queued = true;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::wait);
+    facts.waited = 2'700ms;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::refuse);
+}
+
+TEST_CASE("those that can be in time go first, the shortest of them before; the late go by age") {
+    const base::duration in_time = 500ms;
+    CHECK(decision::goes_before({100ms, 900}, {600ms, 10}, in_time));
+    CHECK(decision::goes_before({100ms, 200}, {400ms, 900}, in_time));
+    CHECK(decision::goes_before({400ms, 200}, {100ms, 200}, in_time));
+    CHECK(decision::goes_before({2s, 900}, {1s, 10}, in_time));
+    CHECK_FALSE(decision::goes_before({1s, 10}, {2s, 900}, in_time));
+}
+
+TEST_CASE("a caller's guess is pulled to the mean and never beyond the most") {
+    CHECK(decision::expected_output(0, 600, 1'870) == Approx(600));
+    CHECK(decision::expected_output(600, 600, 1'870) == Approx(600));
+    CHECK(decision::expected_output(60, 600, 1'870) > 60);
+    CHECK(decision::expected_output(60, 600, 1'870) < 600);
+    CHECK(decision::expected_output(1e6, 600, 1'870) == Approx(1'870));
+}
--- /dev/null
+++ b/tests/host/test_load_share.cpp
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <host/load_share.h>
+#include <host/peer_directory.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point start{1h};
+
+host::load_report make_report(const std::string& name, std::uint64_t sequence, int requests,
+                              std::uint64_t incarnation = 1) {
+    host::load_report report;
+    report.host.value = name;
+    report.incarnation = incarnation;
+    report.sequence = sequence;
+    if (requests > 0)
+        report.uses[7] = {requests, requests * 100.0, 0};
+    return report;
+}
+
+int total_at(const host::load_share& share, host::instance_key key) {
+    const auto found = share.total.find(key);
+    return found == share.total.end() ? 0 : found->second.requests;
+}
+
+} // namespace
+
+TEST_CASE("reports replace each other, and an older one that comes late changes nothing") {
+    host::load_share share;
+    CHECK(host::take_report(share, make_report("a", 2, 3), start));
+    CHECK_FALSE(host::take_report(share, make_report("a", 1, 9), start));
+    CHECK(host::take_report(share, make_report("b", 1, 4), start));
+    CHECK(total_at(share, 7) == 7);
+    CHECK(host::take_report(share, make_report("a", 1, 1, 2), start));
+    CHECK(total_at(share, 7) == 5);
+}
+
+TEST_CASE("a silent host's work no longer counts") {
+    host::load_share share;
+    (void)host::take_report(share, make_report("a", 1, 3), start);
+    CHECK_FALSE(host::drop_silent(share, start + 2s));
+    CHECK(host::drop_silent(share, start + 4s));
+    CHECK(total_at(share, 7) == 0);
+    CHECK(host::take_report(share, make_report("a", 2, 2), start + 5s));
+    CHECK(total_at(share, 7) == 2);
+}
+
+TEST_CASE("in whatever order reports come, the sum is that of the newest of each host") {
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        std::mt19937 random(seed);
+        host::load_share share;
+        std::map<std::string, host::load_report> newest;
+        for (int step = 0; step < 200; ++step) {
+            const std::string name(1, static_cast<char>('a' + random() % 4));
+            const auto report =
+                make_report(name, 1 + random() % 50, static_cast<int>(random() % 5), 1 + random() % 3);
+            (void)host::take_report(share, report, start);
+            auto& known = newest[name];
+            if (std::pair(report.incarnation, report.sequence) > std::pair(known.incarnation, known.sequence))
+                known = report;
+        }
+        int expected = 0;
+        for (const auto& [name, report] : newest)
+            expected += report.uses.contains(7) ? report.uses.at(7).requests : 0;
+        INFO("seed " << seed);
+        REQUIRE(total_at(share, 7) == expected);
+    }
+}
+
+TEST_CASE("other hosts' waiting requests age while no report comes") {
+    host::load_share share;
+    auto report = make_report("a", 1, 0);
+    report.waiters = {{100ms, 500}};
+    (void)host::take_report(share, report, start);
+    CHECK(host::waiters_ahead(share, {300ms, 600}, 1s, start) == 1);
+    // Meanwhile it is late, and this one is not.
+    CHECK(host::waiters_ahead(share, {300ms, 600}, 1s, start + 950ms) == 0);
+}
+
+TEST_CASE("a host counts as alive for long after its last word, and a rumour does not renew it") {
+    host::peer_directory directory;
+    host::note_peer(directory, {"a"}, "127.0.0.1:1", true, start);
+    host::note_peer(directory, {"a"}, "127.0.0.1:9", false, start + 25s);
+    CHECK(directory.by_name.at({"a"}).address == "127.0.0.1:1");
+    CHECK(host::count_alive(directory, start + 29s) == 1);
+    CHECK(host::count_alive(directory, start + 31s) == 0);
+}
+
+TEST_CASE("with no host known a seed is asked") {
+    std::mt19937_64 random(1);
+    host::peer_directory directory;
+    directory.seeds = {"127.0.0.1:5"};
+    CHECK(host::draw_peers(directory, 2, start, random) == std::vector<std::string>{"127.0.0.1:5"});
+}
--- /dev/null
+++ b/tests/platform/test_codecs.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <platform/header_names.h>
+#include <platform/record_codec.h>
+#include <platform/registry_codec.h>
+#include <platform/request_codec.h>
+#include <platform/routing_codec.h>
+
+#include <catch2/catch.hpp>
+
+using namespace postpaddle;
+using namespace std::string_literals;
+
+TEST_CASE("records are read as the pages write them") {
+    // 8 bytes end, 8 bytes first kept; then length, length of the key, key, value.
+    const std::string bytes = "\0\0\0\0\0\0\0\x07"
+                              "\0\0\0\0\0\0\0\x02"
+                              "\0\0\0\x06"
+                              "\x03"
+                              "keyva"
+                              "\0\0\0\x04"
+                              "\x03"
+                              "old"s;
+    const auto page = platform::decode_page(bytes, 5);
+    REQUIRE(page);
+    CHECK(page->end == 7);
+    CHECK(page->first_kept == 2);
+    REQUIRE(page->records.size() == 2);
+    CHECK(page->records[0] == platform::keyed_record{"key", "va", 5});
+    CHECK(page->records[1] == platform::keyed_record{"old", std::nullopt, 6});
+    CHECK_FALSE(platform::decode_page(bytes.substr(0, bytes.size() - 1), 5));
+    CHECK(platform::encode_record({"key", "va", 0}) == bytes.substr(16, 10));
+}
+
+TEST_CASE("base64 values are decoded, others refused") {
+    CHECK(platform::decode_base64("aGVsbG8=") == "hello");
+    CHECK(platform::decode_base64("") == "");
+    CHECK_FALSE(platform::decode_base64("a*b"));
+}
+
+TEST_CASE("a server's entry is read, one that can't be is none") {
+    const auto entry = platform::read_server(
+        "i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":128,"state":"draining",)"
+               R"("stage":"decode","sequence":4})");
+    REQUIRE(entry);
+    CHECK(entry->id.value == "i-1");
+    CHECK(entry->is_leaving);
+    CHECK(entry->stage == settings::engine_stage::decode);
+    CHECK(entry->sequence == 4);
+    CHECK_FALSE(platform::read_server("i-1", R"({"service":7})"));
+    CHECK_FALSE(platform::read_server("i-1", "no json"));
+}
+
+TEST_CASE("a configuration is read whole") {
+    const auto document = platform::read_configuration(
+        R"({"version":7,"routes":[{"name":"r","host":"A.example","pathPrefix":"/p/","kind":"streaming",)"
+        R"("timeoutMs":14000,"targetLatencyMs":900,"priority":1,"trafficSplit":[{"service":"s","weight":90},)"
+        R"({"service":"t","weight":10}],"maxAttempts":2,"resumable":true,"gapTargetMs":300}],)"
+        R"("services":[{"name":"s","maxConnections":620,"engine":{"slots":128,"kvCapacityTokens":66897,)"
+        R"("kvTtlS":0.5,"stride":11}}],"limits":{"maxHeaderBytes":100,"idleTimeoutMs":15000}})");
+    REQUIRE(document);
+    const auto& route = document->value->routes.front();
+    CHECK(document->value->version == 7);
+    CHECK(route.host == "a.example");
+    CHECK(route.kind == settings::route_kind::stream);
+    CHECK(route.is_resumable);
+    CHECK(route.services.size() == 2);
+    const auto& engine = document->value->services.at("s").engine;
+    REQUIRE(engine);
+    CHECK(engine->kv_tokens == 66'897);
+    CHECK(engine->kept_prompt == std::chrono::milliseconds(500));
+    CHECK(document->value->limits.header_bytes == 100);
+    CHECK(platform::read_configuration("{}").error().failure == ports::feed_failure::malformed);
+}
+
+TEST_CASE("what only the system may set is dropped from a caller's request and set by its own hand") {
+    const auto protocol = platform::make_request_protocol();
+    auto request = protocol.read_request({"POST",
+                                          "/p/1",
+                                          {{"Host", "a.example"},
+                                           {"X-Attempt-Id", "abc"},
+                                           {"x-expect-instance", "forged"},
+                                           {"X-STAGE", "prefill"},
+                                           {"X-Cache-Source", "10.0.0.1:1/x"},
+                                           {"X-Deadline-Ms", "900"},
+                                           {"X-Token-Usage", "1460,80"},
+                                           {"X-Custom", "kept"}},
+                                          "body"});
+    REQUIRE(request);
+    CHECK(request->id == "abc");
+    CHECK(request->prompt_tokens == 1'460);
+    CHECK(request->output_tokens == 80);
+    const auto sent =
+        protocol.make_send(*request, {.instance = {"i-1"}, .time_left = std::chrono::milliseconds(400)});
+    CHECK(wire::find_header(sent.headers, platform::header_names::expected_instance) == "i-1");
+    CHECK(wire::find_header(sent.headers, platform::header_names::time_left) == "400");
+    CHECK(wire::find_header(sent.headers, platform::header_names::stage).empty());
+    CHECK(wire::find_header(sent.headers, platform::header_names::kept_prompt).empty());
+    CHECK(wire::find_header(sent.headers, "X-Custom") == "kept");
+    CHECK(sent.body == "body");
+}
+
+TEST_CASE("only a server's own word says that it did not run a request") {
+    const auto protocol = platform::make_request_protocol();
+    CHECK_FALSE(protocol.read_answer({503, {}}).is_not_run);
+    CHECK(protocol.read_answer({503, {{"X-Not-Executed", "1"}}}).is_not_run);
+    CHECK(protocol.read_answer({421, {}}).is_other_instance);
+    CHECK_FALSE(
+        protocol.read_answer({200, {{"X-Response-Seal", "s"}, {"Content-Encoding", "gzip"}}}).is_genuine);
+    const auto load = protocol.read_answer({200, {{"X-Server-Load", "3,0,8"}}}).load;
+    CHECK(load == decision::instance_load{3, 0, 8});
+}
