tests: Drive gateway hosts as processes against stand-ins of the platform

They found one fault: a decode engine that refused a KV cache it could not fetch was passed over for the rest of the request, so with all engines affected the request was refused although the prompt could be read anew. A refusal no longer rules an engine out, and one of an engine with places free drops the kept prompt at once.

--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -27,6 +27,11 @@
 /// A kept prompt is freed within this time or lapses by itself.
 constexpr auto release_limit = 500ms;
 
+/// Whether a refusal tells of a full engine. One with places free refused for want of the KV cache.
+bool is_full(const ports::answer_facts& facts) {
+    return !facts.load || facts.load->waiting > 0 || facts.load->running >= facts.load->places;
+}
+
 base::time_point late_after(base::time_point now, base::duration expected, base::time_point deadline) {
     const base::duration patience = base::from_seconds(base::to_seconds(expected) * late_factor) + late_grace;
     return std::min(deadline, now + patience);
@@ -146,7 +151,7 @@
     if (is_stream && end == stream_end::broken && exchange.result == send_result::answered)
         exchange.result = send_result::broken;
     if (exchange.result == send_result::not_run && this->kept)
-        ++this->refusals_of_kept;
+        this->refusals_of_kept += is_full(exchange.facts) ? 1 : most_refusals_of_kept;
     else if (exchange.result != send_result::not_connected)
         this->kept.reset();
     end_exchange(*this->request, send, exchange);
@@ -292,7 +297,9 @@
             this->release_kept();
             return *ending;
         }
-        this->request->tried.insert(plan->decode);
+        // One that only refused may take the request later, or with its prompt read anew.
+        if (this->last != send_result::not_run)
+            this->request->tried.insert(plan->decode);
         if (!decision::may_send_again(this->request->record, this->last))
             break;
     }
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -184,6 +184,9 @@
                              {"took_ms", base::to_milliseconds(now - exchange.sent)}});
     if (!exchange.detail.empty())
         request.sends.back()["detail"] = exchange.detail;
+    if (exchange.result == send_result::not_run && exchange.facts.load)
+        request.sends.back()["load"] = {exchange.facts.load->running, exchange.facts.load->waiting,
+                                        exchange.facts.load->places};
     state.figures->count(std::string("sends_total{result=\"") + decision::to_text(exchange.result) + "\"}");
     decision::instance* const target = decision::find_instance(state.instances, send.instance);
     if (target == nullptr || request.cancellation->is_caller_gone)
--- a/stand_ins/common/stand_in_server.cpp
+++ b/stand_ins/common/stand_in_server.cpp
@@ -27,7 +27,15 @@
 
 std::shared_ptr<wire::http_listener> serve(wire::asio::io_context& context, std::uint16_t port,
                                            request_handler handler) {
+    auto listener = serve_also(context, "127.0.0.1", port, std::move(handler));
+    std::cout << json{{"port", listener->port()}} << std::endl;
+    return listener;
+}
+
+std::shared_ptr<wire::http_listener> serve_also(wire::asio::io_context& context, const std::string& address,
+                                                std::uint16_t port, request_handler handler) {
     wire::listener_options options;
+    options.address = address;
     options.port = port;
     options.bounds.unsent_bytes = 64UL * 1024 * 1024;
     options.bounds.body_bytes = 64UL * 1024 * 1024;
@@ -42,7 +50,6 @@
         [handler = std::move(handler)](wire::caller_connection& connection, wire::yield_context yield) {
             serve_connection(handler, connection, yield);
         });
-    std::cout << json{{"port", (*listener)->port()}} << std::endl;
     return *listener;
 }
 
--- a/stand_ins/common/stand_in_server.h
+++ b/stand_ins/common/stand_in_server.h
@@ -25,6 +25,11 @@
 [[nodiscard]] std::shared_ptr<wire::http_listener> serve(wire::asio::io_context& context, std::uint16_t port,
                                                          request_handler handler);
 
+/// Listens on a further loopback address with a port that is known.
+[[nodiscard]] std::shared_ptr<wire::http_listener> serve_also(wire::asio::io_context& context,
+                                                              const std::string& address, std::uint16_t port,
+                                                              request_handler handler);
+
 /// Response with a JSON body.
 [[nodiscard]] wire::http_response json_response(const json& body, int status = 200);
 /// Body as JSON; an empty object where it is none.
--- /dev/null
+++ b/tests/gateway/test_beliefs.cpp
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <support/gateway_cluster.h>
+#include <support/test_cluster.h>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace postpaddle;
+using test::routed_request;
+
+namespace {
+
+int status_at(const test::gateway_cluster& cluster, int host, const std::string& path) {
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(host), routed_request(path, "id-" + path));
+    return answer ? answer->status : 0;
+}
+
+int version_at(const test::gateway_cluster& cluster, int host) {
+    const auto state = cluster.state_of(host);
+    return state.is_object() ? state.at("settings_version").get<int>() : 0;
+}
+
+std::string listing_at(const test::gateway_cluster& cluster, int host, const std::string& id) {
+    const auto state = cluster.state_of(host);
+    const bool is_known = state.is_object() && state.at("instances").contains(id);
+    return is_known ? state.at("instances").at(id).at("listing").get<std::string>() : "";
+}
+
+} // namespace
+
+TEST_CASE("a new version comes into force on every host and none goes back") {
+    test::gateway_cluster cluster({.name = "versions", .servers = {{.id = "one"}}, .hosts = 2});
+    cluster.publish(4, true);
+    for (const int host : {1, 2}) {
+        CHECK(test::eventually([&] { return version_at(cluster, host) == 4; }));
+        CHECK(status_at(cluster, host, "/extra/") == 200);
+    }
+    cluster.publish(3, false);
+    cluster.publish(5, true);
+    for (const int host : {1, 2}) {
+        CHECK(test::eventually([&] { return version_at(cluster, host) == 5; }));
+        CHECK(status_at(cluster, host, "/extra/") == 200);
+    }
+}
+
+TEST_CASE("a host that the store turns away hears of a version and of upstreams from another") {
+    for (const auto* mode : {"busy", "reset", "silent"}) {
+        INFO(mode);
+        test::gateway_cluster cluster({.name = std::string("turned-away-") + mode,
+                                       .servers = {{.id = "one"}, {.id = "two"}},
+                                       .hosts = 2});
+        (void)cluster.store({{"mode", mode}, {"turned_away", {"127.1.0.2"}}});
+        cluster.publish(2, true);
+        cluster.list("two", "draining", 2);
+        CHECK(test::eventually([&] { return version_at(cluster, 2) == 2; }));
+        CHECK(test::eventually([&] { return listing_at(cluster, 2, "two") == "leaving"; }));
+        CHECK(status_at(cluster, 2, "/extra/") == 200);
+        (void)cluster.store({{"mode", ""}});
+        cluster.publish(3, false);
+        CHECK(test::eventually([&] { return version_at(cluster, 2) == 3; }));
+    }
+}
+
+TEST_CASE("with the store down hosts serve on, and a new one learns all from a seed") {
+    test::gateway_cluster cluster({.name = "store-down", .servers = {{.id = "one"}}, .hosts = 1});
+    (void)cluster.store({{"mode", "busy"}});
+    CHECK(status_at(cluster, 1, "/again/") == 200);
+    cluster.start_host(2);
+    CHECK(test::eventually([&] { return cluster.is_ready(2); }));
+    CHECK(status_at(cluster, 2, "/again/") == 200);
+}
+
+TEST_CASE("a leaving server gets nothing new, also after its late heartbeats") {
+    test::gateway_cluster cluster({.name = "leaving", .servers = {{.id = "one"}, {.id = "two"}}});
+    cluster.list("one", "draining", 2);
+    cluster.list("one", "ready", 3);
+    REQUIRE(test::eventually([&] { return listing_at(cluster, 1, "one") == "leaving"; }));
+    for (int request = 0; request < 10; ++request)
+        CHECK(status_at(cluster, 1, "/again/") == 200);
+    CHECK(cluster.arrivals("one") == 0);
+    (void)cluster.store({{"drop", {{"topic", "keyed.servers"}, {"key", "two"}}}});
+    REQUIRE(test::eventually([&] { return listing_at(cluster, 1, "two") == "vanished"; }));
+    CHECK(status_at(cluster, 1, "/again/") == 503);
+}
+
+TEST_CASE("a store that forgot its history is read anew") {
+    test::gateway_cluster cluster({.name = "forgotten", .servers = {{.id = "one"}, {.id = "two"}}});
+    (void)cluster.store({{"mode", "reset"}});
+    cluster.publish(2, true);
+    cluster.list("two", "draining", 2);
+    (void)cluster.store({{"forget", "keyed.op"}});
+    (void)cluster.store({{"forget", "keyed.servers"}, {"mode", ""}});
+    CHECK(test::eventually([&] { return version_at(cluster, 1) == 2; }));
+    CHECK(test::eventually([&] { return listing_at(cluster, 1, "two") == "leaving"; }));
+}
+
+TEST_CASE("a host that is killed comes back with what lasts in the store") {
+    test::gateway_cluster cluster({.name = "killed", .servers = {{.id = "one"}}});
+    cluster.publish(2, true);
+    REQUIRE(test::eventually([&] { return version_at(cluster, 1) == 2; }));
+    cluster.host(1).send_signal(SIGKILL);
+    (void)cluster.host(1).wait();
+    cluster.start_host(1);
+    CHECK(test::eventually([&] { return cluster.is_ready(1); }));
+    CHECK(status_at(cluster, 1, "/extra/") == 200);
+}
+
+TEST_CASE("a reload of a wrong file changes nothing and the host serves on") {
+    test::gateway_cluster cluster({.name = "reload", .servers = {{.id = "one"}}});
+    cluster.host(1).send_signal(SIGHUP);
+    CHECK(status_at(cluster, 1, "/again/") == 200);
+    CHECK(cluster.is_ready(1));
+}
--- /dev/null
+++ b/tests/gateway/test_streams.cpp
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <support/gateway_cluster.h>
+#include <support/test_cluster.h>
+
+#include <catch2/catch.hpp>
+
+using namespace postpaddle;
+using test::routed_request;
+
+namespace {
+
+test::gateway_cluster make_engine_cluster(const std::string& name) {
+    return test::gateway_cluster({.name = name,
+                                  .servers = {{.id = "p1", .service = "engines", .stage = "prefill"},
+                                              {.id = "p2", .service = "engines", .stage = "prefill"},
+                                              {.id = "d1", .service = "engines", .stage = "decode"},
+                                              {.id = "d2", .service = "engines", .stage = "decode"}}});
+}
+
+std::string whole_stream(int events) {
+    std::string text;
+    for (int event = 1; event <= events; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: token-" + std::to_string(event) + "\n\n";
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a prompt is read by a prefill engine and its stream comes from a decode engine") {
+    auto cluster = make_engine_cluster("stream");
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(), routed_request("/stream/", "id-1"));
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(answer->body == whole_stream(5));
+    CHECK(cluster.runs() == 1);
+    int prompts = 0;
+    for (const auto* id : {"p1", "p2"})
+        prompts += static_cast<int>(cluster.server(id).at("arrivals").size());
+    CHECK(prompts == 1);
+}
+
+TEST_CASE("a stream that may not run again and breaks never looks whole") {
+    auto cluster = make_engine_cluster("broken");
+    (void)cluster.server("d1", {{"break_after", 2}});
+    (void)cluster.server("d2", {{"break_after", 2}});
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(), routed_request("/stream/", "id-1"));
+    CHECK_FALSE(answer);
+    CHECK(cluster.runs() == 1);
+}
+
+TEST_CASE("a stream that may be resumed goes on elsewhere without a gap or a repeat") {
+    auto cluster = make_engine_cluster("resumed");
+    int at_the_broken = 0;
+    for (int number = 0; number < 8; ++number) {
+        (void)cluster.server("d1", {{"break_after", 2}});
+        const auto answer = stand_in::http_exchange(
+            cluster.callers_address(), routed_request("/resume/", "id-" + std::to_string(number)));
+        REQUIRE(answer);
+        CHECK(answer->body == whole_stream(5));
+        at_the_broken = cluster.arrivals("d1");
+    }
+    CHECK(at_the_broken > 0);
+}
+
+TEST_CASE("a KV cache that can't be fetched is read again, and a failed prefill engine replaced") {
+    auto cluster = make_engine_cluster("lost-cache");
+    (void)cluster.server("d1", {{"refuse_source", 2}});
+    (void)cluster.server("d2", {{"refuse_source", 2}});
+    auto answer = stand_in::http_exchange(cluster.callers_address(), routed_request("/resume/", "id-1"));
+    REQUIRE(answer);
+    CHECK(answer->body == whole_stream(5));
+    (void)cluster.server("p1", {{"lose_answer", 1}});
+    (void)cluster.server("p2", {{"lose_answer", 1}});
+    answer = stand_in::http_exchange(cluster.callers_address(), routed_request("/stream/", "id-2"));
+    REQUIRE(answer);
+    CHECK(answer->body == whole_stream(5));
+    CHECK(cluster.runs() == 2);
+}
+
+TEST_CASE("a caller who goes ends the work at the engine") {
+    auto cluster = make_engine_cluster("gone");
+    for (const auto* id : {"d1", "d2"})
+        (void)cluster.server(id, {{"work_ms", 50}, {"events", 1'000}});
+    test::open_call call(cluster.callers_address(), routed_request("/stream/", "id-1"));
+    CHECK(call.read_at_least(400).find("token-1") != std::string::npos);
+    call.drop();
+    CHECK(test::eventually([&] {
+        return cluster.server("d1").at("running").get<int>() +
+                   cluster.server("d2").at("running").get<int>() ==
+               0;
+    }));
+}
+
+TEST_CASE("a caller who goes while its prompt is read leaves nothing kept") {
+    auto cluster = make_engine_cluster("gone-early");
+    for (const auto* id : {"p1", "p2"})
+        (void)cluster.server(id, {{"work_ms", 400}});
+    test::open_call call(cluster.callers_address(), routed_request("/stream/", "id-1"));
+    REQUIRE(test::eventually([&] {
+        return cluster.server("p1").at("running").get<int>() +
+                   cluster.server("p2").at("running").get<int>() ==
+               1;
+    }));
+    call.drop();
+    CHECK(test::eventually([&] { return cluster.state_of(1).at("requests_in_progress") == 0; }));
+    CHECK(cluster.runs() == 0);
+}
--- /dev/null
+++ b/tests/support/gateway_cluster.cpp
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <support/gateway_cluster.h>
+
+#include <support/test_cluster.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace postpaddle::test {
+
+namespace {
+
+using nlohmann::json;
+using stand_in::child_process;
+
+constexpr int ok_status = 200;
+
+/// A port that the system has just found free.
+int free_port() {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const plain = reinterpret_cast<sockaddr*>(&address);
+    if (bind(descriptor, plain, size) != 0 || getsockname(descriptor, plain, &size) != 0)
+        throw std::runtime_error("no free port");
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+json make_route(const std::string& path, const std::string& kind, const std::string& service, int attempts,
+                bool is_resumable) {
+    return {{"name", "route" + path}, {"host", "cluster.example"}, {"pathPrefix", path},
+            {"kind", kind},           {"timeoutMs", 5'000},        {"targetLatencyMs", 1'000},
+            {"service", service},     {"maxAttempts", attempts},   {"resumable", is_resumable},
+            {"gapTargetMs", 500}};
+}
+
+json make_configuration(int version, bool has_extra_route) {
+    json routes = {make_route("/once/", "non_idempotent", "plain", 2, false),
+                   make_route("/again/", "idempotent", "plain", 2, false),
+                   make_route("/stream/", "streaming", "engines", 1, false),
+                   make_route("/resume/", "streaming", "engines", 3, true)};
+    if (has_extra_route)
+        routes.push_back(make_route("/extra/", "idempotent", "plain", 2, false));
+    const json engine = {{"slots", 16}, {"kvCapacityTokens", 60'000}, {"kvTtlS", 5.0}, {"stride", 1}};
+    return {{"version", version},
+            {"routes", routes},
+            {"services",
+             {{{"name", "plain"}, {"maxConnections", 50}},
+              {{"name", "engines"}, {"maxConnections", 50}, {"engine", engine}}}},
+            {"limits",
+             {{"maxHeaderBytes", 4'096},
+              {"maxBodyBytes", 65'536},
+              {"headerTimeoutMs", 3'000},
+              {"idleTimeoutMs", 15'000}}}};
+}
+
+} // namespace
+
+gateway_cluster::gateway_cluster(gateway_cluster_options cluster_options)
+    : options(std::move(cluster_options)),
+      folder((std::filesystem::temp_directory_path() /
+              ("postpaddle-" + this->options.name + "-" + std::to_string(getpid())))
+                 .string()),
+      callers_port(free_port()), readiness_port(free_port()), peers_port(free_port()),
+      load_port(free_port()) {
+    std::filesystem::create_directories(this->folder);
+    this->store_process =
+        std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_store",
+                                        std::vector<std::string>{}, this->folder + "/store.log");
+    this->store_port = std::to_string(this->store_process->read_json().at("port").get<int>());
+    for (const server_plan& plan : this->options.servers) {
+        auto process = std::make_unique<child_process>(
+            std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_server",
+            std::vector<std::string>{"--id=" + plan.id, "--stage=" + plan.stage},
+            this->folder + "/" + plan.id + ".log");
+        this->server_addresses[plan.id] =
+            "127.0.0.1:" + std::to_string(process->read_json().at("port").get<int>());
+        this->servers[plan.id] = std::move(process);
+        this->plans[plan.id] = plan;
+        this->list(plan.id, "ready", 1);
+    }
+    if (this->options.has_configuration)
+        this->publish(1);
+    for (int number = 1; number <= this->options.hosts; ++number)
+        this->start_host(number);
+    for (int number = 1; number <= this->options.hosts && this->options.has_configuration; ++number)
+        if (!eventually([&] { return this->is_ready(number); }))
+            throw std::runtime_error("a host did not become ready");
+}
+
+std::string gateway_cluster::host_address(int number, int port) const {
+    return "127.1.0." + std::to_string(number) + ":" + std::to_string(port);
+}
+
+std::string gateway_cluster::callers_address(int number) const {
+    return this->host_address(number, this->callers_port);
+}
+
+void gateway_cluster::start_host(int number) {
+    const std::string name = "host-" + std::to_string(number);
+    const std::string path = this->folder + "/" + name + ".yaml";
+    std::ofstream(path) << "role: gateway\nname: " << name
+                        << "\navailability_zone: east\ncallers: " << this->callers_address(number)
+                        << "\nreadiness: " << this->host_address(number, this->readiness_port)
+                        << "\npeers: " << this->host_address(number, this->peers_port)
+                        << "\nload_port: " << this->load_port << "\nseeds: ["
+                        << this->host_address(1, this->peers_port) << "]\nstore: 127.1.0." << number << ":"
+                        << this->store_port << "\nheartbeat_ms: 200\nbalancer_lag_ms: 300\nretries: {slack: "
+                        << this->options.retry_slack << "}\n";
+    this->hosts[number] = std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/postpaddled",
+                                                          std::vector<std::string>{"--settings=" + path},
+                                                          this->folder + "/" + name + ".log");
+}
+
+bool gateway_cluster::is_ready(int number) const {
+    const auto answer = stand_in::http_exchange(this->host_address(number, this->readiness_port),
+                                                {"GET", "/readyz", {{"Host", "host"}}, ""});
+    return answer && answer->status == ok_status;
+}
+
+json gateway_cluster::state_of(int number) const {
+    return stand_in::get_json(this->host_address(number, this->peers_port), "/state");
+}
+
+void gateway_cluster::publish(int version, bool has_extra_route) {
+    (void)this->store({{"put",
+                        {{"topic", "keyed.op"},
+                         {"key", "config"},
+                         {"value", make_configuration(version, has_extra_route)}}}});
+}
+
+void gateway_cluster::list(const std::string& id, const std::string& state, int sequence) {
+    json value = {{"service", this->plans.at(id).service},
+                  {"address", this->server_addresses.at(id)},
+                  {"zone", "east"},
+                  {"slots", 8},
+                  {"state", state},
+                  {"sequence", sequence}};
+    if (!this->plans.at(id).stage.empty())
+        value["stage"] = this->plans.at(id).stage;
+    (void)this->store({{"put", {{"topic", "keyed.servers"}, {"key", id}, {"value", value}}}});
+}
+
+json gateway_cluster::store(const json& control) {
+    return stand_in::post_json("127.0.0.1:" + this->store_port, "/control", control);
+}
+
+json gateway_cluster::server(const std::string& id, const json& control) {
+    return stand_in::post_json(this->server_addresses.at(id), "/control", control);
+}
+
+int gateway_cluster::arrivals(const std::string& id) {
+    int count = 0;
+    const json counters = this->server(id);
+    for (const json& arrival : counters.at("arrivals"))
+        count += arrival.at("headers").contains("X-Stage") ? 0 : 1;
+    return count;
+}
+
+int gateway_cluster::runs() {
+    int count = 0;
+    for (const auto& [id, process] : this->servers) {
+        const json counters = this->server(id);
+        for (const json& arrival : counters.at("arrivals"))
+            count += arrival.at("runs").get<bool>() ? 1 : 0;
+    }
+    return count;
+}
+
+wire::http_request routed_request(const std::string& path, const std::string& id) {
+    return {"POST",
+            path,
+            {{"Host", "cluster.example"},
+             {"X-Attempt-Id", id},
+             {"X-Deadline-Ms", "4000"},
+             {"X-Token-Usage", "100,10"}},
+            "body of " + id};
+}
+
+} // namespace postpaddle::test
--- /dev/null
+++ b/tests/support/gateway_cluster.h
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <harness/blocking_client.h>
+#include <harness/child_process.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace postpaddle::test {
+
+/// A server of the platform's stand-in: its id, its service and what it does.
+struct server_plan {
+    std::string id;
+    std::string service = "plain";
+    std::string stage{}; ///< Empty, `prefill` or `decode`.
+};
+
+/// What a cluster of gateway hosts is made of.
+struct gateway_cluster_options {
+    std::string name; ///< Of the folder for logs.
+    std::vector<server_plan> servers;
+    int hosts = 1;
+    bool has_configuration = true; ///< Whether the operator has written one before the hosts start.
+    double retry_slack = 100;
+};
+
+/// Gateway hosts, the platform's store and its servers as real processes on loopback addresses.
+class gateway_cluster {
+public:
+    explicit gateway_cluster(gateway_cluster_options options);
+
+    /// Starts a host; it has the number's own loopback address.
+    void start_host(int number);
+    [[nodiscard]] stand_in::child_process& host(int number) { return *this->hosts.at(number); }
+    /// Whether the host answers that it may be given callers.
+    [[nodiscard]] bool is_ready(int number) const;
+    /// The host's state dump.
+    [[nodiscard]] nlohmann::json state_of(int number) const;
+    [[nodiscard]] std::string callers_address(int number = 1) const;
+
+    /// Writes a configuration: the cluster's routes, and one more below `/extra/` where `has_extra_route`.
+    void publish(int version, bool has_extra_route = false);
+    /// Writes a server's entry into the registry.
+    void list(const std::string& id, const std::string& state, int sequence);
+    /// Sets faults of the store, and reads its counters.
+    nlohmann::json store(const nlohmann::json& control = nlohmann::json::object());
+    /// Sets faults of a server, and reads its counters.
+    nlohmann::json server(const std::string& id, const nlohmann::json& control = nlohmann::json::object());
+    /// Requests that arrived at a server, prompts that were only read left out.
+    [[nodiscard]] int arrivals(const std::string& id);
+    /// Requests that all servers of the cluster ran.
+    [[nodiscard]] int runs();
+
+private:
+    [[nodiscard]] std::string host_address(int number, int port) const;
+
+    gateway_cluster_options options;
+    std::string folder;
+    std::unique_ptr<stand_in::child_process> store_process;
+    std::string store_port;
+    std::map<std::string, std::unique_ptr<stand_in::child_process>> servers;
+    std::map<std::string, std::string> server_addresses;
+    std::map<std::string, server_plan> plans;
+    std::map<int, std::unique_ptr<stand_in::child_process>> hosts;
+    int callers_port;
+    int readiness_port;
+    int peers_port;
+    int load_port;
+};
+
+/// A request to the cluster's routes: `/once/`, `/again/`, `/stream/` (may run once) and `/resume/`.
+[[nodiscard]] wire::http_request routed_request(const std::string& path, const std::string& id);
+
+} // namespace postpaddle::test
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -49,7 +49,9 @@
 }
 
 std::string to_bytes(const wire::http_request& request) {
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: postpaddle\r\n";
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    if (wire::find_header(request.headers, "Host").empty())
+        text += "Host: postpaddle\r\n";
     for (const wire::http_header& header : request.headers)
         text += header.name + ": " + header.value + "\r\n";
     return text + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
