--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -27,9 +27,14 @@
 /// A kept prompt is freed within this time or lapses by itself.
 constexpr auto release_limit = 500ms;
 
-/// Whether a refusal tells of a full engine. One with places free refused for want of the KV cache.
-bool is_full(const ports::answer_facts& facts) {
-    return !facts.load || facts.load->waiting > 0 || facts.load->running >= facts.load->places;
+/// Whether a refusal may tell of a full engine. One with memory to spare refused for want of the KV cache.
+bool may_be_full(const ports::answer_facts& facts, const settings::engine_capacity& capacity,
+                 const decision::prompt_size& size) {
+    static constexpr double surely_free = 0.5;
+    if (!facts.load || facts.load->waiting > 0)
+        return true;
+    const double taken = facts.load->running * (size.prompt_tokens + size.output_tokens);
+    return taken > surely_free * capacity.kv_tokens;
 }
 
 base::time_point late_after(base::time_point now, base::duration expected, base::time_point deadline) {
@@ -151,7 +156,8 @@
     if (is_stream && end == stream_end::broken && exchange.result == send_result::answered)
         exchange.result = send_result::broken;
     if (exchange.result == send_result::not_run && this->kept)
-        this->refusals_of_kept += is_full(exchange.facts) ? 1 : most_refusals_of_kept;
+        this->refusals_of_kept +=
+            may_be_full(exchange.facts, capacity_of(*this->request), this->size) ? 1 : most_refusals_of_kept;
     else if (exchange.result != send_result::not_connected)
         this->kept.reset();
     end_exchange(*this->request, send, exchange);
