decision: Take a refusal for memory that others hold

Ruled out: handles lapsing (loads told were 8 to 12).

What a refusing engine had free by our count is counted as taken for a second, fading; a connection that does not come about in 120 ms is given up, so that the kept prompt is still there for another engine.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -106,26 +106,22 @@
     return (prompt_tokens_out(candidate) + tokens) / rate * candidate.slowness.value;
 }
 
-/// Tokens of an engine's memory that may still be promised.
-double memory_left(const instance& candidate, const settings::engine_capacity& capacity) {
-    return usable_memory * capacity.kv_tokens - candidate.own.memory_tokens - candidate.others.memory_tokens;
-}
-
 bool has_room(const instance& candidate, const choice_context& context,
               const settings::engine_capacity& capacity, const prompt_size& size) {
     const int requests = candidate.own.requests + candidate.others.requests;
-    if (context.now < candidate.full_until || requests >= capacity.places)
+    if (requests >= capacity.places)
         return false;
     // A request larger than the whole engine is let in alone.
-    return requests == 0 || capacity.kv_tokens <= 0 ||
-           memory_left(candidate, capacity) >= size.prompt_tokens + size.output_tokens;
+    return (requests == 0 && hidden_memory(candidate, context.now) == 0) || capacity.kv_tokens <= 0 ||
+           memory_left(candidate, capacity, context.now) >= size.prompt_tokens + size.output_tokens;
 }
 
 double memory_cost(const instance& candidate, const choice_context& context,
                    const settings::engine_capacity& capacity, const prompt_size& size) {
     // An engine with less in its memory makes tokens sooner.
     static constexpr double crowding_cost = 0.05;
-    const double left = capacity.kv_tokens > 0 ? memory_left(candidate, capacity) / capacity.kv_tokens : 1;
+    const double left =
+        capacity.kv_tokens > 0 ? memory_left(candidate, capacity, context.now) / capacity.kv_tokens : 1;
     return crowding_cost * (1 - left) + (has_room(candidate, context, capacity, size) ? 0 : full_cost);
 }
 
@@ -157,6 +153,12 @@
 
 } // namespace
 
+double memory_left(const instance& candidate, const settings::engine_capacity& capacity,
+                   base::time_point now) {
+    return usable_memory * capacity.kv_tokens - candidate.own.memory_tokens - candidate.others.memory_tokens -
+           hidden_memory(candidate, now);
+}
+
 std::optional<base::upstream_id> choose_plain(const instance_table& table, const choice_context& context,
                                               std::mt19937_64& random) {
     const auto candidates = usable(table, context, [](const instance&) { return true; });
@@ -230,7 +232,7 @@
     const double need = std::max(1.0, size.prompt_tokens + size.output_tokens);
     for (const instance* candidate : usable(table, context, can_decode)) {
         const double total = std::min<double>(capacity.places, usable_memory * capacity.kv_tokens / need);
-        const double left = std::max(0.0, memory_left(*candidate, capacity)) / need;
+        const double left = std::max(0.0, memory_left(*candidate, capacity, context.now)) / need;
         places.total += std::max(1.0, total);
         if (has_room(*candidate, context, capacity, size))
             places.free += std::max(1.0, std::floor(left));
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -63,6 +63,10 @@
                                                        const settings::engine_capacity& capacity,
                                                        const prompt_size& size, std::mt19937_64& random);
 
+/// Tokens of an engine's memory that may still be promised, by what all hosts tell and by refusals.
+[[nodiscard]] double memory_left(const instance& candidate, const settings::engine_capacity& capacity,
+                                 base::time_point now);
+
 /// Places for requests of that size that all decode engines of the service have, and those that are free.
 struct engine_places {
     double total = 0;
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -50,8 +50,8 @@
     return true;
 }
 
-/// How long an instance that had no place is passed over.
-constexpr base::duration full_pause = 100ms;
+/// How long a refusal tells of memory that is taken.
+constexpr base::duration refusal_lifetime = 1'000ms;
 
 } // namespace
 
@@ -130,10 +130,8 @@
         health.aside_until = {};
         return;
     }
-    if (verdict == send_verdict::busy) {
-        target.full_until = now + full_pause;
+    if (verdict == send_verdict::busy)
         return;
-    }
     ++health.failures_in_row;
     if (verdict == send_verdict::unreachable || health.failures_in_row >= failures_to_pause)
         put_aside(target, pause_for(health.failures_in_row - 1), now);
@@ -145,6 +143,18 @@
     target.load_at = now;
 }
 
+void note_refusal(instance& target, double free_tokens, base::time_point now) {
+    target.hidden_tokens = hidden_memory(target, now) + std::max(0.0, free_tokens);
+    target.hidden_at = now;
+}
+
+double hidden_memory(const instance& target, base::time_point now) {
+    if (target.hidden_tokens <= 0 || now - target.hidden_at >= refusal_lifetime)
+        return 0;
+    const double age = base::to_seconds(now - target.hidden_at) / base::to_seconds(refusal_lifetime);
+    return target.hidden_tokens * (1 - age);
+}
+
 double others_requests(const instance& target, base::time_point now) {
     if (target.load_at == base::time_point{} || now - target.load_at >= load_lifetime)
         return 0;
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -66,7 +66,9 @@
     instance_load load;
     int own_at_load = 0; ///< Own requests there when the load was heard.
     base::time_point load_at{};
-    base::time_point full_until{}; ///< It said that it has no place; asked again after this.
+    double hidden_tokens =
+        0; ///< Memory that must be taken by others, as it refused what had room by our count.
+    base::time_point hidden_at{};
 };
 
 /// A change of the registry.
@@ -116,6 +118,13 @@
 /// Takes the load that an answer told.
 void note_load(instance& target, const instance_load& load, base::time_point now);
 
+/// It refused work for which it had `free_tokens` of memory by our count: hosts that are not heard, or an
+/// expectation that was wrong, take at least that much.
+void note_refusal(instance& target, double free_tokens, base::time_point now);
+
+/// Memory that is taken beyond what hosts tell, fading out after a refusal.
+[[nodiscard]] double hidden_memory(const instance& target, base::time_point now);
+
 /// Requests of other hosts there, from the last report, fading out as it ages.
 [[nodiscard]] double others_requests(const instance& target, base::time_point now);
 
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -141,6 +141,18 @@
     return this->take_answer(exchange, send, limit, yield);
 }
 
+void stream_relay::did_refuse(const base::upstream_id& id, const ports::answer_facts& facts) {
+    gateway_state& state = *this->request->state;
+    const settings::engine_capacity capacity = capacity_of(*this->request);
+    decision::instance* const target = decision::find_instance(state.instances, id);
+    if (target == nullptr || !may_be_full(facts, capacity, this->size))
+        return;
+    // Its own promise is still counted among what is taken: without it there seemed to be this much.
+    const base::time_point now = state.clock->now();
+    const double promised = this->memory_after(this->events_passed);
+    decision::note_refusal(*target, decision::memory_left(*target, capacity, now) + promised, now);
+}
+
 std::optional<request_ending> stream_relay::take_answer(exchange_result& exchange,
                                                         const ports::upstream_send& send,
                                                         base::time_point limit, wire::yield_context yield) {
@@ -161,6 +173,8 @@
     else if (exchange.result != send_result::not_connected)
         this->kept.reset();
     end_exchange(*this->request, send, exchange);
+    if (exchange.result == send_result::not_run)
+        this->did_refuse(send.instance, exchange.facts);
     this->last = exchange.result;
     this->reason = decision::to_text(exchange.result);
     if (this->request->cancellation->is_caller_gone || end == stream_end::caller_gone)
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -40,6 +40,7 @@
     [[nodiscard]] stream_end relay_events(exchange_result& exchange, base::time_point limit,
                                           wire::yield_context yield);
     [[nodiscard]] bool pass_events(wire::event_splitter& events);
+    void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
     void did_pass_whole(base::time_point sent);
     [[nodiscard]] base::time_point limit_of_silence() const;
     [[nodiscard]] bool may_go_elsewhere() const;
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 
 /// A connection that takes longer is not waited for: nothing has been sent, another upstream may serve.
-constexpr auto connect_limit = 300ms;
+constexpr auto connect_limit = 120ms;
 /// Answers of others that are read past before a connection is given up.
 constexpr int most_foreign_answers = 2;
 constexpr int first_server_error = 500;
