gateway: Say in the log why a request ended and what its place rested on

The line of a refused or broken request named its sends but neither the reason nor the inputs of the decision on a place; the first read of the registry wrote a line an upstream.

--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -69,6 +69,16 @@
             .patience = patience_of(request)};
 }
 
+/// Keeps for the log what a decision rests on.
+void note_place(gateway_request& request, const decision::admission_facts& facts) {
+    request.place = {{"waited_ms", base::to_milliseconds(facts.waited)},
+                     {"has_room", facts.has_room},
+                     {"free", facts.free_places},
+                     {"total", facts.total_places},
+                     {"waiting_ahead", facts.waiting_ahead},
+                     {"hosts_heard", request.state->loads.by_host.size()}};
+}
+
 } // namespace
 
 settings::engine_capacity capacity_of(const gateway_request& request) {
@@ -87,7 +97,9 @@
             decision::choose_engines(state.instances, context, capacity_of(request), size, state.random);
         if (!plan)
             return {};
-        switch (decision::admit_to_engines(facts_of(request, *plan, context, size, mark.has_value()))) {
+        const decision::admission_facts facts = facts_of(request, *plan, context, size, mark.has_value());
+        note_place(request, facts);
+        switch (decision::admit_to_engines(facts)) {
         case decision::admission::start:
             return {.plan = plan};
         case decision::admission::refuse:
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -80,6 +80,7 @@
 request_ending answer_by_host(gateway_request& request, decision::send_result last, const char* reason,
                               wire::yield_context yield) {
     const decision::own_answer answer = decision::answer_for(request.record, last);
+    request.reason = reason;
     wire::http_response response;
     response.status = status_of(answer);
     response.headers.push_back({"Postpaddle-Outcome", outcome_of(answer)});
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -40,6 +40,8 @@
     std::set<base::upstream_id> tried;
     std::shared_ptr<request_cancellation> cancellation = std::make_shared<request_cancellation>();
     nlohmann::json sends = nlohmann::json::array(); ///< For the log: one entry a send.
+    nlohmann::json place;         ///< For the log: what the last decision on a place rested on.
+    const char* reason = nullptr; ///< For the log: why it ended without an upstream's whole answer.
 };
 
 /// How a request ended.
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -80,8 +80,13 @@
 void take_registry_snapshot(gateway_state& state, const ports::registry_page& page) {
     const auto changed =
         decision::apply_snapshot(state.instances, page.changes, page.next, condition_of(state));
-    for (const base::upstream_id& id : changed)
-        tell_listing(state, id, page.next, "store");
+    // The first read names every upstream: one line says how many.
+    if (state.has_registry)
+        for (const base::upstream_id& id : changed)
+            tell_listing(state, id, page.next, "store");
+    state.log->write_always(
+        "registry_read",
+        {{"upstreams", page.changes.size()}, {"changed", changed.size()}, {"next_offset", page.next}});
     state.registry_next = page.next;
     state.has_registry = true;
 }
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -41,7 +41,7 @@
     return response;
 }
 
-void log_end(const gateway_request& request, request_ending ending, int status, const char* reason) {
+void log_end(const gateway_request& request, request_ending ending, int status) {
     gateway_state& state = *request.state;
     const base::duration took = state.clock->now() - request.arrived;
     state.figures->count(std::string("requests_total{ending=\"") + to_text(ending) + "\"}");
@@ -60,8 +60,10 @@
     }
     if (status != 0)
         line["status"] = status;
-    if (reason != nullptr)
-        line["reason"] = reason;
+    if (request.reason != nullptr)
+        line["reason"] = request.reason;
+    if (!request.place.is_null())
+        line["place"] = request.place;
     state.log->write("request_ended", std::move(line));
 }
 
@@ -70,9 +72,10 @@
     wire::http_response response = rejection(status, reason);
     if (status == unavailable_status)
         response.headers.push_back({"Retry-After", "0.5"});
+    request.reason = reason;
     (void)request.connection->send(response, yield);
     log_end(request, status == unavailable_status ? request_ending::not_run : request_ending::rejected,
-            status, reason);
+            status);
 }
 
 decision::send_record make_record(const settings::route_settings_entry& route) {
@@ -132,7 +135,7 @@
     connection.watch([cancellation = request.cancellation] { cancellation->did_lose_caller(); });
     const request_ending ending = relay(request, yield);
     connection.unwatch();
-    log_end(request, ending, 0, nullptr);
+    log_end(request, ending, 0);
 }
 
 } // namespace
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -259,6 +259,7 @@
 
 request_ending stream_relay::give_up(wire::yield_context yield) {
     if (this->is_begun) {
+        this->request->reason = this->reason;
         this->request->connection->abort();
         return request_ending::broken_off;
     }
