--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -24,6 +24,8 @@
 constexpr int most_refusals_of_kept = 2;
 /// Part of the time for which a prompt is kept that it is counted on.
 constexpr double kept_part = 0.8;
+/// Pause between two looks for a place for a kept prompt.
+constexpr base::duration kept_look_again = 10ms;
 /// A kept prompt is freed within this time or lapses by itself.
 constexpr auto release_limit = 500ms;
 
@@ -44,25 +46,36 @@
 
 } // namespace
 
-std::optional<decision::engine_plan> stream_relay::plan_for_kept() {
+bool stream_relay::is_kept_prompt_there() const {
+    const base::duration age = this->request->state->clock->now() - this->kept_since;
+    return this->refusals_of_kept < most_refusals_of_kept &&
+           age <= capacity_of(*this->request).kept_prompt * kept_part;
+}
+
+std::optional<decision::engine_plan> stream_relay::plan_for_kept(wire::yield_context yield) {
     gateway_state& state = *this->request->state;
-    const settings::engine_capacity capacity = capacity_of(*this->request);
-    const base::duration age = state.clock->now() - this->kept_since;
-    const bool may_be_gone =
-        this->refusals_of_kept >= most_refusals_of_kept || age > capacity.kept_prompt * kept_part;
     const decision::instance* const source = decision::find_instance(state.instances, this->kept->upstream);
-    if (may_be_gone || source == nullptr) {
-        this->kept.reset();
-        return std::nullopt;
+    const base::zone_id zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone;
+    wire::asio::steady_timer timer(*state.context);
+    while (this->is_kept_prompt_there() && !this->request->cancellation->is_caller_gone) {
+        const auto plan =
+            decision::choose_decode(state.instances, choice_context_of(*this->request),
+                                    capacity_of(*this->request), this->size, zone, state.random);
+        if (!plan || plan->has_room)
+            return plan;
+        // Its engine failed or was full after all: the prompt is kept a moment longer, a place may come free.
+        timer.expires_after(kept_look_again);
+        wire::error_code ignored;
+        timer.async_wait(yield[ignored]);
     }
-    return decision::choose_decode(state.instances, choice_context_of(*this->request), capacity, this->size,
-                                   source->entry.availability_zone, state.random);
+    this->release_kept();
+    return std::nullopt;
 }
 
 std::optional<decision::engine_plan> stream_relay::next_plan(wire::yield_context yield) {
     gateway_state& state = *this->request->state;
     if (this->kept) {
-        const auto plan = this->plan_for_kept();
+        const auto plan = this->plan_for_kept(yield);
         if (plan || this->kept)
             return plan;
     }
