host: Tell each other which engines can't be reached

Ruled out: waiting on dead connections (they are refused within 4 ms).

A load report now names the instances that its host has put aside; each costs 0.3 s for the others, softly, as the fault may be the reporter's.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -22,6 +22,9 @@
 constexpr double failure_cost = 0.5;
 /// What an upstream that is put aside costs: anything else goes before it.
 constexpr double aside_cost = 30;
+/// What it costs for each other host that could not reach an upstream lately. Soft, as the fault may be
+/// theirs.
+constexpr double avoided_cost = 0.3;
 /// Breaks ties, so that hosts with the same view don't all choose the same upstream.
 constexpr double tie_spread = 0.003;
 /// Tokens a second that a prefill engine reads; engines' own slowness is learned on top.
@@ -68,7 +71,7 @@
         cost += other_zone_cost;
     if (is_aside(candidate, context.now))
         cost += aside_cost;
-    return cost;
+    return cost + avoided_cost * candidate.avoided_by;
 }
 
 double plain_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -59,6 +59,7 @@
     instance_health health;
     instance_use own;                       ///< Sent by this host, or promised, and not ended.
     instance_use others;                    ///< The same of the other hosts, as they told.
+    int avoided_by = 0;                     ///< Other hosts that could not reach it lately.
     estimate latency = make_estimate(0.08); ///< Seconds to a plain answer.
     estimate slowness = make_estimate(1);   ///< Time taken over time expected, for prompts.
     base::duration seen_wait{};             ///< Queue that the last own prompt met.
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -73,6 +73,8 @@
     for (auto& [id, known] : this->state->instances.by_id) {
         const auto found = total.find(host::key_of(id));
         known.others = found == total.end() ? decision::instance_use{} : found->second;
+        const auto avoided = this->state->loads.avoided_by.find(host::key_of(id));
+        known.avoided_by = avoided == this->state->loads.avoided_by.end() ? 0 : avoided->second;
     }
 }
 
@@ -96,6 +98,9 @@
         if (known.own.requests > 0 && known.entry.stage != settings::engine_stage::none)
             report.uses[host::key_of(id)] = known.own;
     const base::time_point now = this->state->clock->now();
+    for (const auto& [id, known] : this->state->instances.by_id)
+        if (known.state == decision::listing::listed && decision::is_aside(known, now))
+            report.avoided.push_back(host::key_of(id));
     for (const waiting_request* const waiting : this->state->waiting)
         report.waiters.push_back({now - waiting->arrived, waiting->output_tokens});
     return report;
@@ -103,7 +108,7 @@
 
 void load_exchange::tell() {
     const host::load_report report = this->own_report();
-    this->has_told_work = !report.uses.empty() || !report.waiters.empty();
+    this->has_told_work = !report.uses.empty() || !report.waiters.empty() || !report.avoided.empty();
     const std::string bytes = encode_load(report);
     for (const auto& [name, known] : this->state->peers.by_name) {
         const auto endpoint = wire::parse_endpoint(known.address);
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -194,6 +194,8 @@
     if (exchange.facts.load)
         decision::note_load(*target, *exchange.facts.load, now);
     decision::note_verdict(*target, verdict_of(exchange.result), now);
+    if (decision::is_aside(*target, now))
+        state.did_change_own_load();
     if (exchange.facts.is_other_instance)
         target->state = decision::listing::vanished;
 }
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -25,6 +25,9 @@
         if (total.requests <= 0)
             share.total.erase(key);
     }
+    for (const instance_key key : report.avoided)
+        if (--share.avoided_by[key] <= 0)
+            share.avoided_by.erase(key);
 }
 
 } // namespace
@@ -38,6 +41,8 @@
     take_away(share, found->second.report);
     for (const auto& [key, use] : report.uses)
         share.total[key] += use;
+    for (const instance_key key : report.avoided)
+        ++share.avoided_by[key];
     found->second = {report, now};
     return true;
 }
@@ -45,12 +50,14 @@
 bool drop_silent(load_share& share, base::time_point now) {
     bool is_any_dropped = false;
     for (auto& [host, heard] : share.by_host) {
-        if (now - heard.heard < report_lifetime ||
-            (heard.report.uses.empty() && heard.report.waiters.empty()))
+        const bool is_empty =
+            heard.report.uses.empty() && heard.report.waiters.empty() && heard.report.avoided.empty();
+        if (is_empty || now - heard.heard < report_lifetime)
             continue;
         take_away(share, heard.report);
         heard.report.uses.clear();
         heard.report.waiters.clear();
+        heard.report.avoided.clear();
         is_any_dropped = true;
     }
     return is_any_dropped;
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -24,6 +24,7 @@
     std::uint64_t sequence = 0; ///< Rises with each report of an incarnation.
     std::map<instance_key, decision::instance_use> uses;
     std::vector<decision::waiter> waiters; ///< Requests without a place.
+    std::vector<instance_key> avoided;     ///< Instances that it could not reach lately.
 
     bool operator==(const load_report&) const = default;
 };
@@ -38,6 +39,7 @@
 struct load_share {
     std::map<base::host_id, heard_report> by_host;
     std::map<instance_key, decision::instance_use> total;
+    std::map<instance_key, int> avoided_by; ///< Hosts that avoid an instance.
 };
 
 /// Takes over a report unless a newer one of that host is known; says whether it did.
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -143,3 +143,22 @@
     CHECK_FALSE(plan->prefill);
     CHECK(plan->decode.value == "d");
 }
+
+TEST_CASE("an instance that other hosts can't reach goes behind one that they can") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("one"), make_entry("two", engine_stage::none, "west")});
+    CHECK(decision::choose_plain(table, make_context(), random)->value == "one");
+    decision::find_instance(table, {"one"})->avoided_by = 1;
+    CHECK(decision::choose_plain(table, make_context(), random)->value == "two");
+}
+
+TEST_CASE("an engine that refused what had room by our count has none for a while") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("p", engine_stage::prefill), make_entry("d", engine_stage::decode)});
+    auto context = make_context();
+    decision::instance& engine = *decision::find_instance(table, {"d"});
+    decision::note_refusal(engine, decision::memory_left(engine, capacity, now), now);
+    CHECK_FALSE(decision::choose_engines(table, context, capacity, {5'000, 700}, random)->has_room);
+    context.now = now + 2s;
+    CHECK(decision::choose_engines(table, context, capacity, {5'000, 700}, random)->has_room);
+}
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -51,6 +51,23 @@
     CHECK(total_at(share, 7) == 2);
 }
 
+TEST_CASE("instances that hosts can't reach are counted by host and forgotten with the report") {
+    host::load_share share;
+    auto report = make_report("a", 1, 0);
+    report.avoided = {7, 8};
+    (void)host::take_report(share, report, start);
+    auto other = make_report("b", 1, 0);
+    other.avoided = {7};
+    (void)host::take_report(share, other, start);
+    CHECK(share.avoided_by.at(7) == 2);
+    CHECK(share.avoided_by.at(8) == 1);
+    (void)host::take_report(share, make_report("a", 2, 0), start);
+    CHECK(share.avoided_by.at(7) == 1);
+    CHECK_FALSE(share.avoided_by.contains(8));
+    CHECK(host::drop_silent(share, start + 4s));
+    CHECK(share.avoided_by.empty());
+}
+
 TEST_CASE("in whatever order reports come, the sum is that of the newest of each host") {
     for (unsigned seed = 1; seed <= 300; ++seed) {
         std::mt19937 random(seed);
--- a/tests/integration/test_callers.cpp
+++ b/tests/integration/test_callers.cpp
@@ -129,13 +129,21 @@
     problem_of(send(completion(make_prompt("long", 21'000), 5)), 413, "not-run");
 }
 
-TEST_CASE("bodies and headers over the process's bounds are 413") {
+TEST_CASE("bodies over the process's bounds are 413, heads 431, and the connection is closed") {
     const std::string huge(300'000, 'x');
     CHECK_THAT(
         raw_exchange(callers(), "POST /v1/completions HTTP/1.1\r\nContent-Length: 300000\r\n\r\n" + huge),
         Catch::StartsWith("HTTP/1.1 413"));
     CHECK_THAT(raw_exchange(callers(), "GET / HTTP/1.1\r\nX-Long: " + std::string(9'000, 'x') + "\r\n\r\n"),
-               Catch::StartsWith("HTTP/1.1 413"));
+               Catch::StartsWith("HTTP/1.1 431"));
+}
+
+TEST_CASE("a transfer coding that is not understood is 400, and what follows is no request") {
+    const std::string answers =
+        raw_exchange(callers(), "POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n"
+                                "GET /v1/other HTTP/1.1\r\n\r\n");
+    CHECK_THAT(answers, Catch::StartsWith("HTTP/1.1 400"));
+    CHECK(answers.find("HTTP/1.1", 1) == std::string::npos);
 }
 
 TEST_CASE("what is not HTTP is 400 and what is sent too slowly is 408") {
