decision: Take the gateway's patience and memory rules out of the relays

How long a step, a silence, a try or a place is waited for, when a refusal may tell of a full engine, when a kept prompt still counts and what memory a stream is promised stood among the relays; they are pure rules and stand in the decision package now, with tests. An unused memory setting is gone.

No behaviour is meant to change.

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -9,6 +9,8 @@
 
 /// Part of the latency target that expectations may fill; the rest is what they may be wrong by.
 constexpr double usable_target = 0.8;
+/// Latency targets for which a caller waits for a place.
+constexpr int patient_targets = 3;
 
 } // namespace
 
@@ -25,6 +27,10 @@
     return base::from_seconds(std::max(0.0, seconds));
 }
 
+base::duration patience_for_place(base::duration latency_target, base::duration time_limit) {
+    return std::min(latency_target * patient_targets, time_limit / 2);
+}
+
 admission admit_to_engines(const admission_facts& facts) {
     if (facts.has_room && facts.free_places > facts.waiting_ahead)
         return admission::start;
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -35,6 +35,10 @@
 /// How long a request that arrives now is expected to wait for a place.
 [[nodiscard]] base::duration expected_wait(const admission_facts& facts);
 
+/// How long a caller is kept waiting for a place before it is told to come back. Callers leave a stream that
+/// has not begun after a few times its latency target; one that is told before that can still be served.
+[[nodiscard]] base::duration patience_for_place(base::duration latency_target, base::duration time_limit);
+
 /// Longest wait for a place after which the first event still comes within the latency target.
 [[nodiscard]] base::duration longest_wait_in_time(base::duration latency_target,
                                                   base::duration expected_start);
--- a/libraries/decision/send_rule.cpp
+++ b/libraries/decision/send_rule.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <decision/send_rule.h>
 
+#include <algorithm>
+
 namespace postpaddle::decision {
 
 namespace {
@@ -9,6 +11,14 @@
 constexpr int most_connects = 4;
 /// Refusals after which the request is given up.
 constexpr int most_refusals = 3;
+/// A repeatable request goes to another upstream after this part of the time left without an answer.
+constexpr double first_try_part = 0.45;
+constexpr base::duration shortest_try = std::chrono::milliseconds(250);
+/// Time after which a refused caller may find a place.
+constexpr base::duration soon = std::chrono::milliseconds(300);
+constexpr base::duration shortest_retry_after = std::chrono::milliseconds(50);
+/// Part of the time left that a refused caller is asked to wait at most.
+constexpr double retry_after_part = 0.25;
 
 } // namespace
 
@@ -38,6 +48,19 @@
 
 bool is_extra_send(const send_record& record) { return record.sends + record.refusals > 0; }
 
+base::duration time_for_try(const send_record& record, base::duration left) {
+    const bool may_go_elsewhere = record.is_repeatable && record.sends + 1 < record.most_sends;
+    if (!may_go_elsewhere)
+        return left;
+    const base::duration part = base::from_seconds(base::to_seconds(left) * first_try_part);
+    return std::min(left, std::max(shortest_try, part));
+}
+
+base::duration retry_after(base::duration left, base::duration longest) {
+    const base::duration part = base::from_seconds(base::to_seconds(left) * retry_after_part);
+    return std::max(shortest_retry_after, std::min({soon, part, longest}));
+}
+
 own_answer answer_for(const send_record& record, send_result last) {
     if (!record.may_have_run)
         return own_answer::not_run;
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -33,14 +33,6 @@
     waiting_request request;
 };
 
-/// How long a caller is kept waiting for a place before it is told to come back. Callers leave a stream that
-/// has not begun after a few times its latency target; one that is told before that can still be served.
-base::duration patience_of(const gateway_request& request) {
-    static constexpr int latency_targets = 3;
-    const base::duration limit = request.route->latency_target * latency_targets;
-    return std::min<base::duration>(limit, (request.deadline - request.arrived) / 2);
-}
-
 /// Requests of all hosts that go before this one.
 int waiting_ahead(const gateway_request& request, const decision::prompt_size& size, base::duration in_time,
                   base::time_point now) {
@@ -66,7 +58,8 @@
             .hold = base::from_seconds(request.state->hold_seconds.value),
             .is_queued = is_queued,
             .waited = context.now - request.arrived,
-            .patience = patience_of(request)};
+            .patience = decision::patience_for_place(request.route->latency_target,
+                                                     request.deadline - request.arrived)};
 }
 
 /// Keeps for the log what a decision rests on.
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -1,8 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/gateway_request.h>
 
-#include <algorithm>
-#include <cmath>
+#include <array>
 #include <cstdio>
 
 namespace postpaddle::gateway {
@@ -12,16 +11,9 @@
 constexpr int not_run_status = 503;
 constexpr int failed_status = 502;
 constexpr int timed_out_status = 504;
-/// Seconds after which a refused caller may find a place.
-constexpr double shortest_retry_after = 0.3;
-/// Part of the time left that a caller is asked to wait at most.
-constexpr double retry_after_part = 0.25;
-
 std::string retry_after_text(const gateway_request& request) {
-    const double left = base::to_seconds(time_left(request));
-    const double seconds = std::clamp(
-        shortest_retry_after, 0.0,
-        std::max(0.05, std::min(left * retry_after_part, request.state->process->retry_after_limit)));
+    const base::duration longest = base::from_seconds(request.state->process->retry_after_limit);
+    const double seconds = base::to_seconds(decision::retry_after(time_left(request), longest));
     std::array<char, 32> text{};
     (void)std::snprintf(text.data(), text.size(), "%.2f", seconds);
     return text.data();
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -13,25 +13,12 @@
 using decision::send_result;
 using namespace std::chrono_literals;
 
-/// A repeatable request goes to another upstream after this part of the time left without an answer.
-constexpr double first_try_part = 0.45;
-constexpr base::duration shortest_try = 250ms;
-
 /// An answer of failure that is passed on when no other upstream does better.
 struct failure_answer {
     wire::response_head head;
     std::string body;
 };
 
-base::time_point limit_of_try(const gateway_request& request) {
-    const bool may_go_elsewhere =
-        request.record.is_repeatable && request.record.sends + 1 < request.record.most_sends;
-    if (!may_go_elsewhere)
-        return request.deadline;
-    const base::duration part = base::from_seconds(base::to_seconds(time_left(request)) * first_try_part);
-    return std::min(request.deadline, request.state->clock->now() + std::max(shortest_try, part));
-}
-
 /// A success without the upstream's seal is not its answer.
 void check_genuine(exchange_result& exchange) {
     if (exchange.result == send_result::answered && !exchange.facts.is_genuine) {
@@ -56,7 +43,8 @@
             break;
         }
         request.tried.insert(*chosen);
-        const base::time_point limit = limit_of_try(request);
+        const base::time_point limit =
+            request.state->clock->now() + decision::time_for_try(request.record, time_left(request));
         const ports::upstream_send send = {
             .instance = *chosen,
             .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(request))};
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/stream_relay.h>
 
+#include <decision/stream_rules.h>
+
 #include <algorithm>
 
 namespace postpaddle::gateway {
@@ -11,45 +13,24 @@
 using namespace std::chrono_literals;
 
 constexpr int ok_status = 200;
-/// A step of the way is given up after this many times what was expected, and the grace on top.
-constexpr double late_factor = 3;
-constexpr base::duration late_grace = 400ms;
-/// A stream that may go on elsewhere does so after this many times the route's longest pause.
-constexpr int silence_factor = 4;
 /// Prompts of one request that are sent to prefill engines at most.
 constexpr int most_prompts = 2;
-/// Output tokens for which memory is promised ahead of what a stream has put out.
-constexpr double memory_lookahead = 150;
-/// Refusals after which the KV cache of a kept prompt is taken to be gone.
-constexpr int most_refusals_of_kept = 2;
-/// Part of the time for which a prompt is kept that it is counted on.
-constexpr double kept_part = 0.8;
 /// Pause between two looks for a place for a kept prompt.
 constexpr base::duration kept_look_again = 10ms;
 /// A kept prompt is freed within this time or lapses by itself.
 constexpr auto release_limit = 500ms;
 
-/// Whether a refusal may tell of a full engine. One with memory to spare refused for want of the KV cache.
-bool may_be_full(const ports::answer_facts& facts, const settings::engine_capacity& capacity,
-                 const decision::prompt_size& size) {
-    static constexpr double surely_free = 0.5;
-    if (!facts.load || facts.load->waiting > 0)
-        return true;
-    const double taken = facts.load->running * (size.prompt_tokens + size.output_tokens);
-    return taken > surely_free * capacity.kv_tokens;
-}
-
-base::time_point late_after(base::time_point now, base::duration expected, base::time_point deadline) {
-    const base::duration patience = base::from_seconds(base::to_seconds(expected) * late_factor) + late_grace;
-    return std::min(deadline, now + patience);
+/// Limit of a step, within the request's deadline.
+base::time_point late_after(const gateway_request& request, base::duration expected) {
+    const base::time_point limit = request.state->clock->now() + decision::patience_for_step(expected);
+    return std::min(request.deadline, limit);
 }
 
 } // namespace
 
 bool stream_relay::is_kept_prompt_there() const {
     const base::duration age = this->request->state->clock->now() - this->kept_since;
-    return this->refusals_of_kept < most_refusals_of_kept &&
-           age <= capacity_of(*this->request).kept_prompt * kept_part;
+    return decision::is_prompt_kept(age, capacity_of(*this->request), this->refusals_of_kept);
 }
 
 std::optional<decision::engine_plan> stream_relay::plan_for_kept(wire::yield_context yield) {
@@ -89,8 +70,7 @@
 }
 
 double stream_relay::memory_after(int events) const {
-    const double output = static_cast<double>(events) * capacity_of(*this->request).tokens_an_event;
-    return this->size.prompt_tokens + output + memory_lookahead;
+    return decision::memory_for_stream(capacity_of(*this->request), this->size, events);
 }
 
 void stream_relay::reserve(const decision::engine_plan& plan) {
@@ -109,8 +89,7 @@
 
 bool stream_relay::read_prompt(const decision::engine_plan& plan, wire::yield_context yield) {
     gateway_state& state = *this->request->state;
-    const base::time_point limit =
-        late_after(state.clock->now(), plan.expected_read, this->request->deadline);
+    const base::time_point limit = late_after(*this->request, plan.expected_read);
     const ports::upstream_send send = {
         .instance = *plan.prefill,
         .purpose = ports::send_purpose::read_prompt,
@@ -140,16 +119,14 @@
 
 std::optional<request_ending> stream_relay::decode(const decision::engine_plan& plan,
                                                    wire::yield_context yield) {
-    gateway_state& state = *this->request->state;
     const ports::upstream_send send = {
         .instance = plan.decode,
         .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request)),
         .source = this->kept,
         .resume_after = this->last_event};
-    const base::time_point limit =
-        this->may_go_elsewhere()
-            ? late_after(state.clock->now(), plan.expected_first_event, this->request->deadline)
-            : this->request->deadline;
+    const base::time_point limit = this->may_go_elsewhere()
+                                       ? late_after(*this->request, plan.expected_first_event)
+                                       : this->request->deadline;
     exchange_result exchange = send_to_instance(*this->request, send, limit, yield);
     return this->take_answer(exchange, send, limit, yield);
 }
@@ -158,7 +135,7 @@
     gateway_state& state = *this->request->state;
     const settings::engine_capacity capacity = capacity_of(*this->request);
     decision::instance* const target = decision::find_instance(state.instances, id);
-    if (target == nullptr || !may_be_full(facts, capacity, this->size))
+    if (target == nullptr || !decision::may_be_full(facts.load, capacity, this->size))
         return;
     // Its own promise is still counted among what is taken: without it there seemed to be this much.
     const base::time_point now = state.clock->now();
@@ -182,7 +159,9 @@
         exchange.result = send_result::broken;
     if (exchange.result == send_result::not_run && this->kept)
         this->refusals_of_kept +=
-            may_be_full(exchange.facts, capacity_of(*this->request), this->size) ? 1 : most_refusals_of_kept;
+            decision::may_be_full(exchange.facts.load, capacity_of(*this->request), this->size)
+                ? 1
+                : decision::most_refusals_of_kept;
     else if (exchange.result != send_result::not_connected)
         this->kept.reset();
     end_exchange(*this->request, send, exchange);
@@ -266,7 +245,7 @@
 base::time_point stream_relay::limit_of_silence() const {
     if (!this->may_go_elsewhere())
         return this->request->deadline;
-    const base::duration patience = this->request->route->gap_target * silence_factor;
+    const base::duration patience = decision::patience_for_silence(this->request->route->gap_target);
     return std::min(this->request->deadline, this->request->state->clock->now() + patience);
 }
 
--- a/libraries/settings/gateway_settings.cpp
+++ b/libraries/settings/gateway_settings.cpp
@@ -13,8 +13,6 @@
 constexpr std::int64_t most_connections = 100'000;
 constexpr std::int64_t highest_port = 65'535;
 constexpr std::int64_t most_log_lines = 100'000;
-constexpr std::int64_t most_megabytes = 1'000'000;
-constexpr std::size_t megabyte = 1024UL * 1024;
 
 std::string read_address(node_reader& reader, const std::string& key) {
     std::string address = reader.required_text(key);
@@ -83,8 +81,6 @@
     value.balancer_lag = read_milliseconds(reader, "balancer_lag_ms", standard.balancer_lag);
     value.registry_interval = read_milliseconds(reader, "registry_interval_ms", standard.registry_interval);
     value.heartbeat = read_milliseconds(reader, "heartbeat_ms", standard.heartbeat);
-    value.memory_bytes =
-        static_cast<std::size_t>(reader.integer("memory_mb", 100, {16, most_megabytes})) * megabyte;
     value.connections = static_cast<std::size_t>(reader.integer(
         "connections", static_cast<std::int64_t>(standard.connections), {1, most_connections}));
     value.retry_after_limit = reader.number("retry_after_limit_s", standard.retry_after_limit, {0, 3'600});
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -38,9 +38,8 @@
     std::chrono::milliseconds balancer_lag{2'500};    ///< From unready until no new connection comes.
     std::chrono::milliseconds registry_interval{300}; ///< Between two reads of the upstreams' registry.
     std::chrono::milliseconds heartbeat{1'000};       ///< Between two heartbeats to a peer.
-    std::size_t memory_bytes = 100UL * 1024 * 1024;
-    std::size_t connections = 1'500; ///< Callers' connections held at once.
-    double retry_after_limit = 5;    ///< Longest wait told to a refused caller, in seconds.
+    std::size_t connections = 1'500;                  ///< Callers' connections held at once.
+    double retry_after_limit = 5;                     ///< Longest wait told to a refused caller, in seconds.
     retry_budget_settings retries;
     std::string log_level = "info";
     int log_lines_per_second = 200;
--- a/tests/decision/test_send_rules.cpp
+++ b/tests/decision/test_send_rules.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <decision/admission.h>
 #include <decision/send_rule.h>
+#include <decision/stream_rules.h>
 #include <decision/waiting_order.h>
 
 #include <catch2/catch.hpp>
@@ -91,3 +92,30 @@
     CHECK(decision::expected_output(60, 600, 1'870) < 600);
     CHECK(decision::expected_output(1e6, 600, 1'870) == Approx(1'870));
 }
+
+TEST_CASE("a try leaves time for another one only where there may be one") {
+    decision::send_record record = {.is_repeatable = true, .most_sends = 2};
+    CHECK(decision::time_for_try(record, 1'000ms) < 1'000ms);
+    CHECK(decision::time_for_try(record, 200ms) == 200ms);
+    decision::note_result(record, send_result::broken);
+    CHECK(decision::time_for_try(record, 1'000ms) == 1'000ms);
+    CHECK(decision::time_for_try({.is_repeatable = false, .most_sends = 2}, 1'000ms) == 1'000ms);
+}
+
+TEST_CASE("a refused caller is told to come back while it can still be served") {
+    CHECK(decision::retry_after(14s, 5s) == 300ms);
+    CHECK(decision::retry_after(400ms, 5s) == 100ms);
+    CHECK(decision::retry_after(0ms, 5s) > 0ms);
+}
+
+TEST_CASE("a kept prompt is counted on for less than it is kept, and for one refusal") {
+    const settings::engine_capacity capacity = {
+        .places = 128, .kv_tokens = 60'000, .tokens_an_event = 11, .kept_prompt = 500ms};
+    CHECK(decision::is_prompt_kept(300ms, capacity, 1));
+    CHECK_FALSE(decision::is_prompt_kept(450ms, capacity, 0));
+    CHECK_FALSE(decision::is_prompt_kept(0ms, capacity, 2));
+    CHECK(decision::may_be_full(std::nullopt, capacity, {5'000, 700}));
+    CHECK(decision::may_be_full(decision::instance_load{11, 0, 128}, capacity, {5'000, 700}));
+    CHECK_FALSE(decision::may_be_full(decision::instance_load{2, 0, 128}, capacity, {5'000, 700}));
+    CHECK(decision::memory_for_stream(capacity, {5'000, 700}, 10) == Approx(5'260));
+}
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -33,7 +33,10 @@
 
 TEST_CASE("base64 values are decoded, others refused") {
     CHECK(platform::decode_base64("aGVsbG8=") == "hello");
+    CHECK(platform::decode_base64("aGVsbA==") == "hell");
+    CHECK(platform::decode_base64("aGVsbG8h") == "hello!");
     CHECK(platform::decode_base64("") == "");
+    CHECK_FALSE(platform::decode_base64("aGVsb"));
     CHECK_FALSE(platform::decode_base64("a*b"));
 }
 
