host: Wait longer for a store that answers late, each time it does

How long to wait also stood in the platform's adapter, which is to decide nothing.

The limit is the product's now, doubles after each answer that did not come, up to 6 s, and is short again after one that did. Test: a store that answers after 1.3 s; with the limit fixed at 900 ms the host never starts, with the change it does.

--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -3,6 +3,7 @@
 
 #include <gateway/peer_codec.h>
 #include <gateway/state_dump.h>
+#include <host/answer_patience.h>
 
 #include <base/try.h>
 #include <wire/endpoint.h>
@@ -197,11 +198,13 @@
 
 void peer_exchange::join(wire::yield_context yield) {
     const ports::host_entry own = {this->state->process->name, this->state->process->peers};
+    host::answer_patience patience;
     wire::asio::steady_timer timer(*this->state->context);
     wire::error_code ignored;
     while (true) {
-        const auto announced = this->feed->announce(own, yield);
-        const auto hosts = announced ? this->feed->hosts(yield) : tl::make_unexpected(announced.error());
+        const auto announced = this->feed->announce(own, patience.limit, yield);
+        const auto hosts =
+            announced ? this->feed->hosts(patience.limit, yield) : tl::make_unexpected(announced.error());
         if (hosts) {
             for (const ports::host_entry& entry : *hosts)
                 if (entry.name != own.name)
@@ -209,6 +212,7 @@
                                     this->state->clock->now());
             return;
         }
+        host::did_time_out(patience);
         timer.expires_after(join_pause);
         timer.async_wait(yield[ignored]);
     }
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -36,6 +36,8 @@
 
 void store_watch::did_fail(const char* what, const ports::feed_error& error) {
     this->state->figures->count("store_failures_total");
+    if (error.failure == ports::feed_failure::unreachable)
+        host::did_time_out(this->patience[what]);
     this->state->registry_trouble = this->state->clock->now();
     if (std::exchange(this->is_lost[what], true))
         return;
@@ -46,13 +48,16 @@
 
 void store_watch::did_answer(const char* what) {
     this->state->figures->count("store_reads_total");
+    host::did_answer(this->patience[what]);
     if (std::exchange(this->is_lost[what], false))
         this->state->log->write_always("dependency_regained", {{"dependency", std::string("store ") + what}});
 }
 
 bool store_watch::read_settings(wire::yield_context yield) {
-    auto page = this->has_settings_offset ? this->feed->settings_after(this->settings_next, read_wait, yield)
-                                          : this->feed->newest_settings(yield);
+    const auto limit = this->patience[settings_name].limit;
+    auto page = this->has_settings_offset
+                    ? this->feed->settings_after(this->settings_next, read_wait, limit, yield)
+                    : this->feed->newest_settings(limit, yield);
     if (!page) {
         if (page.error().failure == ports::feed_failure::history_lost)
             this->has_settings_offset = false;
@@ -77,9 +82,10 @@
 }
 
 bool store_watch::read_registry(wire::yield_context yield) {
+    const auto limit = this->patience[registry_name].limit;
     auto page = this->has_registry_offset
-                    ? this->feed->registry_after(this->state->registry_next, read_wait, yield)
-                    : this->feed->newest_registry(yield);
+                    ? this->feed->registry_after(this->state->registry_next, read_wait, limit, yield)
+                    : this->feed->newest_registry(limit, yield);
     if (!page) {
         if (page.error().failure == ports::feed_failure::history_lost)
             this->has_registry_offset = false;
--- a/libraries/gateway/store_watch.h
+++ b/libraries/gateway/store_watch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <gateway/gateway_state.h>
+#include <host/answer_patience.h>
 
 #include <functional>
 
@@ -38,7 +39,8 @@
     bool has_settings_offset = false;
     std::uint64_t settings_next = 0;
     bool has_registry_offset = false;
-    std::map<std::string, bool> is_lost; ///< By what is read.
+    std::map<std::string, bool> is_lost;                   ///< By what is read.
+    std::map<std::string, host::answer_patience> patience; ///< Likewise.
 };
 
 } // namespace postpaddle::gateway
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -60,7 +60,8 @@
     bool operator==(const host_entry&) const = default;
 };
 
-/// The platform's store, as the product needs it. All calls are made from coroutines of one thread.
+/// The platform's store, as the product needs it. All calls are made from coroutines of one thread; `limit`
+/// is how long an answer is waited for, beyond the time that the call itself waits for a record.
 class control_feed {
 public:
     control_feed() = default;
@@ -71,19 +72,27 @@
     virtual ~control_feed() = default;
 
     /// Newest settings.
-    [[nodiscard]] virtual feed_result<settings_page> newest_settings(wire::yield_context yield) = 0;
+    [[nodiscard]] virtual feed_result<settings_page> newest_settings(std::chrono::milliseconds limit,
+                                                                     wire::yield_context yield) = 0;
     /// Settings recorded from an offset on; waits up to `wait` for the first.
-    [[nodiscard]] virtual feed_result<settings_page>
-    settings_after(std::uint64_t offset, std::chrono::milliseconds wait, wire::yield_context yield) = 0;
+    [[nodiscard]] virtual feed_result<settings_page> settings_after(std::uint64_t offset,
+                                                                    std::chrono::milliseconds wait,
+                                                                    std::chrono::milliseconds limit,
+                                                                    wire::yield_context yield) = 0;
     /// All upstreams that the registry names.
-    [[nodiscard]] virtual feed_result<registry_page> newest_registry(wire::yield_context yield) = 0;
+    [[nodiscard]] virtual feed_result<registry_page> newest_registry(std::chrono::milliseconds limit,
+                                                                     wire::yield_context yield) = 0;
     /// Changes of the registry from an offset on; waits up to `wait` for the first.
-    [[nodiscard]] virtual feed_result<registry_page>
-    registry_after(std::uint64_t offset, std::chrono::milliseconds wait, wire::yield_context yield) = 0;
+    [[nodiscard]] virtual feed_result<registry_page> registry_after(std::uint64_t offset,
+                                                                    std::chrono::milliseconds wait,
+                                                                    std::chrono::milliseconds limit,
+                                                                    wire::yield_context yield) = 0;
     /// Records this host among the hosts.
-    [[nodiscard]] virtual feed_result<void> announce(const host_entry& own, wire::yield_context yield) = 0;
+    [[nodiscard]] virtual feed_result<void> announce(const host_entry& own, std::chrono::milliseconds limit,
+                                                     wire::yield_context yield) = 0;
     /// All hosts on record.
-    [[nodiscard]] virtual feed_result<std::vector<host_entry>> hosts(wire::yield_context yield) = 0;
+    [[nodiscard]] virtual feed_result<std::vector<host_entry>> hosts(std::chrono::milliseconds limit,
+                                                                     wire::yield_context yield) = 0;
     /// Reads a settings text that another host handed over.
     [[nodiscard]] virtual feed_result<settings_document> read_document(const std::string& text) const = 0;
 };
--- a/tests/gateway/test_beliefs.cpp
+++ b/tests/gateway/test_beliefs.cpp
@@ -137,3 +137,10 @@
     CHECK(story.find("\"ending\": \"passed_on\"") != std::string::npos);
     CHECK(run({"unknown"}).first == 1);
 }
+
+TEST_CASE("a store that answers late is waited for longer each time, so that a host starts at last") {
+    test::gateway_cluster cluster({.name = "late-store", .servers = {{.id = "one"}}, .hosts = 0});
+    (void)cluster.store({{"slow_ms", 1'300}});
+    cluster.start_host(1);
+    CHECK(test::eventually([&] { return cluster.is_ready(1); }));
+}
