gateway: Let a malformed heartbeat change nothing

Cause: a heartbeat with a field of the wrong JSON type threw out of its coroutine and ended the process; found in the last read. Both places that parsed heartbeats now go through one function that counts and drops a malformed one. The new case fails before (the host is gone) and passes now.

Also from that read, behaviour unchanged: the retry budget's bounds were built in two places and the rule when a request may go elsewhere stood in the stream relay beside its twin in decision/send_rule; one of each is left.

--- a/libraries/decision/send_rule.cpp
+++ b/libraries/decision/send_rule.cpp
@@ -48,9 +48,12 @@
 
 bool is_extra_send(const send_record& record) { return record.sends + record.refusals > 0; }
 
+bool may_go_elsewhere(const send_record& record) {
+    return record.is_repeatable && record.sends + 1 < record.most_sends;
+}
+
 base::duration time_for_try(const send_record& record, base::duration left) {
-    const bool may_go_elsewhere = record.is_repeatable && record.sends + 1 < record.most_sends;
-    if (!may_go_elsewhere)
+    if (!may_go_elsewhere(record))
         return left;
     const base::duration part = base::from_seconds(base::to_seconds(left) * first_try_part);
     return std::min(left, std::max(shortest_try, part));
--- a/libraries/decision/send_rule.h
+++ b/libraries/decision/send_rule.h
@@ -44,6 +44,9 @@
 /// Whether a further send would reach an upstream as one more than the request's first.
 [[nodiscard]] bool is_extra_send(const send_record& record);
 
+/// Whether the request may still run on another upstream after the send that is in progress.
+[[nodiscard]] bool may_go_elsewhere(const send_record& record);
+
 /// Time that a try may take: all that is left, or a part of it where the request may go elsewhere after.
 [[nodiscard]] base::duration time_for_try(const send_record& record, base::duration left);
 
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -60,11 +60,8 @@
 
 bool try_spend_extra(gateway_request& request) {
     gateway_state& state = *request.state;
-    const settings::retry_budget_settings& retries = state.process->retries;
-    const decision::shared_budget_options options = {
-        .ratio = retries.ratio, .slack = retries.slack, .window = retries.window};
-    const bool is_spent =
-        decision::try_spend(state.budgets[request.service], options, hosts_alive(state), state.clock->now());
+    const bool is_spent = decision::try_spend(state.budgets[request.service], budget_options_of(state),
+                                              hosts_alive(state), state.clock->now());
     state.figures->count(is_spent ? "extra_sends_total" : "extra_sends_refused_total");
     return is_spent;
 }
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -120,6 +120,11 @@
     state.pool->set_most_idle(static_cast<std::size_t>(std::clamp(own_part, 1, most_idle_connections)));
 }
 
+decision::shared_budget_options budget_options_of(const gateway_state& state) {
+    const settings::retry_budget_settings& retries = state.process->retries;
+    return {.ratio = retries.ratio, .slack = retries.slack, .window = retries.window};
+}
+
 int hosts_alive(const gateway_state& state) { return host::count_alive(state.peers, state.clock->now()) + 1; }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -98,6 +98,9 @@
 /// Bounds the idle connections kept to an upstream by this host's part of what the upstream accepts.
 void bound_idle_connections(gateway_state& state);
 
+/// Bounds of the retry budget that all hosts share, as the host's file has them now.
+[[nodiscard]] decision::shared_budget_options budget_options_of(const gateway_state& state);
+
 /// Hosts that may be alive, this one among them: the divisor of what all share.
 [[nodiscard]] int hosts_alive(const gateway_state& state);
 
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -69,9 +69,7 @@
 
 wire::http_response peer_exchange::answer(const wire::http_request& request) {
     if (request.target == heartbeat_path) {
-        const json heartbeat = json::parse(request.body, nullptr, false);
-        if (heartbeat.is_object())
-            this->take_heartbeat(heartbeat, heartbeat.value("address", ""));
+        this->hear(request.body);
         return {ok_status, {}, this->own_heartbeat().dump()};
     }
     if (request.target == settings_path && this->state->settings)
@@ -105,9 +103,18 @@
             {"hosts", std::move(hosts)}};
 }
 
-void peer_exchange::take_heartbeat(const json& heartbeat, const std::string& address) {
+void peer_exchange::hear(const std::string& text) {
+    try {
+        this->take_heartbeat(json::parse(text));
+    } catch (const json::exception&) {
+        this->state->figures->count("malformed_heartbeats_total");
+    }
+}
+
+void peer_exchange::take_heartbeat(const json& heartbeat) {
     const base::time_point now = this->state->clock->now();
     const base::host_id name{heartbeat.value("host", "")};
+    const std::string address = heartbeat.value("address", "");
     if (name.is_empty() || name == this->state->process->name || address.empty())
         return;
     host::note_peer(this->state->peers, name, address, true, now);
@@ -131,11 +138,8 @@
                     wire::json_request(heartbeat_path, this->own_heartbeat().dump(), {{"Host", address}}),
                     peer_limit, yield);
     this->state->figures->count(answer ? "heartbeats_total" : "heartbeats_lost_total");
-    if (!answer)
-        return;
-    const json heartbeat = json::parse(answer->body, nullptr, false);
-    if (heartbeat.is_object())
-        this->take_heartbeat(heartbeat, address);
+    if (answer)
+        this->hear(answer->body);
 }
 
 void peer_exchange::fetch_settings(const std::string& address, wire::yield_context yield) {
--- a/libraries/gateway/peer_exchange.h
+++ b/libraries/gateway/peer_exchange.h
@@ -32,7 +32,8 @@
     void serve(wire::caller_connection& connection, wire::yield_context yield);
     [[nodiscard]] wire::http_response answer(const wire::http_request& request);
     [[nodiscard]] nlohmann::json own_heartbeat() const;
-    void take_heartbeat(const nlohmann::json& heartbeat, const std::string& address);
+    void hear(const std::string& text);
+    void take_heartbeat(const nlohmann::json& heartbeat);
     void beat(const std::string& address, wire::yield_context yield);
     void fetch_settings(const std::string& address, wire::yield_context yield);
     void fetch_registry(const std::string& address, wire::yield_context yield);
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -97,11 +97,7 @@
     if (request.routed.time_left)
         patience = std::min<base::duration>(patience, *request.routed.time_left);
     request.deadline = request.arrived + patience;
-    decision::note_request(state.budgets[request.service],
-                           {.ratio = state.process->retries.ratio,
-                            .slack = state.process->retries.slack,
-                            .window = state.process->retries.window},
-                           request.arrived);
+    decision::note_request(state.budgets[request.service], budget_options_of(state), request.arrived);
 }
 
 request_ending relay(gateway_request& request, wire::yield_context yield) {
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -82,11 +82,6 @@
                                .prompt_tokens = is_reading_there ? this->size.prompt_tokens : 0});
 }
 
-bool stream_relay::may_go_elsewhere() const {
-    const decision::send_record& record = this->request->record;
-    return record.is_repeatable && record.sends + 1 < record.most_sends;
-}
-
 bool stream_relay::read_prompt(const decision::engine_plan& plan, wire::yield_context yield) {
     gateway_state& state = *this->request->state;
     const base::time_point limit = late_after(*this->request, plan.expected_read);
@@ -124,7 +119,7 @@
         .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request)),
         .source = this->kept,
         .resume_after = this->last_event};
-    const base::time_point limit = this->may_go_elsewhere()
+    const base::time_point limit = decision::may_go_elsewhere(this->request->record)
                                        ? late_after(*this->request, plan.expected_first_event)
                                        : this->request->deadline;
     exchange_result exchange = send_to_instance(*this->request, send, limit, yield);
@@ -243,7 +238,7 @@
 }
 
 base::time_point stream_relay::limit_of_silence() const {
-    if (!this->may_go_elsewhere())
+    if (!decision::may_go_elsewhere(this->request->record))
         return this->request->deadline;
     const base::duration patience = decision::patience_for_silence(this->request->route->gap_target);
     return std::min(this->request->deadline, this->request->state->clock->now() + patience);
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -44,7 +44,6 @@
     void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
     void did_pass_whole(base::time_point sent);
     [[nodiscard]] base::time_point limit_of_silence() const;
-    [[nodiscard]] bool may_go_elsewhere() const;
     [[nodiscard]] request_ending give_up(wire::yield_context yield);
     void release_kept();
 
--- a/tests/gateway/test_beliefs.cpp
+++ b/tests/gateway/test_beliefs.cpp
@@ -144,3 +144,14 @@
     cluster.start_host(1);
     CHECK(test::eventually([&] { return cluster.is_ready(1); }));
 }
+
+TEST_CASE("a heartbeat that is malformed changes nothing and the host serves on") {
+    test::gateway_cluster cluster({.name = "malformed", .servers = {{.id = "one"}}});
+    for (const auto* body : {"no json", R"({"host":7})", R"({"host":"x","address":5})",
+                             R"({"host":"x","address":"127.0.0.1:1","settings_version":"z"})",
+                             R"({"host":"x","address":"127.0.0.1:1","hosts":[1,2]})"})
+        (void)stand_in::http_exchange(cluster.peers_address(),
+                                      {"POST", "/peers/heartbeat", {{"Host", "host"}}, body});
+    CHECK(status_at(cluster, 1, "/again/") == 200);
+    CHECK(cluster.is_ready(1));
+}
