routing: Take an engine whose port is dead for ended, on every host

Cause: a crashed engine looks free, as its streams are gone, until its registry entry lapses (3.6 s). Free places were counted there too, so requests were let in for places that did not exist.

Now a refused connection says that the process has ended: the host puts it aside for 4 s, tells the others in its load report, and nobody counts its places.

Ruled out: connections that hang (all of these were refused within 4 ms).

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -69,7 +69,7 @@
     double cost = tie(random) + failure_cost * candidate.health.failure_rate;
     if (candidate.entry.availability_zone != context.own_zone)
         cost += other_zone_cost;
-    if (is_aside(candidate, context.now))
+    if (is_avoided(candidate, context.now))
         cost += aside_cost;
     return cost + avoided_cost * candidate.avoided_by;
 }
@@ -234,6 +234,8 @@
     engine_places places;
     const double need = std::max(1.0, size.prompt_tokens + size.output_tokens);
     for (const instance* candidate : usable(table, context, can_decode)) {
+        if (is_avoided(*candidate, context.now))
+            continue;
         const double total = std::min<double>(capacity.places, usable_memory * capacity.kv_tokens / need);
         const double left = std::max(0.0, memory_left(*candidate, capacity, context.now)) / need;
         places.total += std::max(1.0, total);
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -16,6 +16,8 @@
 constexpr double failure_gain = 0.15;
 constexpr base::duration first_pause = 500ms;
 constexpr base::duration longest_pause = 4'000ms;
+/// How long an instance with a dead port is taken to have ended: its registry entry lapses meanwhile.
+constexpr base::duration ended_pause = 4'000ms;
 /// An instance that answers with errors is put aside from this many in a row on.
 constexpr int failures_to_pause = 3;
 
@@ -123,16 +125,22 @@
 
 void note_verdict(instance& target, send_verdict verdict, base::time_point now) {
     instance_health& health = target.health;
-    const bool is_failure = verdict == send_verdict::failed || verdict == send_verdict::unreachable;
+    const bool is_failure = verdict != send_verdict::good && verdict != send_verdict::busy;
     health.failure_rate += failure_gain * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
     if (verdict == send_verdict::good) {
         health.failures_in_row = 0;
         health.aside_until = {};
+        health.ended_until = {};
         return;
     }
     if (verdict == send_verdict::busy)
         return;
     ++health.failures_in_row;
+    if (verdict == send_verdict::ended) {
+        health.ended_until = now + ended_pause;
+        put_aside(target, ended_pause, now);
+        return;
+    }
     if (verdict == send_verdict::unreachable || health.failures_in_row >= failures_to_pause)
         put_aside(target, pause_for(health.failures_in_row - 1), now);
 }
@@ -164,6 +172,12 @@
 
 bool is_aside(const instance& target, base::time_point now) { return now < target.health.aside_until; }
 
+bool has_ended(const instance& target, base::time_point now) { return now < target.health.ended_until; }
+
+bool is_avoided(const instance& target, base::time_point now) {
+    return is_aside(target, now) || target.has_ended_elsewhere;
+}
+
 const char* to_text(listing state) {
     switch (state) {
     case listing::listed:
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -47,6 +47,7 @@
     int failures_in_row = 0;
     double failure_rate = 0; ///< Running mean of 0 (good) and 1 (failed).
     base::time_point aside_until{};
+    base::time_point ended_until{}; ///< Until when it is taken to have ended, as its port is dead.
 
     bool operator==(const instance_health&) const = default;
 };
@@ -60,6 +61,7 @@
     instance_use own;                       ///< Sent by this host, or promised, and not ended.
     instance_use others;                    ///< The same of the other hosts, as they told.
     int avoided_by = 0;                     ///< Other hosts that could not reach it lately.
+    bool has_ended_elsewhere = false;       ///< Another host found its port dead lately.
     estimate latency = make_estimate(0.08); ///< Seconds to a plain answer.
     estimate slowness = make_estimate(1);   ///< Time taken over time expected, for prompts.
     base::duration seen_wait{};             ///< Queue that the last own prompt met.
@@ -90,6 +92,7 @@
     busy,        ///< It said that it did not run the request.
     failed,      ///< An error of its own, or a broken answer.
     unreachable, ///< No connection, or silence.
+    ended,       ///< Nothing listens at its address: its process has gone, whoever asks.
 };
 
 /// All instances by id.
@@ -129,9 +132,15 @@
 /// Requests of other hosts there, from the last report, fading out as it ages.
 [[nodiscard]] double others_requests(const instance& target, base::time_point now);
 
-/// Whether failures keep it from new work while there is another.
+/// Whether own failures keep it from new work while there is another.
 [[nodiscard]] bool is_aside(const instance& target, base::time_point now);
 
+/// Whether this host found its port dead lately.
+[[nodiscard]] bool has_ended(const instance& target, base::time_point now);
+
+/// Whether new work avoids it for what this host or another found.
+[[nodiscard]] bool is_avoided(const instance& target, base::time_point now);
+
 /// Word for a listing, as in logs.
 [[nodiscard]] const char* to_text(listing state);
 
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -74,6 +74,7 @@
         const auto found = total.find(host::key_of(id));
         known.others = found == total.end() ? decision::instance_use{} : found->second;
         const auto avoided = this->state->loads.avoided_by.find(host::key_of(id));
+        known.has_ended_elsewhere = this->state->loads.ended_by.contains(host::key_of(id));
         known.avoided_by = avoided == this->state->loads.avoided_by.end() ? 0 : avoided->second;
     }
 }
@@ -98,9 +99,14 @@
         if (known.own.requests > 0 && known.entry.stage != settings::engine_stage::none)
             report.uses[host::key_of(id)] = known.own;
     const base::time_point now = this->state->clock->now();
-    for (const auto& [id, known] : this->state->instances.by_id)
-        if (known.state == decision::listing::listed && decision::is_aside(known, now))
+    for (const auto& [id, known] : this->state->instances.by_id) {
+        if (known.state != decision::listing::listed)
+            continue;
+        if (decision::is_aside(known, now))
             report.avoided.push_back(host::key_of(id));
+        if (decision::has_ended(known, now))
+            report.ended.push_back(host::key_of(id));
+    }
     for (const waiting_request* const waiting : this->state->waiting)
         report.waiters.push_back({now - waiting->arrived, waiting->output_tokens});
     return report;
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -21,6 +21,8 @@
             {"failure_rate", known.health.failure_rate},
             {"failures_in_row", known.health.failures_in_row},
             {"is_aside", decision::is_aside(known, now)},
+            {"avoided_by", known.avoided_by},
+            {"has_ended_elsewhere", known.has_ended_elsewhere},
             {"latency_ms", known.latency.value * 1'000},
             {"slowness", known.slowness.value}};
 }
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -15,15 +15,9 @@
 constexpr int first_server_error = 500;
 
 send_result result_of(const wire::wire_error& error) {
-    switch (error.failure) {
-    case wire::wire_failure::not_connected:
-    case wire::wire_failure::bad_address:
+    if (wire::is_before_send(error.failure))
         return send_result::not_connected;
-    case wire::wire_failure::late:
-        return send_result::late;
-    default:
-        return send_result::broken;
-    }
+    return error.failure == wire::wire_failure::late ? send_result::late : send_result::broken;
 }
 
 send_result result_of(const wire::response_head& head, const ports::answer_facts& facts) {
@@ -73,6 +67,7 @@
 
 void note_broken(exchange_result& exchange, const wire::wire_error& error) {
     exchange.result = result_of(error);
+    exchange.is_port_dead = error.failure == wire::wire_failure::not_listening;
     exchange.detail = std::string(wire::to_text(error.failure)) + ": " + error.detail;
     if (exchange.call)
         exchange.call->cancel();
@@ -193,7 +188,8 @@
         return;
     if (exchange.facts.load)
         decision::note_load(*target, *exchange.facts.load, now);
-    decision::note_verdict(*target, verdict_of(exchange.result), now);
+    const auto verdict = exchange.is_port_dead ? decision::send_verdict::ended : verdict_of(exchange.result);
+    decision::note_verdict(*target, verdict, now);
     if (decision::is_aside(*target, now))
         state.did_change_own_load();
     if (exchange.facts.is_other_instance)
--- a/libraries/gateway/upstream_exchange.h
+++ b/libraries/gateway/upstream_exchange.h
@@ -17,7 +17,8 @@
     std::shared_ptr<wire::upstream_call> call; ///< Carries the rest of the answer.
     std::string address;
     base::time_point sent{};
-    std::string detail; ///< For the log.
+    bool is_port_dead = false; ///< Nothing listens at its address.
+    std::string detail;        ///< For the log.
 };
 
 /// Counts work of this host at an instance for as long as it lives.
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -18,6 +18,11 @@
     return next.sequence > known.sequence;
 }
 
+void count_down(std::map<instance_key, int>& counts, instance_key key) {
+    if (--counts[key] <= 0)
+        counts.erase(key);
+}
+
 void take_away(load_share& share, const load_report& report) {
     for (const auto& [key, use] : report.uses) {
         decision::instance_use& total = share.total[key];
@@ -26,8 +31,9 @@
             share.total.erase(key);
     }
     for (const instance_key key : report.avoided)
-        if (--share.avoided_by[key] <= 0)
-            share.avoided_by.erase(key);
+        count_down(share.avoided_by, key);
+    for (const instance_key key : report.ended)
+        count_down(share.ended_by, key);
 }
 
 } // namespace
@@ -43,6 +49,8 @@
         share.total[key] += use;
     for (const instance_key key : report.avoided)
         ++share.avoided_by[key];
+    for (const instance_key key : report.ended)
+        ++share.ended_by[key];
     found->second = {report, now};
     return true;
 }
@@ -58,6 +66,7 @@
         heard.report.uses.clear();
         heard.report.waiters.clear();
         heard.report.avoided.clear();
+        heard.report.ended.clear();
         is_any_dropped = true;
     }
     return is_any_dropped;
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -25,6 +25,7 @@
     std::map<instance_key, decision::instance_use> uses;
     std::vector<decision::waiter> waiters; ///< Requests without a place.
     std::vector<instance_key> avoided;     ///< Instances that it could not reach lately.
+    std::vector<instance_key> ended;       ///< Instances whose port it found dead lately.
 
     bool operator==(const load_report&) const = default;
 };
@@ -40,6 +41,7 @@
     std::map<base::host_id, heard_report> by_host;
     std::map<instance_key, decision::instance_use> total;
     std::map<instance_key, int> avoided_by; ///< Hosts that avoid an instance.
+    std::map<instance_key, int> ended_by;   ///< Hosts that found an instance's port dead.
 };
 
 /// Takes over a report unless a newer one of that host is known; says whether it did.
--- a/libraries/service/plain_relay.cpp
+++ b/libraries/service/plain_relay.cpp
@@ -60,7 +60,7 @@
 
 /// Notes on the request's life how far a failed exchange can have gone.
 void note_failure(request_context& context, const wire::wire_error& error, bool has_sent) {
-    if (has_sent && error.failure != wire::wire_failure::not_connected)
+    if (has_sent && !wire::is_before_send(error.failure))
         context.life.note_certainty(run_certainty::may_have_run);
 }
 
@@ -113,8 +113,7 @@
     if (error.failure == wire::wire_failure::cancelled)
         return false;
     // A connection that never came about sent nothing, so even an at-most-once request may go elsewhere.
-    return error.failure == wire::wire_failure::not_connected ||
-           context.runs == decision::run_rule::repeatable;
+    return wire::is_before_send(error.failure) || context.runs == decision::run_rule::repeatable;
 }
 
 } // namespace
--- a/libraries/wire/simple_client.cpp
+++ b/libraries/wire/simple_client.cpp
@@ -34,7 +34,7 @@
         return tl::make_unexpected(std::move(head).error());
     auto again = open_exchange(pool, address, request, connection_use::only_fresh, limits, on_call, yield);
     // The first connection took the request's bytes: that the second could not be had does not unsay that.
-    if (!again && again.error().failure == wire_failure::not_connected)
+    if (!again && is_before_send(again.error().failure))
         return tl::make_unexpected(wire_error{wire_failure::broken, again.error().detail});
     return again;
 }
--- a/libraries/wire/upstream_call.cpp
+++ b/libraries/wire/upstream_call.cpp
@@ -167,8 +167,11 @@
     const wire_error ended = own.end(error);
     if (own.is_cancelled)
         return tl::make_unexpected(ended);
-    if (error)
-        return tl::make_unexpected(wire_error{wire_failure::not_connected, error.message()});
+    if (error) {
+        const bool is_dead_port = error == asio::error::connection_refused;
+        return tl::make_unexpected(wire_error{
+            is_dead_port ? wire_failure::not_listening : wire_failure::not_connected, error.message()});
+    }
     own.stream.socket().set_option(tcp::no_delay(true), error);
     own.stream.socket().set_option(user_timeout(unacknowledged_limit), error);
     return {};
--- a/libraries/wire/wire_error.cpp
+++ b/libraries/wire/wire_error.cpp
@@ -13,6 +13,8 @@
         return "bad_address";
     case wire_failure::not_connected:
         return "not_connected";
+    case wire_failure::not_listening:
+        return "not_listening";
     case wire_failure::broken:
         return "broken";
     case wire_failure::late:
@@ -33,6 +35,11 @@
     return "unknown";
 }
 
+bool is_before_send(wire_failure failure) {
+    return failure == wire_failure::bad_address || failure == wire_failure::not_connected ||
+           failure == wire_failure::not_listening;
+}
+
 wire_error from_io(const boost::system::error_code& error) {
     namespace http = boost::beast::http;
     if (error == boost::beast::error::timeout)
--- a/libraries/wire/wire_error.h
+++ b/libraries/wire/wire_error.h
@@ -12,6 +12,7 @@
 enum class wire_failure {
     bad_address,    ///< Not an IP number and port.
     not_connected,  ///< No connection came about: nothing was sent.
+    not_listening,  ///< The address turned the connection away, as nothing listens there: nothing was sent.
     broken,         ///< The connection ended before the message did.
     late,           ///< A time limit passed.
     malformed,      ///< Not the protocol, or not the message that was asked for.
@@ -35,6 +36,9 @@
 /// Word for a failure, as in logs and metrics.
 [[nodiscard]] const char* to_text(wire_failure failure);
 
+/// Whether the failure came before anything was sent.
+[[nodiscard]] bool is_before_send(wire_failure failure);
+
 /// Turns an I/O error into this layer's.
 [[nodiscard]] wire_error from_io(const boost::system::error_code& error);
 
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -162,3 +162,32 @@
     context.now = now + 2s;
     CHECK(decision::choose_engines(table, context, capacity, {5'000, 700}, random)->has_room);
 }
+
+TEST_CASE("an engine whose port is dead has no places for any host, however free it looks") {
+    std::mt19937_64 random(1);
+    auto table =
+        make_table({make_entry("p1", engine_stage::prefill), make_entry("dead", engine_stage::decode),
+                    make_entry("full", engine_stage::decode)});
+    decision::instance& dead = *decision::find_instance(table, {"dead"});
+    decision::find_instance(table, {"full"})->others = {.requests = 12, .memory_tokens = 60'000};
+    const auto plan = [&] {
+        return decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random);
+    };
+    CHECK(plan()->decode.value == "dead");
+    SECTION("found by this host") {
+        decision::note_verdict(dead, decision::send_verdict::ended, now);
+        CHECK(decision::has_ended(dead, now + 3s));
+        CHECK_FALSE(decision::has_ended(dead, now + 5s));
+        SECTION("until it answers after all") {
+            decision::note_verdict(dead, decision::send_verdict::good, now);
+            CHECK_FALSE(decision::is_avoided(dead, now));
+            return;
+        }
+    }
+    SECTION("found by another host") { dead.has_ended_elsewhere = true; }
+    if (!decision::is_avoided(dead, now))
+        return;
+    CHECK(plan()->decode.value == "full");
+    CHECK_FALSE(plan()->has_room);
+    CHECK(decision::count_places(table, make_context(), capacity, {5'000, 700}).free == 0);
+}
--- a/tests/gateway/test_beliefs.cpp
+++ b/tests/gateway/test_beliefs.cpp
@@ -155,3 +155,11 @@
     CHECK(status_at(cluster, 1, "/again/") == 200);
     CHECK(cluster.is_ready(1));
 }
+
+TEST_CASE("what one host finds of a server whose process has gone, the others know without trying") {
+    test::gateway_cluster cluster({.name = "ended", .servers = {{.id = "one"}}, .hosts = 2});
+    cluster.kill_server("one");
+    CHECK(status_at(cluster, 1, "/once/") == 503);
+    CHECK(test::eventually(
+        [&] { return cluster.state_of(2).at("instances").at("one").at("has_ended_elsewhere").get<bool>(); }));
+}
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -68,6 +68,17 @@
     CHECK(share.avoided_by.empty());
 }
 
+TEST_CASE("an instance whose port one host found dead is so until that host's next report") {
+    host::load_share share;
+    auto report = make_report("a", 1, 0);
+    report.avoided = {7};
+    report.ended = {7};
+    (void)host::take_report(share, report, start);
+    CHECK(share.ended_by.contains(7));
+    (void)host::take_report(share, make_report("a", 2, 0), start);
+    CHECK(share.ended_by.empty());
+}
+
 TEST_CASE("in whatever order reports come, the sum is that of the newest of each host") {
     for (unsigned seed = 1; seed <= 300; ++seed) {
         std::mt19937 random(seed);
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -162,6 +163,11 @@
     return stand_in::post_json(this->server_addresses.at(id), "/control", control);
 }
 
+void gateway_cluster::kill_server(const std::string& id) {
+    this->servers.at(id)->send_signal(SIGKILL);
+    (void)this->servers.at(id)->wait();
+}
+
 int gateway_cluster::arrivals(const std::string& id) {
     int count = 0;
     const json counters = this->server(id);
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -51,6 +51,8 @@
     nlohmann::json store(const nlohmann::json& control = nlohmann::json::object());
     /// Sets faults of a server, and reads its counters.
     nlohmann::json server(const std::string& id, const nlohmann::json& control = nlohmann::json::object());
+    /// Ends a server's process at once; its registry entry stays.
+    void kill_server(const std::string& id);
     /// Requests that arrived at a server, prompts that were only read left out.
     [[nodiscard]] int arrivals(const std::string& id);
     /// Requests that all servers of the cluster ran.
