tests: Give each test process loopback addresses of its own

Several test processes at once met on the same addresses, and a port from the system's range for connections going out could be taken before the host bound it: hosts did not become ready.

--- a/stand_ins/platform_store/main.cpp
+++ b/stand_ins/platform_store/main.cpp
@@ -15,7 +15,8 @@
 #include <set>
 
 DEFINE_int32(port, 0, "port on 127.0.0.1; 0 lets the system choose");
-DEFINE_int32(hosts, 4, "listens likewise on 127.1.0.1 and so on, one address for each host under test");
+DEFINE_int32(hosts, 4, "listens likewise on as many addresses of the network, one for each host under test");
+DEFINE_string(network, "127.1.0.", "first three numbers of the addresses of the hosts under test");
 
 namespace {
 
@@ -216,7 +217,7 @@
     std::vector<std::shared_ptr<wire::http_listener>> listeners = {
         stand_in::serve(context, static_cast<std::uint16_t>(FLAGS_port), handler)};
     for (int host = 1; host <= FLAGS_hosts; ++host)
-        listeners.push_back(stand_in::serve_also(context, "127.1.0." + std::to_string(host),
+        listeners.push_back(stand_in::serve_also(context, FLAGS_network + std::to_string(host),
                                                  listeners.front()->port(), handler));
     stand_in::stop_on_signal(context);
     context.run();
--- a/tests/gateway/test_beliefs.cpp
+++ b/tests/gateway/test_beliefs.cpp
@@ -51,7 +51,7 @@
         test::gateway_cluster cluster({.name = std::string("turned-away-") + mode,
                                        .servers = {{.id = "one"}, {.id = "two"}},
                                        .hosts = 2});
-        (void)cluster.store({{"mode", mode}, {"turned_away", {"127.1.0.2"}}});
+        (void)cluster.store({{"mode", mode}, {"turned_away", {cluster.host_ip(2)}}});
         cluster.publish(2, true);
         cluster.list("two", "draining", 2);
         CHECK(test::eventually([&] { return version_at(cluster, 2) == 2; }));
@@ -132,6 +132,7 @@
     INFO(state);
     CHECK(state.find("one") != std::string::npos);
     const auto [story_code, story] = run({"id-/again/"});
+    INFO(story);
     CHECK(story_code == 0);
     CHECK(story.find("\"host\": \"host-2\"") != std::string::npos);
     CHECK(story.find("\"ending\": \"passed_on\"") != std::string::npos);
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <stdexcept>
 
 namespace postpaddle::test {
@@ -22,18 +23,31 @@
 
 constexpr int ok_status = 200;
 
-/// A port that the system has just found free.
-int free_port() {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const plain = reinterpret_cast<sockaddr*>(&address);
-    if (bind(descriptor, plain, size) != 0 || getsockname(descriptor, plain, &size) != 0)
-        throw std::runtime_error("no free port");
-    close(descriptor);
-    return ntohs(address.sin_port);
+/// Loopback addresses of this process's hosts, apart from those of other test processes.
+std::string own_network() {
+    constexpr int most = 250;
+    const int process = getpid();
+    return "127." + std::to_string(1 + process / most % most) + "." + std::to_string(1 + process % most) +
+           ".";
+}
+
+/// A port that is free at the address, below those that the system gives to connections going out.
+int free_port(const std::string& address) {
+    static std::mt19937 random(std::random_device{}());
+    std::uniform_int_distribution<std::uint16_t> ports(10'000, 30'000);
+    while (true) {
+        const std::uint16_t port = ports(random);
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in endpoint{};
+        endpoint.sin_family = AF_INET;
+        endpoint.sin_port = htons(port);
+        (void)inet_pton(AF_INET, address.c_str(), &endpoint.sin_addr);
+        // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the socket interface's own cast.
+        const bool is_free = bind(descriptor, reinterpret_cast<sockaddr*>(&endpoint), sizeof(endpoint)) == 0;
+        (void)close(descriptor);
+        if (is_free)
+            return port;
+    }
 }
 
 json make_route(const std::string& path, const std::string& kind, const std::string& service, int attempts,
@@ -71,12 +85,13 @@
       folder((std::filesystem::temp_directory_path() /
               ("postpaddle-" + this->options.name + "-" + std::to_string(getpid())))
                  .string()),
-      callers_port(free_port()), readiness_port(free_port()), peers_port(free_port()),
-      load_port(free_port()) {
+      network(own_network()), callers_port(free_port(this->host_ip(1))),
+      readiness_port(free_port(this->host_ip(1))), peers_port(free_port(this->host_ip(1))),
+      load_port(free_port(this->host_ip(1))) {
     std::filesystem::create_directories(this->folder);
-    this->store_process =
-        std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_store",
-                                        std::vector<std::string>{}, this->folder + "/store.log");
+    this->store_process = std::make_unique<child_process>(
+        std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_store",
+        std::vector<std::string>{"--network=" + this->network}, this->folder + "/store.log");
     this->store_port = std::to_string(this->store_process->read_json().at("port").get<int>());
     for (const server_plan& plan : this->options.servers) {
         auto process = std::make_unique<child_process>(
@@ -98,8 +113,10 @@
             throw std::runtime_error("a host did not become ready");
 }
 
+std::string gateway_cluster::host_ip(int number) const { return this->network + std::to_string(number); }
+
 std::string gateway_cluster::host_address(int number, int port) const {
-    return "127.1.0." + std::to_string(number) + ":" + std::to_string(port);
+    return this->host_ip(number) + ":" + std::to_string(port);
 }
 
 std::string gateway_cluster::callers_address(int number) const {
@@ -118,8 +135,9 @@
                         << "\nreadiness: " << this->host_address(number, this->readiness_port)
                         << "\npeers: " << this->host_address(number, this->peers_port)
                         << "\nload_port: " << this->load_port << "\nseeds: ["
-                        << this->host_address(1, this->peers_port) << "]\nstore: 127.1.0." << number << ":"
-                        << this->store_port << "\nheartbeat_ms: 200\nbalancer_lag_ms: 300\nretries: {slack: "
+                        << this->host_address(1, this->peers_port) << "]\nstore: " << this->host_ip(number)
+                        << ":" << this->store_port
+                        << "\nheartbeat_ms: 200\nbalancer_lag_ms: 300\nretries: {slack: "
                         << this->options.retry_slack << "}\n";
     this->hosts[number] = std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/postpaddled",
                                                           std::vector<std::string>{"--settings=" + path},
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -39,6 +39,8 @@
     [[nodiscard]] bool is_ready(int number) const;
     /// The host's state dump.
     [[nodiscard]] nlohmann::json state_of(int number) const;
+    /// The host's own loopback address, from which the store also sees it.
+    [[nodiscard]] std::string host_ip(int number) const;
     [[nodiscard]] std::string callers_address(int number = 1) const;
     /// Address for the other hosts and for operators.
     [[nodiscard]] std::string peers_address(int number = 1) const;
@@ -63,6 +65,7 @@
 
     gateway_cluster_options options;
     std::string folder;
+    std::string network; ///< First three numbers of the hosts' addresses, with a dot behind.
     std::unique_ptr<stand_in::child_process> store_process;
     std::string store_port;
     std::map<std::string, std::unique_ptr<stand_in::child_process>> servers;
