routing: Ask an engine that seems full before a kept prompt lapses

Cause: a prompt whose engine failed or refused waited for a place until it lapsed and was read for nothing, although counts of places err to the safe side.

--- a/libraries/decision/stream_rules.cpp
+++ b/libraries/decision/stream_rules.cpp
@@ -14,6 +14,8 @@
 constexpr int silence_factor = 4;
 /// Part of the time for which a prompt is kept that it is counted on.
 constexpr double kept_part = 0.8;
+/// Part of that time after which it is soon over.
+constexpr double lapsing_part = 0.5;
 /// Output tokens for which memory is promised ahead of what a stream has put out.
 constexpr double memory_lookahead = 150;
 /// An engine with less than this part of its memory in use surely has a place.
@@ -40,6 +42,10 @@
     return refusals < most_refusals_of_kept && base::to_seconds(age) <= limit;
 }
 
+bool is_prompt_lapsing(base::duration age, const settings::engine_capacity& capacity) {
+    return base::to_seconds(age) >= lapsing_part * base::to_seconds(capacity.kept_prompt);
+}
+
 double memory_for_stream(const settings::engine_capacity& capacity, const prompt_size& size, int events) {
     return size.prompt_tokens + static_cast<double>(events) * capacity.tokens_an_event + memory_lookahead;
 }
--- a/libraries/decision/stream_rules.h
+++ b/libraries/decision/stream_rules.h
@@ -23,8 +23,11 @@
 [[nodiscard]] bool is_prompt_kept(base::duration age, const settings::engine_capacity& capacity,
                                   int refusals);
 
+/// Whether a kept prompt will soon lapse: an engine that seems full is then asked all the same.
+[[nodiscard]] bool is_prompt_lapsing(base::duration age, const settings::engine_capacity& capacity);
+
 /// Refusals after which the KV cache of a kept prompt is taken to be gone.
-inline constexpr int most_refusals_of_kept = 2;
+inline constexpr int most_refusals_of_kept = 3;
 
 /// Memory to promise to a stream that has put out so many events: what it takes and some tokens ahead.
 [[nodiscard]] double memory_for_stream(const settings::engine_capacity& capacity, const prompt_size& size,
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -33,6 +33,11 @@
     return decision::is_prompt_kept(age, capacity_of(*this->request), this->refusals_of_kept);
 }
 
+bool stream_relay::is_kept_prompt_lapsing() const {
+    const base::duration age = this->request->state->clock->now() - this->kept_since;
+    return decision::is_prompt_lapsing(age, capacity_of(*this->request));
+}
+
 std::optional<decision::engine_plan> stream_relay::plan_for_kept(wire::yield_context yield) {
     gateway_state& state = *this->request->state;
     const decision::instance* const source = decision::find_instance(state.instances, this->kept->upstream);
@@ -42,7 +47,7 @@
         const auto plan =
             decision::choose_decode(state.instances, choice_context_of(*this->request),
                                     capacity_of(*this->request), this->size, zone, state.random);
-        if (!plan || plan->has_room)
+        if (!plan || plan->has_room || this->is_kept_prompt_lapsing())
             return plan;
         // Its engine failed or was full after all: the prompt is kept a moment longer, a place may come free.
         timer.expires_after(kept_look_again);
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -28,6 +28,7 @@
     [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
     [[nodiscard]] std::optional<decision::engine_plan> plan_for_kept(wire::yield_context yield);
     [[nodiscard]] bool is_kept_prompt_there() const;
+    [[nodiscard]] bool is_kept_prompt_lapsing() const;
     [[nodiscard]] bool try_plan(const decision::engine_plan& plan, wire::yield_context yield);
     void reserve(const decision::engine_plan& plan);
     [[nodiscard]] double memory_after(int events) const;
