gateway: Test hosts that freeze, are lost or replaced, storms, and reused addresses

Entries of servers that live are back about two seconds after the store's return; what is missing after six seconds has gone.

--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -107,6 +107,17 @@
     return changed;
 }
 
+std::vector<base::upstream_id> settle_unlisted(instance_table& table) {
+    std::vector<base::upstream_id> settled;
+    for (auto& [id, known] : table.by_id) {
+        if (known.state != listing::unlisted)
+            continue;
+        known.state = listing::vanished;
+        settled.push_back(id);
+    }
+    return settled;
+}
+
 void forget_gone(instance_table& table) {
     // NOTE: Enough are kept that a late heartbeat of one that left is known for what it is.
     static constexpr std::size_t most_remembered = 512;
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -110,6 +110,10 @@
                                               const std::vector<registry_change>& entries, std::uint64_t end,
                                               registry_condition condition);
 
+/// The registry has been sound for long enough that instances that live are back in it: those that it lost in
+/// trouble have gone. Gives their ids.
+std::vector<base::upstream_id> settle_unlisted(instance_table& table);
+
 /// Forgets instances that have gone and carry no work of this host.
 void forget_gone(instance_table& table);
 
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -10,7 +10,8 @@
 
 using namespace std::chrono_literals;
 
-/// The registry counts as in trouble for this long after a failed read: entries may have lapsed meanwhile.
+/// The registry counts as in trouble for this long after a failed read: entries may have lapsed meanwhile,
+/// and those of instances that live are back within about two seconds of the store's return.
 constexpr base::duration trouble_lifetime = 6s;
 
 /// Ended requests whose story is kept for operators.
@@ -94,6 +95,13 @@
     decision::forget_gone(state.instances);
 }
 
+void settle_registry(gateway_state& state) {
+    if (condition_of(state) == decision::registry_condition::in_trouble)
+        return;
+    for (const base::upstream_id& id : decision::settle_unlisted(state.instances))
+        tell_listing(state, id, state.registry_next, "store");
+}
+
 void take_registry_snapshot(gateway_state& state, const ports::registry_page& page) {
     const auto changed =
         decision::apply_snapshot(state.instances, page.changes, page.next, condition_of(state));
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -92,6 +92,9 @@
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from);
 
+/// After a read of the registry: once it has been sound for some time, what it lost in trouble has gone.
+void settle_registry(gateway_state& state);
+
 /// Takes a whole registry over.
 void take_registry_snapshot(gateway_state& state, const ports::registry_page& page);
 
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -106,7 +106,9 @@
 void store_watch::watch_registry(wire::yield_context yield) {
     while (true) {
         const bool did_read = this->read_registry(yield);
-        if (!did_read)
+        if (did_read)
+            settle_registry(*this->state);
+        else
             this->hooks.on_registry_lost(yield);
         bound_idle_connections(*this->state);
         // Records that come together are read together.
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -12,10 +12,12 @@
 /// A host whose last report is older has gone, or can't be heard; its requests no longer count.
 constexpr base::duration report_lifetime = 3s;
 
-bool is_newer(const load_report& next, const load_report& known) {
-    if (next.incarnation != known.incarnation)
-        return next.incarnation > known.incarnation;
-    return next.sequence > known.sequence;
+/// Incarnations are times of day, and a clock may have been set back between two of them: a host that has
+/// been silent for the lifetime of its report is believed anew.
+bool is_newer(const load_report& next, const heard_report& known, base::time_point now) {
+    if (next.incarnation != known.report.incarnation)
+        return next.incarnation > known.report.incarnation || now - known.heard >= report_lifetime;
+    return next.sequence > known.report.sequence;
 }
 
 void count_down(std::map<instance_key, int>& counts, instance_key key) {
@@ -42,7 +44,7 @@
 
 bool take_report(load_share& share, const load_report& report, base::time_point now) {
     const auto [found, is_first] = share.by_host.try_emplace(report.host);
-    if (!is_first && !is_newer(report, found->second.report))
+    if (!is_first && !is_newer(report, found->second, now))
         return false;
     take_away(share, found->second.report);
     for (const auto& [key, use] : report.uses)
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -95,6 +95,22 @@
     CHECK(decision::choose_plain(table, context, random));
 }
 
+TEST_CASE("an instance that the registry lost in trouble has gone when it is not back after it") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("one"), make_entry("two")});
+    for (const auto* id : {"one", "two"})
+        (void)decision::apply_change(table, {{id}, std::nullopt, 9}, registry_condition::in_trouble);
+    (void)decision::apply_change(table, make_change(make_entry("two"), 10), registry_condition::in_trouble);
+    CHECK(decision::settle_unlisted(table) == std::vector<base::upstream_id>{{"one"}});
+    CHECK(decision::find_instance(table, {"one"})->state == listing::vanished);
+    CHECK(decision::find_instance(table, {"two"})->state == listing::listed);
+    SECTION("a heartbeat after all lists it again") {
+        (void)decision::apply_change(table, make_change(make_entry("one", engine_stage::none, "east", 2), 11),
+                                     registry_condition::sound);
+        CHECK(decision::find_instance(table, {"one"})->state == listing::listed);
+    }
+}
+
 TEST_CASE("leaving and vanished instances get nothing") {
     std::mt19937_64 random(1);
     auto leaving = make_entry("one");
--- /dev/null
+++ b/tests/gateway/test_troubles.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Hosts that freeze, are lost or replaced, storms of versions, and addresses that change hands.
+#include <support/gateway_cluster.h>
+#include <support/test_cluster.h>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace postpaddle;
+using test::routed_request;
+
+namespace {
+
+int status_at(const test::gateway_cluster& cluster, int host, const std::string& path,
+              const std::string& id) {
+    const auto answer = stand_in::http_exchange(cluster.callers_address(host), routed_request(path, id));
+    return answer ? answer->status : 0;
+}
+
+int version_at(const test::gateway_cluster& cluster, int host) {
+    const auto state = cluster.state_of(host);
+    return state.is_object() ? state.at("settings_version").get<int>() : 0;
+}
+
+} // namespace
+
+TEST_CASE("a frozen host holds up no other, and wakes to the newest version and to who has left") {
+    test::gateway_cluster cluster({.name = "frozen", .servers = {{.id = "one"}, {.id = "two"}}, .hosts = 2});
+    cluster.host(2).send_signal(SIGSTOP);
+    cluster.publish(2, true);
+    cluster.list("two", "draining", 2);
+    REQUIRE(test::eventually([&] { return version_at(cluster, 1) == 2; }));
+    CHECK(status_at(cluster, 1, "/extra/", "id-1") == 200);
+    cluster.host(2).send_signal(SIGCONT);
+    REQUIRE(test::eventually([&] { return version_at(cluster, 2) == 2; }));
+    REQUIRE(test::eventually(
+        [&] { return cluster.state_of(2).at("instances").at("two").at("listing") == "leaving"; }));
+    const int before = cluster.arrivals("two");
+    for (int request = 0; request < 10; ++request)
+        CHECK(status_at(cluster, 2, "/again/", "woken-" + std::to_string(request)) == 200);
+    CHECK(cluster.arrivals("two") == before);
+}
+
+TEST_CASE("hosts that are all killed right after a version was accepted come back with it") {
+    test::gateway_cluster cluster({.name = "all-killed", .servers = {{.id = "one"}}, .hosts = 2});
+    cluster.publish(2, true);
+    for (const int host : {1, 2})
+        cluster.host(host).send_signal(SIGKILL);
+    for (const int host : {1, 2}) {
+        (void)cluster.host(host).wait();
+        cluster.start_host(host);
+    }
+    for (const int host : {1, 2}) {
+        CHECK(test::eventually([&] { return cluster.is_ready(host); }));
+        CHECK(status_at(cluster, host, "/extra/", "id-" + std::to_string(host)) == 200);
+    }
+}
+
+TEST_CASE("a host at a new address takes the place of one that is lost for good") {
+    test::gateway_cluster cluster({.name = "replaced", .servers = {{.id = "one"}}, .hosts = 2});
+    REQUIRE(test::eventually([&] { return cluster.state_of(2).at("peers").contains("host-1"); }));
+    // The lost one is the seed of all.
+    cluster.host(1).send_signal(SIGKILL);
+    (void)cluster.host(1).wait();
+    cluster.start_host(3);
+    CHECK(test::eventually([&] { return cluster.is_ready(3); }));
+    CHECK(status_at(cluster, 3, "/again/", "id-1") == 200);
+    CHECK(test::eventually([&] { return cluster.state_of(2).at("peers").contains("host-3"); }));
+}
+
+TEST_CASE("of a storm of versions the last one is in force, with nothing refused meanwhile") {
+    test::gateway_cluster cluster({.name = "storm", .servers = {{.id = "one"}}, .hosts = 2});
+    for (int version = 2; version <= 30; ++version) {
+        cluster.publish(version, version % 2 == 0);
+        CHECK(status_at(cluster, 1 + version % 2, "/again/", "id-" + std::to_string(version)) == 200);
+    }
+    for (const int host : {1, 2})
+        CHECK(test::eventually([&] { return version_at(cluster, host) == 30; }));
+}
+
+TEST_CASE("a version with a thousand more routes comes into force and the first routes go on") {
+    test::gateway_cluster cluster({.name = "grown", .servers = {{.id = "one"}}, .hosts = 2});
+    cluster.publish_grown(2, 1'000);
+    for (const int host : {1, 2}) {
+        CHECK(test::eventually([&] { return version_at(cluster, host) == 2; }));
+        CHECK(status_at(cluster, host, "/more-999/", "more-" + std::to_string(host)) == 200);
+        CHECK(status_at(cluster, host, "/once/", "once-" + std::to_string(host)) == 200);
+    }
+}
+
+TEST_CASE("an address that another instance has taken over gets one try, and the request runs elsewhere") {
+    test::gateway_cluster cluster({.name = "reused", .servers = {{.id = "one"}, {.id = "other"}}});
+    // An entry whose server has gone: `other` has its address now.
+    cluster.list_at("ghost", "plain", "other");
+    REQUIRE(test::eventually([&] { return cluster.state_of(1).at("instances").contains("ghost"); }));
+    for (int request = 0; request < 20; ++request)
+        CHECK(status_at(cluster, 1, "/once/", "id-" + std::to_string(request)) == 200);
+    int misdirected = 0;
+    const auto counters = cluster.server("other");
+    for (const auto& arrival : counters.at("arrivals"))
+        misdirected += arrival.at("headers").at("X-Expect-Instance") == "ghost" ? 1 : 0;
+    CHECK(misdirected <= 1);
+    CHECK(cluster.runs() == 20);
+}
+
+TEST_CASE("a server that falls silent has its repeatable request run elsewhere; what may run once fails") {
+    test::gateway_cluster cluster({.name = "silent", .servers = {{.id = "one"}, {.id = "two"}}});
+    for (const auto* id : {"one", "two"})
+        (void)cluster.server(id, {{"hang", 1}});
+    auto slow = routed_request("/once/", "id-1");
+    for (auto& header : slow.headers)
+        if (header.name == "X-Deadline-Ms")
+            header.value = "400";
+    const auto answer = stand_in::http_exchange(cluster.callers_address(), slow);
+    REQUIRE(answer);
+    // It may have run, so nothing may be promised.
+    CHECK((answer->status == 504 || answer->status == 502));
+    CHECK(cluster.runs() == 1);
+    for (const auto* id : {"one", "two"})
+        (void)cluster.server(id, {{"hang", 0}});
+    CHECK(status_at(cluster, 1, "/again/", "id-2") == 200);
+}
+
+TEST_CASE("a store whose answer to a host's record is lost still has the host known to all") {
+    test::gateway_cluster cluster({.name = "lost-record", .servers = {{.id = "one"}}, .hosts = 1});
+    (void)cluster.store({{"lose_answers", 1}});
+    cluster.start_host(2);
+    CHECK(test::eventually([&] { return cluster.is_ready(2); }));
+    CHECK(test::eventually([&] { return cluster.state_of(1).at("peers").contains("host-2"); }));
+}
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -43,6 +43,16 @@
     CHECK(total_at(share, 7) == 5);
 }
 
+TEST_CASE("a host that starts anew with its clock set back is believed once its old report has lapsed") {
+    host::load_share share;
+    CHECK(host::take_report(share, make_report("a", 9, 3, 1'000), start));
+    CHECK_FALSE(host::take_report(share, make_report("a", 1, 1, 500), start + 1s));
+    CHECK(host::take_report(share, make_report("a", 2, 1, 500), start + 3s));
+    CHECK(total_at(share, 7) == 1);
+    CHECK(host::take_report(share, make_report("a", 3, 2, 500), start + 3s));
+    CHECK(total_at(share, 7) == 2);
+}
+
 TEST_CASE("a silent host's work no longer counts") {
     host::load_share share;
     (void)host::take_report(share, make_report("a", 1, 3), start);
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -161,6 +161,14 @@
                          {"value", make_configuration(version, has_extra_route)}}}});
 }
 
+void gateway_cluster::publish_grown(int version, int more_routes) {
+    json configuration = make_configuration(version, true);
+    for (int number = 0; number < more_routes; ++number)
+        configuration["routes"].push_back(
+            make_route("/more-" + std::to_string(number) + "/", "idempotent", "plain", 2, false));
+    (void)this->store({{"put", {{"topic", "keyed.op"}, {"key", "config"}, {"value", configuration}}}});
+}
+
 void gateway_cluster::list(const std::string& id, const std::string& state, int sequence) {
     json value = {{"service", this->plans.at(id).service},
                   {"address", this->server_addresses.at(id)},
@@ -170,7 +178,21 @@
                   {"sequence", sequence}};
     if (!this->plans.at(id).stage.empty())
         value["stage"] = this->plans.at(id).stage;
-    (void)this->store({{"put", {{"topic", "keyed.servers"}, {"key", id}, {"value", value}}}});
+    this->put_server(id, value);
+}
+
+void gateway_cluster::list_at(const std::string& id, const std::string& service,
+                              const std::string& running_id) {
+    this->put_server(id, {{"service", service},
+                          {"address", this->server_addresses.at(running_id)},
+                          {"zone", "east"},
+                          {"slots", 8},
+                          {"state", "ready"},
+                          {"sequence", 1}});
+}
+
+void gateway_cluster::put_server(const std::string& id, const json& entry) {
+    (void)this->store({{"put", {{"topic", "keyed.servers"}, {"key", id}, {"value", entry}}}});
 }
 
 json gateway_cluster::store(const json& control) {
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -47,6 +47,10 @@
 
     /// Writes a configuration: the cluster's routes, and one more below `/extra/` where `has_extra_route`.
     void publish(int version, bool has_extra_route = false);
+    /// Writes a configuration with that many routes beside the cluster's.
+    void publish_grown(int version, int more_routes);
+    /// Writes an entry under a new id for a server of that service at the address of one that runs.
+    void list_at(const std::string& id, const std::string& service, const std::string& running_id);
     /// Writes a server's entry into the registry.
     void list(const std::string& id, const std::string& state, int sequence);
     /// Sets faults of the store, and reads its counters.
@@ -61,6 +65,7 @@
     [[nodiscard]] int runs();
 
 private:
+    void put_server(const std::string& id, const nlohmann::json& entry);
     [[nodiscard]] std::string host_address(int number, int port) const;
 
     gateway_cluster_options options;
