routing: Move engines between stages by orders under a fenced lease

Cause: of nine engines four read prompts. One reads some ten prompts a second, a decode engine answers some 3.5, as its memory holds twelve requests for 3.5 s: in every burst decode memory was short while prefill engines idled, and after a decode engine had left for good it stayed so.

Every host weighs the balance by what it sees (size of prompts, time that a place is kept, engines of each stage). What is due for three seconds is ordered by one host: it takes a lease by a conditional record in the store, whose offset is the fencing token, and tells the others which engine is away. A new holder waits until the orders of the one before are surely done.

--- a/libraries/decision/estimate.cpp
+++ b/libraries/decision/estimate.cpp
@@ -8,18 +8,24 @@
 
 namespace {
 
-constexpr double gain = 0.1;
+/// Weight of a sample once the first ones have been taken.
+constexpr double steady_gain = 0.1;
+/// Of a guess's first sample: as much as the guess.
+constexpr double first_gain = 0.5;
 /// How far an estimate may go from its start, as a factor each way.
 constexpr double widest_factor = 10;
 
 } // namespace
 
-estimate make_estimate(double start) { return {start, start}; }
+estimate make_estimate(double start) { return {start, start, steady_gain}; }
+
+estimate make_rough_estimate(double start) { return {start, start, first_gain}; }
 
 void learn(estimate& target, double sample) {
     if (!std::isfinite(sample) || sample <= 0)
         return;
-    const double moved = target.value + gain * (sample - target.value);
+    const double moved = target.value + target.gain * (sample - target.value);
+    target.gain = std::max(steady_gain, target.gain / (1 + target.gain));
     target.value = std::clamp(moved, target.start / widest_factor, target.start * widest_factor);
 }
 
--- a/libraries/decision/estimate.h
+++ b/libraries/decision/estimate.h
@@ -10,6 +10,7 @@
 struct estimate {
     double start = 1;
     double value = 1;
+    double gain = 0.1; ///< Weight of the next sample.
 
     bool operator==(const estimate&) const = default;
 };
@@ -17,6 +18,9 @@
 /// An estimate that begins at a value known from the settings.
 [[nodiscard]] estimate make_estimate(double start);
 
+/// An estimate whose start is a guess: the first samples weigh as in a plain mean.
+[[nodiscard]] estimate make_rough_estimate(double start);
+
 /// Takes one sample. Samples that are not positive numbers are ignored.
 void learn(estimate& target, double sample);
 
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -27,8 +27,6 @@
 constexpr double avoided_cost = 0.3;
 /// Breaks ties, so that hosts with the same view don't all choose the same upstream.
 constexpr double tie_spread = 0.003;
-/// Tokens a second that a prefill engine reads; engines' own slowness is learned on top.
-constexpr double read_rate = 55'000;
 /// A decode engine reads a prompt at this part of that rate.
 constexpr double decode_read_part = 0.5;
 /// From the end of the prompt to the first event, and the move of the KV cache.
@@ -98,14 +96,14 @@
 
 /// Seconds until a prompt sent now has been read at a prefill engine.
 double read_time(const instance& candidate, double tokens, base::time_point now) {
-    const double queue = std::max(prompt_tokens_out(candidate) / read_rate * candidate.slowness.value,
+    const double queue = std::max(prompt_tokens_out(candidate) / prompt_read_rate * candidate.slowness.value,
                                   seen_wait(candidate, now));
-    return queue + tokens / read_rate * candidate.slowness.value;
+    return queue + tokens / prompt_read_rate * candidate.slowness.value;
 }
 
 /// Seconds until a prompt sent now has been read at a decode engine.
 double decode_read_time(const instance& candidate, double tokens) {
-    const double rate = read_rate * decode_read_part;
+    const double rate = prompt_read_rate * decode_read_part;
     return (prompt_tokens_out(candidate) + tokens) / rate * candidate.slowness.value;
 }
 
@@ -246,9 +244,9 @@
 }
 
 void note_read(instance& target, const prompt_size& size, base::duration taken, base::time_point now) {
-    const double alone = std::max(0.001, size.prompt_tokens / read_rate);
+    const double alone = std::max(0.001, size.prompt_tokens / prompt_read_rate);
     const double seconds = base::to_seconds(taken);
-    const double queue = prompt_tokens_out(target) / read_rate;
+    const double queue = prompt_tokens_out(target) / prompt_read_rate;
     learn(target.slowness, std::max(0.1, seconds / (alone + queue)));
     target.seen_wait = base::from_seconds(std::max(0.0, seconds - alone * target.slowness.value));
     target.seen_wait_at = now;
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -10,6 +10,9 @@
 
 namespace postpaddle::decision {
 
+/// Tokens a second that a prefill engine reads; engines' own slowness is learned on top.
+inline constexpr double prompt_read_rate = 55'000;
+
 /// What a choice of upstreams rests on.
 struct choice_context {
     std::string service;
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -37,6 +37,9 @@
     known.offset = change.offset;
     if (is_stale_heartbeat)
         return false;
+    // An engine that serves another stage now is done with the change that kept it out of service.
+    if (known.entry.stage != change.entry->stage)
+        known.health = {};
     known.entry = *change.entry;
     if (before == listing::leaving || change.entry->is_leaving)
         known.state = listing::leaving;
@@ -148,14 +151,18 @@
         return;
     ++health.failures_in_row;
     if (verdict == send_verdict::ended) {
-        health.ended_until = now + ended_pause;
-        put_aside(target, ended_pause, now);
+        put_out_of_service(target, now + ended_pause);
         return;
     }
     if (verdict == send_verdict::unreachable || health.failures_in_row >= failures_to_pause)
         put_aside(target, pause_for(health.failures_in_row - 1), now);
 }
 
+void put_out_of_service(instance& target, base::time_point until) {
+    target.health.ended_until = until;
+    target.health.aside_until = std::max(target.health.aside_until, until);
+}
+
 void note_load(instance& target, const instance_load& load, base::time_point now) {
     target.load = load;
     target.own_at_load = target.own.requests;
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -123,6 +123,9 @@
 /// Counts how a send ended; failures in a row put the instance aside, longer each time.
 void note_verdict(instance& target, send_verdict verdict, base::time_point now);
 
+/// It takes no work until then, and says so to whoever asks: its port is dead, or its stage changes.
+void put_out_of_service(instance& target, base::time_point until);
+
 /// Takes the load that an answer told.
 void note_load(instance& target, const instance_load& load, base::time_point now);
 
--- /dev/null
+++ b/libraries/decision/stage_balance.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/stage_balance.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace postpaddle::decision {
+
+namespace {
+
+using settings::engine_stage;
+
+/// Part of the prefill engines' pace that may be used for long.
+constexpr double usable_prefill = 0.85;
+/// A change pays when the answerable rate grows by this factor.
+constexpr double least_gain = 1.1;
+/// Engines that each stage keeps, so that the loss of one leaves another.
+constexpr int least_engines = 2;
+/// At most one in this many of a stage's engines changes at a time.
+constexpr int step_part = 4;
+
+bool serves_stage(const instance& candidate, const std::string& service, engine_stage stage,
+                  base::time_point now) {
+    return candidate.entry.service == service && candidate.entry.stage == stage &&
+           candidate.state == listing::listed && !is_avoided(candidate, now);
+}
+
+int bounded_step(int wanted, int engines) { return std::min(wanted, std::max(1, engines / step_part)); }
+
+double work_of(const instance& candidate) {
+    return candidate.own.prompt_tokens + candidate.others.prompt_tokens + candidate.own.memory_tokens +
+           candidate.others.memory_tokens;
+}
+
+} // namespace
+
+double answerable_rate(const stage_facts& facts, int prefill_engines) {
+    const int decode_engines = facts.prefill_engines + facts.decode_engines - prefill_engines;
+    const double read =
+        usable_prefill * prefill_engines * prompt_read_rate / std::max(1.0, facts.prompt_tokens);
+    const double answered =
+        decode_engines * std::max(1.0, facts.places_an_engine) / std::max(0.001, facts.hold_seconds);
+    return std::min(read, answered);
+}
+
+int engines_to_decode(const stage_facts& facts) {
+    const int total = facts.prefill_engines + facts.decode_engines;
+    if (facts.prefill_engines < 1 || facts.decode_engines < 1 || total < 2 * least_engines)
+        return 0;
+    int best = facts.prefill_engines;
+    for (int prefill = least_engines; prefill <= total - least_engines; ++prefill)
+        if (answerable_rate(facts, prefill) > answerable_rate(facts, best))
+            best = prefill;
+    if (answerable_rate(facts, best) < least_gain * answerable_rate(facts, facts.prefill_engines))
+        return 0;
+    if (best < facts.prefill_engines)
+        return bounded_step(facts.prefill_engines - best, facts.prefill_engines);
+    return -bounded_step(best - facts.prefill_engines, facts.decode_engines);
+}
+
+std::optional<base::upstream_id> engine_to_spare(const instance_table& table, const std::string& service,
+                                                 engine_stage stage, base::time_point now) {
+    std::map<base::zone_id, int> engines_in;
+    for (const auto& [id, candidate] : table.by_id)
+        if (serves_stage(candidate, service, stage, now))
+            ++engines_in[candidate.entry.availability_zone];
+    const instance* best = nullptr;
+    const auto is_easier = [&engines_in](const instance& left, const instance& right) {
+        const int left_zone = engines_in[left.entry.availability_zone];
+        const int right_zone = engines_in[right.entry.availability_zone];
+        return left_zone != right_zone ? left_zone > right_zone : work_of(left) < work_of(right);
+    };
+    for (const auto& [id, candidate] : table.by_id)
+        if (serves_stage(candidate, service, stage, now) && (best == nullptr || is_easier(candidate, *best)))
+            best = &candidate;
+    if (best == nullptr)
+        return std::nullopt;
+    return best->entry.id;
+}
+
+void count_stages(stage_facts& facts, const instance_table& table, const std::string& service,
+                  base::time_point now) {
+    for (const auto& [id, candidate] : table.by_id) {
+        facts.prefill_engines += serves_stage(candidate, service, engine_stage::prefill, now) ? 1 : 0;
+        facts.decode_engines += serves_stage(candidate, service, engine_stage::decode, now) ? 1 : 0;
+    }
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/stage_balance.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <decision/instance_choice.h>
+
+#include <vector>
+
+namespace postpaddle::decision {
+
+/// What the balance between a service's prefill and decode engines rests on.
+struct stage_facts {
+    int prefill_engines = 0;
+    int decode_engines = 0;
+    double prompt_tokens = 1;    ///< Of a request, on the mean.
+    double hold_seconds = 1;     ///< How long a request keeps its place at a decode engine, on the mean.
+    double places_an_engine = 1; ///< Requests of mean size that a decode engine's memory holds.
+
+    bool operator==(const stage_facts&) const = default;
+};
+
+/// Requests a second that the service can answer with so many prefill engines, the rest being decode engines.
+///
+/// Only part of the prefill engines' pace counts: prompts that queue there hold back memory at decode
+/// engines.
+[[nodiscard]] double answerable_rate(const stage_facts& facts, int prefill_engines);
+
+/// Engines to move from prefill to decode: as many as the best balance asks, within a bound for each step;
+/// below zero for the other way, and 0 where a change would not pay for the time that it takes.
+[[nodiscard]] int engines_to_decode(const stage_facts& facts);
+
+/// The engine of a stage that is the easiest to spare: of the availability zone with the most of that stage,
+/// the one with the least work. None where no engine is fit.
+[[nodiscard]] std::optional<base::upstream_id> engine_to_spare(const instance_table& table,
+                                                               const std::string& service,
+                                                               settings::engine_stage stage,
+                                                               base::time_point now);
+
+/// Counts a service's engines by stage; those that are avoided serve nobody and don't count.
+void count_stages(stage_facts& facts, const instance_table& table, const std::string& service,
+                  base::time_point now);
+
+} // namespace postpaddle::decision
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -77,14 +77,14 @@
             .figures = &this->figures},
       feed(outside.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
       loads(this->state),
-      store(
-          this->state, *this->feed,
-          {.on_new_settings =
-               [this] {
-                   this->apply_caller_limits();
-                   this->peers.spread_settings();
-               },
-           .on_registry_lost = [this](wire::yield_context yield) { this->peers.ask_for_registry(yield); }}) {
+      store(this->state, *this->feed,
+            {.on_new_settings =
+                 [this] {
+                     this->apply_caller_limits();
+                     this->peers.spread_settings();
+                 },
+             .on_registry_lost = [this](wire::yield_context yield) { this->peers.ask_for_registry(yield); }}),
+      stages(this->state, *this->feed) {
     this->state.peers.seeds = this->process.seeds;
     std::erase(this->state.peers.seeds, this->process.peers);
 }
@@ -134,6 +134,7 @@
     this->peers.start();
     this->loads.start();
     this->store.start();
+    this->stages.start();
     this->log.write_always("started", {{"availability_zone", this->process.availability_zone.value},
                                        {"callers", this->process.callers},
                                        {"store", this->process.store}});
@@ -175,8 +176,11 @@
         this->process.grace = next->grace;
         this->process.balancer_lag = next->balancer_lag;
         this->process.registry_interval = next->registry_interval;
+        this->process.leaving_bound = next->leaving_bound;
         this->process.heartbeat = next->heartbeat;
         this->process.retries = next->retries;
+        this->process.order_lease = next->order_lease;
+        this->process.do_engines_check_tokens = next->do_engines_check_tokens;
         this->process.retry_after_limit = next->retry_after_limit;
         this->process.seeds = next->seeds;
         this->state.peers.seeds = next->seeds;
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -4,6 +4,7 @@
 #include <gateway/gateway_state.h>
 #include <gateway/load_exchange.h>
 #include <gateway/peer_exchange.h>
+#include <gateway/stage_controller.h>
 #include <gateway/store_watch.h>
 #include <wire/http_listener.h>
 
@@ -64,6 +65,7 @@
     peer_exchange peers;
     load_exchange loads;
     store_watch store;
+    stage_controller stages;
     std::shared_ptr<wire::http_listener> callers;
     std::shared_ptr<wire::http_listener> readiness;
     std::shared_ptr<wire::http_listener> metrics;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -60,8 +60,13 @@
     host::load_share loads{};                    ///< What the other hosts have in progress.
     std::function<void()> on_own_load_changed{}; ///< Tells the other hosts.
     std::set<const waiting_request*> waiting{};  ///< Own requests that wait for a place.
-    decision::estimate hold_seconds = decision::make_estimate(2.5);  ///< How long a request keeps its place.
-    decision::estimate output_tokens = decision::make_estimate(600); ///< Tokens that a request puts out.
+    decision::estimate hold_seconds =
+        decision::make_rough_estimate(2.5); ///< How long a request keeps its place.
+    decision::estimate output_tokens =
+        decision::make_rough_estimate(600); ///< Tokens that a request puts out.
+    decision::estimate prompt_tokens =
+        decision::make_rough_estimate(3'000); ///< Tokens of a request's prompt.
+    int streams_passed = 0;                   ///< Streams that this host has passed on whole.
     std::mt19937_64 random{};
     wire::upstream_pool* pool = nullptr;
     decision_log* log = nullptr;
--- /dev/null
+++ b/libraries/gateway/stage_controller.cpp
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/stage_controller.h>
+
+#include <wire/simple_client.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+using settings::engine_stage;
+
+constexpr const char* resource = "engine-stages";
+/// Pause between two looks at the balance.
+constexpr base::duration look_interval = 500ms;
+/// A change that is due for so long is ordered: an engine that crashed is mostly back by then.
+constexpr base::duration sustained = 3s;
+/// Each host that goes before this one has this long to order.
+constexpr base::duration turn = 6s;
+/// A host that nobody has heard for longer is not waited for.
+constexpr base::duration present = 10s;
+/// Pause after a lease could not be taken.
+constexpr base::duration failure_pause = 2s;
+/// How long an answer of the store, or of an engine, is waited for.
+constexpr auto answer_limit = 500ms;
+/// A lease is this many times the pause between two holders' orders.
+constexpr int lease_factor = 3;
+/// Streams that this host must have passed before it judges the balance by them.
+constexpr int least_streams = 3;
+/// Added to the time that an engine is said to take for a change: it ends its work before.
+constexpr base::duration change_margin = 1'500ms;
+
+const char* to_text(ports::order_answer answer) {
+    switch (answer) {
+    case ports::order_answer::taken:
+        return "taken";
+    case ports::order_answer::already_so:
+        return "already_so";
+    case ports::order_answer::busy:
+        return "busy";
+    case ports::order_answer::fenced:
+        return "fenced";
+    case ports::order_answer::refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+stage_controller::stage_controller(gateway_state& state, ports::control_feed& feed)
+    : state(&state), feed(&feed) {}
+
+void stage_controller::start() {
+    wire::spawn_coroutine(*this->state->context, [this](wire::yield_context yield) { this->run(yield); });
+}
+
+void stage_controller::pause(base::duration length, wire::yield_context yield) {
+    wire::asio::steady_timer timer(*this->state->context, length);
+    wire::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+void stage_controller::run(wire::yield_context yield) {
+    while (!this->state->is_draining) {
+        this->pause(look_interval, yield);
+        const auto in_force = this->state->settings;
+        if (!in_force || this->state->streams_passed < least_streams)
+            continue;
+        for (const auto& [name, service] : in_force->document.value->services)
+            if (service.engine && service.engine->stage_change > 0ms)
+                this->balance(service, yield);
+    }
+}
+
+int stage_controller::due_changes(const settings::service_entry& service) const {
+    const gateway_state& own = *this->state;
+    const double request_tokens = own.prompt_tokens.value + own.output_tokens.value;
+    decision::stage_facts facts = {
+        .prompt_tokens = own.prompt_tokens.value,
+        .hold_seconds = own.hold_seconds.value,
+        .places_an_engine = std::min<double>(service.engine->places,
+                                             service.engine->kv_tokens / std::max(1.0, request_tokens))};
+    decision::count_stages(facts, own.instances, service.name, own.clock->now());
+    return decision::engines_to_decode(facts);
+}
+
+base::duration stage_controller::own_patience() const {
+    const base::time_point now = this->state->clock->now();
+    const auto before = std::ranges::count_if(this->state->peers.by_name, [&](const auto& item) {
+        return item.first < this->state->process->name && !item.second.is_leaving &&
+               now - item.second.heard < present;
+    });
+    return sustained + turn * before;
+}
+
+void stage_controller::balance(const settings::service_entry& service, wire::yield_context yield) {
+    if (this->due_changes(service) == 0) {
+        this->due_since.erase(service.name);
+        return;
+    }
+    const base::time_point now = this->state->clock->now();
+    const base::time_point since = this->due_since.try_emplace(service.name, now).first->second;
+    if (now - since < this->own_patience())
+        return;
+    if (!this->try_take_lease(yield)) {
+        this->state->figures->count("order_leases_missed_total");
+        this->pause(failure_pause, yield);
+        return;
+    }
+    this->pause(std::max(base::duration::zero(), this->lease->orders_from - this->state->clock->now()),
+                yield);
+    // The balance may have changed meanwhile, or another host's order may have been heard of.
+    if (const int due = this->due_changes(service); due != 0)
+        this->give_orders(service, due, yield);
+    this->lease.reset();
+    this->due_since.erase(service.name);
+}
+
+host::lease_margins stage_controller::margins() const { return {}; }
+
+bool stage_controller::is_free(const std::optional<ports::lease_record>& newest) {
+    if (!newest)
+        return true;
+    const base::time_point now = this->state->clock->now();
+    if (!this->seen || this->seen->token != newest->token)
+        this->seen = host::lease_entry{.token = newest->token,
+                                       .holder = newest->holder,
+                                       .length = this->state->process->order_lease * lease_factor,
+                                       .read_at = now};
+    return host::is_over(*this->seen, this->margins(), now);
+}
+
+bool stage_controller::try_take_lease(wire::yield_context yield) {
+    const std::string& own_name = this->state->process->name.value;
+    const auto page = this->feed->read_lease(resource, answer_limit, yield);
+    if (!page || !this->is_free(page->newest))
+        return false;
+    const base::time_point bid_at = this->state->clock->now();
+    const auto token = this->feed->take_lease(resource, own_name, page->end, answer_limit, yield);
+    this->state->log->write_always("order_lease",
+                                   {{"taken", token.has_value()},
+                                    {"token", token ? *token : 0},
+                                    {"holder_before", page->newest ? page->newest->holder : ""},
+                                    {"failure", token ? "" : ports::to_text(token.error().failure)}});
+    if (!token)
+        return false;
+    const bool had_other_holder = page->newest && page->newest->holder != own_name;
+    const base::duration wait =
+        had_other_holder
+            ? std::max<base::duration>(this->state->process->order_lease,
+                                       host::wait_before_orders(this->state->process->do_engines_check_tokens,
+                                                                true, this->margins()))
+            : base::duration::zero();
+    const base::duration length = this->state->process->order_lease * lease_factor;
+    this->lease =
+        own_lease{.entry = {.token = *token, .holder = own_name, .length = length + wait, .read_at = bid_at},
+                  .bid_at = bid_at,
+                  .orders_from = bid_at + wait};
+    return true;
+}
+
+bool stage_controller::may_order() const {
+    return this->lease && !this->state->is_draining &&
+           host::may_act(this->lease->entry, this->lease->bid_at, this->margins(), this->state->clock->now());
+}
+
+void stage_controller::give_orders(const settings::service_entry& service, int count,
+                                   wire::yield_context yield) {
+    const engine_stage from = count > 0 ? engine_stage::prefill : engine_stage::decode;
+    const engine_stage to = count > 0 ? engine_stage::decode : engine_stage::prefill;
+    for (int given = 0; given < std::abs(count); ++given) {
+        const auto engine =
+            decision::engine_to_spare(this->state->instances, service.name, from, this->state->clock->now());
+        if (!engine || !this->give_order(service, *engine, to, yield))
+            return;
+    }
+}
+
+bool stage_controller::give_order(const settings::service_entry& service, const base::upstream_id& engine,
+                                  engine_stage stage, wire::yield_context yield) {
+    const std::string address = decision::find_instance(this->state->instances, engine)->entry.address;
+    const auto report =
+        wire::fetch(*this->state->pool, address, this->state->protocol.make_report_request(engine, address),
+                    answer_limit, yield);
+    const auto told =
+        report ? this->state->protocol.read_report(report->body) : tl::make_unexpected(report.error());
+    // NOTE: The lease is looked at right before the order, as this process may have been paused anywhere.
+    if (!told || told->is_under_way || !this->may_order())
+        return false;
+    const ports::stage_order order = {.engine = engine,
+                                      .address = address,
+                                      .stage = stage,
+                                      .holder = this->lease->entry.holder,
+                                      .token = this->lease->entry.token,
+                                      .expected_orders = told->orders};
+    const auto answer =
+        wire::fetch(*this->state->pool, address, this->state->protocol.make_stage_order(order), answer_limit,
+                    yield, wire::connection_use::only_fresh);
+    const auto said =
+        answer ? this->state->protocol.read_order_answer(answer->status) : ports::order_answer::refused;
+    this->state->figures->count("stage_orders_total");
+    this->state->log->write_always("stage_order",
+                                   {{"engine", engine.value},
+                                    {"to", stage == engine_stage::decode ? "decode" : "prefill"},
+                                    {"token", order.token},
+                                    {"expected_orders", order.expected_orders},
+                                    {"answer", answer ? to_text(said) : "none"},
+                                    {"prompt_tokens", this->state->prompt_tokens.value},
+                                    {"hold_seconds", this->state->hold_seconds.value}});
+    const bool may_be_taken = !answer || said == ports::order_answer::taken;
+    decision::instance* const target = decision::find_instance(this->state->instances, engine);
+    if (may_be_taken && target != nullptr) {
+        decision::put_out_of_service(*target, this->state->clock->now() + service.engine->stage_change +
+                                                  change_margin);
+        this->state->did_change_own_load();
+    }
+    return said == ports::order_answer::taken;
+}
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -188,6 +188,7 @@
 void stream_relay::did_pass_whole(base::time_point sent) {
     gateway_state& state = *this->request->state;
     decision::learn(state.hold_seconds, base::to_seconds(state.clock->now() - sent));
+    ++state.streams_passed;
     decision::learn(state.output_tokens,
                     static_cast<double>(this->events_passed) * capacity_of(*this->request).tokens_an_event);
 }
@@ -287,10 +288,11 @@
 }
 
 request_ending stream_relay::run(wire::yield_context yield) {
-    const gateway_state& state = *this->request->state;
+    gateway_state& state = *this->request->state;
     this->size = {this->request->routed.prompt_tokens,
                   decision::expected_output(this->request->routed.output_hint, state.output_tokens.value,
                                             this->request->routed.output_tokens)};
+    decision::learn(state.prompt_tokens, this->size.prompt_tokens);
     this->last_event = this->request->routed.resume_after;
     while (time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone) {
         this->place.reset();
--- a/libraries/ports/control_feed.cpp
+++ b/libraries/ports/control_feed.cpp
@@ -11,6 +11,8 @@
         return "turned_away";
     case feed_failure::history_lost:
         return "history_lost";
+    case feed_failure::outrun:
+        return "outrun";
     case feed_failure::malformed:
         return "malformed";
     }
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -22,6 +22,7 @@
     turned_away,  ///< The store answers that it is busy or down.
     history_lost, ///< The records asked for are gone: read the newest of each key.
     malformed,    ///< Not the protocol, or a document that can't be read.
+    outrun,       ///< Another record came first: nothing was written.
 };
 
 /// A failure with detail for logs.
@@ -60,6 +61,20 @@
     bool operator==(const host_entry&) const = default;
 };
 
+/// Who last took a lease. The token rises with each taking, whoever takes it.
+struct lease_record {
+    std::string holder;
+    std::uint64_t token = 0;
+
+    bool operator==(const lease_record&) const = default;
+};
+
+/// A lease as the store has it.
+struct lease_page {
+    std::optional<lease_record> newest;
+    std::uint64_t end = 0; ///< Where the next record about any lease goes.
+};
+
 /// The platform's store, as the product needs it. All calls are made from coroutines of one thread; `limit`
 /// is how long an answer is waited for, beyond the time that the call itself waits for a record.
 class control_feed {
@@ -93,6 +108,15 @@
     /// All hosts on record.
     [[nodiscard]] virtual feed_result<std::vector<host_entry>> hosts(std::chrono::milliseconds limit,
                                                                      wire::yield_context yield) = 0;
+    /// Who last took the lease on a resource.
+    [[nodiscard]] virtual feed_result<lease_page>
+    read_lease(const std::string& resource, std::chrono::milliseconds limit, wire::yield_context yield) = 0;
+    /// Takes a lease, provided that no record has come since it was read; gives the fencing token. Without an
+    /// answer it may have been taken all the same, also later.
+    [[nodiscard]] virtual feed_result<std::uint64_t> take_lease(const std::string& resource,
+                                                                const std::string& holder, std::uint64_t end,
+                                                                std::chrono::milliseconds limit,
+                                                                wire::yield_context yield) = 0;
     /// Reads a settings text that another host handed over.
     [[nodiscard]] virtual feed_result<settings_document> read_document(const std::string& text) const = 0;
 };
--- a/libraries/ports/request_protocol.h
+++ b/libraries/ports/request_protocol.h
@@ -3,6 +3,7 @@
 
 #include <base/identifier.h>
 #include <decision/instance_table.h>
+#include <settings/routing_settings.h>
 #include <wire/http_message.h>
 #include <wire/wire_error.h>
 
@@ -59,6 +60,35 @@
     std::optional<decision::instance_load> load;
 };
 
+/// An order to an engine that it serve another stage.
+struct stage_order {
+    base::upstream_id engine;
+    std::string address; ///< IP number and port.
+    settings::engine_stage stage = settings::engine_stage::none;
+    std::string holder;                ///< Of the lease under which it is given.
+    std::uint64_t token = 0;           ///< Fencing token of that lease.
+    std::uint64_t expected_orders = 0; ///< Orders that the engine has taken before; it takes no other then.
+
+    bool operator==(const stage_order&) const = default;
+};
+
+/// What an engine says to an order.
+enum class order_answer {
+    taken,      ///< It changes its stage now.
+    already_so, ///< It serves that stage.
+    busy,       ///< Another order is under way, or was taken meanwhile.
+    fenced,     ///< It has seen a higher token: the lease is another's.
+    refused,    ///< Anything else; it was not taken.
+};
+
+/// What an engine tells of the orders it was given.
+struct order_report {
+    bool is_under_way = false;
+    std::uint64_t orders = 0; ///< Taken so far.
+
+    bool operator==(const order_report&) const = default;
+};
+
 /// How requests are spoken; pure translation.
 struct request_protocol {
     wire::expected<routed_request> (*read_request)(wire::http_request request) = nullptr;
@@ -66,6 +96,11 @@
     answer_facts (*read_answer)(const wire::response_head& head) = nullptr;
     wire::expected<std::string> (*read_handle)(const std::string& body) = nullptr;
     wire::http_request (*make_release)(const kept_prompt& prompt) = nullptr;
+    wire::http_request (*make_report_request)(const base::upstream_id& engine,
+                                              const std::string& address) = nullptr;
+    wire::expected<order_report> (*read_report)(const std::string& body) = nullptr;
+    wire::http_request (*make_stage_order)(const stage_order& order) = nullptr;
+    order_answer (*read_order_answer)(int status) = nullptr;
 };
 
 } // namespace postpaddle::ports
--- a/libraries/settings/gateway_settings.cpp
+++ b/libraries/settings/gateway_settings.cpp
@@ -80,11 +80,14 @@
     value.grace = read_seconds(reader, "grace_s", standard.grace);
     value.balancer_lag = read_milliseconds(reader, "balancer_lag_ms", standard.balancer_lag);
     value.registry_interval = read_milliseconds(reader, "registry_interval_ms", standard.registry_interval);
+    value.leaving_bound = read_milliseconds(reader, "leaving_bound_ms", standard.leaving_bound);
     value.heartbeat = read_milliseconds(reader, "heartbeat_ms", standard.heartbeat);
     value.connections = static_cast<std::size_t>(reader.integer(
         "connections", static_cast<std::int64_t>(standard.connections), {1, most_connections}));
     value.retry_after_limit = reader.number("retry_after_limit_s", standard.retry_after_limit, {0, 3'600});
     value.retries = read_retries(reader.child("retries"));
+    value.order_lease = read_milliseconds(reader, "order_lease_ms", standard.order_lease);
+    value.do_engines_check_tokens = reader.flag("engines_check_tokens", standard.do_engines_check_tokens);
     value.log_level = reader.word("log_level", standard.log_level, {"debug", "info", "warn", "error"});
     value.log_lines_per_second = static_cast<int>(
         reader.integer("log_lines_per_second", standard.log_lines_per_second, {1, most_log_lines}));
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -37,10 +37,14 @@
     std::chrono::milliseconds grace{8'000};           ///< From the stop signal to the end, at most.
     std::chrono::milliseconds balancer_lag{2'500};    ///< From unready until no new connection comes.
     std::chrono::milliseconds registry_interval{300}; ///< Between two reads of the upstreams' registry.
-    std::chrono::milliseconds heartbeat{1'000};       ///< Between two heartbeats to a peer.
-    std::size_t connections = 1'500;                  ///< Callers' connections held at once.
-    double retry_after_limit = 5;                     ///< Longest wait told to a refused caller, in seconds.
+    std::chrono::milliseconds leaving_bound{
+        2'000};                                 ///< Within it a leaving upstream gets nothing new any more.
+    std::chrono::milliseconds heartbeat{1'000}; ///< Between two heartbeats to a peer.
+    std::size_t connections = 1'500;            ///< Callers' connections held at once.
+    double retry_after_limit = 5;               ///< Longest wait told to a refused caller, in seconds.
     retry_budget_settings retries;
+    std::chrono::milliseconds order_lease{3'000}; ///< Pause between orders of two hosts to engines, at least.
+    bool do_engines_check_tokens = false; ///< Whether engines refuse orders with an older fencing token.
     std::string log_level = "info";
     int log_lines_per_second = 200;
 
--- a/libraries/settings/routing_settings.h
+++ b/libraries/settings/routing_settings.h
@@ -50,6 +50,8 @@
     int kv_tokens = 0;                          ///< Tokens that an engine's memory holds.
     int tokens_an_event = 1;                    ///< Output tokens that one event of a stream holds.
     std::chrono::milliseconds kept_prompt{500}; ///< How long a prompt that was read waits to be fetched.
+    std::chrono::milliseconds stage_change{
+        0}; ///< How long an engine is away to change its stage; 0: it can't.
 
     bool operator==(const engine_capacity&) const = default;
 };
--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -43,6 +43,10 @@
                wire::yield_context yield) {
         if (request.target == "/control")
             (void)connection.send(this->control(stand_in::json_body(request)), yield);
+        else if (request.target == "/api/report")
+            (void)connection.send(this->report(), yield);
+        else if (request.target == "/api/order")
+            (void)connection.send(this->take_order(request), yield);
         else if (request.target.starts_with("/api/kv-handle/"))
             this->release(request, connection, yield);
         else
@@ -131,6 +135,29 @@
         (void)connection.send(response, yield);
     }
 
+    [[nodiscard]] wire::http_response report() const {
+        return stand_in::json_response(
+            {{"stage", FLAGS_stage}, {"utilization", false}, {"sequence", this->orders.size()}});
+    }
+
+    /// Orders are done at once. A lower fencing token than one seen is refused.
+    wire::http_response take_order(const wire::http_request& request) {
+        const json order = stand_in::json_body(request);
+        const auto token = order.value("fencingToken", std::uint64_t{0});
+        if (find_header(request.headers, "X-Expect-Instance") != FLAGS_id)
+            return {421, {}, ""};
+        if (token == 0 || order.value("holder", "").empty())
+            return {400, {}, ""};
+        if (token < this->highest_token)
+            return {412, {}, ""};
+        if (order.value("expected", this->orders.size()) != this->orders.size())
+            return {409, {}, ""};
+        this->highest_token = token;
+        this->orders.push_back(order);
+        FLAGS_stage = order.at("stage").get<std::string>();
+        return {202, {}, ""};
+    }
+
     void release(const wire::http_request& request, wire::caller_connection& connection,
                  wire::yield_context yield) {
         this->handles_freed +=
@@ -197,9 +224,11 @@
         this->faults.refuse_source = body.value("refuse_source", this->faults.refuse_source);
         FLAGS_work_ms = body.value("work_ms", FLAGS_work_ms);
         FLAGS_events = body.value("events", FLAGS_events);
+        this->highest_token = body.value("highest_token", this->highest_token);
         if (body.value("forget_arrivals", false))
             this->arrivals = json::array();
         return stand_in::json_response({{"arrivals", this->arrivals},
+                                        {"orders", this->orders},
                                         {"running", this->running},
                                         {"callers_gone", this->callers_gone},
                                         {"handles_freed", this->handles_freed}});
@@ -208,6 +237,8 @@
     wire::asio::io_context* context;
     server_faults faults;
     json arrivals = json::array();
+    json orders = json::array();
+    std::uint64_t highest_token = 0;
     std::set<std::string> handles;
     int handles_made = 0;
     int handles_freed = 0;
--- a/stand_ins/platform_store/main.cpp
+++ b/stand_ins/platform_store/main.cpp
@@ -136,6 +136,11 @@
             (void)connection.send(stand_in::json_response({{"error", "malformed"}}, 400), yield);
             return;
         }
+        const std::string at = stand_in::query_field(request.target, "at");
+        if (!at.empty() && std::strtoull(at.c_str(), nullptr, 10) != target.end) {
+            (void)connection.send(stand_in::json_response({{"end", target.end}}, 412), yield);
+            return;
+        }
         const std::uint64_t offset = target.end;
         for (const platform::keyed_record& record : page->records)
             target.append(record.key, record.value);
--- /dev/null
+++ b/tests/decision/test_stage_balance.cpp
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/stage_balance.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+using settings::engine_stage;
+
+namespace {
+
+const base::time_point now{1h};
+
+decision::instance_table make_table(const std::vector<std::pair<std::string, engine_stage>>& engines) {
+    decision::instance_table table;
+    std::uint64_t offset = 0;
+    for (const auto& [id, stage] : engines) {
+        settings::upstream_entry entry;
+        entry.id.value = id;
+        entry.service = "engines";
+        entry.availability_zone.value = id.substr(0, 1);
+        entry.stage = stage;
+        (void)decision::apply_change(table, {entry.id, entry, ++offset}, decision::registry_condition::sound);
+    }
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("where memory at decode engines binds, a prefill engine changes over, and then none more") {
+    decision::stage_facts facts = {.prefill_engines = 4,
+                                   .decode_engines = 5,
+                                   .prompt_tokens = 5'200,
+                                   .hold_seconds = 3.5,
+                                   .places_an_engine = 12};
+    CHECK(decision::engines_to_decode(facts) == 1);
+    facts.prefill_engines = 3;
+    facts.decode_engines = 6;
+    CHECK(decision::engines_to_decode(facts) == 0);
+}
+
+TEST_CASE("where reading binds, a decode engine changes over") {
+    const decision::stage_facts facts = {.prefill_engines = 2,
+                                         .decode_engines = 7,
+                                         .prompt_tokens = 20'000,
+                                         .hold_seconds = 0.5,
+                                         .places_an_engine = 3};
+    CHECK(decision::engines_to_decode(facts) == -1);
+}
+
+TEST_CASE("each stage keeps two engines, and of a large stage a quarter changes at a time") {
+    decision::stage_facts facts = {.prefill_engines = 2,
+                                   .decode_engines = 2,
+                                   .prompt_tokens = 100,
+                                   .hold_seconds = 10,
+                                   .places_an_engine = 4};
+    CHECK(decision::engines_to_decode(facts) == 0);
+    facts.prefill_engines = 60;
+    facts.decode_engines = 40;
+    CHECK(decision::engines_to_decode(facts) == 15);
+}
+
+TEST_CASE("from wherever it starts, the balance comes to rest and never turns back") {
+    for (unsigned seed = 1; seed <= 500; ++seed) {
+        std::mt19937 random(seed);
+        std::uniform_int_distribution<int> engines(2, 60);
+        std::uniform_real_distribution<double> part(0.1, 1);
+        decision::stage_facts facts = {.prefill_engines = engines(random),
+                                       .decode_engines = engines(random),
+                                       .prompt_tokens = 20'000 * part(random),
+                                       .hold_seconds = 10 * part(random),
+                                       .places_an_engine = 20 * part(random)};
+        INFO("seed " << seed);
+        int first = 0;
+        int steps = 0;
+        while (const int change = decision::engines_to_decode(facts)) {
+            first = first == 0 ? change : first;
+            REQUIRE((change > 0) == (first > 0));
+            facts.prefill_engines -= change;
+            facts.decode_engines += change;
+            REQUIRE(++steps < 60);
+        }
+        CHECK(facts.prefill_engines >= 2);
+        CHECK(facts.decode_engines >= 2);
+    }
+}
+
+TEST_CASE("the engine to spare is of the fullest zone and has the least work") {
+    auto table = make_table({{"a1", engine_stage::prefill},
+                             {"a2", engine_stage::prefill},
+                             {"b1", engine_stage::prefill},
+                             {"b2", engine_stage::decode}});
+    decision::find_instance(table, {"a1"})->own.prompt_tokens = 5'000;
+    CHECK(decision::engine_to_spare(table, "engines", engine_stage::prefill, now)->value == "a2");
+    SECTION("not one that changes already: it counts for neither stage") {
+        decision::put_out_of_service(*decision::find_instance(table, {"a2"}), now + 5s);
+        CHECK(decision::engine_to_spare(table, "engines", engine_stage::prefill, now)->value == "b1");
+        decision::stage_facts facts;
+        decision::count_stages(facts, table, "engines", now);
+        CHECK(facts.prefill_engines == 2);
+        CHECK(facts.decode_engines == 1);
+    }
+    SECTION("an entry with the new stage ends the change") {
+        decision::instance& changed = *decision::find_instance(table, {"a2"});
+        decision::put_out_of_service(changed, now + 5s);
+        auto entry = changed.entry;
+        entry.stage = engine_stage::decode;
+        (void)decision::apply_change(table, {entry.id, entry, 9}, decision::registry_condition::sound);
+        CHECK_FALSE(decision::is_avoided(changed, now));
+    }
+    CHECK_FALSE(decision::engine_to_spare(table, "engines", engine_stage::both, now));
+}
--- /dev/null
+++ b/tests/gateway/test_orders.cpp
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Orders to engines: one host at a time gives them, under a lease of the store.
+#include <support/gateway_cluster.h>
+#include <support/test_cluster.h>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <set>
+
+using namespace postpaddle;
+using test::routed_request;
+
+namespace {
+
+const std::vector<std::string> prefill_engines = {"p1", "p2", "p3", "p4"};
+
+test::gateway_cluster make_unbalanced_cluster(const std::string& name) {
+    std::vector<test::server_plan> servers = {{.id = "d1", .service = "engines", .stage = "decode"},
+                                              {.id = "d2", .service = "engines", .stage = "decode"}};
+    for (const std::string& id : prefill_engines)
+        servers.push_back({.id = id, .service = "engines", .stage = "prefill"});
+    return test::gateway_cluster({.name = name, .servers = servers, .hosts = 2});
+}
+
+/// Streams through both hosts, so that either may judge the balance.
+void stream_some(const test::gateway_cluster& cluster, const std::vector<int>& hosts) {
+    for (const int host : hosts)
+        for (int request = 0; request < 4; ++request)
+            CHECK(stand_in::http_exchange(
+                cluster.callers_address(host),
+                routed_request("/stream/", "id-" + std::to_string(host) + "-" + std::to_string(request))));
+}
+
+nlohmann::json all_orders(test::gateway_cluster& cluster) {
+    nlohmann::json orders = nlohmann::json::array();
+    for (const std::string& id : prefill_engines) {
+        const nlohmann::json counters = cluster.server(id);
+        for (const auto& order : counters.at("orders"))
+            orders.push_back(order);
+    }
+    return orders;
+}
+
+} // namespace
+
+TEST_CASE("a prefill engine that memory lacks more is ordered to decode, by one host under one token") {
+    auto cluster = make_unbalanced_cluster("ordered");
+    stream_some(cluster, {1, 2});
+    REQUIRE(test::eventually([&] { return !all_orders(cluster).empty(); }));
+    const auto orders = all_orders(cluster);
+    CHECK(orders.size() == 1);
+    CHECK(orders[0].at("stage") == "decode");
+    CHECK(orders[0].at("operation") == "stage");
+    CHECK(orders[0].at("fencingToken") == 1);
+    // Nobody uses the engine while it changes, on any host; then its entry lists it anew.
+    stream_some(cluster, {1, 2});
+}
+
+TEST_CASE("a host whose token is older than one that an engine has seen orders nothing under it") {
+    auto cluster = make_unbalanced_cluster("fenced");
+    for (const std::string& id : prefill_engines)
+        (void)cluster.server(id, {{"highest_token", 1'000}});
+    stream_some(cluster, {1, 2});
+    CHECK(test::eventually([&] { return cluster.metric(1, "stage_orders_total") > 0; }));
+    CHECK(all_orders(cluster).empty());
+}
+
+TEST_CASE("with the store turning the hosts away nobody gives orders, and all serve on") {
+    auto cluster = make_unbalanced_cluster("no-lease");
+    (void)cluster.store({{"mode", "busy"}});
+    stream_some(cluster, {1, 2});
+    CHECK(test::eventually([&] { return cluster.metric(1, "order_leases_missed_total") > 0; }));
+    CHECK(all_orders(cluster).empty());
+    (void)cluster.store({{"mode", ""}});
+    CHECK(test::eventually([&] { return !all_orders(cluster).empty(); }));
+}
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 
 namespace postpaddle::test {
@@ -65,7 +66,8 @@
                    make_route("/resume/", "streaming", "engines", 3, true)};
     if (has_extra_route)
         routes.push_back(make_route("/extra/", "idempotent", "plain", 2, false));
-    const json engine = {{"slots", 16}, {"kvCapacityTokens", 60'000}, {"kvTtlS", 5.0}, {"stride", 1}};
+    const json engine = {
+        {"slots", 16}, {"kvCapacityTokens", 60'000}, {"kvTtlS", 5.0}, {"stride", 1}, {"switchS", 0.5}};
     return {{"version", version},
             {"routes", routes},
             {"services",
@@ -138,7 +140,8 @@
                         << this->host_address(1, this->peers_port) << "]\nstore: " << this->host_ip(number)
                         << ":" << this->store_port
                         << "\nheartbeat_ms: 200\nbalancer_lag_ms: 300\nretries: {slack: "
-                        << this->options.retry_slack << "}\n";
+                        << this->options.retry_slack
+                        << "}\norder_lease_ms: 500\nengines_check_tokens: true\n";
     this->hosts[number] = std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/postpaddled",
                                                           std::vector<std::string>{"--settings=" + path},
                                                           this->folder + "/" + name + ".log");
@@ -154,6 +157,18 @@
     return stand_in::get_json(this->peers_address(number), "/state");
 }
 
+double gateway_cluster::metric(int number, const std::string& name) const {
+    const auto answer =
+        stand_in::http_exchange(this->peers_address(number), {"GET", "/metrics", {{"Host", "host"}}, ""});
+    if (!answer)
+        return 0;
+    std::istringstream lines(answer->body);
+    for (std::string line; std::getline(lines, line);)
+        if (const auto at = line.find(name + " "); at != std::string::npos)
+            return std::stod(line.substr(at + name.size() + 1));
+    return 0;
+}
+
 void gateway_cluster::publish(int version, bool has_extra_route) {
     (void)this->store({{"put",
                         {{"topic", "keyed.op"},
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -41,6 +41,8 @@
     [[nodiscard]] nlohmann::json state_of(int number) const;
     /// The host's own loopback address, from which the store also sees it.
     [[nodiscard]] std::string host_ip(int number) const;
+    /// A figure of the host's metrics; 0 where it has none of that name.
+    [[nodiscard]] double metric(int number, const std::string& name) const;
     [[nodiscard]] std::string callers_address(int number = 1) const;
     /// Address for the other hosts and for operators.
     [[nodiscard]] std::string peers_address(int number = 1) const;
