--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -9,7 +9,7 @@
 
 /// How long one read waits for a record. Short enough that a connection that went silent behind a cut is
 /// replaced within the bound on new settings once the cut has healed.
-constexpr auto read_wait = 3'800ms;
+constexpr std::chrono::milliseconds read_wait = 3'800ms;
 /// Pause after a failed read, at random between half and all of it, so that hosts don't return in step.
 constexpr base::duration failure_pause = 600ms;
 
@@ -83,8 +83,9 @@
 
 bool store_watch::read_registry(wire::yield_context yield) {
     const auto limit = this->patience[registry_name].limit;
+    const auto registry_wait = std::min(read_wait, host::longest_wait(this->state->process->leaving_bound));
     auto page = this->has_registry_offset
-                    ? this->feed->registry_after(this->state->registry_next, read_wait, limit, yield)
+                    ? this->feed->registry_after(this->state->registry_next, registry_wait, limit, yield)
                     : this->feed->newest_registry(limit, yield);
     if (!page) {
         if (page.error().failure == ports::feed_failure::history_lost)
--- a/libraries/host/answer_patience.h
+++ b/libraries/host/answer_patience.h
@@ -21,4 +21,8 @@
 /// No answer came in time.
 void did_time_out(answer_patience& patience);
 
+/// How long a read may wait for a record so that it keeps to a bound on knowing of it. A store does not
+/// always answer a read that waits when the record comes, only at the end of the wait.
+[[nodiscard]] std::chrono::milliseconds longest_wait(std::chrono::milliseconds bound);
+
 } // namespace postpaddle::host
