gateway: Let a planned stop wait for every connection with a request on it

Now the stop waits until no caller's connection is left: idle ones are closed, one with a part of a request is answered.

Also: names say 'out of service' where an engine's port is dead or its stage changes; pages on orders and avoided upstreams.

--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -144,7 +144,7 @@
     if (verdict == send_verdict::good) {
         health.failures_in_row = 0;
         health.aside_until = {};
-        health.ended_until = {};
+        health.out_of_service_until = {};
         return;
     }
     if (verdict == send_verdict::busy)
@@ -159,7 +159,7 @@
 }
 
 void put_out_of_service(instance& target, base::time_point until) {
-    target.health.ended_until = until;
+    target.health.out_of_service_until = until;
     target.health.aside_until = std::max(target.health.aside_until, until);
 }
 
@@ -190,10 +190,12 @@
 
 bool is_aside(const instance& target, base::time_point now) { return now < target.health.aside_until; }
 
-bool has_ended(const instance& target, base::time_point now) { return now < target.health.ended_until; }
+bool is_out_of_service(const instance& target, base::time_point now) {
+    return now < target.health.out_of_service_until;
+}
 
 bool is_avoided(const instance& target, base::time_point now) {
-    return is_aside(target, now) || target.has_ended_elsewhere;
+    return is_aside(target, now) || target.is_out_of_service_elsewhere;
 }
 
 const char* to_text(listing state) {
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -47,7 +47,7 @@
     int failures_in_row = 0;
     double failure_rate = 0; ///< Running mean of 0 (good) and 1 (failed).
     base::time_point aside_until{};
-    base::time_point ended_until{}; ///< Until when it is taken to have ended, as its port is dead.
+    base::time_point out_of_service_until{}; ///< Its port is dead or its stage changes until then.
 
     bool operator==(const instance_health&) const = default;
 };
@@ -58,13 +58,13 @@
     listing state = listing::listed;
     std::uint64_t offset = 0; ///< Of the newest registry record about it.
     instance_health health;
-    instance_use own;                       ///< Sent by this host, or promised, and not ended.
-    instance_use others;                    ///< The same of the other hosts, as they told.
-    int avoided_by = 0;                     ///< Other hosts that could not reach it lately.
-    bool has_ended_elsewhere = false;       ///< Another host found its port dead lately.
-    estimate latency = make_estimate(0.08); ///< Seconds to a plain answer.
-    estimate slowness = make_estimate(1);   ///< Time taken over time expected, for prompts.
-    base::duration seen_wait{};             ///< Queue that the last own prompt met.
+    instance_use own;                         ///< Sent by this host, or promised, and not ended.
+    instance_use others;                      ///< The same of the other hosts, as they told.
+    int avoided_by = 0;                       ///< Other hosts that could not reach it lately.
+    bool is_out_of_service_elsewhere = false; ///< Another host knows that it is out of service.
+    estimate latency = make_estimate(0.08);   ///< Seconds to a plain answer.
+    estimate slowness = make_estimate(1);     ///< Time taken over time expected, for prompts.
+    base::duration seen_wait{};               ///< Queue that the last own prompt met.
     base::time_point seen_wait_at{};
     instance_load load;
     int own_at_load = 0; ///< Own requests there when the load was heard.
@@ -142,8 +142,8 @@
 /// Whether own failures keep it from new work while there is another.
 [[nodiscard]] bool is_aside(const instance& target, base::time_point now);
 
-/// Whether this host found its port dead lately.
-[[nodiscard]] bool has_ended(const instance& target, base::time_point now);
+/// Whether this host knows that its port is dead, or that its stage changes.
+[[nodiscard]] bool is_out_of_service(const instance& target, base::time_point now);
 
 /// Whether new work avoids it for what this host or another found.
 [[nodiscard]] bool is_avoided(const instance& target, base::time_point now);
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -200,7 +200,8 @@
     timer.async_wait(yield[ignored]);
     this->callers->stop();
     this->callers->close_idle_connections();
-    while (this->state.requests_in_progress > 0 && this->clock->now() < end) {
+    // A connection that is left has a request on it, if only a part of one so far: all are answered.
+    while (this->callers->connections() > 0 && this->clock->now() < end) {
         timer.expires_after(drain_look);
         timer.async_wait(yield[ignored]);
     }
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -74,7 +74,7 @@
         const auto found = total.find(host::key_of(id));
         known.others = found == total.end() ? decision::instance_use{} : found->second;
         const auto avoided = this->state->loads.avoided_by.find(host::key_of(id));
-        known.has_ended_elsewhere = this->state->loads.ended_by.contains(host::key_of(id));
+        known.is_out_of_service_elsewhere = this->state->loads.out_of_service_by.contains(host::key_of(id));
         known.avoided_by = avoided == this->state->loads.avoided_by.end() ? 0 : avoided->second;
     }
 }
@@ -104,8 +104,8 @@
             continue;
         if (decision::is_aside(known, now))
             report.avoided.push_back(host::key_of(id));
-        if (decision::has_ended(known, now))
-            report.ended.push_back(host::key_of(id));
+        if (decision::is_out_of_service(known, now))
+            report.out_of_service.push_back(host::key_of(id));
     }
     for (const waiting_request* const waiting : this->state->waiting)
         report.waiters.push_back({now - waiting->arrived, waiting->output_tokens});
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -88,8 +88,8 @@
     for (const decision::waiter& waiter : report.waiters)
         waiters.push_back({std::chrono::duration_cast<std::chrono::milliseconds>(waiter.waited).count(),
                            static_cast<std::int64_t>(waiter.output_tokens)});
-    const json value = {report.host.value,  report.incarnation, report.sequence, std::move(uses),
-                        std::move(waiters), report.avoided,     report.ended};
+    const json value = {report.host.value,  report.incarnation, report.sequence,      std::move(uses),
+                        std::move(waiters), report.avoided,     report.out_of_service};
     std::string bytes;
     json::to_msgpack(value, bytes);
     return bytes;
@@ -109,7 +109,7 @@
             report.waiters.push_back(
                 {std::chrono::milliseconds(row.at(0).get<std::int64_t>()), row.at(1).get<double>()});
         report.avoided = value.at(5).get<std::vector<host::instance_key>>();
-        report.ended = value.at(6).get<std::vector<host::instance_key>>();
+        report.out_of_service = value.at(6).get<std::vector<host::instance_key>>();
         return report;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -22,7 +22,7 @@
             {"failures_in_row", known.health.failures_in_row},
             {"is_aside", decision::is_aside(known, now)},
             {"avoided_by", known.avoided_by},
-            {"has_ended_elsewhere", known.has_ended_elsewhere},
+            {"is_out_of_service_elsewhere", known.is_out_of_service_elsewhere},
             {"latency_ms", known.latency.value * 1'000},
             {"slowness", known.slowness.value}};
 }
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -34,8 +34,8 @@
     }
     for (const instance_key key : report.avoided)
         count_down(share.avoided_by, key);
-    for (const instance_key key : report.ended)
-        count_down(share.ended_by, key);
+    for (const instance_key key : report.out_of_service)
+        count_down(share.out_of_service_by, key);
 }
 
 } // namespace
@@ -51,8 +51,8 @@
         share.total[key] += use;
     for (const instance_key key : report.avoided)
         ++share.avoided_by[key];
-    for (const instance_key key : report.ended)
-        ++share.ended_by[key];
+    for (const instance_key key : report.out_of_service)
+        ++share.out_of_service_by[key];
     found->second = {report, now};
     return true;
 }
@@ -68,7 +68,7 @@
         heard.report.uses.clear();
         heard.report.waiters.clear();
         heard.report.avoided.clear();
-        heard.report.ended.clear();
+        heard.report.out_of_service.clear();
         is_any_dropped = true;
     }
     return is_any_dropped;
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -23,9 +23,9 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0; ///< Rises with each report of an incarnation.
     std::map<instance_key, decision::instance_use> uses;
-    std::vector<decision::waiter> waiters; ///< Requests without a place.
-    std::vector<instance_key> avoided;     ///< Instances that it could not reach lately.
-    std::vector<instance_key> ended;       ///< Instances whose port it found dead lately.
+    std::vector<decision::waiter> waiters;    ///< Requests without a place.
+    std::vector<instance_key> avoided;        ///< Instances that it could not reach lately.
+    std::vector<instance_key> out_of_service; ///< Instances that take no work now: port dead, stage changing.
 
     bool operator==(const load_report&) const = default;
 };
@@ -40,8 +40,8 @@
 struct load_share {
     std::map<base::host_id, heard_report> by_host;
     std::map<instance_key, decision::instance_use> total;
-    std::map<instance_key, int> avoided_by; ///< Hosts that avoid an instance.
-    std::map<instance_key, int> ended_by;   ///< Hosts that found an instance's port dead.
+    std::map<instance_key, int> avoided_by;        ///< Hosts that avoid an instance.
+    std::map<instance_key, int> out_of_service_by; ///< Hosts that know an instance to be out of service.
 };
 
 /// Takes over a report unless a newer one of that host is known; says whether it did.
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -192,15 +192,15 @@
     CHECK(plan()->decode.value == "dead");
     SECTION("found by this host") {
         decision::note_verdict(dead, decision::send_verdict::ended, now);
-        CHECK(decision::has_ended(dead, now + 3s));
-        CHECK_FALSE(decision::has_ended(dead, now + 5s));
+        CHECK(decision::is_out_of_service(dead, now + 3s));
+        CHECK_FALSE(decision::is_out_of_service(dead, now + 5s));
         SECTION("until it answers after all") {
             decision::note_verdict(dead, decision::send_verdict::good, now);
             CHECK_FALSE(decision::is_avoided(dead, now));
             return;
         }
     }
-    SECTION("found by another host") { dead.has_ended_elsewhere = true; }
+    SECTION("found by another host") { dead.is_out_of_service_elsewhere = true; }
     if (!decision::is_avoided(dead, now))
         return;
     CHECK(plan()->decode.value == "full");
--- a/tests/gateway/test_beliefs.cpp
+++ b/tests/gateway/test_beliefs.cpp
@@ -161,6 +161,7 @@
     test::gateway_cluster cluster({.name = "ended", .servers = {{.id = "one"}}, .hosts = 2});
     cluster.kill_server("one");
     CHECK(status_at(cluster, 1, "/once/") == 503);
-    CHECK(test::eventually(
-        [&] { return cluster.state_of(2).at("instances").at("one").at("has_ended_elsewhere").get<bool>(); }));
+    CHECK(test::eventually([&] {
+        return cluster.state_of(2).at("instances").at("one").at("is_out_of_service_elsewhere").get<bool>();
+    }));
 }
--- a/tests/gateway/test_callers.cpp
+++ b/tests/gateway/test_callers.cpp
@@ -156,3 +156,19 @@
     CHECK(call.read_all().starts_with("HTTP/1.1 200"));
     CHECK(cluster.host(1).wait() == 0);
 }
+
+TEST_CASE("a planned stop also answers a request of which only a part had come") {
+    auto cluster = make_plain_cluster("stop-part");
+    for (const auto* id : {"one", "two"})
+        (void)cluster.server(id, {{"work_ms", 300}});
+    const std::string head = "POST /once/ HTTP/1.1\r\nHost: cluster.example\r\nX-Attempt-Id: id-1\r\n";
+    test::open_call call(cluster.callers_address(), head);
+    cluster.host(1).send_signal(SIGTERM);
+    // No new connection comes about any more: the host is about to end.
+    REQUIRE(test::eventually([&] {
+        return !stand_in::http_exchange(cluster.callers_address(), routed_request("/again/", "id-2"));
+    }));
+    call.send("X-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody");
+    CHECK(call.read_all().starts_with("HTTP/1.1 200"));
+    CHECK(cluster.host(1).wait() == 0);
+}
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -85,11 +85,11 @@
     host::load_share share;
     auto report = make_report("a", 1, 0);
     report.avoided = {7};
-    report.ended = {7};
+    report.out_of_service = {7};
     (void)host::take_report(share, report, start);
-    CHECK(share.ended_by.contains(7));
+    CHECK(share.out_of_service_by.contains(7));
     (void)host::take_report(share, make_report("a", 2, 0), start);
-    CHECK(share.ended_by.empty());
+    CHECK(share.out_of_service_by.empty());
 }
 
 TEST_CASE("in whatever order reports come, the sum is that of the newest of each host") {
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -172,6 +172,12 @@
     send_all(this->descriptor, to_bytes(request));
 }
 
+open_call::open_call(const std::string& address, const std::string& bytes) : descriptor(connect_to(address)) {
+    this->send(bytes);
+}
+
+void open_call::send(const std::string& bytes) const { send_all(this->descriptor, bytes); }
+
 open_call::~open_call() { this->drop(); }
 
 std::string open_call::read_at_least(std::size_t bytes) {
--- a/tests/support/test_cluster.h
+++ b/tests/support/test_cluster.h
@@ -43,12 +43,16 @@
 class open_call {
 public:
     open_call(const std::string& address, const wire::http_request& request);
+    /// Sends bytes that may be part of a request.
+    open_call(const std::string& address, const std::string& bytes);
     ~open_call();
     open_call(const open_call&) = delete;
     open_call(open_call&&) = delete;
     open_call& operator=(const open_call&) = delete;
     open_call& operator=(open_call&&) = delete;
 
+    /// Sends more bytes.
+    void send(const std::string& bytes) const;
     /// Reads until at least so many bytes have come; gives all so far.
     std::string read_at_least(std::size_t bytes);
     /// Reads to the end.
