--- a/tests/gateway/test_callers.cpp
+++ b/tests/gateway/test_callers.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <thread>
 
 using namespace postpaddle;
 using test::routed_request;
@@ -168,6 +169,8 @@
     REQUIRE(test::eventually([&] {
         return !stand_in::http_exchange(cluster.callers_address(), routed_request("/again/", "id-2"));
     }));
+    // Long enough that a host that had not waited for the rest would be gone.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
     call.send("X-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody");
     CHECK(call.read_all().starts_with("HTTP/1.1 200"));
     CHECK(cluster.host(1).wait() == 0);
