--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <functional>
 #include <limits>
+#include <map>
 
 namespace postpaddle::decision {
 
@@ -152,6 +153,39 @@
     return best;
 }
 
+using weighed_by_zone = std::map<base::zone_id, weighed>;
+
+/// Of each availability zone the candidate of the least cost.
+weighed_by_zone cheapest_by_zone(const std::vector<const instance*>& candidates,
+                                 const std::function<double(const instance&)>& cost_of) {
+    weighed_by_zone best;
+    for (const instance* candidate : candidates) {
+        const double cost = cost_of(*candidate);
+        weighed& known = best[candidate->entry.availability_zone];
+        if (cost < known.cost)
+            known = {candidate, cost};
+    }
+    return best;
+}
+
+struct engine_pair {
+    const instance* prefill = nullptr;
+    const instance* decode = nullptr;
+    double cost = std::numeric_limits<double>::infinity();
+};
+
+/// The two engines that together cost the least, a move between availability zones counted.
+engine_pair cheapest_pair(const weighed_by_zone& prefill, const weighed_by_zone& decode) {
+    engine_pair best;
+    for (const auto& [source_zone, source] : prefill)
+        for (const auto& [zone, target] : decode) {
+            const double cost = source.cost + target.cost + (zone == source_zone ? 0 : other_zone_move_cost);
+            if (cost < best.cost)
+                best = {source.chosen, target.chosen, cost};
+        }
+    return best;
+}
+
 } // namespace
 
 double memory_left(const instance& candidate, const settings::engine_capacity& capacity,
@@ -209,22 +243,25 @@
                                           const settings::engine_capacity& capacity, const prompt_size& size,
                                           std::mt19937_64& random) {
     const auto reader = choose_reader(table, context, capacity, size, random);
-    const weighed prefill = cheapest(usable(table, context, can_prefill), [&](const instance& candidate) {
-        return standing_cost(candidate, context, random) +
-               read_time(candidate, size.prompt_tokens, context.now);
+    const auto prefill =
+        cheapest_by_zone(usable(table, context, can_prefill), [&](const instance& candidate) {
+            return standing_cost(candidate, context, random) +
+                   read_time(candidate, size.prompt_tokens, context.now);
+        });
+    const auto decode = cheapest_by_zone(usable(table, context, can_decode), [&](const instance& candidate) {
+        return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
+               move_time;
     });
-    if (prefill.chosen == nullptr)
-        return reader;
-    auto pair =
-        choose_decode(table, context, capacity, size, prefill.chosen->entry.availability_zone, random);
-    if (!pair || (reader && reader->cost < prefill.cost + pair->cost))
+    const engine_pair best = cheapest_pair(prefill, decode);
+    if (best.prefill == nullptr || (reader && reader->cost < best.cost))
         return reader;
-    const double read = read_time(*prefill.chosen, size.prompt_tokens, context.now);
-    pair->prefill = prefill.chosen->entry.id;
-    pair->expected_read = base::from_seconds(read);
-    pair->expected_first_event += pair->expected_read;
-    pair->cost += prefill.cost;
-    return pair;
+    const double read = read_time(*best.prefill, size.prompt_tokens, context.now);
+    return engine_plan{.prefill = best.prefill->entry.id,
+                       .decode = best.decode->entry.id,
+                       .has_room = has_room(*best.decode, context, capacity, size),
+                       .expected_read = base::from_seconds(read),
+                       .expected_first_event = base::from_seconds(read + move_time + first_event_time),
+                       .cost = best.cost};
 }
 
 engine_places count_places(const instance_table& table, const choice_context& context,
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -207,3 +207,23 @@
     CHECK_FALSE(plan()->has_room);
     CHECK(decision::count_places(table, make_context(), capacity, {5'000, 700}).free == 0);
 }
+
+TEST_CASE("two engines of one zone are chosen where that costs no more than a move between zones") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("p-east", engine_stage::prefill, "east"),
+                             make_entry("p-west", engine_stage::prefill, "west"),
+                             make_entry("d-east", engine_stage::decode, "east"),
+                             make_entry("d-west", engine_stage::decode, "west")});
+    // The own zone's decode engine is full: the prompt is read where the other one is.
+    decision::find_instance(table, {"d-east"})->others = {.requests = 12, .memory_tokens = 60'000};
+    auto plan = decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random);
+    REQUIRE(plan);
+    CHECK(plan->prefill->value == "p-west");
+    CHECK(plan->decode.value == "d-west");
+    SECTION("but not behind a long queue") {
+        decision::find_instance(table, {"p-west"})->others.prompt_tokens = 40'000;
+        plan = decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random);
+        CHECK(plan->prefill->value == "p-east");
+        CHECK(plan->decode.value == "d-west");
+    }
+}
