routing: Avoid an engine that two other hosts can't reach

Cause: a silent engine looks free, so while the others were full each host tried it with a prompt that had been read; the others' word was weighed far below a full memory.

--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -16,6 +16,10 @@
 constexpr double failure_gain = 0.15;
 constexpr base::duration first_pause = 500ms;
 constexpr base::duration longest_pause = 4'000ms;
+/// Other hosts that must avoid an instance before this one does: the fault of a single one may be its own.
+constexpr int hosts_to_believe = 2;
+/// An own good answer counts for more than the others' word for this long.
+constexpr base::duration own_word_lifetime = 1'000ms;
 /// How long an instance with a dead port is taken to have ended: its registry entry lapses meanwhile.
 constexpr base::duration ended_pause = 4'000ms;
 /// An instance that answers with errors is put aside from this many in a row on.
@@ -143,6 +147,7 @@
     health.failure_rate += failure_gain * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
     if (verdict == send_verdict::good) {
         health.failures_in_row = 0;
+        health.last_good = now;
         health.aside_until = {};
         health.out_of_service_until = {};
         return;
@@ -195,7 +200,10 @@
 }
 
 bool is_avoided(const instance& target, base::time_point now) {
-    return is_aside(target, now) || target.is_out_of_service_elsewhere;
+    const bool has_answered_here =
+        target.health.last_good != base::time_point{} && now - target.health.last_good < own_word_lifetime;
+    const bool is_avoided_elsewhere = target.avoided_by >= hosts_to_believe && !has_answered_here;
+    return is_aside(target, now) || target.is_out_of_service_elsewhere || is_avoided_elsewhere;
 }
 
 const char* to_text(listing state) {
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -45,7 +45,8 @@
 /// Failures of an instance, and until when it is put aside for them.
 struct instance_health {
     int failures_in_row = 0;
-    double failure_rate = 0; ///< Running mean of 0 (good) and 1 (failed).
+    base::time_point last_good{}; ///< Last whole answer.
+    double failure_rate = 0;      ///< Running mean of 0 (good) and 1 (failed).
     base::time_point aside_until{};
     base::time_point out_of_service_until{}; ///< Its port is dead or its stage changes until then.
 
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -227,3 +227,15 @@
         CHECK(plan->decode.value == "d-west");
     }
 }
+
+TEST_CASE("an engine that two other hosts can't reach is avoided, unless it has just answered here") {
+    auto table = make_table({make_entry("one")});
+    decision::instance& silent = *decision::find_instance(table, {"one"});
+    silent.avoided_by = 1;
+    CHECK_FALSE(decision::is_avoided(silent, now));
+    silent.avoided_by = 2;
+    CHECK(decision::is_avoided(silent, now));
+    decision::note_verdict(silent, decision::send_verdict::good, now);
+    CHECK_FALSE(decision::is_avoided(silent, now + 500ms));
+    CHECK(decision::is_avoided(silent, now + 2s));
+}
