--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -44,10 +44,17 @@
     const base::zone_id zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone;
     wire::asio::steady_timer timer(*state.context);
     while (this->is_kept_prompt_there() && !this->request->cancellation->is_caller_gone) {
-        const auto plan =
-            decision::choose_decode(state.instances, choice_context_of(*this->request),
-                                    capacity_of(*this->request), this->size, zone, state.random);
-        if (!plan || plan->has_room || this->is_kept_prompt_lapsing())
+        decision::choice_context context = choice_context_of(*this->request);
+        const bool is_last_chance = this->is_kept_prompt_lapsing();
+        if (is_last_chance)
+            context.excluded.insert(this->refused_kept.begin(), this->refused_kept.end());
+        const auto plan = decision::choose_decode(state.instances, context, capacity_of(*this->request),
+                                                  this->size, zone, state.random);
+        if (!plan && !is_last_chance)
+            return plan;
+        if (plan && plan->has_room)
+            return plan;
+        if (plan && is_last_chance)
             return plan;
         // Its engine failed or was full after all: the prompt is kept a moment longer, a place may come free.
         timer.expires_after(kept_look_again);
@@ -112,6 +119,7 @@
         decision::note_read(*target, this->size, state.clock->now() - exchange.sent, state.clock->now());
     this->kept_since = state.clock->now();
     this->refusals_of_kept = 0;
+    this->refused_kept.clear();
     if (!this->kept)
         this->request->tried.insert(*plan.prefill);
     return this->kept.has_value();
@@ -157,12 +165,13 @@
         body = read_body(exchange, limit, yield);
     if (is_stream && end == stream_end::broken && exchange.result == send_result::answered)
         exchange.result = send_result::broken;
-    if (exchange.result == send_result::not_run && this->kept)
+    if (exchange.result == send_result::not_run && this->kept) {
+        this->refused_kept.insert(send.instance);
         this->refusals_of_kept +=
             decision::may_be_full(exchange.facts.load, capacity_of(*this->request), this->size)
                 ? 1
                 : decision::most_refusals_of_kept;
-    else if (exchange.result != send_result::not_connected)
+    } else if (exchange.result != send_result::not_connected)
         this->kept.reset();
     end_exchange(*this->request, send, exchange);
     if (exchange.result == send_result::not_run)
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -7,6 +7,7 @@
 #include <wire/event_splitter.h>
 
 #include <optional>
+#include <set>
 
 namespace postpaddle::gateway {
 
@@ -54,6 +55,7 @@
     std::optional<ports::kept_prompt> kept;
     base::time_point kept_since{};
     int refusals_of_kept = 0;
+    std::set<base::upstream_id> refused_kept; ///< Engines that refused its KV cache.
     std::optional<std::uint64_t> last_event;
     decision::send_result last = decision::send_result::not_connected;
     int prompts_sent = 0;
