--- a/libraries/decision/stage_balance.cpp
+++ b/libraries/decision/stage_balance.cpp
@@ -17,6 +17,8 @@
 constexpr double least_gain = 1.1;
 /// Engines that each stage keeps, so that the loss of one leaves another.
 constexpr int least_engines = 2;
+/// Prompts queue when they wait for so long, in seconds.
+constexpr double long_prompt_queue = 0.2;
 /// At most one in this many of a stage's engines changes at a time.
 constexpr int step_part = 4;
 
@@ -56,6 +58,8 @@
         return 0;
     if (best < facts.prefill_engines)
         return bounded_step(facts.prefill_engines - best, facts.prefill_engines);
+    if (facts.prompt_queue_seconds < long_prompt_queue)
+        return 0;
     return -bounded_step(best - facts.prefill_engines, facts.decode_engines);
 }
 
@@ -81,10 +85,15 @@
 
 void count_stages(stage_facts& facts, const instance_table& table, const std::string& service,
                   base::time_point now) {
+    double queued_tokens = 0;
     for (const auto& [id, candidate] : table.by_id) {
-        facts.prefill_engines += serves_stage(candidate, service, engine_stage::prefill, now) ? 1 : 0;
+        if (serves_stage(candidate, service, engine_stage::prefill, now)) {
+            ++facts.prefill_engines;
+            queued_tokens += candidate.own.prompt_tokens + candidate.others.prompt_tokens;
+        }
         facts.decode_engines += serves_stage(candidate, service, engine_stage::decode, now) ? 1 : 0;
     }
+    facts.prompt_queue_seconds = queued_tokens / prompt_read_rate / std::max(1, facts.prefill_engines);
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/stage_balance.h
+++ b/libraries/decision/stage_balance.h
@@ -11,9 +11,10 @@
 struct stage_facts {
     int prefill_engines = 0;
     int decode_engines = 0;
-    double prompt_tokens = 1;    ///< Of a request, on the mean.
-    double hold_seconds = 1;     ///< How long a request keeps its place at a decode engine, on the mean.
-    double places_an_engine = 1; ///< Requests of mean size that a decode engine's memory holds.
+    double prompt_tokens = 1;        ///< Of a request, on the mean.
+    double hold_seconds = 1;         ///< How long a request keeps its place at a decode engine, on the mean.
+    double places_an_engine = 1;     ///< Requests of mean size that a decode engine's memory holds.
+    double prompt_queue_seconds = 0; ///< Prompts sent to a prefill engine and not read yet, on the mean.
 
     bool operator==(const stage_facts&) const = default;
 };
@@ -26,6 +27,9 @@
 
 /// Engines to move from prefill to decode: as many as the best balance asks, within a bound for each step;
 /// below zero for the other way, and 0 where a change would not pay for the time that it takes.
+///
+/// To prefill only while prompts queue there: with little work, places are kept for so short a time that
+/// decode engines seem too many, and the next burst would find too few.
 [[nodiscard]] int engines_to_decode(const stage_facts& facts);
 
 /// The engine of a stage that is the easiest to spare: of the availability zone with the most of that stage,
@@ -35,7 +39,8 @@
                                                                settings::engine_stage stage,
                                                                base::time_point now);
 
-/// Counts a service's engines by stage; those that are avoided serve nobody and don't count.
+/// Counts a service's engines by stage, and the prompts that queue; those that are avoided serve nobody and
+/// don't count.
 void count_stages(stage_facts& facts, const instance_table& table, const std::string& service,
                   base::time_point now);
 
--- a/tests/decision/test_stage_balance.cpp
+++ b/tests/decision/test_stage_balance.cpp
@@ -41,12 +41,14 @@
     CHECK(decision::engines_to_decode(facts) == 0);
 }
 
-TEST_CASE("where reading binds, a decode engine changes over") {
-    const decision::stage_facts facts = {.prefill_engines = 2,
-                                         .decode_engines = 7,
-                                         .prompt_tokens = 20'000,
-                                         .hold_seconds = 0.5,
-                                         .places_an_engine = 3};
+TEST_CASE("where reading binds and prompts queue, a decode engine changes over") {
+    decision::stage_facts facts = {.prefill_engines = 2,
+                                   .decode_engines = 7,
+                                   .prompt_tokens = 20'000,
+                                   .hold_seconds = 0.5,
+                                   .places_an_engine = 3};
+    CHECK(decision::engines_to_decode(facts) == 0);
+    facts.prompt_queue_seconds = 0.5;
     CHECK(decision::engines_to_decode(facts) == -1);
 }
 
@@ -71,7 +73,8 @@
                                        .decode_engines = engines(random),
                                        .prompt_tokens = 20'000 * part(random),
                                        .hold_seconds = 10 * part(random),
-                                       .places_an_engine = 20 * part(random)};
+                                       .places_an_engine = 20 * part(random),
+                                       .prompt_queue_seconds = part(random)};
         INFO("seed " << seed);
         int first = 0;
         int steps = 0;
@@ -101,6 +104,7 @@
         decision::count_stages(facts, table, "engines", now);
         CHECK(facts.prefill_engines == 2);
         CHECK(facts.decode_engines == 1);
+        CHECK(facts.prompt_queue_seconds > 0);
     }
     SECTION("an entry with the new stage ends the change") {
         decision::instance& changed = *decision::find_instance(table, {"a2"});
