--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -15,10 +15,6 @@
 constexpr int ok_status = 200;
 /// Prompts of one request that are sent to prefill engines at most.
 constexpr int most_prompts = 2;
-/// Pause between two looks for a place for a kept prompt.
-constexpr base::duration kept_look_again = 10ms;
-/// A kept prompt is freed within this time or lapses by itself.
-constexpr auto release_limit = 500ms;
 
 /// Limit of a step, within the request's deadline.
 base::time_point late_after(const gateway_request& request, base::duration expected) {
@@ -28,48 +24,11 @@
 
 } // namespace
 
-bool stream_relay::is_kept_prompt_there() const {
-    const base::duration age = this->request->state->clock->now() - this->kept_since;
-    return decision::is_prompt_kept(age, capacity_of(*this->request), this->refusals_of_kept);
-}
-
-bool stream_relay::is_kept_prompt_lapsing() const {
-    const base::duration age = this->request->state->clock->now() - this->kept_since;
-    return decision::is_prompt_lapsing(age, capacity_of(*this->request));
-}
-
-std::optional<decision::engine_plan> stream_relay::plan_for_kept(wire::yield_context yield) {
-    gateway_state& state = *this->request->state;
-    const decision::instance* const source = decision::find_instance(state.instances, this->kept->upstream);
-    const base::zone_id zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone;
-    wire::asio::steady_timer timer(*state.context);
-    while (this->is_kept_prompt_there() && !this->request->cancellation->is_caller_gone) {
-        decision::choice_context context = choice_context_of(*this->request);
-        const bool is_last_chance = this->is_kept_prompt_lapsing();
-        if (is_last_chance)
-            context.excluded.insert(this->refused_kept.begin(), this->refused_kept.end());
-        const auto plan = decision::choose_decode(state.instances, context, capacity_of(*this->request),
-                                                  this->size, zone, state.random);
-        if (!plan && !is_last_chance)
-            return plan;
-        if (plan && plan->has_room)
-            return plan;
-        if (plan && is_last_chance)
-            return plan;
-        // Its engine failed or was full after all: the prompt is kept a moment longer, a place may come free.
-        timer.expires_after(kept_look_again);
-        wire::error_code ignored;
-        timer.async_wait(yield[ignored]);
-    }
-    this->release_kept();
-    return std::nullopt;
-}
-
 std::optional<decision::engine_plan> stream_relay::next_plan(wire::yield_context yield) {
     gateway_state& state = *this->request->state;
-    if (this->kept) {
-        const auto plan = this->plan_for_kept(yield);
-        if (plan || this->kept)
+    if (this->kept.has_value()) {
+        const auto plan = this->kept.await_engine(this->size, yield);
+        if (plan || this->kept.has_value())
             return plan;
     }
     if (this->is_begun || this->prompts_sent >= most_prompts)
@@ -86,7 +45,7 @@
 }
 
 void stream_relay::reserve(const decision::engine_plan& plan) {
-    const bool is_reading_there = !plan.prefill && !this->kept;
+    const bool is_reading_there = !plan.prefill && !this->kept.has_value();
     this->place.emplace(
         *this->request->state, plan.decode,
         decision::instance_use{.requests = 1,
@@ -108,19 +67,16 @@
         const std::string body = read_body(exchange, limit, yield);
         auto handle = state.protocol.read_handle(body);
         if (exchange.result == send_result::answered && handle)
-            this->kept = ports::kept_prompt{*plan.prefill, exchange.address, std::move(*handle)};
+            this->kept.keep({*plan.prefill, exchange.address, std::move(*handle)});
         else if (exchange.result == send_result::answered)
             exchange.result = send_result::broken;
     }
     mark.did_read_prompt();
     end_exchange(*this->request, send, exchange);
     decision::instance* const target = decision::find_instance(state.instances, *plan.prefill);
-    if (this->kept && target != nullptr)
+    if (this->kept.has_value() && target != nullptr)
         decision::note_read(*target, this->size, state.clock->now() - exchange.sent, state.clock->now());
-    this->kept_since = state.clock->now();
-    this->refusals_of_kept = 0;
-    this->refused_kept.clear();
-    if (!this->kept)
+    if (!this->kept.has_value())
         this->request->tried.insert(*plan.prefill);
     return this->kept.has_value();
 }
@@ -130,7 +86,7 @@
     const ports::upstream_send send = {
         .instance = plan.decode,
         .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request)),
-        .source = this->kept,
+        .source = this->kept.value(),
         .resume_after = this->last_event};
     const base::time_point limit = decision::may_go_elsewhere(this->request->record)
                                        ? late_after(*this->request, plan.expected_first_event)
@@ -165,14 +121,10 @@
         body = read_body(exchange, limit, yield);
     if (is_stream && end == stream_end::broken && exchange.result == send_result::answered)
         exchange.result = send_result::broken;
-    if (exchange.result == send_result::not_run && this->kept) {
-        this->refused_kept.insert(send.instance);
-        this->refusals_of_kept +=
-            decision::may_be_full(exchange.facts.load, capacity_of(*this->request), this->size)
-                ? 1
-                : decision::most_refusals_of_kept;
-    } else if (exchange.result != send_result::not_connected)
-        this->kept.reset();
+    if (exchange.result == send_result::not_run && this->kept.has_value())
+        this->kept.did_refuse(send.instance, exchange.facts, this->size);
+    else if (exchange.result != send_result::not_connected)
+        this->kept.forget();
     end_exchange(*this->request, send, exchange);
     if (exchange.result == send_result::not_run)
         this->did_refuse(send.instance, exchange.facts);
@@ -270,21 +222,9 @@
     return answer_by_host(*this->request, this->last, this->reason, yield);
 }
 
-void stream_relay::release_kept() {
-    if (!this->kept)
-        return;
-    gateway_state& state = *this->request->state;
-    wire::spawn_coroutine(*state.context, [&state, prompt = *this->kept](wire::yield_context yield) {
-        const auto answer = wire::fetch(*state.pool, prompt.address, state.protocol.make_release(prompt),
-                                        release_limit, yield);
-        state.figures->count(answer ? "kept_prompts_freed_total" : "kept_prompts_left_total");
-    });
-    this->kept.reset();
-}
-
 bool stream_relay::try_plan(const decision::engine_plan& plan, wire::yield_context yield) {
     this->reserve(plan);
-    if (!plan.prefill || this->kept)
+    if (!plan.prefill || this->kept.has_value())
         return true;
     const bool is_another_prompt = this->prompts_sent > 0;
     if (is_another_prompt && !try_spend_extra(*this->request))
@@ -318,7 +258,7 @@
         }
         const auto ending = this->decode(*plan, yield);
         if (ending) {
-            this->release_kept();
+            this->kept.release();
             return *ending;
         }
         // One that only refused may take the request later, or with its prompt read anew.
@@ -327,7 +267,7 @@
         if (!decision::may_send_again(this->request->record, this->last))
             break;
     }
-    this->release_kept();
+    this->kept.release();
     if (this->request->cancellation->is_caller_gone)
         return request_ending::caller_gone;
     return this->give_up(yield);
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -3,11 +3,11 @@
 
 #include <gateway/engine_place.h>
 #include <gateway/gateway_request.h>
+#include <gateway/kept_cache.h>
 #include <gateway/upstream_exchange.h>
 #include <wire/event_splitter.h>
 
 #include <optional>
-#include <set>
 
 namespace postpaddle::gateway {
 
@@ -18,7 +18,7 @@
 /// where the route allows it, and is broken off where not.
 class stream_relay {
 public:
-    explicit stream_relay(gateway_request& request) : request(&request) {}
+    explicit stream_relay(gateway_request& request) : request(&request), kept(request) {}
 
     [[nodiscard]] request_ending run(wire::yield_context yield);
 
@@ -27,9 +27,6 @@
     enum class stream_end { whole, broken, caller_gone };
 
     [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
-    [[nodiscard]] std::optional<decision::engine_plan> plan_for_kept(wire::yield_context yield);
-    [[nodiscard]] bool is_kept_prompt_there() const;
-    [[nodiscard]] bool is_kept_prompt_lapsing() const;
     [[nodiscard]] bool try_plan(const decision::engine_plan& plan, wire::yield_context yield);
     void reserve(const decision::engine_plan& plan);
     [[nodiscard]] double memory_after(int events) const;
@@ -47,15 +44,11 @@
     void did_pass_whole(base::time_point sent);
     [[nodiscard]] base::time_point limit_of_silence() const;
     [[nodiscard]] request_ending give_up(wire::yield_context yield);
-    void release_kept();
 
     gateway_request* request;
     decision::prompt_size size;
     std::optional<work_mark> place; ///< Promised at the decode engine, before the prompt is read.
-    std::optional<ports::kept_prompt> kept;
-    base::time_point kept_since{};
-    int refusals_of_kept = 0;
-    std::set<base::upstream_id> refused_kept; ///< Engines that refused its KV cache.
+    kept_cache kept;
     std::optional<std::uint64_t> last_event;
     decision::send_result last = decision::send_result::not_connected;
     int prompts_sent = 0;
