host: Make a lease on orders as long for its holder as for those who wait

Now both take one length, with room for the wait and for some orders; a test holds the last moment of one holder against the first of the next.

--- a/libraries/gateway/stage_controller.cpp
+++ b/libraries/gateway/stage_controller.cpp
@@ -26,13 +26,17 @@
 constexpr base::duration failure_pause = 2s;
 /// How long an answer of the store, or of an engine, is waited for.
 constexpr auto answer_limit = 500ms;
-/// A lease is this many times the pause between two holders' orders.
-constexpr int lease_factor = 3;
+/// What clocks and pauses may take from a lease.
+const host::lease_margins margins;
 /// Streams that this host must have passed before it judges the balance by them.
 constexpr int least_streams = 3;
 /// Added to the time that an engine is said to take for a change: it ends its work before.
 constexpr base::duration change_margin = 1'500ms;
 
+host::order_pacing pacing_of(const settings::gateway_settings& process) {
+    return {.least_pause = process.order_lease, .do_upstreams_check = process.do_engines_check_tokens};
+}
+
 const char* to_text(ports::order_answer answer) {
     switch (answer) {
     case ports::order_answer::taken:
@@ -120,18 +124,17 @@
     this->due_since.erase(service.name);
 }
 
-host::lease_margins stage_controller::margins() const { return {}; }
-
 bool stage_controller::is_free(const std::optional<ports::lease_record>& newest) {
     if (!newest)
         return true;
     const base::time_point now = this->state->clock->now();
     if (!this->seen || this->seen->token != newest->token)
-        this->seen = host::lease_entry{.token = newest->token,
-                                       .holder = newest->holder,
-                                       .length = this->state->process->order_lease * lease_factor,
-                                       .read_at = now};
-    return host::is_over(*this->seen, this->margins(), now);
+        this->seen =
+            host::lease_entry{.token = newest->token,
+                              .holder = newest->holder,
+                              .length = host::lease_length(pacing_of(*this->state->process), margins),
+                              .read_at = now};
+    return host::is_over(*this->seen, margins, now);
 }
 
 bool stage_controller::try_take_lease(wire::yield_context yield) {
@@ -148,24 +151,22 @@
                                     {"failure", token ? "" : ports::to_text(token.error().failure)}});
     if (!token)
         return false;
-    const bool had_other_holder = page->newest && page->newest->holder != own_name;
-    const base::duration wait =
-        had_other_holder
-            ? std::max<base::duration>(this->state->process->order_lease,
-                                       host::wait_before_orders(this->state->process->do_engines_check_tokens,
-                                                                true, this->margins()))
-            : base::duration::zero();
-    const base::duration length = this->state->process->order_lease * lease_factor;
-    this->lease =
-        own_lease{.entry = {.token = *token, .holder = own_name, .length = length + wait, .read_at = bid_at},
-                  .bid_at = bid_at,
-                  .orders_from = bid_at + wait};
+    const bool had_holder = page->newest && page->newest->holder != own_name;
+    const base::duration wait = had_holder
+                                    ? host::pause_between_holders(pacing_of(*this->state->process), margins)
+                                    : base::duration::zero();
+    this->lease = own_lease{.entry = {.token = *token,
+                                      .holder = own_name,
+                                      .length = host::lease_length(pacing_of(*this->state->process), margins),
+                                      .read_at = bid_at},
+                            .bid_at = bid_at,
+                            .orders_from = bid_at + wait};
     return true;
 }
 
 bool stage_controller::may_order() const {
     return this->lease && !this->state->is_draining &&
-           host::may_act(this->lease->entry, this->lease->bid_at, this->margins(), this->state->clock->now());
+           host::may_act(this->lease->entry, this->lease->bid_at, margins, this->state->clock->now());
 }
 
 void stage_controller::give_orders(const settings::service_entry& service, int count,
--- a/libraries/gateway/stage_controller.h
+++ b/libraries/gateway/stage_controller.h
@@ -38,7 +38,6 @@
     void balance(const settings::service_entry& service, wire::yield_context yield);
     /// How long a change is due before this host orders it: hosts try one after the other.
     [[nodiscard]] base::duration own_patience() const;
-    [[nodiscard]] host::lease_margins margins() const;
     /// Takes the lease, unless another's may still be in force; says whether it is this host's.
     bool try_take_lease(wire::yield_context yield);
     /// Notes who holds the lease; says whether that lease is surely over.
--- a/libraries/host/lease_table.cpp
+++ b/libraries/host/lease_table.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <host/lease_table.h>
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace postpaddle::host {
@@ -75,4 +77,13 @@
     return margins.longest_pause;
 }
 
+base::duration pause_between_holders(const order_pacing& pacing, const lease_margins& margins) {
+    return std::max(pacing.least_pause, wait_before_orders(pacing.do_upstreams_check, true, margins));
+}
+
+base::duration lease_length(const order_pacing& pacing, const lease_margins& margins) {
+    static constexpr int room_for_orders = 3;
+    return pacing.least_pause * room_for_orders + pause_between_holders(pacing, margins);
+}
+
 } // namespace postpaddle::host
--- a/libraries/host/lease_table.h
+++ b/libraries/host/lease_table.h
@@ -68,4 +68,19 @@
 [[nodiscard]] base::duration wait_before_orders(bool upstream_checks, bool had_holder,
                                                 const lease_margins& margins);
 
+/// How far apart orders of two holders must be.
+struct order_pacing {
+    base::duration least_pause{};    ///< Between the last order of one holder and the first of another.
+    bool do_upstreams_check = false; ///< Whether upstreams refuse orders with an older token.
+
+    bool operator==(const order_pacing&) const = default;
+};
+
+/// How long a holder waits before its first order when another held the lease before.
+[[nodiscard]] base::duration pause_between_holders(const order_pacing& pacing, const lease_margins& margins);
+
+/// Length of a lease, alike for the host that holds it and for those that wait for its end: room for the
+/// pause and for some orders after it.
+[[nodiscard]] base::duration lease_length(const order_pacing& pacing, const lease_margins& margins);
+
 } // namespace postpaddle::host
--- a/tests/host/test_shares_and_leases.cpp
+++ b/tests/host/test_shares_and_leases.cpp
@@ -196,3 +196,22 @@
     CHECK(weigh_pools(state, {0.2, 0.95}, options, start + 200s) == pool_move::none);
     CHECK(weigh_pools(state, {0.2, 0.95}, options, start + 500s) == pool_move::to_decode);
 }
+
+TEST_CASE("orders of two holders are apart by the least pause, and each holder has time for some") {
+    const host::lease_margins margins;
+    const base::time_point bid_at{1h};
+    for (const bool do_upstreams_check : {true, false})
+        for (const base::duration least : {base::duration(500ms), base::duration(3s), base::duration(10s)}) {
+            const host::order_pacing pacing = {.least_pause = least,
+                                               .do_upstreams_check = do_upstreams_check};
+            const base::duration pause = host::pause_between_holders(pacing, margins);
+            const host::lease_entry lease = {
+                .token = 1, .holder = "a", .length = host::lease_length(pacing, margins), .read_at = bid_at};
+            CHECK(host::may_act(lease, bid_at, margins, bid_at + pause));
+            // The next holder takes the lease as soon as it may, and waits for the pause.
+            base::time_point over = bid_at;
+            while (!host::is_over(lease, margins, over))
+                over += 10ms;
+            CHECK_FALSE(host::may_act(lease, bid_at, margins, over + pause - least));
+        }
+}
