host: Read the store so that silence in the middle of a read is no loss

Cause: a read that waits for a record and was open when the store fell silent is never answered, also after the store's return. Settings were read with waits of 3.8 s and given up 0.9 s later, so a version accepted a second after a silence was heard of too late by hosts whom the store then turned away: 404 for a route that was added. Change: waits follow the bound (3/5 of it), silence is noticed after 0.4 s more, and while the store counts as lost short reads follow each other each 0.5 s whether or not earlier ones were answered; a host that lost the store asks a peer for settings as often. Requests' ages and first events are logged. Tests: a record is known within its bound through silences and refusals at every phase of a read (test_store_reader; the old waits fail it). The check that a read answered only at the end of its wait keeps to the bound moved there.

--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -83,6 +83,7 @@
                      this->apply_caller_limits();
                      this->peers.spread_settings();
                  },
+             .on_settings_lost = [this] { this->peers.ask_for_settings(); },
              .on_registry_lost = [this](wire::yield_context yield) { this->peers.ask_for_registry(yield); }}),
       stages(this->state, *this->feed) {
     this->state.peers.seeds = this->process.seeds;
@@ -176,6 +177,7 @@
         this->process.grace = next->grace;
         this->process.balancer_lag = next->balancer_lag;
         this->process.registry_interval = next->registry_interval;
+        this->process.settings_bound = next->settings_bound;
         this->process.leaving_bound = next->leaving_bound;
         this->process.heartbeat = next->heartbeat;
         this->process.retries = next->retries;
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -174,6 +174,8 @@
                               [this, address](wire::yield_context yield) { this->beat(address, yield); });
 }
 
+void peer_exchange::ask_for_settings() { this->beat_some(1); }
+
 void peer_exchange::spread_settings() { this->beat_some(spread_count); }
 
 void peer_exchange::say_goodbye() { this->beat_some(spread_count); }
--- a/libraries/gateway/peer_exchange.h
+++ b/libraries/gateway/peer_exchange.h
@@ -23,6 +23,8 @@
     void start();
     /// Tells a few peers at once that newer settings are in force here.
     void spread_settings();
+    /// Asks a peer which settings it has, and for those where they are newer.
+    void ask_for_settings();
     /// Asks a peer for the registry and, if need be, for the settings.
     void ask_for_registry(wire::yield_context yield);
     /// Tells a few peers that this host is leaving.
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -59,6 +59,12 @@
         line["prompt_tokens"] = request.routed.prompt_tokens;
         line["output_tokens"] = request.routed.output_tokens;
     }
+    if (request.routed.time_left)
+        line["time_left_ms"] = request.routed.time_left->count();
+    if (request.routed.resume_after)
+        line["resume_after"] = *request.routed.resume_after;
+    if (request.first_event)
+        line["first_event_ms"] = base::to_milliseconds(*request.first_event);
     if (status != 0)
         line["status"] = status;
     if (request.reason != nullptr)
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -195,8 +195,8 @@
             wire::remove_connection_headers(this->first_head.headers);
             this->request->connection->begin_stream(this->first_head);
             this->is_begun = true;
-            this->request->state->figures->observe("first_event_seconds", this->request->state->clock->now() -
-                                                                              this->request->arrived);
+            this->request->first_event = this->request->state->clock->now() - this->request->arrived;
+            this->request->state->figures->observe("first_event_seconds", *this->request->first_event);
         }
         if (!this->request->connection->append(event->text))
             return false;
--- a/libraries/host/answer_patience.h
+++ b/libraries/host/answer_patience.h
@@ -10,7 +10,8 @@
 /// Short at first, so that a store that is silent is noticed soon; doubled after each answer that did not
 /// come, so that many hosts that start at once and read all of a large registry don't time out for ever.
 struct answer_patience {
-    std::chrono::milliseconds limit{900};
+    std::chrono::milliseconds shortest{900};
+    std::chrono::milliseconds limit = shortest;
 
     bool operator==(const answer_patience&) const = default;
 };
@@ -21,8 +22,4 @@
 /// No answer came in time.
 void did_time_out(answer_patience& patience);
 
-/// How long a read may wait for a record so that it keeps to a bound on knowing of it. A store does not
-/// always answer a read that waits when the record comes, only at the end of the wait.
-[[nodiscard]] std::chrono::milliseconds longest_wait(std::chrono::milliseconds bound);
-
 } // namespace postpaddle::host
--- /dev/null
+++ b/libraries/host/store_reader.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <host/store_reader.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace postpaddle::host {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A read waits for at most 3/5 of the bound. The rest is left to notice that it has no answer, for the read
+/// that follows, and for other hosts' word.
+constexpr int waiting_parts = 3;
+constexpr int bound_parts = 5;
+/// Probes that are open at once, at most: as many as begin within the longest patience, so that none is held up
+/// by those that will not be answered.
+constexpr int most_probes = 12;
+
+void close_read(store_reader& reader, const store_read& read) {
+    if (read.wait > milliseconds::zero())
+        reader.is_waiting = false;
+    else
+        --reader.probes_open;
+}
+
+} // namespace
+
+std::optional<store_read> next_read(store_reader& reader, base::time_point now) {
+    if (!reader.is_lost) {
+        if (reader.is_waiting)
+            return std::nullopt;
+        reader.is_waiting = true;
+        return store_read{reader.bound * waiting_parts / bound_parts, reader.patience.limit};
+    }
+    if (now < reader.next_probe || reader.probes_open >= most_probes)
+        return std::nullopt;
+    ++reader.probes_open;
+    reader.next_probe = now + probe_interval;
+    return store_read{milliseconds::zero(), reader.patience.limit};
+}
+
+bool did_answer(store_reader& reader, const store_read& read, base::time_point began) {
+    close_read(reader, read);
+    reader.answered_from = std::max(reader.answered_from, began);
+    did_answer(reader.patience);
+    return std::exchange(reader.is_lost, false);
+}
+
+bool did_fail(store_reader& reader, const store_read& read, read_failure failure, base::time_point began) {
+    close_read(reader, read);
+    if (failure == read_failure::no_answer)
+        did_time_out(reader.patience);
+    // A later read was answered: this one tells nothing new of the store.
+    if (began < reader.answered_from)
+        return false;
+    return !std::exchange(reader.is_lost, true);
+}
+
+} // namespace postpaddle::host
--- /dev/null
+++ b/libraries/host/store_reader.h
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <host/answer_patience.h>
+
+#include <optional>
+
+namespace postpaddle::host {
+
+/// One read of the store.
+struct store_read {
+    std::chrono::milliseconds wait{};  ///< The store may hold the answer back for so long, until a record comes.
+    std::chrono::milliseconds limit{}; ///< On top, until the answer is given up.
+
+    bool operator==(const store_read&) const = default;
+};
+
+/// Keeps a host in step with one topic of the store within a bound, whatever becomes of single reads.
+///
+/// While the store answers, one read is open at a time and waits for a record. A store that falls silent
+/// answers no read that was open then, also after its return, so such a read is given up well within the
+/// bound. From then on short reads that wait for nothing follow each other, whether or not the earlier ones
+/// were answered, so that one of them begins soon after the store's return.
+struct store_reader {
+    std::chrono::milliseconds bound{2'000}; ///< A record must be known within this time.
+    answer_patience patience{.shortest = std::chrono::milliseconds(400)};
+    bool is_lost = false; ///< The last read that ended had no answer.
+    bool is_waiting = false;
+    int probes_open = 0;
+    base::time_point next_probe{};
+    base::time_point answered_from{}; ///< Begin of the newest read that was answered.
+};
+
+/// The read to begin now, if one is due; it counts as open from then on.
+[[nodiscard]] std::optional<store_read> next_read(store_reader& reader, base::time_point now);
+
+/// A read that began at `began` was answered. Says whether the store counted as lost before.
+bool did_answer(store_reader& reader, const store_read& read, base::time_point began);
+
+/// How a read failed.
+enum class read_failure {
+    no_answer, ///< Silence, or no connection.
+    refusal,   ///< The store answered, with an error.
+};
+
+/// A read that began at `began` failed. Says whether the store counts as lost only since.
+bool did_fail(store_reader& reader, const store_read& read, read_failure failure, base::time_point began);
+
+/// Pause between two looks whether a read is due while the store counts as lost.
+inline constexpr std::chrono::milliseconds probe_interval{500};
+
+} // namespace postpaddle::host
--- a/libraries/settings/gateway_settings.cpp
+++ b/libraries/settings/gateway_settings.cpp
@@ -80,6 +80,7 @@
     value.grace = read_seconds(reader, "grace_s", standard.grace);
     value.balancer_lag = read_milliseconds(reader, "balancer_lag_ms", standard.balancer_lag);
     value.registry_interval = read_milliseconds(reader, "registry_interval_ms", standard.registry_interval);
+    value.settings_bound = read_milliseconds(reader, "settings_bound_ms", standard.settings_bound);
     value.leaving_bound = read_milliseconds(reader, "leaving_bound_ms", standard.leaving_bound);
     value.heartbeat = read_milliseconds(reader, "heartbeat_ms", standard.heartbeat);
     value.connections = static_cast<std::size_t>(reader.integer(
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -37,6 +37,7 @@
     std::chrono::milliseconds grace{8'000};           ///< From the stop signal to the end, at most.
     std::chrono::milliseconds balancer_lag{2'500};    ///< From unready until no new connection comes.
     std::chrono::milliseconds registry_interval{300}; ///< Between two reads of the upstreams' registry.
+    std::chrono::milliseconds settings_bound{2'000};  ///< Within it a new version is in force on every host.
     std::chrono::milliseconds leaving_bound{
         2'000};                                 ///< Within it a leaving upstream gets nothing new any more.
     std::chrono::milliseconds heartbeat{1'000}; ///< Between two heartbeats to a peer.
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -1,5 +1,4 @@
 // SPDX-License-Identifier: BSD-2-Clause
-#include <host/answer_patience.h>
 #include <host/load_share.h>
 #include <host/peer_directory.h>
 
@@ -177,8 +176,3 @@
     directory.seeds = {"127.0.0.1:5"};
     CHECK(host::draw_peers(directory, 2, start, random) == std::vector<std::string>{"127.0.0.1:5"});
 }
-
-TEST_CASE("a read that is answered only at the end of its wait still keeps to the bound") {
-    CHECK(host::longest_wait(2'000ms) == 1'400ms);
-    CHECK(host::longest_wait(500ms) < 500ms);
-}
--- /dev/null
+++ b/tests/host/test_store_reader.cpp
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <host/store_reader.h>
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <random>
+#include <vector>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const base::time_point start{1h};
+constexpr milliseconds bound = 2'000ms;
+/// From a read's begin to its answer, where the store answers.
+constexpr milliseconds answer_time = 10ms;
+
+/// What the store does to reads for a while.
+enum class trouble { silence, refusal };
+
+struct trouble_span {
+    trouble kind = trouble::silence;
+    milliseconds begin{};
+    milliseconds end{};
+
+    bool operator==(const trouble_span&) const = default;
+};
+
+/// A store that records one change, and its trouble.
+struct fake_store {
+    std::vector<trouble_span> troubles;
+    milliseconds recorded{}; ///< When the change is accepted.
+
+    [[nodiscard]] const trouble_span* trouble_in(milliseconds begin, milliseconds end) const {
+        for (const trouble_span& span : this->troubles)
+            if (span.begin < end && begin < span.end)
+                return &span;
+        return nullptr;
+    }
+};
+
+/// A read that is open.
+struct open_read {
+    host::store_read order;
+    milliseconds began{};
+    milliseconds ends{};
+    std::optional<host::read_failure> failure{};
+    bool brings_change = false;
+
+    bool operator==(const open_read&) const = default;
+};
+
+open_read begin_read(const fake_store& store, const host::store_read& order, milliseconds now) {
+    const milliseconds answered =
+        std::max(now, std::min(now + order.wait, std::max(now, store.recorded))) + answer_time;
+    const trouble_span* const met = store.trouble_in(now, answered);
+    if (met == nullptr)
+        return {order, now, answered, std::nullopt, answered - answer_time >= store.recorded};
+    if (met->kind == trouble::refusal)
+        return {order, now, std::max(now, met->begin) + answer_time, host::read_failure::refusal};
+    // Silence loses the answer for good, also when the store is back before the read is given up.
+    return {order, now, now + order.wait + order.limit, host::read_failure::no_answer};
+}
+
+/// When the reader knows of the change.
+milliseconds learned_at(const fake_store& store) {
+    host::store_reader reader{.bound = bound};
+    std::vector<open_read> open;
+    for (milliseconds now = 0ms; now < 60'000ms; now += 5ms) {
+        for (const open_read& read : open) {
+            if (read.ends > now)
+                continue;
+            if (read.failure)
+                (void)host::did_fail(reader, read.order, *read.failure, start + read.began);
+            else
+                (void)host::did_answer(reader, read.order, start + read.began);
+            if (read.brings_change)
+                return now;
+        }
+        std::erase_if(open, [now](const open_read& read) { return read.ends <= now; });
+        if (const auto order = host::next_read(reader, start + now))
+            open.push_back(begin_read(store, *order, now));
+    }
+    return 60'000ms;
+}
+
+} // namespace
+
+TEST_CASE("a record is known within its bound wherever in a waiting read trouble begins and ends") {
+    for (const auto kind : {trouble::silence, trouble::refusal})
+        for (milliseconds begin = 3'000ms; begin < 4'600ms; begin += 100ms)
+            for (milliseconds length = 100ms; length < 6'000ms; length += 300ms)
+                for (const auto after : {0ms, 50ms, 500ms, 1'000ms, 1'700ms}) {
+                    const milliseconds recorded = begin + length + after;
+                    const fake_store store{{{kind, begin, begin + length}}, recorded};
+                    INFO(begin.count() << " for " << length.count() << " then " << after.count());
+                    CHECK(learned_at(store) - recorded <= bound);
+                }
+}
+
+TEST_CASE("a record is known within its bound through silences and refusals at random") {
+    std::mt19937_64 random(7);
+    std::uniform_int_distribution<int> draw(0, 9'000);
+    std::bernoulli_distribution coin(0.5);
+    for (int round = 0; round < 2'000; ++round) {
+        fake_store store;
+        for (int span = 0; span < 4; ++span) {
+            const milliseconds begin(draw(random));
+            store.troubles.push_back({coin(random) ? trouble::silence : trouble::refusal, begin,
+                                      begin + milliseconds(draw(random) / 3)});
+        }
+        milliseconds sound{};
+        for (const trouble_span& span : store.troubles)
+            sound = std::max(sound, span.end);
+        store.recorded = sound + milliseconds(draw(random) / 9);
+        INFO("round " << round);
+        CHECK(learned_at(store) - store.recorded <= bound);
+    }
+}
+
+TEST_CASE("a store that answers later than it is waited for is waited for longer") {
+    host::store_reader reader{.bound = bound};
+    const auto first = host::next_read(reader, start);
+    REQUIRE(first);
+    CHECK(first->wait + first->limit < bound);
+    CHECK(host::did_fail(reader, *first, host::read_failure::no_answer, start));
+    const auto probe = host::next_read(reader, start + 2s);
+    REQUIRE(probe);
+    CHECK(probe->wait == 0ms);
+    CHECK(probe->limit > first->limit);
+    CHECK(host::did_answer(reader, *probe, start + 2s));
+}
+
+TEST_CASE("an old read that fails after a later one was answered tells nothing of the store") {
+    host::store_reader reader{.bound = bound};
+    const auto first = host::next_read(reader, start);
+    REQUIRE(first);
+    (void)host::did_fail(reader, *first, host::read_failure::no_answer, start);
+    const auto probe = host::next_read(reader, start + 1s);
+    const auto other = host::next_read(reader, start + 2s);
+    REQUIRE(probe);
+    REQUIRE(other);
+    CHECK(host::did_answer(reader, *other, start + 2s));
+    CHECK_FALSE(host::did_fail(reader, *probe, host::read_failure::no_answer, start + 1s));
+    CHECK_FALSE(reader.is_lost);
+}
+
+TEST_CASE("while the store answers one read is open, and probes that get no answer are bounded") {
+    host::store_reader reader{.bound = bound};
+    const auto first = host::next_read(reader, start);
+    REQUIRE(first);
+    CHECK_FALSE(host::next_read(reader, start + 1s));
+    (void)host::did_fail(reader, *first, host::read_failure::no_answer, start);
+    int probes = 0;
+    for (auto now = start; now < start + 60s; now += 100ms)
+        probes += host::next_read(reader, now) ? 1 : 0;
+    CHECK(probes == 12);
+}
+
+TEST_CASE("a read that is answered only at the end of its wait still keeps to the bound") {
+    for (const auto short_or_long : {500ms, 2'000ms, 10'000ms}) {
+        host::store_reader reader{.bound = short_or_long};
+        const auto read = host::next_read(reader, start);
+        REQUIRE(read);
+        CHECK(read->wait > 0ms);
+        CHECK(read->wait <= short_or_long * 6 / 10);
+    }
+}
