routing: Learn engines' pace, by service

Cause: 55,000 prompt tokens a second stood in the code, the first customers' engine; the further one's read 33,000. Expected reads, the balance between stages and patience rested on it, and what was learned of sizes and hold times was mixed over all services of a host. Change: a line through reads that met no other prompt gives a fixed time and a time a token; the time to a moved stream's first event is learned likewise; all of it by service. The balance counts a part (0.15) of decode engines' time as reading, as it may stand in for prefill engines, while nothing stands in for memory. Tests: paces of three kinds of engine from 20 reads.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -28,17 +28,14 @@
 constexpr double avoided_cost = 0.3;
 /// Breaks ties, so that hosts with the same view don't all choose the same upstream.
 constexpr double tie_spread = 0.003;
-/// A decode engine reads a prompt at this part of that rate.
-constexpr double decode_read_part = 0.5;
-/// From the end of the prompt to the first event, and the move of the KV cache.
-constexpr double first_event_time = 0.04;
-constexpr double move_time = 0.012;
 /// What reading at a decode engine costs the streams that it holds up.
 constexpr double reading_there_cost = 0.5;
 /// Part of an engine's memory that is promised.
 constexpr double usable_memory = 1.0;
 /// What it costs to send to an engine that has no place.
 constexpr double full_cost = 10;
+/// Slowness of an engine that reads faster than any other is not believed below this.
+constexpr double least_slowness = 0.1;
 /// Age at which the queue that a prompt met no longer says anything.
 constexpr double seen_wait_lifetime = 0.5;
 
@@ -91,21 +88,18 @@
 }
 
 /// Seconds until a prompt sent now has been read at a prefill engine.
-double prompt_tokens_out(const instance& candidate) {
-    return std::max(0.0, candidate.own.prompt_tokens + candidate.others.prompt_tokens);
-}
-
-/// Seconds until a prompt sent now has been read at a prefill engine.
-double read_time(const instance& candidate, double tokens, base::time_point now) {
-    const double queue = std::max(prompt_tokens_out(candidate) / prompt_read_rate * candidate.slowness.value,
-                                  seen_wait(candidate, now));
-    return queue + tokens / prompt_read_rate * candidate.slowness.value;
+double read_time(const instance& candidate, double tokens, const choice_context& context) {
+    const double queue =
+        std::max(seconds_for_tokens(context.pace, prompt_tokens_out(candidate)) * candidate.slowness.value,
+                 seen_wait(candidate, context.now));
+    return queue + seconds_alone(context.pace, tokens) * candidate.slowness.value;
 }
 
 /// Seconds until a prompt sent now has been read at a decode engine.
-double decode_read_time(const instance& candidate, double tokens) {
-    const double rate = prompt_read_rate * decode_read_part;
-    return (prompt_tokens_out(candidate) + tokens) / rate * candidate.slowness.value;
+double decode_read_time(const instance& candidate, double tokens, const choice_context& context) {
+    const double queue = seconds_for_tokens(context.pace, prompt_tokens_out(candidate));
+    const double own = seconds_alone(context.pace, tokens);
+    return decode_read_factor * (queue + own) * candidate.slowness.value;
 }
 
 bool has_room(const instance& candidate, const choice_context& context,
@@ -188,6 +182,10 @@
 
 } // namespace
 
+double prompt_tokens_out(const instance& candidate) {
+    return std::max(0.0, candidate.own.prompt_tokens + candidate.others.prompt_tokens);
+}
+
 double memory_left(const instance& candidate, const settings::engine_capacity& capacity,
                    base::time_point now) {
     return usable_memory * capacity.kv_tokens - candidate.own.memory_tokens - candidate.others.memory_tokens -
@@ -209,16 +207,16 @@
                                          std::mt19937_64& random) {
     const weighed best = cheapest(usable(table, context, can_decode), [&](const instance& candidate) {
         return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-               decode_read_time(candidate, size.prompt_tokens) + reading_there_cost;
+               decode_read_time(candidate, size.prompt_tokens, context) + reading_there_cost;
     });
     if (best.chosen == nullptr)
         return std::nullopt;
-    const double read = decode_read_time(*best.chosen, size.prompt_tokens);
+    const double read = decode_read_time(*best.chosen, size.prompt_tokens, context);
     return engine_plan{.prefill = std::nullopt,
                        .decode = best.chosen->entry.id,
                        .has_room = has_room(*best.chosen, context, capacity, size),
                        .expected_read = base::from_seconds(read),
-                       .expected_first_event = base::from_seconds(read + first_event_time),
+                       .expected_first_event = base::from_seconds(read + context.pace.first_event.value),
                        .cost = best.cost};
 }
 
@@ -228,14 +226,14 @@
     const weighed best = cheapest(usable(table, context, can_decode), [&](const instance& candidate) {
         const bool is_near = candidate.entry.availability_zone == source_zone;
         return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-               move_time + (is_near ? 0 : other_zone_move_cost);
+               (is_near ? 0 : other_zone_move_cost);
     });
     if (best.chosen == nullptr)
         return std::nullopt;
     return engine_plan{.prefill = std::nullopt,
                        .decode = best.chosen->entry.id,
                        .has_room = has_room(*best.chosen, context, capacity, size),
-                       .expected_first_event = base::from_seconds(move_time + first_event_time),
+                       .expected_first_event = base::from_seconds(context.pace.first_event.value),
                        .cost = best.cost};
 }
 
@@ -246,21 +244,21 @@
     const auto prefill =
         cheapest_by_zone(usable(table, context, can_prefill), [&](const instance& candidate) {
             return standing_cost(candidate, context, random) +
-                   read_time(candidate, size.prompt_tokens, context.now);
+                   read_time(candidate, size.prompt_tokens, context);
         });
     const auto decode = cheapest_by_zone(usable(table, context, can_decode), [&](const instance& candidate) {
         return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-               move_time;
+               context.pace.first_event.value;
     });
     const engine_pair best = cheapest_pair(prefill, decode);
     if (best.prefill == nullptr || (reader && reader->cost < best.cost))
         return reader;
-    const double read = read_time(*best.prefill, size.prompt_tokens, context.now);
+    const double read = read_time(*best.prefill, size.prompt_tokens, context);
     return engine_plan{.prefill = best.prefill->entry.id,
                        .decode = best.decode->entry.id,
                        .has_room = has_room(*best.decode, context, capacity, size),
                        .expected_read = base::from_seconds(read),
-                       .expected_first_event = base::from_seconds(read + move_time + first_event_time),
+                       .expected_first_event = base::from_seconds(read + context.pace.first_event.value),
                        .cost = best.cost};
 }
 
@@ -280,11 +278,13 @@
     return places;
 }
 
-void note_read(instance& target, const prompt_size& size, base::duration taken, base::time_point now) {
-    const double alone = std::max(0.001, size.prompt_tokens / prompt_read_rate);
-    const double seconds = base::to_seconds(taken);
-    const double queue = prompt_tokens_out(target) / prompt_read_rate;
-    learn(target.slowness, std::max(0.1, seconds / (alone + queue)));
+void note_read(instance& target, engine_pace& pace, const prompt_read& read, base::time_point now) {
+    const double alone = seconds_alone(pace, read.prompt_tokens);
+    const double seconds = base::to_seconds(read.taken);
+    const double queue = seconds_for_tokens(pace, read.tokens_before);
+    learn(target.slowness, std::max(least_slowness, seconds / (alone + queue)));
+    if (read.tokens_before == 0)
+        learn_read(pace, read.prompt_tokens, seconds);
     target.seen_wait = base::from_seconds(std::max(0.0, seconds - alone * target.slowness.value));
     target.seen_wait_at = now;
 }
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <decision/engine_pace.h>
 #include <decision/instance_table.h>
 
 #include <optional>
@@ -10,8 +11,9 @@
 
 namespace postpaddle::decision {
 
-/// Tokens a second that a prefill engine reads; engines' own slowness is learned on top.
-inline constexpr double prompt_read_rate = 55'000;
+/// A decode engine takes this many times as long for a prompt as a prefill engine (the platform's protocol
+/// says so).
+inline constexpr double decode_read_factor = 2;
 
 /// What a choice of upstreams rests on.
 struct choice_context {
@@ -19,6 +21,7 @@
     base::zone_id own_zone;
     std::set<base::upstream_id> excluded; ///< Already tried for this request.
     base::time_point now{};
+    engine_pace pace{}; ///< Of the service's engines.
 };
 
 /// Size of a prompt and of its answer.
@@ -78,8 +81,20 @@
 [[nodiscard]] engine_places count_places(const instance_table& table, const choice_context& context,
                                          const settings::engine_capacity& capacity, const prompt_size& size);
 
-/// Learns from a prompt that a prefill engine read in `taken`.
-void note_read(instance& target, const prompt_size& size, base::duration taken, base::time_point now);
+/// Prompt tokens that an engine was sent, by whichever host, and has not read yet.
+[[nodiscard]] double prompt_tokens_out(const instance& candidate);
+
+/// A prompt that a prefill engine has read.
+struct prompt_read {
+    double prompt_tokens = 0;
+    double tokens_before = 0; ///< Sent to the engine and not read when it was sent.
+    base::duration taken{};
+
+    bool operator==(const prompt_read&) const = default;
+};
+
+/// Learns from a prompt that was read.
+void note_read(instance& target, engine_pace& pace, const prompt_read& read, base::time_point now);
 
 /// Learns from a plain answer.
 void note_answer_time(instance& target, base::duration taken);
--- a/libraries/decision/stage_balance.cpp
+++ b/libraries/decision/stage_balance.cpp
@@ -2,7 +2,6 @@
 #include <decision/stage_balance.h>
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 
 namespace postpaddle::decision {
@@ -11,8 +10,9 @@
 
 using settings::engine_stage;
 
-/// Part of the prefill engines' pace that may be used for long.
-constexpr double usable_prefill = 0.85;
+/// Part of a decode engine's time that prompts may take when they queue at prefill engines. Memory that
+/// decode engines lack has no such substitute.
+constexpr double decode_read_part = 0.15;
 /// A change pays when the answerable rate grows by this factor.
 constexpr double least_gain = 1.1;
 /// Engines that each stage keeps, so that the loss of one leaves another.
@@ -31,16 +31,15 @@
 int bounded_step(int wanted, int engines) { return std::min(wanted, std::max(1, engines / step_part)); }
 
 double work_of(const instance& candidate) {
-    return candidate.own.prompt_tokens + candidate.others.prompt_tokens + candidate.own.memory_tokens +
-           candidate.others.memory_tokens;
+    return prompt_tokens_out(candidate) + candidate.own.memory_tokens + candidate.others.memory_tokens;
 }
 
 } // namespace
 
 double answerable_rate(const stage_facts& facts, int prefill_engines) {
     const int decode_engines = facts.prefill_engines + facts.decode_engines - prefill_engines;
-    const double read =
-        usable_prefill * prefill_engines * prompt_read_rate / std::max(1.0, facts.prompt_tokens);
+    const double readers = prefill_engines + decode_read_part * decode_engines / decode_read_factor;
+    const double read = readers / std::max(0.0001, facts.read_seconds);
     const double answered =
         decode_engines * std::max(1.0, facts.places_an_engine) / std::max(0.001, facts.hold_seconds);
     return std::min(read, answered);
@@ -84,16 +83,16 @@
 }
 
 void count_stages(stage_facts& facts, const instance_table& table, const std::string& service,
-                  base::time_point now) {
+                  const engine_pace& pace, base::time_point now) {
     double queued_tokens = 0;
     for (const auto& [id, candidate] : table.by_id) {
         if (serves_stage(candidate, service, engine_stage::prefill, now)) {
             ++facts.prefill_engines;
-            queued_tokens += candidate.own.prompt_tokens + candidate.others.prompt_tokens;
+            queued_tokens += prompt_tokens_out(candidate);
         }
         facts.decode_engines += serves_stage(candidate, service, engine_stage::decode, now) ? 1 : 0;
     }
-    facts.prompt_queue_seconds = queued_tokens / prompt_read_rate / std::max(1, facts.prefill_engines);
+    facts.prompt_queue_seconds = seconds_for_tokens(pace, queued_tokens) / std::max(1, facts.prefill_engines);
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/stage_balance.h
+++ b/libraries/decision/stage_balance.h
@@ -3,15 +3,13 @@
 
 #include <decision/instance_choice.h>
 
-#include <vector>
-
 namespace postpaddle::decision {
 
 /// What the balance between a service's prefill and decode engines rests on.
 struct stage_facts {
     int prefill_engines = 0;
     int decode_engines = 0;
-    double prompt_tokens = 1;        ///< Of a request, on the mean.
+    double read_seconds = 0.01;      ///< That a prefill engine takes for a request's prompt, on the mean.
     double hold_seconds = 1;         ///< How long a request keeps its place at a decode engine, on the mean.
     double places_an_engine = 1;     ///< Requests of mean size that a decode engine's memory holds.
     double prompt_queue_seconds = 0; ///< Prompts sent to a prefill engine and not read yet, on the mean.
@@ -42,6 +40,6 @@
 /// Counts a service's engines by stage, and the prompts that queue; those that are avoided serve nobody and
 /// don't count.
 void count_stages(stage_facts& facts, const instance_table& table, const std::string& service,
-                  base::time_point now);
+                  const engine_pace& pace, base::time_point now);
 
 } // namespace postpaddle::decision
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -55,7 +55,7 @@
             .free_places = places.free,
             .total_places = places.total,
             .waiting_ahead = waiting_ahead(request, size, in_time, context.now),
-            .hold = base::from_seconds(request.state->hold_seconds.value),
+            .hold = base::from_seconds(profile_of(request).hold_seconds.value),
             .is_queued = is_queued,
             .waited = context.now - request.arrived,
             .patience = decision::patience_for_place(request.route->latency_target,
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -43,11 +43,16 @@
     return found == services.end() ? nullptr : &found->second;
 }
 
+decision::service_profile& profile_of(const gateway_request& request) {
+    return request.state->profiles[request.service];
+}
+
 decision::choice_context choice_context_of(const gateway_request& request) {
     return {.service = request.service,
             .own_zone = request.state->process->availability_zone,
             .excluded = request.tried,
-            .now = request.state->clock->now()};
+            .now = request.state->clock->now(),
+            .pace = profile_of(request).pace};
 }
 
 base::duration time_left(const gateway_request& request) {
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -40,7 +40,7 @@
     std::set<base::upstream_id> tried;
     std::shared_ptr<request_cancellation> cancellation = std::make_shared<request_cancellation>();
     nlohmann::json sends = nlohmann::json::array(); ///< For the log: one entry a send.
-    nlohmann::json place;         ///< For the log: what the last decision on a place rested on.
+    nlohmann::json place;                      ///< For the log: what the last decision on a place rested on.
     std::optional<base::duration> first_event; ///< For the log: from its arrival to a stream's first event.
     const char* reason = nullptr; ///< For the log: why it ended without an upstream's whole answer.
 };
@@ -58,6 +58,9 @@
 /// The service's settings, or null where the version in force has none of that name.
 [[nodiscard]] const settings::service_entry* service_of(const gateway_request& request);
 
+/// What is learned of the request's service.
+[[nodiscard]] decision::service_profile& profile_of(const gateway_request& request);
+
 /// What choices rest on for this request now.
 [[nodiscard]] decision::choice_context choice_context_of(const gateway_request& request);
 
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <decision/instance_table.h>
 #include <decision/route_table.h>
+#include <decision/service_profile.h>
 #include <decision/shared_budget.h>
 #include <gateway/decision_log.h>
 #include <gateway/gateway_figures.h>
@@ -57,16 +58,10 @@
     base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
-    host::load_share loads{};                    ///< What the other hosts have in progress.
-    std::function<void()> on_own_load_changed{}; ///< Tells the other hosts.
-    std::set<const waiting_request*> waiting{};  ///< Own requests that wait for a place.
-    decision::estimate hold_seconds =
-        decision::make_rough_estimate(2.5); ///< How long a request keeps its place.
-    decision::estimate output_tokens =
-        decision::make_rough_estimate(600); ///< Tokens that a request puts out.
-    decision::estimate prompt_tokens =
-        decision::make_rough_estimate(3'000); ///< Tokens of a request's prompt.
-    int streams_passed = 0;                   ///< Streams that this host has passed on whole.
+    host::load_share loads{};                                    ///< What the other hosts have in progress.
+    std::function<void()> on_own_load_changed{};                 ///< Tells the other hosts.
+    std::set<const waiting_request*> waiting{};                  ///< Own requests that wait for a place.
+    std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
     std::mt19937_64 random{};
     wire::upstream_pool* pool = nullptr;
     decision_log* log = nullptr;
--- a/libraries/gateway/stage_controller.cpp
+++ b/libraries/gateway/stage_controller.cpp
@@ -72,23 +72,26 @@
     while (!this->state->is_draining) {
         this->pause(look_interval, yield);
         const auto in_force = this->state->settings;
-        if (!in_force || this->state->streams_passed < least_streams)
+        if (!in_force)
             continue;
-        for (const auto& [name, service] : in_force->document.value->services)
-            if (service.engine && service.engine->stage_change > 0ms)
+        for (const auto& [name, service] : in_force->document.value->services) {
+            const bool is_known = this->state->profiles[name].streams_passed >= least_streams;
+            if (is_known && service.engine && service.engine->stage_change > 0ms)
                 this->balance(service, yield);
+        }
     }
 }
 
 int stage_controller::due_changes(const settings::service_entry& service) const {
     const gateway_state& own = *this->state;
-    const double request_tokens = own.prompt_tokens.value + own.output_tokens.value;
+    const decision::service_profile& profile = this->state->profiles[service.name];
+    const double request_tokens = profile.prompt_tokens.value + profile.output_tokens.value;
     decision::stage_facts facts = {
-        .prompt_tokens = own.prompt_tokens.value,
-        .hold_seconds = own.hold_seconds.value,
+        .read_seconds = decision::seconds_for_tokens(profile.pace, profile.prompt_tokens.value),
+        .hold_seconds = profile.hold_seconds.value,
         .places_an_engine = std::min<double>(service.engine->places,
                                              service.engine->kv_tokens / std::max(1.0, request_tokens))};
-    decision::count_stages(facts, own.instances, service.name, own.clock->now());
+    decision::count_stages(facts, own.instances, service.name, profile.pace, own.clock->now());
     return decision::engines_to_decode(facts);
 }
 
@@ -204,14 +207,17 @@
     const auto said =
         answer ? this->state->protocol.read_order_answer(answer->status) : ports::order_answer::refused;
     this->state->figures->count("stage_orders_total");
-    this->state->log->write_always("stage_order",
-                                   {{"engine", engine.value},
-                                    {"to", stage == engine_stage::decode ? "decode" : "prefill"},
-                                    {"token", order.token},
-                                    {"expected_orders", order.expected_orders},
-                                    {"answer", answer ? to_text(said) : "none"},
-                                    {"prompt_tokens", this->state->prompt_tokens.value},
-                                    {"hold_seconds", this->state->hold_seconds.value}});
+    const decision::service_profile& profile = this->state->profiles[service.name];
+    this->state->log->write_always(
+        "stage_order",
+        {{"engine", engine.value},
+         {"to", stage == engine_stage::decode ? "decode" : "prefill"},
+         {"token", order.token},
+         {"expected_orders", order.expected_orders},
+         {"answer", answer ? to_text(said) : "none"},
+         {"prompt_tokens", profile.prompt_tokens.value},
+         {"read_seconds", decision::seconds_for_tokens(profile.pace, profile.prompt_tokens.value)},
+         {"hold_seconds", profile.hold_seconds.value}});
     const bool may_be_taken = !answer || said == ports::order_answer::taken;
     decision::instance* const target = decision::find_instance(this->state->instances, engine);
     if (may_be_taken && target != nullptr) {
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -61,6 +61,8 @@
         .purpose = ports::send_purpose::read_prompt,
         .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request))};
     ++this->prompts_sent;
+    const decision::instance* const chosen = decision::find_instance(state.instances, *plan.prefill);
+    const double tokens_before = chosen == nullptr ? 0 : decision::prompt_tokens_out(*chosen);
     work_mark mark(state, *plan.prefill, {.requests = 1, .prompt_tokens = this->size.prompt_tokens});
     exchange_result exchange = send_to_instance(*this->request, send, limit, yield);
     if (exchange.result == send_result::answered || exchange.result == send_result::not_run) {
@@ -75,7 +77,11 @@
     end_exchange(*this->request, send, exchange);
     decision::instance* const target = decision::find_instance(state.instances, *plan.prefill);
     if (this->kept.has_value() && target != nullptr)
-        decision::note_read(*target, this->size, state.clock->now() - exchange.sent, state.clock->now());
+        decision::note_read(*target, profile_of(*this->request).pace,
+                            {.prompt_tokens = this->size.prompt_tokens,
+                             .tokens_before = tokens_before,
+                             .taken = state.clock->now() - exchange.sent},
+                            state.clock->now());
     if (!this->kept.has_value())
         this->request->tried.insert(*plan.prefill);
     return this->kept.has_value();
@@ -91,6 +97,9 @@
     const base::time_point limit = decision::may_go_elsewhere(this->request->record)
                                        ? late_after(*this->request, plan.expected_first_event)
                                        : this->request->deadline;
+    this->moved_at.reset();
+    if (send.source)
+        this->moved_at = this->request->state->clock->now();
     exchange_result exchange = send_to_instance(*this->request, send, limit, yield);
     return this->take_answer(exchange, send, limit, yield);
 }
@@ -147,10 +156,10 @@
 }
 
 void stream_relay::did_pass_whole(base::time_point sent) {
-    gateway_state& state = *this->request->state;
-    decision::learn(state.hold_seconds, base::to_seconds(state.clock->now() - sent));
-    ++state.streams_passed;
-    decision::learn(state.output_tokens,
+    decision::service_profile& profile = profile_of(*this->request);
+    decision::learn(profile.hold_seconds, base::to_seconds(this->request->state->clock->now() - sent));
+    ++profile.streams_passed;
+    decision::learn(profile.output_tokens,
                     static_cast<double>(this->events_passed) * capacity_of(*this->request).tokens_an_event);
 }
 
@@ -184,6 +193,9 @@
 bool stream_relay::pass_events(wire::event_splitter& events) {
     while (const auto event = events.next()) {
         this->place->did_read_prompt();
+        if (const auto sent = std::exchange(this->moved_at, std::nullopt))
+            decision::learn(profile_of(*this->request).pace.first_event,
+                            base::to_seconds(this->request->state->clock->now() - *sent));
         ++this->events_passed;
         this->place->grow_memory(this->memory_after(this->events_passed));
         const bool is_known = event->id && this->last_event && *event->id <= *this->last_event;
@@ -237,11 +249,11 @@
 }
 
 request_ending stream_relay::run(wire::yield_context yield) {
-    gateway_state& state = *this->request->state;
+    decision::service_profile& profile = profile_of(*this->request);
     this->size = {this->request->routed.prompt_tokens,
-                  decision::expected_output(this->request->routed.output_hint, state.output_tokens.value,
+                  decision::expected_output(this->request->routed.output_hint, profile.output_tokens.value,
                                             this->request->routed.output_tokens)};
-    decision::learn(state.prompt_tokens, this->size.prompt_tokens);
+    decision::learn(profile.prompt_tokens, this->size.prompt_tokens);
     this->last_event = this->request->routed.resume_after;
     while (time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone) {
         this->place.reset();
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -53,6 +53,8 @@
     decision::send_result last = decision::send_result::not_connected;
     int prompts_sent = 0;
     int events_passed = 0;
+    std::optional<base::time_point>
+        moved_at;          ///< When a run was sent with its KV cache that has no event yet.
     bool is_begun = false; ///< The caller has the head and events of the answer.
     wire::response_head first_head;
     std::optional<exchange_result> failure; ///< Answer of failure that is passed on when none does better.
--- /dev/null
+++ b/tests/decision/test_engine_pace.cpp
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/instance_choice.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An engine that needs a fixed time and some time a token.
+struct engine_speed {
+    double fixed = 0;
+    double a_token = 0;
+
+    [[nodiscard]] double seconds(double tokens) const { return this->fixed + this->a_token * tokens; }
+    bool operator==(const engine_speed&) const = default;
+};
+
+const base::time_point now{1h};
+
+} // namespace
+
+TEST_CASE("the pace of engines of any speed is learned from some twenty reads") {
+    for (const engine_speed speed : {engine_speed{0.06, 1 / 33'000.0}, engine_speed{0.01, 1 / 200'000.0},
+                                     engine_speed{0.2, 1 / 5'000.0}}) {
+        std::mt19937_64 random(3);
+        std::lognormal_distribution<double> tokens(8, 0.5);
+        decision::engine_pace pace;
+        for (int read = 0; read < 20; ++read) {
+            const double size = tokens(random);
+            decision::learn_read(pace, size, speed.seconds(size));
+        }
+        CHECK(decision::seconds_alone(pace, 3'000) == Approx(speed.seconds(3'000)).epsilon(0.15));
+        CHECK(decision::seconds_for_tokens(pace, 3'000) == Approx(speed.a_token * 3'000).epsilon(0.25));
+    }
+}
+
+TEST_CASE("prompts of one size, and samples that are none, leave the pace usable") {
+    decision::engine_pace pace;
+    for (int read = 0; read < 200; ++read)
+        decision::learn_read(pace, 1'000, 0.1);
+    CHECK(decision::seconds_alone(pace, 1'000) == Approx(0.1).epsilon(0.1));
+    const decision::engine_pace before = pace;
+    decision::learn_read(pace, 1'000, -1);
+    decision::learn_read(pace, 0, 1);
+    CHECK(pace == before);
+}
+
+TEST_CASE("a prompt that met others says nothing of the pace, only of its engine") {
+    decision::engine_pace pace;
+    decision::instance engine;
+    decision::note_read(engine, pace, {.prompt_tokens = 3'000, .tokens_before = 9'000, .taken = 4s}, now);
+    CHECK(pace == decision::engine_pace{});
+    CHECK(engine.slowness.value > 1);
+    decision::note_read(engine, pace, {.prompt_tokens = 3'000, .tokens_before = 0, .taken = 120ms}, now);
+    CHECK_FALSE(pace == decision::engine_pace{});
+}
