routing: Send a repeated prompt to the engine that holds it

An engine that drops a run keeps the parts of its prompt until their memory is needed. Change: how long ago a caller first asked follows from the time that it says is left, against the upper quartile on its route; for a request that was asked before, up to twelve engines are asked what they hold (answers serve for 0.15 s), and reading counts nothing at one that holds the prompt. An engine that refuses a prompt gets none for 0.5 s. A request in the first quarter second of a process waits for settings and registry instead of being refused.

--- /dev/null
+++ b/libraries/decision/caller_patience.h
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+
+namespace postpaddle::decision {
+
+/// How long callers of one route wait when they first ask, from what their requests say is left.
+///
+/// A caller that asks again has less time left than one that asks for the first time, so the difference tells how
+/// long ago it first asked. Most requests are first ones: the upper quartile of the last ones is what a first one
+/// says, however odd a few of them are.
+struct caller_patience {
+    static constexpr std::size_t remembered = 31; ///< Requests; some seconds of a busy route.
+    std::array<std::chrono::milliseconds, remembered> last{};
+    std::size_t taken = 0; ///< Requests so far.
+
+    bool operator==(const caller_patience&) const = default;
+};
+
+/// Takes a request that says how long its caller still waits.
+void note_time_left(caller_patience& patience, std::chrono::milliseconds left);
+
+/// How long ago a caller with so much time left is taken to have asked first; zero where it is not surely
+/// another try.
+[[nodiscard]] base::duration time_since_first_try(const caller_patience& patience,
+                                                  std::chrono::milliseconds left);
+
+} // namespace postpaddle::decision
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -87,15 +87,21 @@
     return std::max(0.0, base::to_seconds(candidate.seen_wait) * (1 - age / seen_wait_lifetime));
 }
 
+/// Tokens that an engine must read for a prompt.
+double tokens_to_read(const instance& candidate, double tokens, const choice_context& context) {
+    return context.holding.contains(candidate.entry.id) ? 0 : tokens;
+}
+
 /// Seconds until a prompt sent now has been read at a prefill engine.
 double read_time(const instance& candidate, double tokens, const choice_context& context) {
     const double queue =
         std::max(seconds_for_tokens(context.pace, prompt_tokens_out(candidate)) * candidate.slowness.value,
                  seen_wait(candidate, context.now));
-    return queue + seconds_alone(context.pace, tokens) * candidate.slowness.value;
+    const double own = seconds_alone(context.pace, tokens_to_read(candidate, tokens, context));
+    return queue + own * candidate.slowness.value;
 }
 
-/// Seconds until a prompt sent now has been read at a decode engine.
+/// Seconds until a decode engine has read so many tokens of a prompt sent now.
 double decode_read_time(const instance& candidate, double tokens, const choice_context& context) {
     const double queue = seconds_for_tokens(context.pace, prompt_tokens_out(candidate));
     const double own = seconds_alone(context.pace, tokens);
@@ -207,10 +213,12 @@
                                          std::mt19937_64& random) {
     const weighed best = cheapest(usable(table, context, can_decode), [&](const instance& candidate) {
         return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-               decode_read_time(candidate, size.prompt_tokens, context) + reading_there_cost;
+               decode_read_time(candidate, tokens_to_read(candidate, size.prompt_tokens, context), context) +
+               (context.holding.contains(candidate.entry.id) ? 0 : reading_there_cost);
     });
     if (best.chosen == nullptr)
         return std::nullopt;
+    // Patience is for all of the prompt: what the engine held may have given way.
     const double read = decode_read_time(*best.chosen, size.prompt_tokens, context);
     return engine_plan{.prefill = std::nullopt,
                        .decode = best.chosen->entry.id,
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -20,6 +20,7 @@
     std::string service;
     base::zone_id own_zone;
     std::set<base::upstream_id> excluded; ///< Already tried for this request.
+    std::set<base::upstream_id> holding{};  ///< Engines that hold the request's prompt.
     base::time_point now{};
     engine_pace pace{}; ///< Of the service's engines.
 };
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -143,7 +143,8 @@
 
 void note_verdict(instance& target, send_verdict verdict, base::time_point now) {
     instance_health& health = target.health;
-    const bool is_failure = verdict != send_verdict::good && verdict != send_verdict::busy;
+    const bool is_failure = verdict != send_verdict::good && verdict != send_verdict::busy &&
+                            verdict != send_verdict::shut;
     health.failure_rate += failure_gain * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
     if (verdict == send_verdict::good) {
         health.failures_in_row = 0;
@@ -154,6 +155,10 @@
     }
     if (verdict == send_verdict::busy)
         return;
+    if (verdict == send_verdict::shut) {
+        put_aside(target, first_pause, now);
+        return;
+    }
     ++health.failures_in_row;
     if (verdict == send_verdict::ended) {
         put_out_of_service(target, now + ended_pause);
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -91,6 +91,7 @@
 enum class send_verdict {
     good,        ///< A whole answer of its own.
     busy,        ///< It said that it did not run the request.
+    shut,        ///< It takes no prompts now: its memory is full of those that wait, or its stage changes.
     failed,      ///< An error of its own, or a broken answer.
     unreachable, ///< No connection, or silence.
     ended,       ///< Nothing listens at its address: its process has gone, whoever asks.
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -68,6 +68,7 @@
                   .level = this->process.log_level,
                   .lines_per_second = this->process.log_lines_per_second}),
       state{.clock = &clock,
+            .started = clock.now(),
             .context = &this->context,
             .process = &this->process,
             .protocol = outside.protocol,
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -51,6 +51,7 @@
     return {.service = request.service,
             .own_zone = request.state->process->availability_zone,
             .excluded = request.tried,
+            .holding = request.holding,
             .now = request.state->clock->now(),
             .pace = profile_of(request).pace};
 }
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -35,6 +35,8 @@
     const settings::route_settings_entry* route = nullptr;
     std::string service;
     base::time_point arrived{};
+    base::time_point first_try{}; ///< When its caller is taken to have asked first, of this host or another.
+    std::set<base::upstream_id> holding; ///< Engines that hold its prompt from an earlier try.
     base::time_point deadline{}; ///< The final answer is due: the caller's patience or the route's limit.
     decision::send_record record;
     std::set<base::upstream_id> tried;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/clock.h>
+#include <decision/caller_patience.h>
 #include <decision/instance_table.h>
 #include <decision/route_table.h>
 #include <decision/service_profile.h>
@@ -38,6 +39,12 @@
     wire::asio::steady_timer* wake = nullptr; ///< Cancelled when places may have become free.
 };
 
+/// Keys of the prompts that an engine told it holds.
+struct told_parts {
+    base::time_point told{};
+    std::set<std::string> parts;
+};
+
 /// A request that has lately ended, for operators.
 struct ended_request {
     std::string id;
@@ -48,6 +55,7 @@
 /// every coroutine.
 struct gateway_state {
     const base::clock* clock = nullptr;
+    base::time_point started{}; ///< When this process began to serve.
     wire::asio::io_context* context = nullptr;
     const settings::gateway_settings* process = nullptr;
     ports::request_protocol protocol{};
@@ -61,7 +69,9 @@
     host::load_share loads{};                                    ///< What the other hosts have in progress.
     std::function<void()> on_own_load_changed{};                 ///< Tells the other hosts.
     std::set<const waiting_request*> waiting{};                  ///< Own requests that wait for a place.
-    std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
+    std::map<std::string, decision::service_profile> profiles{};  ///< Learned, by service.
+    std::map<std::string, decision::caller_patience> patience{};  ///< Learned, by route.
+    std::map<base::upstream_id, told_parts> held_parts{};         ///< What engines told lately.
     std::mt19937_64 random{};
     wire::upstream_pool* pool = nullptr;
     decision_log* log = nullptr;
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -103,6 +103,12 @@
     if (request.routed.time_left)
         patience = std::min<base::duration>(patience, *request.routed.time_left);
     request.deadline = request.arrived + patience;
+    request.first_try = request.arrived;
+    if (request.routed.time_left) {
+        decision::caller_patience& usual = state.patience[request.route->name];
+        decision::note_time_left(usual, *request.routed.time_left);
+        request.first_try -= decision::time_since_first_try(usual, *request.routed.time_left);
+    }
     decision::note_request(state.budgets[request.service], budget_options_of(state), request.arrived);
 }
 
@@ -115,8 +121,22 @@
     return relay_plain(request, yield);
 }
 
+/// A host that has just started is about to hear from the store: a request that comes before waits a moment.
+void await_beliefs(gateway_state& state, wire::yield_context yield) {
+    static constexpr base::duration longest_wait = 250ms;
+    static constexpr base::duration look_again = 5ms;
+    const base::time_point limit = state.started + longest_wait;
+    wire::asio::steady_timer timer(*state.context);
+    while ((!state.settings || !state.has_registry) && state.clock->now() < limit) {
+        timer.expires_after(look_again);
+        wire::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+}
+
 void serve_request(gateway_state& state, wire::caller_connection& connection, wire::http_request message,
                    wire::yield_context yield) {
+    await_beliefs(state, yield);
     gateway_request request;
     request.state = &state;
     request.connection = &connection;
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -2,6 +2,7 @@
 #include <gateway/stream_relay.h>
 
 #include <decision/stream_rules.h>
+#include <gateway/kept_prompt_search.h>
 
 #include <algorithm>
 
@@ -45,7 +46,8 @@
 }
 
 void stream_relay::reserve(const decision::engine_plan& plan) {
-    const bool is_reading_there = !plan.prefill && !this->kept.has_value();
+    const bool is_reading_there =
+        !plan.prefill && !this->kept.has_value() && !this->request->holding.contains(plan.decode);
     this->place.emplace(
         *this->request->state, plan.decode,
         decision::instance_use{.requests = 1,
@@ -255,6 +257,8 @@
                                             this->request->routed.output_tokens)};
     decision::learn(profile.prompt_tokens, this->size.prompt_tokens);
     this->last_event = this->request->routed.resume_after;
+    if (this->request->first_try < this->request->arrived)
+        this->request->holding = find_engines_holding(*this->request, yield);
     while (time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone) {
         this->place.reset();
         const auto plan = this->next_plan(yield);
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -42,6 +42,14 @@
     return decision::send_verdict::failed;
 }
 
+decision::send_verdict verdict_of(const exchange_result& exchange, const ports::upstream_send& send) {
+    if (exchange.is_port_dead)
+        return decision::send_verdict::ended;
+    if (exchange.result == send_result::not_run && send.purpose == ports::send_purpose::read_prompt)
+        return decision::send_verdict::shut;
+    return verdict_of(exchange.result);
+}
+
 bool is_anothers(const ports::answer_facts& facts, const ports::routed_request& routed) {
     return !facts.request_id.empty() && facts.request_id != routed.id;
 }
@@ -188,8 +196,7 @@
         return;
     if (exchange.facts.load)
         decision::note_load(*target, *exchange.facts.load, now);
-    const auto verdict = exchange.is_port_dead ? decision::send_verdict::ended : verdict_of(exchange.result);
-    decision::note_verdict(*target, verdict, now);
+    decision::note_verdict(*target, verdict_of(exchange, send), now);
     if (decision::is_aside(*target, now))
         state.did_change_own_load();
     if (exchange.facts.is_other_instance)
--- a/libraries/ports/request_protocol.h
+++ b/libraries/ports/request_protocol.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 /// Interfaces, in the product's words, that a platform's adapter implements.
@@ -21,6 +22,7 @@
     std::string host;
     std::optional<std::chrono::milliseconds> time_left; ///< How long the caller waits.
     std::optional<std::uint64_t> resume_after;          ///< Last event that the caller has.
+    std::string prompt_key;                             ///< Names the prompt, alike in all tries of one caller.
     double prompt_tokens = 0;
     double output_tokens = 0;   ///< At most.
     double output_hint = 0;     ///< The caller's guess, often far off; 0 where it gives none.
@@ -99,6 +101,10 @@
     wire::http_request (*make_report_request)(const base::upstream_id& engine,
                                               const std::string& address) = nullptr;
     wire::expected<order_report> (*read_report)(const std::string& body) = nullptr;
+    wire::http_request (*make_held_parts_request)(const base::upstream_id& engine,
+                                                  const std::string& address) = nullptr;
+    /// Keys of the prompts that an engine holds in its memory.
+    wire::expected<std::set<std::string>> (*read_held_parts)(const std::string& body) = nullptr;
     wire::http_request (*make_stage_order)(const stage_order& order) = nullptr;
     order_answer (*read_order_answer)(int status) = nullptr;
 };
