routing: Order the second engine right after the first

Cause: a host could take the lease on orders anew only once its own last one was over for everybody, some 17 s, so the second of two engines that memory lacked came in the middle of a later burst; and hold times were a mean over streams that had ended, too short while the long ones run, so that orders were due late or not at all. Change: a process goes on under its own lease at once; no order while an engine of the service is changing or has lately crashed; hold times follow from callers' guesses and the time between events, timed over ten events.

--- a/libraries/decision/stage_balance.cpp
+++ b/libraries/decision/stage_balance.cpp
@@ -82,6 +82,14 @@
     return best->entry.id;
 }
 
+bool is_any_out_of_service(const instance_table& table, const std::string& service, base::time_point now) {
+    return std::ranges::any_of(table.by_id, [&](const auto& item) {
+        const instance& candidate = item.second;
+        const bool is_kept_out = is_out_of_service(candidate, now) || candidate.is_out_of_service_elsewhere;
+        return candidate.entry.service == service && candidate.state == listing::listed && is_kept_out;
+    });
+}
+
 void count_stages(stage_facts& facts, const instance_table& table, const std::string& service,
                   const engine_pace& pace, base::time_point now) {
     double queued_tokens = 0;
--- a/libraries/decision/stage_balance.h
+++ b/libraries/decision/stage_balance.h
@@ -37,6 +37,10 @@
                                                                settings::engine_stage stage,
                                                                base::time_point now);
 
+/// Whether an engine of the service changes its stage or has lately crashed: what it will do next is not known.
+[[nodiscard]] bool is_any_out_of_service(const instance_table& table, const std::string& service,
+                                         base::time_point now);
+
 /// Counts a service's engines by stage, and the prompts that queue; those that are avoided serve nobody and
 /// don't count.
 void count_stages(stage_facts& facts, const instance_table& table, const std::string& service,
--- a/libraries/gateway/stage_controller.cpp
+++ b/libraries/gateway/stage_controller.cpp
@@ -28,7 +28,7 @@
 constexpr auto answer_limit = 500ms;
 /// What clocks and pauses may take from a lease.
 const host::lease_margins margins;
-/// Streams that this host must have passed before it judges the balance by them.
+/// Streams whose pace this host must have seen before it judges the balance by them.
 constexpr int least_streams = 3;
 /// Added to the time that an engine is said to take for a change: it ends its work before.
 constexpr base::duration change_margin = 1'500ms;
@@ -75,7 +75,7 @@
         if (!in_force)
             continue;
         for (const auto& [name, service] : in_force->document.value->services) {
-            const bool is_known = this->state->profiles[name].streams_passed >= least_streams;
+            const bool is_known = this->state->profiles[name].streams_timed >= least_streams;
             if (is_known && service.engine && service.engine->stage_change > 0ms)
                 this->balance(service, yield);
         }
@@ -88,9 +88,11 @@
     const double request_tokens = profile.prompt_tokens.value + profile.output_tokens.value;
     decision::stage_facts facts = {
         .read_seconds = decision::seconds_for_tokens(profile.pace, profile.prompt_tokens.value),
-        .hold_seconds = profile.hold_seconds.value,
+        .hold_seconds = decision::hold_seconds(profile, service.engine->tokens_an_event),
         .places_an_engine = std::min<double>(service.engine->places,
                                              service.engine->kv_tokens / std::max(1.0, request_tokens))};
+    if (decision::is_any_out_of_service(own.instances, service.name, own.clock->now()))
+        return 0;
     decision::count_stages(facts, own.instances, service.name, profile.pace, own.clock->now());
     return decision::engines_to_decode(facts);
 }
@@ -128,7 +130,8 @@
 }
 
 bool stage_controller::is_free(const std::optional<ports::lease_record>& newest) {
-    if (!newest)
+    // Under its own lease, however old, this process goes on with the orders of the one holder.
+    if (!newest || newest->token == this->own_token)
         return true;
     const base::time_point now = this->state->clock->now();
     if (!this->seen || this->seen->token != newest->token)
@@ -154,6 +157,7 @@
                                     {"failure", token ? "" : ports::to_text(token.error().failure)}});
     if (!token)
         return false;
+    this->own_token = *token;
     const bool had_holder = page->newest && page->newest->holder != own_name;
     const base::duration wait = had_holder
                                     ? host::pause_between_holders(pacing_of(*this->state->process), margins)
@@ -217,7 +221,8 @@
          {"answer", answer ? to_text(said) : "none"},
          {"prompt_tokens", profile.prompt_tokens.value},
          {"read_seconds", decision::seconds_for_tokens(profile.pace, profile.prompt_tokens.value)},
-         {"hold_seconds", profile.hold_seconds.value}});
+         {"hold_seconds",
+                                     decision::hold_seconds(profile, service.engine->tokens_an_event)}});
     const bool may_be_taken = !answer || said == ports::order_answer::taken;
     decision::instance* const target = decision::find_instance(this->state->instances, engine);
     if (may_be_taken && target != nullptr) {
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -16,6 +16,8 @@
 constexpr int ok_status = 200;
 /// Prompts of one request that are sent to prefill engines at most.
 constexpr int most_prompts = 2;
+/// Events of a stream over which its pace is measured: enough that its first pause weighs little.
+constexpr int timed_events = 10;
 
 /// Limit of a step, within the request's deadline.
 base::time_point late_after(const gateway_request& request, base::duration expected) {
@@ -144,7 +146,7 @@
     if (this->request->cancellation->is_caller_gone || end == stream_end::caller_gone)
         return request_ending::caller_gone;
     if (is_stream && end == stream_end::whole) {
-        this->did_pass_whole(exchange.sent);
+        this->did_pass_whole();
         return request_ending::passed_on;
     }
     if (exchange.result == send_result::answered)
@@ -157,12 +159,21 @@
     return std::nullopt;
 }
 
-void stream_relay::did_pass_whole(base::time_point sent) {
+void stream_relay::did_pass_whole() {
     decision::service_profile& profile = profile_of(*this->request);
-    decision::learn(profile.hold_seconds, base::to_seconds(this->request->state->clock->now() - sent));
-    ++profile.streams_passed;
-    decision::learn(profile.output_tokens,
-                    static_cast<double>(this->events_passed) * capacity_of(*this->request).tokens_an_event);
+    if (this->request->routed.output_hint <= 0)
+        decision::learn(profile.output_tokens, static_cast<double>(this->events_passed) *
+                                                   capacity_of(*this->request).tokens_an_event);
+}
+
+void stream_relay::time_events() {
+    if (!this->request->first_event)
+        return;
+    decision::service_profile& profile = profile_of(*this->request);
+    const base::time_point begun = this->request->arrived + *this->request->first_event;
+    decision::learn(profile.event_seconds,
+                    base::to_seconds(this->request->state->clock->now() - begun) / (timed_events - 1));
+    ++profile.streams_timed;
 }
 
 stream_relay::stream_end stream_relay::relay_events(exchange_result& exchange, base::time_point limit,
@@ -199,6 +210,8 @@
             decision::learn(profile_of(*this->request).pace.first_event,
                             base::to_seconds(this->request->state->clock->now() - *sent));
         ++this->events_passed;
+        if (this->events_passed == timed_events)
+            this->time_events();
         this->place->grow_memory(this->memory_after(this->events_passed));
         const bool is_known = event->id && this->last_event && *event->id <= *this->last_event;
         if (is_known)
@@ -255,6 +268,8 @@
     this->size = {this->request->routed.prompt_tokens,
                   decision::expected_output(this->request->routed.output_hint, profile.output_tokens.value,
                                             this->request->routed.output_tokens)};
+    // Guesses are right in the median, and they are there from the first request on.
+    decision::learn(profile.output_tokens, this->request->routed.output_hint);
     decision::learn(profile.prompt_tokens, this->size.prompt_tokens);
     this->last_event = this->request->routed.resume_after;
     if (this->request->first_try < this->request->arrived)
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -41,7 +41,8 @@
                                           wire::yield_context yield);
     [[nodiscard]] bool pass_events(wire::event_splitter& events);
     void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
-    void did_pass_whole(base::time_point sent);
+    void did_pass_whole();
+    void time_events();
     [[nodiscard]] base::time_point limit_of_silence() const;
     [[nodiscard]] request_ending give_up(wire::yield_context yield);
 
--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -45,6 +45,8 @@
             (void)connection.send(this->control(stand_in::json_body(request)), yield);
         else if (request.target == "/api/report")
             (void)connection.send(this->report(), yield);
+        else if (request.target == "/api/kv-list")
+            (void)connection.send(this->held(), yield);
         else if (request.target == "/api/order")
             (void)connection.send(this->take_order(request), yield);
         else if (request.target.starts_with("/api/kv-handle/"))
@@ -109,6 +111,7 @@
             return;
         }
         ++this->running;
+        this->hold_parts(request);
         connection.watch([this] { ++this->callers_gone; });
         if (is_reading)
             this->read_prompt(request, connection, yield);
@@ -140,6 +143,23 @@
             {{"stage", FLAGS_stage}, {"utilization", false}, {"sequence", this->orders.size()}});
     }
 
+    /// What the engine holds in its memory: the parts of all prompts that it was sent.
+    [[nodiscard]] wire::http_response held() const {
+        json rows = json::array();
+        for (const std::string& part : this->parts)
+            rows.push_back({"", part, 100, "m"});
+        return stand_in::json_response({{"epoch", 1}, {"nextPageToken", 0}, {"held", rows}});
+    }
+
+    void hold_parts(const wire::http_request& request) {
+        std::string_view rest = find_header(request.headers, "X-Prompt-Prefix");
+        while (!rest.empty()) {
+            const std::string_view part = rest.substr(0, rest.find(','));
+            this->parts.insert(std::string(part.substr(0, part.find(':'))));
+            rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+        }
+    }
+
     /// Orders are done at once. A lower fencing token than one seen is refused.
     wire::http_response take_order(const wire::http_request& request) {
         const json order = stand_in::json_body(request);
@@ -240,6 +260,7 @@
     json orders = json::array();
     std::uint64_t highest_token = 0;
     std::set<std::string> handles;
+    std::set<std::string> parts;
     int handles_made = 0;
     int handles_freed = 0;
     int running = 0;
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -129,6 +129,40 @@
     CHECK(decision::choose_plain(table, make_context(), random)->value == "two");
 }
 
+TEST_CASE("a prompt goes to the engine that holds it, unless that one has no room") {
+    auto table = make_table({make_entry("p1", engine_stage::prefill), make_entry("p2", engine_stage::prefill),
+                             make_entry("d1", engine_stage::decode), make_entry("d2", engine_stage::decode)});
+    std::mt19937_64 random(1);
+    auto context = make_context();
+    context.holding = {{"d2"}};
+    auto plan = decision::choose_engines(table, context, capacity, {5'000, 700}, random);
+    REQUIRE(plan);
+    CHECK_FALSE(plan->prefill);
+    CHECK(plan->decode.value == "d2");
+    decision::find_instance(table, {"d2"})->others = {12, 60'000, 0};
+    plan = decision::choose_engines(table, context, capacity, {5'000, 700}, random);
+    REQUIRE(plan);
+    CHECK(plan->prefill);
+    CHECK(plan->decode.value == "d1");
+    context.holding = {{"p2"}};
+    plan = decision::choose_engines(table, context, capacity, {5'000, 700}, random);
+    REQUIRE(plan);
+    CHECK(plan->prefill == base::upstream_id{"p2"});
+}
+
+TEST_CASE("an engine that takes no prompts is avoided for a moment") {
+    auto table = make_table({make_entry("p1", engine_stage::prefill), make_entry("p2", engine_stage::prefill),
+                             make_entry("d1", engine_stage::decode)});
+    std::mt19937_64 random(1);
+    decision::note_verdict(*decision::find_instance(table, {"p1"}), decision::send_verdict::shut, now);
+    for (int draw = 0; draw < 20; ++draw)
+        CHECK(decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random)->prefill->value ==
+              "p2");
+    auto later = make_context();
+    later.now = now + 1s;
+    CHECK_FALSE(decision::is_avoided(*decision::find_instance(table, {"p1"}), later.now));
+}
+
 TEST_CASE("a prompt goes to the prefill engine with the least ahead of it and a decode engine with room") {
     std::mt19937_64 random(1);
     auto table = make_table({make_entry("p1", engine_stage::prefill), make_entry("p2", engine_stage::prefill),
--- a/tests/decision/test_stage_balance.cpp
+++ b/tests/decision/test_stage_balance.cpp
@@ -103,6 +103,9 @@
     SECTION("not one that changes already: it counts for neither stage") {
         decision::put_out_of_service(*decision::find_instance(table, {"a2"}), now + 5s);
         CHECK(decision::engine_to_spare(table, "engines", engine_stage::prefill, now)->value == "b1");
+        CHECK(decision::is_any_out_of_service(table, "engines", now));
+        CHECK_FALSE(decision::is_any_out_of_service(table, "others", now));
+        CHECK_FALSE(decision::is_any_out_of_service(table, "engines", now + 6s));
         decision::stage_facts facts;
         decision::count_stages(facts, table, "engines", {}, now);
         CHECK(facts.prefill_engines == 2);
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -78,6 +78,32 @@
     CHECK(cluster.runs() == 2);
 }
 
+TEST_CASE("a prompt that is asked again goes to the decode engine that holds it, and is not read anew") {
+    auto cluster = make_engine_cluster("asked-again");
+    const auto ask = [&cluster](const std::string& id, const std::string& part, const char* time_left) {
+        auto request = routed_request("/resume/", id);
+        request.headers.push_back({"X-Prompt-Prefix", "shared:10," + part + ":90"});
+        request.headers.push_back({"X-Deadline-Ms", time_left});
+        const auto answer = stand_in::http_exchange(cluster.callers_address(), request);
+        REQUIRE(answer);
+        CHECK(answer->body == whole_stream(5));
+    };
+    for (int other = 0; other < 4; ++other)
+        ask("other-" + std::to_string(other), "part-" + std::to_string(other), "9000");
+    ask("first-try", "wanted", "9000");
+    const auto holds = [&cluster](const char* id) {
+        const auto list = stand_in::http_exchange(cluster.server_address(id), {"GET", "/api/kv-list", {}, ""});
+        return list && list->body.find("wanted") != std::string::npos;
+    };
+    const char* const holder = holds("d1") ? "d1" : "d2";
+    for (const auto* id : {"p1", "p2", "d1", "d2"})
+        (void)cluster.server(id, {{"forget_arrivals", true}});
+    ask("second-try", "wanted", "6000");
+    CHECK(cluster.server(holder).at("arrivals").size() == 1);
+    for (const auto* id : {"p1", "p2"})
+        CHECK(cluster.server(id).at("arrivals").empty());
+}
+
 TEST_CASE("a caller who goes ends the work at the engine") {
     auto cluster = make_engine_cluster("gone");
     for (const auto* id : {"d1", "d2"})
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -102,6 +102,22 @@
     CHECK(sent.body == "body");
 }
 
+TEST_CASE("all tries of a caller name the same prompt, and engines tell which prompts they hold") {
+    const auto protocol = platform::make_request_protocol();
+    wire::http_request request{"POST", "/p/x", {{"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}}, ""};
+    CHECK(protocol.read_request(request)->prompt_key == "91bd3f06");
+    request.headers = {{"X-Prompt-Prefix", "5c1e07a2:800"}};
+    CHECK(protocol.read_request(request)->prompt_key == "5c1e07a2");
+    request.headers.clear();
+    CHECK(protocol.read_request(request)->prompt_key.empty());
+    const auto held = protocol.read_held_parts(
+        R"({"epoch":3,"nextPageToken":9,"held":[["","5c1e07a2",800,"m"],["","91bd3f06",410,"m"]]})");
+    REQUIRE(held);
+    CHECK(*held == std::set<std::string>{"5c1e07a2", "91bd3f06"});
+    CHECK_FALSE(protocol.read_held_parts(R"({"held":[[]]})"));
+    CHECK_FALSE(protocol.read_held_parts("no json"));
+}
+
 TEST_CASE("only a server's own word says that it did not run a request") {
     const auto protocol = platform::make_request_protocol();
     CHECK_FALSE(protocol.read_answer({503, {}}).is_not_run);
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -61,6 +61,10 @@
     nlohmann::json server(const std::string& id, const nlohmann::json& control = nlohmann::json::object());
     /// Ends a server's process at once; its registry entry stays.
     void kill_server(const std::string& id);
+    /// Where a server listens.
+    [[nodiscard]] std::string server_address(const std::string& id) const {
+        return this->server_addresses.at(id);
+    }
     /// Requests that arrived at a server, prompts that were only read left out.
     [[nodiscard]] int arrivals(const std::string& id);
     /// Requests that all servers of the cluster ran.
