routing: Let those who can be in time go before those who asked before

Cause: after all hosts are killed the prompts of callers who ask again queued for 0.9 s at prefill engines before those of callers who asked for the first time; the order of waiting took every try for a new request. Change: waiting goes by the time since the caller's first try, on all hosts; a request that is late already is not sent to prefill while more than 0.1 s of prompts is ahead of it, for as long as a caller is kept waiting at most.

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -11,6 +11,9 @@
 constexpr double usable_target = 0.8;
 /// Latency targets for which a caller waits for a place.
 constexpr int patient_targets = 3;
+/// A prompt that is late already is not sent while prefill engines have more than this ahead of it: those that come
+/// next may still be in time.
+constexpr base::duration longest_queue_of_late = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -32,8 +35,12 @@
 }
 
 admission admit_to_engines(const admission_facts& facts) {
-    if (facts.has_room && facts.free_places > facts.waiting_ahead)
+    const bool has_place = facts.has_room && facts.free_places > facts.waiting_ahead;
+    const bool is_patient = facts.is_late && facts.prompt_queue > longest_queue_of_late;
+    if (has_place && (!is_patient || facts.waited >= facts.patience))
         return admission::start;
+    if (has_place)
+        return admission::wait;
     if (facts.is_queued)
         return facts.waited >= facts.patience ? admission::refuse : admission::wait;
     return expected_wait(facts) > facts.patience ? admission::refuse : admission::wait;
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -12,6 +12,8 @@
     double total_places = 0;
     int waiting_ahead = 0;  ///< Requests, over all hosts, that go before it.
     base::duration hold{};  ///< How long a request keeps its place, on the mean.
+    bool is_late = false;          ///< Can no longer meet its latency target.
+    base::duration prompt_queue{}; ///< Until its prefill engine begins with its prompt.
     bool is_queued = false; ///< Was let into the queue before.
     base::duration waited{};
     base::duration patience{}; ///< How long it may wait for a place.
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -37,9 +37,9 @@
 int waiting_ahead(const gateway_request& request, const decision::prompt_size& size, base::duration in_time,
                   base::time_point now) {
     const gateway_state& state = *request.state;
-    const decision::waiter own = {now - request.arrived, size.output_tokens};
+    const decision::waiter own = {now - request.first_try, size.output_tokens};
     const auto is_ahead = [&](const waiting_request* other) {
-        return decision::goes_before({now - other->arrived, other->output_tokens}, own, in_time);
+        return decision::goes_before({now - other->first_try, other->output_tokens}, own, in_time);
     };
     const auto ahead_here = std::ranges::count_if(state.waiting, is_ahead);
     return static_cast<int>(ahead_here) + host::waiters_ahead(state.loads, own, in_time, now);
@@ -51,12 +51,16 @@
     const base::duration in_time =
         decision::longest_wait_in_time(request.route->latency_target, plan.expected_first_event);
     const auto places = decision::count_places(request.state->instances, context, capacity_of(request), size);
+    const double alone = decision::seconds_alone(context.pace, size.prompt_tokens);
+    const base::duration queue = plan.prefill ? plan.expected_read - base::from_seconds(alone) : base::duration{};
     return {.has_room = plan.has_room,
             .free_places = places.free,
             .total_places = places.total,
             .waiting_ahead = waiting_ahead(request, size, in_time, context.now),
             .hold = base::from_seconds(decision::hold_seconds(profile_of(request),
                                                          capacity_of(request).tokens_an_event)),
+            .is_late = context.now - request.first_try > in_time,
+            .prompt_queue = std::max(base::duration{}, queue),
             .is_queued = is_queued,
             .waited = context.now - request.arrived,
             .patience = decision::patience_for_place(request.route->latency_target,
@@ -103,7 +107,7 @@
         }
         if (!mark) {
             timer.emplace(*state.context);
-            mark.emplace(state, waiting_request{request.arrived, size.output_tokens, &*timer});
+            mark.emplace(state, waiting_request{request.first_try, size.output_tokens, &*timer});
             state.figures->count("waited_for_place_total");
         }
         timer->expires_after(look_again);
