routing: Refuse at once who can't be in time, and say when a place is expected

Cause: in bursts callers waited for up to 2.7 s for a place and were then told to come back after 0.3 s, to wait again. Change: a caller who has not asked before is refused at once where the expected wait is longer than its latency target allows, with Retry-After of the expected wait, at least 1 s, times a factor drawn from 1 to 3; one that has come back waits as before. Nothing is held back: the answer is immediate and says that nothing has run.

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -11,6 +11,11 @@
 constexpr double usable_target = 0.8;
 /// Latency targets for which a caller waits for a place.
 constexpr int patient_targets = 3;
+/// A caller that is refused comes back after the expected wait times a factor drawn from this range, so that those
+/// of a burst don't come back as one.
+constexpr double least_spread = 1;
+constexpr double most_spread = 3;
+constexpr base::duration least_return = std::chrono::milliseconds(1'000);
 /// A prompt that is late already is not sent while prefill engines have more than this ahead of it: those that come
 /// next may still be in time.
 constexpr base::duration longest_queue_of_late = std::chrono::milliseconds(100);
@@ -24,6 +29,12 @@
     return base::from_seconds(ahead * base::to_seconds(facts.hold) / std::max(1.0, facts.total_places));
 }
 
+base::duration time_until_place(const admission_facts& facts, std::mt19937_64& random) {
+    std::uniform_real_distribution<double> spread(least_spread, most_spread);
+    const double wait = std::max(base::to_seconds(least_return), base::to_seconds(expected_wait(facts)));
+    return base::from_seconds(wait * spread(random));
+}
+
 base::duration longest_wait_in_time(base::duration latency_target, base::duration expected_start) {
     const double seconds =
         usable_target * base::to_seconds(latency_target) - base::to_seconds(expected_start);
@@ -43,7 +54,8 @@
         return admission::wait;
     if (facts.is_queued)
         return facts.waited >= facts.patience ? admission::refuse : admission::wait;
-    return expected_wait(facts) > facts.patience ? admission::refuse : admission::wait;
+    const base::duration longest = facts.may_come_back ? facts.in_time : facts.patience;
+    return expected_wait(facts) > longest ? admission::refuse : admission::wait;
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -3,6 +3,8 @@
 
 #include <base/clock.h>
 
+#include <random>
+
 namespace postpaddle::decision {
 
 /// What the admission of a request to the engines rests on.
@@ -14,6 +16,8 @@
     base::duration hold{};  ///< How long a request keeps its place, on the mean.
     bool is_late = false;          ///< Can no longer meet its latency target.
     base::duration prompt_queue{}; ///< Until its prefill engine begins with its prompt.
+    base::duration in_time{};      ///< Longest wait for a place after which it still meets its latency target.
+    bool may_come_back = false;    ///< Its caller has not asked before and will ask again where it is refused.
     bool is_queued = false; ///< Was let into the queue before.
     base::duration waited{};
     base::duration patience{}; ///< How long it may wait for a place.
@@ -34,6 +38,9 @@
 /// still be in time, as soon as places allow.
 [[nodiscard]] admission admit_to_engines(const admission_facts& facts);
 
+/// When a caller that is refused for want of a place is told to come back.
+[[nodiscard]] base::duration time_until_place(const admission_facts& facts, std::mt19937_64& random);
+
 /// How long a request that arrives now is expected to wait for a place.
 [[nodiscard]] base::duration expected_wait(const admission_facts& facts);
 
--- a/libraries/decision/send_rule.cpp
+++ b/libraries/decision/send_rule.cpp
@@ -59,9 +59,9 @@
     return std::min(left, std::max(shortest_try, part));
 }
 
-base::duration retry_after(base::duration left, base::duration longest) {
+base::duration retry_after(base::duration left, base::duration longest, base::duration until_place) {
     const base::duration part = base::from_seconds(base::to_seconds(left) * retry_after_part);
-    return std::max(shortest_retry_after, std::min({soon, part, longest}));
+    return std::max(shortest_retry_after, std::min({std::max(soon, until_place), part, longest}));
 }
 
 own_answer answer_for(const send_record& record, send_result last) {
--- a/libraries/decision/send_rule.h
+++ b/libraries/decision/send_rule.h
@@ -50,8 +50,8 @@
 /// Time that a try may take: all that is left, or a part of it where the request may go elsewhere after.
 [[nodiscard]] base::duration time_for_try(const send_record& record, base::duration left);
 
-/// When a caller that was refused is told to come back: soon, and with time left to be served.
-[[nodiscard]] base::duration retry_after(base::duration left, base::duration longest);
+/// When a caller that was refused is told to come back: once a place is expected, and with time left to be served.
+[[nodiscard]] base::duration retry_after(base::duration left, base::duration longest, base::duration until_place);
 
 /// The honest answer after the last result.
 [[nodiscard]] own_answer answer_for(const send_record& record, send_result last);
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -61,6 +61,8 @@
                                                          capacity_of(request).tokens_an_event)),
             .is_late = context.now - request.first_try > in_time,
             .prompt_queue = std::max(base::duration{}, queue),
+            .in_time = in_time,
+            .may_come_back = request.first_try == request.arrived && !request.routed.resume_after,
             .is_queued = is_queued,
             .waited = context.now - request.arrived,
             .patience = decision::patience_for_place(request.route->latency_target,
@@ -101,6 +103,7 @@
         case decision::admission::start:
             return {.plan = plan};
         case decision::admission::refuse:
+            request.until_place = decision::time_until_place(facts, state.random);
             return {.plan = std::nullopt, .reason = "no place in time"};
         case decision::admission::wait:
             break;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -13,7 +13,7 @@
 constexpr int timed_out_status = 504;
 std::string retry_after_text(const gateway_request& request) {
     const base::duration longest = base::from_seconds(request.state->process->retry_after_limit);
-    const double seconds = base::to_seconds(decision::retry_after(time_left(request), longest));
+    const double seconds = base::to_seconds(decision::retry_after(time_left(request), longest, request.until_place));
     std::array<char, 32> text{};
     (void)std::snprintf(text.data(), text.size(), "%.2f", seconds);
     return text.data();
