routing: Doubt reads that took long, and miss an engine until its stage has changed

Change: a read that took longer than expected weighs a fifth and counts as twice the expected at most; an engine that took an order is out of service for up to four mean hold times more, or until the registry shows its new stage.

--- a/libraries/decision/engine_pace.cpp
+++ b/libraries/decision/engine_pace.cpp
@@ -14,6 +14,13 @@
 constexpr double fastest = 1e-6;
 constexpr double slowest = 1e-3;
 
+/// Reads from which on a line is known well enough to doubt a sample by it.
+constexpr double known_weight = 4;
+/// Weight of a read that took longer than expected: the prompt may have met others that were not heard of.
+constexpr double slow_weight = 0.2;
+/// Such a read counts as this many times what was expected, at most.
+constexpr double most_over_expected = 2;
+
 double seconds_a_token(const engine_pace& pace) {
     const double spread = pace.weight * pace.tokens_squared - pace.tokens * pace.tokens;
     // Reads of prompts of one size don't tell the fixed part from the rest: all counts by token then.
@@ -28,11 +35,15 @@
 void learn_read(engine_pace& pace, double prompt_tokens, double seconds) {
     if (!std::isfinite(seconds) || seconds <= 0 || prompt_tokens <= 0)
         return;
-    pace.weight = pace.weight * fading + 1;
-    pace.tokens = pace.tokens * fading + prompt_tokens;
-    pace.seconds = pace.seconds * fading + seconds;
-    pace.tokens_squared = pace.tokens_squared * fading + prompt_tokens * prompt_tokens;
-    pace.tokens_seconds = pace.tokens_seconds * fading + prompt_tokens * seconds;
+    const double expected = seconds_alone(pace, prompt_tokens);
+    const bool is_known = pace.weight >= known_weight;
+    const double weight = is_known && seconds > expected ? slow_weight : 1;
+    const double counted = is_known ? std::min(seconds, most_over_expected * expected) : seconds;
+    pace.weight = pace.weight * fading + weight;
+    pace.tokens = pace.tokens * fading + weight * prompt_tokens;
+    pace.seconds = pace.seconds * fading + weight * counted;
+    pace.tokens_squared = pace.tokens_squared * fading + weight * prompt_tokens * prompt_tokens;
+    pace.tokens_seconds = pace.tokens_seconds * fading + weight * prompt_tokens * counted;
 }
 
 double seconds_for_tokens(const engine_pace& pace, double prompt_tokens) {
--- a/libraries/decision/engine_pace.h
+++ b/libraries/decision/engine_pace.h
@@ -8,7 +8,8 @@
 /// How fast a service's engines work, learned from their answers.
 ///
 /// A prompt that meets no other at its prefill engine takes a fixed time and some time a token. Both come
-/// from a least-squares line through such reads, in which older ones fade out.
+/// from a least-squares line through such reads, in which older ones fade out and those that took longer than
+/// expected weigh less: a prompt may meet others that this host has not heard of.
 struct engine_pace {
     // Weighted sums over reads, in tokens and seconds. They start with two made-up reads, of a prompt of 500
     // tokens in 0.06 s and one of 4,000 in 0.15 s, that weigh a fifth of a real read each.
--- a/libraries/gateway/stage_controller.cpp
+++ b/libraries/gateway/stage_controller.cpp
@@ -30,8 +30,10 @@
 const host::lease_margins margins;
 /// Streams whose pace this host must have seen before it judges the balance by them.
 constexpr int least_streams = 3;
-/// Added to the time that an engine is said to take for a change: it ends its work before.
+/// Added to the time that an engine is said to take for a change.
 constexpr base::duration change_margin = 1'500ms;
+/// An engine ends what it runs before it changes: so many mean hold times at most. The registry tells when it is back.
+constexpr double longest_hold = 4;
 
 host::order_pacing pacing_of(const settings::gateway_settings& process) {
     return {.least_pause = process.order_lease, .do_upstreams_check = process.do_engines_check_tokens};
@@ -226,8 +228,12 @@
     const bool may_be_taken = !answer || said == ports::order_answer::taken;
     decision::instance* const target = decision::find_instance(this->state->instances, engine);
     if (may_be_taken && target != nullptr) {
-        decision::put_out_of_service(*target, this->state->clock->now() + service.engine->stage_change +
-                                                  change_margin);
+        base::duration away = service.engine->stage_change + change_margin;
+        // An order without an answer may never be carried out: then the engine is missed for no longer than need be.
+        if (answer)
+            away += base::from_seconds(longest_hold *
+                                       decision::hold_seconds(profile, service.engine->tokens_an_event));
+        decision::put_out_of_service(*target, this->state->clock->now() + away);
         this->state->did_change_own_load();
     }
     return said == ports::order_answer::taken;
--- a/tests/decision/test_engine_pace.cpp
+++ b/tests/decision/test_engine_pace.cpp
@@ -38,6 +38,33 @@
     }
 }
 
+TEST_CASE("a third of the reads having met prompts that nobody told of leaves the pace within a quarter") {
+    const engine_speed speed{0.06, 1 / 33'000.0};
+    std::mt19937_64 random(5);
+    std::lognormal_distribution<double> tokens(8, 0.5);
+    std::bernoulli_distribution meets_others(1.0 / 3);
+    std::uniform_real_distribution<double> queue(0.1, 2);
+    decision::engine_pace pace;
+    for (int read = 0; read < 500; ++read) {
+        const double size = tokens(random);
+        const double others = read > 10 && meets_others(random) ? queue(random) : 0;
+        decision::learn_read(pace, size, speed.seconds(size) + others);
+        if (read > 50) {
+            CHECK(decision::seconds_alone(pace, 3'000) < 1.25 * speed.seconds(3'000));
+            CHECK(decision::seconds_alone(pace, 3'000) > 0.75 * speed.seconds(3'000));
+        }
+    }
+}
+
+TEST_CASE("engines that have become slower are believed in the end") {
+    decision::engine_pace pace;
+    for (int read = 0; read < 50; ++read)
+        decision::learn_read(pace, 1'000 + 100 * (read % 20), 0.05 + (1'000 + 100 * (read % 20)) / 50'000.0);
+    for (int read = 0; read < 300; ++read)
+        decision::learn_read(pace, 1'000 + 100 * (read % 20), 0.2 + (1'000 + 100 * (read % 20)) / 10'000.0);
+    CHECK(decision::seconds_alone(pace, 2'000) == Approx(0.4).epsilon(0.15));
+}
+
 TEST_CASE("prompts of one size, and samples that are none, leave the pace usable") {
     decision::engine_pace pace;
     for (int read = 0; read < 200; ++read)
--- a/tests/decision/test_send_rules.cpp
+++ b/tests/decision/test_send_rules.cpp
@@ -76,6 +76,48 @@
     CHECK(decision::admit_to_engines(facts) == decision::admission::refuse);
 }
 
+TEST_CASE("who can't be in time is refused at once where its caller will come back, else it waits") {
+    decision::admission_facts facts = {.has_room = true,
+                                       .free_places = 0,
+                                       .total_places = 60,
+                                       .waiting_ahead = 19,
+                                       .hold = 3s,
+                                       .in_time = 500ms,
+                                       .may_come_back = true,
+                                       .patience = 2'700ms};
+    CHECK(decision::admit_to_engines(facts) == decision::admission::refuse);
+    std::mt19937_64 random(1);
+    for (int draw = 0; draw < 100; ++draw) {
+        const base::duration back = decision::time_until_place(facts, random);
+        CHECK(back >= 1s);
+        CHECK(back <= 3s);
+    }
+    facts.may_come_back = false;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::wait);
+    facts.may_come_back = true;
+    facts.waiting_ahead = 5;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::wait);
+}
+
+TEST_CASE("who is late already lets prompts of others pass, for as long as a caller is kept waiting") {
+    decision::admission_facts facts = {.has_room = true,
+                                       .free_places = 5,
+                                       .total_places = 60,
+                                       .hold = 3s,
+                                       .is_late = true,
+                                       .prompt_queue = 400ms,
+                                       .patience = 2'700ms};
+    CHECK(decision::admit_to_engines(facts) == decision::admission::wait);
+    facts.waited = 2'700ms;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::start);
+    facts.waited = 0ms;
+    facts.prompt_queue = 50ms;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::start);
+    facts.prompt_queue = 400ms;
+    facts.is_late = false;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::start);
+}
+
 TEST_CASE("those that can be in time go first, the shortest of them before; the late go by age") {
     const base::duration in_time = 500ms;
     CHECK(decision::goes_before({100ms, 900}, {600ms, 10}, in_time));
@@ -103,9 +145,12 @@
 }
 
 TEST_CASE("a refused caller is told to come back while it can still be served") {
-    CHECK(decision::retry_after(14s, 5s) == 300ms);
-    CHECK(decision::retry_after(400ms, 5s) == 100ms);
-    CHECK(decision::retry_after(0ms, 5s) > 0ms);
+    CHECK(decision::retry_after(14s, 5s, 0s) == 300ms);
+    CHECK(decision::retry_after(400ms, 5s, 0s) == 100ms);
+    CHECK(decision::retry_after(0ms, 5s, 0s) > 0ms);
+    CHECK(decision::retry_after(14s, 5s, 2s) == 2s);
+    CHECK(decision::retry_after(4s, 5s, 2s) == 1s);
+    CHECK(decision::retry_after(14s, 1s, 2s) == 1s);
 }
 
 TEST_CASE("a kept prompt is counted on for less than it is kept, and for one refusal") {
