routing: Let requests that can be in time go by age, whatever their size

Change: order by the time waited alone; load reports carry no sizes any more. Events that a resuming caller already had count as memory.

--- a/libraries/decision/waiting_order.cpp
+++ b/libraries/decision/waiting_order.cpp
@@ -20,14 +20,12 @@
     return most > 0 ? std::min(expected, most) : expected;
 }
 
-bool goes_before(const waiter& left, const waiter& right, base::duration in_time) {
-    const bool is_left_in_time = left.waited <= in_time;
-    const bool is_right_in_time = right.waited <= in_time;
+bool goes_before(base::duration left, base::duration right, base::duration in_time) {
+    const bool is_left_in_time = left <= in_time;
+    const bool is_right_in_time = right <= in_time;
     if (is_left_in_time != is_right_in_time)
         return is_left_in_time;
-    if (is_left_in_time && left.output_tokens != right.output_tokens)
-        return left.output_tokens < right.output_tokens;
-    return left.waited > right.waited;
+    return left > right;
 }
 
 } // namespace postpaddle::decision
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -34,12 +34,11 @@
 };
 
 /// Requests of all hosts that go before this one.
-int waiting_ahead(const gateway_request& request, const decision::prompt_size& size, base::duration in_time,
-                  base::time_point now) {
+int waiting_ahead(const gateway_request& request, base::duration in_time, base::time_point now) {
     const gateway_state& state = *request.state;
-    const decision::waiter own = {now - request.first_try, size.output_tokens};
+    const base::duration own = now - request.first_try;
     const auto is_ahead = [&](const waiting_request* other) {
-        return decision::goes_before({now - other->first_try, other->output_tokens}, own, in_time);
+        return decision::goes_before(now - other->first_try, own, in_time);
     };
     const auto ahead_here = std::ranges::count_if(state.waiting, is_ahead);
     return static_cast<int>(ahead_here) + host::waiters_ahead(state.loads, own, in_time, now);
@@ -56,7 +55,7 @@
     return {.has_room = plan.has_room,
             .free_places = places.free,
             .total_places = places.total,
-            .waiting_ahead = waiting_ahead(request, size, in_time, context.now),
+            .waiting_ahead = waiting_ahead(request, in_time, context.now),
             .hold = base::from_seconds(decision::hold_seconds(profile_of(request),
                                                          capacity_of(request).tokens_an_event)),
             .is_late = context.now - request.first_try > in_time,
@@ -110,7 +109,7 @@
         }
         if (!mark) {
             timer.emplace(*state.context);
-            mark.emplace(state, waiting_request{request.first_try, size.output_tokens, &*timer});
+            mark.emplace(state, waiting_request{request.first_try, &*timer});
             state.figures->count("waited_for_place_total");
         }
         timer->expires_after(look_again);
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -35,7 +35,6 @@
 /// A request of this host that waits for a place at an engine.
 struct waiting_request {
     base::time_point first_try{};             ///< When its caller first asked.
-    double output_tokens = 0;                 ///< Expected.
     wire::asio::steady_timer* wake = nullptr; ///< Cancelled when places may have become free.
 };
 
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -44,7 +44,11 @@
 }
 
 double stream_relay::memory_after(int events) const {
-    return decision::memory_for_stream(capacity_of(*this->request), this->size, events);
+    // Events that the caller had before count as well: the engine reads them together with the prompt.
+    const settings::engine_capacity capacity = capacity_of(*this->request);
+    const double most = this->request->routed.output_tokens / std::max(1, capacity.tokens_an_event);
+    const double before = std::min(most, static_cast<double>(this->request->routed.resume_after.value_or(0)));
+    return decision::memory_for_stream(capacity, this->size, static_cast<int>(before) + events);
 }
 
 void stream_relay::reserve(const decision::engine_plan& plan) {
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -74,15 +74,13 @@
     return is_any_dropped;
 }
 
-int waiters_ahead(const load_share& share, const decision::waiter& own, base::duration in_time,
+int waiters_ahead(const load_share& share, base::duration own, base::duration in_time,
                   base::time_point now) {
     int count = 0;
     for (const auto& [host, heard] : share.by_host)
-        for (decision::waiter other : heard.report.waiters) {
-            other.waited += now - heard.heard;
-            if (decision::goes_before(other, own, in_time))
+        for (const base::duration waited : heard.report.waiters)
+            if (decision::goes_before(waited + (now - heard.heard), own, in_time))
                 ++count;
-        }
     return count;
 }
 
