routing: Run a lost stream again where its prompt is held; switches for each mechanism

Cause: a resumable stream whose answer was lost on the way had its prompt read anew though its engine still held it; and what each mechanism is worth could not be measured by itself. Change: the engine that lost a run is asked what it holds and runs it again without reading; a prompt that is held costs nothing to read there. The pace of streams of less than ten events is learned at their end. The gateway's file has a part `policy` with a switch for each mechanism, checked, shown in the state dump, all on. Tests: a prompt that is asked again goes to the engine that holds it (process test); every switch; orders came no more to a service of short streams in the process tests, which is why their pace is now learned.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -108,6 +108,13 @@
     return decode_read_factor * (queue + own) * candidate.slowness.value;
 }
 
+/// What reading a prompt at a decode engine costs; next to nothing where it holds the prompt.
+double decode_read_cost(const instance& candidate, double tokens, const choice_context& context) {
+    if (context.holding.contains(candidate.entry.id))
+        return 0;
+    return decode_read_time(candidate, tokens, context) + reading_there_cost;
+}
+
 bool has_room(const instance& candidate, const choice_context& context,
               const settings::engine_capacity& capacity, const prompt_size& size) {
     const int requests = candidate.own.requests + candidate.others.requests;
@@ -213,8 +220,7 @@
                                          std::mt19937_64& random) {
     const weighed best = cheapest(usable(table, context, can_decode), [&](const instance& candidate) {
         return standing_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-               decode_read_time(candidate, tokens_to_read(candidate, size.prompt_tokens, context), context) +
-               (context.holding.contains(candidate.entry.id) ? 0 : reading_there_cost);
+               decode_read_cost(candidate, size.prompt_tokens, context);
     });
     if (best.chosen == nullptr)
         return std::nullopt;
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -33,10 +33,15 @@
     waiting_request request;
 };
 
+/// From when on a request counts as waiting.
+base::time_point waiting_since(const gateway_request& request) {
+    return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
+}
+
 /// Requests of all hosts that go before this one.
 int waiting_ahead(const gateway_request& request, base::duration in_time, base::time_point now) {
     const gateway_state& state = *request.state;
-    const base::duration own = now - request.first_try;
+    const base::duration own = now - waiting_since(request);
     const auto is_ahead = [&](const waiting_request* other) {
         return decision::goes_before(now - other->first_try, own, in_time);
     };
@@ -47,21 +52,24 @@
 decision::admission_facts facts_of(const gateway_request& request, const decision::engine_plan& plan,
                                    const decision::choice_context& context, const decision::prompt_size& size,
                                    bool is_queued) {
+    const settings::gateway_policy& policy = request.state->process->policy;
     const base::duration in_time =
         decision::longest_wait_in_time(request.route->latency_target, plan.expected_first_event);
     const auto places = decision::count_places(request.state->instances, context, capacity_of(request), size);
     const double alone = decision::seconds_alone(context.pace, size.prompt_tokens);
-    const base::duration queue = plan.prefill ? plan.expected_read - base::from_seconds(alone) : base::duration{};
+    const base::duration queue =
+        plan.prefill ? plan.expected_read - base::from_seconds(alone) : base::duration{};
     return {.has_room = plan.has_room,
             .free_places = places.free,
             .total_places = places.total,
             .waiting_ahead = waiting_ahead(request, in_time, context.now),
-            .hold = base::from_seconds(decision::hold_seconds(profile_of(request),
-                                                         capacity_of(request).tokens_an_event)),
-            .is_late = context.now - request.first_try > in_time,
+            .hold = base::from_seconds(
+                decision::hold_seconds(profile_of(request), capacity_of(request).tokens_an_event)),
+            .is_late = policy.late_prompts_yield && context.now - waiting_since(request) > in_time,
             .prompt_queue = std::max(base::duration{}, queue),
             .in_time = in_time,
-            .may_come_back = request.first_try == request.arrived && !request.routed.resume_after,
+            .may_come_back =
+                policy.refuse_early && request.first_try == request.arrived && !request.routed.resume_after,
             .is_queued = is_queued,
             .waited = context.now - request.arrived,
             .patience = decision::patience_for_place(request.route->latency_target,
@@ -109,7 +117,7 @@
         }
         if (!mark) {
             timer.emplace(*state.context);
-            mark.emplace(state, waiting_request{request.first_try, &*timer});
+            mark.emplace(state, waiting_request{waiting_since(request), &*timer});
             state.figures->count("waited_for_place_total");
         }
         timer->expires_after(look_again);
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -182,6 +182,7 @@
         this->process.leaving_bound = next->leaving_bound;
         this->process.heartbeat = next->heartbeat;
         this->process.retries = next->retries;
+        this->process.policy = next->policy;
         this->process.order_lease = next->order_lease;
         this->process.do_engines_check_tokens = next->do_engines_check_tokens;
         this->process.retry_after_limit = next->retry_after_limit;
--- a/libraries/gateway/kept_cache.cpp
+++ b/libraries/gateway/kept_cache.cpp
@@ -37,7 +37,8 @@
     while (decision::is_prompt_kept(this->age(), capacity, this->refusals) &&
            !this->request->cancellation->is_caller_gone) {
         decision::choice_context context = choice_context_of(*this->request);
-        const bool is_last_chance = decision::is_prompt_lapsing(this->age(), capacity);
+        const bool is_last_chance =
+            state.process->policy.try_before_lapse && decision::is_prompt_lapsing(this->age(), capacity);
         if (is_last_chance)
             context.excluded.insert(this->refused_by.begin(), this->refused_by.end());
         const auto plan =
--- a/libraries/gateway/kept_prompt_search.cpp
+++ b/libraries/gateway/kept_prompt_search.cpp
@@ -52,8 +52,8 @@
 
 void ask(gateway_state& state, const base::upstream_id& id, const std::string& address,
          wire::yield_context yield) {
-    const auto answer = wire::fetch(*state.pool, address,
-                                    state.protocol.make_held_parts_request(id, address), answer_limit, yield);
+    const auto answer = wire::fetch(*state.pool, address, state.protocol.make_held_parts_request(id, address),
+                                    answer_limit, yield);
     const auto parts =
         answer ? state.protocol.read_held_parts(answer->body) : tl::make_unexpected(answer.error());
     state.figures->count(parts ? "held_parts_told_total" : "held_parts_not_told_total");
@@ -99,4 +99,15 @@
     return holding;
 }
 
+bool does_engine_hold(gateway_request& request, const base::upstream_id& engine, wire::yield_context yield) {
+    gateway_state& state = *request.state;
+    const decision::instance* const target = decision::find_instance(state.instances, engine);
+    if (request.routed.prompt_key.empty() || target == nullptr || target->state != decision::listing::listed)
+        return false;
+    state.held_parts.erase(engine);
+    ask(state, engine, target->entry.address, yield);
+    const auto told = state.held_parts.find(engine);
+    return told != state.held_parts.end() && told->second.parts.contains(request.routed.prompt_key);
+}
+
 } // namespace postpaddle::gateway
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -113,6 +113,8 @@
 }
 
 void load_exchange::tell() {
+    if (!this->state->process->policy.tell_loads)
+        return;
     const host::load_report report = this->own_report();
     this->has_told_work = !report.uses.empty() || !report.waiters.empty() || !report.avoided.empty();
     const std::string bytes = encode_load(report);
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -136,7 +136,8 @@
 
 void serve_request(gateway_state& state, wire::caller_connection& connection, wire::http_request message,
                    wire::yield_context yield) {
-    await_beliefs(state, yield);
+    if (state.process->policy.wait_for_first_beliefs)
+        await_beliefs(state, yield);
     gateway_request request;
     request.state = &state;
     request.connection = &connection;
--- a/libraries/gateway/stage_controller.cpp
+++ b/libraries/gateway/stage_controller.cpp
@@ -32,7 +32,8 @@
 constexpr int least_streams = 3;
 /// Added to the time that an engine is said to take for a change.
 constexpr base::duration change_margin = 1'500ms;
-/// An engine ends what it runs before it changes: so many mean hold times at most. The registry tells when it is back.
+/// An engine ends what it runs before it changes: so many mean hold times at most. The registry tells when it
+/// is back.
 constexpr double longest_hold = 4;
 
 host::order_pacing pacing_of(const settings::gateway_settings& process) {
@@ -74,7 +75,7 @@
     while (!this->state->is_draining) {
         this->pause(look_interval, yield);
         const auto in_force = this->state->settings;
-        if (!in_force)
+        if (!in_force || !this->state->process->policy.move_engines)
             continue;
         for (const auto& [name, service] : in_force->document.value->services) {
             const bool is_known = this->state->profiles[name].streams_timed >= least_streams;
@@ -223,13 +224,13 @@
          {"answer", answer ? to_text(said) : "none"},
          {"prompt_tokens", profile.prompt_tokens.value},
          {"read_seconds", decision::seconds_for_tokens(profile.pace, profile.prompt_tokens.value)},
-         {"hold_seconds",
-                                     decision::hold_seconds(profile, service.engine->tokens_an_event)}});
+         {"hold_seconds", decision::hold_seconds(profile, service.engine->tokens_an_event)}});
     const bool may_be_taken = !answer || said == ports::order_answer::taken;
     decision::instance* const target = decision::find_instance(this->state->instances, engine);
     if (may_be_taken && target != nullptr) {
         base::duration away = service.engine->stage_change + change_margin;
-        // An order without an answer may never be carried out: then the engine is missed for no longer than need be.
+        // An order without an answer may never be carried out: then the engine is missed for no longer than
+        // need be.
         if (answer)
             away += base::from_seconds(longest_hold *
                                        decision::hold_seconds(profile, service.engine->tokens_an_event));
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -39,7 +39,11 @@
         peers[name.value] = {{"address", known.address},
                              {"heard_ms_ago", base::to_milliseconds(now - known.heard)},
                              {"is_leaving", known.is_leaving}};
+    json policy = json::object();
+    for (const settings::policy_field& field : settings::policy_fields())
+        policy[field.name] = state.process->policy.*field.value;
     return {{"host", state.process->name.value},
+            {"policy", std::move(policy)},
             {"is_ready", is_ready(state)},
             {"is_draining", state.is_draining},
             {"settings_version", state.settings ? state.settings->document.value->version : 0},
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -116,7 +116,8 @@
     gateway_state& state = *this->request->state;
     const settings::engine_capacity capacity = capacity_of(*this->request);
     decision::instance* const target = decision::find_instance(state.instances, id);
-    if (target == nullptr || !decision::may_be_full(facts.load, capacity, this->size))
+    if (target == nullptr || !state.process->policy.doubt_memory ||
+        !decision::may_be_full(facts.load, capacity, this->size))
         return;
     // Its own promise is still counted among what is taken: without it there seemed to be this much.
     const base::time_point now = state.clock->now();
@@ -165,18 +166,20 @@
 
 void stream_relay::did_pass_whole() {
     decision::service_profile& profile = profile_of(*this->request);
+    if (this->events_passed < timed_events)
+        this->time_events(this->events_passed);
     if (this->request->routed.output_hint <= 0)
         decision::learn(profile.output_tokens, static_cast<double>(this->events_passed) *
                                                    capacity_of(*this->request).tokens_an_event);
 }
 
-void stream_relay::time_events() {
-    if (!this->request->first_event)
+void stream_relay::time_events(int events) {
+    if (!this->request->first_event || events < 2)
         return;
     decision::service_profile& profile = profile_of(*this->request);
     const base::time_point begun = this->request->arrived + *this->request->first_event;
     decision::learn(profile.event_seconds,
-                    base::to_seconds(this->request->state->clock->now() - begun) / (timed_events - 1));
+                    base::to_seconds(this->request->state->clock->now() - begun) / (events - 1));
     ++profile.streams_timed;
 }
 
@@ -215,7 +218,7 @@
                             base::to_seconds(this->request->state->clock->now() - *sent));
         ++this->events_passed;
         if (this->events_passed == timed_events)
-            this->time_events();
+            this->time_events(timed_events);
         this->place->grow_memory(this->memory_after(this->events_passed));
         const bool is_known = event->id && this->last_event && *event->id <= *this->last_event;
         if (is_known)
@@ -253,6 +256,19 @@
     return answer_by_host(*this->request, this->last, this->reason, yield);
 }
 
+void stream_relay::did_fail_at(const base::upstream_id& engine, wire::yield_context yield) {
+    // One that only refused may take the request later, or with its prompt read anew.
+    if (this->last == send_result::not_run)
+        return;
+    const bool may_hold =
+        this->last == send_result::broken && this->request->state->process->policy.rerun_where_held;
+    const bool is_first_loss = this->request->holding.insert(engine).second;
+    if (may_hold && is_first_loss && does_engine_hold(*this->request, engine, yield))
+        return;
+    this->request->holding.erase(engine);
+    this->request->tried.insert(engine);
+}
+
 bool stream_relay::try_plan(const decision::engine_plan& plan, wire::yield_context yield) {
     this->reserve(plan);
     if (!plan.prefill || this->kept.has_value())
@@ -276,7 +292,8 @@
     decision::learn(profile.output_tokens, this->request->routed.output_hint);
     decision::learn(profile.prompt_tokens, this->size.prompt_tokens);
     this->last_event = this->request->routed.resume_after;
-    if (this->request->first_try < this->request->arrived)
+    const settings::gateway_policy& policy = this->request->state->process->policy;
+    if (policy.search_held_prompts && this->request->first_try < this->request->arrived)
         this->request->holding = find_engines_holding(*this->request, yield);
     while (time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone) {
         this->place.reset();
@@ -296,9 +313,7 @@
             this->kept.release();
             return *ending;
         }
-        // One that only refused may take the request later, or with its prompt read anew.
-        if (this->last != send_result::not_run)
-            this->request->tried.insert(plan->decode);
+        this->did_fail_at(plan->decode, yield);
         if (!decision::may_send_again(this->request->record, this->last))
             break;
     }
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -42,8 +42,11 @@
     [[nodiscard]] bool pass_events(wire::event_splitter& events);
     void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
     void did_pass_whole();
-    void time_events();
+    /// Learns the pace of events from the stream's first ones.
+    void time_events(int events);
     [[nodiscard]] base::time_point limit_of_silence() const;
+    /// Its run was lost: it is not asked again, unless it lives and still holds the prompt.
+    void did_fail_at(const base::upstream_id& engine, wire::yield_context yield);
     [[nodiscard]] request_ending give_up(wire::yield_context yield);
 
     gateway_request* request;
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -42,10 +42,13 @@
     return decision::send_verdict::failed;
 }
 
-decision::send_verdict verdict_of(const exchange_result& exchange, const ports::upstream_send& send) {
+decision::send_verdict verdict_of(const exchange_result& exchange, const ports::upstream_send& send,
+                                  const settings::gateway_policy& policy) {
     if (exchange.is_port_dead)
         return decision::send_verdict::ended;
-    if (exchange.result == send_result::not_run && send.purpose == ports::send_purpose::read_prompt)
+    const bool is_prompt_refused =
+        exchange.result == send_result::not_run && send.purpose == ports::send_purpose::read_prompt;
+    if (is_prompt_refused && policy.avoid_shut_engines)
         return decision::send_verdict::shut;
     return verdict_of(exchange.result);
 }
@@ -196,7 +199,7 @@
         return;
     if (exchange.facts.load)
         decision::note_load(*target, *exchange.facts.load, now);
-    decision::note_verdict(*target, verdict_of(exchange, send), now);
+    decision::note_verdict(*target, verdict_of(exchange, send, state.process->policy), now);
     if (decision::is_aside(*target, now))
         state.did_change_own_load();
     if (exchange.facts.is_other_instance)
--- a/libraries/settings/gateway_settings.cpp
+++ b/libraries/settings/gateway_settings.cpp
@@ -87,6 +87,7 @@
         "connections", static_cast<std::int64_t>(standard.connections), {1, most_connections}));
     value.retry_after_limit = reader.number("retry_after_limit_s", standard.retry_after_limit, {0, 3'600});
     value.retries = read_retries(reader.child("retries"));
+    value.policy = read_policy(reader.child("policy"));
     value.order_lease = read_milliseconds(reader, "order_lease_ms", standard.order_lease);
     value.do_engines_check_tokens = reader.flag("engines_check_tokens", standard.do_engines_check_tokens);
     value.log_level = reader.word("log_level", standard.log_level, {"debug", "info", "warn", "error"});
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/identifier.h>
+#include <settings/gateway_policy.h>
 #include <settings/problem.h>
 
 #include <tl/expected.hpp>
@@ -46,6 +47,7 @@
     retry_budget_settings retries;
     std::chrono::milliseconds order_lease{3'000}; ///< Pause between orders of two hosts to engines, at least.
     bool do_engines_check_tokens = false; ///< Whether engines refuse orders with an older fencing token.
+    gateway_policy policy;
     std::string log_level = "info";
     int log_lines_per_second = 200;
 
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -83,6 +83,7 @@
     const auto ask = [&cluster](const std::string& id, const std::string& part, const char* time_left) {
         auto request = routed_request("/resume/", id);
         request.headers.push_back({"X-Prompt-Prefix", "shared:10," + part + ":90"});
+        std::erase_if(request.headers, [](const auto& header) { return header.name == "X-Deadline-Ms"; });
         request.headers.push_back({"X-Deadline-Ms", time_left});
         const auto answer = stand_in::http_exchange(cluster.callers_address(), request);
         REQUIRE(answer);
@@ -92,7 +93,8 @@
         ask("other-" + std::to_string(other), "part-" + std::to_string(other), "9000");
     ask("first-try", "wanted", "9000");
     const auto holds = [&cluster](const char* id) {
-        const auto list = stand_in::http_exchange(cluster.server_address(id), {"GET", "/api/kv-list", {}, ""});
+        const auto list =
+            stand_in::http_exchange(cluster.server_address(id), {"GET", "/api/kv-list", {}, ""});
         return list && list->body.find("wanted") != std::string::npos;
     };
     const char* const holder = holds("d1") ? "d1" : "d2";
--- /dev/null
+++ b/tests/settings/test_gateway_settings.cpp
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <settings/gateway_settings.h>
+
+#include <catch2/catch.hpp>
+
+using namespace postpaddle;
+
+namespace {
+
+std::string make_file(const std::string& more) {
+    return "role: gateway\nname: one\navailability_zone: east\ncallers: \"127.0.0.1:1\"\n"
+           "readiness: \"127.0.0.1:2\"\npeers: \"127.0.0.1:3\"\nstore: \"127.0.0.1:4\"\n" +
+           more;
+}
+
+} // namespace
+
+TEST_CASE("every mechanism is on unless the file switches it off, each by itself") {
+    const auto standard = settings::parse_gateway_settings(make_file(""), "file");
+    REQUIRE(standard);
+    CHECK(standard->policy == settings::gateway_policy{});
+    for (const settings::policy_field& field : settings::policy_fields()) {
+        INFO(field.name);
+        const std::string part = std::string("policy:\n  ") + field.name + ": false\n";
+        const auto changed = settings::parse_gateway_settings(make_file(part), "file");
+        REQUIRE(changed);
+        settings::gateway_policy expected;
+        expected.*field.value = false;
+        CHECK(changed->policy == expected);
+    }
+}
+
+TEST_CASE("a mechanism that nobody knows, or a value that is no flag, is a problem") {
+    CHECK_FALSE(settings::parse_gateway_settings(make_file("policy:\n  no_such: false\n"), "file"));
+    CHECK_FALSE(settings::parse_gateway_settings(make_file("policy:\n  refuse_early: maybe\n"), "file"));
+}
+
+TEST_CASE("the bound on new settings is read and has a standard value") {
+    CHECK(settings::parse_gateway_settings(make_file(""), "file")->settings_bound ==
+          std::chrono::milliseconds(2'000));
+    CHECK(settings::parse_gateway_settings(make_file("settings_bound_ms: 3000\n"), "file")->settings_bound ==
+          std::chrono::milliseconds(3'000));
+}
