routing: Keep memory for those that go before, large ones too

Change: those that go before get memory in their order, each at the engine with the most left, held back until it is enough; the rest counts as free. Reports say how much memory a waiting request will take. Tests: one and two large requests ahead of a small one; a large one gets the engine held back for it; of the two admission checks, a request with no room of its own waits as before (it said so by counts).

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -11,13 +11,13 @@
 constexpr double usable_target = 0.8;
 /// Latency targets for which a caller waits for a place.
 constexpr int patient_targets = 3;
-/// A caller that is refused comes back after the expected wait times a factor drawn from this range, so that those
-/// of a burst don't come back as one.
+/// A caller that is refused comes back after the expected wait times a factor drawn from this range, so that
+/// those of a burst don't come back as one.
 constexpr double least_spread = 1;
 constexpr double most_spread = 3;
 constexpr base::duration least_return = std::chrono::milliseconds(1'000);
-/// A prompt that is late already is not sent while prefill engines have more than this ahead of it: those that come
-/// next may still be in time.
+/// A prompt that is late already is not sent while prefill engines have more than this ahead of it: those
+/// that come next may still be in time.
 constexpr base::duration longest_queue_of_late = std::chrono::milliseconds(100);
 
 } // namespace
@@ -46,7 +46,7 @@
 }
 
 admission admit_to_engines(const admission_facts& facts) {
-    const bool has_place = facts.has_room && facts.free_places > facts.waiting_ahead;
+    const bool has_place = facts.has_room;
     const bool is_patient = facts.is_late && facts.prompt_queue > longest_queue_of_late;
     if (has_place && (!is_patient || facts.waited >= facts.patience))
         return admission::start;
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -9,16 +9,16 @@
 
 /// What the admission of a request to the engines rests on.
 struct admission_facts {
-    bool has_room = false;  ///< A decode engine has a place for it now.
+    bool has_room = false;  ///< A decode engine has a place for it now, those left out that go before it.
     double free_places = 0; ///< Of all decode engines, for requests of its size.
     double total_places = 0;
-    int waiting_ahead = 0;  ///< Requests, over all hosts, that go before it.
-    base::duration hold{};  ///< How long a request keeps its place, on the mean.
+    int waiting_ahead = 0;         ///< Requests, over all hosts, that go before it.
+    base::duration hold{};         ///< How long a request keeps its place, on the mean.
     bool is_late = false;          ///< Can no longer meet its latency target.
     base::duration prompt_queue{}; ///< Until its prefill engine begins with its prompt.
-    base::duration in_time{};      ///< Longest wait for a place after which it still meets its latency target.
-    bool may_come_back = false;    ///< Its caller has not asked before and will ask again where it is refused.
-    bool is_queued = false; ///< Was let into the queue before.
+    base::duration in_time{};   ///< Longest wait for a place after which it still meets its latency target.
+    bool may_come_back = false; ///< Its caller has not asked before and will ask again where it is refused.
+    bool is_queued = false;     ///< Was let into the queue before.
     base::duration waited{};
     base::duration patience{}; ///< How long it may wait for a place.
 
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -115,14 +115,23 @@
     return decode_read_time(candidate, tokens, context) + reading_there_cost;
 }
 
+double unreserved_memory(const instance& candidate, const choice_context& context,
+                         const settings::engine_capacity& capacity) {
+    const auto found = context.reserved.find(candidate.entry.id);
+    const double reserved = found == context.reserved.end() ? 0 : found->second;
+    return memory_left(candidate, capacity, context.now) - reserved;
+}
+
 bool has_room(const instance& candidate, const choice_context& context,
               const settings::engine_capacity& capacity, const prompt_size& size) {
     const int requests = candidate.own.requests + candidate.others.requests;
     if (requests >= capacity.places)
         return false;
     // A request larger than the whole engine is let in alone.
-    return (requests == 0 && hidden_memory(candidate, context.now) == 0) || capacity.kv_tokens <= 0 ||
-           memory_left(candidate, capacity, context.now) >= size.prompt_tokens + size.output_tokens;
+    const bool is_empty = requests == 0 && hidden_memory(candidate, context.now) == 0 &&
+                          !context.reserved.contains(candidate.entry.id);
+    return is_empty || capacity.kv_tokens <= 0 ||
+           unreserved_memory(candidate, context, capacity) >= size.prompt_tokens + size.output_tokens;
 }
 
 double memory_cost(const instance& candidate, const choice_context& context,
@@ -130,7 +139,7 @@
     // An engine with less in its memory makes tokens sooner.
     static constexpr double crowding_cost = 0.05;
     const double left =
-        capacity.kv_tokens > 0 ? memory_left(candidate, capacity, context.now) / capacity.kv_tokens : 1;
+        capacity.kv_tokens > 0 ? unreserved_memory(candidate, context, capacity) / capacity.kv_tokens : 1;
     return crowding_cost * (1 - left) + (has_room(candidate, context, capacity, size) ? 0 : full_cost);
 }
 
@@ -276,6 +285,26 @@
                        .cost = best.cost};
 }
 
+std::map<base::upstream_id, double> reserve_memory(const instance_table& table, const choice_context& context,
+                                                   const settings::engine_capacity& capacity,
+                                                   std::span<const waiter> ahead) {
+    std::map<base::upstream_id, double> reserved;
+    std::vector<std::pair<double, base::upstream_id>> left;
+    for (const instance* candidate : usable(table, context, can_decode))
+        if (!is_avoided(*candidate, context.now))
+            left.emplace_back(memory_left(*candidate, capacity, context.now), candidate->entry.id);
+    if (left.empty())
+        return reserved;
+    std::ranges::make_heap(left);
+    for (const waiter& other : ahead) {
+        std::ranges::pop_heap(left);
+        left.back().first -= other.memory_tokens;
+        reserved[left.back().second] += other.memory_tokens;
+        std::ranges::push_heap(left);
+    }
+    return reserved;
+}
+
 engine_places count_places(const instance_table& table, const choice_context& context,
                            const settings::engine_capacity& capacity, const prompt_size& size) {
     engine_places places;
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -3,10 +3,13 @@
 
 #include <decision/engine_pace.h>
 #include <decision/instance_table.h>
+#include <decision/waiting_order.h>
 
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 
 namespace postpaddle::decision {
@@ -19,10 +22,11 @@
 struct choice_context {
     std::string service;
     base::zone_id own_zone;
-    std::set<base::upstream_id> excluded; ///< Already tried for this request.
-    std::set<base::upstream_id> holding{};  ///< Engines that hold the request's prompt.
+    std::set<base::upstream_id> excluded;  ///< Already tried for this request.
+    std::set<base::upstream_id> holding{}; ///< Engines that hold the request's prompt.
     base::time_point now{};
-    engine_pace pace{}; ///< Of the service's engines.
+    std::map<base::upstream_id, double> reserved{}; ///< Memory of engines that requests ahead will take.
+    engine_pace pace{};                             ///< Of the service's engines.
 };
 
 /// Size of a prompt and of its answer.
@@ -74,6 +78,14 @@
 [[nodiscard]] double memory_left(const instance& candidate, const settings::engine_capacity& capacity,
                                  base::time_point now);
 
+/// Memory that requests which go before will take, by engine, in their order: each at the engine that has the
+/// most left. One that finds no room holds that engine back, so that a large request gets its place in the
+/// end although smaller ones would fit before.
+[[nodiscard]] std::map<base::upstream_id, double> reserve_memory(const instance_table& table,
+                                                                 const choice_context& context,
+                                                                 const settings::engine_capacity& capacity,
+                                                                 std::span<const waiter> ahead);
+
 /// Places for requests of that size that all decode engines of the service have, and those that are free.
 struct engine_places {
     double total = 0;
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -38,42 +38,65 @@
     return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
 }
 
-/// Requests of all hosts that go before this one.
-int waiting_ahead(const gateway_request& request, base::duration in_time, base::time_point now) {
+/// Requests of all hosts that go before this one, in their order.
+std::vector<decision::waiter> waiters_ahead(const gateway_request& request, base::duration in_time,
+                                            base::time_point now) {
     const gateway_state& state = *request.state;
     const base::duration own = now - waiting_since(request);
-    const auto is_ahead = [&](const waiting_request* other) {
-        return decision::goes_before(now - other->first_try, own, in_time);
-    };
-    const auto ahead_here = std::ranges::count_if(state.waiting, is_ahead);
-    return static_cast<int>(ahead_here) + host::waiters_ahead(state.loads, own, in_time, now);
+    auto ahead = host::waiters_ahead(state.loads, own, in_time, now);
+    for (const waiting_request* other : state.waiting)
+        if (decision::goes_before(now - other->first_try, own, in_time))
+            ahead.push_back({now - other->first_try, other->memory_tokens});
+    std::ranges::sort(ahead, [in_time](const decision::waiter& left, const decision::waiter& right) {
+        return decision::goes_before(left.waited, right.waited, in_time);
+    });
+    return ahead;
 }
 
-decision::admission_facts facts_of(const gateway_request& request, const decision::engine_plan& plan,
-                                   const decision::choice_context& context, const decision::prompt_size& size,
-                                   bool is_queued) {
-    const settings::gateway_policy& policy = request.state->process->policy;
+/// Engines for a request, and what its admission rests on.
+struct place_look {
+    decision::engine_plan plan;
+    decision::admission_facts facts;
+};
+
+std::optional<place_look> look_for_place(const gateway_request& request, const decision::prompt_size& size,
+                                         bool is_queued) {
+    gateway_state& state = *request.state;
+    const settings::gateway_policy& policy = state.process->policy;
+    const settings::engine_capacity capacity = capacity_of(request);
+    decision::choice_context context = choice_context_of(request);
+    auto plan = decision::choose_engines(state.instances, context, capacity, size, state.random);
+    if (!plan)
+        return std::nullopt;
     const base::duration in_time =
-        decision::longest_wait_in_time(request.route->latency_target, plan.expected_first_event);
-    const auto places = decision::count_places(request.state->instances, context, capacity_of(request), size);
+        decision::longest_wait_in_time(request.route->latency_target, plan->expected_first_event);
+    const auto places = decision::count_places(state.instances, context, capacity, size);
+    const auto ahead = waiters_ahead(request, in_time, context.now);
+    bool has_room = plan->has_room && places.free > static_cast<double>(ahead.size());
+    if (policy.reserve_in_order && !ahead.empty()) {
+        context.reserved = decision::reserve_memory(state.instances, context, capacity, ahead);
+        plan = decision::choose_engines(state.instances, context, capacity, size, state.random);
+        has_room = plan->has_room;
+    }
     const double alone = decision::seconds_alone(context.pace, size.prompt_tokens);
     const base::duration queue =
-        plan.prefill ? plan.expected_read - base::from_seconds(alone) : base::duration{};
-    return {.has_room = plan.has_room,
-            .free_places = places.free,
-            .total_places = places.total,
-            .waiting_ahead = waiting_ahead(request, in_time, context.now),
-            .hold = base::from_seconds(
-                decision::hold_seconds(profile_of(request), capacity_of(request).tokens_an_event)),
-            .is_late = policy.late_prompts_yield && context.now - waiting_since(request) > in_time,
-            .prompt_queue = std::max(base::duration{}, queue),
-            .in_time = in_time,
-            .may_come_back =
-                policy.refuse_early && request.first_try == request.arrived && !request.routed.resume_after,
-            .is_queued = is_queued,
-            .waited = context.now - request.arrived,
-            .patience = decision::patience_for_place(request.route->latency_target,
-                                                     request.deadline - request.arrived)};
+        plan->prefill ? plan->expected_read - base::from_seconds(alone) : base::duration{};
+    const decision::admission_facts facts = {
+        .has_room = has_room,
+        .free_places = places.free,
+        .total_places = places.total,
+        .waiting_ahead = static_cast<int>(ahead.size()),
+        .hold = base::from_seconds(decision::hold_seconds(profile_of(request), capacity.tokens_an_event)),
+        .is_late = policy.late_prompts_yield && context.now - waiting_since(request) > in_time,
+        .prompt_queue = std::max(base::duration{}, queue),
+        .in_time = in_time,
+        .may_come_back =
+            policy.refuse_early && request.first_try == request.arrived && !request.routed.resume_after,
+        .is_queued = is_queued,
+        .waited = context.now - request.arrived,
+        .patience =
+            decision::patience_for_place(request.route->latency_target, request.deadline - request.arrived)};
+    return place_look{*plan, facts};
 }
 
 /// Keeps for the log what a decision rests on.
@@ -99,25 +122,23 @@
     std::optional<wire::asio::steady_timer> timer;
     std::optional<waiting_mark> mark;
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone) {
-        const decision::choice_context context = choice_context_of(request);
-        const auto plan =
-            decision::choose_engines(state.instances, context, capacity_of(request), size, state.random);
-        if (!plan)
+        const auto look = look_for_place(request, size, mark.has_value());
+        if (!look)
             return {};
-        const decision::admission_facts facts = facts_of(request, *plan, context, size, mark.has_value());
-        note_place(request, facts);
-        switch (decision::admit_to_engines(facts)) {
+        note_place(request, look->facts);
+        switch (decision::admit_to_engines(look->facts)) {
         case decision::admission::start:
-            return {.plan = plan};
+            return {.plan = look->plan};
         case decision::admission::refuse:
-            request.until_place = decision::time_until_place(facts, state.random);
+            request.until_place = decision::time_until_place(look->facts, state.random);
             return {.plan = std::nullopt, .reason = "no place in time"};
         case decision::admission::wait:
             break;
         }
         if (!mark) {
             timer.emplace(*state.context);
-            mark.emplace(state, waiting_request{waiting_since(request), &*timer});
+            mark.emplace(state, waiting_request{waiting_since(request),
+                                                size.prompt_tokens + size.output_tokens, &*timer});
             state.figures->count("waited_for_place_total");
         }
         timer->expires_after(look_again);
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -35,6 +35,7 @@
 /// A request of this host that waits for a place at an engine.
 struct waiting_request {
     base::time_point first_try{};             ///< When its caller first asked.
+    double memory_tokens = 0;                 ///< That it will take of an engine's memory, expected.
     wire::asio::steady_timer* wake = nullptr; ///< Cancelled when places may have become free.
 };
 
@@ -68,9 +69,9 @@
     host::load_share loads{};                                    ///< What the other hosts have in progress.
     std::function<void()> on_own_load_changed{};                 ///< Tells the other hosts.
     std::set<const waiting_request*> waiting{};                  ///< Own requests that wait for a place.
-    std::map<std::string, decision::service_profile> profiles{};  ///< Learned, by service.
-    std::map<std::string, decision::caller_patience> patience{};  ///< Learned, by route.
-    std::map<base::upstream_id, told_parts> held_parts{};         ///< What engines told lately.
+    std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
+    std::map<std::string, decision::caller_patience> patience{}; ///< Learned, by route.
+    std::map<base::upstream_id, told_parts> held_parts{};        ///< What engines told lately.
     std::mt19937_64 random{};
     wire::upstream_pool* pool = nullptr;
     decision_log* log = nullptr;
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -108,7 +108,7 @@
             report.out_of_service.push_back(host::key_of(id));
     }
     for (const waiting_request* const waiting : this->state->waiting)
-        report.waiters.push_back(now - waiting->first_try);
+        report.waiters.push_back({now - waiting->first_try, waiting->memory_tokens});
     return report;
 }
 
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -85,8 +85,9 @@
         uses.push_back({key, use.requests, static_cast<std::int64_t>(use.memory_tokens),
                         static_cast<std::int64_t>(use.prompt_tokens)});
     json waiters = json::array();
-    for (const base::duration waited : report.waiters)
-        waiters.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
+    for (const decision::waiter& waiter : report.waiters)
+        waiters.push_back({std::chrono::duration_cast<std::chrono::milliseconds>(waiter.waited).count(),
+                           static_cast<std::int64_t>(waiter.memory_tokens)});
     const json value = {report.host.value,  report.incarnation, report.sequence,      std::move(uses),
                         std::move(waiters), report.avoided,     report.out_of_service};
     std::string bytes;
@@ -105,7 +106,8 @@
             report.uses[row.at(0).get<host::instance_key>()] = {row.at(1).get<int>(), row.at(2).get<double>(),
                                                                 row.at(3).get<double>()};
         for (const json& row : value.at(4))
-            report.waiters.emplace_back(std::chrono::milliseconds(row.get<std::int64_t>()));
+            report.waiters.push_back(
+                {std::chrono::milliseconds(row.at(0).get<std::int64_t>()), row.at(1).get<double>()});
         report.avoided = value.at(5).get<std::vector<host::instance_key>>();
         report.out_of_service = value.at(6).get<std::vector<host::instance_key>>();
         return report;
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -64,9 +64,8 @@
 std::optional<ports::feed_error> store_watch::read_settings(const host::store_read& order,
                                                             wire::yield_context yield) {
     topic& own = this->settings;
-    auto page = own.has_offset
-                    ? this->feed->settings_after(own.next_offset, order.wait, order.limit, yield)
-                    : this->feed->newest_settings(order.limit, yield);
+    auto page = own.has_offset ? this->feed->settings_after(own.next_offset, order.wait, order.limit, yield)
+                               : this->feed->newest_settings(order.limit, yield);
     if (!page)
         return page.error();
     own.next_offset = std::max(own.next_offset, page->next);
@@ -89,9 +88,8 @@
                                                             wire::yield_context yield) {
     topic& own = this->registry;
     const bool is_whole = !own.has_offset;
-    auto page = !is_whole
-                    ? this->feed->registry_after(own.next_offset, order.wait, order.limit, yield)
-                    : this->feed->newest_registry(order.limit, yield);
+    auto page = !is_whole ? this->feed->registry_after(own.next_offset, order.wait, order.limit, yield)
+                          : this->feed->newest_registry(order.limit, yield);
     if (!page)
         return page.error();
     if (is_whole)
@@ -102,8 +100,10 @@
     own.has_offset = true;
     this->state->registry_next = own.next_offset;
     // Records that come together are read together.
+    static constexpr int pause_part = 5;
+    const std::chrono::milliseconds least = this->state->process->leaving_bound / pause_part;
     if (order.wait > std::chrono::milliseconds::zero())
-        this->pause(this->state->process->registry_interval, yield);
+        this->pause(std::max(least, this->state->process->registry_interval), yield);
     settle_registry(*this->state);
     return std::nullopt;
 }
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -74,14 +74,16 @@
     return is_any_dropped;
 }
 
-int waiters_ahead(const load_share& share, base::duration own, base::duration in_time,
-                  base::time_point now) {
-    int count = 0;
+std::vector<decision::waiter> waiters_ahead(const load_share& share, base::duration own,
+                                            base::duration in_time, base::time_point now) {
+    std::vector<decision::waiter> ahead;
     for (const auto& [host, heard] : share.by_host)
-        for (const base::duration waited : heard.report.waiters)
-            if (decision::goes_before(waited + (now - heard.heard), own, in_time))
-                ++count;
-    return count;
+        for (const decision::waiter& other : heard.report.waiters) {
+            const base::duration waited = other.waited + (now - heard.heard);
+            if (decision::goes_before(waited, own, in_time))
+                ahead.push_back({waited, other.memory_tokens});
+        }
+    return ahead;
 }
 
 } // namespace postpaddle::host
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -23,7 +23,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0; ///< Rises with each report of an incarnation.
     std::map<instance_key, decision::instance_use> uses;
-    std::vector<base::duration> waiters;      ///< How long its requests without a place have waited.
+    std::vector<decision::waiter> waiters;    ///< Requests without a place.
     std::vector<instance_key> avoided;        ///< Instances that it could not reach lately.
     std::vector<instance_key> out_of_service; ///< Instances that take no work now: port dead, stage changing.
 
@@ -50,8 +50,8 @@
 /// Drops reports of hosts that have been silent for too long; says whether any was dropped.
 bool drop_silent(load_share& share, base::time_point now);
 
-/// Requests of other hosts that go before this one.
-[[nodiscard]] int waiters_ahead(const load_share& share, base::duration own, base::duration in_time,
-                                base::time_point now);
+/// Requests of other hosts that go before one that has waited for `own`.
+[[nodiscard]] std::vector<decision::waiter> waiters_ahead(const load_share& share, base::duration own,
+                                                          base::duration in_time, base::time_point now);
 
 } // namespace postpaddle::host
--- a/libraries/settings/gateway_policy.cpp
+++ b/libraries/settings/gateway_policy.cpp
@@ -9,6 +9,7 @@
         {"rerun_where_held", &gateway_policy::rerun_where_held},
         {"refuse_early", &gateway_policy::refuse_early},
         {"order_by_first_try", &gateway_policy::order_by_first_try},
+        {"reserve_in_order", &gateway_policy::reserve_in_order},
         {"late_prompts_yield", &gateway_policy::late_prompts_yield},
         {"avoid_shut_engines", &gateway_policy::avoid_shut_engines},
         {"move_engines", &gateway_policy::move_engines},
--- a/libraries/settings/gateway_policy.h
+++ b/libraries/settings/gateway_policy.h
@@ -12,6 +12,7 @@
         true;                 ///< Run a lost stream again at its engine where that still holds the prompt.
     bool refuse_early = true; ///< Refuse at once who can't be in time and has not asked before.
     bool order_by_first_try = true; ///< Let waiting count from a caller's first try, not from this one.
+    bool reserve_in_order = true;   ///< Keep memory free for larger requests that go before.
     bool late_prompts_yield = true; ///< Hold back prompts that are late while prefill engines have a queue.
     bool avoid_shut_engines =
         true;                 ///< Send nothing to a prefill engine for a moment after it refused a prompt.
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -150,14 +150,45 @@
     CHECK(plan->prefill == base::upstream_id{"p2"});
 }
 
+TEST_CASE(
+    "memory is kept for those that go before, so that a large request is not passed by small ones for ever") {
+    auto table = make_table({make_entry("p1", engine_stage::prefill), make_entry("d1", engine_stage::decode),
+                             make_entry("d2", engine_stage::decode)});
+    // Each engine has 4,000 tokens left: room for a small request, not for a large one.
+    for (const auto* id : {"d1", "d2"})
+        decision::find_instance(table, {id})->others = {10, capacity.kv_tokens - 4'000.0, 0};
+    std::mt19937_64 random(1);
+    auto context = make_context();
+    const decision::prompt_size small{2'000, 500};
+    CHECK(decision::choose_engines(table, context, capacity, small, random)->has_room);
+    const std::vector<decision::waiter> ahead = {{400ms, 7'000}};
+    context.reserved = decision::reserve_memory(table, context, capacity, ahead);
+    REQUIRE(context.reserved.size() == 1);
+    const auto held_back = context.reserved.begin()->first;
+    auto plan = decision::choose_engines(table, context, capacity, small, random);
+    CHECK(plan->has_room);
+    CHECK(plan->decode != held_back);
+    // Two large ones ahead hold both engines back.
+    const std::vector<decision::waiter> two = {{400ms, 7'000}, {300ms, 7'000}};
+    context.reserved = decision::reserve_memory(table, context, capacity, two);
+    CHECK_FALSE(decision::choose_engines(table, context, capacity, small, random)->has_room);
+    // The large one itself gets the first engine that has room for it.
+    decision::find_instance(table, held_back)->others = {9, capacity.kv_tokens - 8'000.0, 0};
+    context.reserved.clear();
+    plan = decision::choose_engines(table, context, capacity, {6'000, 1'000}, random);
+    CHECK(plan->has_room);
+    CHECK(plan->decode == held_back);
+}
+
 TEST_CASE("an engine that takes no prompts is avoided for a moment") {
     auto table = make_table({make_entry("p1", engine_stage::prefill), make_entry("p2", engine_stage::prefill),
                              make_entry("d1", engine_stage::decode)});
     std::mt19937_64 random(1);
     decision::note_verdict(*decision::find_instance(table, {"p1"}), decision::send_verdict::shut, now);
     for (int draw = 0; draw < 20; ++draw)
-        CHECK(decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random)->prefill->value ==
-              "p2");
+        CHECK(
+            decision::choose_engines(table, make_context(), capacity, {5'000, 700}, random)->prefill->value ==
+            "p2");
     auto later = make_context();
     later.now = now + 1s;
     CHECK_FALSE(decision::is_avoided(*decision::find_instance(table, {"p1"}), later.now));
--- a/tests/decision/test_send_rules.cpp
+++ b/tests/decision/test_send_rules.cpp
@@ -66,6 +66,7 @@
                                        .waited = 0ms,
                                        .patience = 2'700ms};
     CHECK(decision::admit_to_engines(facts) == decision::admission::start);
+    facts.has_room = false;
     facts.waiting_ahead = 1;
     CHECK(decision::admit_to_engines(facts) == decision::admission::wait);
     facts.waiting_ahead = 100;
@@ -77,7 +78,7 @@
 }
 
 TEST_CASE("who can't be in time is refused at once where its caller will come back, else it waits") {
-    decision::admission_facts facts = {.has_room = true,
+    decision::admission_facts facts = {.has_room = false,
                                        .free_places = 0,
                                        .total_places = 60,
                                        .waiting_ahead = 19,
@@ -118,7 +119,8 @@
     CHECK(decision::admit_to_engines(facts) == decision::admission::start);
 }
 
-TEST_CASE("those that can be in time go first; among them, and among the late, the one that waited the longest") {
+TEST_CASE(
+    "those that can be in time go first; among them, and among the late, the one that waited the longest") {
     const base::duration in_time = 500ms;
     CHECK(decision::goes_before(100ms, 600ms, in_time));
     CHECK_FALSE(decision::goes_before(600ms, 100ms, in_time));
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -116,11 +116,11 @@
 TEST_CASE("other hosts' waiting requests age while no report comes") {
     host::load_share share;
     auto report = make_report("a", 1, 0);
-    report.waiters = {400ms};
+    report.waiters = {{400ms, 5'000}};
     (void)host::take_report(share, report, start);
-    CHECK(host::waiters_ahead(share, 300ms, 1s, start) == 1);
+    CHECK(host::waiters_ahead(share, 300ms, 1s, start) == std::vector<decision::waiter>{{400ms, 5'000}});
     // Meanwhile it is late, and this one is not.
-    CHECK(host::waiters_ahead(share, 300ms, 1s, start + 950ms) == 0);
+    CHECK(host::waiters_ahead(share, 300ms, 1s, start + 950ms).empty());
 }
 
 TEST_CASE("a host counts as alive for long after anybody heard it, and hearsay does not move it") {
