routing: Charge the retry budget for every send that it counts

Cause: a prompt that a prefill engine refused counts as an arrival, but was not charged; with the budget spent such a request still went on to a decode engine. Tests: a case for each kind of send; an unforeseen send leaves less for the others.

--- a/libraries/decision/send_rule.cpp
+++ b/libraries/decision/send_rule.cpp
@@ -22,7 +22,20 @@
 
 } // namespace
 
-void note_result(send_record& record, send_result result) {
+bool counts_as_arrival(const send_record& record, send_kind kind, send_result result) {
+    if (result == send_result::not_connected)
+        return false;
+    return kind == send_kind::run || result == send_result::not_run || record.prompts_taken > 0;
+}
+
+void note_result(send_record& record, send_kind kind, send_result result) {
+    if (counts_as_arrival(record, kind, result))
+        ++record.arrivals;
+    if (kind == send_kind::read_prompt) {
+        if (result != send_result::not_connected && result != send_result::not_run)
+            ++record.prompts_taken;
+        return;
+    }
     switch (result) {
     case send_result::not_connected:
         ++record.connects;
@@ -46,7 +59,7 @@
     return record.is_repeatable && record.sends < record.most_sends;
 }
 
-bool is_extra_send(const send_record& record) { return record.sends + record.refusals > 0; }
+bool is_extra_send(const send_record& record) { return record.arrivals > 0; }
 
 bool may_go_elsewhere(const send_record& record) {
     return record.is_repeatable && record.sends + 1 < record.most_sends;
--- a/libraries/decision/send_rule.h
+++ b/libraries/decision/send_rule.h
@@ -15,13 +15,21 @@
     late,          ///< Sent, and no answer in time.
 };
 
+/// What an upstream is sent a request for.
+enum class send_kind {
+    run,         ///< To answer it.
+    read_prompt, ///< To read and keep its prompt.
+};
+
 /// What is known of one request's sends. Certainty only grows: `may_have_run` is never taken back.
 struct send_record {
     bool is_repeatable = false;
-    int most_sends = 1; ///< Upstreams that the request may run on.
-    int connects = 0;   ///< Tries that never connected.
-    int sends = 0;      ///< Sends that may have run.
-    int refusals = 0;   ///< Sends that an upstream refused.
+    int most_sends = 1;    ///< Upstreams that the request may run on.
+    int connects = 0;      ///< Tries that never connected.
+    int sends = 0;         ///< Sends that may have run.
+    int refusals = 0;      ///< Sends that an upstream refused.
+    int prompts_taken = 0; ///< Prompts that an engine may have taken up.
+    int arrivals = 0;      ///< Sends that the retry budget counts; all but the first are extra.
     bool may_have_run = false;
 
     bool operator==(const send_record&) const = default;
@@ -34,8 +42,12 @@
     timed_out, ///< 504: it may have run, and the time is over.
 };
 
+/// Whether the retry budget counts a send that ended so: every run that reached an upstream, refused or not;
+/// of prompts those that were refused, and each one taken up after the first.
+[[nodiscard]] bool counts_as_arrival(const send_record& record, send_kind kind, send_result result);
+
 /// Takes the end of a send into the record.
-void note_result(send_record& record, send_result result);
+void note_result(send_record& record, send_kind kind, send_result result);
 
 /// Whether the rules let the request go to another upstream after that result. The retry budget and the
 /// time left are the caller's to check.
@@ -50,8 +62,10 @@
 /// Time that a try may take: all that is left, or a part of it where the request may go elsewhere after.
 [[nodiscard]] base::duration time_for_try(const send_record& record, base::duration left);
 
-/// When a caller that was refused is told to come back: once a place is expected, and with time left to be served.
-[[nodiscard]] base::duration retry_after(base::duration left, base::duration longest, base::duration until_place);
+/// When a caller that was refused is told to come back: once a place is expected, and with time left to be
+/// served.
+[[nodiscard]] base::duration retry_after(base::duration left, base::duration longest,
+                                         base::duration until_place);
 
 /// The honest answer after the last result.
 [[nodiscard]] own_answer answer_for(const send_record& record, send_result last);
--- a/libraries/decision/shared_budget.cpp
+++ b/libraries/decision/shared_budget.cpp
@@ -26,6 +26,10 @@
     ++current_span(budget, options, now).requests;
 }
 
+void note_extra(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
+    ++current_span(budget, options, now).extras;
+}
+
 bool try_spend(shared_budget& budget, const shared_budget_options& options, int hosts, base::time_point now) {
     budget_span& current = current_span(budget, options, now);
     int requests = 0;
--- a/libraries/decision/shared_budget.h
+++ b/libraries/decision/shared_budget.h
@@ -36,6 +36,9 @@
 /// Counts a request that a caller sent.
 void note_request(shared_budget& budget, const shared_budget_options& options, base::time_point now);
 
+/// Counts an extra send that came about unforeseen, whatever is left.
+void note_extra(shared_budget& budget, const shared_budget_options& options, base::time_point now);
+
 /// Spends one extra send when this host's part allows it; says whether it did.
 [[nodiscard]] bool try_spend(shared_budget& budget, const shared_budget_options& options, int hosts,
                              base::time_point now);
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -13,7 +13,8 @@
 constexpr int timed_out_status = 504;
 std::string retry_after_text(const gateway_request& request) {
     const base::duration longest = base::from_seconds(request.state->process->retry_after_limit);
-    const double seconds = base::to_seconds(decision::retry_after(time_left(request), longest, request.until_place));
+    const double seconds =
+        base::to_seconds(decision::retry_after(time_left(request), longest, request.until_place));
     std::array<char, 32> text{};
     (void)std::snprintf(text.data(), text.size(), "%.2f", seconds);
     return text.data();
@@ -68,6 +69,7 @@
     gateway_state& state = *request.state;
     const bool is_spent = decision::try_spend(state.budgets[request.service], budget_options_of(state),
                                               hosts_alive(state), state.clock->now());
+    request.is_send_paid = is_spent;
     state.figures->count(is_spent ? "extra_sends_total" : "extra_sends_refused_total");
     return is_spent;
 }
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -37,9 +37,10 @@
     base::time_point arrived{};
     base::time_point first_try{}; ///< When its caller is taken to have asked first, of this host or another.
     std::set<base::upstream_id> holding; ///< Engines that hold its prompt from an earlier try.
-    base::time_point deadline{}; ///< The final answer is due: the caller's patience or the route's limit.
+    base::time_point deadline{};  ///< The final answer is due: the caller's patience or the route's limit.
     base::duration until_place{}; ///< Until a place is expected for it, where it was refused for want of one.
     decision::send_record record;
+    bool is_send_paid = false; ///< The budget was charged for the send that is in progress.
     std::set<base::upstream_id> tried;
     std::shared_ptr<request_cancellation> cancellation = std::make_shared<request_cancellation>();
     nlohmann::json sends = nlohmann::json::array(); ///< For the log: one entry a send.
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -66,9 +66,10 @@
     base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
-    host::load_share loads{};                                    ///< What the other hosts have in progress.
-    std::function<void()> on_own_load_changed{};                 ///< Tells the other hosts.
-    std::set<const waiting_request*> waiting{};                  ///< Own requests that wait for a place.
+    bool knows_hosts = false;                    ///< The list of hosts has been read from the store.
+    host::load_share loads{};                    ///< What the other hosts have in progress.
+    std::function<void()> on_own_load_changed{}; ///< Tells the other hosts.
+    std::set<const waiting_request*> waiting{};  ///< Own requests that wait for a place.
     std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
     std::map<std::string, decision::caller_patience> patience{}; ///< Learned, by route.
     std::map<base::upstream_id, told_parts> held_parts{};        ///< What engines told lately.
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -206,6 +206,7 @@
                 if (entry.name != own.name)
                     host::note_hearsay(this->state->peers, entry.name, entry.address,
                                        this->state->clock->now());
+            this->state->knows_hosts = true;
             return;
         }
         host::did_time_out(patience);
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -84,6 +84,19 @@
         exchange.call->cancel();
 }
 
+/// Takes the end of a send into the record, and into the budget where it turns out to be an extra one.
+void note_send(gateway_request& request, decision::send_kind kind, send_result result) {
+    gateway_state& state = *request.state;
+    const bool is_extra =
+        request.record.arrivals > 0 && decision::counts_as_arrival(request.record, kind, result);
+    const bool was_paid = std::exchange(request.is_send_paid, false);
+    if (is_extra && !was_paid) {
+        decision::note_extra(state.budgets[request.service], budget_options_of(state), state.clock->now());
+        state.figures->count("extra_sends_unforeseen_total");
+    }
+    decision::note_result(request.record, kind, result);
+}
+
 /// A connection that rested may turn out stale after the send. Only what may run again goes over such a one.
 wire::connection_use use_for(const gateway_request& request, const ports::upstream_send& send) {
     const bool may_send_twice =
@@ -180,9 +193,9 @@
     request.cancellation->call = nullptr;
     if (exchange.call)
         state.pool->give_back(exchange.address, exchange.call);
-    if (send.purpose == ports::send_purpose::run)
-        decision::note_result(request.record, exchange.result);
     const bool is_reading = send.purpose == ports::send_purpose::read_prompt;
+    note_send(request, is_reading ? decision::send_kind::read_prompt : decision::send_kind::run,
+              exchange.result);
     request.sends.push_back({{"instance", send.instance.value},
                              {"purpose", is_reading ? "read_prompt" : "run"},
                              {"result", decision::to_text(exchange.result)},
--- a/tests/decision/test_send_rules.cpp
+++ b/tests/decision/test_send_rules.cpp
@@ -14,14 +14,14 @@
 
 TEST_CASE("what may run once goes elsewhere only after a word that it did not run") {
     decision::send_record record = {.is_repeatable = false, .most_sends = 2};
-    decision::note_result(record, send_result::not_connected);
+    decision::note_result(record, decision::send_kind::run, send_result::not_connected);
     CHECK(decision::may_send_again(record, send_result::not_connected));
-    decision::note_result(record, send_result::not_run);
+    decision::note_result(record, decision::send_kind::run, send_result::not_run);
     CHECK(decision::may_send_again(record, send_result::not_run));
     CHECK(decision::answer_for(record, send_result::not_run) == decision::own_answer::not_run);
     for (const auto result : {send_result::broken, send_result::late, send_result::server_error}) {
         decision::send_record sent = record;
-        decision::note_result(sent, result);
+        decision::note_result(sent, decision::send_kind::run, result);
         CHECK_FALSE(decision::may_send_again(sent, result));
         CHECK(decision::answer_for(sent, result) != decision::own_answer::not_run);
     }
@@ -29,9 +29,9 @@
 
 TEST_CASE("a repeatable request runs on no more upstreams than its route allows") {
     decision::send_record record = {.is_repeatable = true, .most_sends = 2};
-    decision::note_result(record, send_result::broken);
+    decision::note_result(record, decision::send_kind::run, send_result::broken);
     CHECK(decision::may_send_again(record, send_result::broken));
-    decision::note_result(record, send_result::broken);
+    decision::note_result(record, decision::send_kind::run, send_result::broken);
     CHECK_FALSE(decision::may_send_again(record, send_result::broken));
 }
 
@@ -45,7 +45,7 @@
         send_result last = send_result::not_connected;
         do {
             last = static_cast<send_result>(random() % 6);
-            decision::note_result(record, last);
+            decision::note_result(record, decision::send_kind::run, last);
             const bool ran = last != send_result::not_connected && last != send_result::not_run;
             may_have_run = may_have_run || ran;
             runs += ran ? 1 : 0;
@@ -138,11 +138,50 @@
     CHECK(decision::expected_output(1e6, 600, 1'870) == Approx(1'870));
 }
 
+TEST_CASE(
+    "the retry budget counts each run that arrives, refused prompts, and prompts after the first taken up") {
+    using decision::send_kind;
+    struct step {
+        send_kind kind;
+        send_result result;
+        bool counts;
+    };
+    const std::vector<std::vector<step>> cases = {
+        {{send_kind::read_prompt, send_result::answered, false},
+         {send_kind::run, send_result::answered, true}},
+        {{send_kind::read_prompt, send_result::not_run, true},
+         {send_kind::read_prompt, send_result::answered, false},
+         {send_kind::run, send_result::answered, true}},
+        {{send_kind::read_prompt, send_result::answered, false},
+         {send_kind::run, send_result::not_run, true},
+         {send_kind::run, send_result::broken, true},
+         {send_kind::read_prompt, send_result::answered, true},
+         {send_kind::run, send_result::answered, true}},
+        {{send_kind::read_prompt, send_result::late, false},
+         {send_kind::read_prompt, send_result::answered, true},
+         {send_kind::run, send_result::answered, true}},
+        {{send_kind::read_prompt, send_result::not_connected, false},
+         {send_kind::run, send_result::not_connected, false},
+         {send_kind::run, send_result::server_error, true}},
+    };
+    for (const auto& steps : cases) {
+        decision::send_record record;
+        int arrivals = 0;
+        for (const step& next : steps) {
+            CHECK(decision::is_extra_send(record) == (arrivals > 0));
+            CHECK(decision::counts_as_arrival(record, next.kind, next.result) == next.counts);
+            decision::note_result(record, next.kind, next.result);
+            arrivals += next.counts ? 1 : 0;
+            CHECK(record.arrivals == arrivals);
+        }
+    }
+}
+
 TEST_CASE("a try leaves time for another one only where there may be one") {
     decision::send_record record = {.is_repeatable = true, .most_sends = 2};
     CHECK(decision::time_for_try(record, 1'000ms) < 1'000ms);
     CHECK(decision::time_for_try(record, 200ms) == 200ms);
-    decision::note_result(record, send_result::broken);
+    decision::note_result(record, decision::send_kind::run, send_result::broken);
     CHECK(decision::time_for_try(record, 1'000ms) == 1'000ms);
     CHECK(decision::time_for_try({.is_repeatable = false, .most_sends = 2}, 1'000ms) == 1'000ms);
 }
--- a/tests/decision/test_shared_budget.cpp
+++ b/tests/decision/test_shared_budget.cpp
@@ -71,3 +71,13 @@
         }
     }
 }
+
+TEST_CASE("an extra send that came about unforeseen leaves less for those that are asked for") {
+    const decision::shared_budget_options options = {.ratio = 0, .slack = 10, .window = 10s};
+    const base::time_point now{1h};
+    decision::shared_budget budget;
+    for (int extra = 0; extra < 8; ++extra)
+        decision::note_extra(budget, options, now);
+    CHECK_FALSE(decision::try_spend(budget, options, 1, now));
+    CHECK(decision::try_spend(budget, options, 1, now + 11s));
+}
