--- a/libraries/decision/caller_patience.h
+++ b/libraries/decision/caller_patience.h
@@ -11,9 +11,9 @@
 
 /// How long callers of one route wait when they first ask, from what their requests say is left.
 ///
-/// A caller that asks again has less time left than one that asks for the first time, so the difference tells how
-/// long ago it first asked. Most requests are first ones: the upper quartile of the last ones is what a first one
-/// says, however odd a few of them are.
+/// A caller that asks again has less time left than one that asks for the first time, so the difference tells
+/// how long ago it first asked. Most requests are first ones: the upper quartile of the last ones is what a
+/// first one says, however odd a few of them are.
 struct caller_patience {
     static constexpr std::size_t remembered = 31; ///< Requests; some seconds of a busy route.
     std::array<std::chrono::milliseconds, remembered> last{};
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -143,8 +143,8 @@
 
 void note_verdict(instance& target, send_verdict verdict, base::time_point now) {
     instance_health& health = target.health;
-    const bool is_failure = verdict != send_verdict::good && verdict != send_verdict::busy &&
-                            verdict != send_verdict::shut;
+    const bool is_failure =
+        verdict != send_verdict::good && verdict != send_verdict::busy && verdict != send_verdict::shut;
     health.failure_rate += failure_gain * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
     if (verdict == send_verdict::good) {
         health.failures_in_row = 0;
--- a/libraries/decision/service_profile.h
+++ b/libraries/decision/service_profile.h
@@ -18,8 +18,8 @@
     bool operator==(const service_profile&) const = default;
 };
 
-/// How long a request of mean size keeps its place at a decode engine, in seconds. Worked out from its parts: a mean
-/// over streams that have ended is too short, as the long ones have not.
+/// How long a request of mean size keeps its place at a decode engine, in seconds. Worked out from its parts:
+/// a mean over streams that have ended is too short, as the long ones have not.
 [[nodiscard]] inline double hold_seconds(const service_profile& profile, int tokens_an_event) {
     const double events = profile.output_tokens.value / (tokens_an_event > 0 ? tokens_an_event : 1);
     return profile.pace.first_event.value + events * profile.event_seconds.value;
--- a/libraries/decision/stage_balance.h
+++ b/libraries/decision/stage_balance.h
@@ -37,7 +37,8 @@
                                                                settings::engine_stage stage,
                                                                base::time_point now);
 
-/// Whether an engine of the service changes its stage or has lately crashed: what it will do next is not known.
+/// Whether an engine of the service changes its stage or has lately crashed: what it will do next is not
+/// known.
 [[nodiscard]] bool is_any_out_of_service(const instance_table& table, const std::string& service,
                                          base::time_point now);
 
--- a/libraries/gateway/stage_controller.h
+++ b/libraries/gateway/stage_controller.h
@@ -51,7 +51,7 @@
     gateway_state* state;
     ports::control_feed* feed;
     std::map<std::string, base::time_point> due_since; ///< By service.
-    std::uint64_t own_token = 0; ///< Of the lease that this process took last.
+    std::uint64_t own_token = 0;                       ///< Of the lease that this process took last.
     std::optional<host::lease_entry> seen;             ///< The last lease read, whoever holds it.
     std::optional<own_lease> lease;
 };
--- a/libraries/host/store_reader.cpp
+++ b/libraries/host/store_reader.cpp
@@ -14,8 +14,8 @@
 /// that follows, and for other hosts' word.
 constexpr int waiting_parts = 3;
 constexpr int bound_parts = 5;
-/// Probes that are open at once, at most: as many as begin within the longest patience, so that none is held up
-/// by those that will not be answered.
+/// Probes that are open at once, at most: as many as begin within the longest patience, so that none is held
+/// up by those that will not be answered.
 constexpr int most_probes = 12;
 
 void close_read(store_reader& reader, const store_read& read) {
--- a/libraries/host/store_reader.h
+++ b/libraries/host/store_reader.h
@@ -10,7 +10,8 @@
 
 /// One read of the store.
 struct store_read {
-    std::chrono::milliseconds wait{};  ///< The store may hold the answer back for so long, until a record comes.
+    std::chrono::milliseconds
+        wait{}; ///< The store may hold the answer back for so long, until a record comes.
     std::chrono::milliseconds limit{}; ///< On top, until the answer is given up.
 
     bool operator==(const store_read&) const = default;
--- a/libraries/ports/request_protocol.h
+++ b/libraries/ports/request_protocol.h
@@ -22,7 +22,7 @@
     std::string host;
     std::optional<std::chrono::milliseconds> time_left; ///< How long the caller waits.
     std::optional<std::uint64_t> resume_after;          ///< Last event that the caller has.
-    std::string prompt_key;                             ///< Names the prompt, alike in all tries of one caller.
+    std::string prompt_key; ///< Names the prompt, alike in all tries of one caller.
     double prompt_tokens = 0;
     double output_tokens = 0;   ///< At most.
     double output_hint = 0;     ///< The caller's guess, often far off; 0 where it gives none.
