gateway: Log what the retry budget's answers rested on

Cause: with a broken budget, logs told which requests were sent more than once, but not what a host believed it had left, by how many hosts it divided the slack, or how long it had been running; the hypotheses could not be told apart.

--- a/libraries/decision/shared_budget.cpp
+++ b/libraries/decision/shared_budget.cpp
@@ -30,18 +30,24 @@
     ++current_span(budget, options, now).extras;
 }
 
-bool try_spend(shared_budget& budget, const shared_budget_options& options, int hosts, base::time_point now) {
-    budget_span& current = current_span(budget, options, now);
+double sends_left(const shared_budget& budget, const shared_budget_options& options, int hosts,
+                  base::time_point now) {
     int requests = 0;
     int extras = 0;
     for (const budget_span& span : budget.spans) {
+        if (now - span.begin > options.window + span_length)
+            continue;
         requests += span.requests;
         extras += span.extras;
     }
     const double part = options.slack / std::max(1, hosts);
-    if (extras + 1 > spent_part * (options.ratio * requests + part))
+    return spent_part * (options.ratio * requests + part) - extras;
+}
+
+bool try_spend(shared_budget& budget, const shared_budget_options& options, int hosts, base::time_point now) {
+    if (sends_left(budget, options, hosts, now) < 1)
         return false;
-    ++current.extras;
+    ++current_span(budget, options, now).extras;
     return true;
 }
 
--- a/libraries/decision/shared_budget.h
+++ b/libraries/decision/shared_budget.h
@@ -39,6 +39,10 @@
 /// Counts an extra send that came about unforeseen, whatever is left.
 void note_extra(shared_budget& budget, const shared_budget_options& options, base::time_point now);
 
+/// Extra sends that this host may still spend now; below zero after sends that came about unforeseen.
+[[nodiscard]] double sends_left(const shared_budget& budget, const shared_budget_options& options, int hosts,
+                                base::time_point now);
+
 /// Spends one extra send when this host's part allows it; says whether it did.
 [[nodiscard]] bool try_spend(shared_budget& budget, const shared_budget_options& options, int hosts,
                              base::time_point now);
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -45,6 +45,7 @@
     std::shared_ptr<request_cancellation> cancellation = std::make_shared<request_cancellation>();
     nlohmann::json sends = nlohmann::json::array(); ///< For the log: one entry a send.
     nlohmann::json place;                      ///< For the log: what the last decision on a place rested on.
+    nlohmann::json budget;                     ///< For the log: what the last answer of the budget rested on.
     std::optional<base::duration> first_event; ///< For the log: from its arrival to a stream's first event.
     const char* reason = nullptr; ///< For the log: why it ended without an upstream's whole answer.
 };
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -71,6 +71,8 @@
         line["reason"] = request.reason;
     if (!request.place.is_null())
         line["place"] = request.place;
+    if (!request.budget.is_null())
+        line["retry_budget"] = request.budget;
     remember_ended(state, {request.routed.id, line});
     state.log->write("request_ended", std::move(line));
 }
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -39,6 +39,9 @@
         peers[name.value] = {{"address", known.address},
                              {"heard_ms_ago", base::to_milliseconds(now - known.heard)},
                              {"is_leaving", known.is_leaving}};
+    json budgets = json::object();
+    for (const auto& [service, budget] : state.budgets)
+        budgets[service] = decision::sends_left(budget, budget_options_of(state), hosts_alive(state), now);
     json policy = json::object();
     for (const settings::policy_field& field : settings::policy_fields())
         policy[field.name] = state.process->policy.*field.value;
@@ -51,6 +54,7 @@
             {"registry_next", state.registry_next},
             {"requests_in_progress", state.requests_in_progress},
             {"hosts_alive", hosts_alive(state)},
+            {"retry_budget_left", std::move(budgets)},
             {"instances", std::move(instances)},
             {"peers", std::move(peers)}};
 }
