routing: Let the retry budget begin empty and fill with requests and time

Cause: each host counted its extra sends of the last ten seconds in memory, and a new process began with its whole part to spend; each host's window of requests ended at its own last send, so callers who moved earned twice; a prompt that was refused after another was charged only after it had happened. Change: a token bucket that is empty when the process starts, filled by each request and evenly by time; buckets of all hosts hold at most the slack less what time adds in a window. Every send that may count is paid for before, and given back where it turns out not to count. Ruled out: a record of what was spent in the store (a call before each spending, and none while it is down), or at other hosts (gone when all are lost); no spending in a process's first window (as safe, and spends nothing at all). Replaced, as strict: the parts of slack and ratio and what comes back with time, now from a bucket that starts empty; sends that came about unforeseen can't come about any more, in their place what is given back.

--- a/libraries/decision/shared_budget.cpp
+++ b/libraries/decision/shared_budget.cpp
@@ -7,48 +7,50 @@
 
 namespace {
 
-/// Length of one span; windows are counted in whole spans, to the safe side.
-constexpr base::duration span_length = std::chrono::milliseconds(500);
-/// Part of the bound that is spent; the rest covers sends that arrive later than they were counted.
-constexpr double spent_part = 0.8;
-
-budget_span& current_span(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    while (!budget.spans.empty() && now - budget.spans.front().begin > options.window + span_length)
-        budget.spans.pop_front();
-    if (budget.spans.empty() || now - budget.spans.back().begin >= span_length)
-        budget.spans.push_back({now, 0, 0});
-    return budget.spans.back();
+/// Part of the slack that all buckets together may hold: what can be sent at once when an upstream fails.
+constexpr double saved_part = 0.45;
+/// Part of the slack that time adds within a window. The two leave a tenth for hosts that have not yet heard
+/// of a new one, and for sends that reach their upstream some time after they were spent.
+constexpr double added_part = 0.45;
+/// Part of the ratio that a request adds; the rest is for the same.
+constexpr double ratio_part = 0.95;
+/// A host whose part is smaller saves up one send all the same, else it could never spend any.
+constexpr double least_saved = 1;
+
+double saved_at_most(const shared_budget_options& options) {
+    return std::max(least_saved, saved_part * options.slack / std::max(1, options.hosts));
+}
+
+void fill(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
+    budget.level = sends_left(budget, options, now);
+    budget.filled_at = std::max(budget.filled_at, now);
 }
 
 } // namespace
 
 void note_request(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    ++current_span(budget, options, now).requests;
-}
-
-void note_extra(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    ++current_span(budget, options, now).extras;
+    fill(budget, options, now);
+    budget.level = std::min(saved_at_most(options), budget.level + ratio_part * options.ratio);
 }
 
-double sends_left(const shared_budget& budget, const shared_budget_options& options, int hosts,
-                  base::time_point now) {
-    int requests = 0;
-    int extras = 0;
-    for (const budget_span& span : budget.spans) {
-        if (now - span.begin > options.window + span_length)
-            continue;
-        requests += span.requests;
-        extras += span.extras;
-    }
-    const double part = options.slack / std::max(1, hosts);
-    return spent_part * (options.ratio * requests + part) - extras;
+double sends_left(const shared_budget& budget, const shared_budget_options& options, base::time_point now) {
+    const double windows =
+        std::max(0.0, base::to_seconds(now - budget.filled_at)) / base::to_seconds(options.window);
+    const double added = windows * added_part * options.slack / std::max(1, options.hosts);
+    return std::min(saved_at_most(options), budget.level + added);
 }
 
-bool try_spend(shared_budget& budget, const shared_budget_options& options, int hosts, base::time_point now) {
-    if (sends_left(budget, options, hosts, now) < 1)
+bool try_spend(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
+    fill(budget, options, now);
+    if (budget.level < 1)
         return false;
-    ++current_span(budget, options, now).extras;
+    budget.level -= 1;
     return true;
 }
 
+void give_back(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
+    fill(budget, options, now);
+    budget.level = std::min(saved_at_most(options), budget.level + 1);
+}
+
 } // namespace postpaddle::decision
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -68,13 +68,12 @@
 bool try_spend_extra(gateway_request& request) {
     gateway_state& state = *request.state;
     const base::time_point now = state.clock->now();
-    const int hosts = hosts_alive(state);
-    decision::shared_budget& budget = state.budgets[request.service];
+    decision::shared_budget& budget = budget_of(state, request.service);
     const decision::shared_budget_options options = budget_options_of(state);
-    request.budget = {{"left", decision::sends_left(budget, options, hosts, now)},
-                      {"hosts", hosts},
+    request.budget = {{"left", decision::sends_left(budget, options, now)},
+                      {"hosts", options.hosts},
                       {"host_up_ms", base::to_milliseconds(now - state.started)}};
-    const bool is_spent = decision::try_spend(budget, options, hosts, now);
+    const bool is_spent = decision::try_spend(budget, options, now);
     request.is_send_paid = is_spent;
     state.figures->count(is_spent ? "extra_sends_total" : "extra_sends_refused_total");
     return is_spent;
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -131,7 +131,15 @@
 decision::shared_budget_options budget_options_of(const gateway_state& state) {
     const settings::retry_budget_settings& retries = state.process->retries;
     // A host that knows only some of the others would take too large a part of what all share.
-    return {.ratio = retries.ratio, .slack = state.knows_hosts ? retries.slack : 0, .window = retries.window};
+    return {.ratio = retries.ratio,
+            .slack = state.knows_hosts ? retries.slack : 0,
+            .window = retries.window,
+            .hosts = hosts_alive(state)};
+}
+
+decision::shared_budget& budget_of(gateway_state& state, const std::string& service) {
+    return state.budgets.try_emplace(service, decision::shared_budget{.filled_at = state.started})
+        .first->second;
 }
 
 int hosts_alive(const gateway_state& state) { return host::count_alive(state.peers, state.clock->now()) + 1; }
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -115,6 +115,9 @@
 /// Bounds of the retry budget that all hosts share, as the host's file has them now.
 [[nodiscard]] decision::shared_budget_options budget_options_of(const gateway_state& state);
 
+/// This host's part of a service's retry budget.
+[[nodiscard]] decision::shared_budget& budget_of(gateway_state& state, const std::string& service);
+
 /// Hosts that may be alive, this one among them: the divisor of what all share.
 [[nodiscard]] int hosts_alive(const gateway_state& state);
 
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -111,7 +111,7 @@
         decision::note_time_left(usual, *request.routed.time_left);
         request.first_try -= decision::time_since_first_try(usual, *request.routed.time_left);
     }
-    decision::note_request(state.budgets[request.service], budget_options_of(state), request.arrived);
+    decision::note_request(budget_of(state, request.service), budget_options_of(state), request.arrived);
 }
 
 request_ending relay(gateway_request& request, wire::yield_context yield) {
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -41,7 +41,7 @@
                              {"is_leaving", known.is_leaving}};
     json budgets = json::object();
     for (const auto& [service, budget] : state.budgets)
-        budgets[service] = decision::sends_left(budget, budget_options_of(state), hosts_alive(state), now);
+        budgets[service] = decision::sends_left(budget, budget_options_of(state), now);
     json policy = json::object();
     for (const settings::policy_field& field : settings::policy_fields())
         policy[field.name] = state.process->policy.*field.value;
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -273,9 +273,9 @@
     this->reserve(plan);
     if (!plan.prefill || this->kept.has_value())
         return true;
-    // A prompt counts once another was taken up; one that is refused is charged when it is.
-    const bool is_another_prompt = this->request->record.prompts_taken > 0;
-    if (is_another_prompt && !may_spend_send(*this->request))
+    // Whether a prompt counts shows only when it is taken up or refused: it is paid for before, so that
+    // refusals in a row can't pass the bound.
+    if (!may_spend_send(*this->request))
         return true;
     if (!this->read_prompt(plan, yield))
         return false;
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -84,15 +84,13 @@
         exchange.call->cancel();
 }
 
-/// Takes the end of a send into the record, and into the budget where it turns out to be an extra one.
+/// Takes the end of a send into the record. What was spent for one that does not count comes back.
 void note_send(gateway_request& request, decision::send_kind kind, send_result result) {
     gateway_state& state = *request.state;
-    const bool is_extra =
-        request.record.arrivals > 0 && decision::counts_as_arrival(request.record, kind, result);
     const bool was_paid = std::exchange(request.is_send_paid, false);
-    if (is_extra && !was_paid) {
-        decision::note_extra(state.budgets[request.service], budget_options_of(state), state.clock->now());
-        state.figures->count("extra_sends_unforeseen_total");
+    if (was_paid && !decision::counts_as_arrival(request.record, kind, result)) {
+        decision::give_back(budget_of(state, request.service), budget_options_of(state), state.clock->now());
+        state.figures->count("extra_sends_given_back_total");
     }
     decision::note_result(request.record, kind, result);
 }
