tests: Let decode engines hold streams long enough that orders don't hang on the machine's load

Cause: with events of 5 ms the balance between stages compares two times of a few milliseconds, measured on a machine that may be busy; with eight busy processes beside it 'with the store turning the hosts away nobody gives orders' failed in 2 of 3 runs, as no order was due. Change: an event takes 100 ms at the decode engines of these tests, and six streams instead of four go to each host, as a host judges the balance only after three that it could time. No check is changed.

--- a/tests/gateway/test_orders.cpp
+++ b/tests/gateway/test_orders.cpp
@@ -15,18 +15,25 @@
 
 const std::vector<std::string> prefill_engines = {"p1", "p2", "p3", "p4"};
 
+/// Time of one event at a decode engine: long enough that memory binds there however slowly a busy machine
+/// reads prompts. With the few milliseconds of the stand-in's default the balance hung on the machine's load.
+constexpr int event_ms = 100;
+
 test::gateway_cluster make_unbalanced_cluster(const std::string& name) {
     std::vector<test::server_plan> servers = {{.id = "d1", .service = "engines", .stage = "decode"},
                                               {.id = "d2", .service = "engines", .stage = "decode"}};
     for (const std::string& id : prefill_engines)
         servers.push_back({.id = id, .service = "engines", .stage = "prefill"});
-    return test::gateway_cluster({.name = name, .servers = servers, .hosts = 2});
+    test::gateway_cluster cluster({.name = name, .servers = servers, .hosts = 2});
+    for (const auto* id : {"d1", "d2"})
+        (void)cluster.server(id, {{"work_ms", event_ms}});
+    return cluster;
 }
 
 /// Streams through both hosts, so that either may judge the balance.
 void stream_some(const test::gateway_cluster& cluster, const std::vector<int>& hosts) {
     for (const int host : hosts)
-        for (int request = 0; request < 4; ++request)
+        for (int request = 0; request < 6; ++request)
             CHECK(stand_in::http_exchange(
                 cluster.callers_address(host),
                 routed_request("/stream/", "id-" + std::to_string(host) + "-" + std::to_string(request))));
