host: Let an organisation's limits begin empty after a restart

Change: a bucket that is new fills from the start of the process; one that is first used a second or more after it is full as before. Ruled out elsewhere: grants of shares (a home that starts anew gives out equal parts until earlier grants have ended), orders (lease and token in the store), doubts about upstreams (cost time only). Left: a host of the own interface that has heard no other yet takes itself for the only one until its first heartbeat; retries of engines on that interface begin with ten, by host and not shared.

--- a/libraries/host/organisation_limits.cpp
+++ b/libraries/host/organisation_limits.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace postpaddle::host {
 
@@ -15,11 +16,12 @@
 /// A second's worth of the rate may come at once, and always one request.
 double capacity_of(double rate, double least) { return std::max(rate, least); }
 
-void fill(token_bucket& bucket, double rate, double capacity, base::time_point now) {
-    if (!bucket.is_started) {
-        bucket = {capacity, now, true};
-        return;
-    }
+/// A bucket that is new was empty when the process began: what an earlier process of this host had let in is
+/// not known, and a full bucket after each kill would let the same second's worth in once more.
+void fill(token_bucket& bucket, double rate, double capacity, base::time_point process_began,
+          base::time_point now) {
+    if (!std::exchange(bucket.is_started, true))
+        bucket.filled_at = process_began;
     const double seconds = std::max(0.0, base::to_seconds(now - bucket.filled_at));
     bucket.level = std::min(capacity, bucket.level + rate * seconds);
     bucket.filled_at = now;
@@ -46,8 +48,8 @@
     note_arrival(use, now);
     const double request_rate = limits.requests_per_second * share;
     const double token_rate = limits.prompt_tokens_per_second * share;
-    fill(use.requests, request_rate, capacity_of(request_rate, 1), now);
-    fill(use.prompt_tokens, token_rate, capacity_of(token_rate, prompt_tokens), now);
+    fill(use.requests, request_rate, capacity_of(request_rate, 1), book.process_began, now);
+    fill(use.prompt_tokens, token_rate, capacity_of(token_rate, prompt_tokens), book.process_began, now);
     // NOTE: A share below one place still admits one request, so a limit smaller than the number of
     // hosts may be passed by up to one request a host.
     const int places = std::max(1, static_cast<int>(limits.concurrent_requests * share));
--- a/libraries/host/organisation_limits.h
+++ b/libraries/host/organisation_limits.h
@@ -40,7 +40,8 @@
 
 /// All organisations' use on this host.
 struct limit_book {
-    std::unordered_map<base::organisation_id, organisation_use> uses;
+    base::time_point process_began{}; ///< Buckets fill from then on.
+    std::unordered_map<base::organisation_id, organisation_use> uses{};
 };
 
 /// Counts a request in, or says which limit it is over. `share` is this host's part of the limits.
--- a/libraries/service/entry_host.cpp
+++ b/libraries/service/entry_host.cpp
@@ -40,7 +40,7 @@
 
 entry_host::entry_host(const base::clock& clock, settings::process_settings process_settings)
     : clock(&clock), process(std::move(process_settings)), incarnation(make_incarnation(clock)),
-      claims(this->process.ring_capacity),
+      limits(clock.now()), claims(this->process.ring_capacity),
       decision(clock, make_decision_options(this->process, this->incarnation)),
       control({.clock = &clock,
                .process = &this->process,
--- a/libraries/service/limit_controller.h
+++ b/libraries/service/limit_controller.h
@@ -17,6 +17,9 @@
 /// Organisations' limits on this host, shared by its workers.
 class limit_controller {
 public:
+    /// `process_began`: what this host let in before is not known, so its limits fill from then on.
+    explicit limit_controller(base::time_point process_began) : book{.process_began = process_began} {}
+
     /// What an organisation uses here, for its home.
     struct demand {
         base::organisation_id organisation;
--- a/tests/host/test_shares_and_leases.cpp
+++ b/tests/host/test_shares_and_leases.cpp
@@ -81,6 +81,23 @@
     CHECK(try_enter(book, {"/a"}, limits, 1, 5'000, start + 200ms)->kind == limit_kind::prompt_tokens);
 }
 
+// A full bucket at each start let a second's worth of the rate in once more after each kill.
+TEST_CASE("a host that is killed again and again lets in no more than the rate") {
+    const settings::limit_settings limits{10, 10'000, 1e9, 0, 0, {}};
+    constexpr int seconds = 20;
+    limit_book book{.process_began = start};
+    int entered = 0;
+    for (int tick = 0; tick < seconds * 100; ++tick) {
+        const base::time_point now = start + tick * 10ms;
+        if (tick % 30 == 0)
+            book = {.process_began = now};
+        while (!try_enter(book, {"/a"}, limits, 1, 1, now))
+            ++entered;
+    }
+    CHECK(entered <= 10 * seconds + 10);
+    CHECK(entered >= 10 * seconds / 2);
+}
+
 TEST_CASE("over many hosts with re-divided shares the sum stays within five hundredths of a rate") {
     constexpr int hosts = 6;
     share_table home;
