routing: Send less to upstreams that refuse with places free

Hypothesis: upstreams that refuse part of what they get while their answers tell of free places cost callers a try and the retry budget a send each time; a refusal left their failures as they were, or lowered them.

--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -143,8 +143,10 @@
 
 void note_verdict(instance& target, send_verdict verdict, base::time_point now) {
     instance_health& health = target.health;
-    const bool is_failure =
-        verdict != send_verdict::good && verdict != send_verdict::busy && verdict != send_verdict::shut;
+    // What an upstream that says it is full would have done is not known: its failures stay as they are.
+    if (verdict == send_verdict::busy)
+        return;
+    const bool is_failure = verdict != send_verdict::good && verdict != send_verdict::shut;
     health.failure_rate += failure_gain * ((is_failure ? 1.0 : 0.0) - health.failure_rate);
     if (verdict == send_verdict::good) {
         health.failures_in_row = 0;
@@ -153,8 +155,6 @@
         health.out_of_service_until = {};
         return;
     }
-    if (verdict == send_verdict::busy)
-        return;
     if (verdict == send_verdict::shut) {
         put_aside(target, first_pause, now);
         return;
@@ -168,6 +168,11 @@
         put_aside(target, pause_for(health.failures_in_row - 1), now);
 }
 
+void note_unfounded_refusal(instance& target) {
+    double& rate = target.health.failure_rate;
+    rate += failure_gain * (1 - rate);
+}
+
 void put_out_of_service(instance& target, base::time_point until) {
     target.health.out_of_service_until = until;
     target.health.aside_until = std::max(target.health.aside_until, until);
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -125,6 +125,10 @@
 /// Counts how a send ended; failures in a row put the instance aside, longer each time.
 void note_verdict(instance& target, send_verdict verdict, base::time_point now);
 
+/// It refused a request though it has room by its own account: it fails part of what it gets while its health
+/// check is good, so others go before it.
+void note_unfounded_refusal(instance& target);
+
 /// It takes no work until then, and says so to whoever asks: its port is dead, or its stage changes.
 void put_out_of_service(instance& target, base::time_point until);
 
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -27,6 +27,17 @@
     }
 }
 
+/// An upstream that refuses though its answer tells of free places is not full: it fails part of its
+/// requests.
+void note_refusal_with_places(gateway_request& request, const base::upstream_id& id,
+                              const exchange_result& exchange) {
+    const auto& load = exchange.facts.load;
+    if (exchange.result != send_result::not_run || !load || load->running + load->waiting >= load->places)
+        return;
+    if (decision::instance* const target = decision::find_instance(request.state->instances, id))
+        decision::note_unfounded_refusal(*target);
+}
+
 } // namespace
 
 request_ending relay_plain(gateway_request& request, wire::yield_context yield) {
@@ -55,6 +66,7 @@
             body = read_body(exchange, limit, yield);
         check_genuine(exchange);
         end_exchange(request, send, exchange);
+        note_refusal_with_places(request, *chosen, exchange);
         if (request.cancellation->is_caller_gone)
             return request_ending::caller_gone;
         last = exchange.result;
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -116,8 +116,13 @@
     gateway_state& state = *this->request->state;
     const settings::engine_capacity capacity = capacity_of(*this->request);
     decision::instance* const target = decision::find_instance(state.instances, id);
-    if (target == nullptr || !state.process->policy.doubt_memory ||
-        !decision::may_be_full(facts.load, capacity, this->size))
+    if (target == nullptr)
+        return;
+    if (!decision::may_be_full(facts.load, capacity, this->size)) {
+        decision::note_unfounded_refusal(*target);
+        return;
+    }
+    if (!state.process->policy.doubt_memory)
         return;
     // Its own promise is still counted among what is taken: without it there seemed to be this much.
     const base::time_point now = state.clock->now();
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -304,3 +304,35 @@
     CHECK_FALSE(decision::is_avoided(silent, now + 500ms));
     CHECK(decision::is_avoided(silent, now + 2s));
 }
+
+// An upstream that refuses part of what it gets, with places free and a good health check, was asked as often
+// as its neighbours: a refusal left its failures as they were, or even lowered them.
+TEST_CASE("an upstream that refuses with places free gets less than its neighbours, until it answers again") {
+    auto table = make_table({make_entry("refusing"), make_entry("sound")});
+    decision::instance& refusing = *decision::find_instance(table, {"refusing"});
+    std::mt19937_64 random(1);
+    const auto chosen_of = [&](int draws) {
+        int count = 0;
+        for (int draw = 0; draw < draws; ++draw)
+            count += decision::choose_plain(table, make_context(), random)->value == "refusing" ? 1 : 0;
+        return count;
+    };
+    for (int request = 0; request < 20; ++request) {
+        decision::note_verdict(refusing, decision::send_verdict::busy, now);
+        decision::note_unfounded_refusal(refusing);
+        decision::note_verdict(refusing, decision::send_verdict::good, now);
+    }
+    CHECK(chosen_of(100) == 0);
+    for (int request = 0; request < 60; ++request)
+        decision::note_verdict(refusing, decision::send_verdict::good, now);
+    CHECK(chosen_of(100) > 20);
+}
+
+TEST_CASE("a refusal for want of places says nothing of an upstream's failures") {
+    auto table = make_table({make_entry("one")});
+    decision::instance& one = *decision::find_instance(table, {"one"});
+    decision::note_verdict(one, decision::send_verdict::failed, now);
+    const double before = one.health.failure_rate;
+    decision::note_verdict(one, decision::send_verdict::busy, now);
+    CHECK(one.health.failure_rate == before);
+}
