host: Go on counting the others while nobody is heard

Cause: a host counted another for 120 s after its last word. Cut off from all, it forgot everyone and took the whole slack of the retry budget, while the others went on with their parts. Change: silence is measured up to the last word of anyone, so a host that hears nobody forgets nobody. Tests: one on a host that is cut off; the check of 119 and 121 s now has another host heard at those moments, as time in which nobody is heard no longer counts. The former would have passed a host alone after two minutes.

--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -142,6 +142,6 @@
         .first->second;
 }
 
-int hosts_alive(const gateway_state& state) { return host::count_alive(state.peers, state.clock->now()) + 1; }
+int hosts_alive(const gateway_state& state) { return host::count_alive(state.peers) + 1; }
 
 } // namespace postpaddle::gateway
--- a/libraries/host/peer_directory.cpp
+++ b/libraries/host/peer_directory.cpp
@@ -45,9 +45,15 @@
         found->second.is_leaving = true;
 }
 
-int count_alive(const peer_directory& directory, base::time_point now) {
-    return static_cast<int>(std::ranges::count_if(
-        directory.by_name, [now](const auto& item) { return now - item.second.heard < counted_lifetime; }));
+int count_alive(const peer_directory& directory) {
+    // NOTE: The time since the last word of anyone counts for nobody. A host that is cut off from all others
+    // would else forget them and take all that they share, while they go on with their parts.
+    base::time_point last_word{};
+    for (const auto& [name, known] : directory.by_name)
+        last_word = std::max(last_word, known.heard);
+    return static_cast<int>(std::ranges::count_if(directory.by_name, [last_word](const auto& item) {
+        return last_word - item.second.heard < counted_lifetime;
+    }));
 }
 
 std::map<base::host_id, peer> latest_heard(const peer_directory& directory, std::size_t count,
--- a/libraries/host/peer_directory.h
+++ b/libraries/host/peer_directory.h
@@ -38,8 +38,8 @@
 /// The host says that it is leaving.
 void note_leaving(peer_directory& directory, const base::host_id& name);
 
-/// Hosts that may be alive: heard within some time, or not long known.
-[[nodiscard]] int count_alive(const peer_directory& directory, base::time_point now);
+/// Hosts that may be alive: those not silent for long while others were heard.
+[[nodiscard]] int count_alive(const peer_directory& directory);
 
 /// Up to `count` hosts that may be alive, those heard of last: what a heartbeat names, so that each host's
 /// word reaches all others within seconds.
