tests: Wait until a host of the cluster knows who shares the retry budget

Cause: a host is ready with settings and registry, and may read the list of hosts after that; until then it has no part of the slack. Change: the state tells has_host_list; the cluster waits for it as for readiness. No check is changed.

--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -54,6 +54,7 @@
             {"registry_next", state.registry_next},
             {"requests_in_progress", state.requests_in_progress},
             {"hosts_alive", hosts_alive(state)},
+            {"has_host_list", state.knows_hosts},
             {"retry_budget_left", std::move(budgets)},
             {"instances", std::move(instances)},
             {"peers", std::move(peers)}};
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -111,7 +111,7 @@
     for (int number = 1; number <= this->options.hosts; ++number)
         this->start_host(number);
     for (int number = 1; number <= this->options.hosts && this->options.has_configuration; ++number)
-        if (!eventually([&] { return this->is_ready(number); }))
+        if (!eventually([&] { return this->is_ready(number) && this->has_host_list(number); }))
             throw std::runtime_error("a host did not become ready");
 }
 
@@ -157,6 +157,11 @@
     return stand_in::get_json(this->peers_address(number), "/state");
 }
 
+bool gateway_cluster::has_host_list(int number) const {
+    const json state = this->state_of(number);
+    return state.is_object() && state.at("has_host_list").get<bool>();
+}
+
 double gateway_cluster::metric(int number, const std::string& name) const {
     const auto answer =
         stand_in::http_exchange(this->peers_address(number), {"GET", "/metrics", {{"Host", "host"}}, ""});
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -37,6 +37,8 @@
     [[nodiscard]] stand_in::child_process& host(int number) { return *this->hosts.at(number); }
     /// Whether the host answers that it may be given callers.
     [[nodiscard]] bool is_ready(int number) const;
+    /// Whether the host has read who the others are: without it, it has no part of the retry budget's slack.
+    [[nodiscard]] bool has_host_list(int number) const;
     /// The host's state dump.
     [[nodiscard]] nlohmann::json state_of(int number) const;
     /// The host's own loopback address, from which the store also sees it.
