--- a/tests/decision/test_shared_budget.cpp
+++ b/tests/decision/test_shared_budget.cpp
@@ -50,7 +50,6 @@
     }
 
     [[nodiscard]] std::size_t host_count() const { return this->budgets.size(); }
-    [[nodiscard]] std::size_t extra_count() const { return this->extras.size(); }
 
 private:
     [[nodiscard]] static double count(const std::vector<base::time_point>& times, base::time_point begin) {
