host: Enter only the sums that a report changes

Cause: each report heard from another host entered the sums of all engines into the table (three look-ups each) and woke every waiting request, also where nothing had come free. Change: a report says which sums it changes and whether it frees anything. Ruled out: leaving the whole pass away; instances come and go, so it still runs once a second. Conclusion: a report's cost no longer grows with the engines; that each host hears all others does remain.

--- a/benches/bench_support.h
+++ b/benches/bench_support.h
@@ -54,5 +54,7 @@
 [[nodiscard]] int run_relay(const bench_options& options);
 [[nodiscard]] int run_hosts(const bench_options& options);
 [[nodiscard]] int run_claims(const bench_options& options);
+/// Cost of hearing what another host has in progress.
+[[nodiscard]] int run_reports(const bench_options& options);
 
 } // namespace postpaddle::bench
--- /dev/null
+++ b/benches/reports_bench.cpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <benches/bench_support.h>
+
+#include <gateway/peer_codec.h>
+#include <host/load_share.h>
+
+#include <chrono>
+#include <random>
+
+namespace postpaddle::bench {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+base::upstream_id engine_id(int number) { return {"engine-" + std::to_string(number)}; }
+
+decision::instance_table make_engines(int count) {
+    decision::instance_table table;
+    for (int number = 0; number < count; ++number)
+        table.by_id[engine_id(number)].entry.id = engine_id(number);
+    return table;
+}
+
+/// Reports as hosts send them: each has two requests in progress, and one of them moves from report to
+/// report.
+std::vector<std::string> make_datagrams(int hosts, int engines, int count) {
+    std::mt19937_64 random(1);
+    std::uniform_int_distribution<int> draw(0, engines - 1);
+    std::vector<std::string> datagrams;
+    for (int number = 0; number < count; ++number) {
+        host::load_report report;
+        report.host.value = "host-" + std::to_string(number % hosts);
+        report.sequence = static_cast<std::uint64_t>(number + 1);
+        report.uses[host::key_of(engine_id(number % hosts % engines))] = {1, 5'000, 0};
+        report.uses[host::key_of(engine_id(draw(random)))] = {1, 5'000, 0};
+        datagrams.push_back(gateway::encode_load(report));
+    }
+    return datagrams;
+}
+
+/// Microseconds that one report takes, with the sums of all engines entered or only of those it changes.
+double micros_each(int hosts, int engines, int count, bool is_all_entered) {
+    const auto datagrams = make_datagrams(hosts, engines, count);
+    decision::instance_table table = make_engines(engines);
+    host::load_share share;
+    const base::time_point now{std::chrono::hours(1)};
+    const auto begin = steady_clock::now();
+    for (const std::string& datagram : datagrams) {
+        const auto change = host::take_report(share, *gateway::decode_load(datagram), now);
+        if (is_all_entered)
+            host::enter_all_sums(table, share);
+        else
+            host::enter_sums(table, share, change->keys);
+    }
+    return std::chrono::duration<double, std::micro>(steady_clock::now() - begin).count() / count;
+}
+
+} // namespace
+
+int run_reports(const bench_options& options) {
+    static constexpr int many = 20'000;
+    static constexpr int few = 2'000;
+    const int count = options.is_quick ? few : many;
+    report table(options, {"hosts", "engines", "micros_all_engines", "micros_changed_engines"});
+    for (const int hosts : {10, 100, 400})
+        for (const int engines : {20, 100, 400})
+            table.add({{"bench", "reports"},
+                       {"hosts", hosts},
+                       {"engines", engines},
+                       {"micros_all_engines", micros_each(hosts, engines, count, true)},
+                       {"micros_changed_engines", micros_each(hosts, engines, count, false)}});
+    return EXIT_SUCCESS;
+}
+
+} // namespace postpaddle::bench
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -62,21 +62,12 @@
     const auto report = decode_load({this->datagram.data(), size});
     if (!report || report->host == this->state->process->name)
         return;
-    if (!host::take_report(this->state->loads, *report, this->state->clock->now()))
+    const auto change = host::take_report(this->state->loads, *report, this->state->clock->now());
+    if (!change)
         return;
-    this->apply_totals();
-    this->state->did_change_places();
-}
-
-void load_exchange::apply_totals() {
-    const auto& total = this->state->loads.total;
-    for (auto& [id, known] : this->state->instances.by_id) {
-        const auto found = total.find(host::key_of(id));
-        known.others = found == total.end() ? decision::instance_use{} : found->second;
-        const auto avoided = this->state->loads.avoided_by.find(host::key_of(id));
-        known.is_out_of_service_elsewhere = this->state->loads.out_of_service_by.contains(host::key_of(id));
-        known.avoided_by = avoided == this->state->loads.avoided_by.end() ? 0 : avoided->second;
-    }
+    host::enter_sums(this->state->instances, this->state->loads, change->keys);
+    if (change->has_freed)
+        this->state->did_change_places();
 }
 
 void load_exchange::did_change() {
@@ -133,10 +124,10 @@
     this->refresh_timer.async_wait([this](const wire::error_code& error) {
         if (error)
             return;
-        if (host::drop_silent(this->state->loads, this->state->clock->now())) {
-            this->apply_totals();
+        const bool is_any_dropped = host::drop_silent(this->state->loads, this->state->clock->now());
+        host::enter_all_sums(this->state->instances, this->state->loads);
+        if (is_any_dropped)
             this->state->did_change_places();
-        }
         if (this->has_told_work)
             this->did_change();
         this->refresh();
--- a/libraries/gateway/load_exchange.h
+++ b/libraries/gateway/load_exchange.h
@@ -28,7 +28,6 @@
     void did_change();
     void tell();
     void refresh();
-    void apply_totals();
     [[nodiscard]] host::load_report own_report();
 
     gateway_state* state;
@@ -41,7 +40,6 @@
     bool has_told_work = false;
     std::uint64_t incarnation;
     std::uint64_t sequence = 0;
-    std::map<host::instance_key, base::upstream_id> ids;
 };
 
 } // namespace postpaddle::gateway
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -3,6 +3,8 @@
 
 #include <base/hashing.h>
 
+#include <algorithm>
+
 namespace postpaddle::host {
 
 namespace {
@@ -38,14 +40,63 @@
         count_down(share.out_of_service_by, key);
 }
 
+template <class T> T value_at(const std::map<instance_key, T>& values, instance_key key) {
+    const auto found = values.find(key);
+    return found == values.end() ? T{} : found->second;
+}
+
+/// Names the instances that stand in one of the two lists only.
+void add_differences(std::vector<instance_key>& keys, std::vector<instance_key> left,
+                     std::vector<instance_key> right) {
+    std::ranges::sort(left);
+    std::ranges::sort(right);
+    std::ranges::set_symmetric_difference(left, right, std::back_inserter(keys));
+}
+
+bool is_any_missing(const std::vector<instance_key>& before, const std::vector<instance_key>& after) {
+    return std::ranges::any_of(
+        before, [&after](instance_key key) { return std::ranges::find(after, key) == after.end(); });
+}
+
+/// What the second of a host's reports changes in the sums that hold the first.
+report_change change_between(const load_report& before, const load_report& after) {
+    report_change change;
+    for (const auto& [key, use] : before.uses) {
+        const decision::instance_use now = value_at(after.uses, key);
+        if (now == use)
+            continue;
+        change.keys.push_back(key);
+        change.has_freed |= now.requests < use.requests || now.memory_tokens < use.memory_tokens;
+    }
+    for (const auto& [key, use] : after.uses)
+        if (!before.uses.contains(key))
+            change.keys.push_back(key);
+    add_differences(change.keys, before.avoided, after.avoided);
+    add_differences(change.keys, before.out_of_service, after.out_of_service);
+    std::ranges::sort(change.keys);
+    const auto repeated = std::ranges::unique(change.keys);
+    change.keys.erase(repeated.begin(), repeated.end());
+    change.has_freed |= is_any_missing(before.avoided, after.avoided) ||
+                        is_any_missing(before.out_of_service, after.out_of_service) ||
+                        after.waiters.size() < before.waiters.size();
+    return change;
+}
+
+void enter_sum(decision::instance& known, const load_share& share, instance_key key) {
+    known.others = value_at(share.total, key);
+    known.avoided_by = value_at(share.avoided_by, key);
+    known.is_out_of_service_elsewhere = share.out_of_service_by.contains(key);
+}
+
 } // namespace
 
 instance_key key_of(const base::upstream_id& id) { return static_cast<instance_key>(base::hash64(id.value)); }
 
-bool take_report(load_share& share, const load_report& report, base::time_point now) {
+std::optional<report_change> take_report(load_share& share, const load_report& report, base::time_point now) {
     const auto [found, is_first] = share.by_host.try_emplace(report.host);
     if (!is_first && !is_newer(report, found->second, now))
-        return false;
+        return std::nullopt;
+    report_change change = change_between(found->second.report, report);
     take_away(share, found->second.report);
     for (const auto& [key, use] : report.uses)
         share.total[key] += use;
@@ -54,7 +105,30 @@
     for (const instance_key key : report.out_of_service)
         ++share.out_of_service_by[key];
     found->second = {report, now};
-    return true;
+    return change;
+}
+
+void enter_sums(decision::instance_table& table, load_share& share, std::span<const instance_key> keys) {
+    if (share.id_of.size() != table.by_id.size()) {
+        enter_all_sums(table, share);
+        return;
+    }
+    for (const instance_key key : keys) {
+        const auto id = share.id_of.find(key);
+        if (id == share.id_of.end())
+            continue;
+        if (decision::instance* const known = decision::find_instance(table, id->second))
+            enter_sum(*known, share, key);
+    }
+}
+
+void enter_all_sums(decision::instance_table& table, load_share& share) {
+    share.id_of.clear();
+    for (auto& [id, known] : table.by_id) {
+        const instance_key key = key_of(id);
+        share.id_of[key] = id;
+        enter_sum(known, share, key);
+    }
 }
 
 bool drop_silent(load_share& share, base::time_point now) {
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -8,6 +8,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace postpaddle::host {
@@ -42,14 +45,32 @@
     std::map<instance_key, decision::instance_use> total;
     std::map<instance_key, int> avoided_by;        ///< Hosts that avoid an instance.
     std::map<instance_key, int> out_of_service_by; ///< Hosts that know an instance to be out of service.
+    std::unordered_map<instance_key, base::upstream_id> id_of; ///< Of the instances in the table.
 };
 
-/// Takes over a report unless a newer one of that host is known; says whether it did.
-bool take_report(load_share& share, const load_report& report, base::time_point now);
+/// What a report changed in the sums.
+struct report_change {
+    std::vector<instance_key> keys; ///< Instances whose sums may differ now; each once.
+    bool has_freed = false;         ///< Work ended, or an instance is avoided no more: a place may be free.
+
+    bool operator==(const report_change&) const = default;
+};
+
+/// Takes over a report and says what it changed; nothing where a newer one of that host is known.
+std::optional<report_change> take_report(load_share& share, const load_report& report, base::time_point now);
 
 /// Drops reports of hosts that have been silent for too long; says whether any was dropped.
 bool drop_silent(load_share& share, base::time_point now);
 
+/// Enters the sums of these instances into the table.
+///
+/// A report costs what it changes, whatever the number of engines: with 400 of them, entering all sums for
+/// each report took a hundred times as long (`meta/bench reports`).
+void enter_sums(decision::instance_table& table, load_share& share, std::span<const instance_key> keys);
+
+/// Enters the sums of all instances: after instances have come or gone, or reports were dropped.
+void enter_all_sums(decision::instance_table& table, load_share& share);
+
 /// Requests of other hosts that go before one that has waited for `own`.
 [[nodiscard]] std::vector<decision::waiter> waiters_ahead(const load_share& share, base::duration own,
                                                           base::duration in_time, base::time_point now);
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -191,3 +191,66 @@
     directory.seeds = {"127.0.0.1:5"};
     CHECK(host::draw_peers(directory, 2, start, random) == std::vector<std::string>{"127.0.0.1:5"});
 }
+
+TEST_CASE("a report names the instances whose sums it changes, and says whether places may be free") {
+    host::load_share share;
+    auto report = make_report("a", 1, 2);
+    report.uses[8] = {1, 50, 0};
+    report.avoided = {9};
+    auto change = host::take_report(share, report, start);
+    REQUIRE(change);
+    CHECK(change->keys == std::vector<host::instance_key>{7, 8, 9});
+    CHECK_FALSE(change->has_freed);
+
+    report.sequence = 2;
+    report.uses[7].requests = 1;
+    change = host::take_report(share, report, start);
+    REQUIRE(change);
+    CHECK(change->keys == std::vector<host::instance_key>{7});
+    CHECK(change->has_freed);
+
+    report.sequence = 3;
+    report.avoided = {};
+    change = host::take_report(share, report, start);
+    REQUIRE(change);
+    CHECK(change->keys == std::vector<host::instance_key>{9});
+    CHECK(change->has_freed);
+}
+
+TEST_CASE("sums entered report by report are those of all reports, also for instances that come later") {
+    std::mt19937_64 random(7);
+    std::uniform_int_distribution<int> draw_host(0, 4);
+    std::uniform_int_distribution<int> draw_engine(0, 9);
+    std::uniform_int_distribution<int> draw_requests(0, 3);
+    const auto id_of = [](int engine) { return base::upstream_id{"engine-" + std::to_string(engine)}; };
+    decision::instance_table table;
+    host::load_share share;
+    for (std::uint64_t step = 1; step <= 500; ++step) {
+        if (step % 50 == 1)
+            table.by_id[id_of(static_cast<int>(step / 50))];
+        host::load_report report;
+        report.host.value = "host-" + std::to_string(draw_host(random));
+        report.sequence = step;
+        for (int use = draw_requests(random); use > 0; --use)
+            report.uses[host::key_of(id_of(draw_engine(random)))] = {use, use * 10.0, use * 5.0};
+        if (draw_requests(random) == 0)
+            report.avoided.push_back(host::key_of(id_of(draw_engine(random))));
+        if (draw_requests(random) == 0)
+            report.out_of_service.push_back(host::key_of(id_of(draw_engine(random))));
+        const auto change = host::take_report(share, report, start);
+        REQUIRE(change);
+        host::enter_sums(table, share, change->keys);
+
+        decision::instance_table whole;
+        for (const auto& [id, known] : table.by_id)
+            whole.by_id[id];
+        host::load_share copy = share;
+        host::enter_all_sums(whole, copy);
+        for (const auto& [id, known] : table.by_id) {
+            const decision::instance& expected = whole.by_id.at(id);
+            REQUIRE(known.others == expected.others);
+            REQUIRE(known.avoided_by == expected.avoided_by);
+            REQUIRE(known.is_out_of_service_elsewhere == expected.is_out_of_service_elsewhere);
+        }
+    }
+}
