host: Divide hosts and engines into cells

Cause: each host told each change of its work to every other host: at 295 hosts and some four changes a request about 340,000 datagrams a second over all. Change: from 97 hosts on, hosts tell only those of their cell (an availability zone or a part of it), and those of cells at whose engines they have work. An engine of another cell takes work only where its load is known: a host that finds no room asks one host of each of two other cells, before it refuses. Ruled out: cells drawn over all zones, as KV cache moved between zones costs twice the time; aggregators, as their loss would blind a whole zone.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -39,25 +39,33 @@
 /// Age at which the queue that a prompt met no longer says anything.
 constexpr double seen_wait_lifetime = 0.5;
 
-/// Instances that new work may go to, or, where the registry names none at all, those that it lost while it
-/// was in trouble. A request that has tried all of the former does not go to the latter: they may be leaving.
+/// Instances that new work may go to: those whose load is known, or, where there is none, all that are
+/// listed, or, where the registry names none at all, those that it lost while it was in trouble. A request
+/// that has tried all of the former does not go to the latter: they may be leaving.
 std::vector<const instance*> usable(const instance_table& table, const choice_context& context,
                                     const std::function<bool(const instance&)>& fits) {
+    std::vector<const instance*> known;
     std::vector<const instance*> listed;
     std::vector<const instance*> unlisted;
     for (const auto& [id, candidate] : table.by_id) {
         if (candidate.entry.service != context.service || !fits(candidate))
             continue;
         if (candidate.state == listing::listed)
-            listed.push_back(&candidate);
+            (is_load_known(candidate, context.now) ? known : listed).push_back(&candidate);
         if (candidate.state == listing::unlisted)
             unlisted.push_back(&candidate);
     }
-    std::vector<const instance*>& candidates = listed.empty() ? unlisted : listed;
-    std::erase_if(candidates, [&context](const instance* candidate) {
-        return context.excluded.contains(candidate->entry.id);
-    });
-    return candidates;
+    const auto without_tried = [&context](std::vector<const instance*> candidates) {
+        std::erase_if(candidates, [&context](const instance* candidate) {
+            return context.excluded.contains(candidate->entry.id);
+        });
+        return candidates;
+    };
+    if (known.empty() && listed.empty())
+        return without_tried(std::move(unlisted));
+    if (auto untried = without_tried(std::move(known)); !untried.empty())
+        return untried;
+    return without_tried(std::move(listed));
 }
 
 double standing_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -59,6 +59,9 @@
     return true;
 }
 
+/// How long the load of an engine of other hosts is taken for true. Requests keep their places for about a
+/// second; in a burst all ask at once, and each sees what the others placed before it only if it asks again.
+constexpr base::duration told_lifetime = 250ms;
 /// How long a refusal tells of memory that is taken.
 constexpr base::duration refusal_lifetime = 1'000ms;
 
@@ -203,6 +206,11 @@
     return std::max(0, target.load.running + target.load.waiting - target.own_at_load) * freshness;
 }
 
+bool is_load_known(const instance& target, base::time_point now) {
+    return !target.is_far ||
+           (target.others_told != base::time_point{} && now - target.others_told < told_lifetime);
+}
+
 bool is_aside(const instance& target, base::time_point now) { return now < target.health.aside_until; }
 
 bool is_out_of_service(const instance& target, base::time_point now) {
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -59,9 +59,11 @@
     listing state = listing::listed;
     std::uint64_t offset = 0; ///< Of the newest registry record about it.
     instance_health health;
-    instance_use own;                         ///< Sent by this host, or promised, and not ended.
-    instance_use others;                      ///< The same of the other hosts, as they told.
-    int avoided_by = 0;                       ///< Other hosts that could not reach it lately.
+    instance_use own;               ///< Sent by this host, or promised, and not ended.
+    instance_use others;            ///< The same of the other hosts, as they told.
+    bool is_far = false;            ///< Belongs to hosts that don't tell this one what they have there.
+    base::time_point others_told{}; ///< When one of those last told of it.
+    int avoided_by = 0;             ///< Other hosts that could not reach it lately.
     bool is_out_of_service_elsewhere = false; ///< Another host knows that it is out of service.
     estimate latency = make_estimate(0.08);   ///< Seconds to a plain answer.
     estimate slowness = make_estimate(1);     ///< Time taken over time expected, for prompts.
@@ -151,6 +153,9 @@
 /// Whether this host knows that its port is dead, or that its stage changes.
 [[nodiscard]] bool is_out_of_service(const instance& target, base::time_point now);
 
+/// Whether the other hosts' work there is known: they tell it, or one of them told it a moment ago.
+[[nodiscard]] bool is_load_known(const instance& target, base::time_point now);
+
 /// Whether new work avoids it for what this host or another found.
 [[nodiscard]] bool is_avoided(const instance& target, base::time_point now);
 
--- a/libraries/decision/stage_balance.cpp
+++ b/libraries/decision/stage_balance.cpp
@@ -24,7 +24,8 @@
 
 bool serves_stage(const instance& candidate, const std::string& service, engine_stage stage,
                   base::time_point now) {
-    return candidate.entry.service == service && candidate.entry.stage == stage &&
+    // Hosts balance the engines whose load they know.
+    return candidate.entry.service == service && candidate.entry.stage == stage && !candidate.is_far &&
            candidate.state == listing::listed && !is_avoided(candidate, now);
 }
 
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -126,7 +126,11 @@
         if (!look)
             return {};
         note_place(request, look->facts);
-        switch (decision::admit_to_engines(look->facts)) {
+        decision::admission admission = decision::admit_to_engines(look->facts);
+        // Whoever finds no room here is not refused before others have been asked.
+        if (!look->facts.has_room && state.try_ask_further() && admission == decision::admission::refuse)
+            admission = decision::admission::wait;
+        switch (admission) {
         case decision::admission::start:
             return {.plan = look->plan};
         case decision::admission::refuse:
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -77,7 +77,7 @@
             .log = &this->log,
             .figures = &this->figures},
       feed(outside.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
-      loads(this->state),
+      datagrams(this->state), loads(this->state, this->datagrams),
       store(this->state, *this->feed,
             {.on_new_settings =
                  [this] {
@@ -111,7 +111,7 @@
         this->metrics = std::move(metrics_listener);
     }
     POSTPADDLE_TRY_VOID(this->peers.listen());
-    POSTPADDLE_TRY_VOID(this->loads.listen());
+    POSTPADDLE_TRY_VOID(this->datagrams.listen());
     this->callers->start([this](wire::caller_connection& connection, wire::yield_context yield) {
         serve_caller(this->state, connection, yield);
     });
@@ -134,6 +134,7 @@
                 yield);
         });
     this->peers.start();
+    this->datagrams.start();
     this->loads.start();
     this->store.start();
     this->stages.start();
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -63,6 +63,7 @@
     gateway_state state;
     std::unique_ptr<ports::control_feed> feed;
     peer_exchange peers;
+    peer_datagrams datagrams;
     load_exchange loads;
     store_watch store;
     stage_controller stages;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include <decision/shared_budget.h>
 #include <gateway/decision_log.h>
 #include <gateway/gateway_figures.h>
+#include <host/cell.h>
 #include <host/load_share.h>
 #include <host/peer_directory.h>
 #include <ports/control_feed.h>
@@ -66,10 +67,13 @@
     base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
-    bool knows_hosts = false;                    ///< The list of hosts has been read from the store.
-    host::load_share loads{};                    ///< What the other hosts have in progress.
-    std::function<void()> on_own_load_changed{}; ///< Tells the other hosts.
-    std::set<const waiting_request*> waiting{};  ///< Own requests that wait for a place.
+    bool knows_hosts = false; ///< The list of hosts has been read from the store.
+    host::load_share loads{}; ///< What the other hosts have in progress.
+    host::cell_plan cells{};  ///< How hosts and engines are divided.
+    std::function<bool()>
+        ask_further{}; ///< Asks other cells' hosts for room; says whether an answer is awaited.
+    std::function<void()> on_own_load_changed{};                 ///< Tells the other hosts.
+    std::set<const waiting_request*> waiting{};                  ///< Own requests that wait for a place.
     std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
     std::map<std::string, decision::caller_patience> patience{}; ///< Learned, by route.
     std::map<base::upstream_id, told_parts> held_parts{};        ///< What engines told lately.
@@ -83,6 +87,9 @@
 
     /// Places may have become free: wakes the requests that wait for one.
     void did_change_places() const;
+    /// Where the engines whose load is known have no room: asks for the load of others. Says whether an
+    /// answer is awaited, after which the waiting requests are woken.
+    [[nodiscard]] bool try_ask_further() const { return this->ask_further && this->ask_further(); }
     /// This host's work at an engine has changed.
     void did_change_own_load() const;
 };
--- a/libraries/gateway/kept_prompt_search.cpp
+++ b/libraries/gateway/kept_prompt_search.cpp
@@ -40,7 +40,8 @@
     std::vector<const decision::instance*> engines;
     for (const auto& [id, engine] : request.state->instances.by_id)
         if (engine.entry.service == request.service && engine.state == decision::listing::listed &&
-            engine.entry.stage != settings::engine_stage::none && !decision::is_avoided(engine, now))
+            engine.entry.stage != settings::engine_stage::none && !engine.is_far &&
+            !decision::is_avoided(engine, now))
             engines.push_back(&engine);
     const std::uint64_t seed = base::hash64(request.routed.prompt_key);
     std::ranges::sort(engines, std::ranges::greater{}, [seed](const decision::instance* engine) {
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -3,71 +3,56 @@
 
 #include <gateway/peer_codec.h>
 
-#include <base/try.h>
-#include <wire/endpoint.h>
+#include <wire/simple_client.h>
 
 namespace postpaddle::gateway {
 
 namespace {
 
 using namespace std::chrono_literals;
-using udp = wire::asio::ip::udp;
 
 /// Changes within this time go out in one report.
 constexpr base::duration coalescing = 3ms;
 /// A report goes out after this time even without a change.
 constexpr base::duration refresh_interval = 1'000ms;
+/// Cells that are asked at once where the own one has no room: the better of two random ones is seldom full
+/// while others have room.
+constexpr std::size_t cells_asked = 2;
+/// Pause between two rounds of asking.
+constexpr base::duration ask_interval = 100ms;
+/// A host that takes longer is not waited for.
+constexpr auto ask_limit = 60ms;
+constexpr int ok_status = 200;
 
 } // namespace
 
-load_exchange::load_exchange(gateway_state& state)
-    : state(&state), socket(*state.context), tell_timer(*state.context), refresh_timer(*state.context),
+load_exchange::load_exchange(gateway_state& state, peer_datagrams& datagrams)
+    : state(&state), datagrams(&datagrams), tell_timer(*state.context), refresh_timer(*state.context),
       incarnation(static_cast<std::uint64_t>(state.clock->wall_now().time_since_epoch().count())) {}
 
-wire::expected<void> load_exchange::listen() {
-    if (this->state->process->load_port == 0)
-        return {};
-    POSTPADDLE_TRY(endpoint, wire::parse_endpoint(this->state->process->peers));
-    wire::error_code error;
-    const udp::endpoint own(endpoint.address(), this->state->process->load_port);
-    this->socket.open(own.protocol(), error);
-    if (!error)
-        this->socket.bind(own, error);
-    if (!error)
-        this->socket.non_blocking(true, error);
-    if (error)
-        return tl::make_unexpected(wire::wire_error{wire::wire_failure::bad_address, error.message()});
-    return {};
-}
-
 void load_exchange::start() {
-    if (!this->socket.is_open())
+    if (!this->datagrams->is_open())
         return;
     this->state->on_own_load_changed = [this] { this->did_change(); };
-    this->hear();
+    this->state->ask_further = [this] { return this->try_ask_further(); };
+    this->datagrams->on(datagram_kind::load, [this](std::string_view bytes) { return this->take(bytes); });
+    this->plan_cells();
     this->refresh();
 }
 
-void load_exchange::hear() {
-    this->socket.async_receive_from(wire::asio::buffer(this->datagram), this->sender,
-                                    [this](const wire::error_code& error, std::size_t size) {
-                                        if (!error)
-                                            this->take(size);
-                                        if (error != wire::asio::error::operation_aborted)
-                                            this->hear();
-                                    });
-}
-
-void load_exchange::take(std::size_t size) {
-    const auto report = decode_load({this->datagram.data(), size});
-    if (!report || report->host == this->state->process->name)
-        return;
+bool load_exchange::take(std::string_view bytes) {
+    const auto report = decode_load(bytes);
+    if (!report)
+        return false;
+    if (report->host == this->state->process->name)
+        return true;
     const auto change = host::take_report(this->state->loads, *report, this->state->clock->now());
     if (!change)
-        return;
+        return true;
     host::enter_sums(this->state->instances, this->state->loads, change->keys);
     if (change->has_freed)
         this->state->did_change_places();
+    return true;
 }
 
 void load_exchange::did_change() {
@@ -103,20 +88,69 @@
     return report;
 }
 
+std::vector<std::string> load_exchange::hosts_to_tell() {
+    const host::cell_plan& plan = this->state->cells;
+    const base::host_id& own = this->state->process->name;
+    std::set<host::cell> cells = {host::cell_of_host(plan, own, this->state->process->availability_zone)};
+    for (const auto& [id, known] : this->state->instances.by_id)
+        if (known.is_far && known.own.requests > 0)
+            cells.insert(host::cell_of_engine(plan, id, known.entry.availability_zone));
+    // Those who heard of work hear of its end as well.
+    const std::set<host::cell> now = cells;
+    cells.insert(this->told_cells.begin(), this->told_cells.end());
+    this->told_cells = now;
+    return host::addresses_in(plan, this->state->peers, cells, this->state->clock->now());
+}
+
 void load_exchange::tell() {
     if (!this->state->process->policy.tell_loads)
         return;
     const host::load_report report = this->own_report();
     this->has_told_work = !report.uses.empty() || !report.waiters.empty() || !report.avoided.empty();
-    const std::string bytes = encode_load(report);
-    for (const auto& [name, known] : this->state->peers.by_name) {
-        const auto endpoint = wire::parse_endpoint(known.address);
-        if (!endpoint || known.is_leaving)
-            continue;
-        wire::error_code ignored;
-        this->socket.send_to(wire::asio::buffer(bytes),
-                             udp::endpoint(endpoint->address(), this->state->process->load_port), 0, ignored);
+    this->datagrams->send(datagram_kind::load, encode_load(report), this->hosts_to_tell());
+}
+
+void load_exchange::plan_cells() {
+    const settings::gateway_settings& process = *this->state->process;
+    this->state->cells = host::plan_cells(this->state->peers, process.availability_zone, this->state->cells,
+                                          this->state->clock->now());
+    const host::cell own = host::cell_of_host(this->state->cells, process.name, process.availability_zone);
+    for (auto& [id, known] : this->state->instances.by_id)
+        known.is_far = known.entry.stage != settings::engine_stage::none &&
+                       host::cell_of_engine(this->state->cells, id, known.entry.availability_zone) != own;
+}
+
+bool load_exchange::try_ask_further() {
+    if (this->asks_open > 0)
+        return true;
+    const base::time_point now = this->state->clock->now();
+    if (this->state->cells.is_single || now - this->asked_at < ask_interval)
+        return false;
+    this->asked_at = now;
+    const std::vector<std::string> addresses =
+        host::draw_from_others(this->state->cells, this->state->peers,
+                               host::cell_of_host(this->state->cells, this->state->process->name,
+                                                  this->state->process->availability_zone),
+                               cells_asked, now, this->state->random);
+    for (const std::string& address : addresses) {
+        ++this->asks_open;
+        wire::spawn_coroutine(*this->state->context, [this, address](wire::yield_context yield) {
+            this->ask(address, yield);
+            --this->asks_open;
+            this->state->did_change_places();
+        });
     }
+    return !addresses.empty();
+}
+
+void load_exchange::ask(const std::string& address, wire::yield_context yield) {
+    const auto answer =
+        wire::fetch(*this->state->pool, address, wire::get_request(cell_loads_path, {{"Host", address}}),
+                    ask_limit, yield);
+    const auto loads = answer && answer->status == ok_status ? decode_cell_loads(answer->body) : std::nullopt;
+    this->state->figures->count(loads ? "cell_loads_told_total" : "cell_loads_not_told_total");
+    if (loads)
+        host::enter_told_loads(this->state->instances, this->state->loads, *loads, this->state->clock->now());
 }
 
 void load_exchange::refresh() {
@@ -125,6 +159,7 @@
         if (error)
             return;
         const bool is_any_dropped = host::drop_silent(this->state->loads, this->state->clock->now());
+        this->plan_cells();
         host::enter_all_sums(this->state->instances, this->state->loads);
         if (is_any_dropped)
             this->state->did_change_places();
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -9,10 +9,13 @@
     json others = json::object();
     for (const auto& [name, known] : message.others) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known.heard);
-        others[name.value] = {{"address", known.address}, {"heard_ms_ago", age.count()}};
+        others[name.value] = {{"address", known.address},
+                              {"availability_zone", known.zone.value},
+                              {"heard_ms_ago", age.count()}};
     }
     return {{"host", message.host.value},
             {"address", message.address},
+            {"availability_zone", message.availability_zone.value},
             {"settings_version", message.settings_version},
             {"is_leaving", message.is_leaving},
             {"hosts", std::move(others)}};
@@ -23,11 +26,14 @@
         const json value = json::parse(text);
         heartbeat message = {.host = {value.at("host").get<std::string>()},
                              .address = value.at("address").get<std::string>(),
+                             .availability_zone = {value.at("availability_zone").get<std::string>()},
                              .settings_version = value.at("settings_version").get<std::uint64_t>(),
                              .is_leaving = value.at("is_leaving").get<bool>()};
         for (const auto& [name, row] : value.at("hosts").items()) {
             const std::chrono::milliseconds age(row.at("heard_ms_ago").get<std::uint32_t>());
-            message.others[{name}] = {.address = row.at("address").get<std::string>(), .heard = now - age};
+            message.others[{name}] = {.address = row.at("address").get<std::string>(),
+                                      .zone = {row.at("availability_zone").get<std::string>()},
+                                      .heard = now - age};
         }
         if (message.host.is_empty() || message.address.empty())
             return std::nullopt;
@@ -79,6 +85,29 @@
     return changes;
 }
 
+std::string encode_cell_loads(const std::vector<host::told_load>& loads) {
+    json rows = json::array();
+    for (const host::told_load& load : loads)
+        rows.push_back({load.key, load.use.requests, static_cast<std::int64_t>(load.use.memory_tokens),
+                        static_cast<std::int64_t>(load.use.prompt_tokens), load.is_avoided});
+    std::string bytes;
+    json::to_msgpack(rows, bytes);
+    return bytes;
+}
+
+std::optional<std::vector<host::told_load>> decode_cell_loads(std::string_view bytes) {
+    try {
+        std::vector<host::told_load> loads;
+        for (const json& row : json::from_msgpack(bytes))
+            loads.push_back({row.at(0).get<host::instance_key>(),
+                             {row.at(1).get<int>(), row.at(2).get<double>(), row.at(3).get<double>()},
+                             row.at(4).get<bool>()});
+        return loads;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode_load(const host::load_report& report) {
     json uses = json::array();
     for (const auto& [key, use] : report.uses)
--- a/libraries/gateway/peer_codec.h
+++ b/libraries/gateway/peer_codec.h
@@ -19,6 +19,7 @@
 struct heartbeat {
     base::host_id host;
     std::string address; ///< For heartbeats, IP number and port.
+    base::zone_id availability_zone;
     std::uint64_t settings_version = 0;
     bool is_leaving = false;
     std::map<base::host_id, host::peer> others{}; ///< When they were heard is told as an age.
@@ -36,6 +37,13 @@
 /// Reads a registry that another host handed over. Throws `nlohmann::json::exception` where it is malformed.
 [[nodiscard]] std::vector<decision::registry_change> decode_registry(const nlohmann::json& value);
 
+/// Where a host tells the load of its cell's engines.
+inline constexpr const char* cell_loads_path = "/peers/loads";
+
+[[nodiscard]] std::string encode_cell_loads(const std::vector<host::told_load>& loads);
+/// Nothing where it is malformed.
+[[nodiscard]] std::optional<std::vector<host::told_load>> decode_cell_loads(std::string_view bytes);
+
 /// A load report as a datagram (MessagePack).
 [[nodiscard]] std::string encode_load(const host::load_report& report);
 
--- /dev/null
+++ b/libraries/gateway/peer_datagrams.cpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/peer_datagrams.h>
+
+#include <base/try.h>
+#include <wire/endpoint.h>
+
+namespace postpaddle::gateway {
+
+using udp = wire::asio::ip::udp;
+
+peer_datagrams::peer_datagrams(gateway_state& state) : state(&state), socket(*state.context) {}
+
+wire::expected<void> peer_datagrams::listen() {
+    if (this->state->process->load_port == 0)
+        return {};
+    POSTPADDLE_TRY(endpoint, wire::parse_endpoint(this->state->process->peers));
+    wire::error_code error;
+    const udp::endpoint own(endpoint.address(), this->state->process->load_port);
+    this->socket.open(own.protocol(), error);
+    if (!error)
+        this->socket.bind(own, error);
+    if (!error)
+        this->socket.non_blocking(true, error);
+    if (error)
+        return tl::make_unexpected(wire::wire_error{wire::wire_failure::bad_address, error.message()});
+    return {};
+}
+
+void peer_datagrams::start() {
+    if (this->socket.is_open())
+        this->hear();
+}
+
+void peer_datagrams::hear() {
+    this->socket.async_receive_from(wire::asio::buffer(this->datagram), this->sender,
+                                    [this](const wire::error_code& error, std::size_t size) {
+                                        if (!error)
+                                            this->take({this->datagram.data(), size});
+                                        if (error != wire::asio::error::operation_aborted)
+                                            this->hear();
+                                    });
+}
+
+void peer_datagrams::take(std::string_view bytes) {
+    const auto found =
+        bytes.empty() ? this->handlers.end() : this->handlers.find(static_cast<datagram_kind>(bytes.front()));
+    if (found == this->handlers.end() || !found->second(bytes.substr(1)))
+        this->state->figures->count("malformed_datagrams_total");
+}
+
+void peer_datagrams::send(datagram_kind kind, const std::string& bytes,
+                          const std::vector<std::string>& addresses) {
+    const std::string whole = static_cast<char>(kind) + bytes;
+    for (const std::string& address : addresses) {
+        const auto endpoint = wire::parse_endpoint(address);
+        if (!endpoint)
+            continue;
+        // A datagram that can't leave now is as good as lost: the next one heals it.
+        wire::error_code ignored;
+        this->socket.send_to(wire::asio::buffer(whole),
+                             udp::endpoint(endpoint->address(), this->state->process->load_port), 0, ignored);
+    }
+}
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -76,6 +76,10 @@
         return {ok_status, {}, this->state->settings->document.text};
     if (request.target == registry_path && this->state->has_registry)
         return {ok_status, {}, encode_registry(this->state->instances).dump()};
+    if (request.target == cell_loads_path)
+        return {ok_status,
+                {},
+                encode_cell_loads(host::loads_to_tell(this->state->instances, this->state->clock->now()))};
     if (request.target == state_path)
         return {ok_status, {{"Content-Type", "application/json"}}, dump_state(*this->state).dump(2)};
     if (request.target.starts_with(explain_path)) {
@@ -93,6 +97,7 @@
     const base::time_point now = this->state->clock->now();
     const heartbeat message = {.host = this->state->process->name,
                                .address = this->state->process->peers,
+                               .availability_zone = this->state->process->availability_zone,
                                .settings_version = version_of(*this->state),
                                .is_leaving = this->state->is_draining,
                                .others = host::latest_heard(this->state->peers, named_hosts, now)};
@@ -108,12 +113,12 @@
     }
     if (message->host == this->state->process->name)
         return;
-    host::note_word(this->state->peers, message->host, message->address, now);
+    host::note_word(this->state->peers, message->host, message->address, message->availability_zone, now);
     if (message->is_leaving)
         host::note_leaving(this->state->peers, message->host);
     for (const auto& [name, other] : message->others)
         if (name != this->state->process->name)
-            host::note_hearsay(this->state->peers, name, other.address, other.heard);
+            host::note_hearsay(this->state->peers, name, other);
     const bool is_newer = message->settings_version > version_of(*this->state);
     if (!is_newer || this->is_fetching_settings)
         return;
@@ -193,7 +198,8 @@
 }
 
 void peer_exchange::join(wire::yield_context yield) {
-    const ports::host_entry own = {this->state->process->name, this->state->process->peers};
+    const ports::host_entry own = {this->state->process->name, this->state->process->peers,
+                                   this->state->process->availability_zone};
     host::answer_patience patience;
     wire::asio::steady_timer timer(*this->state->context);
     wire::error_code ignored;
@@ -204,8 +210,10 @@
         if (hosts) {
             for (const ports::host_entry& entry : *hosts)
                 if (entry.name != own.name)
-                    host::note_hearsay(this->state->peers, entry.name, entry.address,
-                                       this->state->clock->now());
+                    host::note_hearsay(this->state->peers, entry.name,
+                                       {.address = entry.address,
+                                        .zone = entry.availability_zone,
+                                        .heard = this->state->clock->now()});
             this->state->knows_hosts = true;
             return;
         }
--- /dev/null
+++ b/libraries/host/cell.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <base/identifier.h>
+#include <host/peer_directory.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+
+namespace postpaddle::host {
+
+/// A group of hosts, and the engines that they use first: an availability zone or one part of it.
+///
+/// Hosts tell all that they have in progress only to the hosts of their cell, and to those of a cell at whose
+/// engines they have work. So what a host hears grows with the size of a cell, not with the number of hosts.
+/// Hosts whose views differ may disagree on a cell; that costs accuracy, never a promise.
+struct cell {
+    base::zone_id zone;
+    std::uint32_t part = 0; ///< Of the zone's parts, from 0.
+
+    auto operator<=>(const cell&) const = default;
+};
+
+/// How hosts and engines are divided into cells. With few hosts there is one cell, of all zones.
+struct cell_plan {
+    std::map<base::zone_id, std::uint32_t> parts; ///< Parts of each zone that has hosts: a power of two.
+    bool is_single = true;
+
+    bool operator==(const cell_plan&) const = default;
+};
+
+/// Hosts that tell each other everything, at most: a change of one host's work is a datagram for each of the
+/// others, and hearing one takes some 20 us of a core. At one request a second and four changes a request, 96
+/// hosts cost each other about 0.8 % of a core.
+inline constexpr std::size_t most_hosts_a_cell = 96;
+
+/// Divides the hosts that may be alive, this one among them. A zone keeps its parts until they have become
+/// twice as few as they need be, so that hosts that come and go don't move engines to and fro.
+[[nodiscard]] cell_plan plan_cells(const peer_directory& directory, const base::zone_id& own_zone,
+                                   const cell_plan& before, base::time_point now);
+
+[[nodiscard]] cell cell_of_host(const cell_plan& plan, const base::host_id& host, const base::zone_id& zone);
+
+/// The cell whose hosts know an engine's load. An engine in a zone without hosts falls to one of the others.
+[[nodiscard]] cell cell_of_engine(const cell_plan& plan, const base::upstream_id& engine,
+                                  const base::zone_id& zone);
+
+/// Addresses of one host each, drawn at random, of up to `count` other cells drawn at random.
+[[nodiscard]] std::vector<std::string> draw_from_others(const cell_plan& plan,
+                                                        const peer_directory& directory, const cell& own,
+                                                        std::size_t count, base::time_point now,
+                                                        std::mt19937_64& random);
+
+/// Addresses of the other hosts of these cells that may be alive.
+[[nodiscard]] std::vector<std::string> addresses_in(const cell_plan& plan, const peer_directory& directory,
+                                                    const std::set<cell>& cells, base::time_point now);
+
+} // namespace postpaddle::host
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -83,7 +83,9 @@
 }
 
 void enter_sum(decision::instance& known, const load_share& share, instance_key key) {
-    known.others = value_at(share.total, key);
+    // Of engines of other cells, only some of the hosts that use them tell this one.
+    if (!known.is_far)
+        known.others = value_at(share.total, key);
     known.avoided_by = value_at(share.avoided_by, key);
     known.is_out_of_service_elsewhere = share.out_of_service_by.contains(key);
 }
@@ -148,6 +150,39 @@
     return is_any_dropped;
 }
 
+std::vector<told_load> loads_to_tell(const decision::instance_table& table, base::time_point now) {
+    std::vector<told_load> loads;
+    for (const auto& [id, known] : table.by_id) {
+        if (known.is_far || known.entry.stage == settings::engine_stage::none ||
+            known.state != decision::listing::listed)
+            continue;
+        decision::instance_use use = known.own;
+        use += known.others;
+        loads.push_back({key_of(id), use, decision::is_avoided(known, now)});
+    }
+    return loads;
+}
+
+void enter_told_loads(decision::instance_table& table, load_share& share, std::span<const told_load> loads,
+                      base::time_point now) {
+    if (share.id_of.size() != table.by_id.size())
+        enter_all_sums(table, share);
+    for (const told_load& told : loads) {
+        const auto id = share.id_of.find(told.key);
+        decision::instance* const known =
+            id == share.id_of.end() ? nullptr : decision::find_instance(table, id->second);
+        if (known == nullptr || !known->is_far || told.is_avoided)
+            continue;
+        // Its cell hears of this host's work there as well.
+        known->others = told.use;
+        known->others -= known->own;
+        known->others.requests = std::max(0, known->others.requests);
+        known->others.memory_tokens = std::max(0.0, known->others.memory_tokens);
+        known->others.prompt_tokens = std::max(0.0, known->others.prompt_tokens);
+        known->others_told = now;
+    }
+}
+
 std::vector<decision::waiter> waiters_ahead(const load_share& share, base::duration own,
                                             base::duration in_time, base::time_point now) {
     std::vector<decision::waiter> ahead;
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -71,6 +71,23 @@
 /// Enters the sums of all instances: after instances have come or gone, or reports were dropped.
 void enter_all_sums(decision::instance_table& table, load_share& share);
 
+/// An engine's load by all hosts, as one of its own cell knows it.
+struct told_load {
+    instance_key key = 0;
+    decision::instance_use use;
+    bool is_avoided = false; ///< No work should go there now.
+
+    bool operator==(const told_load&) const = default;
+};
+
+/// What this host knows of the engines of its cell, for a host of another one.
+[[nodiscard]] std::vector<told_load> loads_to_tell(const decision::instance_table& table,
+                                                   base::time_point now);
+
+/// Takes over what a host of another cell told of its engines.
+void enter_told_loads(decision::instance_table& table, load_share& share, std::span<const told_load> loads,
+                      base::time_point now);
+
 /// Requests of other hosts that go before one that has waited for `own`.
 [[nodiscard]] std::vector<decision::waiter> waiters_ahead(const load_share& share, base::duration own,
                                                           base::duration in_time, base::time_point now);
--- a/libraries/host/peer_directory.cpp
+++ b/libraries/host/peer_directory.cpp
@@ -19,24 +19,25 @@
 /// One draw in this many goes to a host that has been silent, or to a seed.
 constexpr int silent_draw = 8;
 
+} // namespace
+
 bool may_be_alive(const peer& value, base::time_point now) {
     return !value.is_leaving && now - value.heard < alive_lifetime;
 }
 
-} // namespace
-
 void note_word(peer_directory& directory, const base::host_id& name, const std::string& address,
-               base::time_point now) {
-    directory.by_name[name] = {.address = address, .heard = now, .is_leaving = false};
+               const base::zone_id& zone, base::time_point now) {
+    directory.by_name[name] = {.address = address, .zone = zone, .heard = now, .is_leaving = false};
 }
 
-void note_hearsay(peer_directory& directory, const base::host_id& name, const std::string& address,
-                  base::time_point heard) {
+void note_hearsay(peer_directory& directory, const base::host_id& name, const peer& told) {
     const auto [found, is_new] = directory.by_name.try_emplace(name);
     peer& known = found->second;
-    if (is_new)
-        known.address = address;
-    known.heard = std::max(known.heard, heard);
+    if (is_new) {
+        known.address = told.address;
+        known.zone = told.zone;
+    }
+    known.heard = std::max(known.heard, told.heard);
 }
 
 void note_leaving(peer_directory& directory, const base::host_id& name) {
--- a/libraries/host/peer_directory.h
+++ b/libraries/host/peer_directory.h
@@ -15,6 +15,7 @@
 /// Another host, as this one knows it.
 struct peer {
     std::string address;      ///< For heartbeats, IP number and port.
+    base::zone_id zone;       ///< Its availability zone.
     base::time_point heard{}; ///< When somebody last had direct word from it, or when the store named it.
     bool is_leaving = false;
 
@@ -27,17 +28,19 @@
     std::vector<std::string> seeds; ///< Addresses without a name; asked while nobody else is known.
 };
 
-/// Takes a host's own word: it is alive, and at that address.
+/// Takes a host's own word: it is alive, at that address and in that zone.
 void note_word(peer_directory& directory, const base::host_id& name, const std::string& address,
-               base::time_point now);
+               const base::zone_id& zone, base::time_point now);
 
-/// Takes another's word that the host was heard at that time. An address that is known stays.
-void note_hearsay(peer_directory& directory, const base::host_id& name, const std::string& address,
-                  base::time_point heard);
+/// Takes another's word of a host, with the time at which it was heard. An address that is known stays.
+void note_hearsay(peer_directory& directory, const base::host_id& name, const peer& told);
 
 /// The host says that it is leaving.
 void note_leaving(peer_directory& directory, const base::host_id& name);
 
+/// Whether a host was heard, by whomever, lately enough to be sent something.
+[[nodiscard]] bool may_be_alive(const peer& value, base::time_point now);
+
 /// Hosts that may be alive: those not silent for long while others were heard.
 [[nodiscard]] int count_alive(const peer_directory& directory);
 
--- /dev/null
+++ b/libraries/host/store_duty.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <base/clock.h>
+#include <base/identifier.h>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace postpaddle::host {
+
+/// Decides which hosts of a cell read a topic of the store; the others follow what readers tell them.
+///
+/// Safe by time alone: what counts is up to when the store is known to have had no newer record, and a host
+/// that hears nothing fresh reads for itself, whatever became of the readers, within a part of the bound
+/// that leaves time for a read of its own. Few calls is all that is lost when views differ.
+struct store_duty {
+    std::map<base::host_id, base::time_point>
+        known_until;             ///< By reader: what it told is complete up to then.
+    bool is_behind = false;      ///< A reader told of a record that this host has not seen.
+    bool is_standing_in = false; ///< Reads although others are the cell's readers.
+
+    bool operator==(const store_duty&) const = default;
+};
+
+/// What the duty is weighed by.
+struct duty_facts {
+    std::chrono::milliseconds bound{}; ///< A record must be known within this time.
+    std::vector<base::host_id> cell;   ///< The cell's hosts that may be alive, this one among them.
+    base::host_id own;
+    base::time_point now{};
+};
+
+/// Cells with no more hosts read for themselves: their calls are few.
+inline constexpr std::size_t least_hosts_to_follow = 16;
+/// Hosts of a cell that read, each for itself: when one freezes, the other's word goes on.
+inline constexpr std::size_t readers_a_cell = 2;
+
+/// Takes a reader's word. `until` is never moved back.
+void note_told(store_duty& duty, const base::host_id& reader, base::time_point until);
+
+/// Whether this host reads the topic now.
+[[nodiscard]] bool must_read(store_duty& duty, const duty_facts& facts);
+
+/// Whether the cell's hosts follow readers at all.
+[[nodiscard]] bool has_followers(const duty_facts& facts);
+
+/// Part of the bound for which a reader's read waits, where others follow: the end of each read is what tells
+/// them that nothing has changed.
+inline constexpr double reader_wait_part = 0.2;
+/// Part of the bound between two notices of a reader.
+inline constexpr double notice_part = 0.125;
+
+} // namespace postpaddle::host
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -57,6 +57,7 @@
 struct host_entry {
     base::host_id name;
     std::string address;
+    base::zone_id availability_zone;
 
     bool operator==(const host_entry&) const = default;
 };
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -125,17 +125,17 @@
 
 TEST_CASE("a host counts as alive for long after anybody heard it, and hearsay does not move it") {
     host::peer_directory directory;
-    host::note_word(directory, {"a"}, "127.0.0.1:1", start);
-    host::note_hearsay(directory, {"a"}, "127.0.0.1:9", start - 5s);
+    host::note_word(directory, {"a"}, "127.0.0.1:1", {}, start);
+    host::note_hearsay(directory, {"a"}, {.address = "127.0.0.1:9", .zone = {}, .heard = start - 5s});
     CHECK(directory.by_name.at({"a"}).address == "127.0.0.1:1");
     // Another host is heard at each moment that matters, and counts itself.
     const auto count_others_at = [&directory](base::time_point now) {
-        host::note_word(directory, {"b"}, "127.0.0.1:2", now);
+        host::note_word(directory, {"b"}, "127.0.0.1:2", {}, now);
         return host::count_alive(directory) - 1;
     };
     CHECK(count_others_at(start + 119s) == 1);
     CHECK(count_others_at(start + 121s) == 0);
-    host::note_hearsay(directory, {"a"}, "127.0.0.1:9", start + 25s);
+    host::note_hearsay(directory, {"a"}, {.address = "127.0.0.1:9", .zone = {}, .heard = start + 25s});
     CHECK(count_others_at(start + 144s) == 1);
     CHECK(count_others_at(start + 146s) == 0);
 }
@@ -143,9 +143,9 @@
 // It used to forget them after two minutes and to take all that they share.
 TEST_CASE("a host that is cut off from all others goes on counting those that it heard with its last word") {
     host::peer_directory directory;
-    host::note_word(directory, {"long-gone"}, "127.0.0.1:1", start - 10min);
-    host::note_word(directory, {"a"}, "127.0.0.1:2", start - 30s);
-    host::note_word(directory, {"b"}, "127.0.0.1:3", start);
+    host::note_word(directory, {"long-gone"}, "127.0.0.1:1", {}, start - 10min);
+    host::note_word(directory, {"a"}, "127.0.0.1:2", {}, start - 30s);
+    host::note_word(directory, {"b"}, "127.0.0.1:3", {}, start);
     // Whatever time passes: nothing is heard any more.
     CHECK(host::count_alive(directory) == 2);
 }
@@ -160,12 +160,13 @@
     for (int number = 0; number < hosts; ++number)
         for (int other = 0; other < hosts; ++other)
             if (other != number)
-                host::note_hearsay(directories[number], name(other), address(other), start);
+                host::note_hearsay(directories[number], name(other),
+                                   {.address = address(other), .zone = {}, .heard = start});
     const auto tell = [&](int speaker, int listener, base::time_point at) {
-        host::note_word(directories[listener], name(speaker), address(speaker), at);
+        host::note_word(directories[listener], name(speaker), address(speaker), {}, at);
         for (const auto& [other, known] : host::latest_heard(directories[speaker], named, at))
             if (other != name(listener))
-                host::note_hearsay(directories[listener], other, known.address, known.heard);
+                host::note_hearsay(directories[listener], other, known);
     };
     std::vector<int> speakers(hosts);
     std::iota(speakers.begin(), speakers.end(), 0);
