host: Let two hosts of a cell read the store and tell the others

Change: in cells of more than 16 hosts two read, with shorter waits, and tell the others by datagrams up to when the store had nothing newer, with the latest changes. Who hears nothing fresh for half of the bound reads for itself, the others of its cell a little later, so that most hear of it before they do. Ruled out: one reader (its freeze costs half of the bound each time); a lease on reading (a call each, and none to be had while the store is down); followers who read each new version (a call for each host and version): they wait up to a tenth of the bound for a host to hand it over. Test: a cell of up to 30 hosts, readers frozen, killed and turned away, notices lost, the store silent: each record known within its bound; fails with a patience of 1.0 instead of 0.5.

--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -78,7 +78,7 @@
             .figures = &this->figures},
       feed(outside.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
       datagrams(this->state), loads(this->state, this->datagrams),
-      store(this->state, *this->feed,
+      store(this->state, *this->feed, this->datagrams,
             {.on_new_settings =
                  [this] {
                      this->apply_caller_limits();
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -95,8 +95,12 @@
     decision::forget_gone(state.instances);
 }
 
+bool is_registry_in_trouble(const gateway_state& state) {
+    return condition_of(state) == decision::registry_condition::in_trouble;
+}
+
 void settle_registry(gateway_state& state) {
-    if (condition_of(state) == decision::registry_condition::in_trouble)
+    if (is_registry_in_trouble(state))
         return;
     for (const base::upstream_id& id : decision::settle_unlisted(state.instances))
         tell_listing(state, id, state.registry_next, "store");
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -67,11 +67,11 @@
     base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
-    bool knows_hosts = false; ///< The list of hosts has been read from the store.
-    host::load_share loads{}; ///< What the other hosts have in progress.
-    host::cell_plan cells{};  ///< How hosts and engines are divided.
-    std::function<bool()>
-        ask_further{}; ///< Asks other cells' hosts for room; says whether an answer is awaited.
+    bool knows_hosts = false;                ///< The list of hosts has been read from the store.
+    host::load_share loads{};                ///< What the other hosts have in progress.
+    host::cell_plan cells{};                 ///< How hosts and engines are divided.
+    std::vector<base::host_id> cell_hosts{}; ///< Of this host's cell, itself among them; empty before any.
+    std::function<bool()> ask_further{};     ///< Asks hosts of other cells for room, see `try_ask_further`.
     std::function<void()> on_own_load_changed{};                 ///< Tells the other hosts.
     std::set<const waiting_request*> waiting{};                  ///< Own requests that wait for a place.
     std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
@@ -110,6 +110,9 @@
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from);
 
+/// Whether reads of the registry failed lately: entries may have lapsed though their upstreams live.
+[[nodiscard]] bool is_registry_in_trouble(const gateway_state& state);
+
 /// After a read of the registry: once it has been sound for some time, what it lost in trouble has gone.
 void settle_registry(gateway_state& state);
 
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -114,6 +114,8 @@
     const settings::gateway_settings& process = *this->state->process;
     this->state->cells = host::plan_cells(this->state->peers, process.availability_zone, this->state->cells,
                                           this->state->clock->now());
+    this->state->cell_hosts = host::hosts_in(this->state->cells, this->state->peers, process.name,
+                                             process.availability_zone, this->state->clock->now());
     const host::cell own = host::cell_of_host(this->state->cells, process.name, process.availability_zone);
     for (auto& [id, known] : this->state->instances.by_id)
         known.is_far = known.entry.stage != settings::engine_stage::none &&
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -43,22 +43,45 @@
     }
 }
 
+namespace {
+
+json encode_change(const decision::registry_change& change) {
+    json row = {{"id", change.id.value}, {"offset", change.offset}, {"is_there", change.entry.has_value()}};
+    if (!change.entry)
+        return row;
+    const settings::upstream_entry& entry = *change.entry;
+    row.update({{"service", entry.service},
+                {"address", entry.address},
+                {"availability_zone", entry.availability_zone.value},
+                {"places", entry.places},
+                {"stage", static_cast<int>(entry.stage)},
+                {"is_leaving", entry.is_leaving},
+                {"sequence", entry.sequence}});
+    return row;
+}
+
+json encode_topic(const topic_notice& topic, base::time_point now) {
+    return {topic.next, std::chrono::duration_cast<std::chrono::milliseconds>(now - topic.until).count()};
+}
+
+topic_notice decode_topic(const json& value, base::time_point now) {
+    return {.next = value.at(0).get<std::uint64_t>(),
+            .until = now - std::chrono::milliseconds(value.at(1).get<std::uint32_t>())};
+}
+
+} // namespace
+
 json encode_registry(const decision::instance_table& table) {
     json rows = json::array();
     for (const auto& [id, known] : table.by_id) {
-        const settings::upstream_entry& entry = known.entry;
         const bool is_there =
             known.state == decision::listing::listed || known.state == decision::listing::leaving;
-        rows.push_back({{"id", id.value},
-                        {"offset", known.offset},
-                        {"is_there", is_there},
-                        {"service", entry.service},
-                        {"address", entry.address},
-                        {"availability_zone", entry.availability_zone.value},
-                        {"places", entry.places},
-                        {"stage", static_cast<int>(entry.stage)},
-                        {"is_leaving", known.state == decision::listing::leaving},
-                        {"sequence", entry.sequence}});
+        decision::registry_change change{id, std::nullopt, known.offset};
+        if (is_there) {
+            change.entry = known.entry;
+            change.entry->is_leaving = known.state == decision::listing::leaving;
+        }
+        rows.push_back(encode_change(change));
     }
     return rows;
 }
@@ -85,6 +108,37 @@
     return changes;
 }
 
+std::string encode_notice(const store_notice& notice, base::time_point now) {
+    json changes = json::array();
+    for (const decision::registry_change& change : notice.changes)
+        changes.push_back(encode_change(change));
+    const json value = {{"host", notice.host.value},
+                        {"settings_version", notice.settings_version},
+                        {"settings", encode_topic(notice.settings, now)},
+                        {"registry", encode_topic(notice.registry, now)},
+                        {"is_registry_in_trouble", notice.is_registry_in_trouble},
+                        {"changes_since", notice.changes_since},
+                        {"changes", std::move(changes)}};
+    std::string bytes;
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+std::optional<store_notice> decode_notice(std::string_view bytes, base::time_point now) {
+    try {
+        const json value = json::from_msgpack(bytes);
+        return store_notice{.host = {value.at("host").get<std::string>()},
+                            .settings_version = value.at("settings_version").get<std::uint64_t>(),
+                            .settings = decode_topic(value.at("settings"), now),
+                            .registry = decode_topic(value.at("registry"), now),
+                            .is_registry_in_trouble = value.at("is_registry_in_trouble").get<bool>(),
+                            .changes_since = value.at("changes_since").get<std::uint64_t>(),
+                            .changes = decode_registry(value.at("changes"))};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode_cell_loads(const std::vector<host::told_load>& loads) {
     json rows = json::array();
     for (const host::told_load& load : loads)
--- a/libraries/gateway/peer_codec.h
+++ b/libraries/gateway/peer_codec.h
@@ -44,6 +44,31 @@
 /// Nothing where it is malformed.
 [[nodiscard]] std::optional<std::vector<host::told_load>> decode_cell_loads(std::string_view bytes);
 
+/// What a reader of the store knows of one topic.
+struct topic_notice {
+    std::uint64_t next = 0;   ///< Offset after the newest record that it has read.
+    base::time_point until{}; ///< The store had no newer record up to then; told as an age.
+
+    bool operator==(const topic_notice&) const = default;
+};
+
+/// What a reader of the store tells the hosts that follow it.
+struct store_notice {
+    base::host_id host;
+    std::uint64_t settings_version = 0;
+    topic_notice settings;
+    topic_notice registry;
+    bool is_registry_in_trouble = false;            ///< Entries may lapse though their upstreams live.
+    std::uint64_t changes_since = 0;                ///< Offset from which the changes below are complete.
+    std::vector<decision::registry_change> changes; ///< The latest ones of the registry.
+
+    bool operator==(const store_notice&) const = default;
+};
+
+[[nodiscard]] std::string encode_notice(const store_notice& notice, base::time_point now);
+/// Nothing where it is malformed.
+[[nodiscard]] std::optional<store_notice> decode_notice(std::string_view bytes, base::time_point now);
+
 /// A load report as a datagram (MessagePack).
 [[nodiscard]] std::string encode_load(const host::load_report& report);
 
--- /dev/null
+++ b/libraries/gateway/store_notices.cpp
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/store_notices.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+/// Changes are told for so many intervals: a follower misses them only if all those notices are lost.
+constexpr int intervals_told = 3;
+
+std::uint64_t version_of(const gateway_state& state) {
+    return state.settings ? state.settings->document.value->version : 0;
+}
+
+} // namespace
+
+store_notices::store_notices(gateway_state& state, peer_datagrams& datagrams, topic_progress& settings,
+                             topic_progress& registry)
+    : state(&state), datagrams(&datagrams), settings(&settings), registry(&registry), timer(*state.context) {}
+
+void store_notices::start() {
+    if (!this->datagrams->is_open())
+        return;
+    this->datagrams->on(datagram_kind::store_notice,
+                        [this](std::string_view bytes) { return this->take(bytes); });
+    this->tell_regularly();
+}
+
+host::duty_facts store_notices::facts(std::chrono::milliseconds bound) const {
+    return {.bound = bound,
+            .cell = this->state->cell_hosts,
+            .own = this->state->process->name,
+            .now = this->state->clock->now()};
+}
+
+bool store_notices::has_followers() const {
+    return host::has_followers(this->facts(this->state->process->leaving_bound));
+}
+
+bool store_notices::must_read(topic_progress& topic, std::chrono::milliseconds bound) {
+    if (!topic.has_offset)
+        return true;
+    if (&topic == this->settings && this->told_version <= version_of(*this->state))
+        topic.duty.behind_since.reset();
+    const bool must = host::must_read(topic.duty, this->facts(bound));
+    if (must != this->is_reader && must)
+        this->state->figures->count("store_reading_begun_total");
+    this->is_reader = must;
+    return must;
+}
+
+void store_notices::did_read_changes(std::uint64_t since,
+                                     const std::vector<decision::registry_change>& changes) {
+    const base::time_point now = this->state->clock->now();
+    if (!changes.empty())
+        this->latest.push_back({now, since, changes});
+    while (!this->latest.empty() && now - this->latest.front().at > intervals_told * this->interval())
+        this->latest.pop_front();
+}
+
+store_notice store_notices::own_notice() {
+    this->did_read_changes(0, {});
+    store_notice notice = {.host = this->state->process->name,
+                           .settings_version = version_of(*this->state),
+                           .settings = {this->settings->next_offset, this->settings->known_until},
+                           .registry = {this->registry->next_offset, this->registry->known_until},
+                           .is_registry_in_trouble = is_registry_in_trouble(*this->state),
+                           .changes_since = this->latest.empty() ? this->registry->next_offset
+                                                                 : this->latest.front().since,
+                           .changes = {}};
+    for (const read_changes& read : this->latest)
+        notice.changes.insert(notice.changes.end(), read.changes.begin(), read.changes.end());
+    return notice;
+}
+
+void store_notices::tell() {
+    const base::time_point never{};
+    const bool has_read = this->settings->known_until != never && this->registry->known_until != never;
+    if (!has_read || !this->has_followers())
+        return;
+    const host::cell_plan& plan = this->state->cells;
+    const host::cell own =
+        host::cell_of_host(plan, this->state->process->name, this->state->process->availability_zone);
+    const base::time_point now = this->state->clock->now();
+    this->datagrams->send(datagram_kind::store_notice, encode_notice(this->own_notice(), now),
+                          host::addresses_in(plan, this->state->peers, {own}, now));
+}
+
+base::duration store_notices::interval() const {
+    const auto bound = std::min(this->state->process->settings_bound, this->state->process->leaving_bound);
+    return base::from_seconds(base::to_seconds(bound) * host::notice_part);
+}
+
+void store_notices::tell_regularly() {
+    this->timer.expires_after(this->interval());
+    this->timer.async_wait([this](const wire::error_code& error) {
+        if (error)
+            return;
+        if (this->is_reader)
+            this->tell();
+        this->tell_regularly();
+    });
+}
+
+bool store_notices::take(std::string_view bytes) {
+    const auto notice = decode_notice(bytes, this->state->clock->now());
+    if (!notice)
+        return false;
+    if (notice->host == this->state->process->name)
+        return true;
+    if (notice->is_registry_in_trouble)
+        this->state->registry_trouble = this->state->clock->now();
+    this->take_settings(*notice);
+    this->take_registry_changes(*notice);
+    return true;
+}
+
+void store_notices::take_settings(const store_notice& notice) {
+    this->told_version = std::max(this->told_version, notice.settings_version);
+    topic_progress& own = *this->settings;
+    if (notice.settings_version > version_of(*this->state)) {
+        if (!own.duty.behind_since)
+            own.duty.behind_since = this->state->clock->now();
+        return;
+    }
+    own.next_offset = std::max(own.next_offset, notice.settings.next);
+    host::note_told(own.duty, notice.host, notice.settings.until);
+}
+
+void store_notices::take_registry_changes(const store_notice& notice) {
+    topic_progress& own = *this->registry;
+    if (!own.has_offset)
+        return;
+    if (own.next_offset < notice.changes_since) {
+        if (!own.duty.behind_since)
+            own.duty.behind_since = this->state->clock->now();
+        return;
+    }
+    if (own.next_offset < notice.registry.next) {
+        take_registry(*this->state, notice.changes, "reader");
+        own.next_offset = notice.registry.next;
+        this->state->registry_next = own.next_offset;
+    }
+    own.duty.behind_since.reset();
+    host::note_told(own.duty, notice.host, notice.registry.until);
+    settle_registry(*this->state);
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/store_notices.h
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <gateway/gateway_state.h>
+#include <gateway/peer_codec.h>
+#include <gateway/peer_datagrams.h>
+#include <host/store_duty.h>
+
+#include <deque>
+#include <functional>
+
+namespace postpaddle::gateway {
+
+/// What this host has read of one topic of the store, and whether it reads or follows.
+struct topic_progress {
+    bool has_offset = false; ///< Whether it may be read from an offset; else all of it is read.
+    std::uint64_t next_offset = 0;
+    base::time_point known_until{}; ///< By own reads, the store had no newer record up to then.
+    host::store_duty duty;
+};
+
+/// Tells the hosts of the cell what this one has read of the store, and takes what readers tell.
+///
+/// With all of 295 hosts reading for themselves, calls to the store were the largest price of a day; with two
+/// readers a cell a host's calls no longer grow with the number of hosts.
+class store_notices {
+public:
+    store_notices(gateway_state& state, peer_datagrams& datagrams, topic_progress& settings,
+                  topic_progress& registry);
+
+    /// Starts hearing and, while this host reads, telling.
+    void start();
+    /// Whether this host reads the topic now; else it follows others.
+    [[nodiscard]] bool must_read(topic_progress& topic, std::chrono::milliseconds bound);
+    /// Whether hosts of the cell may follow this one.
+    [[nodiscard]] bool has_followers() const;
+    /// Changes of the registry were read, from `since` on.
+    void did_read_changes(std::uint64_t since, const std::vector<decision::registry_change>& changes);
+    /// The whole registry was read: what happened before is not known change by change.
+    void did_read_whole() { this->latest.clear(); }
+    /// Tells at once.
+    void tell();
+
+private:
+    /// Changes that were read together.
+    struct read_changes {
+        base::time_point at{};
+        std::uint64_t since = 0;
+        std::vector<decision::registry_change> changes;
+    };
+
+    bool take(std::string_view bytes);
+    void take_settings(const store_notice& notice);
+    void take_registry_changes(const store_notice& notice);
+    [[nodiscard]] store_notice own_notice();
+    [[nodiscard]] host::duty_facts facts(std::chrono::milliseconds bound) const;
+    [[nodiscard]] base::duration interval() const;
+    void tell_regularly();
+
+    gateway_state* state;
+    peer_datagrams* datagrams;
+    topic_progress* settings;
+    topic_progress* registry;
+    wire::asio::steady_timer timer;
+    std::deque<read_changes> latest; ///< Those that some follower may have missed.
+    std::uint64_t told_version = 0;  ///< Newest version of the settings that a reader told of.
+    bool is_reader = false;
+};
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -3,11 +3,29 @@
 
 namespace postpaddle::gateway {
 
-store_watch::store_watch(gateway_state& state, ports::control_feed& feed, callbacks hooks)
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A host that follows readers looks after this time whether it must read for itself.
+constexpr base::duration follow_look = 50ms;
+/// Part of the bound for which a host that nobody follows waits for a record.
+constexpr double lone_wait_part = 0.6;
+/// Parts of the bound that pass after changes were read before the next read, with and without followers:
+/// those wait for the end of that read to know that nothing else has changed.
+constexpr double reader_pause_part = 0.05;
+constexpr double lone_pause_part = 0.2;
+
+} // namespace
+
+store_watch::store_watch(gateway_state& state, ports::control_feed& feed, peer_datagrams& datagrams,
+                         callbacks hooks)
     : state(&state), feed(&feed), hooks(std::move(hooks)), settings(*state.context, "settings"),
-      registry(*state.context, "registry") {}
+      registry(*state.context, "registry"),
+      notices(state, datagrams, this->settings.progress, this->registry.progress) {}
 
 void store_watch::start() {
+    this->notices.start();
     wire::spawn_coroutine(*this->state->context,
                           [this](wire::yield_context yield) { this->watch_settings(yield); });
     wire::spawn_coroutine(*this->state->context,
@@ -29,27 +47,45 @@
 void store_watch::run_read(topic& read, read_function function, const host::store_read& order,
                            wire::yield_context yield) {
     const base::time_point began = this->state->clock->now();
-    const auto error = (this->*function)(order, yield);
-    if (!error) {
+    const auto result = (this->*function)(order, yield);
+    if (result) {
         this->state->figures->count("store_reads_total");
+        read.progress.duty.behind_since.reset();
+        const bool has_waited = this->state->clock->now() - began >= order.wait;
+        const bool is_old = *result == read_outcome::nothing_new && has_waited;
+        const base::time_point until = is_old ? began + order.wait : began;
+        read.progress.known_until = std::max(read.progress.known_until, until);
         if (host::did_answer(read.reader, order, began))
             this->state->log->write_always("dependency_regained",
                                            {{"dependency", std::string("store ") + read.name}});
+        this->notices.tell();
     } else {
         this->state->figures->count("store_failures_total");
-        if (error->failure == ports::feed_failure::history_lost)
-            read.has_offset = false;
-        const auto failure = error->failure == ports::feed_failure::unreachable
+        if (result.error().failure == ports::feed_failure::history_lost)
+            read.progress.has_offset = false;
+        const auto failure = result.error().failure == ports::feed_failure::unreachable
                                  ? host::read_failure::no_answer
                                  : host::read_failure::refusal;
         if (host::did_fail(read.reader, order, failure, began))
-            this->tell_lost(read, *error);
+            this->tell_lost(read, result.error());
         if (read.reader.is_lost)
             this->state->registry_trouble = this->state->clock->now();
     }
     read.wake.cancel();
 }
 
+void store_watch::read_or_follow(topic& read, std::chrono::milliseconds bound, read_function function,
+                                 wire::yield_context yield) {
+    read.reader.bound = bound;
+    read.reader.wait_part = this->notices.has_followers() ? host::reader_wait_part : lone_wait_part;
+    if (this->notices.must_read(read.progress, bound)) {
+        this->keep_reading(read, function, yield);
+        return;
+    }
+    read.reader.is_stale = true;
+    this->pause(follow_look, yield);
+}
+
 void store_watch::keep_reading(topic& read, read_function function, wire::yield_context yield) {
     if (const auto order = host::next_read(read.reader, this->state->clock->now()))
         wire::spawn_coroutine(*this->state->context,
@@ -61,57 +97,68 @@
     read.wake.async_wait(yield[ignored]);
 }
 
-std::optional<ports::feed_error> store_watch::read_settings(const host::store_read& order,
-                                                            wire::yield_context yield) {
-    topic& own = this->settings;
+store_watch::read_result store_watch::read_settings(const host::store_read& order,
+                                                    wire::yield_context yield) {
+    topic_progress& own = this->settings.progress;
     auto page = own.has_offset ? this->feed->settings_after(own.next_offset, order.wait, order.limit, yield)
                                : this->feed->newest_settings(order.limit, yield);
     if (!page)
-        return page.error();
+        return tl::make_unexpected(page.error());
+    const bool has_records = !own.has_offset || page->next > own.next_offset;
     own.next_offset = std::max(own.next_offset, page->next);
     own.has_offset = true;
     if (page->newest && put_in_force(*this->state, std::move(*page->newest), "store"))
         this->hooks.on_new_settings();
-    return std::nullopt;
+    return has_records ? read_outcome::records : read_outcome::nothing_new;
 }
 
 void store_watch::watch_settings(wire::yield_context yield) {
     while (true) {
-        this->settings.reader.bound = this->state->process->settings_bound;
-        this->keep_reading(this->settings, &store_watch::read_settings, yield);
+        this->read_or_follow(this->settings, this->state->process->settings_bound,
+                             &store_watch::read_settings, yield);
         if (this->settings.reader.is_lost)
             this->hooks.on_settings_lost();
     }
 }
 
-std::optional<ports::feed_error> store_watch::read_registry(const host::store_read& order,
-                                                            wire::yield_context yield) {
-    topic& own = this->registry;
+void store_watch::pause_after_changes(wire::yield_context yield) {
+    const double part = this->notices.has_followers() ? reader_pause_part : lone_pause_part;
+    const base::duration least =
+        base::from_seconds(part * base::to_seconds(this->state->process->leaving_bound));
+    this->pause(std::max<base::duration>(least, this->state->process->registry_interval), yield);
+}
+
+store_watch::read_result store_watch::read_registry(const host::store_read& order,
+                                                    wire::yield_context yield) {
+    topic_progress& own = this->registry.progress;
     const bool is_whole = !own.has_offset;
     auto page = !is_whole ? this->feed->registry_after(own.next_offset, order.wait, order.limit, yield)
                           : this->feed->newest_registry(order.limit, yield);
     if (!page)
-        return page.error();
-    if (is_whole)
+        return tl::make_unexpected(page.error());
+    const bool has_records = is_whole || page->next > own.next_offset;
+    if (is_whole) {
         take_registry_snapshot(*this->state, *page);
-    else
+        this->notices.did_read_whole();
+    } else {
         take_registry(*this->state, page->changes, "store");
+        this->notices.did_read_changes(own.next_offset, page->changes);
+    }
     own.next_offset = std::max(own.next_offset, page->next);
     own.has_offset = true;
     this->state->registry_next = own.next_offset;
-    // Records that come together are read together.
-    static constexpr int pause_part = 5;
-    const std::chrono::milliseconds least = this->state->process->leaving_bound / pause_part;
+    if (has_records)
+        this->notices.tell();
     if (order.wait > std::chrono::milliseconds::zero())
-        this->pause(std::max(least, this->state->process->registry_interval), yield);
+        this->pause_after_changes(yield);
     settle_registry(*this->state);
-    return std::nullopt;
+    return has_records ? read_outcome::records : read_outcome::nothing_new;
 }
 
 void store_watch::watch_registry(wire::yield_context yield) {
     while (true) {
-        this->registry.reader.bound = this->state->process->leaving_bound;
-        this->keep_reading(this->registry, &store_watch::read_registry, yield);
+        this->read_or_follow(this->registry, this->state->process->leaving_bound, &store_watch::read_registry,
+                             yield);
         if (this->registry.reader.is_lost)
             this->hooks.on_registry_lost(yield);
         bound_idle_connections(*this->state);
--- a/libraries/gateway/store_watch.h
+++ b/libraries/gateway/store_watch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <gateway/gateway_state.h>
+#include <gateway/store_notices.h>
 #include <host/store_reader.h>
 
 #include <functional>
@@ -10,7 +11,8 @@
 namespace postpaddle::gateway {
 
 /// Keeps this host's beliefs in step with the platform's store: settings and the registry of upstreams, each
-/// by reads that wait for a record while the store answers and by short ones while it does not.
+/// by reads that wait for a record while the store answers and by short ones while it does not, or, in a
+/// large cell, by what its readers tell.
 class store_watch {
 public:
     struct callbacks {
@@ -22,7 +24,7 @@
         std::function<void(wire::yield_context)> on_registry_lost;
     };
 
-    store_watch(gateway_state& state, ports::control_feed& feed, callbacks hooks);
+    store_watch(gateway_state& state, ports::control_feed& feed, peer_datagrams& datagrams, callbacks hooks);
 
     /// Starts the coroutines; they run for as long as the process does.
     void start();
@@ -35,22 +37,29 @@
         const char* name;
         host::store_reader reader;
         wire::asio::steady_timer wake; ///< Cancelled when a read ends.
-        bool has_offset = false;       ///< Whether it may be read from an offset; else all of it is read.
-        std::uint64_t next_offset = 0;
+        topic_progress progress;
     };
-    using read_function = std::optional<ports::feed_error> (store_watch::*)(const host::store_read&,
-                                                                            wire::yield_context);
+    /// What a read brought.
+    enum class read_outcome {
+        records,
+        nothing_new,
+    };
+    using read_result = ports::feed_result<read_outcome>;
+    using read_function = read_result (store_watch::*)(const host::store_read&, wire::yield_context);
 
     void watch_settings(wire::yield_context yield);
     void watch_registry(wire::yield_context yield);
+    /// Reads the topic while that is this host's duty, and looks now and then while it is not.
+    void read_or_follow(topic& read, std::chrono::milliseconds bound, read_function function,
+                        wire::yield_context yield);
     /// Begins the reads that are due and waits until one ends or the next is due.
     void keep_reading(topic& read, read_function function, wire::yield_context yield);
     void run_read(topic& read, read_function function, const host::store_read& order,
                   wire::yield_context yield);
-    [[nodiscard]] std::optional<ports::feed_error> read_settings(const host::store_read& order,
-                                                                 wire::yield_context yield);
-    [[nodiscard]] std::optional<ports::feed_error> read_registry(const host::store_read& order,
-                                                                 wire::yield_context yield);
+    [[nodiscard]] read_result read_settings(const host::store_read& order, wire::yield_context yield);
+    [[nodiscard]] read_result read_registry(const host::store_read& order, wire::yield_context yield);
+    /// Waits after a read that brought changes: records that come together are read together.
+    void pause_after_changes(wire::yield_context yield);
     void tell_lost(const topic& read, const ports::feed_error& error);
     void pause(base::duration length, wire::yield_context yield);
 
@@ -59,6 +68,7 @@
     callbacks hooks;
     topic settings;
     topic registry;
+    store_notices notices;
 };
 
 } // namespace postpaddle::gateway
--- a/libraries/host/cell.cpp
+++ b/libraries/host/cell.cpp
@@ -74,6 +74,17 @@
     return addresses;
 }
 
+std::vector<base::host_id> hosts_in(const cell_plan& plan, const peer_directory& directory,
+                                    const base::host_id& own, const base::zone_id& own_zone,
+                                    base::time_point now) {
+    std::vector<base::host_id> hosts = {own};
+    const cell its = cell_of_host(plan, own, own_zone);
+    for (const auto& [name, known] : directory.by_name)
+        if (may_be_alive(known, now) && cell_of_host(plan, name, known.zone) == its)
+            hosts.push_back(name);
+    return hosts;
+}
+
 std::vector<std::string> draw_from_others(const cell_plan& plan, const peer_directory& directory,
                                           const cell& own, std::size_t count, base::time_point now,
                                           std::mt19937_64& random) {
--- a/libraries/host/cell.h
+++ b/libraries/host/cell.h
@@ -49,6 +49,11 @@
 [[nodiscard]] cell cell_of_engine(const cell_plan& plan, const base::upstream_id& engine,
                                   const base::zone_id& zone);
 
+/// The hosts of a host's cell that may be alive, itself among them.
+[[nodiscard]] std::vector<base::host_id> hosts_in(const cell_plan& plan, const peer_directory& directory,
+                                                  const base::host_id& own, const base::zone_id& own_zone,
+                                                  base::time_point now);
+
 /// Addresses of one host each, drawn at random, of up to `count` other cells drawn at random.
 [[nodiscard]] std::vector<std::string> draw_from_others(const cell_plan& plan,
                                                         const peer_directory& directory, const cell& own,
--- a/libraries/host/store_duty.cpp
+++ b/libraries/host/store_duty.cpp
@@ -53,7 +53,10 @@
     const auto may_relieve = [&](const auto& told) {
         return is_fresh(told) && (!duty.is_standing_in || rank_of(told.first, facts.cell) < rank);
     };
-    duty.is_standing_in = duty.is_behind || std::ranges::none_of(duty.known_until, may_relieve);
+    // Other hosts may hand over what is missing before this one's turn has come.
+    const bool is_behind =
+        duty.behind_since && facts.now - *duty.behind_since >= part_of(facts.bound, spread_part * turn);
+    duty.is_standing_in = is_behind || std::ranges::none_of(duty.known_until, may_relieve);
     std::erase_if(duty.known_until, [&](const auto& told) { return facts.now - told.second > facts.bound; });
     return duty.is_standing_in;
 }
--- a/libraries/host/store_duty.h
+++ b/libraries/host/store_duty.h
@@ -18,9 +18,9 @@
 /// that leaves time for a read of its own. Few calls is all that is lost when views differ.
 struct store_duty {
     std::map<base::host_id, base::time_point>
-        known_until;             ///< By reader: what it told is complete up to then.
-    bool is_behind = false;      ///< A reader told of a record that this host has not seen.
-    bool is_standing_in = false; ///< Reads although others are the cell's readers.
+        known_until;                              ///< By reader: what it told is complete up to then.
+    std::optional<base::time_point> behind_since; ///< A reader told of a record that this host has not seen.
+    bool is_standing_in = false;                  ///< Reads although others are the cell's readers.
 
     bool operator==(const store_duty&) const = default;
 };
--- a/libraries/host/store_reader.cpp
+++ b/libraries/host/store_reader.cpp
@@ -10,10 +10,6 @@
 
 using std::chrono::milliseconds;
 
-/// A read waits for at most 3/5 of the bound. The rest is left to notice that it has no answer, for the read
-/// that follows, and for other hosts' word.
-constexpr int waiting_parts = 3;
-constexpr int bound_parts = 5;
 /// Probes that are open at once, at most: as many as begin within the longest patience, so that none is held
 /// up by those that will not be answered.
 constexpr int most_probes = 12;
@@ -31,8 +27,13 @@
     if (!reader.is_lost) {
         if (reader.is_waiting)
             return std::nullopt;
+        if (std::exchange(reader.is_stale, false)) {
+            ++reader.probes_open;
+            return store_read{milliseconds::zero(), reader.patience.limit};
+        }
         reader.is_waiting = true;
-        return store_read{reader.bound * waiting_parts / bound_parts, reader.patience.limit};
+        const auto wait = std::chrono::duration_cast<milliseconds>(reader.bound * reader.wait_part);
+        return store_read{wait, reader.patience.limit};
     }
     if (now < reader.next_probe || reader.probes_open >= most_probes)
         return std::nullopt;
--- a/libraries/host/store_reader.h
+++ b/libraries/host/store_reader.h
@@ -25,6 +25,10 @@
 /// were answered, so that one of them begins soon after the store's return.
 struct store_reader {
     std::chrono::milliseconds bound{2'000}; ///< A record must be known within this time.
+    /// Part of the bound for which a read waits. The rest is left to notice that it has no answer, for the
+    /// read that follows, and for other hosts' word.
+    double wait_part = 0.6;
+    bool is_stale = false; ///< Nothing was read for a while: the next read waits for nothing.
     answer_patience patience{.shortest = std::chrono::milliseconds(400)};
     bool is_lost = false; ///< The last read that ended had no answer.
     bool is_waiting = false;
