tests: Show a large cell whose readers of the store die

Eighteen real hosts before the platform's stand-in: two read, all know a version and a leaving upstream, also when both readers are killed. Hosts tell in state, metrics and log whether they read or follow.

--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -82,6 +82,7 @@
     decision_log* log = nullptr;
     gateway_figures* figures = nullptr;
     std::deque<ended_request> ended{}; ///< Oldest first; bounded.
+    bool reads_store = true;           ///< Else it follows what readers of its cell tell.
     bool is_draining = false;
     int requests_in_progress = 0;
 
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -52,6 +52,8 @@
             {"settings_version", state.settings ? state.settings->document.value->version : 0},
             {"routes", state.settings ? state.settings->document.value->routes.size() : 0},
             {"registry_next", state.registry_next},
+            {"reads_store", state.reads_store},
+            {"cell_hosts", state.cell_hosts.size()},
             {"requests_in_progress", state.requests_in_progress},
             {"hosts_alive", hosts_alive(state)},
             {"has_host_list", state.knows_hosts},
--- a/libraries/gateway/store_notices.cpp
+++ b/libraries/gateway/store_notices.cpp
@@ -37,15 +37,23 @@
     return host::has_followers(this->facts(this->state->process->leaving_bound));
 }
 
+void store_notices::tell_duty(bool reads_store) {
+    if (std::exchange(this->state->reads_store, reads_store) == reads_store)
+        return;
+    this->state->figures->set("reads_store", reads_store ? 1 : 0);
+    this->state->log->write("store_duty",
+                            {{"reads_store", reads_store}, {"cell_hosts", this->state->cell_hosts.size()}});
+}
+
 bool store_notices::must_read(topic_progress& topic, std::chrono::milliseconds bound) {
     if (!topic.has_offset)
         return true;
     if (&topic == this->settings && this->told_version <= version_of(*this->state))
         topic.duty.behind_since.reset();
     const bool must = host::must_read(topic.duty, this->facts(bound));
-    if (must != this->is_reader && must)
-        this->state->figures->count("store_reading_begun_total");
-    this->is_reader = must;
+    const bool is_other_read = &topic == this->settings ? this->registry->is_read : this->settings->is_read;
+    topic.is_read = must;
+    this->tell_duty(must || is_other_read);
     return must;
 }
 
@@ -96,7 +104,7 @@
     this->timer.async_wait([this](const wire::error_code& error) {
         if (error)
             return;
-        if (this->is_reader)
+        if (this->state->reads_store)
             this->tell();
         this->tell_regularly();
     });
--- a/libraries/gateway/store_notices.h
+++ b/libraries/gateway/store_notices.h
@@ -17,6 +17,7 @@
     std::uint64_t next_offset = 0;
     base::time_point known_until{}; ///< By own reads, the store had no newer record up to then.
     host::store_duty duty;
+    bool is_read = true; ///< By this host; else it follows.
 };
 
 /// Tells the hosts of the cell what this one has read of the store, and takes what readers tell.
@@ -49,6 +50,7 @@
         std::vector<decision::registry_change> changes;
     };
 
+    void tell_duty(bool reads_store);
     bool take(std::string_view bytes);
     void take_settings(const store_notice& notice);
     void take_registry_changes(const store_notice& notice);
@@ -64,7 +66,6 @@
     wire::asio::steady_timer timer;
     std::deque<read_changes> latest; ///< Those that some follower may have missed.
     std::uint64_t told_version = 0;  ///< Newest version of the settings that a reader told of.
-    bool is_reader = false;
 };
 
 } // namespace postpaddle::gateway
--- a/tests/gateway/test_beliefs.cpp
+++ b/tests/gateway/test_beliefs.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 using namespace postpaddle;
@@ -165,3 +166,41 @@
         return cluster.state_of(2).at("instances").at("one").at("is_out_of_service_elsewhere").get<bool>();
     }));
 }
+
+TEST_CASE("in a large cell two hosts read the store, and all know what it holds, also after both have died") {
+    static constexpr int hosts = 18;
+    test::gateway_cluster cluster(
+        {.name = "large-cell", .servers = {{.id = "one"}, {.id = "two"}}, .hosts = hosts});
+    const auto readers = [&] {
+        std::vector<int> found;
+        for (int host = 1; host <= hosts; ++host) {
+            const auto state = cluster.state_of(host);
+            if (state.is_object() && state.at("reads_store").get<bool>())
+                found.push_back(host);
+        }
+        return found;
+    };
+    REQUIRE(test::eventually([&] { return readers().size() == 2; }));
+    const std::vector<int> first_readers = readers();
+    REQUIRE(first_readers.size() == 2);
+
+    cluster.publish(2, true);
+    cluster.list("one", "draining", 2);
+    for (int host = 1; host <= hosts; ++host) {
+        CHECK(test::eventually([&] { return version_at(cluster, host) == 2; }));
+        CHECK(test::eventually([&] { return listing_at(cluster, host, "one") == "leaving"; }));
+    }
+
+    for (const int reader : first_readers) {
+        cluster.host(reader).send_signal(SIGKILL);
+        (void)cluster.host(reader).wait();
+    }
+    cluster.publish(3, false);
+    cluster.list("two", "draining", 2);
+    for (int host = 1; host <= hosts; ++host) {
+        if (std::ranges::find(first_readers, host) != first_readers.end())
+            continue;
+        CHECK(test::eventually([&] { return version_at(cluster, host) == 3; }));
+        CHECK(test::eventually([&] { return listing_at(cluster, host, "two") == "leaving"; }));
+    }
+}
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -93,7 +93,9 @@
     std::filesystem::create_directories(this->folder);
     this->store_process = std::make_unique<child_process>(
         std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_store",
-        std::vector<std::string>{"--network=" + this->network}, this->folder + "/store.log");
+        std::vector<std::string>{"--network=" + this->network,
+                                 "--hosts=" + std::to_string(std::max(4, this->options.hosts))},
+        this->folder + "/store.log");
     this->store_port = std::to_string(this->store_process->read_json().at("port").get<int>());
     for (const server_plan& plan : this->options.servers) {
         auto process = std::make_unique<child_process>(
