host: Count own reads as knowledge, and tell what is new alone

Cause: at the start every host took itself for a reader, as none had been heard, and told all changes of the last 1.5 s after each read, 250 bytes each: 0.605 GB between zones in 28 s, most of it before traffic began. Change: a follower's own read keeps it fresh as a reader's word does; changes go out once at once and in two regular notices, at most 64 in one, as bare rows. Ruled out: a relay of notices from host to host, as a stale one could not be told from a fresh one.

--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -45,21 +45,38 @@
 
 namespace {
 
+/// A row of fields without names: many go to many hosts when upstreams are replaced.
 json encode_change(const decision::registry_change& change) {
-    json row = {{"id", change.id.value}, {"offset", change.offset}, {"is_there", change.entry.has_value()}};
+    json row = {change.id.value, change.offset};
     if (!change.entry)
         return row;
     const settings::upstream_entry& entry = *change.entry;
-    row.update({{"service", entry.service},
-                {"address", entry.address},
-                {"availability_zone", entry.availability_zone.value},
-                {"places", entry.places},
-                {"stage", static_cast<int>(entry.stage)},
-                {"is_leaving", entry.is_leaving},
-                {"sequence", entry.sequence}});
+    for (json field : std::initializer_list<json>{entry.service, entry.address, entry.availability_zone.value,
+                                                  entry.places, static_cast<int>(entry.stage),
+                                                  entry.is_leaving, entry.sequence})
+        row.push_back(std::move(field));
     return row;
 }
 
+decision::registry_change decode_change(const json& row) {
+    static constexpr std::size_t fields_without_entry = 2;
+    decision::registry_change change{
+        {row.at(0).get<std::string>()}, std::nullopt, row.at(1).get<std::uint64_t>()};
+    if (row.size() == fields_without_entry)
+        return change;
+    settings::upstream_entry entry;
+    entry.id = change.id;
+    entry.service = row.at(2).get<std::string>();
+    entry.address = row.at(3).get<std::string>();
+    entry.availability_zone.value = row.at(4).get<std::string>();
+    entry.places = row.at(5).get<int>();
+    entry.stage = static_cast<settings::engine_stage>(row.at(6).get<int>());
+    entry.is_leaving = row.at(7).get<bool>();
+    entry.sequence = row.at(8).get<std::uint64_t>();
+    change.entry = std::move(entry);
+    return change;
+}
+
 json encode_topic(const topic_notice& topic, base::time_point now) {
     return {topic.next, std::chrono::duration_cast<std::chrono::milliseconds>(now - topic.until).count()};
 }
@@ -88,23 +105,8 @@
 
 std::vector<decision::registry_change> decode_registry(const json& value) {
     std::vector<decision::registry_change> changes;
-    for (const json& row : value) {
-        decision::registry_change change{
-            {row.at("id").get<std::string>()}, std::nullopt, row.at("offset").get<std::uint64_t>()};
-        if (row.at("is_there").get<bool>()) {
-            settings::upstream_entry entry;
-            entry.id = change.id;
-            entry.service = row.at("service").get<std::string>();
-            entry.address = row.at("address").get<std::string>();
-            entry.availability_zone.value = row.at("availability_zone").get<std::string>();
-            entry.places = row.at("places").get<int>();
-            entry.stage = static_cast<settings::engine_stage>(row.at("stage").get<int>());
-            entry.is_leaving = row.at("is_leaving").get<bool>();
-            entry.sequence = row.at("sequence").get<std::uint64_t>();
-            change.entry = std::move(entry);
-        }
-        changes.push_back(std::move(change));
-    }
+    for (const json& row : value)
+        changes.push_back(decode_change(row));
     return changes;
 }
 
--- a/libraries/gateway/store_notices.cpp
+++ b/libraries/gateway/store_notices.cpp
@@ -5,8 +5,11 @@
 
 namespace {
 
-/// Changes are told for so many intervals: a follower misses them only if all those notices are lost.
-constexpr int intervals_told = 3;
+/// Changes are told at once and again for so many intervals: a follower misses them only if all of these
+/// notices are lost.
+constexpr int intervals_told = 2;
+/// Changes in one notice, at most: some 5 KB, so that a release of many upstreams does not fill the links.
+constexpr std::size_t most_changes_told = 64;
 
 std::uint64_t version_of(const gateway_state& state) {
     return state.settings ? state.settings->document.value->version : 0;
@@ -59,41 +62,53 @@
 
 void store_notices::did_read_changes(std::uint64_t since,
                                      const std::vector<decision::registry_change>& changes) {
-    const base::time_point now = this->state->clock->now();
-    if (!changes.empty())
-        this->latest.push_back({now, since, changes});
-    while (!this->latest.empty() && now - this->latest.front().at > intervals_told * this->interval())
+    this->forget_told();
+    this->latest.push_back({this->state->clock->now(), since, changes});
+    this->tell(this->latest.back());
+}
+
+void store_notices::forget_told() {
+    const base::time_point oldest = this->state->clock->now() - intervals_told * this->interval();
+    while (!this->latest.empty() && this->latest.front().at < oldest)
         this->latest.pop_front();
 }
 
-store_notice store_notices::own_notice() {
-    this->did_read_changes(0, {});
-    store_notice notice = {.host = this->state->process->name,
-                           .settings_version = version_of(*this->state),
-                           .settings = {this->settings->next_offset, this->settings->known_until},
-                           .registry = {this->registry->next_offset, this->registry->known_until},
-                           .is_registry_in_trouble = is_registry_in_trouble(*this->state),
-                           .changes_since = this->latest.empty() ? this->registry->next_offset
-                                                                 : this->latest.front().since,
-                           .changes = {}};
-    for (const read_changes& read : this->latest)
-        notice.changes.insert(notice.changes.end(), read.changes.begin(), read.changes.end());
-    return notice;
+store_notices::read_changes store_notices::changes_to_repeat() {
+    this->forget_told();
+    read_changes repeated{.at = {}, .since = this->registry->next_offset, .changes = {}};
+    for (auto read = this->latest.rbegin(); read != this->latest.rend(); ++read) {
+        if (repeated.changes.size() + read->changes.size() > most_changes_told)
+            break;
+        repeated.since = read->since;
+        repeated.changes.insert(repeated.changes.begin(), read->changes.begin(), read->changes.end());
+    }
+    return repeated;
 }
 
-void store_notices::tell() {
+void store_notices::tell(const read_changes& told) {
     const base::time_point never{};
     const bool has_read = this->settings->known_until != never && this->registry->known_until != never;
     if (!has_read || !this->has_followers())
         return;
+    const base::time_point now = this->state->clock->now();
+    const store_notice notice = {.host = this->state->process->name,
+                                 .settings_version = version_of(*this->state),
+                                 .settings = {this->settings->next_offset, this->settings->known_until},
+                                 .registry = {this->registry->next_offset, this->registry->known_until},
+                                 .is_registry_in_trouble = is_registry_in_trouble(*this->state),
+                                 .changes_since = told.since,
+                                 .changes = told.changes};
     const host::cell_plan& plan = this->state->cells;
     const host::cell own =
         host::cell_of_host(plan, this->state->process->name, this->state->process->availability_zone);
-    const base::time_point now = this->state->clock->now();
-    this->datagrams->send(datagram_kind::store_notice, encode_notice(this->own_notice(), now),
+    this->datagrams->send(datagram_kind::store_notice, encode_notice(notice, now),
                           host::addresses_in(plan, this->state->peers, {own}, now));
 }
 
+void store_notices::did_read() {
+    this->tell({.at = {}, .since = this->registry->next_offset, .changes = {}});
+}
+
 base::duration store_notices::interval() const {
     const auto bound = std::min(this->state->process->settings_bound, this->state->process->leaving_bound);
     return base::from_seconds(base::to_seconds(bound) * host::notice_part);
@@ -105,7 +120,7 @@
         if (error)
             return;
         if (this->state->reads_store)
-            this->tell();
+            this->tell(this->changes_to_repeat());
         this->tell_regularly();
     });
 }
@@ -132,7 +147,7 @@
         return;
     }
     own.next_offset = std::max(own.next_offset, notice.settings.next);
-    host::note_told(own.duty, notice.host, notice.settings.until);
+    host::note_known(own.duty, notice.settings.until);
 }
 
 void store_notices::take_registry_changes(const store_notice& notice) {
@@ -150,7 +165,7 @@
         this->state->registry_next = own.next_offset;
     }
     own.duty.behind_since.reset();
-    host::note_told(own.duty, notice.host, notice.registry.until);
+    host::note_known(own.duty, notice.registry.until);
     settle_registry(*this->state);
 }
 
--- a/libraries/gateway/store_notices.h
+++ b/libraries/gateway/store_notices.h
@@ -35,12 +35,12 @@
     [[nodiscard]] bool must_read(topic_progress& topic, std::chrono::milliseconds bound);
     /// Whether hosts of the cell may follow this one.
     [[nodiscard]] bool has_followers() const;
-    /// Changes of the registry were read, from `since` on.
+    /// A read has ended well: tells up to when the store is known now.
+    void did_read();
+    /// Changes of the registry were read, from `since` on: tells them.
     void did_read_changes(std::uint64_t since, const std::vector<decision::registry_change>& changes);
     /// The whole registry was read: what happened before is not known change by change.
     void did_read_whole() { this->latest.clear(); }
-    /// Tells at once.
-    void tell();
 
 private:
     /// Changes that were read together.
@@ -54,7 +54,11 @@
     bool take(std::string_view bytes);
     void take_settings(const store_notice& notice);
     void take_registry_changes(const store_notice& notice);
-    [[nodiscard]] store_notice own_notice();
+    void tell(const read_changes& told);
+    /// Lets go of changes that were told often enough.
+    void forget_told();
+    /// The latest changes, as many as a notice bears.
+    [[nodiscard]] read_changes changes_to_repeat();
     [[nodiscard]] host::duty_facts facts(std::chrono::milliseconds bound) const;
     [[nodiscard]] base::duration interval() const;
     void tell_regularly();
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -55,10 +55,11 @@
         const bool is_old = *result == read_outcome::nothing_new && has_waited;
         const base::time_point until = is_old ? began + order.wait : began;
         read.progress.known_until = std::max(read.progress.known_until, until);
+        host::note_known(read.progress.duty, until);
         if (host::did_answer(read.reader, order, began))
             this->state->log->write_always("dependency_regained",
                                            {{"dependency", std::string("store ") + read.name}});
-        this->notices.tell();
+        this->notices.did_read();
     } else {
         this->state->figures->count("store_failures_total");
         if (result.error().failure == ports::feed_failure::history_lost)
@@ -142,13 +143,12 @@
         this->notices.did_read_whole();
     } else {
         take_registry(*this->state, page->changes, "store");
-        this->notices.did_read_changes(own.next_offset, page->changes);
     }
-    own.next_offset = std::max(own.next_offset, page->next);
+    const std::uint64_t since = std::exchange(own.next_offset, std::max(own.next_offset, page->next));
     own.has_offset = true;
     this->state->registry_next = own.next_offset;
-    if (has_records)
-        this->notices.tell();
+    if (has_records && !is_whole)
+        this->notices.did_read_changes(since, page->changes);
     if (order.wait > std::chrono::milliseconds::zero())
         this->pause_after_changes(yield);
     settle_registry(*this->state);
--- a/libraries/host/store_duty.cpp
+++ b/libraries/host/store_duty.cpp
@@ -29,36 +29,21 @@
 
 } // namespace
 
-void note_told(store_duty& duty, const base::host_id& reader, base::time_point until) {
-    base::time_point& known = duty.known_until[reader];
-    known = std::max(known, until);
+void note_known(store_duty& duty, base::time_point until) {
+    duty.known_until = std::max(duty.known_until, until);
 }
 
 bool has_followers(const duty_facts& facts) { return facts.cell.size() > least_hosts_to_follow; }
 
-bool must_read(store_duty& duty, const duty_facts& facts) {
+bool must_read(const store_duty& duty, const duty_facts& facts) {
     const std::size_t rank = rank_of(facts.own, facts.cell);
-    if (!has_followers(facts) || rank < readers_a_cell) {
-        duty.is_standing_in = false;
+    if (!has_followers(facts) || rank < readers_a_cell)
+        return true;
+    const double turn = spread_part * static_cast<double>(rank) / static_cast<double>(facts.cell.size());
+    if (facts.now - duty.known_until >= part_of(facts.bound, patience_part + turn))
         return true;
-    }
-    const base::duration patience = part_of(facts.bound, patience_part);
-    const double turn = static_cast<double>(rank) / static_cast<double>(facts.cell.size());
-    const auto is_fresh = [&](const auto& told) {
-        const base::duration own_turn =
-            duty.is_standing_in ? base::duration{} : part_of(facts.bound, spread_part * turn);
-        return facts.now - told.second < patience + own_turn;
-    };
-    // One that stands in goes on until it hears from a host that goes before it.
-    const auto may_relieve = [&](const auto& told) {
-        return is_fresh(told) && (!duty.is_standing_in || rank_of(told.first, facts.cell) < rank);
-    };
     // Other hosts may hand over what is missing before this one's turn has come.
-    const bool is_behind =
-        duty.behind_since && facts.now - *duty.behind_since >= part_of(facts.bound, spread_part * turn);
-    duty.is_standing_in = is_behind || std::ranges::none_of(duty.known_until, may_relieve);
-    std::erase_if(duty.known_until, [&](const auto& told) { return facts.now - told.second > facts.bound; });
-    return duty.is_standing_in;
+    return duty.behind_since && facts.now - *duty.behind_since >= part_of(facts.bound, turn);
 }
 
 } // namespace postpaddle::host
--- a/libraries/host/store_duty.h
+++ b/libraries/host/store_duty.h
@@ -5,7 +5,6 @@
 #include <base/identifier.h>
 
 #include <chrono>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -13,14 +12,12 @@
 
 /// Decides which hosts of a cell read a topic of the store; the others follow what readers tell them.
 ///
-/// Safe by time alone: what counts is up to when the store is known to have had no newer record, and a host
-/// that hears nothing fresh reads for itself, whatever became of the readers, within a part of the bound
-/// that leaves time for a read of its own. Few calls is all that is lost when views differ.
+/// Safe by time alone: what counts is up to when the store is known to have had no newer record, by own reads
+/// or by readers' word. A host whose knowledge is older than a part of the bound reads for itself, whatever
+/// became of the readers, and tells the others. Few calls is all that is lost when views differ.
 struct store_duty {
-    std::map<base::host_id, base::time_point>
-        known_until;                              ///< By reader: what it told is complete up to then.
+    base::time_point known_until{}; ///< The store had no record up to then that is not known here.
     std::optional<base::time_point> behind_since; ///< A reader told of a record that this host has not seen.
-    bool is_standing_in = false;                  ///< Reads although others are the cell's readers.
 
     bool operator==(const store_duty&) const = default;
 };
@@ -38,11 +35,11 @@
 /// Hosts of a cell that read, each for itself: when one freezes, the other's word goes on.
 inline constexpr std::size_t readers_a_cell = 2;
 
-/// Takes a reader's word. `until` is never moved back.
-void note_told(store_duty& duty, const base::host_id& reader, base::time_point until);
+/// Takes an own read, or a reader's word. `until` is never moved back.
+void note_known(store_duty& duty, base::time_point until);
 
 /// Whether this host reads the topic now.
-[[nodiscard]] bool must_read(store_duty& duty, const duty_facts& facts);
+[[nodiscard]] bool must_read(const store_duty& duty, const duty_facts& facts);
 
 /// Whether the cell's hosts follow readers at all.
 [[nodiscard]] bool has_followers(const duty_facts& facts);
