--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -93,6 +93,11 @@
         if (decision::apply_change(state.instances, change, condition))
             tell_listing(state, change.id, change.offset, heard_from);
     decision::forget_gone(state.instances);
+    host::mark_far_engines(state.instances, state.cells, own_cell(state));
+}
+
+host::cell own_cell(const gateway_state& state) {
+    return host::cell_of_host(state.cells, state.process->name, state.process->availability_zone);
 }
 
 bool is_registry_in_trouble(const gateway_state& state) {
@@ -109,6 +114,7 @@
 void take_registry_snapshot(gateway_state& state, const ports::registry_page& page) {
     const auto changed =
         decision::apply_snapshot(state.instances, page.changes, page.next, condition_of(state));
+    host::mark_far_engines(state.instances, state.cells, own_cell(state));
     // The first read names every upstream: one line says how many.
     if (state.has_registry)
         for (const base::upstream_id& id : changed)
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -112,6 +112,9 @@
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from);
 
+/// The cell of this host.
+[[nodiscard]] host::cell own_cell(const gateway_state& state);
+
 /// Whether reads of the registry failed lately: entries may have lapsed though their upstreams live.
 [[nodiscard]] bool is_registry_in_trouble(const gateway_state& state);
 
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -91,8 +91,7 @@
 
 std::vector<std::string> load_exchange::hosts_to_tell() {
     const host::cell_plan& plan = this->state->cells;
-    const base::host_id& own = this->state->process->name;
-    std::set<host::cell> cells = {host::cell_of_host(plan, own, this->state->process->availability_zone)};
+    std::set<host::cell> cells = {own_cell(*this->state)};
     for (const auto& [id, known] : this->state->instances.by_id)
         if (known.is_far && known.own.requests > 0)
             cells.insert(host::cell_of_engine(plan, id, known.entry.availability_zone));
@@ -118,10 +117,7 @@
     if (this->state->knows_hosts)
         this->state->cell_hosts = host::hosts_in(this->state->cells, this->state->peers, process.name,
                                                  process.availability_zone, this->state->clock->now());
-    const host::cell own = host::cell_of_host(this->state->cells, process.name, process.availability_zone);
-    for (auto& [id, known] : this->state->instances.by_id)
-        known.is_far = known.entry.stage != settings::engine_stage::none &&
-                       host::cell_of_engine(this->state->cells, id, known.entry.availability_zone) != own;
+    host::mark_far_engines(this->state->instances, this->state->cells, own_cell(*this->state));
 }
 
 bool load_exchange::try_ask_further() {
@@ -132,10 +128,8 @@
         return false;
     this->asked_at = now;
     const std::vector<std::string> addresses =
-        host::draw_from_others(this->state->cells, this->state->peers,
-                               host::cell_of_host(this->state->cells, this->state->process->name,
-                                                  this->state->process->availability_zone),
-                               cells_asked, now, this->state->random);
+        host::draw_from_others(this->state->cells, this->state->peers, own_cell(*this->state), cells_asked,
+                               now, this->state->random);
     for (const std::string& address : addresses) {
         ++this->asks_open;
         wire::spawn_coroutine(*this->state->context, [this, address](wire::yield_context yield) {
--- a/libraries/gateway/stage_controller.cpp
+++ b/libraries/gateway/stage_controller.cpp
@@ -103,8 +103,7 @@
 base::duration stage_controller::own_patience() const {
     const base::time_point now = this->state->clock->now();
     const host::cell_plan& plan = this->state->cells;
-    const host::cell own =
-        host::cell_of_host(plan, this->state->process->name, this->state->process->availability_zone);
+    const host::cell own = own_cell(*this->state);
     const auto before = std::ranges::count_if(this->state->peers.by_name, [&](const auto& item) {
         return host::cell_of_host(plan, item.first, item.second.zone) == own &&
                item.first < this->state->process->name && !item.second.is_leaving &&
--- a/libraries/gateway/store_notices.cpp
+++ b/libraries/gateway/store_notices.cpp
@@ -85,10 +85,8 @@
                                  .changes_since = told.since,
                                  .changes = told.changes};
     const host::cell_plan& plan = this->state->cells;
-    const host::cell own =
-        host::cell_of_host(plan, this->state->process->name, this->state->process->availability_zone);
     this->datagrams->send(datagram_kind::store_notice, encode_notice(notice, now),
-                          host::addresses_in(plan, this->state->peers, {own}, now));
+                          host::addresses_in(plan, this->state->peers, {own_cell(*this->state)}, now));
 }
 
 void store_notices::did_read() {
--- a/libraries/host/cell.cpp
+++ b/libraries/host/cell.cpp
@@ -74,6 +74,12 @@
     return addresses;
 }
 
+void mark_far_engines(decision::instance_table& table, const cell_plan& plan, const cell& own) {
+    for (auto& [id, known] : table.by_id)
+        known.is_far = known.entry.stage != settings::engine_stage::none &&
+                       cell_of_engine(plan, id, known.entry.availability_zone) != own;
+}
+
 std::vector<base::host_id> hosts_in(const cell_plan& plan, const peer_directory& directory,
                                     const base::host_id& own, const base::zone_id& own_zone,
                                     base::time_point now) {
--- a/libraries/host/cell.h
+++ b/libraries/host/cell.h
@@ -3,6 +3,7 @@
 
 #include <base/clock.h>
 #include <base/identifier.h>
+#include <decision/instance_table.h>
 #include <host/peer_directory.h>
 
 #include <compare>
@@ -49,6 +50,10 @@
 [[nodiscard]] cell cell_of_engine(const cell_plan& plan, const base::upstream_id& engine,
                                   const base::zone_id& zone);
 
+/// Marks the engines of other cells: this host does not hear all that is at work there. To be done as soon as
+/// an engine is known: one that seems near and empty to the hosts of all cells is overrun within a second.
+void mark_far_engines(decision::instance_table& table, const cell_plan& plan, const cell& own);
+
 /// The hosts of a host's cell that may be alive, itself among them.
 [[nodiscard]] std::vector<base::host_id> hosts_in(const cell_plan& plan, const peer_directory& directory,
                                                   const base::host_id& own, const base::zone_id& own_zone,
--- a/tests/host/test_cells.cpp
+++ b/tests/host/test_cells.cpp
@@ -78,6 +78,27 @@
     CHECK(told_by(plan_of(directory), directory, "n1", north) == 89);
 }
 
+TEST_CASE("engines of other cells are marked, plain upstreams and engines of a single cell are not") {
+    decision::instance_table table;
+    const auto add = [&table](const char* name, const base::zone_id& zone, settings::engine_stage stage) {
+        auto& known = table.by_id[{name}];
+        known.entry.id = {name};
+        known.entry.availability_zone = zone;
+        known.entry.stage = stage;
+    };
+    add("near", north, settings::engine_stage::decode);
+    add("far", south, settings::engine_stage::prefill);
+    add("plain", south, settings::engine_stage::none);
+    const auto many = plan_of(make_hosts(60, 60));
+    host::mark_far_engines(table, many, host::cell_of_host(many, {"n1"}, north));
+    CHECK_FALSE(table.by_id[{"near"}].is_far);
+    CHECK(table.by_id[{"far"}].is_far);
+    CHECK_FALSE(table.by_id[{"plain"}].is_far);
+    const auto few = plan_of(make_hosts(6, 6));
+    host::mark_far_engines(table, few, host::cell_of_host(few, {"n1"}, north));
+    CHECK_FALSE(table.by_id[{"far"}].is_far);
+}
+
 TEST_CASE("the load of another cell's engine is known only for a moment after one of its hosts told it") {
     decision::instance_table table;
     const base::upstream_id id{"far"};
