--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include <decision/shared_budget.h>
 #include <gateway/decision_log.h>
 #include <gateway/gateway_figures.h>
+#include <host/cell.h>
 #include <host/load_share.h>
 #include <host/peer_directory.h>
 #include <ports/control_feed.h>
@@ -66,10 +67,14 @@
     base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
-    bool knows_hosts = false;                    ///< The list of hosts has been read from the store.
-    host::load_share loads{};                    ///< What the other hosts have in progress.
-    std::function<void()> on_own_load_changed{}; ///< Tells the other hosts.
-    std::set<const waiting_request*> waiting{};  ///< Own requests that wait for a place.
+    bool knows_hosts = false;                ///< The list of hosts has been read from the store.
+    host::load_share loads{};                ///< What the other hosts have in progress.
+    host::cell_plan cells{};                 ///< How hosts and engines are divided.
+    std::vector<base::host_id> cell_hosts{}; ///< Of this host's cell, itself among them; empty before any.
+    std::function<void()> on_hosts_known{};  ///< The list of hosts has just been read.
+    std::function<bool()> ask_further{};     ///< Asks hosts of other cells for room, see `try_ask_further`.
+    std::function<void()> on_own_load_changed{};                 ///< Tells the other hosts.
+    std::set<const waiting_request*> waiting{};                  ///< Own requests that wait for a place.
     std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
     std::map<std::string, decision::caller_patience> patience{}; ///< Learned, by route.
     std::map<base::upstream_id, told_parts> held_parts{};        ///< What engines told lately.
@@ -78,11 +83,15 @@
     decision_log* log = nullptr;
     gateway_figures* figures = nullptr;
     std::deque<ended_request> ended{}; ///< Oldest first; bounded.
+    bool reads_store = true;           ///< Else it follows what readers of its cell tell.
     bool is_draining = false;
     int requests_in_progress = 0;
 
     /// Places may have become free: wakes the requests that wait for one.
     void did_change_places() const;
+    /// Where the engines whose load is known have no room: asks for the load of others. Says whether an
+    /// answer is awaited, after which the waiting requests are woken.
+    [[nodiscard]] bool try_ask_further() const { return this->ask_further && this->ask_further(); }
     /// This host's work at an engine has changed.
     void did_change_own_load() const;
 };
@@ -103,6 +112,12 @@
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from);
 
+/// The cell of this host.
+[[nodiscard]] host::cell own_cell(const gateway_state& state);
+
+/// Whether reads of the registry failed lately: entries may have lapsed though their upstreams live.
+[[nodiscard]] bool is_registry_in_trouble(const gateway_state& state);
+
 /// After a read of the registry: once it has been sound for some time, what it lost in trouble has gone.
 void settle_registry(gateway_state& state);
 
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -9,10 +9,13 @@
     json others = json::object();
     for (const auto& [name, known] : message.others) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known.heard);
-        others[name.value] = {{"address", known.address}, {"heard_ms_ago", age.count()}};
+        others[name.value] = {{"address", known.address},
+                              {"availability_zone", known.zone.value},
+                              {"heard_ms_ago", age.count()}};
     }
     return {{"host", message.host.value},
             {"address", message.address},
+            {"availability_zone", message.availability_zone.value},
             {"settings_version", message.settings_version},
             {"is_leaving", message.is_leaving},
             {"hosts", std::move(others)}};
@@ -23,11 +26,14 @@
         const json value = json::parse(text);
         heartbeat message = {.host = {value.at("host").get<std::string>()},
                              .address = value.at("address").get<std::string>(),
+                             .availability_zone = {value.at("availability_zone").get<std::string>()},
                              .settings_version = value.at("settings_version").get<std::uint64_t>(),
                              .is_leaving = value.at("is_leaving").get<bool>()};
         for (const auto& [name, row] : value.at("hosts").items()) {
             const std::chrono::milliseconds age(row.at("heard_ms_ago").get<std::uint32_t>());
-            message.others[{name}] = {.address = row.at("address").get<std::string>(), .heard = now - age};
+            message.others[{name}] = {.address = row.at("address").get<std::string>(),
+                                      .zone = {row.at("availability_zone").get<std::string>()},
+                                      .heard = now - age};
         }
         if (message.host.is_empty() || message.address.empty())
             return std::nullopt;
@@ -37,48 +43,127 @@
     }
 }
 
+namespace {
+
+/// A row of fields without names: many go to many hosts when upstreams are replaced.
+json encode_change(const decision::registry_change& change) {
+    json row = {change.id.value, change.offset};
+    if (!change.entry)
+        return row;
+    const settings::upstream_entry& entry = *change.entry;
+    for (json field : std::initializer_list<json>{entry.service, entry.address, entry.availability_zone.value,
+                                                  entry.places, static_cast<int>(entry.stage),
+                                                  entry.is_leaving, entry.sequence})
+        row.push_back(std::move(field));
+    return row;
+}
+
+decision::registry_change decode_change(const json& row) {
+    static constexpr std::size_t fields_without_entry = 2;
+    decision::registry_change change{
+        {row.at(0).get<std::string>()}, std::nullopt, row.at(1).get<std::uint64_t>()};
+    if (row.size() == fields_without_entry)
+        return change;
+    settings::upstream_entry entry;
+    entry.id = change.id;
+    entry.service = row.at(2).get<std::string>();
+    entry.address = row.at(3).get<std::string>();
+    entry.availability_zone.value = row.at(4).get<std::string>();
+    entry.places = row.at(5).get<int>();
+    entry.stage = static_cast<settings::engine_stage>(row.at(6).get<int>());
+    entry.is_leaving = row.at(7).get<bool>();
+    entry.sequence = row.at(8).get<std::uint64_t>();
+    change.entry = std::move(entry);
+    return change;
+}
+
+json encode_topic(const topic_notice& topic, base::time_point now) {
+    return {topic.next, std::chrono::duration_cast<std::chrono::milliseconds>(now - topic.until).count()};
+}
+
+topic_notice decode_topic(const json& value, base::time_point now) {
+    return {.next = value.at(0).get<std::uint64_t>(),
+            .until = now - std::chrono::milliseconds(value.at(1).get<std::uint32_t>())};
+}
+
+} // namespace
+
 json encode_registry(const decision::instance_table& table) {
     json rows = json::array();
     for (const auto& [id, known] : table.by_id) {
-        const settings::upstream_entry& entry = known.entry;
         const bool is_there =
             known.state == decision::listing::listed || known.state == decision::listing::leaving;
-        rows.push_back({{"id", id.value},
-                        {"offset", known.offset},
-                        {"is_there", is_there},
-                        {"service", entry.service},
-                        {"address", entry.address},
-                        {"availability_zone", entry.availability_zone.value},
-                        {"places", entry.places},
-                        {"stage", static_cast<int>(entry.stage)},
-                        {"is_leaving", known.state == decision::listing::leaving},
-                        {"sequence", entry.sequence}});
+        decision::registry_change change{id, std::nullopt, known.offset};
+        if (is_there) {
+            change.entry = known.entry;
+            change.entry->is_leaving = known.state == decision::listing::leaving;
+        }
+        rows.push_back(encode_change(change));
     }
     return rows;
 }
 
 std::vector<decision::registry_change> decode_registry(const json& value) {
     std::vector<decision::registry_change> changes;
-    for (const json& row : value) {
-        decision::registry_change change{
-            {row.at("id").get<std::string>()}, std::nullopt, row.at("offset").get<std::uint64_t>()};
-        if (row.at("is_there").get<bool>()) {
-            settings::upstream_entry entry;
-            entry.id = change.id;
-            entry.service = row.at("service").get<std::string>();
-            entry.address = row.at("address").get<std::string>();
-            entry.availability_zone.value = row.at("availability_zone").get<std::string>();
-            entry.places = row.at("places").get<int>();
-            entry.stage = static_cast<settings::engine_stage>(row.at("stage").get<int>());
-            entry.is_leaving = row.at("is_leaving").get<bool>();
-            entry.sequence = row.at("sequence").get<std::uint64_t>();
-            change.entry = std::move(entry);
-        }
-        changes.push_back(std::move(change));
-    }
+    for (const json& row : value)
+        changes.push_back(decode_change(row));
     return changes;
 }
 
+std::string encode_notice(const store_notice& notice, base::time_point now) {
+    json changes = json::array();
+    for (const decision::registry_change& change : notice.changes)
+        changes.push_back(encode_change(change));
+    const json value = {{"host", notice.host.value},
+                        {"settings_version", notice.settings_version},
+                        {"settings", encode_topic(notice.settings, now)},
+                        {"registry", encode_topic(notice.registry, now)},
+                        {"is_registry_in_trouble", notice.is_registry_in_trouble},
+                        {"changes_since", notice.changes_since},
+                        {"changes", std::move(changes)}};
+    std::string bytes;
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+std::optional<store_notice> decode_notice(std::string_view bytes, base::time_point now) {
+    try {
+        const json value = json::from_msgpack(bytes);
+        return store_notice{.host = {value.at("host").get<std::string>()},
+                            .settings_version = value.at("settings_version").get<std::uint64_t>(),
+                            .settings = decode_topic(value.at("settings"), now),
+                            .registry = decode_topic(value.at("registry"), now),
+                            .is_registry_in_trouble = value.at("is_registry_in_trouble").get<bool>(),
+                            .changes_since = value.at("changes_since").get<std::uint64_t>(),
+                            .changes = decode_registry(value.at("changes"))};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode_cell_loads(const std::vector<host::told_load>& loads) {
+    json rows = json::array();
+    for (const host::told_load& load : loads)
+        rows.push_back({load.key, load.use.requests, static_cast<std::int64_t>(load.use.memory_tokens),
+                        static_cast<std::int64_t>(load.use.prompt_tokens), load.is_avoided});
+    std::string bytes;
+    json::to_msgpack(rows, bytes);
+    return bytes;
+}
+
+std::optional<std::vector<host::told_load>> decode_cell_loads(std::string_view bytes) {
+    try {
+        std::vector<host::told_load> loads;
+        for (const json& row : json::from_msgpack(bytes))
+            loads.push_back({row.at(0).get<host::instance_key>(),
+                             {row.at(1).get<int>(), row.at(2).get<double>(), row.at(3).get<double>()},
+                             row.at(4).get<bool>()});
+        return loads;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode_load(const host::load_report& report) {
     json uses = json::array();
     for (const auto& [key, use] : report.uses)
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -3,6 +3,8 @@
 
 #include <base/hashing.h>
 
+#include <algorithm>
+
 namespace postpaddle::host {
 
 namespace {
@@ -38,14 +40,65 @@
         count_down(share.out_of_service_by, key);
 }
 
+template <class T> T value_at(const std::map<instance_key, T>& values, instance_key key) {
+    const auto found = values.find(key);
+    return found == values.end() ? T{} : found->second;
+}
+
+/// Names the instances that stand in one of the two lists only.
+void add_differences(std::vector<instance_key>& keys, std::vector<instance_key> left,
+                     std::vector<instance_key> right) {
+    std::ranges::sort(left);
+    std::ranges::sort(right);
+    std::ranges::set_symmetric_difference(left, right, std::back_inserter(keys));
+}
+
+bool is_any_missing(const std::vector<instance_key>& before, const std::vector<instance_key>& after) {
+    return std::ranges::any_of(
+        before, [&after](instance_key key) { return std::ranges::find(after, key) == after.end(); });
+}
+
+/// What the second of a host's reports changes in the sums that hold the first.
+report_change change_between(const load_report& before, const load_report& after) {
+    report_change change;
+    for (const auto& [key, use] : before.uses) {
+        const decision::instance_use now = value_at(after.uses, key);
+        if (now == use)
+            continue;
+        change.keys.push_back(key);
+        change.has_freed |= now.requests < use.requests || now.memory_tokens < use.memory_tokens;
+    }
+    for (const auto& [key, use] : after.uses)
+        if (!before.uses.contains(key))
+            change.keys.push_back(key);
+    add_differences(change.keys, before.avoided, after.avoided);
+    add_differences(change.keys, before.out_of_service, after.out_of_service);
+    std::ranges::sort(change.keys);
+    const auto repeated = std::ranges::unique(change.keys);
+    change.keys.erase(repeated.begin(), repeated.end());
+    change.has_freed |= is_any_missing(before.avoided, after.avoided) ||
+                        is_any_missing(before.out_of_service, after.out_of_service) ||
+                        after.waiters.size() < before.waiters.size();
+    return change;
+}
+
+void enter_sum(decision::instance& known, const load_share& share, instance_key key) {
+    // Of engines of other cells, only some of the hosts that use them tell this one.
+    if (!known.is_far)
+        known.others = value_at(share.total, key);
+    known.avoided_by = value_at(share.avoided_by, key);
+    known.is_out_of_service_elsewhere = share.out_of_service_by.contains(key);
+}
+
 } // namespace
 
 instance_key key_of(const base::upstream_id& id) { return static_cast<instance_key>(base::hash64(id.value)); }
 
-bool take_report(load_share& share, const load_report& report, base::time_point now) {
+std::optional<report_change> take_report(load_share& share, const load_report& report, base::time_point now) {
     const auto [found, is_first] = share.by_host.try_emplace(report.host);
     if (!is_first && !is_newer(report, found->second, now))
-        return false;
+        return std::nullopt;
+    report_change change = change_between(found->second.report, report);
     take_away(share, found->second.report);
     for (const auto& [key, use] : report.uses)
         share.total[key] += use;
@@ -54,7 +107,30 @@
     for (const instance_key key : report.out_of_service)
         ++share.out_of_service_by[key];
     found->second = {report, now};
-    return true;
+    return change;
+}
+
+void enter_sums(decision::instance_table& table, load_share& share, std::span<const instance_key> keys) {
+    if (share.id_of.size() != table.by_id.size()) {
+        enter_all_sums(table, share);
+        return;
+    }
+    for (const instance_key key : keys) {
+        const auto id = share.id_of.find(key);
+        if (id == share.id_of.end())
+            continue;
+        if (decision::instance* const known = decision::find_instance(table, id->second))
+            enter_sum(*known, share, key);
+    }
+}
+
+void enter_all_sums(decision::instance_table& table, load_share& share) {
+    share.id_of.clear();
+    for (auto& [id, known] : table.by_id) {
+        const instance_key key = key_of(id);
+        share.id_of[key] = id;
+        enter_sum(known, share, key);
+    }
 }
 
 bool drop_silent(load_share& share, base::time_point now) {
@@ -74,6 +150,39 @@
     return is_any_dropped;
 }
 
+std::vector<told_load> loads_to_tell(const decision::instance_table& table, base::time_point now) {
+    std::vector<told_load> loads;
+    for (const auto& [id, known] : table.by_id) {
+        if (known.is_far || known.entry.stage == settings::engine_stage::none ||
+            known.state != decision::listing::listed)
+            continue;
+        decision::instance_use use = known.own;
+        use += known.others;
+        loads.push_back({key_of(id), use, decision::is_avoided(known, now)});
+    }
+    return loads;
+}
+
+void enter_told_loads(decision::instance_table& table, load_share& share, std::span<const told_load> loads,
+                      base::time_point now) {
+    if (share.id_of.size() != table.by_id.size())
+        enter_all_sums(table, share);
+    for (const told_load& told : loads) {
+        const auto id = share.id_of.find(told.key);
+        decision::instance* const known =
+            id == share.id_of.end() ? nullptr : decision::find_instance(table, id->second);
+        if (known == nullptr || !known->is_far || told.is_avoided)
+            continue;
+        // Its cell hears of this host's work there as well.
+        known->others = told.use;
+        known->others -= known->own;
+        known->others.requests = std::max(0, known->others.requests);
+        known->others.memory_tokens = std::max(0.0, known->others.memory_tokens);
+        known->others.prompt_tokens = std::max(0.0, known->others.prompt_tokens);
+        known->others_told = now;
+    }
+}
+
 std::vector<decision::waiter> waiters_ahead(const load_share& share, base::duration own,
                                             base::duration in_time, base::time_point now) {
     std::vector<decision::waiter> ahead;
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -125,17 +125,17 @@
 
 TEST_CASE("a host counts as alive for long after anybody heard it, and hearsay does not move it") {
     host::peer_directory directory;
-    host::note_word(directory, {"a"}, "127.0.0.1:1", start);
-    host::note_hearsay(directory, {"a"}, "127.0.0.1:9", start - 5s);
+    host::note_word(directory, {"a"}, "127.0.0.1:1", {}, start);
+    host::note_hearsay(directory, {"a"}, {.address = "127.0.0.1:9", .zone = {}, .heard = start - 5s});
     CHECK(directory.by_name.at({"a"}).address == "127.0.0.1:1");
     // Another host is heard at each moment that matters, and counts itself.
     const auto count_others_at = [&directory](base::time_point now) {
-        host::note_word(directory, {"b"}, "127.0.0.1:2", now);
+        host::note_word(directory, {"b"}, "127.0.0.1:2", {}, now);
         return host::count_alive(directory) - 1;
     };
     CHECK(count_others_at(start + 119s) == 1);
     CHECK(count_others_at(start + 121s) == 0);
-    host::note_hearsay(directory, {"a"}, "127.0.0.1:9", start + 25s);
+    host::note_hearsay(directory, {"a"}, {.address = "127.0.0.1:9", .zone = {}, .heard = start + 25s});
     CHECK(count_others_at(start + 144s) == 1);
     CHECK(count_others_at(start + 146s) == 0);
 }
@@ -143,9 +143,9 @@
 // It used to forget them after two minutes and to take all that they share.
 TEST_CASE("a host that is cut off from all others goes on counting those that it heard with its last word") {
     host::peer_directory directory;
-    host::note_word(directory, {"long-gone"}, "127.0.0.1:1", start - 10min);
-    host::note_word(directory, {"a"}, "127.0.0.1:2", start - 30s);
-    host::note_word(directory, {"b"}, "127.0.0.1:3", start);
+    host::note_word(directory, {"long-gone"}, "127.0.0.1:1", {}, start - 10min);
+    host::note_word(directory, {"a"}, "127.0.0.1:2", {}, start - 30s);
+    host::note_word(directory, {"b"}, "127.0.0.1:3", {}, start);
     // Whatever time passes: nothing is heard any more.
     CHECK(host::count_alive(directory) == 2);
 }
@@ -160,12 +160,13 @@
     for (int number = 0; number < hosts; ++number)
         for (int other = 0; other < hosts; ++other)
             if (other != number)
-                host::note_hearsay(directories[number], name(other), address(other), start);
+                host::note_hearsay(directories[number], name(other),
+                                   {.address = address(other), .zone = {}, .heard = start});
     const auto tell = [&](int speaker, int listener, base::time_point at) {
-        host::note_word(directories[listener], name(speaker), address(speaker), at);
+        host::note_word(directories[listener], name(speaker), address(speaker), {}, at);
         for (const auto& [other, known] : host::latest_heard(directories[speaker], named, at))
             if (other != name(listener))
-                host::note_hearsay(directories[listener], other, known.address, known.heard);
+                host::note_hearsay(directories[listener], other, known);
     };
     std::vector<int> speakers(hosts);
     std::iota(speakers.begin(), speakers.end(), 0);
@@ -191,3 +192,66 @@
     directory.seeds = {"127.0.0.1:5"};
     CHECK(host::draw_peers(directory, 2, start, random) == std::vector<std::string>{"127.0.0.1:5"});
 }
+
+TEST_CASE("a report names the instances whose sums it changes, and says whether places may be free") {
+    host::load_share share;
+    auto report = make_report("a", 1, 2);
+    report.uses[8] = {1, 50, 0};
+    report.avoided = {9};
+    auto change = host::take_report(share, report, start);
+    REQUIRE(change);
+    CHECK(change->keys == std::vector<host::instance_key>{7, 8, 9});
+    CHECK_FALSE(change->has_freed);
+
+    report.sequence = 2;
+    report.uses[7].requests = 1;
+    change = host::take_report(share, report, start);
+    REQUIRE(change);
+    CHECK(change->keys == std::vector<host::instance_key>{7});
+    CHECK(change->has_freed);
+
+    report.sequence = 3;
+    report.avoided = {};
+    change = host::take_report(share, report, start);
+    REQUIRE(change);
+    CHECK(change->keys == std::vector<host::instance_key>{9});
+    CHECK(change->has_freed);
+}
+
+TEST_CASE("sums entered report by report are those of all reports, also for instances that come later") {
+    std::mt19937_64 random(7);
+    std::uniform_int_distribution<int> draw_host(0, 4);
+    std::uniform_int_distribution<int> draw_engine(0, 9);
+    std::uniform_int_distribution<int> draw_requests(0, 3);
+    const auto id_of = [](int engine) { return base::upstream_id{"engine-" + std::to_string(engine)}; };
+    decision::instance_table table;
+    host::load_share share;
+    for (std::uint64_t step = 1; step <= 500; ++step) {
+        if (step % 50 == 1)
+            table.by_id[id_of(static_cast<int>(step / 50))];
+        host::load_report report;
+        report.host.value = "host-" + std::to_string(draw_host(random));
+        report.sequence = step;
+        for (int use = draw_requests(random); use > 0; --use)
+            report.uses[host::key_of(id_of(draw_engine(random)))] = {use, use * 10.0, use * 5.0};
+        if (draw_requests(random) == 0)
+            report.avoided.push_back(host::key_of(id_of(draw_engine(random))));
+        if (draw_requests(random) == 0)
+            report.out_of_service.push_back(host::key_of(id_of(draw_engine(random))));
+        const auto change = host::take_report(share, report, start);
+        REQUIRE(change);
+        host::enter_sums(table, share, change->keys);
+
+        decision::instance_table whole;
+        for (const auto& [id, known] : table.by_id)
+            whole.by_id[id];
+        host::load_share copy = share;
+        host::enter_all_sums(whole, copy);
+        for (const auto& [id, known] : table.by_id) {
+            const decision::instance& expected = whole.by_id.at(id);
+            REQUIRE(known.others == expected.others);
+            REQUIRE(known.avoided_by == expected.avoided_by);
+            REQUIRE(known.is_out_of_service_elsewhere == expected.is_out_of_service_elsewhere);
+        }
+    }
+}
