host: Go on telling hosts that nobody has named for a while

Cause: hosts of a cell were told only when somebody had named them within 30 s; a host's word reaches 295 others slowly, and logs showed hosts that knew 56 of the 62 of their cell. Who is not told chooses engines that others have filled. Change: told for as long as they count as alive (120 s), and a report or notice from a host is word of it. Test: who is told after 60 and 150 s; messages between hosts that are cut or changed on the way.

--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -47,6 +47,7 @@
         return false;
     if (report->host == this->state->process->name)
         return true;
+    host::note_heard(this->state->peers, report->host, this->state->clock->now());
     const auto change = host::take_report(this->state->loads, *report, this->state->clock->now());
     if (!change)
         return true;
--- a/libraries/gateway/store_notices.cpp
+++ b/libraries/gateway/store_notices.cpp
@@ -118,6 +118,7 @@
         return false;
     if (notice->host == this->state->process->name)
         return true;
+    host::note_heard(this->state->peers, notice->host, this->state->clock->now());
     if (notice->is_registry_in_trouble)
         this->state->registry_trouble = this->state->clock->now();
     this->take_settings(*notice);
--- a/libraries/host/cell.cpp
+++ b/libraries/host/cell.cpp
@@ -69,7 +69,7 @@
                                       const std::set<cell>& cells, base::time_point now) {
     std::vector<std::string> addresses;
     for (const auto& [name, known] : directory.by_name)
-        if (may_be_alive(known, now) && cells.contains(cell_of_host(plan, name, known.zone)))
+        if (may_listen(known, now) && cells.contains(cell_of_host(plan, name, known.zone)))
             addresses.push_back(known.address);
     return addresses;
 }
--- a/libraries/host/cell.h
+++ b/libraries/host/cell.h
@@ -65,7 +65,7 @@
                                                         std::size_t count, base::time_point now,
                                                         std::mt19937_64& random);
 
-/// Addresses of the other hosts of these cells that may be alive.
+/// Addresses of the other hosts of these cells that may listen.
 [[nodiscard]] std::vector<std::string> addresses_in(const cell_plan& plan, const peer_directory& directory,
                                                     const std::set<cell>& cells, base::time_point now);
 
--- a/libraries/host/peer_directory.cpp
+++ b/libraries/host/peer_directory.cpp
@@ -21,6 +21,10 @@
 
 } // namespace
 
+bool may_listen(const peer& value, base::time_point now) {
+    return !value.is_leaving && now - value.heard < counted_lifetime;
+}
+
 bool may_be_alive(const peer& value, base::time_point now) {
     return !value.is_leaving && now - value.heard < alive_lifetime;
 }
@@ -30,6 +34,12 @@
     directory.by_name[name] = {.address = address, .zone = zone, .heard = now, .is_leaving = false};
 }
 
+void note_heard(peer_directory& directory, const base::host_id& name, base::time_point now) {
+    const auto found = directory.by_name.find(name);
+    if (found != directory.by_name.end())
+        found->second.heard = std::max(found->second.heard, now);
+}
+
 void note_hearsay(peer_directory& directory, const base::host_id& name, const peer& told) {
     const auto [found, is_new] = directory.by_name.try_emplace(name);
     peer& known = found->second;
--- a/libraries/host/peer_directory.h
+++ b/libraries/host/peer_directory.h
@@ -32,13 +32,20 @@
 void note_word(peer_directory& directory, const base::host_id& name, const std::string& address,
                const base::zone_id& zone, base::time_point now);
 
+/// A host that is known was heard in passing, as by a report of its work.
+void note_heard(peer_directory& directory, const base::host_id& name, base::time_point now);
+
 /// Takes another's word of a host, with the time at which it was heard. An address that is known stays.
 void note_hearsay(peer_directory& directory, const base::host_id& name, const peer& told);
 
 /// The host says that it is leaving.
 void note_leaving(peer_directory& directory, const base::host_id& name);
 
-/// Whether a host was heard, by whomever, lately enough to be sent something.
+/// Whether a host is worth a datagram: it may live though it has not been heard of for a while. News of a
+/// host comes seldom in a large system, and one that is told nothing chooses engines that others have filled.
+[[nodiscard]] bool may_listen(const peer& value, base::time_point now);
+
+/// Whether a host was heard, by whomever, lately enough to be sent something that it must answer.
 [[nodiscard]] bool may_be_alive(const peer& value, base::time_point now);
 
 /// Hosts that may be alive: those not silent for long while others were heard.
--- /dev/null
+++ b/tests/gateway/test_peer_codec.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/peer_codec.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point start{1h};
+
+gateway::store_notice make_notice() {
+    settings::upstream_entry entry;
+    entry.id = {"engine-1"};
+    entry.service = "engines";
+    entry.address = "10.0.0.1:8000";
+    entry.availability_zone = {"north"};
+    entry.places = 12;
+    entry.stage = settings::engine_stage::decode;
+    entry.is_leaving = true;
+    entry.sequence = 7;
+    return {.host = {"host-1"},
+            .settings_version = 4,
+            .settings = {.next = 9, .until = start - 300ms},
+            .registry = {.next = 21, .until = start - 1'200ms},
+            .is_registry_in_trouble = true,
+            .changes_since = 19,
+            .changes = {{{"engine-1"}, entry, 19}, {{"engine-2"}, std::nullopt, 20}}};
+}
+
+std::string make_loads() {
+    return gateway::encode_cell_loads({{17, {3, 15'000, 4'000}, false}, {18, {0, 0, 0}, true}});
+}
+
+} // namespace
+
+TEST_CASE("a reader's notice arrives as it was sent, its ages counted from the arrival") {
+    const auto notice = make_notice();
+    CHECK(gateway::decode_notice(gateway::encode_notice(notice, start), start) == notice);
+    const auto later = gateway::decode_notice(gateway::encode_notice(notice, start), start + 50ms);
+    REQUIRE(later);
+    CHECK(later->settings.until == notice.settings.until + 50ms);
+}
+
+TEST_CASE("the loads of a cell's engines arrive as they were sent") {
+    const auto loads = gateway::decode_cell_loads(make_loads());
+    REQUIRE(loads);
+    CHECK(*loads == std::vector<host::told_load>{{17, {3, 15'000, 4'000}, false}, {18, {0, 0, 0}, true}});
+}
+
+TEST_CASE(
+    "what is cut, changed on the way or no message of ours is no notice and no load, and harms nobody") {
+    const std::string notice = gateway::encode_notice(make_notice(), start);
+    for (std::size_t length = 0; length < notice.size(); ++length)
+        CHECK_FALSE(gateway::decode_notice(notice.substr(0, length), start));
+    const std::string loads = make_loads();
+    for (std::size_t length = 0; length < loads.size(); ++length)
+        CHECK_FALSE(gateway::decode_cell_loads(loads.substr(0, length)));
+    CHECK_FALSE(gateway::decode_notice(loads, start));
+    CHECK_FALSE(gateway::decode_load(notice));
+    std::mt19937_64 random(3);
+    std::uniform_int_distribution<int> byte(0, 255);
+    for (int round = 0; round < 5'000; ++round) {
+        std::string changed = notice;
+        changed[random() % changed.size()] = static_cast<char>(byte(random));
+        (void)gateway::decode_notice(changed, start);
+        (void)gateway::decode_load(changed);
+        (void)gateway::decode_cell_loads(changed);
+    }
+}
--- a/tests/host/test_cells.cpp
+++ b/tests/host/test_cells.cpp
@@ -78,6 +78,16 @@
     CHECK(told_by(plan_of(directory), directory, "n1", north) == 89);
 }
 
+TEST_CASE("a host that nobody has named for a while is still told, one that was long silent is not") {
+    auto directory = make_hosts(5, 0);
+    const auto plan = plan_of(directory);
+    const std::set<host::cell> all = {host::cell{}};
+    CHECK(host::addresses_in(plan, directory, all, start + 60s).size() == 5);
+    host::note_heard(directory, {"n1"}, start + 60s);
+    host::note_heard(directory, {"unknown"}, start + 60s);
+    CHECK(host::addresses_in(plan, directory, all, start + 150s) == std::vector<std::string>{"n:1"});
+}
+
 TEST_CASE("engines of other cells are marked, plain upstreams and engines of a single cell are not") {
     decision::instance_table table;
     const auto add = [&table](const char* name, const base::zone_id& zone, settings::engine_stage stage) {
