--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -74,8 +74,8 @@
     add_differences(change.keys, before.avoided, after.avoided);
     add_differences(change.keys, before.out_of_service, after.out_of_service);
     std::ranges::sort(change.keys);
-    const auto repeated = std::ranges::unique(change.keys);
-    change.keys.erase(repeated.begin(), repeated.end());
+    // NOTE: The linter's compiler can't read the range that `std::ranges::unique` gives.
+    change.keys.erase(std::unique(change.keys.begin(), change.keys.end()), change.keys.end());
     change.has_freed |= is_any_missing(before.avoided, after.avoided) ||
                         is_any_missing(before.out_of_service, after.out_of_service) ||
                         after.waiters.size() < before.waiters.size();
