gateway: Hear hosts of a version that names no availability zone

Cause: heartbeats without the new field were dropped, so while hosts are replaced one after the other by a new version, old and new ones would not hear each other: after 120 s each would take too large a part of the shared retry budget. Test: a heartbeat without zones; fails before.

--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -5,6 +5,14 @@
 
 using nlohmann::json;
 
+namespace {
+
+/// Hosts of an earlier version name no zone; they must count among those that share the retry budget all the
+/// same.
+std::string zone_of(const json& value) { return value.value("availability_zone", std::string()); }
+
+} // namespace
+
 json encode_heartbeat(const heartbeat& message, base::time_point now) {
     json others = json::object();
     for (const auto& [name, known] : message.others) {
@@ -26,14 +34,13 @@
         const json value = json::parse(text);
         heartbeat message = {.host = {value.at("host").get<std::string>()},
                              .address = value.at("address").get<std::string>(),
-                             .availability_zone = {value.at("availability_zone").get<std::string>()},
+                             .availability_zone = {zone_of(value)},
                              .settings_version = value.at("settings_version").get<std::uint64_t>(),
                              .is_leaving = value.at("is_leaving").get<bool>()};
         for (const auto& [name, row] : value.at("hosts").items()) {
             const std::chrono::milliseconds age(row.at("heard_ms_ago").get<std::uint32_t>());
-            message.others[{name}] = {.address = row.at("address").get<std::string>(),
-                                      .zone = {row.at("availability_zone").get<std::string>()},
-                                      .heard = now - age};
+            message.others[{name}] = {
+                .address = row.at("address").get<std::string>(), .zone = {zone_of(row)}, .heard = now - age};
         }
         if (message.host.is_empty() || message.address.empty())
             return std::nullopt;
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -45,6 +45,22 @@
     CHECK(later->settings.until == notice.settings.until + 50ms);
 }
 
+TEST_CASE("a heartbeat of a host that names no zone yet is heard") {
+    const gateway::heartbeat message = {.host = {"host-1"},
+                                        .address = "10.0.0.1:7000",
+                                        .availability_zone = {"north"},
+                                        .settings_version = 3,
+                                        .others = {{{"host-2"}, {"10.0.0.2:7000", {"south"}, start - 2s}}}};
+    nlohmann::json value = gateway::encode_heartbeat(message, start);
+    CHECK(gateway::decode_heartbeat(value.dump(), start) == message);
+    value.erase("availability_zone");
+    value["hosts"]["host-2"].erase("availability_zone");
+    const auto heard = gateway::decode_heartbeat(value.dump(), start);
+    REQUIRE(heard);
+    CHECK(heard->availability_zone.is_empty());
+    CHECK(heard->others.at({"host-2"}).address == "10.0.0.2:7000");
+}
+
 TEST_CASE("the loads of a cell's engines arrive as they were sent") {
     const auto loads = gateway::decode_cell_loads(make_loads());
     REQUIRE(loads);
