--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -59,8 +59,8 @@
     return true;
 }
 
-/// How long the load of an engine of other hosts is taken for true. Requests keep their places for about a
-/// second; in a burst all ask at once, and each sees what the others placed before it only if it asks again.
+/// How long the load of an engine of other hosts is taken for true: a small part of the two seconds or so for
+/// which requests keep their places. Chosen, not measured.
 constexpr base::duration told_lifetime = 250ms;
 /// How long a refusal tells of memory that is taken.
 constexpr base::duration refusal_lifetime = 1'000ms;
--- a/libraries/host/store_duty.h
+++ b/libraries/host/store_duty.h
@@ -40,8 +40,8 @@
 void note_known(store_duty& duty, base::time_point until);
 
 /// Pause between two short reads of a store that counts as lost. A cell's readers notice its return soon and
-/// tell the others; those try now and then, as the readers may be dead or turned away: with all of 295 hosts
-/// trying twice a second, four seconds without the store were some 9,000 calls.
+/// tell the others; those try now and then, as the readers may be dead or turned away. A day of 295 hosts
+/// with four seconds without the store made 12,989 calls with all trying twice a second, and 8,446 so.
 [[nodiscard]] std::chrono::milliseconds probe_interval(const duty_facts& facts);
 
 /// Whether this host reads the topic now.
