gateway: Ask one function for the version of the settings in force

Cause: peer_exchange, store_notices, put_in_force and the state dump each worked it out. Change: settings_version of gateway_state serves all four; behaviour as before.

--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -69,9 +69,13 @@
     return state.settings != nullptr && state.has_registry && !state.is_draining;
 }
 
+std::uint64_t settings_version(const gateway_state& state) {
+    return state.settings ? state.settings->document.value->version : 0;
+}
+
 bool put_in_force(gateway_state& state, ports::settings_document document, const char* heard_from) {
     const std::uint64_t version = document.value->version;
-    const std::uint64_t before = state.settings ? state.settings->document.value->version : 0;
+    const std::uint64_t before = settings_version(state);
     if (state.settings && version <= before)
         return false;
     auto next = std::make_shared<settings_in_force>();
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -105,6 +105,9 @@
 /// Whether the host may be given callers.
 [[nodiscard]] bool is_ready(const gateway_state& state);
 
+/// The version of the routing settings in force; 0 before any is known.
+[[nodiscard]] std::uint64_t settings_version(const gateway_state& state);
+
 /// Puts a newer version in force; says whether it was newer.
 bool put_in_force(gateway_state& state, ports::settings_document document, const char* heard_from);
 
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -33,10 +33,6 @@
 constexpr int ok_status = 200;
 constexpr int not_found_status = 404;
 
-std::uint64_t version_of(const gateway_state& state) {
-    return state.settings ? state.settings->document.value->version : 0;
-}
-
 } // namespace
 
 peer_exchange::peer_exchange(gateway_state& state, ports::control_feed& feed) : state(&state), feed(&feed) {}
@@ -98,7 +94,7 @@
     const heartbeat message = {.host = this->state->process->name,
                                .address = this->state->process->peers,
                                .availability_zone = this->state->process->availability_zone,
-                               .settings_version = version_of(*this->state),
+                               .settings_version = settings_version(*this->state),
                                .is_leaving = this->state->is_draining,
                                .others = host::latest_heard(this->state->peers, named_hosts, now)};
     return encode_heartbeat(message, now).dump();
@@ -119,7 +115,7 @@
     for (const auto& [name, other] : message->others)
         if (name != this->state->process->name)
             host::note_hearsay(this->state->peers, name, other);
-    const bool is_newer = message->settings_version > version_of(*this->state);
+    const bool is_newer = message->settings_version > settings_version(*this->state);
     if (!is_newer || this->is_fetching_settings)
         return;
     wire::spawn_coroutine(*this->state->context,
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -49,7 +49,7 @@
             {"policy", std::move(policy)},
             {"is_ready", is_ready(state)},
             {"is_draining", state.is_draining},
-            {"settings_version", state.settings ? state.settings->document.value->version : 0},
+            {"settings_version", settings_version(state)},
             {"routes", state.settings ? state.settings->document.value->routes.size() : 0},
             {"registry_next", state.registry_next},
             {"reads_store", state.reads_store},
--- a/libraries/gateway/store_notices.cpp
+++ b/libraries/gateway/store_notices.cpp
@@ -11,10 +11,6 @@
 /// Changes in one notice, at most: some 5 KB, so that a release of many upstreams does not fill the links.
 constexpr std::size_t most_changes_told = 64;
 
-std::uint64_t version_of(const gateway_state& state) {
-    return state.settings ? state.settings->document.value->version : 0;
-}
-
 } // namespace
 
 store_notices::store_notices(gateway_state& state, peer_datagrams& datagrams, topic_progress& settings,
@@ -52,7 +48,7 @@
     // Where hosts hear no datagrams there is nobody to follow.
     if (!topic.has_offset || !this->datagrams->is_open())
         return true;
-    if (&topic == this->settings && this->told_version <= version_of(*this->state))
+    if (&topic == this->settings && this->told_version <= settings_version(*this->state))
         topic.duty.behind_since.reset();
     const bool must = host::must_read(topic.duty, this->facts(bound));
     const bool is_other_read = &topic == this->settings ? this->registry->is_read : this->settings->is_read;
@@ -78,7 +74,7 @@
         return;
     const base::time_point now = this->state->clock->now();
     const store_notice notice = {.host = this->state->process->name,
-                                 .settings_version = version_of(*this->state),
+                                 .settings_version = settings_version(*this->state),
                                  .settings = {this->settings->next_offset, this->settings->known_until},
                                  .registry = {this->registry->next_offset, this->registry->known_until},
                                  .is_registry_in_trouble = is_registry_in_trouble(*this->state),
@@ -129,7 +125,7 @@
 void store_notices::take_settings(const store_notice& notice) {
     this->told_version = std::max(this->told_version, notice.settings_version);
     topic_progress& own = *this->settings;
-    if (notice.settings_version > version_of(*this->state)) {
+    if (notice.settings_version > settings_version(*this->state)) {
         if (!own.duty.behind_since)
             own.duty.behind_since = this->state->clock->now();
         return;
