host: Work out a host's place in its cell once, and keep waits in one place

Cause: each look whether to read the store, 40 a second a host, copied the names of the cell's hosts up to three times and hashed each of them to rank this host. Which wait and pause applies was decided in gateway/store_watch, and two figures stood twice (0.6 of the bound, 500 ms). Change: cell_place, worked out when cells are planned (once a second); wait_part, pause_part and probe_interval in host/store_duty; the two figures in host/store_reader. Duty of both topics as the sum of two flags. Constants say where they come from. Behaviour, figures and the tests' assertions are as before; the tests name a place where they named a list and a host. Ruled out: a cache inside the duty, as it would need to know when cells change.

--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include <host/cell.h>
 #include <host/load_share.h>
 #include <host/peer_directory.h>
+#include <host/store_duty.h>
 #include <ports/control_feed.h>
 #include <ports/request_protocol.h>
 #include <settings/gateway_settings.h>
@@ -67,12 +68,12 @@
     base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
-    bool knows_hosts = false;                ///< The list of hosts has been read from the store.
-    host::load_share loads{};                ///< What the other hosts have in progress.
-    host::cell_plan cells{};                 ///< How hosts and engines are divided.
-    std::vector<base::host_id> cell_hosts{}; ///< Of this host's cell, itself among them; empty before any.
-    std::function<void()> on_hosts_known{};  ///< The list of hosts has just been read.
-    std::function<bool()> ask_further{};     ///< Asks hosts of other cells for room, see `try_ask_further`.
+    bool knows_hosts = false;               ///< The list of hosts has been read from the store.
+    host::load_share loads{};               ///< What the other hosts have in progress.
+    host::cell_plan cells{};                ///< How hosts and engines are divided.
+    host::cell_place cell_place{};          ///< This host's place in its cell.
+    std::function<void()> on_hosts_known{}; ///< The list of hosts has just been read.
+    std::function<bool()> ask_further{};    ///< Asks hosts of other cells for room, see `try_ask_further`.
     std::function<void()> on_own_load_changed{};                 ///< Tells the other hosts.
     std::set<const waiting_request*> waiting{};                  ///< Own requests that wait for a place.
     std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -18,9 +18,11 @@
 /// Cells that are asked at once where the own one has no room: the better of two random ones is seldom full
 /// while others have room.
 constexpr std::size_t cells_asked = 2;
-/// Pause between two rounds of asking.
+/// Pause between two rounds of asking: two of them fit into the time for which an answer is taken for true.
+/// Chosen, not measured.
 constexpr base::duration ask_interval = 100ms;
-/// A host that takes longer is not waited for.
+/// A host that takes longer is not waited for: many times the way there and back between availability zones.
+/// Chosen, not measured.
 constexpr auto ask_limit = 60ms;
 constexpr int ok_status = 200;
 
@@ -116,8 +118,10 @@
     this->state->cells = host::plan_cells(this->state->peers, process.availability_zone, this->state->cells,
                                           this->state->clock->now());
     if (this->state->knows_hosts)
-        this->state->cell_hosts = host::hosts_in(this->state->cells, this->state->peers, process.name,
-                                                 process.availability_zone, this->state->clock->now());
+        this->state->cell_place =
+            host::place_in(host::hosts_in(this->state->cells, this->state->peers, process.name,
+                                          process.availability_zone, this->state->clock->now()),
+                           process.name);
     host::mark_far_engines(this->state->instances, this->state->cells, own_cell(*this->state));
 }
 
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -53,7 +53,7 @@
             {"routes", state.settings ? state.settings->document.value->routes.size() : 0},
             {"registry_next", state.registry_next},
             {"reads_store", state.reads_store},
-            {"cell_hosts", state.cell_hosts.size()},
+            {"cell_hosts", state.cell_place.hosts},
             {"requests_in_progress", state.requests_in_progress},
             {"hosts_alive", hosts_alive(state)},
             {"has_host_list", state.knows_hosts},
--- a/libraries/gateway/store_notices.cpp
+++ b/libraries/gateway/store_notices.cpp
@@ -6,9 +6,10 @@
 namespace {
 
 /// Changes are told at once and again for so many intervals: a follower misses them only if all of these
-/// notices are lost.
+/// notices are lost. Chosen, not measured.
 constexpr int intervals_told = 2;
-/// Changes in one notice, at most: some 5 KB, so that a release of many upstreams does not fill the links.
+/// Changes in one notice, at most: some 80 bytes each by reckoning, so that a release of many upstreams does
+/// not fill the links.
 constexpr std::size_t most_changes_told = 64;
 
 } // namespace
@@ -25,23 +26,12 @@
     this->tell_regularly();
 }
 
-host::duty_facts store_notices::facts(std::chrono::milliseconds bound) const {
-    return {.bound = bound,
-            .cell = this->state->cell_hosts,
-            .own = this->state->process->name,
-            .now = this->state->clock->now()};
-}
-
-bool store_notices::has_followers() const {
-    return host::has_followers(this->facts(this->state->process->leaving_bound));
-}
-
 void store_notices::tell_duty(bool reads_store) {
     if (std::exchange(this->state->reads_store, reads_store) == reads_store)
         return;
     this->state->figures->set("reads_store", reads_store ? 1 : 0);
     this->state->log->write("store_duty",
-                            {{"reads_store", reads_store}, {"cell_hosts", this->state->cell_hosts.size()}});
+                            {{"reads_store", reads_store}, {"cell_hosts", this->state->cell_place.hosts}});
 }
 
 bool store_notices::must_read(topic_progress& topic, std::chrono::milliseconds bound) {
@@ -50,11 +40,10 @@
         return true;
     if (&topic == this->settings && this->told_version <= settings_version(*this->state))
         topic.duty.behind_since.reset();
-    const bool must = host::must_read(topic.duty, this->facts(bound));
-    const bool is_other_read = &topic == this->settings ? this->registry->is_read : this->settings->is_read;
-    topic.is_read = must;
-    this->tell_duty(must || is_other_read);
-    return must;
+    topic.is_read = host::must_read(
+        topic.duty, {.bound = bound, .place = this->state->cell_place, .now = this->state->clock->now()});
+    this->tell_duty(this->settings->is_read || this->registry->is_read);
+    return topic.is_read;
 }
 
 void store_notices::did_read_changes(std::uint64_t since,
@@ -70,7 +59,7 @@
 void store_notices::tell(const host::change_run& told) {
     const base::time_point never{};
     const bool has_read = this->settings->known_until != never && this->registry->known_until != never;
-    if (!has_read || !this->has_followers())
+    if (!has_read || !host::has_followers(this->state->cell_place))
         return;
     const base::time_point now = this->state->clock->now();
     const store_notice notice = {.host = this->state->process->name,
--- a/libraries/gateway/store_notices.h
+++ b/libraries/gateway/store_notices.h
@@ -33,12 +33,6 @@
     void start();
     /// Whether this host reads the topic now; else it follows others.
     [[nodiscard]] bool must_read(topic_progress& topic, std::chrono::milliseconds bound);
-    /// Pause between two short reads of a topic while the store counts as lost.
-    [[nodiscard]] std::chrono::milliseconds probe_interval(std::chrono::milliseconds bound) const {
-        return host::probe_interval(this->facts(bound));
-    }
-    /// Whether hosts of the cell may follow this one.
-    [[nodiscard]] bool has_followers() const;
     /// A read has ended well: tells up to when the store is known now.
     void did_read();
     /// Changes of the registry were read, from `since` up to the offset reached: tells them.
@@ -52,7 +46,6 @@
     void take_settings(const store_notice& notice);
     void take_registry_changes(const store_notice& notice);
     void tell(const host::change_run& told);
-    [[nodiscard]] host::duty_facts facts(std::chrono::milliseconds bound) const;
     [[nodiscard]] base::duration interval() const;
     void tell_regularly();
 
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -9,12 +9,6 @@
 
 /// A host that follows readers looks after this time whether it must read for itself.
 constexpr base::duration follow_look = 50ms;
-/// Part of the bound for which a host that nobody follows waits for a record.
-constexpr double lone_wait_part = 0.6;
-/// Parts of the bound that pass after changes were read before the next read, with and without followers:
-/// those wait for the end of that read to know that nothing else has changed.
-constexpr double reader_pause_part = 0.05;
-constexpr double lone_pause_part = 0.2;
 
 } // namespace
 
@@ -78,8 +72,8 @@
 void store_watch::read_or_follow(topic& read, std::chrono::milliseconds bound, read_function function,
                                  wire::yield_context yield) {
     read.reader.bound = bound;
-    read.reader.wait_part = this->notices.has_followers() ? host::reader_wait_part : lone_wait_part;
-    read.reader.probe_interval = this->notices.probe_interval(bound);
+    read.reader.wait_part = host::wait_part(this->state->cell_place);
+    read.reader.probe_interval = host::probe_interval(this->state->cell_place, bound);
     if (this->notices.must_read(read.progress, bound)) {
         this->keep_reading(read, function, yield);
         return;
@@ -124,7 +118,7 @@
 }
 
 void store_watch::pause_after_changes(wire::yield_context yield) {
-    const double part = this->notices.has_followers() ? reader_pause_part : lone_pause_part;
+    const double part = host::pause_part(this->state->cell_place);
     const base::duration least =
         base::from_seconds(part * base::to_seconds(this->state->process->leaving_bound));
     this->pause(std::max<base::duration>(least, this->state->process->registry_interval), yield);
--- a/libraries/host/cell.h
+++ b/libraries/host/cell.h
@@ -40,8 +40,8 @@
 /// counted. Other sizes were not measured.
 inline constexpr std::size_t most_hosts_a_cell = 96;
 
-/// Divides the hosts that may be alive, this one among them. A zone keeps its parts until they have become
-/// twice as few as they need be, so that hosts that come and go don't move engines to and fro.
+/// Divides the hosts that may be alive, this one among them. A zone keeps its parts until a quarter of
+/// them would do, so that hosts that come and go don't move engines to and fro.
 [[nodiscard]] cell_plan plan_cells(const peer_directory& directory, const base::zone_id& own_zone,
                                    const cell_plan& before, base::time_point now);
 
--- a/libraries/host/store_duty.h
+++ b/libraries/host/store_duty.h
@@ -22,12 +22,22 @@
     bool operator==(const store_duty&) const = default;
 };
 
+/// A host's place among the hosts of its cell. Worked out when the cell is divided, not at each look: that
+/// hashes the names of all.
+struct cell_place {
+    std::size_t hosts = 0; ///< That may be alive, this one among them; 0 while not known.
+    std::size_t rank = 0;  ///< Hosts that go before this one, in an order that all hosts of the cell share.
+
+    bool operator==(const cell_place&) const = default;
+};
+
+/// The place of `own` in the cell that these hosts make up.
+[[nodiscard]] cell_place place_in(const std::vector<base::host_id>& cell, const base::host_id& own);
+
 /// What the duty is weighed by.
 struct duty_facts {
     std::chrono::milliseconds bound{}; ///< A record must be known within this time.
-    std::vector<base::host_id>
-        cell; ///< The cell's hosts that may be alive, this one among them; empty while not known.
-    base::host_id own;
+    cell_place place;
     base::time_point now{};
 };
 
@@ -42,17 +52,23 @@
 /// Pause between two short reads of a store that counts as lost. A cell's readers notice its return soon and
 /// tell the others; those try now and then, as the readers may be dead or turned away. A day of 295 hosts
 /// with four seconds without the store made 12,989 calls with all trying twice a second, and 8,446 so.
-[[nodiscard]] std::chrono::milliseconds probe_interval(const duty_facts& facts);
+[[nodiscard]] std::chrono::milliseconds probe_interval(const cell_place& place,
+                                                       std::chrono::milliseconds bound);
+
+/// Part of the bound for which a read waits for a record. Short where others follow: the end of each read is
+/// what tells them that nothing has changed.
+[[nodiscard]] double wait_part(const cell_place& place);
+
+/// Part of the bound that passes after changes were read before the next read, so that records that come
+/// together are read together. Short where others follow, for the same reason.
+[[nodiscard]] double pause_part(const cell_place& place);
 
 /// Whether this host reads the topic now.
 [[nodiscard]] bool must_read(const store_duty& duty, const duty_facts& facts);
 
 /// Whether the cell's hosts follow readers at all.
-[[nodiscard]] bool has_followers(const duty_facts& facts);
+[[nodiscard]] bool has_followers(const cell_place& place);
 
-/// Part of the bound for which a reader's read waits, where others follow: the end of each read is what tells
-/// them that nothing has changed.
-inline constexpr double reader_wait_part = 0.2;
 /// Part of the bound between two notices of a reader.
 inline constexpr double notice_part = 0.125;
 
--- a/libraries/host/store_reader.h
+++ b/libraries/host/store_reader.h
@@ -17,6 +17,11 @@
     bool operator==(const store_read&) const = default;
 };
 
+/// Part of the bound for which a read of a host that nobody follows waits.
+inline constexpr double lone_wait_part = 0.6;
+/// Between two short reads while the store counts as lost, where it is looked for the most.
+inline constexpr std::chrono::milliseconds shortest_probe_interval{500};
+
 /// Keeps a host in step with one topic of the store within a bound, whatever becomes of single reads.
 ///
 /// While the store answers, one read is open at a time and waits for a record. A store that falls silent
@@ -27,10 +32,10 @@
     std::chrono::milliseconds bound{2'000}; ///< A record must be known within this time.
     /// Part of the bound for which a read waits. The rest is left to notice that it has no answer, for the
     /// read that follows, and for other hosts' word.
-    double wait_part = 0.6;
-    std::chrono::milliseconds probe_interval{
-        500};              ///< Between two short reads while the store counts as lost.
-    bool is_stale = false; ///< Nothing was read for a while: the next read waits for nothing.
+    double wait_part = lone_wait_part;
+    std::chrono::milliseconds probe_interval =
+        shortest_probe_interval; ///< Between two short reads while the store counts as lost.
+    bool is_stale = false;       ///< Nothing was read for a while: the next read waits for nothing.
     answer_patience patience{.shortest = std::chrono::milliseconds(400)};
     bool is_lost = false; ///< The last read that ended had no answer.
     bool is_waiting = false;
--- a/tests/host/test_store_duty.cpp
+++ b/tests/host/test_store_duty.cpp
@@ -138,13 +138,13 @@
             return;
         this->take_notices(number, now);
         this->end_reads(number, now);
-        const host::duty_facts facts{bound, this->names, this->names[number], start + now};
+        const host::duty_facts facts{bound, host::place_in(this->names, this->names[number]), start + now};
         const bool must = !own.has_read || host::must_read(own.duty, facts);
         if (!must)
             own.reader.is_stale = true;
         own.is_reading = must;
-        own.reader.wait_part = host::reader_wait_part;
-        own.reader.probe_interval = host::probe_interval(facts);
+        own.reader.wait_part = host::wait_part(facts.place);
+        own.reader.probe_interval = host::probe_interval(facts.place, bound);
         if (must)
             if (const auto order = host::next_read(own.reader, start + now))
                 this->begin_read(own, *order, now);
@@ -283,13 +283,13 @@
 
 TEST_CASE("a small cell's hosts all read for themselves") {
     const host::store_duty duty{.known_until = start, .behind_since = {}};
-    CHECK(host::must_read(duty, {bound, {{"a"}, {"b"}, {"c"}}, {"c"}, start}));
+    CHECK(host::must_read(duty, {bound, host::place_in({{"a"}, {"b"}, {"c"}}, {"c"}), start}));
 }
 
 TEST_CASE("before the other hosts are known, what was read at the start will do for a moment") {
     const host::store_duty duty{.known_until = start, .behind_since = {}};
-    CHECK_FALSE(host::must_read(duty, {bound, {}, {"a"}, start + 1'000ms}));
-    CHECK(host::must_read(duty, {bound, {}, {"a"}, start + 2'000ms}));
+    CHECK_FALSE(host::must_read(duty, {bound, host::place_in({}, {"a"}), start + 1'000ms}));
+    CHECK(host::must_read(duty, {bound, host::place_in({}, {"a"}), start + 2'000ms}));
 }
 
 TEST_CASE("while the store is lost a cell's readers look for it, the others seldom") {
@@ -297,7 +297,7 @@
     for (int number = 0; number < 40; ++number)
         cell.push_back({"host-" + std::to_string(number)});
     const auto often = std::ranges::count_if(cell, [&](const base::host_id& name) {
-        return host::probe_interval({bound, cell, name, start}) < 1'000ms;
+        return host::probe_interval(host::place_in(cell, name), bound) < 1'000ms;
     });
     CHECK(often == host::readers_a_cell);
 }
@@ -310,16 +310,17 @@
     std::vector<base::host_id> readers;
     for (const base::host_id& name : cell) {
         const host::store_duty duty{.known_until = start, .behind_since = {}};
-        (host::must_read(duty, {bound, cell, name, start}) ? readers : followers).push_back(name);
+        (host::must_read(duty, {bound, host::place_in(cell, name), start}) ? readers : followers)
+            .push_back(name);
     }
     REQUIRE(readers.size() == host::readers_a_cell);
     host::store_duty duty{.known_until = start, .behind_since = {}};
-    CHECK_FALSE(host::must_read(duty, {bound, cell, followers.front(), start + 1'900ms}));
-    CHECK(host::must_read(duty, {bound, cell, followers.front(), start + 2'500ms}));
+    CHECK_FALSE(host::must_read(duty, {bound, host::place_in(cell, followers.front()), start + 1'900ms}));
+    CHECK(host::must_read(duty, {bound, host::place_in(cell, followers.front()), start + 2'500ms}));
     host::note_known(duty, start + 2'400ms);
-    CHECK_FALSE(host::must_read(duty, {bound, cell, followers.front(), start + 2'600ms}));
+    CHECK_FALSE(host::must_read(duty, {bound, host::place_in(cell, followers.front()), start + 2'600ms}));
     duty.behind_since = start + 2'600ms;
-    CHECK(host::must_read(duty, {bound, cell, followers.front(), start + 3'000ms}));
+    CHECK(host::must_read(duty, {bound, host::place_in(cell, followers.front()), start + 3'000ms}));
 }
 
 TEST_CASE("each record is known within its bound while readers freeze, die and are turned away") {
