gateway: Tell what of a store's answer had arrived when a read of it failed

Cause: the logs of the incident say "no answer within the limit" both for a store that is silent and for an answer that was cut short while it arrived, and nothing tells the size of the settings. Change: a dependency_lost line has arrived_bytes and reads_open, settings_in_force has document_bytes, and store_bytes_given_up_total adds up what arrived in vain. No logic is changed.

--- a/libraries/gateway/gateway_figures.h
+++ b/libraries/gateway/gateway_figures.h
@@ -23,8 +23,8 @@
 /// Counters and histograms of a gateway host. Used by one thread.
 class gateway_figures {
 public:
-    /// Adds one to the counter of that name and labels, as `sends_total{result="answered"}`.
-    void count(const std::string& name) { ++this->counters[name]; }
+    /// Adds to the counter of that name and labels, as `sends_total{result="answered"}`.
+    void count(const std::string& name, std::uint64_t amount = 1) { this->counters[name] += amount; }
     /// Sets a gauge.
     void set(const std::string& name, double value) { this->gauges[name] = value; }
     /// Takes a latency into the histogram of that name.
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -86,6 +86,7 @@
     state.log->write_always("settings_in_force", {{"version", version},
                                                   {"version_before", before},
                                                   {"routes", state.settings->document.value->routes.size()},
+                                                  {"document_bytes", state.settings->document.text.size()},
                                                   {"heard_from", heard_from}});
     return true;
 }
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -35,7 +35,9 @@
 void store_watch::tell_lost(const topic& read, const ports::feed_error& error) {
     this->state->log->write_always("dependency_lost", {{"dependency", std::string("store ") + read.name},
                                                        {"failure", ports::to_text(error.failure)},
-                                                       {"detail", error.detail}});
+                                                       {"detail", error.detail},
+                                                       {"arrived_bytes", error.arrived_bytes},
+                                                       {"reads_open", host::reads_open(read.reader)}});
 }
 
 void store_watch::run_read(topic& read, read_function function, const host::store_read& order,
@@ -56,6 +58,7 @@
         this->notices.did_read();
     } else {
         this->state->figures->count("store_failures_total");
+        this->state->figures->count("store_bytes_given_up_total", result.error().arrived_bytes);
         if (result.error().failure == ports::feed_failure::history_lost)
             read.progress.has_offset = false;
         const auto failure = result.error().failure == ports::feed_failure::unreachable
--- a/libraries/host/store_reader.cpp
+++ b/libraries/host/store_reader.cpp
@@ -42,6 +42,8 @@
     return store_read{milliseconds::zero(), reader.patience.limit};
 }
 
+int reads_open(const store_reader& reader) { return reader.probes_open + (reader.is_waiting ? 1 : 0); }
+
 bool did_answer(store_reader& reader, const store_read& read, base::time_point began) {
     close_read(reader, read);
     reader.answered_from = std::max(reader.answered_from, began);
--- a/libraries/host/store_reader.h
+++ b/libraries/host/store_reader.h
@@ -50,6 +50,9 @@
 /// A read that began at `began` was answered. Says whether the store counted as lost before.
 bool did_answer(store_reader& reader, const store_read& read, base::time_point began);
 
+/// Reads that are open now.
+[[nodiscard]] int reads_open(const store_reader& reader);
+
 /// How a read failed.
 enum class read_failure {
     no_answer, ///< Silence, or no connection.
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -29,6 +29,7 @@
 struct feed_error {
     feed_failure failure = feed_failure::unreachable;
     std::string detail;
+    std::size_t arrived_bytes = 0; ///< Of an answer that was given up before its end.
 
     bool operator==(const feed_error&) const = default;
 };
--- a/libraries/wire/upstream_call.cpp
+++ b/libraries/wire/upstream_call.cpp
@@ -94,7 +94,7 @@
         if (this->is_cancelled)
             return {wire_failure::cancelled, "cancelled"};
         if (this->is_late)
-            return {wire_failure::late, "no answer within the limit"};
+            return {wire_failure::late, "no whole answer within the limit", this->arrived_bytes};
         return error ? from_io(error) : wire_error{};
     }
 
@@ -143,6 +143,7 @@
     beast::flat_buffer input;
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, part_bytes> part{};
+    std::size_t arrived_bytes = 0; ///< Of the answer's body.
     bool has_sent = false;
     bool is_cancelled = false;
     bool is_late = false;
@@ -183,6 +184,7 @@
     if (own.is_cancelled)
         return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled before it was sent"});
     own.is_whole = false;
+    own.arrived_bytes = 0;
     own.guard(deadline);
     own.has_sent = true;
     own.start_write(request);
@@ -214,7 +216,9 @@
     wire_error ended = own.end(error);
     if (error)
         return tl::make_unexpected(std::move(ended));
-    into.append(own.part.data(), own.part.size() - own.parser->get().body().size);
+    const std::size_t arrived = own.part.size() - own.parser->get().body().size;
+    into.append(own.part.data(), arrived);
+    own.arrived_bytes += arrived;
     return true;
 }
 
--- a/libraries/wire/wire_error.h
+++ b/libraries/wire/wire_error.h
@@ -4,6 +4,7 @@
 #include <boost/system/error_code.hpp>
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <string>
 
 namespace postpaddle::wire {
@@ -27,6 +28,7 @@
 struct wire_error {
     wire_failure failure = wire_failure::broken;
     std::string detail;
+    std::size_t arrived_bytes = 0; ///< Of an answer's body, before a time limit passed.
 
     bool operator==(const wire_error&) const = default;
 };
