--- a/stand_ins/fault_proxy/main.cpp
+++ b/stand_ins/fault_proxy/main.cpp
@@ -23,6 +23,7 @@
     faults.is_answer_frozen = body.value("freeze_answers", false);
     faults.delay_ms = body.value("delay_ms", 0);
     faults.cut_after = body.value("cut_after", std::int64_t{-1});
+    faults.bytes_per_s = body.value("bytes_per_s", std::int64_t{0});
     return faults;
 }
 
@@ -47,9 +48,10 @@
                 links[name]->set_faults(faults_of(body));
             }
             const bool is_known = links.contains(name);
-            const json answer =
-                is_known ? json{{"port", links[name]->port()}, {"connections", links[name]->connections()}}
-                         : json{{"error", "no such link"}};
+            const json answer = is_known ? json{{"port", links[name]->port()},
+                                                {"connections", links[name]->connections()},
+                                                {"answered_bytes", links[name]->answered_bytes()}}
+                                         : json{{"error", "no such link"}};
             (void)connection.send(stand_in::json_response(answer, is_known ? 200 : 404), yield);
         });
     stand_in::stop_on_signal(context);
--- a/stand_ins/fault_proxy/proxy_link.cpp
+++ b/stand_ins/fault_proxy/proxy_link.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace postpaddle::stand_in {
@@ -81,6 +82,18 @@
     }
 }
 
+void proxy_link::take_turn(std::size_t bytes, wire::yield_context yield) {
+    if (this->current.bytes_per_s <= 0)
+        return;
+    const auto length = std::chrono::duration<double>(static_cast<double>(bytes) /
+                                                      static_cast<double>(this->current.bytes_per_s));
+    this->free_at = std::max(this->free_at, std::chrono::steady_clock::now()) +
+                    std::chrono::duration_cast<std::chrono::steady_clock::duration>(length);
+    wire::error_code ignored;
+    wire::asio::steady_timer timer(*this->context, this->free_at);
+    timer.async_wait(yield[ignored]);
+}
+
 void proxy_link::carry(const std::shared_ptr<pair>& both, bool is_answer, wire::yield_context yield) {
     socket& from = is_answer ? both->server : both->client;
     socket& to = is_answer ? both->client : both->server;
@@ -98,8 +111,11 @@
             wire::asio::async_write(to, wire::asio::buffer(piece.data(), count), yield[error]);
             break;
         }
-        if (is_answer)
+        if (is_answer) {
+            this->take_turn(count, yield);
             both->answered += static_cast<std::int64_t>(count);
+            this->answered += count;
+        }
         wire::asio::async_write(to, wire::asio::buffer(piece.data(), count), yield[error]);
     }
     close(*both);
--- a/stand_ins/fault_proxy/proxy_link.h
+++ b/stand_ins/fault_proxy/proxy_link.h
@@ -3,6 +3,7 @@
 
 #include <wire/asio.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -17,6 +18,7 @@
     bool is_answer_frozen = false; ///< Holds back the bytes towards the client.
     int delay_ms = 0;              ///< Delays each piece.
     std::int64_t cut_after = -1;   ///< Cuts each connection after so many bytes towards the client.
+    std::int64_t bytes_per_s = 0;  ///< Towards the client, all connections together; 0 for no limit.
 };
 
 /// One proxied address: a port of its own in front of a target.
@@ -30,6 +32,8 @@
     void set_faults(const link_faults& next);
     [[nodiscard]] const link_faults& faults() const { return this->current; }
     [[nodiscard]] std::uint64_t connections() const { return this->accepted; }
+    /// Bytes that went towards clients.
+    [[nodiscard]] std::uint64_t answered_bytes() const { return this->answered; }
 
 private:
     using socket = wire::asio::ip::tcp::socket;
@@ -44,6 +48,8 @@
     void accept(wire::yield_context yield);
     void carry(const std::shared_ptr<pair>& both, bool is_answer, wire::yield_context yield);
     void hold_back(bool is_answer, wire::yield_context yield) const;
+    /// Waits until the link has carried this piece and those before it.
+    void take_turn(std::size_t bytes, wire::yield_context yield);
     static void close(pair& both);
 
     wire::asio::io_context* context;
@@ -52,6 +58,8 @@
     link_faults current;
     std::set<std::shared_ptr<pair>> open;
     std::uint64_t accepted = 0;
+    std::uint64_t answered = 0;
+    std::chrono::steady_clock::time_point free_at{}; ///< When the link has carried all that it has taken.
 };
 
 } // namespace postpaddle::stand_in
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -97,6 +97,12 @@
                                  "--hosts=" + std::to_string(std::max(4, this->options.hosts))},
         this->folder + "/store.log");
     this->store_port = std::to_string(this->store_process->read_json().at("port").get<int>());
+    if (this->options.store_bytes_per_s > 0) {
+        this->proxy =
+            std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/stand_in_fault_proxy",
+                                            std::vector<std::string>{}, this->folder + "/proxy.log");
+        this->proxy_control = "127.0.0.1:" + std::to_string(this->proxy->read_json().at("port").get<int>());
+    }
     for (const server_plan& plan : this->options.servers) {
         auto process = std::make_unique<child_process>(
             std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_server",
@@ -139,8 +145,8 @@
                         << "\nreadiness: " << this->host_address(number, this->readiness_port)
                         << "\npeers: " << this->host_address(number, this->peers_port)
                         << "\nload_port: " << this->load_port << "\nseeds: ["
-                        << this->host_address(1, this->peers_port) << "]\nstore: " << this->host_ip(number)
-                        << ":" << this->store_port
+                        << this->host_address(1, this->peers_port)
+                        << "]\nstore: " << this->store_address(number)
                         << "\nheartbeat_ms: 200\nbalancer_lag_ms: 300\nretries: {slack: "
                         << this->options.retry_slack
                         << "}\norder_lease_ms: 500\nengines_check_tokens: true\n";
@@ -149,6 +155,26 @@
                                                           this->folder + "/" + name + ".log");
 }
 
+std::string gateway_cluster::store_address(int number) {
+    std::string direct = this->host_ip(number) + ":" + this->store_port;
+    if (!this->proxy)
+        return direct;
+    const std::string link = "store-" + std::to_string(number);
+    const json made =
+        stand_in::post_json(this->proxy_control, "/links", {{"link", link}, {"target", direct}});
+    (void)stand_in::post_json(this->proxy_control, "/faults",
+                              {{"link", link}, {"bytes_per_s", this->options.store_bytes_per_s}});
+    return "127.0.0.1:" + std::to_string(made.at("port").get<int>());
+}
+
+std::uint64_t gateway_cluster::bytes_from_store(int number) const {
+    const json body = {{"link", "store-" + std::to_string(number)},
+                       {"bytes_per_s", this->options.store_bytes_per_s}};
+    return stand_in::post_json(this->proxy_control, "/faults", body)
+        .at("answered_bytes")
+        .get<std::uint64_t>();
+}
+
 bool gateway_cluster::is_ready(int number) const {
     const auto answer = stand_in::http_exchange(this->host_address(number, this->readiness_port),
                                                 {"GET", "/readyz", {{"Host", "host"}}, ""});
@@ -183,12 +209,13 @@
                          {"value", make_configuration(version, has_extra_route)}}}});
 }
 
-void gateway_cluster::publish_grown(int version, int more_routes) {
+std::size_t gateway_cluster::publish_grown(int version, int more_routes) {
     json configuration = make_configuration(version, true);
     for (int number = 0; number < more_routes; ++number)
         configuration["routes"].push_back(
             make_route("/more-" + std::to_string(number) + "/", "idempotent", "plain", 2, false));
     (void)this->store({{"put", {{"topic", "keyed.op"}, {"key", "config"}, {"value", configuration}}}});
+    return configuration.dump().size();
 }
 
 void gateway_cluster::list(const std::string& id, const std::string& state, int sequence) {
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -25,6 +25,7 @@
     int hosts = 1;
     bool has_configuration = true;  ///< Whether the operator has written one before the hosts start.
     double retry_slack = 1'000'000; ///< So much that a host that has just started can send again.
+    int store_bytes_per_s = 0;      ///< What the link from the store to each host carries; 0 for no limit.
 };
 
 /// Gateway hosts, the platform's store and its servers as real processes on loopback addresses.
@@ -51,14 +52,16 @@
 
     /// Writes a configuration: the cluster's routes, and one more below `/extra/` where `has_extra_route`.
     void publish(int version, bool has_extra_route = false);
-    /// Writes a configuration with that many routes beside the cluster's.
-    void publish_grown(int version, int more_routes);
+    /// Writes a configuration with that many routes beside the cluster's; gives its size in bytes.
+    std::size_t publish_grown(int version, int more_routes);
     /// Writes an entry under a new id for a server of that service at the address of one that runs.
     void list_at(const std::string& id, const std::string& service, const std::string& running_id);
     /// Writes a server's entry into the registry.
     void list(const std::string& id, const std::string& state, int sequence);
     /// Sets faults of the store, and reads its counters.
     nlohmann::json store(const nlohmann::json& control = nlohmann::json::object());
+    /// Bytes that the store's answers brought over the host's link; the link must have a limit.
+    [[nodiscard]] std::uint64_t bytes_from_store(int number) const;
     /// Sets faults of a server, and reads its counters.
     nlohmann::json server(const std::string& id, const nlohmann::json& control = nlohmann::json::object());
     /// Ends a server's process at once; its registry entry stays.
@@ -75,12 +78,16 @@
 private:
     void put_server(const std::string& id, const nlohmann::json& entry);
     [[nodiscard]] std::string host_address(int number, int port) const;
+    /// Where the host finds the store: over a link of its own where links have a limit.
+    [[nodiscard]] std::string store_address(int number);
 
     gateway_cluster_options options;
     std::string folder;
     std::string network; ///< First three numbers of the hosts' addresses, with a dot behind.
     std::unique_ptr<stand_in::child_process> store_process;
     std::string store_port;
+    std::unique_ptr<stand_in::child_process> proxy; ///< Where links have a limit.
+    std::string proxy_control;
     std::map<std::string, std::unique_ptr<stand_in::child_process>> servers;
     std::map<std::string, std::string> server_addresses;
     std::map<std::string, server_plan> plans;
