wire: Wait for settings, host lists and records of the own interface while they arrive

Cause: the same limit on a whole answer stood in the own interface's peers and host list. Change: both wait for the head and then for each part; the state dump shows what a host has learned of each service (profiles), as a test of orders to engines failed beside a build and nothing told which figure the balance rested on.

--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -27,6 +27,15 @@
             {"slowness", known.slowness.value}};
 }
 
+json dump_profile(const decision::service_profile& profile) {
+    return {{"prompt_tokens", profile.prompt_tokens.value},
+            {"output_tokens", profile.output_tokens.value},
+            {"event_seconds", profile.event_seconds.value},
+            {"first_event_seconds", profile.pace.first_event.value},
+            {"read_seconds", decision::seconds_for_tokens(profile.pace, profile.prompt_tokens.value)},
+            {"streams_timed", profile.streams_timed}};
+}
+
 } // namespace
 
 json dump_state(const gateway_state& state) {
@@ -42,6 +51,9 @@
     json budgets = json::object();
     for (const auto& [service, budget] : state.budgets)
         budgets[service] = decision::sends_left(budget, budget_options_of(state), now);
+    json profiles = json::object();
+    for (const auto& [service, profile] : state.profiles)
+        profiles[service] = dump_profile(profile);
     json policy = json::object();
     for (const settings::policy_field& field : settings::policy_fields())
         policy[field.name] = state.process->policy.*field.value;
@@ -58,6 +70,7 @@
             {"hosts_alive", hosts_alive(state)},
             {"has_host_list", state.knows_hosts},
             {"retry_budget_left", std::move(budgets)},
+            {"profiles", std::move(profiles)},
             {"instances", std::move(instances)},
             {"peers", std::move(peers)}};
 }
--- a/libraries/wire/host_list_client.cpp
+++ b/libraries/wire/host_list_client.cpp
@@ -13,6 +13,7 @@
 
 using json = nlohmann::json;
 
+/// Until an answer begins, and then between any two parts of the list.
 constexpr auto limit = std::chrono::milliseconds(2000);
 constexpr int ok_status = 200;
 
@@ -22,7 +23,8 @@
     : pool(context, answer_bounds{}), address(std::move(address)) {}
 
 expected<host_list> host_list_client::read(yield_context yield) {
-    POSTPADDLE_TRY(response, fetch(this->pool, this->address, get_request("/hosts"), limit, yield));
+    POSTPADDLE_TRY(response, fetch_large(this->pool, this->address, get_request("/hosts"),
+                                         {.begin = limit, .silence = limit}, yield));
     const json parsed = json::parse(response.body, nullptr, false);
     try {
         host_list list;
--- a/libraries/wire/peer_client.cpp
+++ b/libraries/wire/peer_client.cpp
@@ -21,8 +21,10 @@
     // The coroutine may be suspended inside the transport: libjsonrpccpp only sees a call that takes a while.
     const json_rpc_transport transport = [&](const std::string& message, std::string& response) {
         this->traffic += message.size() + 2 * http_head_bytes;
-        auto answer = fetch(this->pool, address,
-                            json_request("/rpc", message, {{peer_token_header, this->token}}), limit, yield);
+        // Settings handed over may be large; all other answers come in one part.
+        auto answer = fetch_large(this->pool, address,
+                                  json_request("/rpc", message, {{peer_token_header, this->token}}),
+                                  {.begin = limit, .silence = limit}, yield);
         if (!answer || answer->status != ok_status)
             return false;
         this->traffic += answer->body.size();
--- a/libraries/wire/peer_client.h
+++ b/libraries/wire/peer_client.h
@@ -15,7 +15,8 @@
 public:
     peer_client(asio::io_context& context, std::string token);
 
-    /// Calls a method with a JSON payload and gives the JSON text of its result.
+    /// Calls a method with a JSON payload and gives the JSON text of its result. `limit` is until the answer
+    /// begins, and then between any two parts of it.
     [[nodiscard]] expected<std::string> call(const std::string& address, const std::string& method,
                                              const std::string& payload, std::chrono::milliseconds limit,
                                              yield_context yield);
--- a/tests/gateway/test_orders.cpp
+++ b/tests/gateway/test_orders.cpp
@@ -33,10 +33,15 @@
 /// Streams through both hosts, so that either may judge the balance.
 void stream_some(const test::gateway_cluster& cluster, const std::vector<int>& hosts) {
     for (const int host : hosts)
-        for (int request = 0; request < 6; ++request)
-            CHECK(stand_in::http_exchange(
-                cluster.callers_address(host),
-                routed_request("/stream/", "id-" + std::to_string(host) + "-" + std::to_string(request))));
+        for (int request = 0; request < 6; ++request) {
+            const std::string id = "id-" + std::to_string(host) + "-" + std::to_string(request);
+            const auto answer =
+                stand_in::http_exchange(cluster.callers_address(host), routed_request("/stream/", id));
+            REQUIRE(answer);
+            // A refused request times no stream, and without three timed ones no host judges the balance.
+            INFO(answer->body << cluster.state_of(host).dump(1));
+            CHECK(answer->status == 200);
+        }
 }
 
 nlohmann::json all_orders(test::gateway_cluster& cluster) {
@@ -77,7 +82,10 @@
     auto cluster = make_unbalanced_cluster("no-lease");
     (void)cluster.store({{"mode", "busy"}});
     stream_some(cluster, {1, 2});
-    CHECK(test::eventually([&] { return cluster.metric(1, "order_leases_missed_total") > 0; }));
+    const bool has_missed =
+        test::eventually([&] { return cluster.metric(1, "order_leases_missed_total") > 0; });
+    INFO(cluster.state_of(1).dump(1));
+    CHECK(has_missed);
     CHECK(all_orders(cluster).empty());
     (void)cluster.store({{"mode", ""}});
     CHECK(test::eventually([&] { return !all_orders(cluster).empty(); }));
