gateway: Count a stream that its caller has whole as passed on

Cause: a caller that closes its connection right after the last byte may be noticed before the host looks at how the stream ended; it then counted as gone. What such streams teach (their length and pace) was lost, and the log said caller_gone. Found by the test of orders with the store turning hosts away: the host had served six streams and timed two, and judges the balance only from three on. Change: how the stream ended is looked at first. Ruled out: slow prompts (the test passes with 300 ms for each prompt read).

--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -153,12 +153,13 @@
         this->did_refuse(send.instance, exchange.facts);
     this->last = exchange.result;
     this->reason = decision::to_text(exchange.result);
-    if (this->request->cancellation->is_caller_gone || end == stream_end::caller_gone)
-        return request_ending::caller_gone;
+    // Before the look at the caller: one that has the whole stream may have closed its connection since.
     if (is_stream && end == stream_end::whole) {
         this->did_pass_whole();
         return request_ending::passed_on;
     }
+    if (this->request->cancellation->is_caller_gone || end == stream_end::caller_gone)
+        return request_ending::caller_gone;
     if (exchange.result == send_result::answered)
         return this->is_begun ? this->give_up(yield)
                               : pass_answer(*this->request, exchange.head, std::move(body), yield);
