decision: Share out whole sends where hosts outnumber the retry slack

Cause: a host whose part of the slack is less than one send saved up one all the same, so that hosts beyond 0.8 of the slack held more together than the bound allows. Change: below one send a host saves one or none by its rank in its cell; the sum over all is at most the part that may be saved up. The rank is the one by which hosts of a cell divide the reads of the store. Ruled out: parts spent by chance, parts that go round (docs/design/0014-size.md). Figures: 400 hosts, slack 56, window 10 s: saved up together 400 before, 44 after; the two new cases fail before.

--- a/libraries/decision/shared_budget.cpp
+++ b/libraries/decision/shared_budget.cpp
@@ -2,6 +2,7 @@
 #include <decision/shared_budget.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace postpaddle::decision {
 
@@ -18,11 +19,19 @@
 constexpr double added_part = 0.1;
 /// Part of the ratio that a request adds; the rest is for the same.
 constexpr double ratio_part = 0.95;
-/// A host whose part is smaller saves up one send all the same, else it could never spend any.
+/// Where there is no slack to share, a host saves up one send of the ratio of its own requests: with less it
+/// could never spend any.
 constexpr double least_saved = 1;
 
+/// Sends that a host may save up. Where hosts outnumber them, whole ones go to so many hosts by their rank,
+/// the others save none: with one for each, four hundred hosts saved up four hundred sends of a slack of 56.
 double saved_at_most(const shared_budget_options& options) {
-    return std::max(least_saved, saved_part * options.slack / std::max(1, options.hosts));
+    if (options.slack <= 0)
+        return least_saved;
+    const double part = saved_part * options.slack / std::max(1, options.hosts);
+    if (part >= least_saved)
+        return part;
+    return std::floor((options.rank + 1) * part) - std::floor(options.rank * part);
 }
 
 void fill(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
--- a/libraries/decision/shared_budget.h
+++ b/libraries/decision/shared_budget.h
@@ -11,6 +11,7 @@
     double slack = 20;       ///< Extra sends on top, over all hosts.
     base::duration window{}; ///< Any span of this length keeps to the bound.
     int hosts = 1;           ///< Hosts that share the slack: no fewer than may be alive.
+    int rank = 0;            ///< This host's among them, or among those of its cell; no two have the same.
 
     bool operator==(const shared_budget_options&) const = default;
 };
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -146,10 +146,13 @@
 decision::shared_budget_options budget_options_of(const gateway_state& state) {
     const settings::retry_budget_settings& retries = state.process->retries;
     // A host that knows only some of the others would take too large a part of what all share.
-    return {.ratio = retries.ratio,
-            .slack = state.knows_hosts ? retries.slack : 0,
-            .window = retries.window,
-            .hosts = hosts_alive(state)};
+    return {
+        .ratio = retries.ratio,
+        .slack = state.knows_hosts ? retries.slack : 0,
+        .window = retries.window,
+        .hosts = hosts_alive(state),
+        // Within the cell: what each cell's hosts get by their ranks adds up to no more than by one order.
+        .rank = static_cast<int>(state.cell_place.rank)};
 }
 
 decision::shared_budget& budget_of(gateway_state& state, const std::string& service) {
--- a/tests/decision/test_shared_budget.cpp
+++ b/tests/decision/test_shared_budget.cpp
@@ -21,18 +21,17 @@
 /// Hosts that share one budget, and all that upstreams and callers saw of them.
 class budget_world {
 public:
-    budget_world(std::size_t hosts, base::time_point now) : now(now), budgets(hosts, new_budget(now)) {
-        this->shared.hosts = static_cast<int>(hosts);
-    }
+    budget_world(std::size_t hosts, base::time_point now) : now(now), budgets(hosts, new_budget(now)) {}
 
     void pass(base::duration time) { this->now += time; }
 
     /// A caller asks that host; each of its sends beyond the first goes out if the budget allows it.
     void ask(std::size_t host, int wanted_extras) {
-        decision::note_request(this->budgets[host], this->shared, this->now);
+        const decision::shared_budget_options shared = this->options_of(host);
+        decision::note_request(this->budgets[host], shared, this->now);
         this->requests.push_back(this->now);
         for (int extra = 0; extra < wanted_extras; ++extra)
-            if (decision::try_spend(this->budgets[host], this->shared, this->now))
+            if (decision::try_spend(this->budgets[host], shared, this->now))
                 this->extras.push_back(this->now);
     }
 
@@ -51,13 +50,21 @@
 
     [[nodiscard]] std::size_t host_count() const { return this->budgets.size(); }
 
+    [[nodiscard]] std::size_t extra_count() const { return this->extras.size(); }
+
 private:
+    [[nodiscard]] decision::shared_budget_options options_of(std::size_t host) const {
+        decision::shared_budget_options shared = options;
+        shared.hosts = static_cast<int>(this->budgets.size());
+        shared.rank = static_cast<int>(host);
+        return shared;
+    }
+
     [[nodiscard]] static double count(const std::vector<base::time_point>& times, base::time_point begin) {
         const auto from = std::ranges::lower_bound(times, begin);
         return static_cast<double>(std::ranges::lower_bound(times, begin + options.window) - from);
     }
 
-    decision::shared_budget_options shared = options;
     base::time_point now;
     std::vector<decision::shared_budget> budgets;
     std::vector<base::time_point> requests;
@@ -213,3 +220,44 @@
         world.check_bound();
     }
 }
+
+// Each host saved up one send however many shared the slack: four hundred hosts held four hundred where 56
+// are allowed, and an upstream that refuses all of them at once got these within a moment.
+TEST_CASE("more hosts than the slack has sends keep to the bound, and still spend what it allows") {
+    static constexpr std::size_t hosts = 400;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937 random(seed);
+        budget_world world(hosts, start);
+        // Calm at first, so that all have saved up what they may; then an upstream refuses whatever it is
+        // sent.
+        for (int step = 0; step < 8'000; ++step) {
+            world.pass(5ms);
+            world.ask(draw_below(random, hosts), 0);
+        }
+        for (std::size_t host = 0; host < hosts; ++host)
+            world.ask(host, 3);
+        CHECK(world.extra_count() > options.slack / 2);
+        for (int step = 0; step < 4'000; ++step) {
+            world.pass(std::chrono::milliseconds(draw_below(random, 10)));
+            world.ask(draw_below(random, hosts), draw_below(random, 10) == 0 ? 3 : 1);
+            if (draw_below(random, 100) == 0)
+                world.kill(draw_below(random, hosts));
+        }
+        world.check_bound();
+    }
+}
+
+TEST_CASE("what is shared out to hosts by their rank adds up to the slack's part and no more") {
+    for (const int hosts : {45, 57, 200, 400, 1'000}) {
+        double saved = 0;
+        for (int rank = 0; rank < hosts; ++rank) {
+            const decision::shared_budget_options shared = {
+                .ratio = 0.2, .slack = 56, .window = 10s, .hosts = hosts, .rank = rank};
+            saved += decision::sends_left(new_budget(start), shared, start + 24h);
+        }
+        INFO(hosts);
+        CHECK(saved <= 0.8 * options.slack + 0.001);
+        CHECK(saved >= 0.8 * options.slack - 1);
+    }
+}
