gateway: Stop listening for a while to a host that floods with datagrams

Cause: nothing bounded what one broken host may cost the others: each datagram was read and entered, however many came. Change: a token bucket for each sender (1,000 a second; a host that is sound sends some 350 at most); who passes it is not heard for a second, with a sender_ignored line and ignored_datagrams_total. Senders remembered are bounded.

--- a/libraries/gateway/peer_datagrams.cpp
+++ b/libraries/gateway/peer_datagrams.cpp
@@ -34,13 +34,25 @@
 void peer_datagrams::hear() {
     this->socket.async_receive_from(wire::asio::buffer(this->datagram), this->sender,
                                     [this](const wire::error_code& error, std::size_t size) {
-                                        if (!error)
+                                        if (!error && this->is_heard())
                                             this->take({this->datagram.data(), size});
                                         if (error != wire::asio::error::operation_aborted)
                                             this->hear();
                                     });
 }
 
+bool peer_datagrams::is_heard() {
+    const std::uint32_t address = this->sender.address().to_v4().to_uint();
+    const host::sender_verdict verdict =
+        host::judge_sender(this->guard, host::sender_guard_options{}, address, this->state->clock->now());
+    if (verdict == host::sender_verdict::take)
+        return true;
+    this->state->figures->count("ignored_datagrams_total");
+    if (verdict == host::sender_verdict::begin_to_ignore)
+        this->state->log->write("sender_ignored", {{"address", this->sender.address().to_string()}});
+    return false;
+}
+
 void peer_datagrams::take(std::string_view bytes) {
     const auto found =
         bytes.empty() ? this->handlers.end() : this->handlers.find(static_cast<datagram_kind>(bytes.front()));
--- a/libraries/gateway/peer_datagrams.h
+++ b/libraries/gateway/peer_datagrams.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <gateway/gateway_state.h>
+#include <host/sender_guard.h>
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -40,6 +41,8 @@
 
 private:
     void hear();
+    /// Whether the sender of the datagram that has just come is listened to.
+    [[nodiscard]] bool is_heard();
     void take(std::string_view bytes);
 
     gateway_state* state;
@@ -47,6 +50,7 @@
     wire::asio::ip::udp::endpoint sender;
     std::array<char, 65'536> datagram{};
     std::map<datagram_kind, handler> handlers;
+    host::sender_guard guard;
 };
 
 } // namespace postpaddle::gateway
--- a/tests/gateway/test_troubles.cpp
+++ b/tests/gateway/test_troubles.cpp
@@ -3,6 +3,9 @@
 #include <support/gateway_cluster.h>
 #include <support/test_cluster.h>
 
+#include <wire/asio.h>
+
+#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -155,3 +158,18 @@
     CHECK(test::eventually([&] { return cluster.is_ready(2); }));
     CHECK(test::eventually([&] { return cluster.state_of(1).at("peers").contains("host-2"); }));
 }
+
+TEST_CASE("a host that is flooded with datagrams ignores their sender and serves on") {
+    test::gateway_cluster cluster({.name = "flooded", .servers = {{.id = "one"}}});
+    wire::asio::io_context context;
+    const auto address = wire::asio::ip::make_address(cluster.host_ip(1));
+    const wire::asio::ip::udp::endpoint host(address, static_cast<std::uint16_t>(cluster.datagram_port()));
+    const auto flooding_address = wire::asio::ip::make_address(cluster.host_ip(3));
+    wire::asio::ip::udp::socket socket(context, {flooding_address, 0});
+    CHECK(test::eventually([&] {
+        for (int datagram = 0; datagram < 2'000; ++datagram)
+            (void)socket.send_to(wire::asio::buffer("l no report"), host);
+        return cluster.metric(1, "ignored_datagrams_total") > 0;
+    }));
+    CHECK(status_at(cluster, 1, "/again/", "flooded") == 200);
+}
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -50,6 +50,9 @@
     /// Address for the other hosts and for operators.
     [[nodiscard]] std::string peers_address(int number = 1) const;
 
+    /// Port for datagrams, the same at each host's address.
+    [[nodiscard]] int datagram_port() const { return this->load_port; }
+
     /// Writes a configuration: the cluster's routes, and one more below `/extra/` where `has_extra_route`.
     void publish(int version, bool has_extra_route = false);
     /// Writes a configuration with that many routes beside the cluster's; gives its size in bytes.
