--- a/libraries/base/compression.cpp
+++ b/libraries/base/compression.cpp
@@ -5,17 +5,15 @@
 
 #include <zlib.h>
 
-#include <algorithm>
-#include <array>
-
 namespace postpaddle::base {
 
 namespace {
 
+/// Taken from zlib at once.
 constexpr std::size_t part_bytes = 64UL * 1024;
 
-/// zlib reads through a pointer that is not const, and does not write there.
-Bytef* input_of(std::string_view bytes) {
+/// As zlib takes them: through a pointer that is not const also where it only reads.
+Bytef* zlib_bytes(std::string_view bytes) {
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast, cppcoreguidelines-pro-type-const-cast)
     return reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
 }
@@ -25,7 +23,7 @@
 std::string compress(std::string_view bytes) {
     uLongf size = compressBound(bytes.size());
     std::string packed(size, '\0');
-    const int result = compress2(input_of(packed), &size, input_of(bytes), bytes.size(), Z_BEST_SPEED);
+    const int result = compress2(zlib_bytes(packed), &size, zlib_bytes(bytes), bytes.size(), Z_BEST_SPEED);
     // The output has room for the worst case, so only want of memory can fail here.
     POSTPADDLE_VERIFY(result == Z_OK);
     packed.resize(size);
@@ -36,13 +34,13 @@
     z_stream stream{};
     if (inflateInit(&stream) != Z_OK)
         return std::nullopt;
-    stream.next_in = input_of(bytes);
+    stream.next_in = zlib_bytes(bytes);
     stream.avail_in = static_cast<uInt>(bytes.size());
     std::string whole;
     std::string part(part_bytes, '\0');
     int result = Z_OK;
     while (result == Z_OK && whole.size() <= most_bytes) {
-        stream.next_out = input_of(part);
+        stream.next_out = zlib_bytes(part);
         stream.avail_out = static_cast<uInt>(part.size());
         result = inflate(&stream, Z_NO_FLUSH);
         whole.append(part, 0, part.size() - stream.avail_out);
--- a/libraries/base/compression.h
+++ b/libraries/base/compression.h
@@ -9,7 +9,7 @@
 namespace postpaddle::base {
 
 /// The bytes in the zlib format (RFC 1950), which HTTP calls `deflate`. Fast rather than small: settings of
-/// thousands of routes shrink to a tenth even so, as their routes are alike.
+/// many routes shrink to less than a fifth even so, as their routes are alike.
 [[nodiscard]] std::string compress(std::string_view bytes);
 
 /// What was compressed; nothing where the bytes are malformed, cut short, or more than `most_bytes`.
--- a/libraries/gateway/peer_datagrams.cpp
+++ b/libraries/gateway/peer_datagrams.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/peer_datagrams.h>
 
+#include <base/hashing.h>
 #include <base/try.h>
 #include <wire/endpoint.h>
 
@@ -41,10 +42,21 @@
                                     });
 }
 
+namespace {
+
+/// A number for the sender's IP address, whichever port it sends from.
+std::uint64_t key_of(const wire::asio::ip::address& address) {
+    if (address.is_v4())
+        return address.to_v4().to_uint();
+    const auto bytes = address.to_v6().to_bytes();
+    return base::hash64(std::string(bytes.begin(), bytes.end()));
+}
+
+} // namespace
+
 bool peer_datagrams::is_heard() {
-    const std::uint32_t address = this->sender.address().to_v4().to_uint();
-    const host::sender_verdict verdict =
-        host::judge_sender(this->guard, host::sender_guard_options{}, address, this->state->clock->now());
+    const host::sender_verdict verdict = host::judge_sender(
+        this->guard, host::sender_guard_options{}, key_of(this->sender.address()), this->state->clock->now());
     if (verdict == host::sender_verdict::take)
         return true;
     this->state->figures->count("ignored_datagrams_total");
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -26,8 +26,8 @@
 constexpr auto peer_limit = 500ms;
 /// Settings of another host are waited for so long to begin, and then between two of their parts.
 constexpr auto document_limit = 1'500ms;
-/// Settings that other hosts hand over are bounded as answers are.
-constexpr std::size_t most_document_bytes = 64UL * 1024 * 1024;
+/// Settings that other hosts hand over are bounded as answers are, also before they are compressed.
+constexpr std::size_t most_document_bytes = wire::answer_bounds{}.body_bytes;
 /// HTTP's name for the zlib format.
 constexpr const char* compressed_encoding = "deflate";
 /// Peers told at once of new settings; each tells as many others.
--- a/libraries/gateway/store_watch.h
+++ b/libraries/gateway/store_watch.h
@@ -54,9 +54,12 @@
                         wire::yield_context yield);
     /// Begins the reads that are due and waits until one ends or the next is due.
     void keep_reading(topic& read, read_function function, wire::yield_context yield);
+    /// Does one read from its beginning to its end.
+    void run_read(topic& read, read_function function, host::store_read order, wire::yield_context yield);
+    /// A part of a read's answer has arrived.
     void did_arrive(topic& read, host::store_read& order);
+    /// A read has ended: the next may begin.
     void did_end(topic& read);
-    void run_read(topic& read, read_function function, host::store_read order, wire::yield_context yield);
     [[nodiscard]] read_result read_settings(const ports::read_patience& patience, wire::yield_context yield);
     [[nodiscard]] read_result read_registry(const ports::read_patience& patience, wire::yield_context yield);
     /// Waits after a read that brought changes: records that come together are read together.
--- a/libraries/host/sender_guard.cpp
+++ b/libraries/host/sender_guard.cpp
@@ -20,14 +20,13 @@
 
 } // namespace
 
-sender_verdict judge_sender(sender_guard& guard, const sender_guard_options& options, std::uint32_t address,
+sender_verdict judge_sender(sender_guard& guard, const sender_guard_options& options, std::uint64_t key,
                             base::time_point now) {
-    auto found = guard.senders.find(address);
+    auto found = guard.senders.find(key);
     if (found == guard.senders.end()) {
         if (!has_room(guard, options, now))
             return sender_verdict::ignore;
-        found =
-            guard.senders.emplace(address, sender_guard::sender{.left = options.burst, .heard = now}).first;
+        found = guard.senders.emplace(key, sender_guard::sender{.left = options.burst, .heard = now}).first;
     }
     sender_guard::sender& sender = found->second;
     if (now < sender.ignored_until)
--- a/libraries/host/sender_guard.h
+++ b/libraries/host/sender_guard.h
@@ -34,7 +34,7 @@
         base::time_point ignored_until{};
     };
 
-    std::map<std::uint32_t, sender> senders; ///< By IPv4 address.
+    std::map<std::uint64_t, sender> senders; ///< By a number for the IP address.
 };
 
 /// What to do with a datagram.
@@ -46,6 +46,6 @@
 
 /// Counts a datagram of that sender and says what to do with it.
 [[nodiscard]] sender_verdict judge_sender(sender_guard& guard, const sender_guard_options& options,
-                                          std::uint32_t address, base::time_point now);
+                                          std::uint64_t key, base::time_point now);
 
 } // namespace postpaddle::host
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -80,8 +80,7 @@
 
 /// How long the answer to a read is waited for.
 struct read_patience {
-    std::chrono::milliseconds
-        wait{}; ///< The store may hold the answer back for so long, until a record comes.
+    std::chrono::milliseconds wait{};  ///< The store may hold the answer back until a record comes.
     std::chrono::milliseconds limit{}; ///< On top until the answer begins, then between any two parts of it.
     std::function<void()> on_part = [] {}; ///< Called when a part of the answer has arrived.
 };
--- a/tests/host/test_sender_guard.cpp
+++ b/tests/host/test_sender_guard.cpp
@@ -10,8 +10,8 @@
 
 const base::time_point start{1h};
 const host::sender_guard_options options;
-constexpr std::uint32_t calm_host = 1;
-constexpr std::uint32_t flooding_host = 2;
+constexpr std::uint64_t calm_host = 1;
+constexpr std::uint64_t flooding_host = 2;
 
 } // namespace
 
@@ -50,8 +50,8 @@
 TEST_CASE(
     "senders that were never heard before take no more memory than bounded, and known ones stay heard") {
     host::sender_guard guard;
-    const auto count = static_cast<std::uint32_t>(options.most_senders);
-    for (std::uint32_t address = 0; address < 10 * count; ++address) {
+    const auto count = static_cast<std::uint64_t>(options.most_senders);
+    for (std::uint64_t address = 0; address < 10 * count; ++address) {
         (void)host::judge_sender(guard, options, 100 + address, start);
         REQUIRE(guard.senders.size() <= options.most_senders);
     }
