tests: Ask for a host's version of the settings in one place

Cause: the same function stood in three test files, one of them new with the settings over slow links. Change: it is the gateway cluster's. No check is changed.

--- a/tests/gateway/test_beliefs.cpp
+++ b/tests/gateway/test_beliefs.cpp
@@ -18,11 +18,6 @@
     return answer ? answer->status : 0;
 }
 
-int version_at(const test::gateway_cluster& cluster, int host) {
-    const auto state = cluster.state_of(host);
-    return state.is_object() ? state.at("settings_version").get<int>() : 0;
-}
-
 std::string listing_at(const test::gateway_cluster& cluster, int host, const std::string& id) {
     const auto state = cluster.state_of(host);
     const bool is_known = state.is_object() && state.at("instances").contains(id);
--- a/tests/gateway/test_large_settings.cpp
+++ b/tests/gateway/test_large_settings.cpp
@@ -24,11 +24,6 @@
 /// read of a store that answers.
 constexpr int slow_link = 120'000;
 
-int version_at(const test::gateway_cluster& cluster, int host) {
-    const auto state = cluster.state_of(host);
-    return state.is_object() ? state.at("settings_version").get<int>() : 0;
-}
-
 } // namespace
 
 TEST_CASE("a version that is long on its way to a host is sent to it once") {
--- a/tests/gateway/test_troubles.cpp
+++ b/tests/gateway/test_troubles.cpp
@@ -21,11 +21,6 @@
     return answer ? answer->status : 0;
 }
 
-int version_at(const test::gateway_cluster& cluster, int host) {
-    const auto state = cluster.state_of(host);
-    return state.is_object() ? state.at("settings_version").get<int>() : 0;
-}
-
 } // namespace
 
 TEST_CASE("a frozen host holds up no other, and wakes to the newest version and to who has left") {
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -275,6 +275,11 @@
     return count;
 }
 
+int version_at(const gateway_cluster& cluster, int host) {
+    const auto state = cluster.state_of(host);
+    return state.is_object() ? state.at("settings_version").get<int>() : 0;
+}
+
 wire::http_request routed_request(const std::string& path, const std::string& id) {
     return {"POST",
             path,
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -101,6 +101,9 @@
     int load_port;
 };
 
+/// The version of the settings in force on a host; 0 where it has none or gives no answer.
+[[nodiscard]] int version_at(const gateway_cluster& cluster, int host);
+
 /// A request to the cluster's routes: `/once/`, `/again/`, `/stream/` (may run once) and `/resume/`.
 [[nodiscard]] wire::http_request routed_request(const std::string& path, const std::string& id);
 
