gateway: Name a request alike in all its tries, and tell which upstream ended under it

Cause: a line of the log named a try, not the request; whether an upstream ended under it or only its answer broke could not be told. So the hypotheses of the incident could not be told apart but by route and size.

Change: request_ended and upstream_ended show a fingerprint (caller, host, method, target, body); where a send breaks before anything of an answer came, one connection shows whether the process is gone (has_ended). Nothing is decided by it yet.

Ruled out: taking a broken connection for an end (links are reset); the prompt's key (a request that comes again is named by path, caller and body alone).

--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -4,6 +4,7 @@
 #include <decision/instance_choice.h>
 #include <decision/send_rule.h>
 #include <gateway/gateway_state.h>
+#include <host/request_fingerprint.h>
 #include <wire/caller_connection.h>
 #include <wire/upstream_call.h>
 
@@ -36,8 +37,9 @@
     const settings::routed_organisation* organisation = nullptr; ///< Whose key it carries; in `settings`.
     bool needs_key = false;
     std::shared_ptr<const settings_in_force> checked_settings{}; ///< Those that last allowed its key.
-    bool is_key_gone = false;                                    ///< Its key was taken away before it ran.
-    std::int64_t counted = 0; ///< Against the organisation's limit, in its unit.
+    host::request_fingerprint fingerprint{}; ///< Alike in all tries of the request, at whichever host.
+    bool is_key_gone = false;                ///< Its key was taken away before it ran.
+    std::int64_t counted = 0;                ///< Against the organisation's limit, in its unit.
     std::string service;
     base::time_point arrived{};
     base::time_point first_try{}; ///< When its caller is taken to have asked first, of this host or another.
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -2,6 +2,7 @@
 #include <gateway/plain_relay.h>
 
 #include <gateway/caller_identity.h>
+#include <gateway/request_quarantine.h>
 #include <gateway/upstream_exchange.h>
 
 #include <algorithm>
@@ -72,6 +73,7 @@
         check_genuine(exchange);
         end_exchange(request, send, exchange);
         note_refusal_with_places(request, *chosen, exchange);
+        look_after_break(request, send, exchange, yield);
         if (request.cancellation->is_caller_gone)
             return request_ending::caller_gone;
         last = exchange.result;
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -3,6 +3,7 @@
 
 #include <gateway/caller_identity.h>
 #include <gateway/plain_relay.h>
+#include <gateway/request_quarantine.h>
 #include <gateway/stream_relay.h>
 
 #include <algorithm>
@@ -53,6 +54,7 @@
     state.figures->observe("request_seconds", took);
     nlohmann::json line = {{"host", state.process->name.value},
                            {"request", request.routed.id},
+                           {"fingerprint", host::to_text(request.fingerprint)},
                            {"ending", to_text(ending)},
                            {"took_ms", base::to_milliseconds(took)},
                            {"sends", request.sends}};
@@ -172,6 +174,7 @@
         state.figures->count("unauthorised_total");
         return reject(request, unauthorised_status, "the key is missing or not known", yield);
     }
+    name_request(request);
     if (const auto wait = count_against_limit(request)) {
         state.figures->count("over_limit_total");
         return reject(request, over_limit_status, "over the organisation's limit", yield, wait);
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -4,6 +4,7 @@
 #include <decision/stream_rules.h>
 #include <gateway/caller_identity.h>
 #include <gateway/kept_prompt_search.h>
+#include <gateway/request_quarantine.h>
 
 #include <algorithm>
 
@@ -84,6 +85,7 @@
     }
     mark.did_read_prompt();
     end_exchange(*this->request, send, exchange);
+    look_after_break(*this->request, send, exchange, yield);
     decision::instance* const target = decision::find_instance(state.instances, *plan.prefill);
     if (this->kept.has_value() && target != nullptr)
         decision::note_read(*target, profile_of(*this->request).pace,
@@ -136,6 +138,7 @@
                                                         base::time_point limit, wire::yield_context yield) {
     stream_end end = stream_end::broken;
     std::string body;
+    const int events_before = this->events_passed;
     const bool is_stream = exchange.result == send_result::answered && exchange.head.status == ok_status;
     if (is_stream && exchange.facts.is_genuine)
         end = this->relay_events(exchange, limit, yield);
@@ -150,6 +153,9 @@
     else if (exchange.result != send_result::not_connected)
         this->kept.forget();
     end_exchange(*this->request, send, exchange);
+    // A run that has put out events did not end its upstream by beginning.
+    if (this->events_passed == events_before)
+        look_after_break(*this->request, send, exchange, yield);
     if (exchange.result == send_result::not_run)
         this->did_refuse(send.instance, exchange.facts);
     this->last = exchange.result;
--- /dev/null
+++ b/libraries/host/request_fingerprint.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <host/request_fingerprint.h>
+
+#include <base/hashing.h>
+
+#include <charconv>
+#include <initializer_list>
+
+namespace postpaddle::host {
+
+namespace {
+
+constexpr int hexadecimal = 16;
+/// Hexadecimal digits of each half.
+constexpr std::size_t half_digits = 16;
+
+std::optional<std::uint64_t> parse_half(std::string_view text) {
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, hexadecimal);
+    if (error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+request_fingerprint fingerprint_of(const fingerprint_parts& parts) {
+    std::string joined;
+    // Each part behind its length: no two lists of parts make one text.
+    for (const std::string_view part : {parts.caller, parts.host, parts.method, parts.target, parts.body}) {
+        joined += std::to_string(part.size());
+        joined += ':';
+        joined += part;
+    }
+    return parse_fingerprint(base::sha256_hex(joined).substr(0, 2 * half_digits)).value();
+}
+
+std::string to_text(const request_fingerprint& fingerprint) {
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string text(2 * half_digits, '0');
+    std::size_t position = text.size();
+    for (std::uint64_t half : {fingerprint.low, fingerprint.high}) {
+        for (std::size_t digit = 0; digit < half_digits; ++digit) {
+            text[--position] = digits[half % hexadecimal];
+            half /= hexadecimal;
+        }
+    }
+    return text;
+}
+
+std::optional<request_fingerprint> parse_fingerprint(std::string_view text) {
+    if (text.size() != 2 * half_digits)
+        return std::nullopt;
+    const auto high = parse_half(text.substr(0, half_digits));
+    const auto low = parse_half(text.substr(half_digits));
+    if (!high || !low)
+        return std::nullopt;
+    return request_fingerprint{*high, *low};
+}
+
+} // namespace postpaddle::host
--- a/libraries/wire/simple_client.cpp
+++ b/libraries/wire/simple_client.cpp
@@ -76,6 +76,19 @@
     return end_fetch(pool, address, std::move(answer), std::move(body));
 }
 
+port_state look_at_port(upstream_pool& pool, const std::string& address, std::chrono::milliseconds limit,
+                        yield_context yield) {
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+        return port_state::unknown;
+    const upstream_pool::lease lease = pool.take(address, connection_use::only_fresh);
+    const auto connected = lease.call->connect(*endpoint, std::chrono::steady_clock::now() + limit, yield);
+    if (connected)
+        return port_state::listening;
+    return connected.error().failure == wire_failure::not_listening ? port_state::not_listening
+                                                                    : port_state::unknown;
+}
+
 http_request get_request(std::string target, http_headers headers) {
     return {"GET", std::move(target), std::move(headers), ""};
 }
--- a/libraries/wire/simple_client.h
+++ b/libraries/wire/simple_client.h
@@ -65,6 +65,17 @@
                                                   const http_request& request, const transfer_limits& limits,
                                                   yield_context yield);
 
+/// What a new connection to an address shows of the process there.
+enum class port_state {
+    listening,
+    not_listening, ///< Turned away at once: the process has ended, or has not begun.
+    unknown,       ///< No word within the limit: its machine is gone, or the way to it.
+};
+
+/// Connects to an address, sends nothing and closes.
+[[nodiscard]] port_state look_at_port(upstream_pool& pool, const std::string& address,
+                                      std::chrono::milliseconds limit, yield_context yield);
+
 /// GET with no body.
 [[nodiscard]] http_request get_request(std::string target, http_headers headers = {});
 /// POST of a JSON body.
