--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -25,14 +25,15 @@
 
 /// What is wrong with the server, as a test sets it. Counts go down as they strike.
 struct server_faults {
-    int refuse = 0;        ///< Answers 503 and does not run the request.
-    int fail = 0;          ///< Runs it and answers 500.
-    int lose_answer = 0;   ///< Runs it and breaks the connection.
-    int hang = 0;          ///< Runs it and says nothing.
-    int surplus = 0;       ///< Answers twice.
-    int unsealed = 0;      ///< Answers without its seal.
-    int break_after = -1;  ///< Breaks the next stream from its start after so many events.
-    int refuse_source = 0; ///< A decode engine that can't fetch the KV cache.
+    int refuse = 0;         ///< Answers 503 and does not run the request.
+    int fail = 0;           ///< Runs it and answers 500.
+    int lose_answer = 0;    ///< Runs it and breaks the connection.
+    int hang = 0;           ///< Runs it and says nothing.
+    int surplus = 0;        ///< Answers twice.
+    int unsealed = 0;       ///< Answers without its seal.
+    int break_after = -1;   ///< Breaks the next stream from its start after so many events.
+    int refuse_source = 0;  ///< A decode engine that can't fetch the KV cache.
+    std::string fatal_body; ///< The process ends under a request with this body as soon as it runs.
 };
 
 class platform_server {
@@ -113,6 +114,8 @@
         ++this->running;
         this->hold_parts(request);
         connection.watch([this] { ++this->callers_gone; });
+        if (!is_reading && is_fatal(request))
+            this->end_under(request, connection, yield);
         if (is_reading)
             this->read_prompt(request, connection, yield);
         else if (FLAGS_stage == "decode")
@@ -122,6 +125,20 @@
         --this->running;
     }
 
+    [[nodiscard]] bool is_fatal(const wire::http_request& request) const {
+        return !this->faults.fatal_body.empty() && request.body == this->faults.fatal_body;
+    }
+
+    /// Ends as a process does that crashes: nothing is said to anybody, all connections break, the port is
+    /// dead. A decode engine has sent the head of its stream by then.
+    [[noreturn]] void end_under(const wire::http_request& request, wire::caller_connection& connection,
+                                wire::yield_context yield) {
+        if (FLAGS_stage == "decode")
+            connection.begin_stream({200, this->own_headers(request)});
+        this->sleep(milliseconds(FLAGS_work_ms), yield);
+        std::_Exit(EXIT_FAILURE);
+    }
+
     void read_prompt(const wire::http_request& request, wire::caller_connection& connection,
                      wire::yield_context yield) {
         this->sleep(milliseconds(FLAGS_work_ms), yield);
@@ -242,6 +259,7 @@
         this->faults.unsealed = body.value("unsealed", this->faults.unsealed);
         this->faults.break_after = body.value("break_after", this->faults.break_after);
         this->faults.refuse_source = body.value("refuse_source", this->faults.refuse_source);
+        this->faults.fatal_body = body.value("fatal_body", this->faults.fatal_body);
         FLAGS_work_ms = body.value("work_ms", FLAGS_work_ms);
         FLAGS_events = body.value("events", FLAGS_events);
         this->highest_token = body.value("highest_token", this->highest_token);
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -110,14 +110,8 @@
         this->proxy_control = "127.0.0.1:" + std::to_string(this->proxy->read_json().at("port").get<int>());
     }
     for (const server_plan& plan : this->options.servers) {
-        auto process = std::make_unique<child_process>(
-            std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_server",
-            std::vector<std::string>{"--id=" + plan.id, "--stage=" + plan.stage},
-            this->folder + "/" + plan.id + ".log");
-        this->server_addresses[plan.id] =
-            "127.0.0.1:" + std::to_string(process->read_json().at("port").get<int>());
-        this->servers[plan.id] = std::move(process);
         this->plans[plan.id] = plan;
+        this->start_server(plan.id, 0);
         this->list(plan.id, "ready", 1);
     }
     if (this->options.has_configuration)
@@ -265,6 +259,25 @@
     return stand_in::post_json(this->server_addresses.at(id), "/control", control);
 }
 
+void gateway_cluster::start_server(const std::string& id, int port) {
+    auto process = std::make_unique<child_process>(
+        std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_server",
+        std::vector<std::string>{"--id=" + id, "--port=" + std::to_string(port),
+                                 "--stage=" + this->plans.at(id).stage},
+        this->folder + "/" + id + ".log");
+    this->server_addresses[id] = "127.0.0.1:" + std::to_string(process->read_json().at("port").get<int>());
+    this->servers[id] = std::move(process);
+}
+
+void gateway_cluster::restart_server(const std::string& id, std::uint64_t born) {
+    const std::string address = this->server_addresses.at(id);
+    (void)this->servers.at(id)->wait();
+    this->start_server(id, std::stoi(address.substr(address.find(':') + 1)));
+    this->list(id, "ready", 1, born);
+}
+
+bool gateway_cluster::is_serving(const std::string& id) { return !this->server(id).is_null(); }
+
 void gateway_cluster::kill_server(const std::string& id) {
     this->servers.at(id)->send_signal(SIGKILL);
     (void)this->servers.at(id)->wait();
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -74,6 +74,10 @@
     nlohmann::json server(const std::string& id, const nlohmann::json& control = nlohmann::json::object());
     /// Ends a server's process at once; its registry entry stays.
     void kill_server(const std::string& id);
+    /// Starts a server again whose process has ended: same id and address, `born` at that time.
+    void restart_server(const std::string& id, std::uint64_t born);
+    /// Whether the server's process answers.
+    [[nodiscard]] bool is_serving(const std::string& id);
     /// Where a server listens.
     [[nodiscard]] std::string server_address(const std::string& id) const {
         return this->server_addresses.at(id);
@@ -84,6 +88,8 @@
     [[nodiscard]] int runs();
 
 private:
+    /// Starts a server's process; port 0 lets the system choose.
+    void start_server(const std::string& id, int port);
     void put_server(const std::string& id, const nlohmann::json& entry);
     [[nodiscard]] std::string host_address(int number, int port) const;
     /// Where the host finds the store: over a link of its own where links have a limit.
