gateway: Send a request to no further upstream once three have ended under it

Cause: nothing that a host knew of a request outlived its try, and no host told another under which request an upstream had ended. Its class: knowledge of a request that each try begins without. The retry budget bounds a service's second sends, never a first one.

Change: an end is an upstream whose process is gone right after a send broke before anything of an answer came. Ends of three different starts under one fingerprint, with no good end of it anywhere, hold it for an hour: 503, not run, when to come back. News goes to all hosts at once and is passed on; each second again to two while there is any; a held one is left in the store by the host that saw the last end, read by hosts that start, followed by one that may not hear the others. A good end speaks for a request for a minute.

--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/engine_place.h>
 
-#include <gateway/caller_identity.h>
+#include <gateway/request_quarantine.h>
 
 #include <algorithm>
 
@@ -133,8 +133,8 @@
     std::optional<wire::asio::steady_timer> timer;
     std::optional<waiting_mark> mark;
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone) {
-        if (!is_key_good(request))
-            return {.plan = std::nullopt, .reason = key_gone_reason};
+        if (const char* const stop = reason_to_stop(request))
+            return {.plan = std::nullopt, .reason = stop};
         const auto look = look_for_place(request, size, mark.has_value());
         if (!look)
             return {};
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -88,7 +88,7 @@
                  },
              .on_settings_lost = [this] { this->peers.ask_for_settings(); },
              .on_registry_lost = [this](wire::yield_context yield) { this->peers.ask_for_registry(yield); }}),
-      stages(this->state, *this->feed) {
+      stages(this->state, *this->feed), quarantine(this->state, *this->feed, this->datagrams) {
     this->state.peers.seeds = this->process.seeds;
     std::erase(this->state.peers.seeds, this->process.peers);
 }
@@ -141,6 +141,7 @@
     this->places.start();
     this->store.start();
     this->stages.start();
+    this->quarantine.start();
     this->log.write_always("started", {{"availability_zone", this->process.availability_zone.value},
                                        {"callers", this->process.callers},
                                        {"store", this->process.store}});
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -5,6 +5,7 @@
 #include <gateway/load_exchange.h>
 #include <gateway/peer_exchange.h>
 #include <gateway/place_queue.h>
+#include <gateway/quarantine_exchange.h>
 #include <gateway/stage_controller.h>
 #include <gateway/store_watch.h>
 #include <wire/http_listener.h>
@@ -69,6 +70,7 @@
     place_queue places;
     store_watch store;
     stage_controller stages;
+    quarantine_exchange quarantine;
     std::shared_ptr<wire::http_listener> callers;
     std::shared_ptr<wire::http_listener> readiness;
     std::shared_ptr<wire::http_listener> metrics;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/gateway_request.h>
 
+#include <gateway/request_quarantine.h>
+
 #include <array>
 #include <cstdio>
 
@@ -14,6 +16,8 @@
 constexpr int unauthorised_status = 401;
 
 std::string retry_after_text(const gateway_request& request) {
+    if (const auto held = held_for(request))
+        return seconds_text(*held);
     const base::duration longest = base::from_seconds(request.state->process->retry_after_limit);
     return seconds_text(decision::retry_after(time_left(request), longest, request.until_place));
 }
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -4,7 +4,6 @@
 #include <decision/instance_choice.h>
 #include <decision/send_rule.h>
 #include <gateway/gateway_state.h>
-#include <host/request_fingerprint.h>
 #include <wire/caller_connection.h>
 #include <wire/upstream_call.h>
 
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include <host/limit_clock.h>
 #include <host/load_share.h>
 #include <host/peer_directory.h>
+#include <host/quarantine.h>
 #include <host/shared_limit.h>
 #include <host/store_duty.h>
 #include <ports/control_feed.h>
@@ -80,14 +81,18 @@
     base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
-    bool knows_hosts = false;                  ///< The list of hosts has been read from the store.
-    host::load_share loads{};                  ///< What the other hosts have in progress.
-    host::limit_accounts limits{};             ///< Organisations' limits over all hosts.
-    host::limit_clock limit_clock{};           ///< By which the limits fill.
-    int hosts_told = 1;                        ///< Most hosts that another one counts.
-    int hosts_shared = 1;                      ///< Hosts that share the limits, counted anew each second.
-    host::cell_plan cells{};                   ///< How hosts and engines are divided.
-    host::cell_place cell_place{};             ///< This host's place in its cell.
+    bool knows_hosts = false;        ///< The list of hosts has been read from the store.
+    host::load_share loads{};        ///< What the other hosts have in progress.
+    host::limit_accounts limits{};   ///< Organisations' limits over all hosts.
+    host::limit_clock limit_clock{}; ///< By which the limits fill.
+    int hosts_told = 1;              ///< Most hosts that another one counts.
+    int hosts_shared = 1;            ///< Hosts that share the limits, counted anew each second.
+    host::cell_plan cells{};         ///< How hosts and engines are divided.
+    host::cell_place cell_place{};   ///< This host's place in its cell.
+    host::quarantine quarantine{};   ///< Requests under which upstreams end.
+    host::quarantine_options quarantine_options{};
+    /// Takes over what this host has seen of such a request, and tells the other hosts.
+    std::function<void(const host::suspect_report&)> on_suspect_seen{};
     std::function<void()> on_hosts_known{};    ///< The list of hosts has just been read.
     std::function<bool()> ask_further{};       ///< Asks hosts of other cells for room, see `try_ask_further`.
     std::function<void()> on_places_changed{}; ///< See `did_change_places`.
--- a/libraries/gateway/peer_datagrams.h
+++ b/libraries/gateway/peer_datagrams.h
@@ -18,6 +18,7 @@
 enum class datagram_kind : char {
     load = 'l',         ///< What a host has in progress.
     store_notice = 's', ///< What a reader of the store has seen.
+    quarantine = 'q',   ///< Requests under which upstreams end.
 };
 
 /// Datagrams between hosts. Lost ones are healed by those that follow; what can't be read is counted and
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -15,6 +15,11 @@
 using decision::send_result;
 using namespace std::chrono_literals;
 
+constexpr int first_success = 200;
+constexpr int first_redirection = 300;
+
+bool is_success(int status) { return status >= first_success && status < first_redirection; }
+
 /// An answer of failure that is passed on when no other upstream does better.
 struct failure_answer {
     wire::response_head head;
@@ -47,8 +52,8 @@
     std::optional<failure_answer> failure;
     const char* reason = "no upstream";
     while (time_left(request) > 0ms) {
-        if (!is_key_good(request)) {
-            reason = key_gone_reason;
+        if (const char* const stop = reason_to_stop(request)) {
+            reason = stop;
             break;
         }
         const auto chosen = decision::choose_plain(request.state->instances, choice_context_of(request),
@@ -81,6 +86,8 @@
             decision::instance* const target = decision::find_instance(request.state->instances, *chosen);
             if (target != nullptr)
                 decision::note_answer_time(*target, request.state->clock->now() - exchange.sent);
+            if (is_success(exchange.head.status))
+                did_end_well(request);
             return pass_answer(request, exchange.head, std::move(body), yield);
         }
         if (last == send_result::server_error)
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -175,6 +175,10 @@
         return reject(request, unauthorised_status, "the key is missing or not known", yield);
     }
     name_request(request);
+    if (const auto held = held_for(request)) {
+        state.figures->count("held_requests_refused_total");
+        return reject(request, unavailable_status, held_reason, yield, held);
+    }
     if (const auto wait = count_against_limit(request)) {
         state.figures->count("over_limit_total");
         return reject(request, over_limit_status, "over the organisation's limit", yield, wait);
--- a/libraries/gateway/request_quarantine.cpp
+++ b/libraries/gateway/request_quarantine.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/request_quarantine.h>
 
+#include <gateway/caller_identity.h>
+
 namespace postpaddle::gateway {
 
 namespace {
@@ -27,6 +29,27 @@
                                                 .body = routed.message.body});
 }
 
+std::optional<base::duration> held_for(const gateway_request& request) {
+    const gateway_state& state = *request.state;
+    return host::held_for(state.quarantine, state.quarantine_options, request.fingerprint,
+                          state.clock->now());
+}
+
+const char* reason_to_stop(gateway_request& request) {
+    if (!is_key_good(request))
+        return key_gone_reason;
+    return held_for(request) ? held_reason : nullptr;
+}
+
+void did_end_well(const gateway_request& request) {
+    gateway_state& state = *request.state;
+    const base::time_point now = state.clock->now();
+    if (state.quarantine.suspects.contains(request.fingerprint))
+        state.on_suspect_seen({.request = request.fingerprint, .ends = {}, .good = now});
+    else
+        host::note_good_end(state.quarantine, state.quarantine_options, request.fingerprint, now);
+}
+
 void look_after_break(gateway_request& request, const ports::upstream_send& send,
                       const exchange_result& exchange, wire::yield_context yield) {
     const bool may_have_ended = exchange.result == decision::send_result::broken;
@@ -41,6 +64,13 @@
     state.log->write("upstream_ended", {{"instance", send.instance.value},
                                         {"request", request.routed.id},
                                         {"fingerprint", host::to_text(request.fingerprint)}});
+    decision::instance* const target = decision::find_instance(state.instances, send.instance);
+    if (target == nullptr)
+        return;
+    const base::time_point now = state.clock->now();
+    const host::upstream_end end = {host::key_of(send.instance, target->entry.born), now};
+    state.on_suspect_seen({.request = request.fingerprint, .ends = {end}});
+    decision::note_verdict(*target, decision::send_verdict::ended, now);
 }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -178,6 +178,7 @@
 }
 
 void stream_relay::did_pass_whole() {
+    did_end_well(*this->request);
     decision::service_profile& profile = profile_of(*this->request);
     if (this->events_passed < timed_events)
         this->time_events(this->events_passed);
@@ -314,8 +315,8 @@
         const auto plan = this->next_plan(yield);
         if (!plan)
             break;
-        if (!is_key_good(*this->request)) {
-            this->reason = key_gone_reason;
+        if (const char* const stop = reason_to_stop(*this->request)) {
+            this->reason = stop;
             break;
         }
         if (!this->try_plan(*plan, yield))
@@ -323,8 +324,8 @@
         if (this->request->cancellation->is_caller_gone)
             break;
         // Reading the prompt took its time.
-        if (!is_key_good(*this->request)) {
-            this->reason = key_gone_reason;
+        if (const char* const stop = reason_to_stop(*this->request)) {
+            this->reason = stop;
             break;
         }
         if (!may_spend_send(*this->request)) {
--- a/libraries/host/peer_directory.cpp
+++ b/libraries/host/peer_directory.cpp
@@ -16,6 +16,14 @@
 /// by their number: counting one too many costs little, one too few breaks the bound, and in a large system
 /// news of a host comes seldom.
 constexpr base::duration counted_lifetime = 120s;
+/// A host that hears nobody for this long is cut off: each host sends a heartbeat every 1.2 s or so and gets
+/// an answer to it.
+constexpr base::duration cut_off_silence = 2s;
+/// Among few hosts, each is heard of at least so often: two or three heartbeats carry its word to all.
+constexpr base::duration longest_silence = 3'500ms;
+/// In larger systems some host is always gone, and one that is cut off together with others is rare:
+/// heartbeats go to hosts drawn at random, so a cut that halves the system would have to halve it exactly.
+constexpr std::size_t few_hosts = 16;
 /// One draw in this many goes to a host that has been silent, or to a seed.
 constexpr int silent_draw = 8;
 
@@ -31,10 +39,12 @@
 
 void note_word(peer_directory& directory, const base::host_id& name, const std::string& address,
                const base::zone_id& zone, base::time_point now) {
+    directory.last_word = now;
     directory.by_name[name] = {.address = address, .zone = zone, .heard = now, .is_leaving = false};
 }
 
 void note_heard(peer_directory& directory, const base::host_id& name, base::time_point now) {
+    directory.last_word = now;
     const auto found = directory.by_name.find(name);
     if (found != directory.by_name.end())
         found->second.heard = std::max(found->second.heard, now);
@@ -56,6 +66,27 @@
         found->second.is_leaving = true;
 }
 
+bool may_miss_word(const peer_directory& directory, base::time_point now) {
+    const auto counts = [now](const auto& item) { return may_listen(item.second, now); };
+    if (std::ranges::none_of(directory.by_name, counts))
+        return false;
+    if (now - directory.last_word >= cut_off_silence)
+        return true;
+    if (directory.by_name.size() > few_hosts)
+        return false;
+    return std::ranges::any_of(directory.by_name, [&](const auto& item) {
+        return counts(item) && now - item.second.heard >= longest_silence;
+    });
+}
+
+std::vector<std::string> addresses_of_all(const peer_directory& directory, base::time_point now) {
+    std::vector<std::string> addresses;
+    for (const auto& [name, known] : directory.by_name)
+        if (may_listen(known, now))
+            addresses.push_back(known.address);
+    return addresses;
+}
+
 int count_alive(const peer_directory& directory) {
     // NOTE: The time since the last word of anyone counts for nobody. A host that is cut off from all others
     // would else forget them and take all that they share, while they go on with their parts.
--- a/libraries/host/peer_directory.h
+++ b/libraries/host/peer_directory.h
@@ -26,6 +26,7 @@
 struct peer_directory {
     std::map<base::host_id, peer> by_name;
     std::vector<std::string> seeds; ///< Addresses without a name; asked while nobody else is known.
+    base::time_point last_word{};   ///< When this host last heard another one itself.
 };
 
 /// Takes a host's own word: it is alive, at that address and in that zone.
@@ -48,6 +49,14 @@
 /// Whether a host was heard, by whomever, lately enough to be sent something that it must answer.
 [[nodiscard]] bool may_be_alive(const peer& value, base::time_point now);
 
+/// Whether word of other hosts may not reach this one, so that it must look for it in the store: it hears
+/// nobody, or, among few hosts, one of them has fallen silent, who may live behind a cut with others.
+[[nodiscard]] bool may_miss_word(const peer_directory& directory, base::time_point now);
+
+/// Addresses of all hosts that may listen.
+[[nodiscard]] std::vector<std::string> addresses_of_all(const peer_directory& directory,
+                                                        base::time_point now);
+
 /// Hosts that may be alive: those not silent for long while others were heard.
 [[nodiscard]] int count_alive(const peer_directory& directory);
 
--- a/libraries/host/quarantine.cpp
+++ b/libraries/host/quarantine.cpp
@@ -43,6 +43,20 @@
     return true;
 }
 
+/// Remembers an end; says whether it was not known. Hosts see the same end at slightly different times: the
+/// latest counts, whichever was told first.
+bool remember_end(quarantine::suspect& suspect, const upstream_end& end) {
+    const auto known = suspect.ends.find(end.upstream);
+    if (known != suspect.ends.end()) {
+        known->second = std::max(known->second, end.at);
+        return false;
+    }
+    if (suspect.ends.size() >= most_ends)
+        return false;
+    suspect.ends.emplace(end.upstream, end.at);
+    return true;
+}
+
 /// Takes away the ends for which a good end speaks.
 void settle(quarantine& table, const quarantine_options& options, const request_fingerprint& request) {
     const auto found = table.suspects.find(request);
@@ -67,16 +81,16 @@
 
 std::optional<suspect_report> take_report(quarantine& table, const quarantine_options& options,
                                           const suspect_report& report, base::time_point now) {
-    suspect_report news{.request = report.request, .ends = {}, .good = std::nullopt};
+    suspect_report news{.request = report.request, .ends = {}};
     if (report.good && remember_good(table, options, report.request, std::min(*report.good, now)))
         news.good = report.good;
     quarantine::suspect& suspect = table.suspects[report.request];
     for (const upstream_end& end : report.ends) {
-        const base::time_point at = std::min(end.at, now);
-        const bool has_room = suspect.ends.size() < most_ends && now - at < options.hold;
-        if (has_room && suspect.ends.try_emplace(end.upstream, at).second)
-            news.ends.push_back({end.upstream, at});
+        const upstream_end told = {end.upstream, std::min(end.at, now)};
+        if (now - told.at < options.hold && remember_end(suspect, told))
+            news.ends.push_back(told);
     }
+    suspect.is_stored |= report.is_stored;
     if (suspect.ends.empty())
         table.suspects.erase(report.request);
     settle(table, options, report.request);
@@ -89,12 +103,10 @@
     return news;
 }
 
-bool note_good_end(quarantine& table, const quarantine_options& options, const request_fingerprint& request,
+void note_good_end(quarantine& table, const quarantine_options& options, const request_fingerprint& request,
                    base::time_point now) {
-    const bool was_suspected = table.suspects.contains(request);
     (void)remember_good(table, options, request, now);
     settle(table, options, request);
-    return was_suspected;
 }
 
 std::optional<base::duration> held_for(const quarantine& table, const quarantine_options& options,
@@ -113,6 +125,7 @@
     const auto found = table.suspects.find(request);
     if (found == table.suspects.end())
         return report;
+    report.is_stored = found->second.is_stored;
     for (const auto& [upstream, at] : found->second.ends)
         report.ends.push_back({upstream, at});
     return report;
@@ -133,6 +146,12 @@
     return reports;
 }
 
+void note_stored(quarantine& table, const request_fingerprint& request) {
+    const auto found = table.suspects.find(request);
+    if (found != table.suspects.end())
+        found->second.is_stored = true;
+}
+
 void forget_old(quarantine& table, const quarantine_options& options, base::time_point now) {
     std::erase_if(table.suspects, [&](const auto& item) {
         const bool is_held = item.second.ends.size() >= options.ends_to_hold;
--- a/libraries/host/quarantine.h
+++ b/libraries/host/quarantine.h
@@ -50,7 +50,8 @@
 struct suspect_report {
     request_fingerprint request;
     std::vector<upstream_end> ends;
-    std::optional<base::time_point> good; ///< When it last came to a good end.
+    std::optional<base::time_point> good{}; ///< When it last came to a good end.
+    bool is_stored = false;                 ///< The store has it as held.
 
     bool operator==(const suspect_report&) const = default;
 };
@@ -77,9 +78,9 @@
 [[nodiscard]] std::optional<suspect_report> take_report(quarantine& table, const quarantine_options& options,
                                                         const suspect_report& report, base::time_point now);
 
-/// A request has come to a good end at this host. Says whether it was suspected, so that others must hear.
-[[nodiscard]] bool note_good_end(quarantine& table, const quarantine_options& options,
-                                 const request_fingerprint& request, base::time_point now);
+/// A request that is not suspected has come to a good end at this host.
+void note_good_end(quarantine& table, const quarantine_options& options, const request_fingerprint& request,
+                   base::time_point now);
 
 /// How much longer a request is not to be sent; nothing where it may be.
 [[nodiscard]] std::optional<base::duration> held_for(const quarantine& table,
@@ -93,6 +94,9 @@
 /// The suspects with most ends, the latest first among equals, up to `most` of them.
 [[nodiscard]] std::vector<suspect_report> reports_to_repeat(const quarantine& table, std::size_t most);
 
+/// The store has that request as held.
+void note_stored(quarantine& table, const request_fingerprint& request);
+
 /// Forgets what is too old to matter.
 void forget_old(quarantine& table, const quarantine_options& options, base::time_point now);
 
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -89,6 +89,20 @@
     std::uint64_t end = 0; ///< Where the next record about any lease goes.
 };
 
+/// A short text that hosts leave for each other under a key; without one the key was dropped.
+struct note {
+    std::string key;
+    std::optional<std::string> text;
+
+    bool operator==(const note&) const = default;
+};
+
+/// Notes as the store has them.
+struct note_page {
+    std::vector<note> notes;
+    std::uint64_t next = 0; ///< Offset to read from next.
+};
+
 /// How long the answer to a read is waited for.
 struct read_patience {
     std::chrono::milliseconds wait{};  ///< The store may hold the answer back until a record comes.
@@ -134,6 +148,16 @@
                                                                 const std::string& holder, std::uint64_t end,
                                                                 std::chrono::milliseconds limit,
                                                                 wire::yield_context yield) = 0;
+    /// Leaves a note on a request under which upstreams end, or drops it. It outlives all hosts.
+    [[nodiscard]] virtual feed_result<void>
+    leave_quarantine_note(const note& left, std::chrono::milliseconds limit, wire::yield_context yield) = 0;
+    /// All such notes.
+    [[nodiscard]] virtual feed_result<note_page> newest_quarantine_notes(const read_patience& patience,
+                                                                         wire::yield_context yield) = 0;
+    /// Those left from an offset on; may wait for the first.
+    [[nodiscard]] virtual feed_result<note_page> quarantine_notes_after(std::uint64_t offset,
+                                                                        const read_patience& patience,
+                                                                        wire::yield_context yield) = 0;
     /// Reads a settings text that another host handed over.
     [[nodiscard]] virtual feed_result<settings_document> read_document(const std::string& text) const = 0;
 };
--- /dev/null
+++ b/tests/host/test_quarantine.cpp
@@ -0,0 +1,205 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Which requests are held back, by what hosts saw and told each other in whichever order.
+#include <host/quarantine.h>
+
+#include <support/manual_clock.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+using host::request_fingerprint;
+using host::suspect_report;
+
+namespace {
+
+constexpr request_fingerprint fatal{1, 1};
+constexpr request_fingerprint other{2, 2};
+
+host::quarantine_options small_options() {
+    host::quarantine_options options;
+    options.most_suspects = 4;
+    options.most_good = 4;
+    return options;
+}
+
+/// A host's quarantine at a time that a test moves on.
+struct fixture {
+    host::quarantine_options options{};
+    test::manual_clock clock{};
+    host::quarantine table{};
+
+    std::optional<suspect_report> end(const request_fingerprint& request, host::instance_key upstream) {
+        const base::time_point now = this->clock.now();
+        return host::take_report(this->table, this->options, {.request = request, .ends = {{upstream, now}}},
+                                 now);
+    }
+    void good(const request_fingerprint& request) {
+        host::note_good_end(this->table, this->options, request, this->clock.now());
+    }
+    [[nodiscard]] bool is_held(const request_fingerprint& request) const {
+        return host::held_for(this->table, this->options, request, this->clock.now()).has_value();
+    }
+};
+
+} // namespace
+
+TEST_CASE("three upstreams that ended under a request hold it, one upstream three times does not") {
+    fixture world;
+    CHECK(world.end(fatal, 1));
+    CHECK_FALSE(world.end(fatal, 1));
+    CHECK_FALSE(world.end(fatal, 1));
+    CHECK(world.end(fatal, 2));
+    CHECK_FALSE(world.is_held(fatal));
+    CHECK(world.end(fatal, 3));
+    CHECK(world.is_held(fatal));
+    CHECK_FALSE(world.is_held(other));
+}
+
+TEST_CASE("a request is held for an hour after the last end") {
+    fixture world;
+    for (const host::instance_key upstream : {1U, 2U, 3U}) {
+        (void)world.end(fatal, upstream);
+        world.clock.advance(1s);
+    }
+    const auto left = host::held_for(world.table, world.options, fatal, world.clock.now());
+    REQUIRE(left);
+    CHECK(*left == 1h - 1s);
+    world.clock.advance(1h - 2s);
+    host::forget_old(world.table, world.options, world.clock.now());
+    CHECK(world.is_held(fatal));
+    world.clock.advance(1s);
+    CHECK_FALSE(world.is_held(fatal));
+    host::forget_old(world.table, world.options, world.clock.now());
+    CHECK(world.table.suspects.empty());
+}
+
+TEST_CASE("a good end speaks for a request: ends before it and for a minute after it don't count") {
+    fixture world;
+    for (const host::instance_key upstream : {1U, 2U, 3U})
+        (void)world.end(fatal, upstream);
+    world.good(fatal);
+    CHECK_FALSE(world.is_held(fatal));
+    world.clock.advance(59s);
+    for (const host::instance_key upstream : {4U, 5U, 6U})
+        CHECK_FALSE(world.end(fatal, upstream));
+    CHECK_FALSE(world.is_held(fatal));
+    world.clock.advance(1s);
+    for (const host::instance_key upstream : {7U, 8U, 9U})
+        CHECK(world.end(fatal, upstream));
+    CHECK(world.is_held(fatal));
+}
+
+TEST_CASE("two hosts that were told the same hold the same, in whichever order they heard it") {
+    for (unsigned seed = 0; seed < 500; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937 random(seed);
+        std::uniform_int_distribution<int> draw(0, 9);
+        const base::time_point begin = test::manual_clock().now();
+        std::vector<suspect_report> told;
+        for (int number = 0; number < 12; ++number) {
+            suspect_report report{.request = draw(random) < 7 ? fatal : other, .ends = {}};
+            const base::time_point at = begin + std::chrono::seconds(10 * draw(random));
+            if (draw(random) < 8)
+                report.ends.push_back({static_cast<host::instance_key>(draw(random)), at});
+            else
+                report.good = at;
+            told.push_back(report);
+        }
+        fixture left;
+        fixture right;
+        left.clock.advance(100s);
+        right.clock.advance(100s);
+        const auto take_all = [&told](fixture& world) {
+            for (const suspect_report& report : told)
+                (void)host::take_report(world.table, world.options, report, world.clock.now());
+        };
+        take_all(left);
+        std::ranges::shuffle(told, random);
+        take_all(right);
+        // Some were told twice.
+        std::ranges::shuffle(told, random);
+        take_all(right);
+        for (const request_fingerprint& request : {fatal, other}) {
+            const std::size_t first = host::report_of(left.table, request).ends.size();
+            const std::size_t second = host::report_of(right.table, request).ends.size();
+            CHECK(host::report_of(left.table, request).good == host::report_of(right.table, request).good);
+            CHECK(first == second);
+            CHECK(left.is_held(request) == right.is_held(request));
+        }
+    }
+}
+
+TEST_CASE("what is told of a request is news once") {
+    fixture world;
+    const auto news = world.end(fatal, 1);
+    REQUIRE(news);
+    CHECK(news->ends == std::vector<host::upstream_end>{{1, world.clock.now()}});
+    CHECK_FALSE(host::take_report(world.table, world.options, host::report_of(world.table, fatal),
+                                  world.clock.now()));
+    const suspect_report more{.request = fatal, .ends = {{1, world.clock.now()}, {2, world.clock.now()}}};
+    const auto rest = host::take_report(world.table, world.options, more, world.clock.now());
+    REQUIRE(rest);
+    CHECK(rest->ends == std::vector<host::upstream_end>{{2, world.clock.now()}});
+}
+
+TEST_CASE("made-up requests never push out the one that is held") {
+    fixture world{.options = small_options()};
+    for (const host::instance_key upstream : {1U, 2U, 3U})
+        (void)world.end(fatal, upstream);
+    for (std::uint64_t number = 10; number < 1'000; ++number) {
+        world.clock.advance(1ms);
+        (void)world.end({number, number}, 1);
+        world.good({number, number + 1});
+        REQUIRE(world.table.suspects.size() <= world.options.most_suspects);
+        REQUIRE(world.table.good.size() <= world.options.most_good);
+        REQUIRE(world.table.good_order.size() <= world.options.most_good);
+    }
+    CHECK(world.is_held(fatal));
+    const auto told = host::reports_to_repeat(world.table, 1);
+    REQUIRE(told.size() == 1);
+    CHECK(told.front().request == fatal);
+}
+
+TEST_CASE("times that lie ahead or long ago hold nothing for longer than an hour") {
+    fixture world;
+    const base::time_point now = world.clock.now();
+    const suspect_report strange{.request = fatal, .ends = {{1, now + 24h}, {2, now + 24h}, {3, now + 24h}}};
+    (void)host::take_report(world.table, world.options, strange, now);
+    const auto left = host::held_for(world.table, world.options, fatal, now);
+    REQUIRE(left);
+    CHECK(*left <= 1h);
+    const suspect_report old{.request = other, .ends = {{1, now - 2h}, {2, now - 2h}, {3, now - 2h}}};
+    CHECK_FALSE(host::take_report(world.table, world.options, old, now));
+    CHECK_FALSE(world.is_held(other));
+}
+
+TEST_CASE("fewer ends are forgotten after ten minutes") {
+    fixture world;
+    (void)world.end(fatal, 1);
+    (void)world.end(fatal, 2);
+    world.clock.advance(10min);
+    host::forget_old(world.table, world.options, world.clock.now());
+    (void)world.end(fatal, 3);
+    CHECK_FALSE(world.is_held(fatal));
+}
+
+TEST_CASE("a fingerprint tells callers and bodies apart, and joins no two parts") {
+    const host::fingerprint_parts parts = {
+        .caller = "studio-a", .host = "cluster", .method = "POST", .target = "/a/b", .body = "text"};
+    const request_fingerprint own = host::fingerprint_of(parts);
+    CHECK(host::fingerprint_of(parts) == own);
+    auto others = parts;
+    others.caller = "studio-b";
+    CHECK(host::fingerprint_of(others) != own);
+    auto moved = parts;
+    moved.target = "/a/bt";
+    moved.body = "ext";
+    CHECK(host::fingerprint_of(moved) != own);
+    CHECK(host::parse_fingerprint(host::to_text(own)) == own);
+    CHECK_FALSE(host::parse_fingerprint("no fingerprint"));
+    CHECK_FALSE(host::parse_fingerprint(std::string(32, 'x')));
+}
