service: Stop requests under which upstreams end on the own interface as well

Change: the workers share a quarantine_board; a filter refuses what is held, before limits and claims; each send asks again; ends are told with the hosts' gossip, at once to up to 16. An engine found dead is put aside at once. A keyed request is told unknown, as an earlier arrival has run. The rows that hosts write moved to host/quarantine_codec.

Not done: notes that outlive all hosts (the own log has no topic for them).

--- a/libraries/decision/engine_state.cpp
+++ b/libraries/decision/engine_state.cpp
@@ -125,6 +125,11 @@
     engine.health.aside_until = now + std::min<base::duration>(pause, longest_pause);
 }
 
+void note_ended(engine_state& engine, base::time_point now) {
+    engine.health.failures = std::max(engine.health.failures, tolerated_failures);
+    note_failure(engine, now);
+}
+
 void note_success(engine_state& engine) { engine.health = {}; }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/engine_state.h
+++ b/libraries/decision/engine_state.h
@@ -112,6 +112,9 @@
 /// Counts a failure; several in a row put the engine aside, longer each time.
 void note_failure(engine_state& engine, base::time_point now);
 
+/// Its process has gone: it is put aside at once, as after as many failures as are tolerated.
+void note_ended(engine_state& engine, base::time_point now);
+
 /// Counts a success: the engine is well.
 void note_success(engine_state& engine);
 
--- a/libraries/decision/event.h
+++ b/libraries/decision/event.h
@@ -57,7 +57,8 @@
     base::request_id id;
     int attempt = 0;
     failure reason = failure::broken;
-    int tokens_relayed = 0; ///< Tokens the caller already has.
+    int tokens_relayed = 0;        ///< Tokens the caller already has.
+    bool has_engine_ended = false; ///< Nothing listens at its address: its process has gone.
 };
 
 /// The caller closed its connection or cancelled.
--- a/libraries/decision/recovery.cpp
+++ b/libraries/decision/recovery.cpp
@@ -104,7 +104,9 @@
     const engine_index failed_engine = is_decode_side(failed_phase) ? request.decode : request.prefill;
     deployment_state& deployment = state.deployments[request.facts.deployment];
     request.tokens_relayed = std::max(request.tokens_relayed, failed.tokens_relayed);
-    if (failed.reason != failure::lost_kv)
+    if (failed.has_engine_ended)
+        note_ended(engine_at(state, failed_engine), now);
+    else if (failed.reason != failure::lost_kv)
         note_failure(engine_at(state, failed_engine), now);
     tell(request, now, "failed at " + engine_at(state, failed_engine).facts.id.value);
     return_promises(state, request);
--- /dev/null
+++ b/libraries/host/quarantine_codec.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <host/quarantine_codec.h>
+
+#include <algorithm>
+
+namespace postpaddle::host {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::int64_t age_of(base::time_point at, base::time_point now) {
+    return std::chrono::duration_cast<milliseconds>(now - at).count();
+}
+
+base::time_point time_of(std::int64_t age, base::time_point now) {
+    // Longer ago than anything that is remembered; keeps the sum within what a time can hold.
+    static constexpr std::int64_t longest = std::chrono::milliseconds(std::chrono::hours(24)).count();
+    return now - milliseconds(std::clamp<std::int64_t>(age, 0, longest));
+}
+
+json encode_reports(const std::vector<suspect_report>& reports, base::time_point now) {
+    json rows = json::array();
+    for (const suspect_report& report : reports) {
+        json ends = json::array();
+        for (const upstream_end& end : report.ends)
+            ends.push_back({end.upstream, age_of(end.at, now)});
+        const json good = report.good ? json(age_of(*report.good, now)) : json(nullptr);
+        rows.push_back({report.request.high, report.request.low, report.is_stored, good, std::move(ends)});
+    }
+    return rows;
+}
+
+std::vector<suspect_report> decode_reports(const json& rows, base::time_point now) {
+    std::vector<suspect_report> reports;
+    for (const json& row : rows) {
+        suspect_report report;
+        report.request = {row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>()};
+        report.is_stored = row.at(2).get<bool>();
+        if (!row.at(3).is_null())
+            report.good = time_of(row.at(3).get<std::int64_t>(), now);
+        for (const json& end : row.at(4))
+            report.ends.push_back(
+                {end.at(0).get<instance_key>(), time_of(end.at(1).get<std::int64_t>(), now)});
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace postpaddle::host
--- a/libraries/service/completion_relay.cpp
+++ b/libraries/service/completion_relay.cpp
@@ -2,6 +2,7 @@
 #include <service/completion_relay.h>
 
 #include <service/prompt_facts.h>
+#include <service/quarantine_filter.h>
 
 #include <host/owner.h>
 #include <wire/simple_client.h>
@@ -79,6 +80,9 @@
         const auto effect = this->context->mailbox->wait(yield);
         if (!effect)
             return this->caller_left(yield);
+        const bool is_end = std::holds_alternative<decision::end_request>(*effect);
+        if (auto held = is_end ? std::nullopt : held_problem(*this->context))
+            return this->stop(std::move(*held), yield);
         if (const auto* const prefill = std::get_if<decision::start_prefill>(&*effect))
             this->run_prefill(*prefill, yield);
         else if (const auto* const end = std::get_if<decision::end_request>(&*effect)) {
@@ -100,6 +104,14 @@
         problem_answer{499, "caller-gone", "The caller has gone", "", this->context->life.outcome(), {}, {}});
 }
 
+filter_result completion_relay::stop(problem_answer problem, wire::yield_context yield) {
+    this->context->life.take(life_event::given_up);
+    this->note_times();
+    // To the decision it is as if the caller had gone: places and holds come free, nothing more is ordered.
+    report(*this->context, decision::caller_gone{this->context->id}, yield);
+    return tl::make_unexpected(std::move(problem));
+}
+
 wire::engine_attempt completion_relay::attempt_of(int attempt, int priority) const {
     const auto& deployments = this->context->settings->tree->deployments;
     return {this->context->api, host::make_attempt_id(this->context->id, attempt),
@@ -114,7 +126,8 @@
     return found == in_force->tree->upstreams.end() ? nullptr : &found->second.address;
 }
 
-void completion_relay::did_fail(int attempt, const wire::wire_error& error, wire::yield_context yield) {
+void completion_relay::did_fail(int attempt, const wire::wire_error& error, engine_fate fate,
+                                wire::yield_context yield) {
     if (this->call)
         this->call->cancel();
     this->context->mailbox->set_call(nullptr);
@@ -131,15 +144,26 @@
     report(*this->context,
            decision::phase_failed{this->context->id, attempt,
                                   is_kv_gone ? decision::failure::lost_kv : failure_of(error),
-                                  this->answer.position().tokens},
+                                  this->answer.position().tokens, fate == engine_fate::ended},
            yield);
 }
 
+engine_fate completion_relay::look_at(const base::upstream_id& engine, const wire::wire_error& error,
+                                      wire::yield_context yield) {
+    if (error.failure == wire::wire_failure::not_listening)
+        return engine_fate::ended;
+    const std::string* const address = this->address_of(engine);
+    const bool has_ended =
+        address != nullptr && has_ended_under(*this->context, engine, *address, error, yield);
+    return has_ended ? engine_fate::ended : engine_fate::unknown;
+}
+
 void completion_relay::run_prefill(const decision::start_prefill& order, wire::yield_context yield) {
     this->context->life.take(life_event::prefill_sent);
     auto result = this->exchange_prefill(order, yield);
     if (!result) {
-        this->did_fail(order.attempt, result.error(), yield);
+        this->did_fail(order.attempt, result.error(), this->look_at(order.prefill, result.error(), yield),
+                       yield);
         return;
     }
     this->kv_transfer_params = std::move(result->kv_transfer_params);
@@ -182,7 +206,8 @@
     this->answer.set_engines(order.prefill.value, order.decode.value);
     const std::string* const address = this->address_of(order.decode);
     if (address == nullptr) {
-        this->did_fail(order.attempt, {wire::wire_failure::not_connected, "no such upstream"}, yield);
+        this->did_fail(order.attempt, {wire::wire_failure::not_connected, "no such upstream"},
+                       engine_fate::unknown, yield);
         return false;
     }
     const wire::engine_attempt attempt = this->attempt_of(order.attempt, order.engine_priority);
@@ -197,16 +222,21 @@
     auto open = wire::open_exchange(*this->context->services->pool, *address, request, use,
                                     {.deadline = steady_clock::now() + order.limit}, on_call, yield);
     if (!open) {
-        this->did_fail(order.attempt, open.error(), yield);
+        this->did_fail(order.attempt, open.error(), this->look_at(order.decode, open.error(), yield), yield);
         return false;
     }
     if (open->head.status != ok_status) {
-        this->did_fail(order.attempt, status_error(open->head.status), yield);
+        this->did_fail(order.attempt, status_error(open->head.status), engine_fate::unknown, yield);
         return false;
     }
+    const int tokens_before = this->answer.position().tokens;
     const auto relayed = this->relay_stream(order, *open->call, yield);
     if (!relayed) {
-        this->did_fail(order.attempt, relayed.error(), yield);
+        // A run that has put out tokens did not end its engine by beginning.
+        const bool has_begun = this->answer.position().tokens > tokens_before;
+        const engine_fate fate =
+            has_begun ? engine_fate::unknown : this->look_at(order.decode, relayed.error(), yield);
+        this->did_fail(order.attempt, relayed.error(), fate, yield);
         return false;
     }
     this->context->mailbox->set_call(nullptr);
@@ -216,6 +246,8 @@
            decision::decode_ended{this->context->id, order.attempt, this->answer.position().tokens}, yield);
     if (!this->answer.finish(yield))
         return true; // The engine is done with it; only the caller missed the end.
+    this->context->services->quarantine->did_end_well(this->context->fingerprint,
+                                                      this->context->services->clock->now());
     this->context->life.take(life_event::finished);
     return true;
 }
--- a/libraries/service/completion_relay.h
+++ b/libraries/service/completion_relay.h
@@ -10,6 +10,12 @@
 
 namespace postpaddle::service {
 
+/// What is known of an engine after a send to it failed.
+enum class engine_fate {
+    unknown,
+    ended, ///< Nothing listens at its address.
+};
+
 /// Carries one completion through the engines that the decision names, and its answer back.
 class completion_relay {
 public:
@@ -30,11 +36,16 @@
                                                    const wire::engine_attempt& attempt,
                                                    wire::event_stream& stream, wire::yield_context yield);
     void did_see_first_token(const decision::start_decode& order, wire::yield_context yield);
-    void did_fail(int attempt, const wire::wire_error& error, wire::yield_context yield);
+    void did_fail(int attempt, const wire::wire_error& error, engine_fate fate, wire::yield_context yield);
+    /// Whether an engine's process has ended under a send that failed so.
+    [[nodiscard]] engine_fate look_at(const base::upstream_id& engine, const wire::wire_error& error,
+                                      wire::yield_context yield);
     [[nodiscard]] wire::engine_attempt attempt_of(int attempt, int priority) const;
     [[nodiscard]] const std::string* address_of(const base::upstream_id& upstream) const;
     [[nodiscard]] problem_answer problem_of(const decision::end_request& order) const;
     [[nodiscard]] filter_result caller_left(wire::yield_context yield);
+    /// Ends a request that must go to no further engine.
+    [[nodiscard]] filter_result stop(problem_answer problem, wire::yield_context yield);
     void note_times();
 
     request_context* context;
--- a/libraries/service/control_thread.cpp
+++ b/libraries/service/control_thread.cpp
@@ -26,6 +26,7 @@
     control.settings = parts.settings;
     control.decision = parts.decision;
     control.limits = parts.limits;
+    control.quarantine = parts.quarantine;
     control.upstreams = parts.upstreams;
     control.claims = parts.claims;
     control.figures = parts.figures;
--- a/libraries/service/filter_chain.cpp
+++ b/libraries/service/filter_chain.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::array<filter, 5> filters = {authenticate, check_limits, check_repeatability, decide, relay};
+constexpr std::array<filter, 6> filters = {authenticate,        check_quarantine, check_limits,
+                                           check_repeatability, decide,           relay};
 
 request_end end_of(const request_context& context, const filter_result& result) {
     if (result)
--- a/libraries/service/filter_chain.h
+++ b/libraries/service/filter_chain.h
@@ -10,6 +10,8 @@
 
 /// Finds the organisation and what the request is for: 400, 401, 404.
 [[nodiscard]] filter_result authenticate(request_context& context, wire::yield_context yield);
+/// Refuses requests under which upstreams end: 503.
+[[nodiscard]] filter_result check_quarantine(request_context& context, wire::yield_context yield);
 /// Holds the organisation's limits: 413, 429.
 [[nodiscard]] filter_result check_limits(request_context& context, wire::yield_context yield);
 /// Sees to it that a not-repeatable request runs at most once: 400, 409, 422, 503.
--- a/libraries/service/membership_controller.cpp
+++ b/libraries/service/membership_controller.cpp
@@ -13,6 +13,10 @@
 constexpr auto indirect_limit = 900ms;
 constexpr std::size_t indirect_count = 2;
 constexpr auto list_pause = 1'000ms;
+/// A look whether upstreams have ended under a request; each host that hears of it for the first time tells
+/// so many others.
+constexpr auto suspects_look = 50ms;
+constexpr std::size_t suspects_spread = 16;
 constexpr std::size_t goodbye_count = 3;
 /// A peer that heard the log this lately is as good as the log itself.
 constexpr std::int64_t fresh_log_ms = 5'000;
@@ -27,6 +31,7 @@
     wire::asio::io_context& context = *this->control->context;
     wire::spawn_coroutine(context, [this](wire::yield_context yield) { this->probe_forever(yield); });
     wire::spawn_coroutine(context, [this](wire::yield_context yield) { this->follow_list(yield); });
+    wire::spawn_coroutine(context, [this](wire::yield_context yield) { this->spread_suspects(yield); });
 }
 
 std::string membership_controller::make_message(const base::host_id& receiver) {
@@ -37,7 +42,9 @@
         const auto age = this->control->clock->now() - *this->control->log_heard_at;
         message.log_age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
     }
-    return encode(message);
+    const base::time_point now = this->control->clock->now();
+    message.suspects = this->control->quarantine->reports_to_tell(now);
+    return encode(message, now);
 }
 
 void membership_controller::hear(const gossip_message& message) {
@@ -45,12 +52,13 @@
     for (const host::member& entry : message.members)
         host::hear_member(this->control->members, entry, now);
     this->control->peer_heard_at = now;
+    this->control->quarantine->hear(message.suspects, now);
     if (message.log_age_ms < fresh_log_ms)
         this->control->peer_log_heard_at = now;
 }
 
 std::string membership_controller::answer_probe(const std::string& payload) {
-    const auto message = decode_gossip(payload);
+    const auto message = decode_gossip(payload, this->control->clock->now());
     if (!message || message->members.empty())
         return this->make_message({});
     this->hear(*message);
@@ -77,6 +85,18 @@
     }
 }
 
+void membership_controller::spread_suspects(wire::yield_context yield) {
+    while (!this->control->is_stopping) {
+        this->control->pause(suspects_look, yield);
+        if (!this->control->quarantine->take_news())
+            continue;
+        for (const host::member& peer : host::indirect_probers(this->control->members, {}, suspects_spread))
+            wire::spawn_coroutine(*this->control->context, [this, peer](wire::yield_context own) {
+                (void)this->try_probe(peer.name, peer.peers_address, own);
+            });
+    }
+}
+
 void membership_controller::probe(const host::member& target, wire::yield_context yield) {
     if (this->try_probe(target.name, target.peers_address, yield) || this->try_indirect(target, yield))
         return;
@@ -89,7 +109,7 @@
         this->control->peers->call(address, "probe", this->make_message(name), probe_limit, yield);
     if (!answer)
         return false;
-    const auto message = decode_gossip(*answer);
+    const auto message = decode_gossip(*answer, this->control->clock->now());
     if (!message)
         return false;
     this->hear(*message);
--- a/libraries/service/membership_controller.h
+++ b/libraries/service/membership_controller.h
@@ -27,6 +27,8 @@
 private:
     void probe_forever(wire::yield_context yield);
     void follow_list(wire::yield_context yield);
+    /// Tells other hosts at once under which requests upstreams end.
+    void spread_suspects(wire::yield_context yield);
     void probe(const host::member& target, wire::yield_context yield);
     [[nodiscard]] bool try_probe(const base::host_id& name, const std::string& address,
                                  wire::yield_context yield);
--- a/libraries/service/metrics.cpp
+++ b/libraries/service/metrics.cpp
@@ -69,6 +69,10 @@
     write_counter(out, "connections_total", "Callers' connections accepted.", counters.connections);
     write_counter(out, "unauthorised_total", "Requests with a missing or wrong key.", counters.unauthorised);
     write_counter(out, "over_limit_total", "Requests over an organisation's limit.", counters.over_limit);
+    write_counter(out, "upstreams_ended_total", "Upstreams that ended under a request.",
+                  counters.upstreams_ended);
+    write_counter(out, "held_requests_total", "Requests refused because upstreams end under them.",
+                  counters.held_requests);
     write_counter(out, "ring_full_total", "Requests refused because a ring was full.", counters.ring_full);
     write_counter(out, "slow_readers_total", "Callers given up because they did not read.",
                   counters.slow_readers);
--- a/libraries/service/metrics.h
+++ b/libraries/service/metrics.h
@@ -30,6 +30,8 @@
     std::atomic<std::uint64_t> connections{0};
     std::atomic<std::uint64_t> unauthorised{0};
     std::atomic<std::uint64_t> over_limit{0};
+    std::atomic<std::uint64_t> upstreams_ended{0};
+    std::atomic<std::uint64_t> held_requests{0};
     std::atomic<std::uint64_t> ring_full{0};
     std::atomic<std::uint64_t> slow_readers{0};
     std::atomic<std::uint64_t> malformed_answers{0};
--- a/libraries/service/peer_codec.cpp
+++ b/libraries/service/peer_codec.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <service/peer_codec.h>
 
+#include <host/quarantine_codec.h>
+
 #include <algorithm>
 
 namespace postpaddle::service {
@@ -66,11 +68,14 @@
             {"sr", member.settings_revision}};
 }
 
-std::string encode(const gossip_message& message) {
+std::string encode(const gossip_message& message, base::time_point now) {
     json members = json::array();
     for (const host::member& member : message.members)
         members.push_back(to_json(member));
-    return json{{"members", members}, {"log_age_ms", message.log_age_ms}}.dump();
+    return json{{"members", members},
+                {"log_age_ms", message.log_age_ms},
+                {"suspects", host::encode_reports(message.suspects, now)}}
+        .dump();
 }
 
 std::string encode(const share_request& message) {
@@ -101,12 +106,15 @@
     return json{{"answers", items}}.dump();
 }
 
-std::optional<gossip_message> decode_gossip(const std::string& text) {
-    return decode_with<gossip_message>(text, [](const json& parsed) {
+std::optional<gossip_message> decode_gossip(const std::string& text, base::time_point now) {
+    return decode_with<gossip_message>(text, [now](const json& parsed) {
         gossip_message message;
         for (const json& item : parsed.at("members"))
             message.members.push_back(member_of(item));
         message.log_age_ms = parsed.at("log_age_ms").get<std::int64_t>();
+        // Hosts of an earlier version tell none.
+        if (parsed.contains("suspects"))
+            message.suspects = host::decode_reports(parsed["suspects"], now);
         return message;
     });
 }
--- a/libraries/service/peer_codec.h
+++ b/libraries/service/peer_codec.h
@@ -4,6 +4,7 @@
 #include <decision/load_report.h>
 #include <host/claim_table.h>
 #include <host/membership.h>
+#include <host/quarantine.h>
 
 #include <nlohmann/json.hpp>
 
@@ -20,7 +21,8 @@
 /// Probe and answer: what a host thinks of the others, and how fresh its view of the log is.
 struct gossip_message {
     std::vector<host::member> members;
-    std::int64_t log_age_ms = 0; ///< Since the sender last heard from the log.
+    std::int64_t log_age_ms = 0;                  ///< Since the sender last heard from the log.
+    std::vector<host::suspect_report> suspects{}; ///< Requests under which upstreams end.
 
     bool operator==(const gossip_message&) const = default;
 };
@@ -66,13 +68,14 @@
     bool operator==(const claim_request&) const = default;
 };
 
-[[nodiscard]] std::string encode(const gossip_message& message);
+/// Times are told as ages.
+[[nodiscard]] std::string encode(const gossip_message& message, base::time_point now);
 [[nodiscard]] std::string encode(const share_request& message);
 [[nodiscard]] std::string encode(const share_answer& message);
 [[nodiscard]] std::string encode(const claim_request& message);
 [[nodiscard]] std::string encode(const std::vector<host::claim_answer>& answers);
 
-[[nodiscard]] std::optional<gossip_message> decode_gossip(const std::string& text);
+[[nodiscard]] std::optional<gossip_message> decode_gossip(const std::string& text, base::time_point now);
 [[nodiscard]] std::optional<share_request> decode_share_request(const std::string& text);
 [[nodiscard]] std::optional<share_answer> decode_share_answer(const std::string& text);
 [[nodiscard]] std::optional<claim_request> decode_claim_request(const std::string& text);
--- a/libraries/service/plain_relay.cpp
+++ b/libraries/service/plain_relay.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <service/plain_relay.h>
 
+#include <service/quarantine_filter.h>
+
 #include <wire/simple_client.h>
 
 #include <base/try.h>
@@ -15,6 +17,10 @@
 
 constexpr int most_attempts = 3;
 constexpr const char* request_id_header = "X-Request-Id";
+constexpr int first_success = 200;
+constexpr int first_redirection = 300;
+
+bool is_success(int status) { return status >= first_success && status < first_redirection; }
 
 /// Fields that belong to one connection (RFC 9110, section 7.6.1), or that must not reach an upstream.
 bool is_forwarded(std::string_view name) {
@@ -122,6 +128,10 @@
     std::set<base::upstream_id> tried;
     wire::wire_error last{wire::wire_failure::not_connected, "no upstream may be used"};
     for (int attempt = 1; attempt <= most_attempts; ++attempt) {
+        if (auto held = held_problem(context)) {
+            context.life.take(life_event::given_up);
+            return tl::make_unexpected(std::move(*held));
+        }
         const base::time_point now = context.services->clock->now();
         const auto chosen = context.services->upstreams->choose(context.route->upstreams, tried, now);
         if (!chosen)
@@ -137,11 +147,15 @@
             context.life.take(life_event::decode_sent);
             context.life.take(life_event::first_token);
             context.life.take(life_event::finished);
+            if (is_success(answer->status))
+                context.services->quarantine->did_end_well(context.fingerprint,
+                                                           context.services->clock->now());
             if (!context.connection->send(answer_for_caller(std::move(*answer), context), yield))
                 break;
             return {};
         }
         last = answer.error();
+        (void)has_ended_under(context, *chosen, address, last, yield);
         if (!may_try_again(context, last))
             break;
     }
--- /dev/null
+++ b/libraries/service/quarantine_board.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/quarantine_board.h>
+
+#include <utility>
+
+namespace postpaddle::service {
+
+namespace {
+
+/// Requests in one message, at most: some 100 bytes each by reckoning.
+constexpr std::size_t most_told = 32;
+/// That a request has come to a good end is told for so long: some rounds of gossip among a few hosts.
+/// Chosen.
+constexpr base::duration clearing_time = std::chrono::seconds(10);
+
+} // namespace
+
+std::optional<base::duration> quarantine_board::held_for(const host::request_fingerprint& request,
+                                                         base::time_point now) const {
+    const std::lock_guard lock(this->mutex);
+    return host::held_for(this->table, this->options, request, now);
+}
+
+void quarantine_board::take(const host::suspect_report& report, base::time_point now) {
+    if (host::take_report(this->table, this->options, report, now))
+        this->has_news = true;
+}
+
+void quarantine_board::clear(const host::request_fingerprint& request, base::time_point now) {
+    if (this->cleared.size() < most_told || this->cleared.contains(request))
+        this->cleared[request] = now + clearing_time;
+    this->has_news = true;
+}
+
+void quarantine_board::did_end_under(const host::request_fingerprint& request, host::instance_key upstream,
+                                     base::time_point now) {
+    const std::lock_guard lock(this->mutex);
+    this->take({.request = request, .ends = {{upstream, now}}}, now);
+}
+
+void quarantine_board::did_end_well(const host::request_fingerprint& request, base::time_point now) {
+    const std::lock_guard lock(this->mutex);
+    if (this->table.suspects.contains(request))
+        this->clear(request, now);
+    host::note_good_end(this->table, this->options, request, now);
+}
+
+void quarantine_board::hear(const std::vector<host::suspect_report>& reports, base::time_point now) {
+    const std::lock_guard lock(this->mutex);
+    for (const host::suspect_report& report : reports) {
+        const bool is_known_good = this->table.good.contains(report.request);
+        this->take(report, now);
+        if (is_known_good && !report.ends.empty() && !report.good)
+            this->clear(report.request, now);
+    }
+}
+
+std::vector<host::suspect_report> quarantine_board::reports_to_tell(base::time_point now) {
+    const std::lock_guard lock(this->mutex);
+    host::forget_old(this->table, this->options, now);
+    std::erase_if(this->cleared, [now](const auto& item) { return now >= item.second; });
+    auto reports = host::reports_to_repeat(this->table, most_told);
+    for (const auto& [request, until] : this->cleared)
+        reports.push_back(host::report_of(this->table, request));
+    return reports;
+}
+
+bool quarantine_board::take_news() {
+    const std::lock_guard lock(this->mutex);
+    return std::exchange(this->has_news, false);
+}
+
+} // namespace postpaddle::service
--- /dev/null
+++ b/libraries/service/quarantine_filter.cpp
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <service/quarantine_filter.h>
+
+#include <service/filter_chain.h>
+#include <service/log.h>
+
+#include <wire/simple_client.h>
+
+namespace postpaddle::service {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A process that has ended has its port turned away by the system at once.
+constexpr auto look_limit = 120ms;
+/// Ends of an upstream within such a window of calendar time count as one: hosts see the same end within
+/// milliseconds, and a process takes longer to start again. An end that two hosts see on both sides of a
+/// window's border counts twice, never three times.
+constexpr auto end_window = 2'000ms;
+
+/// Names one start of an upstream, alike on all hosts. Settings name an upstream, not its starts.
+host::instance_key key_of_end(const base::upstream_id& upstream, base::wall_time now) {
+    const auto windows = now.time_since_epoch() / end_window;
+    return host::key_of(upstream, static_cast<std::uint64_t>(windows));
+}
+
+} // namespace
+
+std::optional<problem_answer> held_problem(request_context& context) {
+    const worker_services& services = *context.services;
+    const auto held = services.quarantine->held_for(context.fingerprint, services.clock->now());
+    if (!held)
+        return std::nullopt;
+    ++services.figures->counters.held_requests;
+    return problem_answer{503,
+                          "upstreams-ended",
+                          "Upstreams ended while they ran this request",
+                          "It is sent to no further one.",
+                          context.life.outcome(),
+                          *held,
+                          {}};
+}
+
+filter_result check_quarantine(request_context& context, wire::yield_context /*yield*/) {
+    context.fingerprint = host::fingerprint_of({.caller = context.policy->id.value,
+                                                .host = {},
+                                                .method = context.request.method,
+                                                .target = context.request.target,
+                                                .body = context.request.body});
+    auto held = held_problem(context);
+    if (!held)
+        return {};
+    // What is told is the outcome of all arrivals under a key, and an earlier one has run.
+    if (!wire::find_header(context.request.headers, "Idempotency-Key").empty())
+        held->outcome = run_outcome::unknown;
+    return tl::make_unexpected(std::move(*held));
+}
+
+bool has_ended_under(request_context& context, const base::upstream_id& upstream, const std::string& address,
+                     const wire::wire_error& error, wire::yield_context yield) {
+    const bool may_have_ended =
+        error.failure == wire::wire_failure::broken || error.failure == wire::wire_failure::closed;
+    if (!may_have_ended || context.mailbox->is_caller_gone())
+        return false;
+    const worker_services& services = *context.services;
+    if (wire::look_at_port(*services.pool, address, look_limit, yield) != wire::port_state::not_listening)
+        return false;
+    ++services.figures->counters.upstreams_ended;
+    log_warning("upstream_ended", {{"upstream", upstream.value},
+                                   {"request", context.id.value},
+                                   {"fingerprint", host::to_text(context.fingerprint)}});
+    services.quarantine->did_end_under(context.fingerprint, key_of_end(upstream, services.clock->wall_now()),
+                                       services.clock->now());
+    return true;
+}
+
+} // namespace postpaddle::service
--- a/libraries/service/relay_worker.cpp
+++ b/libraries/service/relay_worker.cpp
@@ -26,6 +26,7 @@
                       .settings = parts.settings,
                       .decision = parts.decision,
                       .limits = parts.limits,
+                      .quarantine = parts.quarantine,
                       .upstreams = parts.upstreams,
                       .claims = parts.claims,
                       .figures = parts.figures,
--- a/libraries/service/request_context.h
+++ b/libraries/service/request_context.h
@@ -9,6 +9,7 @@
 #include <service/limit_controller.h>
 #include <service/metrics.h>
 #include <service/problem_answer.h>
+#include <service/quarantine_board.h>
 #include <service/release_controller.h>
 #include <service/request_life.h>
 #include <service/request_mailbox.h>
@@ -34,6 +35,7 @@
     const settings_store* settings = nullptr;
     decision_controller* decision = nullptr;
     limit_controller* limits = nullptr;
+    quarantine_board* quarantine = nullptr;
     upstream_board* upstreams = nullptr;
     claim_client* claims = nullptr;
     metrics* figures = nullptr;
@@ -53,6 +55,7 @@
     base::time_point arrived{};
     settings_pointer settings;
     const settings::organisation_policy* policy = nullptr; ///< Set by `authenticate`.
+    host::request_fingerprint fingerprint;                 ///< Alike in all tries; set by `check_quarantine`.
     request_kind kind = request_kind::completion;
     // Of a completion.
     wire::completion_api api = wire::completion_api::completions;
--- a/stand_ins/engine/engine.cpp
+++ b/stand_ins/engine/engine.cpp
@@ -149,6 +149,8 @@
         status = this->fetch_kv(parameters, *job, yield);
         is_ready = status == 200 && !job->is_cancelled;
     }
+    if (is_ready && prompt == this->faults.fatal_prompt)
+        std::_Exit(EXIT_FAILURE);
     if (is_ready) {
         ++this->runs[job->plan.mark];
         this->stream(job, answer_id(take_one(this->faults.crossed) ? "somebody.else.1" : id, is_chat),
@@ -237,6 +239,7 @@
     this->faults.late_ms = body.value("late_ms", this->faults.late_ms);
     this->faults.stall_transfer = body.value("stall_transfer", this->faults.stall_transfer);
     this->faults.stall_tokens = body.value("stall_tokens", this->faults.stall_tokens);
+    this->faults.fatal_prompt = body.value("fatal_prompt", this->faults.fatal_prompt);
     this->is_draining = body.value("drain", this->is_draining);
     return json_response({{"ok", true}});
 }
--- a/stand_ins/engine/engine_options.h
+++ b/stand_ins/engine/engine_options.h
@@ -26,14 +26,15 @@
 
 /// Faults that the control endpoint sets. Counts are of coming answers.
 struct engine_faults {
-    int refuse = 0;         ///< Answer 503 before starting.
-    int garbage = 0;        ///< Answer something unreadable.
-    int crossed = 0;        ///< Answer with another request's id.
-    int flood = 0;          ///< Send far more tokens than asked for.
-    int cut = 0;            ///< Cut the stream after a few tokens.
-    int late_ms = 0;        ///< Hold each answer's start back this long.
-    int stall_transfer = 0; ///< Transfers that never end.
-    int stall_tokens = 0;   ///< Streams that stop making tokens.
+    int refuse = 0;           ///< Answer 503 before starting.
+    int garbage = 0;          ///< Answer something unreadable.
+    int crossed = 0;          ///< Answer with another request's id.
+    int flood = 0;            ///< Send far more tokens than asked for.
+    int cut = 0;              ///< Cut the stream after a few tokens.
+    int late_ms = 0;          ///< Hold each answer's start back this long.
+    int stall_transfer = 0;   ///< Transfers that never end.
+    int stall_tokens = 0;     ///< Streams that stop making tokens.
+    std::string fatal_prompt; ///< The process ends as it begins to decode this prompt.
 };
 
 /// What the engine has counted.
--- a/stand_ins/plain_service/main.cpp
+++ b/stand_ins/plain_service/main.cpp
@@ -6,6 +6,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <map>
 
 DEFINE_string(name, "plain", "name of the service");
@@ -17,10 +18,11 @@
 using stand_in::json;
 
 struct plain_faults {
-    int delay_ms = 0; ///< Before each answer.
-    int cut = 0;      ///< Coming answers that are cut after the work was done.
-    int crossed = 0;  ///< Coming answers that name another request.
-    int garbage = 0;  ///< Coming answers that are not HTTP.
+    int delay_ms = 0;       ///< Before each answer.
+    int cut = 0;            ///< Coming answers that are cut after the work was done.
+    int crossed = 0;        ///< Coming answers that name another request.
+    int garbage = 0;        ///< Coming answers that are not HTTP.
+    std::string fatal_body; ///< The process ends under a call with this body.
 };
 
 struct plain_service {
@@ -46,6 +48,8 @@
 void run_call(plain_service& service, wire::asio::io_context& context, const wire::http_request& request,
               wire::caller_connection& connection, wire::yield_context yield) {
     ++service.calls;
+    if (!service.faults.fatal_body.empty() && request.body == service.faults.fatal_body)
+        std::_Exit(EXIT_FAILURE);
     const std::string key(wire::find_header(request.headers, "Idempotency-Key"));
     if (!key.empty())
         ++service.runs[key];
@@ -89,6 +93,8 @@
                                 service.faults.cut = body.value("cut", service.faults.cut);
                                 service.faults.crossed = body.value("crossed", service.faults.crossed);
                                 service.faults.garbage = body.value("garbage", service.faults.garbage);
+                                service.faults.fatal_body =
+                                    body.value("fatal_body", service.faults.fatal_body);
                                 (void)connection.send(stand_in::json_response({{"ok", true}}), yield);
                             } else {
                                 run_call(service, context, request, connection, yield);
--- /dev/null
+++ b/tests/integration/test_fatal_requests.cpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Requests under which every upstream ends that runs them, on the product's own interface: three ends stop
+// one at all hosts. What was seen of such requests stands in tests/gateway/test_fatal_requests.cpp.
+#include <support/test_cluster.h>
+
+#include <wire/simple_client.h>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+namespace {
+
+using namespace postpaddle;
+using namespace postpaddle::test;
+using namespace std::chrono_literals;
+
+constexpr int most_ended = 3;
+/// Time within which word must reach all hosts.
+constexpr auto contact_time = 3s;
+constexpr const char* fatal_body = "ends whoever runs it";
+
+/// A cluster whose upstreams are reached without a proxy: behind one a port never looks dead.
+stand_in::cluster_options direct_cluster(const std::string& name) {
+    stand_in::cluster_options options = small_cluster(name, 2);
+    options.has_proxies = false;
+    return options;
+}
+
+int count_ended(const stand_in::cluster& cluster, const std::vector<std::string>& upstreams) {
+    int count = 0;
+    for (const std::string& upstream : upstreams)
+        count += cluster.counters(upstream).is_null() ? 1 : 0;
+    return count;
+}
+
+/// Sends the request at one host until three upstreams have ended, and, after the time within which word must
+/// reach the other, at both in turn. Gives how many ended then.
+int end_and_try_everywhere(const stand_in::cluster& cluster, const std::vector<std::string>& upstreams,
+                           const wire::http_request& request) {
+    while (count_ended(cluster, upstreams) < most_ended)
+        (void)stand_in::http_exchange(cluster.hosts[0].callers, request);
+    std::this_thread::sleep_for(contact_time);
+    const int before = count_ended(cluster, upstreams);
+    for (int number = 0; number < 6; ++number)
+        (void)stand_in::http_exchange(cluster.hosts[static_cast<std::size_t>(number % 2)].callers, request);
+    return count_ended(cluster, upstreams) - before;
+}
+
+void check_refused(const stand_in::cluster& cluster, const wire::http_request& request) {
+    for (const stand_in::running_host& host : cluster.hosts) {
+        const auto answer = stand_in::http_exchange(host.callers, request);
+        REQUIRE(answer);
+        CHECK(answer->status == 503);
+        CHECK(wire::find_header(answer->headers, "Postpaddle-Outcome") == "not-run");
+        CHECK_THAT(answer->body, Catch::Contains("upstreams-ended"));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a call that ends each plain service that runs it is stopped at all hosts") {
+    stand_in::cluster_options options = direct_cluster("fatal-call");
+    std::vector<std::string> services;
+    std::string names;
+    std::string document;
+    for (int number = 1; number <= 8; ++number) {
+        const std::string name = "f" + std::to_string(number);
+        options.upstreams.push_back({.name = name, .zone = "a", .is_plain = true, .flags = {}});
+        services.push_back(name);
+        names += (number > 1 ? ", " : "") + name;
+        document += "  " + name + ": {address: \"127.0.0.1:1\", availability_zone: a, kind: plain}\n";
+    }
+    stand_in::cluster cluster(options);
+    std::string settings = cluster_document();
+    settings.replace(settings.find("deployments:"), 0, document);
+    settings.replace(settings.find("upstreams: [s1]"), 15, "upstreams: [" + names + "]");
+    REQUIRE(cluster.publish(settings));
+    for (const std::string& service : services)
+        cluster.control(service, {{"fatal_body", fatal_body}});
+    const wire::http_request request =
+        wire::json_request("/items/1", fatal_body, {{"Authorization", "Bearer left-key"}});
+    CHECK(end_and_try_everywhere(cluster, services, request) == 0);
+    check_refused(cluster, request);
+    const auto other =
+        stand_in::http_exchange(cluster.hosts[0].callers,
+                                wire::json_request("/items/2", "{}", {{"Authorization", "Bearer left-key"}}));
+    REQUIRE(other);
+    CHECK(other->status == 200);
+}
+
+TEST_CASE("a completion that ends each engine that decodes it is stopped at all hosts") {
+    stand_in::cluster_options options = direct_cluster("fatal-completion");
+    std::vector<std::string> engines = {"d1", "d2"};
+    std::string names = "d1, d2";
+    std::string document;
+    for (int number = 3; number <= 8; ++number) {
+        const std::string name = "d" + std::to_string(number);
+        options.upstreams.push_back({.name = name, .zone = "a", .is_plain = false, .flags = {}});
+        engines.push_back(name);
+        names += ", " + name;
+        document += "  " + name + ": {address: \"127.0.0.1:1\", availability_zone: a}\n";
+    }
+    stand_in::cluster cluster(options);
+    std::string settings = cluster_document();
+    settings.replace(settings.find("deployments:"), 0, document);
+    settings.replace(settings.find("decode_pool: [d1, d2]"), 21, "decode_pool: [" + names + "]");
+    REQUIRE(cluster.publish(settings));
+    const std::string prompt = make_prompt("fatal", 50);
+    for (const std::string& engine : engines)
+        cluster.control(engine, {{"fatal_prompt", prompt}});
+    const wire::http_request request = completion(prompt, 5);
+    CHECK(end_and_try_everywhere(cluster, engines, request) == 0);
+    check_refused(cluster, request);
+    const auto other =
+        stand_in::http_exchange(cluster.hosts[0].callers, completion(make_prompt("fatal-other", 50), 5));
+    REQUIRE(other);
+    CHECK(other->status == 200);
+}
