gateway: Heartbeats carry which requests are suspected, and hosts apart add up in the store

Change: heartbeats name the most suspect requests in place of datagrams told again; an end of the own host is due in the store while others may not be heard, until it is left.

--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -93,6 +93,8 @@
     host::quarantine_options quarantine_options{};
     /// Takes over what this host has seen of such a request, and tells the other hosts.
     std::function<void(const host::suspect_report&)> on_suspect_seen{};
+    /// Takes over what the host at that address for heartbeats told of such requests.
+    std::function<void(const std::vector<host::suspect_report>&, const std::string&)> on_suspects_told{};
     std::function<void()> on_hosts_known{};    ///< The list of hosts has just been read.
     std::function<bool()> ask_further{};       ///< Asks hosts of other cells for room, see `try_ask_further`.
     std::function<void()> on_places_changed{}; ///< See `did_change_places`.
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/peer_codec.h>
 
+#include <host/quarantine_codec.h>
+
 namespace postpaddle::gateway {
 
 using nlohmann::json;
@@ -21,12 +23,15 @@
                               {"availability_zone", known.zone.value},
                               {"heard_ms_ago", age.count()}};
     }
-    return {{"host", message.host.value},
-            {"address", message.address},
-            {"availability_zone", message.availability_zone.value},
-            {"settings_version", message.settings_version},
-            {"is_leaving", message.is_leaving},
-            {"hosts", std::move(others)}};
+    json value = {{"host", message.host.value},
+                  {"address", message.address},
+                  {"availability_zone", message.availability_zone.value},
+                  {"settings_version", message.settings_version},
+                  {"is_leaving", message.is_leaving},
+                  {"hosts", std::move(others)}};
+    if (!message.suspects.empty())
+        value["suspects"] = host::encode_reports(message.suspects, now);
+    return value;
 }
 
 std::optional<heartbeat> decode_heartbeat(std::string_view text, base::time_point now) {
@@ -42,6 +47,8 @@
             message.others[{name}] = {
                 .address = row.at("address").get<std::string>(), .zone = {zone_of(row)}, .heard = now - age};
         }
+        if (value.contains("suspects"))
+            message.suspects = host::decode_reports(value["suspects"], now);
         if (message.host.is_empty() || message.address.empty())
             return std::nullopt;
         return message;
--- a/libraries/gateway/peer_codec.h
+++ b/libraries/gateway/peer_codec.h
@@ -6,6 +6,7 @@
 #include <host/load_share.h>
 #include <host/message_delay.h>
 #include <host/peer_directory.h>
+#include <host/quarantine.h>
 
 #include <nlohmann/json.hpp>
 
@@ -24,6 +25,7 @@
     std::uint64_t settings_version = 0;
     bool is_leaving = false;
     std::map<base::host_id, host::peer> others{}; ///< When they were heard is told as an age.
+    std::vector<host::suspect_report> suspects{}; ///< Requests under which upstreams end; none in calm.
 
     bool operator==(const heartbeat&) const = default;
 };
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t spread_count = 2;
 /// Other hosts that a heartbeat names.
 constexpr std::size_t named_hosts = 16;
+/// Requests under which upstreams end that a heartbeat names, the most suspect first: some 100 bytes each by
+/// reckoning.
+constexpr std::size_t told_suspects = 16;
 /// Pause before the store is asked again for the other hosts.
 constexpr base::duration join_pause = 1'000ms;
 constexpr int ok_status = 200;
@@ -119,7 +122,8 @@
                                .availability_zone = this->state->process->availability_zone,
                                .settings_version = settings_version(*this->state),
                                .is_leaving = this->state->is_draining,
-                               .others = host::latest_heard(this->state->peers, named_hosts, now)};
+                               .others = host::latest_heard(this->state->peers, named_hosts, now),
+                               .suspects = host::reports_to_repeat(this->state->quarantine, told_suspects)};
     return encode_heartbeat(message, now).dump();
 }
 
@@ -133,6 +137,7 @@
     if (message->host == this->state->process->name)
         return;
     host::note_word(this->state->peers, message->host, message->address, message->availability_zone, now);
+    this->state->on_suspects_told(message->suspects, message->address);
     if (message->is_leaving)
         host::note_leaving(this->state->peers, message->host);
     for (const auto& [name, other] : message->others)
--- a/libraries/gateway/quarantine_exchange.cpp
+++ b/libraries/gateway/quarantine_exchange.cpp
@@ -11,13 +11,8 @@
 
 using namespace std::chrono_literals;
 
-/// What is known is told again so often: a host that missed the news, or has just started, hears of it within
-/// seconds.
-constexpr base::duration repeat_interval = 1'000ms;
-/// Hosts that it is told again to, drawn at random.
-constexpr std::size_t repeat_count = 2;
-/// Requests in one message, at most: some 100 bytes each by reckoning.
-constexpr std::size_t most_told = 32;
+/// Pause between two looks at what is too old, or held and not in the store.
+constexpr base::duration look_interval = 1'000ms;
 /// Hosts that news which was heard is passed on to: among few hosts to all, so that one that can't hear the
 /// teller hears of it from the others at once.
 constexpr std::size_t passed_on_count = 16;
@@ -35,13 +30,15 @@
 
 quarantine_exchange::quarantine_exchange(gateway_state& state, ports::control_feed& feed,
                                          peer_datagrams& datagrams)
-    : state(&state), feed(&feed), datagrams(&datagrams), repeat_timer(*state.context) {}
+    : state(&state), feed(&feed), datagrams(&datagrams), look_timer(*state.context) {}
 
 void quarantine_exchange::start() {
     this->state->on_suspect_seen = [this](const host::suspect_report& seen) { this->did_see(seen); };
+    this->state->on_suspects_told = [this](const std::vector<host::suspect_report>& reports,
+                                           const std::string& teller) { this->hear(reports, teller); };
     this->datagrams->on(datagram_kind::quarantine,
                         [this](std::string_view bytes) { return this->take(bytes); });
-    this->repeat_regularly();
+    this->look_regularly();
     wire::spawn_coroutine(*this->state->context,
                           [this](wire::yield_context yield) { this->follow_store(yield); });
 }
@@ -59,15 +56,20 @@
     if (message->host == this->state->process->name)
         return true;
     host::note_heard(this->state->peers, message->host, this->state->clock->now());
-    for (const host::suspect_report& report : message->reports) {
-        this->take_report(report, message->host.value.c_str());
-        this->speak_for(report, message->host);
-    }
+    const auto known = this->state->peers.by_name.find(message->host);
+    this->hear(message->reports, known == this->state->peers.by_name.end() ? "" : known->second.address);
     return true;
 }
 
-void quarantine_exchange::take_report(const host::suspect_report& report, const char* heard_from) {
-    if (const auto news = this->take_news(report, heard_from)) {
+void quarantine_exchange::hear(const std::vector<host::suspect_report>& reports, const std::string& teller) {
+    for (const host::suspect_report& report : reports) {
+        this->take_report(report);
+        this->speak_for(report, teller);
+    }
+}
+
+void quarantine_exchange::take_report(const host::suspect_report& report) {
+    if (const auto news = this->take_news(report, "peer")) {
         const base::time_point now = this->state->clock->now();
         std::vector<std::string> addresses = host::addresses_of_all(this->state->peers, now);
         std::ranges::shuffle(addresses, this->state->random);
@@ -94,19 +96,18 @@
              {"ends", host::report_of(this->state->quarantine, report.request).ends.size()},
              {"heard_from", heard_from}});
     // A note that says otherwise would hold the request at hosts that start later.
-    if (news->good && this->noted.contains(report.request))
+    const auto own = this->own.find(report.request);
+    if (news->good && own != this->own.end() && own->second.has_note)
         this->leave_note(report.request);
     return news;
 }
 
-void quarantine_exchange::speak_for(const host::suspect_report& told, const base::host_id& teller) {
+void quarantine_exchange::speak_for(const host::suspect_report& told, const std::string& teller) {
     const auto good = this->state->quarantine.good.find(told.request);
-    const auto known = this->state->peers.by_name.find(teller);
-    const bool is_good = good != this->state->quarantine.good.end();
-    if (told.ends.empty() || !is_good || known == this->state->peers.by_name.end())
+    if (told.ends.empty() || good == this->state->quarantine.good.end())
         return;
     if (!told.good || *told.good < good->second)
-        this->tell({host::report_of(this->state->quarantine, told.request)}, {known->second.address});
+        this->tell({host::report_of(this->state->quarantine, told.request)}, {teller});
 }
 
 void quarantine_exchange::did_see(const host::suspect_report& report) {
@@ -115,9 +116,13 @@
         return;
     const base::time_point now = this->state->clock->now();
     this->tell({*news}, host::addresses_of_all(this->state->peers, now));
-    const bool must_last = this->is_held(report.request) || host::may_miss_word(this->state->peers, now);
-    if (!news->ends.empty() && must_last)
+    if (news->ends.empty())
+        return;
+    this->own[report.request].is_due = true;
+    if (this->is_held(report.request))
         this->leave_note(report.request);
+    else
+        this->leave_due_notes();
 }
 
 void quarantine_exchange::tell(const std::vector<host::suspect_report>& reports,
@@ -127,19 +132,16 @@
                           encode_quarantine({this->state->process->name, reports}, now), addresses);
 }
 
-void quarantine_exchange::repeat_regularly() {
-    this->repeat_timer.expires_after(repeat_interval);
-    this->repeat_timer.async_wait([this](const wire::error_code& error) {
+void quarantine_exchange::look_regularly() {
+    this->look_timer.expires_after(look_interval);
+    this->look_timer.async_wait([this](const wire::error_code& error) {
         if (error)
             return;
-        const base::time_point now = this->state->clock->now();
-        host::forget_old(this->state->quarantine, this->state->quarantine_options, now);
-        const auto reports = host::reports_to_repeat(this->state->quarantine, most_told);
-        if (!reports.empty())
-            this->tell(reports, host::draw_peers(this->state->peers, repeat_count, now, this->state->random));
+        host::forget_old(this->state->quarantine, this->state->quarantine_options, this->state->clock->now());
         this->store_held();
+        this->leave_due_notes();
         this->drop_old_notes();
-        this->repeat_regularly();
+        this->look_regularly();
     });
 }
 
@@ -155,14 +157,26 @@
             this->leave_note(request);
 }
 
+void quarantine_exchange::leave_due_notes() {
+    if (!host::may_miss_word(this->state->peers, this->state->clock->now()))
+        return;
+    for (const auto& [request, own] : this->own)
+        if (own.is_due)
+            this->leave_note(request);
+}
+
 void quarantine_exchange::leave_note(const host::request_fingerprint& request) {
-    this->noted.insert(request);
+    own_record& own = this->own[request];
+    own.has_note = true;
+    own.is_due = false;
     wire::spawn_coroutine(*this->state->context, [this, request](wire::yield_context yield) {
         const host::suspect_report report = host::report_of(this->state->quarantine, request);
         const ports::note note = encode_note(report, this->state->process->name, *this->state->clock);
         const bool is_held = this->is_held(request);
         const bool is_left = this->feed->leave_quarantine_note(note, note_limit, yield).has_value();
         this->state->figures->count(is_left ? "quarantine_notes_total" : "quarantine_notes_failed_total");
+        if (!is_left)
+            this->own[request].is_due = true;
         if (!is_left || !is_held)
             return;
         host::note_stored(this->state->quarantine, request);
@@ -175,15 +189,19 @@
 void quarantine_exchange::drop_old_notes() {
     const auto& suspects = this->state->quarantine.suspects;
     const auto& good = this->state->quarantine.good;
-    const auto old = std::ranges::find_if(this->noted, [&](const host::request_fingerprint& request) {
-        return !suspects.contains(request) && !good.contains(request);
+    const auto old = std::ranges::find_if(this->own, [&](const auto& item) {
+        return !suspects.contains(item.first) && !good.contains(item.first);
     });
-    if (old == this->noted.end())
+    if (old == this->own.end())
+        return;
+    const bool has_note = old->second.has_note;
+    const host::request_fingerprint request = old->first;
+    this->own.erase(old);
+    if (!has_note)
         return;
     const ports::note dropped = {
-        encode_note({.request = *old, .ends = {}}, this->state->process->name, *this->state->clock).key,
+        encode_note({.request = request, .ends = {}}, this->state->process->name, *this->state->clock).key,
         std::nullopt};
-    this->noted.erase(old);
     wire::spawn_coroutine(*this->state->context, [this, dropped](wire::yield_context yield) {
         // One that stays is older than anything that is still held by it.
         (void)this->feed->leave_quarantine_note(dropped, note_limit, yield);
@@ -202,11 +220,19 @@
     this->has_read = true;
     this->next_offset = page->next;
     for (const ports::note& note : page->notes)
-        if (const auto report = decode_note(note, *this->state->clock))
-            (void)this->take_news(*report, "store");
+        this->take_note(note);
     return {};
 }
 
+void quarantine_exchange::take_note(const ports::note& note) {
+    const auto report = decode_note(note, *this->state->clock);
+    if (!report)
+        return;
+    (void)this->take_news(*report, "store");
+    if (this->is_held(report->request))
+        host::note_stored(this->state->quarantine, report->request);
+}
+
 void quarantine_exchange::follow_store(wire::yield_context yield) {
     wire::asio::steady_timer timer(*this->state->context);
     wire::error_code ignored;
--- a/tests/gateway/test_fatal_requests.cpp
+++ b/tests/gateway/test_fatal_requests.cpp
@@ -42,8 +42,11 @@
 class fatal_cluster {
 public:
     fatal_cluster(const std::string& name, int hosts, const std::vector<test::server_plan>& plans)
-        : cluster({.name = name, .servers = plans, .hosts = hosts}), hosts(hosts) {
-        for (const test::server_plan& plan : plans) {
+        : fatal_cluster({.name = name, .servers = plans, .hosts = hosts}) {}
+
+    explicit fatal_cluster(const test::gateway_cluster_options& options)
+        : cluster(options), hosts(options.hosts) {
+        for (const test::server_plan& plan : options.servers) {
             this->ids.push_back(plan.id);
             (void)this->cluster.server(plan.id, {{"fatal_body", fatal_body}});
         }
@@ -245,3 +248,33 @@
     CHECK(ask("right-key", "right-first") == 502);
     CHECK(world.ended() > most_ended);
 }
+
+TEST_CASE("word of a request that is stopped goes with heartbeats where no datagram arrives") {
+    fatal_cluster world({.name = "fatal-heartbeats",
+                         .servers = plan_servers("plain-", 8, "plain", ""),
+                         .hosts = 3,
+                         .has_datagrams = false});
+    while (world.ended() < most_ended)
+        (void)world.try_at(1, "/again/");
+    std::this_thread::sleep_for(contact_time);
+    world.try_everywhere(6, "/again/");
+    CHECK(world.ended() == most_ended);
+}
+
+TEST_CASE("hosts that can't hear each other learn from the store which request is stopped") {
+    // No datagrams, and no heartbeat within the test.
+    fatal_cluster world({.name = "fatal-apart",
+                         .servers = plan_servers("plain-", 8, "plain", ""),
+                         .hosts = 3,
+                         .has_datagrams = false,
+                         .heartbeat_ms = 3'600'000});
+    // What each of them sees alone adds up: two ends at one host, one at another.
+    (void)world.try_at(1, "/again/");
+    REQUIRE(world.ended() == 2);
+    std::this_thread::sleep_for(contact_time);
+    (void)world.try_at(2, "/again/");
+    REQUIRE(world.ended() == most_ended);
+    std::this_thread::sleep_for(contact_time);
+    world.try_everywhere(6, "/again/");
+    CHECK(world.ended() == most_ended);
+}
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -144,11 +144,11 @@
                         << "\navailability_zone: east\ncallers: " << this->callers_address(number)
                         << "\nreadiness: " << this->host_address(number, this->readiness_port)
                         << "\npeers: " << this->host_address(number, this->peers_port)
-                        << "\nload_port: " << this->load_port << "\nseeds: ["
-                        << this->host_address(1, this->peers_port)
+                        << "\nload_port: " << (this->options.has_datagrams ? this->load_port : 0)
+                        << "\nseeds: [" << this->host_address(1, this->peers_port)
                         << "]\nstore: " << this->store_address(number)
-                        << "\nheartbeat_ms: 200\nbalancer_lag_ms: 300\nretries: {slack: "
-                        << this->options.retry_slack
+                        << "\nheartbeat_ms: " << this->options.heartbeat_ms
+                        << "\nbalancer_lag_ms: 300\nretries: {slack: " << this->options.retry_slack
                         << "}\norder_lease_ms: 500\nengines_check_tokens: true\n";
     this->hosts[number] = std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/postpaddled",
                                                           std::vector<std::string>{"--settings=" + path},
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -25,6 +25,8 @@
     int hosts = 1;
     bool has_configuration = true;  ///< Whether the operator has written one before the hosts start.
     double retry_slack = 1'000'000; ///< So much that a host that has just started can send again.
+    bool has_datagrams = true;      ///< Whether hosts tell each other anything by datagrams.
+    int heartbeat_ms = 200;         ///< Between two heartbeats of a host.
     int store_bytes_per_s = 0;      ///< What the link from the store to each host carries; 0 for no limit.
 };
 
