base: Count the time for which a machine was suspended

Cause: every deadline, lease, age and window went by the steady clock, which stands still while a machine is suspended: a host that wakes after five seconds takes its order lease, its settings and other hosts' reports for five seconds younger than they are.

Change: one clock, boot_clock (CLOCK_BOOTTIME), behind the clock interface and in wire and service; timers by it as well.

Ruled out: a clock beside the steady one for leases only (ages from both would be mixed).

Not done: a host that wakes stays in balance while it catches up.

--- a/libraries/base/clock.h
+++ b/libraries/base/clock.h
@@ -5,9 +5,23 @@
 
 namespace postpaddle::base {
 
+/// Time since the machine started, the time for which it was suspended among it (`CLOCK_BOOTTIME`).
+///
+/// The standard library's steady clock stands still meanwhile: a host that wakes after five seconds would
+/// take its leases, its settings and what others told it for five seconds younger than they are.
+struct boot_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    [[nodiscard]] static time_point now() noexcept;
+};
+
 /// Monotonic time; every deadline and duration in the project is measured with it.
-using time_point = std::chrono::steady_clock::time_point;
-using duration = std::chrono::steady_clock::duration;
+using time_point = boot_clock::time_point;
+using duration = boot_clock::duration;
 /// Calendar time; only for what people or other hosts read.
 using wall_time = std::chrono::system_clock::time_point;
 
--- a/libraries/gateway/engine_place.cpp
+++ b/libraries/gateway/engine_place.cpp
@@ -130,7 +130,7 @@
 place_result await_engine_place(gateway_request& request, const decision::prompt_size& size,
                                 wire::yield_context yield) {
     gateway_state& state = *request.state;
-    std::optional<wire::asio::steady_timer> timer;
+    std::optional<wire::boot_timer> timer;
     std::optional<waiting_mark> mark;
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone) {
         if (const char* const stop = reason_to_stop(request))
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -203,7 +203,7 @@
     this->state.is_draining = true;
     this->log.write_always("draining", {{"requests_in_progress", this->state.requests_in_progress}});
     this->peers.say_goodbye();
-    wire::asio::steady_timer timer(this->context, this->process.balancer_lag);
+    wire::boot_timer timer(this->context, this->process.balancer_lag);
     wire::error_code ignored;
     // The balancer sees the readiness late: until then new connections are served as ever.
     timer.async_wait(yield[ignored]);
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -42,10 +42,10 @@
 
 /// A request of this host that waits for a place at an engine.
 struct waiting_request {
-    base::time_point first_try{};             ///< When its caller first asked.
-    double memory_tokens = 0;                 ///< That it will take of an engine's memory, expected.
-    wire::asio::steady_timer* wake = nullptr; ///< Cancelled when its turn may have come.
-    base::duration in_time{};                 ///< Longest wait after which it meets its latency target.
+    base::time_point first_try{};     ///< When its caller first asked.
+    double memory_tokens = 0;         ///< That it will take of an engine's memory, expected.
+    wire::boot_timer* wake = nullptr; ///< Cancelled when its turn may have come.
+    base::duration in_time{};         ///< Longest wait after which it meets its latency target.
     std::string service;
     settings::engine_capacity capacity; ///< Of the service's engines.
 };
--- a/libraries/gateway/kept_cache.cpp
+++ b/libraries/gateway/kept_cache.cpp
@@ -33,7 +33,7 @@
     const settings::engine_capacity capacity = capacity_of(*this->request);
     const decision::instance* const source = decision::find_instance(state.instances, this->prompt->upstream);
     const base::zone_id zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone;
-    wire::asio::steady_timer timer(*state.context);
+    wire::boot_timer timer(*state.context);
     while (decision::is_prompt_kept(this->age(), capacity, this->refusals) &&
            !this->request->cancellation->is_caller_gone) {
         decision::choice_context context = choice_context_of(*this->request);
--- a/libraries/gateway/kept_prompt_search.cpp
+++ b/libraries/gateway/kept_prompt_search.cpp
@@ -25,7 +25,7 @@
 struct search {
     explicit search(wire::asio::io_context& context) : all_told(context) {}
 
-    wire::asio::steady_timer all_told; ///< Cancelled when the last one has answered.
+    wire::boot_timer all_told; ///< Cancelled when the last one has answered.
     std::size_t open = 0;
 };
 
--- a/libraries/gateway/load_exchange.h
+++ b/libraries/gateway/load_exchange.h
@@ -40,9 +40,9 @@
     gateway_state* state;
     peer_datagrams* datagrams;
     limit_exchange limits;
-    wire::asio::steady_timer tell_timer;
-    wire::asio::steady_timer refresh_timer;
-    wire::asio::steady_timer use_timer;
+    wire::boot_timer tell_timer;
+    wire::boot_timer refresh_timer;
+    wire::boot_timer use_timer;
     bool is_telling_due = false;
     bool has_told_work = false;
     std::uint64_t sequence = 0;
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -220,7 +220,7 @@
 
 void peer_exchange::run_heartbeats(wire::yield_context yield) {
     std::uniform_real_distribution<double> part(0.8, 1.2);
-    wire::asio::steady_timer timer(*this->state->context);
+    wire::boot_timer timer(*this->state->context);
     wire::error_code ignored;
     while (true) {
         timer.expires_after(base::from_seconds(base::to_seconds(this->state->process->heartbeat) *
@@ -234,7 +234,7 @@
     const ports::host_entry own = {this->state->process->name, this->state->process->peers,
                                    this->state->process->availability_zone};
     host::answer_patience patience;
-    wire::asio::steady_timer timer(*this->state->context);
+    wire::boot_timer timer(*this->state->context);
     wire::error_code ignored;
     while (true) {
         const auto announced = this->feed->announce(own, patience.limit, yield);
--- a/libraries/gateway/place_queue.h
+++ b/libraries/gateway/place_queue.h
@@ -22,7 +22,7 @@
     [[nodiscard]] double free_places(const waiting_request& first) const;
 
     gateway_state* state;
-    wire::asio::steady_timer timer;
+    wire::boot_timer timer;
     bool is_due = false;
 };
 
--- a/libraries/gateway/quarantine_exchange.cpp
+++ b/libraries/gateway/quarantine_exchange.cpp
@@ -234,7 +234,7 @@
 }
 
 void quarantine_exchange::follow_store(wire::yield_context yield) {
-    wire::asio::steady_timer timer(*this->state->context);
+    wire::boot_timer timer(*this->state->context);
     wire::error_code ignored;
     while (true) {
         const bool must_read =
--- a/libraries/gateway/quarantine_exchange.h
+++ b/libraries/gateway/quarantine_exchange.h
@@ -59,7 +59,7 @@
     gateway_state* state;
     ports::control_feed* feed;
     peer_datagrams* datagrams;
-    wire::asio::steady_timer look_timer;
+    wire::boot_timer look_timer;
     std::map<host::request_fingerprint, own_record> own; ///< Of what this host has seen or noted itself.
     bool has_read = false;                               ///< The notes were read whole.
     std::uint64_t next_offset = 0;                       ///< From which to read them on.
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -139,7 +139,7 @@
     static constexpr base::duration longest_wait = 250ms;
     static constexpr base::duration look_again = 5ms;
     const base::time_point limit = state.started + longest_wait;
-    wire::asio::steady_timer timer(*state.context);
+    wire::boot_timer timer(*state.context);
     while ((!state.settings || !state.has_registry) && state.clock->now() < limit) {
         timer.expires_after(look_again);
         wire::error_code ignored;
--- a/libraries/gateway/stage_controller.cpp
+++ b/libraries/gateway/stage_controller.cpp
@@ -66,7 +66,7 @@
 }
 
 void stage_controller::pause(base::duration length, wire::yield_context yield) {
-    wire::asio::steady_timer timer(*this->state->context, length);
+    wire::boot_timer timer(*this->state->context, length);
     wire::error_code ignored;
     timer.async_wait(yield[ignored]);
 }
--- a/libraries/gateway/store_notices.h
+++ b/libraries/gateway/store_notices.h
@@ -54,7 +54,7 @@
     peer_datagrams* datagrams;
     topic_progress* settings;
     topic_progress* registry;
-    wire::asio::steady_timer timer;
+    wire::boot_timer timer;
     host::recent_changes latest;    ///< Those that some follower may have missed.
     host::message_delays delays;    ///< Of readers' notices.
     std::uint64_t told_version = 0; ///< Newest version of the settings that a reader told of.
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -27,7 +27,7 @@
 }
 
 void store_watch::pause(base::duration length, wire::yield_context yield) {
-    wire::asio::steady_timer timer(*this->state->context, length);
+    wire::boot_timer timer(*this->state->context, length);
     wire::error_code ignored;
     timer.async_wait(yield[ignored]);
 }
--- a/libraries/gateway/store_watch.h
+++ b/libraries/gateway/store_watch.h
@@ -38,7 +38,7 @@
 
         const char* name;
         host::store_reader reader;
-        wire::asio::steady_timer wake; ///< Cancelled when a read ends.
+        wire::boot_timer wake; ///< Cancelled when a read ends.
         topic_progress progress;
     };
     /// What a read brought.
--- a/libraries/host/message_delay.h
+++ b/libraries/host/message_delay.h
@@ -9,9 +9,9 @@
 
 namespace postpaddle::host {
 
-/// When a message was sent, by its sender's own steady clock.
+/// When a message was sent, by its sender's own monotonic clock.
 struct send_stamp {
-    std::uint64_t incarnation = 0; ///< Of the sender's process: the next one may have another steady clock.
+    std::uint64_t incarnation = 0; ///< Of the sender's process: the next one may run on another machine.
     std::chrono::milliseconds sent{};
 
     bool operator==(const send_stamp&) const = default;
--- a/libraries/service/claim_client.cpp
+++ b/libraries/service/claim_client.cpp
@@ -9,7 +9,7 @@
 struct pending_answer {
     explicit pending_answer(wire::asio::io_context& context) : wake(context) {}
 
-    wire::asio::steady_timer wake;
+    wire::boot_timer wake;
     host::claim_answer answer;
     bool has_answer = false;
 };
--- a/libraries/service/claim_controller.cpp
+++ b/libraries/service/claim_controller.cpp
@@ -123,7 +123,7 @@
     for (const timed_claim& asked : request.claims) {
         auto item = std::make_shared<waiting_claim>();
         item->asked = asked;
-        item->wake = std::make_shared<wire::asio::steady_timer>(*this->control->context);
+        item->wake = std::make_shared<wire::boot_timer>(*this->control->context);
         item->wake->expires_at(deadline);
         state.waiting.push_back(item);
         own.push_back(std::move(item));
--- a/libraries/service/claim_controller.h
+++ b/libraries/service/claim_controller.h
@@ -34,7 +34,7 @@
         timed_claim asked;
         host::claim_answer answer;
         bool is_done = false;
-        std::shared_ptr<wire::asio::steady_timer> wake;
+        std::shared_ptr<wire::boot_timer> wake;
     };
 
     /// One claims stream as its home sees it.
--- a/libraries/service/completion_relay.cpp
+++ b/libraries/service/completion_relay.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using std::chrono::steady_clock;
+using base::boot_clock;
 
 constexpr int ok_status = 200;
 /// Statuses by which an engine says no before it has begun (RFC 9110): busy or draining, and gone.
@@ -182,7 +182,7 @@
     if (address == nullptr)
         return tl::make_unexpected(wire::wire_error{wire::wire_failure::not_connected, "no such upstream"});
     const wire::engine_attempt attempt = this->attempt_of(order.attempt, order.engine_priority);
-    const auto deadline = steady_clock::now() + order.limit;
+    const auto deadline = boot_clock::now() + order.limit;
     const auto request = wire::make_prefill_request(this->context->body, attempt, this->answer.position());
     const auto use = this->context->runs == decision::run_rule::repeatable ? wire::connection_use::may_reuse
                                                                            : wire::connection_use::only_fresh;
@@ -220,7 +220,7 @@
     const auto use = this->context->runs == decision::run_rule::repeatable ? wire::connection_use::may_reuse
                                                                            : wire::connection_use::only_fresh;
     auto open = wire::open_exchange(*this->context->services->pool, *address, request, use,
-                                    {.deadline = steady_clock::now() + order.limit}, on_call, yield);
+                                    {.deadline = boot_clock::now() + order.limit}, on_call, yield);
     if (!open) {
         this->did_fail(order.attempt, open.error(), this->look_at(order.decode, open.error(), yield), yield);
         return false;
@@ -256,7 +256,7 @@
                                                     wire::upstream_call& call, wire::yield_context yield) {
     const wire::engine_attempt attempt = this->attempt_of(order.attempt, order.engine_priority);
     const bool is_resumed = this->answer.position().tokens > 0;
-    auto deadline = steady_clock::now() + order.limit;
+    auto deadline = boot_clock::now() + order.limit;
     wire::event_stream stream(longest_event);
     bool has_token = false;
     while (true) {
@@ -278,7 +278,7 @@
                 wire::wire_error{wire::wire_failure::cancelled, "the caller has gone"});
         }
         if (has_token)
-            deadline = steady_clock::now() + token_limit;
+            deadline = boot_clock::now() + token_limit;
     }
     if (!this->answer.is_finished() || stream.has_rest())
         return tl::make_unexpected(
--- a/libraries/service/control_context.h
+++ b/libraries/service/control_context.h
@@ -46,7 +46,7 @@
     /// Sleeps on the control thread.
     void pause(base::duration length, wire::yield_context yield) const {
         wire::error_code ignored;
-        wire::asio::steady_timer timer(*this->context, length);
+        wire::boot_timer timer(*this->context, length);
         timer.async_wait(yield[ignored]);
     }
     /// Calendar time in milliseconds.
--- a/libraries/service/decision_controller.h
+++ b/libraries/service/decision_controller.h
@@ -60,7 +60,7 @@
     decision_options options;
     decision::router_state state;
     wire::asio::io_context context{1};
-    wire::asio::steady_timer ticker{context};
+    wire::boot_timer ticker{context};
     base::bounded_ring<decision::event> arrivals;
     base::bounded_ring<decision::event> progress;
     std::vector<std::unique_ptr<effect_ring>> outgoing;
--- a/libraries/service/plain_relay.cpp
+++ b/libraries/service/plain_relay.cpp
@@ -72,7 +72,7 @@
 
 /// Reads an answer whole. One that names another request is crossed and never handed on.
 wire::expected<wire::http_response> read_answer(wire::open_answer& open, const std::string& attempt_id,
-                                                std::chrono::steady_clock::time_point deadline,
+                                                base::boot_clock::time_point deadline,
                                                 wire::yield_context yield) {
     const std::string_view echoed = wire::find_header(open.head.headers, request_id_header);
     if (!echoed.empty() && echoed != attempt_id)
@@ -85,7 +85,7 @@
 /// One exchange with one upstream.
 wire::expected<wire::http_response> try_upstream(request_context& context, const std::string& address,
                                                  const std::string& attempt_id, wire::yield_context yield) {
-    const auto deadline = std::chrono::steady_clock::now() + context.route->timeout;
+    const auto deadline = base::boot_clock::now() + context.route->timeout;
     const auto use = context.runs == decision::run_rule::repeatable ? wire::connection_use::may_reuse
                                                                     : wire::connection_use::only_fresh;
     std::shared_ptr<wire::upstream_call> used;
--- a/libraries/service/release_controller.cpp
+++ b/libraries/service/release_controller.cpp
@@ -23,7 +23,7 @@
 
 void sleep(wire::asio::io_context& context, std::chrono::milliseconds length, wire::yield_context yield) {
     wire::error_code ignored;
-    wire::asio::steady_timer timer(context, length);
+    wire::boot_timer timer(context, length);
     timer.async_wait(yield[ignored]);
 }
 
@@ -43,10 +43,10 @@
 }
 
 void release_controller::run(const decision::release_hold& order, wire::yield_context yield) {
-    const auto give_up_at = std::chrono::steady_clock::now() + give_up_after;
+    const auto give_up_at = base::boot_clock::now() + give_up_after;
     std::chrono::milliseconds pause = first_pause;
     while (!this->try_release(order, yield)) {
-        if (std::chrono::steady_clock::now() >= give_up_at) {
+        if (base::boot_clock::now() >= give_up_at) {
             ++this->figures->counters.releases_given_up;
             log_warning("release_given_up",
                         {{"upstream", order.upstream.value}, {"request", order.id.value}});
--- a/libraries/service/request_context.cpp
+++ b/libraries/service/request_context.cpp
@@ -13,7 +13,7 @@
     while (!context.services->decision->try_report(event)) {
         ++context.services->figures->counters.ring_full;
         wire::error_code ignored;
-        wire::asio::steady_timer pause(*context.services->context, full_ring_pause);
+        wire::boot_timer pause(*context.services->context, full_ring_pause);
         pause.async_wait(yield[ignored]);
     }
 }
--- a/libraries/service/request_mailbox.h
+++ b/libraries/service/request_mailbox.h
@@ -17,7 +17,7 @@
 class request_mailbox {
 public:
     explicit request_mailbox(wire::asio::io_context& context) : wake(context) {
-        this->wake.expires_at(wire::asio::steady_timer::time_point::max());
+        this->wake.expires_at(wire::boot_timer::time_point::max());
     }
 
     /// Adds an effect and wakes the request.
@@ -57,7 +57,7 @@
 
 private:
     std::deque<decision::effect> effects;
-    wire::asio::steady_timer wake;
+    wire::boot_timer wake;
     std::shared_ptr<wire::upstream_call> call;
     bool caller_gone = false;
 };
--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -69,7 +69,7 @@
         error_code ignored;
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
         this->stream.socket().set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
-        this->written.expires_at(asio::steady_timer::time_point::max());
+        this->written.expires_at(boot_timer::time_point::max());
     }
 
     void did_lose_caller() {
@@ -120,7 +120,7 @@
         this->is_writing = true;
         this->sending.swap(this->unsent);
         this->unsent.clear();
-        this->write_began = std::chrono::steady_clock::now();
+        this->write_began = base::boot_clock::now();
         this->watch_writes();
         asio::async_write(this->stream.socket(), asio::buffer(this->sending),
                           [self = this->shared_from_this()](const error_code& error, std::size_t) {
@@ -141,7 +141,7 @@
             self->is_write_watched = false;
             if (!self->is_writing)
                 return;
-            if (std::chrono::steady_clock::now() - self->write_began >= self->bounds.write)
+            if (base::boot_clock::now() - self->write_began >= self->bounds.write)
                 self->did_lose_caller();
             else
                 self->watch_writes();
@@ -182,9 +182,9 @@
     beast::flat_buffer input;
     std::string unsent;
     std::string sending;
-    asio::steady_timer written;
-    asio::steady_timer write_watch;
-    std::chrono::steady_clock::time_point write_began{};
+    boot_timer written;
+    boot_timer write_watch;
+    base::boot_clock::time_point write_began{};
     bool is_write_watched = false;
     std::function<void()> on_gone;
     bool is_watching = false;
@@ -223,7 +223,7 @@
 
 expected<void> caller_connection::implementation::read_message(request_parser& parser, yield_context yield) {
     // The stream's own timer would close the socket; a caller who is too slow shall still get an answer.
-    asio::steady_timer limit(this->stream.get_executor(), this->bounds.header_read);
+    boot_timer limit(this->stream.get_executor(), this->bounds.header_read);
     const auto is_late = std::make_shared<bool>(false);
     const auto did_run_out = [is_late, self = this->shared_from_this()](const error_code& wait_error) {
         if (wait_error)
@@ -231,7 +231,7 @@
         *is_late = true;
         self->stream.cancel();
     };
-    const auto began = std::chrono::steady_clock::now();
+    const auto began = base::boot_clock::now();
     limit.async_wait(did_run_out);
     error_code error;
     http::async_read_header(this->stream, this->input, parser, yield[error]);
--- a/libraries/wire/http_listener.cpp
+++ b/libraries/wire/http_listener.cpp
@@ -69,7 +69,7 @@
         if (!this->acceptor.is_open())
             return;
         if (error) {
-            asio::steady_timer pause(*this->context, accept_pause);
+            boot_timer pause(*this->context, accept_pause);
             pause.async_wait(yield[error]);
             continue;
         }
--- a/libraries/wire/simple_client.cpp
+++ b/libraries/wire/simple_client.cpp
@@ -19,7 +19,7 @@
     const bool was_reused = lease.is_connected;
     on_call(lease.call);
     if (!lease.is_connected) {
-        const auto limit = std::min(limits.deadline, std::chrono::steady_clock::now() + limits.connect);
+        const auto limit = std::min(limits.deadline, base::boot_clock::now() + limits.connect);
         POSTPADDLE_TRY_VOID(lease.call->connect(endpoint, limit, yield));
     }
     auto head = lease.call->exchange(request, limits.deadline, yield);
@@ -44,7 +44,7 @@
 /// An exchange that only its own limits end.
 expected<open_answer> begin_fetch(upstream_pool& pool, const std::string& address,
                                   const http_request& request, connection_use use,
-                                  std::chrono::steady_clock::time_point deadline, yield_context yield) {
+                                  base::boot_clock::time_point deadline, yield_context yield) {
     return open_exchange(
         pool, address, request, use, {.deadline = deadline},
         [](const std::shared_ptr<upstream_call>& /*call*/) {}, yield);
@@ -60,7 +60,7 @@
 
 expected<http_response> fetch(upstream_pool& pool, const std::string& address, const http_request& request,
                               std::chrono::milliseconds limit, yield_context yield, connection_use use) {
-    const auto deadline = std::chrono::steady_clock::now() + limit;
+    const auto deadline = base::boot_clock::now() + limit;
     POSTPADDLE_TRY(answer, begin_fetch(pool, address, request, use, deadline, yield));
     POSTPADDLE_TRY(body, answer.call->read_rest(deadline, yield));
     return end_fetch(pool, address, std::move(answer), std::move(body));
@@ -69,7 +69,7 @@
 expected<http_response> fetch_large(upstream_pool& pool, const std::string& address,
                                     const http_request& request, const transfer_limits& limits,
                                     yield_context yield) {
-    const auto deadline = std::chrono::steady_clock::now() + limits.begin;
+    const auto deadline = base::boot_clock::now() + limits.begin;
     POSTPADDLE_TRY(answer, begin_fetch(pool, address, request, connection_use::may_reuse, deadline, yield));
     limits.on_part();
     POSTPADDLE_TRY(body, answer.call->read_rest_while_it_comes(limits.silence, limits.on_part, yield));
@@ -82,7 +82,7 @@
     if (!endpoint)
         return port_state::unknown;
     const upstream_pool::lease lease = pool.take(address, connection_use::only_fresh);
-    const auto connected = lease.call->connect(*endpoint, std::chrono::steady_clock::now() + limit, yield);
+    const auto connected = lease.call->connect(*endpoint, base::boot_clock::now() + limit, yield);
     if (connected)
         return port_state::listening;
     return connected.error().failure == wire_failure::not_listening ? port_state::not_listening
--- a/libraries/wire/simple_client.h
+++ b/libraries/wire/simple_client.h
@@ -27,7 +27,7 @@
 
 /// Limits on one exchange.
 struct exchange_limits {
-    std::chrono::steady_clock::time_point deadline;
+    base::boot_clock::time_point deadline;
     std::chrono::milliseconds connect{1'000}; ///< A connection that takes longer is not waited for.
     stale_connection stale = stale_connection::send_again;
 };
--- a/libraries/wire/upstream_call.cpp
+++ b/libraries/wire/upstream_call.cpp
@@ -16,7 +16,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
-using std::chrono::steady_clock;
+using base::boot_clock;
 
 namespace {
 
@@ -62,7 +62,7 @@
     ///
     /// OPTIMIZATION: A timer set and cancelled for each read costs more than the read's own work. The
     /// watchdog is set once and looks at the deadline of the moment only when it fires.
-    void guard(steady_clock::time_point next) {
+    void guard(boot_clock::time_point next) {
         this->deadline = next;
         if (this->is_guarded && this->watchdog.expiry() <= next)
             return;
@@ -78,9 +78,9 @@
     }
 
     void did_fire() {
-        if (this->deadline == steady_clock::time_point::max())
+        if (this->deadline == boot_clock::time_point::max())
             return;
-        if (steady_clock::now() < this->deadline) {
+        if (boot_clock::now() < this->deadline) {
             this->guard(this->deadline);
             return;
         }
@@ -90,7 +90,7 @@
 
     /// The operation has ended, with this error or none.
     wire_error end(const error_code& error) {
-        this->deadline = steady_clock::time_point::max();
+        this->deadline = boot_clock::time_point::max();
         if (this->is_cancelled)
             return {wire_failure::cancelled, "cancelled"};
         if (this->is_late)
@@ -134,11 +134,11 @@
     }
 
     beast::tcp_stream stream;
-    asio::steady_timer watchdog;
+    boot_timer watchdog;
     std::unique_ptr<http::request<http::string_body>> sending;
     bool is_written = false;
     std::chrono::milliseconds idle_limit = standard_idle_limit;
-    steady_clock::time_point deadline = steady_clock::time_point::max();
+    boot_clock::time_point deadline = boot_clock::time_point::max();
     answer_bounds bounds;
     beast::flat_buffer input;
     std::optional<http::response_parser<http::buffer_body>> parser;
@@ -157,7 +157,7 @@
 
 upstream_call::~upstream_call() = default;
 
-expected<void> upstream_call::connect(const tcp::endpoint& endpoint, steady_clock::time_point deadline,
+expected<void> upstream_call::connect(const tcp::endpoint& endpoint, boot_clock::time_point deadline,
                                       yield_context yield) {
     implementation& own = *this->parts;
     if (own.is_cancelled)
@@ -178,8 +178,8 @@
     return {};
 }
 
-expected<response_head> upstream_call::exchange(const http_request& request,
-                                                steady_clock::time_point deadline, yield_context yield) {
+expected<response_head> upstream_call::exchange(const http_request& request, boot_clock::time_point deadline,
+                                                yield_context yield) {
     implementation& own = *this->parts;
     if (own.is_cancelled)
         return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled before it was sent"});
@@ -191,13 +191,12 @@
     return own.read_head(yield);
 }
 
-expected<response_head> upstream_call::read_next_head(steady_clock::time_point deadline,
-                                                      yield_context yield) {
+expected<response_head> upstream_call::read_next_head(boot_clock::time_point deadline, yield_context yield) {
     this->parts->guard(deadline);
     return this->parts->read_head(yield);
 }
 
-expected<bool> upstream_call::read_part(std::string& into, steady_clock::time_point deadline,
+expected<bool> upstream_call::read_part(std::string& into, boot_clock::time_point deadline,
                                         yield_context yield) {
     implementation& own = *this->parts;
     if (own.is_cancelled)
@@ -222,7 +221,7 @@
     return true;
 }
 
-expected<std::string> upstream_call::read_rest(steady_clock::time_point deadline, yield_context yield) {
+expected<std::string> upstream_call::read_rest(boot_clock::time_point deadline, yield_context yield) {
     std::string body;
     while (true) {
         POSTPADDLE_TRY(has_more, this->read_part(body, deadline, yield));
@@ -236,7 +235,7 @@
                                                               yield_context yield) {
     std::string body;
     while (true) {
-        POSTPADDLE_TRY(has_more, this->read_part(body, steady_clock::now() + silence, yield));
+        POSTPADDLE_TRY(has_more, this->read_part(body, boot_clock::now() + silence, yield));
         if (!has_more)
             return body;
         on_part();
--- a/libraries/wire/upstream_call.h
+++ b/libraries/wire/upstream_call.h
@@ -30,20 +30,18 @@
 
     /// Connects; any failure here means that nothing was sent.
     [[nodiscard]] expected<void> connect(const asio::ip::tcp::endpoint& endpoint,
-                                         std::chrono::steady_clock::time_point deadline, yield_context yield);
+                                         base::boot_clock::time_point deadline, yield_context yield);
     /// Sends a request and reads the response's head.
-    [[nodiscard]] expected<response_head> exchange(const http_request& request,
-                                                   std::chrono::steady_clock::time_point deadline,
-                                                   yield_context yield);
+    [[nodiscard]] expected<response_head>
+    exchange(const http_request& request, base::boot_clock::time_point deadline, yield_context yield);
     /// Reads a further head on the same connection, after an answer that belongs to another request.
-    [[nodiscard]] expected<response_head> read_next_head(std::chrono::steady_clock::time_point deadline,
+    [[nodiscard]] expected<response_head> read_next_head(base::boot_clock::time_point deadline,
                                                          yield_context yield);
     /// Appends the next part of the body to `into`; false at its whole end.
-    [[nodiscard]] expected<bool> read_part(std::string& into, std::chrono::steady_clock::time_point deadline,
+    [[nodiscard]] expected<bool> read_part(std::string& into, base::boot_clock::time_point deadline,
                                            yield_context yield);
     /// Reads the rest of the body.
-    [[nodiscard]] expected<std::string> read_rest(std::chrono::steady_clock::time_point deadline,
-                                                  yield_context yield);
+    [[nodiscard]] expected<std::string> read_rest(base::boot_clock::time_point deadline, yield_context yield);
     /// Reads the rest of the body, however long it takes, while no part of it is later than `silence` after
     /// the one before; tells of each.
     [[nodiscard]] expected<std::string> read_rest_while_it_comes(std::chrono::milliseconds silence,
--- a/libraries/wire/upstream_pool.cpp
+++ b/libraries/wire/upstream_pool.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-using std::chrono::steady_clock;
+using base::boot_clock;
 
 /// A connection that was in use within this time is not idle to the other side.
 constexpr auto warm_time = std::chrono::milliseconds(800);
@@ -33,13 +33,13 @@
     const auto is_over = [](const idle_connection& one) { return !may_use(one, connection_use::may_reuse); };
     std::erase_if(waiting, is_over);
     if (call->is_reusable() && waiting.size() < this->most_idle)
-        waiting.push_back({std::move(call), steady_clock::now()});
+        waiting.push_back({std::move(call), boot_clock::now()});
     else
         call->cancel();
 }
 
 bool upstream_pool::may_use(const idle_connection& waiting, connection_use use) {
-    const auto rested = steady_clock::now() - waiting.since;
+    const auto rested = boot_clock::now() - waiting.since;
     switch (use) {
     case connection_use::only_fresh:
         return false;
--- a/libraries/wire/upstream_pool.h
+++ b/libraries/wire/upstream_pool.h
@@ -40,7 +40,7 @@
     answer_bounds bounds;
     struct idle_connection {
         std::shared_ptr<upstream_call> call;
-        std::chrono::steady_clock::time_point since;
+        base::boot_clock::time_point since;
     };
     [[nodiscard]] static bool may_use(const idle_connection& waiting, connection_use use);
 
--- a/stand_ins/engine/decode_side.h
+++ b/stand_ins/engine/decode_side.h
@@ -16,7 +16,7 @@
 /// A request that decodes, or waits to.
 struct decode_job {
     explicit decode_job(wire::asio::io_context& context) : wake(context) {
-        this->wake.expires_at(wire::asio::steady_timer::time_point::max());
+        this->wake.expires_at(wire::boot_timer::time_point::max());
     }
 
     std::string id;
@@ -30,7 +30,7 @@
     std::function<void()> on_cancel; ///< Ends a transfer in progress.
     /// Takes the next token; false to end.
     std::function<bool(int position)> on_token;
-    wire::asio::steady_timer wake;
+    wire::boot_timer wake;
 };
 
 /// Places that decode in common steps, one token each a step.
@@ -62,7 +62,7 @@
     engine_counters* counters;
     std::vector<std::shared_ptr<decode_job>> queue;
     std::vector<std::shared_ptr<decode_job>> placed;
-    wire::asio::steady_timer stepper;
+    wire::boot_timer stepper;
     bool is_stepping = false;
 };
 
--- a/stand_ins/engine/engine.cpp
+++ b/stand_ins/engine/engine.cpp
@@ -8,7 +8,7 @@
 
 namespace postpaddle::stand_in {
 
-using std::chrono::steady_clock;
+using base::boot_clock;
 
 namespace {
 
@@ -88,7 +88,7 @@
         return;
     }
     if (this->faults.late_ms > 0) {
-        wire::asio::steady_timer timer(*this->context, std::chrono::milliseconds(this->faults.late_ms));
+        wire::boot_timer timer(*this->context, std::chrono::milliseconds(this->faults.late_ms));
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
     }
@@ -166,7 +166,7 @@
     const std::string address =
         parameters.value("remote_host", "") + ":" + std::to_string(parameters.value("remote_port", 0));
     const json body = {{"id", parameters.value("remote_request_id", "")}};
-    const auto deadline = steady_clock::now() + transfer_limit;
+    const auto deadline = boot_clock::now() + transfer_limit;
     const auto on_call = [&job](const std::shared_ptr<wire::upstream_call>& call) {
         job.on_cancel = [call] { call->cancel(); };
     };
@@ -264,11 +264,10 @@
 }
 
 void engine::sample_load(wire::yield_context yield) {
-    wire::asio::steady_timer timer(*this->context);
+    wire::boot_timer timer(*this->context);
     while (true) {
-        this->samples.push_back({steady_clock::now(), this->load_now()});
-        while (this->samples.size() > 1 &&
-               steady_clock::now() - this->samples[1].at >= this->options.load_lag)
+        this->samples.push_back({boot_clock::now(), this->load_now()});
+        while (this->samples.size() > 1 && boot_clock::now() - this->samples[1].at >= this->options.load_lag)
             this->samples.pop_front();
         timer.expires_after(sample_pause);
         wire::error_code ignored;
--- a/stand_ins/engine/engine.h
+++ b/stand_ins/engine/engine.h
@@ -26,7 +26,7 @@
 
 private:
     struct load_sample {
-        std::chrono::steady_clock::time_point at{};
+        base::boot_clock::time_point at{};
         json load;
     };
 
--- a/stand_ins/engine/prefill_side.cpp
+++ b/stand_ins/engine/prefill_side.cpp
@@ -5,12 +5,12 @@
 
 namespace postpaddle::stand_in {
 
-using std::chrono::steady_clock;
+using base::boot_clock;
 
 namespace {
 
-steady_clock::duration seconds_long(double seconds) {
-    return std::chrono::duration_cast<steady_clock::duration>(std::chrono::duration<double>(seconds));
+boot_clock::duration seconds_long(double seconds) {
+    return std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double>(seconds));
 }
 
 } // namespace
@@ -45,10 +45,10 @@
     while (const auto job = this->take_next()) {
         this->running = job;
         job->is_running = true;
-        job->started = steady_clock::now();
+        job->started = boot_clock::now();
         job->cached = std::min(job->tokens - 1, this->cache.use(job->prompt, job->salt));
         const int computed = job->tokens - job->cached;
-        wire::asio::steady_timer timer(*this->context);
+        wire::boot_timer timer(*this->context);
         timer.expires_after(this->options->prompt_overhead +
                             seconds_long(computed / this->options->prompt_rate));
         wire::error_code ignored;
@@ -71,7 +71,7 @@
     kept_result result;
     result.tokens = job.tokens;
     result.computed = job.tokens - job.cached;
-    result.expiry = std::make_unique<wire::asio::steady_timer>(*this->context, this->options->kept);
+    result.expiry = std::make_unique<wire::boot_timer>(*this->context, this->options->kept);
     result.expiry->async_wait([this, id = job.id](const wire::error_code& error) {
         if (error)
             return;
@@ -120,7 +120,7 @@
     auto found = this->kept.find(id);
     if (found == this->kept.end())
         return false;
-    wire::asio::steady_timer timer(*this->context);
+    wire::boot_timer timer(*this->context);
     wire::error_code ignored;
     if (should_stall) {
         // The result is not being sent, so it goes on waiting for its time limit.
@@ -130,7 +130,7 @@
     }
     found->second.is_sending = true;
     const double bytes = found->second.tokens * this->options->kv_bytes_per_token;
-    const auto now = steady_clock::now();
+    const auto now = boot_clock::now();
     this->link_free = std::max(this->link_free, now) + seconds_long(bytes / this->options->link_rate);
     timer.expires_at(this->link_free);
     timer.async_wait(yield[ignored]);
@@ -155,7 +155,7 @@
         total += job->tokens;
     if (this->running) {
         const double seconds =
-            std::chrono::duration<double>(steady_clock::now() - this->running->started).count();
+            std::chrono::duration<double>(boot_clock::now() - this->running->started).count();
         total += std::max(0, this->running->tokens - this->running->cached -
                                  static_cast<int>(seconds * this->options->prompt_rate));
     }
--- a/stand_ins/engine/prefill_side.h
+++ b/stand_ins/engine/prefill_side.h
@@ -16,7 +16,7 @@
 /// A prompt on its way through the engine.
 struct prompt_job {
     explicit prompt_job(wire::asio::io_context& context) : done(context) {
-        this->done.expires_at(wire::asio::steady_timer::time_point::max());
+        this->done.expires_at(wire::boot_timer::time_point::max());
     }
 
     std::string id;
@@ -28,8 +28,8 @@
     bool is_running = false;
     bool is_done = false;
     bool is_cancelled = false;
-    std::chrono::steady_clock::time_point started{};
-    wire::asio::steady_timer done;
+    base::boot_clock::time_point started{};
+    wire::boot_timer done;
 };
 
 /// Runs prompts one at a time and keeps their results for a while.
@@ -55,7 +55,7 @@
         int tokens = 0;
         int computed = 0;
         bool is_sending = false;
-        std::unique_ptr<wire::asio::steady_timer> expiry;
+        std::unique_ptr<wire::boot_timer> expiry;
     };
 
     void work(wire::yield_context yield);
@@ -71,7 +71,7 @@
     std::shared_ptr<prompt_job> running;
     std::map<std::string, kept_result> kept;
     bool is_working = false;
-    std::chrono::steady_clock::time_point link_free{};
+    base::boot_clock::time_point link_free{};
 };
 
 } // namespace postpaddle::stand_in
--- a/stand_ins/fault_proxy/proxy_link.cpp
+++ b/stand_ins/fault_proxy/proxy_link.cpp
@@ -71,7 +71,7 @@
 
 void proxy_link::hold_back(bool is_answer, wire::yield_context yield) const {
     wire::error_code ignored;
-    wire::asio::steady_timer timer(*this->context);
+    wire::boot_timer timer(*this->context);
     if (this->current.delay_ms > 0) {
         timer.expires_after(std::chrono::milliseconds(this->current.delay_ms));
         timer.async_wait(yield[ignored]);
@@ -87,10 +87,10 @@
         return;
     const auto length = std::chrono::duration<double>(static_cast<double>(bytes) /
                                                       static_cast<double>(this->current.bytes_per_s));
-    this->free_at = std::max(this->free_at, std::chrono::steady_clock::now()) +
-                    std::chrono::duration_cast<std::chrono::steady_clock::duration>(length);
+    this->free_at = std::max(this->free_at, base::boot_clock::now()) +
+                    std::chrono::duration_cast<base::boot_clock::duration>(length);
     wire::error_code ignored;
-    wire::asio::steady_timer timer(*this->context, this->free_at);
+    wire::boot_timer timer(*this->context, this->free_at);
     timer.async_wait(yield[ignored]);
 }
 
--- a/stand_ins/fault_proxy/proxy_link.h
+++ b/stand_ins/fault_proxy/proxy_link.h
@@ -59,7 +59,7 @@
     std::set<std::shared_ptr<pair>> open;
     std::uint64_t accepted = 0;
     std::uint64_t answered = 0;
-    std::chrono::steady_clock::time_point free_at{}; ///< When the link has carried all that it has taken.
+    base::boot_clock::time_point free_at{}; ///< When the link has carried all that it has taken.
 };
 
 } // namespace postpaddle::stand_in
--- a/stand_ins/host_list/main.cpp
+++ b/stand_ins/host_list/main.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 using namespace postpaddle;
+using base::boot_clock;
 using stand_in::json;
-using std::chrono::steady_clock;
 
 /// Keeps every version of the list for as long as the lag may still show it.
 class host_list {
@@ -34,7 +34,7 @@
     }
 
     [[nodiscard]] json shown() {
-        const auto time = steady_clock::now() - std::chrono::milliseconds(FLAGS_lag_ms);
+        const auto time = boot_clock::now() - std::chrono::milliseconds(FLAGS_lag_ms);
         while (this->versions.size() > 1 && this->versions[1].first <= time)
             this->versions.pop_front();
         const json& version = this->versions.front().second;
@@ -45,10 +45,10 @@
     }
 
 private:
-    void note() { this->versions.emplace_back(steady_clock::now(), this->current); }
+    void note() { this->versions.emplace_back(boot_clock::now(), this->current); }
 
     json current;
-    std::deque<std::pair<steady_clock::time_point, json>> versions;
+    std::deque<std::pair<boot_clock::time_point, json>> versions;
 };
 
 } // namespace
--- a/stand_ins/load_driver/caller.cpp
+++ b/stand_ins/load_driver/caller.cpp
@@ -9,7 +9,7 @@
 
 namespace postpaddle::stand_in {
 
-using std::chrono::steady_clock;
+using base::boot_clock;
 
 namespace {
 
@@ -17,8 +17,8 @@
 constexpr std::size_t longest_event = 1024UL * 1024;
 constexpr int ok_status = 200;
 
-double milliseconds_since(steady_clock::time_point start) {
-    return std::chrono::duration<double, std::milli>(steady_clock::now() - start).count();
+double milliseconds_since(boot_clock::time_point start) {
+    return std::chrono::duration<double, std::milli>(boot_clock::now() - start).count();
 }
 
 wire::http_request make_request(const load_plan& plan, const planned_request& planned) {
@@ -55,14 +55,14 @@
 }
 
 void read_stream(const load_plan& plan, const planned_request& planned, wire::open_answer& open,
-                 steady_clock::time_point start, call_result& result, wire::yield_context yield) {
+                 boot_clock::time_point start, call_result& result, wire::yield_context yield) {
     wire::event_stream stream(longest_event);
     std::string text;
     bool is_done = false;
     bool has_error = false;
     double last_ms = 0;
     while (true) {
-        const auto has_more = open.call->read_part(stream.input(), steady_clock::now() + call_limit, yield);
+        const auto has_more = open.call->read_part(stream.input(), boot_clock::now() + call_limit, yield);
         if (!has_more || !*has_more)
             break;
         while (const auto data = stream.next()) {
@@ -90,9 +90,9 @@
                  const planned_request& planned, wire::yield_context yield) {
     call_result result;
     result.organisation = plan.classes[planned.class_index].organisation;
-    const auto start = steady_clock::now();
+    const auto start = boot_clock::now();
     std::shared_ptr<wire::upstream_call> used;
-    wire::asio::steady_timer cancel(context);
+    wire::boot_timer cancel(context);
     const auto on_call = [&](std::shared_ptr<wire::upstream_call> next) { used = std::move(next); };
     if (planned.cancel_after >= 0) {
         cancel.expires_after(
--- a/stand_ins/load_driver/main.cpp
+++ b/stand_ins/load_driver/main.cpp
@@ -95,9 +95,9 @@
     tally all;
     const auto requests = stand_in::make_requests(plan);
     std::size_t left = requests.size();
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = base::boot_clock::now();
     for (const stand_in::planned_request& request : requests) {
-        auto timer = std::make_shared<wire::asio::steady_timer>(
+        auto timer = std::make_shared<wire::boot_timer>(
             context, start + std::chrono::microseconds(static_cast<std::int64_t>(request.at * 1e6)));
         timer->async_wait([&, timer](const wire::error_code& /*error*/) {
             wire::spawn_coroutine(context, [&](wire::yield_context yield) {
--- a/stand_ins/plain_service/main.cpp
+++ b/stand_ins/plain_service/main.cpp
@@ -54,7 +54,7 @@
     if (!key.empty())
         ++service.runs[key];
     if (service.faults.delay_ms > 0) {
-        wire::asio::steady_timer timer(context, std::chrono::milliseconds(service.faults.delay_ms));
+        wire::boot_timer timer(context, std::chrono::milliseconds(service.faults.delay_ms));
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
     }
--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -66,7 +66,7 @@
 
     void sleep(milliseconds length, wire::yield_context yield) {
         wire::error_code ignored;
-        wire::asio::steady_timer timer(*this->context, length);
+        wire::boot_timer timer(*this->context, length);
         timer.async_wait(yield[ignored]);
     }
 
--- a/stand_ins/platform_store/main.cpp
+++ b/stand_ins/platform_store/main.cpp
@@ -21,9 +21,9 @@
 namespace {
 
 using namespace postpaddle;
+using base::boot_clock;
 using stand_in::json;
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 /// Records of one topic; offsets rise without gaps.
 struct topic {
@@ -123,7 +123,7 @@
 
     void sleep(milliseconds length, wire::yield_context yield) {
         wire::error_code ignored;
-        wire::asio::steady_timer timer(*this->context, length);
+        wire::boot_timer timer(*this->context, length);
         timer.async_wait(yield[ignored]);
     }
 
@@ -159,8 +159,8 @@
         };
         const topic& target = this->topics[stand_in::query_field(request.target, "topic")];
         const std::uint64_t source = field("source");
-        const auto deadline = steady_clock::now() + milliseconds(field("waitMs"));
-        while (source >= target.end && steady_clock::now() < deadline && !this->is_struck(request))
+        const auto deadline = boot_clock::now() + milliseconds(field("waitMs"));
+        while (source >= target.end && boot_clock::now() < deadline && !this->is_struck(request))
             this->sleep(milliseconds(5), yield);
         if (this->is_struck(request)) {
             (void)this->meets_fault(request, connection, yield);
--- a/stand_ins/playground/example_request.cpp
+++ b/stand_ins/playground/example_request.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
+using base::boot_clock;
 using nlohmann::json;
-using std::chrono::steady_clock;
 
 constexpr auto limit = std::chrono::seconds(20);
 constexpr std::size_t longest_event = 1024UL * 1024;
@@ -65,13 +65,13 @@
 }
 
 /// Reads a stream; says whether it ended as a whole one does.
-bool read_stream(wire::open_answer& open, steady_clock::time_point start, example_result& result,
+bool read_stream(wire::open_answer& open, boot_clock::time_point start, example_result& result,
                  wire::yield_context yield) {
     wire::event_stream stream(longest_event);
     bool is_done = false;
     int tokens = 0;
-    steady_clock::time_point first{};
-    steady_clock::time_point last{};
+    boot_clock::time_point first{};
+    boot_clock::time_point last{};
     while (true) {
         const auto has_more = open.call->read_part(stream.input(), start + limit, yield);
         if (!has_more || !*has_more)
@@ -84,7 +84,7 @@
             const std::string piece = text_of(json::parse(*data, nullptr, false));
             if (piece.empty())
                 continue;
-            last = steady_clock::now();
+            last = boot_clock::now();
             if (tokens++ == 0)
                 first = last;
             result.text += piece;
@@ -98,7 +98,7 @@
     return is_done;
 }
 
-void read_answer(const json& example, wire::open_answer& open, steady_clock::time_point start,
+void read_answer(const json& example, wire::open_answer& open, boot_clock::time_point start,
                  example_result& result, wire::yield_context yield) {
     const bool is_stream =
         wire::find_header(open.head.headers, "Content-Type").starts_with("text/event-stream");
@@ -110,7 +110,7 @@
     const auto body = open.call->read_rest(start + limit, yield);
     if (!body)
         return;
-    result.first_token_ms = std::chrono::duration<double, std::milli>(steady_clock::now() - start).count();
+    result.first_token_ms = std::chrono::duration<double, std::milli>(boot_clock::now() - start).count();
     const json answer = json::parse(*body, nullptr, false);
     result.text = answer.is_object() && answer.contains("choices") ? text_of(answer) : *body;
     if (result.status != ok_status)
@@ -141,7 +141,7 @@
     wire::asio::io_context context{1};
     wire::upstream_pool pool(context, wire::answer_bounds{});
     wire::spawn_coroutine(context, [&](wire::yield_context yield) {
-        const auto start = steady_clock::now();
+        const auto start = boot_clock::now();
         auto open = wire::open_exchange(
             pool, address, request_of(example), wire::connection_use::only_fresh, {.deadline = start + limit},
             [](const std::shared_ptr<wire::upstream_call>&) {}, yield);
--- /dev/null
+++ b/tests/base/test_clock.cpp
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <base/clock.h>
+
+#include <catch2/catch.hpp>
+
+#include <ctime>
+
+using namespace postpaddle;
+
+namespace {
+
+base::time_point read_boot_time() {
+    timespec read{};
+    REQUIRE(clock_gettime(CLOCK_BOOTTIME, &read) == 0);
+    return base::time_point(std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
+}
+
+} // namespace
+
+TEST_CASE("the clock counts the time for which the machine was suspended") {
+    // The steady clock may show the same here; the clock must be the one that differs where it matters.
+    const base::system_clock_source clock;
+    for (int round = 0; round < 1'000; ++round) {
+        const base::time_point before = read_boot_time();
+        const base::time_point read = clock.now();
+        const base::time_point after = read_boot_time();
+        REQUIRE(before <= read);
+        REQUIRE(read <= after);
+    }
+}
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -143,8 +143,8 @@
 }
 
 bool eventually(const std::function<bool()>& condition) {
-    const auto deadline = std::chrono::steady_clock::now() + patience;
-    while (std::chrono::steady_clock::now() < deadline) {
+    const auto deadline = base::boot_clock::now() + patience;
+    while (base::boot_clock::now() < deadline) {
         if (condition())
             return true;
         std::this_thread::sleep_for(look_pause);
--- a/tests/wire/test_transfers.cpp
+++ b/tests/wire/test_transfers.cpp
@@ -38,7 +38,7 @@
         this->acceptor.async_accept(socket, yield[error]);
         wire::asio::async_write(socket, wire::asio::buffer(answer_head), yield[error]);
         const std::string part(part_bytes, 'x');
-        wire::asio::steady_timer timer(*this->context);
+        wire::boot_timer timer(*this->context);
         for (int number = 0; number < this->parts_sent && !error; ++number) {
             timer.expires_after(this->pause);
             timer.async_wait(yield[error]);
--- a/utilities/postpaddle/commands.cpp
+++ b/utilities/postpaddle/commands.cpp
@@ -93,9 +93,9 @@
 }
 
 int wait_in_force(const command_options& options, std::uint64_t revision) {
-    const auto deadline = std::chrono::steady_clock::now() + in_force_limit;
+    const auto deadline = base::boot_clock::now() + in_force_limit;
     std::vector<host_row> rows;
-    while (std::chrono::steady_clock::now() < deadline) {
+    while (base::boot_clock::now() < deadline) {
         auto next = host_rows(options);
         if (next)
             rows = std::move(*next);
--- a/utilities/postpaddle/publisher.cpp
+++ b/utilities/postpaddle/publisher.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using std::chrono::steady_clock;
+using base::boot_clock;
 
 constexpr const char* settings_stream = "settings";
 constexpr const char* snapshots_stream = "settings-snapshots";
@@ -21,8 +21,7 @@
 class follower {
 public:
     explicit follower(wire::asio::io_context& context, const publish_options& options)
-        : context(&context), log(context, options.log_address),
-          deadline(steady_clock::now() + options.limit) {}
+        : context(&context), log(context, options.log_address), deadline(boot_clock::now() + options.limit) {}
 
     /// Reads all there is; false when the log does not answer until the limit.
     bool catch_up(wire::yield_context yield) {
@@ -70,18 +69,18 @@
 
     void pause(std::chrono::milliseconds length, wire::yield_context yield) {
         wire::error_code ignored;
-        wire::asio::steady_timer timer(*this->context, length);
+        wire::boot_timer timer(*this->context, length);
         timer.async_wait(yield[ignored]);
     }
 
-    [[nodiscard]] bool is_late() const { return steady_clock::now() >= this->deadline; }
+    [[nodiscard]] bool is_late() const { return boot_clock::now() >= this->deadline; }
 
     settings::settings_state state;
 
 private:
     wire::asio::io_context* context;
     wire::log_client log;
-    steady_clock::time_point deadline;
+    boot_clock::time_point deadline;
 };
 
 /// Appends until the verdict is there.
