host: Whoever suspects a request hears of a later good end

Cause: read of the change: a host that knew an old good end of a request was not told of a later one, and went on to hold it. Change: compared by time; one function for both interfaces. suspected_requests also falls when suspects are forgotten. Test lands with it.

--- a/libraries/gateway/quarantine_exchange.cpp
+++ b/libraries/gateway/quarantine_exchange.cpp
@@ -88,8 +88,7 @@
                                   this->state->clock->now());
     if (!news)
         return std::nullopt;
-    const auto& suspects = this->state->quarantine.suspects;
-    this->state->figures->set("suspected_requests", static_cast<double>(suspects.size()));
+    this->count_suspects();
     const bool is_now_held = this->is_held(report.request);
     if (!news->ends.empty() || is_now_held != was_held)
         this->state->log->write(
@@ -106,9 +105,7 @@
 }
 
 void quarantine_exchange::speak_for(const host::suspect_report& told, const std::string& teller) {
-    // Whoever knows of a good end, however long ago, has been told what there is to tell.
-    const bool must_hear = !told.ends.empty() && !told.good;
-    if (must_hear && this->state->quarantine.good.contains(told.request))
+    if (host::knows_later_good_end(this->state->quarantine, told))
         this->tell({host::report_of(this->state->quarantine, told.request)}, {teller});
 }
 
@@ -140,6 +137,7 @@
         if (error)
             return;
         host::forget_old(this->state->quarantine, this->state->quarantine_options, this->state->clock->now());
+        this->count_suspects();
         this->store_held();
         this->leave_due_notes();
         this->drop_old_notes();
@@ -147,6 +145,11 @@
     });
 }
 
+void quarantine_exchange::count_suspects() const {
+    const auto& suspects = this->state->quarantine.suspects;
+    this->state->figures->set("suspected_requests", static_cast<double>(suspects.size()));
+}
+
 void quarantine_exchange::store_held() {
     const double part = std::min(1.0, notes_a_second / hosts_alive(*this->state));
     std::uniform_real_distribution<double> draw(0, 1);
--- a/libraries/gateway/quarantine_exchange.h
+++ b/libraries/gateway/quarantine_exchange.h
@@ -44,6 +44,7 @@
     void speak_for(const host::suspect_report& told, const std::string& teller);
     void tell(const std::vector<host::suspect_report>& reports, const std::vector<std::string>& addresses);
     void look_regularly();
+    void count_suspects() const;
     /// Leaves in the store what is held and not there yet.
     void store_held();
     /// Leaves what this host has seen itself, where others may not hear it.
--- a/libraries/host/quarantine.cpp
+++ b/libraries/host/quarantine.cpp
@@ -49,8 +49,8 @@
     return true;
 }
 
-/// Remembers an end; says whether it was not known. Hosts see the same end at slightly different times: the
-/// latest counts, whichever was told first.
+/// Remembers an end; says whether it was not known. Of two ends of one upstream the later counts, whichever
+/// was told first.
 bool remember_end(quarantine::suspect& suspect, const upstream_end& end) {
     const auto known = suspect.ends.find(end.upstream);
     if (known != suspect.ends.end()) {
@@ -127,6 +127,13 @@
     return until - now;
 }
 
+bool knows_later_good_end(const quarantine& table, const suspect_report& told) {
+    const auto good = find_good(table, told.request);
+    if (told.ends.empty() || !good)
+        return false;
+    return !told.good || is_later_event(*good, *told.good);
+}
+
 suspect_report report_of(const quarantine& table, const request_fingerprint& request) {
     suspect_report report{.request = request, .ends = {}, .good = find_good(table, request)};
     const auto found = table.suspects.find(request);
--- a/libraries/host/quarantine.h
+++ b/libraries/host/quarantine.h
@@ -88,6 +88,9 @@
                                                      const request_fingerprint& request,
                                                      base::time_point now);
 
+/// Whether a report suspects a request of which a later good end is known here, so that its teller must hear.
+[[nodiscard]] bool knows_later_good_end(const quarantine& table, const suspect_report& told);
+
 /// All that is known of one request, to be told.
 [[nodiscard]] suspect_report report_of(const quarantine& table, const request_fingerprint& request);
 
--- a/libraries/service/quarantine_board.cpp
+++ b/libraries/service/quarantine_board.cpp
@@ -48,9 +48,8 @@
 void quarantine_board::hear(const std::vector<host::suspect_report>& reports, base::time_point now) {
     const std::lock_guard lock(this->mutex);
     for (const host::suspect_report& report : reports) {
-        const bool is_known_good = this->table.good.contains(report.request);
         this->take(report, now);
-        if (is_known_good && !report.ends.empty() && !report.good)
+        if (host::knows_later_good_end(this->table, report))
             this->clear(report.request, now);
     }
 }
--- a/tests/host/test_quarantine.cpp
+++ b/tests/host/test_quarantine.cpp
@@ -245,3 +245,19 @@
     // Each host tells the others of each of the four words once at most.
     CHECK(messages <= 4 * hosts * (hosts - 1));
 }
+
+TEST_CASE("whoever suspects a request hears of a good end that it does not know") {
+    fixture world;
+    world.good(fatal);
+    const base::time_point good = world.clock.now();
+    world.clock.advance(90s);
+    const suspect_report unaware{.request = fatal, .ends = {{1, world.clock.now()}}};
+    CHECK(host::knows_later_good_end(world.table, unaware));
+    suspect_report aware = unaware;
+    aware.good = good;
+    CHECK_FALSE(host::knows_later_good_end(world.table, aware));
+    world.good(fatal);
+    CHECK(host::knows_later_good_end(world.table, aware));
+    const suspect_report only_good{.request = fatal, .ends = {}, .good = good};
+    CHECK_FALSE(host::knows_later_good_end(world.table, only_good));
+}
