host: Drop the oldest good end of a request in one place

Cause: read of the change: the same four lines stood in remember_good and in forget_old. Change: drop_oldest_good serves both; behaviour and tests as they were. Checked: formatter and linter on the file, nine of thirteen test programs (host and gateway among them), all passed.

--- a/libraries/host/quarantine.cpp
+++ b/libraries/host/quarantine.cpp
@@ -32,6 +32,14 @@
     return found->second;
 }
 
+/// Forgets the oldest good end, unless the request has come to a later one.
+void drop_oldest_good(quarantine& table) {
+    const quarantine::good_end oldest = table.good_order.front();
+    table.good_order.pop_front();
+    if (find_good(table, oldest.request) == oldest.at)
+        table.good.erase(oldest.request);
+}
+
 /// Remembers a good end; says whether it is later than what was known.
 bool remember_good(quarantine& table, const quarantine_options& options, const request_fingerprint& request,
                    base::time_point at) {
@@ -40,12 +48,8 @@
         return false;
     known->second = at;
     table.good_order.push_back({request, at});
-    while (table.good_order.size() > options.most_good) {
-        const quarantine::good_end oldest = table.good_order.front();
-        table.good_order.pop_front();
-        if (find_good(table, oldest.request) == oldest.at)
-            table.good.erase(oldest.request);
-    }
+    while (table.good_order.size() > options.most_good)
+        drop_oldest_good(table);
     return true;
 }
 
@@ -171,12 +175,8 @@
         const bool is_held = item.second.ends.size() >= options.ends_to_hold;
         return now - latest_end(item.second) >= (is_held ? options.hold : options.suspicion);
     });
-    while (!table.good_order.empty() && now - table.good_order.front().at >= options.suspicion) {
-        const quarantine::good_end oldest = table.good_order.front();
-        table.good_order.pop_front();
-        if (find_good(table, oldest.request) == oldest.at)
-            table.good.erase(oldest.request);
-    }
+    while (!table.good_order.empty() && now - table.good_order.front().at >= options.suspicion)
+        drop_oldest_good(table);
 }
 
 } // namespace postpaddle::host
