gateway: Hand the registry over encoded once, to few at a time

Cause: hosts that know no others ask the three that the settings name for the whole registry; it was encoded anew for each, 0.9 MB and 40 ms of a core with 10,000 upstreams, as often at once as it was asked for. Change: it is compressed and kept until the registry changes, four hand-overs at a time, others are turned away and ask elsewhere or read the store; connections of other hosts that rest are closed after 5 s rather than 60.

--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -105,6 +105,7 @@
         const auto effect = decision::apply_change(state.instances, change, condition);
         if (effect == decision::change_effect::none)
             continue;
+        ++state.registry_revision;
         tell_listing(state, change.id, change.offset, heard_from);
         has_restarted |= effect == decision::change_effect::restarted;
         state.held_parts.erase(change.id);
@@ -127,14 +128,17 @@
 void settle_registry(gateway_state& state) {
     if (is_registry_in_trouble(state))
         return;
-    for (const base::upstream_id& id : decision::settle_unlisted(state.instances))
+    for (const base::upstream_id& id : decision::settle_unlisted(state.instances)) {
+        ++state.registry_revision;
         tell_listing(state, id, state.registry_next, "store");
+    }
 }
 
 void take_registry_snapshot(gateway_state& state, const ports::registry_page& page) {
     const auto changed = decision::apply_snapshot(
         state.instances, {.entries = page.changes, .unreadable = page.unreadable, .end = page.next},
         condition_of(state));
+    ++state.registry_revision;
     host::enter_all_sums(state.instances, state.loads);
     host::mark_far_engines(state.instances, state.cells, own_cell(state));
     // The first read names every upstream: one line says how many.
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -76,9 +76,10 @@
     std::optional<base::time_point> settings_arriving_since{}; ///< A read of the store is bringing them.
     std::optional<base::time_point> settings_handed_since{};   ///< Another host is handing them over.
     decision::instance_table instances{};
-    bool has_registry = false;                                ///< Whether the registry has ever been read.
-    std::uint64_t registry_next = 0;                          ///< Offset to read the registry from.
-    base::time_point registry_trouble{};                      ///< When a read of the registry failed last.
+    bool has_registry = false;           ///< Whether the registry has ever been read.
+    std::uint64_t registry_next = 0;     ///< Offset to read the registry from.
+    std::uint64_t registry_revision = 1; ///< Rises with each change of what is known of the registry.
+    base::time_point registry_trouble{}; ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
     bool knows_hosts = false;        ///< The list of hosts has been read from the store.
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -24,10 +24,16 @@
 constexpr std::string_view explain_path = "/explain?id=";
 constexpr const char* metrics_path = "/metrics";
 constexpr auto peer_limit = 500ms;
+/// A host that has sent a heartbeat closes its connection by then; in a large system the same two seldom meet
+/// again, and each connection that waits holds a coroutine's stack.
+constexpr auto peer_idle = 5'000ms;
 /// Settings of another host are waited for so long to begin, and then between two of their parts.
 constexpr auto document_limit = 1'500ms;
 /// Settings that other hosts hand over are bounded as answers are, also before they are compressed.
 constexpr std::size_t most_document_bytes = wire::answer_bounds{}.body_bytes;
+/// Registries and settings that this host hands over at once, at most. Whoever is turned away asks another
+/// host, or reads the store: where a thousand hosts start together, the three that all know are asked by all.
+constexpr int most_handovers = 4;
 /// HTTP's name for the zlib format.
 constexpr const char* compressed_encoding = "deflate";
 /// Peers told at once of new settings; each tells as many others.
@@ -41,6 +47,11 @@
 constexpr base::duration join_pause = 1'000ms;
 constexpr int ok_status = 200;
 constexpr int not_found_status = 404;
+constexpr int unavailable_status = 503;
+
+bool is_handover(const wire::http_request& request) {
+    return request.target == settings_path || request.target == registry_path;
+}
 
 /// The text of an answer that may be compressed; nothing where it is malformed.
 std::optional<std::string> text_of(const wire::http_response& answer) {
@@ -49,15 +60,28 @@
     return base::decompress(answer.body, most_document_bytes);
 }
 
+bool takes_compressed(const wire::http_request& request) {
+    return wire::find_header(request.headers, "Accept-Encoding") == compressed_encoding;
+}
+
+/// The text in its compressed form, made when a revision of it is first asked for.
+wire::http_response compressed_answer(packed_text& packed, std::uint64_t revision,
+                                      const std::function<std::string()>& text) {
+    if (packed.revision != revision)
+        packed = {.revision = revision, .bytes = base::compress(text())};
+    return {ok_status, {{"Content-Encoding", compressed_encoding}}, packed.bytes};
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(gateway_state& state, ports::control_feed& feed) : state(&state), feed(&feed) {}
 
 wire::expected<void> peer_exchange::listen() {
     POSTPADDLE_TRY(endpoint, wire::parse_endpoint(this->state->process->peers));
-    POSTPADDLE_TRY(created, wire::http_listener::create(
-                                *this->state->context,
-                                {.address = endpoint.address().to_string(), .port = endpoint.port()}));
+    POSTPADDLE_TRY(created, wire::http_listener::create(*this->state->context,
+                                                        {.address = endpoint.address().to_string(),
+                                                         .port = endpoint.port(),
+                                                         .bounds = {.idle = peer_idle}}));
     this->listener = std::move(created);
     this->listener->start([this](wire::caller_connection& connection, wire::yield_context yield) {
         this->serve(connection, yield);
@@ -74,11 +98,25 @@
 void peer_exchange::serve(wire::caller_connection& connection, wire::yield_context yield) {
     while (!connection.is_gone()) {
         const auto request = connection.read_request(yield);
-        if (!request || !connection.send(this->answer(*request), yield) || !connection.is_keep_alive())
+        if (!request || !this->serve_one(*request, connection, yield) || !connection.is_keep_alive())
             return;
     }
 }
 
+bool peer_exchange::serve_one(const wire::http_request& request, wire::caller_connection& connection,
+                              wire::yield_context yield) {
+    if (!is_handover(request))
+        return connection.send(this->answer(request), yield).has_value();
+    if (this->handovers >= most_handovers) {
+        this->state->figures->count("handovers_refused_total");
+        return connection.send({unavailable_status, {}, ""}, yield).has_value();
+    }
+    ++this->handovers;
+    const bool is_sent = connection.send(this->answer(request), yield).has_value();
+    --this->handovers;
+    return is_sent;
+}
+
 wire::http_response peer_exchange::answer(const wire::http_request& request) {
     if (request.target == heartbeat_path) {
         this->hear(request.body);
@@ -87,7 +125,7 @@
     if (request.target == settings_path && this->state->settings)
         return this->settings_answer(request);
     if (request.target == registry_path && this->state->has_registry)
-        return {ok_status, {}, encode_registry(this->state->instances).dump()};
+        return this->registry_answer(request);
     if (request.target == cell_loads_path)
         return {ok_status,
                 {},
@@ -107,12 +145,19 @@
 
 wire::http_response peer_exchange::settings_answer(const wire::http_request& request) {
     const std::string& text = this->state->settings->document.text;
-    if (wire::find_header(request.headers, "Accept-Encoding") != compressed_encoding)
+    if (!takes_compressed(request))
         return {ok_status, {}, text};
-    const std::uint64_t version = settings_version(*this->state);
-    if (std::exchange(this->compressed_version, version) != version)
-        this->compressed_settings = base::compress(text);
-    return {ok_status, {{"Content-Encoding", compressed_encoding}}, this->compressed_settings};
+    return compressed_answer(this->settings_packed, settings_version(*this->state), [&] { return text; });
+}
+
+wire::http_response peer_exchange::registry_answer(const wire::http_request& request) {
+    const auto text = [this] {
+        this->state->figures->count("registry_encodings_total");
+        return encode_registry(this->state->instances).dump();
+    };
+    if (!takes_compressed(request))
+        return {ok_status, {}, text()};
+    return compressed_answer(this->registry_packed, this->state->registry_revision, text);
 }
 
 std::string peer_exchange::own_heartbeat() const {
@@ -162,35 +207,39 @@
         this->hear(answer->body);
 }
 
+std::optional<std::string> peer_exchange::fetch_handover(const std::string& address, const char* path,
+                                                         std::chrono::milliseconds limit,
+                                                         wire::yield_context yield) {
+    const wire::http_headers headers = {{"Host", address}, {"Accept-Encoding", compressed_encoding}};
+    const auto answer = wire::fetch_large(*this->state->pool, address, wire::get_request(path, headers),
+                                          {.begin = limit, .silence = limit}, yield);
+    if (!answer || answer->status != ok_status)
+        return std::nullopt;
+    auto text = text_of(*answer);
+    if (!text)
+        this->state->figures->count("malformed_peer_answers_total");
+    return text;
+}
+
 void peer_exchange::fetch_settings(const std::string& address, wire::yield_context yield) {
     if (this->state->settings_handed_since)
         return;
     this->state->settings_handed_since = this->state->clock->now();
-    const wire::http_headers headers = {{"Host", address}, {"Accept-Encoding", compressed_encoding}};
-    const auto answer =
-        wire::fetch_large(*this->state->pool, address, wire::get_request(settings_path, headers),
-                          {.begin = document_limit, .silence = document_limit}, yield);
+    const auto text = this->fetch_handover(address, settings_path, document_limit, yield);
     this->state->settings_handed_since.reset();
-    if (!answer || answer->status != ok_status)
-        return;
-    const auto text = text_of(*answer);
-    if (!text) {
-        this->state->figures->count("malformed_peer_answers_total");
+    if (!text)
         return;
-    }
     auto document = this->feed->read_document(*text);
     if (document && put_in_force(*this->state, std::move(*document), "peer"))
         this->spread_settings();
 }
 
 void peer_exchange::fetch_registry(const std::string& address, wire::yield_context yield) {
-    const auto answer =
-        wire::fetch_large(*this->state->pool, address, wire::get_request(registry_path, {{"Host", address}}),
-                          {.begin = peer_limit, .silence = peer_limit}, yield);
-    if (!answer || answer->status != ok_status)
+    const auto text = this->fetch_handover(address, registry_path, peer_limit, yield);
+    if (!text)
         return;
     try {
-        take_registry(*this->state, decode_registry(json::parse(answer->body)), "peer");
+        take_registry(*this->state, decode_registry(json::parse(*text)), "peer");
         this->state->has_registry = true;
     } catch (const json::exception&) {
         this->state->figures->count("malformed_peer_answers_total");
--- /dev/null
+++ b/tests/gateway/test_fleet_size.cpp
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What a host keeps and does for each of very many others.
+//
+// Seen: of 985 hosts that started together, three used twenty times the processor time of the others, and six
+// times their memory; the others grew for as long as they ran.
+// Cause: while hosts know no others they ask those that the settings name, for the whole registry, which was
+// encoded anew for each and as often at once as it was asked for; and connections that rest were kept for a
+// minute, though the same two hosts seldom meet again.
+#include <support/gateway_cluster.h>
+#include <support/test_cluster.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace postpaddle;
+
+namespace {
+
+wire::http_request ask_for(const std::string& path) {
+    return {"GET", path, {{"Host", "host"}, {"Accept-Encoding", "deflate"}}, ""};
+}
+
+} // namespace
+
+TEST_CASE("the registry is encoded once for all hosts that ask before it changes") {
+    test::gateway_cluster cluster({.name = "registry-asked", .servers = {{.id = "one"}}});
+    const auto ask = [&] {
+        const auto answer = stand_in::http_exchange(cluster.peers_address(), ask_for("/peers/registry"));
+        return answer ? answer->status : 0;
+    };
+    for (int host = 0; host < 20; ++host)
+        CHECK(ask() == 200);
+    CHECK(cluster.metric(1, "registry_encodings_total") == 1);
+    cluster.list("one", "draining", 2);
+    REQUIRE(test::eventually(
+        [&] { return cluster.state_of(1).at("instances").at("one").at("listing") == "leaving"; }));
+    CHECK(ask() == 200);
+    CHECK(cluster.metric(1, "registry_encodings_total") == 2);
+}
+
+TEST_CASE("a connection of another host that rests is closed soon") {
+    test::gateway_cluster cluster({.name = "peer-rests", .servers = {{.id = "one"}}});
+    test::open_call call(cluster.peers_address(), ask_for("/peers/registry"));
+    std::atomic<bool> is_closed = false;
+    std::thread reader([&] {
+        (void)call.read_all();
+        is_closed = true;
+    });
+    CHECK(test::eventually([&] { return is_closed.load(); }));
+    reader.join();
+}
