--- a/libraries/base/identifier.h
+++ b/libraries/base/identifier.h
@@ -23,6 +23,8 @@
 using host_id = identifier<struct host_tag>;
 /// Name of an availability zone.
 using zone_id = identifier<struct zone_tag>;
+/// Name of a region: availability zones that lie near each other.
+using region_id = identifier<struct region_tag>;
 /// Name of one request, unique over hosts and restarts.
 using request_id = identifier<struct request_tag>;
 /// Name of a model as callers write it.
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -50,6 +50,8 @@
     for (const auto& [id, candidate] : table.by_id) {
         if (candidate.entry.service != context.service || !fits(candidate))
             continue;
+        if (bar_of(table, context.limits, candidate, context.now) != placement_bar::none)
+            continue;
         if (candidate.state == listing::listed)
             (is_load_known(candidate, context.now) ? known : listed).push_back(&candidate);
         if (candidate.state == listing::unlisted)
@@ -84,8 +86,7 @@
     const double rounds = std::max(1.0, (load + 1) / places);
     // A place that is nearly the last is avoided before it is taken.
     static constexpr double crowding_cost = 0.03;
-    return standing_cost(candidate, context, random) + candidate.latency.value * rounds +
-           crowding_cost * load / places;
+    return standing_cost(candidate, context, random) + candidate.latency.value * rounds + crowding_cost * load / places;
 }
 
 double seen_wait(const instance& candidate, base::time_point now) {
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -3,6 +3,7 @@
 
 #include <decision/engine_pace.h>
 #include <decision/instance_table.h>
+#include <decision/placement.h>
 #include <decision/waiting_order.h>
 
 #include <map>
@@ -27,6 +28,7 @@
     base::time_point now{};
     std::map<base::upstream_id, double> reserved{}; ///< Memory of engines that requests ahead will take.
     engine_pace pace{};                             ///< Of the service's engines.
+    placement_limits limits{};                      ///< Where the request may go at all.
 };
 
 /// Size of a prompt and of its answer.
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
     int running = 0;
     int waiting = 0;
     int places = 0;
+    int pace_percent = 100; ///< Time that work takes there at present, against what is usual there.
 
     bool operator==(const instance_load&) const = default;
 };
@@ -75,6 +77,8 @@
     double hidden_tokens =
         0; ///< Memory that must be taken by others, as it refused what had room by our count.
     base::time_point hidden_at{};
+    base::time_point cold_until{};     ///< It bears only few requests until then.
+    base::time_point next_cold_send{}; ///< This host sends it nothing before, while it is cold.
 };
 
 /// A change of the registry.
@@ -102,6 +106,7 @@
 /// All instances by id.
 struct instance_table {
     std::map<base::upstream_id, instance> by_id;
+    std::set<base::zone_id> evacuated{}; ///< Availability zones whose upstreams get nothing new.
 };
 
 /// What a change did to the table.
@@ -161,6 +166,10 @@
 /// Requests of other hosts there, from the last report, fading out as it ages.
 [[nodiscard]] double others_requests(const instance& target, base::time_point now);
 
+/// Time that work takes there at present against what is usual there, by its last answer; fading to 1 as that
+/// ages, as upstreams that share their machine change their pace many times a second.
+[[nodiscard]] double pace_now(const instance& target, base::time_point now);
+
 /// Whether own failures keep it from new work while there is another.
 [[nodiscard]] bool is_aside(const instance& target, base::time_point now);
 
--- a/libraries/decision/stage_balance.cpp
+++ b/libraries/decision/stage_balance.cpp
@@ -22,11 +22,12 @@
 /// At most one in this many of a stage's engines changes at a time.
 constexpr int step_part = 4;
 
-bool serves_stage(const instance& candidate, const std::string& service, engine_stage stage,
-                  base::time_point now) {
-    // Hosts balance the engines whose load they know.
+bool serves_stage(const instance_table& table, const instance& candidate, const std::string& service,
+                  engine_stage stage, base::time_point now) {
+    // Hosts balance the engines whose load they know, and that may be sent anything.
     return candidate.entry.service == service && candidate.entry.stage == stage && !candidate.is_far &&
-           candidate.state == listing::listed && !is_avoided(candidate, now);
+           !is_evacuated(table, candidate) && candidate.state == listing::listed &&
+           !is_avoided(candidate, now);
 }
 
 int bounded_step(int wanted, int engines) { return std::min(wanted, std::max(1, engines / step_part)); }
@@ -67,7 +68,7 @@
                                                  engine_stage stage, base::time_point now) {
     std::map<base::zone_id, int> engines_in;
     for (const auto& [id, candidate] : table.by_id)
-        if (serves_stage(candidate, service, stage, now))
+        if (serves_stage(table, candidate, service, stage, now))
             ++engines_in[candidate.entry.availability_zone];
     const instance* best = nullptr;
     const auto is_easier = [&engines_in](const instance& left, const instance& right) {
@@ -76,7 +77,8 @@
         return left_zone != right_zone ? left_zone > right_zone : work_of(left) < work_of(right);
     };
     for (const auto& [id, candidate] : table.by_id)
-        if (serves_stage(candidate, service, stage, now) && (best == nullptr || is_easier(candidate, *best)))
+        if (serves_stage(table, candidate, service, stage, now) &&
+            (best == nullptr || is_easier(candidate, *best)))
             best = &candidate;
     if (best == nullptr)
         return std::nullopt;
@@ -95,11 +97,11 @@
                   const engine_pace& pace, base::time_point now) {
     double queued_tokens = 0;
     for (const auto& [id, candidate] : table.by_id) {
-        if (serves_stage(candidate, service, engine_stage::prefill, now)) {
+        if (serves_stage(table, candidate, service, engine_stage::prefill, now)) {
             ++facts.prefill_engines;
             queued_tokens += prompt_tokens_out(candidate);
         }
-        facts.decode_engines += serves_stage(candidate, service, engine_stage::decode, now) ? 1 : 0;
+        facts.decode_engines += serves_stage(table, candidate, service, engine_stage::decode, now) ? 1 : 0;
     }
     facts.prompt_queue_seconds = seconds_for_tokens(pace, queued_tokens) / std::max(1, facts.prefill_engines);
 }
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -62,7 +62,38 @@
             .excluded = request.tried,
             .holding = request.holding,
             .now = request.state->clock->now(),
-            .pace = profile_of(request).pace};
+            .pace = profile_of(request).pace,
+            .limits = placement_limits_of(request)};
+}
+
+namespace {
+
+/// Availability zones of the regions that one side allows.
+std::set<base::zone_id> zones_in(const settings::gateway_settings& process,
+                                 const std::set<base::region_id>& regions) {
+    std::set<base::zone_id> zones;
+    for (const auto& [zone, region] : process.regions)
+        if (regions.contains(region))
+            zones.insert(zone);
+    return zones;
+}
+
+} // namespace
+
+decision::placement_limits placement_limits_of(const gateway_request& request) {
+    const settings::gateway_settings& process = *request.state->process;
+    decision::placement_limits limits{.allowed_zones = std::nullopt,
+                                      .warm_up = warm_up_limit_of(*request.state, service_of(request))};
+    if (!request.route->allowed_regions.empty())
+        limits.allowed_zones = zones_in(process, request.route->allowed_regions);
+    if (request.organisation == nullptr || request.organisation->allowed_regions.empty())
+        return limits;
+    const auto theirs = zones_in(process, request.organisation->allowed_regions);
+    if (limits.allowed_zones)
+        std::erase_if(*limits.allowed_zones, [&](const auto& zone) { return !theirs.contains(zone); });
+    else
+        limits.allowed_zones = theirs;
+    return limits;
 }
 
 base::duration time_left(const gateway_request& request) {
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -76,6 +76,9 @@
 /// What choices rest on for this request now.
 [[nodiscard]] decision::choice_context choice_context_of(const gateway_request& request);
 
+/// Where the request may be sent at all.
+[[nodiscard]] decision::placement_limits placement_limits_of(const gateway_request& request);
+
 /// Time until the final answer is due.
 [[nodiscard]] base::duration time_left(const gateway_request& request);
 
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/gateway_state.h>
 
+#include <base/hashing.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -97,12 +99,67 @@
     return true;
 }
 
+namespace {
+
+/// A zone that is used again may have been restarted meanwhile, and the registry tells so late: its upstreams
+/// are taken to be cold until they have had the time to become warm.
+void expect_cold(gateway_state& state, const std::vector<base::zone_id>& zones) {
+    if (!state.settings || zones.empty())
+        return;
+    const auto& services = state.settings->document.value->services;
+    for (auto& [id, known] : state.instances.by_id) {
+        const auto service = services.find(known.entry.service);
+        const bool is_there = std::ranges::find(zones, known.entry.availability_zone) != zones.end();
+        if (is_there && service != services.end())
+            decision::note_cold(known, service->second.cold_start, state.clock->now());
+    }
+}
+
+void tell_zones(gateway_state& state, const std::vector<base::zone_id>& zones, const char* event,
+                const char* heard_from) {
+    for (const base::zone_id& zone : zones)
+        state.log->write_always(event, {{"availability_zone", zone.value}, {"heard_from", heard_from}});
+}
+
+/// A newly written entry says that its upstream is cold.
+void note_told_cold(gateway_state& state, const decision::registry_change& change) {
+    if (!change.entry || change.entry->cold_remaining <= 0ms)
+        return;
+    decision::instance* const known = decision::find_instance(state.instances, change.id);
+    if (known != nullptr && known->entry.born == change.entry->born)
+        decision::note_cold(*known, change.entry->cold_remaining, state.clock->now());
+}
+
+} // namespace
+
+bool take_zone_words(gateway_state& state, const decision::zone_word_page& page, const char* heard_from) {
+    const decision::evacuation_change change = decision::take_zone_words(state.evacuations, page);
+    if (!change.is_any())
+        return false;
+    state.instances.evacuated = decision::evacuated_zones(state.evacuations);
+    state.figures->set("evacuated_zones", static_cast<double>(state.instances.evacuated.size()));
+    expect_cold(state, change.taken_back);
+    tell_zones(state, change.evacuated, "zone_evacuated", heard_from);
+    tell_zones(state, change.taken_back, "zone_taken_back", heard_from);
+    state.did_change_places();
+    return true;
+}
+
+decision::warm_up_limit warm_up_limit_of(const gateway_state& state, const settings::service_entry* service) {
+    // A host that does not know how many share what a cold upstream bears takes nothing of it.
+    const int hosts = state.knows_hosts ? state.hosts_shared : std::numeric_limits<int>::max();
+    return {.per_second = service == nullptr ? 0 : service->cold_requests,
+            .hosts = hosts,
+            .host = base::hash64(state.process->name.value)};
+}
+
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from) {
     const auto condition = condition_of(state);
     bool has_restarted = false;
     for (const decision::registry_change& change : changes) {
         const auto effect = decision::apply_change(state.instances, change, condition);
+        note_told_cold(state, change);
         if (effect == decision::change_effect::none)
             continue;
         ++state.registry_revision;
@@ -138,6 +195,8 @@
     const auto changed = decision::apply_snapshot(
         state.instances, {.entries = page.changes, .unreadable = page.unreadable, .end = page.next},
         condition_of(state));
+    for (const decision::registry_change& change : page.changes)
+        note_told_cold(state, change);
     ++state.registry_revision;
     host::enter_all_sums(state.instances, state.loads);
     host::mark_far_engines(state.instances, state.cells, own_cell(state));
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -7,6 +7,8 @@
 #include <decision/route_table.h>
 #include <decision/service_profile.h>
 #include <decision/shared_budget.h>
+#include <decision/warm_up.h>
+#include <decision/zone_evacuations.h>
 #include <gateway/decision_log.h>
 #include <gateway/gateway_figures.h>
 #include <host/cell.h>
@@ -76,10 +78,11 @@
     std::optional<base::time_point> settings_arriving_since{}; ///< A read of the store is bringing them.
     std::optional<base::time_point> settings_handed_since{};   ///< Another host is handing them over.
     decision::instance_table instances{};
-    bool has_registry = false;           ///< Whether the registry has ever been read.
-    std::uint64_t registry_next = 0;     ///< Offset to read the registry from.
-    std::uint64_t registry_revision = 1; ///< Rises with each change of what is known of the registry.
-    base::time_point registry_trouble{}; ///< When a read of the registry failed last.
+    decision::zone_evacuations evacuations{}; ///< As the operator has ordered them.
+    bool has_registry = false;                ///< Whether the registry has ever been read.
+    std::uint64_t registry_next = 0;          ///< Offset to read the registry from.
+    std::uint64_t registry_revision = 1;      ///< Rises with each change of what is known of the registry.
+    base::time_point registry_trouble{};      ///< When a read of the registry failed last.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
     bool knows_hosts = false;        ///< The list of hosts has been read from the store.
@@ -146,6 +149,13 @@
 /// Puts a newer version in force; says whether it was newer.
 bool put_in_force(gateway_state& state, ports::settings_document document, const char* heard_from);
 
+/// Puts the operator's words on availability zones in force; says whether any was new.
+bool take_zone_words(gateway_state& state, const decision::zone_word_page& page, const char* heard_from);
+
+/// What cold upstreams of the service bear, and this host's part of it.
+[[nodiscard]] decision::warm_up_limit warm_up_limit_of(const gateway_state& state,
+                                                       const settings::service_entry* service);
+
 /// Takes changes of the registry over, with a line for each change of belief.
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from);
--- a/libraries/gateway/kept_prompt_search.cpp
+++ b/libraries/gateway/kept_prompt_search.cpp
@@ -37,11 +37,13 @@
 /// The engines to ask: the same ones on every host.
 std::vector<const decision::instance*> engines_to_ask(const gateway_request& request) {
     const base::time_point now = request.state->clock->now();
+    const decision::placement_limits limits = placement_limits_of(request);
     std::vector<const decision::instance*> engines;
     for (const auto& [id, engine] : request.state->instances.by_id)
         if (engine.entry.service == request.service && engine.state == decision::listing::listed &&
             engine.entry.stage != settings::engine_stage::none && !engine.is_far &&
-            !decision::is_avoided(engine, now))
+            !decision::is_avoided(engine, now) &&
+            decision::bar_of(request.state->instances, limits, engine, now) == decision::placement_bar::none)
             engines.push_back(&engine);
     const std::uint64_t seed = base::hash64(request.routed.prompt_key);
     std::ranges::sort(engines, std::ranges::greater{}, [seed](const decision::instance* engine) {
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -13,6 +13,29 @@
 /// same.
 std::string zone_of(const json& value) { return value.value("availability_zone", std::string()); }
 
+/// The end, then a row for each zone that was ever evacuated: name, state, offset. Mostly there is none.
+json encode_zones(const decision::zone_word_page& zones) {
+    json value = {zones.end};
+    for (const decision::zone_word& word : zones.words)
+        value.push_back({word.zone.value, word.is_evacuated, word.offset});
+    return value;
+}
+
+/// Hosts of an earlier version tell none. A host that names more zones than any system has is not believed.
+decision::zone_word_page decode_zones(const json& message) {
+    static constexpr std::size_t most_rows = 1'024;
+    decision::zone_word_page zones{.words = {}, .end = 0, .is_whole = true};
+    if (!message.contains("zones") || message["zones"].size() > most_rows)
+        return zones;
+    const json& value = message["zones"];
+    zones.end = value.at(0).get<std::uint64_t>();
+    for (std::size_t row = 1; row < value.size(); ++row)
+        zones.words.push_back({{value[row].at(0).get<std::string>()},
+                               value[row].at(1).get<bool>(),
+                               value[row].at(2).get<std::uint64_t>()});
+    return zones;
+}
+
 } // namespace
 
 json encode_heartbeat(const heartbeat& message, base::time_point now) {
@@ -28,7 +51,8 @@
                   {"availability_zone", message.availability_zone.value},
                   {"settings_version", message.settings_version},
                   {"is_leaving", message.is_leaving},
-                  {"hosts", std::move(others)}};
+                  {"hosts", std::move(others)},
+                  {"zones", encode_zones(message.zones)}};
     if (!message.suspects.empty())
         value["suspects"] = host::encode_reports(message.suspects, now);
     return value;
@@ -47,6 +71,7 @@
             message.others[{name}] = {
                 .address = row.at("address").get<std::string>(), .zone = {zone_of(row)}, .heard = now - age};
         }
+        message.zones = decode_zones(value);
         if (value.contains("suspects"))
             message.suspects = host::decode_reports(value["suspects"], now);
         if (message.host.is_empty() || message.address.empty())
@@ -65,9 +90,10 @@
     if (!change.entry)
         return row;
     const settings::upstream_entry& entry = *change.entry;
-    for (json field : std::initializer_list<json>{entry.service, entry.address, entry.availability_zone.value,
-                                                  entry.places, static_cast<int>(entry.stage),
-                                                  entry.is_leaving, entry.sequence, entry.born})
+    for (json field :
+         std::initializer_list<json>{entry.service, entry.address, entry.availability_zone.value,
+                                     entry.places, static_cast<int>(entry.stage), entry.is_leaving,
+                                     entry.sequence, entry.born, entry.cold_remaining.count()})
         row.push_back(std::move(field));
     return row;
 }
@@ -90,6 +116,9 @@
     // Hosts of an earlier version tell no start.
     static constexpr std::size_t born_column = 9;
     entry.born = row.size() > born_column ? row.at(born_column).get<std::uint64_t>() : 0;
+    static constexpr std::size_t cold_column = 10;
+    if (row.size() > cold_column)
+        entry.cold_remaining = std::chrono::milliseconds(row.at(cold_column).get<std::uint32_t>());
     change.entry = std::move(entry);
     return change;
 }
@@ -139,7 +168,8 @@
                         {"registry", encode_topic(notice.registry, now)},
                         {"is_registry_in_trouble", notice.is_registry_in_trouble},
                         {"changes_since", notice.changes_since},
-                        {"changes", std::move(changes)}};
+                        {"changes", std::move(changes)},
+                        {"zones", encode_zones(notice.zones)}};
     std::string bytes;
     json::to_msgpack(value, bytes);
     return bytes;
@@ -157,7 +187,8 @@
             .registry = decode_topic(value.at("registry"), now),
             .is_registry_in_trouble = value.at("is_registry_in_trouble").get<bool>(),
             .changes_since = value.at("changes_since").get<std::uint64_t>(),
-            .changes = decode_registry(value.at("changes"))};
+            .changes = decode_registry(value.at("changes")),
+            .zones = decode_zones(value)};
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -168,7 +168,8 @@
                                .settings_version = settings_version(*this->state),
                                .is_leaving = this->state->is_draining,
                                .others = host::latest_heard(this->state->peers, named_hosts, now),
-                               .suspects = host::reports_to_repeat(this->state->quarantine, told_suspects)};
+                               .suspects = host::reports_to_repeat(this->state->quarantine, told_suspects),
+                               .zones = decision::zone_words_of(this->state->evacuations)};
     return encode_heartbeat(message, now).dump();
 }
 
@@ -188,6 +189,8 @@
     for (const auto& [name, other] : message->others)
         if (name != this->state->process->name)
             host::note_hearsay(this->state->peers, name, other);
+    if (take_zone_words(*this->state, message->zones, "peer"))
+        this->spread_settings();
     const bool is_newer = message->settings_version > settings_version(*this->state);
     const bool is_fetching = this->state->settings_handed_since.has_value();
     if (!is_newer || is_fetching || are_settings_coming(*this->state, this->state->settings_arriving_since))
--- a/libraries/gateway/peer_exchange.h
+++ b/libraries/gateway/peer_exchange.h
@@ -27,7 +27,7 @@
     [[nodiscard]] wire::expected<void> listen();
     /// Starts the coroutines; they run for as long as the process does.
     void start();
-    /// Tells a few peers at once that newer settings are in force here.
+    /// Tells a few peers at once that the operator's newer settings, or word of a zone, are in force here.
     void spread_settings();
     /// Asks a peer which settings it has, and for those where they are newer.
     void ask_for_settings();
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -23,6 +23,7 @@
             {"failure_rate", known.health.failure_rate},
             {"failures_in_row", known.health.failures_in_row},
             {"is_aside", decision::is_aside(known, now)},
+            {"is_cold", decision::is_cold(known, now)},
             {"avoided_by", known.avoided_by},
             {"is_out_of_service_elsewhere", known.is_out_of_service_elsewhere},
             {"latency_ms", known.latency.value * 1'000},
@@ -60,6 +61,9 @@
     const host::limit_sharers sharers = limit_sharers_of(state);
     for (const auto& [id, account] : state.limits)
         organisations[id.value] = {{"left", account.level}, {"used", account.used}};
+    json evacuated = json::array();
+    for (const base::zone_id& zone : state.instances.evacuated)
+        evacuated.push_back(zone.value);
     json policy = json::object();
     for (const settings::policy_field& field : settings::policy_fields())
         policy[field.name] = state.process->policy.*field.value;
@@ -68,6 +72,7 @@
             {"is_ready", is_ready(state)},
             {"is_draining", state.is_draining},
             {"settings_version", settings_version(state)},
+            {"evacuated_zones", std::move(evacuated)},
             {"routes", state.settings ? state.settings->document.value->routes.size() : 0},
             {"registry_next", state.registry_next},
             {"reads_store", state.reads_store},
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -123,7 +123,10 @@
     own.has_offset = true;
     for (const ports::unreadable_settings& record : page->unreadable)
         this->tell_unreadable_settings(record);
-    if (page->newest && put_in_force(*this->state, std::move(*page->newest), "store"))
+    bool is_any_new = take_zone_words(*this->state, page->zones, "store");
+    if (page->newest)
+        is_any_new |= put_in_force(*this->state, std::move(*page->newest), "store");
+    if (is_any_new)
         this->hooks.on_new_settings();
     return has_records ? read_outcome::records : read_outcome::nothing_new;
 }
--- a/libraries/gateway/store_watch.h
+++ b/libraries/gateway/store_watch.h
@@ -18,7 +18,7 @@
 class store_watch {
 public:
     struct callbacks {
-        /// A version was put in force.
+        /// A version, or the operator's word on a zone, was put in force.
         std::function<void()> on_new_settings;
         /// The store does not answer: another host may know newer settings.
         std::function<void()> on_settings_lost;
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -295,7 +295,8 @@
         return false;
     const decision::instance* const decode =
         decision::find_instance(this->request->state->instances, plan.decode);
-    return decode != nullptr && decode->state == decision::listing::listed;
+    return decode != nullptr && decode->state == decision::listing::listed &&
+           !decision::is_evacuated(this->request->state->instances, *decode);
 }
 
 request_ending stream_relay::run(wire::yield_context yield) {
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -156,9 +156,18 @@
     gateway_state& state = *request.state;
     exchange_result exchange;
     exchange.sent = state.clock->now();
-    const decision::instance* const target = decision::find_instance(state.instances, send.instance);
+    decision::instance* const target = decision::find_instance(state.instances, send.instance);
     if (target == nullptr)
         return exchange;
+    // Looked at again: since the choice another engine may have read the prompt, or the request has waited.
+    const decision::placement_limits limits = placement_limits_of(request);
+    const auto bar = decision::bar_of(state.instances, limits, *target, exchange.sent);
+    if (bar != decision::placement_bar::none) {
+        exchange.is_withheld = true;
+        exchange.detail = decision::to_text(bar);
+        return exchange;
+    }
+    decision::note_cold_send(*target, limits.warm_up, exchange.sent);
     exchange.address = target->entry.address;
     const auto on_call = [&](std::shared_ptr<wire::upstream_call> call) {
         request.cancellation->call = call;
@@ -213,8 +222,10 @@
                                         exchange.facts.load->places};
     state.figures->count(std::string("sends_total{result=\"") + decision::to_text(exchange.result) + "\"}");
     decision::instance* const target = decision::find_instance(state.instances, send.instance);
-    if (target == nullptr || request.cancellation->is_caller_gone)
+    if (target == nullptr || request.cancellation->is_caller_gone || exchange.is_withheld)
         return;
+    if (exchange.facts.cold_remaining)
+        decision::note_cold(*target, *exchange.facts.cold_remaining, now);
     if (exchange.facts.load)
         decision::note_load(*target, *exchange.facts.load, now);
     decision::note_verdict(*target, verdict_of(exchange, send, state.process->policy), now);
--- a/libraries/gateway/upstream_exchange.h
+++ b/libraries/gateway/upstream_exchange.h
@@ -18,6 +18,7 @@
     std::string address;
     base::time_point sent{};
     bool is_port_dead = false; ///< Nothing listens at its address.
+    bool is_withheld = false;  ///< Nothing was tried: the request may not go there now.
     std::string detail;        ///< For the log.
 };
 
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <decision/instance_table.h>
+#include <decision/zone_evacuations.h>
 #include <settings/routing_settings.h>
 #include <wire/asio.h>
 
@@ -56,6 +57,7 @@
     std::optional<settings_document> newest;     ///< None: nothing about settings among the records.
     std::vector<unreadable_settings> unreadable; ///< Passed over: what is in force stays.
     std::uint64_t next = 0;                      ///< Offset to read from next.
+    decision::zone_word_page zones{};            ///< What the operator says of availability zones.
 };
 
 /// Part of the registry's feed.
--- a/libraries/ports/request_protocol.h
+++ b/libraries/ports/request_protocol.h
@@ -63,6 +63,7 @@
     bool is_other_instance = false; ///< Another instance has the address.
     bool is_genuine = false;        ///< Carries the upstream's seal and its own body.
     std::optional<decision::instance_load> load;
+    std::optional<std::chrono::milliseconds> cold_remaining; ///< It is cold, for so long.
 };
 
 /// An order to an engine that it serve another stage.
--- a/libraries/settings/gateway_settings.cpp
+++ b/libraries/settings/gateway_settings.cpp
@@ -52,6 +52,17 @@
     return seeds;
 }
 
+std::map<base::zone_id, base::region_id> read_regions(node_reader& reader) {
+    std::map<base::zone_id, base::region_id> regions;
+    for (const auto& item : reader.map("regions")) {
+        if (item.first.IsScalar() && item.second.IsScalar())
+            regions[{item.first.Scalar()}] = {item.second.Scalar()};
+        else
+            reader.note("regions", "the region of each availability zone", "another value");
+    }
+    return regions;
+}
+
 } // namespace
 
 bool is_gateway_document(const std::string& text) {
@@ -69,6 +80,7 @@
     (void)reader.word("role", "gateway", {"gateway"});
     value.name.value = reader.required_text("name");
     value.availability_zone.value = reader.required_text("availability_zone");
+    value.regions = read_regions(reader);
     value.callers = read_address(reader, "callers");
     value.readiness = read_address(reader, "readiness");
     value.readiness_path = reader.text("readiness_path", standard.readiness_path);
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -27,8 +28,9 @@
 struct gateway_settings {
     base::host_id name;
     base::zone_id availability_zone;
-    std::string callers;   ///< Address to listen on, IP number and port.
-    std::string readiness; ///< Address of the readiness check.
+    std::map<base::zone_id, base::region_id> regions; ///< Of each availability zone; empty where all are one.
+    std::string callers;                              ///< Address to listen on, IP number and port.
+    std::string readiness;                            ///< Address of the readiness check.
     std::string readiness_path = "/readyz";
     std::string peers;              ///< Address for the other hosts and for operators.
     std::uint16_t load_port = 0;    ///< UDP port, alike on all hosts, for telling each other their loads.
--- a/libraries/settings/routing_settings.h
+++ b/libraries/settings/routing_settings.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,8 @@
     int priority = 0;                                ///< 0 is the highest.
     int most_attempts = 1;                           ///< Upstreams that one request may be sent to.
     std::vector<weighted_service> services;
-    bool is_public = false; ///< Needs no key, whatever other routes need.
+    bool is_public = false;                    ///< Needs no key, whatever other routes need.
+    std::set<base::region_id> allowed_regions; ///< Requests and what is made of them stay there; empty: all.
 
     bool operator==(const route_settings_entry&) const = default;
 };
@@ -61,7 +63,9 @@
 /// Upstreams of one kind.
 struct service_entry {
     std::string name;
-    int most_connections = 100; ///< Of one upstream, from all hosts together.
+    int most_connections = 100;              ///< Of one upstream, from all hosts together.
+    std::chrono::milliseconds cold_start{0}; ///< How long an upstream is cold after its start.
+    double cold_requests = 0; ///< A second, that a cold one bears from all hosts together; 0: no bound.
     std::optional<engine_capacity> engine;
 
     bool operator==(const service_entry&) const = default;
@@ -95,6 +99,7 @@
     base::organisation_id id;
     int priority = 0; ///< 0 is the highest; goes before a route's.
     usage_limit limit;
+    std::set<base::region_id> allowed_regions; ///< As of a route; where both name some, both bind.
 
     bool operator==(const routed_organisation&) const = default;
 };
@@ -126,6 +131,7 @@
     bool is_leaving = false;
     std::uint64_t sequence = 0; ///< Rises with each heartbeat of one start; the next start counts anew.
     std::uint64_t born = 0;     ///< Unix time of the start in ms; 0 where the platform tells none.
+    std::chrono::milliseconds cold_remaining{0}; ///< That it stays cold, when it wrote this.
 
     bool operator==(const upstream_entry&) const = default;
 };
--- /dev/null
+++ b/tests/decision/test_warm_up.cpp
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// What cold upstreams get from all hosts together, though no host knows what the others send.
+#include <decision/instance_choice.h>
+#include <decision/warm_up.h>
+
+#include <base/hashing.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point start{1h};
+
+decision::instance make_cold(const std::string& id) {
+    decision::instance cold;
+    cold.entry.id.value = id;
+    cold.entry.service = "service";
+    decision::note_cold(cold, 3s, start);
+    return cold;
+}
+
+/// Most requests that reach one upstream within any second, and those that reach it in all, where each host
+/// sends as often as it may for three seconds.
+struct arrivals {
+    int most_a_second = 0;
+    int total = 0;
+};
+
+arrivals flood(const std::string& upstream, double per_second, int hosts, const std::vector<int>& counts,
+               std::mt19937_64& random) {
+    std::vector<decision::instance> views(static_cast<std::size_t>(hosts), make_cold(upstream));
+    std::vector<base::time_point> first(views.size());
+    for (auto& time : first)
+        time = start + std::chrono::milliseconds(random() % 200);
+    std::deque<base::time_point> window;
+    arrivals seen;
+    for (base::time_point now = start; now < start + 3s; now += 5ms)
+        for (std::size_t host = 0; host < views.size(); ++host) {
+            const decision::warm_up_limit limit = {.per_second = per_second,
+                                                   .hosts = counts[host],
+                                                   .host = base::hash64("host-" + std::to_string(host))};
+            while (now >= first[host] && decision::may_send_cold(views[host], limit, now)) {
+                decision::note_cold_send(views[host], limit, now);
+                ++seen.total;
+                window.push_back(now);
+                while (now - window.front() > 1s)
+                    window.pop_front();
+                seen.most_a_second = std::max(seen.most_a_second, static_cast<int>(window.size()));
+            }
+        }
+    return seen;
+}
+
+} // namespace
+
+TEST_CASE("all hosts together send a cold upstream no more than it bears, and not much less") {
+    // The bound: one and a half times the rate, and five.
+    std::mt19937_64 random(4);
+    for (const double per_second : {0.5, 2.0, 16.0, 100.0})
+        for (const int hosts : {1, 6, 15, 16, 17, 59, 400, 1'000}) {
+            INFO(per_second << " a second, " << hosts << " hosts");
+            const int upstreams = hosts > 100 ? 10 : 40;
+            int total = 0;
+            for (int upstream = 0; upstream < upstreams; ++upstream) {
+                const auto seen = flood("i-" + std::to_string(upstream), per_second, hosts,
+                                        std::vector<int>(static_cast<std::size_t>(hosts), hosts), random);
+                CHECK(seen.most_a_second <= 1.5 * per_second + 5);
+                total += seen.total;
+            }
+            if (per_second >= 2)
+                CHECK(total > 0.4 * 3 * per_second * upstreams);
+        }
+}
+
+TEST_CASE("hosts of which a third counts a tenth too few keep to what a cold upstream bears") {
+    std::mt19937_64 random(5);
+    constexpr int hosts = 59;
+    std::vector<int> counts(hosts, hosts);
+    for (int host = 0; host < hosts / 3; ++host)
+        counts[static_cast<std::size_t>(host)] = hosts * 9 / 10;
+    for (int upstream = 0; upstream < 100; ++upstream)
+        CHECK(flood("i-" + std::to_string(upstream), 16, hosts, counts, random).most_a_second <= 29);
+}
+
+TEST_CASE("a host that does not know how many others there are sends a cold upstream nothing") {
+    const auto cold = make_cold("i-1");
+    const decision::warm_up_limit limit = {
+        .per_second = 16, .hosts = std::numeric_limits<int>::max(), .host = 7};
+    CHECK_FALSE(decision::may_send_cold(cold, limit, start + 1s));
+    CHECK(decision::may_send_cold(cold, limit, start + 4s));
+}
+
+TEST_CASE("a service without a bound is sent what comes, and a choice passes by who may not be sent more") {
+    decision::instance_table table;
+    for (const auto* id : {"cold", "warm"}) {
+        settings::upstream_entry entry;
+        entry.id.value = id;
+        entry.service = "service";
+        entry.address = "127.0.0.1:1";
+        (void)decision::apply_change(table, {entry.id, entry, 1}, decision::registry_condition::sound);
+    }
+    decision::instance& cold = *decision::find_instance(table, {"cold"});
+    decision::note_cold(cold, 3s, start);
+    cold.latency.value = 0.001;
+    std::mt19937_64 random(1);
+    decision::choice_context context = {.service = "service", .own_zone = {}, .excluded = {}, .now = start};
+    context.limits.warm_up = {.per_second = 0, .hosts = 1, .host = 7};
+    CHECK(decision::choose_plain(table, context, random)->value == "cold");
+    context.limits.warm_up.per_second = 2;
+    CHECK(decision::choose_plain(table, context, random)->value == "cold");
+    decision::note_cold_send(cold, context.limits.warm_up, start);
+    CHECK(decision::choose_plain(table, context, random)->value == "warm");
+    context.now = start + 600ms;
+    CHECK(decision::choose_plain(table, context, random)->value == "cold");
+}
--- /dev/null
+++ b/tests/decision/test_zone_evacuations.cpp
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Seen: requests went on to the upstreams of a zone that the operator had evacuated, for as long as it was.
+// Cause: nothing read the operator's word on zones.
+#include <decision/instance_choice.h>
+#include <decision/stage_balance.h>
+#include <decision/zone_evacuations.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace postpaddle;
+using decision::zone_word;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::zone_id east{"east"};
+const base::zone_id west{"west"};
+const base::time_point now{1h};
+
+decision::evacuation_change take_changes(decision::zone_evacuations& known,
+                                         const std::vector<zone_word>& words, std::uint64_t end) {
+    return decision::take_zone_words(known, {.words = words, .end = end, .is_whole = false});
+}
+
+decision::instance_table make_table() {
+    decision::instance_table table;
+    std::uint64_t offset = 0;
+    for (const auto* zone : {"east", "west"})
+        for (const auto stage : {settings::engine_stage::prefill, settings::engine_stage::decode,
+                                 settings::engine_stage::none}) {
+            settings::upstream_entry entry;
+            entry.id.value = std::string(zone) + std::to_string(static_cast<int>(stage));
+            entry.service = stage == settings::engine_stage::none ? "plain" : "engines";
+            entry.address = "127.0.0.1:1";
+            entry.availability_zone.value = zone;
+            entry.stage = stage;
+            (void)decision::apply_change(table, {entry.id, entry, ++offset},
+                                         decision::registry_condition::sound);
+        }
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("a zone is evacuated, taken back and evacuated again, the latest record counts") {
+    decision::zone_evacuations known;
+    CHECK(take_changes(known, {{east, true, 4}}, 5).evacuated == std::vector{east});
+    CHECK(decision::evacuated_zones(known) == std::set{east});
+    CHECK_FALSE(take_changes(known, {{east, true, 4}}, 5).is_any());
+    CHECK(take_changes(known, {{east, false, 7}, {west, true, 8}}, 9).taken_back == std::vector{east});
+    // A late word of the first time changes nothing.
+    CHECK_FALSE(take_changes(known, {{east, true, 4}}, 5).is_any());
+    CHECK(take_changes(known, {{east, true, 11}}, 12).evacuated == std::vector{east});
+    CHECK(decision::evacuated_zones(known) == std::set{east, west});
+}
+
+TEST_CASE("a zone that a whole page does not name has been taken back") {
+    decision::zone_evacuations known;
+    (void)take_changes(known, {{east, true, 4}, {west, true, 10}}, 11);
+    // An older page can't know of either end.
+    CHECK_FALSE(decision::take_zone_words(known, {.words = {}, .end = 3, .is_whole = true}).is_any());
+    const auto change =
+        decision::take_zone_words(known, {.words = {{west, true, 10}}, .end = 20, .is_whole = true});
+    CHECK(change.taken_back == std::vector{east});
+    CHECK(decision::evacuated_zones(known) == std::set{west});
+}
+
+TEST_CASE("hosts that hear of zones from the store, late, or from each other only, end alike") {
+    std::mt19937_64 random(11);
+    std::bernoulli_distribution coin(0.5);
+    for (int round = 0; round < 300; ++round) {
+        std::vector<zone_word> log;
+        std::vector<decision::zone_evacuations> hosts(5); // The last two never reach the store.
+        for (std::uint64_t offset = 0; offset < 40; ++offset) {
+            const bool is_about_zone = coin(random);
+            const base::zone_id zone{"zone-" + std::to_string(random() % 4)};
+            if (is_about_zone)
+                log.push_back({zone, coin(random), offset});
+            for (std::size_t host = 0; host < 3; ++host) {
+                if (!coin(random))
+                    continue;
+                decision::zone_word_page page{.words = {}, .end = offset + 1, .is_whole = coin(random)};
+                std::map<base::zone_id, zone_word> newest;
+                for (const zone_word& word : log) {
+                    newest[word.zone] = word;
+                    if (!page.is_whole && word.offset >= hosts[host].end)
+                        page.words.push_back(word);
+                }
+                for (const auto& [name, word] : newest)
+                    if (page.is_whole && word.is_evacuated)
+                        page.words.push_back(word);
+                (void)decision::take_zone_words(hosts[host], page);
+            }
+            const std::size_t teller = random() % hosts.size();
+            (void)decision::take_zone_words(hosts[random() % hosts.size()],
+                                            decision::zone_words_of(hosts[teller]));
+        }
+        for (auto& host : hosts)
+            for (const auto& teller : hosts)
+                (void)decision::take_zone_words(host, decision::zone_words_of(teller));
+        const auto furthest = std::ranges::max_element(hosts, {}, &decision::zone_evacuations::end);
+        std::set<base::zone_id> expected;
+        for (const zone_word& word : log)
+            if (word.offset < furthest->end)
+                word.is_evacuated ? (void)expected.insert(word.zone) : (void)expected.erase(word.zone);
+        for (const auto& host : hosts)
+            REQUIRE(decision::evacuated_zones(host) == expected);
+    }
+}
+
+TEST_CASE("nothing new goes to an evacuated zone, and its engines count for no balance") {
+    auto table = make_table();
+    table.evacuated = {east};
+    std::mt19937_64 random(1);
+    const settings::engine_capacity capacity = {.places = 8, .kv_tokens = 10'000};
+    decision::choice_context context = {.service = "plain", .own_zone = east, .excluded = {}, .now = now};
+    CHECK(decision::choose_plain(table, context, random)->value == "west0");
+    context.service = "engines";
+    const auto plan = decision::choose_engines(table, context, capacity, {1'000, 100}, random);
+    REQUIRE(plan);
+    CHECK(plan->prefill->value == "west1");
+    CHECK(plan->decode.value == "west2");
+    CHECK(decision::choose_decode(table, context, capacity, {1'000, 100}, east, random)->decode.value ==
+          "west2");
+    CHECK(decision::count_places(table, context, capacity, {1'000, 100}).total <= 8);
+    decision::stage_facts facts;
+    decision::count_stages(facts, table, "engines", {}, now);
+    CHECK(facts.prefill_engines == 1);
+    CHECK(facts.decode_engines == 1);
+    table.evacuated = {east, west};
+    CHECK_FALSE(decision::choose_engines(table, context, capacity, {1'000, 100}, random));
+    context.service = "plain";
+    CHECK_FALSE(decision::choose_plain(table, context, random));
+}
+
+TEST_CASE("a request stays in the regions that it may be in") {
+    auto table = make_table();
+    std::mt19937_64 random(1);
+    decision::choice_context context = {.service = "plain", .own_zone = east, .excluded = {}, .now = now};
+    context.limits.allowed_zones = {west};
+    for (int draw = 0; draw < 50; ++draw)
+        CHECK(decision::choose_plain(table, context, random)->value == "west0");
+    context.limits.allowed_zones = std::set<base::zone_id>{};
+    CHECK_FALSE(decision::choose_plain(table, context, random));
+}
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -22,6 +22,7 @@
     entry.stage = settings::engine_stage::decode;
     entry.is_leaving = true;
     entry.sequence = 7;
+    entry.cold_remaining = 1'500ms;
     return {.host = {"host-1"},
             .stamp = {.incarnation = 5, .sent = 900s},
             .settings_version = 4,
@@ -29,7 +30,8 @@
             .registry = {.next = 21, .until = start - 1'200ms},
             .is_registry_in_trouble = true,
             .changes_since = 19,
-            .changes = {{{"engine-1"}, entry, 19}, {{"engine-2"}, std::nullopt, 20}}};
+            .changes = {{{"engine-1"}, entry, 19}, {{"engine-2"}, std::nullopt, 20}},
+            .zones = {.words = {{{"north"}, true, 6}, {{"south"}, false, 8}}, .end = 9, .is_whole = true}};
 }
 
 std::string make_loads() {
--- /dev/null
+++ b/tests/gateway/test_placement.cpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Where requests may be sent: not to an evacuated zone, and to cold upstreams no more than they bear.
+//
+// Seen: 809 requests reached upstreams of a zone that the operator had evacuated seconds before.
+// Cause: the operator's records were read for settings only.
+#include <support/gateway_cluster.h>
+#include <support/test_cluster.h>
+
+#include <catch2/catch.hpp>
+
+using namespace postpaddle;
+using test::routed_request;
+
+namespace {
+
+int status_at(const test::gateway_cluster& cluster, int host, const std::string& path) {
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(host), routed_request(path, "id-" + path));
+    return answer ? answer->status : 0;
+}
+
+void evacuate(test::gateway_cluster& cluster, const std::string& zone) {
+    (void)cluster.store({{"put_text", {{"topic", "keyed.op"}, {"key", "evacuate/" + zone}, {"text", "{}"}}}});
+}
+
+void take_back(test::gateway_cluster& cluster, const std::string& zone) {
+    (void)cluster.store({{"drop", {{"topic", "keyed.op"}, {"key", "evacuate/" + zone}}}});
+}
+
+bool has_evacuated(const test::gateway_cluster& cluster, int host, const std::string& zone) {
+    const auto state = cluster.state_of(host);
+    const auto& zones = state.at("evacuated_zones");
+    return std::find(zones.begin(), zones.end(), zone) != zones.end();
+}
+
+} // namespace
+
+TEST_CASE("an evacuated zone gets nothing new until it is taken back, at every host") {
+    test::gateway_cluster cluster(
+        {.name = "evacuated", .servers = {{.id = "one"}, {.id = "two", .zone = "west"}}, .hosts = 2});
+    for (int again = 0; again < 2; ++again) {
+        evacuate(cluster, "west");
+        evacuate(cluster, "nowhere");
+        for (const int host : {1, 2})
+            REQUIRE(test::eventually([&] { return has_evacuated(cluster, host, "west"); }));
+        const int before = cluster.arrivals("two");
+        for (int request = 0; request < 10; ++request)
+            CHECK(status_at(cluster, 1 + request % 2, "/again/") == 200);
+        CHECK(cluster.arrivals("two") == before);
+        evacuate(cluster, "east");
+        for (const int host : {1, 2}) {
+            REQUIRE(test::eventually([&] { return has_evacuated(cluster, host, "east"); }));
+            CHECK(status_at(cluster, host, "/again/") == 503);
+        }
+        take_back(cluster, "east");
+        take_back(cluster, "west");
+        for (const int host : {1, 2}) {
+            REQUIRE(test::eventually([&] { return !has_evacuated(cluster, host, "east"); }));
+            CHECK(status_at(cluster, host, "/again/") == 200);
+        }
+    }
+}
+
+TEST_CASE("a host that the store turns away and one that starts hear of an evacuation from another") {
+    test::gateway_cluster cluster({.name = "evacuated-away", .servers = {{.id = "one"}}, .hosts = 2});
+    (void)cluster.store({{"mode", "busy"}, {"turned_away", {cluster.host_ip(2), cluster.host_ip(3)}}});
+    evacuate(cluster, "east");
+    CHECK(test::eventually([&] { return has_evacuated(cluster, 2, "east"); }));
+    CHECK(status_at(cluster, 2, "/again/") == 503);
+    cluster.start_host(3);
+    REQUIRE(test::eventually([&] { return cluster.is_ready(3); }));
+    CHECK(test::eventually([&] { return has_evacuated(cluster, 3, "east"); }));
+    take_back(cluster, "east");
+    for (const int host : {2, 3})
+        CHECK(test::eventually([&] { return !has_evacuated(cluster, host, "east"); }));
+}
+
+TEST_CASE("a stream whose prompt was read in a zone that is evacuated then goes on elsewhere") {
+    test::gateway_cluster cluster(
+        {.name = "evacuated-stream",
+         .servers = {{.id = "p1", .service = "engines", .stage = "prefill"},
+                     {.id = "d1", .service = "engines", .stage = "decode"},
+                     {.id = "d2", .service = "engines", .stage = "decode", .zone = "west"}}});
+    (void)cluster.server("p1", {{"work_ms", 400}});
+    test::open_call call(cluster.callers_address(), routed_request("/stream/", "id-1"));
+    REQUIRE(test::eventually([&] { return cluster.server("p1").at("running") == 1; }));
+    evacuate(cluster, "east");
+    REQUIRE(test::eventually([&] { return has_evacuated(cluster, 1, "east"); }));
+    CHECK(call.read_all().find("token-5") != std::string::npos);
+    CHECK(cluster.arrivals("d1") == 0);
+    CHECK(cluster.arrivals("d2") == 1);
+}
+
+TEST_CASE("a cold upstream gets from two hosts no more than it bears, and all once it is warm") {
+    test::gateway_cluster cluster(
+        {.name = "cold", .servers = {{.id = "one"}}, .hosts = 2, .cold_requests = 4});
+    cluster.list_cold("one", 2, 1'500);
+    for (const int host : {1, 2})
+        REQUIRE(test::eventually(
+            [&] { return cluster.state_of(host).at("instances").at("one").at("is_cold") == true; }));
+    int refused = 0;
+    for (int request = 0; request < 20; ++request)
+        refused += status_at(cluster, 1 + request % 2, "/again/") == 503 ? 1 : 0;
+    CHECK(refused == 20 - cluster.arrivals("one"));
+    CHECK(cluster.arrivals("one") >= 1);
+    for (const int host : {1, 2})
+        CHECK(test::eventually([&] { return status_at(cluster, host, "/again/") == 200; }));
+}
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -78,9 +78,31 @@
     CHECK(engine->kv_tokens == 66'897);
     CHECK(engine->kept_prompt == std::chrono::milliseconds(500));
     CHECK(document->value->limits.header_bytes == 100);
+    CHECK(route.allowed_regions.empty());
+    CHECK(document->value->services.at("s").cold_requests == 0);
     CHECK(platform::read_configuration("{}").error().failure == ports::feed_failure::malformed);
 }
 
+TEST_CASE("regions and what cold upstreams bear are read, figures that make no sense bounded") {
+    const auto read = [](const std::string& cold) {
+        return platform::read_configuration(
+            R"({"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/p/","kind":"idempotent",)"
+            R"("service":"s","allowedRegions":["north","south"]}],"services":[{"name":"s",)" +
+            cold + R"(}],"tenants":[{"name":"one","apiKeys":[],"allowedRegions":["north"]}]})");
+    };
+    const auto document = read(R"("coldStartS":3.0,"coldPerS":16.0)");
+    REQUIRE(document);
+    const auto& value = *document->value;
+    CHECK(value.routes.front().allowed_regions == std::set<base::region_id>{{"north"}, {"south"}});
+    CHECK(value.organisations.at({"one"}).allowed_regions == std::set<base::region_id>{{"north"}});
+    CHECK(value.services.at("s").cold_start == std::chrono::seconds(3));
+    CHECK(value.services.at("s").cold_requests == 16);
+    const auto odd = read(R"("coldStartS":1e300,"coldPerS":-4)");
+    REQUIRE(odd);
+    CHECK(odd->value->services.at("s").cold_start == std::chrono::seconds(600));
+    CHECK(odd->value->services.at("s").cold_requests == 0);
+}
+
 TEST_CASE("what only the system may set is dropped from a caller's request and set by its own hand") {
     const auto protocol = platform::make_request_protocol();
     auto request = protocol.read_request({"POST",
@@ -133,6 +155,22 @@
         protocol.read_answer({200, {{"X-Response-Seal", "s"}, {"Content-Encoding", "gzip"}}}).is_genuine);
     const auto load = protocol.read_answer({200, {{"X-Server-Load", "3,0,8"}}}).load;
     CHECK(load == decision::instance_load{3, 0, 8});
+    const auto load_of = [&](const std::string& text) {
+        return protocol.read_answer({200, {{"X-Server-Load", text}}}).load;
+    };
+    CHECK(load_of("3,0,8,250") == decision::instance_load{3, 0, 8, 250});
+    CHECK(load_of("3,0,8,0") == decision::instance_load{3, 0, 8, 1});
+    for (const std::string& text : {std::string("3,0"), std::string("3,0,8,100,1"), std::string("3,-1,8"),
+                                    std::string("3,0,many"), "3,0," + std::string(1'000, '8')})
+        CHECK_FALSE(load_of(text));
+    const auto cold_for = [&](const std::string& text) {
+        return protocol.read_answer({200, {{"X-Cold-Ms", text}}}).cold_remaining;
+    };
+    CHECK(cold_for("1500") == std::chrono::milliseconds(1'500));
+    CHECK(cold_for("999999999999") == std::chrono::milliseconds(600'000));
+    for (const std::string& text :
+         {std::string(), std::string("-5"), std::string("soon"), std::string(1'000, '9')})
+        CHECK_FALSE(cold_for(text));
 }
 
 TEST_CASE("an entry with a field that is missing, of another type or of a value not known is none") {
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -59,7 +59,7 @@
             {"gapTargetMs", 500}};
 }
 
-json make_configuration(int version, bool has_extra_route) {
+json make_configuration(int version, bool has_extra_route, double cold_requests = 0) {
     json routes = {make_route("/once/", "non_idempotent", "plain", 2, false),
                    make_route("/again/", "idempotent", "plain", 2, false),
                    make_route("/stream/", "streaming", "engines", 1, false),
@@ -71,7 +71,7 @@
     return {{"version", version},
             {"routes", routes},
             {"services",
-             {{{"name", "plain"}, {"maxConnections", 50}},
+             {{{"name", "plain"}, {"maxConnections", 50}, {"coldPerS", cold_requests}},
               {{"name", "engines"}, {"maxConnections", 50}, {"engine", engine}}}},
             {"limits",
              {{"maxHeaderBytes", 4'096},
@@ -203,10 +203,11 @@
 }
 
 void gateway_cluster::publish(int version, bool has_extra_route) {
-    (void)this->store({{"put",
-                        {{"topic", "keyed.op"},
-                         {"key", "config"},
-                         {"value", make_configuration(version, has_extra_route)}}}});
+    (void)this->store(
+        {{"put",
+          {{"topic", "keyed.op"},
+           {"key", "config"},
+           {"value", make_configuration(version, has_extra_route, this->options.cold_requests)}}}});
 }
 
 std::size_t gateway_cluster::publish_grown(int version, int more_routes) {
@@ -229,6 +230,7 @@
 void gateway_cluster::list(const std::string& id, const std::string& state, int sequence,
                            std::uint64_t born) {
     json value = make_entry(this->plans.at(id).service, this->server_addresses.at(id));
+    value["zone"] = this->plans.at(id).zone;
     value["state"] = state;
     value["sequence"] = sequence;
     if (born > 0)
@@ -238,6 +240,13 @@
     this->put_server(id, value);
 }
 
+void gateway_cluster::list_cold(const std::string& id, int sequence, int cold_ms) {
+    json value = make_entry(this->plans.at(id).service, this->server_addresses.at(id));
+    value["sequence"] = sequence;
+    value["coldRemainingMs"] = cold_ms;
+    this->put_server(id, value);
+}
+
 void gateway_cluster::list_text(const std::string& id, const std::string& text) {
     (void)this->store({{"put_text", {{"topic", "keyed.servers"}, {"key", id}, {"text", text}}}});
 }
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -16,6 +16,7 @@
     std::string id;
     std::string service = "plain";
     std::string stage{}; ///< Empty, `prefill` or `decode`.
+    std::string zone = "east";
 };
 
 /// What a cluster of gateway hosts is made of.
@@ -27,6 +28,7 @@
     double retry_slack = 1'000'000; ///< So much that a host that has just started can send again.
     bool has_datagrams = true;      ///< Whether hosts tell each other anything by datagrams.
     int heartbeat_ms = 200;         ///< Between two heartbeats of a host.
+    double cold_requests = 0;       ///< A second, that a cold server bears; 0 for no bound.
     int store_bytes_per_s = 0;      ///< What the link from the store to each host carries; 0 for no limit.
 };
 
@@ -66,6 +68,8 @@
     void list_at(const std::string& id, const std::string& service, const std::string& running_id);
     /// Writes a server's entry into the registry.
     void list(const std::string& id, const std::string& state, int sequence, std::uint64_t born = 0);
+    /// Writes a server's entry that says that it stays cold for so long.
+    void list_cold(const std::string& id, int sequence, int cold_ms);
     /// Writes into the registry what need not be an entry at all.
     void list_text(const std::string& id, const std::string& text);
     /// Sets faults of the store, and reads its counters.
