decision: Take the pace that plain upstreams tell into account

Cause: answers of upstreams that share their machines tell four figures; a load of any other number than three was dropped whole, so that nothing was known of how full these upstreams were. Change: the fourth is the pace of the moment; it scales the time expected of an upstream, fading as the load does, and answers are learned at the usual pace.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -86,7 +86,8 @@
     const double rounds = std::max(1.0, (load + 1) / places);
     // A place that is nearly the last is avoided before it is taken.
     static constexpr double crowding_cost = 0.03;
-    return standing_cost(candidate, context, random) + candidate.latency.value * rounds + crowding_cost * load / places;
+    const double expected = candidate.latency.value * pace_now(candidate, context.now);
+    return standing_cost(candidate, context, random) + expected * rounds + crowding_cost * load / places;
 }
 
 double seen_wait(const instance& candidate, base::time_point now) {
@@ -341,8 +342,8 @@
     target.seen_wait_at = now;
 }
 
-void note_answer_time(instance& target, base::duration taken) {
-    learn(target.latency, base::to_seconds(taken));
+void note_answer_time(instance& target, base::duration taken, base::time_point now) {
+    learn(target.latency, base::to_seconds(taken) / pace_now(target, now));
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -111,7 +111,7 @@
 /// Learns from a prompt that was read.
 void note_read(instance& target, engine_pace& pace, const prompt_read& read, base::time_point now);
 
-/// Learns from a plain answer.
-void note_answer_time(instance& target, base::duration taken);
+/// Learns from a plain answer what it takes at the upstream's usual pace.
+void note_answer_time(instance& target, base::duration taken, base::time_point now);
 
 } // namespace postpaddle::decision
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -79,6 +79,13 @@
 /// How long a refusal tells of memory that is taken.
 constexpr base::duration refusal_lifetime = 1'000ms;
 
+/// From 1, for what an answer has just told, to 0.
+double load_freshness(const instance& target, base::time_point now) {
+    if (target.load_at == base::time_point{} || now - target.load_at >= load_lifetime)
+        return 0;
+    return 1 - base::to_seconds(now - target.load_at) / base::to_seconds(load_lifetime);
+}
+
 } // namespace
 
 instance_use& operator+=(instance_use& left, const instance_use& right) {
@@ -212,10 +219,13 @@
 }
 
 double others_requests(const instance& target, base::time_point now) {
-    if (target.load_at == base::time_point{} || now - target.load_at >= load_lifetime)
-        return 0;
-    const double freshness = 1 - base::to_seconds(now - target.load_at) / base::to_seconds(load_lifetime);
-    return std::max(0, target.load.running + target.load.waiting - target.own_at_load) * freshness;
+    const int others = target.load.running + target.load.waiting - target.own_at_load;
+    return std::max(0, others) * load_freshness(target, now);
+}
+
+double pace_now(const instance& target, base::time_point now) {
+    static constexpr double usual_percent = 100;
+    return 1 + (target.load.pace_percent / usual_percent - 1) * load_freshness(target, now);
 }
 
 bool is_load_known(const instance& target, base::time_point now) {
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -83,9 +83,10 @@
             return request_ending::caller_gone;
         last = exchange.result;
         if (last == send_result::answered) {
+            const base::time_point now = request.state->clock->now();
             decision::instance* const target = decision::find_instance(request.state->instances, *chosen);
             if (target != nullptr)
-                decision::note_answer_time(*target, request.state->clock->now() - exchange.sent);
+                decision::note_answer_time(*target, now - exchange.sent, now);
             if (is_success(exchange.head.status))
                 did_end_well(request);
             return pass_answer(request, exchange.head, std::move(body), yield);
