gateway: A change of the registry costs what it changes, and followers wake seldom

Cause: 10,000 upstreams come into the registry at 320 a second while a thousand hosts start; each word of it made a host look over all engines for those of other cells, for those that left and for those lost in trouble, and had the names in load reports made anew for all with the next report; each second did so once more. Followers looked for their duty twenty times a second for each topic, and as often for limits where nobody has one. Change: what a change touches is entered by itself; whole looks follow a change of the cells, a lost report, or word that something was lost in trouble. Looks are a twentieth of the bound apart; for limits once a second where there are none.

--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace postpaddle::decision {
 
@@ -66,10 +67,11 @@
     return known.state != before ? change_effect::relisted : change_effect::none;
 }
 
-change_effect take_away(instance& known, registry_condition condition) {
+change_effect take_away(instance_table& table, instance& known, registry_condition condition) {
     if (known.state != listing::listed)
         return change_effect::none;
     known.state = condition == registry_condition::sound ? listing::vanished : listing::unlisted;
+    table.has_unlisted |= known.state == listing::unlisted;
     return change_effect::relisted;
 }
 
@@ -117,7 +119,7 @@
     if (change.entry)
         return apply_entry(known, change);
     known.offset = change.offset;
-    return take_away(known, condition);
+    return take_away(table, known, condition);
 }
 
 std::vector<base::upstream_id> apply_snapshot(instance_table& table, const registry_snapshot& snapshot,
@@ -131,13 +133,15 @@
     }
     for (auto& [id, known] : table.by_id)
         if (!named.contains(id) && known.offset < snapshot.end &&
-            take_away(known, condition) != change_effect::none)
+            take_away(table, known, condition) != change_effect::none)
             changed.push_back(id);
     return changed;
 }
 
 std::vector<base::upstream_id> settle_unlisted(instance_table& table) {
     std::vector<base::upstream_id> settled;
+    if (!std::exchange(table.has_unlisted, false))
+        return settled;
     for (auto& [id, known] : table.by_id) {
         if (known.state != listing::unlisted)
             continue;
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -107,6 +107,8 @@
 struct instance_table {
     std::map<base::upstream_id, instance> by_id;
     std::set<base::zone_id> evacuated{}; ///< Availability zones whose upstreams get nothing new.
+    bool has_unlisted =
+        false; ///< Some may be: without, none is looked for at each word that the registry is sound.
 };
 
 /// What a change did to the table.
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -155,23 +155,31 @@
 
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from) {
+    // NOTE: What a change costs must not grow with the number of upstreams: they come one after the other.
     const auto condition = condition_of(state);
+    const host::cell own = own_cell(state);
     bool has_restarted = false;
+    bool has_gone = false;
     for (const decision::registry_change& change : changes) {
         const auto effect = decision::apply_change(state.instances, change, condition);
         note_told_cold(state, change);
+        decision::instance* const known = decision::find_instance(state.instances, change.id);
+        if (known != nullptr)
+            known->is_far = host::is_far_engine(*known, state.cells, own);
         if (effect == decision::change_effect::none)
             continue;
         ++state.registry_revision;
         tell_listing(state, change.id, change.offset, heard_from);
+        host::enter_instance(state.instances, state.loads, change.id);
         has_restarted |= effect == decision::change_effect::restarted;
+        has_gone |= known != nullptr && known->state != decision::listing::listed;
         state.held_parts.erase(change.id);
     }
     // What the other hosts tell of an earlier start counts for the later one no more.
     if (has_restarted)
         host::enter_all_sums(state.instances, state.loads);
-    decision::forget_gone(state.instances);
-    host::mark_far_engines(state.instances, state.cells, own_cell(state));
+    if (has_gone)
+        decision::forget_gone(state.instances);
 }
 
 host::cell own_cell(const gateway_state& state) {
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -120,6 +120,7 @@
 
 void load_exchange::plan_cells() {
     const settings::gateway_settings& process = *this->state->process;
+    const host::cell_plan before = this->state->cells;
     this->state->cells = host::plan_cells(this->state->peers, process.availability_zone, this->state->cells,
                                           this->state->clock->now());
     this->state->hosts_shared = hosts_alive(*this->state);
@@ -128,7 +129,10 @@
             host::place_in(host::hosts_in(this->state->cells, this->state->peers, process.name,
                                           process.availability_zone, this->state->clock->now()),
                            process.name);
+    if (this->state->cells == before)
+        return;
     host::mark_far_engines(this->state->instances, this->state->cells, own_cell(*this->state));
+    host::enter_all_sums(this->state->instances, this->state->loads);
 }
 
 bool load_exchange::try_ask_further() {
@@ -163,7 +167,7 @@
 }
 
 void load_exchange::tell_use_regularly() {
-    this->use_timer.expires_after(use_look);
+    this->use_timer.expires_after(this->limits.has_limits() ? use_look : refresh_interval);
     this->use_timer.async_wait([this](const wire::error_code& error) {
         if (error)
             return;
@@ -182,9 +186,10 @@
         const bool is_any_dropped = host::drop_silent(this->state->loads, this->state->clock->now());
         this->plan_cells();
         this->limits.forget_old();
-        host::enter_all_sums(this->state->instances, this->state->loads);
-        if (is_any_dropped)
+        if (is_any_dropped) {
+            host::enter_all_sums(this->state->instances, this->state->loads);
             this->state->did_change_places();
+        }
         if (this->has_told_work || this->limits.has_limits())
             this->did_change();
         this->refresh();
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -7,8 +7,10 @@
 
 using namespace std::chrono_literals;
 
-/// A host that follows readers looks after this time whether it must read for itself.
-constexpr base::duration follow_look = 50ms;
+/// A host that follows readers looks after this part of the bound whether it must read for itself: a tenth of
+/// what is left of the bound then. A thousand hosts that looked twenty times a second were the most wake-ups
+/// of a calm system.
+constexpr double follow_look_part = 0.05;
 
 } // namespace
 
@@ -97,7 +99,7 @@
         return;
     }
     read.reader.is_stale = true;
-    this->pause(follow_look, yield);
+    this->pause(base::from_seconds(base::to_seconds(bound) * follow_look_part), yield);
 }
 
 void store_watch::keep_reading(topic& read, read_function function, wire::yield_context yield) {
--- a/libraries/host/cell.cpp
+++ b/libraries/host/cell.cpp
@@ -76,8 +76,13 @@
 
 void mark_far_engines(decision::instance_table& table, const cell_plan& plan, const cell& own) {
     for (auto& [id, known] : table.by_id)
-        known.is_far = known.entry.stage != settings::engine_stage::none &&
-                       cell_of_engine(plan, id, known.entry.availability_zone) != own;
+        known.is_far = is_far_engine(known, plan, own);
+}
+
+bool is_far_engine(const decision::instance& candidate, const cell_plan& plan, const cell& own) {
+    const settings::upstream_entry& entry = candidate.entry;
+    return entry.stage != settings::engine_stage::none &&
+           cell_of_engine(plan, entry.id, entry.availability_zone) != own;
 }
 
 std::vector<base::host_id> hosts_in(const cell_plan& plan, const peer_directory& directory,
--- a/libraries/host/cell.h
+++ b/libraries/host/cell.h
@@ -51,6 +51,9 @@
 [[nodiscard]] cell cell_of_engine(const cell_plan& plan, const base::upstream_id& engine,
                                   const base::zone_id& zone);
 
+/// Whether an instance is an engine of another cell than `own`.
+[[nodiscard]] bool is_far_engine(const decision::instance& candidate, const cell_plan& plan, const cell& own);
+
 /// Marks the engines of other cells: this host does not hear all that is at work there. To be done as soon as
 /// an engine is known: one that seems near and empty to the hosts of all cells is overrun within a second.
 void mark_far_engines(decision::instance_table& table, const cell_plan& plan, const cell& own);
--- a/libraries/host/load_share.cpp
+++ b/libraries/host/load_share.cpp
@@ -130,6 +130,15 @@
     }
 }
 
+void enter_instance(decision::instance_table& table, load_share& share, const base::upstream_id& id) {
+    decision::instance* const known = decision::find_instance(table, id);
+    if (known == nullptr)
+        return;
+    const instance_key key = key_of(id, known->entry.born);
+    share.id_of[key] = id;
+    enter_sum(*known, share, key);
+}
+
 void enter_all_sums(decision::instance_table& table, load_share& share) {
     share.id_of.clear();
     for (auto& [id, known] : table.by_id) {
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -77,6 +77,9 @@
 /// each report took a hundred times as long (`meta/bench reports`).
 void enter_sums(decision::instance_table& table, load_share& share, std::span<const instance_key> keys);
 
+/// Enters the sums of an instance that has just come, or whose listing has changed.
+void enter_instance(decision::instance_table& table, load_share& share, const base::upstream_id& id);
+
 /// Enters the sums of all instances: after instances have come or gone, or reports were dropped.
 void enter_all_sums(decision::instance_table& table, load_share& share);
 
--- a/tests/host/test_load_share.cpp
+++ b/tests/host/test_load_share.cpp
@@ -255,3 +255,34 @@
         }
     }
 }
+
+TEST_CASE("instances that come one by one are entered as if all were entered anew") {
+    std::mt19937_64 random(9);
+    host::load_share share;
+    host::load_share whole;
+    decision::instance_table table;
+    decision::instance_table whole_table;
+    for (std::uint64_t step = 0; step < 400; ++step) {
+        settings::upstream_entry entry;
+        entry.id.value = "engine-" + std::to_string(random() % 100);
+        entry.stage = settings::engine_stage::decode;
+        const decision::registry_change change = {entry.id, entry, step};
+        for (auto* each : {&table, &whole_table})
+            (void)decision::apply_change(*each, change, decision::registry_condition::sound);
+        host::enter_instance(table, share, entry.id);
+        host::enter_all_sums(whole_table, whole);
+        host::load_report report;
+        report.host = {"host-" + std::to_string(random() % 5)};
+        report.sequence = step;
+        report.uses[host::key_of(base::upstream_id{"engine-" + std::to_string(random() % 100)})] = {1, 10, 5};
+        const base::time_point now = base::time_point{1h} + step * 10ms;
+        for (auto* each : {&share, &whole}) {
+            const auto changed = host::take_report(*each, report, now);
+            REQUIRE(changed);
+            host::enter_sums(each == &share ? table : whole_table, *each, changed->keys);
+        }
+        REQUIRE(share.id_of == whole.id_of);
+        for (const auto& [id, known] : table.by_id)
+            REQUIRE(known.others == whole_table.by_id.at(id).others);
+    }
+}
