libraries: Name zones' records and the look at placement as the field does; one copy of three twins

Cause: read as a newcomer would, 'words' and 'bars' told nothing; whether a status is a success, how many hosts are few and how long a dead port is looked at stood twice. Change: zone_record, apply_zone_records, placement_verdict, judge_placement; wire::is_success, host::few_hosts, wire::port_look_limit. No behaviour.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -50,7 +50,7 @@
     for (const auto& [id, candidate] : table.by_id) {
         if (candidate.entry.service != context.service || !fits(candidate))
             continue;
-        if (bar_of(table, context.limits, candidate, context.now) != placement_bar::none)
+        if (judge_placement(table, context.limits, candidate, context.now) != placement_verdict::allowed)
             continue;
         if (candidate.state == listing::listed)
             (is_load_known(candidate, context.now) ? known : listed).push_back(&candidate);
--- a/libraries/decision/zone_evacuations.cpp
+++ b/libraries/decision/zone_evacuations.cpp
@@ -7,48 +7,48 @@
 
 namespace {
 
-void take_word(zone_evacuations& known, const zone_word& word, evacuation_change& change) {
-    const auto [found, is_new] = known.by_zone.try_emplace(word.zone, zone_word{.zone = word.zone});
-    zone_word& before = found->second;
-    if (!is_new && word.offset <= before.offset)
+void apply_record(zone_evacuations& known, const zone_record& record, evacuation_change& change) {
+    const auto [found, is_new] = known.by_zone.try_emplace(record.zone, zone_record{.zone = record.zone});
+    zone_record& before = found->second;
+    if (!is_new && record.offset <= before.offset)
         return;
-    if (word.is_evacuated != before.is_evacuated)
-        (word.is_evacuated ? change.evacuated : change.taken_back).push_back(word.zone);
-    before = word;
+    if (record.is_evacuated != before.is_evacuated)
+        (record.is_evacuated ? change.evacuated : change.taken_back).push_back(record.zone);
+    before = record;
 }
 
 } // namespace
 
-evacuation_change take_zone_words(zone_evacuations& known, const zone_word_page& page) {
+evacuation_change apply_zone_records(zone_evacuations& known, const zone_record_page& page) {
     evacuation_change change;
     // NOTE: A zone that the teller knows as taken back long ago may have been evacuated and taken back again
     // before the page's end: only one that stands there as evacuated is.
     std::set<base::zone_id> evacuated;
-    for (const zone_word& word : page.words) {
-        if (word.is_evacuated)
-            evacuated.insert(word.zone);
-        if (word.offset >= known.end)
-            take_word(known, word, change);
+    for (const zone_record& record : page.records) {
+        if (record.is_evacuated)
+            evacuated.insert(record.zone);
+        if (record.offset >= known.end)
+            apply_record(known, record, change);
     }
     if (page.is_whole && page.end > known.end)
-        for (auto& [zone, word] : known.by_zone)
-            if (word.is_evacuated && word.offset < page.end && !evacuated.contains(zone))
-                take_word(known, {.zone = zone, .is_evacuated = false, .offset = page.end - 1}, change);
+        for (auto& [zone, record] : known.by_zone)
+            if (record.is_evacuated && record.offset < page.end && !evacuated.contains(zone))
+                apply_record(known, {.zone = zone, .is_evacuated = false, .offset = page.end - 1}, change);
     known.end = std::max(known.end, page.end);
     return change;
 }
 
-zone_word_page zone_words_of(const zone_evacuations& known) {
-    zone_word_page page{.words = {}, .end = known.end, .is_whole = true};
-    for (const auto& [zone, word] : known.by_zone)
-        page.words.push_back(word);
+zone_record_page zone_records_of(const zone_evacuations& known) {
+    zone_record_page page{.records = {}, .end = known.end, .is_whole = true};
+    for (const auto& [zone, record] : known.by_zone)
+        page.records.push_back(record);
     return page;
 }
 
 std::set<base::zone_id> evacuated_zones(const zone_evacuations& known) {
     std::set<base::zone_id> zones;
-    for (const auto& [zone, word] : known.by_zone)
-        if (word.is_evacuated)
+    for (const auto& [zone, record] : known.by_zone)
+        if (record.is_evacuated)
             zones.insert(zone);
     return zones;
 }
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -132,8 +132,9 @@
 
 } // namespace
 
-bool take_zone_words(gateway_state& state, const decision::zone_word_page& page, const char* heard_from) {
-    const decision::evacuation_change change = decision::take_zone_words(state.evacuations, page);
+bool apply_zone_records(gateway_state& state, const decision::zone_record_page& page,
+                        const char* heard_from) {
+    const decision::evacuation_change change = decision::apply_zone_records(state.evacuations, page);
     if (!change.is_any())
         return false;
     state.instances.evacuated = decision::evacuated_zones(state.evacuations);
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -149,8 +149,8 @@
 /// Puts a newer version in force; says whether it was newer.
 bool put_in_force(gateway_state& state, ports::settings_document document, const char* heard_from);
 
-/// Puts the operator's words on availability zones in force; says whether any was new.
-bool take_zone_words(gateway_state& state, const decision::zone_word_page& page, const char* heard_from);
+/// Puts the operator's records on availability zones in force; says whether any was new.
+bool apply_zone_records(gateway_state& state, const decision::zone_record_page& page, const char* heard_from);
 
 /// What cold upstreams of the service bear, and this host's part of it.
 [[nodiscard]] decision::warm_up_limit warm_up_limit_of(const gateway_state& state,
--- a/libraries/gateway/kept_prompt_search.cpp
+++ b/libraries/gateway/kept_prompt_search.cpp
@@ -43,7 +43,8 @@
         if (engine.entry.service == request.service && engine.state == decision::listing::listed &&
             engine.entry.stage != settings::engine_stage::none && !engine.is_far &&
             !decision::is_avoided(engine, now) &&
-            decision::bar_of(request.state->instances, limits, engine, now) == decision::placement_bar::none)
+            decision::judge_placement(request.state->instances, limits, engine, now) ==
+                decision::placement_verdict::allowed)
             engines.push_back(&engine);
     const std::uint64_t seed = base::hash64(request.routed.prompt_key);
     std::ranges::sort(engines, std::ranges::greater{}, [seed](const decision::instance* engine) {
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -14,25 +14,25 @@
 std::string zone_of(const json& value) { return value.value("availability_zone", std::string()); }
 
 /// The end, then a row for each zone that was ever evacuated: name, state, offset. Mostly there is none.
-json encode_zones(const decision::zone_word_page& zones) {
+json encode_zones(const decision::zone_record_page& zones) {
     json value = {zones.end};
-    for (const decision::zone_word& word : zones.words)
+    for (const decision::zone_record& word : zones.records)
         value.push_back({word.zone.value, word.is_evacuated, word.offset});
     return value;
 }
 
 /// Hosts of an earlier version tell none. A host that names more zones than any system has is not believed.
-decision::zone_word_page decode_zones(const json& message) {
+decision::zone_record_page decode_zones(const json& message) {
     static constexpr std::size_t most_rows = 1'024;
-    decision::zone_word_page zones{.words = {}, .end = 0, .is_whole = true};
+    decision::zone_record_page zones{.records = {}, .end = 0, .is_whole = true};
     if (!message.contains("zones") || message["zones"].size() > most_rows)
         return zones;
     const json& value = message["zones"];
     zones.end = value.at(0).get<std::uint64_t>();
     for (std::size_t row = 1; row < value.size(); ++row)
-        zones.words.push_back({{value[row].at(0).get<std::string>()},
-                               value[row].at(1).get<bool>(),
-                               value[row].at(2).get<std::uint64_t>()});
+        zones.records.push_back({{value[row].at(0).get<std::string>()},
+                                 value[row].at(1).get<bool>(),
+                                 value[row].at(2).get<std::uint64_t>()});
     return zones;
 }
 
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -169,7 +169,7 @@
                                .is_leaving = this->state->is_draining,
                                .others = host::latest_heard(this->state->peers, named_hosts, now),
                                .suspects = host::reports_to_repeat(this->state->quarantine, told_suspects),
-                               .zones = decision::zone_words_of(this->state->evacuations)};
+                               .zones = decision::zone_records_of(this->state->evacuations)};
     return encode_heartbeat(message, now).dump();
 }
 
@@ -189,7 +189,7 @@
     for (const auto& [name, other] : message->others)
         if (name != this->state->process->name)
             host::note_hearsay(this->state->peers, name, other);
-    if (take_zone_words(*this->state, message->zones, "peer"))
+    if (apply_zone_records(*this->state, message->zones, "peer"))
         this->spread_settings();
     const bool is_newer = message->settings_version > settings_version(*this->state);
     const bool is_fetching = this->state->settings_handed_since.has_value();
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -15,11 +15,6 @@
 using decision::send_result;
 using namespace std::chrono_literals;
 
-constexpr int first_success = 200;
-constexpr int first_redirection = 300;
-
-bool is_success(int status) { return status >= first_success && status < first_redirection; }
-
 /// An answer of failure that is passed on when no other upstream does better.
 struct failure_answer {
     wire::response_head head;
@@ -87,7 +82,7 @@
             decision::instance* const target = decision::find_instance(request.state->instances, *chosen);
             if (target != nullptr)
                 decision::note_answer_time(*target, now - exchange.sent, now);
-            if (is_success(exchange.head.status))
+            if (wire::is_success(exchange.head.status))
                 did_end_well(request);
             return pass_answer(request, exchange.head, std::move(body), yield);
         }
--- a/libraries/gateway/quarantine_exchange.cpp
+++ b/libraries/gateway/quarantine_exchange.cpp
@@ -14,10 +14,9 @@
 /// Pause between two looks at what is too old, or is to be left in the store. A host knows after two seconds
 /// that it hears nobody; what it saw meanwhile must be with the others a second later.
 constexpr base::duration look_interval = 250ms;
-/// Among so few hosts, news that was heard is passed on to all: one that can't hear the teller hears of it
-/// from the others at once.
-constexpr std::size_t few_hosts = 16;
-/// Among more, to so many drawn at random: the teller tells all as well, and heartbeats follow.
+/// Among few hosts, news that was heard is passed on to all: one that can't hear the teller hears of it from
+/// the others at once. Among more, to so many drawn at random: the teller tells all as well, and heartbeats
+/// follow.
 constexpr std::size_t passed_on_count = 3;
 /// Hosts that leave the same note a second, about, where the one that saw the last end may not have.
 constexpr double notes_a_second = 2;
@@ -76,7 +75,7 @@
         const base::time_point now = this->state->clock->now();
         std::vector<std::string> addresses = host::addresses_of_all(this->state->peers, now);
         std::ranges::shuffle(addresses, this->state->random);
-        if (addresses.size() > few_hosts)
+        if (addresses.size() > host::few_hosts)
             addresses.resize(passed_on_count);
         this->tell({*news}, addresses);
     }
--- a/libraries/gateway/request_quarantine.cpp
+++ b/libraries/gateway/request_quarantine.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
-/// A process that has ended has its port turned away by the system at once. An answer that takes longer tells
-/// of the link, not of the process.
-constexpr auto look_limit = 120ms;
-
 /// The caller: its organisation, or its key where organisations are not told apart.
 const std::string& caller_of(const gateway_request& request) {
     return request.organisation != nullptr ? request.organisation->id.value : request.routed.key_hash;
@@ -56,7 +50,7 @@
     if (!may_have_ended || request.cancellation->is_caller_gone)
         return;
     gateway_state& state = *request.state;
-    if (wire::look_at_port(*state.pool, exchange.address, look_limit, yield) !=
+    if (wire::look_at_port(*state.pool, exchange.address, wire::port_look_limit, yield) !=
         wire::port_state::not_listening)
         return;
     state.figures->count("upstreams_ended_total");
--- a/libraries/gateway/store_notices.cpp
+++ b/libraries/gateway/store_notices.cpp
@@ -75,7 +75,7 @@
         .is_registry_in_trouble = is_registry_in_trouble(*this->state),
         .changes_since = told.since,
         .changes = told.changes,
-        .zones = decision::zone_words_of(this->state->evacuations)};
+        .zones = decision::zone_records_of(this->state->evacuations)};
     const host::cell_plan& plan = this->state->cells;
     this->datagrams->send(datagram_kind::store_notice, encode_notice(notice, now),
                           host::addresses_in(plan, this->state->peers, {own_cell(*this->state)}, now));
@@ -124,7 +124,7 @@
 }
 
 void store_notices::take_settings(const store_notice& notice) {
-    (void)take_zone_words(*this->state, notice.zones, "reader");
+    (void)apply_zone_records(*this->state, notice.zones, "reader");
     this->told_version = std::max(this->told_version, notice.settings_version);
     topic_progress& own = *this->settings;
     if (notice.settings_version > settings_version(*this->state)) {
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -125,7 +125,7 @@
     own.has_offset = true;
     for (const ports::unreadable_settings& record : page->unreadable)
         this->tell_unreadable_settings(record);
-    bool is_any_new = take_zone_words(*this->state, page->zones, "store");
+    bool is_any_new = apply_zone_records(*this->state, page->zones, "store");
     if (page->newest)
         is_any_new |= put_in_force(*this->state, std::move(*page->newest), "store");
     if (is_any_new)
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -161,10 +161,10 @@
         return exchange;
     // Looked at again: since the choice another engine may have read the prompt, or the request has waited.
     const decision::placement_limits limits = placement_limits_of(request);
-    const auto bar = decision::bar_of(state.instances, limits, *target, exchange.sent);
-    if (bar != decision::placement_bar::none) {
+    const auto verdict = decision::judge_placement(state.instances, limits, *target, exchange.sent);
+    if (verdict != decision::placement_verdict::allowed) {
         exchange.is_withheld = true;
-        exchange.detail = decision::to_text(bar);
+        exchange.detail = decision::to_text(verdict);
         return exchange;
     }
     decision::note_cold_send(*target, limits.warm_up, exchange.sent);
--- a/libraries/host/peer_directory.cpp
+++ b/libraries/host/peer_directory.cpp
@@ -21,9 +21,6 @@
 constexpr base::duration cut_off_silence = 2s;
 /// Among few hosts, each is heard of at least so often: two or three heartbeats carry its word to all.
 constexpr base::duration longest_silence = 3'500ms;
-/// In larger systems some host is always gone, and one that is cut off together with others is rare:
-/// heartbeats go to hosts drawn at random, so a cut that halves the system would have to halve it exactly.
-constexpr std::size_t few_hosts = 16;
 /// One draw in this many goes to a host that has been silent, or to a seed.
 constexpr int silent_draw = 8;
 
--- a/libraries/host/peer_directory.h
+++ b/libraries/host/peer_directory.h
@@ -29,6 +29,11 @@
     base::time_point last_word{};   ///< When this host last heard another one itself.
 };
 
+/// So many others are few: each can be told everything, and each is missed when it falls silent. In larger
+/// systems some host is always gone, and one that is cut off together with others is rare: heartbeats go to
+/// hosts drawn at random, so a cut that halves the system would have to halve it exactly.
+inline constexpr std::size_t few_hosts = 16;
+
 /// Takes a host's own word: it is alive, at that address and in that zone.
 void note_word(peer_directory& directory, const base::host_id& name, const std::string& address,
                const base::zone_id& zone, base::time_point now);
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -57,7 +57,7 @@
     std::optional<settings_document> newest;     ///< None: nothing about settings among the records.
     std::vector<unreadable_settings> unreadable; ///< Passed over: what is in force stays.
     std::uint64_t next = 0;                      ///< Offset to read from next.
-    decision::zone_word_page zones{};            ///< What the operator says of availability zones.
+    decision::zone_record_page zones{};          ///< What the operator says of availability zones.
 };
 
 /// Part of the registry's feed.
--- a/libraries/service/plain_relay.cpp
+++ b/libraries/service/plain_relay.cpp
@@ -17,11 +17,6 @@
 
 constexpr int most_attempts = 3;
 constexpr const char* request_id_header = "X-Request-Id";
-constexpr int first_success = 200;
-constexpr int first_redirection = 300;
-
-bool is_success(int status) { return status >= first_success && status < first_redirection; }
-
 /// Fields that belong to one connection (RFC 9110, section 7.6.1), or that must not reach an upstream.
 bool is_forwarded(std::string_view name) {
     static constexpr std::array<std::string_view, 13> dropped = {
@@ -147,7 +142,7 @@
             context.life.take(life_event::decode_sent);
             context.life.take(life_event::first_token);
             context.life.take(life_event::finished);
-            if (is_success(answer->status))
+            if (wire::is_success(answer->status))
                 context.services->quarantine->did_end_well(context.fingerprint,
                                                            context.services->clock->now());
             if (!context.connection->send(answer_for_caller(std::move(*answer), context), yield))
--- a/libraries/service/quarantine_filter.cpp
+++ b/libraries/service/quarantine_filter.cpp
@@ -12,8 +12,6 @@
 
 using namespace std::chrono_literals;
 
-/// A process that has ended has its port turned away by the system at once.
-constexpr auto look_limit = 120ms;
 /// Ends of an upstream within such a window of calendar time count as one: hosts see the same end within
 /// milliseconds, and a process takes longer to start again. An end that two hosts see on both sides of a
 /// window's border counts twice, never three times.
@@ -64,7 +62,8 @@
     if (!may_have_ended || context.mailbox->is_caller_gone())
         return false;
     const worker_services& services = *context.services;
-    if (wire::look_at_port(*services.pool, address, look_limit, yield) != wire::port_state::not_listening)
+    if (wire::look_at_port(*services.pool, address, wire::port_look_limit, yield) !=
+        wire::port_state::not_listening)
         return false;
     ++services.figures->counters.upstreams_ended;
     log_warning("upstream_ended", {{"upstream", upstream.value},
--- a/libraries/wire/http_message.h
+++ b/libraries/wire/http_message.h
@@ -27,6 +27,13 @@
 /// Source: RFC 9110, section 7.6.1, and RFC 9112, section 6.
 void remove_connection_headers(http_headers& headers);
 
+/// Whether a status says that all went well (RFC 9110, section 15.3).
+[[nodiscard]] constexpr bool is_success(int status) {
+    constexpr int first_success = 200;
+    constexpr int first_redirection = 300;
+    return status >= first_success && status < first_redirection;
+}
+
 /// A whole request.
 struct http_request {
     std::string method;
--- a/libraries/wire/simple_client.h
+++ b/libraries/wire/simple_client.h
@@ -72,6 +72,10 @@
     unknown,       ///< No word within the limit: its machine is gone, or the way to it.
 };
 
+/// A process that has ended has its port turned away by the system at once. An answer that takes longer tells
+/// of the link, not of the process.
+inline constexpr std::chrono::milliseconds port_look_limit{120};
+
 /// Connects to an address, sends nothing and closes.
 [[nodiscard]] port_state look_at_port(upstream_pool& pool, const std::string& address,
                                       std::chrono::milliseconds limit, yield_context yield);
--- a/tests/decision/test_zone_evacuations.cpp
+++ b/tests/decision/test_zone_evacuations.cpp
@@ -11,7 +11,7 @@
 #include <random>
 
 using namespace postpaddle;
-using decision::zone_word;
+using decision::zone_record;
 using namespace std::chrono_literals;
 
 namespace {
@@ -21,8 +21,8 @@
 const base::time_point now{1h};
 
 decision::evacuation_change take_changes(decision::zone_evacuations& known,
-                                         const std::vector<zone_word>& words, std::uint64_t end) {
-    return decision::take_zone_words(known, {.words = words, .end = end, .is_whole = false});
+                                         const std::vector<zone_record>& records, std::uint64_t end) {
+    return decision::apply_zone_records(known, {.records = records, .end = end, .is_whole = false});
 }
 
 decision::instance_table make_table() {
@@ -51,7 +51,7 @@
     CHECK(decision::evacuated_zones(known) == std::set{east});
     CHECK_FALSE(take_changes(known, {{east, true, 4}}, 5).is_any());
     CHECK(take_changes(known, {{east, false, 7}, {west, true, 8}}, 9).taken_back == std::vector{east});
-    // A late word of the first time changes nothing.
+    // A late record of the first time changes nothing.
     CHECK_FALSE(take_changes(known, {{east, true, 4}}, 5).is_any());
     CHECK(take_changes(known, {{east, true, 11}}, 12).evacuated == std::vector{east});
     CHECK(decision::evacuated_zones(known) == std::set{east, west});
@@ -61,9 +61,9 @@
     decision::zone_evacuations known;
     (void)take_changes(known, {{east, true, 4}, {west, true, 10}}, 11);
     // An older page can't know of either end.
-    CHECK_FALSE(decision::take_zone_words(known, {.words = {}, .end = 3, .is_whole = true}).is_any());
+    CHECK_FALSE(decision::apply_zone_records(known, {.records = {}, .end = 3, .is_whole = true}).is_any());
     const auto change =
-        decision::take_zone_words(known, {.words = {{west, true, 10}}, .end = 20, .is_whole = true});
+        decision::apply_zone_records(known, {.records = {{west, true, 10}}, .end = 20, .is_whole = true});
     CHECK(change.taken_back == std::vector{east});
     CHECK(decision::evacuated_zones(known) == std::set{west});
 }
@@ -72,7 +72,7 @@
     std::mt19937_64 random(11);
     std::bernoulli_distribution coin(0.5);
     for (int round = 0; round < 300; ++round) {
-        std::vector<zone_word> log;
+        std::vector<zone_record> log;
         std::vector<decision::zone_evacuations> hosts(5); // The last two never reach the store.
         for (std::uint64_t offset = 0; offset < 40; ++offset) {
             const bool is_about_zone = coin(random);
@@ -82,30 +82,30 @@
             for (std::size_t host = 0; host < 3; ++host) {
                 if (!coin(random))
                     continue;
-                decision::zone_word_page page{.words = {}, .end = offset + 1, .is_whole = coin(random)};
-                std::map<base::zone_id, zone_word> newest;
-                for (const zone_word& word : log) {
-                    newest[word.zone] = word;
-                    if (!page.is_whole && word.offset >= hosts[host].end)
-                        page.words.push_back(word);
+                decision::zone_record_page page{.records = {}, .end = offset + 1, .is_whole = coin(random)};
+                std::map<base::zone_id, zone_record> newest;
+                for (const zone_record& record : log) {
+                    newest[record.zone] = record;
+                    if (!page.is_whole && record.offset >= hosts[host].end)
+                        page.records.push_back(record);
                 }
-                for (const auto& [name, word] : newest)
-                    if (page.is_whole && word.is_evacuated)
-                        page.words.push_back(word);
-                (void)decision::take_zone_words(hosts[host], page);
+                for (const auto& [name, record] : newest)
+                    if (page.is_whole && record.is_evacuated)
+                        page.records.push_back(record);
+                (void)decision::apply_zone_records(hosts[host], page);
             }
             const std::size_t teller = random() % hosts.size();
-            (void)decision::take_zone_words(hosts[random() % hosts.size()],
-                                            decision::zone_words_of(hosts[teller]));
+            (void)decision::apply_zone_records(hosts[random() % hosts.size()],
+                                               decision::zone_records_of(hosts[teller]));
         }
         for (auto& host : hosts)
             for (const auto& teller : hosts)
-                (void)decision::take_zone_words(host, decision::zone_words_of(teller));
+                (void)decision::apply_zone_records(host, decision::zone_records_of(teller));
         const auto furthest = std::ranges::max_element(hosts, {}, &decision::zone_evacuations::end);
         std::set<base::zone_id> expected;
-        for (const zone_word& word : log)
-            if (word.offset < furthest->end)
-                word.is_evacuated ? (void)expected.insert(word.zone) : (void)expected.erase(word.zone);
+        for (const zone_record& record : log)
+            if (record.offset < furthest->end)
+                record.is_evacuated ? (void)expected.insert(record.zone) : (void)expected.erase(record.zone);
         for (const auto& host : hosts)
             REQUIRE(decision::evacuated_zones(host) == expected);
     }
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -31,7 +31,7 @@
             .is_registry_in_trouble = true,
             .changes_since = 19,
             .changes = {{{"engine-1"}, entry, 19}, {{"engine-2"}, std::nullopt, 20}},
-            .zones = {.words = {{{"north"}, true, 6}, {{"south"}, false, 8}}, .end = 9, .is_whole = true}};
+            .zones = {.records = {{{"north"}, true, 6}, {{"south"}, false, 8}}, .end = 9, .is_whole = true}};
 }
 
 std::string make_loads() {
