--- a/tests/gateway/test_beliefs.cpp
+++ b/tests/gateway/test_beliefs.cpp
@@ -8,16 +8,10 @@
 #include <csignal>
 
 using namespace postpaddle;
-using test::routed_request;
+using test::status_at;
 
 namespace {
 
-int status_at(const test::gateway_cluster& cluster, int host, const std::string& path) {
-    const auto answer =
-        stand_in::http_exchange(cluster.callers_address(host), routed_request(path, "id-" + path));
-    return answer ? answer->status : 0;
-}
-
 std::string listing_at(const test::gateway_cluster& cluster, int host, const std::string& id) {
     const auto state = cluster.state_of(host);
     const bool is_known = state.is_object() && state.at("instances").contains(id);
--- a/tests/gateway/test_placement.cpp
+++ b/tests/gateway/test_placement.cpp
@@ -10,15 +10,10 @@
 
 using namespace postpaddle;
 using test::routed_request;
+using test::status_at;
 
 namespace {
 
-int status_at(const test::gateway_cluster& cluster, int host, const std::string& path) {
-    const auto answer =
-        stand_in::http_exchange(cluster.callers_address(host), routed_request(path, "id-" + path));
-    return answer ? answer->status : 0;
-}
-
 void evacuate(test::gateway_cluster& cluster, const std::string& zone) {
     (void)cluster.store({{"put_text", {{"topic", "keyed.op"}, {"key", "evacuate/" + zone}, {"text", "{}"}}}});
 }
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -315,6 +315,12 @@
     return state.is_object() ? state.at("settings_version").get<int>() : 0;
 }
 
+int status_at(const gateway_cluster& cluster, int host, const std::string& path) {
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(host), routed_request(path, "id-" + path));
+    return answer ? answer->status : 0;
+}
+
 wire::http_request routed_request(const std::string& path, const std::string& id) {
     return {"POST",
             path,
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -121,6 +121,9 @@
 /// The version of the settings in force on a host; 0 where it has none or gives no answer.
 [[nodiscard]] int version_at(const gateway_cluster& cluster, int host);
 
+/// Status of a host's answer to a request to that path; 0 where there is none.
+[[nodiscard]] int status_at(const gateway_cluster& cluster, int host, const std::string& path);
+
 /// A request to the cluster's routes: `/once/`, `/again/`, `/stream/` (may run once) and `/resume/`.
 [[nodiscard]] wire::http_request routed_request(const std::string& path, const std::string& id);
 
