gateway: Read and log what upstreams say of limits, rests and leaving

Change: the three header fields are read in the adapter, within bounds; the line of each send and a figure show them. No choice of a host depends on them yet. Ruled out: reading them where they are used, as wire names belong in the adapter. Shown by the codecs' test: numbers that are negative, infinite, a thousand digits long or said twice; a rest of a year counts as one hour (chosen).

--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -84,6 +84,28 @@
         exchange.call->cancel();
 }
 
+/// For the log: what the answer said of its upstream.
+void note_words(gateway_request& request, const ports::answer_facts& facts) {
+    nlohmann::json& row = request.sends.back();
+    gateway_figures& figures = *request.state->figures;
+    if (facts.limit) {
+        row["limit_per_s"] = *facts.limit;
+        figures.count("upstream_words_total{word=\"limit\"}");
+    }
+    if (facts.rest) {
+        row["rest_ms"] = facts.rest->count();
+        figures.count("upstream_words_total{word=\"rest\"}");
+    }
+    if (facts.is_leaving) {
+        row["is_leaving"] = true;
+        figures.count("upstream_words_total{word=\"leaving\"}");
+    }
+    if (facts.has_unreadable_word) {
+        row["has_unreadable_word"] = true;
+        figures.count("upstream_words_total{word=\"unreadable\"}");
+    }
+}
+
 /// Takes the end of a send into the record. What was spent for one that does not count comes back.
 void note_send(gateway_request& request, decision::send_kind kind, send_result result) {
     gateway_state& state = *request.state;
@@ -220,6 +242,7 @@
     if (exchange.result == send_result::not_run && exchange.facts.load)
         request.sends.back()["load"] = {exchange.facts.load->running, exchange.facts.load->waiting,
                                         exchange.facts.load->places};
+    note_words(request, exchange.facts);
     state.figures->count(std::string("sends_total{result=\"") + decision::to_text(exchange.result) + "\"}");
     decision::instance* const target = decision::find_instance(state.instances, send.instance);
     if (target == nullptr || request.cancellation->is_caller_gone || exchange.is_withheld)
--- a/libraries/ports/request_protocol.h
+++ b/libraries/ports/request_protocol.h
@@ -64,6 +64,10 @@
     bool is_genuine = false;        ///< Carries the upstream's seal and its own body.
     std::optional<decision::instance_load> load;
     std::optional<std::chrono::milliseconds> cold_remaining; ///< It is cold, for so long.
+    std::optional<double> limit; ///< Requests a second that it takes from all hosts together.
+    std::optional<std::chrono::milliseconds> rest; ///< It wants nothing from this host for so long.
+    bool is_leaving = false;                       ///< It will end.
+    bool has_unreadable_word = false;              ///< Names one of the three in a way that can't be read.
 };
 
 /// An order to an engine that it serve another stage.
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -173,6 +173,37 @@
         CHECK_FALSE(cold_for(text));
 }
 
+TEST_CASE("what an upstream says of what it takes is read within bounds, and what makes no sense is none") {
+    const auto protocol = platform::make_request_protocol();
+    const auto limit_of = [&](const wire::http_headers& headers) {
+        return protocol.read_answer({200, headers}).limit;
+    };
+    CHECK(limit_of({{"Server-Limit", "2.5"}}) == 2.5);
+    CHECK(limit_of({{"server-limit", "0"}}) == 0.0);
+    CHECK(limit_of({{"Server-Limit", "6"}, {"Server-Limit", "2"}}) == 2.0);
+    CHECK(limit_of({{"Server-Limit", "many"}, {"Server-Limit", "2"}}) == 2.0);
+    CHECK_FALSE(limit_of({}));
+    const auto rest_of = [&](int status, const std::string& text) {
+        return protocol.read_answer({status, {{"Retry-After", text}}}).rest;
+    };
+    CHECK(rest_of(503, "3") == std::chrono::milliseconds(3'000));
+    CHECK(rest_of(503, "0.25") == std::chrono::milliseconds(250));
+    CHECK(rest_of(503, "31536000") == std::chrono::milliseconds(3'600'000));
+    CHECK_FALSE(rest_of(200, "3"));
+    CHECK_FALSE(rest_of(429, "3"));
+    for (const std::string& text :
+         {std::string(), std::string("-5"), std::string("soon"), std::string("inf"), std::string("nan"),
+          std::string("1e999"), std::string("2,5"), std::string(1'000, '9')}) {
+        INFO(text);
+        CHECK_FALSE(limit_of({{"Server-Limit", text}}));
+        CHECK_FALSE(rest_of(503, text));
+        CHECK(protocol.read_answer({503, {{"Retry-After", text}}}).has_unreadable_word);
+    }
+    CHECK(protocol.read_answer({200, {{"Server-Leaving", "1"}}}).is_leaving);
+    CHECK_FALSE(protocol.read_answer({200, {{"Server-Leaving", "0"}}}).is_leaving);
+    CHECK_FALSE(protocol.read_answer({200, {}}).has_unreadable_word);
+}
+
 TEST_CASE("an entry with a field that is missing, of another type or of a value not known is none") {
     const nlohmann::json good = {
         {"service", "s"}, {"address", "10.0.0.9:80"}, {"zone", "z"},          {"version", "v1"},
