tests: Upstreams that name a limit get as much as before

Three hosts, three upstreams, 60 requests a second; the stand-in server names limits, rests and leaving as a test sets them.

--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -34,6 +34,9 @@
     int break_after = -1;   ///< Breaks the next stream from its start after so many events.
     int refuse_source = 0;  ///< A decode engine that can't fetch the KV cache.
     std::string fatal_body; ///< The process ends under a request with this body as soon as it runs.
+    std::string limit;      ///< Requests a second that it names in all answers, in its words; empty: none.
+    std::string rest;       ///< Seconds for which whoever it refuses is to leave it alone; empty: none named.
+    bool is_leaving = false; ///< Says in all answers that it leaves.
 };
 
 class platform_server {
@@ -72,9 +75,19 @@
 
     [[nodiscard]] wire::http_headers own_headers(const wire::http_request& request) const {
         const std::string id(find_header(request.headers, "X-Attempt-Id"));
-        return {{"X-Attempt-Id", id},
-                {"X-Response-Seal", "seal." + FLAGS_id + "." + id},
-                {"X-Server-Load", std::to_string(this->running) + ",0,8"}};
+        wire::http_headers headers = {{"X-Attempt-Id", id},
+                                      {"X-Response-Seal", "seal." + FLAGS_id + "." + id},
+                                      {"X-Server-Load", std::to_string(this->running) + ",0,8"}};
+        this->add_words(headers);
+        return headers;
+    }
+
+    /// What it says of itself in all its answers.
+    void add_words(wire::http_headers& headers) const {
+        if (!this->faults.limit.empty())
+            headers.push_back({"Server-Limit", this->faults.limit});
+        if (this->faults.is_leaving)
+            headers.push_back({"Server-Leaving", "1"});
     }
 
     void refuse(const wire::http_request& request, wire::caller_connection& connection, int status,
@@ -84,6 +97,9 @@
             {"X-Not-Executed", "1"},
             {"X-Instance-Id", FLAGS_id},
             {"X-Server-Load", std::to_string(this->running) + ",0,8"}};
+        this->add_words(headers);
+        if (status == 503 && !this->faults.rest.empty())
+            headers.push_back({"Retry-After", this->faults.rest});
         (void)connection.send({status, std::move(headers), ""}, yield);
     }
 
@@ -91,7 +107,8 @@
         json headers = json::object();
         for (const wire::http_header& header : request.headers)
             headers[header.name] = header.value;
-        this->arrivals.push_back({{"target", request.target},
+        this->arrivals.push_back({{"at_ms", base::to_milliseconds(this->clock.now().time_since_epoch())},
+                                  {"target", request.target},
                                   {"method", request.method},
                                   {"body", request.body},
                                   {"headers", std::move(headers)},
@@ -260,6 +277,9 @@
         this->faults.break_after = body.value("break_after", this->faults.break_after);
         this->faults.refuse_source = body.value("refuse_source", this->faults.refuse_source);
         this->faults.fatal_body = body.value("fatal_body", this->faults.fatal_body);
+        this->faults.limit = body.value("limit", this->faults.limit);
+        this->faults.rest = body.value("rest", this->faults.rest);
+        this->faults.is_leaving = body.value("is_leaving", this->faults.is_leaving);
         FLAGS_work_ms = body.value("work_ms", FLAGS_work_ms);
         FLAGS_events = body.value("events", FLAGS_events);
         this->highest_token = body.value("highest_token", this->highest_token);
@@ -273,6 +293,7 @@
     }
 
     wire::asio::io_context* context;
+    base::system_clock_source clock;
     server_faults faults;
     json arrivals = json::array();
     json orders = json::array();
