tests: Upstreams that ask a host for rest get requests, or none for long after

The callers of the test of limits are shared with it; the cluster's restart ends a server that still lives.

--- a/tests/gateway/test_upstream_limits.cpp
+++ b/tests/gateway/test_upstream_limits.cpp
@@ -6,18 +6,17 @@
 // was read nowhere, so no host knew of it, and none keeps to a rate that all share. What proved it: arrivals
 // did not change when the limits were named, and no line of any host knew of them.
 #include <support/gateway_cluster.h>
+#include <support/steady_callers.h>
 #include <support/test_cluster.h>
 
 #include <base/clock.h>
 
 #include <catch2/catch.hpp>
 
-#include <atomic>
 #include <thread>
 
 using namespace postpaddle;
 using namespace std::chrono_literals;
-using test::routed_request;
 
 namespace {
 
@@ -30,48 +29,6 @@
 /// What an upstream may get within the window.
 double most_in_window(double limit) { return 1.5 * limit * base::to_seconds(window) + 5; }
 
-/// Callers that send requests to all hosts for as long as it lives, each the next 16 ms after an answer.
-class steady_callers {
-public:
-    steady_callers(const test::gateway_cluster& cluster, int count) {
-        for (int caller = 0; caller < count; ++caller)
-            this->threads.emplace_back(
-                [this, &cluster, caller](const std::stop_token& stop) { this->run(cluster, caller, stop); });
-    }
-
-    /// Answers with a success.
-    [[nodiscard]] int served() const { return this->good; }
-    /// Answers that say when to come back, as it has not run.
-    [[nodiscard]] int refused() const { return this->come_back; }
-    /// All others, and requests without an answer.
-    [[nodiscard]] int failed() const { return this->bad; }
-
-private:
-    void run(const test::gateway_cluster& cluster, int caller, const std::stop_token& stop) {
-        static constexpr auto pause = 16ms;
-        for (int number = caller; !stop.stop_requested(); ++number) {
-            const auto answer = stand_in::http_exchange(
-                cluster.callers_address(1 + number % hosts),
-                routed_request("/again/", "steady-" + std::to_string(caller) + "-" + std::to_string(number)));
-            ++(!answer ? this->bad : this->count_of(*answer));
-            std::this_thread::sleep_for(pause);
-        }
-    }
-
-    std::atomic<int>& count_of(const wire::http_response& answer) {
-        if (answer.status == 200)
-            return this->good;
-        const bool is_honest = wire::find_header(answer.headers, "Postpaddle-Outcome") == "not-run" &&
-                               !wire::find_header(answer.headers, "Retry-After").empty();
-        return answer.status == 503 && is_honest ? this->come_back : this->bad;
-    }
-
-    std::atomic<int> good = 0;
-    std::atomic<int> come_back = 0;
-    std::atomic<int> bad = 0;
-    std::vector<std::jthread> threads;
-};
-
 test::gateway_cluster_options three_servers(const std::string& name) {
     return {.name = name, .servers = {{.id = "one"}, {.id = "two"}, {.id = "three"}}, .hosts = hosts};
 }
@@ -90,7 +47,7 @@
     // So long that each of the three is needed.
     for (const auto* id : {"one", "two", "three"})
         (void)cluster.server(id, {{"work_ms", 100}});
-    const steady_callers callers(cluster, 4 * hosts);
+    const test::steady_callers callers(cluster, {.count = 4 * hosts, .hosts = hosts});
     for (const std::string limit : {"6.0", "0.5"}) {
         INFO(limit);
         (void)cluster.server("one", {{"limit", limit}});
@@ -107,7 +64,7 @@
 TEST_CASE("where all upstreams name limits, what they take is served and the rest refused with a time") {
     test::gateway_cluster cluster(three_servers("limit-all"));
     // More at each host than can be served within their patience.
-    const steady_callers callers(cluster, 20 * hosts);
+    const test::steady_callers callers(cluster, {.count = 20 * hosts, .hosts = hosts});
     for (const auto* id : {"one", "two", "three"})
         (void)cluster.server(id, {{"limit", "2"}});
     std::this_thread::sleep_for(contact_time);
--- /dev/null
+++ b/tests/gateway/test_upstream_rests.cpp
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Upstreams that turn a host away and ask it for rest, and upstreams that say in their answers that they
+// leave.
+//
+// Seen: plain upstreams and engines that had asked a host for three seconds of rest got three and four
+// requests from it in that time.
+#include <support/gateway_cluster.h>
+#include <support/steady_callers.h>
+#include <support/test_cluster.h>
+
+#include <base/clock.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What may still reach an upstream that asked for rest: after so long, so many.
+constexpr double on_the_way_ms = 500;
+constexpr int most_in_rest = 2;
+
+/// Times of all requests that reached an upstream, in milliseconds.
+std::vector<double> arrival_times(test::gateway_cluster& cluster, const std::string& id) {
+    std::vector<double> times;
+    const nlohmann::json counters = cluster.server(id);
+    for (const nlohmann::json& arrival : counters.at("arrivals"))
+        times.push_back(arrival.at("at_ms").get<double>());
+    return times;
+}
+
+/// Most requests that came within one rest of an upstream that refuses all it gets, but for those on the way.
+int most_within_rest(const std::vector<double>& times, double rest_ms) {
+    int most = 0;
+    for (const double refused : times) {
+        const auto count = std::count_if(times.begin(), times.end(), [&](double time) {
+            return time > refused + on_the_way_ms && time < refused + rest_ms;
+        });
+        most = std::max(most, static_cast<int>(count));
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("a plain upstream that asks a host for rest gets none of its requests until that is over") {
+    test::gateway_cluster cluster({.name = "rest-plain", .servers = {{.id = "one"}, {.id = "two"}}});
+    for (const auto* id : {"one", "two"})
+        (void)cluster.server(id, {{"work_ms", 100}});
+    const test::steady_callers callers(cluster, {.count = 24});
+    std::this_thread::sleep_for(500ms);
+    (void)cluster.server("one", {{"refuse", 1'000'000}, {"rest", "1.5"}, {"forget_arrivals", true}});
+    std::this_thread::sleep_for(6s);
+    const auto times = arrival_times(cluster, "one");
+    CHECK_FALSE(times.empty());
+    CHECK(most_within_rest(times, 1'500) <= most_in_rest);
+    // Once it refuses none any more, it gets its part again.
+    (void)cluster.server("one", {{"refuse", 0}, {"forget_arrivals", true}});
+    CHECK(test::eventually([&] { return cluster.arrivals("one") > 60; }));
+    CHECK(callers.failed() + callers.refused() == 0);
+}
+
+TEST_CASE("an engine that asks a host for rest gets neither prompts nor runs until that is over") {
+    test::gateway_cluster cluster({.name = "rest-engines",
+                                   .servers = {{.id = "p1", .service = "engines", .stage = "prefill"},
+                                               {.id = "p2", .service = "engines", .stage = "prefill"},
+                                               {.id = "d1", .service = "engines", .stage = "decode"},
+                                               {.id = "d2", .service = "engines", .stage = "decode"}}});
+    const test::steady_callers callers(cluster, {.count = 8, .path = "/resume/"});
+    std::this_thread::sleep_for(500ms);
+    for (const auto* id : {"p1", "d1"})
+        (void)cluster.server(id, {{"refuse", 1'000'000}, {"rest", "1.5"}, {"forget_arrivals", true}});
+    std::this_thread::sleep_for(6s);
+    for (const auto* id : {"p1", "d1"}) {
+        INFO(id);
+        const auto times = arrival_times(cluster, id);
+        CHECK_FALSE(times.empty());
+        CHECK(most_within_rest(times, 1'500) <= most_in_rest);
+    }
+}
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -280,6 +280,7 @@
 
 void gateway_cluster::restart_server(const std::string& id, std::uint64_t born) {
     const std::string address = this->server_addresses.at(id);
+    this->servers.at(id)->send_signal(SIGKILL);
     (void)this->servers.at(id)->wait();
     this->start_server(id, std::stoi(address.substr(address.find(':') + 1)));
     this->list(id, "ready", 1, born);
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -80,7 +80,7 @@
     nlohmann::json server(const std::string& id, const nlohmann::json& control = nlohmann::json::object());
     /// Ends a server's process at once; its registry entry stays.
     void kill_server(const std::string& id);
-    /// Starts a server again whose process has ended: same id and address, `born` at that time.
+    /// Starts a server again, ending its process where it lives: same id and address, `born` at that time.
     void restart_server(const std::string& id, std::uint64_t born);
     /// Whether the server's process answers.
     [[nodiscard]] bool is_serving(const std::string& id);
--- /dev/null
+++ b/tests/support/steady_callers.h
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <support/gateway_cluster.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace postpaddle::test {
+
+/// Who asks, and for what.
+struct steady_caller_options {
+    int count = 1; ///< Callers at once.
+    int hosts = 1; ///< Of the cluster, asked in turn.
+    std::string path = "/again/";
+};
+
+/// Callers that send requests to all hosts for as long as it lives, each the next 16 ms after an answer.
+class steady_callers {
+public:
+    steady_callers(const gateway_cluster& cluster, steady_caller_options options)
+        : options(std::move(options)) {
+        for (int caller = 0; caller < this->options.count; ++caller)
+            this->threads.emplace_back(
+                [this, &cluster, caller](const std::stop_token& stop) { this->run(cluster, caller, stop); });
+    }
+
+    /// Answers with a success.
+    [[nodiscard]] int served() const { return this->good; }
+    /// Answers that say when to come back, as it has not run.
+    [[nodiscard]] int refused() const { return this->come_back; }
+    /// All others, and requests without an answer.
+    [[nodiscard]] int failed() const { return this->bad; }
+
+private:
+    void run(const gateway_cluster& cluster, int caller, const std::stop_token& stop) {
+        static constexpr std::chrono::milliseconds pause(16);
+        for (int number = caller; !stop.stop_requested(); ++number) {
+            const auto answer = stand_in::http_exchange(
+                cluster.callers_address(1 + number % this->options.hosts),
+                routed_request(this->options.path,
+                               "steady-" + std::to_string(caller) + "-" + std::to_string(number)));
+            ++(!answer ? this->bad : this->count_of(*answer));
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
+    std::atomic<int>& count_of(const wire::http_response& answer) {
+        if (answer.status == 200)
+            return this->good;
+        const bool is_honest = wire::find_header(answer.headers, "Postpaddle-Outcome") == "not-run" &&
+                               !wire::find_header(answer.headers, "Retry-After").empty();
+        return answer.status == 503 && is_honest ? this->come_back : this->bad;
+    }
+
+    steady_caller_options options;
+    std::atomic<int> good = 0;
+    std::atomic<int> come_back = 0;
+    std::atomic<int> bad = 0;
+    std::vector<std::jthread> threads;
+};
+
+} // namespace postpaddle::test
