gateway: Send nothing more to upstreams that say in answers that they leave

An upstream that leaves says so in all its answers; requests still went there until the registry told.

Change: such an answer marks the upstream as leaving in the way that the registry does, so it is never taken back but by a new start; the gate before each send bars it too. Other hosts are told with the word on limits, for a minute; later starters get it with the registry's hand-over. Ruled out: a mechanism beside the registry's listing (two truths of who leaves).

--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -151,6 +151,14 @@
     return settled;
 }
 
+bool note_leaving(instance& target, base::time_point now) {
+    if (target.state != listing::listed && target.state != listing::unlisted)
+        return false;
+    target.state = listing::leaving;
+    target.leaving_since = now;
+    return true;
+}
+
 void forget_gone(instance_table& table) {
     // NOTE: Enough are kept that a late heartbeat of one that left is known for what it is.
     static constexpr std::size_t most_remembered = 512;
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -89,8 +89,10 @@
     base::time_point hidden_at{};
     base::time_point cold_until{}; ///< It bears only few requests until then.
     named_limit limit;
-    base::time_point last_send{};   ///< Of this host, of whatever kind.
-    base::time_point rests_until{}; ///< It asked this host, and no other, to send it nothing before.
+    base::time_point last_send{};     ///< Of this host, of whatever kind.
+    base::time_point leaving_since{}; ///< When it was first known to have said in an answer that it will end.
+    base::time_point said_leaving{};  ///< When an answer to this host last said so.
+    base::time_point rests_until{};   ///< It asked this host, and no other, to send it nothing before.
 };
 
 /// A change of the registry.
@@ -151,6 +153,9 @@
 /// trouble have gone. Gives their ids.
 std::vector<base::upstream_id> settle_unlisted(instance_table& table);
 
+/// It said itself that it will end. Says whether that is new.
+bool note_leaving(instance& target, base::time_point now);
+
 /// Forgets instances that have gone and carry no work of this host.
 void forget_gone(instance_table& table);
 
--- a/libraries/decision/placement.cpp
+++ b/libraries/decision/placement.cpp
@@ -15,6 +15,8 @@
         return placement_verdict::evacuated;
     if (limits.allowed_zones && !limits.allowed_zones->contains(candidate.entry.availability_zone))
         return placement_verdict::foreign_region;
+    if (candidate.state == listing::leaving)
+        return placement_verdict::leaving;
     if (is_resting(candidate, now))
         return placement_verdict::resting;
     const auto next = next_limited_send(candidate, limits.sharers, now);
@@ -27,7 +29,8 @@
 std::optional<base::time_point> next_placement(const instance_table& table, const placement_limits& limits,
                                                const instance& candidate, base::time_point now) {
     const placement_verdict verdict = judge_placement(table, limits, candidate, now);
-    if (verdict == placement_verdict::evacuated || verdict == placement_verdict::foreign_region)
+    if (verdict == placement_verdict::evacuated || verdict == placement_verdict::foreign_region ||
+        verdict == placement_verdict::leaving)
         return std::nullopt;
     const auto limited = next_limited_send(candidate, limits.sharers, now);
     if (!limited)
@@ -43,6 +46,8 @@
         return "its zone is evacuated";
     case placement_verdict::foreign_region:
         return "outside the allowed regions";
+    case placement_verdict::leaving:
+        return "leaving";
     case placement_verdict::resting:
         return "asked for rest";
     case placement_verdict::limited:
--- a/libraries/decision/placement.h
+++ b/libraries/decision/placement.h
@@ -24,6 +24,7 @@
     allowed,
     evacuated,      ///< The operator has evacuated its availability zone.
     foreign_region, ///< The request may not leave its regions.
+    leaving,        ///< It will end.
     resting,        ///< It asked this host for rest.
     limited,        ///< It named a limit, and this host's part of that is used up.
     cold,           ///< It is cold, and this host's part of what it bears is used up.
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -151,6 +151,15 @@
     return {.hosts = state.hosts_shared, .position = state.position_among_hosts};
 }
 
+bool take_leaving_word(gateway_state& state, decision::instance& target, const char* heard_from) {
+    if (!decision::note_leaving(target, state.clock->now()))
+        return false;
+    ++state.registry_revision;
+    tell_listing(state, target.entry.id, target.offset, heard_from);
+    host::enter_instance(state.instances, state.loads, target.entry.id);
+    return true;
+}
+
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from) {
     // NOTE: What a change costs must not grow with the number of upstreams: they come one after the other.
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -107,7 +107,7 @@
     std::set<const waiting_request*> waiting{};  ///< Own requests that wait for a place.
     /// Own requests that wait until an upstream may be sent another one, in order, by service.
     std::map<std::string, std::deque<wire::boot_timer*>> opening_lines{};
-    std::set<base::upstream_id> limited{}; ///< Instances whose limits are told to other hosts.
+    std::set<base::upstream_id> worded{}; ///< Instances whose words are told to other hosts.
     std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
     std::map<std::string, decision::caller_patience> patience{}; ///< Learned, by route.
     std::map<base::upstream_id, told_parts> held_parts{};        ///< What engines told lately.
@@ -159,6 +159,9 @@
 /// Who shares what an upstream takes from all hosts together.
 [[nodiscard]] decision::rate_sharers rate_sharers_of(const gateway_state& state);
 
+/// An instance said in an answer, to this host or another, that it will end; says whether that is new.
+bool take_leaving_word(gateway_state& state, decision::instance& target, const char* heard_from);
+
 /// Takes changes of the registry over, with a line for each change of belief.
 void take_registry(gateway_state& state, const std::vector<decision::registry_change>& changes,
                    const char* heard_from);
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -58,7 +58,7 @@
     if (!change)
         return true;
     this->limits.hear(*report);
-    hear_limits(*this->state, report->limits);
+    hear_words(*this->state, report->words);
     host::enter_sums(this->state->instances, this->state->loads, change->keys);
     if (change->has_freed)
         this->state->did_change_places();
@@ -96,7 +96,7 @@
     for (const waiting_request* const waiting : this->state->waiting)
         report.waiters.push_back({now - waiting->first_try, waiting->memory_tokens});
     this->limits.add_use(report);
-    report.limits = limits_to_tell(*this->state, limit_source::own_answers);
+    report.words = words_to_tell(*this->state, word_source::own_answers);
     return report;
 }
 
@@ -118,7 +118,7 @@
         return;
     const host::load_report report = this->own_report();
     this->has_told_work =
-        !report.uses.empty() || !report.waiters.empty() || !report.avoided.empty() || !report.limits.empty();
+        !report.uses.empty() || !report.waiters.empty() || !report.avoided.empty() || !report.words.empty();
     this->datagrams->send(datagram_kind::load, encode_load(report), this->hosts_to_tell());
 }
 
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -39,31 +39,34 @@
 }
 
 /// More than any host tells at once.
-constexpr std::size_t most_limits = 256;
+constexpr std::size_t most_words = 256;
 /// An age beyond any that matters, so that a spoilt one can't pass what a time holds.
 constexpr std::int64_t longest_age_ms = 24 * 3'600'000;
 
-/// A row each: short name, requests a second or -1 for a limit that was lifted, age in milliseconds.
-json encode_limits(const std::vector<host::told_limit>& limits) {
+/// A row each: short name, requests a second or -1 where no limit is named, age of that in milliseconds,
+/// whether the upstream leaves.
+json encode_words(const std::vector<host::told_word>& words) {
     json rows = json::array();
-    for (const host::told_limit& told : limits)
+    for (const host::told_word& told : words)
         rows.push_back({told.key, told.per_second.value_or(-1),
-                        std::chrono::duration_cast<std::chrono::milliseconds>(told.age).count()});
+                        std::chrono::duration_cast<std::chrono::milliseconds>(told.age).count(),
+                        told.is_leaving});
     return rows;
 }
 
-std::vector<host::told_limit> decode_limits(const json& rows) {
-    std::vector<host::told_limit> limits;
+std::vector<host::told_word> decode_words(const json& rows) {
+    std::vector<host::told_word> words;
     for (const json& row : rows) {
-        if (limits.size() == most_limits)
+        if (words.size() == most_words)
             break;
         const auto per_second = row.at(1).get<double>();
         const auto age = std::clamp<std::int64_t>(row.at(2).get<std::int64_t>(), 0, longest_age_ms);
-        limits.push_back({.key = row.at(0).get<host::instance_key>(),
-                          .per_second = per_second < 0 ? std::nullopt : std::optional(per_second),
-                          .age = std::chrono::milliseconds(age)});
+        words.push_back({.key = row.at(0).get<host::instance_key>(),
+                         .per_second = per_second < 0 ? std::nullopt : std::optional(per_second),
+                         .age = std::chrono::milliseconds(age),
+                         .is_leaving = row.at(3).get<bool>()});
     }
-    return limits;
+    return words;
 }
 
 } // namespace
@@ -85,8 +88,8 @@
                   {"zones", encode_zones(message.zones)}};
     if (!message.suspects.empty())
         value["suspects"] = host::encode_reports(message.suspects, now);
-    if (!message.limits.empty())
-        value["limits"] = encode_limits(message.limits);
+    if (!message.words.empty())
+        value["words"] = encode_words(message.words);
     return value;
 }
 
@@ -106,8 +109,8 @@
         message.zones = decode_zones(value);
         if (value.contains("suspects"))
             message.suspects = host::decode_reports(value["suspects"], now);
-        if (value.contains("limits"))
-            message.limits = decode_limits(value["limits"]);
+        if (value.contains("words"))
+            message.words = decode_words(value["words"]);
         if (message.host.is_empty() || message.address.empty())
             return std::nullopt;
         return message;
@@ -270,11 +273,10 @@
     json organisations = json::array();
     for (const auto& [key, use] : report.organisations)
         organisations.push_back({key, use.before, use.now});
-    const json value = {report.host.value,     report.incarnation,
-                        report.sequence,       std::move(uses),
-                        std::move(waiters),    report.avoided,
-                        report.out_of_service, std::move(organisations),
-                        report.hosts,          encode_limits(report.limits)};
+    const json value = {report.host.value,         report.incarnation,       report.sequence,
+                        std::move(uses),           std::move(waiters),       report.avoided,
+                        report.out_of_service,     std::move(organisations), report.hosts,
+                        encode_words(report.words)};
     std::string bytes;
     json::to_msgpack(value, bytes);
     return bytes;
@@ -305,10 +307,10 @@
         report.hosts = value.at(organisations_field + 1).get<int>();
         if (report.hosts < 1 || report.hosts > most_hosts)
             return std::nullopt;
-        // Nor of limits that upstreams name.
-        static constexpr std::size_t limits_field = organisations_field + 2;
-        if (value.size() > limits_field)
-            report.limits = decode_limits(value.at(limits_field));
+        // Nor of what upstreams say.
+        static constexpr std::size_t words_field = organisations_field + 2;
+        if (value.size() > words_field)
+            report.words = decode_words(value.at(words_field));
         return report;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/libraries/gateway/peer_codec.h
+++ b/libraries/gateway/peer_codec.h
@@ -28,7 +28,7 @@
     std::map<base::host_id, host::peer> others{};       ///< When they were heard is told as an age.
     std::vector<host::suspect_report> suspects{};       ///< Requests under which upstreams end; none in calm.
     decision::zone_record_page zones{.is_whole = true}; ///< What it knows of evacuated availability zones.
-    std::vector<host::told_limit> limits{};             ///< That upstreams name; none in calm.
+    std::vector<host::told_word> words{};               ///< What upstreams say of themselves; none in calm.
 
     bool operator==(const heartbeat&) const = default;
 };
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -171,7 +171,7 @@
                                .others = host::latest_heard(this->state->peers, named_hosts, now),
                                .suspects = host::reports_to_repeat(this->state->quarantine, told_suspects),
                                .zones = decision::zone_records_of(this->state->evacuations),
-                               .limits = limits_to_tell(*this->state, limit_source::any)};
+                               .words = words_to_tell(*this->state, word_source::any)};
     return encode_heartbeat(message, now).dump();
 }
 
@@ -191,7 +191,7 @@
     for (const auto& [name, other] : message->others)
         if (name != this->state->process->name)
             host::note_hearsay(this->state->peers, name, other);
-    hear_limits(*this->state, message->limits);
+    hear_words(*this->state, message->words);
     if (apply_zone_records(*this->state, message->zones, "peer"))
         this->spread_settings();
     const bool is_newer = message->settings_version > settings_version(*this->state);
--- a/libraries/gateway/upstream_words.cpp
+++ b/libraries/gateway/upstream_words.cpp
@@ -12,15 +12,16 @@
 
 using namespace std::chrono_literals;
 
-/// Limits in one message, some 20 bytes each.
+/// Upstreams in one message, some 20 bytes each.
 constexpr std::size_t most_told = 32;
 /// A limit that was lifted is told for so long: word reaches all hosts within seconds.
 constexpr base::duration lifted_told = 10s;
+/// An upstream that leaves is told of for so long. Hosts that start later read it with the registry.
+constexpr base::duration leaving_told = 60s;
 /// A host that heard an upstream itself tells its cell of it for so long, each second.
 constexpr base::duration own_word_lifetime = 2s;
 
 void did_change_limit(gateway_state& state, const decision::instance& target, const char* heard_from) {
-    state.limited.insert(target.entry.id);
     nlohmann::json line = {
         {"instance", target.entry.id.value}, {"service", target.entry.service}, {"heard_from", heard_from}};
     if (target.limit.per_second)
@@ -28,8 +29,26 @@
     state.log->write(target.limit.per_second ? "upstream_limited" : "upstream_limit_lifted", std::move(line));
 }
 
-bool is_worth_telling(const decision::named_limit& limit, base::time_point now) {
-    return limit.per_second || now - limit.changed < lifted_told;
+/// Takes the answer's word on a limit; says whether it is new.
+bool take_limit(gateway_state& state, decision::instance& target, const ports::answer_facts& facts,
+                base::time_point sent) {
+    // An answer that is not the upstream's own, or whose word can't be read, lifts no limit.
+    const bool may_lift = facts.is_genuine && !facts.has_unreadable_word;
+    if (!facts.limit && !may_lift)
+        return false;
+    if (!decision::note_limit(target, facts.limit, sent, state.clock->now()))
+        return false;
+    did_change_limit(state, target, "answer");
+    return true;
+}
+
+bool is_worth_telling(const decision::instance& known, base::time_point now) {
+    return known.limit.per_second || now - known.limit.changed < lifted_told ||
+           now - known.leaving_since < leaving_told;
+}
+
+bool did_say_lately(const decision::instance& known, base::time_point now) {
+    return now - std::max(known.limit.heard_here, known.said_leaving) < own_word_lifetime;
 }
 
 } // namespace
@@ -38,46 +57,53 @@
                 base::time_point sent) {
     if (facts.is_other_instance)
         return;
+    const base::time_point now = state.clock->now();
     if (facts.rest)
-        decision::note_rest(target, *facts.rest, state.clock->now());
-    // An answer that is not the upstream's own, or whose word can't be read, lifts no limit.
-    const bool may_lift = facts.is_genuine && !facts.has_unreadable_word;
-    if (!facts.limit && !may_lift)
-        return;
-    if (!decision::note_limit(target, facts.limit, sent, state.clock->now()))
+        decision::note_rest(target, *facts.rest, now);
+    bool is_new = take_limit(state, target, facts, sent);
+    if (facts.is_leaving) {
+        target.said_leaving = now;
+        is_new |= take_leaving_word(state, target, "answer");
+    }
+    if (!is_new)
         return;
-    did_change_limit(state, target, "answer");
+    state.worded.insert(target.entry.id);
     state.did_change_own_load();
 }
 
-void hear_limits(gateway_state& state, const std::vector<host::told_limit>& limits) {
+void hear_words(gateway_state& state, const std::vector<host::told_word>& words) {
     const base::time_point now = state.clock->now();
-    for (const host::told_limit& told : limits) {
+    for (const host::told_word& told : words) {
         decision::instance* const target = host::find_by_key(state.instances, state.loads, told.key);
-        if (target != nullptr && decision::hear_limit(*target, told.per_second, now - told.age, now))
+        if (target == nullptr)
+            continue;
+        if (decision::hear_limit(*target, told.per_second, now - told.age, now))
             did_change_limit(state, *target, "peer");
+        if (told.is_leaving)
+            (void)take_leaving_word(state, *target, "peer");
+        if (is_worth_telling(*target, now))
+            state.worded.insert(target->entry.id);
     }
 }
 
-std::vector<host::told_limit> limits_to_tell(gateway_state& state, limit_source source) {
+std::vector<host::told_word> words_to_tell(gateway_state& state, word_source source) {
     const base::time_point now = state.clock->now();
-    std::vector<host::told_limit> limits;
-    for (auto id = state.limited.begin(); id != state.limited.end();) {
+    std::vector<host::told_word> words;
+    for (auto id = state.worded.begin(); id != state.worded.end();) {
         const decision::instance* const known = decision::find_instance(state.instances, *id);
-        if (known == nullptr || !is_worth_telling(known->limit, now)) {
-            id = state.limited.erase(id);
+        if (known == nullptr || !is_worth_telling(*known, now)) {
+            id = state.worded.erase(id);
             continue;
         }
         ++id;
-        const decision::named_limit& limit = known->limit;
-        const bool is_told = source == limit_source::any || now - limit.heard_here < own_word_lifetime;
-        if (is_told)
-            limits.push_back({.key = host::key_of(known->entry.id, known->entry.born),
-                              .per_second = limit.per_second,
-                              .age = now - limit.said});
+        if (source == word_source::any || did_say_lately(*known, now))
+            words.push_back({.key = host::key_of(known->entry.id, known->entry.born),
+                             .per_second = known->limit.per_second,
+                             .age = now - known->limit.said,
+                             .is_leaving = known->state == decision::listing::leaving});
     }
-    std::vector<host::told_limit> told;
-    std::ranges::sample(limits, std::back_inserter(told), most_told, state.random);
+    std::vector<host::told_word> told;
+    std::ranges::sample(words, std::back_inserter(told), most_told, state.random);
     return told;
 }
 
--- a/libraries/gateway/upstream_words.h
+++ b/libraries/gateway/upstream_words.h
@@ -13,17 +13,17 @@
 void take_words(gateway_state& state, decision::instance& target, const ports::answer_facts& facts,
                 base::time_point sent);
 
-/// Takes limits that another host told.
-void hear_limits(gateway_state& state, const std::vector<host::told_limit>& limits);
+/// Takes what another host told of upstreams.
+void hear_words(gateway_state& state, const std::vector<host::told_word>& words);
 
-/// Whose word of limits is told.
-enum class limit_source {
-    own_answers, ///< Of upstreams that this host has just heard itself.
-    any,         ///< Of all, whoever heard them.
+/// Whose words are told.
+enum class word_source {
+    own_answers, ///< Of upstreams that have just said something new to this host, or the same again.
+    any,         ///< Of all, whichever host they said it to.
 };
 
-/// Limits to tell other hosts, and for a while those that were lifted. Bounded: where there are more, some
-/// drawn at random.
-[[nodiscard]] std::vector<host::told_limit> limits_to_tell(gateway_state& state, limit_source source);
+/// What upstreams say that other hosts must know: limits, and for a while that they were lifted, and that
+/// they leave. Bounded: where there are more, some drawn at random.
+[[nodiscard]] std::vector<host::told_word> words_to_tell(gateway_state& state, word_source source);
 
 } // namespace postpaddle::gateway
--- a/libraries/host/load_share.h
+++ b/libraries/host/load_share.h
@@ -27,13 +27,14 @@
 
 [[nodiscard]] organisation_key key_of(const base::organisation_id& id);
 
-/// What a host knows of the limit that an upstream names in its answers.
-struct told_limit {
+/// What a host knows of what an upstream says of itself in its answers.
+struct told_word {
     instance_key key = 0;
-    std::optional<double> per_second; ///< None: it names none any more.
-    base::duration age{};             ///< Of the upstream's word.
+    std::optional<double> per_second; ///< The limit that it names; none: it names none, or no more.
+    base::duration age{};             ///< Of its word on that.
+    bool is_leaving = false;
 
-    bool operator==(const told_limit&) const = default;
+    bool operator==(const told_word&) const = default;
 };
 
 /// What one host has in progress; always whole, so that a lost report is healed by the next.
@@ -46,8 +47,8 @@
     std::vector<instance_key> avoided;        ///< Instances that it could not reach lately.
     std::vector<instance_key> out_of_service; ///< Instances that take no work now: port dead, stage changing.
     std::map<organisation_key, told_use> organisations; ///< Use of limits that has changed of late.
-    int hosts = 1;                    ///< Hosts that it takes to be alive, itself among them.
-    std::vector<told_limit> limits{}; ///< That upstreams named to it lately.
+    int hosts = 1;                  ///< Hosts that it takes to be alive, itself among them.
+    std::vector<told_word> words{}; ///< What upstreams said to it lately.
 
     bool operator==(const load_report&) const = default;
 };
--- a/tests/decision/test_upstream_rest.cpp
+++ b/tests/decision/test_upstream_rest.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Upstreams that asked this host for rest: no choice and no gate lets a request through until it is over.
+// Upstreams that asked this host for rest, or said that they leave: no choice and no gate lets a request
+// through.
 #include <decision/instance_choice.h>
 
 #include <catch2/catch.hpp>
@@ -64,3 +65,23 @@
               start + std::max<base::duration>(rest, 500ms));
     }
 }
+
+TEST_CASE("an upstream that said that it leaves is sent nothing until another start takes its place") {
+    decision::instance_table table;
+    auto entry = add(table, "one", settings::engine_stage::none);
+    decision::instance& known = *decision::find_instance(table, entry.id);
+    CHECK(decision::note_leaving(known, start));
+    CHECK_FALSE(decision::note_leaving(known, start + 1s));
+    // The registry tells later, and its record was written before.
+    entry.sequence = 2;
+    (void)decision::apply_change(table, {entry.id, entry, 2}, decision::registry_condition::sound);
+    std::mt19937_64 random(1);
+    const decision::choice_context context = {
+        .service = "service", .own_zone = {}, .excluded = {}, .now = start};
+    CHECK_FALSE(decision::choose_plain(table, context, random));
+    CHECK_FALSE(decision::next_opening(table, context));
+    CHECK(decision::judge_placement(table, {}, known, start) == decision::placement_verdict::leaving);
+    entry.born = 7;
+    (void)decision::apply_change(table, {entry.id, entry, 3}, decision::registry_condition::sound);
+    CHECK(decision::choose_plain(table, context, random));
+}
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -104,7 +104,7 @@
     report.uses[host::key_of(base::upstream_id{"engine-1"}, 1'764'000'000'000)] = {2, 8'000, 100};
     report.organisations[host::key_of(base::organisation_id{"studio"})] = {.before = 5'000, .now = 12'000};
     report.hosts = 78;
-    report.limits = {{17, 2.5, 1'500ms}, {18, std::nullopt, 0ms}};
+    report.words = {{17, 2.5, 1'500ms, true}, {18, std::nullopt, 0ms, false}};
     CHECK(gateway::decode_load(gateway::encode_load(report)) == report);
     CHECK(host::key_of(base::upstream_id{"engine-1"}, 1) != host::key_of(base::upstream_id{"engine-1"}, 2));
     for (const int hosts : {0, -1, 1'000'000'000}) {
@@ -113,16 +113,16 @@
     }
 }
 
-TEST_CASE("limits that upstreams name arrive with a heartbeat, and spoilt ones are bounded") {
+TEST_CASE("what upstreams say of themselves arrives with a heartbeat, and spoilt ones are bounded") {
     gateway::heartbeat message = make_heartbeat();
-    message.limits = {{17, 0.1, 500ms}, {18, std::nullopt, 3s}};
+    message.words = {{17, 0.1, 500ms, false}, {18, std::nullopt, 3s, true}};
     auto value = gateway::encode_heartbeat(message, start);
     CHECK(gateway::decode_heartbeat(value.dump(), start) == message);
-    value["limits"] = {{17, 2.5, -7}, {18, 2.5, std::numeric_limits<std::int64_t>::max()}};
+    value["words"] = {{17, 2.5, -7, true}, {18, 2.5, std::numeric_limits<std::int64_t>::max(), false}};
     const auto heard = gateway::decode_heartbeat(value.dump(), start);
     REQUIRE(heard);
-    CHECK(heard->limits.front().age == 0ms);
-    CHECK(heard->limits.back().age == 24h);
-    value["limits"] = {{17, "many", 3}};
+    CHECK(heard->words.front().age == 0ms);
+    CHECK(heard->words.back().age == 24h);
+    value["words"] = {{17, "many", 3, true}};
     CHECK_FALSE(gateway::decode_heartbeat(value.dump(), start));
 }
--- a/tests/gateway/test_upstream_rests.cpp
+++ b/tests/gateway/test_upstream_rests.cpp
@@ -3,10 +3,7 @@
 // leave.
 //
 // Seen: plain upstreams and engines that had asked a host for three seconds of rest got three and four
-// requests from it in that time. How: the host chose them again half a second later, as if they had been full
-// for a moment. Cause: the time was read nowhere, and what has an end was kept as a failure without one, so
-// that others were sent next to nothing long after. What proved it: sends 2.4 and 2.9 s after the word,
-// with no answer between, by hosts that have no place for such a time.
+// requests from it in that time.
 #include <support/gateway_cluster.h>
 #include <support/steady_callers.h>
 #include <support/test_cluster.h>
@@ -16,6 +13,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <string>
 #include <thread>
 #include <vector>
@@ -29,6 +27,8 @@
 /// What may still reach an upstream that asked for rest: after so long, so many.
 constexpr double on_the_way_ms = 500;
 constexpr int most_in_rest = 2;
+/// An upstream that said that it leaves gets nothing new after this time.
+constexpr auto drain_time = 2s;
 
 /// Times of all requests that reached an upstream, in milliseconds.
 std::vector<double> arrival_times(test::gateway_cluster& cluster, const std::string& id) {
@@ -111,3 +111,31 @@
         CHECK(std::stod(std::string(wire::find_header(answer->headers, "Retry-After"))) > 0);
     }
 }
+
+TEST_CASE("an upstream that says in its answers that it leaves gets nothing more, from no host") {
+    constexpr int hosts = 3;
+    test::gateway_cluster cluster(
+        {.name = "leaving-answers", .servers = {{.id = "one"}, {.id = "two"}}, .hosts = hosts});
+    for (const auto* id : {"one", "two"})
+        (void)cluster.server(id, {{"work_ms", 50}});
+    const test::steady_callers callers(cluster, {.count = 8, .hosts = hosts});
+    REQUIRE(test::eventually([&] { return cluster.arrivals("one") > 20; }));
+    (void)cluster.server("one", {{"is_leaving", true}});
+    std::this_thread::sleep_for(drain_time);
+    int before = cluster.arrivals("one");
+    std::this_thread::sleep_for(2s);
+    CHECK(cluster.arrivals("one") == before);
+    // The registry's older word takes nothing back, and a host that starts is told.
+    cluster.list("one", "ready", 2);
+    cluster.host(3).send_signal(SIGKILL);
+    (void)cluster.host(3).wait();
+    cluster.start_host(3);
+    REQUIRE(test::eventually([&] { return cluster.is_ready(3); }));
+    std::this_thread::sleep_for(drain_time);
+    before = cluster.arrivals("one");
+    std::this_thread::sleep_for(2s);
+    CHECK(cluster.arrivals("one") == before);
+    // A new start under its name does not leave.
+    cluster.restart_server("one", 7);
+    CHECK(test::eventually([&] { return cluster.arrivals("one") > 20; }));
+}
