--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -58,6 +58,15 @@
     std::set<std::string> parts;
 };
 
+/// A request that waits until an upstream may be sent another one.
+struct opening_waiter {
+    wire::boot_timer* wake = nullptr;
+    base::time_point due = base::time_point::max(); ///< When the next upstream opens to it.
+};
+
+/// Those of one service, in the order in which they came.
+using opening_line = std::deque<opening_waiter*>;
+
 /// A request that has lately ended, for operators.
 struct ended_request {
     std::string id;
@@ -106,7 +115,7 @@
     std::function<void()> on_own_load_changed{}; ///< Tells the other hosts.
     std::set<const waiting_request*> waiting{};  ///< Own requests that wait for a place.
     /// Own requests that wait until an upstream may be sent another one, in order, by service.
-    std::map<std::string, std::deque<wire::boot_timer*>> opening_lines{};
+    std::map<std::string, opening_line> opening_lines{};
     std::set<base::upstream_id> worded{}; ///< Instances whose words are told to other hosts.
     std::map<std::string, decision::service_profile> profiles{}; ///< Learned, by service.
     std::map<std::string, decision::caller_patience> patience{}; ///< Learned, by route.
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -36,14 +36,16 @@
       refresh_timer(*state.context), use_timer(*state.context) {}
 
 void load_exchange::start() {
+    // Hosts are counted also where they tell each other nothing here: what all share is divided by their
+    // number.
+    this->state->on_hosts_known = [this] { this->plan_cells(); };
+    this->plan_cells();
+    this->refresh();
     if (!this->datagrams->is_open())
         return;
     this->state->on_own_load_changed = [this] { this->did_change(); };
-    this->state->on_hosts_known = [this] { this->plan_cells(); };
     this->state->ask_further = [this] { return this->try_ask_further(); };
     this->datagrams->on(datagram_kind::load, [this](std::string_view bytes) { return this->take(bytes); });
-    this->plan_cells();
-    this->refresh();
     this->tell_use_regularly();
 }
 
--- a/libraries/gateway/opening_line.h
+++ b/libraries/gateway/opening_line.h
@@ -5,12 +5,13 @@
 
 namespace postpaddle::gateway {
 
-/// Whether requests of the service wait until one of its upstreams may be sent another: a new one goes behind
-/// them.
-[[nodiscard]] bool has_opening_line(const gateway_request& request);
+/// Whether a request that has just come would take an opening, at the instance that was chosen for it, from
+/// one that waits for it.
+[[nodiscard]] bool is_before_line(const gateway_request& request, const base::upstream_id& chosen);
 
 /// Waits, behind those that came before, until an upstream of the request's service may be sent another one.
-/// Says at once that there will be none in time; the request then knows when it would have been its turn.
+/// Says as soon as that is known that there will be none in time; the request then knows when it would have
+/// been its turn. What may go to fewer upstreams than others does not hold up those behind it.
 [[nodiscard]] bool await_opening(gateway_request& request, wire::yield_context yield);
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -54,15 +54,9 @@
             reason = stop;
             break;
         }
-        // Those that already wait for an upstream that may be sent another go first.
-        if (!has_waited && has_opening_line(request)) {
-            has_waited = true;
-            if (!await_opening(request, yield))
-                break;
-        }
         const auto chosen = decision::choose_plain(request.state->instances, choice_context_of(request),
                                                    request.state->random);
-        if (!chosen) {
+        if (!chosen || (!has_waited && is_before_line(request, *chosen))) {
             has_waited = true;
             if (await_opening(request, yield))
                 continue;
--- a/tests/gateway/test_upstream_limits.cpp
+++ b/tests/gateway/test_upstream_limits.cpp
@@ -82,3 +82,17 @@
     CHECK(callers.refused() > 0);
     CHECK(callers.failed() == 0);
 }
+
+TEST_CASE("hosts that tell each other nothing by datagrams share a limit all the same") {
+    auto options = three_servers("limit-silent");
+    options.has_datagrams = false;
+    test::gateway_cluster cluster(options);
+    for (const auto* id : {"one", "two", "three"})
+        (void)cluster.server(id, {{"work_ms", 100}});
+    const test::steady_callers callers(cluster, {.count = 4 * hosts, .hosts = hosts});
+    (void)cluster.server("one", {{"limit", "6.0"}});
+    std::this_thread::sleep_for(contact_time);
+    CHECK(arrivals_in_window(cluster, "one") <= most_in_window(6));
+    for (int host = 1; host <= hosts; ++host)
+        CHECK(cluster.state_of(host).at("instances").at("one").at("limit_per_s") == 6.0);
+}
