tests: Give each drawn port once

Cause of the case whose hosts did not become ready: the cluster draws ports that are free, but nobody listens yet at those drawn before, and callers and other hosts got the same one (23099 in both hosts' files; both logs: 'can't listen: Address already in use'). Change: a port that was given is not given again. Ruled out: a fault of the hosts. Shown: the case passes, run by itself once; such a draw is rare, so the trace is the proof. The whole run was not made again.

--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -32,12 +33,16 @@
            ".";
 }
 
-/// A port that is free at the address, below those that the system gives to connections going out.
+/// A port that is free at the address, below those that the system gives to connections going out. Each is
+/// given once: nobody listens yet at those that were drawn before.
 int free_port(const std::string& address) {
+    static std::set<std::uint16_t> given;
     static std::mt19937 random(std::random_device{}());
     std::uniform_int_distribution<std::uint16_t> ports(10'000, 30'000);
     while (true) {
         const std::uint16_t port = ports(random);
+        if (!given.insert(port).second)
+            continue;
         const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in endpoint{};
         endpoint.sin_family = AF_INET;
