meta: Share compiled objects between checkouts

Cause: each new checkout compiled all 298 objects again. Change: ccache, a declared package, is used where it is installed; paths are hashed relative to the checkout.

--- a/meta/common.sh
+++ b/meta/common.sh
@@ -4,6 +4,11 @@
 top=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 build="${POSTPADDLE_BUILD:-$top/build}"
 
+# Different checkouts share compiled objects if ccache is installed.
+if command -v ccache >/dev/null; then
+    export CMAKE_CXX_COMPILER_LAUNCHER=ccache CCACHE_BASEDIR="$top" CCACHE_NOHASHDIR=1
+fi
+
 log() { printf '== %s\n' "$*" >&2; }
 
 # Installs those packages of packages.txt that are missing.
