host, gateway: Report ranks, shares, plain loads and processing times

Cause: waiting requests carry only an age and a size, and what a host learns of an upstream stays with it. Change: the interfaces of docs/OVERLOAD.md: load reports carry the waiters' rank, share and time limit, the memory in use by share, the loads of plain upstreams and the engines' processing times; hosts of an earlier version are understood. Each mechanism that is to use them has a switch. Nothing fills the fields yet. Received waits are clamped now; a corrupt one could overflow.

--- a/libraries/decision/wait_queue.h
+++ b/libraries/decision/wait_queue.h
@@ -4,15 +4,24 @@
 #include <base/clock.h>
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
 namespace postpaddle::decision {
 
+/// Largest rank of a waiting request; less urgent ones have this rank too.
+inline constexpr int max_rank = 15;
+
 /// A request that waits for a slot at a decode engine.
 struct waiter {
     base::duration waited{};
     double memory_tokens = 0; ///< Engine memory that it is expected to take.
+    /// Longest wait with which it still meets its latency target; unset if its host does not report it.
+    std::optional<base::duration> in_time{};
+    int rank = 0;                ///< Priority, from 0 (most urgent) to `max_rank`.
+    std::uint32_t share_key = 0; ///< Organisation and service whose share it uses; 0: unknown.
 
     bool operator==(const waiter&) const = default;
 };
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -4,6 +4,7 @@
 #include <host/quarantine_codec.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace postpaddle::gateway {
 
@@ -258,6 +259,111 @@
 
 /// A larger number of hosts means that the report is corrupt.
 constexpr int max_hosts = 100'000;
+/// Bounds on decoded rows; hosts send fewer.
+constexpr std::size_t max_shares = 1'024;
+constexpr std::size_t max_observations = 64;
+/// Clamps for received values, so that corrupt ones cannot overflow.
+constexpr double max_tokens = 1e9;
+constexpr int max_load_count = 1'000'000;
+constexpr int max_load_percent = 100'000;
+
+std::int64_t to_ms(base::duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+base::duration age_from(const json& value) {
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, max_age_ms));
+}
+
+double clamp_tokens(double tokens) { return std::isfinite(tokens) ? std::clamp(tokens, 0.0, max_tokens) : 0; }
+
+double clamp_pace(double pace) {
+    return std::isfinite(pace) ? std::clamp(pace, decision::min_pace, decision::max_pace) : 1;
+}
+
+/// One row: wait and, if known, longest wait in time (-1 otherwise) in milliseconds, tokens, rank, share key.
+json encode_waiter(const decision::waiter& waiter) {
+    return {to_ms(waiter.waited), static_cast<std::int64_t>(waiter.memory_tokens),
+            waiter.in_time ? to_ms(*waiter.in_time) : -1, waiter.rank, waiter.share_key};
+}
+
+decision::waiter decode_waiter(const json& row) {
+    decision::waiter waiter = {age_from(row.at(0)), clamp_tokens(row.at(1).get<double>())};
+    // Hosts of an earlier version send only these.
+    static constexpr std::size_t fields_before_rank = 2;
+    if (row.size() <= fields_before_rank)
+        return waiter;
+    const auto in_time = row.at(fields_before_rank).get<std::int64_t>();
+    if (in_time >= 0)
+        waiter.in_time = std::chrono::milliseconds(std::min(in_time, max_age_ms));
+    waiter.rank = static_cast<int>(
+        std::clamp<std::int64_t>(row.at(fields_before_rank + 1).get<std::int64_t>(), 0, decision::max_rank));
+    waiter.share_key = row.at(fields_before_rank + 2).get<host::share_key>();
+    return waiter;
+}
+
+json encode_shares(const std::map<host::share_key, double>& shares) {
+    json rows = json::array();
+    for (const auto& [key, tokens] : shares)
+        rows.push_back({key, static_cast<std::int64_t>(tokens)});
+    return rows;
+}
+
+std::map<host::share_key, double> decode_shares(const json& rows) {
+    std::map<host::share_key, double> shares;
+    for (const json& row : rows)
+        if (shares.size() < max_shares)
+            shares[row.at(0).get<host::share_key>()] = clamp_tokens(row.at(1).get<double>());
+    return shares;
+}
+
+/// One row each: instance key, running, waiting, slots, relative latency in percent, age in milliseconds.
+json encode_loads(const std::vector<host::observed_load>& loads) {
+    json rows = json::array();
+    for (const host::observed_load& observed : loads)
+        rows.push_back({observed.key, observed.load.running, observed.load.waiting, observed.load.slots,
+                        observed.load.relative_latency_percent, to_ms(observed.age)});
+    return rows;
+}
+
+std::vector<host::observed_load> decode_loads(const json& rows) {
+    std::vector<host::observed_load> loads;
+    const auto count = [](const json& value, int max) {
+        return static_cast<int>(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, max));
+    };
+    for (const json& row : rows)
+        if (loads.size() < max_observations)
+            loads.push_back(
+                {.key = row.at(0).get<host::instance_key>(),
+                 .load = {.running = count(row.at(1), max_load_count),
+                          .waiting = count(row.at(2), max_load_count),
+                          .slots = count(row.at(3), max_load_count),
+                          .relative_latency_percent = std::max(1, count(row.at(4), max_load_percent))},
+                 .age = age_from(row.at(5))});
+    return loads;
+}
+
+/// One row each: instance key, relative prefill and decode times in percent, age in milliseconds.
+json encode_paces(const std::vector<host::observed_pace>& paces) {
+    static constexpr double percent = 100;
+    json rows = json::array();
+    for (const host::observed_pace& observed : paces)
+        rows.push_back({observed.key, std::llround(observed.pace.prefill * percent),
+                        std::llround(observed.pace.decode * percent), to_ms(observed.age)});
+    return rows;
+}
+
+std::vector<host::observed_pace> decode_paces(const json& rows) {
+    static constexpr double percent = 100;
+    std::vector<host::observed_pace> paces;
+    for (const json& row : rows)
+        if (paces.size() < max_observations)
+            paces.push_back({.key = row.at(0).get<host::instance_key>(),
+                             .pace = {.prefill = clamp_pace(row.at(1).get<double>() / percent),
+                                      .decode = clamp_pace(row.at(2).get<double>() / percent)},
+                             .age = age_from(row.at(3))});
+    return paces;
+}
 
 } // namespace
 
@@ -268,16 +374,23 @@
                         static_cast<std::int64_t>(use.prompt_tokens)});
     json waiters = json::array();
     for (const decision::waiter& waiter : report.waiters)
-        waiters.push_back({std::chrono::duration_cast<std::chrono::milliseconds>(waiter.waited).count(),
-                           static_cast<std::int64_t>(waiter.memory_tokens)});
+        waiters.push_back(encode_waiter(waiter));
     json organisations = json::array();
     for (const auto& [key, use] : report.organisations)
         organisations.push_back({key, use.before, use.now});
-    const json value = {report.host.value,     report.incarnation,
-                        report.sequence,       std::move(uses),
-                        std::move(waiters),    report.avoided,
-                        report.out_of_service, std::move(organisations),
-                        report.hosts,          encode_advertisements(report.advertisements)};
+    const json value = {report.host.value,
+                        report.incarnation,
+                        report.sequence,
+                        std::move(uses),
+                        std::move(waiters),
+                        report.avoided,
+                        report.out_of_service,
+                        std::move(organisations),
+                        report.hosts,
+                        encode_advertisements(report.advertisements),
+                        encode_shares(report.share_tokens),
+                        encode_loads(report.loads),
+                        encode_paces(report.paces)};
     std::string bytes;
     json::to_msgpack(value, bytes);
     return bytes;
@@ -294,8 +407,7 @@
             report.uses[row.at(0).get<host::instance_key>()] = {row.at(1).get<int>(), row.at(2).get<double>(),
                                                                 row.at(3).get<double>()};
         for (const json& row : value.at(4))
-            report.waiters.push_back(
-                {std::chrono::milliseconds(row.at(0).get<std::int64_t>()), row.at(1).get<double>()});
+            report.waiters.push_back(decode_waiter(row));
         report.avoided = value.at(5).get<std::vector<host::instance_key>>();
         report.out_of_service = value.at(6).get<std::vector<host::instance_key>>();
         // Hosts of an earlier version send no organisations.
@@ -312,6 +424,13 @@
         static constexpr std::size_t advertisements_field = organisations_field + 2;
         if (value.size() > advertisements_field)
             report.advertisements = decode_advertisements(value.at(advertisements_field));
+        // Hosts of an earlier version send neither shares nor observations.
+        static constexpr std::size_t shares_field = advertisements_field + 1;
+        if (value.size() <= shares_field)
+            return report;
+        report.share_tokens = decode_shares(value.at(shares_field));
+        report.loads = decode_loads(value.at(shares_field + 1));
+        report.paces = decode_paces(value.at(shares_field + 2));
         return report;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/libraries/host/peer_load_table.cpp
+++ b/libraries/host/peer_load_table.cpp
@@ -101,6 +101,10 @@
     return static_cast<organisation_key>(base::hash64(id.value));
 }
 
+share_key key_of(const std::string& service, const base::organisation_id& organisation) {
+    return static_cast<share_key>(base::hash64(service + '\0' + organisation.value));
+}
+
 std::optional<report_change> apply_report(peer_load_table& peer_loads, const load_report& report,
                                           base::time_point now) {
     const auto [found, is_first] = peer_loads.by_host.try_emplace(report.host);
@@ -205,8 +209,10 @@
 std::vector<decision::waiter> all_waiters(const peer_load_table& peer_loads, base::time_point now) {
     std::vector<decision::waiter> waiters;
     for (const auto& [host, received] : peer_loads.by_host)
-        for (const decision::waiter& other : received.report.waiters)
-            waiters.push_back({other.waited + (now - received.received_at), other.memory_tokens});
+        for (decision::waiter other : received.report.waiters) {
+            other.waited += now - received.received_at;
+            waiters.push_back(other);
+        }
     return waiters;
 }
 
--- a/libraries/host/peer_load_table.h
+++ b/libraries/host/peer_load_table.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <base/identifier.h>
 #include <decision/instance_table.h>
+#include <decision/overload/upstream_pace.h>
 #include <decision/wait_queue.h>
 #include <host/shared_limit.h>
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -37,6 +39,30 @@
     bool operator==(const advertised_state&) const = default;
 };
 
+/// Load that a plain upstream reported in a response to the sender.
+struct observed_load {
+    instance_key key = 0;
+    decision::instance_load load;
+    base::duration age{}; ///< Time since the response.
+
+    bool operator==(const observed_load&) const = default;
+};
+
+/// Processing times of an engine that the sender measured.
+struct observed_pace {
+    instance_key key = 0;
+    decision::engine_pace pace;
+    base::duration age{}; ///< Time since the last measurement.
+
+    bool operator==(const observed_pace&) const = default;
+};
+
+/// Compact id of an organisation's share of a service in load reports: a hash of both names. Requests without
+/// an organisation share the key of an empty name.
+using share_key = std::uint32_t;
+
+[[nodiscard]] share_key key_of(const std::string& service, const base::organisation_id& organisation);
+
 /// Work in progress on one host. Always complete, so that the next report makes up for a lost one.
 struct load_report {
     base::host_id host;
@@ -51,6 +77,10 @@
     std::map<organisation_key, reported_usage> organisations;
     int hosts = 1; ///< Number of hosts that the sender considers alive, including itself.
     std::vector<advertised_state> advertisements{}; ///< States recently advertised by upstreams.
+    /// Engine memory in tokens that the sender's requests in progress occupy or have reserved.
+    std::map<share_key, double> share_tokens{};
+    std::vector<observed_load> loads{}; ///< Latest loads of plain upstreams, for a short time.
+    std::vector<observed_pace> paces{}; ///< Recently measured processing times.
 
     bool operator==(const load_report&) const = default;
 };
--- a/libraries/settings/gateway_policy.cpp
+++ b/libraries/settings/gateway_policy.cpp
@@ -17,6 +17,11 @@
         {"doubt_memory", &gateway_policy::infer_unreported_memory},
         {"try_before_lapse", &gateway_policy::try_before_expiry},
         {"wait_for_first_beliefs", &gateway_policy::wait_for_initial_state},
+        {"admit_by_load", &gateway_policy::admit_by_load},
+        {"order_by_rank", &gateway_policy::order_by_rank},
+        {"share_fairly", &gateway_policy::share_fairly},
+        {"exchange_pace", &gateway_policy::exchange_pace},
+        {"recheck_decode_engine", &gateway_policy::recheck_decode_engine},
     };
     return fields;
 }
--- a/libraries/settings/gateway_policy.h
+++ b/libraries/settings/gateway_policy.h
@@ -19,6 +19,11 @@
     bool infer_unreported_memory = true; ///< Infer unreported memory use from refusals.
     bool try_before_expiry = true;       ///< Try an engine that seems full before a retained prompt expires.
     bool wait_for_initial_state = true;  ///< Let requests wait for the initial settings and registry.
+    bool admit_by_load = true;           ///< Hold back or refuse plain requests while upstreams are full.
+    bool order_by_rank = true;           ///< Serve waiting requests in the order of their priority.
+    bool share_fairly = true;            ///< Serve organisations within their fair share first.
+    bool exchange_pace = true;           ///< Exchange the engines' processing times with the other hosts.
+    bool recheck_decode_engine = true;   ///< Choose the decode engine again once the prompt is processed.
 
     bool operator==(const gateway_policy&) const = default;
 };
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -114,6 +114,50 @@
     }
 }
 
+TEST_CASE("observations and shares in a load report round-trip, and invalid values are clamped") {
+    host::load_report report;
+    report.host = {"host-1"};
+    report.waiters = {{300ms, 4'000, 700ms, 2, 91}, {10ms, 50}};
+    report.share_tokens = {{91, 8'000}, {92, 120}};
+    report.loads = {{17, {3, 1, 6, 250}, 40ms}};
+    report.paces = {{18, {1.5, 0.75}, 900ms}};
+    CHECK(gateway::decode_load(gateway::encode_load(report)) == report);
+
+    report.waiters = {{300ms, 4'000, -5ms, 1'000, 91}, {-1h, -7}};
+    report.share_tokens = {{91, -8'000}};
+    report.loads = {{17, {-3, 2'000'000'000, 6, 0}, -40ms}};
+    report.paces = {{18, {0, 1e9}, 9'000h}};
+    const auto decoded = gateway::decode_load(gateway::encode_load(report));
+    REQUIRE(decoded);
+    CHECK(decoded->waiters ==
+          std::vector<decision::waiter>{{300ms, 4'000, std::nullopt, decision::max_rank, 91}, {0ms, 0}});
+    CHECK(decoded->share_tokens.at(91) == 0);
+    CHECK(decoded->loads == std::vector<host::observed_load>{{17, {0, 1'000'000, 6, 1}, 0ms}});
+    CHECK(decoded->paces ==
+          std::vector<host::observed_pace>{{18, {decision::min_pace, decision::max_pace}, 24h}});
+}
+
+// Guards against rejecting reports of hosts that have not been upgraded yet.
+TEST_CASE("a load report of an earlier version, without ranks, shares and observations, is accepted") {
+    const nlohmann::json value = {"host-1",
+                                  7,
+                                  3,
+                                  nlohmann::json::array(),
+                                  {{250, 4'000}},
+                                  nlohmann::json::array(),
+                                  nlohmann::json::array(),
+                                  nlohmann::json::array(),
+                                  78,
+                                  nlohmann::json::array()};
+    std::string bytes;
+    nlohmann::json::to_msgpack(value, bytes);
+    const auto decoded = gateway::decode_load(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->waiters == std::vector<decision::waiter>{{250ms, 4'000}});
+    CHECK(decoded->hosts == 78);
+    CHECK(decoded->loads.empty());
+}
+
 TEST_CASE("upstream advertisements round-trip in a heartbeat, and invalid ages are clamped") {
     gateway::heartbeat message = make_heartbeat();
     message.advertisements = {{17, 0.1, 500ms, false}, {18, std::nullopt, 3s, true}};
