--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -41,6 +41,8 @@
     bool is_key_revoked = false;             ///< The key was revoked before the request ran.
     std::int64_t charged_amount = 0;         ///< Charged against the organisation's limit, in its unit.
     std::string service;
+    int rank = 0;                  ///< Priority among waiting requests, from 0 (most urgent) to `max_rank`.
+    host::share_key share_key = 0; ///< Of its organisation's share of the service.
     base::time_point arrived{};
     base::time_point first_try{};        ///< Estimated time of the client's first attempt, on any host.
     std::set<base::upstream_id> holding; ///< Engines that still hold its prompt from an earlier attempt.
