--- a/libraries/decision/attempt_rules.cpp
+++ b/libraries/decision/attempt_rules.cpp
@@ -61,6 +61,17 @@
 
 bool is_retry(const attempt_record& record) { return record.budgeted_attempts > 0; }
 
+int retries_for_prompt_and_run(const attempt_record& record) {
+    int retries = 0;
+    attempt_record planned = record;
+    for (const attempt_kind kind : {attempt_kind::prefill, attempt_kind::run}) {
+        const bool is_charged = is_retry(planned);
+        retries += is_charged && counts_against_budget(planned, kind, attempt_result::answered) ? 1 : 0;
+        record_result(planned, kind, attempt_result::answered);
+    }
+    return retries;
+}
+
 bool may_retry_elsewhere(const attempt_record& record) {
     return record.is_repeatable && record.attempts + 1 < record.max_attempts;
 }
--- a/libraries/decision/attempt_rules.h
+++ b/libraries/decision/attempt_rules.h
@@ -58,6 +58,10 @@
 /// Whether the next attempt that reaches an upstream is a retry.
 [[nodiscard]] bool is_retry(const attempt_record& record);
 
+/// Retries that a prompt sent to a prefill engine now and the run that must follow it take together, if both
+/// are accepted. A refusal of the prompt takes no more.
+[[nodiscard]] int retries_for_prompt_and_run(const attempt_record& record);
+
 /// Whether the request may run on another upstream after the attempt in progress.
 [[nodiscard]] bool may_retry_elsewhere(const attempt_record& record);
 
--- a/libraries/decision/shared_budget.cpp
+++ b/libraries/decision/shared_budget.cpp
@@ -32,6 +32,11 @@
     return std::floor((options.rank + 1) * share) - std::floor(options.rank * share);
 }
 
+/// Retries that the bucket can hold beside the reserved ones.
+double room_in(const shared_budget& budget, const shared_budget_options& options) {
+    return std::max(0.0, capacity_of(options) - budget.reserved);
+}
+
 void refill(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
     budget.level = retries_left(budget, options, now);
     budget.filled_at = std::max(budget.filled_at, now);
@@ -41,14 +46,14 @@
 
 void record_request(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
     refill(budget, options, now);
-    budget.level = std::min(capacity_of(options), budget.level + ratio_fraction * options.ratio);
+    budget.level = std::min(room_in(budget, options), budget.level + ratio_fraction * options.ratio);
 }
 
 double retries_left(const shared_budget& budget, const shared_budget_options& options, base::time_point now) {
     const double windows =
         std::max(0.0, base::to_seconds(now - budget.filled_at)) / base::to_seconds(options.window);
     const double added = windows * refill_fraction * options.slack / std::max(1, options.hosts);
-    return std::min(capacity_of(options), budget.level + added);
+    return std::min(room_in(budget, options), budget.level + added);
 }
 
 bool try_spend(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
@@ -59,9 +64,34 @@
     return true;
 }
 
+bool try_reserve(shared_budget& budget, const shared_budget_options& options, int count,
+                 base::time_point now) {
+    refill(budget, options, now);
+    if (budget.level < count)
+        return false;
+    budget.level -= count;
+    budget.reserved += count;
+    return true;
+}
+
+void spend_reserved(shared_budget& budget) { --budget.reserved; }
+
+void refund_reserved(shared_budget& budget, const shared_budget_options& options) {
+    ++budget.reserved;
+    // The bucket may have filled up since the retry was spent.
+    budget.level = std::min(room_in(budget, options), budget.level);
+}
+
+void release_reserved(shared_budget& budget, const shared_budget_options& options, int count,
+                      base::time_point now) {
+    refill(budget, options, now);
+    budget.reserved -= count;
+    budget.level = std::min(room_in(budget, options), budget.level + count);
+}
+
 void refund(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
     refill(budget, options, now);
-    budget.level = std::min(capacity_of(options), budget.level + 1);
+    budget.level = std::min(room_in(budget, options), budget.level + 1);
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/shared_budget.h
+++ b/libraries/decision/shared_budget.h
@@ -25,6 +25,7 @@
 struct shared_budget {
     double level = 0;             ///< Retries available.
     base::time_point filled_at{}; ///< When time last added to it; initially the start of the process.
+    int reserved = 0; ///< Taken for sends that are still to come. They occupy capacity until they are spent.
 
     bool operator==(const shared_budget&) const = default;
 };
@@ -40,6 +41,23 @@
 [[nodiscard]] bool try_spend(shared_budget& budget, const shared_budget_options& options,
                              base::time_point now);
 
+/// Takes retries for sends that are still to come, all of them or none; returns whether it did.
+///
+/// A reserved retry keeps its place in the bucket: with as many more in addition, a host could send more in a
+/// window than the limit.
+[[nodiscard]] bool try_reserve(shared_budget& budget, const shared_budget_options& options, int count,
+                               base::time_point now);
+
+/// Spends a reserved retry, for a send that begins now.
+void spend_reserved(shared_budget& budget);
+
+/// Refunds a retry to those reserved, for an attempt that turned out not to count as one.
+void refund_reserved(shared_budget& budget, const shared_budget_options& options);
+
+/// Returns reserved retries that are not needed.
+void release_reserved(shared_budget& budget, const shared_budget_options& options, int count,
+                      base::time_point now);
+
 /// Refunds a retry for an attempt that turned out not to count as one.
 void refund(shared_budget& budget, const shared_budget_options& options, base::time_point now);
 
