gateway: Avoid prefills whose run would be refused

Cause: after a prefill its request went to the decode engine chosen before it, also where other hosts had filled that engine meanwhile. A repeated prompt was sent though the retry budget did not cover the run after it. A stream that was resumed went to a decode engine without regard to room there. Change: after the prefill the reservation is checked again and moves to an engine with free capacity if its own is overcommitted. The retries for a prompt and its run are reserved before the prompt is sent; if the budget covers one send only, a decode engine processes the prompt itself. The decode engine is reserved in the same step as it is chosen. Active with the switch recheck_decode_engine where routes of the service differ in priority or organisations are named. A request_ended line tells the verdict (recheck). A platform stand-in can hold prefills back.

--- a/libraries/decision/overload/decode_recheck.cpp
+++ b/libraries/decision/overload/decode_recheck.cpp
@@ -29,10 +29,10 @@
     return left.requests >= use.requests && left.memory_tokens >= use.memory_tokens;
 }
 
-/// Takes the requests of a claim that fit, one by one: a host may keep some and move the others.
-void take_what_fits(free_capacity& left, const instance_use& claim) {
-    const instance_use each = {.requests = 1, .memory_tokens = claim.memory_tokens / claim.requests};
-    for (int request = 0; request < claim.requests && fits(left, each); ++request) {
+/// Takes the requests of a host that fit, one by one: a host may keep some and move the others.
+void take_what_fits(free_capacity& left, const instance_use& other) {
+    const instance_use each = {.requests = 1, .memory_tokens = other.memory_tokens / other.requests};
+    for (int request = 0; request < other.requests && fits(left, each); ++request) {
         left.requests -= each.requests;
         left.memory_tokens -= each.memory_tokens;
     }
@@ -57,7 +57,7 @@
     });
 }
 
-std::uint64_t claim_order(const base::host_id& host, const base::upstream_id& engine) {
+std::uint64_t reservation_order(const base::host_id& host, const base::upstream_id& engine) {
     return base::hash64(host.value, base::hash64(engine.value));
 }
 
@@ -75,19 +75,20 @@
         facts.own.requests + facts.others.requests <= facts.reserved.requests && facts.unreported_tokens == 0;
     if (is_alone || (left.requests >= 0 && left.memory_tokens >= 0))
         return false;
-    // Take out what is not certain to stay: this reservation and the claims. Then place them in order.
+    // Take out what is not certain to stay: this reservation and the concurrent ones. Then place them in
+    // order.
     left.requests += facts.reserved.requests;
     left.memory_tokens += facts.reserved.memory_tokens;
-    std::vector<engine_claim> ahead;
-    for (const engine_claim& claim : facts.claims) {
-        left.requests += claim.added.requests;
-        left.memory_tokens += claim.added.memory_tokens;
-        if (claim.order < facts.order && claim.added.requests > 0)
-            ahead.push_back(claim);
+    std::vector<concurrent_reservation> ahead;
+    for (const concurrent_reservation& other : facts.concurrent) {
+        left.requests += other.added.requests;
+        left.memory_tokens += other.added.memory_tokens;
+        if (other.order < facts.order && other.added.requests > 0)
+            ahead.push_back(other);
     }
-    std::ranges::sort(ahead, {}, &engine_claim::order);
-    for (const engine_claim& claim : ahead)
-        take_what_fits(left, claim.added);
+    std::ranges::sort(ahead, {}, &concurrent_reservation::order);
+    for (const concurrent_reservation& other : ahead)
+        take_what_fits(left, other.added);
     return !fits(left, facts.reserved);
 }
 
--- a/libraries/decision/overload/decode_recheck.h
+++ b/libraries/decision/overload/decode_recheck.h
@@ -20,14 +20,14 @@
 
 /// Position of a host among those that have reserved too much of an engine together. Every host computes the
 /// same order; it differs from engine to engine, so that no host always comes last.
-[[nodiscard]] std::uint64_t claim_order(const base::host_id& host, const base::upstream_id& engine);
+[[nodiscard]] std::uint64_t reservation_order(const base::host_id& host, const base::upstream_id& engine);
 
 /// What another host reserved at an engine while a prompt was processed.
-struct engine_claim {
+struct concurrent_reservation {
     std::uint64_t order = 0;
     instance_use added;
 
-    bool operator==(const engine_claim&) const = default;
+    bool operator==(const concurrent_reservation&) const = default;
 };
 
 /// The work in `now` that was not in `before`. Memory alone is the growth of streams that run already.
@@ -38,9 +38,9 @@
     std::uint64_t order = 0; ///< Of this host.
     instance_use reserved{}; ///< The request's own reservation.
     instance_use own{};      ///< All work of this host, including `reserved`.
-    instance_use others{};   ///< All work of the other hosts, including their claims.
+    instance_use others{};   ///< All work of the other hosts, including `concurrent`.
     double unreported_tokens = 0;
-    std::span<const engine_claim> claims{}; ///< In any order.
+    std::span<const concurrent_reservation> concurrent{}; ///< In any order.
 };
 
 /// Whether a request has to leave the decode engine that was chosen before its prefill, since the engine is
--- /dev/null
+++ b/libraries/gateway/decode_engine_recheck.cpp
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/decode_engine_recheck.h>
+
+#include <gateway/engine_slot.h>
+
+#include <vector>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+/// What the other hosts have added at the engine since it was chosen.
+std::vector<decision::concurrent_reservation> reservations_since(const gateway_state& state,
+                                                                 const decode_reservation& reservation) {
+    std::vector<decision::concurrent_reservation> concurrent;
+    for (const auto& [host, now] : reported_uses(state, reservation.engine)) {
+        const auto before = reservation.uses_when_chosen.find(host);
+        const bool was_known = before != reservation.uses_when_chosen.end();
+        const decision::instance_use added =
+            decision::added_use(was_known ? before->second : decision::instance_use{}, now);
+        if (added.requests > 0)
+            concurrent.push_back({decision::reservation_order(host, reservation.engine), added});
+    }
+    return concurrent;
+}
+
+bool is_displaced(const gateway_state& state, const decode_reservation& reservation,
+                  const decision::instance& target, const settings::engine_capacity& capacity,
+                  const std::vector<decision::concurrent_reservation>& concurrent) {
+    return decision::is_displaced(
+        {.order = decision::reservation_order(state.process->name, reservation.engine),
+         .reserved = reservation.use,
+         .own = target.own,
+         .others = target.others,
+         .unreported_tokens = decision::unreported_memory(target, state.clock->now()),
+         .concurrent = concurrent},
+        capacity);
+}
+
+/// Records what was decided, for the log and the metrics.
+void record_verdict(gateway_request& request, bool must_leave,
+                    const std::optional<decision::engine_plan>& other) {
+    auto verdict = decision::recheck_verdict::kept;
+    if (must_leave)
+        verdict = other ? decision::recheck_verdict::moved : decision::recheck_verdict::none_is_free;
+    const std::string text = decision::to_text(verdict);
+    request.recheck_facts = {{"verdict", text}};
+    if (other)
+        request.recheck_facts["moved_to"] = other->decode.value;
+    request.state->metrics->count("decode_rechecks_total{verdict=\"" + text + "\"}");
+}
+
+} // namespace
+
+bool avoids_wasted_prefills(const gateway_request& request) {
+    return request.state->process->policy.recheck_decode_engine &&
+           decision::is_recheck_requested(*request.settings->document.value, request.service);
+}
+
+uses_by_host reported_uses(const gateway_state& state, const base::upstream_id& engine) {
+    uses_by_host uses;
+    const auto found = state.instances.by_id.find(engine);
+    // Only some of the hosts that use an engine of another cell report here.
+    if (found == state.instances.by_id.end() || found->second.is_remote)
+        return uses;
+    const host::instance_key key = host::key_of(engine, found->second.entry.start_time_ms);
+    for (const auto& [host, received] : state.loads.by_host)
+        if (const auto use = received.report.uses.find(key); use != received.report.uses.end())
+            uses[host] = use->second;
+    return uses;
+}
+
+std::optional<decision::engine_plan> recheck_decode_engine(gateway_request& request,
+                                                           const decode_reservation& reservation,
+                                                           const decision::prompt_size& size) {
+    gateway_state& state = *request.state;
+    const decision::instance* const target = decision::find_instance(state.instances, reservation.engine);
+    if (target == nullptr)
+        return std::nullopt;
+    const settings::engine_capacity capacity = capacity_of(request);
+    const decision::choice_context context = choice_context_of(request);
+    const auto concurrent = reservations_since(state, reservation);
+    const bool has_failed = decision::is_avoided(*target, context.now);
+    const bool must_leave = has_failed || is_displaced(state, reservation, *target, capacity, concurrent);
+    std::optional<decision::engine_plan> other;
+    if (must_leave)
+        other = decision::choose_free_decode(state.instances, context, capacity, size, reservation.engine,
+                                             reservation.source_zone, state.random);
+    record_verdict(request, must_leave, other);
+    request.recheck_facts["engine"] = reservation.engine.value;
+    request.recheck_facts["requests"] = target->own.requests + target->others.requests;
+    request.recheck_facts["free_tokens"] = decision::available_memory(*target, capacity, context.now);
+    request.recheck_facts["concurrent_hosts"] = concurrent.size();
+    if (has_failed)
+        request.recheck_facts["has_failed"] = true;
+    return other;
+}
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -50,12 +50,15 @@
     base::duration time_until_slot{};    ///< Expected wait, if it was refused for lack of a slot.
     decision::attempt_record record;
     bool is_retry_charged = false; ///< The retry budget was charged for the send in progress.
+    bool reserves_retries = false; ///< Retries for a prompt and its run are taken before the prompt is sent.
+    int reserved_retries = 0;      ///< Taken from the retry budget for sends that are still to come.
     std::set<base::upstream_id> tried;
     std::shared_ptr<request_cancellation> cancellation = std::make_shared<request_cancellation>();
     nlohmann::json sends = nlohmann::json::array(); ///< For the log: one entry per send.
     nlohmann::json slot_facts;                      ///< For the log: facts behind the last slot decision.
     nlohmann::json limit_facts;                     ///< For the log: facts behind a refusal over the limit.
-    nlohmann::json budget_facts; ///< For the log: state of the retry budget when it was last charged.
+    nlohmann::json budget_facts;  ///< For the log: state of the retry budget when it was last charged.
+    nlohmann::json recheck_facts; ///< For the log: what the recheck of the decode engine decided.
     std::optional<base::duration> first_event; ///< For the log: time until a stream's first event.
     const char* reason = nullptr;              ///< For the log: why there is no complete upstream answer.
 };
@@ -87,6 +90,13 @@
 /// Charges the retry budget if the next send would be a retry. Returns false if the budget is exhausted.
 [[nodiscard]] bool try_charge_send(gateway_request& request);
 
+/// Reserves the retries that sending the prompt to a prefill engine and the run that must follow it need.
+/// Returns false if the budget is too low for both.
+[[nodiscard]] bool try_reserve_prompt_and_run(gateway_request& request);
+
+/// Returns to the retry budget what was reserved and is not needed.
+void release_reserved_retries(gateway_request& request);
+
 /// Charges one retry to the service's retry budget. Returns false if the budget is exhausted.
 [[nodiscard]] bool try_charge_retry(gateway_request& request);
 
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -84,6 +84,8 @@
         fields["limit"] = request.limit_facts;
     if (!request.budget_facts.is_null())
         fields["retry_budget"] = request.budget_facts;
+    if (!request.recheck_facts.is_null())
+        fields["recheck"] = request.recheck_facts;
     record_completed(state, {request.routed.id, fields});
     state.log->write("request_ended", std::move(fields));
 }
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -20,6 +20,8 @@
 constexpr int max_prefills = 2;
 /// Number of events over which the event interval is measured; enough to average out the first pause.
 constexpr int measured_events = 10;
+/// Poll interval while waiting for room at a decode engine.
+constexpr base::duration room_poll_interval = 20ms;
 
 /// Deadline of one step, capped by the request's deadline.
 base::time_point step_deadline(const gateway_request& request, base::duration expected) {
@@ -30,21 +32,39 @@
 } // namespace
 
 std::optional<decision::engine_plan> stream_relay::next_plan(wire::yield_context yield) {
-    gateway_state& state = *this->request->state;
     if (this->retained.has_value()) {
         const auto plan = this->retained.await_decode_engine(this->size, yield);
         if (plan || this->retained.has_value())
             return plan;
     }
     if (this->has_started || this->prompts_sent >= max_prefills)
-        return decision::choose_colocated(state.instances, choice_context_of(*this->request),
-                                          capacity_of(*this->request), this->size, state.random);
+        return this->await_colocated_engine(yield);
     const engine_slot_result result = await_engine_slot(*this->request, this->size, yield);
     if (!result.plan)
         this->reason = result.reason;
     return result.plan;
 }
 
+std::optional<decision::engine_plan> stream_relay::await_colocated_engine(wire::yield_context yield) {
+    gateway_state& state = *this->request->state;
+    const base::time_point last_look =
+        state.clock->now() + decision::idle_timeout(this->request->route->gap_target);
+    wire::boot_timer timer(*state.context);
+    bool has_waited = false;
+    while (true) {
+        auto plan = decision::choose_colocated(state.instances, choice_context_of(*this->request),
+                                               capacity_of(*this->request), this->size, state.random);
+        if (!this->avoids_waste || !plan || plan->has_room || time_left(*this->request) <= 0ms ||
+            state.clock->now() >= last_look || this->request->cancellation->is_caller_gone)
+            return plan;
+        if (!std::exchange(has_waited, true))
+            state.metrics->count("waits_for_decode_room_total");
+        timer.expires_after(room_poll_interval);
+        wire::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+}
+
 double stream_relay::memory_after(int events) const {
     // Include the events received before a resume: the engine processes them together with the prompt.
     const settings::engine_capacity capacity = capacity_of(*this->request);
@@ -54,14 +74,18 @@
     return decision::memory_for_stream(capacity, this->size, static_cast<int>(events_before_resume) + events);
 }
 
-void stream_relay::reserve(const decision::engine_plan& plan) {
+decision::instance_use stream_relay::use_at(const decision::engine_plan& plan) const {
     const bool reads_prompt_there =
         !plan.prefill && !this->retained.has_value() && !this->request->holding.contains(plan.decode);
-    this->reservation.emplace(
-        *this->request->state, plan.decode,
-        decision::instance_use{.requests = 1,
-                               .memory_tokens = this->memory_after(this->events_forwarded),
-                               .prompt_tokens = reads_prompt_there ? this->size.prompt_tokens : 0});
+    return {.requests = 1,
+            .memory_tokens = this->memory_after(this->events_forwarded),
+            .prompt_tokens = reads_prompt_there ? this->size.prompt_tokens : 0};
+}
+
+void stream_relay::reserve(const decision::engine_plan& plan) {
+    this->reservation.emplace(*this->request->state, plan.decode, this->use_at(plan));
+    if (this->avoids_waste && plan.prefill)
+        this->uses_when_chosen = reported_uses(*this->request->state, plan.decode);
 }
 
 bool stream_relay::run_prefill(const decision::engine_plan& plan, wire::yield_context yield) {
@@ -289,16 +313,47 @@
     this->request->tried.insert(engine);
 }
 
-bool stream_relay::prepare_plan(const decision::engine_plan& plan, wire::yield_context yield) {
+bool stream_relay::skip_prefill(decision::engine_plan& plan, wire::yield_context yield) {
+    this->reservation.reset();
+    const auto colocated = this->await_colocated_engine(yield);
+    if (!colocated)
+        return false;
+    plan = *colocated;
+    this->reserve(plan);
+    return true;
+}
+
+void stream_relay::recheck(decision::engine_plan& plan) {
+    const decision::instance* const source =
+        decision::find_instance(this->request->state->instances, *plan.prefill);
+    const auto other = recheck_decode_engine(
+        *this->request,
+        {.engine = plan.decode,
+         .use = this->use_at(plan),
+         .uses_when_chosen = this->uses_when_chosen,
+         .source_zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone},
+        this->size);
+    if (!other)
+        return;
+    plan.decode = other->decode;
     this->reserve(plan);
+}
+
+bool stream_relay::prepare_plan(decision::engine_plan& plan, wire::yield_context yield) {
     if (!plan.prefill || this->retained.has_value())
         return true;
+    if (this->avoids_waste && !try_reserve_prompt_and_run(*this->request)) {
+        this->request->state->metrics->count("prefills_without_budget_total");
+        return this->skip_prefill(plan, yield);
+    }
     // Whether the prompt counts as a send is known only afterwards. Charge the budget first, so that
     // consecutive refusals can't exceed it.
     if (!try_charge_send(*this->request))
         return true;
     if (!this->run_prefill(plan, yield))
         return false;
+    if (this->avoids_waste)
+        this->recheck(plan);
     const decision::instance_table& instances = this->request->state->instances;
     const auto decode = instances.by_id.find(plan.decode);
     return decode != instances.by_id.end() && decode->second.state == decision::listing::listed &&
@@ -307,6 +362,11 @@
                decision::placement_verdict::allowed;
 }
 
+void stream_relay::did_end() {
+    this->retained.release();
+    release_reserved_retries(*this->request);
+}
+
 request_ending stream_relay::run(wire::yield_context yield) {
     decision::service_profile& profile = profile_of(*this->request);
     this->size = {this->request->routed.prompt_tokens,
@@ -316,14 +376,19 @@
     decision::add_sample(profile.output_tokens, this->request->routed.output_hint);
     decision::add_sample(profile.prompt_tokens, this->size.prompt_tokens);
     this->last_event = this->request->routed.resume_after;
+    this->request->reserves_retries = this->avoids_waste;
     const settings::gateway_policy& policy = this->request->state->process->policy;
     if (policy.find_retained_prompts && this->request->first_try < this->request->arrived)
         this->request->holding = find_engines_holding(*this->request, yield);
     while (time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone) {
         this->reservation.reset();
-        const auto plan = this->next_plan(yield);
+        if (!this->retained.has_value())
+            release_reserved_retries(*this->request);
+        auto plan = this->next_plan(yield);
         if (!plan)
             break;
+        // At once, before anything else can wait: the engine's capacity was free at this moment.
+        this->reserve(*plan);
         await_exit_checks(*this->request, yield);
         if (const char* const stop = reason_to_stop(*this->request)) {
             this->reason = stop;
@@ -344,14 +409,14 @@
         }
         const auto ending = this->decode(*plan, yield);
         if (ending) {
-            this->retained.release();
+            this->did_end();
             return *ending;
         }
         this->exclude_failed_engine(plan->decode, yield);
         if (!decision::may_retry(this->request->record, this->last_result))
             break;
     }
-    this->retained.release();
+    this->did_end();
     if (this->request->cancellation->is_caller_gone)
         return request_ending::caller_gone;
     return this->end_with_failure(yield);
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <gateway/decode_engine_recheck.h>
 #include <gateway/engine_slot.h>
 #include <gateway/gateway_request.h>
 #include <gateway/retained_cache.h>
@@ -18,7 +19,8 @@
 /// is resumed on another engine if the route allows it, and aborted otherwise.
 class stream_relay {
 public:
-    explicit stream_relay(gateway_request& request) : request(&request), retained(request) {}
+    explicit stream_relay(gateway_request& request)
+        : request(&request), retained(request), avoids_waste(avoids_wasted_prefills(request)) {}
 
     [[nodiscard]] request_ending run(wire::yield_context yield);
 
@@ -26,8 +28,17 @@
     enum class stream_end { complete, broken, caller_gone };
 
     [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
-    [[nodiscard]] bool prepare_plan(const decision::engine_plan& plan, wire::yield_context yield);
+    /// A decode engine that processes the prompt itself. Waits a while for one with room, as an engine
+    /// without room would refuse the request, at the retry budget's cost.
+    [[nodiscard]] std::optional<decision::engine_plan> await_colocated_engine(wire::yield_context yield);
+    /// Has the prompt processed where the plan has a prefill engine for it. May replace the decode engine.
+    [[nodiscard]] bool prepare_plan(decision::engine_plan& plan, wire::yield_context yield);
+    /// Makes the plan one without a prefill engine, which needs a single send. Returns whether it could.
+    [[nodiscard]] bool skip_prefill(decision::engine_plan& plan, wire::yield_context yield);
+    /// Moves the reservation to another engine if its own has been overcommitted during the prefill.
+    void recheck(decision::engine_plan& plan);
     void reserve(const decision::engine_plan& plan);
+    [[nodiscard]] decision::instance_use use_at(const decision::engine_plan& plan) const;
     [[nodiscard]] double memory_after(int events) const;
     [[nodiscard]] bool run_prefill(const decision::engine_plan& plan, wire::yield_context yield);
     [[nodiscard]] std::optional<request_ending> decode(const decision::engine_plan& plan,
@@ -41,6 +52,8 @@
     [[nodiscard]] bool forward_events(wire::event_splitter& events);
     void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
     void did_complete_stream();
+    /// Releases what the request still holds elsewhere.
+    void did_end();
     /// Learns the time between events from the first events of the stream.
     void learn_event_interval(int events);
     [[nodiscard]] base::time_point next_event_deadline() const;
@@ -51,6 +64,7 @@
     gateway_request* request;
     decision::prompt_size size;
     std::optional<scoped_instance_use> reservation; ///< At the decode engine; made before the prefill.
+    uses_by_host uses_when_chosen; ///< Other hosts' work at the decode engine when it was chosen.
     retained_cache retained;
     std::optional<std::uint64_t> last_event;
     decision::attempt_result last_result = decision::attempt_result::not_connected;
@@ -59,6 +73,7 @@
     std::optional<base::time_point> transfer_started; ///< Cache transfer without an event so far.
     bool has_started = false; ///< The head and events of the answer have been sent to the client.
     wire::response_head first_head;
+    bool avoids_waste;                      ///< See `avoids_wasted_prefills`.
     std::optional<exchange_result> failure; ///< Error answer to forward if no other engine does better.
     std::string failure_body;
     const char* reason = "no engine";
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -113,12 +113,25 @@
     }
 }
 
+/// Refunds a charged retry: to those reserved for the sends that must follow, if the request reserves any.
+void refund_retry(gateway_request& request) {
+    gateway_state& state = *request.state;
+    decision::shared_budget& budget = budget_of(state, request.service);
+    const decision::shared_budget_options options = budget_options_of(state);
+    if (!request.reserves_retries) {
+        decision::refund(budget, options, state.clock->now());
+        return;
+    }
+    decision::refund_reserved(budget, options);
+    ++request.reserved_retries;
+}
+
 /// Records the result of a send. Refunds the retry budget if the send did not count.
 void record_send(gateway_request& request, decision::attempt_kind kind, attempt_result result) {
     gateway_state& state = *request.state;
     const bool was_charged = std::exchange(request.is_retry_charged, false);
     if (was_charged && !decision::counts_against_budget(request.record, kind, result)) {
-        decision::refund(budget_of(state, request.service), budget_options_of(state), state.clock->now());
+        refund_retry(request);
         state.metrics->count("extra_sends_given_back_total");
     }
     decision::record_result(request.record, kind, result);
--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -167,6 +167,8 @@
     void run_prefill(const wire::http_request& request, wire::caller_connection& connection,
                      wire::yield_context yield) {
         this->sleep(milliseconds(FLAGS_work_ms), yield);
+        while (this->faults.hung_responses > 0 && !connection.is_closed())
+            this->sleep(milliseconds(10), yield);
         if (consume_fault(this->faults.lost_responses)) {
             connection.abort();
             return;
--- a/tests/decision/test_decode_recheck.cpp
+++ b/tests/decision/test_decode_recheck.cpp
@@ -25,24 +25,24 @@
 
     /// Whether the host's request is displaced once it has the reports of those hosts.
     [[nodiscard]] bool is_displaced(std::size_t host, const std::vector<std::size_t>& heard) const {
-        std::vector<decision::engine_claim> claims;
+        std::vector<decision::concurrent_reservation> concurrent;
         instance_use others = this->known;
         for (const std::size_t other : heard) {
             if (other == host)
                 continue;
-            claims.push_back({order_of(other), this->reserved[other]});
+            concurrent.push_back({order_of(other), this->reserved[other]});
             others += this->reserved[other];
         }
         return decision::is_displaced({.order = order_of(host),
                                        .reserved = this->reserved[host],
                                        .own = this->reserved[host],
                                        .others = others,
-                                       .claims = claims},
+                                       .concurrent = concurrent},
                                       capacity);
     }
 
     static std::uint64_t order_of(std::size_t host) {
-        return decision::claim_order(host_named(static_cast<int>(host)), engine);
+        return decision::reservation_order(host_named(static_cast<int>(host)), engine);
     }
 
     [[nodiscard]] std::vector<std::size_t> all() const {
@@ -142,7 +142,7 @@
     for (int number = 1; number <= 40; ++number) {
         std::map<std::uint64_t, int> order;
         for (int host = 1; host <= 5; ++host)
-            order[decision::claim_order(host_named(host), {"d" + std::to_string(number)})] = host;
+            order[decision::reservation_order(host_named(host), {"d" + std::to_string(number)})] = host;
         first.insert(order.begin()->second);
     }
     CHECK(first.size() == 5);
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -1,9 +1,15 @@
 // SPDX-License-Identifier: BSD-2-Clause
+#include <decision/overload/decode_recheck.h>
+#include <gateway/peer_codec.h>
 #include <support/gateway_cluster.h>
 #include <support/test_cluster.h>
+#include <wire/asio.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
+#include <future>
+
 using namespace postpaddle;
 using test::routed_request;
 
@@ -25,6 +31,106 @@
     return text;
 }
 
+/// A cluster whose first engine of each stage is preferred, as it is in the host's zone.
+test::gateway_cluster make_two_zone_cluster(const std::string& name, double retry_slack = 1'000'000) {
+    return test::gateway_cluster(
+        {.name = name,
+         .servers = {{.id = "p1", .service = "engines", .stage = "prefill"},
+                     {.id = "p2", .service = "engines", .stage = "prefill", .zone = "west"},
+                     {.id = "d1", .service = "engines", .stage = "decode"},
+                     {.id = "d2", .service = "engines", .stage = "decode", .zone = "west"}},
+         .retry_slack = retry_slack});
+}
+
+/// The same with settings that name an organisation, which requests the recheck.
+test::gateway_cluster make_organisation_cluster(const std::string& name, double retry_slack = 1'000'000) {
+    auto cluster = make_two_zone_cluster(name, retry_slack);
+    cluster.publish_organisations(2, {{{"name", "studio"}, {"apiKeys", {"secret"}}, {"priority", 1}}});
+    REQUIRE(test::eventually([&] { return settings_version_at(cluster, 1) == 2; }));
+    return cluster;
+}
+
+/// A request of the organisation, with a prompt so large that the host waits a few seconds for its prefill.
+wire::http_request organisation_request(const std::string& path, const std::string& id) {
+    auto request = routed_request(path, id);
+    request.headers.push_back({"Authorization", "Token secret"});
+    for (auto& header : request.headers)
+        if (header.name == "X-Token-Usage")
+            header.value = "40000,10";
+    return request;
+}
+
+int prompts_at(test::gateway_cluster& cluster, const std::string& id) {
+    return static_cast<int>(cluster.server(id).at("arrivals").size());
+}
+
+/// Whether the host comes before the cluster's host 1 among those that overcommitted an engine.
+bool is_before_first_host(const std::string& host, const std::string& engine) {
+    return decision::reservation_order({host}, {engine}) < decision::reservation_order({"host-1"}, {engine});
+}
+
+/// Another host of the cell, of which only the load reports exist.
+class reporting_host {
+public:
+    reporting_host(const test::gateway_cluster& cluster, std::string name)
+        : cluster(&cluster), name(std::move(name)),
+          socket(this->context, {wire::asio::ip::make_address(cluster.host_ip(3)), 0}) {}
+
+    /// Reports that many requests at the engine and waits until host 1 has counted them.
+    void report(const std::string& engine, int requests) {
+        host::load_report report;
+        report.host.value = this->name;
+        report.incarnation = 1;
+        report.sequence = ++this->sequence;
+        if (requests > 0)
+            report.uses[host::key_of(base::upstream_id{engine})] = {.requests = requests,
+                                                                    .memory_tokens = 100.0 * requests};
+        const wire::asio::ip::udp::endpoint address(
+            wire::asio::ip::make_address(this->cluster->host_ip(1)),
+            static_cast<std::uint16_t>(this->cluster->datagram_port()));
+        (void)this->socket.send_to(wire::asio::buffer("l" + gateway::encode_load(report)), address);
+        REQUIRE(test::eventually([&] {
+            return this->cluster->state_of(1).at("instances").at(engine).at("others_memory_tokens") ==
+                   100.0 * requests;
+        }));
+    }
+
+private:
+    const test::gateway_cluster* cluster;
+    std::string name;
+    std::uint64_t sequence = 0;
+    wire::asio::io_context context;
+    wire::asio::ip::udp::socket socket;
+};
+
+/// A host whose place relative to host 1 at the engine is as given.
+reporting_host make_reporting_host(const test::gateway_cluster& cluster, const std::string& engine,
+                                   bool is_before) {
+    int number = 10;
+    while (is_before_first_host("host-" + std::to_string(number), engine) != is_before)
+        ++number;
+    return {cluster, "host-" + std::to_string(number)};
+}
+
+/// Has another host take all slots of d1 while a prompt of host 1 that is meant for it is processed. Returns
+/// the answer.
+wire::http_response send_while_engine_fills(test::gateway_cluster& cluster, bool is_other_before) {
+    auto other = make_reporting_host(cluster, "d1", is_other_before);
+    (void)cluster.server("p1", {{"hang", 1}});
+    auto answer = std::async(std::launch::async, [&cluster] {
+        return stand_in::http_exchange(cluster.callers_address(), organisation_request("/stream/", "id-1"));
+    });
+    const bool is_prefilling =
+        test::eventually([&] { return cluster.server("p1").at("running").get<int>() == 1; });
+    if (is_prefilling)
+        other.report("d1", 16);
+    (void)cluster.server("p1", {{"hang", 0}});
+    const auto received = answer.get();
+    REQUIRE(is_prefilling);
+    REQUIRE(received);
+    return *received;
+}
+
 } // namespace
 
 TEST_CASE("a prompt is processed by a prefill engine and its stream comes from a decode engine") {
@@ -151,3 +257,83 @@
     CHECK(test::eventually([&] { return cluster.state_of(1).at("requests_in_progress") == 0; }));
     CHECK(cluster.runs() == 0);
 }
+
+// Guards against prefills in vain in a burst: the decode engine that was chosen before the prefill was full
+// after it.
+TEST_CASE("a request moves if other hosts took its decode engine during the prefill") {
+    auto cluster = make_organisation_cluster("recheck");
+    CHECK(send_while_engine_fills(cluster, true).body == complete_stream(5));
+    CHECK(cluster.arrivals("d1") == 0);
+    CHECK(cluster.arrivals("d2") == 1);
+    CHECK(cluster.metric(1, "decode_rechecks_total{verdict=\"moved\"}") == 1);
+}
+
+TEST_CASE("without priorities and organisations the decode engine is not checked again") {
+    auto cluster = make_two_zone_cluster("no-recheck");
+    CHECK(send_while_engine_fills(cluster, true).body == complete_stream(5));
+    CHECK(cluster.arrivals("d1") == 1);
+    CHECK(cluster.metric(1, "decode_rechecks_total{verdict=\"moved\"}") == 0);
+}
+
+// Guards against all hosts leaving an engine that they overcommitted together.
+TEST_CASE("a request that comes first among those that overcommitted its decode engine stays") {
+    auto cluster = make_organisation_cluster("recheck-stays");
+    CHECK(send_while_engine_fills(cluster, false).body == complete_stream(5));
+    CHECK(cluster.arrivals("d1") == 1);
+    CHECK(cluster.metric(1, "decode_rechecks_total{verdict=\"kept\"}") == 1);
+}
+
+// Guards against a second prefill that ends in "no budget for another engine".
+TEST_CASE("a prompt is not processed again if the retry budget doesn't cover the run after it") {
+    auto cluster = make_organisation_cluster("budget-for-one", 2);
+    // The ratio of these requests is more than one retry, and the bucket holds less than two.
+    for (int other = 0; other < 8; ++other)
+        REQUIRE(stand_in::http_exchange(cluster.callers_address(),
+                                        organisation_request("/stream/", "other-" + std::to_string(other))));
+    (void)cluster.server("d1", {{"break_after", 0}});
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(), organisation_request("/resume/", "id-1"));
+    REQUIRE(answer);
+    CHECK(answer->body == complete_stream(5));
+    CHECK(prompts_at(cluster, "p1") + prompts_at(cluster, "p2") == 9);
+    CHECK(cluster.metric(1, "extra_sends_total") == 1);
+}
+
+TEST_CASE("after a lost prefill without retry budget the decode engine processes the prompt") {
+    auto cluster = make_organisation_cluster("budget-for-none", 0);
+    (void)cluster.server("p1", {{"lose_answer", 1}});
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(), organisation_request("/resume/", "id-1"));
+    REQUIRE(answer);
+    CHECK(answer->body == complete_stream(5));
+    CHECK(prompts_at(cluster, "p2") == 0);
+    CHECK(cluster.runs() == 1);
+    CHECK(cluster.metric(1, "extra_sends_total") == 0);
+}
+
+TEST_CASE("a prompt and its run are repeated after an interrupted run if the retry budget covers both") {
+    auto cluster = make_organisation_cluster("budget-for-both");
+    (void)cluster.server("d1", {{"break_after", 0}});
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(), organisation_request("/resume/", "id-1"));
+    REQUIRE(answer);
+    CHECK(answer->body == complete_stream(5));
+    CHECK(prompts_at(cluster, "p1") + prompts_at(cluster, "p2") == 2);
+    CHECK(cluster.metric(1, "extra_sends_total") == 2);
+}
+
+// Guards against resuming a stream at an engine that is known to be full, which costs retry budget.
+TEST_CASE("a broken stream waits for room before it is resumed") {
+    auto cluster = make_organisation_cluster("resume-room");
+    auto other = make_reporting_host(cluster, "d2", true);
+    (void)cluster.server("d1", {{"break_after", 2}});
+    other.report("d2", 16);
+    auto answer = std::async(std::launch::async, [&cluster] {
+        return stand_in::http_exchange(cluster.callers_address(), organisation_request("/resume/", "id-1"));
+    });
+    CHECK(test::eventually([&] { return cluster.metric(1, "waits_for_decode_room_total") == 1; }));
+    other.report("d2", 0);
+    const auto received = answer.get();
+    REQUIRE(received);
+    CHECK(received->body == complete_stream(5));
+}
