--- a/tests/decision/test_shared_budget.cpp
+++ b/tests/decision/test_shared_budget.cpp
@@ -254,3 +254,46 @@
         CHECK(saved >= 0.8 * options.slack - 1);
     }
 }
+
+// Guards against a bucket that fills up again beside the retries that are reserved for sends still to come.
+TEST_CASE("retries reserved before a prefill and spent after it keep to the limit") {
+    decision::shared_budget_options shared = options;
+    for (shared.hosts = 1; shared.hosts <= 8; ++shared.hosts)
+        for (const bool does_first_send_count : {true, false}) {
+            INFO(shared.hosts << " hosts, first send counts: " << does_first_send_count);
+            decision::shared_budget budget = new_budget(start - 10 * options.window);
+            const int saved = static_cast<int>(decision::retries_left(budget, shared, start));
+            REQUIRE(decision::try_reserve(budget, shared, saved, start));
+            if (!does_first_send_count)
+                for (int send = 0; send < saved; ++send)
+                    decision::spend_reserved(budget);
+            // Many requests arrive while the prompts are processed.
+            const base::time_point end = start + 3s;
+            for (int request = 0; request < 1'000; ++request)
+                decision::record_request(budget, shared, end - 1s);
+            if (!does_first_send_count)
+                for (int send = 0; send < saved; ++send)
+                    decision::refund_reserved(budget, shared);
+            // Then all is spent within a window that has no requests.
+            int spent = saved;
+            for (int send = 0; send < saved; ++send)
+                decision::spend_reserved(budget);
+            for (base::duration passed{}; passed < options.window; passed += 100ms)
+                while (decision::try_spend(budget, shared, end + passed))
+                    ++spent;
+            CHECK(spent <= options.slack / shared.hosts);
+        }
+}
+
+TEST_CASE("retries are reserved all or none, and released to the bucket") {
+    decision::shared_budget budget = new_budget(start - 10 * options.window);
+    const double full = decision::retries_left(budget, options, start);
+    REQUIRE(full > 2);
+    CHECK_FALSE(decision::try_reserve(budget, options, static_cast<int>(full) + 1, start));
+    CHECK(decision::retries_left(budget, options, start) == Approx(full));
+    REQUIRE(decision::try_reserve(budget, options, 2, start));
+    CHECK(decision::retries_left(budget, options, start + 1h) == Approx(full - 2));
+    decision::spend_reserved(budget);
+    decision::release_reserved(budget, options, 1, start);
+    CHECK(decision::retries_left(budget, options, start) == Approx(full - 1));
+}
