--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -33,13 +33,13 @@
 
 std::optional<decision::engine_plan> stream_relay::next_plan(wire::yield_context yield) {
     if (this->retained.has_value()) {
-        const auto plan = this->retained.await_decode_engine(this->size, yield);
+        auto plan = this->retained.await_decode_engine(this->size, yield);
         if (plan || this->retained.has_value())
             return plan;
     }
     if (this->has_started || this->prompts_sent >= max_prefills)
         return this->await_colocated_engine(yield);
-    const engine_slot_result result = await_engine_slot(*this->request, this->size, yield);
+    engine_slot_result result = await_engine_slot(*this->request, this->size, yield);
     if (!result.plan)
         this->reason = result.reason;
     return result.plan;
--- a/tests/decision/test_decode_recheck.cpp
+++ b/tests/decision/test_decode_recheck.cpp
@@ -118,7 +118,8 @@
                        .memory_tokens = static_cast<double>(random() % 20'000)};
         for (std::uint64_t count = 2 + random() % 20; count > 0; --count)
             hosts.reserved.push_back(
-                {.requests = 1, .memory_tokens = is_even ? 3'350 : 500.0 + random() % 8'000});
+                {.requests = 1,
+                 .memory_tokens = is_even ? 3'350 : static_cast<double>(500 + random() % 8'000)});
         instance_use stays = hosts.known;
         std::size_t staying = 0;
         for (const std::size_t host : hosts.all())
--- a/tests/decision/test_shared_budget.cpp
+++ b/tests/decision/test_shared_budget.cpp
@@ -40,8 +40,7 @@
 
     /// Checks every window that begins with a retry.
     void check_bound() const {
-        for (std::size_t first = 0; first < this->retries.size(); ++first) {
-            const base::time_point begin = this->retries[first];
+        for (const base::time_point begin : this->retries) {
             INFO("window from " << base::to_seconds(begin - start) << " s");
             REQUIRE(this->count(this->retries, begin) <=
                     options.ratio * this->count(this->requests, begin) + options.slack);
