decision: Split the choice of instances by responsibility

Costs, plain upstreams, engine room and send slots each get a file of their own, so that the choice of engines and that of plain upstreams can change independently. instance_choice.h includes the others, so users are unaffected.

--- /dev/null
+++ b/libraries/decision/choice_cost.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/choice_cost.h>
+
+#include <algorithm>
+
+namespace postpaddle::decision {
+
+namespace {
+
+// Costs are in seconds of expected delay, so they can be added.
+
+/// Cost of an upstream in another availability zone.
+constexpr double other_zone_cost = 0.015;
+/// Cost of an upstream with a failure rate of 1.
+constexpr double failure_cost = 0.5;
+/// Cost of an avoided upstream: high enough that every other one is preferred.
+constexpr double ejected_cost = 30;
+/// Cost for each other host that could not reach the upstream recently. Low, as the fault may be on their
+/// side.
+constexpr double avoided_cost = 0.3;
+/// Random tie-breaker, so that hosts with the same view do not all choose the same upstream.
+constexpr double tie_spread = 0.003;
+
+} // namespace
+
+bool can_prefill(const instance& candidate) {
+    return candidate.entry.stage == settings::engine_stage::prefill ||
+           candidate.entry.stage == settings::engine_stage::both;
+}
+
+bool can_decode(const instance& candidate) {
+    return candidate.entry.stage != settings::engine_stage::prefill;
+}
+
+std::vector<const instance*> eligible_instances(const instance_table& table, const choice_context& context,
+                                                const std::function<bool(const instance&)>& can_serve) {
+    std::vector<const instance*> known;
+    std::vector<const instance*> listed;
+    std::vector<const instance*> unlisted;
+    for (const auto& [id, candidate] : table.by_id) {
+        if (candidate.entry.service != context.service || !can_serve(candidate))
+            continue;
+        if (check_placement(table, context.limits, candidate, context.now) != placement_verdict::allowed)
+            continue;
+        if (candidate.state == listing::listed)
+            (is_load_known(candidate, context.now) ? known : listed).push_back(&candidate);
+        if (candidate.state == listing::unlisted)
+            unlisted.push_back(&candidate);
+    }
+    const auto without_tried = [&context](std::vector<const instance*> candidates) {
+        std::erase_if(candidates, [&context](const instance* candidate) {
+            return context.excluded.contains(candidate->entry.id);
+        });
+        return candidates;
+    };
+    if (known.empty() && listed.empty())
+        return without_tried(std::move(unlisted));
+    if (auto untried = without_tried(std::move(known)); !untried.empty())
+        return untried;
+    return without_tried(std::move(listed));
+}
+
+double base_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
+    std::uniform_real_distribution<double> tie(0, tie_spread);
+    double cost = tie(random) + failure_cost * candidate.health.failure_rate;
+    if (candidate.entry.availability_zone != context.own_zone)
+        cost += other_zone_cost;
+    if (is_avoided(candidate, context.now))
+        cost += ejected_cost;
+    return cost + avoided_cost * candidate.avoided_by;
+}
+
+scored_candidate cheapest(const std::vector<const instance*>& candidates,
+                          const std::function<double(const instance&)>& cost_of) {
+    scored_candidate best;
+    for (const instance* candidate : candidates) {
+        const double cost = cost_of(*candidate);
+        if (cost < best.cost)
+            best = {candidate, cost};
+    }
+    return best;
+}
+
+} // namespace postpaddle::decision
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <decision/instance_choice.h>
 
+#include <decision/choice_cost.h>
+
 #include <algorithm>
-#include <cmath>
-#include <functional>
 #include <limits>
 #include <map>
 
@@ -11,27 +11,12 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
 // Costs are in seconds of expected delay, so they can be added.
 
-/// Cost of an upstream in another availability zone.
-constexpr double other_zone_cost = 0.015;
 /// Additional cost of a KV cache transfer between availability zones.
 constexpr double other_zone_transfer_cost = 0.12;
-/// Cost of an upstream with a failure rate of 1.
-constexpr double failure_cost = 0.5;
-/// Cost of an avoided upstream: high enough that every other one is preferred.
-constexpr double ejected_cost = 30;
-/// Cost for each other host that could not reach the upstream recently. Low, as the fault may be on their
-/// side.
-constexpr double avoided_cost = 0.3;
-/// Random tie-breaker, so that hosts with the same view do not all choose the same upstream.
-constexpr double tie_spread = 0.003;
 /// Cost of a prefill at a decode engine: it slows down the streams there.
 constexpr double decode_interference_cost = 0.5;
-/// Fraction of an engine's memory that may be reserved.
-constexpr double reservable_fraction = 1.0;
 /// Cost of an engine without a free slot.
 constexpr double full_cost = 10;
 /// Lower bound of a slowness sample.
@@ -39,57 +24,6 @@
 /// Seconds after which a measured queue time no longer counts.
 constexpr double queue_time_lifetime = 0.5;
 
-/// Instances that are eligible for new work: those with known load; if none has, all listed ones; if none is
-/// listed, the unlisted ones. A request that has tried all listed instances does not fall back to unlisted
-/// ones, as these may be shutting down.
-std::vector<const instance*> eligible_instances(const instance_table& table, const choice_context& context,
-                                                const std::function<bool(const instance&)>& can_serve) {
-    std::vector<const instance*> known;
-    std::vector<const instance*> listed;
-    std::vector<const instance*> unlisted;
-    for (const auto& [id, candidate] : table.by_id) {
-        if (candidate.entry.service != context.service || !can_serve(candidate))
-            continue;
-        if (check_placement(table, context.limits, candidate, context.now) != placement_verdict::allowed)
-            continue;
-        if (candidate.state == listing::listed)
-            (is_load_known(candidate, context.now) ? known : listed).push_back(&candidate);
-        if (candidate.state == listing::unlisted)
-            unlisted.push_back(&candidate);
-    }
-    const auto without_tried = [&context](std::vector<const instance*> candidates) {
-        std::erase_if(candidates, [&context](const instance* candidate) {
-            return context.excluded.contains(candidate->entry.id);
-        });
-        return candidates;
-    };
-    if (known.empty() && listed.empty())
-        return without_tried(std::move(unlisted));
-    if (auto untried = without_tried(std::move(known)); !untried.empty())
-        return untried;
-    return without_tried(std::move(listed));
-}
-
-double base_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
-    std::uniform_real_distribution<double> tie(0, tie_spread);
-    double cost = tie(random) + failure_cost * candidate.health.failure_rate;
-    if (candidate.entry.availability_zone != context.own_zone)
-        cost += other_zone_cost;
-    if (is_avoided(candidate, context.now))
-        cost += ejected_cost;
-    return cost + avoided_cost * candidate.avoided_by;
-}
-
-double plain_cost(const instance& candidate, const choice_context& context, std::mt19937_64& random) {
-    const double slots = std::max(1, candidate.entry.slots);
-    const double load = candidate.own.requests + others_requests(candidate, context.now);
-    const double queue_rounds = std::max(1.0, (load + 1) / slots);
-    // Prefers upstreams with more free slots.
-    static constexpr double crowding_cost = 0.03;
-    const double expected = candidate.latency.value * relative_latency(candidate, context.now);
-    return base_cost(candidate, context, random) + expected * queue_rounds + crowding_cost * load / slots;
-}
-
 double recent_queue_seconds(const instance& candidate, base::time_point now) {
     if (candidate.queue_time_measured_at == base::time_point{})
         return 0;
@@ -125,25 +59,6 @@
     return decode_prefill_time(candidate, tokens, context) + decode_interference_cost;
 }
 
-double unreserved_memory(const instance& candidate, const choice_context& context,
-                         const settings::engine_capacity& capacity) {
-    const auto found = context.reserved.find(candidate.entry.id);
-    const double reserved = found == context.reserved.end() ? 0 : found->second;
-    return available_memory(candidate, capacity, context.now) - reserved;
-}
-
-bool has_room(const instance& candidate, const choice_context& context,
-              const settings::engine_capacity& capacity, const prompt_size& size) {
-    const int requests = candidate.own.requests + candidate.others.requests;
-    if (requests >= capacity.slots)
-        return false;
-    // A request larger than the whole engine is admitted to an empty one.
-    const bool is_empty = requests == 0 && unreported_memory(candidate, context.now) == 0 &&
-                          !context.reserved.contains(candidate.entry.id);
-    return is_empty || capacity.kv_tokens <= 0 ||
-           unreserved_memory(candidate, context, capacity) >= size.prompt_tokens + size.output_tokens;
-}
-
 double memory_cost(const instance& candidate, const choice_context& context,
                    const settings::engine_capacity& capacity, const prompt_size& size) {
     // Decode is faster on engines with less memory in use.
@@ -153,31 +68,6 @@
     return crowding_cost * (1 - left) + (has_room(candidate, context, capacity, size) ? 0 : full_cost);
 }
 
-bool can_prefill(const instance& candidate) {
-    return candidate.entry.stage == settings::engine_stage::prefill ||
-           candidate.entry.stage == settings::engine_stage::both;
-}
-
-bool can_decode(const instance& candidate) {
-    return candidate.entry.stage != settings::engine_stage::prefill;
-}
-
-struct scored_candidate {
-    const instance* chosen = nullptr;
-    double cost = std::numeric_limits<double>::infinity();
-};
-
-scored_candidate cheapest(const std::vector<const instance*>& candidates,
-                          const std::function<double(const instance&)>& cost_of) {
-    scored_candidate best;
-    for (const instance* candidate : candidates) {
-        const double cost = cost_of(*candidate);
-        if (cost < best.cost)
-            best = {candidate, cost};
-    }
-    return best;
-}
-
 using candidates_by_zone = std::map<base::zone_id, scored_candidate>;
 
 /// The cheapest candidate of each availability zone.
@@ -218,41 +108,6 @@
     return std::max(0.0, candidate.own.prompt_tokens + candidate.others.prompt_tokens);
 }
 
-double available_memory(const instance& candidate, const settings::engine_capacity& capacity,
-                        base::time_point now) {
-    return reservable_fraction * capacity.kv_tokens - candidate.own.memory_tokens -
-           candidate.others.memory_tokens - unreported_memory(candidate, now);
-}
-
-std::optional<send_slots> next_send_slot(const instance_table& table, const choice_context& context) {
-    std::optional<base::time_point> first;
-    double per_second = 0;
-    for (const auto& [id, candidate] : table.by_id) {
-        if (candidate.entry.service != context.service || candidate.state != listing::listed ||
-            !can_decode(candidate) || context.excluded.contains(id))
-            continue;
-        const auto next = next_placement_time(table, context.limits, candidate, context.now);
-        if (!next)
-            continue;
-        first = std::min(first.value_or(*next), *next);
-        if (is_limited(candidate))
-            per_second += 1 / base::to_seconds(send_interval(candidate, context.limits.group));
-    }
-    if (!first)
-        return std::nullopt;
-    return send_slots{*first, per_second > 0 ? base::from_seconds(1 / per_second) : base::duration{}};
-}
-
-std::optional<base::upstream_id> choose_plain(const instance_table& table, const choice_context& context,
-                                              std::mt19937_64& random) {
-    const auto candidates = eligible_instances(table, context, [](const instance&) { return true; });
-    const scored_candidate best = cheapest(
-        candidates, [&](const instance& candidate) { return plain_cost(candidate, context, random); });
-    if (best.chosen == nullptr)
-        return std::nullopt;
-    return best.chosen->entry.id;
-}
-
 std::optional<engine_plan> choose_colocated(const instance_table& table, const choice_context& context,
                                             const settings::engine_capacity& capacity,
                                             const prompt_size& size, std::mt19937_64& random) {
@@ -319,43 +174,6 @@
                        .cost = best.cost};
 }
 
-std::map<base::upstream_id, double> reserve_memory(const instance_table& table, const choice_context& context,
-                                                   const settings::engine_capacity& capacity,
-                                                   std::span<const waiter> ahead) {
-    std::map<base::upstream_id, double> reserved;
-    std::vector<std::pair<double, base::upstream_id>> left;
-    for (const instance* candidate : eligible_instances(table, context, can_decode))
-        if (!is_avoided(*candidate, context.now))
-            left.emplace_back(available_memory(*candidate, capacity, context.now), candidate->entry.id);
-    if (left.empty())
-        return reserved;
-    std::ranges::make_heap(left);
-    for (const waiter& other : ahead) {
-        std::ranges::pop_heap(left);
-        left.back().first -= other.memory_tokens;
-        reserved[left.back().second] += other.memory_tokens;
-        std::ranges::push_heap(left);
-    }
-    return reserved;
-}
-
-decode_slots count_decode_slots(const instance_table& table, const choice_context& context,
-                                const settings::engine_capacity& capacity, const prompt_size& size) {
-    decode_slots slots;
-    const double required = std::max(1.0, size.prompt_tokens + size.output_tokens);
-    for (const instance* candidate : eligible_instances(table, context, can_decode)) {
-        if (is_avoided(*candidate, context.now))
-            continue;
-        const double total =
-            std::min<double>(capacity.slots, reservable_fraction * capacity.kv_tokens / required);
-        const double left = std::max(0.0, available_memory(*candidate, capacity, context.now)) / required;
-        slots.total += std::max(1.0, total);
-        if (has_room(*candidate, context, capacity, size))
-            slots.free += std::max(1.0, std::floor(left));
-    }
-    return slots;
-}
-
 void record_prefill(instance& target, engine_speed& speed, const prefill_sample& sample,
                     base::time_point now) {
     const double alone = unqueued_prefill_seconds(speed, sample.prompt_tokens);
@@ -368,8 +186,4 @@
     target.queue_time_measured_at = now;
 }
 
-void record_response_time(instance& target, base::duration taken, base::time_point now) {
-    add_sample(target.latency, base::to_seconds(taken) / relative_latency(target, now));
-}
-
 } // namespace postpaddle::decision
