decision: Choose engines by their relative processing times

Engines of one service may differ by a factor of 2.4, but a host sends to the same engine only about once a minute and learned neither the time between events per engine nor enough about prefills.

upstream_pace merges measurements of all hosts into one value per engine with weight and age. Values in use weigh the choice of both engines, the expected times and the count of slots; hosts with the same figures draw two of the best engines and take the better one. Nothing fills the values yet.

--- a/libraries/decision/choice_context.h
+++ b/libraries/decision/choice_context.h
@@ -20,6 +20,8 @@
     std::map<base::upstream_id, double>
         reserved{};       ///< Engine memory reserved for requests ahead in the queue.
     engine_speed speed{}; ///< Speed of the service's engines.
+    double hold_seconds =
+        0; ///< Mean time that a request occupies its slot at a decode engine; 0: not considered.
     placement_limits limits{};
 };
 
--- a/libraries/decision/choice_cost.cpp
+++ b/libraries/decision/choice_cost.cpp
@@ -20,6 +20,12 @@
 constexpr double avoided_cost = 0.3;
 /// Random tie-breaker, so that hosts with the same view do not all choose the same upstream.
 constexpr double tie_spread = 0.003;
+/// `choose_spread` draws from this fraction of the candidates, at least two.
+constexpr double best_fraction = 0.25;
+/// Maximum additional cost of a candidate drawn: a prompt that queues behind another costs more.
+constexpr double max_spread_cost = 0.1;
+/// Lower bound of a weight, so that a candidate without any free capacity does not divide by 0.
+constexpr double min_weight = 1e-6;
 
 } // namespace
 
@@ -81,4 +87,31 @@
     return best;
 }
 
+scored_candidate choose_spread(std::vector<scored_candidate> candidates,
+                               const std::function<double(const instance&)>& weight_of,
+                               std::mt19937_64& random) {
+    const auto is_cheaper = [](const scored_candidate& left, const scored_candidate& right) {
+        return left.cost < right.cost;
+    };
+    std::ranges::sort(candidates, is_cheaper);
+    const auto best = static_cast<std::size_t>(best_fraction * static_cast<double>(candidates.size()));
+    candidates.resize(std::min(candidates.size(), std::max<std::size_t>(2, best)));
+    std::erase_if(candidates, [limit = candidates.empty() ? 0 : candidates.front().cost + max_spread_cost](
+                                  const scored_candidate& candidate) { return candidate.cost > limit; });
+    if (candidates.empty())
+        return {};
+    std::vector<double> weights;
+    weights.reserve(candidates.size());
+    for (const scored_candidate& candidate : candidates)
+        weights.push_back(std::max(min_weight, weight_of(*candidate.chosen)));
+    const auto draw = [&] {
+        return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(random);
+    };
+    const std::size_t first = draw();
+    if (candidates.size() == 1)
+        return candidates[first];
+    weights[first] = 0;
+    return candidates[std::min(first, draw())];
+}
+
 } // namespace postpaddle::decision
--- a/libraries/decision/engine_room.cpp
+++ b/libraries/decision/engine_room.cpp
@@ -70,9 +70,10 @@
         const double total =
             std::min<double>(capacity.slots, reservable_fraction * capacity.kv_tokens / required);
         const double left = std::max(0.0, available_memory(*candidate, capacity, context.now)) / required;
-        slots.total += std::max(1.0, total);
+        const double speed = 1 / candidate->pace.in_use.decode;
+        slots.total += speed * std::max(1.0, total);
         if (has_room(*candidate, context, capacity, size))
-            slots.free += std::max(1.0, std::floor(left));
+            slots.free += std::min(1.0, speed) * std::max(1.0, std::floor(left));
     }
     return slots;
 }
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -4,6 +4,7 @@
 #include <decision/choice_cost.h>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 
@@ -17,6 +18,8 @@
 constexpr double other_zone_transfer_cost = 0.12;
 /// Cost of a prefill at a decode engine: it slows down the streams there.
 constexpr double decode_interference_cost = 0.5;
+/// Cost per second that a request occupies its slot longer than usual: callers that wait get it later.
+constexpr double hold_cost = 0.1;
 /// Cost of an engine without a free slot.
 constexpr double full_cost = 10;
 /// Lower bound of a slowness sample.
@@ -36,20 +39,34 @@
     return context.holding.contains(candidate.entry.id) ? 0 : tokens;
 }
 
+bool has_own_pace(double pace_in_use) { return pace_in_use < 1 || pace_in_use > 1; }
+
+/// Prefill time at a prefill engine relative to the service's mean.
+double prefill_pace(const instance& candidate) {
+    return has_own_pace(candidate.pace.in_use.prefill) ? candidate.pace.in_use.prefill
+                                                       : candidate.slowness.value;
+}
+
+/// The same at a decode engine, whose time between events stands for it while no prefill was measured.
+double decode_prefill_pace(const instance& candidate) {
+    const engine_pace& pace = candidate.pace.in_use;
+    return has_own_pace(pace.prefill) ? pace.prefill : candidate.slowness.value * pace.decode;
+}
+
 /// Seconds until a prefill engine has completed a prompt sent now, queueing included.
 double prefill_time(const instance& candidate, double tokens, const choice_context& context) {
     const double queue = std::max(seconds_for_tokens(context.speed, pending_prompt_tokens(candidate)) *
-                                      candidate.slowness.value,
+                                      prefill_pace(candidate),
                                   recent_queue_seconds(candidate, context.now));
     const double own = unqueued_prefill_seconds(context.speed, tokens_to_prefill(candidate, tokens, context));
-    return queue + own * candidate.slowness.value;
+    return queue + own * prefill_pace(candidate);
 }
 
 /// Seconds until a decode engine has prefilled a prompt sent now, queueing included.
 double decode_prefill_time(const instance& candidate, double tokens, const choice_context& context) {
     const double queue = seconds_for_tokens(context.speed, pending_prompt_tokens(candidate));
     const double own = unqueued_prefill_seconds(context.speed, tokens);
-    return decode_prefill_factor * (queue + own) * candidate.slowness.value;
+    return decode_prefill_factor * (queue + own) * decode_prefill_pace(candidate);
 }
 
 /// Cost of prefilling a prompt at a decode engine; none where the engine holds the prompt.
@@ -59,30 +76,83 @@
     return decode_prefill_time(candidate, tokens, context) + decode_interference_cost;
 }
 
+/// Seconds from sending a request with its KV cache until the first event.
+double first_event_time(const instance& candidate, const choice_context& context) {
+    return context.speed.first_event.value * candidate.pace.in_use.decode;
+}
+
+/// Cost of the slot and memory that the request occupies until its end.
 double memory_cost(const instance& candidate, const choice_context& context,
                    const settings::engine_capacity& capacity, const prompt_size& size) {
     // Decode is faster on engines with less memory in use.
     static constexpr double crowding_cost = 0.05;
     const double left =
         capacity.kv_tokens > 0 ? unreserved_memory(candidate, context, capacity) / capacity.kv_tokens : 1;
-    return crowding_cost * (1 - left) + (has_room(candidate, context, capacity, size) ? 0 : full_cost);
+    const double extra_hold = context.hold_seconds * (candidate.pace.in_use.decode - 1);
+    return crowding_cost * (1 - left) + hold_cost * extra_hold +
+           (has_room(candidate, context, capacity, size) ? 0 : full_cost);
+}
+
+/// Candidates with their costs, and how to choose among them.
+struct scored_engines {
+    std::vector<scored_candidate> candidates;
+    bool is_uneven = false; ///< One of them has a pace of its own.
+    std::function<double(const instance&)> weight_of;
+};
+
+scored_engines score(const std::vector<const instance*>& engines, double engine_pace::*pace,
+                     const std::function<double(const instance&)>& cost_of,
+                     std::function<double(const instance&)> weight_of) {
+    scored_engines scored{.candidates = {}, .weight_of = std::move(weight_of)};
+    scored.candidates.reserve(engines.size());
+    for (const instance* engine : engines) {
+        scored.candidates.push_back({engine, cost_of(*engine)});
+        scored.is_uneven |= has_own_pace(engine->pace.in_use.*pace);
+    }
+    return scored;
+}
+
+/// The cheapest engine. Where engines differ in speed, the hosts, which would all prefer the same fast ones,
+/// spread their requests over the best.
+scored_candidate choose_one(scored_engines scored, std::mt19937_64& random) {
+    if (scored.is_uneven)
+        return choose_spread(std::move(scored.candidates), scored.weight_of, random);
+    scored_candidate best;
+    for (const scored_candidate& candidate : scored.candidates)
+        if (candidate.cost < best.cost)
+            best = candidate;
+    return best;
 }
 
 using candidates_by_zone = std::map<base::zone_id, scored_candidate>;
 
-/// The cheapest candidate of each availability zone.
-candidates_by_zone cheapest_by_zone(const std::vector<const instance*>& candidates,
-                                    const std::function<double(const instance&)>& cost_of) {
-    candidates_by_zone best;
-    for (const instance* candidate : candidates) {
-        const double cost = cost_of(*candidate);
-        scored_candidate& known = best[candidate->entry.availability_zone];
-        if (cost < known.cost)
-            known = {candidate, cost};
+/// The choice within each availability zone.
+candidates_by_zone choose_by_zone(const scored_engines& scored, std::mt19937_64& random) {
+    std::map<base::zone_id, scored_engines> zones;
+    for (const scored_candidate& candidate : scored.candidates) {
+        scored_engines& zone = zones[candidate.chosen->entry.availability_zone];
+        zone.is_uneven = scored.is_uneven;
+        zone.weight_of = scored.weight_of;
+        zone.candidates.push_back(candidate);
     }
+    candidates_by_zone best;
+    for (auto& [zone, candidates] : zones)
+        best[zone] = choose_one(std::move(candidates), random);
     return best;
 }
 
+/// Weight of a prefill engine: its speed.
+double prefill_weight(const instance& candidate) { return 1 / prefill_pace(candidate); }
+
+/// Weight of a decode engine: the capacity that it frees per second, for its free memory.
+std::function<double(const instance&)> decode_weight(const choice_context& context,
+                                                     const settings::engine_capacity& capacity) {
+    return [&context, &capacity](const instance& candidate) {
+        const double left = capacity.kv_tokens > 0 ? unreserved_memory(candidate, context, capacity) : 1;
+        return std::max(0.0, left) / candidate.pace.in_use.decode;
+    };
+}
+
 struct engine_pair {
     const instance* prefill = nullptr;
     const instance* decode = nullptr;
@@ -111,11 +181,14 @@
 std::optional<engine_plan> choose_colocated(const instance_table& table, const choice_context& context,
                                             const settings::engine_capacity& capacity,
                                             const prompt_size& size, std::mt19937_64& random) {
+    const auto cost_of = [&](const instance& candidate) {
+        return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
+               decode_prefill_cost(candidate, size.prompt_tokens, context);
+    };
     const scored_candidate best =
-        cheapest(eligible_instances(table, context, can_decode), [&](const instance& candidate) {
-            return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-                   decode_prefill_cost(candidate, size.prompt_tokens, context);
-        });
+        choose_one(score(eligible_instances(table, context, can_decode), &engine_pace::decode, cost_of,
+                         decode_weight(context, capacity)),
+                   random);
     if (best.chosen == nullptr)
         return std::nullopt;
     // The timeout allows for a full prefill, as the engine may have evicted the held prompt.
@@ -125,25 +198,28 @@
                        .has_room = has_room(*best.chosen, context, capacity, size),
                        .expected_prefill = base::from_seconds(prefill_seconds),
                        .expected_first_event =
-                           base::from_seconds(prefill_seconds + context.speed.first_event.value),
+                           base::from_seconds(prefill_seconds + first_event_time(*best.chosen, context)),
                        .cost = best.cost};
 }
 
 std::optional<engine_plan> choose_decode(const instance_table& table, const choice_context& context,
                                          const settings::engine_capacity& capacity, const prompt_size& size,
                                          const base::zone_id& source_zone, std::mt19937_64& random) {
+    const auto cost_of = [&](const instance& candidate) {
+        const bool is_same_zone = candidate.entry.availability_zone == source_zone;
+        return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
+               (is_same_zone ? 0 : other_zone_transfer_cost);
+    };
     const scored_candidate best =
-        cheapest(eligible_instances(table, context, can_decode), [&](const instance& candidate) {
-            const bool is_same_zone = candidate.entry.availability_zone == source_zone;
-            return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-                   (is_same_zone ? 0 : other_zone_transfer_cost);
-        });
+        choose_one(score(eligible_instances(table, context, can_decode), &engine_pace::decode, cost_of,
+                         decode_weight(context, capacity)),
+                   random);
     if (best.chosen == nullptr)
         return std::nullopt;
     return engine_plan{.prefill = std::nullopt,
                        .decode = best.chosen->entry.id,
                        .has_room = has_room(*best.chosen, context, capacity, size),
-                       .expected_first_event = base::from_seconds(context.speed.first_event.value),
+                       .expected_first_event = base::from_seconds(first_event_time(*best.chosen, context)),
                        .cost = best.cost};
 }
 
@@ -151,17 +227,18 @@
                                           const settings::engine_capacity& capacity, const prompt_size& size,
                                           std::mt19937_64& random) {
     const auto colocated = choose_colocated(table, context, capacity, size, random);
-    const auto prefill =
-        cheapest_by_zone(eligible_instances(table, context, can_prefill), [&](const instance& candidate) {
-            return base_cost(candidate, context, random) +
-                   prefill_time(candidate, size.prompt_tokens, context);
-        });
-    const auto decode =
-        cheapest_by_zone(eligible_instances(table, context, can_decode), [&](const instance& candidate) {
-            return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
-                   context.speed.first_event.value;
-        });
-    const engine_pair best = cheapest_pair(prefill, decode);
+    const auto prefill_cost = [&](const instance& candidate) {
+        return base_cost(candidate, context, random) + prefill_time(candidate, size.prompt_tokens, context);
+    };
+    const auto prefill = score(eligible_instances(table, context, can_prefill), &engine_pace::prefill,
+                               prefill_cost, prefill_weight);
+    const auto decode_cost = [&](const instance& candidate) {
+        return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
+               first_event_time(candidate, context);
+    };
+    const auto decode = score(eligible_instances(table, context, can_decode), &engine_pace::decode,
+                              decode_cost, decode_weight(context, capacity));
+    const engine_pair best = cheapest_pair(choose_by_zone(prefill, random), choose_by_zone(decode, random));
     if (best.prefill == nullptr || (colocated && colocated->cost < best.cost))
         return colocated;
     const double prefill_seconds = prefill_time(*best.prefill, size.prompt_tokens, context);
@@ -170,7 +247,7 @@
                        .has_room = has_room(*best.decode, context, capacity, size),
                        .expected_prefill = base::from_seconds(prefill_seconds),
                        .expected_first_event =
-                           base::from_seconds(prefill_seconds + context.speed.first_event.value),
+                           base::from_seconds(prefill_seconds + first_event_time(*best.decode, context)),
                        .cost = best.cost};
 }
 
@@ -182,7 +259,7 @@
     add_sample(target.slowness, std::max(min_slowness, seconds / (alone + queue)));
     if (sample.tokens_ahead == 0)
         record_unqueued_prefill(speed, sample.prompt_tokens, seconds);
-    target.last_queue_time = base::from_seconds(std::max(0.0, seconds - alone * target.slowness.value));
+    target.last_queue_time = base::from_seconds(std::max(0.0, seconds - alone * prefill_pace(target)));
     target.queue_time_measured_at = now;
 }
 
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -3,6 +3,7 @@
 
 #include <base/clock.h>
 #include <decision/estimate.h>
+#include <decision/overload/upstream_pace.h>
 #include <settings/routing_settings.h>
 
 #include <map>
@@ -80,6 +81,7 @@
     bool is_out_of_service_elsewhere = false; ///< Another host reports it as out of service.
     estimate latency = make_estimate(0.08);   ///< Seconds to a plain response.
     estimate slowness = make_estimate(1);     ///< Actual over expected prefill time.
+    learned_pace pace;                        ///< Merged from the measurements of all hosts.
     base::duration last_queue_time{};         ///< Queue time of this host's last prompt.
     base::time_point queue_time_measured_at{};
     instance_load load;
