gateway: Exchange the engines' processing times

Hosts measure the relative prefill time and time between events of each engine, report those that differ by more than a fifth for 2 s, at most 12 per load report, and merge what they receive. A host whose own timers are late measures nothing. The policy switch exchange_pace turns all of it off; /state shows the pace of each instance and metrics count by service.

--- a/libraries/decision/choice_cost.cpp
+++ b/libraries/decision/choice_cost.cpp
@@ -2,6 +2,7 @@
 #include <decision/choice_cost.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace postpaddle::decision {
 
@@ -27,6 +28,18 @@
 /// Lower bound of a weight, so that a candidate without any free capacity does not divide by 0.
 constexpr double min_weight = 1e-6;
 
+/// Index drawn with a probability proportional to its weight.
+std::size_t draw(const std::vector<double>& weights, std::mt19937_64& random) {
+    std::uniform_real_distribution<double> part(0, std::accumulate(weights.begin(), weights.end(), 0.0));
+    double left = part(random);
+    for (std::size_t index = 0; index < weights.size(); ++index) {
+        left -= weights[index];
+        if (left < 0)
+            return index;
+    }
+    return weights.size() - 1;
+}
+
 } // namespace
 
 bool can_prefill(const instance& candidate) {
@@ -87,31 +100,33 @@
     return best;
 }
 
-scored_candidate choose_spread(std::vector<scored_candidate> candidates,
+scored_candidate choose_spread(std::vector<scored_candidate>& candidates,
                                const std::function<double(const instance&)>& weight_of,
                                std::mt19937_64& random) {
     const auto is_cheaper = [](const scored_candidate& left, const scored_candidate& right) {
         return left.cost < right.cost;
     };
-    std::ranges::sort(candidates, is_cheaper);
-    const auto best = static_cast<std::size_t>(best_fraction * static_cast<double>(candidates.size()));
-    candidates.resize(std::min(candidates.size(), std::max<std::size_t>(2, best)));
-    std::erase_if(candidates, [limit = candidates.empty() ? 0 : candidates.front().cost + max_spread_cost](
-                                  const scored_candidate& candidate) { return candidate.cost > limit; });
     if (candidates.empty())
         return {};
+    const double limit = std::ranges::min_element(candidates, is_cheaper)->cost + max_spread_cost;
+    const auto fraction = static_cast<std::size_t>(best_fraction * static_cast<double>(candidates.size()));
+    const std::size_t best = std::max<std::size_t>(2, fraction);
+    if (candidates.size() > best) {
+        std::ranges::nth_element(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(best),
+                                 is_cheaper);
+        candidates.resize(best);
+    }
+    std::erase_if(candidates, [limit](const scored_candidate& candidate) { return candidate.cost > limit; });
     std::vector<double> weights;
     weights.reserve(candidates.size());
     for (const scored_candidate& candidate : candidates)
         weights.push_back(std::max(min_weight, weight_of(*candidate.chosen)));
-    const auto draw = [&] {
-        return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(random);
-    };
-    const std::size_t first = draw();
+    const std::size_t first = draw(weights, random);
     if (candidates.size() == 1)
         return candidates[first];
     weights[first] = 0;
-    return candidates[std::min(first, draw())];
+    const std::size_t second = draw(weights, random);
+    return is_cheaper(candidates[second], candidates[first]) ? candidates[second] : candidates[first];
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -93,17 +93,17 @@
            (has_room(candidate, context, capacity, size) ? 0 : full_cost);
 }
 
-/// Candidates with their costs, and how to choose among them.
+using engine_weight = std::function<double(const instance&)>;
+
+/// Candidates with their costs.
 struct scored_engines {
     std::vector<scored_candidate> candidates;
     bool is_uneven = false; ///< One of them has a pace of its own.
-    std::function<double(const instance&)> weight_of;
 };
 
 scored_engines score(const std::vector<const instance*>& engines, double engine_pace::*pace,
-                     const std::function<double(const instance&)>& cost_of,
-                     std::function<double(const instance&)> weight_of) {
-    scored_engines scored{.candidates = {}, .weight_of = std::move(weight_of)};
+                     const std::function<double(const instance&)>& cost_of) {
+    scored_engines scored;
     scored.candidates.reserve(engines.size());
     for (const instance* engine : engines) {
         scored.candidates.push_back({engine, cost_of(*engine)});
@@ -114,9 +114,9 @@
 
 /// The cheapest engine. Where engines differ in speed, the hosts, which would all prefer the same fast ones,
 /// spread their requests over the best.
-scored_candidate choose_one(scored_engines scored, std::mt19937_64& random) {
+scored_candidate choose_one(scored_engines& scored, const engine_weight& weight_of, std::mt19937_64& random) {
     if (scored.is_uneven)
-        return choose_spread(std::move(scored.candidates), scored.weight_of, random);
+        return choose_spread(scored.candidates, weight_of, random);
     scored_candidate best;
     for (const scored_candidate& candidate : scored.candidates)
         if (candidate.cost < best.cost)
@@ -127,17 +127,16 @@
 using candidates_by_zone = std::map<base::zone_id, scored_candidate>;
 
 /// The choice within each availability zone.
-candidates_by_zone choose_by_zone(const scored_engines& scored, std::mt19937_64& random) {
+candidates_by_zone choose_by_zone(const scored_engines& scored, const engine_weight& weight_of,
+                                  std::mt19937_64& random) {
     std::map<base::zone_id, scored_engines> zones;
-    for (const scored_candidate& candidate : scored.candidates) {
-        scored_engines& zone = zones[candidate.chosen->entry.availability_zone];
-        zone.is_uneven = scored.is_uneven;
-        zone.weight_of = scored.weight_of;
-        zone.candidates.push_back(candidate);
-    }
+    for (const scored_candidate& candidate : scored.candidates)
+        zones[candidate.chosen->entry.availability_zone].candidates.push_back(candidate);
     candidates_by_zone best;
-    for (auto& [zone, candidates] : zones)
-        best[zone] = choose_one(std::move(candidates), random);
+    for (auto& [zone, engines] : zones) {
+        engines.is_uneven = scored.is_uneven;
+        best[zone] = choose_one(engines, weight_of, random);
+    }
     return best;
 }
 
@@ -145,8 +144,7 @@
 double prefill_weight(const instance& candidate) { return 1 / prefill_pace(candidate); }
 
 /// Weight of a decode engine: the capacity that it frees per second, for its free memory.
-std::function<double(const instance&)> decode_weight(const choice_context& context,
-                                                     const settings::engine_capacity& capacity) {
+engine_weight decode_weight(const choice_context& context, const settings::engine_capacity& capacity) {
     return [&context, &capacity](const instance& candidate) {
         const double left = capacity.kv_tokens > 0 ? unreserved_memory(candidate, context, capacity) : 1;
         return std::max(0.0, left) / candidate.pace.in_use.decode;
@@ -185,10 +183,8 @@
         return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
                decode_prefill_cost(candidate, size.prompt_tokens, context);
     };
-    const scored_candidate best =
-        choose_one(score(eligible_instances(table, context, can_decode), &engine_pace::decode, cost_of,
-                         decode_weight(context, capacity)),
-                   random);
+    auto scored = score(eligible_instances(table, context, can_decode), &engine_pace::decode, cost_of);
+    const scored_candidate best = choose_one(scored, decode_weight(context, capacity), random);
     if (best.chosen == nullptr)
         return std::nullopt;
     // The timeout allows for a full prefill, as the engine may have evicted the held prompt.
@@ -210,10 +206,8 @@
         return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
                (is_same_zone ? 0 : other_zone_transfer_cost);
     };
-    const scored_candidate best =
-        choose_one(score(eligible_instances(table, context, can_decode), &engine_pace::decode, cost_of,
-                         decode_weight(context, capacity)),
-                   random);
+    auto scored = score(eligible_instances(table, context, can_decode), &engine_pace::decode, cost_of);
+    const scored_candidate best = choose_one(scored, decode_weight(context, capacity), random);
     if (best.chosen == nullptr)
         return std::nullopt;
     return engine_plan{.prefill = std::nullopt,
@@ -226,19 +220,21 @@
 std::optional<engine_plan> choose_engines(const instance_table& table, const choice_context& context,
                                           const settings::engine_capacity& capacity, const prompt_size& size,
                                           std::mt19937_64& random) {
-    const auto colocated = choose_colocated(table, context, capacity, size, random);
+    auto colocated = choose_colocated(table, context, capacity, size, random);
     const auto prefill_cost = [&](const instance& candidate) {
         return base_cost(candidate, context, random) + prefill_time(candidate, size.prompt_tokens, context);
     };
-    const auto prefill = score(eligible_instances(table, context, can_prefill), &engine_pace::prefill,
-                               prefill_cost, prefill_weight);
+    const auto prefill =
+        score(eligible_instances(table, context, can_prefill), &engine_pace::prefill, prefill_cost);
     const auto decode_cost = [&](const instance& candidate) {
         return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
                first_event_time(candidate, context);
     };
-    const auto decode = score(eligible_instances(table, context, can_decode), &engine_pace::decode,
-                              decode_cost, decode_weight(context, capacity));
-    const engine_pair best = cheapest_pair(choose_by_zone(prefill, random), choose_by_zone(decode, random));
+    const auto decode =
+        score(eligible_instances(table, context, can_decode), &engine_pace::decode, decode_cost);
+    const auto prefill_by_zone = choose_by_zone(prefill, prefill_weight, random);
+    const auto decode_by_zone = choose_by_zone(decode, decode_weight(context, capacity), random);
+    const engine_pair best = cheapest_pair(prefill_by_zone, decode_by_zone);
     if (best.prefill == nullptr || (colocated && colocated->cost < best.cost))
         return colocated;
     const double prefill_seconds = prefill_time(*best.prefill, size.prompt_tokens, context);
--- a/libraries/decision/overload/upstream_pace.cpp
+++ b/libraries/decision/overload/upstream_pace.cpp
@@ -79,6 +79,8 @@
     pace_sum decode;
 };
 
+bool is_measured(const learned_pace& pace) { return pace.prefill.weight > 0 || pace.decode.weight > 0; }
+
 double pace_in_use(double pace, bool is_uneven) { return is_uneven && is_notable(pace) ? pace : 1; }
 
 } // namespace
@@ -129,6 +131,9 @@
 }
 
 void apply_learned_paces(instance_table& table, base::time_point now) {
+    // Saves the sums where nothing is measured, as with plain upstreams only.
+    if (std::ranges::none_of(table.by_id, [](const auto& item) { return is_measured(item.second.pace); }))
+        return;
     std::map<std::string, service_paces> by_service;
     for (const auto& [id, known] : table.by_id) {
         if (known.state != listing::listed || known.entry.stage == settings::engine_stage::none)
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -79,7 +79,8 @@
             .log = &this->log,
             .metrics = &this->metrics},
       feed(external.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
-      datagrams(this->state), loads(this->state, this->datagrams), slot_waker(this->state),
+      datagrams(this->state), loads(this->state, this->datagrams), paces(this->state),
+      slot_waker(this->state),
       store(this->state, *this->feed, this->datagrams,
             {.on_new_settings =
                  [this] {
@@ -139,6 +140,7 @@
     this->peers.start();
     this->datagrams.start();
     this->loads.start();
+    this->paces.start();
     this->slot_waker.start();
     this->store.start();
     this->stages.start();
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -4,6 +4,7 @@
 #include <gateway/engine_slot_waker.h>
 #include <gateway/gateway_state.h>
 #include <gateway/load_exchange.h>
+#include <gateway/pace_exchange.h>
 #include <gateway/peer_exchange.h>
 #include <gateway/quarantine_exchange.h>
 #include <gateway/stage_controller.h>
@@ -66,6 +67,7 @@
     peer_exchange peers;
     peer_datagrams datagrams;
     load_exchange loads;
+    pace_exchange paces;
     engine_slot_waker slot_waker;
     store_watch store;
     stage_controller stages;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -38,6 +38,13 @@
     return answer == decision::local_response::not_run ? "not-run" : "unknown";
 }
 
+double mean_hold_seconds(const gateway_request& request) {
+    const settings::service_entry* const service = service_of(request);
+    return service == nullptr || !service->engine
+               ? 0
+               : decision::hold_seconds(profile_of(request), service->engine->tokens_per_event);
+}
+
 } // namespace
 
 std::string format_seconds(base::duration value) {
@@ -63,6 +70,7 @@
             .holding = request.holding,
             .now = request.state->clock->now(),
             .speed = profile_of(request).speed,
+            .hold_seconds = mean_hold_seconds(request),
             .limits = placement_limits_of(request)};
 }
 
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <decision/caller_timeouts.h>
 #include <decision/instance_table.h>
+#include <decision/overload/upstream_pace.h>
 #include <decision/route_table.h>
 #include <decision/service_profile.h>
 #include <decision/shared_budget.h>
@@ -128,6 +129,7 @@
     std::map<std::string, decision::service_profile> profiles{};        ///< Learned, by service.
     std::map<std::string, decision::caller_timeouts> caller_timeouts{}; ///< Learned, by route.
     std::map<base::upstream_id, reported_prompts> held_prompts{};       ///< As last reported by the engines.
+    decision::timer_delays timer_delays{}; ///< Delays of this host, which are not the engines'.
     std::mt19937_64 random{};
     wire::connection_pool* pool = nullptr;
     decision_log* log = nullptr;
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/load_exchange.h>
 
+#include <gateway/pace_exchange.h>
 #include <gateway/peer_codec.h>
 #include <gateway/upstream_advertisements.h>
 
@@ -52,6 +53,7 @@
     if (report->host == this->state->process->name)
         return true;
     host::record_received(this->state->peers, report->host, this->state->clock->now());
+    apply_reported_paces(*this->state, *report);
     const auto change = host::apply_report(this->state->loads, *report, this->state->clock->now());
     if (!change)
         return true;
@@ -94,6 +96,7 @@
     for (const waiting_request* const waiting : this->state->waiting)
         report.waiters.push_back({now - waiting->first_try, waiting->memory_tokens});
     this->limits.add_use(report);
+    report.paces = paces_to_report(*this->state);
     report.advertisements = advertisements_to_send(*this->state, advertisement_source::own_answers);
     return report;
 }
--- /dev/null
+++ b/libraries/gateway/pace_exchange.cpp
@@ -0,0 +1,242 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/pace_exchange.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How long a measurement is reported: two periodic reports, as the first may be lost.
+constexpr base::duration reported_lifetime = 2s;
+/// Measurements of an engine with the same value whose times differ by less than this are the same one: a
+/// report may be delayed by that much on a slow host.
+constexpr base::duration same_measurement_tolerance = 1s;
+/// Stands for a measured value of 1: the value 1 in a report means that nothing was measured.
+constexpr double measured_mean = 1.01;
+constexpr double percent = 100;
+/// Streams from which the service's mean interval between events must have been learned.
+constexpr int min_streams_timed = 20;
+/// Interval of the timer that measures this host's delays: a third of the shortest prefill or less.
+constexpr base::duration delay_check_interval = 25ms;
+/// The same while the host has no requests.
+constexpr base::duration idle_interval = 250ms;
+/// How often decisions take over what was learned.
+constexpr base::duration apply_interval = 250ms;
+constexpr base::duration gauge_interval = 1s;
+
+std::string labels(const std::string& service, const char* stage) {
+    return "{service=\"" + service + "\",stage=\"" + stage + "\"}";
+}
+
+bool is_recent(const decision::own_measurement& own, base::time_point now) {
+    return own.measured_at != base::time_point{} && now - own.measured_at <= reported_lifetime;
+}
+
+/// Whether other hosts should hear of the measurement: it differs, or contradicts a value that does.
+bool is_worth_reporting(const decision::own_measurement& own, const decision::merged_pace& merged,
+                        base::time_point now) {
+    return is_recent(own, now) &&
+           (decision::is_notable(own.value) || decision::is_notable(decision::current_pace(merged, now)));
+}
+
+/// The measurement as it appears in reports.
+double reported_value(double measured) {
+    const double rounded = std::round(measured * percent) / percent;
+    return rounded == 1 ? measured_mean : rounded;
+}
+
+std::optional<host::observed_pace> row_of(const base::upstream_id& id, const decision::instance& known,
+                                          base::time_point now) {
+    const decision::learned_pace& pace = known.pace;
+    const bool has_prefill = is_worth_reporting(pace.own_prefill, pace.prefill, now);
+    const bool has_decode = is_worth_reporting(pace.own_decode, pace.decode, now);
+    if (!has_prefill && !has_decode)
+        return std::nullopt;
+    host::observed_pace row{
+        .key = host::key_of(id, known.entry.start_time_ms), .pace = {}, .age = reported_lifetime};
+    if (has_prefill) {
+        row.pace.prefill = reported_value(pace.own_prefill.value);
+        row.age = std::min(row.age, now - pace.own_prefill.measured_at);
+    }
+    if (has_decode) {
+        row.pace.decode = reported_value(pace.own_decode.value);
+        row.age = std::min(row.age, now - pace.own_decode.measured_at);
+    }
+    return row;
+}
+
+/// The previous report of the sender, as far as its measurements may be repeated.
+struct previous_report {
+    const host::received_report* received = nullptr;
+
+    [[nodiscard]] bool has(const host::observed_pace& row, double decision::engine_pace::*kind,
+                           base::time_point measured_at) const {
+        if (this->received == nullptr)
+            return false;
+        return std::ranges::any_of(this->received->report.paces, [&](const host::observed_pace& known) {
+            const base::duration apart = measured_at - (this->received->received_at - known.age);
+            return known.key == row.key && known.pace.*kind == row.pace.*kind &&
+                   std::chrono::abs(apart) < same_measurement_tolerance;
+        });
+    }
+};
+
+bool is_outdated(const host::load_report& report, const host::received_report& known) {
+    return report.incarnation == known.report.incarnation && report.sequence <= known.report.sequence;
+}
+
+void merge_reported(gateway_state& state, decision::merged_pace& merged, double value,
+                    base::time_point measured_at, const std::string& service) {
+    const bool is_used = decision::merge_measurement(
+        merged, value, measured_at, decision::measurement_confidence::needs_confirmation, state.clock->now());
+    state.metrics->count((is_used ? "paces_received_total{service=\"" : "paces_ignored_total{service=\"") +
+                         service + "\"}");
+}
+
+/// Whether a measurement that began at `begin` shows the engine's time and not this host's delays.
+bool may_measure(const gateway_request& request, base::time_point begin) {
+    const gateway_state& state = *request.state;
+    if (!state.process->policy.exchange_pace)
+        return false;
+    const bool is_on_time = decision::is_on_time(state.timer_delays, begin, state.clock->now());
+    if (!is_on_time)
+        state.metrics->count("paces_not_measured_total{service=\"" + request.service + "\"}");
+    return is_on_time;
+}
+
+void record_own(const gateway_request& request, decision::merged_pace& merged, decision::own_measurement& own,
+                double value, decision::measurement_confidence confidence, const char* stage) {
+    const base::time_point now = request.state->clock->now();
+    if (!decision::merge_measurement(merged, value, now, confidence, now))
+        return;
+    own = {.value = std::clamp(value, decision::min_pace, decision::max_pace), .measured_at = now};
+    request.state->metrics->count("paces_measured_total" + labels(request.service, stage));
+}
+
+/// Extremes of the known paces of one service and stage.
+struct pace_range {
+    double fastest = decision::max_pace;
+    double slowest = decision::min_pace;
+    int with_own_pace = 0;
+
+    void add(double pace, double pace_in_use) {
+        this->fastest = std::min(this->fastest, pace);
+        this->slowest = std::max(this->slowest, pace);
+        this->with_own_pace += pace_in_use < 1 || pace_in_use > 1 ? 1 : 0;
+    }
+};
+
+void set_gauges(const gateway_state& state, base::time_point now) {
+    std::map<std::string, pace_range> ranges;
+    for (const auto& [id, known] : state.instances.by_id) {
+        if (known.state != decision::listing::listed)
+            continue;
+        const std::string& service = known.entry.service;
+        if (known.pace.prefill.weight > 0)
+            ranges[labels(service, "prefill")].add(decision::current_pace(known.pace.prefill, now),
+                                                   known.pace.in_use.prefill);
+        if (known.pace.decode.weight > 0)
+            ranges[labels(service, "decode")].add(decision::current_pace(known.pace.decode, now),
+                                                  known.pace.in_use.decode);
+    }
+    for (const auto& [name, range] : ranges) {
+        state.metrics->set("engine_pace_fastest" + name, range.fastest);
+        state.metrics->set("engine_pace_slowest" + name, range.slowest);
+        state.metrics->set("engines_with_own_pace" + name, range.with_own_pace);
+    }
+}
+
+} // namespace
+
+std::vector<host::observed_pace> paces_to_report(const gateway_state& state) {
+    std::vector<host::observed_pace> rows;
+    if (!state.process->policy.exchange_pace)
+        return rows;
+    const base::time_point now = state.clock->now();
+    for (const auto& [id, known] : state.instances.by_id)
+        if (const auto row = row_of(id, known, now))
+            rows.push_back(*row);
+    std::ranges::sort(rows, [](const host::observed_pace& left, const host::observed_pace& right) {
+        return left.age < right.age;
+    });
+    if (rows.size() > max_reported_paces)
+        rows.resize(max_reported_paces);
+    return rows;
+}
+
+void apply_reported_paces(gateway_state& state, const host::load_report& report) {
+    if (!state.process->policy.exchange_pace || report.paces.empty())
+        return;
+    const auto known = state.loads.by_host.find(report.host);
+    const previous_report previous = {known == state.loads.by_host.end() ? nullptr : &known->second};
+    if (previous.received != nullptr && is_outdated(report, *previous.received))
+        return;
+    const base::time_point now = state.clock->now();
+    for (const host::observed_pace& row : report.paces) {
+        decision::instance* const target = host::find_by_key(state.instances, state.loads, row.key);
+        // The key of an earlier start may still be known.
+        if (target == nullptr || host::key_of(target->entry.id, target->entry.start_time_ms) != row.key)
+            continue;
+        const base::time_point measured_at = now - row.age;
+        if (row.pace.prefill != 1 && !previous.has(row, &decision::engine_pace::prefill, measured_at))
+            merge_reported(state, target->pace.prefill, row.pace.prefill, measured_at, target->entry.service);
+        if (row.pace.decode != 1 && !previous.has(row, &decision::engine_pace::decode, measured_at))
+            merge_reported(state, target->pace.decode, row.pace.decode, measured_at, target->entry.service);
+    }
+}
+
+void record_prefill_pace(const gateway_request& request, decision::instance& target,
+                         const decision::prefill_sample& sample) {
+    const base::time_point now = request.state->clock->now();
+    const auto bounds = decision::measure_prefill(profile_of(request).speed, sample.prompt_tokens,
+                                                  sample.tokens_ahead, base::to_seconds(sample.taken));
+    if (!bounds || !may_measure(request, now - sample.taken))
+        return;
+    const double value = decision::closest_within(*bounds, decision::current_pace(target.pace.prefill, now));
+    record_own(request, target.pace.prefill, target.pace.own_prefill, value,
+               decision::measurement_confidence::needs_confirmation, "prefill");
+}
+
+void record_decode_pace(const gateway_request& request, const base::upstream_id& engine, double event_seconds,
+                        base::time_point begin) {
+    const decision::service_profile& profile = profile_of(request);
+    decision::instance* const target = decision::find_instance(request.state->instances, engine);
+    if (target == nullptr || profile.streams_timed < min_streams_timed || !may_measure(request, begin))
+        return;
+    record_own(request, target->pace.decode, target->pace.own_decode,
+               event_seconds / profile.event_seconds.value, decision::measurement_confidence::certain,
+               "decode");
+}
+
+void pace_exchange::start() {
+    const base::duration interval =
+        this->state->requests_in_progress > 0 ? delay_check_interval : idle_interval;
+    const base::time_point now = this->state->clock->now();
+    decision::record_timer(this->state->timer_delays, now, now + interval);
+    if (now - this->applied_at >= apply_interval)
+        this->apply(now);
+    this->timer.expires_after(interval);
+    this->timer.async_wait([this](const wire::error_code& error) {
+        if (!error)
+            this->start();
+    });
+}
+
+void pace_exchange::apply(base::time_point now) {
+    this->applied_at = now;
+    if (!this->state->process->policy.exchange_pace) {
+        decision::ignore_learned_paces(this->state->instances);
+        return;
+    }
+    decision::apply_learned_paces(this->state->instances, now);
+    if (now - this->gauges_set_at < gauge_interval)
+        return;
+    this->gauges_set_at = now;
+    set_gauges(*this->state, now);
+}
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -29,7 +29,12 @@
             {"avoided_by", known.avoided_by},
             {"is_out_of_service_elsewhere", known.is_out_of_service_elsewhere},
             {"latency_ms", known.latency.value * 1'000},
-            {"slowness", known.slowness.value}};
+            {"slowness", known.slowness.value},
+            {"pace",
+             {{"prefill", decision::current_pace(known.pace.prefill, now)},
+              {"decode", decision::current_pace(known.pace.decode, now)},
+              {"prefill_in_use", known.pace.in_use.prefill},
+              {"decode_in_use", known.pace.in_use.decode}}}};
 }
 
 json dump_profile(const decision::service_profile& profile) {
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -3,6 +3,7 @@
 
 #include <decision/stream_rules.h>
 #include <gateway/caller_identity.h>
+#include <gateway/pace_exchange.h>
 #include <gateway/prefix_cache_lookup.h>
 #include <gateway/request_quarantine.h>
 
@@ -57,6 +58,7 @@
 void stream_relay::reserve(const decision::engine_plan& plan) {
     const bool reads_prompt_there =
         !plan.prefill && !this->retained.has_value() && !this->request->holding.contains(plan.decode);
+    this->decode_engine = plan.decode;
     this->reservation.emplace(
         *this->request->state, plan.decode,
         decision::instance_use{.requests = 1,
@@ -89,12 +91,13 @@
     end_exchange(*this->request, send, exchange);
     detect_upstream_exit(*this->request, send, exchange, yield);
     decision::instance* const target = decision::find_instance(state.instances, *plan.prefill);
-    if (this->retained.has_value() && target != nullptr)
-        decision::record_prefill(*target, profile_of(*this->request).speed,
-                                 {.prompt_tokens = this->size.prompt_tokens,
-                                  .tokens_ahead = tokens_before,
-                                  .taken = state.clock->now() - exchange.sent},
-                                 state.clock->now());
+    if (this->retained.has_value() && target != nullptr) {
+        const decision::prefill_sample sample = {.prompt_tokens = this->size.prompt_tokens,
+                                                 .tokens_ahead = tokens_before,
+                                                 .taken = state.clock->now() - exchange.sent};
+        record_prefill_pace(*this->request, *target, sample);
+        decision::record_prefill(*target, profile_of(*this->request).speed, sample, state.clock->now());
+    }
     if (!this->retained.has_value())
         this->request->tried.insert(*plan.prefill);
     return this->retained.has_value();
@@ -196,9 +199,12 @@
         return;
     decision::service_profile& profile = profile_of(*this->request);
     const base::time_point first_event_at = this->request->arrived + *this->request->first_event;
-    decision::add_sample(profile.event_seconds,
-                         base::to_seconds(this->request->state->clock->now() - first_event_at) /
-                             (events - 1));
+    const double interval =
+        base::to_seconds(this->request->state->clock->now() - first_event_at) / (events - 1);
+    // Events before a resume came from another engine, and a few events say little about the engine.
+    if (this->last_result != attempt_result::broken && events == measured_events)
+        record_decode_pace(*this->request, this->decode_engine, interval, first_event_at);
+    decision::add_sample(profile.event_seconds, interval);
     ++profile.streams_timed;
 }
 
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -51,6 +51,7 @@
     gateway_request* request;
     decision::prompt_size size;
     std::optional<scoped_instance_use> reservation; ///< At the decode engine; made before the prefill.
+    base::upstream_id decode_engine;                ///< Of the reservation.
     retained_cache retained;
     std::optional<std::uint64_t> last_event;
     decision::attempt_result last_result = decision::attempt_result::not_connected;
