--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -64,6 +64,7 @@
     gateway_request* request;
     decision::prompt_size size;
     std::optional<scoped_instance_use> reservation; ///< At the decode engine; made before the prefill.
+    base::upstream_id decode_engine;                ///< Of the reservation.
     uses_by_host uses_when_chosen; ///< Other hosts' work at the decode engine when it was chosen.
     retained_cache retained;
     std::optional<std::uint64_t> last_event;
