meta, gateway, host: Fix clang-tidy findings

Of the sources of base, settings, decision, host, wire, ports, gateway and platform, seven had a finding. This fixes four: an int product widened to 64 bits, a shared_ptr copied for each call, a vector without reserve, and an iterator loop.

test_host (99 cases) and test_peer_codec (12 cases) pass.

--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -41,7 +41,7 @@
 /// Bound on decoded rows; hosts send fewer.
 constexpr std::size_t max_advertisements = 256;
 /// Clamp for received ages, so that corrupt values cannot overflow a time point.
-constexpr std::int64_t max_age_ms = 24 * 3'600'000;
+constexpr std::int64_t max_age_ms = 24L * 3'600'000;
 
 /// One row each: instance key, limit in requests per second (-1: none), its age in milliseconds, whether the
 /// upstream is leaving.
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -200,7 +200,7 @@
     }
     target->last_send = exchange.sent;
     exchange.address = target->entry.address;
-    const auto on_connection = [&](std::shared_ptr<wire::upstream_connection> connection) {
+    const auto on_connection = [&](const std::shared_ptr<wire::upstream_connection>& connection) {
         request.cancellation->connection = connection;
         exchange.connection = connection;
         if (request.cancellation->is_caller_gone)
--- a/libraries/host/cell.cpp
+++ b/libraries/host/cell.cpp
@@ -106,6 +106,7 @@
             host_cell != own && may_be_alive(known, now))
             others[host_cell].push_back(known.address);
     std::vector<const std::vector<std::string>*> groups;
+    groups.reserve(others.size());
     for (const auto& [host_cell, addresses] : others)
         groups.push_back(&addresses);
     std::vector<std::string> sampled;
--- a/libraries/host/recent_changes.cpp
+++ b/libraries/host/recent_changes.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <host/recent_changes.h>
 
+#include <boost/range/adaptor/reversed.hpp>
+
 #include <utility>
 
 namespace postpaddle::host {
@@ -29,11 +31,11 @@
     change_run joined{.at = {}, .since = next, .next = next, .changes = {}};
     if (recent.runs.empty() || recent.runs.back().next != next)
         return joined;
-    for (auto run = recent.runs.rbegin(); run != recent.runs.rend(); ++run) {
-        if (joined.changes.size() + run->changes.size() > max_changes)
+    for (const change_run& run : boost::adaptors::reverse(recent.runs)) {
+        if (joined.changes.size() + run.changes.size() > max_changes)
             break;
-        joined.since = run->since;
-        joined.changes.insert(joined.changes.begin(), run->changes.begin(), run->changes.end());
+        joined.since = run.since;
+        joined.changes.insert(joined.changes.begin(), run.changes.begin(), run.changes.end());
     }
     return joined;
 }
