wire: Expose a caller connection's unsent data

A host needs to know how much it buffers for each caller, and for how long, to bound the sum.

A connection tells how many bytes are not written yet and when the oldest of them was added, calls back on changes, and can be disconnected by its owner. It frees unsent data as soon as the caller is treated as disconnected, and a buffer above 16 KiB once it is written, so that a caller that was slow once does not occupy memory for the rest of a kept connection. The bounds are unchanged.

--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <charconv>
+#include <optional>
 
 namespace postpaddle::wire {
 
@@ -18,6 +19,8 @@
 
 /// Limits the kernel's send buffer, so that `unsent_bytes` bounds how far a slow reader can fall behind.
 constexpr int send_buffer_bytes = 128 * 1024;
+/// Largest buffer that a connection keeps for its next data. A slow reader's buffer may be much larger.
+constexpr std::size_t max_idle_buffer = 16UL * 1024;
 
 using request_parser = http::request_parser<http::string_body>;
 
@@ -77,11 +80,33 @@
             return;
         this->is_closed = true;
         this->is_keep_alive = false;
+        this->drop_unsent();
         error_code ignored;
         this->stream.socket().close(ignored);
         this->all_written.cancel();
         if (this->on_disconnect)
             std::exchange(this->on_disconnect, nullptr)();
+        this->did_change_unsent();
+    }
+
+    /// Frees the memory at once: a request may take some time to end after its caller has gone.
+    void drop_unsent() {
+        if (!this->unsent.empty())
+            this->has_write_failed = true;
+        this->unsent = std::string();
+    }
+
+    void did_change_unsent() const {
+        if (this->on_unsent_change)
+            this->on_unsent_change();
+    }
+
+    /// Call after data has been added to `unsent`.
+    void did_add_data() {
+        if (!this->unsent_since)
+            this->unsent_since = base::boot_clock::now();
+        this->start_write();
+        this->did_change_unsent();
     }
 
     /// Waits for the socket to become readable, which is also how a disconnect shows.
@@ -121,6 +146,8 @@
         this->sending.swap(this->unsent);
         this->unsent.clear();
         this->write_started_at = base::boot_clock::now();
+        this->sending_since =
+            std::exchange(this->unsent_since, std::nullopt).value_or(this->write_started_at);
         this->arm_write_watchdog();
         asio::async_write(this->stream.socket(), asio::buffer(this->sending),
                           [self = this->shared_from_this()](const error_code& error, std::size_t) {
@@ -151,6 +178,8 @@
     void did_write(const error_code& error) {
         this->is_writing = false;
         this->sending.clear();
+        if (this->sending.capacity() > max_idle_buffer)
+            this->sending = std::string();
         if (error) {
             this->has_write_failed = true;
             this->did_disconnect();
@@ -160,6 +189,7 @@
             this->all_written.cancel();
         else
             this->start_write();
+        this->did_change_unsent();
     }
 
     expected<void> await_first_byte(yield_context yield);
@@ -181,6 +211,9 @@
     beast::flat_buffer input;
     std::string unsent;
     std::string sending;
+    std::optional<base::time_point> unsent_since; ///< When the first byte of `unsent` was added.
+    base::time_point sending_since{};             ///< The same of `sending`.
+    std::function<void()> on_unsent_change;
     boot_timer all_written;
     boot_timer write_watchdog;
     base::boot_clock::time_point write_started_at{};
@@ -200,6 +233,7 @@
 
 caller_connection::~caller_connection() {
     this->impl->on_disconnect = nullptr;
+    this->impl->on_unsent_change = nullptr;
     this->abort();
 }
 
@@ -278,12 +312,27 @@
 
 bool caller_connection::is_closed() const { return this->impl->is_closed; }
 
+unsent_data caller_connection::unsent() const {
+    const implementation& self = *this->impl;
+    if (self.is_closed)
+        return {};
+    const base::time_point since =
+        self.is_writing ? self.sending_since : self.unsent_since.value_or(base::time_point{});
+    return {self.sending.size() + self.unsent.size(), since};
+}
+
+void caller_connection::watch_unsent(std::function<void()> on_change) {
+    this->impl->on_unsent_change = std::move(on_change);
+}
+
+void caller_connection::disconnect() { this->impl->did_disconnect(); }
+
 expected<void> caller_connection::send(const http_response& response, yield_context yield) {
     implementation& self = *this->impl;
     const std::string framing = "Content-Length: " + std::to_string(response.body.size());
     self.unsent += format_head({response.status, response.headers}, framing, self.is_keep_alive);
     self.unsent += response.body;
-    self.start_write();
+    self.did_add_data();
     return self.wait_until_written(yield);
 }
 
@@ -325,14 +374,14 @@
         self.did_disconnect();
         return false;
     }
-    self.start_write();
-    return true;
+    self.did_add_data();
+    return !self.is_closed;
 }
 
 expected<void> caller_connection::end_stream(yield_context yield) {
     implementation& self = *this->impl;
     self.unsent += "0\r\n\r\n";
-    self.start_write();
+    self.did_add_data();
     return self.wait_until_written(yield);
 }
 
--- a/libraries/wire/caller_connection.h
+++ b/libraries/wire/caller_connection.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <base/clock.h>
 #include <wire/asio.h>
 #include <wire/http_message.h>
 #include <wire/wire_error.h>
@@ -25,6 +26,12 @@
     std::chrono::milliseconds write_timeout{10'000};
 };
 
+/// Response data that has not been written to the socket yet.
+struct unsent_data {
+    std::size_t bytes = 0;
+    base::time_point since{}; ///< When the oldest of these bytes was added; meaningless if there are none.
+};
+
 /// Server side of an HTTP/1.1 connection. Not thread-safe.
 ///
 /// Responses are written asynchronously from a bounded buffer. A caller that lets the buffer overflow, or
@@ -50,6 +57,13 @@
     /// Whether the caller has disconnected or the connection was aborted.
     [[nodiscard]] bool is_closed() const;
 
+    [[nodiscard]] unsent_data unsent() const;
+    /// Calls back after each change of the amount of unsent data; null ends that. The callback may disconnect
+    /// this or another connection, but not destroy it.
+    void watch_unsent(std::function<void()> on_change);
+    /// Closes the connection and treats the caller as disconnected. Drops unsent data.
+    void disconnect();
+
     /// Sends a complete response and waits until it is written.
     [[nodiscard]] expected<void> send(const http_response& response, yield_context yield);
     /// Starts a response with a chunked body.
