gateway: Bound the unsent data of all callers together

Each change of a connection's unsent data updates a sum. Beyond the host's bound the caller that has been behind longest, of the organisation that holds most, is treated as disconnected: its upstream's work ends. The bound is a quarter of RLIMIT_AS or RLIMIT_DATA, or 16 KiB for each allowed connection, as the host's file contains no memory limit. A gauge, a counter, a log line and the request's reason show it.

--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -6,6 +6,7 @@
 #include <gateway/load_exchange.h>
 #include <gateway/peer_exchange.h>
 #include <gateway/quarantine_exchange.h>
+#include <gateway/slow_readers.h>
 #include <gateway/stage_controller.h>
 #include <gateway/store_watch.h>
 #include <wire/http_listener.h>
@@ -62,6 +63,7 @@
     decision_log log;
     gateway_metrics metrics;
     gateway_state state;
+    slow_readers readers;
     std::unique_ptr<ports::control_feed> feed;
     peer_exchange peers;
     peer_datagrams datagrams;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -78,6 +78,8 @@
     nlohmann::json trace; ///< The same JSON as in its log line.
 };
 
+class slow_readers;
+
 /// State of a gateway host, shared by its coroutines. Used by one thread only; outlives every coroutine.
 struct gateway_state {
     const base::clock* clock = nullptr;
@@ -132,6 +134,7 @@
     wire::connection_pool* pool = nullptr;
     decision_log* log = nullptr;
     gateway_metrics* metrics = nullptr;
+    slow_readers* readers = nullptr;           ///< Callers of requests in progress.
     std::deque<completed_request> completed{}; ///< Oldest first; bounded.
     bool reads_store = true; ///< False while this host follows updates from the leaders of its cell.
     bool is_draining = false;
--- /dev/null
+++ b/libraries/gateway/slow_readers.cpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/slow_readers.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <sys/resource.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+constexpr const char* disconnect_reason = "the caller read too slowly";
+
+std::uint64_t bytes_of(const base::organisation_id& organisation,
+                       const std::vector<decision::unsent_reader>& readers) {
+    std::uint64_t bytes = 0;
+    for (const decision::unsent_reader& each : readers)
+        if (each.organisation == organisation)
+            bytes += each.bytes;
+    return bytes;
+}
+
+} // namespace
+
+std::optional<std::uint64_t> process_memory_limit() {
+    std::optional<std::uint64_t> smallest;
+    for (const auto resource : std::array{RLIMIT_AS, RLIMIT_DATA}) {
+        rlimit limit{};
+        if (getrlimit(resource, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
+            smallest = std::min<std::uint64_t>(smallest.value_or(limit.rlim_cur), limit.rlim_cur);
+    }
+    return smallest;
+}
+
+slow_readers::slow_readers(gateway_state& state, std::uint64_t bound) : state(&state), host_bound(bound) {}
+
+slow_readers::scoped_reader::scoped_reader(slow_readers& owner, gateway_request& request)
+    : owner(&owner), position(owner.readers.insert(owner.readers.end(), reader{&request})) {
+    request.connection->watch_unsent([&owner, position = this->position] { owner.did_change(*position); });
+}
+
+slow_readers::scoped_reader::~scoped_reader() {
+    this->position->request->connection->watch_unsent(nullptr);
+    this->owner->total -= this->position->bytes;
+    this->owner->readers.erase(this->position);
+}
+
+void slow_readers::did_change(reader& changed) {
+    const std::uint64_t bytes = changed.request->connection->unsent().bytes;
+    this->total += bytes;
+    this->total -= std::exchange(changed.bytes, bytes);
+    this->state->metrics->set("unsent_bytes", static_cast<double>(this->total));
+    if (this->total > this->host_bound && !this->is_enforcing)
+        this->enforce_bound();
+}
+
+void slow_readers::enforce_bound() {
+    std::vector<gateway_request*> requests;
+    std::vector<decision::unsent_reader> facts;
+    for (const reader& each : this->readers) {
+        if (each.bytes == 0)
+            continue;
+        requests.push_back(each.request);
+        const auto* const organisation = each.request->organisation;
+        facts.push_back({.organisation = organisation == nullptr ? base::organisation_id{} : organisation->id,
+                         .bytes = each.bytes,
+                         .behind_since = each.request->connection->unsent().since});
+    }
+    // Disconnecting a caller changes its unsent data, which calls back into this object.
+    this->is_enforcing = true;
+    for (const std::size_t index : decision::readers_to_disconnect(facts, this->host_bound))
+        this->disconnect(*requests[index], facts[index], facts);
+    this->is_enforcing = false;
+}
+
+void slow_readers::disconnect(gateway_request& request, const decision::unsent_reader& facts,
+                              const std::vector<decision::unsent_reader>& all) {
+    const base::duration behind = this->state->clock->now() - facts.behind_since;
+    this->state->metrics->count("slow_readers_disconnected_total");
+    this->state->log->write(
+        "slow_reader_disconnected",
+        {{"request", request.routed.id},
+         {"organisation", facts.organisation.value},
+         {"unsent_bytes", facts.bytes},
+         {"behind_ms", base::to_milliseconds(behind)},
+         {"organisation_bytes", bytes_of(facts.organisation, all)},
+         {"organisation_bound", decision::organisation_unsent_bound(all, this->host_bound)},
+         {"host_bytes", this->total},
+         {"host_bound", this->host_bound}});
+    request.reason = disconnect_reason;
+    request.connection->disconnect();
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/slow_readers.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <decision/overload/unsent_bytes.h>
+#include <gateway/gateway_request.h>
+
+#include <cstdint>
+#include <list>
+#include <optional>
+
+namespace postpaddle::gateway {
+
+/// Smallest limit on the memory of this process (`RLIMIT_AS`, `RLIMIT_DATA`); nullopt if there is none.
+[[nodiscard]] std::optional<std::uint64_t> process_memory_limit();
+
+/// Bounds the response data that the host buffers for the callers of all requests in progress together.
+///
+/// Each connection bounds its own. Beyond the bound of the host, callers are disconnected at once, which ends
+/// their work at upstreams; see `decision::readers_to_disconnect`. Nothing waits for a reader, so reading
+/// from upstreams goes on for all other requests.
+class slow_readers {
+    struct reader {
+        gateway_request* request = nullptr;
+        std::uint64_t bytes = 0; ///< As last seen.
+    };
+
+public:
+    /// Accounts for a request's unsent data while it exists.
+    class scoped_reader {
+    public:
+        scoped_reader(slow_readers& owner, gateway_request& request);
+        scoped_reader(const scoped_reader&) = delete;
+        scoped_reader(scoped_reader&&) = delete;
+        scoped_reader& operator=(const scoped_reader&) = delete;
+        scoped_reader& operator=(scoped_reader&&) = delete;
+        ~scoped_reader();
+
+    private:
+        slow_readers* owner;
+        std::list<reader>::iterator position;
+    };
+
+    slow_readers(gateway_state& state, std::uint64_t bound);
+
+    /// Unsent data of all requests in progress, in bytes.
+    [[nodiscard]] std::uint64_t unsent_bytes() const { return this->total; }
+    [[nodiscard]] std::uint64_t bound() const { return this->host_bound; }
+
+private:
+    void did_change(reader& changed);
+    void enforce_bound();
+    void disconnect(gateway_request& request, const decision::unsent_reader& facts,
+                    const std::vector<decision::unsent_reader>& all);
+
+    gateway_state* state;
+    std::uint64_t host_bound;
+    std::list<reader> readers;
+    std::uint64_t total = 0; ///< Sum over `readers`.
+    bool is_enforcing = false;
+};
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -2,6 +2,7 @@
 #include <gateway/state_dump.h>
 
 #include <gateway/caller_identity.h>
+#include <gateway/slow_readers.h>
 
 namespace postpaddle::gateway {
 
@@ -80,6 +81,8 @@
             {"reads_store", state.reads_store},
             {"cell_hosts", state.position_in_cell.hosts},
             {"requests_in_progress", state.requests_in_progress},
+            {"unsent_bytes", state.readers->unsent_bytes()},
+            {"unsent_bound", state.readers->bound()},
             {"hosts_alive", hosts_alive(state)},
             {"has_host_list", state.has_host_list},
             {"limits_shared_by", sharers.hosts},
--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -16,6 +16,7 @@
 DEFINE_string(stage, "", "empty for a plain server, else `prefill` or `decode`");
 DEFINE_int32(work_ms, 5, "time that a request, or one event of a stream, takes");
 DEFINE_int32(events, 5, "events of a stream");
+DEFINE_int32(event_padding, 0, "bytes added to each event of a stream");
 
 namespace {
 
@@ -258,10 +259,13 @@
         headers.push_back({"Content-Type", "text/event-stream"});
         connection.begin_stream({200, std::move(headers)});
         const int first = last_event_id.empty() ? 1 : std::atoi(last_event_id.c_str()) + 1;
-        for (int event = first; event <= FLAGS_events; ++event) {
+        // Later changes through `/control` apply to new streams only.
+        const int last = FLAGS_events;
+        const std::string padding(static_cast<std::size_t>(FLAGS_event_padding), ' ');
+        for (int event = first; event <= last; ++event) {
             this->sleep(milliseconds(FLAGS_work_ms), yield);
             const std::string text =
-                "id: " + std::to_string(event) + "\ndata: token-" + std::to_string(event);
+                "id: " + std::to_string(event) + "\ndata: token-" + std::to_string(event) + padding;
             if (first == 1 && this->faults.break_stream_after_events >= 0 &&
                 event > this->faults.break_stream_after_events) {
                 this->faults.break_stream_after_events = -1;
@@ -293,6 +297,7 @@
         this->faults.is_leaving = body.value("is_leaving", this->faults.is_leaving);
         FLAGS_work_ms = body.value("work_ms", FLAGS_work_ms);
         FLAGS_events = body.value("events", FLAGS_events);
+        FLAGS_event_padding = body.value("event_padding", FLAGS_event_padding);
         this->max_fencing_token = body.value("highest_token", this->max_fencing_token);
         if (body.value("forget_arrivals", false))
             this->received_requests = json::array();
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -151,3 +151,41 @@
     CHECK(test::eventually([&] { return cluster.state_of(1).at("requests_in_progress") == 0; }));
     CHECK(cluster.runs() == 0);
 }
+
+// Guards against slow readers of one organisation using up the host's memory: each connection's own bound of
+// 256 KB allows far more than the host has.
+TEST_CASE(
+    "beyond the host's bound one organisation's slow readers are disconnected, another's stream is not") {
+    // The host's bound is 16 KiB for each connection, so 128 KiB: less than one connection's own bound.
+    test::gateway_cluster cluster({.name = "slow-readers",
+                                   .servers = {{.id = "p1", .service = "engines", .stage = "prefill"},
+                                               {.id = "d1", .service = "engines", .stage = "decode"}},
+                                   .connections = 8});
+    cluster.publish_organisations(2, {{{"name", "slow"}, {"apiKeys", {"slow-key"}}, {"priority", 1}},
+                                      {{"name", "other"}, {"apiKeys", {"other-key"}}, {"priority", 1}}});
+    REQUIRE(test::eventually([&] { return settings_version_at(cluster, 1) == 2; }));
+    const auto stream_request = [](const std::string& id, const std::string& key) {
+        auto request = routed_request("/stream/", id);
+        request.headers.push_back({"Authorization", "Token " + key});
+        return request;
+    };
+    // Much more than sockets buffer between the host and a client that reads nothing.
+    (void)cluster.server("d1", {{"work_ms", 1}, {"events", 1'000}, {"event_padding", 16'000}});
+    const test::client_connection first(cluster.callers_address(), stream_request("slow-1", "slow-key"));
+    const test::client_connection second(cluster.callers_address(), stream_request("slow-2", "slow-key"));
+    REQUIRE(test::eventually([&] { return cluster.arrivals("d1") == 2; }));
+    // Small enough for the sockets' buffers, so that its client is never behind.
+    (void)cluster.server("d1", {{"events", 100}, {"event_padding", 0}});
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(), stream_request("other-1", "other-key"));
+    REQUIRE(answer);
+    CHECK(answer->body == complete_stream(100));
+    CHECK(test::eventually([&] {
+        return cluster.metric(1, "postpaddle_gateway_slow_readers_disconnected_total") == 2 &&
+               cluster.server("d1").at("running") == 0;
+    }));
+    CHECK(cluster.server("d1").at("callers_gone") == 2);
+    CHECK(cluster.state_of(1).at("unsent_bytes") == 0);
+    const auto traces = stand_in::get_json(cluster.peers_address(), "/explain?id=slow-1");
+    CHECK(traces.at(0).at("reason") == "the caller read too slowly");
+}
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -153,6 +153,7 @@
                         << "\nseeds: [" << this->host_address(1, this->peers_port)
                         << "]\nstore: " << this->store_address(number)
                         << "\nheartbeat_ms: " << this->options.heartbeat_ms
+                        << "\nconnections: " << this->options.connections
                         << "\nbalancer_lag_ms: 300\nretries: {slack: " << this->options.retry_slack
                         << "}\norder_lease_ms: 500\nengines_check_tokens: true\n";
     this->hosts[number] = std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/postpaddled",
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -29,6 +29,7 @@
     int heartbeat_ms = 200;         ///< Interval between heartbeats of a host.
     double cold_requests = 0;       ///< Requests per second that a cold server accepts; 0 for no limit.
     int store_bytes_per_s = 0;      ///< Bandwidth of the link from the store to each host; 0 for no limit.
+    int connections = 1'500;        ///< Maximum number of connections from callers of a host.
 };
 
 /// Gateway hosts, the platform's store and its servers as real processes on loopback addresses.
