gateway, service: Bound what a late exit check decides

Cause, found in a review: checks were kept by id, so a request that broke on a restarted upstream joined the check of the earlier start; an upstream that shuts down closes its port after its connections and was counted as exited under whatever it ran; on the own interface the key of an exit came from the time of its detection, so one exit could count twice; a request could be sent after its deadline had passed during the wait. Change: checks are kept by start, leaving upstreams are not probed again, the key is taken at the break, and the deadline is checked after the wait.

--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -118,7 +118,7 @@
     std::function<void(const host::suspect_report&)> on_suspect_seen{};
     /// Handles reports about suspected requests from the host with that heartbeat address.
     std::function<void(const std::vector<host::suspect_report>&, const std::string&)> on_suspects_reported{};
-    std::map<base::upstream_id, exit_check> exit_checks{}; ///< In progress, see `detect_upstream_exit`.
+    std::map<host::instance_key, exit_check> exit_checks{}; ///< In progress, see `detect_upstream_exit`.
     std::function<void()> on_host_list_read{};             ///< Called after the list of hosts has been read.
     std::function<bool()> query_other_cells{};             ///< See `try_query_other_cells`.
     std::function<void()> on_slots_changed{};              ///< See `did_change_slots`.
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -50,6 +50,8 @@
     bool has_waited = false;
     while (time_left(request) > 0ms) {
         await_exit_checks(request, yield);
+        if (time_left(request) <= 0ms)
+            break;
         if (const char* const stop = reason_to_stop(request)) {
             reason = stop;
             break;
--- a/libraries/gateway/request_quarantine.cpp
+++ b/libraries/gateway/request_quarantine.cpp
@@ -38,14 +38,15 @@
 /// whose connections to the upstream break meanwhile share the check.
 void check_exit_later(const gateway_request& request, const upstream_start& start) {
     gateway_state& state = *request.state;
-    const auto [check, is_first] = state.exit_checks.try_emplace(start.id);
+    const host::instance_key key = host::key_of(start.id, start.start_time_ms);
+    const auto [check, is_first] = state.exit_checks.try_emplace(key);
     if (check->second.requests.size() < max_requests_per_check)
         check->second.requests.emplace(request.fingerprint, request.routed.id);
     if (!is_first)
         return;
-    wire::spawn_coroutine(*state.context, [&state, start](wire::yield_context yield) {
+    wire::spawn_coroutine(*state.context, [&state, start, key](wire::yield_context yield) {
         const bool has_exited = wire::is_port_closed_later(*state.context, *state.pool, start.address, yield);
-        const exit_check ended = std::move(state.exit_checks.extract(start.id).mapped());
+        const exit_check ended = std::move(state.exit_checks.extract(key).mapped());
         if (!has_exited)
             return;
         for (const auto& [fingerprint, request_id] : ended.requests)
@@ -118,7 +119,9 @@
         record_exit(state, start, request.fingerprint, request.routed.id);
         break;
     case wire::port_state::listening:
-        check_exit_later(request, start);
+        // An upstream that is shutting down closes its port soon, whatever it ran.
+        if (target->state != decision::listing::leaving)
+            check_exit_later(request, start);
         break;
     case wire::port_state::unknown:
         break;
--- a/libraries/service/quarantine_filter.cpp
+++ b/libraries/service/quarantine_filter.cpp
@@ -30,6 +30,7 @@
     base::request_id request;
     base::upstream_id upstream;
     std::string address;
+    host::instance_key exit_key = 0; ///< By the time of the break, which all hosts see at about the same time.
 };
 
 void record_exit(const worker_services& services, const observed_break& observed) {
@@ -37,9 +38,7 @@
     log_warning("upstream_ended", {{"upstream", observed.upstream.value},
                                    {"request", observed.request.value},
                                    {"fingerprint", host::to_text(observed.fingerprint)}});
-    services.quarantine->record_upstream_exit(observed.fingerprint,
-                                              key_of_exit(observed.upstream, services.clock->wall_now()),
-                                              services.clock->now());
+    services.quarantine->record_upstream_exit(observed.fingerprint, observed.exit_key, services.clock->now());
 }
 
 /// Probes the port again in the background, so that the caller's response does not wait for it.
@@ -91,7 +90,8 @@
     if (!may_have_exited || context.mailbox->is_caller_gone())
         return false;
     const worker_services& services = *context.services;
-    const observed_break observed = {context.fingerprint, context.id, upstream, address};
+    const observed_break observed = {context.fingerprint, context.id, upstream, address,
+                                     key_of_exit(upstream, services.clock->wall_now())};
     switch (wire::probe_port(*services.pool, address, wire::port_probe_timeout, yield)) {
     case wire::port_state::not_listening:
         record_exit(services, observed);
