host: Keep less urgent requests of an organisation over its limit from being shut out

Cause, found in a review: with the reserve alone, less urgent requests got nothing while more urgent ones used nearly the whole limit; many refused ones pushed the retry times of urgent callers to the maximum; on a host that is cut off, whose bucket is smaller, any reserve meant a full bucket. Change: a tenth of the less urgent requests needs no reserve, retry times are assigned by level, and the reserve is at most half of the bucket that the host has.

--- a/libraries/host/shared_limit.cpp
+++ b/libraries/host/shared_limit.cpp
@@ -16,6 +16,9 @@
 constexpr double reserve_seconds = 0.2;
 /// Maximum fraction of the burst that is reserved for more urgent requests.
 constexpr double max_reserved_fraction = 0.5;
+/// Fraction of the less urgent requests that compete without a reserve. At five times a limit, it keeps them
+/// above a quarter of the share of all requests that is served.
+constexpr double exempt_fraction = 0.1;
 /// Maximum retry time given to a refused caller.
 constexpr double max_retry_seconds = 60;
 
@@ -56,6 +59,7 @@
 struct refused_demand {
     double amount = 0;
     double required = 0; ///< Level of the bucket at which it is admitted.
+    std::size_t level = 0;
 };
 
 /// Assigns a retry time to a refused caller. Callers are spaced at the rate at which this host's share
@@ -67,8 +71,9 @@
     const double combined_rate = own_rate * std::max(1, participants.reporting_hosts);
     const base::time_point earliest =
         now + time_for(std::max(0.0, demand.required - account.level), combined_rate);
-    const base::time_point reported = std::max(earliest, account.retry_assigned_until);
-    account.retry_assigned_until =
+    base::time_point& assigned_until = account.retry_assigned_until.at(demand.level);
+    const base::time_point reported = std::max(earliest, assigned_until);
+    assigned_until =
         std::min(reported + time_for(demand.amount, own_rate), now + base::from_seconds(max_retry_seconds));
     return reported - now;
 }
@@ -77,21 +82,27 @@
 
 bool is_limited(const settings::usage_limit& limit) { return limit.per_second > 0; }
 
-double reserve_of(const settings::usage_limit& limit, int levels) {
-    const double reserve = std::max(0, levels) * reserve_seconds * limit.per_second;
-    return std::min(reserve, max_reserved_fraction * limit.burst);
+double reserve_of(const settings::usage_limit& limit, int level) {
+    return std::clamp(level, 0, max_limit_level) * reserve_seconds * limit.per_second;
 }
 
+bool is_exempt_from_reserve(double draw) { return draw < exempt_fraction; }
+
 std::optional<base::duration> try_consume(limit_account& account, const settings::usage_limit& limit,
                                           const limit_participants& participants, std::int64_t amount,
-                                          base::time_point now, double reserve) {
+                                          base::time_point now, int level) {
     const auto wanted = static_cast<double>(amount);
     fill(account, limit, participants, wanted);
+    const double full = capacity(limit, participants, wanted);
+    const double reserve = std::min(reserve_of(limit, level), max_reserved_fraction * full);
     // A request that is larger than what is not reserved needs a full bucket.
-    const double required =
-        std::min(wanted + reserve, std::max(wanted, capacity(limit, participants, wanted)));
+    const double required = std::min(wanted + reserve, full);
     if (account.level < required)
-        return assign_retry_time(account, limit, participants, {.amount = wanted, .required = required}, now);
+        return assign_retry_time(account, limit, participants,
+                                 {.amount = wanted,
+                                  .required = required,
+                                  .level = static_cast<std::size_t>(std::clamp(level, 0, max_limit_level))},
+                                 now);
     account.level -= wanted;
     record_usage(account, amount, now);
     return std::nullopt;
--- a/libraries/host/shared_limit.h
+++ b/libraries/host/shared_limit.h
@@ -5,6 +5,7 @@
 #include <base/identifier.h>
 #include <settings/routing_settings.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,6 +23,9 @@
     bool operator==(const reported_usage&) const = default;
 };
 
+/// Largest priority level of a request against its organisation's limit; less urgent ones have it too.
+inline constexpr int max_limit_level = 3;
+
 /// Process that reported a usage.
 struct usage_reporter {
     base::host_id host;
@@ -44,8 +48,9 @@
     std::int64_t used_at_mark = 0;
     std::int64_t used_at_mark_before = 0;
     base::time_point marked_at{};
-    base::time_point changed_at{};           ///< When `used` last changed.
-    base::time_point retry_assigned_until{}; ///< Refused callers have been assigned retry times up to here.
+    base::time_point changed_at{}; ///< When `used` last changed.
+    /// Refused callers of each level have been assigned retry times up to here.
+    std::array<base::time_point, max_limit_level + 1> retry_assigned_until{};
 
     /// Last report of another host's process.
     struct other {
@@ -72,17 +77,18 @@
 /// Whether a limit is configured.
 [[nodiscard]] bool is_limited(const settings::usage_limit& limit);
 
-/// What a request that is `levels` priority levels below the most urgent one must leave of its organisation's
-/// limit for more urgent requests.
-[[nodiscard]] double reserve_of(const settings::usage_limit& limit, int levels);
-
-/// Consumes `amount` from the limit if at least `reserve` is left of it. If it is exceeded, returns the time
-/// after which to retry, taking into account the callers refused before.
-[[nodiscard]] std::optional<base::duration> try_consume(limit_account& account,
-                                                        const settings::usage_limit& limit,
-                                                        const limit_participants& participants,
-                                                        std::int64_t amount, base::time_point now,
-                                                        double reserve = 0);
+/// What a request leaves of its organisation's limit for more urgent ones. Level 0 is the most urgent.
+[[nodiscard]] double reserve_of(const settings::usage_limit& limit, int level);
+
+/// Whether a request of that level does without the reserve. `draw` is uniformly distributed from 0 to 1.
+/// Without such requests, less urgent ones would be shut out while more urgent ones use the whole limit.
+[[nodiscard]] bool is_exempt_from_reserve(double draw);
+
+/// Consumes `amount` from the limit if the reserve of that level is left of it. If it is exceeded, returns
+/// the time after which to retry, taking into account the callers of that level refused before.
+[[nodiscard]] std::optional<base::duration>
+try_consume(limit_account& account, const settings::usage_limit& limit,
+            const limit_participants& participants, std::int64_t amount, base::time_point now, int level = 0);
 
 /// Returns what was consumed for a request that did not run.
 void refund(limit_account& account, const settings::usage_limit& limit, std::int64_t amount,
