decision: Order waiting requests by rank and share

The max-min level is one function that the fair queue uses, too. Without ranks and shares the order is that of `precedes`, as before. Nothing in the gateway uses ranks yet.

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -14,6 +14,9 @@
 /// Range of the random factor applied to the retry delay, so that refused callers don't retry in sync.
 constexpr double min_retry_factor = 1;
 constexpr double max_retry_factor = 3;
+/// The expected wait is more precise where it counts the requests ahead in the order in which they are
+/// served.
+constexpr double max_ordered_retry_factor = 2;
 constexpr base::duration min_retry_delay = std::chrono::milliseconds(1'000);
 /// Late prompts are held back while the prefill queue is longer than this, so that newer prompts can still
 /// meet their latency target.
@@ -29,7 +32,8 @@
 }
 
 base::duration slot_retry_delay(const admission_facts& facts, std::mt19937_64& random) {
-    std::uniform_real_distribution<double> factor(min_retry_factor, max_retry_factor);
+    std::uniform_real_distribution<double> factor(
+        min_retry_factor, facts.is_ordered ? max_ordered_retry_factor : max_retry_factor);
     const double wait = std::max(base::to_seconds(min_retry_delay), base::to_seconds(expected_wait(facts)));
     return base::from_seconds(wait * factor(random));
 }
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -21,6 +21,7 @@
     bool is_queued = false;        ///< Already admitted to the queue.
     base::duration waited{};
     base::duration max_wait{}; ///< Maximum wait for a slot.
+    bool is_ordered = false;   ///< The queue is ordered by rank or share, and not by age alone.
 
     bool operator==(const admission_facts&) const = default;
 };
@@ -38,7 +39,8 @@
 /// meet their target.
 [[nodiscard]] admission admit_to_engines(const admission_facts& facts);
 
-/// Randomized retry delay for a caller that is refused because no slot is free.
+/// Randomized retry delay for a caller that is refused because no slot is free: 1 to 2 times the expected
+/// wait in an ordered queue, so that more urgent callers return earlier; 1 to 3 times in one by age.
 [[nodiscard]] base::duration slot_retry_delay(const admission_facts& facts, std::mt19937_64& random);
 
 /// Expected wait for a slot.
--- a/libraries/decision/fair_queue.cpp
+++ b/libraries/decision/fair_queue.cpp
@@ -1,9 +1,10 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <decision/fair_queue.h>
 
+#include <decision/overload/fair_share.h>
+
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace postpaddle::decision {
 
@@ -26,31 +27,13 @@
     return own.demand * std::exp(-base::to_seconds(now - own.demand_at) / demand_time_constant);
 }
 
-/// Computes the max-min fair level: the demands, each capped at its weight times the level, add up to the
-/// allocated fraction.
+/// Level at which the organisations' demands are capped to fit the allocated fraction.
 double compute_fair_level(const fair_queue& queue, base::time_point now) {
-    struct organisation_demand {
-        double per_weight = 0;
-        double weight = 0;
-    };
-    std::vector<organisation_demand> demands;
-    double total_weight = 0;
-    for (const auto& [id, own] : queue.organisations) {
-        demands.push_back({demand_now(own, now) / own.weight, own.weight});
-        total_weight += own.weight;
-    }
-    // 1. Raise the common level until the smallest demand is satisfied.
-    std::ranges::sort(demands, {}, &organisation_demand::per_weight);
-    double remaining = allocated_fraction;
-    for (const organisation_demand& next : demands) {
-        // 2. If the remaining capacity can't satisfy the next demand, divide it by weight.
-        if (next.per_weight * total_weight >= remaining)
-            return remaining / total_weight;
-        // 3. Otherwise satisfy that demand fully and remove it.
-        remaining -= next.per_weight * next.weight;
-        total_weight -= next.weight;
-    }
-    return std::numeric_limits<double>::infinity();
+    std::vector<share_demand> demands;
+    demands.reserve(queue.organisations.size());
+    for (const auto& [id, own] : queue.organisations)
+        demands.push_back({.amount = demand_now(own, now), .weight = own.weight});
+    return max_min_level(std::move(demands), allocated_fraction);
 }
 
 } // namespace
--- a/libraries/decision/wait_queue.cpp
+++ b/libraries/decision/wait_queue.cpp
@@ -12,6 +12,8 @@
 constexpr double uncounted_slots = 2;
 /// Weight of the caller's hint against the mean.
 constexpr double hint_weight = 0.6;
+/// Longest wait in time of a request that counts as in time however late it is; above all time limits.
+constexpr base::duration unlimited_wait = std::chrono::hours(1);
 
 } // namespace
 
@@ -30,26 +32,114 @@
     return left > right;
 }
 
-wait_queue::wait_queue(std::span<const waiter> waiters) {
-    this->waits.reserve(waiters.size());
-    for (const waiter& one : waiters)
-        this->waits.push_back(one.waited);
-    std::ranges::sort(this->waits);
+local_waiter make_local_waiter(const waiting_facts& facts) {
+    local_waiter own = {.waited = facts.age,
+                        .in_time = facts.in_time + std::max(base::duration::zero(), facts.age - facts.waited),
+                        .memory_tokens = facts.memory_tokens,
+                        .rank = rank_after_wait(facts.rank, facts.waited, facts.latency_target),
+                        .share_key = facts.share_key};
+    if (facts.max_wait > base::duration::zero() && facts.waited >= facts.max_wait / 2) {
+        own.in_time = unlimited_wait;
+        own.rank = 0;
+    }
+    return own;
+}
+
+waiter to_waiter(const local_waiter& own) {
+    return {own.waited, own.memory_tokens, own.in_time, own.rank, own.share_key};
+}
+
+wait_queue::wait_queue(std::span<const waiter> waiters, wait_order order) : order_(std::move(order)) {
+    std::vector<placed_waiter> reported;
+    for (const waiter& one : waiters) {
+        if (this->order_.is_by_age() || !one.in_time)
+            this->unplaced.push_back(one);
+        else
+            reported.push_back({this->position_within_share(one, *one.in_time), one});
+    }
+    std::ranges::sort(this->unplaced, {}, &waiter::waited);
+    this->place(std::move(reported));
+}
+
+void wait_queue::place(std::vector<placed_waiter> reported) {
+    std::ranges::sort(reported, {}, &placed_waiter::position);
+    this->placed = std::move(reported);
+    if (!this->order_.by_share)
+        return;
+    for (const placed_waiter& one : this->placed) {
+        share_queue& own = this->by_share[one.request.share_key];
+        if (own.tokens_before.empty())
+            own.tokens_before.push_back(0);
+        own.positions.push_back(one.position);
+        own.tokens_before.push_back(own.tokens_before.back() + one.request.memory_tokens);
+    }
+    for (placed_waiter& one : this->placed)
+        one.position.is_beyond_share =
+            this->is_beyond_share(one.position, one.request.share_key, one.request.memory_tokens);
+    std::ranges::sort(this->placed, {}, &placed_waiter::position);
+}
+
+wait_position wait_queue::position_within_share(const waiter& request, base::duration in_time) const {
+    int rank = 0;
+    if (this->order_.by_rank)
+        rank = request.in_time ? request.rank : this->order_.unreported_rank;
+    return {.is_late = request.waited > in_time, .rank = rank, .arrived = -request.waited};
+}
+
+bool wait_queue::is_beyond_share(const wait_position& position, std::uint32_t key, double tokens) const {
+    const auto found = this->by_share.find(key);
+    double tokens_ahead = 0;
+    if (found != this->by_share.end()) {
+        const auto& positions = found->second.positions;
+        const auto ahead = std::ranges::lower_bound(positions, position) - positions.begin();
+        tokens_ahead = found->second.tokens_before[static_cast<std::size_t>(ahead)];
+    }
+    return decision::is_beyond_share(this->order_.shares, key, tokens_ahead, tokens);
+}
+
+wait_position wait_queue::position_of(const local_waiter& own) const {
+    wait_position position = this->position_within_share(to_waiter(own), own.in_time);
+    if (this->order_.by_share)
+        position.is_beyond_share = this->is_beyond_share(position, own.share_key, own.memory_tokens);
+    return position;
+}
+
+std::size_t wait_queue::count_ahead(const local_waiter& own) const {
+    const wait_position position = this->position_of(own);
+    const auto placed_end = std::ranges::lower_bound(this->placed, position, {}, &placed_waiter::position);
+    auto ahead = placed_end - this->placed.begin();
+    // Of each group, those that can be in time and those that are late, the last ones are ahead.
+    const auto late = std::ranges::upper_bound(this->unplaced, own.in_time, {}, &waiter::waited);
+    const auto count_group = [&](auto begin, auto end) {
+        return end - std::partition_point(begin, end, [&](const waiter& other) {
+                   return this->position_within_share(other, own.in_time) >= position;
+               });
+    };
+    ahead += count_group(this->unplaced.begin(), late) + count_group(late, this->unplaced.end());
+    return static_cast<std::size_t>(ahead);
 }
 
-std::size_t wait_queue::count_ahead(base::duration waited, base::duration in_time) const {
-    const auto longer = std::ranges::upper_bound(this->waits, waited);
-    const auto late = std::ranges::upper_bound(this->waits, in_time);
-    if (waited <= in_time)
-        return static_cast<std::size_t>(late - longer);
-    return static_cast<std::size_t>((late - this->waits.begin()) + (this->waits.end() - longer));
+std::vector<waiter> wait_queue::waiters_ahead(const local_waiter& own) const {
+    const wait_position position = this->position_of(own);
+    std::vector<placed_waiter> ahead(
+        this->placed.begin(), std::ranges::lower_bound(this->placed, position, {}, &placed_waiter::position));
+    for (const waiter& other : this->unplaced)
+        if (const wait_position place = this->position_within_share(other, own.in_time); place < position)
+            ahead.push_back({place, other});
+    if (!this->unplaced.empty())
+        std::ranges::sort(ahead, {}, &placed_waiter::position);
+    std::vector<waiter> requests;
+    requests.reserve(ahead.size());
+    for (const placed_waiter& one : ahead)
+        requests.push_back(one.request);
+    return requests;
 }
 
 std::vector<std::size_t> head_of_queue(const wait_queue& queue, std::span<const local_waiter> own,
                                        double free_slots, std::size_t max_count) {
     std::vector<std::pair<std::size_t, std::size_t>> ranked;
     for (std::size_t index = 0; index < own.size(); ++index) {
-        const std::size_t ahead = queue.count_ahead(own[index].waited, own[index].in_time);
+        const std::size_t ahead = queue.count_ahead(own[index]);
         if (static_cast<double>(ahead) < free_slots + uncounted_slots)
             ranked.emplace_back(ahead, index);
     }
--- a/libraries/decision/wait_queue.h
+++ b/libraries/decision/wait_queue.h
@@ -2,18 +2,19 @@
 #pragma once
 
 #include <base/clock.h>
+#include <decision/overload/fair_share.h>
+#include <decision/overload/rank.h>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace postpaddle::decision {
 
-/// Largest rank of a waiting request; less urgent ones have this rank too.
-inline constexpr int max_rank = 15;
-
 /// A request that waits for a slot at a decode engine.
 struct waiter {
     base::duration waited{};
@@ -32,28 +33,112 @@
 [[nodiscard]] double expected_output(double hint, double mean, double max_tokens);
 
 /// Whether a request that has waited for `left` gets the next free slot before one that has waited for
-/// `right`.
+/// `right`, where ranks and shares are not used.
 ///
 /// Requests that can still meet their latency target, having waited for at most `in_time`, go first. Within
 /// each group the longest wait goes first, whatever the request's size.
 [[nodiscard]] bool precedes(base::duration left, base::duration right, base::duration in_time);
 
+/// A waiting request of this host.
+struct local_waiter {
+    base::duration waited{};
+    base::duration in_time{}; ///< Longest wait with which it can still meet its latency target.
+    double memory_tokens = 0; ///< Engine memory that it is expected to take.
+    int rank = 0;
+    std::uint32_t share_key = 0;
+
+    bool operator==(const local_waiter&) const = default;
+};
+
+/// What determines the place of one of this host's requests in the queue.
+struct waiting_facts {
+    base::duration age{};     ///< Since the caller's first attempt.
+    base::duration waited{};  ///< Since this attempt.
+    base::duration in_time{}; ///< Longest wait of this attempt with which it meets its latency target.
+    base::duration latency_target{};
+    base::duration max_wait{}; ///< See `max_slot_wait`.
+    double memory_tokens = 0;
+    int rank = 0; ///< By its priorities alone.
+    std::uint32_t share_key = 0;
+
+    bool operator==(const waiting_facts&) const = default;
+};
+
+/// A request with its place in the queue, as it is reported to the other hosts.
+///
+/// A returning caller's latency target is counted from its return, so that it goes before new callers of its
+/// rank, which are younger. The rank improves with the wait. From half of its maximum wait a request counts
+/// as in time and most urgent: only older requests go first, so newer ones no longer overtake it.
+[[nodiscard]] local_waiter make_local_waiter(const waiting_facts& facts);
+
+/// The same, in the form of a load report.
+[[nodiscard]] waiter to_waiter(const local_waiter& own);
+
+/// Place of a request in the queue; smaller ones are served first.
+struct wait_position {
+    bool is_beyond_share = false;
+    bool is_late = false;
+    int rank = 0;
+    base::duration arrived{}; ///< Relative to now, so at most zero.
+
+    auto operator<=>(const wait_position&) const = default;
+};
+
+/// How the waiting requests of a service are ordered.
+struct wait_order {
+    bool by_rank = false;    ///< By rank and each request's own latency target.
+    bool by_share = false;   ///< By `shares`, and by each request's own latency target.
+    int unreported_rank = 0; ///< Of requests whose hosts report no rank.
+    fair_shares shares{};
+
+    /// Neither: the order of `precedes`, with the latency target of the request that looks at the queue.
+    [[nodiscard]] bool is_by_age() const { return !this->by_rank && !this->by_share; }
+};
+
 /// Waiting requests of all hosts, indexed to count those ahead of a given one.
 class wait_queue {
 public:
-    explicit wait_queue(std::span<const waiter> waiters);
+    explicit wait_queue(std::span<const waiter> waiters, wait_order order = {});
+
+    /// Place of a request of this host.
+    [[nodiscard]] wait_position position_of(const local_waiter& own) const;
+
+    /// Requests ahead of one of this host.
+    [[nodiscard]] std::size_t count_ahead(const local_waiter& own) const;
+
+    /// Requests ahead of one that has waited for `waited`, where all have the same rank and share.
+    [[nodiscard]] std::size_t count_ahead(base::duration waited, base::duration in_time) const {
+        return this->count_ahead(local_waiter{.waited = waited, .in_time = in_time});
+    }
 
-    /// Requests ahead of one that has waited for `waited`.
-    [[nodiscard]] std::size_t count_ahead(base::duration waited, base::duration in_time) const;
+    /// Requests ahead of one of this host, in queue order.
+    [[nodiscard]] std::vector<waiter> waiters_ahead(const local_waiter& own) const;
+
+    /// The order in force, with the shares.
+    [[nodiscard]] const wait_order& order() const { return this->order_; }
 
 private:
-    std::vector<base::duration> waits; ///< In ascending order.
-};
+    /// A request whose place does not depend on the request that looks at the queue.
+    struct placed_waiter {
+        wait_position position;
+        waiter request;
+    };
+    /// Requests of one share before a position, and the memory that they need.
+    struct share_queue {
+        std::vector<wait_position> positions; ///< In ascending order, without the share.
+        std::vector<double> tokens_before;    ///< By index in `positions`, and the total.
+    };
 
-/// A waiting request of this host.
-struct local_waiter {
-    base::duration waited{};
-    base::duration in_time{}; ///< Longest wait with which it can still meet its latency target.
+    [[nodiscard]] wait_position position_within_share(const waiter& request, base::duration in_time) const;
+    [[nodiscard]] bool is_beyond_share(const wait_position& position, std::uint32_t key, double tokens) const;
+    void place(std::vector<placed_waiter> reported);
+
+    wait_order order_;
+    std::vector<placed_waiter> placed; ///< In queue order.
+    std::unordered_map<std::uint32_t, share_queue> by_share;
+    /// Requests that are placed by the latency target of the request that looks at the queue: all of them
+    /// where the order is by age, else those of hosts that report none. The longest wait is last.
+    std::vector<waiter> unplaced;
 };
 
 /// Indices of this host's requests that may be at the head of the queue with that many free slots, in queue
