gateway, host: Serve waiting requests by share, rank and age on all hosts

Cause: the order of decision/wait_queue was used by nothing; load reports carried neither ranks nor shares. Change: requests get a rank and a share key from the settings; hosts report their waiters with the place that the order gives them, and the memory in use by share. Expected wait, refusal and Retry-After follow from the same order, which is kept for 5 ms where it is not by age alone. Less urgent requests that newer ones overtake are expected to get a quarter of the slots: without that, patient callers displaced urgent ones. The `place` of `request_ended` has rank, share and expected wait; slot_waits_total, slot_admissions_total and slot_refusals_total count by rank and reason.

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -9,6 +9,9 @@
 
 /// Fraction of the latency target that expected times may use up; the rest is a margin for estimation errors.
 constexpr double usable_target_fraction = 0.8;
+/// Fraction of the freed slots that requests get which newer ones overtake. No kind of request may be served
+/// less than a quarter as often as all are; more would let patient callers displace more urgent ones.
+constexpr double overtaken_fraction = 0.25;
 /// Maximum wait for a slot, in multiples of the latency target.
 constexpr int max_wait_targets = 3;
 /// Range of the random factor applied to the retry delay, so that refused callers don't retry in sync.
@@ -28,7 +31,9 @@
     const double ahead = facts.waiting_ahead + 1 - facts.free_slots;
     if (ahead <= 0)
         return {};
-    return base::from_seconds(ahead * base::to_seconds(facts.hold) / std::max(1.0, facts.total_slots));
+    const double overtaken = facts.overtaken_ahead / overtaken_fraction;
+    return base::from_seconds(std::max(ahead, overtaken) * base::to_seconds(facts.hold) /
+                              std::max(1.0, facts.total_slots));
 }
 
 base::duration slot_retry_delay(const admission_facts& facts, std::mt19937_64& random) {
@@ -57,7 +62,8 @@
         return admission::wait;
     if (facts.is_queued)
         return facts.waited >= facts.max_wait ? admission::refuse : admission::wait;
-    const base::duration max_expected_wait = facts.will_retry ? facts.in_time : facts.max_wait;
+    const base::duration last_wait = facts.overtaken_ahead > 0 ? facts.max_wait / 2 : facts.max_wait;
+    const base::duration max_expected_wait = facts.will_retry ? facts.in_time : last_wait;
     return expected_wait(facts) > max_expected_wait ? admission::refuse : admission::wait;
 }
 
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -13,6 +13,7 @@
     double free_slots = 0; ///< Free slots of all decode engines, for requests of this size.
     double total_slots = 0;
     int waiting_ahead = 0;         ///< Requests ahead in the queue, on all hosts.
+    int overtaken_ahead = 0;       ///< Those of them that newer ones overtake like this one.
     base::duration hold{};         ///< Mean time that a request occupies its slot.
     bool is_late = false;          ///< Can no longer meet its latency target.
     base::duration prompt_queue{}; ///< Expected time until the prefill engine starts the prompt.
@@ -43,7 +44,7 @@
 /// wait in an ordered queue, so that more urgent callers return earlier; 1 to 3 times in one by age.
 [[nodiscard]] base::duration slot_retry_delay(const admission_facts& facts, std::mt19937_64& random);
 
-/// Expected wait for a slot.
+/// Expected wait for a slot. Requests that newer ones overtake are expected to get a quarter of the slots.
 [[nodiscard]] base::duration expected_wait(const admission_facts& facts);
 
 /// Maximum time that a request waits for a slot before it is refused. Callers abandon a stream that has not
--- a/libraries/decision/wait_queue.cpp
+++ b/libraries/decision/wait_queue.cpp
@@ -119,6 +119,23 @@
     return static_cast<std::size_t>(ahead);
 }
 
+std::size_t wait_queue::count_overtaken_ahead(const local_waiter& own) const {
+    const auto is_protected = [](const placed_waiter& one) { return one.request.in_time >= unlimited_wait; };
+    const auto class_of = [](wait_position position) {
+        position.arrived = {};
+        return position;
+    };
+    const wait_position position = this->position_of(own);
+    const auto most_urgent = std::ranges::find_if_not(this->placed, is_protected);
+    if (most_urgent == this->placed.end() || class_of(most_urgent->position) >= class_of(position))
+        return 0;
+    const auto end = std::ranges::lower_bound(this->placed, position, {}, &placed_waiter::position);
+    const auto count = std::count_if(this->placed.begin(), end, [&](const placed_waiter& one) {
+        return is_protected(one) || class_of(one.position) != class_of(most_urgent->position);
+    });
+    return static_cast<std::size_t>(count);
+}
+
 std::vector<waiter> wait_queue::waiters_ahead(const local_waiter& own) const {
     const wait_position position = this->position_of(own);
     std::vector<placed_waiter> ahead(
--- a/libraries/decision/wait_queue.h
+++ b/libraries/decision/wait_queue.h
@@ -114,6 +114,10 @@
     /// Requests ahead of one of this host, in queue order.
     [[nodiscard]] std::vector<waiter> waiters_ahead(const local_waiter& own) const;
 
+    /// Requests ahead of one of this host that the most urgent ones overtake like it, or did until they had
+    /// waited for too long. None if no more urgent request waits.
+    [[nodiscard]] std::size_t count_overtaken_ahead(const local_waiter& own) const;
+
     /// The order in force, with the shares.
     [[nodiscard]] const wait_order& order() const { return this->order_; }
 
--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -5,6 +5,7 @@
 #include <gateway/send_slot_queue.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace postpaddle::gateway {
 
@@ -26,50 +27,85 @@
     scoped_waiting_entry(gateway_state& state, const waiting_request& request)
         : state(&state), request(request) {
         state.waiting.insert(&this->request);
+        did_change_order(state);
         state.did_change_load();
     }
     scoped_waiting_entry(const scoped_waiting_entry&) = delete;
     scoped_waiting_entry(scoped_waiting_entry&&) = delete;
     scoped_waiting_entry& operator=(const scoped_waiting_entry&) = delete;
     scoped_waiting_entry& operator=(scoped_waiting_entry&&) = delete;
-    /// Sets the longest wait with which the request still meets its latency target.
-    void set_in_time(base::duration in_time) { this->request.in_time = in_time; }
+    /// Sets what has changed since the request began to wait: the longest wait with which it still meets its
+    /// latency target, and its rank by its priorities.
+    void update(base::duration in_time, int rank) {
+        this->request.in_time = in_time;
+        this->request.rank = rank;
+        const int rank_now = place_of(*this->state, this->request, this->state->clock->now()).rank;
+        if (std::exchange(this->reported_rank, rank_now) == rank_now)
+            return;
+        did_change_order(*this->state);
+        this->state->did_change_load();
+    }
 
     ~scoped_waiting_entry() {
         this->state->waiting.erase(&this->request);
+        did_change_order(*this->state);
         this->state->did_change_load();
     }
 
 private:
     gateway_state* state;
     waiting_request request;
+    int reported_rank = -1; ///< It improves while the request waits.
 };
 
 base::time_point waiting_since(const gateway_request& request) {
     return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
 }
 
-/// Requests of all hosts that are ahead of this one, in queue order.
-std::vector<decision::waiter> waiters_ahead(const gateway_request& request, base::duration in_time,
-                                            base::time_point now) {
-    const gateway_state& state = *request.state;
-    const base::duration own_wait = now - waiting_since(request);
-    auto ahead = host::waiters_ahead(state.loads, own_wait, in_time, now);
-    for (const waiting_request* other : state.waiting)
-        if (decision::precedes(now - other->first_try, own_wait, in_time))
-            ahead.push_back({now - other->first_try, other->memory_tokens});
-    std::ranges::sort(ahead, [in_time](const decision::waiter& left, const decision::waiter& right) {
-        return decision::precedes(left.waited, right.waited, in_time);
-    });
-    return ahead;
+/// What the queue needs to know of a request, whether it waits already or not.
+waiting_request waiting_request_of(const gateway_request& request, const decision::prompt_size& size) {
+    return {.first_try = waiting_since(request),
+            .memory_tokens = size.prompt_tokens + size.output_tokens,
+            .service = request.service,
+            .capacity = capacity_of(request),
+            .arrived = request.arrived,
+            .latency_target = request.route->latency_target,
+            .max_wait =
+                decision::max_slot_wait(request.route->latency_target, request.deadline - request.arrived),
+            .rank = request.rank,
+            .share_key = request.share_key};
+}
+
+/// The rank follows settings that come into force while the request waits.
+void update_rank(gateway_request& request) {
+    const auto& newest = request.state->settings;
+    if (newest && newest != request.settings)
+        request.rank = rank_in_newer(*newest, request.service, request.organisation, *request.route,
+                                     request.state->process->policy);
 }
 
 /// Candidate engines for a request and the facts that decide on its admission.
 struct slot_candidate {
     decision::engine_plan plan;
     decision::admission_facts facts;
+    nlohmann::json share; ///< For the log: the share on which its place in the queue is based, or null.
 };
 
+/// Figures of the request's share for the log.
+nlohmann::json share_facts(const decision::wait_queue& queue, const decision::local_waiter& own) {
+    const decision::fair_shares& shares = queue.order().shares;
+    if (!queue.order().by_share)
+        return nullptr;
+    const auto found = shares.in_use.find(own.share_key);
+    const double in_use = found == shares.in_use.end() ? 0 : found->second;
+    // Without a level the capacity satisfies all demands.
+    const nlohmann::json level =
+        std::isfinite(shares.level) ? nlohmann::json(std::llround(shares.level)) : nlohmann::json();
+    return {{"in_use_tokens", std::llround(in_use)},
+            {"level_tokens", level},
+            {"is_beyond", queue.position_of(own).is_beyond_share}};
+}
+
 std::optional<slot_candidate> find_slot(const gateway_request& request, const decision::prompt_size& size,
                                         bool is_queued) {
     gateway_state& state = *request.state;
@@ -82,7 +118,14 @@
     const base::duration in_time =
         decision::max_wait_on_time(request.route->latency_target, plan->expected_first_event);
     const auto slots = decision::count_decode_slots(state.instances, context, capacity, size);
-    const auto ahead = waiters_ahead(request, in_time, context.now);
+    waiting_request waiting = waiting_request_of(request, size);
+    waiting.in_time = in_time;
+    const double tokens = std::max(1.0, waiting.memory_tokens);
+    const ordered_waiters& waiters = ordered_waiters_of(
+        state, request.service, {.total = slots.total * tokens, .free = slots.free * tokens});
+    const decision::local_waiter own = place_of(state, waiting, waiters.made_at);
+    const auto ahead = waiters.queue->waiters_ahead(own);
+    const bool is_ordered = !waiters.queue->order().is_by_age();
     bool has_room = plan->has_room && slots.free > static_cast<double>(ahead.size());
     const bool is_queue_too_long =
         static_cast<double>(ahead.size()) > max_waiting_per_free_slot * slots.free + max_waiting_base;
@@ -99,27 +142,49 @@
         .free_slots = slots.free,
         .total_slots = slots.total,
         .waiting_ahead = static_cast<int>(ahead.size()),
+        .overtaken_ahead = static_cast<int>(waiters.queue->count_overtaken_ahead(own)),
         .hold = base::from_seconds(decision::hold_seconds(profile_of(request), capacity.tokens_per_event)),
-        .is_late = policy.defer_late_prompts && context.now - waiting_since(request) > in_time,
+        .is_late = policy.defer_late_prompts && own.waited > own.in_time,
         .prompt_queue = std::max(base::duration{}, prefill_queue),
         .in_time = in_time,
         .will_retry =
             policy.refuse_early && request.first_try == request.arrived && !request.routed.resume_after,
         .is_queued = is_queued,
         .waited = context.now - request.arrived,
-        .max_wait =
-            decision::max_slot_wait(request.route->latency_target, request.deadline - request.arrived)};
-    return slot_candidate{*plan, facts};
+        .max_wait = waiting.max_wait,
+        .is_ordered = is_ordered};
+    return slot_candidate{*plan, facts, share_facts(*waiters.queue, own)};
 }
 
 /// Records the facts behind the admission decision for the request's log line.
-void record_slot_facts(gateway_request& request, const decision::admission_facts& facts) {
+void record_slot_facts(gateway_request& request, const slot_candidate& candidate) {
+    const decision::admission_facts& facts = candidate.facts;
     request.slot_facts = {{"waited_ms", base::to_milliseconds(facts.waited)},
                           {"has_room", facts.has_room},
                           {"free", facts.free_slots},
                           {"total", facts.total_slots},
                           {"waiting_ahead", facts.waiting_ahead},
+                          {"expected_wait_ms", base::to_milliseconds(decision::expected_wait(facts))},
+                          {"rank", request.rank},
                           {"hosts_heard", request.state->loads.by_host.size()}};
+    if (!candidate.share.is_null())
+        request.slot_facts["share"] = candidate.share;
+}
+
+/// Counts a decision on a slot by rank, and refusals by reason.
+void count_decision(const gateway_request& request, const char* name, const char* reason = nullptr) {
+    std::string labels = "{rank=\"" + std::to_string(request.rank) + "\"";
+    if (reason != nullptr)
+        labels += std::string(",reason=\"") + reason + "\"";
+    request.state->metrics->count(name + labels + "}");
+}
+
+/// Why a request without a slot in time is refused: others of its organisation use more than its share, it
+/// has waited for as long as it may, or too many requests are ahead.
+const char* refusal_reason(const slot_candidate& candidate) {
+    if (!candidate.share.is_null() && candidate.share["is_beyond"].get<bool>())
+        return "beyond_share";
+    return candidate.facts.is_queued ? "waited_too_long" : "too_many_ahead";
 }
 
 } // namespace
@@ -134,7 +199,9 @@
     gateway_state& state = *request.state;
     std::optional<wire::boot_timer> timer;
     std::optional<scoped_waiting_entry> waiting_entry;
+    request.share_use.reset();
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone) {
+        update_rank(request);
         if (const char* const stop = reason_to_stop(request))
             return {.plan = std::nullopt, .reason = stop};
         const auto candidate = find_slot(request, size, waiting_entry.has_value());
@@ -142,7 +209,7 @@
             return {};
         if (!candidate)
             continue;
-        record_slot_facts(request, candidate->facts);
+        record_slot_facts(request, *candidate);
         decision::admission admission = decision::admit_to_engines(candidate->facts);
         // If no known engine has room, ask hosts of other cells before refusing.
         if (!candidate->facts.has_room && state.try_query_other_cells() &&
@@ -150,8 +217,11 @@
             admission = decision::admission::wait;
         switch (admission) {
         case decision::admission::start:
+            count_decision(request, "slot_admissions_total");
+            request.share_use.emplace(state, request.share_key, size.prompt_tokens + size.output_tokens);
             return {.plan = candidate->plan};
         case decision::admission::refuse:
+            count_decision(request, "slot_refusals_total", refusal_reason(*candidate));
             request.time_until_slot = decision::slot_retry_delay(candidate->facts, state.random);
             return {.plan = std::nullopt, .reason = "no place in time"};
         case decision::admission::wait:
@@ -159,19 +229,19 @@
         }
         if (!waiting_entry) {
             timer.emplace(*state.context);
-            waiting_entry.emplace(state,
-                                  waiting_request{.first_try = waiting_since(request),
-                                                  .memory_tokens = size.prompt_tokens + size.output_tokens,
-                                                  .wake = &*timer,
-                                                  .service = request.service,
-                                                  .capacity = capacity_of(request)});
+            waiting_request waiting = waiting_request_of(request, size);
+            waiting.wake = &*timer;
+            waiting_entry.emplace(state, waiting);
+            count_decision(request, "slot_waits_total");
             state.metrics->count("waited_for_place_total");
         }
-        waiting_entry->set_in_time(candidate->facts.in_time);
+        waiting_entry->update(candidate->facts.in_time, request.rank);
         timer->expires_after(recheck_interval);
         wire::error_code ignored;
         timer->async_wait(yield[ignored]);
     }
+    if (!request.cancellation->is_caller_gone)
+        count_decision(request, "slot_refusals_total", "deadline");
     return {.plan = std::nullopt, .reason = "no place before the deadline"};
 }
 
--- a/libraries/gateway/engine_slot.h
+++ b/libraries/gateway/engine_slot.h
@@ -19,8 +19,8 @@
 
 /// Chooses engines with a free slot for the request, waiting for one if it can still meet its latency target.
 ///
-/// Waiting requests are served in the order of their age across all hosts; hosts exchange how long theirs
-/// have waited.
+/// Waiting requests are served in one order across all hosts, see `decision::wait_queue`; hosts exchange what
+/// it needs of theirs.
 [[nodiscard]] engine_slot_result
 await_engine_slot(gateway_request& request, const decision::prompt_size& size, wire::yield_context yield);
 
--- a/libraries/gateway/engine_slot_waker.cpp
+++ b/libraries/gateway/engine_slot_waker.cpp
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/engine_slot_waker.h>
 
-#include <decision/instance_choice.h>
+#include <gateway/slot_order.h>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -17,10 +18,6 @@
 /// Maximum number of requests woken per check. Any others are woken by the next change.
 constexpr std::size_t max_woken = 8;
 
-decision::waiter waiter_of(const waiting_request& waiting, base::time_point now) {
-    return {now - waiting.first_try, waiting.memory_tokens};
-}
-
 } // namespace
 
 engine_slot_waker::engine_slot_waker(gateway_state& state) : state(&state), timer(*state.context) {}
@@ -40,30 +37,29 @@
     });
 }
 
-double engine_slot_waker::free_slots(const waiting_request& first) const {
+decision::decode_slots engine_slot_waker::count_slots(const waiting_request& first) const {
     const decision::choice_context context = {.service = first.service,
                                               .own_zone = this->state->process->availability_zone,
                                               .excluded = {},
                                               .now = this->state->clock->now()};
     const decision::prompt_size size = {.prompt_tokens = first.memory_tokens};
-    return decision::count_decode_slots(this->state->instances, context, first.capacity, size).free;
+    return decision::count_decode_slots(this->state->instances, context, first.capacity, size);
 }
 
 void engine_slot_waker::wake_next() {
-    const base::time_point now = this->state->clock->now();
-    std::vector<decision::waiter> all = host::all_waiters(this->state->loads, now);
     std::map<std::string, std::vector<const waiting_request*>> by_service;
-    for (const waiting_request* const waiting : this->state->waiting) {
-        all.push_back(waiter_of(*waiting, now));
+    for (const waiting_request* const waiting : this->state->waiting)
         by_service[waiting->service].push_back(waiting);
-    }
-    const decision::wait_queue queue(all);
+    did_change_order(*this->state);
     for (const auto& [service, own] : by_service) {
-        std::vector<decision::local_waiter> facts;
+        const decision::decode_slots slots = this->count_slots(*own.front());
+        const double tokens = std::max(1.0, own.front()->memory_tokens);
+        const ordered_waiters& waiters = ordered_waiters_of(
+            *this->state, service, {.total = slots.total * tokens, .free = slots.free * tokens});
+        std::vector<decision::local_waiter> places;
         for (const waiting_request* const waiting : own)
-            facts.push_back({now - waiting->first_try, waiting->in_time});
-        for (const std::size_t index :
-             decision::head_of_queue(queue, facts, this->free_slots(*own.front()), max_woken))
+            places.push_back(place_of(*this->state, *waiting, waiters.made_at));
+        for (const std::size_t index : decision::head_of_queue(*waiters.queue, places, slots.free, max_woken))
             own[index]->wake->cancel();
     }
 }
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -3,7 +3,7 @@
 
 #include <decision/attempt_rules.h>
 #include <decision/instance_choice.h>
-#include <gateway/gateway_state.h>
+#include <gateway/slot_order.h>
 #include <wire/caller_connection.h>
 #include <wire/upstream_connection.h>
 
@@ -43,6 +43,7 @@
     std::string service;
     int rank = 0;                  ///< Priority among waiting requests, from 0 (most urgent) to `max_rank`.
     host::share_key share_key = 0; ///< Of its organisation's share of the service.
+    std::optional<scoped_share_use> share_use{}; ///< From its start at an engine to its end.
     base::time_point arrived{};
     base::time_point first_try{};        ///< Estimated time of the client's first attempt, on any host.
     std::set<base::upstream_id> holding; ///< Engines that still hold its prompt from an earlier attempt.
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/gateway_state.h>
 
+#include <gateway/slot_order.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -87,6 +89,7 @@
     next->document = std::move(document);
     for (const auto& [id, organisation] : next->document.value->organisations)
         next->organisation_by_key[host::key_of(id)] = &organisation;
+    prepare_order(*next);
     state.settings = std::move(next);
     state.metrics->set("settings_version", static_cast<double>(version));
     state.log->write_always("settings_in_force", {{"version", version},
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <decision/caller_timeouts.h>
 #include <decision/instance_table.h>
+#include <decision/overload/rank.h>
 #include <decision/route_table.h>
 #include <decision/service_profile.h>
 #include <decision/shared_budget.h>
@@ -34,12 +35,20 @@
 
 namespace postpaddle::gateway {
 
+/// Services to which the keys of shares belong, for the services that have engines.
+struct share_owners {
+    std::vector<std::string> services;
+    std::vector<std::pair<host::share_key, std::uint32_t>> service_of; ///< Index in `services`; sorted.
+};
+
 /// The routing settings in force on this host.
 struct settings_in_force {
     ports::settings_document document;
     decision::route_table routes;
     /// By the key used in load reports; points into `document`.
     std::unordered_map<host::organisation_key, const settings::organisation_entry*> organisation_by_key;
+    std::map<std::string, decision::rank_table> ranks; ///< By service.
+    share_owners shares;
 };
 
 /// A request on this host that waits for a slot on an engine.
@@ -50,6 +59,24 @@
     base::duration in_time{};         ///< Longest queueing time with which it still meets its latency target.
     std::string service;
     settings::engine_capacity capacity;
+    base::time_point arrived{}; ///< This attempt.
+    base::duration latency_target{};
+    base::duration max_wait{};
+    int rank = 0;
+    host::share_key share_key = 0;
+};
+
+/// Engine memory that this host's requests of an organisation and service occupy or have reserved.
+struct share_use {
+    int requests = 0;
+    double memory_tokens = 0;
+};
+
+/// The requests of all hosts that wait for an engine slot of a service, see `gateway/slot_order.h`.
+struct ordered_waiters {
+    std::optional<decision::wait_queue> queue; ///< Empty if it has to be made again.
+    base::time_point made_at{};                ///< The time for which waits are computed.
+    std::uint64_t settings_version = 0;
 };
 
 /// Keys of the prompts that an engine reported to hold.
@@ -121,6 +148,8 @@
     std::function<void()> on_slots_changed{};              ///< See `did_change_slots`.
     std::function<void()> on_load_changed{};               ///< Sends an update to the other hosts.
     std::set<const waiting_request*> waiting{}; ///< Requests of this host that wait for an engine slot.
+    std::map<std::string, ordered_waiters> ordered_waiters_of{}; ///< By service.
+    std::map<host::share_key, share_use> shares{};               ///< Of this host's requests.
     /// Requests of this host that wait for a send slot, by service.
     std::map<std::string, send_slot_queue> send_slot_queues{};
     std::set<base::upstream_id>
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -2,6 +2,7 @@
 #include <gateway/load_exchange.h>
 
 #include <gateway/peer_codec.h>
+#include <gateway/slot_order.h>
 #include <gateway/upstream_advertisements.h>
 
 #include <wire/http_client.h>
@@ -58,8 +59,10 @@
     this->limits.handle_report(*report);
     handle_advertisements(*this->state, report->advertisements);
     host::apply_sums(this->state->instances, this->state->loads, change->keys);
-    if (change->has_freed_capacity)
+    if (change->has_freed_capacity) {
+        did_change_order(*this->state);
         this->state->did_change_slots();
+    }
     return true;
 }
 
@@ -92,7 +95,9 @@
             report.out_of_service.push_back(host::key_of(id, known.entry.start_time_ms));
     }
     for (const waiting_request* const waiting : this->state->waiting)
-        report.waiters.push_back({now - waiting->first_try, waiting->memory_tokens});
+        report.waiters.push_back(decision::to_waiter(place_of(*this->state, *waiting, now)));
+    for (const auto& [key, use] : this->state->shares)
+        report.share_tokens[key] = use.memory_tokens;
     this->limits.add_use(report);
     report.advertisements = advertisements_to_send(*this->state, advertisement_source::own_answers);
     return report;
@@ -116,7 +121,7 @@
         return;
     const host::load_report report = this->own_report();
     this->has_reported_work = !report.uses.empty() || !report.waiters.empty() || !report.avoided.empty() ||
-                              !report.advertisements.empty();
+                              !report.share_tokens.empty() || !report.advertisements.empty();
     this->datagrams->send(datagram_kind::load, encode_load(report), this->recipients());
 }
 
@@ -192,6 +197,7 @@
         this->limits.evict_old_usage();
         if (is_any_dropped) {
             host::apply_all_sums(this->state->instances, this->state->loads);
+            did_change_order(*this->state);
             this->state->did_change_slots();
         }
         if (this->has_reported_work || this->limits.has_limits())
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -112,6 +112,11 @@
     std::uniform_real_distribution<double> draw(0, 1);
     request.service = decision::choose_service(*request.route, draw(state.random));
     request.record = make_record(*request.route);
+    request.rank = rank_of(*request.settings, request.service,
+                           request.organisation == nullptr ? std::nullopt
+                                                           : std::optional(request.organisation->priority),
+                           request.route->priority, state.process->policy);
+    request.share_key = host::key_of(request.service, request.routed.organisation);
     base::duration timeout = request.route->time_limit;
     if (request.routed.time_left)
         timeout = std::min<base::duration>(timeout, *request.routed.time_left);
--- /dev/null
+++ b/libraries/gateway/slot_order.cpp
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/slot_order.h>
+
+#include <algorithm>
+#include <span>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Lifetime of the ordered waiting requests. Other hosts' reports are a few milliseconds old.
+constexpr base::duration queue_lifetime = 5ms;
+
+share_owners make_share_owners(const settings::routing_settings& settings) {
+    share_owners owners;
+    for (const auto& [name, service] : settings.services) {
+        if (!service.engine)
+            continue;
+        const auto index = static_cast<std::uint32_t>(owners.services.size());
+        owners.services.push_back(name);
+        owners.service_of.emplace_back(host::key_of(name, base::organisation_id{}), index);
+        for (const auto& [id, organisation] : settings.organisations)
+            owners.service_of.emplace_back(host::key_of(name, id), index);
+    }
+    std::ranges::sort(owners.service_of);
+    return owners;
+}
+
+/// Whether a share is known to be of another service. Keys that are not in the settings, for example of hosts
+/// with a newer version, may be of any.
+bool is_of_other_service(const share_owners& owners, host::share_key key, const std::string& service) {
+    const auto found = std::ranges::lower_bound(owners.service_of, std::pair(key, std::uint32_t{0}));
+    return found != owners.service_of.end() && found->first == key &&
+           owners.services[found->second] != service;
+}
+
+decision::share_amounts shares_in_use(const gateway_state& state, const std::string& service) {
+    decision::share_amounts in_use;
+    for (const auto& [key, tokens] : state.loads.share_total)
+        if (!is_of_other_service(state.settings->shares, key, service))
+            in_use[key] += tokens;
+    for (const auto& [key, use] : state.shares)
+        if (!is_of_other_service(state.settings->shares, key, service))
+            in_use[key] += use.memory_tokens;
+    return in_use;
+}
+
+/// Shares of the memory of all decode engines. Streams are counted with the memory that they will need, so
+/// more may be in use than the engines have.
+decision::fair_shares shares_of(const gateway_state& state, const std::string& service,
+                                std::span<const decision::waiter> waiters, const slot_memory& memory) {
+    decision::share_amounts in_use = shares_in_use(state, service);
+    double used = 0;
+    for (const auto& [key, tokens] : in_use)
+        used += tokens;
+    decision::share_amounts waiting;
+    for (const decision::waiter& other : waiters)
+        waiting[other.share_key] += other.memory_tokens;
+    return decision::make_fair_shares(std::move(in_use), waiting, std::max(memory.total, used + memory.free));
+}
+
+/// Requests of all hosts that wait for a slot of the service. By age alone those of all services count, as
+/// hosts of an earlier version do not report the service.
+std::vector<decision::waiter> waiters_of(const gateway_state& state, const std::string& service,
+                                         const decision::wait_order& order, base::time_point now) {
+    std::vector<decision::waiter> waiters = host::all_waiters(state.loads, now);
+    for (const waiting_request* const waiting : state.waiting)
+        waiters.push_back(decision::to_waiter(place_of(state, *waiting, now)));
+    if (!order.is_by_age())
+        std::erase_if(waiters, [&](const decision::waiter& other) {
+            return is_of_other_service(state.settings->shares, other.share_key, service);
+        });
+    return waiters;
+}
+
+} // namespace
+
+void prepare_order(settings_in_force& settings) {
+    const settings::routing_settings& value = *settings.document.value;
+    std::vector<int> organisations;
+    for (const auto& [id, organisation] : value.organisations)
+        organisations.push_back(organisation.priority);
+    std::map<std::string, std::vector<int>> routes;
+    for (const settings::route_entry& route : value.routes)
+        for (const settings::weighted_service& target : route.services)
+            routes[target.service].push_back(route.priority);
+    for (const auto& [service, priorities] : routes)
+        settings.ranks[service] = decision::make_rank_table(organisations, priorities);
+    settings.shares = make_share_owners(value);
+}
+
+int rank_of(const settings_in_force& settings, const std::string& service,
+            std::optional<int> organisation_priority, int route_priority,
+            const settings::gateway_policy& policy) {
+    const auto table = settings.ranks.find(service);
+    if (!policy.order_by_rank || table == settings.ranks.end())
+        return 0;
+    return decision::rank_of(table->second, organisation_priority, route_priority);
+}
+
+int rank_in_newer(const settings_in_force& settings, const std::string& service,
+                  const settings::organisation_entry* organisation, const settings::route_entry& route,
+                  const settings::gateway_policy& policy) {
+    const settings::routing_settings& value = *settings.document.value;
+    std::optional<int> organisation_priority;
+    if (organisation != nullptr) {
+        const auto found = value.organisations.find(organisation->id);
+        organisation_priority =
+            found == value.organisations.end() ? organisation->priority : found->second.priority;
+    }
+    const auto same_route = std::ranges::find(value.routes, route.name, &settings::route_entry::name);
+    const int route_priority = same_route == value.routes.end() ? route.priority : same_route->priority;
+    return rank_of(settings, service, organisation_priority, route_priority, policy);
+}
+
+decision::wait_order order_of(const gateway_state& state, const std::string& service) {
+    decision::wait_order order;
+    if (!state.settings)
+        return order;
+    const settings::gateway_policy& policy = state.process->policy;
+    const auto table = state.settings->ranks.find(service);
+    if (policy.order_by_rank && table != state.settings->ranks.end() && decision::has_ranks(table->second)) {
+        order.by_rank = true;
+        order.unreported_rank = decision::middle_rank(table->second);
+    }
+    order.by_share = policy.share_fairly && !state.settings->document.value->organisations.empty();
+    return order;
+}
+
+decision::local_waiter place_of(const gateway_state& state, const waiting_request& request,
+                                base::time_point now) {
+    const decision::waiting_facts facts = {.age = now - request.first_try,
+                                           .waited = now - request.arrived,
+                                           .in_time = request.in_time,
+                                           .latency_target = request.latency_target,
+                                           .max_wait = request.max_wait,
+                                           .memory_tokens = request.memory_tokens,
+                                           .rank = request.rank,
+                                           .share_key = request.share_key};
+    if (order_of(state, request.service).is_by_age())
+        return {.waited = facts.age,
+                .in_time = facts.in_time,
+                .memory_tokens = facts.memory_tokens,
+                .rank = facts.rank,
+                .share_key = facts.share_key};
+    return decision::make_local_waiter(facts);
+}
+
+const ordered_waiters& ordered_waiters_of(gateway_state& state, const std::string& service,
+                                          const slot_memory& memory) {
+    const base::time_point now = state.clock->now();
+    ordered_waiters& known = state.ordered_waiters_of[service];
+    decision::wait_order order = order_of(state, service);
+    const bool is_valid = known.queue && !order.is_by_age() &&
+                          known.settings_version == settings_version(state) &&
+                          now - known.made_at < queue_lifetime;
+    if (is_valid)
+        return known;
+    const auto waiters = waiters_of(state, service, order, now);
+    if (order.by_share) {
+        order.shares = shares_of(state, service, waiters, memory);
+        const double level = std::min(order.shares.level, std::max(memory.total, memory.free));
+        state.metrics->set("share_level_tokens{service=\"" + service + "\"}", level);
+    }
+    known = {.queue = decision::wait_queue(waiters, std::move(order)),
+             .made_at = now,
+             .settings_version = settings_version(state)};
+    return known;
+}
+
+void did_change_order(gateway_state& state) {
+    for (auto& [service, known] : state.ordered_waiters_of)
+        known.queue.reset();
+}
+
+scoped_share_use::scoped_share_use(gateway_state& state, host::share_key key, double memory_tokens)
+    : state(&state), key(key), memory_tokens(memory_tokens) {
+    share_use& use = state.shares[key];
+    ++use.requests;
+    use.memory_tokens += memory_tokens;
+    did_change_order(state);
+}
+
+scoped_share_use::~scoped_share_use() {
+    const auto use = this->state->shares.find(this->key);
+    use->second.memory_tokens -= this->memory_tokens;
+    if (--use->second.requests <= 0)
+        this->state->shares.erase(use);
+    did_change_order(*this->state);
+}
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/slot_order.h
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <gateway/gateway_state.h>
+
+namespace postpaddle::gateway {
+
+/// Prepares what the order of waiting requests needs of the settings: ranks by service and share keys.
+void prepare_order(settings_in_force& settings);
+
+/// Rank of requests of an organisation (none: no priority) and route; 0 if the policy does not order by rank.
+[[nodiscard]] int rank_of(const settings_in_force& settings, const std::string& service,
+                          std::optional<int> organisation_priority, int route_priority,
+                          const settings::gateway_policy& policy);
+
+/// The same by the priorities that newer settings give to that organisation (null: none) and route.
+[[nodiscard]] int rank_in_newer(const settings_in_force& settings, const std::string& service,
+                                const settings::organisation_entry* organisation,
+                                const settings::route_entry& route, const settings::gateway_policy& policy);
+
+/// How a service's waiting requests are ordered, without the shares.
+[[nodiscard]] decision::wait_order order_of(const gateway_state& state, const std::string& service);
+
+/// Place in the queue of one of this host's requests, as it is reported to the other hosts.
+[[nodiscard]] decision::local_waiter place_of(const gateway_state& state, const waiting_request& request,
+                                              base::time_point now);
+
+/// Slots of a service's decode engines, in tokens of memory.
+struct slot_memory {
+    double total = 0;
+    double free = 0;
+};
+
+/// The requests of all hosts that wait for an engine slot of the service. Valid until the next call.
+///
+/// Kept for some milliseconds unless the order is by age alone, since other hosts' reports are no newer.
+[[nodiscard]] const ordered_waiters& ordered_waiters_of(gateway_state& state, const std::string& service,
+                                                        const slot_memory& memory);
+
+/// Call after a change of this host's waiting requests or shares, or of reports that may free capacity.
+void did_change_order(gateway_state& state);
+
+/// Engine memory that a request occupies or has reserved, counted in its organisation's share.
+class scoped_share_use {
+public:
+    scoped_share_use(gateway_state& state, host::share_key key, double memory_tokens);
+    scoped_share_use(const scoped_share_use&) = delete;
+    scoped_share_use(scoped_share_use&&) = delete;
+    scoped_share_use& operator=(const scoped_share_use&) = delete;
+    scoped_share_use& operator=(scoped_share_use&&) = delete;
+    ~scoped_share_use();
+
+private:
+    gateway_state* state;
+    host::share_key key;
+    double memory_tokens;
+};
+
+} // namespace postpaddle::gateway
--- a/libraries/host/peer_load_table.cpp
+++ b/libraries/host/peer_load_table.cpp
@@ -27,6 +27,17 @@
         counts.erase(key);
 }
 
+void subtract_shares(peer_load_table& peer_loads, const load_report& report) {
+    // Sums of rounded values may leave a remainder.
+    static constexpr double min_tokens = 0.5;
+    for (const auto& [key, tokens] : report.share_tokens) {
+        double& total = peer_loads.share_total[key];
+        total -= tokens;
+        if (total < min_tokens)
+            peer_loads.share_total.erase(key);
+    }
+}
+
 void subtract(peer_load_table& peer_loads, const load_report& report) {
     for (const auto& [key, use] : report.uses) {
         decision::instance_use& total = peer_loads.total[key];
@@ -38,6 +49,7 @@
         decrement(peer_loads.avoided_by, key);
     for (const instance_key key : report.out_of_service)
         decrement(peer_loads.out_of_service_by, key);
+    subtract_shares(peer_loads, report);
 }
 
 template <class T> T value_at(const std::map<instance_key, T>& values, instance_key key) {
@@ -118,6 +130,8 @@
         ++peer_loads.avoided_by[key];
     for (const instance_key key : report.out_of_service)
         ++peer_loads.out_of_service_by[key];
+    for (const auto& [key, tokens] : report.share_tokens)
+        peer_loads.share_total[key] += tokens;
     found->second = {report, now};
     return change;
 }
@@ -164,7 +178,7 @@
     bool has_expired = false;
     for (auto& [host, received] : peer_loads.by_host) {
         const bool is_empty = received.report.uses.empty() && received.report.waiters.empty() &&
-                              received.report.avoided.empty();
+                              received.report.avoided.empty() && received.report.share_tokens.empty();
         if (is_empty || now - received.received_at < report_lifetime)
             continue;
         subtract(peer_loads, received.report);
@@ -172,6 +186,7 @@
         received.report.waiters.clear();
         received.report.avoided.clear();
         received.report.out_of_service.clear();
+        received.report.share_tokens.clear();
         has_expired = true;
     }
     return has_expired;
@@ -216,13 +231,4 @@
     return waiters;
 }
 
-std::vector<decision::waiter> waiters_ahead(const peer_load_table& peer_loads, base::duration own,
-                                            base::duration in_time, base::time_point now) {
-    std::vector<decision::waiter> ahead = all_waiters(peer_loads, now);
-    std::erase_if(ahead, [own, in_time](const decision::waiter& other) {
-        return !decision::precedes(other.waited, own, in_time);
-    });
-    return ahead;
-}
-
 } // namespace postpaddle::host
--- a/libraries/host/peer_load_table.h
+++ b/libraries/host/peer_load_table.h
@@ -97,6 +97,8 @@
     std::map<instance_key, int> avoided_by; ///< Number of hosts that avoid an instance.
     /// Number of hosts that report an instance as out of service.
     std::map<instance_key, int> out_of_service_by;
+    /// Engine memory in tokens that all other hosts' requests in progress occupy or have reserved.
+    std::unordered_map<share_key, double> share_total;
     std::unordered_map<instance_key, base::upstream_id> id_of; ///< Instances in the instance table, by key.
 };
 
@@ -153,9 +155,4 @@
 [[nodiscard]] std::vector<decision::waiter> all_waiters(const peer_load_table& peer_loads,
                                                         base::time_point now);
 
-/// Waiting requests of other hosts that precede one which has waited for `own`.
-[[nodiscard]] std::vector<decision::waiter> waiters_ahead(const peer_load_table& peer_loads,
-                                                          base::duration own, base::duration in_time,
-                                                          base::time_point now);
-
 } // namespace postpaddle::host
--- a/tests/decision/test_wait_order.cpp
+++ b/tests/decision/test_wait_order.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <decision/admission.h>
 #include <decision/wait_queue.h>
+#include <decision/waiting_model.h>
 
 #include <catch2/catch.hpp>
 
@@ -47,6 +48,16 @@
             .share_key = other.share_key};
 }
 
+/// Three streaming routes of one service, as in docs/OVERLOAD.md, on slots for 115 requests per second.
+test::waiting_model_options competing_routes(unsigned seed) {
+    return {.seed = seed,
+            .slots = 115,
+            .kinds = {{.rank = 0, .latency_target = 800ms, .per_second = 21},
+                      {.rank = 1, .latency_target = 1'000ms, .per_second = 62},
+                      {.rank = 2, .latency_target = 2'000ms, .per_second = 32}},
+            .by_share = false};
+}
+
 } // namespace
 
 TEST_CASE("without different priorities or organisations, requests are ordered by age as before") {
@@ -204,3 +215,79 @@
     CHECK(queue.count_ahead({.waited = 100ms, .in_time = 900ms, .rank = 1}) == 2);
     CHECK(queue.count_ahead({.waited = 900ms, .in_time = 500ms, .rank = 2}) == 2);
 }
+
+TEST_CASE("in an overload of all routes, more urgent ones are served first and no route is starved") {
+    for (unsigned seed = 0; seed < 3; ++seed) {
+        INFO("seed " << seed);
+        auto options = competing_routes(seed);
+        int callers = 0;
+        int served = 0;
+        for (test::request_kind& kind : options.kinds)
+            kind.per_second *= 2;
+        const auto outcomes = test::waiting_model(options).run(20s);
+        for (const test::kind_outcome& outcome : outcomes) {
+            callers += outcome.callers;
+            served += outcome.served;
+        }
+        CHECK(outcomes[0].served_fraction() > 0.85);
+        for (std::size_t kind = 0; kind < outcomes.size(); ++kind) {
+            CHECK(outcomes[kind].served_fraction() > 0.25 * served / callers);
+            if (kind > 0)
+                CHECK(outcomes[kind].served_fraction() < outcomes[kind - 1].served_fraction() + 0.1);
+        }
+    }
+}
+
+TEST_CASE("a burst of the least urgent route is refused before the more urgent ones") {
+    for (unsigned seed = 0; seed < 3; ++seed) {
+        INFO("seed " << seed);
+        auto options = competing_routes(seed);
+        for (test::request_kind& kind : options.kinds)
+            kind.per_second *= 0.9;
+        options.kinds[2].peak = 6;
+        options.kinds[2].peak_from = 1s;
+        options.kinds[2].peak_to = 6s;
+        options.kinds[2].returns_early = seed == 2;
+        const auto outcomes = test::waiting_model(options).run(8s);
+        CHECK(outcomes[0].served_fraction() > 0.98);
+        CHECK(outcomes[1].served_fraction() > 0.95);
+        CHECK(outcomes[2].served_fraction() < 0.9);
+        // The slots are in use while requests wait: from the beginning of the burst on.
+        double slot_seconds = 0;
+        for (const test::kind_outcome& outcome : outcomes)
+            slot_seconds += outcome.slot_seconds;
+        CHECK(slot_seconds > 0.9 * options.slots * 7);
+    }
+}
+
+TEST_CASE("a request that more urgent ones overtake is refused if it would wait for half of its limit") {
+    // 40 requests of rank 0 and 30 of rank 1 wait; 115 slots become free each second.
+    std::vector<waiter> waiters(40, {100ms, 4'000, 500ms, 0});
+    waiters.insert(waiters.end(), 30, {200ms, 4'000, 700ms, 1});
+    const decision::wait_queue queue(waiters, {.by_rank = true});
+    const local_waiter own = {.waited = 0ms, .in_time = 1'300ms, .rank = 2};
+    CHECK(queue.count_ahead(own) == 70);
+    CHECK(queue.count_overtaken_ahead(own) == 30);
+    CHECK(queue.count_overtaken_ahead({.waited = 0ms, .in_time = 500ms, .rank = 0}) == 0);
+    decision::admission_facts facts = {.total_slots = 115,
+                                       .waiting_ahead = 70,
+                                       .overtaken_ahead = 30,
+                                       .hold = 1s,
+                                       .max_wait = 3s,
+                                       .is_ordered = true};
+    CHECK(decision::expected_wait(facts) == base::from_seconds(120.0 / 115));
+    CHECK(decision::admit_to_engines(facts) == decision::admission::wait);
+    facts.overtaken_ahead = 60;
+    CHECK(decision::admit_to_engines(facts) == decision::admission::refuse);
+}
+
+TEST_CASE("callers refused from an ordered queue return after one to two times their expected wait") {
+    const decision::admission_facts facts = {
+        .total_slots = 10, .waiting_ahead = 39, .hold = 1s, .is_ordered = true};
+    std::mt19937_64 random(1);
+    for (int draw = 0; draw < 100; ++draw) {
+        const base::duration delay = decision::slot_retry_delay(facts, random);
+        CHECK(delay >= 4s);
+        CHECK(delay <= 8s);
+    }
+}
--- a/tests/host/test_peer_load_table.cpp
+++ b/tests/host/test_peer_load_table.cpp
@@ -119,9 +119,29 @@
     auto report = make_report("a", 1, 0);
     report.waiters = {{400ms, 5'000}};
     (void)host::apply_report(peer_loads, report, start);
-    CHECK(host::waiters_ahead(peer_loads, 300ms, 1s, start) == std::vector<decision::waiter>{{400ms, 5'000}});
+    const auto waiters_ahead = [&peer_loads](base::time_point now) {
+        const decision::wait_queue queue(host::all_waiters(peer_loads, now));
+        return queue.waiters_ahead({.waited = 300ms, .in_time = 1s});
+    };
+    CHECK(waiters_ahead(start) == std::vector<decision::waiter>{{400ms, 5'000}});
     // By now the other request is late, and this one is not.
-    CHECK(host::waiters_ahead(peer_loads, 300ms, 1s, start + 950ms).empty());
+    CHECK(waiters_ahead(start + 950ms).empty());
+}
+
+TEST_CASE("memory in use by share counts each host's latest report once and ends with a silent host") {
+    host::peer_load_table peer_loads;
+    auto report = make_report("a", 1, 0);
+    report.share_tokens = {{3, 5'000}, {4, 100}};
+    (void)host::apply_report(peer_loads, report, start);
+    report = make_report("a", 2, 0);
+    report.share_tokens = {{3, 2'000}};
+    (void)host::apply_report(peer_loads, report, start);
+    report = make_report("b", 1, 0);
+    report.share_tokens = {{3, 1'000}};
+    (void)host::apply_report(peer_loads, report, start + 2s);
+    CHECK(peer_loads.share_total == std::unordered_map<host::share_key, double>{{3, 3'000}});
+    (void)host::expire_silent_hosts(peer_loads, start + 4s);
+    CHECK(peer_loads.share_total == std::unordered_map<host::share_key, double>{{3, 1'000}});
 }
 
 TEST_CASE(
