--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <random>
 
 using namespace postpaddle;
@@ -293,6 +294,21 @@
     CHECK_FALSE(read(R"([{"name":"one"}])"));
 }
 
+TEST_CASE("missing, negative and huge priorities are read within the range of ranks") {
+    const auto priority_of = [](const std::string& field) {
+        const auto document = platform::read_configuration(
+            R"({"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/p/","kind":"idempotent",)"
+            R"("service":"s"}],"services":[],"tenants":[{"name":"one","apiKeys":[])" +
+            field + "}]}");
+        REQUIRE(document);
+        return document->value->organisations.at({"one"}).priority;
+    };
+    CHECK(priority_of("") == 0);
+    CHECK(priority_of(R"(,"priority":-3)") == -3);
+    CHECK(priority_of(R"(,"priority":99999999999)") == std::numeric_limits<int>::max());
+    CHECK(priority_of(R"(,"priority":-1e300)") == std::numeric_limits<int>::min());
+}
+
 TEST_CASE("a caller's API key is not forwarded, and only the router sets the organisation header") {
     const auto protocol = platform::make_request_protocol();
     auto request = protocol.read_request({"POST",
