--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -13,6 +13,7 @@
     double free_slots = 0; ///< Free slots of all decode engines, for requests of this size.
     double total_slots = 0;
     int waiting_ahead = 0;         ///< Requests ahead in the queue, on all hosts.
+    int overtaken_ahead = 0;       ///< Those of them that newer ones overtake like this one.
     base::duration hold{};         ///< Mean time that a request occupies its slot.
     bool is_late = false;          ///< Can no longer meet its latency target.
     base::duration prompt_queue{}; ///< Expected time until the prefill engine starts the prompt.
@@ -21,6 +22,7 @@
     bool is_queued = false;        ///< Already admitted to the queue.
     base::duration waited{};
     base::duration max_wait{}; ///< Maximum wait for a slot.
+    bool is_ordered = false;   ///< The queue is ordered by rank or share, and not by age alone.
 
     bool operator==(const admission_facts&) const = default;
 };
@@ -38,10 +40,11 @@
 /// meet their target.
 [[nodiscard]] admission admit_to_engines(const admission_facts& facts);
 
-/// Randomized retry delay for a caller that is refused because no slot is free.
+/// Randomized retry delay for a caller that is refused because no slot is free: 1 to 2 times the expected
+/// wait in an ordered queue, so that more urgent callers return earlier; 1 to 3 times in one by age.
 [[nodiscard]] base::duration slot_retry_delay(const admission_facts& facts, std::mt19937_64& random);
 
-/// Expected wait for a slot.
+/// Expected wait for a slot. Requests that newer ones overtake are expected to get a quarter of the slots.
 [[nodiscard]] base::duration expected_wait(const admission_facts& facts);
 
 /// Maximum time that a request waits for a slot before it is refused. Callers abandon a stream that has not
