gateway: Admit an organisation's urgent requests first when it is over its limit

Change: the reserve of host/shared_limit applies by the priority of the route among those of its service. Where all routes of a service have the same priority nothing changes. The log names the level and the reserve.

--- a/libraries/gateway/caller_identity.cpp
+++ b/libraries/gateway/caller_identity.cpp
@@ -27,6 +27,22 @@
     return std::llround(routed.prompt_tokens + routed.output_tokens);
 }
 
+/// How many priority levels the request's route is below the most urgent one of its service. 0 for some of
+/// the others too, so that they are not shut out.
+int limit_level(gateway_request& request) {
+    gateway_state& state = *request.state;
+    if (!state.process->policy.order_by_rank || request.route->services.empty())
+        return 0;
+    const auto ranks = request.settings->ranks.find(request.route->services.front().service);
+    if (ranks == request.settings->ranks.end())
+        return 0;
+    const std::vector<int>& priorities = ranks->second.routes;
+    const auto more_urgent = std::ranges::lower_bound(priorities, request.route->priority);
+    const auto level = static_cast<int>(more_urgent - priorities.begin());
+    std::uniform_real_distribution<double> draw(0, 1);
+    return level > 0 && host::is_exempt_from_reserve(draw(state.random)) ? 0 : level;
+}
+
 } // namespace
 
 bool identify_caller(gateway_request& request) {
@@ -66,14 +82,17 @@
     const std::int64_t amount = amount_of(request.routed, limit);
     const base::time_point now = state.clock->now();
     host::advance(state.limit_clock, limit_participants_of(state).hosts, now);
+    const int level = limit_level(request);
     const auto wait = host::try_consume(state.limits[request.organisation->id], limit,
-                                        limit_participants_of(state), amount, now);
+                                        limit_participants_of(state), amount, now, level);
     if (!wait) {
         request.charged_amount = amount;
         return std::nullopt;
     }
     const host::limit_participants sharers = limit_participants_of(state);
     request.limit_facts = {{"amount", amount},
+                           {"level", level},
+                           {"reserve", host::reserve_of(limit, level)},
                            {"left", state.limits[request.organisation->id].level},
                            {"per_second", limit.per_second},
                            {"burst", limit.burst},
