decision: Decide about plain requests from the loads of upstreams

Hosts know the load of a plain upstream from their own last response only and send to full ones: in a burst with 2 of 5 upstreams being replaced, 872 of 1,693 requests ended without budget for another upstream after one refused send.

plain_load keeps the newest load that any host received, corrected by this host's requests since, and learns from refusals how many requests an upstream queues. plain_admission decides without I/O whether a request is sent (two random choices by free slots), waits or is refused, and orders waiting requests. Not connected yet.

--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -19,6 +19,7 @@
     int waiting = 0;
     int slots = 0;
     int relative_latency_percent = 100; ///< Current processing time relative to the upstream's usual one.
+    bool has_relative_latency = false;  ///< Whether the upstream reported the relative latency.
 
     bool operator==(const instance_load&) const = default;
 };
@@ -66,6 +67,29 @@
     bool operator==(const advertised_limit&) const = default;
 };
 
+/// A request that this host sent to an instance, or one that ended there.
+struct request_change {
+    base::time_point at{};
+    int change = 0; ///< 1: sent; -1: ended.
+
+    bool operator==(const request_change&) const = default;
+};
+
+/// What is known of the load of a plain upstream, see overload/plain_load.h.
+struct plain_load {
+    instance_load load;             ///< Of the latest response to any host, without the request answered.
+    base::time_point observed_at{}; ///< When that response was received.
+    bool is_observed_here = false;  ///< That response was received by this host.
+    bool excludes_answered = false; ///< Its reports leave out the request that they answer.
+    std::optional<bool>
+        has_latency; ///< Whether its last report had four figures; unset before the first one.
+    std::optional<int>
+        queue_limit; ///< Requests that it queues, as its refusals show; unset before the first.
+    std::vector<request_change> own_changes; ///< Of this host, for as long as a load is used.
+
+    bool operator==(const plain_load&) const = default;
+};
+
 /// One start of a server, as this host sees it.
 struct instance {
     settings::upstream_entry entry;
@@ -85,6 +109,7 @@
     instance_load load;
     int own_requests_at_load = 0; ///< This host's requests there when the load was received.
     base::time_point load_received_at{};
+    plain_load plain;
     double unreported_tokens = 0; ///< Memory taken by unreported work, inferred from refusals.
     base::time_point unreported_at{};
     base::time_point cold_until{}; ///< Takes only a limited request rate until then.
--- /dev/null
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -0,0 +1,357 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <decision/overload/plain_admission.h>
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <vector>
+
+namespace postpaddle::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Additional time to an upstream in another availability zone.
+constexpr double other_zone_seconds = 0.015;
+/// Expected delay at an upstream with a failure rate of 1.
+constexpr double failure_seconds = 0.5;
+/// Weight of an upstream without a free slot in the random choice, in slots.
+constexpr double busy_weight = 0.25;
+/// Bounds of the time between two decisions on a waiting request. Below, checks cost more than they gain;
+/// above, free slots stay unused.
+constexpr base::duration min_recheck_delay = 2ms;
+constexpr base::duration max_recheck_delay = 50ms;
+/// Lower bound of `Retry-After`, as a fraction of the latency target.
+constexpr double min_retry_fraction = 0.5;
+constexpr base::duration min_retry_delay = 50ms;
+constexpr double max_retry_fraction = 1.0 / 3;
+
+/// An upstream that may be sent the request.
+struct candidate {
+    const instance* upstream = nullptr;
+    double requests = 0;
+    double slots = 1;
+    double service_seconds = 0; ///< Current time for a request that does not queue.
+    /// Requests from which it is full, as far as is known.
+    double full_at = std::numeric_limits<double>::infinity();
+    double preference = 0; ///< Seconds added to the expected time when two upstreams are compared.
+
+    [[nodiscard]] double rounds() const { return std::max(1.0, (this->requests + 1) / this->slots); }
+    [[nodiscard]] double expected_seconds() const { return this->service_seconds * this->rounds(); }
+    [[nodiscard]] bool has_free_slot() const { return this->requests < this->slots; }
+    [[nodiscard]] bool is_full() const { return this->requests >= this->full_at; }
+    /// Time in which one request ends while all slots are busy.
+    [[nodiscard]] double seconds_per_end() const { return this->service_seconds / this->slots; }
+    [[nodiscard]] double seconds_until(double requests_then) const {
+        return std::max(0.0, this->requests - requests_then) * this->seconds_per_end();
+    }
+};
+
+bool is_measured(const instance& known) { return known.latency != make_estimate(known.latency.start); }
+
+/// Mean usual time of the service's upstreams that have been measured, in seconds; none if none has.
+std::optional<double> mean_usual_seconds(const instance_table& table, const std::string& service) {
+    double sum = 0;
+    int count = 0;
+    for (const auto& [id, known] : table.by_id) {
+        if (known.state != listing::listed || known.entry.service != service || !is_measured(known))
+            continue;
+        sum += known.latency.value;
+        ++count;
+    }
+    return count > 0 ? std::optional(sum / count) : std::nullopt;
+}
+
+candidate make_candidate(const instance& known, const choice_context& context, std::optional<double> mean) {
+    // A new upstream is taken to be as fast as the others.
+    const double usual = is_measured(known) ? known.latency.value : mean.value_or(known.latency.value);
+    candidate made;
+    made.upstream = &known;
+    made.requests = plain_requests(known, context.now);
+    made.slots = plain_slots(known);
+    made.service_seconds = usual * plain_relative_latency(known, context.now);
+    if (known.plain.queue_limit)
+        made.full_at = made.slots + *known.plain.queue_limit;
+    made.preference = failure_seconds * known.health.failure_rate;
+    if (known.entry.availability_zone != context.own_zone)
+        made.preference += other_zone_seconds;
+    return made;
+}
+
+std::vector<candidate> find_candidates(const instance_table& table, const choice_context& context) {
+    std::vector<candidate> found;
+    const std::optional<double> mean = mean_usual_seconds(table, context.service);
+    for (const auto& [id, known] : table.by_id) {
+        if (known.state != listing::listed || known.entry.service != context.service ||
+            context.excluded.contains(id) || is_avoided(known, context.now))
+            continue;
+        if (check_placement(table, context.limits, known, context.now) == placement_verdict::allowed)
+            found.push_back(make_candidate(known, context, mean));
+    }
+    return found;
+}
+
+/// Draws one, with a probability that rises with its free slots.
+const candidate& draw(const std::vector<const candidate*>& from, std::mt19937_64& random) {
+    std::vector<double> weights;
+    for (const candidate* const one : from)
+        weights.push_back(std::max(busy_weight, one->slots - one->requests));
+    std::discrete_distribution<std::size_t> distribution(weights.begin(), weights.end());
+    return *from[distribution(random)];
+}
+
+/// Power of two choices: hosts with the same view of the load do not all choose the same upstream.
+const candidate& choose_of_two(const std::vector<const candidate*>& from, std::mt19937_64& random) {
+    const candidate& first = draw(from, random);
+    const candidate& second = draw(from, random);
+    const auto cost = [](const candidate& one) { return one.expected_seconds() + one.preference; };
+    return cost(second) < cost(first) ? second : first;
+}
+
+template <class Predicate>
+std::vector<const candidate*> select(const std::vector<candidate>& candidates, Predicate is_selected) {
+    std::vector<const candidate*> selected;
+    for (const candidate& one : candidates)
+        if (is_selected(one))
+            selected.push_back(&one);
+    return selected;
+}
+
+/// State of one decision.
+struct admission_step {
+    const plain_request* request = nullptr;
+    const std::vector<candidate>* candidates = nullptr;
+    plain_decision decision;
+    double waited = 0;
+    double usable_target = 0;
+
+    [[nodiscard]] double seconds_ahead() const {
+        return base::to_seconds(this->decision.spacing) * this->request->ahead;
+    }
+    [[nodiscard]] bool is_in_time(const candidate& one) const {
+        return this->waited + one.expected_seconds() <= this->usable_target;
+    }
+};
+
+void refuse(admission_step& step, plain_reason reason) {
+    step.decision.action = plain_action::refuse;
+    step.decision.reason = reason;
+}
+
+void wait(admission_step& step, plain_reason reason, double seconds) {
+    step.decision.action = plain_action::wait;
+    step.decision.reason = reason;
+    step.decision.expected_wait = base::from_seconds(seconds);
+}
+
+void send_to(admission_step& step, plain_reason reason, const candidate& chosen) {
+    step.decision.action = plain_action::send;
+    step.decision.reason = reason;
+    step.decision.upstream = chosen.upstream->entry.id;
+    step.decision.rounds = chosen.rounds();
+    step.decision.expected_time = base::from_seconds(chosen.expected_seconds());
+    step.decision.expected_wait = {};
+}
+
+/// Sends to an upstream where the request is in time, or else to a free slot.
+bool try_send(admission_step& step, std::mt19937_64& random) {
+    const auto in_time = select(
+        *step.candidates, [&step](const candidate& one) { return !one.is_full() && step.is_in_time(one); });
+    const auto is_free = [](const candidate* one) { return one->has_free_slot(); };
+    // A queue is used only where no slot is free, since how many requests it holds may be unknown.
+    if (std::ranges::any_of(in_time, is_free)) {
+        std::vector<const candidate*> free;
+        std::ranges::copy_if(in_time, std::back_inserter(free), is_free);
+        send_to(step, plain_reason::in_time, choose_of_two(free, random));
+        return true;
+    }
+    if (!in_time.empty()) {
+        send_to(step, plain_reason::in_time, choose_of_two(in_time, random));
+        return true;
+    }
+    const auto free =
+        select(*step.candidates, [](const candidate& one) { return one.has_free_slot() && !one.is_full(); });
+    if (free.empty())
+        return false;
+    send_to(step, plain_reason::free_slot, choose_of_two(free, random));
+    return true;
+}
+
+/// Shortest wait after which the request would be in time; none if there is none.
+std::optional<double> seconds_until_in_time(const admission_step& step) {
+    std::optional<double> shortest;
+    for (const candidate& one : *step.candidates) {
+        // Waiting helps only where the upstream is full: in its queue, the request would wait as long.
+        const double full_at = std::min(one.full_at, std::max(one.slots, one.requests));
+        const double until = one.seconds_until(full_at - 1) + step.seconds_ahead();
+        const double then = one.service_seconds * std::max(1.0, full_at / one.slots);
+        if (step.waited + until + then <= step.usable_target)
+            shortest = std::min(shortest.value_or(until), until);
+    }
+    return shortest;
+}
+
+/// Decides on a request that would be late wherever it is sent.
+void decide_late(admission_step& step) {
+    double shortest = std::numeric_limits<double>::infinity();
+    double until_end = std::numeric_limits<double>::infinity();
+    for (const candidate& one : *step.candidates) {
+        const double until = one.seconds_until(one.slots - 1) + step.seconds_ahead();
+        if (until + one.service_seconds < until_end) {
+            shortest = until;
+            until_end = until + one.service_seconds;
+        }
+    }
+    step.decision.expected_wait = base::from_seconds(shortest);
+    if (until_end > base::to_seconds(step.request->time_left))
+        return refuse(step, plain_reason::not_before_end);
+    if (!step.request->may_wait_late)
+        return refuse(step, plain_reason::not_late);
+    wait(step, plain_reason::wait_late, shortest);
+}
+
+void decide_without_capacity(admission_step& step) {
+    const double fastest = base::to_seconds(step.decision.expected_time);
+    const bool can_be_in_time = step.waited + fastest <= step.usable_target;
+    if (step.request->ahead >= max_plain_waiting)
+        return refuse(step, plain_reason::queue_full);
+    if (const auto seconds = can_be_in_time ? seconds_until_in_time(step) : std::nullopt)
+        return wait(step, plain_reason::wait_in_time, *seconds);
+    if (!can_be_in_time || step.request->is_returning)
+        return decide_late(step);
+    step.decision.expected_wait = step.decision.expected_capacity;
+    refuse(step, plain_reason::not_in_time);
+}
+
+/// Shortest time until an upstream could answer a new request in time.
+double seconds_until_capacity(const admission_step& step) {
+    double shortest = std::numeric_limits<double>::max();
+    for (const candidate& one : *step.candidates) {
+        const double usable = std::max(one.slots, one.slots * step.usable_target / one.service_seconds);
+        shortest = std::min(shortest, one.seconds_until(std::min(one.full_at, usable) - 1));
+    }
+    return shortest;
+}
+
+void summarise(admission_step& step) {
+    double ends_per_second = 0;
+    double fastest = std::numeric_limits<double>::max();
+    for (const candidate& one : *step.candidates) {
+        ends_per_second += 1 / one.seconds_per_end();
+        fastest = std::min(fastest, one.service_seconds);
+        step.decision.free_slots += static_cast<int>(std::max(0.0, one.slots - one.requests));
+    }
+    step.decision.upstreams = static_cast<int>(step.candidates->size());
+    step.decision.spacing = base::from_seconds(std::max(1, step.request->competing_hosts) / ends_per_second);
+    step.decision.expected_time = base::from_seconds(fastest);
+    step.decision.in_time = base::from_seconds(step.usable_target - fastest);
+    step.decision.expected_capacity = base::from_seconds(seconds_until_capacity(step) + step.seconds_ahead());
+}
+
+} // namespace
+
+bool is_admitted_by_load(const instance_table& table, const std::string& service) {
+    bool is_any_reported = false;
+    for (const auto& [id, known] : table.by_id) {
+        if (known.state != listing::listed || known.entry.service != service)
+            continue;
+        if (!known.plain.has_latency.value_or(true))
+            return false;
+        is_any_reported |= known.plain.has_latency.has_value();
+    }
+    return is_any_reported;
+}
+
+plain_decision decide_plain(const instance_table& table, const choice_context& context,
+                            const plain_request& request, std::mt19937_64& random) {
+    const std::vector<candidate> candidates = find_candidates(table, context);
+    const bool is_any_known = std::ranges::any_of(candidates, [&context](const candidate& one) {
+        return is_plain_load_known(*one.upstream, context.now);
+    });
+    if (!is_any_known)
+        return {};
+    admission_step step = {.request = &request,
+                           .candidates = &candidates,
+                           .decision = {},
+                           .waited = base::to_seconds(request.waited),
+                           .usable_target =
+                               usable_target_fraction * base::to_seconds(request.latency_target)};
+    summarise(step);
+    if (!try_send(step, random))
+        decide_without_capacity(step);
+    return step.decision;
+}
+
+base::duration plain_retry_delay(const plain_decision& decision, const plain_request& request,
+                                 std::mt19937_64& random) {
+    std::uniform_real_distribution<double> spread(1, 2);
+    const double shortest = std::max(base::to_seconds(min_retry_delay),
+                                     min_retry_fraction * base::to_seconds(request.latency_target));
+    const double until = std::max({shortest, base::to_seconds(decision.expected_capacity),
+                                   request.is_returning ? base::to_seconds(decision.expected_wait) : 0.0});
+    const double longest = max_retry_fraction * std::max(0.0, base::to_seconds(request.time_left));
+    return base::from_seconds(std::min(longest, until * spread(random)));
+}
+
+base::duration plain_recheck_delay(const plain_decision& decision, std::mt19937_64& random) {
+    static constexpr double least = 0.5;
+    static constexpr double most = 1.5;
+    std::uniform_real_distribution<double> spread(least, most);
+    const base::duration delay = base::from_seconds(base::to_seconds(decision.spacing) * spread(random));
+    return std::clamp(delay, min_recheck_delay, max_recheck_delay);
+}
+
+bool is_capacity_scarce(const plain_decision& decision, const plain_request& request) {
+    return decision.free_slots < request.competing_hosts;
+}
+
+bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now) {
+    const auto key = [now](const queue_position& position) {
+        const auto improvement =
+            (now - position.since) / std::max<base::duration>(1ms, position.latency_target);
+        const auto rank = std::max<base::duration::rep>(0, position.rank - improvement);
+        return std::tuple(now > position.in_time_until, rank, position.since);
+    };
+    return key(left) < key(right);
+}
+
+const char* to_text(plain_action action) {
+    switch (action) {
+    case plain_action::choose_without_load:
+        return "choose_without_load";
+    case plain_action::send:
+        return "send";
+    case plain_action::wait:
+        return "wait";
+    case plain_action::refuse:
+        return "refuse";
+    }
+    return "unknown";
+}
+
+const char* to_text(plain_reason reason) {
+    switch (reason) {
+    case plain_reason::load_unknown:
+        return "load_unknown";
+    case plain_reason::in_time:
+        return "in_time";
+    case plain_reason::free_slot:
+        return "free_slot";
+    case plain_reason::wait_in_time:
+        return "wait_in_time";
+    case plain_reason::wait_late:
+        return "wait_late";
+    case plain_reason::not_in_time:
+        return "not_in_time";
+    case plain_reason::not_before_end:
+        return "not_before_end";
+    case plain_reason::queue_full:
+        return "queue_full";
+    case plain_reason::not_late:
+        return "not_late";
+    }
+    return "unknown";
+}
+
+} // namespace postpaddle::decision
--- /dev/null
+++ b/libraries/decision/overload/plain_admission.h
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <decision/instance_choice.h>
+#include <decision/overload/plain_load.h>
+
+#include <optional>
+#include <random>
+
+/// Decides from the loads of plain upstreams whether a request is sent now, waits on this host or is refused.
+namespace postpaddle::decision {
+
+/// Fraction of the latency target within which the expected answer has to be, as expected times are exceeded.
+inline constexpr double usable_target_fraction = 0.8;
+/// Requests of a service that may be ahead of a waiting one on a host. Bounds the host's memory.
+inline constexpr int max_plain_waiting = 128;
+
+/// Whether requests to the service are admitted by load: a listed upstream reported its relative latency, and
+/// none last reported a load without it. Those that have not reported yet don't count.
+[[nodiscard]] bool is_admitted_by_load(const instance_table& table, const std::string& service);
+
+/// Facts about a request to a plain upstream.
+struct plain_request {
+    base::duration waited{}; ///< Since the caller's first try.
+    base::duration latency_target{};
+    base::duration time_left{};
+    bool is_returning = false; ///< The caller was refused before.
+    bool may_wait_late = true; ///< Whether it may wait although it can't be in time.
+    int ahead = 0;             ///< Requests ahead of it in this host's queue.
+    int competing_hosts = 1;   ///< Hosts with requests for the same upstreams, including this one.
+
+    bool operator==(const plain_request&) const = default;
+};
+
+enum class plain_action {
+    choose_without_load, ///< No load is known of an upstream that may be used.
+    send,
+    wait,
+    refuse,
+};
+
+/// Why a request is sent, waits or is refused.
+enum class plain_reason {
+    load_unknown,
+    in_time,        ///< Sent, and expected to be in time.
+    free_slot,      ///< Sent to a free slot, and expected to be late.
+    wait_in_time,   ///< Capacity is expected early enough to be in time.
+    wait_late,      ///< It can't be in time, and waits for a free slot.
+    not_in_time,    ///< Refused: no capacity is expected early enough to be in time.
+    not_before_end, ///< Refused: no slot is expected to be free before the caller's time is up.
+    queue_full,     ///< Refused: too many requests wait.
+    not_late,       ///< Refused: it can't be in time, and the host accepts no such waiting requests.
+};
+
+struct plain_decision {
+    plain_action action = plain_action::choose_without_load;
+    plain_reason reason = plain_reason::load_unknown;
+    std::optional<base::upstream_id> upstream; ///< Where to send it.
+    double rounds = 1;                         ///< Expected time there relative to that of a request alone.
+    base::duration expected_time{};     ///< From sending to the answer, at the chosen or fastest upstream.
+    base::duration expected_wait{};     ///< Until it can be sent, with the requests ahead.
+    base::duration expected_capacity{}; ///< Until a new request could be sent and be in time.
+    base::duration spacing{};           ///< Between two requests that this host may send while all are busy.
+    base::duration in_time{};           ///< Longest wait since the first try to still be in time.
+    int upstreams = 0;                  ///< That may be used.
+    int free_slots = 0;                 ///< Of those.
+
+    bool operator==(const plain_decision&) const = default;
+};
+
+/// Decides about a request now. `context` excludes the upstreams that have refused it.
+[[nodiscard]] plain_decision decide_plain(const instance_table& table, const choice_context& context,
+                                          const plain_request& request, std::mt19937_64& random);
+
+/// Delay after which a refused caller should return: the time until capacity is expected, spread over 1 to 2
+/// times it, and at least half of the latency target, so that other refused callers are served meanwhile. At
+/// most a third of the time left.
+[[nodiscard]] base::duration plain_retry_delay(const plain_decision& decision, const plain_request& request,
+                                               std::mt19937_64& random);
+
+/// Time until the head of the queue decides again. Random, so that hosts with the same view of the load do
+/// not all use the same free slot; all hosts together decide about as often as slots become free.
+[[nodiscard]] base::duration plain_recheck_delay(const plain_decision& decision, std::mt19937_64& random);
+
+/// Whether slots are so few that the next waiting request of this host has to wait for its turn among hosts.
+[[nodiscard]] bool is_capacity_scarce(const plain_decision& decision, const plain_request& request);
+
+/// Position of a waiting request in its service's queue.
+struct queue_position {
+    base::time_point since{};                                 ///< First try.
+    base::time_point in_time_until = base::time_point::max(); ///< It can be in time if it is sent by then.
+    base::duration latency_target = base::duration::max();    ///< Its rank improves by one for each of these.
+    int rank = 0;                                             ///< 0 is the most urgent.
+
+    bool operator==(const queue_position&) const = default;
+};
+
+/// Whether `left` is served before `right`: requests that can be in time first, then by rank, then by age.
+[[nodiscard]] bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now);
+
+[[nodiscard]] const char* to_text(plain_action action);
+[[nodiscard]] const char* to_text(plain_reason reason);
+
+} // namespace postpaddle::decision
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -158,8 +158,8 @@
     const auto load_of = [&](const std::string& text) {
         return protocol.read_answer({200, {{"X-Server-Load", text}}}).load;
     };
-    CHECK(load_of("3,0,8,250") == decision::instance_load{3, 0, 8, 250});
-    CHECK(load_of("3,0,8,0") == decision::instance_load{3, 0, 8, 1});
+    CHECK(load_of("3,0,8,250") == decision::instance_load{3, 0, 8, 250, true});
+    CHECK(load_of("3,0,8,0") == decision::instance_load{3, 0, 8, 1, true});
     for (const std::string& text : {std::string("3,0"), std::string("3,0,8,100,1"), std::string("3,-1,8"),
                                     std::string("3,0,many"), "3,0," + std::string(1'000, '8')})
         CHECK_FALSE(load_of(text));
