gateway: Admit plain requests by the load of their upstreams

The queue for send slots holds the requests that wait for either reason, in the order of is_ahead; requests whose upstreams have limits only keep their order of arrival.

The stand-in server can execute a limited number of plain requests, queue some, and report that in four figures.

test_plain_load: a host refuses at once what only another host was told to be full for; with both upstreams full every caller is served or told when to return.

--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -242,6 +242,7 @@
         fastest = std::min(fastest, one.service_seconds);
         step.decision.free_slots += static_cast<int>(std::max(0.0, one.slots - one.requests));
     }
+    step.decision.is_scarce = step.decision.free_slots < step.request->competing_hosts;
     step.decision.upstreams = static_cast<int>(step.candidates->size());
     step.decision.spacing = base::from_seconds(std::max(1, step.request->competing_hosts) / ends_per_second);
     step.decision.expected_time = base::from_seconds(fastest);
@@ -302,10 +303,6 @@
     return std::clamp(delay, min_recheck_delay, max_recheck_delay);
 }
 
-bool is_capacity_scarce(const plain_decision& decision, const plain_request& request) {
-    return decision.free_slots < request.competing_hosts;
-}
-
 bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now) {
     const auto key = [now](const queue_position& position) {
         const auto improvement =
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -64,6 +64,7 @@
     base::duration in_time{};           ///< Longest wait since the first try to still be in time.
     int upstreams = 0;                  ///< That may be used.
     int free_slots = 0;                 ///< Of those.
+    bool is_scarce = false;             ///< Fewer slots are free than hosts compete for them.
 
     bool operator==(const plain_decision&) const = default;
 };
@@ -82,9 +83,6 @@
 /// not all use the same free slot; all hosts together decide about as often as slots become free.
 [[nodiscard]] base::duration plain_recheck_delay(const plain_decision& decision, std::mt19937_64& random);
 
-/// Whether slots are so few that the next waiting request of this host has to wait for its turn among hosts.
-[[nodiscard]] bool is_capacity_scarce(const plain_decision& decision, const plain_request& request);
-
 /// Position of a waiting request in its service's queue.
 struct queue_position {
     base::time_point since{};                                 ///< First try.
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -3,6 +3,7 @@
 
 #include <gateway/request_quarantine.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -19,6 +20,8 @@
     if (const auto remaining = quarantine_time_left(request))
         return format_seconds(*remaining);
     const base::duration max_wait = base::from_seconds(request.state->process->max_retry_after);
+    if (request.retry_delay)
+        return format_seconds(std::min(*request.retry_delay, max_wait));
     return format_seconds(decision::retry_after(time_left(request), max_wait, request.time_until_slot));
 }
 
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -48,6 +48,8 @@
     std::set<base::upstream_id> holding; ///< Engines that still hold its prompt from an earlier attempt.
     base::time_point deadline{};         ///< The earlier of the client's timeout and the route's limit.
     base::duration time_until_slot{};    ///< Expected wait, if it was refused for lack of a slot.
+    std::optional<base::duration>
+        retry_delay; ///< `Retry-After`, if it was refused because of upstreams' load.
     decision::attempt_record record;
     bool is_retry_charged = false; ///< The retry budget was charged for the send in progress.
     std::set<base::upstream_id> tried;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <decision/caller_timeouts.h>
 #include <decision/instance_table.h>
+#include <decision/overload/plain_admission.h>
 #include <decision/route_table.h>
 #include <decision/service_profile.h>
 #include <decision/shared_budget.h>
@@ -58,14 +59,27 @@
     std::set<std::string> parts;
 };
 
-/// A request that waits for an upstream's next send slot.
+/// A request that waits until an upstream may be sent it.
 struct send_slot_waiter {
     wire::boot_timer* wake = nullptr;
-    base::time_point due = base::time_point::max(); ///< When its next send slot is.
+    /// When it may next be sent; those behind it that may be sent earlier overtake it.
+    base::time_point due = base::time_point::max();
+    decision::queue_position position{};
 };
 
-/// Wait queue of one service, in order of arrival.
-using send_slot_queue = std::deque<send_slot_waiter*>;
+/// Wait queue of one service.
+struct send_slot_queue {
+    std::vector<send_slot_waiter*> waiters; ///< In no order, see `decision::is_ahead`.
+    base::time_point next_release{};        ///< While slots are scarce: when this host may send the next one.
+};
+
+/// Exchange of the loads of plain upstreams, see `upstream_load_exchange`.
+struct plain_load_state {
+    base::time_point observed_at{};        ///< When a response to this host last reported a load.
+    base::time_point reported_at{};        ///< When loads were last reported to the other hosts.
+    base::time_point pressed_until{};      ///< Requests have waited or been refused recently.
+    std::function<void()> on_report_due{}; ///< Sends a report soon.
+};
 
 /// A check whether an upstream has exited, and the requests whose connections to it broke.
 struct exit_check {
@@ -123,6 +137,7 @@
     std::set<const waiting_request*> waiting{}; ///< Requests of this host that wait for an engine slot.
     /// Requests of this host that wait for a send slot, by service.
     std::map<std::string, send_slot_queue> send_slot_queues{};
+    plain_load_state plain_loads{};
     std::set<base::upstream_id>
         advertising_upstreams{}; ///< Instances whose advertised state is gossiped to other hosts.
     std::map<std::string, decision::service_profile> profiles{};        ///< Learned, by service.
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 load_exchange::load_exchange(gateway_state& state, peer_datagrams& datagrams)
-    : state(&state), datagrams(&datagrams), limits(state), report_timer(*state.context),
+    : state(&state), datagrams(&datagrams), limits(state), plain_loads(state), report_timer(*state.context),
       refresh_timer(*state.context), use_timer(*state.context) {}
 
 void load_exchange::start() {
@@ -42,6 +42,7 @@
     this->state->on_load_changed = [this] { this->did_change(); };
     this->state->query_other_cells = [this] { return this->try_query_other_cells(); };
     this->datagrams->on(datagram_kind::load, [this](std::string_view bytes) { return this->handle(bytes); });
+    this->plain_loads.start();
     this->schedule_use_check();
 }
 
@@ -57,6 +58,7 @@
         return true;
     this->limits.handle_report(*report);
     handle_advertisements(*this->state, report->advertisements);
+    this->plain_loads.apply(*report);
     host::apply_sums(this->state->instances, this->state->loads, change->keys);
     if (change->has_freed_capacity)
         this->state->did_change_slots();
@@ -94,6 +96,7 @@
     for (const waiting_request* const waiting : this->state->waiting)
         report.waiters.push_back({now - waiting->first_try, waiting->memory_tokens});
     this->limits.add_use(report);
+    this->plain_loads.fill(report);
     report.advertisements = advertisements_to_send(*this->state, advertisement_source::own_answers);
     return report;
 }
--- a/libraries/gateway/load_exchange.h
+++ b/libraries/gateway/load_exchange.h
@@ -4,6 +4,7 @@
 #include <gateway/gateway_state.h>
 #include <gateway/limit_exchange.h>
 #include <gateway/peer_datagrams.h>
+#include <gateway/upstream_load_exchange.h>
 
 #include <set>
 
@@ -39,6 +40,7 @@
     gateway_state* state;
     peer_datagrams* datagrams;
     limit_exchange limits;
+    upstream_load_exchange plain_loads;
     wire::boot_timer report_timer;
     wire::boot_timer refresh_timer;
     wire::boot_timer use_timer;
--- /dev/null
+++ b/libraries/gateway/plain_choice.cpp
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/plain_choice.h>
+
+#include <gateway/upstream_load_exchange.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+base::time_point waiting_since(const gateway_request& request) {
+    return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
+}
+
+decision::plain_request facts_of(const gateway_request& request, int ahead) {
+    return {.waited = request.state->clock->now() - waiting_since(request),
+            .latency_target = request.route->latency_target,
+            .time_left = time_left(request),
+            .is_returning = request.first_try < request.arrived,
+            .may_wait_late = !request.state->is_draining,
+            .ahead = ahead,
+            .competing_hosts = count_competing_hosts(*request.state)};
+}
+
+/// Records the facts behind the decision for the request's log line.
+void record_facts(gateway_request& request, const decision::plain_request& facts,
+                  const decision::plain_decision& decision) {
+    request.slot_facts = {{"decision", decision::to_text(decision.action)},
+                          {"reason", decision::to_text(decision.reason)},
+                          {"rank", request.rank},
+                          {"waited_ms", base::to_milliseconds(facts.waited)},
+                          {"is_returning", facts.is_returning},
+                          {"waiting_ahead", facts.ahead},
+                          {"upstreams", decision.upstreams},
+                          {"free", decision.free_slots},
+                          {"expected_ms", base::to_milliseconds(decision.expected_time)},
+                          {"expected_wait_ms", base::to_milliseconds(decision.expected_wait)},
+                          {"competing_hosts", facts.competing_hosts}};
+}
+
+const char* counter_of(decision::plain_action action) {
+    switch (action) {
+    case decision::plain_action::wait:
+        return "plain_waited_total";
+    case decision::plain_action::refuse:
+        return "plain_refused_total";
+    default:
+        return "plain_admitted_total";
+    }
+}
+
+} // namespace
+
+bool is_admitted_by_load(const gateway_request& request) {
+    return request.state->process->policy.admit_by_load &&
+           decision::is_admitted_by_load(request.state->instances, request.service);
+}
+
+decision::plain_decision decide_by_load(gateway_request& request, int ahead) {
+    gateway_state& state = *request.state;
+    const decision::plain_request facts = facts_of(request, ahead);
+    const decision::plain_decision decision =
+        decision::decide_plain(state.instances, choice_context_of(request), facts, state.random);
+    request.retry_delay = std::nullopt;
+    if (decision.action == decision::plain_action::choose_without_load)
+        return decision;
+    record_facts(request, facts, decision);
+    if (decision.action != decision::plain_action::send)
+        did_hold_plain_request(state);
+    if (decision.action == decision::plain_action::refuse)
+        request.retry_delay = decision::plain_retry_delay(decision, facts, state.random);
+    return decision;
+}
+
+decision::queue_position queue_position_of(const gateway_request& request,
+                                           const decision::plain_decision& decision) {
+    const base::time_point since = waiting_since(request);
+    return {.since = since,
+            .in_time_until = since + decision.in_time,
+            .latency_target = request.route->latency_target,
+            .rank = request.state->process->policy.order_by_rank ? request.rank : 0};
+}
+
+void count_decision(const gateway_request& request, const decision::plain_decision& decision) {
+    request.state->metrics->count(std::string(counter_of(decision.action)) + "{rank=\"" +
+                                  std::to_string(request.rank) + "\",reason=\"" +
+                                  decision::to_text(decision.reason) + "\"}");
+}
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -2,12 +2,15 @@
 #include <gateway/plain_relay.h>
 
 #include <gateway/caller_identity.h>
+#include <gateway/plain_choice.h>
 #include <gateway/request_quarantine.h>
 #include <gateway/send_slot_queue.h>
 #include <gateway/upstream_exchange.h>
+#include <gateway/upstream_load_exchange.h>
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace postpaddle::gateway {
 
@@ -41,6 +44,82 @@
         decision::record_spurious_refusal(*target);
 }
 
+/// Counts a request as sent to an upstream for as long as the object lives, or until it ends.
+class scoped_plain_send {
+public:
+    scoped_plain_send(gateway_state& state, const base::upstream_id& id) : state(&state), id(id) {
+        if (decision::instance* const target = decision::find_instance(state.instances, id)) {
+            this->start_time_ms = target->entry.start_time_ms;
+            decision::record_plain_start(*target, state.clock->now());
+        }
+    }
+    scoped_plain_send(const scoped_plain_send&) = delete;
+    scoped_plain_send(scoped_plain_send&&) = delete;
+    scoped_plain_send& operator=(const scoped_plain_send&) = delete;
+    scoped_plain_send& operator=(scoped_plain_send&&) = delete;
+    ~scoped_plain_send() { this->did_end(); }
+
+    void did_end() {
+        decision::instance* const target = decision::find_instance(this->state->instances, this->id);
+        if (std::exchange(this->has_ended, true) || target == nullptr ||
+            target->entry.start_time_ms != this->start_time_ms)
+            return;
+        decision::record_plain_end(*target, this->state->clock->now());
+    }
+
+private:
+    gateway_state* state;
+    base::upstream_id id;
+    std::uint64_t start_time_ms = 0; ///< Start (incarnation) of the instance that the request was sent to.
+    bool has_ended = false;
+};
+
+/// Where to send a request now, if anywhere.
+struct plain_step {
+    std::optional<base::upstream_id> upstream;
+    double rounds = 1;       ///< Expected time there relative to that of a request alone.
+    bool is_refused = false; ///< The request must not wait either.
+};
+
+/// Reason given to clients and in logs for refusing a request because of the upstreams' load.
+constexpr const char* no_capacity_reason = "no capacity in time";
+
+/// Chooses an upstream without its load, unless that would overtake requests that wait.
+plain_step choose_without_load(gateway_request& request, bool has_waited, bool is_by_load) {
+    gateway_state& state = *request.state;
+    auto chosen = decision::choose_plain(state.instances, choice_context_of(request), state.random);
+    if (!chosen || has_waited)
+        return {.upstream = std::move(chosen)};
+    const decision::instance* const target = decision::find_instance(state.instances, *chosen);
+    const bool may_queue = is_by_load || (target != nullptr && decision::is_limited(*target));
+    if (may_queue && would_overtake_queue(request, last_position(request)))
+        return {};
+    return {.upstream = std::move(chosen)};
+}
+
+/// Chooses an upstream by load where its upstreams report it. A request that has waited already goes first.
+plain_step choose_step(gateway_request& request, bool has_waited) {
+    if (!is_admitted_by_load(request))
+        return choose_without_load(request, has_waited, false);
+    const decision::plain_decision decision =
+        has_waited ? decide_by_load(request, 0) : decide_in_queue(request);
+    switch (decision.action) {
+    case decision::plain_action::choose_without_load:
+        return choose_without_load(request, has_waited, true);
+    case decision::plain_action::wait:
+        return {};
+    case decision::plain_action::refuse:
+        count_decision(request, decision);
+        return {.upstream = std::nullopt, .is_refused = true};
+    case decision::plain_action::send:
+        break;
+    }
+    if (!has_waited && would_overtake_queue(request, queue_position_of(request, decision)))
+        return {};
+    count_decision(request, decision);
+    return {.upstream = decision.upstream, .rounds = decision.rounds};
+}
+
 } // namespace
 
 request_ending relay_plain(gateway_request& request, wire::yield_context yield) {
@@ -54,12 +133,18 @@
             reason = stop;
             break;
         }
-        const auto chosen = decision::choose_plain(request.state->instances, choice_context_of(request),
-                                                   request.state->random);
-        if (!chosen || (!has_waited && would_overtake_queue(request, *chosen))) {
+        const plain_step step = choose_step(request, has_waited);
+        if (step.is_refused) {
+            reason = no_capacity_reason;
+            break;
+        }
+        const auto& chosen = step.upstream;
+        if (!chosen) {
             has_waited = true;
             if (await_send_slot(request, yield))
                 continue;
+            if (request.retry_delay)
+                reason = no_capacity_reason;
             break;
         }
         if (!try_charge_send(request)) {
@@ -73,12 +158,16 @@
             .instance = *chosen,
             .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(request))};
         const scoped_instance_use work(*request.state, *chosen, {.requests = 1});
+        scoped_plain_send sent(*request.state, *chosen);
         exchange_result exchange = send_to_instance(request, send, deadline, yield);
         std::string body;
         if (exchange.head.status != 0 && exchange.result != attempt_result::broken)
             body = read_body(exchange, deadline, yield);
         require_seal(exchange);
         end_exchange(request, send, exchange);
+        sent.did_end();
+        if (request.state->process->policy.admit_by_load && !request.cancellation->is_caller_gone)
+            record_plain_response(*request.state, *chosen, exchange);
         record_refusal_despite_free_slots(request, *chosen, exchange);
         detect_upstream_exit(request, send, exchange, yield);
         if (request.cancellation->is_caller_gone)
@@ -88,7 +177,8 @@
             const base::time_point now = request.state->clock->now();
             decision::instance* const target = decision::find_instance(request.state->instances, *chosen);
             if (target != nullptr)
-                decision::record_response_time(*target, now - exchange.sent, now);
+                decision::record_response_time(
+                    *target, base::from_seconds(base::to_seconds(now - exchange.sent) / step.rounds), now);
             if (wire::is_success(exchange.head.status))
                 record_success(request);
             return forward_answer(request, exchange.head, std::move(body), yield);
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/send_slot_queue.h>
 
+#include <gateway/plain_choice.h>
 #include <gateway/request_quarantine.h>
 
 #include <algorithm>
@@ -15,92 +16,187 @@
 /// often, since it wakes those behind it.
 constexpr base::duration recheck_interval = 200ms;
 constexpr base::duration head_recheck_interval = 50ms;
+/// Recheck interval where upstreams report their load, for requests that are not at the head: they are
+/// refused when the expected wait becomes too long.
+constexpr base::duration load_recheck_interval = 50ms;
 /// Minimum pause between checks, however soon the slot is due.
 constexpr base::duration min_pause = 5ms;
 /// Fraction of the remaining time that may be spent waiting; the rest is left for the answer.
 constexpr double max_wait_fraction = 0.75;
 
+/// Waiters ahead of that position; with `due_by`, only those that may be sent by then.
+int count_waiters(const send_slot_queue& queue, const decision::queue_position& position,
+                  base::time_point now, base::time_point due_by = base::time_point::max()) {
+    return static_cast<int>(std::ranges::count_if(queue.waiters, [&](const send_slot_waiter* waiter) {
+        return waiter->due <= due_by && decision::is_ahead(waiter->position, position, now);
+    }));
+}
+
 /// Queue entry of a request for as long as the object lives. Wakes the head of the queue when it leaves.
 class queue_entry {
 public:
-    queue_entry(send_slot_queue& queue, wire::boot_timer& timer) : queue(&queue), waiter{.wake = &timer} {
-        queue.push_back(&this->waiter);
+    queue_entry(const gateway_state& state, send_slot_queue& queue, wire::boot_timer& timer)
+        : state(&state), queue(&queue), waiter{.wake = &timer} {
+        queue.waiters.push_back(&this->waiter);
     }
     queue_entry(const queue_entry&) = delete;
     queue_entry(queue_entry&&) = delete;
     queue_entry& operator=(const queue_entry&) = delete;
     queue_entry& operator=(queue_entry&&) = delete;
     ~queue_entry() {
-        std::erase(*this->queue, &this->waiter);
-        if (!this->queue->empty())
-            this->queue->front()->wake->cancel();
+        std::erase(this->queue->waiters, &this->waiter);
+        const base::time_point now = this->state->clock->now();
+        const auto head = std::ranges::min_element(
+            this->queue->waiters, [now](const send_slot_waiter* left, const send_slot_waiter* right) {
+                return decision::is_ahead(left->position, right->position, now);
+            });
+        if (head != this->queue->waiters.end())
+            (*head)->wake->cancel();
     }
 
     void set_due(base::time_point due) { this->waiter.due = due; }
+    void set_position(const decision::queue_position& position) { this->waiter.position = position; }
     [[nodiscard]] int ahead() const {
-        return static_cast<int>(std::ranges::find(*this->queue, &this->waiter) - this->queue->begin());
+        return count_waiters(*this->queue, this->waiter.position, this->state->clock->now());
     }
     /// Returns whether this request's slot is due and no request ahead of it has one.
-    [[nodiscard]] bool is_due(base::time_point now) const {
-        const auto own = std::ranges::find(*this->queue, &this->waiter);
-        return std::all_of(this->queue->begin(), own,
-                           [now](const send_slot_waiter* other) { return other->due > now; }) &&
-               this->waiter.due <= now;
+    [[nodiscard]] bool is_due() const {
+        const base::time_point now = this->state->clock->now();
+        return this->waiter.due <= now && count_waiters(*this->queue, this->waiter.position, now, now) == 0;
     }
 
 private:
+    const gateway_state* state;
     send_slot_queue* queue;
     send_slot_waiter waiter;
 };
 
+/// Result of a check whether a queued request may be sent.
+struct queue_check {
+    bool is_worth_waiting = true;
+    bool may_send = false;
+    base::time_point due{};
+    base::duration pause{}; ///< Until the next check.
+    std::optional<decision::plain_decision> by_load{};
+};
+
 std::optional<decision::send_slots> next_slot(const gateway_request& request) {
     return decision::next_send_slot(request.state->instances, choice_context_of(request));
 }
 
-/// Returns whether the slot expected behind `ahead` queued requests is early enough. Stores the expected wait
-/// in the request.
-bool is_worth_waiting(gateway_request& request, const decision::send_slots& slot, int ahead) {
-    request.time_until_slot = slot.first + slot.spacing * ahead - request.state->clock->now();
-    return base::to_seconds(request.time_until_slot) <=
-           max_wait_fraction * base::to_seconds(time_left(request));
+/// Checks the upstreams' rate limits. Stores the expected wait in the request.
+queue_check check_limits(gateway_request& request, int ahead) {
+    const auto slot = next_slot(request);
+    if (!slot)
+        return {.is_worth_waiting = false};
+    const base::time_point now = request.state->clock->now();
+    request.time_until_slot = slot->first + slot->spacing * ahead - now;
+    return {.is_worth_waiting = base::to_seconds(request.time_until_slot) <=
+                                max_wait_fraction * base::to_seconds(time_left(request)),
+            .may_send = true,
+            .due = slot->first,
+            .pause = std::clamp<base::duration>(request.time_until_slot, min_pause,
+                                                ahead == 0 ? head_recheck_interval : recheck_interval)};
+}
+
+/// Checks the upstreams' load, or their rate limits where it is not known.
+queue_check check(gateway_request& request, int ahead) {
+    if (!is_admitted_by_load(request))
+        return check_limits(request, ahead);
+    const decision::plain_decision decision = decide_by_load(request, ahead);
+    if (decision.action == decision::plain_action::choose_without_load)
+        return check_limits(request, ahead);
+    gateway_state& state = *request.state;
+    const base::duration head_pause = decision::plain_recheck_delay(decision, state.random);
+    queue_check result = {.is_worth_waiting = decision.action != decision::plain_action::refuse,
+                          .may_send = decision.action == decision::plain_action::send,
+                          .due = {},
+                          .pause = ahead == 0 ? head_pause : load_recheck_interval,
+                          .by_load = decision};
+    // Others may use an upstream that this request may not use, or has been refused by.
+    const bool is_restricted = !request.tried.empty() || placement_limits_of(request).allowed_zones;
+    if (is_restricted && !result.may_send)
+        result.due = state.clock->now() + result.pause;
+    return result;
+}
+
+/// Requests of its service that are ahead of one at that position.
+int count_ahead(const gateway_request& request, const decision::queue_position& position) {
+    const auto queue = request.state->send_slot_queues.find(request.service);
+    return queue == request.state->send_slot_queues.end()
+               ? 0
+               : count_waiters(queue->second, position, request.state->clock->now());
+}
+
+/// Counts a refusal because of the upstreams' load.
+bool give_up(const gateway_request& request, const queue_check& last) {
+    if (last.by_load)
+        count_decision(request, *last.by_load);
+    return false;
+}
+
+/// While slots are scarce, this host sends its waiting requests one at a time, at its share of the rate at
+/// which slots become free.
+bool try_release(send_slot_queue& queue, const queue_check& checked, base::time_point now) {
+    if (!checked.by_load || !checked.by_load->is_scarce)
+        return true;
+    if (now < queue.next_release)
+        return false;
+    queue.next_release = now + checked.pause;
+    return true;
 }
 
 } // namespace
 
-bool would_overtake_queue(const gateway_request& request, const base::upstream_id& chosen) {
+bool would_overtake_queue(const gateway_request& request, const decision::queue_position& position) {
     const gateway_state& state = *request.state;
     const auto queue = state.send_slot_queues.find(request.service);
-    const auto target = state.instances.by_id.find(chosen);
-    if (queue == state.send_slot_queues.end() || target == state.instances.by_id.end() ||
-        !decision::is_limited(target->second))
-        return false;
     const base::time_point now = state.clock->now();
-    return std::ranges::any_of(queue->second,
-                               [now](const send_slot_waiter* waiter) { return waiter->due <= now; });
+    return queue != state.send_slot_queues.end() && count_waiters(queue->second, position, now, now) > 0;
+}
+
+decision::queue_position last_position(const gateway_request& request) {
+    return {.since = request.state->clock->now()};
+}
+
+decision::plain_decision decide_in_queue(gateway_request& request) {
+    const decision::plain_decision decision = decide_by_load(request, 0);
+    if (decision.action == decision::plain_action::choose_without_load)
+        return decision;
+    const int ahead = count_ahead(request, queue_position_of(request, decision));
+    return ahead == 0 ? decision : decide_by_load(request, ahead);
 }
 
 bool await_send_slot(gateway_request& request, wire::yield_context yield) {
     gateway_state& state = *request.state;
     send_slot_queue& queue = state.send_slot_queues[request.service];
-    auto slot = next_slot(request);
-    if (!slot || !is_worth_waiting(request, *slot, static_cast<int>(queue.size())))
-        return false;
+    const decision::queue_position last = last_position(request);
+    const auto position_after = [&](const queue_check& checked) {
+        return checked.by_load ? queue_position_of(request, *checked.by_load) : last;
+    };
+    queue_check next = check(request, 0);
+    if (const int ahead = count_ahead(request, position_after(next)); ahead > 0)
+        next = check(request, ahead);
+    if (!next.is_worth_waiting)
+        return give_up(request, next);
     state.metrics->count("waited_for_opening_total");
+    if (next.by_load && next.by_load->action == decision::plain_action::wait)
+        count_decision(request, *next.by_load);
     wire::boot_timer timer(*state.context);
-    queue_entry entry(queue, timer);
-    entry.set_due(slot->first);
+    queue_entry entry(state, queue, timer);
+    entry.set_due(next.due);
+    entry.set_position(position_after(next));
     while (!request.cancellation->is_caller_gone && reason_to_stop(request) == nullptr) {
-        const int ahead = entry.ahead();
-        timer.expires_after(std::clamp<base::duration>(
-            request.time_until_slot, min_pause, ahead == 0 ? head_recheck_interval : recheck_interval));
+        timer.expires_after(next.pause);
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
-        // Recompute each time: limits change, and requests ahead may have been sent elsewhere.
-        slot = next_slot(request);
-        if (!slot || !is_worth_waiting(request, *slot, entry.ahead()))
-            return false;
-        entry.set_due(slot->first);
-        if (entry.is_due(state.clock->now()))
+        // Recompute each time: limits and loads change, and requests ahead may have been sent elsewhere.
+        next = check(request, entry.ahead());
+        if (!next.is_worth_waiting)
+            return give_up(request, next);
+        entry.set_due(next.due);
+        entry.set_position(position_after(next));
+        if (next.may_send && entry.is_due() && try_release(queue, next, state.clock->now()))
             return true;
     }
     return false;
--- a/libraries/gateway/send_slot_queue.h
+++ b/libraries/gateway/send_slot_queue.h
@@ -5,13 +5,19 @@
 
 namespace postpaddle::gateway {
 
-/// Returns whether a new request would overtake a queued one whose send slot at the chosen instance is
-/// already due.
-[[nodiscard]] bool would_overtake_queue(const gateway_request& request, const base::upstream_id& chosen);
+/// Decides about a request by the load of its upstreams, behind the requests that wait ahead of it.
+[[nodiscard]] decision::plain_decision decide_in_queue(gateway_request& request);
 
-/// Waits in FIFO order until an upstream of the request's service may be sent the next request. Returns false
-/// as soon as no slot is expected in time; `time_until_slot` then holds the expected wait. A request that may
-/// use fewer upstreams than others does not block those behind it.
+/// Returns whether a new request at that position would overtake a queued one that is due to be sent.
+[[nodiscard]] bool would_overtake_queue(const gateway_request& request,
+                                        const decision::queue_position& position);
+
+/// Position of a request whose upstreams' load is not known: behind those that wait already.
+[[nodiscard]] decision::queue_position last_position(const gateway_request& request);
+
+/// Waits in the queue of the request's service until it is its turn and an upstream may be sent it. Returns
+/// false as soon as that is not expected in time; `time_until_slot` or `retry_delay` then tell when it is. A
+/// request that may use fewer upstreams than others does not block those behind it.
 [[nodiscard]] bool await_send_slot(gateway_request& request, wire::yield_context yield);
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -28,6 +28,8 @@
             {"limit_per_s", known.limit.per_second ? json(*known.limit.per_second) : json()},
             {"avoided_by", known.avoided_by},
             {"is_out_of_service_elsewhere", known.is_out_of_service_elsewhere},
+            {"plain_requests", decision::plain_requests(known, now)},
+            {"plain_queue_limit", known.plain.queue_limit ? json(*known.plain.queue_limit) : json()},
             {"latency_ms", known.latency.value * 1'000},
             {"slowness", known.slowness.value}};
 }
--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -7,6 +7,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <set>
@@ -36,6 +37,9 @@
     int failed_kv_fetches = 0;          ///< Rejected because the KV cache can't be fetched.
     std::string fatal_body;             ///< The process exits when it executes this body.
     int exit_delay_ms = 0; ///< Between closing the connection of that request and the exit; not a count.
+    std::string advertised_load;  ///< Value of `X-Server-Load`; empty: the actual load.
+    int plain_slots = 0;          ///< Plain requests executed at a time; 0: any number.
+    int plain_queue = 0;          ///< Requests beyond these that wait; more are rejected.
     std::string advertised_limit; ///< Value of `Server-Limit`; empty: not sent.
     std::string retry_after;      ///< `Retry-After` of status 503, in seconds; empty: not sent.
     bool is_leaving = false;      ///< Sends `Server-Leaving` in all responses.
@@ -79,11 +83,22 @@
         const std::string id(find_header(request.headers, "X-Attempt-Id"));
         wire::http_headers headers = {{"X-Attempt-Id", id},
                                       {"X-Response-Seal", "seal." + FLAGS_id + "." + id},
-                                      {"X-Server-Load", std::to_string(this->running_requests) + ",0,8"}};
+                                      {"X-Server-Load", this->load()}};
         this->add_advertised_headers(headers);
         return headers;
     }
 
+    [[nodiscard]] std::string load() const {
+        if (!this->faults.advertised_load.empty())
+            return this->faults.advertised_load;
+        const int slots = this->faults.plain_slots;
+        if (slots == 0)
+            return std::to_string(this->running_requests) + ",0,8";
+        return std::to_string(std::min(slots, this->running_requests)) + "," +
+               std::to_string(std::max(0, this->running_requests - slots)) + "," + std::to_string(slots) +
+               ",100";
+    }
+
     /// Adds the headers in which the server advertises its own state.
     void add_advertised_headers(wire::http_headers& headers) const {
         if (!this->faults.advertised_limit.empty())
@@ -98,7 +113,7 @@
             {"X-Attempt-Id", std::string(find_header(request.headers, "X-Attempt-Id"))},
             {"X-Not-Executed", "1"},
             {"X-Instance-Id", FLAGS_id},
-            {"X-Server-Load", std::to_string(this->running_requests) + ",0,8"}};
+            {"X-Server-Load", this->load()}};
         this->add_advertised_headers(headers);
         if (status == 503 && !this->faults.retry_after.empty())
             headers.push_back({"Retry-After", this->faults.retry_after});
@@ -125,7 +140,7 @@
         const std::string_view cache_source = find_header(request.headers, "X-Cache-Source");
         const bool is_wrong_stage = !FLAGS_stage.empty() && is_prefill != (FLAGS_stage == "prefill");
         const bool is_refused = is_other_instance || is_wrong_stage ||
-                                consume_fault(this->faults.rejected_requests) ||
+                                consume_fault(this->faults.rejected_requests) || this->is_full() ||
                                 (!cache_source.empty() && consume_fault(this->faults.failed_kv_fetches));
         this->record_request(request, !is_refused && !is_prefill);
         if (is_refused) {
@@ -146,6 +161,11 @@
         --this->running_requests;
     }
 
+    [[nodiscard]] bool is_full() const {
+        return this->faults.plain_slots > 0 &&
+               this->running_requests >= this->faults.plain_slots + this->faults.plain_queue;
+    }
+
     [[nodiscard]] bool is_fatal(const wire::http_request& request) const {
         return !this->faults.fatal_body.empty() && request.body == this->faults.fatal_body;
     }
@@ -229,7 +249,11 @@
 
     void respond(const wire::http_request& request, wire::caller_connection& connection,
                  wire::yield_context yield) {
+        while (this->faults.plain_slots > 0 && this->executing_requests >= this->faults.plain_slots)
+            this->sleep(milliseconds(1), yield);
+        ++this->executing_requests;
         this->sleep(milliseconds(FLAGS_work_ms), yield);
+        --this->executing_requests;
         if (consume_fault(this->faults.lost_responses)) {
             connection.abort();
             return;
@@ -288,6 +312,9 @@
         this->faults.failed_kv_fetches = body.value("refuse_source", this->faults.failed_kv_fetches);
         this->faults.fatal_body = body.value("fatal_body", this->faults.fatal_body);
         this->faults.exit_delay_ms = body.value("exit_delay_ms", this->faults.exit_delay_ms);
+        this->faults.advertised_load = body.value("load", this->faults.advertised_load);
+        this->faults.plain_slots = body.value("slots", this->faults.plain_slots);
+        this->faults.plain_queue = body.value("queue", this->faults.plain_queue);
         this->faults.advertised_limit = body.value("limit", this->faults.advertised_limit);
         this->faults.retry_after = body.value("rest", this->faults.retry_after);
         this->faults.is_leaving = body.value("is_leaving", this->faults.is_leaving);
@@ -314,6 +341,7 @@
     int created_handles = 0;
     int released_handles = 0;
     int running_requests = 0;
+    int executing_requests = 0; ///< Of plain requests, without those that wait.
     int disconnected_callers = 0;
 };
 
--- /dev/null
+++ b/tests/gateway/test_plain_load.cpp
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Plain upstreams that report their load in four figures. Guards against requests that are sent to upstreams
+// which another host knows to be full, and against callers that get no answer while requests are held.
+#include <support/gateway_cluster.h>
+#include <support/steady_callers.h>
+#include <support/test_cluster.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace postpaddle;
+using test::routed_request;
+
+namespace {
+
+constexpr int hosts = 2;
+
+bool has_arrived(test::gateway_cluster& cluster, const std::string& server, const std::string& request) {
+    const nlohmann::json counters = cluster.server(server);
+    return std::ranges::any_of(counters.at("arrivals"), [&request](const nlohmann::json& arrival) {
+        return arrival.at("body") == "body of " + request;
+    });
+}
+
+/// Sum of a host's counters of all ranks and reasons.
+double sum_of(const test::gateway_cluster& cluster, int host, const std::string& name) {
+    double sum = 0;
+    for (const auto* reason : {"in_time", "free_slot", "wait_in_time", "wait_late", "not_in_time"})
+        sum += cluster.metric(host, name + "{rank=\"0\",reason=\"" + reason + "\"}");
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("a host sends nothing to an upstream that only another host was told to be full") {
+    test::gateway_cluster cluster({.name = "plain-load", .servers = {{.id = "one"}}, .hosts = hosts});
+    (void)cluster.server("one", {{"load", "1000,0,6,100"}});
+    const test::steady_callers callers(cluster, {.count = 1});
+    const auto requests_known_to_second = [&cluster] {
+        return cluster.state_of(2).at("instances").at("one").at("plain_requests").get<int>();
+    };
+    CHECK(test::eventually([&] { return requests_known_to_second() > 100; }));
+    // Loads expire, so the second host may have to be asked again.
+    int asked = 0;
+    std::string id;
+    CHECK(test::eventually([&] {
+        id = "second-" + std::to_string(++asked);
+        const auto answer = stand_in::http_exchange(cluster.callers_address(2), routed_request("/once/", id));
+        return answer && answer->status == 503 &&
+               wire::find_header(answer->headers, "Postpaddle-Outcome") == "not-run" &&
+               wire::find_header(answer->headers, "Postpaddle-Reason") == "no capacity in time" &&
+               !wire::find_header(answer->headers, "Retry-After").empty();
+    }));
+    CHECK_FALSE(has_arrived(cluster, "one", id));
+    CHECK(callers.failed() == 0);
+    // Once it has free slots, requests pass.
+    (void)cluster.server("one", {{"load", "1,0,6,100"}});
+    CHECK(test::eventually([&] { return status_at(cluster, 2, "/once/") == 200; }));
+}
+
+TEST_CASE("while all upstreams are full, every caller is served or told when to return") {
+    test::gateway_cluster cluster(
+        {.name = "plain-full", .servers = {{.id = "one"}, {.id = "two"}}, .hosts = hosts});
+    for (const auto* id : {"one", "two"})
+        (void)cluster.server(id, {{"slots", 2}, {"queue", 1}, {"work_ms", 60}});
+    const test::steady_callers callers(cluster, {.count = 12 * hosts, .hosts = hosts});
+    for (int host = 1; host <= hosts; ++host) {
+        CHECK(test::eventually([&] { return sum_of(cluster, host, "plain_admitted_total") > 50; }));
+        CHECK(test::eventually([&] { return sum_of(cluster, host, "plain_waited_total") > 0; }));
+    }
+    CHECK(callers.failed() == 0);
+    // After the loss of half of the slots, the other half is used. What was at the lost upstream may fail.
+    cluster.kill_server("two");
+    const int served = callers.served();
+    CHECK(test::eventually([&] { return callers.served() > served + 50; }));
+}
