--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -20,7 +20,7 @@
 constexpr double busy_weight = 0.25;
 /// Bounds of the time between two decisions on a waiting request. Below, checks cost more than they gain;
 /// above, free slots stay unused.
-constexpr base::duration min_recheck_delay = 2ms;
+constexpr base::duration min_recheck_delay = 5ms;
 constexpr base::duration max_recheck_delay = 50ms;
 /// Lower bound of `Retry-After`, as a fraction of the latency target.
 constexpr double min_retry_fraction = 0.5;
@@ -50,51 +50,63 @@
 
 bool is_measured(const instance& known) { return known.latency != make_estimate(known.latency.start); }
 
-/// Mean usual time of the service's upstreams that have been measured, in seconds; none if none has.
-std::optional<double> mean_usual_seconds(const instance_table& table, const std::string& service) {
+/// What is assumed of an upstream that is new to this host, since the upstreams of a service are alike.
+struct service_figures {
+    std::optional<double> usual_seconds; ///< Mean of those that have been measured.
+    std::optional<int> queue_limit;      ///< Largest one known.
+};
+
+service_figures figures_of(const std::vector<candidate>& candidates) {
+    service_figures figures;
     double sum = 0;
     int count = 0;
-    for (const auto& [id, known] : table.by_id) {
-        if (known.state != listing::listed || known.entry.service != service || !is_measured(known))
+    for (const candidate& one : candidates) {
+        const auto& limit = one.upstream->plain.queue_limit;
+        if (limit)
+            figures.queue_limit = std::max(*limit, figures.queue_limit.value_or(0));
+        if (!is_measured(*one.upstream))
             continue;
-        sum += known.latency.value;
+        sum += one.upstream->latency.value;
         ++count;
     }
-    return count > 0 ? std::optional(sum / count) : std::nullopt;
+    if (count > 0)
+        figures.usual_seconds = sum / count;
+    return figures;
 }
 
-candidate make_candidate(const instance& known, const choice_context& context, std::optional<double> mean) {
-    // A new upstream is taken to be as fast as the others.
-    const double usual = is_measured(known) ? known.latency.value : mean.value_or(known.latency.value);
-    candidate made;
-    made.upstream = &known;
-    made.requests = plain_requests(known, context.now);
-    made.slots = plain_slots(known);
-    made.service_seconds = usual * plain_relative_latency(known, context.now);
-    if (known.plain.queue_limit)
-        made.full_at = made.slots + *known.plain.queue_limit;
-    made.preference = failure_seconds * known.health.failure_rate;
+void complete(candidate& one, const service_figures& figures, const choice_context& context) {
+    const instance& known = *one.upstream;
+    const double usual =
+        is_measured(known) ? known.latency.value : figures.usual_seconds.value_or(known.latency.value);
+    one.requests = plain_requests(known, context.now);
+    one.slots = plain_slots(known);
+    one.service_seconds = usual * plain_relative_latency(known, context.now);
+    if (const auto limit = known.plain.queue_limit ? known.plain.queue_limit : figures.queue_limit)
+        one.full_at = one.slots + *limit;
+    one.preference = failure_seconds * known.health.failure_rate;
     if (known.entry.availability_zone != context.own_zone)
-        made.preference += other_zone_seconds;
-    return made;
+        one.preference += other_zone_seconds;
 }
 
 std::vector<candidate> find_candidates(const instance_table& table, const choice_context& context) {
     std::vector<candidate> found;
-    const std::optional<double> mean = mean_usual_seconds(table, context.service);
     for (const auto& [id, known] : table.by_id) {
         if (known.state != listing::listed || known.entry.service != context.service ||
             context.excluded.contains(id) || is_avoided(known, context.now))
             continue;
         if (check_placement(table, context.limits, known, context.now) == placement_verdict::allowed)
-            found.push_back(make_candidate(known, context, mean));
+            found.push_back({.upstream = &known});
     }
+    const service_figures figures = figures_of(found);
+    for (candidate& one : found)
+        complete(one, figures, context);
     return found;
 }
 
 /// Draws one, with a probability that rises with its free slots.
 const candidate& draw(const std::vector<const candidate*>& from, std::mt19937_64& random) {
     std::vector<double> weights;
+    weights.reserve(from.size());
     for (const candidate* const one : from)
         weights.push_back(std::max(busy_weight, one->slots - one->requests));
     std::discrete_distribution<std::size_t> distribution(weights.begin(), weights.end());
@@ -224,12 +236,17 @@
     refuse(step, plain_reason::not_in_time);
 }
 
+/// Requests at an upstream up to which a new one is in time there.
+double usable_requests(const admission_step& step, const candidate& one) {
+    return std::max(one.slots, one.slots * step.usable_target / one.service_seconds);
+}
+
 /// Shortest time until an upstream could answer a new request in time.
 double seconds_until_capacity(const admission_step& step) {
     double shortest = std::numeric_limits<double>::max();
     for (const candidate& one : *step.candidates) {
-        const double usable = std::max(one.slots, one.slots * step.usable_target / one.service_seconds);
-        shortest = std::min(shortest, one.seconds_until(std::min(one.full_at, usable) - 1));
+        shortest =
+            std::min(shortest, one.seconds_until(std::min(one.full_at, usable_requests(step, one)) - 1));
     }
     return shortest;
 }
@@ -237,12 +254,14 @@
 void summarise(admission_step& step) {
     double ends_per_second = 0;
     double fastest = std::numeric_limits<double>::max();
+    double places = 0;
     for (const candidate& one : *step.candidates) {
         ends_per_second += 1 / one.seconds_per_end();
         fastest = std::min(fastest, one.service_seconds);
+        places += std::max(0.0, std::min(one.full_at, usable_requests(step, one)) - one.requests);
         step.decision.free_slots += static_cast<int>(std::max(0.0, one.slots - one.requests));
     }
-    step.decision.is_scarce = step.decision.free_slots < step.request->competing_hosts;
+    step.decision.is_scarce = places < step.request->competing_hosts;
     step.decision.upstreams = static_cast<int>(step.candidates->size());
     step.decision.spacing = base::from_seconds(std::max(1, step.request->competing_hosts) / ends_per_second);
     step.decision.expected_time = base::from_seconds(fastest);
@@ -296,13 +315,26 @@
 }
 
 base::duration plain_recheck_delay(const plain_decision& decision, std::mt19937_64& random) {
-    static constexpr double least = 0.5;
-    static constexpr double most = 1.5;
+    static constexpr double least = 0.25;
+    static constexpr double most = 0.75;
     std::uniform_real_distribution<double> spread(least, most);
     const base::duration delay = base::from_seconds(base::to_seconds(decision.spacing) * spread(random));
     return std::clamp(delay, min_recheck_delay, max_recheck_delay);
 }
 
+double replacement_probability(const instance_table& table, const std::string& service, int competing_hosts) {
+    static constexpr double least = 0.25;
+    double capacity = 0;
+    double own = 0;
+    for (const auto& [id, known] : table.by_id) {
+        if (known.state != listing::listed || known.entry.service != service)
+            continue;
+        capacity += plain_slots(known) + known.plain.queue_limit.value_or(0);
+        own += std::max(0, known.own.requests);
+    }
+    return std::clamp(capacity / std::max(1, competing_hosts) / std::max(1.0, own), least, 1.0);
+}
+
 bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now) {
     const auto key = [now](const queue_position& position) {
         const auto improvement =
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -64,7 +64,7 @@
     base::duration in_time{};           ///< Longest wait since the first try to still be in time.
     int upstreams = 0;                  ///< That may be used.
     int free_slots = 0;                 ///< Of those.
-    bool is_scarce = false;             ///< Fewer slots are free than hosts compete for them.
+    bool is_scarce = false;             ///< Fewer requests could be sent and be in time than hosts compete.
 
     bool operator==(const plain_decision&) const = default;
 };
@@ -80,9 +80,15 @@
                                                std::mt19937_64& random);
 
 /// Time until the head of the queue decides again. Random, so that hosts with the same view of the load do
-/// not all use the same free slot; all hosts together decide about as often as slots become free.
+/// not all use the same free slot; all hosts together decide twice as often as slots become free.
 [[nodiscard]] base::duration plain_recheck_delay(const plain_decision& decision, std::mt19937_64& random);
 
+/// Probability with which a host that has received a response sends a waiting request at once in place of the
+/// one that ended. Below 1 where the host has more than its share of the requests at the service's upstreams,
+/// so that hosts without any get slots too.
+[[nodiscard]] double replacement_probability(const instance_table& table, const std::string& service,
+                                             int competing_hosts);
+
 /// Position of a waiting request in its service's queue.
 struct queue_position {
     base::time_point since{};                                 ///< First try.
--- a/libraries/decision/overload/plain_load.cpp
+++ b/libraries/decision/overload/plain_load.cpp
@@ -34,16 +34,20 @@
     return sum;
 }
 
-/// Learns from a refusal or a load how many requests the upstream queues.
-void learn_queue_limit(plain_load& known, const instance_load& load, plain_response response) {
-    const int queued = requests_in(load) - std::max(1, load.slots);
+/// Learns from a refusal how many requests the upstream queues.
+void learn_from_refusal(plain_load& known, const instance_load& load) {
+    const int queued = requests_in(load) - std::clamp(load.slots, 1, max_plain_requests);
     // An upstream that refuses although it has free slots is not full.
-    if (response == plain_response::refused && queued >= 0)
-        known.queue_limit = queued;
-    else if (known.queue_limit && queued > *known.queue_limit)
+    if (queued >= 0)
         known.queue_limit = queued;
 }
 
+/// Learns that the upstream queues at least the requests that wait there.
+void learn_from_queue(plain_load& known, const instance_load& load) {
+    if (known.queue_limit)
+        known.queue_limit = std::max(*known.queue_limit, std::min(load.waiting, max_plain_requests));
+}
+
 } // namespace
 
 void record_plain_start(instance& target, base::time_point now) { record_change(target, 1, now); }
@@ -54,7 +58,9 @@
                        base::time_point now) {
     plain_load& known = target.plain;
     known.has_latency = load.has_relative_latency;
-    learn_queue_limit(known, load, response);
+    if (response == plain_response::refused)
+        learn_from_refusal(known, load);
+    learn_from_queue(known, load);
     known.load = load;
     known.observed_at = now;
     known.is_observed_here = true;
@@ -77,6 +83,7 @@
     // This host's own later requests at its own observation are more exact than a report of the same age.
     if (known.is_observed_here && observed_at <= known.observed_at)
         return;
+    learn_from_queue(known, load);
     known.has_latency = load.has_relative_latency;
     known.load = load;
     known.observed_at = observed_at;
--- a/libraries/gateway/plain_choice.cpp
+++ b/libraries/gateway/plain_choice.cpp
@@ -58,7 +58,7 @@
 decision::plain_decision decide_by_load(gateway_request& request, int ahead) {
     gateway_state& state = *request.state;
     const decision::plain_request facts = facts_of(request, ahead);
-    const decision::plain_decision decision =
+    decision::plain_decision decision =
         decision::decide_plain(state.instances, choice_context_of(request), facts, state.random);
     request.retry_delay = std::nullopt;
     if (decision.action == decision::plain_action::choose_without_load)
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -168,6 +168,8 @@
         sent.did_end();
         if (request.state->process->policy.admit_by_load && !request.cancellation->is_caller_gone)
             record_plain_response(*request.state, *chosen, exchange);
+        if (exchange.result == attempt_result::answered && is_admitted_by_load(request))
+            did_end_plain_request(*request.state, request.service);
         record_refusal_despite_free_slots(request, *chosen, exchange);
         detect_upstream_exit(request, send, exchange, yield);
         if (request.cancellation->is_caller_gone)
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -3,6 +3,7 @@
 
 #include <gateway/plain_choice.h>
 #include <gateway/request_quarantine.h>
+#include <gateway/upstream_load_exchange.h>
 
 #include <algorithm>
 
@@ -32,6 +33,15 @@
     }));
 }
 
+void wake_head(const send_slot_queue& queue, base::time_point now) {
+    const auto head = std::ranges::min_element(
+        queue.waiters, [now](const send_slot_waiter* left, const send_slot_waiter* right) {
+            return decision::is_ahead(left->position, right->position, now);
+        });
+    if (head != queue.waiters.end())
+        (*head)->wake->cancel();
+}
+
 /// Queue entry of a request for as long as the object lives. Wakes the head of the queue when it leaves.
 class queue_entry {
 public:
@@ -45,13 +55,7 @@
     queue_entry& operator=(queue_entry&&) = delete;
     ~queue_entry() {
         std::erase(this->queue->waiters, &this->waiter);
-        const base::time_point now = this->state->clock->now();
-        const auto head = std::ranges::min_element(
-            this->queue->waiters, [now](const send_slot_waiter* left, const send_slot_waiter* right) {
-                return decision::is_ahead(left->position, right->position, now);
-            });
-        if (head != this->queue->waiters.end())
-            (*head)->wake->cancel();
+        wake_head(*this->queue, this->state->clock->now());
     }
 
     void set_due(base::time_point due) { this->waiter.due = due; }
@@ -160,13 +164,25 @@
 }
 
 decision::plain_decision decide_in_queue(gateway_request& request) {
-    const decision::plain_decision decision = decide_by_load(request, 0);
+    decision::plain_decision decision = decide_by_load(request, 0);
     if (decision.action == decision::plain_action::choose_without_load)
         return decision;
     const int ahead = count_ahead(request, queue_position_of(request, decision));
     return ahead == 0 ? decision : decide_by_load(request, ahead);
 }
 
+void did_end_plain_request(gateway_state& state, const std::string& service) {
+    const auto queue = state.send_slot_queues.find(service);
+    if (queue == state.send_slot_queues.end() || queue->second.waiters.empty())
+        return;
+    std::uniform_real_distribution<double> draw(0, 1);
+    if (draw(state.random) >=
+        decision::replacement_probability(state.instances, service, count_competing_hosts(state)))
+        return;
+    queue->second.next_release = {};
+    wake_head(queue->second, state.clock->now());
+}
+
 bool await_send_slot(gateway_request& request, wire::yield_context yield) {
     gateway_state& state = *request.state;
     send_slot_queue& queue = state.send_slot_queues[request.service];
--- a/libraries/gateway/send_slot_queue.h
+++ b/libraries/gateway/send_slot_queue.h
@@ -15,6 +15,10 @@
 /// Position of a request whose upstreams' load is not known: behind those that wait already.
 [[nodiscard]] decision::queue_position last_position(const gateway_request& request);
 
+/// Call when a response to this host shows that a request has ended: the head of the queue may take its place
+/// before other hosts learn of it.
+void did_end_plain_request(gateway_state& state, const std::string& service);
+
 /// Waits in the queue of the request's service until it is its turn and an upstream may be sent it. Returns
 /// false as soon as that is not expected in time; `time_until_slot` or `retry_delay` then tell when it is. A
 /// request that may use fewer upstreams than others does not block those behind it.
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -175,6 +175,20 @@
     CHECK(known.plain.queue_limit == 4);
     decision::record_plain_load(known, make_load(6, 6), plain_response::executed, now);
     CHECK(known.plain.queue_limit == 6);
+    // Another host may have seen a longer queue.
+    decision::receive_plain_load(known, make_load(6, 8), now + 1ms, now + 2ms);
+    CHECK(known.plain.queue_limit == 8);
+}
+
+TEST_CASE("a new upstream is assumed to be like the others of its service") {
+    // One has been measured and has refused requests; of the other only the load is known.
+    auto table = make_table({make_load(6, 2), make_load(6, 2)});
+    decision::add_sample(at(table, "0").latency, 0.05);
+    at(table, "0").plain.queue_limit = 2;
+    at(table, "1").latency = decision::make_estimate(0.4);
+    const auto waiting = decide(table);
+    CHECK(waiting.action == plain_action::wait);
+    CHECK(waiting.expected_time < 60ms);
 }
 
 TEST_CASE("an answered request occupies no slot, whether or not reports include it") {
@@ -258,6 +272,21 @@
     CHECK(decision::is_ahead(late, newer, now));
 }
 
+TEST_CASE("a host with more than its share of the slots leaves some of them to the others") {
+    auto table = make_table({make_load(6), make_load(6)});
+    CHECK(decision::replacement_probability(table, "service", 3) == 1);
+    at(table, "0").own.requests = 4;
+    CHECK(decision::replacement_probability(table, "service", 3) == 1);
+    at(table, "1").own.requests = 4;
+    CHECK(decision::replacement_probability(table, "service", 3) == 0.5);
+    // Slots are scarce while fewer requests can be sent than hosts have some waiting.
+    auto request = make_request();
+    request.competing_hosts = 65;
+    CHECK(decide(table, request).is_scarce);
+    request.competing_hosts = 2;
+    CHECK_FALSE(decide(table, request).is_scarce);
+}
+
 TEST_CASE("refused callers return spread over time, with time left to be served") {
     auto table = make_table({make_load(6, 36)});
     limit_queues(table, 36);
--- a/tests/gateway/test_plain_load.cpp
+++ b/tests/gateway/test_plain_load.cpp
@@ -75,3 +75,13 @@
     const int served = callers.served();
     CHECK(test::eventually([&] { return callers.served() > served + 50; }));
 }
+
+TEST_CASE("without the policy switch, requests are sent to upstreams whatever their load") {
+    test::gateway_cluster cluster(
+        {.name = "plain-load-off", .servers = {{.id = "one"}}, .hosts = hosts, .admits_by_load = false});
+    (void)cluster.server("one", {{"load", "1000,0,6,100"}});
+    for (int number = 0; number < 10 * hosts; ++number)
+        CHECK(status_at(cluster, 1 + number % hosts, "/once/") == 200);
+    CHECK(cluster.state_of(2).at("instances").at("one").at("plain_requests") == 0);
+    CHECK(sum_of(cluster, 1, "plain_admitted_total") == 0);
+}
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -154,7 +154,8 @@
                         << "]\nstore: " << this->store_address(number)
                         << "\nheartbeat_ms: " << this->options.heartbeat_ms
                         << "\nbalancer_lag_ms: 300\nretries: {slack: " << this->options.retry_slack
-                        << "}\norder_lease_ms: 500\nengines_check_tokens: true\n";
+                        << "}\norder_lease_ms: 500\nengines_check_tokens: true\npolicy: {admit_by_load: "
+                        << (this->options.admits_by_load ? "true" : "false") << "}\n";
     this->hosts[number] = std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/postpaddled",
                                                           std::vector<std::string>{"--settings=" + path},
                                                           this->folder + "/" + name + ".log");
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -28,6 +28,7 @@
     bool has_datagrams = true;      ///< Whether hosts exchange datagrams.
     int heartbeat_ms = 200;         ///< Interval between heartbeats of a host.
     double cold_requests = 0;       ///< Requests per second that a cold server accepts; 0 for no limit.
+    bool admits_by_load = true;     ///< Whether plain requests wait or are refused by upstreams' load.
     int store_bytes_per_s = 0;      ///< Bandwidth of the link from the store to each host; 0 for no limit.
 };
 
