wire: Free the memory of unsent data

Cause: assigning an empty string to a string keeps its buffer with libstdc++, so neither the disconnect of a slow reader nor the end of a large answer freed any memory. Change: swap with an empty string; keep at most 4 KiB in each of a connection's two buffers (16 KiB before): at most 12 MB for 1,500 idle connections. An append reads the clock once, or not at all if earlier data waits.

--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -19,8 +19,9 @@
 
 /// Limits the kernel's send buffer, so that `unsent_bytes` bounds how far a slow reader can fall behind.
 constexpr int send_buffer_bytes = 128 * 1024;
-/// Largest buffer that a connection keeps for its next data. A slow reader's buffer may be much larger.
-constexpr std::size_t max_idle_buffer = 16UL * 1024;
+/// Largest buffer that a connection keeps for its next data. A connection has two, so that 1,500 idle
+/// connections keep at most 12 MB. A slow reader's buffer may be much larger.
+constexpr std::size_t max_idle_buffer = 4UL * 1024;
 
 using request_parser = http::request_parser<http::string_body>;
 
@@ -43,6 +44,9 @@
     return message.count(http::field::host) <= 1;
 }
 
+/// Assigning an empty string would keep the buffer for later use: libstdc++ copies short strings.
+void free_buffer(std::string& buffer) { std::string().swap(buffer); }
+
 void append_chunk(std::string& buffer, std::string_view part) {
     static constexpr int hexadecimal = 16;
     std::array<char, 16> size{};
@@ -93,7 +97,7 @@
     void drop_unsent() {
         if (!this->unsent.empty())
             this->has_write_failed = true;
-        this->unsent = std::string();
+        free_buffer(this->unsent);
     }
 
     void did_change_unsent() const {
@@ -103,9 +107,11 @@
 
     /// Call after data has been added to `unsent`.
     void did_add_data() {
-        if (!this->unsent_since)
+        // If it is set, earlier data waits for the write in progress.
+        if (!this->unsent_since) {
             this->unsent_since = base::boot_clock::now();
-        this->start_write();
+            this->start_write(*this->unsent_since);
+        }
         this->did_change_unsent();
     }
 
@@ -139,15 +145,14 @@
             this->did_disconnect();
     }
 
-    void start_write() {
+    void start_write(base::time_point now) {
         if (this->is_writing || this->is_closed || this->unsent.empty())
             return;
         this->is_writing = true;
         this->sending.swap(this->unsent);
         this->unsent.clear();
-        this->write_started_at = base::boot_clock::now();
-        this->sending_since =
-            std::exchange(this->unsent_since, std::nullopt).value_or(this->write_started_at);
+        this->write_started_at = now;
+        this->sending_since = std::exchange(this->unsent_since, std::nullopt).value_or(now);
         this->arm_write_watchdog();
         asio::async_write(this->stream.socket(), asio::buffer(this->sending),
                           [self = this->shared_from_this()](const error_code& error, std::size_t) {
@@ -179,7 +184,7 @@
         this->is_writing = false;
         this->sending.clear();
         if (this->sending.capacity() > max_idle_buffer)
-            this->sending = std::string();
+            free_buffer(this->sending);
         if (error) {
             this->has_write_failed = true;
             this->did_disconnect();
@@ -188,7 +193,7 @@
         if (this->unsent.empty())
             this->all_written.cancel();
         else
-            this->start_write();
+            this->start_write(base::boot_clock::now());
         this->did_change_unsent();
     }
 
@@ -212,7 +217,7 @@
     std::string unsent;
     std::string sending;
     std::optional<base::time_point> unsent_since; ///< When the first byte of `unsent` was added.
-    base::time_point sending_since{};             ///< The same of `sending`.
+    base::time_point sending_since{};             ///< When the first byte of `sending` was added.
     std::function<void()> on_unsent_change;
     boot_timer all_written;
     boot_timer write_watchdog;
