gateway: Keep the state that coroutines use while they are unwound

Cause: the context was destroyed after the state, the list of callers, the metrics and the log, so coroutines that were still running at the end of a shutdown used destroyed objects while they were unwound. Change: declare these members before the context. The constructor only stores addresses of the members that follow. The callbacks of objects that are destroyed earlier are cleared.

--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -63,7 +63,7 @@
 
 gateway_host::gateway_host(const base::clock& clock, settings::gateway_settings process_settings,
                            const gateway_ports& external)
-    : clock(&clock), process(std::move(process_settings)), pool(this->context, wire::response_bounds{}),
+    : clock(&clock), process(std::move(process_settings)),
       log(clock, {.host = this->process.name.value,
                   .level = this->process.log_level,
                   .lines_per_second = this->process.log_lines_per_second}),
@@ -81,6 +81,7 @@
             .readers = &this->readers},
       readers(this->state, decision::unsent_bound({.limit_bytes = process_memory_limit(),
                                                    .connections = this->process.connections})),
+      pool(this->context, wire::response_bounds{}),
       feed(external.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
       datagrams(this->state), loads(this->state, this->datagrams), paces(this->state),
       slot_waker(this->state),
@@ -98,7 +99,11 @@
     std::erase(this->state.peers.seeds, this->process.peers);
 }
 
-gateway_host::~gateway_host() = default;
+gateway_host::~gateway_host() {
+    // Coroutines that are unwound report changes, but what handles them is destroyed before them.
+    this->state.on_load_changed = nullptr;
+    this->state.on_slots_changed = nullptr;
+}
 
 wire::expected<std::shared_ptr<wire::http_listener>> gateway_host::listen_at(const std::string& address,
                                                                              std::size_t connections) const {
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -59,12 +59,14 @@
 
     const base::clock* clock;
     settings::gateway_settings process;
-    wire::asio::io_context context{1};
-    wire::connection_pool pool;
+    // Destroying the context unwinds the remaining coroutines, which use the members before it. Those only
+    // store the addresses of the ones after them when they are constructed.
     decision_log log;
     gateway_metrics metrics;
     gateway_state state;
     slow_readers readers;
+    wire::asio::io_context context{1};
+    wire::connection_pool pool;
     std::unique_ptr<ports::control_feed> feed;
     peer_exchange peers;
     peer_datagrams datagrams;
