--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -2,6 +2,7 @@
 #include <gateway/gateway_host.h>
 
 #include <gateway/request_handler.h>
+#include <gateway/state_dump.h>
 
 #include <base/hashing.h>
 #include <base/try.h>
@@ -63,7 +64,7 @@
 
 gateway_host::gateway_host(const base::clock& clock, settings::gateway_settings process_settings,
                            const gateway_ports& external)
-    : clock(&clock), process(std::move(process_settings)), pool(this->context, wire::response_bounds{}),
+    : clock(&clock), process(std::move(process_settings)),
       log(clock, {.host = this->process.name.value,
                   .level = this->process.log_level,
                   .lines_per_second = this->process.log_lines_per_second}),
@@ -78,9 +79,10 @@
             .pool = &this->pool,
             .log = &this->log,
             .metrics = &this->metrics,
-            .readers = &this->readers},
-      readers(this->state, decision::unsent_bound({.limit_bytes = process_memory_limit(),
-                                                   .connections = this->process.connections})),
+            .unsent_data = &this->unsent_data},
+      unsent_data(this->state, decision::unsent_bound({.limit_bytes = process_memory_limit(),
+                                                       .connections = this->process.connections})),
+      pool(this->context, wire::response_bounds{}),
       feed(external.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
       datagrams(this->state), loads(this->state, this->datagrams), paces(this->state),
       slot_waker(this->state),
@@ -98,7 +100,11 @@
     std::erase(this->state.peers.seeds, this->process.peers);
 }
 
-gateway_host::~gateway_host() = default;
+gateway_host::~gateway_host() {
+    // Coroutines that are unwound report changes, but what handles them is destroyed before them.
+    this->state.on_load_changed = nullptr;
+    this->state.on_slots_changed = nullptr;
+}
 
 wire::expected<std::shared_ptr<wire::http_listener>> gateway_host::listen_at(const std::string& address,
                                                                              std::size_t connections) const {
@@ -135,8 +141,9 @@
             serve_path(
                 connection, "/metrics",
                 [this] {
-                    return wire::http_response{
-                        ok_status, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.text()};
+                    return wire::http_response{ok_status,
+                                               {{"Content-Type", "text/plain; version=0.0.4"}},
+                                               export_metrics(this->state)};
                 },
                 yield);
         });
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -7,9 +7,9 @@
 #include <gateway/pace_exchange.h>
 #include <gateway/peer_exchange.h>
 #include <gateway/quarantine_exchange.h>
-#include <gateway/slow_readers.h>
 #include <gateway/stage_controller.h>
 #include <gateway/store_watch.h>
+#include <gateway/unsent_data_bound.h>
 #include <wire/http_listener.h>
 
 #include <functional>
@@ -59,12 +59,14 @@
 
     const base::clock* clock;
     settings::gateway_settings process;
-    wire::asio::io_context context{1};
-    wire::connection_pool pool;
+    // Destroying the context unwinds the remaining coroutines, which use the members before it. Those only
+    // store the addresses of the ones after them when they are constructed.
     decision_log log;
     gateway_metrics metrics;
     gateway_state state;
-    slow_readers readers;
+    unsent_data_bound unsent_data;
+    wire::asio::io_context context{1};
+    wire::connection_pool pool;
     std::unique_ptr<ports::control_feed> feed;
     peer_exchange peers;
     peer_datagrams datagrams;
