--- a/libraries/decision/overload/unsent_bytes.cpp
+++ b/libraries/decision/overload/unsent_bytes.cpp
@@ -19,8 +19,6 @@
 struct held_data {
     std::uint64_t bytes = 0;
     std::vector<std::size_t> candidates; ///< Indices; the one that has been behind longest is last.
-
-    bool operator<(const held_data& other) const { return this->bytes < other.bytes; }
 };
 
 /// Heap by `held_data::bytes` of the organisations that have candidates.
@@ -44,7 +42,7 @@
                                  [&](std::size_t index) { return readers[index].behind_since; });
         heap.push_back(std::move(held));
     }
-    std::ranges::make_heap(heap);
+    std::ranges::make_heap(heap, {}, &held_data::bytes);
     return heap;
 }
 
@@ -89,7 +87,7 @@
     std::vector<held_data> heap = candidates_by_organisation(readers, now);
     std::vector<std::size_t> chosen;
     while (total > host_bound && !heap.empty()) {
-        std::ranges::pop_heap(heap);
+        std::ranges::pop_heap(heap, {}, &held_data::bytes);
         held_data& largest = heap.back();
         if (largest.bytes <= organisation_bound)
             break;
@@ -101,7 +99,7 @@
         if (largest.candidates.empty())
             heap.pop_back();
         else
-            std::ranges::push_heap(heap);
+            std::ranges::push_heap(heap, {}, &held_data::bytes);
     }
     keep_fitting(chosen, readers, total, host_bound);
     return chosen;
