--- a/libraries/gateway/pace_exchange.cpp
+++ b/libraries/gateway/pace_exchange.cpp
@@ -177,14 +177,22 @@
         return;
     const base::time_point now = state.clock->now();
     for (const host::observed_pace& row : report.paces) {
+        const base::time_point measured_at = now - row.age;
+        const auto is_new = [&](double decision::engine_pace::*kind) {
+            return row.pace.*kind != 1 && !previous.has(row, kind, measured_at);
+        };
+        const bool has_prefill = is_new(&decision::engine_pace::prefill);
+        const bool has_decode = is_new(&decision::engine_pace::decode);
+        // Most rows repeat a measurement.
+        if (!has_prefill && !has_decode)
+            continue;
         decision::instance* const target = host::find_by_key(state.instances, state.loads, row.key);
         // The key of an earlier start may still be known.
         if (target == nullptr || host::key_of(target->entry.id, target->entry.start_time_ms) != row.key)
             continue;
-        const base::time_point measured_at = now - row.age;
-        if (row.pace.prefill != 1 && !previous.has(row, &decision::engine_pace::prefill, measured_at))
+        if (has_prefill)
             merge_reported(state, target->pace.prefill, row.pace.prefill, measured_at, target->entry.service);
-        if (row.pace.decode != 1 && !previous.has(row, &decision::engine_pace::decode, measured_at))
+        if (has_decode)
             merge_reported(state, target->pace.decode, row.pace.decode, measured_at, target->entry.service);
     }
 }
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -151,3 +151,34 @@
     CHECK(test::eventually([&] { return cluster.state_of(1).at("requests_in_progress") == 0; }));
     CHECK(cluster.runs() == 0);
 }
+
+// Guards against a host that keeps its measurements to itself, or doesn't use what others report.
+TEST_CASE("an engine that two hosts measure to be slow is known to be slow on a third") {
+    test::gateway_cluster cluster({.name = "pace",
+                                   .servers = {{.id = "p", .service = "engines", .stage = "prefill"},
+                                               {.id = "d1", .service = "engines", .stage = "decode"},
+                                               {.id = "d2", .service = "engines", .stage = "decode"}},
+                                   .hosts = 3});
+    for (const auto* id : {"d1", "d2"})
+        (void)cluster.server(id, {{"events", 12}, {"work_ms", 10}});
+    int sent = 0;
+    const auto send = [&](int count) {
+        for (int request = 0; request < count; ++request)
+            for (const int host : {1, 2})
+                (void)stand_in::http_exchange(cluster.callers_address(host),
+                                              routed_request("/stream/", "id-" + std::to_string(++sent)));
+    };
+    const auto pace_of = [&](int host, const std::string& id) {
+        return cluster.state_of(host).at("instances").at(id).at("pace").at("decode_in_use").get<double>();
+    };
+    // The service's mean must be known first.
+    static constexpr int streams_to_learn = 22;
+    send(streams_to_learn);
+    CHECK(pace_of(3, "d2") == 1);
+    (void)cluster.server("d2", {{"work_ms", 60}});
+    // More than once: a host that lacks processor time measures nothing.
+    CHECK(test::eventually([&] {
+        send(1);
+        return pace_of(3, "d2") > 1;
+    }));
+}
