--- a/tests/gateway/test_plain_load.cpp
+++ b/tests/gateway/test_plain_load.cpp
@@ -8,6 +8,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <thread>
+#include <vector>
 
 using namespace postpaddle;
 using test::routed_request;
@@ -76,6 +80,34 @@
     CHECK(test::eventually([&] { return callers.served() > served + 50; }));
 }
 
+TEST_CASE("a host that is stopped while plain requests wait serves or refuses each of them") {
+    test::gateway_cluster cluster({.name = "plain-stop", .servers = {{.id = "one"}, {.id = "two"}}});
+    for (const auto* id : {"one", "two"})
+        (void)cluster.server(id, {{"slots", 2}, {"queue", 1}, {"work_ms", 60}});
+    std::atomic<bool> is_stopping = false;
+    std::atomic<int> unanswered = 0;
+    constexpr int count = 16;
+    std::vector<std::jthread> callers;
+    callers.reserve(count);
+    for (int caller = 0; caller < count; ++caller)
+        callers.emplace_back([&, caller] {
+            for (int number = 0; !is_stopping; ++number) {
+                const std::string id = std::to_string(caller) + "-" + std::to_string(number);
+                const auto answer =
+                    stand_in::http_exchange(cluster.callers_address(), routed_request("/again/", id));
+                const bool is_served = answer && answer->status == 200;
+                const bool is_refused =
+                    answer && wire::find_header(answer->headers, "Postpaddle-Outcome") == "not-run";
+                unanswered += is_served || is_refused ? 0 : 1;
+            }
+        });
+    CHECK(test::eventually([&] { return sum_of(cluster, 1, "plain_waited_total") > 4; }));
+    is_stopping = true;
+    cluster.host(1).send_signal(SIGTERM);
+    callers.clear();
+    CHECK(unanswered == 0);
+}
+
 TEST_CASE("without the policy switch, requests are sent to upstreams whatever their load") {
     test::gateway_cluster cluster(
         {.name = "plain-load-off", .servers = {{.id = "one"}}, .hosts = hosts, .admits_by_load = false});
