gateway: Apply an answer only to the start of the upstream that it is from

An answer that arrived after a registry entry of a new start under the same id was applied to the new start: an announced shutdown excluded it on every host until its next restart, a 421 removed it, and a refused connection put it out of service.

An exchange remembers the start that its request was sent to; answers of an earlier one are ignored.

--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -124,6 +124,14 @@
     decision::record_result(request.record, kind, result);
 }
 
+/// The instance that the request was sent to; null if it has gone or a later start has replaced it, to which
+/// the answer of the earlier one does not apply.
+decision::instance* find_answering(gateway_state& state, const ports::upstream_attempt& send,
+                                   const exchange_result& exchange) {
+    decision::instance* const target = decision::find_instance(state.instances, send.instance);
+    return target != nullptr && target->entry.start_time_ms == exchange.start_time_ms ? target : nullptr;
+}
+
 /// An idle connection may turn out to be stale after the send. Only requests that may run twice use one.
 wire::connection_use use_for(const gateway_request& request, const ports::upstream_attempt& send) {
     const bool may_send_twice =
@@ -198,6 +206,7 @@
         exchange.detail = decision::to_text(verdict);
         return exchange;
     }
+    exchange.start_time_ms = target->entry.start_time_ms;
     target->last_send = exchange.sent;
     exchange.address = target->entry.address;
     const auto on_connection = [&](const std::shared_ptr<wire::upstream_connection>& connection) {
@@ -224,8 +233,8 @@
         return exchange;
     }
     exchange.result = result_of(exchange.head, exchange.facts);
-    // Apply now, as the rest of a stream may take long. The instance may have gone meanwhile.
-    if (decision::instance* const answering = decision::find_instance(state.instances, send.instance))
+    // Apply now, as the rest of a stream may take long.
+    if (decision::instance* const answering = find_answering(state, send, exchange))
         apply_advertised_state(state, *answering, exchange.facts, exchange.sent);
     return exchange;
 }
@@ -259,7 +268,7 @@
                                         exchange.facts.load->slots};
     log_advertised_state(request, exchange.facts);
     state.metrics->count(std::string("sends_total{result=\"") + decision::to_text(exchange.result) + "\"}");
-    decision::instance* const target = decision::find_instance(state.instances, send.instance);
+    decision::instance* const target = find_answering(state, send, exchange);
     if (target == nullptr || request.cancellation->is_caller_gone || exchange.is_withheld)
         return;
     if (exchange.facts.cold_remaining)
--- a/libraries/gateway/upstream_exchange.h
+++ b/libraries/gateway/upstream_exchange.h
@@ -16,6 +16,7 @@
     ports::answer_facts facts;
     std::shared_ptr<wire::upstream_connection> connection; ///< Reads the rest of the answer.
     std::string address;
+    std::uint64_t start_time_ms = 0; ///< Start of the upstream that the request was sent to.
     base::time_point sent{};
     bool is_port_closed = false; ///< Nothing listens at the address.
     bool is_withheld = false;    ///< Not sent: placement limits forbid it now.
--- a/tests/gateway/test_upstream_backoff.cpp
+++ b/tests/gateway/test_upstream_backoff.cpp
@@ -138,3 +138,22 @@
     cluster.restart_server("one", 7);
     CHECK(test::eventually([&] { return cluster.arrivals("one") > 20; }));
 }
+
+// Guards against a late answer that excludes the new start for good, on every host.
+TEST_CASE("an upstream's answer that it is leaving does not apply to a start that replaced it meanwhile") {
+    test::gateway_cluster cluster({.name = "late-answer", .servers = {{.id = "one"}}});
+    (void)cluster.server("one", {{"hang", 1}, {"is_leaving", true}});
+    test::client_connection client(cluster.callers_address(), routed_request("/again/", "id-1"));
+    REQUIRE(test::eventually([&] { return cluster.arrivals("one") == 1; }));
+    const auto offset = [&] {
+        return cluster.state_of(1).at("instances").at("one").at("registry_offset").get<int>();
+    };
+    const int before = offset();
+    cluster.register_server("one", "ready", 1, 7);
+    REQUIRE(test::eventually([&] { return offset() > before; }));
+    (void)cluster.server("one", {{"hang", 0}});
+    REQUIRE(client.read_at_least(12).starts_with("HTTP/1.1 200"));
+    (void)cluster.server("one", {{"is_leaving", false}});
+    CHECK(test::status_at(cluster, 1, "/again/") == 200);
+    CHECK(cluster.state_of(1).at("instances").at("one").at("listing") == "listed");
+}
