gateway: Attribute an exit to the start that the request was sent to

That start was read after the connection had broken: if the registry entry of a new start at another address had arrived by then, the closed port of the earlier start put the new one out of service for 4 s, on all hosts.

The start is now the one that the request was sent to.

--- a/libraries/gateway/request_quarantine.cpp
+++ b/libraries/gateway/request_quarantine.cpp
@@ -108,10 +108,9 @@
     if (!may_have_exited || request.cancellation->is_caller_gone)
         return;
     gateway_state& state = *request.state;
-    const decision::instance* const target = decision::find_instance(state.instances, send.instance);
-    if (target == nullptr)
+    if (decision::find_instance(state.instances, send.instance) == nullptr)
         return;
-    const upstream_start start = {send.instance, target->entry.start_time_ms, exchange.address};
+    const upstream_start start = {send.instance, exchange.start_time_ms, exchange.address};
     switch (wire::probe_port(*state.pool, start.address, wire::port_probe_timeout, yield)) {
     case wire::port_state::not_listening:
         request.sends.back()["has_ended"] = true;
--- a/tests/gateway/test_upstream_backoff.cpp
+++ b/tests/gateway/test_upstream_backoff.cpp
@@ -157,3 +157,24 @@
     CHECK(test::status_at(cluster, 1, "/again/") == 200);
     CHECK(cluster.state_of(1).at("instances").at("one").at("listing") == "listed");
 }
+
+// Guards against an exit of an earlier start that puts the new start out of service.
+TEST_CASE("the exit of an upstream does not apply to a start at another address that replaced it") {
+    test::gateway_cluster cluster(
+        {.name = "late-exit", .servers = {{.id = "one"}, {.id = "spare", .service = "other"}}});
+    (void)cluster.server("one", {{"hang", 1}});
+    test::client_connection client(cluster.callers_address(), routed_request("/once/", "id-1"));
+    REQUIRE(test::eventually([&] { return cluster.arrivals("one") == 1; }));
+    const nlohmann::json entry = {{"service", "plain"}, {"address", cluster.server_address("spare")},
+                                  {"zone", "east"},     {"version", "v1"},
+                                  {"slots", 8},         {"state", "ready"},
+                                  {"sequence", 1},      {"coldRemainingMs", 0},
+                                  {"born", 7}};
+    cluster.register_text("one", entry.dump());
+    const auto known = [&] { return cluster.state_of(1).at("instances").at("one"); };
+    REQUIRE(test::eventually([&] { return known().at("address") == cluster.server_address("spare"); }));
+    cluster.kill_server("one");
+    REQUIRE(client.read_at_least(12).starts_with("HTTP/1.1 502"));
+    REQUIRE(test::eventually([&] { return cluster.metric(1, "upstreams_ended_total") == 1; }));
+    CHECK(known().at("is_aside") == false);
+}
