--- a/libraries/gateway/request_quarantine.cpp
+++ b/libraries/gateway/request_quarantine.cpp
@@ -54,6 +54,11 @@
     });
 }
 
+bool is_leaving(gateway_state& state, const base::upstream_id& id) {
+    const decision::instance* const target = decision::find_instance(state.instances, id);
+    return target != nullptr && target->state == decision::listing::leaving;
+}
+
 /// Whether the request would be quarantined if all checks in progress found that its upstreams have exited.
 bool may_be_fatal(const gateway_state& state, const host::request_fingerprint& fingerprint) {
     const auto checks = std::ranges::count_if(state.exit_checks, [&fingerprint](const auto& check) {
@@ -109,10 +114,9 @@
     if (!may_have_exited || request.cancellation->is_caller_gone)
         return;
     gateway_state& state = *request.state;
-    const decision::instance* const target = decision::find_instance(state.instances, send.instance);
-    if (target == nullptr)
+    if (decision::find_instance(state.instances, send.instance) == nullptr)
         return;
-    const upstream_start start = {send.instance, target->entry.start_time_ms, exchange.address};
+    const upstream_start start = {send.instance, exchange.start_time_ms, exchange.address};
     switch (wire::probe_port(*state.pool, start.address, wire::port_probe_timeout, yield)) {
     case wire::port_state::not_listening:
         request.sends.back()["has_ended"] = true;
@@ -120,7 +124,7 @@
         break;
     case wire::port_state::listening:
         // An upstream that is shutting down closes its port soon, whatever it ran.
-        if (target->state != decision::listing::leaving)
+        if (!is_leaving(state, start.id))
             check_exit_later(request, start);
         break;
     case wire::port_state::unknown:
