gateway: Detect a resumed stream by the attempt that started it

The result of the last attempt doesn't tell whether the events so far came from one engine: after a broken stream and a refusal it was `not_run`, and the interval up to the tenth event, outage included, counted as measured. An attempt that broke before any event kept a valid measurement out.

--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -137,6 +137,7 @@
     const base::time_point deadline = decision::may_retry_elsewhere(this->request->record)
                                           ? step_deadline(*this->request, plan.expected_first_event)
                                           : this->request->deadline;
+    this->is_resumed = this->has_started;
     this->transfer_started.reset();
     if (send.source)
         this->transfer_started = this->request->state->clock->now();
@@ -226,7 +227,7 @@
     const double interval =
         base::to_seconds(this->request->state->clock->now() - first_event_at) / (events - 1);
     // Events before a resume came from another engine, and a few events say little about the engine.
-    if (this->last_result != attempt_result::broken && events == measured_events)
+    if (!this->is_resumed && events == measured_events)
         record_decode_pace(*this->request, this->decode_engine, interval, first_event_at);
     decision::add_sample(profile.event_seconds, interval);
     ++profile.streams_timed;
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -73,6 +73,7 @@
     int events_forwarded = 0;
     std::optional<base::time_point> transfer_started; ///< Cache transfer without an event so far.
     bool has_started = false; ///< The head and events of the answer have been sent to the client.
+    bool is_resumed = false;  ///< The current attempt continues a stream that another one has started.
     wire::response_head first_head;
     bool avoids_waste;                      ///< See `avoids_wasted_prefills`.
     std::optional<exchange_result> failure; ///< Error answer to forward if no other engine does better.
