decision: Count the free decode slots without the engines' speed as well

Two free slots at engines that take twice as long counted as 1.0, so that a request with one waiter ahead was not woken although there was a slot for it. `free_now` counts the requests that can start now; the waker uses it. `total` and `free` remain weighted, for expected waits.

--- a/benches/waiting_bench.cpp
+++ b/benches/waiting_bench.cpp
@@ -68,7 +68,7 @@
         std::vector<decision::local_waiter> local_waiters;
         for (const decision::waiter& waiter : waiters)
             local_waiters.push_back({waiter.waited, std::chrono::milliseconds(500)});
-        const double free = decision::count_decode_slots(table, context, capacity, size).free;
+        const double free = decision::count_decode_slots(table, context, capacity, size).free_now;
         for (const std::size_t index : decision::head_of_queue(queue, local_waiters, free, 8))
             evaluate_engines(table, context, std::span(waiters).first(std::min<std::size_t>(index, 2)),
                              random);
--- a/libraries/decision/engine_room.cpp
+++ b/libraries/decision/engine_room.cpp
@@ -72,8 +72,11 @@
         const double left = std::max(0.0, available_memory(*candidate, capacity, context.now)) / required;
         const double speed = 1 / candidate->pace.in_use.decode;
         slots.total += speed * std::max(1.0, total);
-        if (has_room(*candidate, context, capacity, size))
-            slots.free += std::min(1.0, speed) * std::max(1.0, std::floor(left));
+        if (!has_room(*candidate, context, capacity, size))
+            continue;
+        const double free = std::max(1.0, std::floor(left));
+        slots.free += std::min(1.0, speed) * free;
+        slots.free_now += free;
     }
     return slots;
 }
--- a/libraries/gateway/engine_slot_waker.cpp
+++ b/libraries/gateway/engine_slot_waker.cpp
@@ -46,7 +46,7 @@
                                               .excluded = {},
                                               .now = this->state->clock->now()};
     const decision::prompt_size size = {.prompt_tokens = first.memory_tokens};
-    return decision::count_decode_slots(this->state->instances, context, first.capacity, size).free;
+    return decision::count_decode_slots(this->state->instances, context, first.capacity, size).free_now;
 }
 
 void engine_slot_waker::wake_next() {
--- a/tests/decision/test_upstream_pace.cpp
+++ b/tests/decision/test_upstream_pace.cpp
@@ -141,6 +141,9 @@
     CHECK(after->expected_first_event < before->expected_first_event);
     const auto slots = decision::count_decode_slots(table, make_context(now), capacity, size);
     CHECK(slots.total == Approx(slots_before.total / 3 * (1 / fast + 2 / slow)));
+    // A free slot takes one request, whatever the engine's speed: none stays free while requests wait.
+    CHECK(slots.free_now == slots_before.free_now);
+    CHECK(slots_before.free_now == slots_before.free);
     // A slot of a fast engine takes one request now, like any other.
     CHECK(slots.free == Approx(slots_before.free / 3 * (1 + 2 / slow)));
 }
