decision: Choose by zone without copies where engines are alike

The candidates were copied into a vector for each availability zone although the cheapest was taken directly. The choice is the same: the first one with the lowest cost.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -126,15 +126,28 @@
 
 using candidates_by_zone = std::map<base::zone_id, scored_candidate>;
 
+/// The cheapest engine of each availability zone.
+candidates_by_zone cheapest_by_zone(const scored_engines& scored) {
+    candidates_by_zone best;
+    for (const scored_candidate& candidate : scored.candidates) {
+        scored_candidate& known = best[candidate.chosen->entry.availability_zone];
+        if (candidate.cost < known.cost)
+            known = candidate;
+    }
+    return best;
+}
+
 /// The choice within each availability zone.
 candidates_by_zone choose_by_zone(const scored_engines& scored, const engine_weight& weight_of,
                                   std::mt19937_64& random) {
+    if (!scored.is_uneven)
+        return cheapest_by_zone(scored);
     std::map<base::zone_id, scored_engines> zones;
     for (const scored_candidate& candidate : scored.candidates)
         zones[candidate.chosen->entry.availability_zone].candidates.push_back(candidate);
     candidates_by_zone best;
     for (auto& [zone, engines] : zones) {
-        engines.is_uneven = scored.is_uneven;
+        engines.is_uneven = true;
         best[zone] = choose_one(engines, weight_of, random);
     }
     return best;
