--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -121,11 +121,11 @@
     waiting.in_time = in_time;
     const double tokens = std::max(1.0, waiting.memory_tokens);
     const ordered_waiters& waiters = ordered_waiters_of(
-        state, request.service, {.total = slots.total * tokens, .free = slots.free * tokens});
+        state, request.service, {.total = slots.total * tokens, .free = slots.free_now * tokens});
     const decision::local_waiter own = place_of(state, waiting, waiters.made_at);
     const auto ahead = waiters.queue->waiters_ahead(own);
     const bool is_ordered = !waiters.queue->order().is_by_age();
-    bool has_room = plan->has_room && slots.free > static_cast<double>(ahead.size());
+    bool has_room = plan->has_room && slots.free_now > static_cast<double>(ahead.size());
     const bool is_queue_too_long =
         static_cast<double>(ahead.size()) > max_waiting_per_free_slot * slots.free + max_waiting_base;
     if (policy.reserve_in_order && !ahead.empty() && !is_queue_too_long) {
--- a/libraries/gateway/engine_slot_waker.cpp
+++ b/libraries/gateway/engine_slot_waker.cpp
@@ -55,11 +55,12 @@
         const decision::decode_slots slots = this->count_slots(*own.front());
         const double tokens = std::max(1.0, own.front()->memory_tokens);
         const ordered_waiters& waiters = ordered_waiters_of(
-            *this->state, service, {.total = slots.total * tokens, .free = slots.free * tokens});
+            *this->state, service, {.total = slots.total * tokens, .free = slots.free_now * tokens});
         std::vector<decision::local_waiter> places;
         for (const waiting_request* const waiting : own)
             places.push_back(place_of(*this->state, *waiting, waiters.made_at));
-        for (const std::size_t index : decision::head_of_queue(*waiters.queue, places, slots.free, max_woken))
+        for (const std::size_t index :
+             decision::head_of_queue(*waiters.queue, places, slots.free_now, max_woken))
             own[index]->wake->cancel();
     }
 }
