host: Let less urgent callers over a limit return after the urgent ones

Cause, found in a review: each level spaced its callers at the full rate, so up to four times as many returned as the limit refills. Change: a caller's time follows those assigned to its own and to more urgent levels. The comment on the exempt fraction names the demand for which it holds.

--- a/libraries/host/shared_limit.cpp
+++ b/libraries/host/shared_limit.cpp
@@ -16,8 +16,9 @@
 constexpr double reserve_seconds = 0.2;
 /// Maximum fraction of the burst that is reserved for more urgent requests.
 constexpr double max_reserved_fraction = 0.5;
-/// Fraction of the less urgent requests that compete without a reserve. At five times a limit, it keeps them
-/// above a quarter of the share of all requests that is served.
+/// Fraction of the less urgent requests that compete without a reserve. While the most urgent ones are at
+/// most a third of an organisation's demand, it keeps the others above a quarter of the share of all that is
+/// served.
 constexpr double exempt_fraction = 0.1;
 /// Maximum retry time given to a refused caller.
 constexpr double max_retry_seconds = 60;
@@ -71,9 +72,11 @@
     const double combined_rate = own_rate * std::max(1, participants.reporting_hosts);
     const base::time_point earliest =
         now + time_for(std::max(0.0, demand.required - account.level), combined_rate);
-    base::time_point& assigned_until = account.retry_assigned_until.at(demand.level);
-    const base::time_point reported = std::max(earliest, assigned_until);
-    assigned_until =
+    // Less urgent callers return after the more urgent ones, which do not wait for them.
+    const auto end = account.retry_assigned_until.begin() + static_cast<std::ptrdiff_t>(demand.level) + 1;
+    const base::time_point reported =
+        std::max(earliest, *std::max_element(account.retry_assigned_until.begin(), end));
+    account.retry_assigned_until.at(demand.level) =
         std::min(reported + time_for(demand.amount, own_rate), now + base::from_seconds(max_retry_seconds));
     return reported - now;
 }
