gateway, decision: Trust only new and independent measurements of engines

- A queued prefill whose bounds contain the known value was recorded as a measurement of that value.
It never faded and was reported to other hosts.
It is not recorded now.
- One age, the smaller, covered prefill and decode values of an engine.
Each has a row of its own now.
- Two wrong reports of one host within 5 s took effect at once.
The confirmation must come from another host.
- A delayed report of an earlier incarnation was merged.
The rule is the one of `apply_report` now.
- Without a listed engine in the service, as when the registry can't be read, paces stayed in use.
- Engines that leave or have vanished were reported.

--- a/libraries/decision/overload/upstream_pace.cpp
+++ b/libraries/decision/overload/upstream_pace.cpp
@@ -50,8 +50,12 @@
     return std::clamp(left / base::to_seconds(lifetime - full_lifetime), 0.0, 1.0);
 }
 
-bool is_confirmed(const merged_pace& merged, double least, base::time_point measured_at) {
-    return merged.measured_at != base::time_point{} &&
+/// Whether the latest measurement confirms one of that source. This host's own prefills confirm each other; a
+/// wrong value of another host would be repeated by it.
+bool is_confirmed(const merged_pace& merged, double least, base::time_point measured_at,
+                  std::uint64_t source) {
+    const bool is_other_source = source == own_source || merged.last_source != source;
+    return is_other_source && merged.measured_at != base::time_point{} &&
            measured_at - merged.measured_at <= confirmation_lifetime && merged.last_measured >= least;
 }
 
@@ -92,7 +96,7 @@
 }
 
 bool merge_measurement(merged_pace& merged, double measured, base::time_point measured_at,
-                       measurement_confidence confidence, base::time_point now) {
+                       measurement_confidence confidence, base::time_point now, std::uint64_t source) {
     measured_at = std::min(measured_at, now);
     const double sample_weight = freshness(measured_at, now);
     if (!std::isfinite(measured) || measured <= 0 || sample_weight <= 0)
@@ -102,7 +106,7 @@
     const double weight = std::max(initial_weight, merged.weight * freshness(merged.measured_at, now));
     const double jump = jump_factor * known;
     const bool is_certain = confidence == measurement_confidence::certain;
-    if (measured >= jump && (is_certain || is_confirmed(merged, jump, measured_at))) {
+    if (measured >= jump && (is_certain || is_confirmed(merged, jump, measured_at, source))) {
         merged.value = is_certain ? measured : std::min(measured, merged.last_measured);
         merged.weight = initial_weight;
     } else {
@@ -111,6 +115,7 @@
         merged.weight = std::min(max_weight, weight + sample_weight);
     }
     merged.last_measured = measured;
+    merged.last_source = source;
     merged.measured_at = std::max(merged.measured_at, measured_at);
     return true;
 }
@@ -130,6 +135,10 @@
     return std::clamp(known, bounds.lowest, bounds.highest);
 }
 
+bool is_explained(const pace_bounds& bounds, double known) {
+    return bounds.lowest < bounds.highest && bounds.lowest <= known && known <= bounds.highest;
+}
+
 void apply_learned_paces(instance_table& table, base::time_point now) {
     // Saves the sums where nothing is measured, as with plain upstreams only.
     if (std::ranges::none_of(table.by_id, [](const auto& item) { return is_measured(item.second.pace); }))
@@ -146,8 +155,10 @@
     }
     for (auto& [id, known] : table.by_id) {
         const auto sums = by_service.find(known.entry.service);
-        if (sums == by_service.end())
+        if (sums == by_service.end()) {
+            known.pace.in_use = {};
             continue;
+        }
         known.pace.in_use = {
             .prefill = pace_in_use(current_pace(known.pace.prefill, now), sums->second.prefill.is_uneven()),
             .decode = pace_in_use(current_pace(known.pace.decode, now), sums->second.decode.is_uneven())};
--- a/libraries/decision/overload/upstream_pace.h
+++ b/libraries/decision/overload/upstream_pace.h
@@ -30,6 +30,7 @@
     double value = 1;               ///< When last measured.
     double weight = 0;              ///< Of the measurements in it, when last measured.
     double last_measured = 1;       ///< Latest measurement, which may confirm the next one.
+    std::uint64_t last_source = 0;  ///< Host of the latest measurement.
     base::time_point measured_at{}; ///< Time of the latest measurement; unset if there is none.
 
     bool operator==(const merged_pace&) const = default;
@@ -60,6 +61,9 @@
     certain,            ///< This host's own mean over several events.
 };
 
+/// Source of this host's own measurements; a hash of the name stands for each other host.
+inline constexpr std::uint64_t own_source = 0;
+
 /// Whether engines with these relative processing times differ enough to be treated differently: by more than
 /// a fifth.
 [[nodiscard]] bool is_notable(double pace);
@@ -70,9 +74,11 @@
 /// Merges a measurement. Values that are not positive numbers and measurements that have expired are ignored;
 /// returns whether it was used.
 ///
-/// A value twice as high as before takes effect at once, if it is certain or a previous one confirms it.
+/// A value twice as high as before takes effect at once, if it is certain or a previous one confirms it: one
+/// of another host, or one of this host's own.
 bool merge_measurement(merged_pace& merged, double measured, base::time_point measured_at,
-                       measurement_confidence confidence, base::time_point now);
+                       measurement_confidence confidence, base::time_point now,
+                       std::uint64_t source = own_source);
 
 /// Bounds of the relative prefill time that explain a measured one.
 struct pace_bounds {
@@ -91,6 +97,9 @@
 /// The value within the bounds that is closest to the known one.
 [[nodiscard]] double closest_within(const pace_bounds& bounds, double known);
 
+/// Whether bounds that are not exact contain the known value: the prefill then shows nothing new.
+[[nodiscard]] bool is_explained(const pace_bounds& bounds, double known);
+
 /// Sets the paces used by decisions. They are those of engines that differ from 1 by more than a fifth, in
 /// services with an engine that differs from the mean of its service and stage by more than a fifth. All
 /// others are 1, so that nothing changes where engines are alike.
--- a/libraries/gateway/pace_exchange.cpp
+++ b/libraries/gateway/pace_exchange.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/pace_exchange.h>
 
+#include <base/hashing.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -49,24 +51,18 @@
     return rounded == 1 ? measured_mean : rounded;
 }
 
-std::optional<host::observed_pace> row_of(const base::upstream_id& id, const decision::instance& known,
-                                          base::time_point now) {
+/// Adds a row for each kind, as they have ages of their own; the value of the other kind is 1.
+void add_rows(std::vector<host::observed_pace>& rows, const decision::instance& known, base::time_point now) {
     const decision::learned_pace& pace = known.pace;
-    const bool has_prefill = is_worth_reporting(pace.own_prefill, pace.prefill, now);
-    const bool has_decode = is_worth_reporting(pace.own_decode, pace.decode, now);
-    if (!has_prefill && !has_decode)
-        return std::nullopt;
-    host::observed_pace row{
-        .key = host::key_of(id, known.entry.start_time_ms), .pace = {}, .age = reported_lifetime};
-    if (has_prefill) {
-        row.pace.prefill = reported_value(pace.own_prefill.value);
-        row.age = std::min(row.age, now - pace.own_prefill.measured_at);
-    }
-    if (has_decode) {
-        row.pace.decode = reported_value(pace.own_decode.value);
-        row.age = std::min(row.age, now - pace.own_decode.measured_at);
-    }
-    return row;
+    const host::instance_key key = host::key_of(known.entry.id, known.entry.start_time_ms);
+    if (is_worth_reporting(pace.own_prefill, pace.prefill, now))
+        rows.push_back({.key = key,
+                        .pace = {.prefill = reported_value(pace.own_prefill.value)},
+                        .age = now - pace.own_prefill.measured_at});
+    if (is_worth_reporting(pace.own_decode, pace.decode, now))
+        rows.push_back({.key = key,
+                        .pace = {.decode = reported_value(pace.own_decode.value)},
+                        .age = now - pace.own_decode.measured_at});
 }
 
 /// The previous report of the sender, as far as its measurements may be repeated.
@@ -85,14 +81,11 @@
     }
 };
 
-bool is_outdated(const host::load_report& report, const host::received_report& known) {
-    return report.incarnation == known.report.incarnation && report.sequence <= known.report.sequence;
-}
-
 void merge_reported(gateway_state& state, decision::merged_pace& merged, double value,
-                    base::time_point measured_at, const std::string& service) {
-    const bool is_used = decision::merge_measurement(
-        merged, value, measured_at, decision::measurement_confidence::needs_confirmation, state.clock->now());
+                    base::time_point measured_at, const std::string& service, std::uint64_t source) {
+    const bool is_used = decision::merge_measurement(merged, value, measured_at,
+                                                     decision::measurement_confidence::needs_confirmation,
+                                                     state.clock->now(), source);
     state.metrics->count((is_used ? "paces_received_total{service=\"" : "paces_ignored_total{service=\"") +
                          service + "\"}");
 }
@@ -158,8 +151,9 @@
         return rows;
     const base::time_point now = state.clock->now();
     for (const auto& [id, known] : state.instances.by_id)
-        if (const auto row = row_of(id, known, now))
-            rows.push_back(*row);
+        // No host chooses an engine that leaves.
+        if (known.state == decision::listing::listed || known.state == decision::listing::unlisted)
+            add_rows(rows, known, now);
     std::ranges::sort(rows, [](const host::observed_pace& left, const host::observed_pace& right) {
         return left.age < right.age;
     });
@@ -169,13 +163,13 @@
 }
 
 void apply_reported_paces(gateway_state& state, const host::load_report& report) {
-    if (!state.process->policy.exchange_pace || report.paces.empty())
+    const base::time_point now = state.clock->now();
+    if (!state.process->policy.exchange_pace || report.paces.empty() ||
+        !host::is_newer(state.loads, report, now))
         return;
     const auto known = state.loads.by_host.find(report.host);
     const previous_report previous = {known == state.loads.by_host.end() ? nullptr : &known->second};
-    if (previous.received != nullptr && is_outdated(report, *previous.received))
-        return;
-    const base::time_point now = state.clock->now();
+    const std::uint64_t source = base::hash64(report.host.value);
     for (const host::observed_pace& row : report.paces) {
         decision::instance* const target = host::find_by_key(state.instances, state.loads, row.key);
         // The key of an earlier start may still be known.
@@ -183,9 +177,11 @@
             continue;
         const base::time_point measured_at = now - row.age;
         if (row.pace.prefill != 1 && !previous.has(row, &decision::engine_pace::prefill, measured_at))
-            merge_reported(state, target->pace.prefill, row.pace.prefill, measured_at, target->entry.service);
+            merge_reported(state, target->pace.prefill, row.pace.prefill, measured_at, target->entry.service,
+                           source);
         if (row.pace.decode != 1 && !previous.has(row, &decision::engine_pace::decode, measured_at))
-            merge_reported(state, target->pace.decode, row.pace.decode, measured_at, target->entry.service);
+            merge_reported(state, target->pace.decode, row.pace.decode, measured_at, target->entry.service,
+                           source);
     }
 }
 
@@ -196,7 +192,11 @@
                                                   sample.tokens_ahead, base::to_seconds(sample.taken));
     if (!bounds || !may_measure(request, now - sample.taken))
         return;
-    const double value = decision::closest_within(*bounds, decision::current_pace(target.pace.prefill, now));
+    const double known = decision::current_pace(target.pace.prefill, now);
+    // The known value must not confirm itself.
+    if (decision::is_explained(*bounds, known))
+        return;
+    const double value = decision::closest_within(*bounds, known);
     record_own(request, target.pace.prefill, target.pace.own_prefill, value,
                decision::measurement_confidence::needs_confirmation, "prefill");
 }
--- a/libraries/host/peer_load_table.cpp
+++ b/libraries/host/peer_load_table.cpp
@@ -105,11 +105,16 @@
     return static_cast<share_key>(base::hash64(service + '\0' + organisation.value));
 }
 
+bool is_newer(const peer_load_table& peer_loads, const load_report& report, base::time_point now) {
+    const auto known = peer_loads.by_host.find(report.host);
+    return known == peer_loads.by_host.end() || is_newer(report, known->second, now);
+}
+
 std::optional<report_change> apply_report(peer_load_table& peer_loads, const load_report& report,
                                           base::time_point now) {
-    const auto [found, is_first] = peer_loads.by_host.try_emplace(report.host);
-    if (!is_first && !is_newer(report, found->second, now))
+    if (!is_newer(peer_loads, report, now))
         return std::nullopt;
+    const auto found = peer_loads.by_host.try_emplace(report.host).first;
     report_change change = change_between(found->second.report, report);
     subtract(peer_loads, found->second.report);
     for (const auto& [key, use] : report.uses)
--- a/libraries/host/peer_load_table.h
+++ b/libraries/host/peer_load_table.h
@@ -113,6 +113,10 @@
     bool operator==(const report_change&) const = default;
 };
 
+/// Whether `apply_report` would apply the report: no newer one of that host is known.
+[[nodiscard]] bool is_newer(const peer_load_table& peer_loads, const load_report& report,
+                            base::time_point now);
+
 /// Applies a report and returns what it changed; empty if a newer report of that host is known.
 std::optional<report_change> apply_report(peer_load_table& peer_loads, const load_report& report,
                                           base::time_point now);
--- a/tests/decision/test_upstream_pace.cpp
+++ b/tests/decision/test_upstream_pace.cpp
@@ -21,6 +21,9 @@
     .slots = 16, .kv_tokens = 26'212, .tokens_per_event = 11, .kv_retention = 500ms};
 const decision::prompt_size size = {.prompt_tokens = 3'200, .output_tokens = 700};
 
+constexpr std::uint64_t one_host = 1;
+constexpr std::uint64_t another_host = 2;
+
 std::string name_of(engine_stage stage, int index) {
     return (stage == engine_stage::prefill ? "p" : "d") + std::to_string(index);
 }
@@ -62,7 +65,7 @@
             decision::merged_pace& merged =
                 known.entry.stage == engine_stage::prefill ? known.pace.prefill : known.pace.decode;
             (void)decision::merge_measurement(merged, pace, now, measurement_confidence::needs_confirmation,
-                                              now);
+                                              now, round % 2 == 0 ? one_host : another_host);
         }
         decision::apply_learned_paces(table, now);
     }
@@ -191,25 +194,38 @@
     (void)decision::merge_measurement(own, 3, start, measurement_confidence::certain, start);
     CHECK(decision::current_pace(own, start) == Approx(3));
     decision::merged_pace others;
-    (void)decision::merge_measurement(others, 20, start, measurement_confidence::needs_confirmation, start);
+    (void)decision::merge_measurement(others, 20, start, measurement_confidence::needs_confirmation, start,
+                                      one_host);
     CHECK_FALSE(decision::is_notable(decision::current_pace(others, start)));
     SECTION("confirmed") {
         (void)decision::merge_measurement(others, 3, start + 1s, measurement_confidence::needs_confirmation,
-                                          start + 1s);
+                                          start + 1s, another_host);
         CHECK(decision::current_pace(others, start + 1s) == Approx(3));
     }
+    SECTION("repeated by the same host") {
+        (void)decision::merge_measurement(others, 20, start + 1s, measurement_confidence::needs_confirmation,
+                                          start + 1s, one_host);
+        CHECK(decision::current_pace(others, start + 1s) < 1.5);
+    }
     SECTION("contradicted") {
         (void)decision::merge_measurement(others, 1, start + 1s, measurement_confidence::needs_confirmation,
-                                          start + 1s);
+                                          start + 1s, another_host);
         CHECK_FALSE(decision::is_notable(decision::current_pace(others, start + 1s)));
     }
     SECTION("confirmed too late") {
         (void)decision::merge_measurement(others, 3, start + 9s, measurement_confidence::needs_confirmation,
-                                          start + 9s);
+                                          start + 9s, another_host);
         CHECK(decision::current_pace(others, start + 9s) < 1.5);
     }
 }
 
+TEST_CASE("a host's own prefills confirm each other") {
+    decision::merged_pace own;
+    for (const base::time_point now : {start, start + 1s})
+        (void)decision::merge_measurement(own, 3, now, measurement_confidence::needs_confirmation, now);
+    CHECK(decision::current_pace(own, start + 1s) == Approx(3));
+}
+
 TEST_CASE("corrupt measurements are ignored or clamped") {
     decision::merged_pace merged;
     for (const double corrupt :
@@ -262,6 +278,20 @@
     }
 }
 
+// Guards against paces that stay in use for good while the registry can't be read.
+TEST_CASE("paces are not in use while no engine of the service is listed") {
+    auto table = make_engines(3);
+    base::time_point now = start;
+    measure_all(
+        table, [](int index) { return index == 0 ? 3.0 : 1.0; }, 3, now);
+    REQUIRE(engine(table, engine_stage::decode, 0).pace.in_use.decode == Approx(3));
+    for (auto& [id, known] : table.by_id)
+        known.state = decision::listing::unlisted;
+    decision::apply_learned_paces(table, now);
+    for (const auto& [id, known] : table.by_id)
+        CHECK(known.pace.in_use == decision::engine_pace{});
+}
+
 TEST_CASE("the switch restores the choice without paces") {
     auto table = make_engines(3);
     base::time_point now = start;
--- a/tests/gateway/test_pace_exchange.cpp
+++ b/tests/gateway/test_pace_exchange.cpp
@@ -23,6 +23,9 @@
         this->request.state = &this->state;
         this->request.service = service;
         this->state.profiles[service].streams_timed = 1'000;
+        for (int read = 0; read < 60; ++read)
+            decision::record_unqueued_prefill(this->speed(), 1'000 + 100 * (read % 40),
+                                              0.05 + (1'000 + 100 * (read % 40)) / 33'000.0);
         for (int index = 0; index < engines; ++index)
             this->list(index, 1'000);
     }
@@ -60,6 +63,16 @@
                                     this->clock->now() - 500ms);
     }
 
+    /// Measures a prefill of 3,200 tokens that was sent with `tokens_ahead` queued.
+    void measure_prefill(int index, double tokens_ahead, double seconds) {
+        gateway::record_prefill_pace(
+            this->request, this->engine(index),
+            {.prompt_tokens = 3'200, .tokens_ahead = tokens_ahead, .taken = base::from_seconds(seconds)});
+    }
+
+    /// The service's learned speed.
+    decision::engine_speed& speed() { return this->state.profiles[service].speed; }
+
     /// The next report, as it arrives at another host.
     host::load_report next_report() {
         host::load_report report;
@@ -150,6 +163,101 @@
     }
 }
 
+// Guards against a known value that confirms itself: a recovered engine would be avoided as long as prompts
+// queue there.
+TEST_CASE("a prefill that its queue explains is no measurement") {
+    test::manual_clock clock;
+    test_host host(clock, "host-1");
+    constexpr int slow = 3;
+    const double alone = decision::unqueued_prefill_seconds(host.speed(), 3'200);
+    const double queue = decision::seconds_for_tokens(host.speed(), 3'200);
+    for (int prompt = 0; prompt < 6; ++prompt)
+        host.measure_prefill(slow, 0, 1.6 * alone);
+    const decision::learned_pace known = host.engine(slow).pace;
+    REQUIRE(decision::is_notable(known.prefill.value));
+    // The engine has recovered. The prompt ahead may have been prefilled already: the relative time is
+    // between 1 and 1.66.
+    for (int prompt = 0; prompt < 7; ++prompt) {
+        clock.advance(5s);
+        host.measure_prefill(slow, 3'200, alone + queue);
+    }
+    CHECK(host.engine(slow).pace == known);
+    CHECK(decision::current_pace(host.engine(slow).pace.prefill, clock.now()) == 1);
+    CHECK(host.next_report().paces.empty());
+    // What the queue can't explain is measured.
+    host.measure_prefill(slow, 3'200, 3 * (alone + queue));
+    CHECK(host.engine(slow).pace.own_prefill.value == Approx(3));
+}
+
+// Guards against an old value that a newer measurement of the other kind makes look new.
+TEST_CASE("prefill and decode measurements of an engine are reported with their own ages") {
+    test::manual_clock clock;
+    test_host sender(clock, "host-1");
+    test_host receiver(clock, "host-2");
+    constexpr int engine = 100;
+    const double alone = decision::unqueued_prefill_seconds(sender.speed(), 3'200);
+    sender.measure_prefill(engine, 0, 1.7 * alone);
+    receiver.receive(sender.next_report());
+    const decision::merged_pace once = receiver.engine(engine).pace.prefill;
+    REQUIRE(once.value > 1);
+    for (const base::duration pause : {900ms, 900ms}) {
+        clock.advance(pause);
+        sender.measure_decode(engine, 3);
+        const host::load_report report = sender.next_report();
+        for (const host::observed_pace& row : report.paces)
+            CHECK((row.pace.prefill == 1) != (row.pace.decode == 1));
+        receiver.receive(report);
+    }
+    CHECK(receiver.engine(engine).pace.prefill == once);
+    CHECK(receiver.engine(engine).pace.decode.value > 1);
+}
+
+// Guards against one faulty host that takes an engine out of use.
+TEST_CASE("a host's report is not confirmed by its own next one") {
+    test::manual_clock clock;
+    test_host wrong(clock, "host-1");
+    test_host other(clock, "host-2");
+    test_host receiver(clock, "host-3");
+    wrong.measure_decode(100, 8);
+    receiver.receive(wrong.next_report());
+    clock.advance(1'100ms);
+    wrong.measure_decode(100, 9);
+    receiver.receive(wrong.next_report());
+    CHECK(receiver.decode_pace(100) < 2);
+    clock.advance(1'100ms);
+    other.measure_decode(100, 3.5);
+    receiver.receive(other.next_report());
+    CHECK(receiver.decode_pace(100) == Approx(3.5));
+}
+
+// Load: a datagram from before the sender's restart arrives after one from after it.
+TEST_CASE("a report of an earlier incarnation says nothing about engines") {
+    test::manual_clock clock;
+    test_host sender(clock, "host-1");
+    test_host receiver(clock, "host-2");
+    sender.measure_decode(100, 1.7);
+    const host::load_report late = sender.next_report();
+    host::load_report first;
+    first.host = late.host;
+    first.incarnation = late.incarnation + 1;
+    first.sequence = 1;
+    receiver.receive(first);
+    receiver.receive(late);
+    CHECK(receiver.engine(100).pace == decision::learned_pace{});
+}
+
+TEST_CASE("nothing is reported about engines that leave or have vanished") {
+    test::manual_clock clock;
+    test_host sender(clock, "host-1");
+    for (const int index : {100, 101, 102})
+        sender.measure_decode(index, 3);
+    sender.engine(100).state = decision::listing::leaving;
+    sender.engine(101).state = decision::listing::vanished;
+    const auto rows = sender.next_report().paces;
+    REQUIRE(rows.size() == 1);
+    CHECK(rows.front().key == host::key_of(sender.engine(102).entry.id, 1'000));
+}
+
 TEST_CASE("a host that hears nothing uses its own measurements") {
     test::manual_clock clock;
     test_host alone(clock, "host-1");
