gateway, decision: Reduce the background cost of the engines' paces

Up to three passes over all known instances were made four times a second, with a lookup by service name for each and label strings for each measured engine; each load report scanned all instances once more.

- One pass a second sets the paces in use and yields the ranges for the gauges.
It skips plain upstreams early and engines of other cells, whose paces are 1 in decisions.
- Reports look only at the engines that this host measured in the last 2 s.
- The timer uses the idle interval on hosts without engines and with the exchange off.
- With the exchange off the gauges are reset; they kept their last values.
- `did_fire_timer` is split off `start`.

The cost was not measured.

--- a/libraries/decision/overload/upstream_pace.cpp
+++ b/libraries/decision/overload/upstream_pace.cpp
@@ -8,7 +8,8 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <string>
+#include <string_view>
+#include <vector>
 
 namespace postpaddle::decision {
 
@@ -87,6 +88,27 @@
 
 double pace_in_use(double pace, bool is_uneven) { return is_uneven && is_notable(pace) ? pace : 1; }
 
+void add_paces(service_paces& sums, const instance& engine, base::time_point now) {
+    if (can_prefill(engine))
+        sums.prefill.add(current_pace(engine.pace.prefill, now));
+    if (can_decode(engine))
+        sums.decode.add(current_pace(engine.pace.decode, now));
+}
+
+void use_paces(instance& engine, const service_paces& sums, base::time_point now) {
+    const learned_pace& pace = engine.pace;
+    engine.pace.in_use = {.prefill = pace_in_use(current_pace(pace.prefill, now), sums.prefill.is_uneven()),
+                          .decode = pace_in_use(current_pace(pace.decode, now), sums.decode.is_uneven())};
+}
+
+void add_ranges(service_pace_ranges& ranges, const instance& engine, base::time_point now) {
+    const learned_pace& pace = engine.pace;
+    if (pace.prefill.weight > 0)
+        ranges.prefill.add(current_pace(pace.prefill, now), pace.in_use.prefill);
+    if (pace.decode.weight > 0)
+        ranges.decode.add(current_pace(pace.decode, now), pace.in_use.decode);
+}
+
 } // namespace
 
 bool is_notable(double pace) { return std::abs(pace - 1) > notable_difference; }
@@ -139,30 +161,38 @@
     return bounds.lowest < bounds.highest && bounds.lowest <= known && known <= bounds.highest;
 }
 
-void apply_learned_paces(instance_table& table, base::time_point now) {
-    // Saves the sums where nothing is measured, as with plain upstreams only.
-    if (std::ranges::none_of(table.by_id, [](const auto& item) { return is_measured(item.second.pace); }))
-        return;
-    std::map<std::string, service_paces> by_service;
-    for (const auto& [id, known] : table.by_id) {
-        if (known.state != listing::listed || known.entry.stage == settings::engine_stage::none)
+void pace_range::add(double pace, double pace_in_use) {
+    this->fastest = std::min(this->fastest, pace);
+    this->slowest = std::max(this->slowest, pace);
+    ++this->measured;
+    this->with_own_pace += pace_in_use < 1 || pace_in_use > 1 ? 1 : 0;
+}
+
+applied_paces apply_learned_paces(instance_table& table, base::time_point now) {
+    applied_paces applied;
+    std::vector<instance*> engines;
+    std::map<std::string_view, service_paces> by_service;
+    for (auto& [id, known] : table.by_id) {
+        known.pace.in_use = {};
+        if (known.entry.stage == settings::engine_stage::none)
+            continue;
+        applied.has_engines = true;
+        if (known.is_remote)
             continue;
-        service_paces& sums = by_service[known.entry.service];
-        if (can_prefill(known))
-            sums.prefill.add(current_pace(known.pace.prefill, now));
-        if (can_decode(known))
-            sums.decode.add(current_pace(known.pace.decode, now));
+        engines.push_back(&known);
+        if (known.state == listing::listed)
+            add_paces(by_service[known.entry.service], known, now);
     }
-    for (auto& [id, known] : table.by_id) {
-        const auto sums = by_service.find(known.entry.service);
-        if (sums == by_service.end()) {
-            known.pace.in_use = {};
+    for (instance* const engine : engines) {
+        const auto sums = by_service.find(engine->entry.service);
+        // Only measured engines can have a pace in use.
+        if (sums == by_service.end() || !is_measured(engine->pace))
             continue;
-        }
-        known.pace.in_use = {
-            .prefill = pace_in_use(current_pace(known.pace.prefill, now), sums->second.prefill.is_uneven()),
-            .decode = pace_in_use(current_pace(known.pace.decode, now), sums->second.decode.is_uneven())};
+        use_paces(*engine, sums->second, now);
+        if (engine->state == listing::listed)
+            add_ranges(applied.ranges[engine->entry.service], *engine, now);
     }
+    return applied;
 }
 
 void ignore_learned_paces(instance_table& table) {
--- a/libraries/decision/overload/upstream_pace.h
+++ b/libraries/decision/overload/upstream_pace.h
@@ -5,7 +5,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace postpaddle::decision {
 
@@ -100,10 +103,33 @@
 /// Whether bounds that are not exact contain the known value: the prefill then shows nothing new.
 [[nodiscard]] bool is_explained(const pace_bounds& bounds, double known);
 
+/// Extremes of the known paces of one service and stage.
+struct pace_range {
+    double fastest = max_pace;
+    double slowest = min_pace;
+    int measured = 0;      ///< Number of measured engines.
+    int with_own_pace = 0; ///< Number of engines with a pace in use.
+
+    void add(double pace, double pace_in_use);
+};
+
+struct service_pace_ranges {
+    pace_range prefill;
+    pace_range decode;
+};
+
+/// What `apply_learned_paces` found.
+struct applied_paces {
+    bool has_engines = false; ///< Whether the table has any engine.
+    /// By service, of the listed engines.
+    std::map<std::string, service_pace_ranges, std::less<>> ranges{};
+};
+
 /// Sets the paces used by decisions. They are those of engines that differ from 1 by more than a fifth, in
 /// services with an engine that differs from the mean of its service and stage by more than a fifth. All
-/// others are 1, so that nothing changes where engines are alike.
-void apply_learned_paces(instance_table& table, base::time_point now);
+/// others are 1, so that nothing changes where engines are alike; those of engines of other cells as well, as
+/// few of their measurements arrive here.
+applied_paces apply_learned_paces(instance_table& table, base::time_point now);
 
 /// Resets the paces used by decisions.
 void ignore_learned_paces(instance_table& table);
--- a/libraries/gateway/pace_exchange.cpp
+++ b/libraries/gateway/pace_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace postpaddle::gateway {
 
@@ -24,11 +25,10 @@
 constexpr int min_streams_timed = 20;
 /// Interval of the timer that measures this host's delays: a third of the shortest prefill or less.
 constexpr base::duration delay_check_interval = 25ms;
-/// The same while the host has no requests.
+/// The same while nothing can be measured: without requests or engines, or with the exchange off.
 constexpr base::duration idle_interval = 250ms;
-/// How often decisions take over what was learned.
-constexpr base::duration apply_interval = 250ms;
-constexpr base::duration gauge_interval = 1s;
+/// How often decisions take over what was learned, and the gauges are set.
+constexpr base::duration apply_interval = 1s;
 
 std::string labels(const std::string& service, const char* stage) {
     return "{service=\"" + service + "\",stage=\"" + stage + "\"}";
@@ -101,59 +101,71 @@
     return is_on_time;
 }
 
-void record_own(const gateway_request& request, decision::merged_pace& merged, decision::own_measurement& own,
+/// Returns whether the measurement was used.
+bool record_own(const gateway_request& request, decision::merged_pace& merged, decision::own_measurement& own,
                 double value, decision::measurement_confidence confidence, const char* stage) {
     const base::time_point now = request.state->clock->now();
     if (!decision::merge_measurement(merged, value, now, confidence, now))
-        return;
+        return false;
     own = {.value = std::clamp(value, decision::min_pace, decision::max_pace), .measured_at = now};
     request.state->metrics->count("paces_measured_total" + labels(request.service, stage));
+    return true;
 }
 
-/// Extremes of the known paces of one service and stage.
-struct pace_range {
-    double fastest = decision::max_pace;
-    double slowest = decision::min_pace;
-    int with_own_pace = 0;
+void set_gauges(gateway_metrics& metrics, const std::string& labels, const decision::pace_range& range) {
+    metrics.set("engine_pace_fastest" + labels, range.fastest);
+    metrics.set("engine_pace_slowest" + labels, range.slowest);
+    metrics.set("engines_with_own_pace" + labels, range.with_own_pace);
+}
 
-    void add(double pace, double pace_in_use) {
-        this->fastest = std::min(this->fastest, pace);
-        this->slowest = std::max(this->slowest, pace);
-        this->with_own_pace += pace_in_use < 1 || pace_in_use > 1 ? 1 : 0;
-    }
-};
+/// The range of engines that are all alike.
+constexpr decision::pace_range even_range = {.fastest = 1, .slowest = 1};
 
-void set_gauges(const gateway_state& state, base::time_point now) {
-    std::map<std::string, pace_range> ranges;
-    for (const auto& [id, known] : state.instances.by_id) {
-        if (known.state != decision::listing::listed)
-            continue;
-        const std::string& service = known.entry.service;
-        if (known.pace.prefill.weight > 0)
-            ranges[labels(service, "prefill")].add(decision::current_pace(known.pace.prefill, now),
-                                                   known.pace.in_use.prefill);
-        if (known.pace.decode.weight > 0)
-            ranges[labels(service, "decode")].add(decision::current_pace(known.pace.decode, now),
-                                                  known.pace.in_use.decode);
-    }
-    for (const auto& [name, range] : ranges) {
-        state.metrics->set("engine_pace_fastest" + name, range.fastest);
-        state.metrics->set("engine_pace_slowest" + name, range.slowest);
-        state.metrics->set("engines_with_own_pace" + name, range.with_own_pace);
+/// Sets the gauges of a stage, and resets those that were set before if nothing is measured any more.
+void update_gauges(gateway_metrics& metrics, const std::string& labels, const decision::pace_range& before,
+                   const decision::pace_range& now) {
+    if (now.measured > 0)
+        set_gauges(metrics, labels, now);
+    else if (before.measured > 0)
+        set_gauges(metrics, labels, even_range);
+}
+
+void update_gauges(gateway_metrics& metrics, const decision::applied_paces& before,
+                   const decision::applied_paces& now) {
+    const auto ranges_in = [](const decision::applied_paces& applied, const std::string& service) {
+        const auto found = applied.ranges.find(service);
+        return found == applied.ranges.end() ? decision::service_pace_ranges{} : found->second;
+    };
+    std::set<std::string> services;
+    for (const decision::applied_paces* const applied : {&before, &now})
+        for (const auto& [service, ranges] : applied->ranges)
+            services.insert(service);
+    for (const std::string& service : services) {
+        const decision::service_pace_ranges old = ranges_in(before, service);
+        const decision::service_pace_ranges next = ranges_in(now, service);
+        update_gauges(metrics, labels(service, "prefill"), old.prefill, next.prefill);
+        update_gauges(metrics, labels(service, "decode"), old.decode, next.decode);
     }
 }
 
 } // namespace
 
-std::vector<host::observed_pace> paces_to_report(const gateway_state& state) {
+std::vector<host::observed_pace> paces_to_report(gateway_state& state) {
     std::vector<host::observed_pace> rows;
     if (!state.process->policy.exchange_pace)
         return rows;
     const base::time_point now = state.clock->now();
-    for (const auto& [id, known] : state.instances.by_id)
+    std::erase_if(state.measured_engines, [&](const base::upstream_id& id) {
+        const decision::instance* const known = decision::find_instance(state.instances, id);
+        return known == nullptr ||
+               (!is_recent(known->pace.own_prefill, now) && !is_recent(known->pace.own_decode, now));
+    });
+    for (const base::upstream_id& id : state.measured_engines) {
+        const decision::instance& known = *decision::find_instance(state.instances, id);
         // No host chooses an engine that leaves.
         if (known.state == decision::listing::listed || known.state == decision::listing::unlisted)
             add_rows(rows, known, now);
+    }
     std::ranges::sort(rows, [](const host::observed_pace& left, const host::observed_pace& right) {
         return left.age < right.age;
     });
@@ -197,8 +209,9 @@
     if (decision::is_explained(*bounds, known))
         return;
     const double value = decision::closest_within(*bounds, known);
-    record_own(request, target.pace.prefill, target.pace.own_prefill, value,
-               decision::measurement_confidence::needs_confirmation, "prefill");
+    if (record_own(request, target.pace.prefill, target.pace.own_prefill, value,
+                   decision::measurement_confidence::needs_confirmation, "prefill"))
+        request.state->measured_engines.insert(target.entry.id);
 }
 
 void record_decode_pace(const gateway_request& request, const base::upstream_id& engine, double event_seconds,
@@ -207,36 +220,42 @@
     decision::instance* const target = decision::find_instance(request.state->instances, engine);
     if (target == nullptr || profile.streams_timed < min_streams_timed || !may_measure(request, begin))
         return;
-    record_own(request, target->pace.decode, target->pace.own_decode,
-               event_seconds / profile.event_seconds.value, decision::measurement_confidence::certain,
-               "decode");
+    if (record_own(request, target->pace.decode, target->pace.own_decode,
+                   event_seconds / profile.event_seconds.value, decision::measurement_confidence::certain,
+                   "decode"))
+        request.state->measured_engines.insert(engine);
 }
 
-void pace_exchange::start() {
-    const base::duration interval =
-        this->state->requests_in_progress > 0 ? delay_check_interval : idle_interval;
+void pace_exchange::start() { this->did_fire_timer(); }
+
+void pace_exchange::did_fire_timer() {
     const base::time_point now = this->state->clock->now();
-    decision::record_timer(this->state->timer_delays, now, now + interval);
     if (now - this->applied_at >= apply_interval)
         this->apply(now);
-    this->timer.expires_after(interval);
+    const base::duration next = this->interval();
+    decision::record_timer(this->state->timer_delays, now, now + next);
+    this->timer.expires_after(next);
     this->timer.async_wait([this](const wire::error_code& error) {
         if (!error)
-            this->start();
+            this->did_fire_timer();
     });
 }
 
+base::duration pace_exchange::interval() const {
+    const bool may_measure = this->state->process->policy.exchange_pace && this->applied.has_engines &&
+                             this->state->requests_in_progress > 0;
+    return may_measure ? delay_check_interval : idle_interval;
+}
+
 void pace_exchange::apply(base::time_point now) {
     this->applied_at = now;
-    if (!this->state->process->policy.exchange_pace) {
+    const decision::applied_paces before = std::move(this->applied);
+    this->applied = {};
+    if (this->state->process->policy.exchange_pace)
+        this->applied = decision::apply_learned_paces(this->state->instances, now);
+    else if (before.has_engines)
         decision::ignore_learned_paces(this->state->instances);
-        return;
-    }
-    decision::apply_learned_paces(this->state->instances, now);
-    if (now - this->gauges_set_at < gauge_interval)
-        return;
-    this->gauges_set_at = now;
-    set_gauges(*this->state, now);
+    update_gauges(*this->state->metrics, before, this->applied);
 }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/pace_exchange.h
+++ b/libraries/gateway/pace_exchange.h
@@ -15,7 +15,7 @@
 
 /// Processing times to include in this host's load report, newest first: those measured in the last seconds
 /// where the engine differs from the others, or did.
-[[nodiscard]] std::vector<host::observed_pace> paces_to_report(const gateway_state& state);
+[[nodiscard]] std::vector<host::observed_pace> paces_to_report(gateway_state& state);
 
 /// Merges the processing times in another host's report. Must precede `host::apply_report`, as a measurement
 /// is repeated in consecutive reports and recognised by the previous one.
@@ -39,12 +39,14 @@
     void start();
 
 private:
+    void did_fire_timer();
     void apply(base::time_point now);
+    [[nodiscard]] base::duration interval() const;
 
     gateway_state* state;
     wire::boot_timer timer;
     base::time_point applied_at{};
-    base::time_point gauges_set_at{};
+    decision::applied_paces applied; ///< At that time; empty while the exchange is off.
 };
 
 } // namespace postpaddle::gateway
--- a/tests/decision/test_upstream_pace.cpp
+++ b/tests/decision/test_upstream_pace.cpp
@@ -292,6 +292,31 @@
         CHECK(known.pace.in_use == decision::engine_pace{});
 }
 
+// Load: a deployment with many plain upstreams and engines of other cells.
+TEST_CASE("plain upstreams and engines of other cells have no pace in use") {
+    auto table = make_engines(3);
+    base::time_point now = start;
+    measure_all(
+        table, [](int index) { return index == 0 ? 3.0 : 1.0; }, 3, now);
+    const auto own = decision::apply_learned_paces(table, now);
+    CHECK(own.has_engines);
+    REQUIRE(own.ranges.contains("service"));
+    CHECK(own.ranges.at("service").decode.slowest == Approx(3));
+    CHECK(own.ranges.at("service").decode.measured == 3);
+    CHECK(own.ranges.at("service").decode.with_own_pace == 1);
+    for (auto& [id, known] : table.by_id)
+        known.is_remote = true;
+    const auto remote = decision::apply_learned_paces(table, now);
+    CHECK(remote.has_engines);
+    CHECK(remote.ranges.empty());
+    for (auto& [id, known] : table.by_id) {
+        CHECK(known.pace.in_use == decision::engine_pace{});
+        known.is_remote = false;
+        known.entry.stage = engine_stage::none;
+    }
+    CHECK_FALSE(decision::apply_learned_paces(table, now).has_engines);
+}
+
 TEST_CASE("the switch restores the choice without paces") {
     auto table = make_engines(3);
     base::time_point now = start;
--- a/tests/gateway/test_pace_exchange.cpp
+++ b/tests/gateway/test_pace_exchange.cpp
@@ -286,6 +286,7 @@
     off.receive(sender.next_report());
     off.measure_decode(101, 3);
     off.engine(102).pace.own_decode = {.value = 3, .measured_at = clock.now()};
+    off.state.measured_engines.insert(off.engine(102).entry.id);
     CHECK(off.next_report().paces.empty());
     CHECK(off.engine(100).pace == decision::learned_pace{});
     CHECK(off.engine(101).pace == decision::learned_pace{});
