--- a/libraries/decision/overload/upstream_pace.cpp
+++ b/libraries/decision/overload/upstream_pace.cpp
@@ -8,7 +8,8 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <string>
+#include <string_view>
+#include <vector>
 
 namespace postpaddle::decision {
 
@@ -50,8 +51,12 @@
     return std::clamp(left / base::to_seconds(lifetime - full_lifetime), 0.0, 1.0);
 }
 
-bool is_confirmed(const merged_pace& merged, double least, base::time_point measured_at) {
-    return merged.measured_at != base::time_point{} &&
+/// Whether the latest measurement confirms one of that source. This host's own prefills confirm each other; a
+/// wrong value of another host would be repeated by it.
+bool is_confirmed(const merged_pace& merged, double least, base::time_point measured_at,
+                  std::uint64_t source) {
+    const bool is_other_source = source == own_source || merged.last_source != source;
+    return is_other_source && merged.measured_at != base::time_point{} &&
            measured_at - merged.measured_at <= confirmation_lifetime && merged.last_measured >= least;
 }
 
@@ -83,6 +88,27 @@
 
 double pace_in_use(double pace, bool is_uneven) { return is_uneven && is_notable(pace) ? pace : 1; }
 
+void add_paces(service_paces& sums, const instance& engine, base::time_point now) {
+    if (can_prefill(engine))
+        sums.prefill.add(current_pace(engine.pace.prefill, now));
+    if (can_decode(engine))
+        sums.decode.add(current_pace(engine.pace.decode, now));
+}
+
+void use_paces(instance& engine, const service_paces& sums, base::time_point now) {
+    const learned_pace& pace = engine.pace;
+    engine.pace.in_use = {.prefill = pace_in_use(current_pace(pace.prefill, now), sums.prefill.is_uneven()),
+                          .decode = pace_in_use(current_pace(pace.decode, now), sums.decode.is_uneven())};
+}
+
+void add_ranges(service_pace_ranges& ranges, const instance& engine, base::time_point now) {
+    const learned_pace& pace = engine.pace;
+    if (pace.prefill.weight > 0)
+        ranges.prefill.add(current_pace(pace.prefill, now), pace.in_use.prefill);
+    if (pace.decode.weight > 0)
+        ranges.decode.add(current_pace(pace.decode, now), pace.in_use.decode);
+}
+
 } // namespace
 
 bool is_notable(double pace) { return std::abs(pace - 1) > notable_difference; }
@@ -92,7 +118,7 @@
 }
 
 bool merge_measurement(merged_pace& merged, double measured, base::time_point measured_at,
-                       measurement_confidence confidence, base::time_point now) {
+                       measurement_confidence confidence, base::time_point now, std::uint64_t source) {
     measured_at = std::min(measured_at, now);
     const double sample_weight = freshness(measured_at, now);
     if (!std::isfinite(measured) || measured <= 0 || sample_weight <= 0)
@@ -102,7 +128,7 @@
     const double weight = std::max(initial_weight, merged.weight * freshness(merged.measured_at, now));
     const double jump = jump_factor * known;
     const bool is_certain = confidence == measurement_confidence::certain;
-    if (measured >= jump && (is_certain || is_confirmed(merged, jump, measured_at))) {
+    if (measured >= jump && (is_certain || is_confirmed(merged, jump, measured_at, source))) {
         merged.value = is_certain ? measured : std::min(measured, merged.last_measured);
         merged.weight = initial_weight;
     } else {
@@ -111,6 +137,7 @@
         merged.weight = std::min(max_weight, weight + sample_weight);
     }
     merged.last_measured = measured;
+    merged.last_source = source;
     merged.measured_at = std::max(merged.measured_at, measured_at);
     return true;
 }
@@ -130,28 +157,42 @@
     return std::clamp(known, bounds.lowest, bounds.highest);
 }
 
-void apply_learned_paces(instance_table& table, base::time_point now) {
-    // Saves the sums where nothing is measured, as with plain upstreams only.
-    if (std::ranges::none_of(table.by_id, [](const auto& item) { return is_measured(item.second.pace); }))
-        return;
-    std::map<std::string, service_paces> by_service;
-    for (const auto& [id, known] : table.by_id) {
-        if (known.state != listing::listed || known.entry.stage == settings::engine_stage::none)
+bool is_explained(const pace_bounds& bounds, double known) {
+    return bounds.lowest < bounds.highest && bounds.lowest <= known && known <= bounds.highest;
+}
+
+void pace_range::add(double pace, double pace_in_use) {
+    this->fastest = std::min(this->fastest, pace);
+    this->slowest = std::max(this->slowest, pace);
+    ++this->measured;
+    this->with_own_pace += pace_in_use < 1 || pace_in_use > 1 ? 1 : 0;
+}
+
+applied_paces apply_learned_paces(instance_table& table, base::time_point now) {
+    applied_paces applied;
+    std::vector<instance*> engines;
+    std::map<std::string_view, service_paces> by_service;
+    for (auto& [id, known] : table.by_id) {
+        known.pace.in_use = {};
+        if (known.entry.stage == settings::engine_stage::none)
+            continue;
+        applied.has_engines = true;
+        if (known.is_remote)
             continue;
-        service_paces& sums = by_service[known.entry.service];
-        if (can_prefill(known))
-            sums.prefill.add(current_pace(known.pace.prefill, now));
-        if (can_decode(known))
-            sums.decode.add(current_pace(known.pace.decode, now));
+        engines.push_back(&known);
+        if (known.state == listing::listed)
+            add_paces(by_service[known.entry.service], known, now);
     }
-    for (auto& [id, known] : table.by_id) {
-        const auto sums = by_service.find(known.entry.service);
-        if (sums == by_service.end())
+    for (instance* const engine : engines) {
+        const auto sums = by_service.find(engine->entry.service);
+        // Only measured engines can have a pace in use.
+        if (sums == by_service.end() || !is_measured(engine->pace))
             continue;
-        known.pace.in_use = {
-            .prefill = pace_in_use(current_pace(known.pace.prefill, now), sums->second.prefill.is_uneven()),
-            .decode = pace_in_use(current_pace(known.pace.decode, now), sums->second.decode.is_uneven())};
+        use_paces(*engine, sums->second, now);
+        if (engine->state == listing::listed)
+            add_ranges(applied.ranges[engine->entry.service], *engine, now);
     }
+    return applied;
 }
 
 void ignore_learned_paces(instance_table& table) {
