decision: Disconnect only readers that have been behind for a second

Cause: an answer counts in full until it is written, so one larger than the bound was cut however fast its caller read, and all readers of its organisation that had been behind for longer went with it. While the sum stays beyond the bound, no search is made until the next reader has been behind for 1 s. The sums of the organisations are computed once for each decision.

--- a/libraries/gateway/slow_readers.cpp
+++ b/libraries/gateway/slow_readers.cpp
@@ -13,15 +13,6 @@
 
 constexpr const char* disconnect_reason = "the caller read too slowly";
 
-std::uint64_t bytes_of(const base::organisation_id& organisation,
-                       const std::vector<decision::unsent_reader>& readers) {
-    std::uint64_t bytes = 0;
-    for (const decision::unsent_reader& each : readers)
-        if (each.organisation == organisation)
-            bytes += each.bytes;
-    return bytes;
-}
-
 } // namespace
 
 std::optional<std::uint64_t> process_memory_limit() {
@@ -57,6 +48,9 @@
 }
 
 void slow_readers::enforce_bound() {
+    const base::time_point now = this->state->clock->now();
+    if (now < this->next_choice)
+        return;
     std::vector<gateway_request*> requests;
     std::vector<decision::unsent_reader> facts;
     for (const reader& each : this->readers) {
@@ -68,25 +62,27 @@
                          .bytes = each.bytes,
                          .behind_since = each.request->connection->unsent().since});
     }
+    const decision::unsent_sums sums = decision::sum_unsent(facts);
     // Disconnecting a caller changes its unsent data, which calls back into this object.
     this->is_enforcing = true;
-    for (const std::size_t index : decision::readers_to_disconnect(facts, this->host_bound))
-        this->disconnect(*requests[index], facts[index], facts);
+    for (const std::size_t index : decision::readers_to_disconnect(facts, this->host_bound, now))
+        this->disconnect(*requests[index], facts[index], sums, now);
     this->is_enforcing = false;
+    if (this->total > this->host_bound)
+        this->next_choice = decision::next_candidate_at(facts, now);
 }
 
 void slow_readers::disconnect(gateway_request& request, const decision::unsent_reader& facts,
-                              const std::vector<decision::unsent_reader>& all) {
-    const base::duration behind = this->state->clock->now() - facts.behind_since;
+                              const decision::unsent_sums& sums, base::time_point now) {
     this->state->metrics->count("slow_readers_disconnected_total");
     this->state->log->write(
         "slow_reader_disconnected",
         {{"request", request.routed.id},
          {"organisation", facts.organisation.value},
          {"unsent_bytes", facts.bytes},
-         {"behind_ms", base::to_milliseconds(behind)},
-         {"organisation_bytes", bytes_of(facts.organisation, all)},
-         {"organisation_bound", decision::organisation_unsent_bound(all, this->host_bound)},
+         {"behind_ms", base::to_milliseconds(now - facts.behind_since)},
+         {"organisation_bytes", sums.at(facts.organisation)},
+         {"organisation_bound", decision::organisation_unsent_bound(sums, this->host_bound)},
          {"host_bytes", this->total},
          {"host_bound", this->host_bound}});
     request.reason = disconnect_reason;
--- a/libraries/gateway/slow_readers.h
+++ b/libraries/gateway/slow_readers.h
@@ -15,9 +15,10 @@
 
 /// Bounds the response data that the host buffers for the callers of all requests in progress together.
 ///
-/// Each connection bounds its own. Beyond the bound of the host, callers are disconnected at once, which ends
-/// their work at upstreams; see `decision::readers_to_disconnect`. Nothing waits for a reader, so reading
-/// from upstreams goes on for all other requests.
+/// Each connection bounds its own. Beyond the bound of the host, callers that have been behind for
+/// `decision::min_time_behind` are disconnected at once, which ends their work at upstreams; see
+/// `decision::readers_to_disconnect`. Nothing waits for a reader, so reading from upstreams goes on for all
+/// other requests.
 class slow_readers {
     struct reader {
         gateway_request* request = nullptr;
@@ -50,12 +51,14 @@
     void did_change(reader& changed);
     void enforce_bound();
     void disconnect(gateway_request& request, const decision::unsent_reader& facts,
-                    const std::vector<decision::unsent_reader>& all);
+                    const decision::unsent_sums& sums, base::time_point now);
 
     gateway_state* state;
     std::uint64_t host_bound;
     std::list<reader> readers;
     std::uint64_t total = 0; ///< Sum over `readers`.
+    /// No reader can be chosen before this time: spares a search for each change meanwhile.
+    base::time_point next_choice{};
     bool is_enforcing = false;
 };
 
