gateway: Compute the unsent data's gauge when metrics are read

Cause: each append and each completed write of a stream built a string and looked it up in a map, and the gauge was not updated when a request ended with unsent data. Change: both metrics endpoints set it when they are read.

--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -2,6 +2,7 @@
 #include <gateway/gateway_host.h>
 
 #include <gateway/request_handler.h>
+#include <gateway/state_dump.h>
 
 #include <base/hashing.h>
 #include <base/try.h>
@@ -140,8 +141,9 @@
             serve_path(
                 connection, "/metrics",
                 [this] {
-                    return wire::http_response{
-                        ok_status, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.text()};
+                    return wire::http_response{ok_status,
+                                               {{"Content-Type", "text/plain; version=0.0.4"}},
+                                               export_metrics(this->state)};
                 },
                 yield);
         });
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -139,7 +139,7 @@
                 traces.dump(2)};
     }
     if (request.target == metrics_path)
-        return {ok_status, {{"Content-Type", "text/plain; version=0.0.4"}}, this->state->metrics->text()};
+        return {ok_status, {{"Content-Type", "text/plain; version=0.0.4"}}, export_metrics(*this->state)};
     return {not_found_status, {}, ""};
 }
 
--- a/libraries/gateway/slow_readers.cpp
+++ b/libraries/gateway/slow_readers.cpp
@@ -42,7 +42,6 @@
     const std::uint64_t bytes = changed.request->connection->unsent().bytes;
     this->total += bytes;
     this->total -= std::exchange(changed.bytes, bytes);
-    this->state->metrics->set("unsent_bytes", static_cast<double>(this->total));
     if (this->total > this->host_bound && !this->is_enforcing)
         this->enforce_bound();
 }
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -99,4 +99,9 @@
             {"peers", std::move(peers)}};
 }
 
+std::string export_metrics(const gateway_state& state) {
+    state.metrics->set("unsent_bytes", static_cast<double>(state.readers->unsent_bytes()));
+    return state.metrics->text();
+}
+
 } // namespace postpaddle::gateway
--- a/libraries/gateway/state_dump.h
+++ b/libraries/gateway/state_dump.h
@@ -3,9 +3,14 @@
 
 #include <gateway/gateway_state.h>
 
+#include <string>
+
 namespace postpaddle::gateway {
 
 /// The state of the host as JSON, for operators.
 [[nodiscard]] nlohmann::json dump_state(const gateway_state& state);
 
+/// The metrics of the host as text; sets those that are computed only when they are read.
+[[nodiscard]] std::string export_metrics(const gateway_state& state);
+
 } // namespace postpaddle::gateway
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -374,6 +374,7 @@
     // The server also counts idle connections that the host has closed.
     CHECK(cluster.server("d1").at("callers_gone") >= 2);
     CHECK(cluster.state_of(1).at("unsent_bytes") == 0);
+    CHECK(cluster.metric(1, "postpaddle_gateway_unsent_bytes") == 0);
     for (const auto* id : {"slow-1", "slow-2"}) {
         const auto traces = stand_in::get_json(cluster.peers_address(), std::string("/explain?id=") + id);
         CHECK(traces.at(0).at("ending") == "caller_gone");
