gateway: Derive the bound on unsent data from the container's limit too

Cause: a host whose only memory limit is its container's got the bound of a host without a limit. The test reads files with a number, with max and without content.

--- a/libraries/gateway/slow_readers.cpp
+++ b/libraries/gateway/slow_readers.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <utility>
 
 #include <sys/resource.h>
@@ -13,10 +14,18 @@
 
 constexpr const char* disconnect_reason = "the caller read too slowly";
 
+std::optional<std::uint64_t> read_limit(const std::string& path) {
+    std::ifstream file(path);
+    std::uint64_t bytes = 0;
+    if (!(file >> bytes))
+        return std::nullopt;
+    return bytes;
+}
+
 } // namespace
 
-std::optional<std::uint64_t> process_memory_limit() {
-    std::optional<std::uint64_t> smallest;
+std::optional<std::uint64_t> process_memory_limit(const std::string& cgroup_path) {
+    std::optional<std::uint64_t> smallest = read_limit(cgroup_path);
     for (const auto resource : std::array{RLIMIT_AS, RLIMIT_DATA}) {
         rlimit limit{};
         if (getrlimit(resource, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
--- a/libraries/gateway/slow_readers.h
+++ b/libraries/gateway/slow_readers.h
@@ -7,11 +7,17 @@
 #include <cstdint>
 #include <list>
 #include <optional>
+#include <string>
 
 namespace postpaddle::gateway {
 
-/// Smallest limit on the memory of this process (`RLIMIT_AS`, `RLIMIT_DATA`); nullopt if there is none.
-[[nodiscard]] std::optional<std::uint64_t> process_memory_limit();
+/// Limit of this process's control group (version 2), as the process sees it in a container.
+inline constexpr const char* cgroup_memory_limit_path = "/sys/fs/cgroup/memory.max";
+
+/// Smallest limit on the memory of this process (`RLIMIT_AS`, `RLIMIT_DATA`, control group); nullopt if there
+/// is none. A file that is missing or contains no number, such as `max`, is no limit.
+[[nodiscard]] std::optional<std::uint64_t>
+process_memory_limit(const std::string& cgroup_path = cgroup_memory_limit_path);
 
 /// Bounds the response data that the host buffers for the callers of all requests in progress together.
 ///
--- /dev/null
+++ b/tests/gateway/test_memory_limit.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// The limit on the memory of a host's process, from which the bound on unsent data is derived.
+#include <gateway/slow_readers.h>
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include <unistd.h>
+
+using namespace postpaddle;
+
+namespace {
+
+/// A file with that content, which is removed at the end.
+class temporary_file {
+public:
+    temporary_file(const std::string& name, const std::string& content)
+        : path(std::filesystem::temp_directory_path() / (name + std::to_string(getpid()))) {
+        std::ofstream(this->path) << content;
+    }
+    temporary_file(const temporary_file&) = delete;
+    temporary_file(temporary_file&&) = delete;
+    temporary_file& operator=(const temporary_file&) = delete;
+    temporary_file& operator=(temporary_file&&) = delete;
+    ~temporary_file() { std::filesystem::remove(this->path); }
+
+    std::filesystem::path path;
+};
+
+std::optional<std::uint64_t> limit_with(const std::string& content) {
+    const temporary_file file("memory.max.", content);
+    return gateway::process_memory_limit(file.path);
+}
+
+} // namespace
+
+// Guards against a bound beyond the memory of a container, whose kernel would end the process.
+TEST_CASE("the memory limit of the control group applies if it is the smallest") {
+    const auto without = gateway::process_memory_limit("/nonexistent");
+    constexpr std::uint64_t container = 1'048'576;
+    REQUIRE(without.value_or(container + 1) > container);
+    CHECK(limit_with("1048576\n") == container);
+    CHECK(limit_with("max\n") == without);
+    CHECK(limit_with("") == without);
+    CHECK(limit_with("18446744073709551615\n") == without.value_or(UINT64_MAX));
+}
