--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -7,9 +7,9 @@
 #include <gateway/pace_exchange.h>
 #include <gateway/peer_exchange.h>
 #include <gateway/quarantine_exchange.h>
-#include <gateway/slow_readers.h>
 #include <gateway/stage_controller.h>
 #include <gateway/store_watch.h>
+#include <gateway/unsent_data_bound.h>
 #include <wire/http_listener.h>
 
 #include <functional>
@@ -64,7 +64,7 @@
     decision_log log;
     gateway_metrics metrics;
     gateway_state state;
-    slow_readers readers;
+    unsent_data_bound unsent_data;
     wire::asio::io_context context{1};
     wire::connection_pool pool;
     std::unique_ptr<ports::control_feed> feed;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -79,7 +79,7 @@
     nlohmann::json trace; ///< The same JSON as in its log line.
 };
 
-class slow_readers;
+class unsent_data_bound;
 
 /// State of a gateway host, shared by its coroutines. Used by one thread only; outlives every coroutine.
 struct gateway_state {
@@ -136,7 +136,7 @@
     wire::connection_pool* pool = nullptr;
     decision_log* log = nullptr;
     gateway_metrics* metrics = nullptr;
-    slow_readers* readers = nullptr;           ///< Callers of requests in progress.
+    unsent_data_bound* unsent_data = nullptr;  ///< Of all requests in progress.
     std::deque<completed_request> completed{}; ///< Oldest first; bounded.
     bool reads_store = true; ///< False while this host follows updates from the leaders of its cell.
     bool is_draining = false;
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -4,8 +4,8 @@
 #include <gateway/caller_identity.h>
 #include <gateway/plain_relay.h>
 #include <gateway/request_quarantine.h>
-#include <gateway/slow_readers.h>
 #include <gateway/stream_relay.h>
+#include <gateway/unsent_data_bound.h>
 
 #include <algorithm>
 
@@ -191,7 +191,7 @@
     prepare_request(request);
     connection.watch_for_disconnect(
         [cancellation = request.cancellation] { cancellation->did_lose_caller(); });
-    const slow_readers::scoped_reader reader(*state.readers, request);
+    const unsent_data_bound::scoped_reader reader(*state.unsent_data, request);
     const request_ending ending = relay(request, yield);
     connection.stop_watching();
     refund_if_not_run(request);
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -2,7 +2,7 @@
 #include <gateway/state_dump.h>
 
 #include <gateway/caller_identity.h>
-#include <gateway/slow_readers.h>
+#include <gateway/unsent_data_bound.h>
 
 namespace postpaddle::gateway {
 
@@ -86,8 +86,8 @@
             {"reads_store", state.reads_store},
             {"cell_hosts", state.position_in_cell.hosts},
             {"requests_in_progress", state.requests_in_progress},
-            {"unsent_bytes", state.readers->unsent_bytes()},
-            {"unsent_bound", state.readers->bound()},
+            {"unsent_bytes", state.unsent_data->unsent_bytes()},
+            {"unsent_bound", state.unsent_data->bound()},
             {"hosts_alive", hosts_alive(state)},
             {"has_host_list", state.has_host_list},
             {"limits_shared_by", sharers.hosts},
@@ -100,7 +100,7 @@
 }
 
 std::string export_metrics(const gateway_state& state) {
-    state.metrics->set("unsent_bytes", static_cast<double>(state.readers->unsent_bytes()));
+    state.metrics->set("unsent_bytes", static_cast<double>(state.unsent_data->unsent_bytes()));
     return state.metrics->text();
 }
 
--- a/libraries/gateway/slow_readers.cpp
+++ b/libraries/gateway/unsent_data_bound.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-#include <gateway/slow_readers.h>
+#include <gateway/unsent_data_bound.h>
 
 #include <algorithm>
 #include <array>
@@ -34,20 +34,21 @@
     return smallest;
 }
 
-slow_readers::slow_readers(gateway_state& state, std::uint64_t bound) : state(&state), host_bound(bound) {}
+unsent_data_bound::unsent_data_bound(gateway_state& state, std::uint64_t bound)
+    : state(&state), host_bound(bound) {}
 
-slow_readers::scoped_reader::scoped_reader(slow_readers& owner, gateway_request& request)
+unsent_data_bound::scoped_reader::scoped_reader(unsent_data_bound& owner, gateway_request& request)
     : owner(&owner), position(owner.readers.insert(owner.readers.end(), reader{&request})) {
     request.connection->watch_unsent([&owner, position = this->position] { owner.did_change(*position); });
 }
 
-slow_readers::scoped_reader::~scoped_reader() {
+unsent_data_bound::scoped_reader::~scoped_reader() {
     this->position->request->connection->watch_unsent(nullptr);
     this->owner->total -= this->position->bytes;
     this->owner->readers.erase(this->position);
 }
 
-void slow_readers::did_change(reader& changed) {
+void unsent_data_bound::did_change(reader& changed) {
     const std::uint64_t bytes = changed.request->connection->unsent().bytes;
     this->total += bytes;
     this->total -= std::exchange(changed.bytes, bytes);
@@ -55,7 +56,7 @@
         this->enforce_bound();
 }
 
-void slow_readers::enforce_bound() {
+void unsent_data_bound::enforce_bound() {
     const base::time_point now = this->state->clock->now();
     if (now < this->next_choice)
         return;
@@ -80,8 +81,8 @@
         this->next_choice = decision::next_candidate_at(facts, now);
 }
 
-void slow_readers::disconnect(gateway_request& request, const decision::unsent_reader& facts,
-                              const decision::unsent_sums& sums, base::time_point now) {
+void unsent_data_bound::disconnect(gateway_request& request, const decision::unsent_reader& facts,
+                                   const decision::unsent_sums& sums, base::time_point now) {
     this->state->metrics->count("slow_readers_disconnected_total");
     this->state->log->write(
         "slow_reader_disconnected",
--- a/libraries/gateway/slow_readers.h
+++ b/libraries/gateway/unsent_data_bound.h
@@ -25,7 +25,7 @@
 /// `decision::min_time_behind` are disconnected at once, which ends their work at upstreams; see
 /// `decision::readers_to_disconnect`. Nothing waits for a reader, so reading from upstreams goes on for all
 /// other requests.
-class slow_readers {
+class unsent_data_bound {
     struct reader {
         gateway_request* request = nullptr;
         std::uint64_t bytes = 0; ///< As last seen.
@@ -35,7 +35,7 @@
     /// Accounts for a request's unsent data while it exists.
     class scoped_reader {
     public:
-        scoped_reader(slow_readers& owner, gateway_request& request);
+        scoped_reader(unsent_data_bound& owner, gateway_request& request);
         scoped_reader(const scoped_reader&) = delete;
         scoped_reader(scoped_reader&&) = delete;
         scoped_reader& operator=(const scoped_reader&) = delete;
@@ -43,11 +43,11 @@
         ~scoped_reader();
 
     private:
-        slow_readers* owner;
+        unsent_data_bound* owner;
         std::list<reader>::iterator position;
     };
 
-    slow_readers(gateway_state& state, std::uint64_t bound);
+    unsent_data_bound(gateway_state& state, std::uint64_t bound);
 
     /// Unsent data of all requests in progress, in bytes.
     [[nodiscard]] std::uint64_t unsent_bytes() const { return this->total; }
--- a/tests/gateway/test_memory_limit.cpp
+++ b/tests/gateway/test_memory_limit.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // The limit on the memory of a host's process, from which the bound on unsent data is derived.
-#include <gateway/slow_readers.h>
+#include <gateway/unsent_data_bound.h>
 
 #include <catch2/catch.hpp>
 
