--- a/libraries/decision/wait_queue.cpp
+++ b/libraries/decision/wait_queue.cpp
@@ -62,10 +62,10 @@
     return {own.waited, own.memory_tokens, own.in_time, own.rank, own.share_key};
 }
 
-wait_queue::wait_queue(std::span<const waiter> waiters, wait_order order) : order_(std::move(order)) {
+wait_queue::wait_queue(std::span<const waiter> waiters, wait_order order) : rules(std::move(order)) {
     std::vector<placed_waiter> reported;
     for (const waiter& one : waiters) {
-        if (this->order_.is_by_age() || !one.in_time)
+        if (this->rules.is_by_age() || !one.in_time)
             this->unplaced.push_back(one);
         else
             reported.push_back({this->position_within_share(one, *one.in_time), one});
@@ -84,7 +84,7 @@
     this->placed.reserve(keys.size());
     for (const auto& [key, index] : keys)
         this->placed.push_back(reported[index]);
-    if (this->order_.by_share)
+    if (this->rules.by_share)
         this->place_by_share();
 }
 
@@ -92,14 +92,14 @@
     for (placed_waiter& one : this->placed) {
         share_queue& own = this->by_share[one.request.share_key];
         if (own.tokens_before.empty())
-            own.tokens_before.push_back(tokens_in_use(this->order_.shares, one.request.share_key));
+            own.tokens_before.push_back(tokens_in_use(this->rules.shares, one.request.share_key));
         // Requests with the same position are not ahead of each other.
         if (own.positions.empty() || own.positions.back() != one.position)
             own.taken_before_last = own.tokens_before.back();
         own.positions.push_back(one.position);
         own.tokens_before.push_back(own.tokens_before.back() + one.request.memory_tokens);
         one.position.is_beyond_share =
-            decision::is_beyond_share(this->order_.shares, own.taken_before_last, one.request.memory_tokens);
+            decision::is_beyond_share(this->rules.shares, own.taken_before_last, one.request.memory_tokens);
     }
     std::stable_partition(this->placed.begin(), this->placed.end(),
                           [](const placed_waiter& one) { return !one.position.is_beyond_share; });
@@ -107,25 +107,24 @@
 
 wait_position wait_queue::position_within_share(const waiter& request, base::duration in_time) const {
     int rank = 0;
-    if (this->order_.by_rank)
-        rank = request.in_time ? request.rank : this->order_.unreported_rank;
+    if (this->rules.by_rank)
+        rank = request.in_time ? request.rank : this->rules.unreported_rank;
     return {.is_late = request.waited > in_time, .rank = rank, .arrived = -request.waited};
 }
 
 bool wait_queue::is_beyond_share(const wait_position& position, std::uint32_t key, double tokens) const {
     const auto found = this->by_share.find(key);
     if (found == this->by_share.end())
-        return decision::is_beyond_share(this->order_.shares, tokens_in_use(this->order_.shares, key),
-                                         tokens);
+        return decision::is_beyond_share(this->rules.shares, tokens_in_use(this->rules.shares, key), tokens);
     const auto& positions = found->second.positions;
     const auto ahead = std::ranges::lower_bound(positions, position) - positions.begin();
-    return decision::is_beyond_share(this->order_.shares,
+    return decision::is_beyond_share(this->rules.shares,
                                      found->second.tokens_before[static_cast<std::size_t>(ahead)], tokens);
 }
 
 wait_position wait_queue::position_of(const local_waiter& own) const {
     wait_position position = this->position_within_share(to_waiter(own), own.in_time);
-    if (this->order_.by_share)
+    if (this->rules.by_share)
         position.is_beyond_share = this->is_beyond_share(position, own.share_key, own.memory_tokens);
     return position;
 }
--- a/libraries/decision/wait_queue.h
+++ b/libraries/decision/wait_queue.h
@@ -119,7 +119,7 @@
     [[nodiscard]] std::size_t count_overtaken_ahead(const local_waiter& own) const;
 
     /// The order in force, with the shares.
-    [[nodiscard]] const wait_order& order() const { return this->order_; }
+    [[nodiscard]] const wait_order& order() const { return this->rules; }
 
 private:
     /// A request whose place does not depend on the request that looks at the queue.
@@ -139,7 +139,7 @@
     void place(std::vector<placed_waiter> reported);
     void place_by_share();
 
-    wait_order order_;
+    wait_order rules;
     std::vector<placed_waiter> placed; ///< In queue order.
     std::unordered_map<std::uint32_t, share_queue> by_share;
     /// Requests that are placed by the latency target of the request that looks at the queue: all of them
