gateway: Send no stream after its deadline, and hold no engine during exit checks

A wait for room at a decode engine that lasted until the deadline was followed by a send, which failed at once and could eject a healthy engine. Such a request is no longer sent.

A check that began during the wait for the plan, for another attempt of the same request, leads back to that wait without a reservation.

--- a/libraries/gateway/request_quarantine.cpp
+++ b/libraries/gateway/request_quarantine.cpp
@@ -125,11 +125,15 @@
     }
 }
 
+bool is_exit_check_pending(const gateway_request& request) {
+    return may_be_fatal(*request.state, request.fingerprint);
+}
+
 void await_exit_checks(const gateway_request& request, wire::yield_context yield) {
     static constexpr base::duration poll_interval = std::chrono::milliseconds(5);
     const gateway_state& state = *request.state;
     wire::boot_timer timer(*state.context);
-    while (!request.cancellation->is_caller_gone && may_be_fatal(state, request.fingerprint)) {
+    while (!request.cancellation->is_caller_gone && is_exit_check_pending(request)) {
         timer.expires_after(poll_interval);
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
--- a/libraries/gateway/request_quarantine.h
+++ b/libraries/gateway/request_quarantine.h
@@ -32,6 +32,9 @@
 void detect_upstream_exit(gateway_request& request, const ports::upstream_attempt& send,
                           const exchange_result& exchange, wire::yield_context yield);
 
+/// Whether checks in progress on upstreams of the request could quarantine it.
+[[nodiscard]] bool is_exit_check_pending(const gateway_request& request);
+
 /// Waits for checks in progress on upstreams of the request if their results could quarantine it.
 void await_exit_checks(const gateway_request& request, wire::yield_context yield);
 
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -53,10 +53,12 @@
     wire::boot_timer timer(*state.context);
     bool has_waited = false;
     while (true) {
+        // A send after the deadline would fail at once and count against a healthy engine.
+        if (time_left(*this->request) <= 0ms || this->request->cancellation->is_caller_gone)
+            return std::nullopt;
         auto plan = decision::choose_colocated(state.instances, choice_context_of(*this->request),
                                                capacity_of(*this->request), this->size, state.random);
-        if (!this->avoids_waste || !plan || plan->has_room || time_left(*this->request) <= 0ms ||
-            state.clock->now() >= last_look || this->request->cancellation->is_caller_gone)
+        if (!this->avoids_waste || !plan || plan->has_room || state.clock->now() >= last_look)
             return plan;
         if (!std::exchange(has_waited, true))
             state.metrics->count("waits_for_decode_room_total");
@@ -390,12 +392,18 @@
         this->reservation.reset();
         if (!this->retained.has_value())
             release_reserved_retries(*this->request);
+        // Before the choice, so that no engine's capacity is reserved during this wait.
+        await_exit_checks(*this->request, yield);
+        if (time_left(*this->request) <= 0ms || this->request->cancellation->is_caller_gone)
+            break;
         auto plan = this->next_plan(yield);
         if (!plan)
             break;
+        // Another attempt of the same request may have failed during the wait for the plan.
+        if (is_exit_check_pending(*this->request))
+            continue;
         // At once, before anything else can wait: the engine's capacity was free at this moment.
         this->reserve(*plan);
-        await_exit_checks(*this->request, yield);
         if (const char* const stop = reason_to_stop(*this->request)) {
             this->reason = stop;
             break;
