gateway: Clamp the work in load reports

Requests and tokens of other hosts were taken over as received: reports of +2e9 and -2e9 requests made the recheck of a decode engine place two billion requests one by one, and the largest int overflowed the sum with this host's own. Requests are now between 0 and a million, tokens between 0 and 1e9, in load reports and in the loads of other cells' engines.

--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -232,29 +232,6 @@
     }
 }
 
-std::string encode_cell_loads(const std::vector<host::reported_load>& loads) {
-    json rows = json::array();
-    for (const host::reported_load& load : loads)
-        rows.push_back({load.key, load.use.requests, static_cast<std::int64_t>(load.use.memory_tokens),
-                        static_cast<std::int64_t>(load.use.prompt_tokens), load.is_avoided});
-    std::string bytes;
-    json::to_msgpack(rows, bytes);
-    return bytes;
-}
-
-std::optional<std::vector<host::reported_load>> decode_cell_loads(std::string_view bytes) {
-    try {
-        std::vector<host::reported_load> loads;
-        for (const json& row : json::from_msgpack(bytes))
-            loads.push_back({row.at(0).get<host::instance_key>(),
-                             {row.at(1).get<int>(), row.at(2).get<double>(), row.at(3).get<double>()},
-                             row.at(4).get<bool>()});
-        return loads;
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
 namespace {
 
 /// A larger number of hosts means that the report is corrupt.
@@ -281,6 +258,17 @@
     return std::isfinite(pace) ? std::clamp(pace, decision::min_pace, decision::max_pace) : 1;
 }
 
+int clamp_count(const json& value, int max) {
+    return static_cast<int>(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, max));
+}
+
+/// Columns after the instance's key: requests, tokens of memory, tokens of prompts to read.
+decision::instance_use decode_use(const json& row) {
+    return {.requests = clamp_count(row.at(1), max_load_count),
+            .memory_tokens = clamp_tokens(row.at(2).get<double>()),
+            .prompt_tokens = clamp_tokens(row.at(3).get<double>())};
+}
+
 /// One row: wait and, if known, longest wait in time (-1 otherwise) in milliseconds, tokens, rank, share key.
 json encode_waiter(const decision::waiter& waiter) {
     return {to_ms(waiter.waited), static_cast<std::int64_t>(waiter.memory_tokens),
@@ -328,17 +316,14 @@
 
 std::vector<host::observed_load> decode_loads(const json& rows) {
     std::vector<host::observed_load> loads;
-    const auto count = [](const json& value, int max) {
-        return static_cast<int>(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, max));
-    };
     for (const json& row : rows)
         if (loads.size() < max_observations)
             loads.push_back(
                 {.key = row.at(0).get<host::instance_key>(),
-                 .load = {.running = count(row.at(1), max_load_count),
-                          .waiting = count(row.at(2), max_load_count),
-                          .slots = count(row.at(3), max_load_count),
-                          .relative_latency_percent = std::max(1, count(row.at(4), max_load_percent))},
+                 .load = {.running = clamp_count(row.at(1), max_load_count),
+                          .waiting = clamp_count(row.at(2), max_load_count),
+                          .slots = clamp_count(row.at(3), max_load_count),
+                          .relative_latency_percent = std::max(1, clamp_count(row.at(4), max_load_percent))},
                  .age = age_from(row.at(5))});
     return loads;
 }
@@ -367,6 +352,27 @@
 
 } // namespace
 
+std::string encode_cell_loads(const std::vector<host::reported_load>& loads) {
+    json rows = json::array();
+    for (const host::reported_load& load : loads)
+        rows.push_back({load.key, load.use.requests, static_cast<std::int64_t>(load.use.memory_tokens),
+                        static_cast<std::int64_t>(load.use.prompt_tokens), load.is_avoided});
+    std::string bytes;
+    json::to_msgpack(rows, bytes);
+    return bytes;
+}
+
+std::optional<std::vector<host::reported_load>> decode_cell_loads(std::string_view bytes) {
+    try {
+        std::vector<host::reported_load> loads;
+        for (const json& row : json::from_msgpack(bytes))
+            loads.push_back({row.at(0).get<host::instance_key>(), decode_use(row), row.at(4).get<bool>()});
+        return loads;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode_load(const host::load_report& report) {
     json uses = json::array();
     for (const auto& [key, use] : report.uses)
@@ -404,8 +410,7 @@
         report.incarnation = value.at(1).get<std::uint64_t>();
         report.sequence = value.at(2).get<std::uint64_t>();
         for (const json& row : value.at(3))
-            report.uses[row.at(0).get<host::instance_key>()] = {row.at(1).get<int>(), row.at(2).get<double>(),
-                                                                row.at(3).get<double>()};
+            report.uses[row.at(0).get<host::instance_key>()] = decode_use(row);
         for (const json& row : value.at(4))
             report.waiters.push_back(decode_waiter(row));
         report.avoided = value.at(5).get<std::vector<host::instance_key>>();
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -137,6 +137,42 @@
           std::vector<host::observed_pace>{{18, {decision::min_pace, decision::max_pace}, 24h}});
 }
 
+// Guards against corrupt reports whose sum with this host's own work overflows, or that let the recheck of a
+// decode engine place two billion requests one by one.
+TEST_CASE("the work in a report is clamped: requests and tokens are neither negative nor huge") {
+    constexpr int most = std::numeric_limits<int>::max();
+    constexpr int least = std::numeric_limits<int>::min();
+    host::load_report report;
+    report.host = {"host-1"};
+    report.uses = {{17, {most, 1e15, 1e15}}, {18, {least, -1e15, -1}}};
+    const auto decoded = gateway::decode_load(gateway::encode_load(report));
+    REQUIRE(decoded);
+    CHECK(decoded->uses.at(17) == decision::instance_use{1'000'000, 1e9, 1e9});
+    CHECK(decoded->uses.at(18) == decision::instance_use{});
+    const auto loads = gateway::decode_cell_loads(
+        gateway::encode_cell_loads({{17, {most, 1e15, 1e15}, false}, {18, {least, -1e15, -1}, true}}));
+    REQUIRE(loads);
+    CHECK(loads->at(0).use == decision::instance_use{1'000'000, 1e9, 1e9});
+    CHECK(loads->at(1).use == decision::instance_use{});
+}
+
+// Guards against values of other types than expected, which would not fit their own.
+TEST_CASE("work that is no finite number counts as none") {
+    const nlohmann::json not_finite = std::numeric_limits<double>::infinity();
+    const nlohmann::json value = {"host-1",
+                                  7,
+                                  3,
+                                  {{17, 2, not_finite, 5}},
+                                  nlohmann::json::array(),
+                                  nlohmann::json::array(),
+                                  nlohmann::json::array()};
+    std::string bytes;
+    nlohmann::json::to_msgpack(value, bytes);
+    const auto decoded = gateway::decode_load(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->uses.at(17) == decision::instance_use{2, 0, 5});
+}
+
 // Guards against rejecting reports of hosts that have not been upgraded yet.
 TEST_CASE("a load report of an earlier version, without ranks, shares and observations, is accepted") {
     const nlohmann::json value = {"host-1",
