--- a/libraries/decision/overload/decode_recheck.cpp
+++ b/libraries/decision/overload/decode_recheck.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <vector>
 
 namespace postpaddle::decision {
@@ -38,22 +39,31 @@
     }
 }
 
-bool uses_service(const settings::route_entry& route, const std::string& service) {
-    return std::ranges::any_of(route.services, [&](const auto& used) { return used.service == service; });
+bool do_organisations_differ(const settings::routing_settings& settings) {
+    return std::ranges::any_of(settings.organisations, [&](const auto& item) {
+        return item.second.priority != settings.organisations.begin()->second.priority;
+    });
 }
 
 } // namespace
 
-bool is_recheck_requested(const settings::routing_settings& settings, const std::string& service) {
-    if (!settings.organisations.empty())
-        return true;
-    std::optional<int> priority;
-    return std::ranges::any_of(settings.routes, [&](const settings::route_entry& route) {
-        if (!uses_service(route, service))
-            return false;
-        if (!priority)
-            priority = route.priority;
-        return *priority != route.priority;
+std::set<std::string> services_with_priorities(const settings::routing_settings& settings) {
+    const bool do_all_differ = do_organisations_differ(settings);
+    std::map<std::string, int> first_priority;
+    std::set<std::string> services;
+    for (const settings::route_entry& route : settings.routes) {
+        for (const auto& used : route.services) {
+            const auto [first, is_first] = first_priority.try_emplace(used.service, route.priority);
+            if (do_all_differ || first->second != route.priority)
+                services.insert(used.service);
+        }
+    }
+    return services;
+}
+
+bool has_pace_in_use(const instance_table& table, const std::string& service) {
+    return std::ranges::any_of(table.by_id, [&](const auto& item) {
+        return item.second.pace.in_use != engine_pace{} && item.second.entry.service == service;
     });
 }
 
--- a/libraries/decision/overload/decode_recheck.h
+++ b/libraries/decision/overload/decode_recheck.h
@@ -8,15 +8,17 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 
 namespace postpaddle::decision {
 
-/// Whether a service's settings request the recheck: its routes differ in priority, or organisations are
-/// named. Looks at each route until two differ.
-[[nodiscard]] bool is_recheck_requested(const settings::routing_settings& settings,
-                                        const std::string& service);
+/// Services whose requests differ in priority: by their routes, or all of them if organisations differ.
+[[nodiscard]] std::set<std::string> services_with_priorities(const settings::routing_settings& settings);
+
+/// Whether an engine of the service is treated as faster or slower than the others.
+[[nodiscard]] bool has_pace_in_use(const instance_table& table, const std::string& service);
 
 /// Position of a host among those that have reserved too much of an engine together. Every host computes the
 /// same order; it differs from engine to engine, so that no host always comes last.
--- a/libraries/gateway/decode_engine_recheck.cpp
+++ b/libraries/gateway/decode_engine_recheck.cpp
@@ -53,8 +53,15 @@
 } // namespace
 
 bool avoids_wasted_prefills(const gateway_request& request) {
-    return request.state->process->policy.recheck_decode_engine &&
-           decision::is_recheck_requested(*request.settings->document.value, request.service);
+    const settings::gateway_policy& policy = request.state->process->policy;
+    if (!policy.recheck_decode_engine)
+        return false;
+    const settings_in_force& settings = *request.settings;
+    const bool shares = policy.share_fairly && !settings.document.value->organisations.empty();
+    const bool ranks = policy.order_by_rank && settings.services_with_priorities.contains(request.service);
+    // The paces come last: the others need no look at the engines.
+    return shares || ranks ||
+           (policy.exchange_pace && decision::has_pace_in_use(request.state->instances, request.service));
 }
 
 uses_by_host reported_uses(const gateway_state& state, const base::upstream_id& engine) {
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/gateway_state.h>
 
+#include <decision/overload/decode_recheck.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -84,6 +86,7 @@
         return false;
     auto next = std::make_shared<settings_in_force>();
     next->routes = decision::make_route_table(*document.value);
+    next->services_with_priorities = decision::services_with_priorities(*document.value);
     next->document = std::move(document);
     for (const auto& [id, organisation] : next->document.value->organisations)
         next->organisation_by_key[host::key_of(id)] = &organisation;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -41,6 +41,7 @@
     decision::route_table routes;
     /// By the key used in load reports; points into `document`.
     std::unordered_map<host::organisation_key, const settings::organisation_entry*> organisation_by_key;
+    std::set<std::string> services_with_priorities; ///< See `decision::services_with_priorities`.
 };
 
 /// A request on this host that waits for a slot on an engine.
--- a/tests/decision/test_decode_recheck.cpp
+++ b/tests/decision/test_decode_recheck.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace postpaddle;
@@ -208,18 +210,32 @@
     CHECK(free_engine(table)->decode.value == "d2");
 }
 
-TEST_CASE("the recheck is requested by organisations and by priorities of the service's own routes") {
+TEST_CASE("services differ in priority by their own routes, or all of them by organisations") {
+    using services = std::set<std::string>;
     settings::routing_settings settings;
+    CHECK(decision::services_with_priorities(settings).empty());
     settings.routes.resize(3);
     settings.routes[0].services = {{"service"}};
     settings.routes[1].services = {{"other"}};
     settings.routes[2].services = {{"other"}, {"service"}};
     settings.routes[1].priority = 2;
-    CHECK_FALSE(decision::is_recheck_requested(settings, "service"));
-    CHECK(decision::is_recheck_requested(settings, "other"));
+    CHECK(decision::services_with_priorities(settings) == services{"other"});
     settings.routes[2].priority = 2;
-    CHECK(decision::is_recheck_requested(settings, "service"));
-    settings.routes[2].priority = 0;
-    settings.organisations[{"studio"}] = {};
-    CHECK(decision::is_recheck_requested(settings, "service"));
+    CHECK(decision::services_with_priorities(settings) == services{"service"});
+    settings.routes[0].priority = 2;
+    CHECK(decision::services_with_priorities(settings).empty());
+    settings.organisations[{"studio"}].priority = 1;
+    CHECK(decision::services_with_priorities(settings).empty());
+    settings.organisations[{"press"}].priority = 1;
+    CHECK(decision::services_with_priorities(settings).empty());
+    settings.organisations[{"press"}].priority = 0;
+    CHECK(decision::services_with_priorities(settings) == services{"other", "service"});
+}
+
+TEST_CASE("a pace is in use where an engine of the service itself differs from the others") {
+    auto table = decode_engines(3);
+    CHECK_FALSE(decision::has_pace_in_use(table, "service"));
+    table.by_id.at({"d2"}).pace.in_use.prefill = 0.5;
+    CHECK(decision::has_pace_in_use(table, "service"));
+    CHECK_FALSE(decision::has_pace_in_use(table, "other"));
 }
