gateway: Release what a stream holds before it waits for its caller

A request kept its reservation at the decode engine and its reserved retries while a slow caller read the answer, and its retries while it waited for a slot after its retained prompt was lost. They are released first.

--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -37,6 +37,8 @@
         auto plan = this->retained.await_decode_engine(this->size, yield);
         if (plan || this->retained.has_value())
             return plan;
+        // The prompt is lost. Others may use the retries while this request waits.
+        release_reserved_retries(*this->request);
     }
     if (this->has_started || this->prompts_sent >= max_prefills)
         return this->await_colocated_engine(yield);
@@ -191,6 +193,9 @@
     if (exchange.result == attempt_result::not_run)
         this->did_refuse(send.instance, exchange.facts);
     this->last_result = exchange.result;
+    // Nothing is sent any more, but a slow caller may take long to read the answer.
+    if (exchange.result == attempt_result::answered)
+        this->did_end();
     this->reason = decision::to_text(exchange.result);
     // Must precede the check for a disconnect: a client may close its connection once it has the complete
     // stream.
@@ -259,6 +264,8 @@
         exchange.detail = "stream ended within an event or without any event";
         return stream_end::broken;
     }
+    // Nothing is sent any more, but a slow caller may take long to read the rest.
+    release_reserved_retries(*this->request);
     return this->request->connection->end_stream(yield) ? stream_end::complete : stream_end::caller_gone;
 }
 
@@ -371,6 +378,7 @@
 }
 
 void stream_relay::did_end() {
+    this->reservation.reset();
     this->retained.release();
     release_reserved_retries(*this->request);
 }
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -52,7 +52,7 @@
     [[nodiscard]] bool forward_events(wire::event_splitter& events);
     void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
     void did_complete_stream();
-    /// Releases what the request still holds elsewhere.
+    /// Releases what the request still holds elsewhere: before it waits for a caller that may read slowly.
     void did_end();
     /// Learns the time between events from the first events of the stream.
     void learn_event_interval(int events);
