gateway: Look for room at decode engines every 100 ms

Each waiter looked at all engines every 20 ms. In front of 10,000 upstreams a few resumed streams took most of a small host's time. The last look is at the time at which the wait ends, not up to an interval later.

--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -21,8 +21,8 @@
 constexpr int max_prefills = 2;
 /// Number of events over which the event interval is measured; enough to average out the first pause.
 constexpr int measured_events = 10;
-/// Poll interval while waiting for room at a decode engine.
-constexpr base::duration room_poll_interval = 20ms;
+/// Poll interval while waiting for room at a decode engine. Each poll looks at all engines.
+constexpr base::duration room_poll_interval = 100ms;
 
 /// Deadline of one step, capped by the request's deadline.
 base::time_point step_deadline(const gateway_request& request, base::duration expected) {
@@ -64,7 +64,8 @@
             return plan;
         if (!std::exchange(has_waited, true))
             state.metrics->count("waits_for_decode_room_total");
-        timer.expires_after(room_poll_interval);
+        const base::duration until_last_look = last_look - state.clock->now();
+        timer.expires_after(std::min({room_poll_interval, until_last_look, time_left(*this->request)}));
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
     }
