--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -60,7 +60,7 @@
             return std::nullopt;
         auto plan = decision::choose_colocated(state.instances, choice_context_of(*this->request),
                                                capacity_of(*this->request), this->size, state.random);
-        if (!this->avoids_waste || !plan || plan->has_room || state.clock->now() >= last_look)
+        if (!this->avoids_wasted_prefills || !plan || plan->has_room || state.clock->now() >= last_look)
             return plan;
         if (!std::exchange(has_waited, true))
             state.metrics->count("waits_for_decode_room_total");
@@ -91,7 +91,7 @@
 void stream_relay::reserve(const decision::engine_plan& plan) {
     this->decode_engine = plan.decode;
     this->reservation.emplace(*this->request->state, plan.decode, this->use_at(plan));
-    if (this->avoids_waste && plan.prefill)
+    if (this->avoids_wasted_prefills && plan.prefill)
         this->uses_when_chosen = reported_uses(*this->request->state, plan.decode);
 }
 
@@ -358,7 +358,7 @@
 bool stream_relay::prepare_plan(decision::engine_plan& plan, wire::yield_context yield) {
     if (!plan.prefill || this->retained.has_value())
         return true;
-    if (this->avoids_waste && !try_reserve_prompt_and_run(*this->request)) {
+    if (this->avoids_wasted_prefills && !try_reserve_prompt_and_run(*this->request)) {
         this->request->state->metrics->count("prefills_without_budget_total");
         return this->skip_prefill(plan, yield);
     }
@@ -368,7 +368,7 @@
         return true;
     if (!this->run_prefill(plan, yield))
         return false;
-    if (this->avoids_waste)
+    if (this->avoids_wasted_prefills)
         this->recheck(plan);
     const decision::instance_table& instances = this->request->state->instances;
     const auto decode = instances.by_id.find(plan.decode);
@@ -393,7 +393,7 @@
     decision::add_sample(profile.output_tokens, this->request->routed.output_hint);
     decision::add_sample(profile.prompt_tokens, this->size.prompt_tokens);
     this->last_event = this->request->routed.resume_after;
-    this->request->reserves_retries = this->avoids_waste;
+    this->request->reserves_retries = this->avoids_wasted_prefills;
     const settings::gateway_policy& policy = this->request->state->process->policy;
     if (policy.find_retained_prompts && this->request->first_try < this->request->arrived)
         this->request->holding = find_engines_holding(*this->request, yield);
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -20,7 +20,8 @@
 class stream_relay {
 public:
     explicit stream_relay(gateway_request& request)
-        : request(&request), retained(request), avoids_waste(avoids_wasted_prefills(request)) {}
+        : request(&request), retained(request),
+          avoids_wasted_prefills(gateway::avoids_wasted_prefills(request)) {}
 
     [[nodiscard]] request_ending run(wire::yield_context yield);
 
@@ -74,7 +75,7 @@
     std::optional<base::time_point> transfer_started; ///< Cache transfer without an event so far.
     bool has_started = false; ///< The head and events of the answer have been sent to the client.
     wire::response_head first_head;
-    bool avoids_waste;                      ///< See `avoids_wasted_prefills`.
+    bool avoids_wasted_prefills;            ///< See the function of that name.
     std::optional<exchange_result> failure; ///< Error answer to forward if no other engine does better.
     std::string failure_body;
     const char* reason = "no engine";
