gateway: Reserve a decode engine again that restarted during the prefill

A restart drops all that was known of the work at an engine, and the reservation with it. The recheck added the reservation back nevertheless, compared the work with that at the earlier start, and left the stream without a reservation. The request now reserves the new start. The recheck is left out for callers that have gone, and the other hosts' uses are copied once, before the prefill, as nothing reads them after a move.

--- a/libraries/gateway/decode_engine_recheck.cpp
+++ b/libraries/gateway/decode_engine_recheck.cpp
@@ -77,13 +77,30 @@
     return uses;
 }
 
-std::optional<decision::engine_plan> recheck_decode_engine(gateway_request& request,
-                                                           const decode_reservation& reservation,
-                                                           const decision::prompt_size& size) {
+decode_reservation describe_reservation(gateway_state& state, const decision::engine_plan& plan,
+                                        const decision::instance_use& use) {
+    const decision::instance* const target = decision::find_instance(state.instances, plan.decode);
+    const decision::instance* const source =
+        plan.prefill ? decision::find_instance(state.instances, *plan.prefill) : nullptr;
+    return {.engine = plan.decode,
+            .start_time_ms = target == nullptr ? 0 : target->entry.start_time_ms,
+            .use = use,
+            .uses_when_chosen = reported_uses(state, plan.decode),
+            .source_zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone};
+}
+
+std::optional<base::upstream_id> recheck_decode_engine(gateway_request& request,
+                                                       const decode_reservation& reservation,
+                                                       const decision::prompt_size& size) {
     gateway_state& state = *request.state;
     const decision::instance* const target = decision::find_instance(state.instances, reservation.engine);
     if (target == nullptr)
         return std::nullopt;
+    // The new start of the engine has neither this reservation nor the work that was known before.
+    if (target->entry.start_time_ms != reservation.start_time_ms) {
+        request.recheck_facts = {{"engine", reservation.engine.value}, {"has_restarted", true}};
+        return reservation.engine;
+    }
     const settings::engine_capacity capacity = capacity_of(request);
     const decision::choice_context context = choice_context_of(request);
     const auto concurrent = reservations_since(state, reservation);
@@ -100,7 +117,7 @@
     request.recheck_facts["concurrent_hosts"] = concurrent.size();
     if (has_failed)
         request.recheck_facts["has_failed"] = true;
-    return other;
+    return other ? std::optional(other->decode) : std::nullopt;
 }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -91,8 +91,6 @@
 void stream_relay::reserve(const decision::engine_plan& plan) {
     this->decode_engine = plan.decode;
     this->reservation.emplace(*this->request->state, plan.decode, this->use_at(plan));
-    if (this->avoids_wasted_prefills && plan.prefill)
-        this->uses_when_chosen = reported_uses(*this->request->state, plan.decode);
 }
 
 bool stream_relay::run_prefill(const decision::engine_plan& plan, wire::yield_context yield) {
@@ -339,19 +337,11 @@
     return true;
 }
 
-void stream_relay::recheck(decision::engine_plan& plan) {
-    const decision::instance* const source =
-        decision::find_instance(this->request->state->instances, *plan.prefill);
-    const auto other = recheck_decode_engine(
-        *this->request,
-        {.engine = plan.decode,
-         .use = this->use_at(plan),
-         .uses_when_chosen = this->uses_when_chosen,
-         .source_zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone},
-        this->size);
-    if (!other)
+void stream_relay::recheck(decision::engine_plan& plan, const decode_reservation& before) {
+    const auto engine = recheck_decode_engine(*this->request, before, this->size);
+    if (!engine)
         return;
-    plan.decode = other->decode;
+    plan.decode = *engine;
     this->reserve(plan);
 }
 
@@ -366,10 +356,13 @@
     // consecutive refusals can't exceed it.
     if (!try_charge_send(*this->request))
         return true;
+    decode_reservation before;
+    if (this->avoids_wasted_prefills)
+        before = describe_reservation(*this->request->state, plan, this->use_at(plan));
     if (!this->run_prefill(plan, yield))
         return false;
-    if (this->avoids_wasted_prefills)
-        this->recheck(plan);
+    if (this->avoids_wasted_prefills && !this->request->cancellation->is_caller_gone)
+        this->recheck(plan, before);
     const decision::instance_table& instances = this->request->state->instances;
     const auto decode = instances.by_id.find(plan.decode);
     return decode != instances.by_id.end() && decode->second.state == decision::listing::listed &&
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -37,7 +37,7 @@
     /// Makes the plan one without a prefill engine, which needs a single send. Returns whether it could.
     [[nodiscard]] bool skip_prefill(decision::engine_plan& plan, wire::yield_context yield);
     /// Moves the reservation to another engine if its own has been overcommitted during the prefill.
-    void recheck(decision::engine_plan& plan);
+    void recheck(decision::engine_plan& plan, const decode_reservation& before);
     void reserve(const decision::engine_plan& plan);
     [[nodiscard]] decision::instance_use use_at(const decision::engine_plan& plan) const;
     [[nodiscard]] double memory_after(int events) const;
@@ -66,7 +66,6 @@
     decision::prompt_size size;
     std::optional<scoped_instance_use> reservation; ///< At the decode engine; made before the prefill.
     base::upstream_id decode_engine;                ///< Of the reservation.
-    uses_by_host uses_when_chosen; ///< Other hosts' work at the decode engine when it was chosen.
     retained_cache retained;
     std::optional<std::uint64_t> last_event;
     decision::attempt_result last_result = decision::attempt_result::not_connected;
--- a/tests/gateway/test_decode_engine_recheck.cpp
+++ b/tests/gateway/test_decode_engine_recheck.cpp
@@ -75,6 +75,10 @@
         host::apply_instance_sums(this->state.instances, this->state.loads, chosen);
     }
 
+    std::optional<base::upstream_id> recheck(const gateway::decode_reservation& reservation) {
+        return gateway::recheck_decode_engine(this->request, reservation, {3'200, 700});
+    }
+
     test::manual_clock clock;
     settings::gateway_settings process;
     settings::routing_settings routing;
@@ -86,6 +90,37 @@
 
 } // namespace
 
+// Guards against a stream that runs without a reservation: the restart of its engine during the prefill drops
+// the reservation, which the recheck nevertheless subtracted from the engine's new work.
+TEST_CASE("a reservation is made again if its engine restarted during the prefill, whatever its load") {
+    for (const int requests : {0, 16}) {
+        test_host host;
+        const gateway::scoped_instance_use before(host.state, chosen, reserved);
+        const auto reservation =
+            gateway::describe_reservation(host.state, {.prefill = std::nullopt, .decode = chosen}, reserved);
+        host.list(chosen, first_start_ms + 1);
+        host.receive(first_start_ms + 1, {.requests = requests, .memory_tokens = 1'000.0 * requests});
+        REQUIRE(host.engine(chosen).own.requests == 0);
+        CHECK(host.recheck(reservation) == chosen);
+        CHECK_FALSE(host.request.recheck_facts.contains("verdict"));
+    }
+}
+
+TEST_CASE("a reservation stays if its engine has room, and moves if other hosts filled the engine since") {
+    test_host host;
+    const gateway::scoped_instance_use before(host.state, chosen, reserved);
+    const auto reservation =
+        gateway::describe_reservation(host.state, {.prefill = std::nullopt, .decode = chosen}, reserved);
+    CHECK_FALSE(host.recheck(reservation));
+    CHECK(host.request.recheck_facts.at("verdict") == "kept");
+    // More requests than fit at all, so that the order of the hosts does not matter.
+    host.receive(first_start_ms, {.requests = 16, .memory_tokens = 26'000});
+    host.engine(chosen).unreported_tokens = 26'000;
+    host.engine(chosen).unreported_at = host.clock.now();
+    CHECK(host.recheck(reservation) == other);
+    CHECK(host.request.recheck_facts.at("verdict") == "moved");
+}
+
 // Guards against other decisions than before in deployments that request neither an order nor shares nor the
 // exchange of processing times, or have switched them off.
 TEST_CASE("wasted prefills are avoided only where an order, shares or processing times are in use") {
