--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -51,6 +51,7 @@
     std::unordered_map<host::organisation_key, const settings::organisation_entry*> organisation_by_key;
     std::map<std::string, decision::rank_table> ranks; ///< By service.
     share_owners shares;
+    std::set<std::string> services_with_priorities; ///< See `decision::services_with_priorities`.
 };
 
 /// A request on this host that waits for a slot on an engine.
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -21,8 +21,8 @@
 constexpr int max_prefills = 2;
 /// Number of events over which the event interval is measured; enough to average out the first pause.
 constexpr int measured_events = 10;
-/// Poll interval while waiting for room at a decode engine.
-constexpr base::duration room_poll_interval = 20ms;
+/// Poll interval while waiting for room at a decode engine. Each poll looks at all engines.
+constexpr base::duration room_poll_interval = 100ms;
 
 /// Deadline of one step, capped by the request's deadline.
 base::time_point step_deadline(const gateway_request& request, base::duration expected) {
@@ -37,6 +37,8 @@
         auto plan = this->retained.await_decode_engine(this->size, yield);
         if (plan || this->retained.has_value())
             return plan;
+        // The prompt is lost. Others may use the retries while this request waits.
+        release_reserved_retries(*this->request);
     }
     if (this->has_started || this->prompts_sent >= max_prefills)
         return this->await_colocated_engine(yield);
@@ -53,14 +55,17 @@
     wire::boot_timer timer(*state.context);
     bool has_waited = false;
     while (true) {
+        // A send after the deadline would fail at once and count against a healthy engine.
+        if (time_left(*this->request) <= 0ms || this->request->cancellation->is_caller_gone)
+            return std::nullopt;
         auto plan = decision::choose_colocated(state.instances, choice_context_of(*this->request),
                                                capacity_of(*this->request), this->size, state.random);
-        if (!this->avoids_waste || !plan || plan->has_room || time_left(*this->request) <= 0ms ||
-            state.clock->now() >= last_look || this->request->cancellation->is_caller_gone)
+        if (!this->avoids_wasted_prefills || !plan || plan->has_room || state.clock->now() >= last_look)
             return plan;
         if (!std::exchange(has_waited, true))
             state.metrics->count("waits_for_decode_room_total");
-        timer.expires_after(room_poll_interval);
+        const base::duration until_last_look = last_look - state.clock->now();
+        timer.expires_after(std::min({room_poll_interval, until_last_look, time_left(*this->request)}));
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
     }
@@ -86,8 +91,6 @@
 void stream_relay::reserve(const decision::engine_plan& plan) {
     this->decode_engine = plan.decode;
     this->reservation.emplace(*this->request->state, plan.decode, this->use_at(plan));
-    if (this->avoids_waste && plan.prefill)
-        this->uses_when_chosen = reported_uses(*this->request->state, plan.decode);
 }
 
 bool stream_relay::run_prefill(const decision::engine_plan& plan, wire::yield_context yield) {
@@ -190,6 +193,9 @@
     if (exchange.result == attempt_result::not_run)
         this->did_refuse(send.instance, exchange.facts);
     this->last_result = exchange.result;
+    // Nothing is sent any more, but a slow caller may take long to read the answer.
+    if (exchange.result == attempt_result::answered)
+        this->did_end();
     this->reason = decision::to_text(exchange.result);
     // Must precede the check for a disconnect: a client may close its connection once it has the complete
     // stream.
@@ -258,6 +264,8 @@
         exchange.detail = "stream ended within an event or without any event";
         return stream_end::broken;
     }
+    // Nothing is sent any more, but a slow caller may take long to read the rest.
+    release_reserved_retries(*this->request);
     return this->request->connection->end_stream(yield) ? stream_end::complete : stream_end::caller_gone;
 }
 
@@ -330,26 +338,18 @@
     return true;
 }
 
-void stream_relay::recheck(decision::engine_plan& plan) {
-    const decision::instance* const source =
-        decision::find_instance(this->request->state->instances, *plan.prefill);
-    const auto other = recheck_decode_engine(
-        *this->request,
-        {.engine = plan.decode,
-         .use = this->use_at(plan),
-         .uses_when_chosen = this->uses_when_chosen,
-         .source_zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone},
-        this->size);
-    if (!other)
+void stream_relay::recheck(decision::engine_plan& plan, const decode_reservation& before) {
+    const auto engine = recheck_decode_engine(*this->request, before, this->size);
+    if (!engine)
         return;
-    plan.decode = other->decode;
+    plan.decode = *engine;
     this->reserve(plan);
 }
 
 bool stream_relay::prepare_plan(decision::engine_plan& plan, wire::yield_context yield) {
     if (!plan.prefill || this->retained.has_value())
         return true;
-    if (this->avoids_waste && !try_reserve_prompt_and_run(*this->request)) {
+    if (this->avoids_wasted_prefills && !try_reserve_prompt_and_run(*this->request)) {
         this->request->state->metrics->count("prefills_without_budget_total");
         return this->skip_prefill(plan, yield);
     }
@@ -357,10 +357,13 @@
     // consecutive refusals can't exceed it.
     if (!try_charge_send(*this->request))
         return true;
+    decode_reservation before;
+    if (this->avoids_wasted_prefills)
+        before = describe_reservation(*this->request->state, plan, this->use_at(plan));
     if (!this->run_prefill(plan, yield))
         return false;
-    if (this->avoids_waste)
-        this->recheck(plan);
+    if (this->avoids_wasted_prefills && !this->request->cancellation->is_caller_gone)
+        this->recheck(plan, before);
     const decision::instance_table& instances = this->request->state->instances;
     const auto decode = instances.by_id.find(plan.decode);
     return decode != instances.by_id.end() && decode->second.state == decision::listing::listed &&
@@ -370,6 +373,7 @@
 }
 
 void stream_relay::did_end() {
+    this->reservation.reset();
     this->retained.release();
     release_reserved_retries(*this->request);
 }
@@ -383,7 +387,7 @@
     decision::add_sample(profile.output_tokens, this->request->routed.output_hint);
     decision::add_sample(profile.prompt_tokens, this->size.prompt_tokens);
     this->last_event = this->request->routed.resume_after;
-    this->request->reserves_retries = this->avoids_waste;
+    this->request->reserves_retries = this->avoids_wasted_prefills;
     const settings::gateway_policy& policy = this->request->state->process->policy;
     if (policy.find_retained_prompts && this->request->first_try < this->request->arrived)
         this->request->holding = find_engines_holding(*this->request, yield);
@@ -391,12 +395,18 @@
         this->reservation.reset();
         if (!this->retained.has_value())
             release_reserved_retries(*this->request);
+        // Before the choice, so that no engine's capacity is reserved during this wait.
+        await_exit_checks(*this->request, yield);
+        if (time_left(*this->request) <= 0ms || this->request->cancellation->is_caller_gone)
+            break;
         auto plan = this->next_plan(yield);
         if (!plan)
             break;
+        // Another attempt of the same request may have failed during the wait for the plan.
+        if (is_exit_check_pending(*this->request))
+            continue;
         // At once, before anything else can wait: the engine's capacity was free at this moment.
         this->reserve(*plan);
-        await_exit_checks(*this->request, yield);
         if (const char* const stop = reason_to_stop(*this->request)) {
             this->reason = stop;
             break;
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -20,7 +20,8 @@
 class stream_relay {
 public:
     explicit stream_relay(gateway_request& request)
-        : request(&request), retained(request), avoids_waste(avoids_wasted_prefills(request)) {}
+        : request(&request), retained(request),
+          avoids_wasted_prefills(gateway::avoids_wasted_prefills(request)) {}
 
     [[nodiscard]] request_ending run(wire::yield_context yield);
 
@@ -36,7 +37,7 @@
     /// Makes the plan one without a prefill engine, which needs a single send. Returns whether it could.
     [[nodiscard]] bool skip_prefill(decision::engine_plan& plan, wire::yield_context yield);
     /// Moves the reservation to another engine if its own has been overcommitted during the prefill.
-    void recheck(decision::engine_plan& plan);
+    void recheck(decision::engine_plan& plan, const decode_reservation& before);
     void reserve(const decision::engine_plan& plan);
     [[nodiscard]] decision::instance_use use_at(const decision::engine_plan& plan) const;
     [[nodiscard]] double memory_after(int events) const;
@@ -52,7 +53,7 @@
     [[nodiscard]] bool forward_events(wire::event_splitter& events);
     void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
     void did_complete_stream();
-    /// Releases what the request still holds elsewhere.
+    /// Releases what the request still holds elsewhere: before it waits for a caller that may read slowly.
     void did_end();
     /// Learns the time between events from the first events of the stream.
     void learn_event_interval(int events);
@@ -65,7 +66,6 @@
     decision::prompt_size size;
     std::optional<scoped_instance_use> reservation; ///< At the decode engine; made before the prefill.
     base::upstream_id decode_engine;                ///< Of the reservation.
-    uses_by_host uses_when_chosen; ///< Other hosts' work at the decode engine when it was chosen.
     retained_cache retained;
     std::optional<std::uint64_t> last_event;
     decision::attempt_result last_result = decision::attempt_result::not_connected;
@@ -75,7 +75,7 @@
     bool has_started = false; ///< The head and events of the answer have been sent to the client.
     bool is_resumed = false;  ///< The current attempt continues a stream that another one has started.
     wire::response_head first_head;
-    bool avoids_waste;                      ///< See `avoids_wasted_prefills`.
+    bool avoids_wasted_prefills;            ///< See the function of that name.
     std::optional<exchange_result> failure; ///< Error answer to forward if no other engine does better.
     std::string failure_body;
     const char* reason = "no engine";
