tests: Check the service of routes against the stated 5 in 100

Cause: the case of an overload of all routes allowed 10 in 100 where docs/OVERLOAD.md states 5. Change: a case of its own with that bound; the seeds are the same.

--- a/tests/decision/test_wait_order.cpp
+++ b/tests/decision/test_wait_order.cpp
@@ -216,25 +216,41 @@
     CHECK(queue.count_ahead({.waited = 900ms, .in_time = 500ms, .rank = 2}) == 2);
 }
 
-TEST_CASE("in an overload of all routes, more urgent ones are served first and no route is starved") {
+namespace {
+
+/// Outcomes of the competing routes at twice their usual load.
+std::vector<test::kind_outcome> run_overload_of_all_routes(unsigned seed) {
+    auto options = competing_routes(seed);
+    for (test::request_kind& kind : options.kinds)
+        kind.per_second *= 2;
+    return test::waiting_model(options).run(20s);
+}
+
+} // namespace
+
+TEST_CASE("in an overload of all routes, the most urgent one is served first and no route is starved") {
     for (unsigned seed = 0; seed < 3; ++seed) {
         INFO("seed " << seed);
-        auto options = competing_routes(seed);
         int callers = 0;
         int served = 0;
-        for (test::request_kind& kind : options.kinds)
-            kind.per_second *= 2;
-        const auto outcomes = test::waiting_model(options).run(20s);
+        const auto outcomes = run_overload_of_all_routes(seed);
         for (const test::kind_outcome& outcome : outcomes) {
             callers += outcome.callers;
             served += outcome.served;
         }
         CHECK(outcomes[0].served_fraction() > 0.85);
-        for (std::size_t kind = 0; kind < outcomes.size(); ++kind) {
-            CHECK(outcomes[kind].served_fraction() > 0.25 * served / callers);
-            if (kind > 0)
-                CHECK(outcomes[kind].served_fraction() < outcomes[kind - 1].served_fraction() + 0.1);
-        }
+        for (const test::kind_outcome& outcome : outcomes)
+            CHECK(outcome.served_fraction() > 0.25 * served / callers);
+    }
+}
+
+// Guards against serving a route less often than a less urgent one of its service by more than 5 in 100.
+TEST_CASE("in an overload of all routes, no route is served less often than a less urgent one") {
+    for (unsigned seed = 0; seed < 3; ++seed) {
+        INFO("seed " << seed);
+        const auto outcomes = run_overload_of_all_routes(seed);
+        for (std::size_t kind = 1; kind < outcomes.size(); ++kind)
+            CHECK(outcomes[kind].served_fraction() < outcomes[kind - 1].served_fraction() + 0.05);
     }
 }
 
