--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -36,7 +36,8 @@
     [[nodiscard]] bool prepare_plan(decision::engine_plan& plan, wire::yield_context yield);
     /// Makes the plan one without a prefill engine, which needs a single send. Returns whether it could.
     [[nodiscard]] bool skip_prefill(decision::engine_plan& plan, wire::yield_context yield);
-    /// Moves the reservation to another engine if its own has been overcommitted during the prefill.
+    /// Moves the reservation to another engine if its own has been overcommitted during the prefill, or makes
+    /// it again if its engine has restarted.
     void recheck(decision::engine_plan& plan, const decode_reservation& before);
     void reserve(const decision::engine_plan& plan);
     [[nodiscard]] decision::instance_use use_at(const decision::engine_plan& plan) const;
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -156,7 +156,7 @@
     CHECK(loads->at(1).use == decision::instance_use{});
 }
 
-// Guards against values of other types than expected, which would not fit their own.
+// Guards against infinite memory, which would stay in the sum of all hosts after the report has expired.
 TEST_CASE("work that is no finite number counts as none") {
     const nlohmann::json not_finite = std::numeric_limits<double>::infinity();
     const nlohmann::json value = {"host-1",
