decision: Hold no plain request past its deadline

Cause: whether capacity comes in time was tested against the latency target only. Where the caller's time is up earlier, its request was held until then, and refused late.

The answer has to be expected within 0.8 of the target and within the time left; the wait loop ends with the time left. The new case failed before the change.

--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -269,6 +269,13 @@
     step.decision.expected_capacity = base::from_seconds(seconds_until_capacity(step) + step.seconds_ahead());
 }
 
+/// Time since the first try by which the answer has to be expected. No later than the caller's time is up,
+/// which may be before the latency target.
+double usable_target_of(const plain_request& request) {
+    return std::min(usable_target_fraction * base::to_seconds(request.latency_target),
+                    base::to_seconds(request.waited + request.time_left));
+}
+
 } // namespace
 
 bool is_admitted_by_load(const instance_table& table, const std::string& service) {
@@ -295,8 +302,7 @@
                            .candidates = &candidates,
                            .decision = {},
                            .waited = base::to_seconds(request.waited),
-                           .usable_target =
-                               usable_target_fraction * base::to_seconds(request.latency_target)};
+                           .usable_target = usable_target_of(request)};
     summarise(step);
     if (!try_send(step, random))
         decide_without_capacity(step);
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -202,7 +202,8 @@
     queue_entry entry(state, queue, timer);
     entry.set_due(next.due);
     entry.set_position(position_after(next));
-    while (!request.cancellation->is_caller_gone && reason_to_stop(request) == nullptr) {
+    while (time_left(request) > 0ms && !request.cancellation->is_caller_gone &&
+           reason_to_stop(request) == nullptr) {
         timer.expires_after(next.pause);
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -330,3 +330,16 @@
         CHECK(decision::plain_requests(at(table, "0"), now) >= 0);
     }
 }
+
+TEST_CASE("no plain request is held for capacity that comes after its caller's time is up") {
+    // The latency target is longer than the time that is left: the answer would take 670 ms.
+    auto table = make_table({make_load(6, 60)});
+    limit_queues(table, 60);
+    auto request = make_request();
+    request.latency_target = 10s;
+    CHECK(decide(table, request).reason == plain_reason::wait_in_time);
+    request.time_left = 500ms;
+    CHECK(decide(table, request).reason == plain_reason::not_in_time);
+    request.waited = 3s;
+    CHECK(decide(table, request).reason == plain_reason::not_in_time);
+}
