decision: Do not refuse retried plain requests for lateness

Cause: after a broken first send, a repeatable request with seconds left was refused as `not_in_time`.

A request that an upstream has had, or has refused, may be late like that of a caller that returns. The log field `is_returning` is named `may_be_late` now. The new case failed before the change.

--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -230,7 +230,7 @@
         return refuse(step, plain_reason::queue_full);
     if (const auto seconds = can_be_in_time ? seconds_until_in_time(step) : std::nullopt)
         return wait(step, plain_reason::wait_in_time, *seconds);
-    if (!can_be_in_time || step.request->is_returning)
+    if (!can_be_in_time || step.request->may_be_late)
         return decide_late(step);
     step.decision.expected_wait = step.decision.expected_capacity;
     refuse(step, plain_reason::not_in_time);
@@ -278,6 +278,10 @@
 
 } // namespace
 
+bool may_be_late(const attempt_record& record, bool is_returning) {
+    return is_returning || record.attempts > 0 || record.refusals > 0;
+}
+
 bool is_admitted_by_load(const instance_table& table, const std::string& service) {
     bool is_any_reported = false;
     for (const auto& [id, known] : table.by_id) {
@@ -315,7 +319,7 @@
     const double shortest = std::max(base::to_seconds(min_retry_delay),
                                      min_retry_fraction * base::to_seconds(request.latency_target));
     const double until = std::max({shortest, base::to_seconds(decision.expected_capacity),
-                                   request.is_returning ? base::to_seconds(decision.expected_wait) : 0.0});
+                                   request.may_be_late ? base::to_seconds(decision.expected_wait) : 0.0});
     const double longest = max_retry_fraction * std::max(0.0, base::to_seconds(request.time_left));
     return base::from_seconds(std::min(longest, until * spread(random)));
 }
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <decision/attempt_rules.h>
 #include <decision/instance_choice.h>
 #include <decision/overload/plain_load.h>
 
@@ -24,7 +25,7 @@
     base::duration waited{}; ///< Since the caller's first try.
     base::duration latency_target{};
     base::duration time_left{};
-    bool is_returning = false; ///< The caller was refused before.
+    bool may_be_late = false;  ///< It is not refused for lateness, see `may_be_late`.
     bool may_wait_late = true; ///< Whether it may wait although it can't be in time.
     int ahead = 0;             ///< Requests ahead of it in this host's queue.
     int competing_hosts = 1;   ///< Hosts with requests for the same upstreams, including this one.
@@ -32,6 +33,10 @@
     bool operator==(const plain_request&) const = default;
 };
 
+/// Whether a request waits for a free slot although it can't be in time: its caller was refused before and
+/// has returned, or an upstream has had it already.
+[[nodiscard]] bool may_be_late(const attempt_record& record, bool is_returning);
+
 enum class plain_action {
     choose_without_load, ///< No load is known of an upstream that may be used.
     send,
--- a/libraries/gateway/plain_choice.cpp
+++ b/libraries/gateway/plain_choice.cpp
@@ -15,7 +15,7 @@
     return {.waited = request.state->clock->now() - waiting_since(request),
             .latency_target = request.route->latency_target,
             .time_left = time_left(request),
-            .is_returning = request.first_try < request.arrived,
+            .may_be_late = decision::may_be_late(request.record, request.first_try < request.arrived),
             .may_wait_late = !request.state->is_draining,
             .ahead = ahead,
             .competing_hosts = count_competing_hosts(*request.state)};
@@ -28,7 +28,7 @@
                           {"reason", decision::to_text(decision.reason)},
                           {"rank", request.rank},
                           {"waited_ms", base::to_milliseconds(facts.waited)},
-                          {"is_returning", facts.is_returning},
+                          {"may_be_late", facts.may_be_late},
                           {"waiting_ahead", facts.ahead},
                           {"upstreams", decision.upstreams},
                           {"free", decision.free_slots},
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -93,7 +93,7 @@
         limit_queues(table, draw(8));
         decision::plain_request request = make_request();
         request.waited = std::chrono::milliseconds(draw(600));
-        request.is_returning = draw(1) == 1;
+        request.may_be_late = draw(1) == 1;
         request.ahead = draw(10);
         const auto decision = decision::decide_plain(table, make_context(), request, random);
         const auto is_full = [](const decision::instance& known) {
@@ -104,7 +104,7 @@
         REQUIRE(decision.upstream.has_value() == (decision.action == plain_action::send));
         if (decision.free_slots > 0)
             REQUIRE(decision.action == plain_action::send);
-        if (request.is_returning)
+        if (request.may_be_late)
             REQUIRE(decision.action != plain_action::refuse);
         if (decision.reason == plain_reason::wait_in_time)
             REQUIRE(request.waited + decision.expected_wait <= 240ms);
@@ -235,7 +235,7 @@
     limit_queues(table, 6);
     auto request = make_request();
     request.waited = 500ms;
-    request.is_returning = true;
+    request.may_be_late = true;
     const auto waiting = decide(table, request);
     CHECK(waiting.reason == plain_reason::wait_late);
     // Seven ends until a slot is free, and the request itself takes 60 ms.
@@ -343,3 +343,10 @@
     request.waited = 3s;
     CHECK(decide(table, request).reason == plain_reason::not_in_time);
 }
+
+TEST_CASE("a repeatable plain request that an upstream has had is not refused for lateness") {
+    CHECK_FALSE(decision::may_be_late({}, false));
+    CHECK(decision::may_be_late({}, true));
+    CHECK(decision::may_be_late({.is_repeatable = true, .attempts = 1}, false));
+    CHECK(decision::may_be_late({.is_repeatable = true, .refusals = 1}, false));
+}
