gateway: Put requests without known load behind those that wait

Cause: the defaults of `queue_position` are the best position, rank 0 and in time for ever, so that a request without known load overtook all waiting ones.

Such a request is late and of the last rank now. Those of services with limits only still keep the order of arrival. The new case failed before the change.

--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <decision/overload/plain_admission.h>
 
+#include <decision/overload/rank.h>
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -345,6 +347,10 @@
     return std::clamp(capacity / std::max(1, competing_hosts) / std::max(1.0, own), least, 1.0);
 }
 
+queue_position last_position(base::time_point now) {
+    return {.since = now, .in_time_until = base::time_point::min(), .rank = max_rank};
+}
+
 bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now) {
     const auto key = [now](const queue_position& position) {
         const auto improvement =
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -104,6 +104,9 @@
     bool operator==(const queue_position&) const = default;
 };
 
+/// Position behind all requests whose position is known from the load.
+[[nodiscard]] queue_position last_position(base::time_point now);
+
 /// Whether `left` is served before `right`: requests that can be in time first, then by rank, then by age.
 [[nodiscard]] bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now);
 
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -92,7 +92,7 @@
         return {.upstream = std::move(chosen)};
     const decision::instance* const target = decision::find_instance(state.instances, *chosen);
     const bool may_queue = is_by_load || (target != nullptr && decision::is_limited(*target));
-    if (may_queue && would_overtake_queue(request, last_position(request)))
+    if (may_queue && would_overtake_queue(request, decision::last_position(state.clock->now())))
         return {};
     return {.upstream = std::move(chosen)};
 }
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -159,10 +159,6 @@
     return queue != state.send_slot_queues.end() && count_waiters(queue->second, position, now, now) > 0;
 }
 
-decision::queue_position last_position(const gateway_request& request) {
-    return {.since = request.state->clock->now()};
-}
-
 decision::plain_decision decide_in_queue(gateway_request& request) {
     decision::plain_decision decision = decide_by_load(request, 0);
     if (decision.action == decision::plain_action::choose_without_load)
@@ -186,7 +182,7 @@
 bool await_send_slot(gateway_request& request, wire::yield_context yield) {
     gateway_state& state = *request.state;
     send_slot_queue& queue = state.send_slot_queues[request.service];
-    const decision::queue_position last = last_position(request);
+    const decision::queue_position last = decision::last_position(state.clock->now());
     const auto position_after = [&](const queue_check& checked) {
         return checked.by_load ? queue_position_of(request, *checked.by_load) : last;
     };
--- a/libraries/gateway/send_slot_queue.h
+++ b/libraries/gateway/send_slot_queue.h
@@ -12,9 +12,6 @@
 [[nodiscard]] bool would_overtake_queue(const gateway_request& request,
                                         const decision::queue_position& position);
 
-/// Position of a request whose upstreams' load is not known: behind those that wait already.
-[[nodiscard]] decision::queue_position last_position(const gateway_request& request);
-
 /// Call when a response to this host shows that a request has ended: the head of the queue may take its place
 /// before other hosts learn of it.
 void did_end_plain_request(gateway_state& state, const std::string& service);
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -350,3 +350,18 @@
     CHECK(decision::may_be_late({.is_repeatable = true, .attempts = 1}, false));
     CHECK(decision::may_be_late({.is_repeatable = true, .refusals = 1}, false));
 }
+
+TEST_CASE("a plain request without known load does not overtake waiting ones") {
+    const auto last = decision::last_position(now);
+    const decision::queue_position in_time = {
+        .since = now - 50ms, .in_time_until = now + 100ms, .latency_target = 300ms, .rank = 2};
+    const decision::queue_position late = {
+        .since = now - 1s, .in_time_until = now - 700ms, .latency_target = 300ms, .rank = 15};
+    for (const auto& waiting : {in_time, late}) {
+        CHECK(decision::is_ahead(waiting, last, now));
+        CHECK_FALSE(decision::is_ahead(last, waiting, now));
+    }
+    // Those without known load keep the order of arrival.
+    CHECK(decision::is_ahead(last, decision::last_position(now + 1ms), now + 2s));
+    CHECK_FALSE(decision::is_ahead(decision::last_position(now + 1ms), last, now + 2s));
+}
