decision: Count only plain requests that have no answer yet as running

Cause: an upstream's requests were at least `instance::own`, which includes a request while its answer is forwarded. Callers that read slowly made an upstream look busy.

`scoped_plain_send` changes a counter of its own through `record_plain_start` and `record_plain_end`. The case on replacement sets that counter in place of `instance::own`, with the same values.

--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -86,6 +86,9 @@
         has_latency; ///< Whether its last report had four figures; unset before the first one.
     std::optional<int>
         queue_limit; ///< Requests that it queues, as its refusals show; unset before the first.
+    /// Requests that this host has sent and that have no answer yet. Unlike `instance::own`, without those
+    /// whose answer is still being forwarded to the caller.
+    int sent_requests = 0;
     std::vector<request_change> own_changes; ///< Of this host, for as long as a load is used.
 
     bool operator==(const plain_load&) const = default;
--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -342,7 +342,7 @@
         if (known.state != listing::listed || known.entry.service != service)
             continue;
         capacity += plain_slots(known) + known.plain.queue_limit.value_or(0);
-        own += std::max(0, known.own.requests);
+        own += known.plain.sent_requests;
     }
     return std::clamp(capacity / std::max(1, competing_hosts) / std::max(1.0, own), least, 1.0);
 }
--- a/libraries/decision/overload/plain_load.cpp
+++ b/libraries/decision/overload/plain_load.cpp
@@ -20,9 +20,11 @@
 }
 
 void record_change(instance& target, int change, base::time_point now) {
-    std::erase_if(target.plain.own_changes,
+    plain_load& known = target.plain;
+    known.sent_requests = std::max(0, known.sent_requests + change);
+    std::erase_if(known.own_changes,
                   [now](const request_change& earlier) { return now - earlier.at >= plain_load_lifetime; });
-    target.plain.own_changes.push_back({now, change});
+    known.own_changes.push_back({now, change});
 }
 
 /// Requests that this host has sent since the load was observed, less those that have ended.
@@ -96,7 +98,7 @@
 }
 
 int plain_requests(const instance& target, base::time_point now) {
-    const int own = std::max(0, target.own.requests);
+    const int own = target.plain.sent_requests;
     if (!is_plain_load_known(target, now))
         return own;
     return std::max(own, requests_in(target.plain.load) + own_change_since_load(target.plain));
--- a/libraries/decision/overload/plain_load.h
+++ b/libraries/decision/overload/plain_load.h
@@ -36,7 +36,7 @@
 /// Whether a load is known and recent enough to be used.
 [[nodiscard]] bool is_plain_load_known(const instance& target, base::time_point now);
 
-/// Running and waiting requests now; at least those of this host.
+/// Running and waiting requests now; at least those that this host has sent and that have no answer yet.
 [[nodiscard]] int plain_requests(const instance& target, base::time_point now);
 
 /// Slots by the last report, or by the registry if there is none; at least 1.
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -275,9 +275,13 @@
 TEST_CASE("a host with more than its share of the slots leaves some of them to the others") {
     auto table = make_table({make_load(6), make_load(6)});
     CHECK(decision::replacement_probability(table, "service", 3) == 1);
-    at(table, "0").own.requests = 4;
+    const auto send_four = [&table](const std::string& id) {
+        for (int sent = 0; sent < 4; ++sent)
+            decision::record_plain_start(at(table, id), now);
+    };
+    send_four("0");
     CHECK(decision::replacement_probability(table, "service", 3) == 1);
-    at(table, "1").own.requests = 4;
+    send_four("1");
     CHECK(decision::replacement_probability(table, "service", 3) == 0.5);
     // Slots are scarce while fewer requests can be sent than hosts have some waiting.
     auto request = make_request();
@@ -365,3 +369,17 @@
     CHECK(decision::is_ahead(last, decision::last_position(now + 1ms), now + 2s));
     CHECK_FALSE(decision::is_ahead(decision::last_position(now + 1ms), last, now + 2s));
 }
+
+TEST_CASE("plain requests whose answer is being forwarded to slow callers occupy no slot") {
+    auto table = make_table({make_load(2), make_load(2)});
+    decision::instance& known = at(table, "0");
+    known.own.requests = 12;
+    CHECK(decision::plain_requests(known, now) == 2);
+    CHECK(decision::replacement_probability(table, "service", 3) == 1);
+    for (int sent = 0; sent < 4; ++sent)
+        decision::record_plain_start(known, now - 1ms);
+    CHECK(decision::plain_requests(known, now) == 4);
+    for (int ended = 0; ended < 4; ++ended)
+        decision::record_plain_end(known, now - 1ms);
+    CHECK(decision::plain_requests(known, now) == 2);
+}
