decision: Send an upstream without known load no more than a share

Cause: an upstream whose load is not known looked empty beside others, so all hosts sent it their requests until its first report.

It counts as having the requests that remain of its last load, and each host's as many as this host's; a host sends it no more than its share of the slots, at least one, until a response shows its load.

--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -76,6 +76,18 @@
     return figures;
 }
 
+/// Estimates the requests at an upstream without known load among others with known load. All hosts choose it
+/// at the same time, so this host sends it no more than its share of the slots until a response shows the
+/// load.
+void estimate_requests(candidate& one, int competing_hosts, base::time_point now) {
+    const double own = one.upstream->plain.sent_requests;
+    const double hosts = std::max(1, competing_hosts);
+    const double share = std::max(1.0, one.slots / hosts);
+    one.requests = std::max({last_plain_requests(*one.upstream, one.seconds_per_end(), now), own * hosts,
+                             one.slots - share + own});
+    one.full_at = own < share ? std::max(one.full_at, one.requests + 1) : one.requests;
+}
+
 void complete(candidate& one, const service_figures& figures, const choice_context& context) {
     const instance& known = *one.upstream;
     const double usual =
@@ -90,7 +102,8 @@
         one.preference += other_zone_seconds;
 }
 
-std::vector<candidate> find_candidates(const instance_table& table, const choice_context& context) {
+std::vector<candidate> find_candidates(const instance_table& table, const choice_context& context,
+                                       int competing_hosts) {
     std::vector<candidate> found;
     for (const auto& [id, known] : table.by_id) {
         if (known.state != listing::listed || known.entry.service != context.service ||
@@ -100,8 +113,11 @@
             found.push_back({.upstream = &known});
     }
     const service_figures figures = figures_of(found);
-    for (candidate& one : found)
+    for (candidate& one : found) {
         complete(one, figures, context);
+        if (!is_plain_load_known(*one.upstream, context.now))
+            estimate_requests(one, competing_hosts, context.now);
+    }
     return found;
 }
 
@@ -298,7 +314,7 @@
 
 plain_decision decide_plain(const instance_table& table, const choice_context& context,
                             const plain_request& request, std::mt19937_64& random) {
-    const std::vector<candidate> candidates = find_candidates(table, context);
+    const std::vector<candidate> candidates = find_candidates(table, context, request.competing_hosts);
     const bool is_any_known = std::ranges::any_of(candidates, [&context](const candidate& one) {
         return is_plain_load_known(*one.upstream, context.now);
     });
--- a/libraries/decision/overload/plain_load.cpp
+++ b/libraries/decision/overload/plain_load.cpp
@@ -104,6 +104,14 @@
     return std::max(own, requests_in(target.plain.load) + own_change_since_load(target.plain));
 }
 
+double last_plain_requests(const instance& target, double seconds_per_end, base::time_point now) {
+    const plain_load& known = target.plain;
+    if (known.observed_at == base::time_point{})
+        return 0;
+    const double ended = base::to_seconds(now - known.observed_at) / seconds_per_end;
+    return std::max(0.0, requests_in(known.load) - ended);
+}
+
 int plain_slots(const instance& target) {
     const int reported = target.plain.load.slots;
     return std::clamp(reported > 0 ? reported : target.entry.slots, 1, max_plain_requests);
--- a/libraries/decision/overload/plain_load.h
+++ b/libraries/decision/overload/plain_load.h
@@ -39,6 +39,10 @@
 /// Running and waiting requests now; at least those that this host has sent and that have no answer yet.
 [[nodiscard]] int plain_requests(const instance& target, base::time_point now);
 
+/// Requests that remain of the last known load if none was sent since and one ends per `seconds_per_end`.
+[[nodiscard]] double last_plain_requests(const instance& target, double seconds_per_end,
+                                         base::time_point now);
+
 /// Slots by the last report, or by the registry if there is none; at least 1.
 [[nodiscard]] int plain_slots(const instance& target);
 
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -383,3 +383,33 @@
         decision::record_plain_end(known, now - 1ms);
     CHECK(decision::plain_requests(known, now) == 2);
 }
+
+TEST_CASE("a plain upstream that has just started is not sent a whole burst by each host") {
+    auto table = make_table({make_load(3), make_load(3), make_load(0)});
+    decision::instance& started = at(table, "2");
+    started.plain = {};
+    auto request = make_request();
+    request.competing_hosts = 3;
+    // Each of three hosts sends it its share of the six slots until it has answered.
+    const auto sends_to_it = [&] {
+        int count = 0;
+        for (unsigned seed = 0; seed < 200; ++seed)
+            count += decide(table, request, now, seed).upstream->value == "2" ? 1 : 0;
+        return count;
+    };
+    const int first = sends_to_it();
+    CHECK(first > 0);
+    CHECK(first < 100);
+    decision::record_plain_start(started, now);
+    CHECK(sends_to_it() > 0);
+    decision::record_plain_start(started, now);
+    CHECK(sends_to_it() == 0);
+    decision::record_plain_load(started, make_load(1), plain_response::executed, now);
+    CHECK(sends_to_it() > 0);
+    // With more hosts than slots, each sends it one.
+    started.plain = {};
+    request.competing_hosts = 65;
+    CHECK(sends_to_it() > 0);
+    decision::record_plain_start(started, now);
+    CHECK(sends_to_it() == 0);
+}
