decision: Learn an upstream's queue from refusals for its load only

Cause: a 503 for a back-off, or of a leaving upstream, while its slots were busy set the number of requests that it queues, often to 0, and that could last until its restart.

Such refusals are not used. The number rises by one for each 5 s without a refusal.

--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -86,6 +86,7 @@
         has_latency; ///< Whether its last report had four figures; unset before the first one.
     std::optional<int>
         queue_limit; ///< Requests that it queues, as its refusals show; unset before the first.
+    base::time_point queue_limit_confirmed_at{}; ///< When a refusal last showed it, or it was last raised.
     /// Requests that this host has sent and that have no answer yet. Unlike `instance::own`, without those
     /// whose answer is still being forwarded to the caller.
     int sent_requests = 0;
--- a/libraries/decision/overload/plain_load.cpp
+++ b/libraries/decision/overload/plain_load.cpp
@@ -14,6 +14,9 @@
 /// Ages are sent in whole milliseconds. A host's second report of the same response, which may contain
 /// further requests that it sent, is applied although it may seem slightly older.
 constexpr base::duration age_tolerance = 2ms;
+/// Time without a refusal after which an upstream is assumed to queue one request more. A limit that was
+/// learned too low, or has been raised since, is corrected in this way.
+constexpr base::duration queue_limit_lifetime = 5s;
 
 int requests_in(const instance_load& load) {
     return std::clamp(load.running, 0, max_plain_requests) + std::clamp(load.waiting, 0, max_plain_requests);
@@ -37,11 +40,22 @@
 }
 
 /// Learns from a refusal how many requests the upstream queues.
-void learn_from_refusal(plain_load& known, const instance_load& load) {
+void learn_from_refusal(plain_load& known, const instance_load& load, base::time_point now) {
     const int queued = requests_in(load) - std::clamp(load.slots, 1, max_plain_requests);
     // An upstream that refuses although it has free slots is not full.
-    if (queued >= 0)
-        known.queue_limit = queued;
+    if (queued < 0)
+        return;
+    known.queue_limit = queued;
+    known.queue_limit_confirmed_at = now;
+}
+
+/// Raises the number of queued requests if there was no refusal for some time.
+void raise_queue_limit(plain_load& known, base::time_point now) {
+    if (!known.queue_limit || *known.queue_limit >= max_plain_requests ||
+        now - known.queue_limit_confirmed_at < queue_limit_lifetime)
+        return;
+    ++*known.queue_limit;
+    known.queue_limit_confirmed_at = now;
 }
 
 /// Learns that the upstream queues at least the requests that wait there.
@@ -61,12 +75,14 @@
     plain_load& known = target.plain;
     known.has_latency = load.has_relative_latency;
     if (response == plain_response::refused)
-        learn_from_refusal(known, load);
+        learn_from_refusal(known, load, now);
+    if (response == plain_response::executed)
+        raise_queue_limit(known, now);
     learn_from_queue(known, load);
     known.load = load;
     known.observed_at = now;
     known.is_observed_here = true;
-    if (response == plain_response::refused)
+    if (response != plain_response::executed)
         return;
     // Whether a report includes the request that it answers differs between upstreams. One without any
     // request shows that it does not.
--- a/libraries/decision/overload/plain_load.h
+++ b/libraries/decision/overload/plain_load.h
@@ -16,7 +16,8 @@
 /// What a response with a load says of the request that it answers.
 enum class plain_response {
     executed, ///< It ran, so it may be among the requests reported as running.
-    refused,  ///< It did not run.
+    refused,  ///< It did not run, as the upstream was full.
+    declined, ///< It did not run for another reason: a back-off, a rate limit, or the upstream is leaving.
 };
 
 /// Records that this host sent a request to the instance.
--- a/libraries/gateway/upstream_load_exchange.cpp
+++ b/libraries/gateway/upstream_load_exchange.cpp
@@ -23,6 +23,16 @@
            decision::plain_requests(known, now) >= decision::plain_slots(known);
 }
 
+/// What the response says of its request. An upstream that refuses for another reason than its load says
+/// nothing of its queue.
+decision::plain_response response_of(const exchange_result& exchange, const decision::instance& target) {
+    if (exchange.result != attempt_result::not_run)
+        return decision::plain_response::executed;
+    const bool is_unrelated =
+        exchange.facts.backoff || exchange.facts.is_leaving || target.state == decision::listing::leaving;
+    return is_unrelated ? decision::plain_response::declined : decision::plain_response::refused;
+}
+
 } // namespace
 
 upstream_load_exchange::upstream_load_exchange(gateway_state& state) : state(&state), timer(*state.context) {}
@@ -86,11 +96,7 @@
         return;
     const base::time_point now = state.clock->now();
     const bool was_busy = is_busy(*target, now);
-    decision::record_plain_load(*target, *exchange.facts.load,
-                                exchange.result == attempt_result::not_run
-                                    ? decision::plain_response::refused
-                                    : decision::plain_response::executed,
-                                now);
+    decision::record_plain_load(*target, *exchange.facts.load, response_of(exchange, *target), now);
     if (!exchange.facts.load->has_relative_latency)
         return;
     plain_load_state& loads = state.plain_loads;
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -413,3 +413,19 @@
     decision::record_plain_start(started, now);
     CHECK(sends_to_it() == 0);
 }
+
+TEST_CASE("refusals of plain requests for other reasons than load do not shorten the known queue") {
+    auto table = make_table({make_load(6, 6)});
+    decision::instance& known = at(table, "0");
+    decision::record_plain_load(known, make_load(6), plain_response::declined, now);
+    CHECK_FALSE(known.plain.queue_limit);
+    decision::record_plain_load(known, make_load(6, 4), plain_response::refused, now);
+    decision::record_plain_load(known, make_load(6), plain_response::declined, now + 1s);
+    CHECK(known.plain.queue_limit == 4);
+    // One that was learned too low is corrected.
+    decision::record_plain_load(known, make_load(6), plain_response::executed, now + 4s);
+    CHECK(known.plain.queue_limit == 4);
+    decision::record_plain_load(known, make_load(6), plain_response::executed, now + 6s);
+    decision::record_plain_load(known, make_load(6), plain_response::executed, now + 6s);
+    CHECK(known.plain.queue_limit == 5);
+}
