decision: Replace a host's load only by newer ones of other hosts

The source of a load is kept, and only its reports are tolerated. Changes by this host's requests are recorded only where loads are reported, in a deque from which the oldest are removed.

--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -6,6 +6,7 @@
 #include <decision/overload/upstream_pace.h>
 #include <settings/routing_settings.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -81,6 +82,7 @@
     instance_load load;             ///< Of the latest response to any host, without the request answered.
     base::time_point observed_at{}; ///< When that response was received.
     bool is_observed_here = false;  ///< That response was received by this host.
+    base::host_id observed_by{};    ///< Host that received it, unless it was this one.
     bool excludes_answered = false; ///< Its reports leave out the request that they answer.
     std::optional<bool>
         has_latency; ///< Whether its last report had four figures; unset before the first one.
@@ -90,7 +92,7 @@
     /// Requests that this host has sent and that have no answer yet. Unlike `instance::own`, without those
     /// whose answer is still being forwarded to the caller.
     int sent_requests = 0;
-    std::vector<request_change> own_changes; ///< Of this host, for as long as a load is used.
+    std::deque<request_change> own_changes; ///< Of this host, for as long as a load is used; oldest first.
 
     bool operator==(const plain_load&) const = default;
 };
--- a/libraries/decision/overload/plain_load.cpp
+++ b/libraries/decision/overload/plain_load.cpp
@@ -25,8 +25,11 @@
 void record_change(instance& target, int change, base::time_point now) {
     plain_load& known = target.plain;
     known.sent_requests = std::max(0, known.sent_requests + change);
-    std::erase_if(known.own_changes,
-                  [now](const request_change& earlier) { return now - earlier.at >= plain_load_lifetime; });
+    // Without loads there is nothing to correct.
+    if (!known.has_latency.value_or(false))
+        return known.own_changes.clear();
+    while (!known.own_changes.empty() && now - known.own_changes.front().at >= plain_load_lifetime)
+        known.own_changes.pop_front();
     known.own_changes.push_back({now, change});
 }
 
@@ -93,10 +96,12 @@
 }
 
 void receive_plain_load(instance& target, const instance_load& load, base::time_point observed_at,
-                        base::time_point now) {
+                        base::time_point now, const base::host_id& source) {
     plain_load& known = target.plain;
     observed_at = std::min(observed_at, now);
-    if (now - observed_at >= plain_load_lifetime || observed_at + age_tolerance < known.observed_at)
+    const bool is_same_source = !known.is_observed_here && known.observed_by == source;
+    const base::duration tolerance = is_same_source ? age_tolerance : base::duration{};
+    if (now - observed_at >= plain_load_lifetime || observed_at + tolerance < known.observed_at)
         return;
     // This host's own later requests at its own observation are more exact than a report of the same age.
     if (known.is_observed_here && observed_at <= known.observed_at)
@@ -106,6 +111,7 @@
     known.load = load;
     known.observed_at = observed_at;
     known.is_observed_here = false;
+    known.observed_by = source;
 }
 
 bool is_plain_load_known(const instance& target, base::time_point now) {
--- a/libraries/decision/overload/plain_load.h
+++ b/libraries/decision/overload/plain_load.h
@@ -30,9 +30,9 @@
 void record_plain_load(instance& target, const instance_load& load, plain_response response,
                        base::time_point now);
 
-/// Applies the load in a response to another host; ignored if a newer one is known.
+/// Applies the load in a response to another host, `source`; ignored if a newer one is known.
 void receive_plain_load(instance& target, const instance_load& load, base::time_point observed_at,
-                        base::time_point now);
+                        base::time_point now, const base::host_id& source = {});
 
 /// Whether a load is known and recent enough to be used.
 [[nodiscard]] bool is_plain_load_known(const instance& target, base::time_point now);
--- a/libraries/gateway/upstream_load_exchange.cpp
+++ b/libraries/gateway/upstream_load_exchange.cpp
@@ -82,7 +82,7 @@
             continue;
         decision::instance_load load = observed.load;
         load.has_relative_latency = true;
-        decision::receive_plain_load(*target, load, now - observed.age, now);
+        decision::receive_plain_load(*target, load, now - observed.age, now, report.host);
     }
 }
 
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -429,3 +429,14 @@
     decision::record_plain_load(known, make_load(6), plain_response::executed, now + 6s);
     CHECK(known.plain.queue_limit == 5);
 }
+
+TEST_CASE("a plain upstream's load is not replaced by another host's older one") {
+    auto table = make_table({make_load(0)});
+    decision::instance& known = at(table, "0");
+    decision::receive_plain_load(known, make_load(6), now + 10ms, now + 11ms, {"one"});
+    decision::receive_plain_load(known, make_load(2), now + 9ms, now + 12ms, {"two"});
+    CHECK(decision::plain_requests(known, now + 13ms) == 6);
+    // The same host's second report of a response may seem slightly older.
+    decision::receive_plain_load(known, make_load(5), now + 9ms, now + 14ms, {"one"});
+    CHECK(decision::plain_requests(known, now + 15ms) == 5);
+}
