--- a/libraries/gateway/upstream_load_exchange.cpp
+++ b/libraries/gateway/upstream_load_exchange.cpp
@@ -44,7 +44,8 @@
 void upstream_load_exchange::schedule_report() {
     const plain_load_state& loads = this->state->plain_loads;
     // Without a response since the last report, there is nothing new to report.
-    if (loads.observed_at <= loads.reported_at || std::exchange(this->is_scheduled, true))
+    if (!this->state->process->policy.report_loads || loads.observed_at <= loads.reported_at ||
+        std::exchange(this->is_scheduled, true))
         return;
     const base::duration since = this->state->clock->now() - loads.reported_at;
     this->timer.expires_after(std::max<base::duration>(0ms, report_interval - since));
