gateway: List the upstreams of a service each 20 ms

Cause: each decision on a plain request scanned all instances twice, engines included, which costs small hosts much of their tenth of a core.

The ids of a service's instances are kept; each decision looks up these. An upstream that is new gets requests up to 20 ms later; changes of those that are listed apply at once.

--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -102,15 +102,25 @@
         one.preference += other_zone_seconds;
 }
 
+/// A listed instance of the service; none if it has changed since the service's instances were listed.
+const instance* find_member(const instance_table& table, const base::upstream_id& id,
+                            const std::string& service) {
+    const auto found = table.by_id.find(id);
+    const bool is_member = found != table.by_id.end() && found->second.state == listing::listed &&
+                           found->second.entry.service == service;
+    return is_member ? &found->second : nullptr;
+}
+
 std::vector<candidate> find_candidates(const instance_table& table, const choice_context& context,
-                                       int competing_hosts) {
+                                       const std::vector<base::upstream_id>& members, int competing_hosts) {
     std::vector<candidate> found;
-    for (const auto& [id, known] : table.by_id) {
-        if (known.state != listing::listed || known.entry.service != context.service ||
-            context.excluded.contains(id) || is_avoided(known, context.now))
+    found.reserve(members.size());
+    for (const base::upstream_id& id : members) {
+        const instance* const known = find_member(table, id, context.service);
+        if (known == nullptr || context.excluded.contains(id) || is_avoided(*known, context.now))
             continue;
-        if (check_placement(table, context.limits, known, context.now) == placement_verdict::allowed)
-            found.push_back({.upstream = &known});
+        if (check_placement(table, context.limits, *known, context.now) == placement_verdict::allowed)
+            found.push_back({.upstream = known});
     }
     const service_figures figures = figures_of(found);
     for (candidate& one : found) {
@@ -300,21 +310,42 @@
     return is_returning || record.attempts > 0 || record.refusals > 0;
 }
 
-bool is_admitted_by_load(const instance_table& table, const std::string& service) {
+std::vector<base::upstream_id> members_of(const instance_table& table, const std::string& service) {
+    std::vector<base::upstream_id> members;
+    for (const auto& [id, known] : table.by_id)
+        if (known.entry.service == service)
+            members.push_back(id);
+    return members;
+}
+
+bool is_admitted_by_load(const instance_table& table, const std::string& service,
+                         const std::vector<base::upstream_id>& members) {
     bool is_any_reported = false;
-    for (const auto& [id, known] : table.by_id) {
-        if (known.state != listing::listed || known.entry.service != service)
+    for (const base::upstream_id& id : members) {
+        const instance* const known = find_member(table, id, service);
+        if (known == nullptr)
             continue;
-        if (!known.plain.has_latency.value_or(true))
+        if (!known->plain.has_latency.value_or(true))
             return false;
-        is_any_reported |= known.plain.has_latency.has_value();
+        is_any_reported |= known->plain.has_latency.has_value();
     }
     return is_any_reported;
 }
 
+bool is_admitted_by_load(const instance_table& table, const std::string& service) {
+    return is_admitted_by_load(table, service, members_of(table, service));
+}
+
 plain_decision decide_plain(const instance_table& table, const choice_context& context,
                             const plain_request& request, std::mt19937_64& random) {
-    const std::vector<candidate> candidates = find_candidates(table, context, request.competing_hosts);
+    return decide_plain(table, members_of(table, context.service), context, request, random);
+}
+
+plain_decision decide_plain(const instance_table& table, const std::vector<base::upstream_id>& members,
+                            const choice_context& context, const plain_request& request,
+                            std::mt19937_64& random) {
+    const std::vector<candidate> candidates =
+        find_candidates(table, context, members, request.competing_hosts);
     const bool is_any_known = std::ranges::any_of(candidates, [&context](const candidate& one) {
         return is_plain_load_known(*one.upstream, context.now);
     });
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <random>
+#include <vector>
 
 /// Decides from the loads of plain upstreams whether a request is sent now, waits on this host or is refused.
 namespace postpaddle::decision {
@@ -20,6 +21,14 @@
 /// none last reported a load without it. Those that have not reported yet don't count.
 [[nodiscard]] bool is_admitted_by_load(const instance_table& table, const std::string& service);
 
+/// Ids of the instances of a service.
+[[nodiscard]] std::vector<base::upstream_id> members_of(const instance_table& table,
+                                                        const std::string& service);
+
+/// The same, for callers that know the service's instances.
+[[nodiscard]] bool is_admitted_by_load(const instance_table& table, const std::string& service,
+                                       const std::vector<base::upstream_id>& members);
+
 /// Facts about a request to a plain upstream.
 struct plain_request {
     base::duration waited{}; ///< Since the caller's first try.
@@ -78,6 +87,12 @@
 [[nodiscard]] plain_decision decide_plain(const instance_table& table, const choice_context& context,
                                           const plain_request& request, std::mt19937_64& random);
 
+/// The same, for callers that know the service's instances.
+[[nodiscard]] plain_decision decide_plain(const instance_table& table,
+                                          const std::vector<base::upstream_id>& members,
+                                          const choice_context& context, const plain_request& request,
+                                          std::mt19937_64& random);
+
 /// Delay after which a refused caller should return: the time until capacity is expected, spread over 1 to 2
 /// times it, and at least half of the latency target, so that other refused callers are served meanwhile. At
 /// most a third of the time left.
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -101,6 +101,13 @@
     base::time_point next_release{};        ///< While slots are scarce: when this host may send the next one.
 };
 
+/// What is kept of a service with plain upstreams between two decisions.
+struct plain_service {
+    std::vector<base::upstream_id> members; ///< Its upstreams, to avoid a scan of the table per decision.
+    base::time_point listed_at{};           ///< When they were listed.
+    bool is_listed = false;
+};
+
 /// Exchange of the loads of plain upstreams, see `upstream_load_exchange`.
 struct plain_load_state {
     base::time_point observed_at{};        ///< When a response to this host last reported a load.
@@ -170,6 +177,7 @@
     /// Requests of this host that wait for a send slot, by service.
     std::map<std::string, send_slot_queue> send_slot_queues{};
     plain_load_state plain_loads{};
+    std::map<std::string, plain_service> plain_services{};
     std::set<base::upstream_id>
         advertising_upstreams{}; ///< Instances whose advertised state is gossiped to other hosts.
     std::map<std::string, decision::service_profile> profiles{};        ///< Learned, by service.
--- a/libraries/gateway/plain_choice.cpp
+++ b/libraries/gateway/plain_choice.cpp
@@ -3,14 +3,34 @@
 
 #include <gateway/upstream_load_exchange.h>
 
+#include <utility>
+
 namespace postpaddle::gateway {
 
 namespace {
 
+using namespace std::chrono_literals;
+
+/// Time after which the upstreams of a service are listed again, so that not each decision scans all
+/// instances. New upstreams get requests that much later; changes of those that are listed apply at once.
+constexpr base::duration member_lifetime = 20ms;
+
 base::time_point waiting_since(const gateway_request& request) {
     return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
 }
 
+/// The service with the upstreams that it has. They are listed again after a short time.
+plain_service& plain_service_of(const gateway_request& request) {
+    gateway_state& state = *request.state;
+    plain_service& service = state.plain_services[request.service];
+    const base::time_point now = state.clock->now();
+    if (std::exchange(service.is_listed, true) && now - service.listed_at < member_lifetime)
+        return service;
+    service.members = decision::members_of(state.instances, request.service);
+    service.listed_at = now;
+    return service;
+}
+
 decision::plain_request facts_of(const gateway_request& request, int ahead) {
     return {.waited = request.state->clock->now() - waiting_since(request),
             .latency_target = request.route->latency_target,
@@ -52,14 +72,16 @@
 
 bool is_admitted_by_load(const gateway_request& request) {
     return request.state->process->policy.admit_by_load &&
-           decision::is_admitted_by_load(request.state->instances, request.service);
+           decision::is_admitted_by_load(request.state->instances, request.service,
+                                         plain_service_of(request).members);
 }
 
 decision::plain_decision decide_by_load(gateway_request& request, int ahead) {
     gateway_state& state = *request.state;
     const decision::plain_request facts = facts_of(request, ahead);
-    decision::plain_decision decision =
-        decision::decide_plain(state.instances, choice_context_of(request), facts, state.random);
+    plain_service& service = plain_service_of(request);
+    decision::plain_decision decision = decision::decide_plain(
+        state.instances, service.members, choice_context_of(request), facts, state.random);
     request.retry_delay = std::nullopt;
     if (decision.action == decision::plain_action::choose_without_load)
         return decision;
