gateway: Let callers return later in a long overload

Cause: the expected wait that `Retry-After` rests on includes the queue of this host only, so that callers returned too early while other hosts' requests waited for the same slots.

It is at least half of the time since a slot was free, at most a third of the time left. A slot that is seen free halves that time, so that one of a moment does not end the overload.

--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -28,6 +28,9 @@
 constexpr double min_retry_fraction = 0.5;
 constexpr base::duration min_retry_delay = 50ms;
 constexpr double max_retry_fraction = 1.0 / 3;
+/// Fraction of the time since a slot was free after which callers return: an overload that has lasted long is
+/// expected to last on, although this host knows the requests in its own queue only.
+constexpr double busy_retry_fraction = 0.5;
 
 /// An upstream that may be sent the request.
 struct candidate {
@@ -368,6 +371,7 @@
     const double shortest = std::max(base::to_seconds(min_retry_delay),
                                      min_retry_fraction * base::to_seconds(request.latency_target));
     const double until = std::max({shortest, base::to_seconds(decision.expected_capacity),
+                                   busy_retry_fraction * base::to_seconds(request.busy_for),
                                    request.may_be_late ? base::to_seconds(decision.expected_wait) : 0.0});
     const double longest = max_retry_fraction * std::max(0.0, base::to_seconds(request.time_left));
     return base::from_seconds(std::min(longest, until * spread(random)));
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -37,6 +37,7 @@
     bool may_be_late = false;  ///< It is not refused for lateness, see `may_be_late`.
     bool may_wait_late = true; ///< Whether it may wait although it can't be in time.
     int ahead = 0;             ///< Requests ahead of it in this host's queue.
+    base::duration busy_for{}; ///< Since a free slot was last seen at the service's upstreams.
     int competing_hosts = 1;   ///< Hosts with requests for the same upstreams, including this one.
 
     bool operator==(const plain_request&) const = default;
@@ -94,7 +95,8 @@
                                           std::mt19937_64& random);
 
 /// Delay after which a refused caller should return: the time until capacity is expected, spread over 1 to 2
-/// times it, and at least half of the latency target, so that other refused callers are served meanwhile. At
+/// times it, and at least half of the latency target, so that other refused callers are served meanwhile. In
+/// a long overload at least half of the time since a slot was free, since other hosts have queues too. At
 /// most a third of the time left.
 [[nodiscard]] base::duration plain_retry_delay(const plain_decision& decision, const plain_request& request,
                                                std::mt19937_64& random);
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -106,6 +106,8 @@
     std::vector<base::upstream_id> members; ///< Its upstreams, to avoid a scan of the table per decision.
     base::time_point listed_at{};           ///< When they were listed.
     bool is_listed = false;
+    base::time_point decided_at{};        ///< Last decision about a request.
+    base::time_point free_slot_seen_at{}; ///< When decisions last saw a free slot; smoothed.
 };
 
 /// Exchange of the loads of plain upstreams, see `upstream_load_exchange`.
--- a/libraries/gateway/plain_choice.cpp
+++ b/libraries/gateway/plain_choice.cpp
@@ -14,6 +14,8 @@
 /// Time after which the upstreams of a service are listed again, so that not each decision scans all
 /// instances. New upstreams get requests that much later; changes of those that are listed apply at once.
 constexpr base::duration member_lifetime = 20ms;
+/// Time without decisions after which an overload is assumed to have ended.
+constexpr base::duration overload_gap = 1s;
 
 base::time_point waiting_since(const gateway_request& request) {
     return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
@@ -31,6 +33,20 @@
     return service;
 }
 
+/// Records whether a decision saw a free slot, which ends an overload.
+void record_free_slots(plain_service& service, int free_slots, base::time_point now) {
+    if (now - std::exchange(service.decided_at, now) > overload_gap)
+        service.free_slot_seen_at = now;
+    // A slot that is free for a moment does not end it, several in a row do.
+    if (free_slots > 0)
+        service.free_slot_seen_at += (now - service.free_slot_seen_at) / 2;
+}
+
+/// How long an overload has lasted.
+base::duration busy_for(const plain_service& service, base::time_point now) {
+    return now - service.decided_at > overload_gap ? base::duration{} : now - service.free_slot_seen_at;
+}
+
 decision::plain_request facts_of(const gateway_request& request, int ahead) {
     return {.waited = request.state->clock->now() - waiting_since(request),
             .latency_target = request.route->latency_target,
@@ -38,6 +54,7 @@
             .may_be_late = decision::may_be_late(request.record, request.first_try < request.arrived),
             .may_wait_late = !request.state->is_draining,
             .ahead = ahead,
+            .busy_for = busy_for(plain_service_of(request), request.state->clock->now()),
             .competing_hosts = count_competing_hosts(*request.state)};
 }
 
@@ -85,6 +102,7 @@
     request.retry_delay = std::nullopt;
     if (decision.action == decision::plain_action::choose_without_load)
         return decision;
+    record_free_slots(service, decision.free_slots, state.clock->now());
     record_facts(request, facts, decision);
     if (decision.action != decision::plain_action::send)
         did_hold_plain_request(state);
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -348,11 +348,18 @@
     CHECK(decide(table, request).reason == plain_reason::not_in_time);
 }
 
-TEST_CASE("a repeatable plain request that an upstream has had is not refused for lateness") {
-    CHECK_FALSE(decision::may_be_late({}, false));
-    CHECK(decision::may_be_late({}, true));
-    CHECK(decision::may_be_late({.is_repeatable = true, .attempts = 1}, false));
-    CHECK(decision::may_be_late({.is_repeatable = true, .refusals = 1}, false));
+TEST_CASE("plain requests whose answer is being forwarded to slow callers occupy no slot") {
+    auto table = make_table({make_load(2), make_load(2)});
+    decision::instance& known = at(table, "0");
+    known.own.requests = 12;
+    CHECK(decision::plain_requests(known, now) == 2);
+    CHECK(decision::replacement_probability(table, "service", 3) == 1);
+    for (int sent = 0; sent < 4; ++sent)
+        decision::record_plain_start(known, now - 1ms);
+    CHECK(decision::plain_requests(known, now) == 4);
+    for (int ended = 0; ended < 4; ++ended)
+        decision::record_plain_end(known, now - 1ms);
+    CHECK(decision::plain_requests(known, now) == 2);
 }
 
 TEST_CASE("a plain request without known load does not overtake waiting ones") {
@@ -370,18 +377,11 @@
     CHECK_FALSE(decision::is_ahead(decision::last_position(now + 1ms), last, now + 2s));
 }
 
-TEST_CASE("plain requests whose answer is being forwarded to slow callers occupy no slot") {
-    auto table = make_table({make_load(2), make_load(2)});
-    decision::instance& known = at(table, "0");
-    known.own.requests = 12;
-    CHECK(decision::plain_requests(known, now) == 2);
-    CHECK(decision::replacement_probability(table, "service", 3) == 1);
-    for (int sent = 0; sent < 4; ++sent)
-        decision::record_plain_start(known, now - 1ms);
-    CHECK(decision::plain_requests(known, now) == 4);
-    for (int ended = 0; ended < 4; ++ended)
-        decision::record_plain_end(known, now - 1ms);
-    CHECK(decision::plain_requests(known, now) == 2);
+TEST_CASE("a repeatable plain request that an upstream has had is not refused for lateness") {
+    CHECK_FALSE(decision::may_be_late({}, false));
+    CHECK(decision::may_be_late({}, true));
+    CHECK(decision::may_be_late({.is_repeatable = true, .attempts = 1}, false));
+    CHECK(decision::may_be_late({.is_repeatable = true, .refusals = 1}, false));
 }
 
 TEST_CASE("a plain upstream that has just started is not sent a whole burst by each host") {
@@ -430,6 +430,17 @@
     CHECK(known.plain.queue_limit == 5);
 }
 
+TEST_CASE("in a long overload of plain upstreams, refused callers return later") {
+    const auto table = make_table({make_load(6, 6)});
+    std::mt19937_64 random(3);
+    auto request = make_request();
+    request.time_left = 12s;
+    request.busy_for = 4s;
+    const auto delay = decision::plain_retry_delay(decide(table, request), request, random);
+    CHECK(delay >= 2s);
+    CHECK(delay <= 4s);
+}
+
 TEST_CASE("a plain upstream's load is not replaced by another host's older one") {
     auto table = make_table({make_load(0)});
     decision::instance& known = at(table, "0");
