gateway: Let only the first waiting plain request decide

Cause: each waiting request decided each 50 ms. After loads had expired, each request that left the queue woke the next, so that up to 128 per host were sent at once. When the head of the queue became late, nobody woke the new one.

- Requests that are not first in line check their own deadline each 200 ms and decide only once they are late.
The first decision is passed to the queue.
- Once all loads have expired, one request is sent per 50 ms.
- A request that is not first in line any more wakes the first one.

--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -79,6 +79,7 @@
     std::optional<base::upstream_id> upstream;
     double rounds = 1;       ///< Expected time there relative to that of a request alone.
     bool is_refused = false; ///< The request must not wait either.
+    std::optional<decision::plain_decision> decided{}; ///< By load, if it waits.
 };
 
 /// Reason given to clients and in logs for refusing a request because of the upstreams' load.
@@ -107,7 +108,7 @@
     case decision::plain_action::choose_without_load:
         return choose_without_load(request, has_waited, true);
     case decision::plain_action::wait:
-        return {};
+        return {.upstream = std::nullopt, .decided = decision};
     case decision::plain_action::refuse:
         count_decision(request, decision);
         return {.upstream = std::nullopt, .is_refused = true};
@@ -115,7 +116,7 @@
         break;
     }
     if (!has_waited && would_overtake_queue(request, queue_position_of(request, decision)))
-        return {};
+        return {.upstream = std::nullopt, .decided = decision};
     count_decision(request, decision);
     return {.upstream = decision.upstream, .rounds = decision.rounds};
 }
@@ -143,7 +144,7 @@
         const auto& chosen = step.upstream;
         if (!chosen) {
             has_waited = true;
-            if (await_send_slot(request, yield))
+            if (await_send_slot(request, yield, step.decided))
                 continue;
             if (request.retry_delay)
                 reason = no_capacity_reason;
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -17,9 +17,9 @@
 /// often, since it wakes those behind it.
 constexpr base::duration recheck_interval = 200ms;
 constexpr base::duration head_recheck_interval = 50ms;
-/// Recheck interval where upstreams report their load, for requests that are not at the head: they are
-/// refused when the expected wait becomes too long.
-constexpr base::duration load_recheck_interval = 50ms;
+/// Recheck interval where upstreams report their load, for requests that are not first in line. They decide
+/// only once they are late, as each decision costs CPU time and small hosts have a tenth of a core.
+constexpr base::duration load_recheck_interval = 200ms;
 /// Minimum pause between checks, however soon the slot is due.
 constexpr base::duration min_pause = 5ms;
 /// Fraction of the remaining time that may be spent waiting; the rest is left for the answer.
@@ -33,13 +33,23 @@
     }));
 }
 
+/// Wakes the head of the queue and, if that one may not be sent yet, also the first one that may.
 void wake_head(const send_slot_queue& queue, base::time_point now) {
-    const auto head = std::ranges::min_element(
-        queue.waiters, [now](const send_slot_waiter* left, const send_slot_waiter* right) {
-            return decision::is_ahead(left->position, right->position, now);
-        });
-    if (head != queue.waiters.end())
-        (*head)->wake->cancel();
+    const send_slot_waiter* head = nullptr;
+    const send_slot_waiter* first_due = nullptr;
+    for (const send_slot_waiter* const waiter : queue.waiters) {
+        const auto is_before = [&](const send_slot_waiter* other) {
+            return other == nullptr || decision::is_ahead(waiter->position, other->position, now);
+        };
+        if (is_before(head))
+            head = waiter;
+        if (waiter->due <= now && is_before(first_due))
+            first_due = waiter;
+    }
+    if (head != nullptr)
+        head->wake->cancel();
+    if (first_due != nullptr && first_due != head)
+        first_due->wake->cancel();
 }
 
 /// Queue entry of a request for as long as the object lives. Wakes the head of the queue when it leaves.
@@ -63,11 +73,26 @@
     [[nodiscard]] int ahead() const {
         return count_waiters(*this->queue, this->waiter.position, this->state->clock->now());
     }
+    /// Returns whether no request ahead of it has a slot that is due.
+    [[nodiscard]] bool is_first() const {
+        const base::time_point now = this->state->clock->now();
+        return count_waiters(*this->queue, this->waiter.position, now, now) == 0;
+    }
+    [[nodiscard]] bool is_late() const {
+        return this->state->clock->now() > this->waiter.position.in_time_until;
+    }
     /// Returns whether this request's slot is due and no request ahead of it has one.
     [[nodiscard]] bool is_due() const {
-        const base::time_point now = this->state->clock->now();
-        return this->waiter.due <= now && count_waiters(*this->queue, this->waiter.position, now, now) == 0;
+        return this->waiter.due <= this->state->clock->now() && this->is_first();
+    }
+    /// Until a request that is not first in line checks its own deadline.
+    [[nodiscard]] base::duration pause_behind() const {
+        if (this->is_late())
+            return load_recheck_interval;
+        return std::clamp<base::duration>(this->waiter.position.in_time_until - this->state->clock->now(),
+                                          min_pause, load_recheck_interval);
     }
+    void wake_next() const { wake_head(*this->queue, this->state->clock->now()); }
 
 private:
     const gateway_state* state;
@@ -82,6 +107,7 @@
     base::time_point due{};
     base::duration pause{}; ///< Until the next check.
     std::optional<decision::plain_decision> by_load{};
+    bool is_load_expired = false; ///< Requests are admitted by load, but no load is known now.
 };
 
 std::optional<decision::send_slots> next_slot(const gateway_request& request) {
@@ -103,19 +129,13 @@
                                                 ahead == 0 ? head_recheck_interval : recheck_interval)};
 }
 
-/// Checks the upstreams' load, or their rate limits where it is not known.
-queue_check check(gateway_request& request, int ahead) {
-    if (!is_admitted_by_load(request))
-        return check_limits(request, ahead);
-    const decision::plain_decision decision = decide_by_load(request, ahead);
-    if (decision.action == decision::plain_action::choose_without_load)
-        return check_limits(request, ahead);
+/// What a decision by load means for a queued request.
+queue_check check_of(const gateway_request& request, const decision::plain_decision& decision) {
     gateway_state& state = *request.state;
-    const base::duration head_pause = decision::plain_recheck_delay(decision, state.random);
     queue_check result = {.is_worth_waiting = decision.action != decision::plain_action::refuse,
                           .may_send = decision.action == decision::plain_action::send,
                           .due = {},
-                          .pause = ahead == 0 ? head_pause : load_recheck_interval,
+                          .pause = decision::plain_recheck_delay(decision, state.random),
                           .by_load = decision};
     // Others may use an upstream that this request may not use, or has been refused by.
     const bool is_restricted = !request.tried.empty() || placement_limits_of(request).allowed_zones;
@@ -124,6 +144,19 @@
     return result;
 }
 
+/// Checks the upstreams' load, or their rate limits where it is not known.
+queue_check check(gateway_request& request, int ahead) {
+    if (!is_admitted_by_load(request))
+        return check_limits(request, ahead);
+    const decision::plain_decision decision = decide_by_load(request, ahead);
+    if (decision.action == decision::plain_action::choose_without_load) {
+        queue_check result = check_limits(request, ahead);
+        result.is_load_expired = true;
+        return result;
+    }
+    return check_of(request, decision);
+}
+
 /// Requests of its service that are ahead of one at that position.
 int count_ahead(const gateway_request& request, const decision::queue_position& position) {
     const auto queue = request.state->send_slot_queues.find(request.service);
@@ -140,13 +173,14 @@
 }
 
 /// While slots are scarce, this host sends its waiting requests one at a time, at its share of the rate at
-/// which slots become free.
+/// which slots become free. Once all loads have expired it sends one per interval, until a response shows
+/// one.
 bool try_release(send_slot_queue& queue, const queue_check& checked, base::time_point now) {
-    if (!checked.by_load || !checked.by_load->is_scarce)
+    if (checked.by_load ? !checked.by_load->is_scarce : !checked.is_load_expired)
         return true;
     if (now < queue.next_release)
         return false;
-    queue.next_release = now + checked.pause;
+    queue.next_release = now + (checked.by_load ? checked.pause : head_recheck_interval);
     return true;
 }
 
@@ -179,15 +213,16 @@
     wake_head(queue->second, state.clock->now());
 }
 
-bool await_send_slot(gateway_request& request, wire::yield_context yield) {
+bool await_send_slot(gateway_request& request, wire::yield_context yield,
+                     const std::optional<decision::plain_decision>& decided) {
     gateway_state& state = *request.state;
     send_slot_queue& queue = state.send_slot_queues[request.service];
     const decision::queue_position last = decision::last_position(state.clock->now());
     const auto position_after = [&](const queue_check& checked) {
         return checked.by_load ? queue_position_of(request, *checked.by_load) : last;
     };
-    queue_check next = check(request, 0);
-    if (const int ahead = count_ahead(request, position_after(next)); ahead > 0)
+    queue_check next = decided ? check_of(request, *decided) : check(request, 0);
+    if (const int ahead = decided ? 0 : count_ahead(request, position_after(next)); ahead > 0)
         next = check(request, ahead);
     if (!next.is_worth_waiting)
         return give_up(request, next);
@@ -200,15 +235,25 @@
     entry.set_position(position_after(next));
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone &&
            reason_to_stop(request) == nullptr) {
-        timer.expires_after(next.pause);
+        const bool was_first = entry.is_first();
+        const base::duration pause = next.by_load && !was_first ? entry.pause_behind() : next.pause;
+        timer.expires_after(std::min<base::duration>(pause, time_left(request)));
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
+        const bool is_first = entry.is_first();
+        // It has become late, or a more urgent request has come: another one is first in line now.
+        if (was_first && !is_first)
+            entry.wake_next();
+        if (next.by_load && !is_first && !entry.is_late())
+            continue;
         // Recompute each time: limits and loads change, and requests ahead may have been sent elsewhere.
         next = check(request, entry.ahead());
         if (!next.is_worth_waiting)
             return give_up(request, next);
         entry.set_due(next.due);
         entry.set_position(position_after(next));
+        if (is_first && !entry.is_first())
+            entry.wake_next();
         if (next.may_send && entry.is_due() && try_release(queue, next, state.clock->now()))
             return true;
     }
--- a/libraries/gateway/send_slot_queue.h
+++ b/libraries/gateway/send_slot_queue.h
@@ -18,7 +18,9 @@
 
 /// Waits in the queue of the request's service until it is its turn and an upstream may be sent it. Returns
 /// false as soon as that is not expected in time; `time_until_slot` or `retry_delay` then tell when it is. A
-/// request that may use fewer upstreams than others does not block those behind it.
-[[nodiscard]] bool await_send_slot(gateway_request& request, wire::yield_context yield);
+/// request that may use fewer upstreams than others does not block those behind it. `decided` is the decision
+/// that it waits, if there was one.
+[[nodiscard]] bool await_send_slot(gateway_request& request, wire::yield_context yield,
+                                   const std::optional<decision::plain_decision>& decided = std::nullopt);
 
 } // namespace postpaddle::gateway
