--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -6,6 +6,7 @@
 #include <decision/overload/upstream_pace.h>
 #include <settings/routing_settings.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -81,12 +82,17 @@
     instance_load load;             ///< Of the latest response to any host, without the request answered.
     base::time_point observed_at{}; ///< When that response was received.
     bool is_observed_here = false;  ///< That response was received by this host.
+    base::host_id observed_by{};    ///< Host that received it, unless it was this one.
     bool excludes_answered = false; ///< Its reports leave out the request that they answer.
     std::optional<bool>
         has_latency; ///< Whether its last report had four figures; unset before the first one.
     std::optional<int>
         queue_limit; ///< Requests that it queues, as its refusals show; unset before the first.
-    std::vector<request_change> own_changes; ///< Of this host, for as long as a load is used.
+    base::time_point queue_limit_confirmed_at{}; ///< When a refusal last showed it, or it was last raised.
+    /// Requests that this host has sent and that have no answer yet. Unlike `instance::own`, without those
+    /// whose answer is still being forwarded to the caller.
+    int sent_requests = 0;
+    std::deque<request_change> own_changes; ///< Of this host, for as long as a load is used; oldest first.
 
     bool operator==(const plain_load&) const = default;
 };
--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <decision/overload/plain_admission.h>
 
+#include <decision/overload/rank.h>
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -26,6 +28,9 @@
 constexpr double min_retry_fraction = 0.5;
 constexpr base::duration min_retry_delay = 50ms;
 constexpr double max_retry_fraction = 1.0 / 3;
+/// Fraction of the time since a slot was free after which callers return: an overload that has lasted long is
+/// expected to last on, although this host knows the requests in its own queue only.
+constexpr double busy_retry_fraction = 0.5;
 
 /// An upstream that may be sent the request.
 struct candidate {
@@ -74,6 +79,18 @@
     return figures;
 }
 
+/// Estimates the requests at an upstream without known load among others with known load. All hosts choose it
+/// at the same time, so this host sends it no more than its share of the slots until a response shows the
+/// load.
+void estimate_requests(candidate& one, int competing_hosts, base::time_point now) {
+    const double own = one.upstream->plain.sent_requests;
+    const double hosts = std::max(1, competing_hosts);
+    const double share = std::max(1.0, one.slots / hosts);
+    one.requests = std::max({last_plain_requests(*one.upstream, one.seconds_per_end(), now), own * hosts,
+                             one.slots - share + own});
+    one.full_at = own < share ? std::max(one.full_at, one.requests + 1) : one.requests;
+}
+
 void complete(candidate& one, const service_figures& figures, const choice_context& context) {
     const instance& known = *one.upstream;
     const double usual =
@@ -88,18 +105,32 @@
         one.preference += other_zone_seconds;
 }
 
-std::vector<candidate> find_candidates(const instance_table& table, const choice_context& context) {
+/// A listed instance of the service; none if it has changed since the service's instances were listed.
+const instance* find_member(const instance_table& table, const base::upstream_id& id,
+                            const std::string& service) {
+    const auto found = table.by_id.find(id);
+    const bool is_member = found != table.by_id.end() && found->second.state == listing::listed &&
+                           found->second.entry.service == service;
+    return is_member ? &found->second : nullptr;
+}
+
+std::vector<candidate> find_candidates(const instance_table& table, const choice_context& context,
+                                       const std::vector<base::upstream_id>& members, int competing_hosts) {
     std::vector<candidate> found;
-    for (const auto& [id, known] : table.by_id) {
-        if (known.state != listing::listed || known.entry.service != context.service ||
-            context.excluded.contains(id) || is_avoided(known, context.now))
+    found.reserve(members.size());
+    for (const base::upstream_id& id : members) {
+        const instance* const known = find_member(table, id, context.service);
+        if (known == nullptr || context.excluded.contains(id) || is_avoided(*known, context.now))
             continue;
-        if (check_placement(table, context.limits, known, context.now) == placement_verdict::allowed)
-            found.push_back({.upstream = &known});
+        if (check_placement(table, context.limits, *known, context.now) == placement_verdict::allowed)
+            found.push_back({.upstream = known});
     }
     const service_figures figures = figures_of(found);
-    for (candidate& one : found)
+    for (candidate& one : found) {
         complete(one, figures, context);
+        if (!is_plain_load_known(*one.upstream, context.now))
+            estimate_requests(one, competing_hosts, context.now);
+    }
     return found;
 }
 
@@ -230,7 +261,7 @@
         return refuse(step, plain_reason::queue_full);
     if (const auto seconds = can_be_in_time ? seconds_until_in_time(step) : std::nullopt)
         return wait(step, plain_reason::wait_in_time, *seconds);
-    if (!can_be_in_time || step.request->is_returning)
+    if (!can_be_in_time || step.request->may_be_late)
         return decide_late(step);
     step.decision.expected_wait = step.decision.expected_capacity;
     refuse(step, plain_reason::not_in_time);
@@ -269,23 +300,55 @@
     step.decision.expected_capacity = base::from_seconds(seconds_until_capacity(step) + step.seconds_ahead());
 }
 
+/// Time since the first try by which the answer has to be expected. No later than the caller's time is up,
+/// which may be before the latency target.
+double usable_target_of(const plain_request& request) {
+    return std::min(usable_target_fraction * base::to_seconds(request.latency_target),
+                    base::to_seconds(request.waited + request.time_left));
+}
+
 } // namespace
 
-bool is_admitted_by_load(const instance_table& table, const std::string& service) {
+bool may_be_late(const attempt_record& record, bool is_returning) {
+    return is_returning || record.attempts > 0 || record.refusals > 0;
+}
+
+std::vector<base::upstream_id> members_of(const instance_table& table, const std::string& service) {
+    std::vector<base::upstream_id> members;
+    for (const auto& [id, known] : table.by_id)
+        if (known.entry.service == service)
+            members.push_back(id);
+    return members;
+}
+
+bool is_admitted_by_load(const instance_table& table, const std::string& service,
+                         const std::vector<base::upstream_id>& members) {
     bool is_any_reported = false;
-    for (const auto& [id, known] : table.by_id) {
-        if (known.state != listing::listed || known.entry.service != service)
+    for (const base::upstream_id& id : members) {
+        const instance* const known = find_member(table, id, service);
+        if (known == nullptr)
             continue;
-        if (!known.plain.has_latency.value_or(true))
+        if (!known->plain.has_latency.value_or(true))
             return false;
-        is_any_reported |= known.plain.has_latency.has_value();
+        is_any_reported |= known->plain.has_latency.has_value();
     }
     return is_any_reported;
 }
 
+bool is_admitted_by_load(const instance_table& table, const std::string& service) {
+    return is_admitted_by_load(table, service, members_of(table, service));
+}
+
 plain_decision decide_plain(const instance_table& table, const choice_context& context,
                             const plain_request& request, std::mt19937_64& random) {
-    const std::vector<candidate> candidates = find_candidates(table, context);
+    return decide_plain(table, members_of(table, context.service), context, request, random);
+}
+
+plain_decision decide_plain(const instance_table& table, const std::vector<base::upstream_id>& members,
+                            const choice_context& context, const plain_request& request,
+                            std::mt19937_64& random) {
+    const std::vector<candidate> candidates =
+        find_candidates(table, context, members, request.competing_hosts);
     const bool is_any_known = std::ranges::any_of(candidates, [&context](const candidate& one) {
         return is_plain_load_known(*one.upstream, context.now);
     });
@@ -295,8 +358,7 @@
                            .candidates = &candidates,
                            .decision = {},
                            .waited = base::to_seconds(request.waited),
-                           .usable_target =
-                               usable_target_fraction * base::to_seconds(request.latency_target)};
+                           .usable_target = usable_target_of(request)};
     summarise(step);
     if (!try_send(step, random))
         decide_without_capacity(step);
@@ -309,7 +371,8 @@
     const double shortest = std::max(base::to_seconds(min_retry_delay),
                                      min_retry_fraction * base::to_seconds(request.latency_target));
     const double until = std::max({shortest, base::to_seconds(decision.expected_capacity),
-                                   request.is_returning ? base::to_seconds(decision.expected_wait) : 0.0});
+                                   busy_retry_fraction * base::to_seconds(request.busy_for),
+                                   request.may_be_late ? base::to_seconds(decision.expected_wait) : 0.0});
     const double longest = max_retry_fraction * std::max(0.0, base::to_seconds(request.time_left));
     return base::from_seconds(std::min(longest, until * spread(random)));
 }
@@ -330,11 +393,15 @@
         if (known.state != listing::listed || known.entry.service != service)
             continue;
         capacity += plain_slots(known) + known.plain.queue_limit.value_or(0);
-        own += std::max(0, known.own.requests);
+        own += known.plain.sent_requests;
     }
     return std::clamp(capacity / std::max(1, competing_hosts) / std::max(1.0, own), least, 1.0);
 }
 
+queue_position last_position(base::time_point now) {
+    return {.since = now, .in_time_until = base::time_point::min(), .rank = max_rank};
+}
+
 bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now) {
     const auto key = [now](const queue_position& position) {
         const auto improvement =
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -1,11 +1,13 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <decision/attempt_rules.h>
 #include <decision/instance_choice.h>
 #include <decision/overload/plain_load.h>
 
 #include <optional>
 #include <random>
+#include <vector>
 
 /// Decides from the loads of plain upstreams whether a request is sent now, waits on this host or is refused.
 namespace postpaddle::decision {
@@ -19,19 +21,32 @@
 /// none last reported a load without it. Those that have not reported yet don't count.
 [[nodiscard]] bool is_admitted_by_load(const instance_table& table, const std::string& service);
 
+/// Ids of the instances of a service.
+[[nodiscard]] std::vector<base::upstream_id> members_of(const instance_table& table,
+                                                        const std::string& service);
+
+/// The same, for callers that know the service's instances.
+[[nodiscard]] bool is_admitted_by_load(const instance_table& table, const std::string& service,
+                                       const std::vector<base::upstream_id>& members);
+
 /// Facts about a request to a plain upstream.
 struct plain_request {
     base::duration waited{}; ///< Since the caller's first try.
     base::duration latency_target{};
     base::duration time_left{};
-    bool is_returning = false; ///< The caller was refused before.
+    bool may_be_late = false;  ///< It is not refused for lateness, see `may_be_late`.
     bool may_wait_late = true; ///< Whether it may wait although it can't be in time.
     int ahead = 0;             ///< Requests ahead of it in this host's queue.
+    base::duration busy_for{}; ///< Since a free slot was last seen at the service's upstreams.
     int competing_hosts = 1;   ///< Hosts with requests for the same upstreams, including this one.
 
     bool operator==(const plain_request&) const = default;
 };
 
+/// Whether a request waits for a free slot although it can't be in time: its caller was refused before and
+/// has returned, or an upstream has had it already.
+[[nodiscard]] bool may_be_late(const attempt_record& record, bool is_returning);
+
 enum class plain_action {
     choose_without_load, ///< No load is known of an upstream that may be used.
     send,
@@ -73,8 +88,15 @@
 [[nodiscard]] plain_decision decide_plain(const instance_table& table, const choice_context& context,
                                           const plain_request& request, std::mt19937_64& random);
 
+/// The same, for callers that know the service's instances.
+[[nodiscard]] plain_decision decide_plain(const instance_table& table,
+                                          const std::vector<base::upstream_id>& members,
+                                          const choice_context& context, const plain_request& request,
+                                          std::mt19937_64& random);
+
 /// Delay after which a refused caller should return: the time until capacity is expected, spread over 1 to 2
-/// times it, and at least half of the latency target, so that other refused callers are served meanwhile. At
+/// times it, and at least half of the latency target, so that other refused callers are served meanwhile. In
+/// a long overload at least half of the time since a slot was free, since other hosts have queues too. At
 /// most a third of the time left.
 [[nodiscard]] base::duration plain_retry_delay(const plain_decision& decision, const plain_request& request,
                                                std::mt19937_64& random);
@@ -99,6 +121,9 @@
     bool operator==(const queue_position&) const = default;
 };
 
+/// Position behind all requests whose position is known from the load.
+[[nodiscard]] queue_position last_position(base::time_point now);
+
 /// Whether `left` is served before `right`: requests that can be in time first, then by rank, then by age.
 [[nodiscard]] bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now);
 
--- a/libraries/decision/overload/plain_load.cpp
+++ b/libraries/decision/overload/plain_load.cpp
@@ -14,15 +14,23 @@
 /// Ages are sent in whole milliseconds. A host's second report of the same response, which may contain
 /// further requests that it sent, is applied although it may seem slightly older.
 constexpr base::duration age_tolerance = 2ms;
+/// Time without a refusal after which an upstream is assumed to queue one request more. A limit that was
+/// learned too low, or has been raised since, is corrected in this way.
+constexpr base::duration queue_limit_lifetime = 5s;
 
 int requests_in(const instance_load& load) {
     return std::clamp(load.running, 0, max_plain_requests) + std::clamp(load.waiting, 0, max_plain_requests);
 }
 
 void record_change(instance& target, int change, base::time_point now) {
-    std::erase_if(target.plain.own_changes,
-                  [now](const request_change& earlier) { return now - earlier.at >= plain_load_lifetime; });
-    target.plain.own_changes.push_back({now, change});
+    plain_load& known = target.plain;
+    known.sent_requests = std::max(0, known.sent_requests + change);
+    // Without loads there is nothing to correct.
+    if (!known.has_latency.value_or(false))
+        return known.own_changes.clear();
+    while (!known.own_changes.empty() && now - known.own_changes.front().at >= plain_load_lifetime)
+        known.own_changes.pop_front();
+    known.own_changes.push_back({now, change});
 }
 
 /// Requests that this host has sent since the load was observed, less those that have ended.
@@ -35,11 +43,22 @@
 }
 
 /// Learns from a refusal how many requests the upstream queues.
-void learn_from_refusal(plain_load& known, const instance_load& load) {
+void learn_from_refusal(plain_load& known, const instance_load& load, base::time_point now) {
     const int queued = requests_in(load) - std::clamp(load.slots, 1, max_plain_requests);
     // An upstream that refuses although it has free slots is not full.
-    if (queued >= 0)
-        known.queue_limit = queued;
+    if (queued < 0)
+        return;
+    known.queue_limit = queued;
+    known.queue_limit_confirmed_at = now;
+}
+
+/// Raises the number of queued requests if there was no refusal for some time.
+void raise_queue_limit(plain_load& known, base::time_point now) {
+    if (!known.queue_limit || *known.queue_limit >= max_plain_requests ||
+        now - known.queue_limit_confirmed_at < queue_limit_lifetime)
+        return;
+    ++*known.queue_limit;
+    known.queue_limit_confirmed_at = now;
 }
 
 /// Learns that the upstream queues at least the requests that wait there.
@@ -59,12 +78,14 @@
     plain_load& known = target.plain;
     known.has_latency = load.has_relative_latency;
     if (response == plain_response::refused)
-        learn_from_refusal(known, load);
+        learn_from_refusal(known, load, now);
+    if (response == plain_response::executed)
+        raise_queue_limit(known, now);
     learn_from_queue(known, load);
     known.load = load;
     known.observed_at = now;
     known.is_observed_here = true;
-    if (response == plain_response::refused)
+    if (response != plain_response::executed)
         return;
     // Whether a report includes the request that it answers differs between upstreams. One without any
     // request shows that it does not.
@@ -75,10 +96,12 @@
 }
 
 void receive_plain_load(instance& target, const instance_load& load, base::time_point observed_at,
-                        base::time_point now) {
+                        base::time_point now, const base::host_id& source) {
     plain_load& known = target.plain;
     observed_at = std::min(observed_at, now);
-    if (now - observed_at >= plain_load_lifetime || observed_at + age_tolerance < known.observed_at)
+    const bool is_same_source = !known.is_observed_here && known.observed_by == source;
+    const base::duration tolerance = is_same_source ? age_tolerance : base::duration{};
+    if (now - observed_at >= plain_load_lifetime || observed_at + tolerance < known.observed_at)
         return;
     // This host's own later requests at its own observation are more exact than a report of the same age.
     if (known.is_observed_here && observed_at <= known.observed_at)
@@ -88,6 +111,7 @@
     known.load = load;
     known.observed_at = observed_at;
     known.is_observed_here = false;
+    known.observed_by = source;
 }
 
 bool is_plain_load_known(const instance& target, base::time_point now) {
@@ -96,12 +120,20 @@
 }
 
 int plain_requests(const instance& target, base::time_point now) {
-    const int own = std::max(0, target.own.requests);
+    const int own = target.plain.sent_requests;
     if (!is_plain_load_known(target, now))
         return own;
     return std::max(own, requests_in(target.plain.load) + own_change_since_load(target.plain));
 }
 
+double last_plain_requests(const instance& target, double seconds_per_end, base::time_point now) {
+    const plain_load& known = target.plain;
+    if (known.observed_at == base::time_point{})
+        return 0;
+    const double ended = base::to_seconds(now - known.observed_at) / seconds_per_end;
+    return std::max(0.0, requests_in(known.load) - ended);
+}
+
 int plain_slots(const instance& target) {
     const int reported = target.plain.load.slots;
     return std::clamp(reported > 0 ? reported : target.entry.slots, 1, max_plain_requests);
--- a/libraries/decision/overload/plain_load.h
+++ b/libraries/decision/overload/plain_load.h
@@ -16,7 +16,8 @@
 /// What a response with a load says of the request that it answers.
 enum class plain_response {
     executed, ///< It ran, so it may be among the requests reported as running.
-    refused,  ///< It did not run.
+    refused,  ///< It did not run, as the upstream was full.
+    declined, ///< It did not run for another reason: a back-off, a rate limit, or the upstream is leaving.
 };
 
 /// Records that this host sent a request to the instance.
@@ -29,16 +30,20 @@
 void record_plain_load(instance& target, const instance_load& load, plain_response response,
                        base::time_point now);
 
-/// Applies the load in a response to another host; ignored if a newer one is known.
+/// Applies the load in a response to another host, `source`; ignored if a newer one is known.
 void receive_plain_load(instance& target, const instance_load& load, base::time_point observed_at,
-                        base::time_point now);
+                        base::time_point now, const base::host_id& source = {});
 
 /// Whether a load is known and recent enough to be used.
 [[nodiscard]] bool is_plain_load_known(const instance& target, base::time_point now);
 
-/// Running and waiting requests now; at least those of this host.
+/// Running and waiting requests now; at least those that this host has sent and that have no answer yet.
 [[nodiscard]] int plain_requests(const instance& target, base::time_point now);
 
+/// Requests that remain of the last known load if none was sent since and one ends per `seconds_per_end`.
+[[nodiscard]] double last_plain_requests(const instance& target, double seconds_per_end,
+                                         base::time_point now);
+
 /// Slots by the last report, or by the registry if there is none; at least 1.
 [[nodiscard]] int plain_slots(const instance& target);
 
--- a/libraries/gateway/plain_choice.cpp
+++ b/libraries/gateway/plain_choice.cpp
@@ -3,21 +3,58 @@
 
 #include <gateway/upstream_load_exchange.h>
 
+#include <utility>
+
 namespace postpaddle::gateway {
 
 namespace {
 
+using namespace std::chrono_literals;
+
+/// Time after which the upstreams of a service are listed again, so that not each decision scans all
+/// instances. New upstreams get requests that much later; changes of those that are listed apply at once.
+constexpr base::duration member_lifetime = 20ms;
+/// Time without decisions after which an overload is assumed to have ended.
+constexpr base::duration overload_gap = 1s;
+
 base::time_point waiting_since(const gateway_request& request) {
     return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
 }
 
+/// The service with the upstreams that it has. They are listed again after a short time.
+plain_service& plain_service_of(const gateway_request& request) {
+    gateway_state& state = *request.state;
+    plain_service& service = state.plain_services[request.service];
+    const base::time_point now = state.clock->now();
+    if (std::exchange(service.is_listed, true) && now - service.listed_at < member_lifetime)
+        return service;
+    service.members = decision::members_of(state.instances, request.service);
+    service.listed_at = now;
+    return service;
+}
+
+/// Records whether a decision saw a free slot, which ends an overload.
+void record_free_slots(plain_service& service, int free_slots, base::time_point now) {
+    if (now - std::exchange(service.decided_at, now) > overload_gap)
+        service.free_slot_seen_at = now;
+    // A slot that is free for a moment does not end it, several in a row do.
+    if (free_slots > 0)
+        service.free_slot_seen_at += (now - service.free_slot_seen_at) / 2;
+}
+
+/// How long an overload has lasted.
+base::duration busy_for(const plain_service& service, base::time_point now) {
+    return now - service.decided_at > overload_gap ? base::duration{} : now - service.free_slot_seen_at;
+}
+
 decision::plain_request facts_of(const gateway_request& request, int ahead) {
     return {.waited = request.state->clock->now() - waiting_since(request),
             .latency_target = request.route->latency_target,
             .time_left = time_left(request),
-            .is_returning = request.first_try < request.arrived,
+            .may_be_late = decision::may_be_late(request.record, request.first_try < request.arrived),
             .may_wait_late = !request.state->is_draining,
             .ahead = ahead,
+            .busy_for = busy_for(plain_service_of(request), request.state->clock->now()),
             .competing_hosts = count_competing_hosts(*request.state)};
 }
 
@@ -28,7 +65,7 @@
                           {"reason", decision::to_text(decision.reason)},
                           {"rank", request.rank},
                           {"waited_ms", base::to_milliseconds(facts.waited)},
-                          {"is_returning", facts.is_returning},
+                          {"may_be_late", facts.may_be_late},
                           {"waiting_ahead", facts.ahead},
                           {"upstreams", decision.upstreams},
                           {"free", decision.free_slots},
@@ -52,17 +89,20 @@
 
 bool is_admitted_by_load(const gateway_request& request) {
     return request.state->process->policy.admit_by_load &&
-           decision::is_admitted_by_load(request.state->instances, request.service);
+           decision::is_admitted_by_load(request.state->instances, request.service,
+                                         plain_service_of(request).members);
 }
 
 decision::plain_decision decide_by_load(gateway_request& request, int ahead) {
     gateway_state& state = *request.state;
     const decision::plain_request facts = facts_of(request, ahead);
-    decision::plain_decision decision =
-        decision::decide_plain(state.instances, choice_context_of(request), facts, state.random);
+    plain_service& service = plain_service_of(request);
+    decision::plain_decision decision = decision::decide_plain(
+        state.instances, service.members, choice_context_of(request), facts, state.random);
     request.retry_delay = std::nullopt;
     if (decision.action == decision::plain_action::choose_without_load)
         return decision;
+    record_free_slots(service, decision.free_slots, state.clock->now());
     record_facts(request, facts, decision);
     if (decision.action != decision::plain_action::send)
         did_hold_plain_request(state);
--- a/libraries/gateway/upstream_load_exchange.cpp
+++ b/libraries/gateway/upstream_load_exchange.cpp
@@ -23,6 +23,16 @@
            decision::plain_requests(known, now) >= decision::plain_slots(known);
 }
 
+/// What the response says of its request. An upstream that refuses for another reason than its load says
+/// nothing of its queue.
+decision::plain_response response_of(const exchange_result& exchange, const decision::instance& target) {
+    if (exchange.result != attempt_result::not_run)
+        return decision::plain_response::executed;
+    const bool is_unrelated =
+        exchange.facts.backoff || exchange.facts.is_leaving || target.state == decision::listing::leaving;
+    return is_unrelated ? decision::plain_response::declined : decision::plain_response::refused;
+}
+
 } // namespace
 
 upstream_load_exchange::upstream_load_exchange(gateway_state& state) : state(&state), timer(*state.context) {}
@@ -34,7 +44,8 @@
 void upstream_load_exchange::schedule_report() {
     const plain_load_state& loads = this->state->plain_loads;
     // Without a response since the last report, there is nothing new to report.
-    if (loads.observed_at <= loads.reported_at || std::exchange(this->is_scheduled, true))
+    if (!this->state->process->policy.report_loads || loads.observed_at <= loads.reported_at ||
+        std::exchange(this->is_scheduled, true))
         return;
     const base::duration since = this->state->clock->now() - loads.reported_at;
     this->timer.expires_after(std::max<base::duration>(0ms, report_interval - since));
@@ -72,7 +83,7 @@
             continue;
         decision::instance_load load = observed.load;
         load.has_relative_latency = true;
-        decision::receive_plain_load(*target, load, now - observed.age, now);
+        decision::receive_plain_load(*target, load, now - observed.age, now, report.host);
     }
 }
 
@@ -86,11 +97,7 @@
         return;
     const base::time_point now = state.clock->now();
     const bool was_busy = is_busy(*target, now);
-    decision::record_plain_load(*target, *exchange.facts.load,
-                                exchange.result == attempt_result::not_run
-                                    ? decision::plain_response::refused
-                                    : decision::plain_response::executed,
-                                now);
+    decision::record_plain_load(*target, *exchange.facts.load, response_of(exchange, *target), now);
     if (!exchange.facts.load->has_relative_latency)
         return;
     plain_load_state& loads = state.plain_loads;
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -93,7 +93,7 @@
         limit_queues(table, draw(8));
         decision::plain_request request = make_request();
         request.waited = std::chrono::milliseconds(draw(600));
-        request.is_returning = draw(1) == 1;
+        request.may_be_late = draw(1) == 1;
         request.ahead = draw(10);
         const auto decision = decision::decide_plain(table, make_context(), request, random);
         const auto is_full = [](const decision::instance& known) {
@@ -104,7 +104,7 @@
         REQUIRE(decision.upstream.has_value() == (decision.action == plain_action::send));
         if (decision.free_slots > 0)
             REQUIRE(decision.action == plain_action::send);
-        if (request.is_returning)
+        if (request.may_be_late)
             REQUIRE(decision.action != plain_action::refuse);
         if (decision.reason == plain_reason::wait_in_time)
             REQUIRE(request.waited + decision.expected_wait <= 240ms);
@@ -235,7 +235,7 @@
     limit_queues(table, 6);
     auto request = make_request();
     request.waited = 500ms;
-    request.is_returning = true;
+    request.may_be_late = true;
     const auto waiting = decide(table, request);
     CHECK(waiting.reason == plain_reason::wait_late);
     // Seven ends until a slot is free, and the request itself takes 60 ms.
@@ -275,9 +275,13 @@
 TEST_CASE("a host with more than its share of the slots leaves some of them to the others") {
     auto table = make_table({make_load(6), make_load(6)});
     CHECK(decision::replacement_probability(table, "service", 3) == 1);
-    at(table, "0").own.requests = 4;
+    const auto send_four = [&table](const std::string& id) {
+        for (int sent = 0; sent < 4; ++sent)
+            decision::record_plain_start(at(table, id), now);
+    };
+    send_four("0");
     CHECK(decision::replacement_probability(table, "service", 3) == 1);
-    at(table, "1").own.requests = 4;
+    send_four("1");
     CHECK(decision::replacement_probability(table, "service", 3) == 0.5);
     // Slots are scarce while fewer requests can be sent than hosts have some waiting.
     auto request = make_request();
@@ -330,3 +334,120 @@
         CHECK(decision::plain_requests(at(table, "0"), now) >= 0);
     }
 }
+
+TEST_CASE("no plain request is held for capacity that comes after its caller's time is up") {
+    // The latency target is longer than the time that is left: the answer would take 670 ms.
+    auto table = make_table({make_load(6, 60)});
+    limit_queues(table, 60);
+    auto request = make_request();
+    request.latency_target = 10s;
+    CHECK(decide(table, request).reason == plain_reason::wait_in_time);
+    request.time_left = 500ms;
+    CHECK(decide(table, request).reason == plain_reason::not_in_time);
+    request.waited = 3s;
+    CHECK(decide(table, request).reason == plain_reason::not_in_time);
+}
+
+TEST_CASE("plain requests whose answer is being forwarded to slow callers occupy no slot") {
+    auto table = make_table({make_load(2), make_load(2)});
+    decision::instance& known = at(table, "0");
+    known.own.requests = 12;
+    CHECK(decision::plain_requests(known, now) == 2);
+    CHECK(decision::replacement_probability(table, "service", 3) == 1);
+    for (int sent = 0; sent < 4; ++sent)
+        decision::record_plain_start(known, now - 1ms);
+    CHECK(decision::plain_requests(known, now) == 4);
+    for (int ended = 0; ended < 4; ++ended)
+        decision::record_plain_end(known, now - 1ms);
+    CHECK(decision::plain_requests(known, now) == 2);
+}
+
+TEST_CASE("a plain request without known load does not overtake waiting ones") {
+    const auto last = decision::last_position(now);
+    const decision::queue_position in_time = {
+        .since = now - 50ms, .in_time_until = now + 100ms, .latency_target = 300ms, .rank = 2};
+    const decision::queue_position late = {
+        .since = now - 1s, .in_time_until = now - 700ms, .latency_target = 300ms, .rank = 15};
+    for (const auto& waiting : {in_time, late}) {
+        CHECK(decision::is_ahead(waiting, last, now));
+        CHECK_FALSE(decision::is_ahead(last, waiting, now));
+    }
+    // Those without known load keep the order of arrival.
+    CHECK(decision::is_ahead(last, decision::last_position(now + 1ms), now + 2s));
+    CHECK_FALSE(decision::is_ahead(decision::last_position(now + 1ms), last, now + 2s));
+}
+
+TEST_CASE("a repeatable plain request that an upstream has had is not refused for lateness") {
+    CHECK_FALSE(decision::may_be_late({}, false));
+    CHECK(decision::may_be_late({}, true));
+    CHECK(decision::may_be_late({.is_repeatable = true, .attempts = 1}, false));
+    CHECK(decision::may_be_late({.is_repeatable = true, .refusals = 1}, false));
+}
+
+TEST_CASE("a plain upstream that has just started is not sent a whole burst by each host") {
+    auto table = make_table({make_load(3), make_load(3), make_load(0)});
+    decision::instance& started = at(table, "2");
+    started.plain = {};
+    auto request = make_request();
+    request.competing_hosts = 3;
+    // Each of three hosts sends it its share of the six slots until it has answered.
+    const auto sends_to_it = [&] {
+        int count = 0;
+        for (unsigned seed = 0; seed < 200; ++seed)
+            count += decide(table, request, now, seed).upstream->value == "2" ? 1 : 0;
+        return count;
+    };
+    const int first = sends_to_it();
+    CHECK(first > 0);
+    CHECK(first < 100);
+    decision::record_plain_start(started, now);
+    CHECK(sends_to_it() > 0);
+    decision::record_plain_start(started, now);
+    CHECK(sends_to_it() == 0);
+    decision::record_plain_load(started, make_load(1), plain_response::executed, now);
+    CHECK(sends_to_it() > 0);
+    // With more hosts than slots, each sends it one.
+    started.plain = {};
+    request.competing_hosts = 65;
+    CHECK(sends_to_it() > 0);
+    decision::record_plain_start(started, now);
+    CHECK(sends_to_it() == 0);
+}
+
+TEST_CASE("refusals of plain requests for other reasons than load do not shorten the known queue") {
+    auto table = make_table({make_load(6, 6)});
+    decision::instance& known = at(table, "0");
+    decision::record_plain_load(known, make_load(6), plain_response::declined, now);
+    CHECK_FALSE(known.plain.queue_limit);
+    decision::record_plain_load(known, make_load(6, 4), plain_response::refused, now);
+    decision::record_plain_load(known, make_load(6), plain_response::declined, now + 1s);
+    CHECK(known.plain.queue_limit == 4);
+    // One that was learned too low is corrected.
+    decision::record_plain_load(known, make_load(6), plain_response::executed, now + 4s);
+    CHECK(known.plain.queue_limit == 4);
+    decision::record_plain_load(known, make_load(6), plain_response::executed, now + 6s);
+    decision::record_plain_load(known, make_load(6), plain_response::executed, now + 6s);
+    CHECK(known.plain.queue_limit == 5);
+}
+
+TEST_CASE("in a long overload of plain upstreams, refused callers return later") {
+    const auto table = make_table({make_load(6, 6)});
+    std::mt19937_64 random(3);
+    auto request = make_request();
+    request.time_left = 12s;
+    request.busy_for = 4s;
+    const auto delay = decision::plain_retry_delay(decide(table, request), request, random);
+    CHECK(delay >= 2s);
+    CHECK(delay <= 4s);
+}
+
+TEST_CASE("a plain upstream's load is not replaced by another host's older one") {
+    auto table = make_table({make_load(0)});
+    decision::instance& known = at(table, "0");
+    decision::receive_plain_load(known, make_load(6), now + 10ms, now + 11ms, {"one"});
+    decision::receive_plain_load(known, make_load(2), now + 9ms, now + 12ms, {"two"});
+    CHECK(decision::plain_requests(known, now + 13ms) == 6);
+    // The same host's second report of a response may seem slightly older.
+    decision::receive_plain_load(known, make_load(5), now + 9ms, now + 14ms, {"one"});
+    CHECK(decision::plain_requests(known, now + 15ms) == 5);
+}
