--- a/tests/gateway/test_pace_exchange.cpp
+++ b/tests/gateway/test_pace_exchange.cpp
@@ -292,6 +292,29 @@
     CHECK(off.engine(101).pace == decision::learned_pace{});
 }
 
+// Guards against gauges that show the last values for good, and against waking 40 times a second for nothing.
+TEST_CASE("with the switch turned off the gauges are reset and the timer is idle") {
+    test::manual_clock clock;
+    test_host host(clock, "host-1");
+    wire::asio::io_context context;
+    host.state.context = &context;
+    host.state.requests_in_progress = 1;
+    gateway::pace_exchange exchange(host.state);
+    host.measure_decode(100, 3);
+    exchange.start();
+    const std::string labels = "{service=\"service\",stage=\"decode\"} ";
+    CHECK(host.metrics.text().find("engine_pace_slowest" + labels + "3") != std::string::npos);
+    CHECK(host.metrics.text().find("engines_with_own_pace" + labels + "1") != std::string::npos);
+    CHECK(host.state.timer_delays.next_due == clock.now() + 25ms);
+    host.process.policy.exchange_pace = false;
+    clock.advance(1s);
+    exchange.start();
+    CHECK(host.metrics.text().find("engine_pace_slowest" + labels + "1") != std::string::npos);
+    CHECK(host.metrics.text().find("engines_with_own_pace" + labels + "0") != std::string::npos);
+    CHECK(host.engine(100).pace.in_use == decision::engine_pace{});
+    CHECK(host.state.timer_delays.next_due == clock.now() + 250ms);
+}
+
 TEST_CASE("corrupt rows and rows about unknown engines are bounded and harmless") {
     test::manual_clock clock;
     test_host receiver(clock, "host-1");
