--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -127,7 +127,7 @@
     const bool is_ordered = !waiters.queue->order().is_by_age();
     bool has_room = plan->has_room && slots.free_now > static_cast<double>(ahead.size());
     const bool is_queue_too_long =
-        static_cast<double>(ahead.size()) > max_waiting_per_free_slot * slots.free + max_waiting_base;
+        static_cast<double>(ahead.size()) > max_waiting_per_free_slot * slots.free_now + max_waiting_base;
     if (policy.reserve_in_order && !ahead.empty() && !is_queue_too_long) {
         context.reserved = decision::reserve_memory(state.instances, context, capacity, ahead);
         plan = decision::choose_engines(state.instances, context, capacity, size, state.random);
