gateway: Update a waiting request's entry before its place

A check took the new longest wait in time, which depends on the random choice of engines, while the entry had that of the previous check: a request could count its own entry as ahead and not start at the only free slot. The entry is now updated before the queue is made. The other hosts are also told when a request becomes protected or changes its share, not only when its rank changes.

A request whose key is moved to another organisation by newer settings takes that organisation's rank and share.

The comment of wait_position::arrived names the time that it refers to.

--- a/libraries/decision/wait_queue.cpp
+++ b/libraries/decision/wait_queue.cpp
@@ -58,6 +58,8 @@
     return own;
 }
 
+bool is_protected(const local_waiter& own) { return own.in_time >= unlimited_wait; }
+
 waiter to_waiter(const local_waiter& own) {
     return {own.waited, own.memory_tokens, own.in_time, own.rank, own.share_key};
 }
--- a/libraries/decision/wait_queue.h
+++ b/libraries/decision/wait_queue.h
@@ -71,7 +71,10 @@
 /// as in time and most urgent: only older requests go first, so newer ones no longer overtake it.
 [[nodiscard]] local_waiter make_local_waiter(const waiting_facts& facts);
 
-/// The same, in the form of a load report.
+/// Whether newer requests no longer overtake it, see `make_local_waiter`.
+[[nodiscard]] bool is_protected(const local_waiter& own);
+
+/// A place in the queue in the form of a load report.
 [[nodiscard]] waiter to_waiter(const local_waiter& own);
 
 /// Place of a request in the queue; smaller ones are served first.
@@ -79,7 +82,7 @@
     bool is_beyond_share = false;
     bool is_late = false;
     int rank = 0;
-    base::duration arrived{}; ///< Relative to now, so at most zero.
+    base::duration arrived{}; ///< Relative to when the queue was made; above zero if it arrived since.
 
     auto operator<=>(const wait_position&) const = default;
 };
--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -3,6 +3,7 @@
 
 #include <gateway/request_quarantine.h>
 #include <gateway/send_slot_queue.h>
+#include <gateway/waiting_entry.h>
 
 #include <algorithm>
 #include <cmath>
@@ -21,43 +22,6 @@
 constexpr double max_waiting_per_free_slot = 3;
 constexpr double max_waiting_base = 8;
 
-/// Registers a request as waiting for as long as the object lives.
-class scoped_waiting_entry {
-public:
-    scoped_waiting_entry(gateway_state& state, const waiting_request& request)
-        : state(&state), request(request) {
-        state.waiting.insert(&this->request);
-        did_change_order(state);
-        state.did_change_load();
-    }
-    scoped_waiting_entry(const scoped_waiting_entry&) = delete;
-    scoped_waiting_entry(scoped_waiting_entry&&) = delete;
-    scoped_waiting_entry& operator=(const scoped_waiting_entry&) = delete;
-    scoped_waiting_entry& operator=(scoped_waiting_entry&&) = delete;
-    /// Sets what has changed since the request began to wait: the longest wait with which it still meets its
-    /// latency target, and its rank by its priorities.
-    void update(base::duration in_time, int rank) {
-        this->request.in_time = in_time;
-        this->request.rank = rank;
-        const int rank_now = place_of(*this->state, this->request, this->state->clock->now()).rank;
-        if (std::exchange(this->reported_rank, rank_now) == rank_now)
-            return;
-        did_change_order(*this->state);
-        this->state->did_change_load();
-    }
-
-    ~scoped_waiting_entry() {
-        this->state->waiting.erase(&this->request);
-        did_change_order(*this->state);
-        this->state->did_change_load();
-    }
-
-private:
-    gateway_state* state;
-    waiting_request request;
-    int reported_rank = -1; ///< It improves while the request waits.
-};
-
 base::time_point waiting_since(const gateway_request& request) {
     return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
 }
@@ -76,12 +40,20 @@
             .share_key = request.share_key};
 }
 
-/// The rank follows settings that come into force while the request waits.
-void update_rank(gateway_request& request) {
+/// Rank and share follow settings that come into force while the request waits. Must follow
+/// `reason_to_stop`, which finds the organisation that owns the request's key in these settings.
+void update_order(gateway_request& request) {
     const auto& newest = request.state->settings;
-    if (newest && newest != request.settings)
-        request.rank = rank_in_newer(*newest, request.service, request.organisation, *request.route,
-                                     request.state->process->policy);
+    if (!newest || newest == request.settings)
+        return;
+    const settings::organisation_entry* organisation = request.organisation;
+    const auto& organisations = newest->document.value->organisations;
+    const auto owner = organisations.find(request.routed.organisation);
+    if (request.needs_key && owner != organisations.end())
+        organisation = &owner->second;
+    request.rank =
+        rank_in_newer(*newest, request.service, organisation, *request.route, request.state->process->policy);
+    request.share_key = host::key_of(request.service, request.routed.organisation);
 }
 
 /// Candidate engines for a request and the facts that decide on its admission.
@@ -106,7 +78,7 @@
 }
 
 std::optional<slot_candidate> find_slot(const gateway_request& request, const decision::prompt_size& size,
-                                        bool is_queued) {
+                                        scoped_waiting_entry* entry) {
     gateway_state& state = *request.state;
     const settings::gateway_policy& policy = state.process->policy;
     const settings::engine_capacity capacity = capacity_of(request);
@@ -116,6 +88,8 @@
         return std::nullopt;
     const base::duration in_time =
         decision::max_wait_on_time(request.route->latency_target, plan->expected_first_event);
+    if (entry != nullptr)
+        entry->update({.in_time = in_time, .rank = request.rank, .share_key = request.share_key});
     const auto slots = decision::count_decode_slots(state.instances, context, capacity, size);
     waiting_request waiting = waiting_request_of(request, size);
     waiting.in_time = in_time;
@@ -148,7 +122,7 @@
         .in_time = in_time,
         .will_retry =
             policy.refuse_early && request.first_try == request.arrived && !request.routed.resume_after,
-        .is_queued = is_queued,
+        .is_queued = entry != nullptr,
         .waited = context.now - request.arrived,
         .max_wait = waiting.max_wait,
         .is_ordered = is_ordered};
@@ -200,10 +174,10 @@
     std::optional<scoped_waiting_entry> waiting_entry;
     request.share_use.reset();
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone) {
-        update_rank(request);
         if (const char* const stop = reason_to_stop(request))
             return {.plan = std::nullopt, .reason = stop};
-        const auto candidate = find_slot(request, size, waiting_entry.has_value());
+        update_order(request);
+        const auto candidate = find_slot(request, size, waiting_entry ? &*waiting_entry : nullptr);
         if (!candidate && !await_send_slot(request, yield))
             return {};
         if (!candidate)
@@ -230,11 +204,11 @@
             timer.emplace(*state.context);
             waiting_request waiting = waiting_request_of(request, size);
             waiting.wake = &*timer;
+            waiting.in_time = candidate->facts.in_time;
             waiting_entry.emplace(state, waiting);
             count_decision(request, "slot_waits_total");
             state.metrics->count("waited_for_place_total");
         }
-        waiting_entry->update(candidate->facts.in_time, request.rank);
         timer->expires_after(recheck_interval);
         wire::error_code ignored;
         timer->async_wait(yield[ignored]);
