--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -371,6 +371,7 @@
 
 void stream_relay::did_end() {
     this->retained.release();
+    this->request->share_use.reset();
     release_reserved_retries(*this->request);
 }
 
--- a/tests/gateway/test_slot_order.cpp
+++ b/tests/gateway/test_slot_order.cpp
@@ -85,3 +85,25 @@
     entry.update(same);
     CHECK(host.reports == before + 1);
 }
+
+TEST_CASE("requests and use of a service count although its share key collides with another service's") {
+    test_host host;
+    const gateway::waiting_request request = make_request(host);
+    const host::share_key key = request.share_key;
+    host.settings->shares = {.services = {"another", service}, .service_of = {{key, 0}, {key, 1}}};
+    const gateway::scoped_waiting_entry entry(host.state, request);
+    const gateway::scoped_share_use use(host.state, key, 300);
+    gateway::waiting_request newer = request;
+    newer.first_try += 1ms;
+    CHECK(host.queue().waiters_ahead(gateway::place_of(host.state, newer, host.clock.now())).size() == 1);
+    CHECK(decision::tokens_in_use(host.queue().order().shares, key) == 300);
+}
+
+TEST_CASE("the other hosts are told when a request's use of its share ends") {
+    test_host host;
+    std::optional<gateway::scoped_share_use> use;
+    use.emplace(host.state, host::share_key{1}, 300);
+    const int before = host.reports;
+    use.reset();
+    CHECK(host.reports == before + 1);
+}
