--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -8,6 +8,10 @@
 
 #include <wire/http_client.h>
 
+#include <algorithm>
+#include <functional>
+#include <span>
+
 namespace postpaddle::gateway {
 
 namespace {
@@ -27,6 +31,20 @@
 /// Interval at which unreported use of the limits is checked for.
 constexpr base::duration use_check_interval = 50ms;
 constexpr int ok_status = 200;
+/// Rows of at most 11 bytes, so that a report stays within one datagram of 1,400 bytes.
+constexpr std::size_t max_reported_shares = 32;
+
+/// The largest uses: the others hardly change the level of the shares.
+std::map<host::share_key, double> shares_to_report(const gateway_state& state) {
+    std::vector<std::pair<double, host::share_key>> rows;
+    for (const auto& [key, use] : state.shares)
+        rows.emplace_back(use.memory_tokens, key);
+    std::ranges::sort(rows, std::greater{});
+    std::map<host::share_key, double> largest;
+    for (const auto& [tokens, key] : std::span(rows).first(std::min(rows.size(), max_reported_shares)))
+        largest[key] = tokens;
+    return largest;
+}
 
 } // namespace
 
@@ -100,8 +118,7 @@
     }
     for (const waiting_request* const waiting : this->state->waiting)
         report.waiters.push_back(decision::to_waiter(place_of(*this->state, *waiting, now)));
-    for (const auto& [key, use] : this->state->shares)
-        report.share_tokens[key] = use.memory_tokens;
+    report.share_tokens = shares_to_report(*this->state);
     this->limits.add_use(report);
     report.paces = paces_to_report(*this->state);
     this->plain_loads.fill(report);
