--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -91,6 +91,7 @@
         next->organisation_by_key[host::key_of(id)] = &organisation;
     prepare_order(*next);
     state.settings = std::move(next);
+    state.ordered_waiters_of.clear(); // Drops those of services that are gone.
     state.metrics->set("settings_version", static_cast<double>(version));
     state.log->write_always("settings_in_force", {{"version", version},
                                                   {"version_before", before},
