--- a/libraries/service/quarantine_filter.cpp
+++ b/libraries/service/quarantine_filter.cpp
@@ -30,7 +30,8 @@
     base::request_id request;
     base::upstream_id upstream;
     std::string address;
-    host::instance_key exit_key = 0; ///< By the time of the break, which all hosts see at about the same time.
+    host::instance_key exit_key =
+        0; ///< By the time of the break, which all hosts see at about the same time.
 };
 
 void record_exit(const worker_services& services, const observed_break& observed) {
