--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -80,7 +80,7 @@
 }
 
 /// How long a load report about a remote engine remains valid. Short compared with the time that requests
-/// occupy their slots, about two seconds. Chosen, not measured.
+/// occupy their slots, about two seconds.
 constexpr base::duration remote_load_lifetime = 250ms;
 /// How long a refusal counts as evidence of unreported memory use.
 constexpr base::duration refusal_lifetime = 1'000ms;
--- a/libraries/gateway/store_updates.cpp
+++ b/libraries/gateway/store_updates.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// Number of intervals for which a change is repeated. A follower misses it only if all these updates are
-/// lost. Chosen, not measured.
+/// lost.
 constexpr int repeat_intervals = 2;
 /// Maximum number of changes in one update, at about 80 bytes each, so that a large rollout does not saturate
 /// links.
