--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -25,7 +25,6 @@
 /// Cells queried at once when the own one has no free slot; with two random choices, one usually has.
 constexpr std::size_t queried_cells = 2;
 /// Minimum interval between queries: two of them fit into the time for which an answer is considered valid.
-///
 constexpr base::duration query_interval = 100ms;
 /// Timeout of a query: many round trips between availability zones.
 constexpr auto query_timeout = 60ms;
