gateway: Take the capacity of shares from the engines' memory

It was the number of slots times the requester's memory, so the level of the shares changed with the size of the request that looked at the queue, and slots are weighted by the engines' speed. The memory of the eligible decode engines is now added up directly.

The organisation cases of test_gateway have not been run with this change.

--- a/libraries/decision/engine_room.cpp
+++ b/libraries/decision/engine_room.cpp
@@ -69,7 +69,10 @@
             continue;
         const double total =
             std::min<double>(capacity.slots, reservable_fraction * capacity.kv_tokens / required);
-        const double left = std::max(0.0, available_memory(*candidate, capacity, context.now)) / required;
+        const double available = std::max(0.0, available_memory(*candidate, capacity, context.now));
+        const double left = available / required;
+        slots.total_memory += reservable_fraction * capacity.kv_tokens;
+        slots.free_memory += available;
         const double speed = 1 / candidate->pace.in_use.decode;
         slots.total += speed * std::max(1.0, total);
         if (!has_room(*candidate, context, capacity, size))
--- a/libraries/decision/engine_room.h
+++ b/libraries/decision/engine_room.h
@@ -34,9 +34,11 @@
 /// Slots for requests of a given size at all decode engines of the service. `total` and `free` are weighted
 /// by the engines' speed, for expected waits.
 struct decode_slots {
-    double total = 0;    ///< A slot at an engine that takes twice as long counts half.
-    double free = 0;     ///< The same, but none counts more than one, as it takes one request now.
-    double free_now = 0; ///< Number of free slots: of the requests that can start now.
+    double total = 0;        ///< A slot at an engine that takes twice as long counts half.
+    double free = 0;         ///< The same, but none counts more than one, as it takes one request now.
+    double free_now = 0;     ///< Number of free slots: of the requests that can start now.
+    double total_memory = 0; ///< Tokens of all eligible engines, whatever the request's size.
+    double free_memory = 0;  ///< Tokens of these that are available.
 };
 [[nodiscard]] decode_slots count_decode_slots(const instance_table& table, const choice_context& context,
                                               const settings::engine_capacity& capacity,
--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -93,9 +93,8 @@
     const auto slots = decision::count_decode_slots(state.instances, context, capacity, size);
     waiting_request waiting = waiting_request_of(request, size);
     waiting.in_time = in_time;
-    const double tokens = std::max(1.0, waiting.memory_tokens);
-    const ordered_waiters& waiters = ordered_waiters_of(
-        state, request.service, {.total = slots.total * tokens, .free = slots.free_now * tokens});
+    const ordered_waiters& waiters =
+        ordered_waiters_of(state, request.service, {.total = slots.total_memory, .free = slots.free_memory});
     const decision::local_waiter own = place_of(state, waiting, waiters.made_at);
     const auto ahead = waiters.queue->waiters_ahead(own);
     const bool is_ordered = !waiters.queue->order().is_by_age();
--- a/libraries/gateway/engine_slot_waker.cpp
+++ b/libraries/gateway/engine_slot_waker.cpp
@@ -53,9 +53,8 @@
     did_change_order(*this->state);
     for (const auto& [service, own] : by_service) {
         const decision::decode_slots slots = this->count_slots(*own.front());
-        const double tokens = std::max(1.0, own.front()->memory_tokens);
         const ordered_waiters& waiters = ordered_waiters_of(
-            *this->state, service, {.total = slots.total * tokens, .free = slots.free_now * tokens});
+            *this->state, service, {.total = slots.total_memory, .free = slots.free_memory});
         std::vector<decision::local_waiter> places;
         for (const waiting_request* const waiting : own)
             places.push_back(place_of(*this->state, *waiting, waiters.made_at));
--- a/libraries/gateway/slot_order.h
+++ b/libraries/gateway/slot_order.h
@@ -25,7 +25,7 @@
 [[nodiscard]] decision::local_waiter place_of(const gateway_state& state, const waiting_request& request,
                                               base::time_point now);
 
-/// Slots of a service's decode engines, in tokens of memory.
+/// Memory of a service's eligible decode engines, in tokens.
 struct slot_memory {
     double total = 0;
     double free = 0;
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -324,6 +324,19 @@
     CHECK(decision::count_decode_slots(table, make_context(), capacity, {5'000, 700}).free == 0);
 }
 
+TEST_CASE("the memory of the decode engines does not depend on the request's size or the engines' speed") {
+    auto table = make_table({make_entry("p", engine_stage::prefill), make_entry("one", engine_stage::decode),
+                             make_entry("two", engine_stage::decode)});
+    decision::find_instance(table, {"one"})->pace.in_use.decode = 2;
+    decision::find_instance(table, {"two"})->others = {.requests = 1, .memory_tokens = 10'000};
+    for (const double prompt_tokens : {100.0, 7'000.0, 1'000'000.0}) {
+        const auto slots =
+            decision::count_decode_slots(table, make_context(), capacity, {prompt_tokens, 700});
+        CHECK(slots.total_memory == 2 * capacity.kv_tokens);
+        CHECK(slots.free_memory == 2 * capacity.kv_tokens - 10'000);
+    }
+}
+
 TEST_CASE("two engines of one zone are chosen if that costs less than a transfer between zones") {
     std::mt19937_64 random(1);
     auto table = make_table({make_entry("p-east", engine_stage::prefill, "east"),
