libraries, docs: Clarify comments of the decisions under overload

No code differs: with comments and white space removed, every changed source file is the same as before.

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -9,16 +9,17 @@
 
 /// Fraction of the latency target that expected times may use up; the rest is a margin for estimation errors.
 constexpr double usable_target_fraction = 0.8;
-/// Fraction of the freed slots that requests get which newer ones overtake. No kind of request may be served
-/// less than a quarter as often as all are; more would let patient callers displace more urgent ones.
+/// Fraction of the freed slots that requests are expected to get which newer ones overtake. No kind of
+/// request may be served less than a quarter as often as all are; with more, less urgent callers that may
+/// wait for long would displace more urgent ones.
 constexpr double overtaken_fraction = 0.25;
 /// Maximum wait for a slot, in multiples of the latency target.
 constexpr int max_wait_targets = 3;
 /// Range of the random factor applied to the retry delay, so that refused callers don't retry in sync.
 constexpr double min_retry_factor = 1;
 constexpr double max_retry_factor = 3;
-/// The expected wait is more precise where it counts the requests ahead in the order in which they are
-/// served.
+/// The same in an ordered queue, where the expected wait is more precise, as it counts the requests ahead in
+/// the order in which they are served.
 constexpr double max_ordered_retry_factor = 2;
 constexpr base::duration min_retry_delay = std::chrono::milliseconds(1'000);
 /// Late prompts are held back while the prefill queue is longer than this, so that newer prompts can still
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -13,7 +13,7 @@
     double free_slots = 0; ///< Free slots of all decode engines, for requests of this size.
     double total_slots = 0;
     int waiting_ahead = 0;         ///< Requests ahead in the queue, on all hosts.
-    int overtaken_ahead = 0;       ///< Those of them that newer ones overtake like this one.
+    int overtaken_ahead = 0;       ///< Those of them that newer, more urgent ones overtake like this one.
     base::duration hold{};         ///< Mean time that a request occupies its slot.
     bool is_late = false;          ///< Can no longer meet its latency target.
     base::duration prompt_queue{}; ///< Expected time until the prefill engine starts the prompt.
--- a/libraries/decision/choice_cost.cpp
+++ b/libraries/decision/choice_cost.cpp
@@ -25,7 +25,7 @@
 constexpr double best_fraction = 0.25;
 /// Maximum additional cost of a candidate drawn: a prompt that queues behind another costs more.
 constexpr double max_spread_cost = 0.1;
-/// Lower bound of a weight, so that a candidate without any free capacity does not divide by 0.
+/// Lower bound of a weight, so that a candidate without any free capacity can still be drawn.
 constexpr double min_weight = 1e-6;
 
 /// Index drawn with a probability proportional to its weight.
--- a/libraries/decision/choice_cost.h
+++ b/libraries/decision/choice_cost.h
@@ -38,7 +38,7 @@
                                         const std::function<double(const instance&)>& cost_of);
 
 /// Chooses among the cheapest candidates: of two that are drawn by weight, the cheaper one. Hosts with the
-/// same figures therefore choose different ones. Removes the others.
+/// same figures therefore choose different ones. Removes all but the cheapest from `candidates`.
 [[nodiscard]] scored_candidate choose_spread(std::vector<scored_candidate>& candidates,
                                              const std::function<double(const instance&)>& weight_of,
                                              std::mt19937_64& random);
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -47,7 +47,7 @@
                                                        : candidate.slowness.value;
 }
 
-/// The same at a decode engine, whose time between events stands for it while no prefill was measured.
+/// The same at a decode engine. Without a prefill pace in use, it is derived from the time between events.
 double decode_prefill_pace(const instance& candidate) {
     const engine_pace& pace = candidate.pace.in_use;
     return has_own_pace(pace.prefill) ? pace.prefill : candidate.slowness.value * pace.decode;
@@ -156,7 +156,7 @@
 /// Weight of a prefill engine: its speed.
 double prefill_weight(const instance& candidate) { return 1 / prefill_pace(candidate); }
 
-/// Weight of a decode engine: the capacity that it frees per second, for its free memory.
+/// Weight of a decode engine: its free memory, weighted by its speed.
 engine_weight decode_weight(const choice_context& context, const settings::engine_capacity& capacity) {
     return [&context, &capacity](const instance& candidate) {
         const double left = capacity.kv_tokens > 0 ? unreserved_memory(candidate, context, capacity) : 1;
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -42,8 +42,8 @@
     next.state = change.entry->is_leaving ? listing::leaving : listing::listed;
     next.offset = change.offset;
     next.is_remote = known.is_remote;
-    // An estimate that starts above the other upstreams' times would never be corrected: they would always be
-    // preferred.
+    // Keep the latency of the earlier start: an initial estimate above the other upstreams' times would never
+    // be corrected, as they would always be preferred.
     next.latency = known.latency;
     known = std::move(next);
 }
--- a/libraries/decision/overload/decode_recheck.h
+++ b/libraries/decision/overload/decode_recheck.h
@@ -32,7 +32,8 @@
     bool operator==(const concurrent_reservation&) const = default;
 };
 
-/// The work in `now` that was not in `before`. Memory alone is the growth of streams that run already.
+/// The work in `now` that was not in `before`. None if only the memory has grown: streams that were running
+/// already take more of it over time.
 [[nodiscard]] instance_use added_use(const instance_use& before, const instance_use& now);
 
 /// A request's reservation at a decode engine, and all other work there.
@@ -48,10 +49,10 @@
 /// Whether a request has to leave the decode engine that was chosen before its prefill, since the engine is
 /// overcommitted.
 ///
-/// Work that was known at the choice keeps its place. Reservations that hosts have made since without knowing
-/// of each other keep theirs in the hosts' order as far as they fit, so that only the rest moves. This host's
-/// other reservations count before this one: they are rechecked one after another, each with the result of
-/// the one before.
+/// Work that was known at the choice stays. Reservations that hosts have made since without knowing of each
+/// other stay as far as they fit, in the order of `reservation_order`, so that only the rest moves. This
+/// host's other reservations count before this one: they are rechecked one after another, each with the
+/// result of the one before.
 [[nodiscard]] bool is_displaced(const reservation_facts& facts, const settings::engine_capacity& capacity);
 
 /// A decode engine other than `current` with free capacity now for a prompt retained in `source_zone`, if
--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -28,8 +28,8 @@
 constexpr double min_retry_fraction = 0.5;
 constexpr base::duration min_retry_delay = 50ms;
 constexpr double max_retry_fraction = 1.0 / 3;
-/// Fraction of the time since a slot was free after which callers return: an overload that has lasted long is
-/// expected to last on, although this host knows the requests in its own queue only.
+/// Lower bound of `Retry-After` as a fraction of the time since a slot was free. This host knows only its own
+/// queue, and an overload that has lasted long is expected to last on.
 constexpr double busy_retry_fraction = 0.5;
 
 /// An upstream that may be sent the request.
@@ -81,7 +81,8 @@
 
 /// Estimates the requests at an upstream without known load among others with known load. All hosts choose it
 /// at the same time, so this host sends it no more than its share of the slots until a response shows the
-/// load.
+/// load. The largest of three figures counts: what remains of the last known load, the requests there if each
+/// host has sent as many as this one, and a load that leaves just the rest of this host's share free.
 void estimate_requests(candidate& one, int competing_hosts, base::time_point now) {
     const double own = one.upstream->plain.sent_requests;
     const double hosts = std::max(1, competing_hosts);
@@ -221,7 +222,7 @@
     return true;
 }
 
-/// Shortest wait after which the request would be in time; none if there is none.
+/// Shortest wait after which the request would still be in time, in seconds; nullopt if there is none.
 std::optional<double> seconds_until_in_time(const admission_step& step) {
     std::optional<double> shortest;
     for (const candidate& one : *step.candidates) {
@@ -285,6 +286,7 @@
 void summarise(admission_step& step) {
     double ends_per_second = 0;
     double fastest = std::numeric_limits<double>::max();
+    // Requests that could be sent now and be in time.
     double places = 0;
     for (const candidate& one : *step.candidates) {
         ends_per_second += 1 / one.seconds_per_end();
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -12,7 +12,8 @@
 /// Decides from the loads of plain upstreams whether a request is sent now, waits on this host or is refused.
 namespace postpaddle::decision {
 
-/// Fraction of the latency target within which the expected answer has to be, as expected times are exceeded.
+/// Fraction of the latency target within which the expected answer has to be; the rest is a margin for
+/// estimation errors.
 inline constexpr double usable_target_fraction = 0.8;
 /// Requests of a service that may be ahead of a waiting one on a host. Bounds the host's memory.
 inline constexpr int max_plain_waiting = 128;
@@ -34,8 +35,9 @@
     base::duration waited{}; ///< Since the caller's first try.
     base::duration latency_target{};
     base::duration time_left{};
-    bool may_be_late = false;  ///< It is not refused for lateness, see `may_be_late`.
-    bool may_wait_late = true; ///< Whether it may wait although it can't be in time.
+    bool may_be_late = false; ///< It is not refused for lateness, see `may_be_late`.
+    /// Whether it may wait although it can't be in time: not while the host is stopping.
+    bool may_wait_late = true;
     int ahead = 0;             ///< Requests ahead of it in this host's queue.
     base::duration busy_for{}; ///< Since a free slot was last seen at the service's upstreams.
     int competing_hosts = 1;   ///< Hosts with requests for the same upstreams, including this one.
@@ -64,7 +66,7 @@
     not_in_time,    ///< Refused: no capacity is expected early enough to be in time.
     not_before_end, ///< Refused: no slot is expected to be free before the caller's time is up.
     queue_full,     ///< Refused: too many requests wait.
-    not_late,       ///< Refused: it can't be in time, and the host accepts no such waiting requests.
+    not_late,       ///< Refused: it can't be in time, and `may_wait_late` is not set.
 };
 
 struct plain_decision {
--- a/libraries/decision/overload/rank.cpp
+++ b/libraries/decision/overload/rank.cpp
@@ -13,7 +13,7 @@
 /// Middle of all ranks; used if the table is empty.
 constexpr int default_middle_rank = max_rank / 2;
 
-/// Number of ranks for each organisation level, and number of organisation levels.
+/// Number of levels of organisations, and of levels of routes within each of them.
 struct rank_levels {
     std::size_t organisations = 1;
     std::size_t routes = 1;
--- a/libraries/decision/overload/upstream_pace.cpp
+++ b/libraries/decision/overload/upstream_pace.cpp
@@ -19,8 +19,7 @@
 
 /// Difference from 1 that changes decisions.
 constexpr double notable_difference = 0.2;
-/// Age up to which a value counts in full. An engine that serves no stream of this host for as long is
-/// usually measured by another one.
+/// Age up to which a value counts in full. Within this time some host usually measures the engine again.
 constexpr base::duration full_lifetime = 10s;
 /// Age at which a value has returned to 1: the engine is then tried again.
 constexpr base::duration lifetime = 30s;
@@ -30,11 +29,13 @@
 constexpr double max_weight = 6;
 /// A measurement of this multiple of the value takes effect at once.
 constexpr double jump_factor = 2;
-/// An unconfirmed measurement counts for at most this multiple of the value.
+/// An unconfirmed measurement counts for at most this multiple of the value, so that one wrong host cannot
+/// take an engine out of use.
 constexpr double unconfirmed_factor = 1.5;
 /// How long a measurement can confirm the next one.
 constexpr base::duration confirmation_lifetime = 5s;
-/// Weight of the service's learned speed from which on prefills are compared with it: 6 to 45 prefills.
+/// `engine_speed::weight` from which on prefills are compared with the service's speed. It is reached after 6
+/// to 45 prefills, as those that take longer than expected weigh less.
 constexpr double min_speed_weight = 6;
 /// How long timer delays are kept: longer than the events of a measurement take.
 constexpr base::duration delay_lifetime = 10s;
--- a/libraries/decision/overload/upstream_pace.h
+++ b/libraries/decision/overload/upstream_pace.h
@@ -127,7 +127,7 @@
 
 /// Sets the paces used by decisions. They are those of engines that differ from 1 by more than a fifth, in
 /// services with an engine that differs from the mean of its service and stage by more than a fifth. All
-/// others are 1, so that nothing changes where engines are alike; those of engines of other cells as well, as
+/// others are 1, so that nothing changes where engines are alike. So are those of engines of other cells, as
 /// few of their measurements arrive here.
 applied_paces apply_learned_paces(instance_table& table, base::time_point now);
 
--- a/libraries/decision/shared_budget.h
+++ b/libraries/decision/shared_budget.h
@@ -43,8 +43,8 @@
 
 /// Takes retries for sends that are still to come, all of them or none; returns whether it did.
 ///
-/// A reserved retry keeps its place in the bucket: with as many more in addition, a host could send more in a
-/// window than the limit.
+/// A reserved retry still occupies the bucket: if the bucket filled up again meanwhile, a host could send
+/// more in a window than the limit.
 [[nodiscard]] bool try_reserve(shared_budget& budget, const shared_budget_options& options, int count,
                                base::time_point now);
 
--- a/libraries/decision/stage_balance.cpp
+++ b/libraries/decision/stage_balance.cpp
@@ -10,8 +10,8 @@
 
 using settings::engine_stage;
 
-/// Fraction of a decode engine's time that prefills may take while prompts queue at prefill engines. Memory
-/// that decode engines lack has no such substitute.
+/// Fraction of a decode engine's time that prefills may take while prompts queue at prefill engines. Prefill
+/// engines in turn cannot substitute for the memory of decode engines.
 constexpr double decode_prefill_fraction = 0.15;
 /// Minimum factor by which a change must increase the answerable rate.
 constexpr double min_gain = 1.1;
--- a/libraries/decision/wait_queue.cpp
+++ b/libraries/decision/wait_queue.cpp
@@ -135,7 +135,8 @@
     const wait_position position = this->position_of(own);
     const auto placed_end = std::ranges::lower_bound(this->placed, position, {}, &placed_waiter::position);
     auto ahead = placed_end - this->placed.begin();
-    // Of each group, those that can be in time and those that are late, the last ones are ahead.
+    // There are two groups, those that can be in time and those that are late. In each, the ones that have
+    // waited longest come last and are ahead.
     const auto late = std::ranges::upper_bound(this->unplaced, own.in_time, {}, &waiter::waited);
     const auto count_group = [&](auto begin, auto end) {
         return end - std::partition_point(begin, end, [&](const waiter& other) {
--- a/libraries/decision/wait_queue.h
+++ b/libraries/decision/wait_queue.h
@@ -50,7 +50,7 @@
     bool operator==(const local_waiter&) const = default;
 };
 
-/// What determines the place of one of this host's requests in the queue.
+/// What determines the position of one of this host's requests in the queue.
 struct waiting_facts {
     base::duration age{};     ///< Since the caller's first attempt.
     base::duration waited{};  ///< Since this attempt.
@@ -64,7 +64,7 @@
     bool operator==(const waiting_facts&) const = default;
 };
 
-/// A request with its place in the queue, as it is reported to the other hosts.
+/// A request with what determines its position, as it is reported to the other hosts.
 ///
 /// A returning caller's latency target is counted from its return, so that it goes before new callers of its
 /// rank, which are younger. The rank improves with the wait. From half of its maximum wait a request counts
@@ -74,10 +74,10 @@
 /// Whether newer requests no longer overtake it, see `make_local_waiter`.
 [[nodiscard]] bool is_protected(const local_waiter& own);
 
-/// A place in the queue in the form of a load report.
+/// The same in the form of a load report.
 [[nodiscard]] waiter to_waiter(const local_waiter& own);
 
-/// Place of a request in the queue; smaller ones are served first.
+/// Position of a request in the queue; smaller ones are served first.
 struct wait_position {
     bool is_beyond_share = false;
     bool is_late = false;
@@ -94,7 +94,8 @@
     int unreported_rank = 0; ///< Of requests whose hosts report no rank.
     fair_shares shares{};
 
-    /// Neither: the order of `precedes`, with the latency target of the request that looks at the queue.
+    /// Neither by rank nor by share: the order of `precedes`, with the latency target of the request that
+    /// looks at the queue.
     [[nodiscard]] bool is_by_age() const { return !this->by_rank && !this->by_share; }
 };
 
@@ -103,7 +104,7 @@
 public:
     explicit wait_queue(std::span<const waiter> waiters, wait_order order = {});
 
-    /// Place of a request of this host.
+    /// Position of a request of this host.
     [[nodiscard]] wait_position position_of(const local_waiter& own) const;
 
     /// Requests ahead of one of this host.
@@ -117,15 +118,15 @@
     /// Requests ahead of one of this host, in queue order.
     [[nodiscard]] std::vector<waiter> waiters_ahead(const local_waiter& own) const;
 
-    /// Requests ahead of one of this host that the most urgent ones overtake like it, or did until they had
-    /// waited for too long. None if no more urgent request waits.
+    /// Of the requests ahead of one of this host, those that newer requests of the most urgent kind overtake,
+    /// as they overtake this one, and those that are protected by now. 0 if no more urgent request waits.
     [[nodiscard]] std::size_t count_overtaken_ahead(const local_waiter& own) const;
 
     /// The order in force, with the shares.
     [[nodiscard]] const wait_order& order() const { return this->rules; }
 
 private:
-    /// A request whose place does not depend on the request that looks at the queue.
+    /// A request whose position does not depend on the request that looks at the queue.
     struct placed_waiter {
         wait_position position;
         waiter request;
@@ -145,8 +146,8 @@
     wait_order rules;
     std::vector<placed_waiter> placed; ///< In queue order.
     std::unordered_map<std::uint32_t, share_queue> by_share;
-    /// Requests that are placed by the latency target of the request that looks at the queue: all of them
-    /// where the order is by age, else those of hosts that report none. The longest wait is last.
+    /// Requests whose position depends on the latency target of the request that looks at the queue: all of
+    /// them where the order is by age, else those of hosts that report none. The longest wait is last.
     std::vector<waiter> unplaced;
 };
 
@@ -154,8 +155,8 @@
 /// order, at most `max_count`. Limits the requests woken per load change, as each of them evaluates all
 /// engines.
 ///
-/// When every change woke all of them, a host's CPU time grew with the number of waiting requests times the
-/// number of engines: in a burst on 78 hosts with 140 engines, to five times that of a calm day.
+/// If every change woke all of them, a host's CPU time would grow with the number of waiting requests times
+/// the number of engines.
 [[nodiscard]] std::vector<std::size_t> head_of_queue(const wait_queue& queue,
                                                      std::span<const local_waiter> own, double free_slots,
                                                      std::size_t max_count);
--- a/libraries/gateway/caller_identity.cpp
+++ b/libraries/gateway/caller_identity.cpp
@@ -27,8 +27,8 @@
     return std::llround(routed.prompt_tokens + routed.output_tokens);
 }
 
-/// How many priority levels the request's route is below the most urgent one of its service. 0 for some of
-/// the others too, so that they are not shut out.
+/// How many priority levels the request's route is below the most urgent one of its service. A random part of
+/// the less urgent requests gets 0 as well, see `host::is_exempt_from_reserve`.
 int limit_level(gateway_request& request) {
     gateway_state& state = *request.state;
     if (!state.process->policy.order_by_rank || request.route->services.empty())
--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -60,7 +60,7 @@
 struct slot_candidate {
     decision::engine_plan plan;
     decision::admission_facts facts;
-    nlohmann::json share; ///< For the log: the share on which its place in the queue is based, or null.
+    nlohmann::json share; ///< For the log: the share on which its position in the queue is based, or null.
 };
 
 /// Figures of the request's share for the log.
@@ -151,8 +151,8 @@
     request.state->metrics->count(name + labels + "}");
 }
 
-/// Why a request without a slot in time is refused: others of its organisation use more than its share, it
-/// has waited for as long as it may, or too many requests are ahead.
+/// Why a request without a slot in time is refused: it is beyond its organisation's share, it has waited for
+/// as long as it may, or too many requests are ahead.
 const char* refusal_reason(const slot_candidate& candidate) {
     if (!candidate.share.is_null() && candidate.share["is_beyond"].get<bool>())
         return "beyond_share";
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -113,9 +113,10 @@
 
 /// Exchange of the loads of plain upstreams, see `upstream_load_exchange`.
 struct plain_load_state {
-    base::time_point observed_at{};        ///< When a response to this host last reported a load.
-    base::time_point reported_at{};        ///< When loads were last reported to the other hosts.
-    base::time_point pressed_until{};      ///< Requests have waited or been refused recently.
+    base::time_point observed_at{}; ///< When a response to this host last reported a load.
+    base::time_point reported_at{}; ///< When loads were last reported to the other hosts.
+    /// Until then, requests count as having waited or been refused recently.
+    base::time_point pressed_until{};
     std::function<void()> on_report_due{}; ///< Sends a report soon.
 };
 
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -262,7 +262,7 @@
     return static_cast<int>(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, max));
 }
 
-/// Columns after the instance's key: requests, tokens of memory, tokens of prompts to read.
+/// Columns after the instance's key: requests, tokens of memory, prompt tokens not prefilled yet.
 decision::instance_use decode_use(const json& row) {
     return {.requests = clamp_count(row.at(1), max_load_count),
             .memory_tokens = clamp_tokens(row.at(2).get<double>()),
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -98,7 +98,8 @@
     return {.upstream = std::move(chosen)};
 }
 
-/// Chooses an upstream by load where its upstreams report it. A request that has waited already goes first.
+/// Chooses an upstream by load where the service's upstreams report it. A request that has waited already
+/// goes first.
 plain_step choose_step(gateway_request& request, bool has_waited) {
     if (!is_admitted_by_load(request))
         return choose_without_load(request, has_waited, false);
--- a/libraries/gateway/slot_order.h
+++ b/libraries/gateway/slot_order.h
@@ -21,7 +21,7 @@
 /// How a service's waiting requests are ordered, without the shares.
 [[nodiscard]] decision::wait_order order_of(const gateway_state& state, const std::string& service);
 
-/// Place in the queue of one of this host's requests, as it is reported to the other hosts.
+/// What determines the position of one of this host's requests, as it is reported to the other hosts.
 [[nodiscard]] decision::local_waiter place_of(const gateway_state& state, const waiting_request& request,
                                               base::time_point now);
 
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -193,7 +193,7 @@
     if (exchange.result == attempt_result::not_run)
         this->did_refuse(send.instance, exchange.facts);
     this->last_result = exchange.result;
-    // Nothing is sent any more, but a slow caller may take long to read the answer.
+    // No further send follows. Release now, as a slow caller may take long to read the answer.
     if (exchange.result == attempt_result::answered)
         this->did_end();
     this->reason = decision::to_text(exchange.result);
@@ -264,7 +264,7 @@
         exchange.detail = "stream ended within an event or without any event";
         return stream_end::broken;
     }
-    // Nothing is sent any more, but a slow caller may take long to read the rest.
+    // No further send follows. Release now, as a slow caller may take long to read the rest.
     release_reserved_retries(*this->request);
     return this->request->connection->end_stream(yield) ? stream_end::complete : stream_end::caller_gone;
 }
@@ -396,7 +396,7 @@
         this->reservation.reset();
         if (!this->retained.has_value())
             release_reserved_retries(*this->request);
-        // Before the choice, so that no engine's capacity is reserved during this wait.
+        // Wait before the choice, so that no engine's capacity is reserved meanwhile.
         await_exit_checks(*this->request, yield);
         if (time_left(*this->request) <= 0ms || this->request->cancellation->is_caller_gone)
             break;
@@ -406,7 +406,7 @@
         // Another attempt of the same request may have failed during the wait for the plan.
         if (is_exit_check_pending(*this->request))
             continue;
-        // At once, before anything else can wait: the engine's capacity was free at this moment.
+        // Reserve before anything waits again: the engine's capacity is known to be free only now.
         this->reserve(*plan);
         if (const char* const stop = reason_to_stop(*this->request)) {
             this->reason = stop;
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -29,8 +29,9 @@
     enum class stream_end { complete, broken, caller_gone };
 
     [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
-    /// A decode engine that processes the prompt itself. Waits a while for one with room, as an engine
-    /// without room would refuse the request, at the retry budget's cost.
+    /// A decode engine that processes the prompt itself. If wasted prefills are avoided, waits for one with
+    /// room for up to `decision::idle_timeout` of the route, as an engine without room would refuse the
+    /// request, at the retry budget's cost.
     [[nodiscard]] std::optional<decision::engine_plan> await_colocated_engine(wire::yield_context yield);
     /// Has the prompt processed where the plan has a prefill engine for it. May replace the decode engine.
     [[nodiscard]] bool prepare_plan(decision::engine_plan& plan, wire::yield_context yield);
--- a/libraries/gateway/waiting_entry.h
+++ b/libraries/gateway/waiting_entry.h
@@ -24,12 +24,13 @@
     scoped_waiting_entry& operator=(scoped_waiting_entry&&) = delete;
     ~scoped_waiting_entry();
 
-    /// Must precede `ordered_waiters_of` in each check of the request: judged by newer facts than its entry,
-    /// it could be behind its own entry. Reports what other hosts can't infer from the time that has passed.
+    /// Must precede `ordered_waiters_of` in each check of the request: otherwise the request is judged by
+    /// newer facts than its entry, and may be behind it. Reports what other hosts can't infer from the time
+    /// that has passed.
     void update(const waiting_change& change);
 
 private:
-    /// The part of its place that does not follow from its age.
+    /// The part of its position that does not follow from its age.
     struct place_class {
         int rank = 0; ///< It improves while the request waits.
         bool is_late = false;
--- a/libraries/host/peer_load_table.h
+++ b/libraries/host/peer_load_table.h
@@ -127,8 +127,8 @@
 bool expire_silent_hosts(peer_load_table& peer_loads, base::time_point now);
 
 /// Copies the totals of the given instances into the instance table. Takes only changed instances, since a
-/// report usually affects few of them: with 400 engines, copying all totals for each report took a hundred
-/// times as long (`meta/bench reports`).
+/// report usually affects few of them: with 400 engines, copying all totals would take a hundred times
+/// as long.
 void apply_sums(decision::instance_table& table, peer_load_table& peer_loads,
                 std::span<const instance_key> keys);
 
--- a/libraries/host/shared_limit.h
+++ b/libraries/host/shared_limit.h
@@ -80,12 +80,13 @@
 /// What a request leaves of its organisation's limit for more urgent ones. Level 0 is the most urgent.
 [[nodiscard]] double reserve_of(const settings::usage_limit& limit, int level);
 
-/// Whether a request of that level does without the reserve. `draw` is uniformly distributed from 0 to 1.
+/// Whether a less urgent request does without the reserve. `draw` is uniformly distributed from 0 to 1.
 /// Without such requests, less urgent ones would be shut out while more urgent ones use the whole limit.
 [[nodiscard]] bool is_exempt_from_reserve(double draw);
 
-/// Consumes `amount` from the limit if the reserve of that level is left of it. If it is exceeded, returns
-/// the time after which to retry, taking into account the callers of that level refused before.
+/// Consumes `amount` from the limit if that leaves the reserve of the level, which is at most half of the
+/// burst. Otherwise returns the time after which to retry, taking into account the callers of that level and
+/// of more urgent ones that were refused before.
 [[nodiscard]] std::optional<base::duration>
 try_consume(limit_account& account, const settings::usage_limit& limit,
             const limit_participants& participants, std::int64_t amount, base::time_point now, int level = 0);
--- a/tests/decision/test_decode_recheck.cpp
+++ b/tests/decision/test_decode_recheck.cpp
@@ -151,7 +151,7 @@
     CHECK(first.size() == 5);
 }
 
-// One host receives nothing for 2 s: it keeps its place, and the others make room for it.
+// One host receives nothing for 2 s: its requests stay, and the others move theirs.
 TEST_CASE("a host without reports keeps its engine and the others that don't fit with it move") {
     crossing_hosts hosts;
     hosts.known = {.requests = 4, .memory_tokens = 14'000};
@@ -161,7 +161,8 @@
         int staying = 1;
         for (const std::size_t host : hosts.all())
             staying += host != deaf && !hosts.is_displaced(host, hosts.all()) ? 1 : 0;
-        // Three fit. The deaf host may be a fourth, whose request the engine refuses.
+        // Three fit. The host without reports may be a fourth, whose request the engine
+        // refuses.
         CHECK(staying >= 3);
         CHECK(staying <= 4);
     }
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -77,7 +77,7 @@
     CHECK(refused.action == plain_action::refuse);
     CHECK(refused.reason == plain_reason::not_in_time);
     CHECK_FALSE(refused.upstream);
-    // A place in one of them is used at once.
+    // Free capacity at one of them is used at once.
     at(table, "1").plain.load.waiting = 5;
     CHECK(decide(table).upstream->value == "1");
 }
--- a/tests/decision/test_unsent_bytes.cpp
+++ b/tests/decision/test_unsent_bytes.cpp
@@ -132,7 +132,8 @@
     CHECK(decision::unsent_bound({.connections = 1'500}) == 1'500UL * 16 * 1024);
 }
 
-// Guards against dropping callers of an organisation within its part for the slow readers of another one.
+// Guards against disconnecting callers of an organisation within its part for the slow readers of another
+// one.
 TEST_CASE("random slow readers: the rest fits, and no organisation within its part loses a reader") {
     for (std::uint64_t seed = 1; seed <= 500; ++seed) {
         CAPTURE(seed);
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -103,7 +103,7 @@
     wire::asio::ip::udp::socket socket;
 };
 
-/// A host whose place relative to host 1 at the engine is as given.
+/// A host whose position relative to host 1 in the order at the engine is as given.
 reporting_host make_reporting_host(const test::gateway_cluster& cluster, const std::string& engine,
                                    bool is_before) {
     int number = 10;
@@ -258,7 +258,7 @@
     CHECK(cluster.runs() == 0);
 }
 
-// Guards against prefills in vain in a burst: the decode engine that was chosen before the prefill was full
+// Guards against wasted prefills in a burst: the decode engine that was chosen before the prefill was full
 // after it.
 TEST_CASE("a request moves if other hosts took its decode engine during the prefill") {
     auto cluster = make_organisation_cluster("recheck");
