--- a/benches/reports_bench.cpp
+++ b/benches/reports_bench.cpp
@@ -31,7 +31,7 @@
     for (int number = 0; number < count; ++number) {
         host::load_report report;
         report.host.value = "host-" + std::to_string(number % hosts);
-        report.sequence = static_cast<std::uint64_t>(number + 1);
+        report.sequence = static_cast<std::uint64_t>(number) + 1;
         report.uses[host::key_of(engine_id(number % hosts % engines))] = {1, 5'000, 0};
         report.uses[host::key_of(engine_id(draw_engine(random)))] = {1, 5'000, 0};
         datagrams.push_back(gateway::encode_load(report));
--- a/benches/waiting_bench.cpp
+++ b/benches/waiting_bench.cpp
@@ -35,6 +35,7 @@
 
 std::vector<decision::waiter> make_waiters(int count) {
     std::vector<decision::waiter> waiters;
+    waiters.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         waiters.push_back({std::chrono::milliseconds(number), 4'000});
     return waiters;
@@ -66,6 +67,7 @@
         }
         const decision::wait_queue queue(waiters);
         std::vector<decision::local_waiter> local_waiters;
+        local_waiters.reserve(waiters.size());
         for (const decision::waiter& waiter : waiters)
             local_waiters.push_back({waiter.waited, std::chrono::milliseconds(500)});
         const double free = decision::count_decode_slots(table, context, capacity, size).free_now;
