gateway: Send fewer rows in load reports, and no shares without organisations

Shares changed the load once more for each stream, also where no organisation is named, and paces were repeated in every report. Change: shares are kept only where the settings name organisations; paces go into a report each 500 ms at most.

--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -128,6 +128,10 @@
     return slot_candidate{*plan, facts, share_facts(*waiters.queue, own)};
 }
 
+bool has_organisations(const gateway_state& state) {
+    return state.settings != nullptr && !state.settings->document.value->organisations.empty();
+}
+
 /// Records the facts behind the admission decision for the request's log line.
 void record_slot_facts(gateway_request& request, const slot_candidate& candidate) {
     const decision::admission_facts& facts = candidate.facts;
@@ -190,7 +194,9 @@
         switch (admission) {
         case decision::admission::start:
             count_decision(request, "slot_admissions_total");
-            request.share_use.emplace(state, request.share_key, size.prompt_tokens + size.output_tokens);
+            // Without organisations nobody uses shares, and each change would cost a report.
+            if (has_organisations(state))
+                request.share_use.emplace(state, request.share_key, size.prompt_tokens + size.output_tokens);
             return {.plan = candidate->plan};
         case decision::admission::refuse:
             count_decision(request, "slot_refusals_total", refusal_reason(*candidate));
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -28,6 +28,9 @@
 constexpr base::duration query_interval = 100ms;
 /// Timeout of a query: many round trips between availability zones.
 constexpr auto query_timeout = 60ms;
+/// Minimum interval between reports that include the engines' paces. Receivers decode each row, and a
+/// measurement is reported for two seconds.
+constexpr base::duration pace_report_interval = 500ms;
 /// Interval at which unreported use of the limits is checked for.
 constexpr base::duration use_check_interval = 50ms;
 constexpr int ok_status = 200;
@@ -120,7 +123,10 @@
         report.waiters.push_back(decision::to_waiter(place_of(*this->state, *waiting, now)));
     report.share_tokens = shares_to_report(*this->state);
     this->limits.add_use(report);
-    report.paces = paces_to_report(*this->state);
+    if (now - this->paces_reported_at >= pace_report_interval) {
+        report.paces = paces_to_report(*this->state);
+        this->paces_reported_at = now;
+    }
     this->plain_loads.fill(report);
     report.advertisements = advertisements_to_send(*this->state, advertisement_source::own_answers);
     return report;
--- a/libraries/gateway/load_exchange.h
+++ b/libraries/gateway/load_exchange.h
@@ -47,6 +47,7 @@
     bool is_report_due = false;
     bool has_reported_work = false;
     std::uint64_t sequence = 0;
+    base::time_point paces_reported_at{};
     std::set<host::cell> reported_cells; ///< Cells that the last report was sent to.
     int pending_queries = 0;
     base::time_point queried_at{};
--- a/libraries/gateway/retained_cache.cpp
+++ b/libraries/gateway/retained_cache.cpp
@@ -41,8 +41,7 @@
             state.process->policy.try_before_expiry && decision::is_prompt_expiring(this->age(), capacity);
         if (is_about_to_expire)
             context.excluded.insert(this->refused_by.begin(), this->refused_by.end());
-        const auto plan =
-            decision::choose_decode(state.instances, context, capacity, size, zone, state.random);
+        auto plan = decision::choose_decode(state.instances, context, capacity, size, zone, state.random);
         if (!plan && !is_about_to_expire && !decision::next_send_slot(state.instances, context))
             return std::nullopt;
         if (plan && (plan->has_room || is_about_to_expire))
--- a/libraries/gateway/slot_order.cpp
+++ b/libraries/gateway/slot_order.cpp
@@ -31,11 +31,14 @@
 /// Whether a share is known to be of another service. Keys that are not in the settings, for example of hosts
 /// with a newer version, may be of any. Keys are 32 bits of a hash, so those of two services may collide.
 bool is_of_other_service(const share_owners& owners, host::share_key key, const std::string& service) {
-    const auto rows = std::ranges::equal_range(owners.service_of, key, {},
-                                               &std::pair<host::share_key, std::uint32_t>::first);
-    return !rows.empty() && std::ranges::none_of(rows, [&](const auto& row) {
-        return owners.services[row.second] == service;
-    });
+    bool is_known = false;
+    auto row = std::ranges::lower_bound(owners.service_of, std::pair(key, std::uint32_t{0}));
+    for (; row != owners.service_of.end() && row->first == key; ++row) {
+        if (owners.services[row->second] == service)
+            return false;
+        is_known = true;
+    }
+    return is_known;
 }
 
 decision::share_amounts shares_in_use(const gateway_state& state, const std::string& service) {
