--- a/tests/decision/test_fair_share.cpp
+++ b/tests/decision/test_fair_share.cpp
@@ -26,6 +26,7 @@
     static constexpr auto duration = 20s;
     const auto outcomes = test::waiting_model(options).run(duration);
     std::vector<decision::share_demand> demands;
+    demands.reserve(outcomes.size());
     for (const test::kind_outcome& outcome : outcomes)
         demands.push_back(
             {.amount = outcome.callers * base::to_seconds(options.hold) / base::to_seconds(duration)});
--- a/tests/decision/test_rank.cpp
+++ b/tests/decision/test_rank.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <random>
 
 using namespace postpaddle;
@@ -30,9 +31,8 @@
 }
 
 TEST_CASE("routes keep their ranks where every organisation has a priority of its own") {
-    std::vector<int> organisations;
-    for (int priority = 0; priority < 16; ++priority)
-        organisations.push_back(priority);
+    std::vector<int> organisations(16);
+    std::iota(organisations.begin(), organisations.end(), 0);
     const auto table = decision::make_rank_table(organisations, {0, 1, 2});
     CHECK(decision::rank_of(table, 0, 0) < decision::rank_of(table, 0, 1));
     CHECK(decision::rank_of(table, 0, 1) < decision::rank_of(table, 0, 2));
--- a/tests/decision/test_wait_order.cpp
+++ b/tests/decision/test_wait_order.cpp
@@ -19,10 +19,13 @@
     return std::chrono::milliseconds(random() % limit);
 }
 
+/// A whole number below the limit.
+double draw_number(std::mt19937& random, unsigned limit) { return static_cast<double>(random() % limit); }
+
 std::vector<waiter> draw_waiters(std::mt19937& random) {
     std::vector<waiter> waiters(random() % 60);
     for (waiter& one : waiters) {
-        one = {draw_ms(random, 3'000), 100.0 * (random() % 50), draw_ms(random, 1'500),
+        one = {draw_ms(random, 3'000), 100 * draw_number(random, 50), draw_ms(random, 1'500),
                static_cast<int>(random() % 16), static_cast<std::uint32_t>(random() % 6)};
         // Hosts of an earlier version report none of these.
         if (random() % 4 == 0)
@@ -35,8 +38,8 @@
     decision::wait_order order = {
         .by_rank = random() % 2 == 0, .by_share = random() % 2 == 0, .unreported_rank = 7};
     for (std::uint32_t key = 0; key < 4; ++key)
-        order.shares.in_use[key] = random() % 20'000;
-    order.shares.level = random() % 20'000;
+        order.shares.in_use[key] = draw_number(random, 20'000);
+    order.shares.level = draw_number(random, 20'000);
     return order;
 }
 
@@ -199,8 +202,10 @@
         decision::waiting_facts old = draw(0ms);
         old.age = old.waited = old.max_wait / 2;
         const local_waiter own = decision::make_local_waiter(old);
+        static constexpr int newer_count = 30;
         std::vector<waiter> newer;
-        for (int count = 0; count < 30; ++count)
+        newer.reserve(newer_count);
+        for (int count = 0; count < newer_count; ++count)
             newer.push_back(decision::to_waiter(decision::make_local_waiter(
                 draw(draw_ms(random, static_cast<unsigned>(std::max<std::int64_t>(1, old.waited / 1ms)))))));
         REQUIRE(decision::wait_queue(newer, {.by_rank = true}).count_ahead(own) == 0);
--- a/tests/gateway/test_fatal_requests.cpp
+++ b/tests/gateway/test_fatal_requests.cpp
@@ -225,8 +225,10 @@
     for (const auto* const id : {"plain-1", "plain-2", "plain-3"})
         (void)cluster.server(id, {{"work_ms", 400}});
     (void)cluster.server("plain-4", {{"refuse", 1'000}});
+    static constexpr int caller_count = 6;
     std::vector<std::thread> callers;
-    for (int number = 0; number < 6; ++number)
+    callers.reserve(caller_count);
+    for (int number = 0; number < caller_count; ++number)
         callers.emplace_back([&ask, number] { (void)ask("cut-" + std::to_string(number)); });
     std::this_thread::sleep_for(150ms);
     for (const auto* const id : {"plain-1", "plain-2", "plain-3"})
--- a/tests/host/test_shared_limit.cpp
+++ b/tests/host/test_shared_limit.cpp
@@ -132,7 +132,8 @@
         double wanted =
             this->plan->demand * this->plan->limit.per_second * base::to_seconds(step) + this->carried_over;
         while (wanted > 0) {
-            const std::int64_t amount = draw(this->random) < 0.7 ? 200 : 1'000 + this->random() % 7'000;
+            const std::int64_t amount =
+                draw(this->random) < 0.7 ? 200 : 1'000 + static_cast<std::int64_t>(this->random() % 7'000);
             wanted -= static_cast<double>(amount);
             const std::size_t among = this->now < this->plan->callers_concentrate_at
                                           ? this->hosts.size()
@@ -363,7 +364,7 @@
     std::array<double, 3> admitted{};
     std::array<double, 3> offered{};
     for (int number = 0; number < requests; ++number) {
-        const double seconds = 1 + number * amount / limit.per_second / overload;
+        const double seconds = 1 + number * static_cast<double>(amount) / limit.per_second / overload;
         const std::size_t level = draw_level(random);
         const bool is_exempt = host::is_exempt_from_reserve(draw(random));
         const bool is_refused =
