--- a/tests/base/test_compression.cpp
+++ b/tests/base/test_compression.cpp
@@ -38,7 +38,9 @@
     std::mt19937 random(5);
     for (int round = 0; round < 200; ++round) {
         std::string corrupted = compressed;
-        corrupted[random() % corrupted.size()] ^= static_cast<char>(1 + random() % 255);
+        const auto mask = static_cast<int>(1 + random() % 255);
+        char& byte = corrupted[random() % corrupted.size()];
+        byte = static_cast<char>(byte ^ mask);
         const auto text = base::decompress(corrupted, max_bytes);
         if (text)
             CHECK(*text == make_text(1'000));
