--- a/tests/host/test_membership.cpp
+++ b/tests/host/test_membership.cpp
@@ -154,6 +154,7 @@
 
 TEST_CASE("rendezvous owners change only when the owning host is removed") {
     std::vector<member> all;
+    all.reserve(6);
     for (int index = 0; index < 6; ++index)
         all.push_back(make_member("h" + std::to_string(index)));
     std::vector<member> fewer = all;
--- a/tests/host/test_store_leadership.cpp
+++ b/tests/host/test_store_leadership.cpp
@@ -317,6 +317,7 @@
 
 TEST_CASE("while the store is unavailable, leaders probe it often and followers rarely") {
     std::vector<base::host_id> cell;
+    cell.reserve(40);
     for (int number = 0; number < 40; ++number)
         cell.push_back({"host-" + std::to_string(number)});
     const auto often = std::ranges::count_if(cell, [&](const base::host_id& name) {
@@ -328,6 +329,7 @@
 TEST_CASE(
     "leaders of a large cell always read, followers when their knowledge is old or a record is missing") {
     std::vector<base::host_id> cell;
+    cell.reserve(20);
     for (int number = 0; number < 20; ++number)
         cell.push_back({"host-" + std::to_string(number)});
     std::vector<base::host_id> followers;
--- a/tests/integration/test_callers.cpp
+++ b/tests/integration/test_callers.cpp
@@ -36,7 +36,7 @@
     CHECK(wire::find_header(response.headers, "Content-Type") == "application/problem+json");
     CHECK(wire::find_header(response.headers, "Postpaddle-Outcome") == outcome);
     CHECK_FALSE(wire::find_header(response.headers, "Postpaddle-Request-Id").empty());
-    const json body = json::parse(response.body);
+    json body = json::parse(response.body);
     CHECK(body.at("status") == status);
     CHECK(body.at("outcome") == outcome);
     return body;
--- a/tests/integration/test_hosts.cpp
+++ b/tests/integration/test_hosts.cpp
@@ -243,6 +243,7 @@
         addresses.push_back(host.callers_address);
     // Like a load balancer, the callers send only to hosts that are in rotation.
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int caller = 0; caller < 4; ++caller)
         threads.emplace_back([&, caller] {
             for (int number = 0; !should_stop; ++number) {
@@ -312,6 +313,7 @@
     cluster.wait_until_ready();
     // Long streams use more than half of d1's decode slots while the prefill engines are idle.
     std::vector<std::unique_ptr<client_connection>> connections;
+    connections.reserve(24);
     for (int index = 0; index < 24; ++index)
         connections.push_back(std::make_unique<client_connection>(
             cluster.hosts[static_cast<std::size_t>(index) % 2].callers_address,
