decision, gateway: Keep the start of a wait and the usable target fraction once

Cause: the two queues, for engine slots and for plain upstreams, each had their own copy of waiting_since and of the fraction of the latency target that expected times may use up, with the same body and value. Change: waiting_since stands in gateway_request, the fraction in decision/admission.h; both queues use them. No behaviour changes.

--- a/libraries/decision/admission.cpp
+++ b/libraries/decision/admission.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// Fraction of the latency target that expected times may use up; the rest is a margin for estimation errors.
-constexpr double usable_target_fraction = 0.8;
 /// Fraction of the freed slots that requests are expected to get which newer ones overtake. No kind of
 /// request may be served less than a quarter as often as all are; with more, less urgent callers that may
 /// wait for long would displace more urgent ones.
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -7,6 +7,10 @@
 
 namespace postpaddle::decision {
 
+/// Fraction of the latency target within which the expected answer has to be; the rest is a margin for
+/// estimation errors.
+inline constexpr double usable_target_fraction = 0.8;
+
 /// Inputs of the admission decision for a request to the engines.
 struct admission_facts {
     bool has_room = false; ///< A decode engine has a slot that no request ahead in the queue needs.
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <decision/admission.h>
 #include <decision/attempt_rules.h>
 #include <decision/instance_choice.h>
 #include <decision/overload/plain_load.h>
@@ -12,9 +13,6 @@
 /// Decides from the loads of plain upstreams whether a request is sent now, waits on this host or is refused.
 namespace postpaddle::decision {
 
-/// Fraction of the latency target within which the expected answer has to be; the rest is a margin for
-/// estimation errors.
-inline constexpr double usable_target_fraction = 0.8;
 /// Requests of a service that may be ahead of a waiting one on a host. Bounds the host's memory.
 inline constexpr int max_plain_waiting = 128;
 
--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -22,10 +22,6 @@
 constexpr double max_waiting_per_free_slot = 3;
 constexpr double max_waiting_base = 8;
 
-base::time_point waiting_since(const gateway_request& request) {
-    return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
-}
-
 /// What the queue needs to know of a request, whether it waits already or not.
 waiting_request waiting_request_of(const gateway_request& request, const decision::prompt_size& size) {
     return {.first_try = waiting_since(request),
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -112,6 +112,10 @@
     return limits;
 }
 
+base::time_point waiting_since(const gateway_request& request) {
+    return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
+}
+
 base::duration time_left(const gateway_request& request) {
     return request.deadline - request.state->clock->now();
 }
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -87,6 +87,10 @@
 /// Limits on where the request may be sent: allowed zones, warm-up rates and the hosts sharing them.
 [[nodiscard]] decision::placement_limits placement_limits_of(const gateway_request& request);
 
+/// Time from which the request's wait counts: the client's first attempt, or its arrival if the policy does
+/// not order by first attempts.
+[[nodiscard]] base::time_point waiting_since(const gateway_request& request);
+
 /// Time until the deadline.
 [[nodiscard]] base::duration time_left(const gateway_request& request);
 
--- a/libraries/gateway/plain_choice.cpp
+++ b/libraries/gateway/plain_choice.cpp
@@ -17,10 +17,6 @@
 /// Time without decisions after which an overload is assumed to have ended.
 constexpr base::duration overload_gap = 1s;
 
-base::time_point waiting_since(const gateway_request& request) {
-    return request.state->process->policy.order_by_first_try ? request.first_try : request.arrived;
-}
-
 /// The service with the upstreams that it has. They are listed again after a short time.
 plain_service& plain_service_of(const gateway_request& request) {
     gateway_state& state = *request.state;
