utilities: Remove two constants that nothing uses

Cause: a request timeout and a status stood in commands.cpp and in host_fetch.cpp; only the latter are used. Change: the unused two are gone. No behaviour changes.

--- a/utilities/postpaddle/commands.cpp
+++ b/utilities/postpaddle/commands.cpp
@@ -24,10 +24,8 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr auto request_timeout = 5'000ms;
 constexpr auto in_force_timeout = std::chrono::seconds(10);
 constexpr auto poll_interval = 20ms;
-constexpr int ok_status = 200;
 
 int fail(const std::string& message, int code = exit_failed) {
     std::cerr << "postpaddle: " << message << '\n';
