service: Don't admit a request whose caller has already disconnected

Cause: the decision thread takes its progress ring before its arrival ring. A caller that disconnected at once had its disconnect applied before its arrival; it was ignored as unknown, and the request admitted after it was never ended. It kept its slots on that host until the process ended.

Change: an arrival is skipped if the reports taken before it hold its caller's disconnect. An arrival is always in its ring before its disconnect is, so a later disconnect finds the request admitted.

--- a/libraries/service/decision_controller.cpp
+++ b/libraries/service/decision_controller.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <service/decision_controller.h>
 
+#include <algorithm>
 #include <charconv>
 #include <future>
 
@@ -20,6 +21,18 @@
     return std::visit([](const auto& value) -> const base::request_id& { return value.id; }, effect);
 }
 
+/// Whether the reports contain the disconnect of the caller whose request arrives with this event.
+///
+/// A caller that disconnects at once can be reported before its arrival has been taken from the other ring.
+/// If the request were admitted after that, nothing would ever end it.
+bool is_disconnected(const decision::event& arrival, const std::vector<decision::event>& reports) {
+    const auto* const arrived = std::get_if<decision::request_arrived>(&arrival);
+    return arrived != nullptr && std::ranges::any_of(reports, [arrived](const decision::event& report) {
+               const auto* const disconnected = std::get_if<decision::caller_disconnected>(&report);
+               return disconnected != nullptr && disconnected->id == arrived->facts.id;
+           });
+}
+
 } // namespace
 
 std::size_t worker_of(const base::request_id& id, std::size_t workers) {
@@ -74,10 +87,12 @@
 
 void decision_controller::drain() {
     // Progress first: it frees slots that arrivals can then be assigned.
-    for (const decision::event& event : this->progress.drain())
+    const std::vector<decision::event> reports = this->progress.drain();
+    for (const decision::event& event : reports)
         this->apply(event);
     for (const decision::event& event : this->arrivals.drain())
-        this->apply(event);
+        if (!is_disconnected(event, reports))
+            this->apply(event);
     this->flush_overflow();
     if (decision::queued_requests(this->state) > 0 &&
         this->ticker.expiry() > this->clock->now() + busy_tick_interval)
