host, gateway: Report more often in a process's first second

Cause: an organisation's limit refills by a clock that counts another host's time once that host has reported twice. Hosts reported once a second where nothing had changed, and a host that refuses everything has no change to report. After all hosts had lost power, callers within their limits were refused for about two seconds: hosts had started by 34.7 s, knew 8 of 91 hosts at 35.4 s, 88 at 35.8 s, and refused 900 tries until 36.4 s.

Change: host::keepalive_interval, 200 ms in a process's first second, then 1 s as before. The model of the limit in the tests takes it from there. Ruled out: also counting the time before a host's first report. With the shorter interval it added nothing, and usage of earlier processes would have to be guessed.

--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -20,8 +20,6 @@
 
 /// Changes within this time are combined into one report.
 constexpr base::duration coalescing_time = 3ms;
-/// Interval of the periodic reports.
-constexpr base::duration refresh_interval = 1'000ms;
 /// Cells queried at once when the own one has no free slot; with two random choices, one usually has.
 constexpr std::size_t queried_cells = 2;
 /// Minimum interval between queries: two of them fit into the time for which an answer is considered valid.
@@ -31,8 +29,9 @@
 /// Minimum interval between reports that include the engines' paces. Receivers decode each row, and a
 /// measurement is reported for two seconds.
 constexpr base::duration pace_report_interval = 500ms;
-/// Interval at which unreported use of the limits is checked for.
+/// Intervals at which unreported use of the limits is checked for, with and without limits.
 constexpr base::duration use_check_interval = 50ms;
+constexpr base::duration idle_use_check_interval = 1'000ms;
 constexpr int ok_status = 200;
 /// Rows of at most 11 bytes, so that a report stays within one datagram of 1,400 bytes.
 constexpr std::size_t max_reported_shares = 32;
@@ -205,7 +204,7 @@
 }
 
 void load_exchange::schedule_use_check() {
-    this->use_timer.expires_after(this->limits.has_limits() ? use_check_interval : refresh_interval);
+    this->use_timer.expires_after(this->limits.has_limits() ? use_check_interval : idle_use_check_interval);
     this->use_timer.async_wait([this](const wire::error_code& error) {
         if (error)
             return;
@@ -217,7 +216,8 @@
 }
 
 void load_exchange::refresh() {
-    this->refresh_timer.expires_after(refresh_interval);
+    this->refresh_timer.expires_after(
+        host::keepalive_interval(this->state->clock->now() - this->state->started));
     this->refresh_timer.async_wait([this](const wire::error_code& error) {
         if (error)
             return;
--- a/libraries/host/limit_clock.cpp
+++ b/libraries/host/limit_clock.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr base::duration regular_interval = std::chrono::milliseconds(1'000);
+constexpr base::duration initial_interval = std::chrono::milliseconds(200);
 /// Hosts report at least once a second. Allows for little delay: a host that is considered silent by
 /// mistake, as only one of its reports was lost, merely costs its share of the saved-up burst: with 78 hosts,
 /// a little over 1 %.
@@ -21,6 +23,10 @@
 
 } // namespace
 
+base::duration keepalive_interval(base::duration process_age) {
+    return process_age < regular_interval ? initial_interval : regular_interval;
+}
+
 void advance(limit_clock& clock, int hosts, base::time_point now) {
     if (clock.own_until == base::time_point{})
         clock.own_until = now;
--- a/libraries/host/limit_clock.h
+++ b/libraries/host/limit_clock.h
@@ -27,6 +27,12 @@
     int reporting_hosts = 1; ///< Includes this host.
 };
 
+/// Interval at which a process reports to the other hosts although nothing has changed.
+///
+/// A process that has just started reports more often: the limits refill only once each host has reported
+/// twice, and until then callers within their limits are refused.
+[[nodiscard]] base::duration keepalive_interval(base::duration process_age);
+
 /// Advances the clock by this host's own share; `hosts` is the number of hosts.
 void advance(limit_clock& clock, int hosts, base::time_point now);
 
--- a/tests/host/test_shared_limit.cpp
+++ b/tests/host/test_shared_limit.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -21,7 +22,6 @@
 const base::time_point start{1h};
 constexpr milliseconds step = 50ms;
 constexpr milliseconds report_interval = 100ms;
-constexpr milliseconds keepalive = 1'000ms;
 constexpr milliseconds delivery_time = 50ms;
 constexpr milliseconds window = 8'000ms;
 /// Tolerance above the limit: a tenth, plus a number of tokens per host.
@@ -46,6 +46,7 @@
     std::vector<cut> cuts{};
     /// From then on all callers use the first tenth of the hosts.
     milliseconds callers_concentrate_at = 24'000ms;
+    std::optional<milliseconds> power_loss_at{}; ///< All hosts restart then.
 };
 
 struct report {
@@ -58,6 +59,7 @@
     std::uint64_t incarnation = 1;
     host::limit_account account;
     host::limit_clock clock;
+    milliseconds started_at{};
     milliseconds reported_at{-1h};
     std::deque<report> inbox;
 };
@@ -65,6 +67,7 @@
 struct tally {
     double requested = 0;
     double refused = 0;
+    double refused_after_power_loss = 0; ///< From half a second after it.
     double max_in_window = 0;
 };
 
@@ -99,17 +102,23 @@
                 .seconds = own.clock.seconds};
     }
 
+    void restart(fake_host& own) const {
+        const std::uint64_t next = own.incarnation + 1;
+        own = {};
+        own.incarnation = next;
+        own.started_at = this->now;
+        own.clock.own_until = this->at();
+    }
+
     void restart_some() {
+        if (this->now == this->plan->power_loss_at)
+            std::ranges::for_each(this->hosts, [this](fake_host& own) { this->restart(own); });
         if (this->plan->restart_mean == 0ms)
             return;
         std::uniform_real_distribution<double> draw(0, 1);
         if (draw(this->random) >= base::to_seconds(step) / base::to_seconds(this->plan->restart_mean))
             return;
-        fake_host& own = this->hosts[this->random() % this->hosts.size()];
-        const std::uint64_t next = own.incarnation + 1;
-        own = {};
-        own.incarnation = next;
-        own.clock.own_until = this->at();
+        this->restart(this->hosts[this->random() % this->hosts.size()]);
     }
 
     void receive_reports(int number) {
@@ -143,6 +152,8 @@
             if (host::try_consume(own.account, this->plan->limit, this->participants(own), amount,
                                   this->at())) {
                 this->result.refused += static_cast<double>(amount);
+                if (this->plan->power_loss_at && this->now >= *this->plan->power_loss_at + 500ms)
+                    this->result.refused_after_power_loss += static_cast<double>(amount);
                 continue;
             }
             this->admitted.emplace_back(this->now, amount);
@@ -171,6 +182,7 @@
         host::limit_account& account = own.account;
         const bool has_update =
             account.changed_at >= start + own.reported_at && this->now - own.reported_at >= report_interval;
+        const base::duration keepalive = host::keepalive_interval(this->now - own.started_at);
         if (!has_update && this->now - own.reported_at < keepalive)
             return;
         own.reported_at = this->now;
@@ -262,6 +274,19 @@
     CHECK(refused / requested <= 0.06);
 }
 
+TEST_CASE("an organisation below its limit is served again half a second after all hosts lost power") {
+    // Buckets start empty and refill once each other host has reported twice. Reports once a second meant
+    // that callers within their limits were refused for up to two seconds.
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const limit_plan plan{
+            .demand = 0.5, .report_loss = 0.03, .length = 16'000ms, .power_loss_at = 10'000ms};
+        INFO("seed " << seed);
+        const tally result = fake_fleet(plan, seed).run();
+        CHECK(result.refused_after_power_loss / result.requested <= 0.002);
+        CHECK(result.max_in_window <= max_allowed(plan));
+    }
+}
+
 TEST_CASE("no window exceeds the limit during partitions, restarts, lost reports and shifts of callers") {
     std::mt19937_64 random(3);
     for (int round = 0; round < 60; ++round)
