gateway: End a plain request's wait when its caller disconnects

Cause: a caller that disconnected while its plain request waited in the send slot queue was noticed at the next check only, 5 to 200 ms later. Until then the request kept its place and held up those behind it. If a slot was free at that check, the request was admitted: it was counted as admitted and as sent, and a connection was opened for it and cancelled. If not, an answer was written to the closed connection and the request was logged as not_run instead of caller_gone.

Change: the wait's timer is registered in the request's cancellation, so that the disconnect ends the wait; the entry leaves the queue, which wakes the next one in line. relay_plain returns caller_gone before it chooses an upstream.

--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -131,6 +131,8 @@
     bool has_waited = false;
     while (time_left(request) > 0ms) {
         await_exit_checks(request, yield);
+        if (request.cancellation->is_caller_gone)
+            return request_ending::caller_gone;
         if (time_left(request) <= 0ms)
             break;
         if (const char* const stop = reason_to_stop(request)) {
@@ -147,6 +149,8 @@
             has_waited = true;
             if (await_send_slot(request, yield, step.decided))
                 continue;
+            if (request.cancellation->is_caller_gone)
+                return request_ending::caller_gone;
             if (request.retry_delay)
                 reason = no_capacity_reason;
             break;
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -52,18 +52,21 @@
         first_due->wake->cancel();
 }
 
-/// Queue entry of a request for as long as the object lives. Wakes the head of the queue when it leaves.
+/// Queue entry of a request for as long as the object lives. Its wait ends when the caller disconnects. Wakes
+/// the head of the queue when it leaves.
 class queue_entry {
 public:
-    queue_entry(const gateway_state& state, send_slot_queue& queue, wire::boot_timer& timer)
-        : state(&state), queue(&queue), waiter{.wake = &timer} {
+    queue_entry(const gateway_request& request, send_slot_queue& queue, wire::boot_timer& timer)
+        : state(request.state), cancellation(request.cancellation), queue(&queue), waiter{.wake = &timer} {
         queue.waiters.push_back(&this->waiter);
+        this->cancellation->wait = &timer;
     }
     queue_entry(const queue_entry&) = delete;
     queue_entry(queue_entry&&) = delete;
     queue_entry& operator=(const queue_entry&) = delete;
     queue_entry& operator=(queue_entry&&) = delete;
     ~queue_entry() {
+        this->cancellation->wait = nullptr;
         std::erase(this->queue->waiters, &this->waiter);
         wake_head(*this->queue, this->state->clock->now());
     }
@@ -96,6 +99,7 @@
 
 private:
     const gateway_state* state;
+    std::shared_ptr<request_cancellation> cancellation;
     send_slot_queue* queue;
     send_slot_waiter waiter;
 };
@@ -230,7 +234,7 @@
     if (next.by_load && next.by_load->action == decision::plain_action::wait)
         count_decision(request, *next.by_load);
     wire::boot_timer timer(*state.context);
-    queue_entry entry(state, queue, timer);
+    queue_entry entry(request, queue, timer);
     entry.set_due(next.due);
     entry.set_position(position_after(next));
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone &&
@@ -240,6 +244,8 @@
         timer.expires_after(std::min<base::duration>(pause, time_left(request)));
         wire::error_code ignored;
         timer.async_wait(yield[ignored]);
+        if (request.cancellation->is_caller_gone)
+            return false;
         const bool is_first = entry.is_first();
         // It has become late, or a more urgent request has come: another one is first in line now.
         if (was_first && !is_first)
--- a/tests/gateway/test_plain_load.cpp
+++ b/tests/gateway/test_plain_load.cpp
@@ -1,7 +1,10 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Plain upstreams that report their load in four figures. Guards against requests that are sent to upstreams
 // which another host knows to be full, and against callers that get no answer while requests are held.
+#include <gateway/plain_relay.h>
+#include <gateway/send_slot_queue.h>
 #include <support/gateway_cluster.h>
+#include <support/manual_clock.h>
 #include <support/steady_callers.h>
 #include <support/test_cluster.h>
 
@@ -10,11 +13,14 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <list>
+#include <optional>
 #include <thread>
 #include <vector>
 
 using namespace postpaddle;
 using test::routed_request;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -35,6 +41,53 @@
     return sum;
 }
 
+/// A host without a network, with one plain upstream all of whose slots are taken.
+struct busy_host {
+    busy_host() {
+        this->state.clock = &this->clock;
+        this->state.context = &this->context;
+        this->state.process = &this->process;
+        this->state.metrics = &this->metrics;
+        this->state.has_host_list = true;
+        this->settings->document.value = std::make_shared<settings::routing_settings>();
+        decision::instance& known = this->upstream();
+        known.entry.id = this->id;
+        known.entry.service = "plain";
+        known.latency = decision::make_estimate(0.06);
+        decision::receive_plain_load(known, {6, 0, 6, 100, true}, this->clock.now(), this->clock.now());
+        known.plain.queue_limit = 0;
+    }
+    busy_host(const busy_host&) = delete;
+    busy_host(busy_host&&) = delete;
+    busy_host& operator=(const busy_host&) = delete;
+    busy_host& operator=(busy_host&&) = delete;
+    ~busy_host() = default;
+
+    decision::instance& upstream() { return this->state.instances.by_id[this->id]; }
+
+    gateway::gateway_request& add_request() {
+        this->clock.advance(1ms);
+        gateway::gateway_request& request = this->requests.emplace_back();
+        request.state = &this->state;
+        request.settings = this->settings;
+        request.route = &this->route;
+        request.service = "plain";
+        request.arrived = request.first_try = this->clock.now();
+        request.deadline = this->clock.now() + 4s;
+        return request;
+    }
+
+    const base::upstream_id id = {"one"};
+    const settings::route_entry route;
+    test::manual_clock clock;
+    settings::gateway_settings process;
+    gateway::gateway_metrics metrics;
+    std::shared_ptr<gateway::settings_in_force> settings = std::make_shared<gateway::settings_in_force>();
+    gateway::gateway_state state;
+    std::list<gateway::gateway_request> requests;
+    wire::asio::io_context context; ///< Last, as its coroutines use the others.
+};
+
 } // namespace
 
 TEST_CASE("a host sends nothing to an upstream that only another host was told to be full") {
@@ -117,3 +170,34 @@
     CHECK(cluster.state_of(2).at("instances").at("one").at("plain_requests") == 0);
     CHECK(sum_of(cluster, 1, "plain_admitted_total") == 0);
 }
+
+// Guards against a queue whose head is a request that nobody waits for, until its next check, and against
+// sending that request to the slot that has become free.
+TEST_CASE("a plain request leaves the queue as soon as its caller disconnects, and the next one is sent") {
+    busy_host host;
+    gateway::gateway_request& abandoned = host.add_request();
+    gateway::gateway_request& next = host.add_request();
+    std::optional<gateway::request_ending> ending;
+    bool may_send_next = false;
+    wire::spawn_coroutine(
+        host.context, [&](wire::yield_context yield) { ending = gateway::relay_plain(abandoned, yield); });
+    wire::spawn_coroutine(host.context, [&](wire::yield_context yield) {
+        may_send_next = gateway::await_send_slot(next, yield);
+    });
+    host.context.poll();
+    const auto& waiters = host.state.send_slot_queues.at("plain").waiters;
+    REQUIRE(waiters.size() == 2);
+    host.upstream().plain.load.running = 0;
+    abandoned.cancellation->did_lose_caller();
+    // Runs only what is ready now, without waiting for timers.
+    host.context.poll();
+    CHECK(ending == gateway::request_ending::caller_gone);
+    CHECK(may_send_next);
+    CHECK(waiters.empty());
+    CHECK(abandoned.sends.empty());
+    CHECK(abandoned.record.attempts == 0);
+    CHECK(host.upstream().plain.sent_requests == 0);
+    const std::string counters = host.metrics.text();
+    CHECK(counters.find("sends_total") == std::string::npos);
+    CHECK(counters.find("plain_admitted_total") == std::string::npos);
+}
