gateway, utilities: Show what waits at a host, and why

Cause: /state of a gateway host had the number of requests in progress but not those that wait. Why a request waits could be read only from its `request_ended` line, after it had ended.

Change: `waiting` of /state has, by service, the requests that wait for an engine slot and for a send slot, in the order in which they would be served, with id, organisation, rank, times, whether they can be in time and the facts of their last decisions. Waiters get a pointer to their request, which outlives them. The dump makes its own queue (`make_wait_queue`) and leaves the one that decisions use as it is. /state replaces bytes in request ids that are not UTF-8, since the JSON library throws on them.

`postpaddle waiting [SERVICE]` prints this as tables.

A request that starts to wait stores one pointer more.

--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -205,6 +205,7 @@
             timer.emplace(*state.context);
             waiting_request waiting = waiting_request_of(request, size);
             waiting.wake = &*timer;
+            waiting.request = &request;
             waiting.in_time = candidate->facts.in_time;
             waiting_entry.emplace(state, waiting);
             count_decision(request, "slot_waits_total");
--- a/libraries/gateway/engine_slot_waker.cpp
+++ b/libraries/gateway/engine_slot_waker.cpp
@@ -39,22 +39,13 @@
     });
 }
 
-decision::decode_slots engine_slot_waker::count_slots(const waiting_request& first) const {
-    const decision::choice_context context = {.service = first.service,
-                                              .own_zone = this->state->process->availability_zone,
-                                              .excluded = {},
-                                              .now = this->state->clock->now()};
-    const decision::prompt_size size = {.prompt_tokens = first.memory_tokens};
-    return decision::count_decode_slots(this->state->instances, context, first.capacity, size);
-}
-
 void engine_slot_waker::wake_next() {
     std::map<std::string, std::vector<const waiting_request*>> by_service;
     for (const waiting_request* const waiting : this->state->waiting)
         by_service[waiting->service].push_back(waiting);
     did_change_order(*this->state);
     for (const auto& [service, own] : by_service) {
-        const decision::decode_slots slots = this->count_slots(*own.front());
+        const decision::decode_slots slots = count_slots_for(*this->state, *own.front());
         const ordered_waiters& waiters = ordered_waiters_of(
             *this->state, service, {.total = slots.total_memory, .free = slots.free_memory});
         std::vector<decision::local_waiter> places;
--- a/libraries/gateway/engine_slot_waker.h
+++ b/libraries/gateway/engine_slot_waker.h
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
-#include <decision/instance_choice.h>
 #include <gateway/gateway_state.h>
 
 namespace postpaddle::gateway {
@@ -20,7 +19,6 @@
 private:
     void schedule_wake();
     void wake_next();
-    [[nodiscard]] decision::decode_slots count_slots(const waiting_request& first) const;
 
     gateway_state* state;
     wire::boot_timer timer;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -37,6 +37,8 @@
 
 namespace postpaddle::gateway {
 
+struct gateway_request;
+
 /// Services to which the keys of shares belong, for the services that have engines.
 struct share_owners {
     std::vector<std::string> services;
@@ -67,6 +69,7 @@
     base::duration max_wait{};
     int rank = 0;
     host::share_key share_key = 0;
+    const gateway_request* request = nullptr; ///< For operators; set while it is in `waiting`, outlives that.
 };
 
 /// Engine memory that this host's requests of an organisation and service occupy or have reserved.
@@ -94,6 +97,7 @@
     /// When it may next be sent; those behind it that may be sent earlier overtake it.
     base::time_point due = base::time_point::max();
     decision::queue_position position{};
+    const gateway_request* request = nullptr; ///< For operators; outlives the waiter.
 };
 
 /// Wait queue of one service.
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -132,7 +132,7 @@
                 {},
                 encode_cell_loads(host::loads_to_report(this->state->instances, this->state->clock->now()))};
     if (request.target == state_path)
-        return {ok_status, {{"Content-Type", "application/json"}}, dump_state(*this->state).dump(2)};
+        return {ok_status, {{"Content-Type", "application/json"}}, export_state(*this->state)};
     if (request.target.starts_with(explain_path)) {
         const json traces = traces_of(*this->state, request.target.substr(explain_path.size()));
         return {traces.empty() ? not_found_status : ok_status,
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -55,8 +55,8 @@
 /// Queue entry of a request for as long as the object lives. Wakes the head of the queue when it leaves.
 class queue_entry {
 public:
-    queue_entry(const gateway_state& state, send_slot_queue& queue, wire::boot_timer& timer)
-        : state(&state), queue(&queue), waiter{.wake = &timer} {
+    queue_entry(const gateway_request& request, send_slot_queue& queue, wire::boot_timer& timer)
+        : state(request.state), queue(&queue), waiter{.wake = &timer, .request = &request} {
         queue.waiters.push_back(&this->waiter);
     }
     queue_entry(const queue_entry&) = delete;
@@ -230,7 +230,7 @@
     if (next.by_load && next.by_load->action == decision::plain_action::wait)
         count_decision(request, *next.by_load);
     wire::boot_timer timer(*state.context);
-    queue_entry entry(state, queue, timer);
+    queue_entry entry(request, queue, timer);
     entry.set_due(next.due);
     entry.set_position(position_after(next));
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone &&
--- a/libraries/gateway/slot_order.cpp
+++ b/libraries/gateway/slot_order.cpp
@@ -153,6 +153,36 @@
     return decision::make_local_waiter(facts);
 }
 
+decision::decode_slots count_slots_for(const gateway_state& state, const waiting_request& waiting) {
+    const decision::choice_context context = {.service = waiting.service,
+                                              .own_zone = state.process->availability_zone,
+                                              .excluded = {},
+                                              .now = state.clock->now()};
+    const decision::prompt_size size = {.prompt_tokens = waiting.memory_tokens};
+    return decision::count_decode_slots(state.instances, context, waiting.capacity, size);
+}
+
+reported_waiters reported_waiters_of(const gateway_state& state, const std::string& service) {
+    reported_waiters found;
+    for (const auto& [host, received] : state.loads.by_host) {
+        const auto count = std::ranges::count_if(received.report.waiters, [&](const decision::waiter& other) {
+            return !state.settings || !is_of_other_service(state.settings->shares, other.share_key, service);
+        });
+        found.hosts += count > 0 ? 1 : 0;
+        found.requests += static_cast<int>(count);
+    }
+    return found;
+}
+
+decision::wait_queue make_wait_queue(const gateway_state& state, const std::string& service,
+                                     decision::wait_order order, const slot_memory& memory,
+                                     base::time_point now) {
+    const auto waiters = waiters_of(state, service, order, now);
+    if (order.by_share)
+        order.shares = shares_of(state, service, waiters, memory);
+    return decision::wait_queue(waiters, std::move(order));
+}
+
 const ordered_waiters& ordered_waiters_of(gateway_state& state, const std::string& service,
                                           const slot_memory& memory) {
     const base::time_point now = state.clock->now();
@@ -163,15 +193,14 @@
                           now - known.made_at < queue_lifetime;
     if (is_valid)
         return known;
-    const auto waiters = waiters_of(state, service, order, now);
-    if (order.by_share) {
-        order.shares = shares_of(state, service, waiters, memory);
-        const double level = std::min(order.shares.level, std::max(memory.total, memory.free));
-        state.metrics->set("share_level_tokens{service=\"" + service + "\"}", level);
-    }
-    known = {.queue = decision::wait_queue(waiters, std::move(order)),
+    known = {.queue = make_wait_queue(state, service, std::move(order), memory, now),
              .made_at = now,
              .settings_version = settings_version(state)};
+    const decision::wait_order& made = known.queue->order();
+    if (made.by_share) {
+        const double level = std::min(made.shares.level, std::max(memory.total, memory.free));
+        state.metrics->set("share_level_tokens{service=\"" + service + "\"}", level);
+    }
     return known;
 }
 
--- a/libraries/gateway/slot_order.h
+++ b/libraries/gateway/slot_order.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <decision/engine_room.h>
 #include <gateway/gateway_state.h>
 
 namespace postpaddle::gateway {
@@ -31,6 +32,26 @@
     double free = 0;
 };
 
+/// Slots at a service's decode engines, as one of its waiting requests sees them.
+[[nodiscard]] decision::decode_slots count_slots_for(const gateway_state& state,
+                                                     const waiting_request& waiting);
+
+/// Waiting requests of a service that other hosts report. Those of unknown organisations may be of any
+/// service.
+struct reported_waiters {
+    int hosts = 0; ///< That report any.
+    int requests = 0;
+
+    bool operator==(const reported_waiters&) const = default;
+};
+[[nodiscard]] reported_waiters reported_waiters_of(const gateway_state& state, const std::string& service);
+
+/// The queue of the requests of all hosts that wait for an engine slot of the service, with the shares by
+/// which `order_of` orders them.
+[[nodiscard]] decision::wait_queue make_wait_queue(const gateway_state& state, const std::string& service,
+                                                   decision::wait_order order, const slot_memory& memory,
+                                                   base::time_point now);
+
 /// The requests of all hosts that wait for an engine slot of the service. Valid until the next call.
 ///
 /// Kept for some milliseconds unless the order is by age alone, since other hosts' reports are no newer.
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -3,6 +3,7 @@
 
 #include <gateway/caller_identity.h>
 #include <gateway/unsent_data_bound.h>
+#include <gateway/waiting_dump.h>
 
 namespace postpaddle::gateway {
 
@@ -88,6 +89,7 @@
             {"reads_store", state.reads_store},
             {"cell_hosts", state.position_in_cell.hosts},
             {"requests_in_progress", state.requests_in_progress},
+            {"waiting", dump_waiting(state)},
             {"unsent_bytes", state.unsent_data->unsent_bytes()},
             {"unsent_bound", state.unsent_data->bound()},
             {"hosts_alive", hosts_alive(state)},
@@ -101,6 +103,11 @@
             {"peers", std::move(peers)}};
 }
 
+std::string export_state(const gateway_state& state) {
+    static constexpr int indent = 2;
+    return dump_state(state).dump(indent, ' ', false, json::error_handler_t::replace);
+}
+
 std::string export_metrics(const gateway_state& state) {
     state.metrics->set("unsent_bytes", static_cast<double>(state.unsent_data->unsent_bytes()));
     return state.metrics->text();
--- a/utilities/postpaddle/commands.h
+++ b/utilities/postpaddle/commands.h
@@ -36,6 +36,8 @@
 int run_dump(const command_options& options);
 /// Prints a gateway host's state as a table, or the explanation of one request from the host that served it.
 int run_gateway(const std::vector<std::string>& arguments, const command_options& options);
+/// Prints the requests that wait at a gateway host, for one service or for all.
+int run_waiting(const std::vector<std::string>& arguments, const command_options& options);
 /// Prints the explanation of a request's routing.
 int run_explain(const std::vector<std::string>& arguments, const command_options& options);
 
--- a/utilities/postpaddle/gateway_command.cpp
+++ b/utilities/postpaddle/gateway_command.cpp
@@ -2,6 +2,7 @@
 #include <postpaddle/commands.h>
 
 #include <postpaddle/host_fetch.h>
+#include <postpaddle/waiting_table.h>
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,21 @@
 
 using nlohmann::json;
 
+int fail(const std::string& message, int code = exit_failed) {
+    std::cerr << "postpaddle: " << message << '\n';
+    return code;
+}
+
+tl::expected<json, std::string> fetch_gateway_state(const command_options& options) {
+    const auto text = fetch_from_host(options.host_address, options.token, "/state");
+    if (!text)
+        return tl::make_unexpected(text.error());
+    json state = json::parse(*text, nullptr, false);
+    if (!state.is_object() || !state.contains("instances"))
+        return tl::make_unexpected(options.host_address + " is no gateway host");
+    return state;
+}
+
 void print_state(const json& state) {
     static constexpr int wide_column = 18;
     static constexpr int narrow_column = 12;
@@ -52,19 +68,23 @@
 } // namespace
 
 int run_gateway(const std::vector<std::string>& arguments, const command_options& options) {
-    const auto text = fetch_from_host(options.host_address, options.token, "/state");
-    if (!text) {
-        std::cerr << "postpaddle: " << text.error() << '\n';
-        return exit_failed;
-    }
-    const json state = json::parse(*text, nullptr, false);
-    if (!state.is_object() || !state.contains("instances")) {
-        std::cerr << "postpaddle: " << options.host_address << " is no gateway host\n";
-        return exit_failed;
-    }
+    const auto state = fetch_gateway_state(options);
+    if (!state)
+        return fail(state.error());
     if (!arguments.empty())
-        return print_explanation(arguments.front(), state, options);
-    print_state(state);
+        return print_explanation(arguments.front(), *state, options);
+    print_state(*state);
+    return exit_ok;
+}
+
+int run_waiting(const std::vector<std::string>& arguments, const command_options& options) {
+    if (arguments.size() > 1)
+        return fail("waiting takes one SERVICE or none", exit_bad_usage);
+    const auto state = fetch_gateway_state(options);
+    if (!state)
+        return fail(state.error());
+    if (!print_waiting(std::cout, *state, arguments.empty() ? "" : arguments.front()))
+        return fail(options.host_address + " is of a version that does not report what waits");
     return exit_ok;
 }
 
--- a/utilities/postpaddle/main.cpp
+++ b/utilities/postpaddle/main.cpp
@@ -43,7 +43,8 @@
         "  postpaddle status --host=A                     hosts and what each has in force\n"
         "  postpaddle dump --host=A                       a host's whole state\n"
         "  postpaddle explain REQUEST-ID --host=A         why a request went where it went\n"
-        "  postpaddle gateway [REQUEST-ID] --host=A       a gateway host's state, or one request's story\n\n"
+        "  postpaddle gateway [REQUEST-ID] --host=A       a gateway host's state, or one request's story\n"
+        "  postpaddle waiting [SERVICE] --host=A          requests that wait at a gateway host, and why\n\n"
         "Exit codes: 0 done, 1 failed, 2 bad usage, 3 bad settings, 4 the change was rejected.");
     gflags::SetVersionString(POSTPADDLE_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
@@ -70,8 +71,8 @@
     if (command == "show")
         return FLAGS_log.empty() && FLAGS_file.empty() ? report_missing_flag(command, "log or --file")
                                                        : run_show(command_arguments, options);
-    const bool requires_host =
-        command == "status" || command == "dump" || command == "explain" || command == "gateway";
+    const bool requires_host = command == "status" || command == "dump" || command == "explain" ||
+                               command == "gateway" || command == "waiting";
     if (requires_host && FLAGS_host.empty())
         return report_missing_flag(command, "host");
     if (command == "status")
@@ -80,6 +81,8 @@
         return run_dump(options);
     if (command == "gateway")
         return run_gateway(command_arguments, options);
+    if (command == "waiting")
+        return run_waiting(command_arguments, options);
     if (command == "explain")
         return run_explain(command_arguments, options);
     std::cerr << "postpaddle: no command `" << command << "`; see --help\n";
