gateway: Count the other hosts' waiting requests in one pass for /state

For each service with engines, /state read the load reports of all hosts, and made a queue even where nothing of its own waits. The host serves no request meanwhile. It now counts all services in one pass over the reports and makes a queue only for its own waiting requests.

The counts are the same.

The test that the dump keeps the decisions' queue now also checks the metrics; new are tests without settings and with shares that are not in the settings.

--- a/libraries/gateway/slot_order.cpp
+++ b/libraries/gateway/slot_order.cpp
@@ -41,6 +41,18 @@
     return is_known;
 }
 
+/// Services to which a share may belong; none if it is not in the settings.
+std::set<std::string> services_of(const gateway_state& state, host::share_key key) {
+    std::set<std::string> services;
+    if (!state.settings)
+        return services;
+    const share_owners& owners = state.settings->shares;
+    auto row = std::ranges::lower_bound(owners.service_of, std::pair(key, std::uint32_t{0}));
+    for (; row != owners.service_of.end() && row->first == key; ++row)
+        services.insert(owners.services[row->second]);
+    return services;
+}
+
 decision::share_amounts shares_in_use(const gateway_state& state, const std::string& service) {
     decision::share_amounts in_use;
     for (const auto& [key, tokens] : state.loads.share_total)
@@ -162,14 +174,33 @@
     return decision::count_decode_slots(state.instances, context, waiting.capacity, size);
 }
 
-reported_waiters reported_waiters_of(const gateway_state& state, const std::string& service) {
-    reported_waiters found;
+reported_waiters peer_waiters::of(const std::string& service) const {
+    reported_waiters found = this->of_any_service;
+    if (const auto known = this->by_service.find(service); known != this->by_service.end()) {
+        found.hosts += known->second.hosts;
+        found.requests += known->second.requests;
+    }
+    return found;
+}
+
+peer_waiters count_peer_waiters(const gateway_state& state) {
+    peer_waiters found;
     for (const auto& [host, received] : state.loads.by_host) {
-        const auto count = std::ranges::count_if(received.report.waiters, [&](const decision::waiter& other) {
-            return !state.settings || !is_of_other_service(state.settings->shares, other.share_key, service);
-        });
-        found.hosts += count > 0 ? 1 : 0;
-        found.requests += static_cast<int>(count);
+        std::map<std::string, int> by_service;
+        int of_any_service = 0;
+        for (const decision::waiter& other : received.report.waiters) {
+            const auto services = services_of(state, other.share_key);
+            for (const std::string& service : services)
+                ++by_service[service];
+            of_any_service += services.empty() ? 1 : 0;
+        }
+        found.of_any_service.hosts += of_any_service > 0 ? 1 : 0;
+        found.of_any_service.requests += of_any_service;
+        for (const auto& [service, count] : by_service) {
+            reported_waiters& own = found.by_service[service];
+            own.hosts += of_any_service > 0 ? 0 : 1;
+            own.requests += count;
+        }
     }
     return found;
 }
--- a/libraries/gateway/slot_order.h
+++ b/libraries/gateway/slot_order.h
@@ -36,15 +36,25 @@
 [[nodiscard]] decision::decode_slots count_slots_for(const gateway_state& state,
                                                      const waiting_request& waiting);
 
-/// Waiting requests of a service that other hosts report. Those of unknown organisations may be of any
-/// service.
+/// Waiting requests that other hosts report.
 struct reported_waiters {
     int hosts = 0; ///< That report any.
     int requests = 0;
 
     bool operator==(const reported_waiters&) const = default;
 };
-[[nodiscard]] reported_waiters reported_waiters_of(const gateway_state& state, const std::string& service);
+
+/// The same by service.
+struct peer_waiters {
+    std::map<std::string, reported_waiters> by_service; ///< `hosts` without those of `of_any_service`.
+    reported_waiters of_any_service; ///< Of shares that are not in the settings, which may be of any service.
+
+    /// Those of the service and those that may be.
+    [[nodiscard]] reported_waiters of(const std::string& service) const;
+};
+
+/// Reads each report once for all services, as there may be hundreds of services and hosts.
+[[nodiscard]] peer_waiters count_peer_waiters(const gateway_state& state);
 
 /// The queue of the requests of all hosts that wait for an engine slot of the service, with the shares by
 /// which `order_of` orders them.
--- a/libraries/gateway/waiting_dump.cpp
+++ b/libraries/gateway/waiting_dump.cpp
@@ -51,11 +51,12 @@
     return now - (is_by_age ? waiting.first_try : waiting.arrived) <= waiting.in_time;
 }
 
-json dump_engine_queue(const gateway_state& state, const std::string& service,
-                       const std::vector<const waiting_request*>& own) {
+json dump_engine_rows(const gateway_state& state, const std::string& service,
+                      const std::vector<const waiting_request*>& own) {
+    if (own.empty())
+        return json::array();
     const base::time_point now = state.clock->now();
-    const decision::decode_slots slots =
-        own.empty() ? decision::decode_slots{} : count_slots_for(state, *own.front());
+    const decision::decode_slots slots = count_slots_for(state, *own.front());
     const decision::wait_queue queue =
         make_wait_queue(state, service, order_of(state, service),
                         {.total = slots.total_memory, .free = slots.free_memory}, now);
@@ -68,7 +69,7 @@
         return std::tie(one.position, one.waiting->request->routed.id);
     });
     const bool is_by_age = queue.order().is_by_age();
-    json rows = dump_rows(ordered, [&](const placed_request& one) {
+    return dump_rows(ordered, [&](const placed_request& one) {
         json row = dump_request(*one.waiting->request, now);
         row["can_be_in_time"] = can_be_in_time(*one.waiting, is_by_age, now);
         row["rank_now"] = one.position.rank;
@@ -77,11 +78,14 @@
         row["ahead_on_all_hosts"] = queue.count_ahead(one.place);
         return row;
     });
-    const reported_waiters others = reported_waiters_of(state, service);
-    return {{"total", ordered.size()},
+}
+
+json dump_engine_queue(const gateway_state& state, const std::string& service,
+                       const std::vector<const waiting_request*>& own, const reported_waiters& others) {
+    return {{"total", own.size()},
             {"total_on_other_hosts", others.requests},
             {"other_hosts", others.hosts},
-            {"rows", std::move(rows)}};
+            {"rows", dump_engine_rows(state, service, own)}};
 }
 
 json dump_send_queue(const std::vector<const send_slot_waiter*>& own, base::time_point now) {
@@ -108,7 +112,8 @@
     std::vector<const send_slot_waiter*> for_send;
 };
 
-std::map<std::string, service_waiters> waiters_by_service(const gateway_state& state) {
+std::map<std::string, service_waiters> waiters_by_service(const gateway_state& state,
+                                                          const peer_waiters& others) {
     std::map<std::string, service_waiters> found;
     for (const waiting_request* const waiting : state.waiting)
         if (is_shown(waiting->request))
@@ -120,7 +125,7 @@
     if (!state.settings)
         return found;
     for (const std::string& service : state.settings->shares.services)
-        if (reported_waiters_of(state, service).requests > 0)
+        if (others.of(service).requests > 0)
             found.try_emplace(service);
     return found;
 }
@@ -128,10 +133,12 @@
 } // namespace
 
 json dump_waiting(const gateway_state& state) {
+    const peer_waiters others = count_peer_waiters(state);
     json services = json::object();
-    for (const auto& [service, own] : waiters_by_service(state))
-        services[service] = {{"engine_slot", dump_engine_queue(state, service, own.for_engine)},
-                             {"send_slot", dump_send_queue(own.for_send, state.clock->now())}};
+    for (const auto& [service, own] : waiters_by_service(state, others))
+        services[service] = {
+            {"engine_slot", dump_engine_queue(state, service, own.for_engine, others.of(service))},
+            {"send_slot", dump_send_queue(own.for_send, state.clock->now())}};
     return services;
 }
 
--- a/tests/gateway/test_waiting_dump.cpp
+++ b/tests/gateway/test_waiting_dump.cpp
@@ -167,11 +167,14 @@
     waiters.add("one");
     (void)gateway::ordered_waiters_of(host.state, service, {.total = 5'000, .free = 5'000});
     const auto made_at = host.state.ordered_waiters_of[service].made_at;
+    const std::string metrics = host.metrics.text();
     host.clock.advance(1ms);
     (void)host.dump("engine_slot");
     CHECK(host.state.ordered_waiters_of.size() == 1);
     CHECK(host.state.ordered_waiters_of[service].queue);
     CHECK(host.state.ordered_waiters_of[service].made_at == made_at);
+    CHECK(metrics.find("share_level_tokens") != std::string::npos);
+    CHECK(host.metrics.text() == metrics);
 }
 
 // Guards against a dump that grows with the overload that it is to explain.
@@ -283,6 +286,32 @@
     CHECK(gateway::dump_waiting(host.state).at("another").at("engine_slot").at("total_on_other_hosts") == 1);
 }
 
+// Guards against a host that is counted twice, and against waiting requests that no service is shown to have.
+TEST_CASE("reported requests of shares that are not in the settings are counted for each service") {
+    test_host host;
+    const decision::waiter own = {.share_key = host::key_of(service, {"small"})};
+    const decision::waiter unknown = {.share_key = host::key_of(service, {"unknown"})};
+    host.state.loads.by_host[{"second"}].report.waiters = {own, unknown};
+    host.state.loads.by_host[{"third"}].report.waiters = {own};
+    CHECK(host.dump("engine_slot").at("total_on_other_hosts") == 3);
+    CHECK(host.dump("engine_slot").at("other_hosts") == 2);
+    const gateway::peer_waiters counted = gateway::count_peer_waiters(host.state);
+    CHECK(counted.of("another") == gateway::reported_waiters{.hosts = 1, .requests = 1});
+}
+
+// Guards against a read of settings that are not known.
+TEST_CASE("requests that wait are shown while no settings are known") {
+    test_host host;
+    host.state.settings = nullptr;
+    engine_waiters waiters(host);
+    waiters.add("one");
+    host.state.loads.by_host[{"second"}].report.waiters = {{}};
+    const auto queue = host.dump("engine_slot");
+    CHECK(ids_of(queue) == std::vector<std::string>{"one"});
+    CHECK(queue.at("rows")[0].at("ahead_on_all_hosts") == 0);
+    CHECK(queue.at("total_on_other_hosts") == 1);
+}
+
 // Guards against a leak of what belongs to callers, and against an exception for a caller's request id that
 // is no UTF-8, which would end the host's process.
 TEST_CASE("the state as text has the facts of the last decision, no key and no prompt, and is UTF-8") {
