gateway: Explain requests whose ids are not UTF-8

A caller's request id may have bytes that are not UTF-8: the HTTP parser accepts them in headers and in targets. /explain then threw in the coroutine that serves the peers' address. /state and /explain now share the function that replaces such bytes.

--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -132,12 +132,13 @@
                 {},
                 encode_cell_loads(host::loads_to_report(this->state->instances, this->state->clock->now()))};
     if (request.target == state_path)
-        return {ok_status, {{"Content-Type", "application/json"}}, export_state(*this->state)};
+        return {
+            ok_status, {{"Content-Type", "application/json"}}, to_operator_text(dump_state(*this->state))};
     if (request.target.starts_with(explain_path)) {
         const json traces = traces_of(*this->state, request.target.substr(explain_path.size()));
         return {traces.empty() ? not_found_status : ok_status,
                 {{"Content-Type", "application/json"}},
-                traces.dump(2)};
+                to_operator_text(traces)};
     }
     if (request.target == metrics_path)
         return {ok_status, {{"Content-Type", "text/plain; version=0.0.4"}}, export_metrics(*this->state)};
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -103,9 +103,9 @@
             {"peers", std::move(peers)}};
 }
 
-std::string export_state(const gateway_state& state) {
+std::string to_operator_text(const json& value) {
     static constexpr int indent = 2;
-    return dump_state(state).dump(indent, ' ', false, json::error_handler_t::replace);
+    return value.dump(indent, ' ', false, json::error_handler_t::replace);
 }
 
 std::string export_metrics(const gateway_state& state) {
--- a/libraries/gateway/state_dump.h
+++ b/libraries/gateway/state_dump.h
@@ -10,8 +10,8 @@
 /// The state of the host as JSON, for operators.
 [[nodiscard]] nlohmann::json dump_state(const gateway_state& state);
 
-/// The same as text. Bytes in callers' request ids that are not UTF-8 are replaced.
-[[nodiscard]] std::string export_state(const gateway_state& state);
+/// JSON for operators as text. Bytes that are not UTF-8 are replaced; callers' request ids may have some.
+[[nodiscard]] std::string to_operator_text(const nlohmann::json& value);
 
 /// The metrics of the host as text; sets those that are computed only when they are read.
 [[nodiscard]] std::string export_metrics(const gateway_state& state);
--- a/tests/gateway/test_waiting_dump.cpp
+++ b/tests/gateway/test_waiting_dump.cpp
@@ -320,10 +320,20 @@
     host.state.unsent_data = &unsent;
     engine_waiters waiters(host);
     waiters.add("id\xff").slot_facts = {{"has_room", false}, {"waiting_ahead", 7}};
-    const std::string text = gateway::export_state(host.state);
+    const std::string text = gateway::to_operator_text(gateway::dump_state(host.state));
     const auto row = nlohmann::json::parse(text).at("waiting").at(service).at("engine_slot").at("rows")[0];
     CHECK(row.at("last_decision").at("waiting_ahead") == 7);
     CHECK(row.at("request") == "id\xef\xbf\xbd");
     CHECK(text.find(secret_prompt) == std::string::npos);
     CHECK(text.find(secret_key) == std::string::npos);
 }
+
+// Guards against an exception for a caller's request id that is no UTF-8, which would end the host's process.
+TEST_CASE("the traces of a request whose id is no UTF-8 are found by its bytes and are UTF-8") {
+    test_host host;
+    const std::string id = "id\xff";
+    gateway::record_completed(host.state, {id, {{"request", id}}});
+    const auto traces = nlohmann::json::parse(gateway::to_operator_text(gateway::traces_of(host.state, id)));
+    CHECK(traces.at(0).at("request") == "id\xef\xbf\xbd");
+    CHECK(gateway::traces_of(host.state, "id").empty());
+}
