--- a/libraries/gateway/slot_order.cpp
+++ b/libraries/gateway/slot_order.cpp
@@ -41,6 +41,18 @@
     return is_known;
 }
 
+/// Services to which a share may belong; none if it is not in the settings.
+std::set<std::string> services_of(const gateway_state& state, host::share_key key) {
+    std::set<std::string> services;
+    if (!state.settings)
+        return services;
+    const share_owners& owners = state.settings->shares;
+    auto row = std::ranges::lower_bound(owners.service_of, std::pair(key, std::uint32_t{0}));
+    for (; row != owners.service_of.end() && row->first == key; ++row)
+        services.insert(owners.services[row->second]);
+    return services;
+}
+
 decision::share_amounts shares_in_use(const gateway_state& state, const std::string& service) {
     decision::share_amounts in_use;
     for (const auto& [key, tokens] : state.loads.share_total)
@@ -153,6 +165,55 @@
     return decision::make_local_waiter(facts);
 }
 
+decision::decode_slots count_slots_for(const gateway_state& state, const waiting_request& waiting) {
+    const decision::choice_context context = {.service = waiting.service,
+                                              .own_zone = state.process->availability_zone,
+                                              .excluded = {},
+                                              .now = state.clock->now()};
+    const decision::prompt_size size = {.prompt_tokens = waiting.memory_tokens};
+    return decision::count_decode_slots(state.instances, context, waiting.capacity, size);
+}
+
+reported_waiters peer_waiters::of(const std::string& service) const {
+    reported_waiters found = this->of_any_service;
+    if (const auto known = this->by_service.find(service); known != this->by_service.end()) {
+        found.hosts += known->second.hosts;
+        found.requests += known->second.requests;
+    }
+    return found;
+}
+
+peer_waiters count_peer_waiters(const gateway_state& state) {
+    peer_waiters found;
+    for (const auto& [host, received] : state.loads.by_host) {
+        std::map<std::string, int> by_service;
+        int of_any_service = 0;
+        for (const decision::waiter& other : received.report.waiters) {
+            const auto services = services_of(state, other.share_key);
+            for (const std::string& service : services)
+                ++by_service[service];
+            of_any_service += services.empty() ? 1 : 0;
+        }
+        found.of_any_service.hosts += of_any_service > 0 ? 1 : 0;
+        found.of_any_service.requests += of_any_service;
+        for (const auto& [service, count] : by_service) {
+            reported_waiters& own = found.by_service[service];
+            own.hosts += of_any_service > 0 ? 0 : 1;
+            own.requests += count;
+        }
+    }
+    return found;
+}
+
+decision::wait_queue make_wait_queue(const gateway_state& state, const std::string& service,
+                                     decision::wait_order order, const slot_memory& memory,
+                                     base::time_point now) {
+    const auto waiters = waiters_of(state, service, order, now);
+    if (order.by_share)
+        order.shares = shares_of(state, service, waiters, memory);
+    return decision::wait_queue(waiters, std::move(order));
+}
+
 const ordered_waiters& ordered_waiters_of(gateway_state& state, const std::string& service,
                                           const slot_memory& memory) {
     const base::time_point now = state.clock->now();
@@ -163,15 +224,14 @@
                           now - known.made_at < queue_lifetime;
     if (is_valid)
         return known;
-    const auto waiters = waiters_of(state, service, order, now);
-    if (order.by_share) {
-        order.shares = shares_of(state, service, waiters, memory);
-        const double level = std::min(order.shares.level, std::max(memory.total, memory.free));
-        state.metrics->set("share_level_tokens{service=\"" + service + "\"}", level);
-    }
-    known = {.queue = decision::wait_queue(waiters, std::move(order)),
+    known = {.queue = make_wait_queue(state, service, std::move(order), memory, now),
              .made_at = now,
              .settings_version = settings_version(state)};
+    const decision::wait_order& made = known.queue->order();
+    if (made.by_share) {
+        const double level = std::min(made.shares.level, std::max(memory.total, memory.free));
+        state.metrics->set("share_level_tokens{service=\"" + service + "\"}", level);
+    }
     return known;
 }
 
--- a/libraries/gateway/slot_order.h
+++ b/libraries/gateway/slot_order.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <decision/engine_room.h>
 #include <gateway/gateway_state.h>
 
 namespace postpaddle::gateway {
@@ -31,6 +32,36 @@
     double free = 0;
 };
 
+/// Slots at a service's decode engines, as one of its waiting requests sees them.
+[[nodiscard]] decision::decode_slots count_slots_for(const gateway_state& state,
+                                                     const waiting_request& waiting);
+
+/// Waiting requests that other hosts report.
+struct reported_waiters {
+    int hosts = 0; ///< That report any.
+    int requests = 0;
+
+    bool operator==(const reported_waiters&) const = default;
+};
+
+/// The same by service.
+struct peer_waiters {
+    std::map<std::string, reported_waiters> by_service; ///< `hosts` without those of `of_any_service`.
+    reported_waiters of_any_service; ///< Of shares that are not in the settings, which may be of any service.
+
+    /// Those of the service and those that may be.
+    [[nodiscard]] reported_waiters of(const std::string& service) const;
+};
+
+/// Reads each report once for all services, as there may be hundreds of services and hosts.
+[[nodiscard]] peer_waiters count_peer_waiters(const gateway_state& state);
+
+/// The queue of the requests of all hosts that wait for an engine slot of the service, with the shares by
+/// which `order_of` orders them.
+[[nodiscard]] decision::wait_queue make_wait_queue(const gateway_state& state, const std::string& service,
+                                                   decision::wait_order order, const slot_memory& memory,
+                                                   base::time_point now);
+
 /// The requests of all hosts that wait for an engine slot of the service. Valid until the next call.
 ///
 /// Kept for some milliseconds unless the order is by age alone, since other hosts' reports are no newer.
