gateway: Split relay_plain by duty

Cause: relay_plain had 74 lines: finding the next upstream, the exchange, what is learned from it and the answer in one loop.

Change: find_next_step, exchange_once, record_load, record_answer and attempt, 26 lines at most; relay_plain has 18. scoped_plain_send ends with its scope, so did_end is not needed. A request whose caller disconnected ends as caller_gone also if its time is up.

--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -44,7 +44,7 @@
         decision::record_spurious_refusal(*target);
 }
 
-/// Counts a request as sent to an upstream for as long as the object lives, or until it ends.
+/// Counts a request as sent to an upstream for as long as the object lives.
 class scoped_plain_send {
 public:
     scoped_plain_send(gateway_state& state, const base::upstream_id& id) : state(&state), id(id) {
@@ -57,21 +57,16 @@
     scoped_plain_send(scoped_plain_send&&) = delete;
     scoped_plain_send& operator=(const scoped_plain_send&) = delete;
     scoped_plain_send& operator=(scoped_plain_send&&) = delete;
-    ~scoped_plain_send() { this->did_end(); }
-
-    void did_end() {
+    ~scoped_plain_send() {
         decision::instance* const target = decision::find_instance(this->state->instances, this->id);
-        if (std::exchange(this->has_ended, true) || target == nullptr ||
-            target->entry.start_time_ms != this->start_time_ms)
-            return;
-        decision::record_plain_end(*target, this->state->clock->now());
+        if (target != nullptr && target->entry.start_time_ms == this->start_time_ms)
+            decision::record_plain_end(*target, this->state->clock->now());
     }
 
 private:
     gateway_state* state;
     base::upstream_id id;
     std::uint64_t start_time_ms = 0; ///< Start (incarnation) of the instance that the request was sent to.
-    bool has_ended = false;
 };
 
 /// Where to send a request now, if anywhere.
@@ -122,86 +117,132 @@
     return {.upstream = decision.upstream, .rounds = decision.rounds};
 }
 
-} // namespace
-
-request_ending relay_plain(gateway_request& request, wire::yield_context yield) {
+/// What the attempts at a request have led to so far.
+struct relay_progress {
     attempt_result last = attempt_result::not_connected;
     std::optional<failure_answer> failure;
-    const char* reason = "no upstream";
+    const char* reason = "no upstream"; ///< Why there is no answer.
     bool has_waited = false;
+};
+
+/// Finds the next upstream, and waits for it if necessary. Returns nothing if there is none in time; the
+/// reason is in `progress`.
+std::optional<plain_step> find_next_step(gateway_request& request, relay_progress& progress,
+                                         wire::yield_context yield) {
     while (time_left(request) > 0ms) {
         await_exit_checks(request, yield);
-        if (request.cancellation->is_caller_gone)
-            return request_ending::caller_gone;
-        if (time_left(request) <= 0ms)
-            break;
+        if (request.cancellation->is_caller_gone || time_left(request) <= 0ms)
+            return std::nullopt;
         if (const char* const stop = reason_to_stop(request)) {
-            reason = stop;
-            break;
+            progress.reason = stop;
+            return std::nullopt;
         }
-        const plain_step step = choose_step(request, has_waited);
+        plain_step step = choose_step(request, progress.has_waited);
+        if (step.upstream)
+            return step;
         if (step.is_refused) {
-            reason = no_capacity_reason;
-            break;
-        }
-        const auto& chosen = step.upstream;
-        if (!chosen) {
-            has_waited = true;
-            if (await_send_slot(request, yield, step.decided))
-                continue;
-            if (request.cancellation->is_caller_gone)
-                return request_ending::caller_gone;
-            if (request.retry_delay)
-                reason = no_capacity_reason;
-            break;
+            progress.reason = no_capacity_reason;
+            return std::nullopt;
         }
+        progress.has_waited = true;
+        if (await_send_slot(request, yield, step.decided))
+            continue;
+        if (request.retry_delay)
+            progress.reason = no_capacity_reason;
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+/// Response of an upstream with its body.
+struct plain_answer {
+    exchange_result exchange;
+    std::string body;
+};
+
+/// Sends the request to an upstream and reads the complete answer.
+plain_answer exchange_once(gateway_request& request, const ports::upstream_attempt& send,
+                           wire::yield_context yield) {
+    const base::time_point deadline =
+        request.state->clock->now() + decision::attempt_timeout(request.record, time_left(request));
+    const scoped_plain_send sent(*request.state, send.instance);
+    plain_answer answer = {.exchange = send_to_instance(request, send, deadline, yield), .body = {}};
+    exchange_result& exchange = answer.exchange;
+    if (exchange.head.status != 0 && exchange.result != attempt_result::broken)
+        answer.body = read_body(exchange, deadline, yield);
+    require_seal(exchange);
+    end_exchange(request, send, exchange);
+    return answer;
+}
+
+/// Records what the exchange shows of the upstream's load. Call after the request has been recorded as ended.
+void record_load(gateway_request& request, const base::upstream_id& upstream,
+                 const exchange_result& exchange) {
+    gateway_state& state = *request.state;
+    if (state.process->policy.admit_by_load && !request.cancellation->is_caller_gone)
+        record_plain_response(state, upstream, exchange);
+    if (exchange.result == attempt_result::answered && is_admitted_by_load(request))
+        did_end_plain_request(state, request.service);
+    record_refusal_despite_free_slots(request, upstream, exchange);
+}
+
+/// Records an answer and the time that it took, relative to the rounds that were expected there.
+void record_answer(const gateway_request& request, const plain_step& step, const exchange_result& exchange) {
+    gateway_state& state = *request.state;
+    const base::time_point now = state.clock->now();
+    if (decision::instance* const target = decision::find_instance(state.instances, *step.upstream))
+        decision::record_response_time(
+            *target, base::from_seconds(base::to_seconds(now - exchange.sent) / step.rounds), now);
+    if (wire::is_success(exchange.head.status))
+        record_success(request);
+}
+
+/// Sends the request to the upstream of the step. Returns nothing if the request has not ended with that.
+std::optional<request_ending> attempt(gateway_request& request, const plain_step& step,
+                                      relay_progress& progress, wire::yield_context yield) {
+    const base::upstream_id& upstream = *step.upstream;
+    request.tried.insert(upstream);
+    const ports::upstream_attempt send = {
+        .instance = upstream,
+        .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(request))};
+    // Until the answer has been forwarded.
+    const scoped_instance_use work(*request.state, upstream, {.requests = 1});
+    plain_answer answer = exchange_once(request, send, yield);
+    const exchange_result& exchange = answer.exchange;
+    record_load(request, upstream, exchange);
+    detect_upstream_exit(request, send, exchange, yield);
+    if (request.cancellation->is_caller_gone)
+        return request_ending::caller_gone;
+    progress.last = exchange.result;
+    if (exchange.result == attempt_result::answered) {
+        record_answer(request, step, exchange);
+        return forward_answer(request, exchange.head, std::move(answer.body), yield);
+    }
+    if (exchange.result == attempt_result::server_error)
+        progress.failure = failure_answer{exchange.head, std::move(answer.body)};
+    progress.reason = decision::to_text(exchange.result);
+    return std::nullopt;
+}
+
+} // namespace
+
+request_ending relay_plain(gateway_request& request, wire::yield_context yield) {
+    relay_progress progress;
+    while (const auto step = find_next_step(request, progress, yield)) {
         if (!try_charge_send(request)) {
-            reason = "no budget for another upstream";
+            progress.reason = "no budget for another upstream";
             break;
         }
-        request.tried.insert(*chosen);
-        const base::time_point deadline =
-            request.state->clock->now() + decision::attempt_timeout(request.record, time_left(request));
-        const ports::upstream_attempt send = {
-            .instance = *chosen,
-            .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(request))};
-        const scoped_instance_use work(*request.state, *chosen, {.requests = 1});
-        scoped_plain_send sent(*request.state, *chosen);
-        exchange_result exchange = send_to_instance(request, send, deadline, yield);
-        std::string body;
-        if (exchange.head.status != 0 && exchange.result != attempt_result::broken)
-            body = read_body(exchange, deadline, yield);
-        require_seal(exchange);
-        end_exchange(request, send, exchange);
-        sent.did_end();
-        if (request.state->process->policy.admit_by_load && !request.cancellation->is_caller_gone)
-            record_plain_response(*request.state, *chosen, exchange);
-        if (exchange.result == attempt_result::answered && is_admitted_by_load(request))
-            did_end_plain_request(*request.state, request.service);
-        record_refusal_despite_free_slots(request, *chosen, exchange);
-        detect_upstream_exit(request, send, exchange, yield);
-        if (request.cancellation->is_caller_gone)
-            return request_ending::caller_gone;
-        last = exchange.result;
-        if (last == attempt_result::answered) {
-            const base::time_point now = request.state->clock->now();
-            decision::instance* const target = decision::find_instance(request.state->instances, *chosen);
-            if (target != nullptr)
-                decision::record_response_time(
-                    *target, base::from_seconds(base::to_seconds(now - exchange.sent) / step.rounds), now);
-            if (wire::is_success(exchange.head.status))
-                record_success(request);
-            return forward_answer(request, exchange.head, std::move(body), yield);
-        }
-        if (last == attempt_result::server_error)
-            failure = failure_answer{exchange.head, std::move(body)};
-        reason = decision::to_text(last);
-        if (!decision::may_retry(request.record, last))
+        if (const auto ending = attempt(request, *step, progress, yield))
+            return *ending;
+        if (!decision::may_retry(request.record, progress.last))
             break;
     }
-    if (failure)
-        return forward_answer(request, failure->head, std::move(failure->body), yield);
-    return answer_locally(request, last, reason, yield);
+    if (request.cancellation->is_caller_gone)
+        return request_ending::caller_gone;
+    if (progress.failure)
+        return forward_answer(request, progress.failure->head, std::move(progress.failure->body), yield);
+    return answer_locally(request, progress.last, progress.reason, yield);
 }
 
 } // namespace postpaddle::gateway
