gateway: Decide on a plain request once, without scans of all hosts

Cause: each decision scanned the load reports of all hosts to count those that compete. With requests in the queue, a new request was decided on twice, as its place in the queue depends on the loads: the first decision only gave the time up to which it can be in time. Each response scanned all instances, engines too, while requests waited.

Change: decide_plain counts the requests ahead itself once it knows that time; the hosts that compete are kept with each report (decision/overload/competing_hosts) and removed when their report is too old; replacement_probability uses the service's listed upstreams. The count and each decision from the same facts and random state are as before (property tests). A new request behind others now counts once for the smoothed time since a slot was free, not twice, and draws fewer random numbers. The first check in await_send_slot and its counting are functions of their own.

test_decision, test_peer_codec and the files test_plain_load, test_upstream_limits, test_upstream_backoff and test_callers of test_gateway pass.

--- a/benches/bench_support.h
+++ b/benches/bench_support.h
@@ -63,5 +63,7 @@
 [[nodiscard]] int run_reports(const bench_options& options);
 /// Time that a host with waiting requests spends on a change of free decode slots.
 [[nodiscard]] int run_waiting(const bench_options& options);
+/// Time of a decision on a plain request by load, of a response, and of the other hosts' reports.
+[[nodiscard]] int run_plain(const bench_options& options);
 
 } // namespace postpaddle::bench
--- a/benches/main.cpp
+++ b/benches/main.cpp
@@ -34,7 +34,7 @@
 int main(int argc, char** argv) {
     using namespace postpaddle::bench;
     gflags::SetUsageMessage("measures postpaddle: bench (goodput | faults | decide | relay | hosts | claims "
-                            "| reports | waiting)");
+                            "| reports | waiting | plain)");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGPIPE, SIG_IGN);
     bench_options options;
@@ -48,11 +48,13 @@
     for (const std::string& load : split(FLAGS_loads))
         options.loads.push_back(std::stod(load));
     const std::map<std::string, int (*)(const bench_options&)> benches = {
-        {"goodput", run_goodput}, {"faults", run_faults}, {"decide", run_decide},   {"relay", run_relay},
-        {"hosts", run_hosts},     {"claims", run_claims}, {"reports", run_reports}, {"waiting", run_waiting}};
+        {"goodput", run_goodput}, {"faults", run_faults},   {"decide", run_decide},
+        {"relay", run_relay},     {"hosts", run_hosts},     {"claims", run_claims},
+        {"reports", run_reports}, {"waiting", run_waiting}, {"plain", run_plain}};
     const auto found = benches.find(argc == 2 ? argv[1] : "");
     if (found == benches.end()) {
-        std::cerr << "bench: name one of goodput, faults, decide, relay, hosts, claims, reports, waiting\n";
+        std::cerr
+            << "bench: name one of goodput, faults, decide, relay, hosts, claims, reports, waiting, plain\n";
         return 2;
     }
     return found->second(options);
--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -299,7 +299,6 @@
     step.decision.spacing = base::from_seconds(std::max(1, step.request->competing_hosts) / ends_per_second);
     step.decision.expected_time = base::from_seconds(fastest);
     step.decision.in_time = base::from_seconds(step.usable_target - fastest);
-    step.decision.expected_capacity = base::from_seconds(seconds_until_capacity(step) + step.seconds_ahead());
 }
 
 /// Time since the first try by which the answer has to be expected. No later than the caller's time is up,
@@ -347,8 +346,8 @@
 }
 
 plain_decision decide_plain(const instance_table& table, const std::vector<base::upstream_id>& members,
-                            const choice_context& context, const plain_request& request,
-                            std::mt19937_64& random) {
+                            const choice_context& context, plain_request request, std::mt19937_64& random,
+                            const ahead_counter& count_ahead) {
     const std::vector<candidate> candidates =
         find_candidates(table, context, members, request.competing_hosts);
     const bool is_any_known = std::ranges::any_of(candidates, [&context](const candidate& one) {
@@ -362,6 +361,10 @@
                            .waited = base::to_seconds(request.waited),
                            .usable_target = usable_target_of(request)};
     summarise(step);
+    if (count_ahead)
+        request.ahead = count_ahead(step.decision.in_time);
+    step.decision.ahead = request.ahead;
+    step.decision.expected_capacity = base::from_seconds(seconds_until_capacity(step) + step.seconds_ahead());
     if (!try_send(step, random))
         decide_without_capacity(step);
     return step.decision;
@@ -388,14 +391,20 @@
 }
 
 double replacement_probability(const instance_table& table, const std::string& service, int competing_hosts) {
+    return replacement_probability(table, service, members_of(table, service), competing_hosts);
+}
+
+double replacement_probability(const instance_table& table, const std::string& service,
+                               const std::vector<base::upstream_id>& members, int competing_hosts) {
     static constexpr double least = 0.25;
     double capacity = 0;
     double own = 0;
-    for (const auto& [id, known] : table.by_id) {
-        if (known.state != listing::listed || known.entry.service != service)
+    for (const base::upstream_id& id : members) {
+        const instance* const known = find_member(table, id, service);
+        if (known == nullptr)
             continue;
-        capacity += plain_slots(known) + known.plain.queue_limit.value_or(0);
-        own += known.plain.sent_requests;
+        capacity += plain_slots(*known) + known->plain.queue_limit.value_or(0);
+        own += known->plain.sent_requests;
     }
     return std::clamp(capacity / std::max(1, competing_hosts) / std::max(1.0, own), least, 1.0);
 }
--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -6,6 +6,7 @@
 #include <decision/instance_choice.h>
 #include <decision/overload/plain_load.h>
 
+#include <functional>
 #include <optional>
 #include <random>
 #include <vector>
@@ -79,20 +80,25 @@
     base::duration in_time{};           ///< Longest wait since the first try to still be in time.
     int upstreams = 0;                  ///< That may be used.
     int free_slots = 0;                 ///< Of those.
+    int ahead = 0;                      ///< Requests ahead of it in this host's queue.
     bool is_scarce = false;             ///< Fewer requests could be sent and be in time than hosts compete.
 
     bool operator==(const plain_decision&) const = default;
 };
 
+/// Counts the requests ahead of one that can be in time up to that wait since its first try. Its position in
+/// the queue depends on the loads, so they are counted within the decision.
+using ahead_counter = std::function<int(base::duration in_time)>;
+
 /// Decides about a request now. `context` excludes the upstreams that have refused it.
 [[nodiscard]] plain_decision decide_plain(const instance_table& table, const choice_context& context,
                                           const plain_request& request, std::mt19937_64& random);
 
-/// The same, for callers that know the service's instances.
+/// The same, for callers that know the service's instances. `count_ahead`, if set, replaces `request.ahead`.
 [[nodiscard]] plain_decision decide_plain(const instance_table& table,
                                           const std::vector<base::upstream_id>& members,
-                                          const choice_context& context, const plain_request& request,
-                                          std::mt19937_64& random);
+                                          const choice_context& context, plain_request request,
+                                          std::mt19937_64& random, const ahead_counter& count_ahead = {});
 
 /// Delay after which a refused caller should return: the time until capacity is expected, spread over 1 to 2
 /// times it, and at least half of the latency target, so that other refused callers are served meanwhile. In
@@ -111,6 +117,11 @@
 [[nodiscard]] double replacement_probability(const instance_table& table, const std::string& service,
                                              int competing_hosts);
 
+/// The same, for callers that know the service's instances.
+[[nodiscard]] double replacement_probability(const instance_table& table, const std::string& service,
+                                             const std::vector<base::upstream_id>& members,
+                                             int competing_hosts);
+
 /// Position of a waiting request in its service's queue.
 struct queue_position {
     base::time_point since{};                                 ///< First try.
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <decision/caller_timeouts.h>
 #include <decision/instance_table.h>
+#include <decision/overload/competing_hosts.h>
 #include <decision/overload/plain_admission.h>
 #include <decision/overload/rank.h>
 #include <decision/overload/upstream_pace.h>
@@ -117,6 +118,7 @@
     base::time_point reported_at{}; ///< When loads were last reported to the other hosts.
     /// Until then, requests count as having waited or been refused recently.
     base::time_point pressed_until{};
+    decision::competing_hosts competing{}; ///< Other hosts that recently received loads.
     std::function<void()> on_report_due{}; ///< Sends a report soon.
 };
 
--- a/libraries/gateway/plain_choice.cpp
+++ b/libraries/gateway/plain_choice.cpp
@@ -18,13 +18,12 @@
 constexpr base::duration overload_gap = 1s;
 
 /// The service with the upstreams that it has. They are listed again after a short time.
-plain_service& plain_service_of(const gateway_request& request) {
-    gateway_state& state = *request.state;
-    plain_service& service = state.plain_services[request.service];
+plain_service& plain_service_of(gateway_state& state, const std::string& name) {
+    plain_service& service = state.plain_services[name];
     const base::time_point now = state.clock->now();
     if (std::exchange(service.is_listed, true) && now - service.listed_at < member_lifetime)
         return service;
-    service.members = decision::members_of(state.instances, request.service);
+    service.members = decision::members_of(state.instances, name);
     service.listed_at = now;
     return service;
 }
@@ -43,14 +42,13 @@
     return now - service.decided_at > overload_gap ? base::duration{} : now - service.free_slot_seen_at;
 }
 
-decision::plain_request facts_of(const gateway_request& request, int ahead) {
+decision::plain_request facts_of(const gateway_request& request, const plain_service& service) {
     return {.waited = request.state->clock->now() - waiting_since(request),
             .latency_target = request.route->latency_target,
             .time_left = time_left(request),
             .may_be_late = decision::may_be_late(request.record, request.first_try < request.arrived),
             .may_wait_late = !request.state->is_draining,
-            .ahead = ahead,
-            .busy_for = busy_for(plain_service_of(request), request.state->clock->now()),
+            .busy_for = busy_for(service, request.state->clock->now()),
             .competing_hosts = count_competing_hosts(*request.state)};
 }
 
@@ -62,7 +60,7 @@
                           {"rank", request.rank},
                           {"waited_ms", base::to_milliseconds(facts.waited)},
                           {"may_be_late", facts.may_be_late},
-                          {"waiting_ahead", facts.ahead},
+                          {"waiting_ahead", decision.ahead},
                           {"upstreams", decision.upstreams},
                           {"free", decision.free_slots},
                           {"expected_ms", base::to_milliseconds(decision.expected_time)},
@@ -86,15 +84,20 @@
 bool is_admitted_by_load(const gateway_request& request) {
     return request.state->process->policy.admit_by_load &&
            decision::is_admitted_by_load(request.state->instances, request.service,
-                                         plain_service_of(request).members);
+                                         plain_members_of(*request.state, request.service));
+}
+
+const std::vector<base::upstream_id>& plain_members_of(gateway_state& state, const std::string& service) {
+    return plain_service_of(state, service).members;
 }
 
-decision::plain_decision decide_by_load(gateway_request& request, int ahead) {
+decision::plain_decision decide_by_load(gateway_request& request,
+                                        const decision::ahead_counter& count_ahead) {
     gateway_state& state = *request.state;
-    const decision::plain_request facts = facts_of(request, ahead);
-    plain_service& service = plain_service_of(request);
+    plain_service& service = plain_service_of(state, request.service);
+    const decision::plain_request facts = facts_of(request, service);
     decision::plain_decision decision = decision::decide_plain(
-        state.instances, service.members, choice_context_of(request), facts, state.random);
+        state.instances, service.members, choice_context_of(request), facts, state.random, count_ahead);
     request.retry_delay = std::nullopt;
     if (decision.action == decision::plain_action::choose_without_load)
         return decision;
@@ -107,11 +110,10 @@
     return decision;
 }
 
-decision::queue_position queue_position_of(const gateway_request& request,
-                                           const decision::plain_decision& decision) {
+decision::queue_position queue_position_of(const gateway_request& request, base::duration in_time) {
     const base::time_point since = waiting_since(request);
     return {.since = since,
-            .in_time_until = since + decision.in_time,
+            .in_time_until = since + in_time,
             .latency_target = request.route->latency_target,
             .rank = request.state->process->policy.order_by_rank ? request.rank : 0};
 }
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -99,7 +99,7 @@
     if (!is_admitted_by_load(request))
         return choose_without_load(request, has_waited, false);
     const decision::plain_decision decision =
-        has_waited ? decide_by_load(request, 0) : decide_in_queue(request);
+        has_waited ? decide_by_load(request, {}) : decide_in_queue(request);
     switch (decision.action) {
     case decision::plain_action::choose_without_load:
         return choose_without_load(request, has_waited, true);
@@ -111,7 +111,7 @@
     case decision::plain_action::send:
         break;
     }
-    if (!has_waited && would_overtake_queue(request, queue_position_of(request, decision)))
+    if (!has_waited && would_overtake_queue(request, queue_position_of(request, decision.in_time)))
         return {.upstream = std::nullopt, .decided = decision};
     count_decision(request, decision);
     return {.upstream = decision.upstream, .rounds = decision.rounds};
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -71,8 +71,10 @@
         wake_head(*this->queue, this->state->clock->now());
     }
 
-    void set_due(base::time_point due) { this->waiter.due = due; }
-    void set_position(const decision::queue_position& position) { this->waiter.position = position; }
+    void update(base::time_point due, const decision::queue_position& position) {
+        this->waiter.due = due;
+        this->waiter.position = position;
+    }
     [[nodiscard]] int ahead() const {
         return count_waiters(*this->queue, this->waiter.position, this->state->clock->now());
     }
@@ -104,6 +106,14 @@
     send_slot_waiter waiter;
 };
 
+/// Requests of its service that are ahead of one at that position.
+int count_ahead(const gateway_request& request, const decision::queue_position& position) {
+    const auto queue = request.state->send_slot_queues.find(request.service);
+    return queue == request.state->send_slot_queues.end()
+               ? 0
+               : count_waiters(queue->second, position, request.state->clock->now());
+}
+
 /// Result of a check whether a queued request may be sent.
 struct queue_check {
     bool is_worth_waiting = true;
@@ -148,25 +158,42 @@
     return result;
 }
 
+/// What a decision by load, or the upstreams' rate limits where no load is known, mean for a queued request.
+queue_check check_of_load_or_limits(gateway_request& request, const decision::plain_decision& decision,
+                                    int ahead_without_load) {
+    if (decision.action != decision::plain_action::choose_without_load)
+        return check_of(request, decision);
+    queue_check result = check_limits(request, ahead_without_load);
+    result.is_load_expired = true;
+    return result;
+}
+
 /// Checks the upstreams' load, or their rate limits where it is not known.
 queue_check check(gateway_request& request, int ahead) {
     if (!is_admitted_by_load(request))
         return check_limits(request, ahead);
-    const decision::plain_decision decision = decide_by_load(request, ahead);
-    if (decision.action == decision::plain_action::choose_without_load) {
-        queue_check result = check_limits(request, ahead);
-        result.is_load_expired = true;
-        return result;
-    }
-    return check_of(request, decision);
+    const auto count = [ahead](base::duration /*in_time*/) { return ahead; };
+    return check_of_load_or_limits(request, decide_by_load(request, count), ahead);
 }
 
-/// Requests of its service that are ahead of one at that position.
-int count_ahead(const gateway_request& request, const decision::queue_position& position) {
-    const auto queue = request.state->send_slot_queues.find(request.service);
-    return queue == request.state->send_slot_queues.end()
-               ? 0
-               : count_waiters(queue->second, position, request.state->clock->now());
+/// The first check, before the request is queued. `last` is its position if no load is known.
+queue_check check_on_arrival(gateway_request& request, const decision::queue_position& last) {
+    const int ahead = count_ahead(request, last);
+    if (!is_admitted_by_load(request))
+        return check_limits(request, ahead);
+    return check_of_load_or_limits(request, decide_in_queue(request), ahead);
+}
+
+/// Counts that a request begins to wait.
+void count_wait(const gateway_request& request, const queue_check& checked) {
+    request.state->metrics->count("waited_for_opening_total");
+    if (checked.by_load && checked.by_load->action == decision::plain_action::wait)
+        count_decision(request, *checked.by_load);
+}
+
+bool may_wait(gateway_request& request) {
+    return time_left(request) > 0ms && !request.cancellation->is_caller_gone &&
+           reason_to_stop(request) == nullptr;
 }
 
 /// Counts a refusal because of the upstreams' load.
@@ -198,11 +225,9 @@
 }
 
 decision::plain_decision decide_in_queue(gateway_request& request) {
-    decision::plain_decision decision = decide_by_load(request, 0);
-    if (decision.action == decision::plain_action::choose_without_load)
-        return decision;
-    const int ahead = count_ahead(request, queue_position_of(request, decision));
-    return ahead == 0 ? decision : decide_by_load(request, ahead);
+    return decide_by_load(request, [&request](base::duration in_time) {
+        return count_ahead(request, queue_position_of(request, in_time));
+    });
 }
 
 void did_end_plain_request(gateway_state& state, const std::string& service) {
@@ -210,8 +235,9 @@
     if (queue == state.send_slot_queues.end() || queue->second.waiters.empty())
         return;
     std::uniform_real_distribution<double> draw(0, 1);
-    if (draw(state.random) >=
-        decision::replacement_probability(state.instances, service, count_competing_hosts(state)))
+    const double probability = decision::replacement_probability(
+        state.instances, service, plain_members_of(state, service), count_competing_hosts(state));
+    if (draw(state.random) >= probability)
         return;
     queue->second.next_release = {};
     wake_head(queue->second, state.clock->now());
@@ -223,22 +249,16 @@
     send_slot_queue& queue = state.send_slot_queues[request.service];
     const decision::queue_position last = decision::last_position(state.clock->now());
     const auto position_after = [&](const queue_check& checked) {
-        return checked.by_load ? queue_position_of(request, *checked.by_load) : last;
+        return checked.by_load ? queue_position_of(request, checked.by_load->in_time) : last;
     };
-    queue_check next = decided ? check_of(request, *decided) : check(request, 0);
-    if (const int ahead = decided ? 0 : count_ahead(request, position_after(next)); ahead > 0)
-        next = check(request, ahead);
+    queue_check next = decided ? check_of(request, *decided) : check_on_arrival(request, last);
     if (!next.is_worth_waiting)
         return give_up(request, next);
-    state.metrics->count("waited_for_opening_total");
-    if (next.by_load && next.by_load->action == decision::plain_action::wait)
-        count_decision(request, *next.by_load);
+    count_wait(request, next);
     wire::boot_timer timer(*state.context);
     queue_entry entry(request, queue, timer);
-    entry.set_due(next.due);
-    entry.set_position(position_after(next));
-    while (time_left(request) > 0ms && !request.cancellation->is_caller_gone &&
-           reason_to_stop(request) == nullptr) {
+    entry.update(next.due, position_after(next));
+    while (may_wait(request)) {
         const bool was_first = entry.is_first();
         const base::duration pause = next.by_load && !was_first ? entry.pause_behind() : next.pause;
         timer.expires_after(std::min<base::duration>(pause, time_left(request)));
@@ -256,8 +276,7 @@
         next = check(request, entry.ahead());
         if (!next.is_worth_waiting)
             return give_up(request, next);
-        entry.set_due(next.due);
-        entry.set_position(position_after(next));
+        entry.update(next.due, position_after(next));
         if (is_first && !entry.is_first())
             entry.wake_next();
         if (next.may_send && entry.is_due() && try_release(queue, next, state.clock->now()))
--- a/libraries/gateway/upstream_load_exchange.cpp
+++ b/libraries/gateway/upstream_load_exchange.cpp
@@ -76,6 +76,11 @@
     if (!this->state->process->policy.admit_by_load)
         return;
     const base::time_point now = this->state->clock->now();
+    decision::competing_hosts& competing = this->state->plain_loads.competing;
+    if (report.loads.empty())
+        decision::remove_competing_host(competing, report.host);
+    else
+        decision::record_competing_host(competing, report.host, now + reported_age);
     for (const host::observed_load& observed : report.loads) {
         decision::instance* const target =
             host::find_by_key(this->state->instances, this->state->loads, observed.key);
@@ -114,11 +119,8 @@
         state.plain_loads.on_report_due();
 }
 
-int count_competing_hosts(const gateway_state& state) {
-    const base::time_point now = state.clock->now();
-    return 1 + static_cast<int>(std::ranges::count_if(state.loads.by_host, [now](const auto& known) {
-               return !known.second.report.loads.empty() && now - known.second.received_at < reported_age;
-           }));
+int count_competing_hosts(gateway_state& state) {
+    return 1 + decision::count_competing_hosts(state.plain_loads.competing, state.clock->now());
 }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/upstream_load_exchange.h
+++ b/libraries/gateway/upstream_load_exchange.h
@@ -36,6 +36,6 @@
 void did_hold_plain_request(gateway_state& state);
 
 /// Hosts that recently received loads of plain upstreams, including this one.
-[[nodiscard]] int count_competing_hosts(const gateway_state& state);
+[[nodiscard]] int count_competing_hosts(gateway_state& state);
 
 } // namespace postpaddle::gateway
--- a/tests/decision/test_plain_admission.cpp
+++ b/tests/decision/test_plain_admission.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Requests to plain upstreams that report their load. Guards against requests that are sent to full upstreams
 // and refused there, and against requests that are held although they can't be served.
+#include <decision/overload/competing_hosts.h>
 #include <decision/overload/plain_admission.h>
 
 #include <catch2/catch.hpp>
@@ -451,3 +452,56 @@
     decision::receive_plain_load(known, make_load(5), now + 9ms, now + 14ms, {"one"});
     CHECK(decision::plain_requests(known, now + 15ms) == 5);
 }
+
+// Guards against a host that takes too many or too few slots because it miscounts the hosts in a burst.
+TEST_CASE("hosts that compete for plain upstreams are counted up to the end of their latest report") {
+    std::mt19937_64 random(5);
+    const auto draw = [&random](int most) { return std::uniform_int_distribution(0, most)(random); };
+    decision::competing_hosts counted;
+    std::map<base::host_id, base::time_point> latest;
+    base::time_point time = now;
+    for (int step = 0; step < 5'000; ++step) {
+        CAPTURE(step);
+        time += std::chrono::milliseconds(draw(10));
+        const base::host_id host = {std::to_string(draw(90))};
+        latest[host] = draw(3) == 0 ? time : time + 250ms;
+        if (latest[host] == time)
+            decision::remove_competing_host(counted, host);
+        else
+            decision::record_competing_host(counted, host, latest[host]);
+        if (draw(1) == 0)
+            continue;
+        const auto expected =
+            std::ranges::count_if(latest, [time](const auto& known) { return time < known.second; });
+        REQUIRE(decision::count_competing_hosts(counted, time) == expected);
+    }
+    CHECK(decision::count_competing_hosts(counted, time + 250ms) == 0);
+    CHECK(counted.until.empty());
+}
+
+// Guards against requests that are held although too many are ahead of them.
+TEST_CASE("a decision on a plain request that counts the queue itself is the same as with that number") {
+    std::mt19937_64 random(11);
+    const auto draw = [&random](int most) { return std::uniform_int_distribution(0, most)(random); };
+    for (unsigned round = 0; round < 1'000; ++round) {
+        CAPTURE(round);
+        auto table = make_table({make_load(draw(6), draw(12)), make_load(6, draw(12), 50 + draw(250))});
+        limit_queues(table, draw(8));
+        decision::plain_request request = make_request();
+        request.waited = std::chrono::milliseconds(draw(600));
+        request.ahead = draw(decision::max_plain_waiting);
+        const auto expected = decide(table, request, now, round);
+        std::mt19937_64 same(round);
+        std::optional<base::duration> in_time;
+        const auto count = [&](base::duration given) {
+            in_time = given;
+            return request.ahead;
+        };
+        auto uncounted = request;
+        uncounted.ahead = 0;
+        const auto decision = decision::decide_plain(table, decision::members_of(table, "service"),
+                                                     make_context(), uncounted, same, count);
+        REQUIRE(decision == expected);
+        REQUIRE(in_time == decision.in_time);
+    }
+}
