--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -57,8 +57,8 @@
 class queue_entry {
 public:
     queue_entry(const gateway_request& request, send_slot_queue& queue, wire::boot_timer& timer)
-        : state(request.state), cancellation(request.cancellation), queue(&queue),
-          waiter{.wake = &timer, .request = &request} {
+        : state(request.state), cancellation(request.cancellation),
+          queue(&queue), waiter{.wake = &timer, .request = &request} {
         queue.waiters.push_back(&this->waiter);
         this->cancellation->wait = &timer;
     }
