gateway: Split the stream relay by duty

Cause: stream_relay::run had 60 lines and handle_answer 48, each with several duties; the send to a prefill engine and the wait for an engine that processes the prompt itself stood among the relaying of events.

Change: the two are modules of their own, prefill_send and colocated_engine. run loops over attempt(); the steps of an attempt, of receiving an answer and of forwarding an event are functions named by duty. No behaviour changes.

--- /dev/null
+++ b/libraries/gateway/prefill_send.h
@@ -0,0 +1,15 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <gateway/retained_cache.h>
+
+namespace postpaddle::gateway {
+
+/// Sends the request's prompt to a prefill engine and has `retained` take charge of the KV cache that the
+/// engine retains. Records how long the engine took. Returns false, and excludes the engine from further
+/// attempts, if the prompt was not processed.
+[[nodiscard]] bool send_prefill(gateway_request& request, const base::upstream_id& engine,
+                                const decision::prompt_size& size, base::time_point deadline,
+                                retained_cache& retained, wire::yield_context yield);
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -1,9 +1,11 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/stream_relay.h>
 
+#include <base/try.h>
 #include <decision/stream_rules.h>
 #include <gateway/caller_identity.h>
 #include <gateway/pace_exchange.h>
+#include <gateway/prefill_send.h>
 #include <gateway/prefix_cache_lookup.h>
 #include <gateway/request_quarantine.h>
 
@@ -21,8 +23,6 @@
 constexpr int max_prefills = 2;
 /// Number of events over which the event interval is measured; enough to average out the first pause.
 constexpr int measured_events = 10;
-/// Poll interval while waiting for room at a decode engine. Each poll looks at all engines.
-constexpr base::duration room_poll_interval = 100ms;
 
 /// Deadline of one step, capped by the request's deadline.
 base::time_point step_deadline(const gateway_request& request, base::duration expected) {
@@ -41,34 +41,15 @@
         release_reserved_retries(*this->request);
     }
     if (this->has_started || this->prompts_sent >= max_prefills)
-        return this->await_colocated_engine(yield);
+        return await_colocated_engine(*this->request, this->size, this->colocated_wait(), yield);
     engine_slot_result result = await_engine_slot(*this->request, this->size, yield);
     if (!result.plan)
         this->reason = result.reason;
     return result.plan;
 }
 
-std::optional<decision::engine_plan> stream_relay::await_colocated_engine(wire::yield_context yield) {
-    gateway_state& state = *this->request->state;
-    const base::time_point last_look =
-        state.clock->now() + decision::idle_timeout(this->request->route->gap_target);
-    wire::boot_timer timer(*state.context);
-    bool has_waited = false;
-    while (true) {
-        // A send after the deadline would fail at once and count against a healthy engine.
-        if (time_left(*this->request) <= 0ms || this->request->cancellation->is_caller_gone)
-            return std::nullopt;
-        auto plan = decision::choose_colocated(state.instances, choice_context_of(*this->request),
-                                               capacity_of(*this->request), this->size, state.random);
-        if (!this->avoids_wasted_prefills || !plan || plan->has_room || state.clock->now() >= last_look)
-            return plan;
-        if (!std::exchange(has_waited, true))
-            state.metrics->count("waits_for_decode_room_total");
-        const base::duration until_last_look = last_look - state.clock->now();
-        timer.expires_after(std::min({room_poll_interval, until_last_look, time_left(*this->request)}));
-        wire::error_code ignored;
-        timer.async_wait(yield[ignored]);
-    }
+room_wait stream_relay::colocated_wait() const {
+    return this->avoids_wasted_prefills ? room_wait::until_idle_timeout : room_wait::none;
 }
 
 double stream_relay::memory_after(int events) const {
@@ -93,43 +74,6 @@
     this->reservation.emplace(*this->request->state, plan.decode, this->use_at(plan));
 }
 
-bool stream_relay::run_prefill(const decision::engine_plan& plan, wire::yield_context yield) {
-    gateway_state& state = *this->request->state;
-    const base::time_point deadline = step_deadline(*this->request, plan.expected_prefill);
-    const ports::upstream_attempt send = {
-        .instance = *plan.prefill,
-        .purpose = ports::attempt_purpose::prefill,
-        .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(*this->request))};
-    ++this->prompts_sent;
-    const decision::instance* const chosen = decision::find_instance(state.instances, *plan.prefill);
-    const double tokens_before = chosen == nullptr ? 0 : decision::pending_prompt_tokens(*chosen);
-    scoped_instance_use work(state, *plan.prefill,
-                             {.requests = 1, .prompt_tokens = this->size.prompt_tokens});
-    exchange_result exchange = send_to_instance(*this->request, send, deadline, yield);
-    if (exchange.result == attempt_result::answered || exchange.result == attempt_result::not_run) {
-        const std::string body = read_body(exchange, deadline, yield);
-        auto handle = state.protocol.read_handle(body);
-        if (exchange.result == attempt_result::answered && handle)
-            this->retained.retain({*plan.prefill, exchange.address, std::move(*handle)});
-        else if (exchange.result == attempt_result::answered)
-            exchange.result = attempt_result::broken;
-    }
-    work.did_read_prompt();
-    end_exchange(*this->request, send, exchange);
-    detect_upstream_exit(*this->request, send, exchange, yield);
-    decision::instance* const target = decision::find_instance(state.instances, *plan.prefill);
-    if (this->retained.has_value() && target != nullptr) {
-        const decision::prefill_sample sample = {.prompt_tokens = this->size.prompt_tokens,
-                                                 .tokens_ahead = tokens_before,
-                                                 .taken = state.clock->now() - exchange.sent};
-        record_prefill_pace(*this->request, *target, sample);
-        decision::record_prefill(*target, profile_of(*this->request).speed, sample, state.clock->now());
-    }
-    if (!this->retained.has_value())
-        this->request->tried.insert(*plan.prefill);
-    return this->retained.has_value();
-}
-
 std::optional<request_ending> stream_relay::decode(const decision::engine_plan& plan,
                                                    wire::yield_context yield) {
     const ports::upstream_attempt send = {
@@ -170,22 +114,9 @@
                                                           const ports::upstream_attempt& send,
                                                           base::time_point deadline,
                                                           wire::yield_context yield) {
-    stream_end end = stream_end::broken;
-    std::string body;
     const int events_before = this->events_forwarded;
-    const bool is_stream = exchange.result == attempt_result::answered && exchange.head.status == ok_status;
-    if (is_stream && exchange.facts.is_sealed)
-        end = this->relay_events(exchange, deadline, yield);
-    else if (is_stream)
-        exchange.detail = "answer without a valid seal";
-    else if (exchange.head.status != 0 && exchange.result != attempt_result::broken)
-        body = read_body(exchange, deadline, yield);
-    if (is_stream && end == stream_end::broken && exchange.result == attempt_result::answered)
-        exchange.result = attempt_result::broken;
-    if (exchange.result == attempt_result::not_run && this->retained.has_value())
-        this->retained.did_refuse(send.instance, exchange.facts, this->size);
-    else if (exchange.result != attempt_result::not_connected)
-        this->retained.forget();
+    received_answer answer = this->receive_answer(exchange, deadline, yield);
+    this->update_retained(send.instance, exchange);
     end_exchange(*this->request, send, exchange);
     // Events were received, so the upstream did not crash when it started on the request.
     if (this->events_forwarded == events_before)
@@ -197,20 +128,49 @@
     if (exchange.result == attempt_result::answered)
         this->did_end();
     this->reason = decision::to_text(exchange.result);
+    return this->ending_after(exchange, std::move(answer), yield);
+}
+
+stream_relay::received_answer stream_relay::receive_answer(exchange_result& exchange,
+                                                           base::time_point deadline,
+                                                           wire::yield_context yield) {
+    received_answer answer;
+    const bool is_stream = exchange.result == attempt_result::answered && exchange.head.status == ok_status;
+    if (is_stream && exchange.facts.is_sealed)
+        answer.stream = this->relay_events(exchange, deadline, yield);
+    else if (is_stream)
+        exchange.detail = "answer without a valid seal";
+    else if (exchange.head.status != 0 && exchange.result != attempt_result::broken)
+        answer.body = read_body(exchange, deadline, yield);
+    if (is_stream && answer.stream == stream_end::broken && exchange.result == attempt_result::answered)
+        exchange.result = attempt_result::broken;
+    return answer;
+}
+
+void stream_relay::update_retained(const base::upstream_id& engine, const exchange_result& exchange) {
+    if (exchange.result == attempt_result::not_run && this->retained.has_value())
+        this->retained.did_refuse(engine, exchange.facts, this->size);
+    else if (exchange.result != attempt_result::not_connected)
+        this->retained.forget();
+}
+
+std::optional<request_ending> stream_relay::ending_after(const exchange_result& exchange,
+                                                         received_answer answer, wire::yield_context yield) {
     // Must precede the check for a disconnect: a client may close its connection once it has the complete
     // stream.
-    if (is_stream && end == stream_end::complete) {
+    if (answer.stream == stream_end::complete) {
         this->did_complete_stream();
         return request_ending::passed_on;
     }
-    if (this->request->cancellation->is_caller_gone || end == stream_end::caller_gone)
+    if (this->request->cancellation->is_caller_gone || answer.stream == stream_end::caller_gone)
         return request_ending::caller_gone;
     if (exchange.result == attempt_result::answered)
-        return this->has_started ? this->end_with_failure(yield)
-                                 : forward_answer(*this->request, exchange.head, std::move(body), yield);
+        return this->has_started
+                   ? this->end_with_failure(yield)
+                   : forward_answer(*this->request, exchange.head, std::move(answer.body), yield);
     if (exchange.result == attempt_result::server_error) {
         this->failure = exchange;
-        this->failure_body = std::move(body);
+        this->failure_body = std::move(answer.body);
     }
     return std::nullopt;
 }
@@ -269,28 +229,35 @@
     return this->request->connection->end_stream(yield) ? stream_end::complete : stream_end::caller_gone;
 }
 
+void stream_relay::did_receive_event() {
+    this->reservation->did_read_prompt();
+    if (const auto sent = std::exchange(this->transfer_started, std::nullopt))
+        decision::add_sample(profile_of(*this->request).speed.first_event,
+                             base::to_seconds(this->request->state->clock->now() - *sent));
+    ++this->events_forwarded;
+    if (this->events_forwarded == measured_events)
+        this->learn_event_interval(measured_events);
+    this->reservation->grow_memory(this->memory_after(this->events_forwarded));
+}
+
+void stream_relay::begin_stream() {
+    wire::remove_connection_headers(this->first_head.headers);
+    this->request->connection->begin_stream(this->first_head);
+    this->has_started = true;
+    this->request->first_event = this->request->state->clock->now() - this->request->arrived;
+    this->request->state->metrics->observe("first_event_seconds", *this->request->first_event);
+}
+
 bool stream_relay::forward_events(wire::event_splitter& events) {
     while (const auto event = events.next()) {
-        this->reservation->did_read_prompt();
-        if (const auto sent = std::exchange(this->transfer_started, std::nullopt))
-            decision::add_sample(profile_of(*this->request).speed.first_event,
-                                 base::to_seconds(this->request->state->clock->now() - *sent));
-        ++this->events_forwarded;
-        if (this->events_forwarded == measured_events)
-            this->learn_event_interval(measured_events);
-        this->reservation->grow_memory(this->memory_after(this->events_forwarded));
+        this->did_receive_event();
         const bool is_duplicate = event->id && this->last_event && *event->id <= *this->last_event;
         if (is_duplicate)
             continue;
         if (event->id)
             this->last_event = event->id;
-        if (!this->has_started) {
-            wire::remove_connection_headers(this->first_head.headers);
-            this->request->connection->begin_stream(this->first_head);
-            this->has_started = true;
-            this->request->first_event = this->request->state->clock->now() - this->request->arrived;
-            this->request->state->metrics->observe("first_event_seconds", *this->request->first_event);
-        }
+        if (!this->has_started)
+            this->begin_stream();
         if (!this->request->connection->append(event->text))
             return false;
     }
@@ -330,7 +297,7 @@
 
 bool stream_relay::skip_prefill(decision::engine_plan& plan, wire::yield_context yield) {
     this->reservation.reset();
-    const auto colocated = this->await_colocated_engine(yield);
+    const auto colocated = await_colocated_engine(*this->request, this->size, this->colocated_wait(), yield);
     if (!colocated)
         return false;
     plan = *colocated;
@@ -360,12 +327,18 @@
     decode_reservation before;
     if (this->avoids_wasted_prefills)
         before = describe_reservation(*this->request->state, plan, this->use_at(plan));
-    if (!this->run_prefill(plan, yield))
+    ++this->prompts_sent;
+    const base::time_point deadline = step_deadline(*this->request, plan.expected_prefill);
+    if (!send_prefill(*this->request, *plan.prefill, this->size, deadline, this->retained, yield))
         return false;
     if (this->avoids_wasted_prefills && !this->request->cancellation->is_caller_gone)
         this->recheck(plan, before);
+    return this->is_usable(plan.decode);
+}
+
+bool stream_relay::is_usable(const base::upstream_id& engine) const {
     const decision::instance_table& instances = this->request->state->instances;
-    const auto decode = instances.by_id.find(plan.decode);
+    const auto decode = instances.by_id.find(engine);
     return decode != instances.by_id.end() && decode->second.state == decision::listing::listed &&
            decision::check_placement(instances, placement_limits_of(*this->request), decode->second,
                                      this->request->state->clock->now()) ==
@@ -379,7 +352,7 @@
     release_reserved_retries(*this->request);
 }
 
-request_ending stream_relay::run(wire::yield_context yield) {
+void stream_relay::record_demand() {
     decision::service_profile& profile = profile_of(*this->request);
     this->size = {this->request->routed.prompt_tokens,
                   decision::expected_output(this->request->routed.output_hint, profile.output_tokens.value,
@@ -387,51 +360,82 @@
     // Seeds the estimate from the client's hint before any stream has completed.
     decision::add_sample(profile.output_tokens, this->request->routed.output_hint);
     decision::add_sample(profile.prompt_tokens, this->size.prompt_tokens);
-    this->last_event = this->request->routed.resume_after;
-    this->request->reserves_retries = this->avoids_wasted_prefills;
+}
+
+void stream_relay::find_held_prompt(wire::yield_context yield) {
     const settings::gateway_policy& policy = this->request->state->process->policy;
     if (policy.find_retained_prompts && this->request->first_try < this->request->arrived)
         this->request->holding = find_engines_holding(*this->request, yield);
-    while (time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone) {
-        this->reservation.reset();
-        if (!this->retained.has_value())
-            release_reserved_retries(*this->request);
-        // Wait before the choice, so that no engine's capacity is reserved meanwhile.
-        await_exit_checks(*this->request, yield);
-        if (time_left(*this->request) <= 0ms || this->request->cancellation->is_caller_gone)
-            break;
-        auto plan = this->next_plan(yield);
-        if (!plan)
-            break;
-        // Another attempt of the same request may have failed during the wait for the plan.
-        if (is_exit_check_pending(*this->request))
-            continue;
-        // Reserve before anything waits again: the engine's capacity is known to be free only now.
-        this->reserve(*plan);
-        if (const char* const stop = reason_to_stop(*this->request)) {
-            this->reason = stop;
-            break;
-        }
-        if (!this->prepare_plan(*plan, yield))
-            continue;
-        if (this->request->cancellation->is_caller_gone)
-            break;
-        // State may have changed while the prompt was processed.
-        if (const char* const stop = reason_to_stop(*this->request)) {
-            this->reason = stop;
-            break;
-        }
-        if (!try_charge_send(*this->request)) {
-            this->reason = "no budget for another engine";
-            break;
-        }
-        const auto ending = this->decode(*plan, yield);
+}
+
+bool stream_relay::is_caller_waiting() const {
+    return time_left(*this->request) > 0ms && !this->request->cancellation->is_caller_gone;
+}
+
+tl::expected<void, stream_relay::failed_attempt> stream_relay::check_may_continue() {
+    const char* const stop = reason_to_stop(*this->request);
+    if (stop == nullptr)
+        return {};
+    this->reason = stop;
+    return tl::make_unexpected(failed_attempt::give_up);
+}
+
+tl::expected<void, stream_relay::failed_attempt> stream_relay::charge_send() {
+    if (try_charge_send(*this->request))
+        return {};
+    this->reason = "no budget for another engine";
+    return tl::make_unexpected(failed_attempt::give_up);
+}
+
+tl::expected<decision::engine_plan, stream_relay::failed_attempt>
+stream_relay::reserve_next_plan(wire::yield_context yield) {
+    this->reservation.reset();
+    if (!this->retained.has_value())
+        release_reserved_retries(*this->request);
+    // Wait before the choice, so that no engine's capacity is reserved meanwhile.
+    await_exit_checks(*this->request, yield);
+    if (!this->is_caller_waiting())
+        return tl::make_unexpected(failed_attempt::give_up);
+    const auto plan = this->next_plan(yield);
+    if (!plan)
+        return tl::make_unexpected(failed_attempt::give_up);
+    // Another attempt of the same request may have failed during the wait for the plan.
+    if (is_exit_check_pending(*this->request))
+        return tl::make_unexpected(failed_attempt::try_again);
+    // Reserve before anything waits again: the engine's capacity is known to be free only now.
+    this->reserve(*plan);
+    return *plan;
+}
+
+tl::expected<request_ending, stream_relay::failed_attempt> stream_relay::attempt(wire::yield_context yield) {
+    POSTPADDLE_TRY(plan, this->reserve_next_plan(yield));
+    POSTPADDLE_TRY_VOID(this->check_may_continue());
+    if (!this->prepare_plan(plan, yield))
+        return tl::make_unexpected(failed_attempt::try_again);
+    if (this->request->cancellation->is_caller_gone)
+        return tl::make_unexpected(failed_attempt::give_up);
+    // State may have changed while the prompt was processed.
+    POSTPADDLE_TRY_VOID(this->check_may_continue());
+    POSTPADDLE_TRY_VOID(this->charge_send());
+    if (const auto ending = this->decode(plan, yield))
+        return *ending;
+    this->exclude_failed_engine(plan.decode, yield);
+    const bool may_retry = decision::may_retry(this->request->record, this->last_result);
+    return tl::make_unexpected(may_retry ? failed_attempt::try_again : failed_attempt::give_up);
+}
+
+request_ending stream_relay::run(wire::yield_context yield) {
+    this->record_demand();
+    this->last_event = this->request->routed.resume_after;
+    this->request->reserves_retries = this->avoids_wasted_prefills;
+    this->find_held_prompt(yield);
+    while (this->is_caller_waiting()) {
+        const auto ending = this->attempt(yield);
         if (ending) {
             this->did_end();
             return *ending;
         }
-        this->exclude_failed_engine(plan->decode, yield);
-        if (!decision::may_retry(this->request->record, this->last_result))
+        if (ending.error() == failed_attempt::give_up)
             break;
     }
     this->did_end();
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <gateway/colocated_engine.h>
 #include <gateway/decode_engine_recheck.h>
 #include <gateway/engine_slot.h>
 #include <gateway/gateway_request.h>
@@ -8,6 +9,8 @@
 #include <gateway/upstream_exchange.h>
 #include <wire/event_splitter.h>
 
+#include <tl/expected.hpp>
+
 #include <optional>
 
 namespace postpaddle::gateway {
@@ -28,11 +31,28 @@
 private:
     enum class stream_end { complete, broken, caller_gone };
 
+    /// Whether to make another attempt after one that did not end the request.
+    enum class failed_attempt { try_again, give_up };
+    /// What was received after the head of an answer.
+    struct received_answer {
+        stream_end stream = stream_end::broken;
+        std::string body; ///< Of an answer that is not a stream.
+    };
+
+    /// Determines the request's size and records it in the service's estimates.
+    void record_demand();
+    /// Asks which engines hold the prompt, if its caller has sent the request before.
+    void find_held_prompt(wire::yield_context yield);
+    [[nodiscard]] bool is_caller_waiting() const;
+    /// One attempt: choice and reservation of the engines, prefill and decode.
+    [[nodiscard]] tl::expected<request_ending, failed_attempt> attempt(wire::yield_context yield);
+    [[nodiscard]] tl::expected<decision::engine_plan, failed_attempt>
+    reserve_next_plan(wire::yield_context yield);
+    /// Fails if the request must not be sent any more, see `reason_to_stop`.
+    [[nodiscard]] tl::expected<void, failed_attempt> check_may_continue();
+    [[nodiscard]] tl::expected<void, failed_attempt> charge_send();
     [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
-    /// A decode engine that processes the prompt itself. If wasted prefills are avoided, waits for one with
-    /// room for up to `decision::idle_timeout` of the route, as an engine without room would refuse the
-    /// request, at the retry budget's cost.
-    [[nodiscard]] std::optional<decision::engine_plan> await_colocated_engine(wire::yield_context yield);
+    [[nodiscard]] room_wait colocated_wait() const;
     /// Has the prompt processed where the plan has a prefill engine for it. May replace the decode engine.
     [[nodiscard]] bool prepare_plan(decision::engine_plan& plan, wire::yield_context yield);
     /// Makes the plan one without a prefill engine, which needs a single send. Returns whether it could.
@@ -43,16 +63,27 @@
     void reserve(const decision::engine_plan& plan);
     [[nodiscard]] decision::instance_use use_at(const decision::engine_plan& plan) const;
     [[nodiscard]] double memory_after(int events) const;
-    [[nodiscard]] bool run_prefill(const decision::engine_plan& plan, wire::yield_context yield);
+    /// Whether the engine may still be sent work.
+    [[nodiscard]] bool is_usable(const base::upstream_id& engine) const;
     [[nodiscard]] std::optional<request_ending> decode(const decision::engine_plan& plan,
                                                        wire::yield_context yield);
     [[nodiscard]] std::optional<request_ending> handle_answer(exchange_result& exchange,
                                                               const ports::upstream_attempt& send,
                                                               base::time_point deadline,
                                                               wire::yield_context yield);
+    /// Relays the events of a stream, or reads the body of another answer.
+    [[nodiscard]] received_answer receive_answer(exchange_result& exchange, base::time_point deadline,
+                                                 wire::yield_context yield);
+    /// Keeps the retained cache only where the decode engine has not fetched it.
+    void update_retained(const base::upstream_id& engine, const exchange_result& exchange);
+    /// How the request ends with the answer; nullopt if it may be attempted again.
+    [[nodiscard]] std::optional<request_ending>
+    ending_after(const exchange_result& exchange, received_answer answer, wire::yield_context yield);
     [[nodiscard]] stream_end relay_events(exchange_result& exchange, base::time_point deadline,
                                           wire::yield_context yield);
     [[nodiscard]] bool forward_events(wire::event_splitter& events);
+    void did_receive_event();
+    void begin_stream();
     void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
     void did_complete_stream();
     /// Releases what the request still holds elsewhere: before it waits for a caller that may read slowly.
