gateway: Move what streams teach about engines out of the stream relay

Cause: the relay also kept the service's estimates: demand, event interval, output and what a refusal says of an engine's memory.

No behaviour changes.

Measured: the 34 cases of test_streams, test_fatal_requests and test_upstream_backoff in test_gateway pass (190 assertions).

--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -4,7 +4,6 @@
 #include <base/try.h>
 #include <decision/stream_rules.h>
 #include <gateway/caller_identity.h>
-#include <gateway/pace_exchange.h>
 #include <gateway/prefill_send.h>
 #include <gateway/prefix_cache_lookup.h>
 #include <gateway/request_quarantine.h>
@@ -21,8 +20,6 @@
 constexpr int ok_status = 200;
 /// Maximum number of times a request's prompt is sent to prefill engines.
 constexpr int max_prefills = 2;
-/// Number of events over which the event interval is measured; enough to average out the first pause.
-constexpr int measured_events = 10;
 
 /// Deadline of one step, capped by the request's deadline.
 base::time_point step_deadline(const gateway_request& request, base::duration expected) {
@@ -92,24 +89,6 @@
     return this->handle_answer(exchange, send, deadline, yield);
 }
 
-void stream_relay::did_refuse(const base::upstream_id& id, const ports::answer_facts& facts) {
-    gateway_state& state = *this->request->state;
-    const settings::engine_capacity capacity = capacity_of(*this->request);
-    decision::instance* const target = decision::find_instance(state.instances, id);
-    if (target == nullptr || facts.backoff)
-        return;
-    if (!decision::may_be_full(facts.load, capacity, this->size)) {
-        decision::record_spurious_refusal(*target);
-        return;
-    }
-    if (!state.process->policy.infer_unreported_memory)
-        return;
-    // This request's reservation still counts as used: add it to get the memory that seemed free.
-    const base::time_point now = state.clock->now();
-    const double reserved = this->memory_after(this->events_forwarded);
-    decision::record_refusal(*target, decision::available_memory(*target, capacity, now) + reserved, now);
-}
-
 std::optional<request_ending> stream_relay::handle_answer(exchange_result& exchange,
                                                           const ports::upstream_attempt& send,
                                                           base::time_point deadline,
@@ -122,7 +101,8 @@
     if (this->events_forwarded == events_before)
         detect_upstream_exit(*this->request, send, exchange, yield);
     if (exchange.result == attempt_result::not_run)
-        this->did_refuse(send.instance, exchange.facts);
+        record_stream_refusal(*this->request, send.instance, exchange.facts, this->size,
+                              this->memory_after(this->events_forwarded));
     this->last_result = exchange.result;
     // No further send follows. Release now, as a slow caller may take long to read the answer.
     if (exchange.result == attempt_result::answered)
@@ -159,7 +139,8 @@
     // Must precede the check for a disconnect: a client may close its connection once it has the complete
     // stream.
     if (answer.stream == stream_end::complete) {
-        this->did_complete_stream();
+        record_success(*this->request);
+        record_complete_stream(*this->request, this->events_so_far());
         return request_ending::passed_on;
     }
     if (this->request->cancellation->is_caller_gone || answer.stream == stream_end::caller_gone)
@@ -175,30 +156,6 @@
     return std::nullopt;
 }
 
-void stream_relay::did_complete_stream() {
-    record_success(*this->request);
-    decision::service_profile& profile = profile_of(*this->request);
-    if (this->events_forwarded < measured_events)
-        this->learn_event_interval(this->events_forwarded);
-    if (this->request->routed.output_hint <= 0)
-        decision::add_sample(profile.output_tokens, static_cast<double>(this->events_forwarded) *
-                                                        capacity_of(*this->request).tokens_per_event);
-}
-
-void stream_relay::learn_event_interval(int events) {
-    if (!this->request->first_event || events < 2)
-        return;
-    decision::service_profile& profile = profile_of(*this->request);
-    const base::time_point first_event_at = this->request->arrived + *this->request->first_event;
-    const double interval =
-        base::to_seconds(this->request->state->clock->now() - first_event_at) / (events - 1);
-    // Events before a resume came from another engine, and a few events say little about the engine.
-    if (!this->is_resumed && events == measured_events)
-        record_decode_pace(*this->request, this->decode_engine, interval, first_event_at);
-    decision::add_sample(profile.event_seconds, interval);
-    ++profile.streams_timed;
-}
-
 stream_relay::stream_end stream_relay::relay_events(exchange_result& exchange, base::time_point deadline,
                                                     wire::yield_context yield) {
     wire::event_splitter events;
@@ -229,6 +186,10 @@
     return this->request->connection->end_stream(yield) ? stream_end::complete : stream_end::caller_gone;
 }
 
+stream_events stream_relay::events_so_far() const {
+    return {.count = this->events_forwarded, .engine = this->decode_engine, .is_resumed = this->is_resumed};
+}
+
 void stream_relay::did_receive_event() {
     this->reservation->did_read_prompt();
     if (const auto sent = std::exchange(this->transfer_started, std::nullopt))
@@ -236,7 +197,7 @@
                              base::to_seconds(this->request->state->clock->now() - *sent));
     ++this->events_forwarded;
     if (this->events_forwarded == measured_events)
-        this->learn_event_interval(measured_events);
+        record_event_interval(*this->request, this->events_so_far());
     this->reservation->grow_memory(this->memory_after(this->events_forwarded));
 }
 
@@ -352,16 +313,6 @@
     release_reserved_retries(*this->request);
 }
 
-void stream_relay::record_demand() {
-    decision::service_profile& profile = profile_of(*this->request);
-    this->size = {this->request->routed.prompt_tokens,
-                  decision::expected_output(this->request->routed.output_hint, profile.output_tokens.value,
-                                            this->request->routed.output_tokens)};
-    // Seeds the estimate from the client's hint before any stream has completed.
-    decision::add_sample(profile.output_tokens, this->request->routed.output_hint);
-    decision::add_sample(profile.prompt_tokens, this->size.prompt_tokens);
-}
-
 void stream_relay::find_held_prompt(wire::yield_context yield) {
     const settings::gateway_policy& policy = this->request->state->process->policy;
     if (policy.find_retained_prompts && this->request->first_try < this->request->arrived)
@@ -425,7 +376,7 @@
 }
 
 request_ending stream_relay::run(wire::yield_context yield) {
-    this->record_demand();
+    this->size = record_demand(*this->request);
     this->last_event = this->request->routed.resume_after;
     this->request->reserves_retries = this->avoids_wasted_prefills;
     this->find_held_prompt(yield);
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -6,6 +6,7 @@
 #include <gateway/engine_slot.h>
 #include <gateway/gateway_request.h>
 #include <gateway/retained_cache.h>
+#include <gateway/stream_estimates.h>
 #include <gateway/upstream_exchange.h>
 #include <wire/event_splitter.h>
 
@@ -39,8 +40,6 @@
         std::string body; ///< Of an answer that is not a stream.
     };
 
-    /// Determines the request's size and records it in the service's estimates.
-    void record_demand();
     /// Asks which engines hold the prompt, if its caller has sent the request before.
     void find_held_prompt(wire::yield_context yield);
     [[nodiscard]] bool is_caller_waiting() const;
@@ -82,14 +81,11 @@
     [[nodiscard]] stream_end relay_events(exchange_result& exchange, base::time_point deadline,
                                           wire::yield_context yield);
     [[nodiscard]] bool forward_events(wire::event_splitter& events);
+    [[nodiscard]] stream_events events_so_far() const;
     void did_receive_event();
     void begin_stream();
-    void did_refuse(const base::upstream_id& id, const ports::answer_facts& facts);
-    void did_complete_stream();
     /// Releases what the request still holds elsewhere: before it waits for a caller that may read slowly.
     void did_end();
-    /// Learns the time between events from the first events of the stream.
-    void learn_event_interval(int events);
     [[nodiscard]] base::time_point next_event_deadline() const;
     /// Excludes the engine from further attempts, unless it is alive and still holds the prompt.
     void exclude_failed_engine(const base::upstream_id& engine, wire::yield_context yield);
