--- a/libraries/decision/overload/plain_admission.h
+++ b/libraries/decision/overload/plain_admission.h
@@ -5,6 +5,7 @@
 #include <decision/attempt_rules.h>
 #include <decision/instance_choice.h>
 #include <decision/overload/plain_load.h>
+#include <decision/overload/queue_position.h>
 
 #include <optional>
 #include <random>
@@ -111,22 +112,6 @@
 [[nodiscard]] double replacement_probability(const instance_table& table, const std::string& service,
                                              int competing_hosts);
 
-/// Position of a waiting request in its service's queue.
-struct queue_position {
-    base::time_point since{};                                 ///< First try.
-    base::time_point in_time_until = base::time_point::max(); ///< It can be in time if it is sent by then.
-    base::duration latency_target = base::duration::max();    ///< Its rank improves by one for each of these.
-    int rank = 0;                                             ///< 0 is the most urgent.
-
-    bool operator==(const queue_position&) const = default;
-};
-
-/// Position behind all requests whose position is known from the load.
-[[nodiscard]] queue_position last_position(base::time_point now);
-
-/// Whether `left` is served before `right`: requests that can be in time first, then by rank, then by age.
-[[nodiscard]] bool is_ahead(const queue_position& left, const queue_position& right, base::time_point now);
-
 [[nodiscard]] const char* to_text(plain_action action);
 [[nodiscard]] const char* to_text(plain_reason reason);
 
