decision: Name the two costs of an upstream that hosts avoid by their rules

Cause: ejected_cost was charged by is_avoided, and avoided_cost for each other host's report, whether the upstream is avoided or not.

Change: they are avoided_upstream_cost and unreachable_report_cost, with doc comments that say the difference. No value changes.

--- a/libraries/decision/choice_cost.cpp
+++ b/libraries/decision/choice_cost.cpp
@@ -14,11 +14,12 @@
 constexpr double other_zone_cost = 0.015;
 /// Cost of an upstream with a failure rate of 1.
 constexpr double failure_cost = 0.5;
-/// Cost of an avoided upstream: high enough that every other one is preferred.
-constexpr double ejected_cost = 30;
-/// Cost for each other host that could not reach the upstream recently. Low, as the fault may be on their
-/// side.
-constexpr double avoided_cost = 0.3;
+/// Cost of an upstream that this host avoids now, see `is_avoided`. Charged once, and high enough that
+/// every other one is preferred.
+constexpr double avoided_upstream_cost = 30;
+/// Cost for each other host that could not reach the upstream recently, whether this host avoids it or not.
+/// Low, as the fault may be on their side.
+constexpr double unreachable_report_cost = 0.3;
 /// Random tie-breaker, so that hosts with the same view do not all choose the same upstream.
 constexpr double tie_spread = 0.003;
 /// `choose_spread` draws from this fraction of the candidates, at least two.
@@ -85,8 +86,8 @@
     if (candidate.entry.availability_zone != context.own_zone)
         cost += other_zone_cost;
     if (is_avoided(candidate, context.now))
-        cost += ejected_cost;
-    return cost + avoided_cost * candidate.avoided_by;
+        cost += avoided_upstream_cost;
+    return cost + unreachable_report_cost * candidate.avoided_by;
 }
 
 scored_candidate cheapest(const std::vector<const instance*>& candidates,
