gateway: Call a waiting request's order by one name

Cause: place_of returned a decision::local_waiter for the queue for engine slots, while queue_position_of returned the position in the queue for plain upstreams; a place is also a slot elsewhere (docs/GLOSSARY.md).

Change: place_of is local_waiter_of, after its result, and place_class is position_class. Tests call the new name; their checks are the same. No behaviour changes.

--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -91,7 +91,7 @@
     waiting.in_time = in_time;
     const ordered_waiters& waiters =
         ordered_waiters_of(state, request.service, {.total = slots.total_memory, .free = slots.free_memory});
-    const decision::local_waiter own = place_of(state, waiting, waiters.made_at);
+    const decision::local_waiter own = local_waiter_of(state, waiting, waiters.made_at);
     const auto ahead = waiters.queue->waiters_ahead(own);
     const bool is_ordered = !waiters.queue->order().is_by_age();
     bool has_room = plan->has_room && slots.free_now > static_cast<double>(ahead.size());
--- a/libraries/gateway/engine_slot_waker.cpp
+++ b/libraries/gateway/engine_slot_waker.cpp
@@ -57,11 +57,11 @@
         const decision::decode_slots slots = this->count_slots(*own.front());
         const ordered_waiters& waiters = ordered_waiters_of(
             *this->state, service, {.total = slots.total_memory, .free = slots.free_memory});
-        std::vector<decision::local_waiter> places;
+        std::vector<decision::local_waiter> own_waiters;
         for (const waiting_request* const waiting : own)
-            places.push_back(place_of(*this->state, *waiting, waiters.made_at));
+            own_waiters.push_back(local_waiter_of(*this->state, *waiting, waiters.made_at));
         for (const std::size_t index :
-             decision::head_of_queue(*waiters.queue, places, slots.free_now, max_woken))
+             decision::head_of_queue(*waiters.queue, own_waiters, slots.free_now, max_woken))
             own[index]->wake->cancel();
     }
 }
--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -120,7 +120,7 @@
             report.out_of_service.push_back(host::key_of(id, known.entry.start_time_ms));
     }
     for (const waiting_request* const waiting : this->state->waiting)
-        report.waiters.push_back(decision::to_waiter(place_of(*this->state, *waiting, now)));
+        report.waiters.push_back(decision::to_waiter(local_waiter_of(*this->state, *waiting, now)));
     report.share_tokens = shares_to_report(*this->state);
     this->limits.add_use(report);
     if (now - this->paces_reported_at >= pace_report_interval) {
--- a/libraries/gateway/slot_order.cpp
+++ b/libraries/gateway/slot_order.cpp
@@ -72,7 +72,7 @@
                                          const decision::wait_order& order, base::time_point now) {
     std::vector<decision::waiter> waiters = host::all_waiters(state.loads, now);
     for (const waiting_request* const waiting : state.waiting)
-        waiters.push_back(decision::to_waiter(place_of(state, *waiting, now)));
+        waiters.push_back(decision::to_waiter(local_waiter_of(state, *waiting, now)));
     if (!order.is_by_age())
         std::erase_if(waiters, [&](const decision::waiter& other) {
             return is_of_other_service(state.settings->shares, other.share_key, service);
@@ -134,8 +134,8 @@
     return order;
 }
 
-decision::local_waiter place_of(const gateway_state& state, const waiting_request& request,
-                                base::time_point now) {
+decision::local_waiter local_waiter_of(const gateway_state& state, const waiting_request& request,
+                                       base::time_point now) {
     const decision::waiting_facts facts = {.age = now - request.first_try,
                                            .waited = now - request.arrived,
                                            .in_time = request.in_time,
--- a/libraries/gateway/slot_order.h
+++ b/libraries/gateway/slot_order.h
@@ -22,8 +22,8 @@
 [[nodiscard]] decision::wait_order order_of(const gateway_state& state, const std::string& service);
 
 /// What determines the position of one of this host's requests, as it is reported to the other hosts.
-[[nodiscard]] decision::local_waiter place_of(const gateway_state& state, const waiting_request& request,
-                                              base::time_point now);
+[[nodiscard]] decision::local_waiter local_waiter_of(const gateway_state& state,
+                                                     const waiting_request& request, base::time_point now);
 
 /// Memory of a service's eligible decode engines, in tokens.
 struct slot_memory {
--- a/libraries/gateway/waiting_entry.cpp
+++ b/libraries/gateway/waiting_entry.cpp
@@ -21,14 +21,14 @@
 
 void scoped_waiting_entry::update(const waiting_change& change) {
     const base::time_point made_at = this->queue_made_at();
-    const place_class before = this->class_at(made_at);
+    const position_class before = this->class_at(made_at);
     this->request.in_time = change.in_time;
     this->request.rank = change.rank;
     this->request.share_key = change.share_key;
     if (this->class_at(made_at) != before)
         did_change_order(*this->state);
-    const place_class now = this->class_at(this->state->clock->now());
-    const place_class reported_before = std::exchange(this->reported, now);
+    const position_class now = this->class_at(this->state->clock->now());
+    const position_class reported_before = std::exchange(this->reported, now);
     if (now == reported_before)
         return;
     did_change_order(*this->state);
@@ -38,12 +38,12 @@
         this->state->did_change_load();
 }
 
-scoped_waiting_entry::place_class scoped_waiting_entry::class_at(base::time_point now) const {
-    const decision::local_waiter place = place_of(*this->state, this->request, now);
-    return {.rank = place.rank,
-            .is_late = place.waited > place.in_time,
-            .is_protected = decision::is_protected(place),
-            .share_key = place.share_key};
+scoped_waiting_entry::position_class scoped_waiting_entry::class_at(base::time_point now) const {
+    const decision::local_waiter waiter = local_waiter_of(*this->state, this->request, now);
+    return {.rank = waiter.rank,
+            .is_late = waiter.waited > waiter.in_time,
+            .is_protected = decision::is_protected(waiter),
+            .share_key = waiter.share_key};
 }
 
 /// The time for which the known queue has computed the waits; now if there is none.
--- a/libraries/gateway/waiting_entry.h
+++ b/libraries/gateway/waiting_entry.h
@@ -31,21 +31,21 @@
 
 private:
     /// The part of its position that does not follow from its age.
-    struct place_class {
+    struct position_class {
         int rank = 0; ///< It improves while the request waits.
         bool is_late = false;
         bool is_protected = false;
         host::share_key share_key = 0;
 
-        auto operator<=>(const place_class&) const = default;
+        auto operator<=>(const position_class&) const = default;
     };
 
-    [[nodiscard]] place_class class_at(base::time_point now) const;
+    [[nodiscard]] position_class class_at(base::time_point now) const;
     [[nodiscard]] base::time_point queue_made_at() const;
 
     gateway_state* state;
     waiting_request request;
-    place_class reported{};
+    position_class reported{};
 };
 
 } // namespace postpaddle::gateway
--- a/tests/decision/waiting_model.cpp
+++ b/tests/decision/waiting_model.cpp
@@ -26,7 +26,7 @@
     : options(std::move(options)), random(this->options.seed), hosts(this->options.hosts),
       outcomes(this->options.kinds.size()) {}
 
-decision::local_waiter waiting_model::place_of(const request& one) const {
+decision::local_waiter waiting_model::local_waiter_of(const request& one) const {
     const request_kind& kind = this->options.kinds[one.kind];
     return decision::make_local_waiter(
         {.age = this->now - one.first_try,
@@ -42,7 +42,7 @@
 waiting_model::report waiting_model::report_of(const host& own) const {
     report sent = {.at = this->now, .running = static_cast<int>(own.running.size())};
     for (const request& one : own.waiting)
-        sent.waiters.push_back(decision::to_waiter(this->place_of(one)));
+        sent.waiters.push_back(decision::to_waiter(this->local_waiter_of(one)));
     for (const request& one : own.running)
         sent.shares[this->options.kinds[one.kind].share_key] += tokens;
     return sent;
@@ -98,7 +98,7 @@
 
 bool waiting_model::decide(host& own, request one, const decision::wait_queue& queue, double free) {
     const request_kind& kind = this->options.kinds[one.kind];
-    const decision::local_waiter place = this->place_of(one);
+    const decision::local_waiter place = this->local_waiter_of(one);
     const auto ahead = queue.count_ahead(place);
     const bool is_first = one.first_try == one.arrived;
     const decision::admission_facts facts = {
--- a/tests/decision/waiting_model.h
+++ b/tests/decision/waiting_model.h
@@ -70,7 +70,7 @@
         std::map<int, report> others;
     };
 
-    [[nodiscard]] decision::local_waiter place_of(const request& one) const;
+    [[nodiscard]] decision::local_waiter local_waiter_of(const request& one) const;
     [[nodiscard]] report report_of(const host& own) const;
     void arrive();
     void decide(host& own);
--- a/tests/gateway/test_slot_order.cpp
+++ b/tests/gateway/test_slot_order.cpp
@@ -65,10 +65,12 @@
     gateway::scoped_waiting_entry entry(host.state, request);
     host.clock.advance(580ms);
     // Kept for some milliseconds.
-    CHECK(host.queue().waiters_ahead(gateway::place_of(host.state, request, host.clock.now())).empty());
+    CHECK(
+        host.queue().waiters_ahead(gateway::local_waiter_of(host.state, request, host.clock.now())).empty());
     request.in_time = 560ms;
     entry.update({.in_time = request.in_time, .rank = request.rank, .share_key = request.share_key});
-    CHECK(host.queue().waiters_ahead(gateway::place_of(host.state, request, host.clock.now())).empty());
+    CHECK(
+        host.queue().waiters_ahead(gateway::local_waiter_of(host.state, request, host.clock.now())).empty());
 }
 
 TEST_CASE("the other hosts are told that a request of the most urgent rank is protected") {
@@ -95,7 +97,8 @@
     const gateway::scoped_share_use use(host.state, key, 300);
     gateway::waiting_request newer = request;
     newer.first_try += 1ms;
-    CHECK(host.queue().waiters_ahead(gateway::place_of(host.state, newer, host.clock.now())).size() == 1);
+    CHECK(host.queue().waiters_ahead(gateway::local_waiter_of(host.state, newer, host.clock.now())).size() ==
+          1);
     CHECK(decision::tokens_in_use(host.queue().order().shares, key) == 300);
 }
 
