--- a/libraries/gateway/waiting_dump.cpp
+++ b/libraries/gateway/waiting_dump.cpp
@@ -62,7 +62,7 @@
                         {.total = slots.total_memory, .free = slots.free_memory}, now);
     std::vector<placed_request> ordered;
     for (const waiting_request* const waiting : own) {
-        const decision::local_waiter place = place_of(state, *waiting, now);
+        const decision::local_waiter place = local_waiter_of(state, *waiting, now);
         ordered.push_back({waiting, place, queue.position_of(place)});
     }
     std::ranges::sort(ordered, {}, [](const placed_request& one) {
