decision, gateway: Name waiting requests alike in the dump and the model

Cause: local_waiter_of replaced place_of, but the dump of waiting requests and the waiting model still called its result a place, a word that also stood for the position. A comment in competing_hosts was hard to read.

Change: both call it a waiter, and the order a position. Only names and comments change.

--- a/libraries/decision/overload/competing_hosts.h
+++ b/libraries/decision/overload/competing_hosts.h
@@ -12,8 +12,8 @@
 
 /// Other hosts that recently reported loads of plain upstreams.
 struct competing_hosts {
-    std::map<base::host_id, base::time_point> until;     ///< When they stop to count, by host.
-    base::time_point next_end = base::time_point::max(); ///< No entry ends before.
+    std::map<base::host_id, base::time_point> until;     ///< When each host stops being counted.
+    base::time_point next_end = base::time_point::max(); ///< No entry of `until` is earlier.
 };
 
 /// Records that a host's latest report has loads; it counts up to that time.
--- a/libraries/gateway/waiting_dump.cpp
+++ b/libraries/gateway/waiting_dump.cpp
@@ -38,14 +38,14 @@
     return rows;
 }
 
-/// A request that waits for an engine slot, and its place.
-struct placed_request {
+/// A request that waits for an engine slot, and its position in the queue.
+struct ordered_request {
     const waiting_request* waiting = nullptr;
-    decision::local_waiter place;
+    decision::local_waiter waiter;
     decision::wait_position position;
 };
 
-/// Whether it still meets its latency target if it gets a slot now. Its place does not tell, as protected
+/// Whether it still meets its latency target if it gets a slot now. Its position does not tell, as protected
 /// requests count as in time there.
 bool can_be_in_time(const waiting_request& waiting, bool is_by_age, base::time_point now) {
     return now - (is_by_age ? waiting.first_try : waiting.arrived) <= waiting.in_time;
@@ -60,22 +60,22 @@
     const decision::wait_queue queue =
         make_wait_queue(state, service, order_of(state, service),
                         {.total = slots.total_memory, .free = slots.free_memory}, now);
-    std::vector<placed_request> ordered;
+    std::vector<ordered_request> ordered;
     for (const waiting_request* const waiting : own) {
-        const decision::local_waiter place = local_waiter_of(state, *waiting, now);
-        ordered.push_back({waiting, place, queue.position_of(place)});
+        const decision::local_waiter waiter = local_waiter_of(state, *waiting, now);
+        ordered.push_back({waiting, waiter, queue.position_of(waiter)});
     }
-    std::ranges::sort(ordered, {}, [](const placed_request& one) {
+    std::ranges::sort(ordered, {}, [](const ordered_request& one) {
         return std::tie(one.position, one.waiting->request->routed.id);
     });
     const bool is_by_age = queue.order().is_by_age();
-    return dump_rows(ordered, [&](const placed_request& one) {
+    return dump_rows(ordered, [&](const ordered_request& one) {
         json row = dump_request(*one.waiting->request, now);
         row["can_be_in_time"] = can_be_in_time(*one.waiting, is_by_age, now);
         row["rank_now"] = one.position.rank;
         row["is_beyond_share"] = one.position.is_beyond_share;
-        row["is_protected"] = decision::is_protected(one.place);
-        row["ahead_on_all_hosts"] = queue.count_ahead(one.place);
+        row["is_protected"] = decision::is_protected(one.waiter);
+        row["ahead_on_all_hosts"] = queue.count_ahead(one.waiter);
         return row;
     });
 }
--- a/tests/decision/waiting_model.cpp
+++ b/tests/decision/waiting_model.cpp
@@ -98,15 +98,15 @@
 
 bool waiting_model::decide(host& own, request one, const decision::wait_queue& queue, double free) {
     const request_kind& kind = this->options.kinds[one.kind];
-    const decision::local_waiter place = this->local_waiter_of(one);
-    const auto ahead = queue.count_ahead(place);
+    const decision::local_waiter own_waiter = this->local_waiter_of(one);
+    const auto ahead = queue.count_ahead(own_waiter);
     const bool is_first = one.first_try == one.arrived;
     const decision::admission_facts facts = {
         .has_room = free > static_cast<double>(ahead),
         .free_slots = free,
         .total_slots = static_cast<double>(this->options.slots),
         .waiting_ahead = static_cast<int>(ahead),
-        .overtaken_ahead = static_cast<int>(queue.count_overtaken_ahead(place)),
+        .overtaken_ahead = static_cast<int>(queue.count_overtaken_ahead(own_waiter)),
         .hold = this->options.hold,
         .in_time = decision::max_wait_on_time(kind.latency_target, expected_start),
         .will_retry = is_first,
