--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -17,7 +17,7 @@
 /// request.
 struct request_cancellation {
     std::shared_ptr<wire::upstream_connection> connection; ///< Of the send in progress; null between sends.
-    wire::boot_timer* wait = nullptr; ///< Of the wait for a send slot in progress; null otherwise.
+    wire::boot_timer* wait_timer = nullptr; ///< Of the wait for a send slot in progress; null otherwise.
     bool is_caller_gone = false;
 
     /// Closes the upstream connection at once, which makes the upstream drop the request. Ends a wait for a
@@ -26,8 +26,8 @@
         this->is_caller_gone = true;
         if (this->connection)
             this->connection->cancel();
-        if (this->wait != nullptr)
-            this->wait->cancel();
+        if (this->wait_timer != nullptr)
+            this->wait_timer->cancel();
     }
 };
 
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -60,14 +60,14 @@
         : state(request.state), cancellation(request.cancellation),
           queue(&queue), waiter{.wake = &timer, .request = &request} {
         queue.waiters.push_back(&this->waiter);
-        this->cancellation->wait = &timer;
+        this->cancellation->wait_timer = &timer;
     }
     queue_entry(const queue_entry&) = delete;
     queue_entry(queue_entry&&) = delete;
     queue_entry& operator=(const queue_entry&) = delete;
     queue_entry& operator=(queue_entry&&) = delete;
     ~queue_entry() {
-        this->cancellation->wait = nullptr;
+        this->cancellation->wait_timer = nullptr;
         std::erase(this->queue->waiters, &this->waiter);
         wake_head(*this->queue, this->state->clock->now());
     }
