gateway: Show which host makes others avoid upstreams

Sight for the hosts that reach no upstream: a host that is not cut counted few slots, and neither its log nor its state said whose word took the upstreams away. Each change of the numbers that another host reports is logged (host_avoids_upstreams), and the state dump has them with each peer. No decision changes.

--- a/libraries/gateway/load_exchange.cpp
+++ b/libraries/gateway/load_exchange.cpp
@@ -76,6 +76,7 @@
         return true;
     host::record_received(this->state->peers, report->host, this->state->clock->now());
     apply_reported_paces(*this->state, *report);
+    this->log_avoided(*report);
     const auto change = host::apply_report(this->state->loads, *report, this->state->clock->now());
     if (!change)
         return true;
@@ -90,6 +91,18 @@
     return true;
 }
 
+void load_exchange::log_avoided(const host::load_report& report) const {
+    const auto known = this->state->loads.by_host.find(report.host);
+    const bool is_known = known != this->state->loads.by_host.end();
+    const std::size_t avoided = is_known ? known->second.report.avoided.size() : 0;
+    const std::size_t out_of_service = is_known ? known->second.report.out_of_service.size() : 0;
+    if (report.avoided.size() == avoided && report.out_of_service.size() == out_of_service)
+        return;
+    this->state->log->write("host_avoids_upstreams", {{"by", report.host.value},
+                                                      {"avoided", report.avoided.size()},
+                                                      {"out_of_service", report.out_of_service.size()}});
+}
+
 void load_exchange::did_change() {
     if (std::exchange(this->is_report_due, true))
         return;
--- a/libraries/gateway/load_exchange.h
+++ b/libraries/gateway/load_exchange.h
@@ -23,6 +23,8 @@
 
 private:
     bool handle(std::string_view bytes);
+    /// Logs how many upstreams another host reports as avoided or out of service, if the numbers changed.
+    void log_avoided(const host::load_report& report) const;
     void did_change();
     void send_report();
     void refresh();
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -41,6 +41,21 @@
               {"decode_in_use", known.pace.in_use.decode}}}};
 }
 
+json dump_peers(const gateway_state& state, base::time_point now) {
+    json peers = json::object();
+    for (const auto& [name, known] : state.peers.by_name) {
+        json& peer = peers[name.value] = {{"address", known.address},
+                                          {"heard_ms_ago", base::to_milliseconds(now - known.last_seen)},
+                                          {"is_leaving", known.is_leaving}};
+        const auto received = state.loads.by_host.find(name);
+        if (received == state.loads.by_host.end())
+            continue;
+        peer["avoided_upstreams"] = received->second.report.avoided.size();
+        peer["upstreams_out_of_service"] = received->second.report.out_of_service.size();
+    }
+    return peers;
+}
+
 json dump_profile(const decision::service_profile& profile) {
     return {{"prompt_tokens", profile.prompt_tokens.value},
             {"output_tokens", profile.output_tokens.value},
@@ -57,11 +72,6 @@
     json instances = json::object();
     for (const auto& [id, known] : state.instances.by_id)
         instances[id.value] = dump_instance(known, now);
-    json peers = json::object();
-    for (const auto& [name, known] : state.peers.by_name)
-        peers[name.value] = {{"address", known.address},
-                             {"heard_ms_ago", base::to_milliseconds(now - known.last_seen)},
-                             {"is_leaving", known.is_leaving}};
     json budgets = json::object();
     for (const auto& [service, budget] : state.budgets)
         budgets[service] = decision::retries_left(budget, budget_options_of(state), now);
@@ -100,7 +110,7 @@
             {"retry_budget_left", std::move(budgets)},
             {"profiles", std::move(profiles)},
             {"instances", std::move(instances)},
-            {"peers", std::move(peers)}};
+            {"peers", dump_peers(state, now)}};
 }
 
 std::string to_operator_text(const json& value) {
