tests: Cut hosts from their upstreams, each over links of its own

The stand-in store names other addresses of the servers to each host, which are links of the fault proxy; a link can let new connections hang (its queue is full) or refuse them, with open ones silent, closed or living on.

--- a/stand_ins/fault_proxy/main.cpp
+++ b/stand_ins/fault_proxy/main.cpp
@@ -20,6 +20,8 @@
 stand_in::link_faults parse_faults(const json& body) {
     stand_in::link_faults faults;
     faults.is_disconnected = body.value("cut", false);
+    faults.refuses_new = body.value("refuse_new", false);
+    faults.hangs_new = body.value("hang_new", false);
     faults.is_stalled = body.value("freeze", false);
     faults.is_response_stalled = body.value("freeze_answers", false);
     faults.delay_ms = body.value("delay_ms", 0);
--- a/stand_ins/fault_proxy/proxy_link.cpp
+++ b/stand_ins/fault_proxy/proxy_link.cpp
@@ -19,7 +19,8 @@
 
 proxy_link::proxy_link(wire::asio::io_context& context, std::string target)
     : context(&context), target(std::move(target)),
-      acceptor(context, {wire::asio::ip::address_v4::loopback(), 0}) {}
+      acceptor(context, {wire::asio::ip::address_v4::loopback(), 0}),
+      endpoint(this->acceptor.local_endpoint()) {}
 
 void proxy_link::start() {
     wire::spawn_coroutine(*this->context, [self = this->shared_from_this()](wire::yield_context yield) {
@@ -32,6 +33,35 @@
     if (new_faults.is_disconnected)
         for (const auto& connection : std::exchange(this->open_connections, {}))
             close(*connection);
+    this->update_port();
+}
+
+void proxy_link::update_port() {
+    wire::error_code ignored;
+    this->queued.clear();
+    // A pending accept would take what is to stay in the queue.
+    this->acceptor.close(ignored);
+    if (this->active_faults.refuses_new)
+        return;
+    this->acceptor.open(this->endpoint.protocol(), ignored);
+    this->acceptor.set_option(wire::asio::ip::tcp::acceptor::reuse_address(true), ignored);
+    this->acceptor.bind(this->endpoint, ignored);
+    if (this->active_faults.hangs_new) {
+        this->acceptor.listen(0, ignored);
+        this->fill_queue();
+        return;
+    }
+    this->acceptor.listen(wire::asio::ip::tcp::acceptor::max_listen_connections, ignored);
+    this->start();
+}
+
+void proxy_link::fill_queue() {
+    // One more than the kernel accepts for an empty queue. Further opening packets are dropped.
+    static constexpr int connections = 2;
+    for (int number = 0; number < connections; ++number) {
+        socket& filler = this->queued.emplace_back(*this->context);
+        filler.async_connect(this->endpoint, [](const wire::error_code& /*error*/) {});
+    }
 }
 
 void proxy_link::close(proxied_connection& connection) {
--- a/stand_ins/fault_proxy/proxy_link.h
+++ b/stand_ins/fault_proxy/proxy_link.h
@@ -8,12 +8,15 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace postpaddle::stand_in {
 
 /// Faults injected into a link. "Response" means the direction towards the client.
 struct link_faults {
     bool is_disconnected = false;         ///< Closes open connections and new ones on accept.
+    bool refuses_new = false;             ///< New connections are refused, as by a closed port.
+    bool hangs_new = false;               ///< New connections never come up, as over a link that drops all.
     bool is_stalled = false;              ///< Forwards nothing in either direction.
     bool is_response_stalled = false;     ///< Forwards no response bytes.
     int delay_ms = 0;                     ///< Before each chunk is forwarded.
@@ -28,7 +31,7 @@
     proxy_link(wire::asio::io_context& context, std::string target);
 
     void start();
-    [[nodiscard]] std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+    [[nodiscard]] std::uint16_t port() const { return this->endpoint.port(); }
     /// Replaces the faults. Disconnecting closes the open connections.
     void set_faults(const link_faults& new_faults);
     [[nodiscard]] const link_faults& faults() const { return this->active_faults; }
@@ -46,6 +49,9 @@
     };
 
     void accept(wire::yield_context yield);
+    /// Opens the port, closes it, or lets its queue of new connections overflow, as the faults say.
+    void update_port();
+    void fill_queue();
     void forward(const std::shared_ptr<proxied_connection>& connection, bool is_response,
                  wire::yield_context yield);
     void apply_delay(bool is_response, wire::yield_context yield) const;
@@ -56,6 +62,8 @@
     wire::asio::io_context* context;
     std::string target;
     wire::asio::ip::tcp::acceptor acceptor;
+    wire::asio::ip::tcp::endpoint endpoint; ///< Stays the same while the port is closed.
+    std::vector<socket> queued;             ///< Own connections that keep the port's queue full.
     link_faults active_faults;
     std::set<std::shared_ptr<proxied_connection>> open_connections;
     std::uint64_t accepted = 0;
--- a/stand_ins/platform_store/main.cpp
+++ b/stand_ins/platform_store/main.cpp
@@ -6,6 +6,7 @@
 #include <common/stand_in_server.h>
 #include <platform/record_codec.h>
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/endian/conversion.hpp>
 #include <gflags/gflags.h>
@@ -53,6 +54,8 @@
     std::set<std::string> affected_addresses;
     int response_delay_ms = 0; ///< Before each response.
     int lost_responses = 0;    ///< Appends still to take effect without being answered.
+    /// Addresses to name in place of others, by the address at which a host calls the store.
+    std::map<std::string, std::map<std::string, std::string>> links;
 };
 
 std::string encode_u64(std::uint64_t value) {
@@ -94,11 +97,25 @@
 
 private:
     /// Each host under test calls the store at a different address, so a fault can affect single hosts.
-    [[nodiscard]] bool is_affected(const wire::http_request& request) const {
+    [[nodiscard]] static std::string caller_of(const wire::http_request& request) {
         const std::string host(wire::find_header(request.headers, "Host"));
+        return host.substr(0, host.find(':'));
+    }
+
+    [[nodiscard]] bool is_affected(const wire::http_request& request) const {
         return !this->faults.failure_mode.empty() &&
                (this->faults.affected_addresses.empty() ||
-                this->faults.affected_addresses.contains(host.substr(0, host.find(':'))));
+                this->faults.affected_addresses.contains(caller_of(request)));
+    }
+
+    /// The value with the addresses of the caller's own links in place of the servers'.
+    [[nodiscard]] std::string value_for(const wire::http_request& request, std::string value) const {
+        const auto links = this->faults.links.find(caller_of(request));
+        if (links == this->faults.links.end())
+            return value;
+        for (const auto& [address, link] : links->second)
+            boost::algorithm::replace_all(value, '"' + address + '"', '"' + link + '"');
+        return value;
     }
 
     /// Returns whether the request was handled by a fault.
@@ -178,17 +195,25 @@
         }
         std::string body = encode_u64(target.end_offset) + encode_u64(target.first_offset());
         for (auto record = target.records.lower_bound(from_offset); record != target.records.end(); ++record)
-            body += platform::encode_record(record->second);
+            body += platform::encode_record(this->record_for(request, record->second));
         (void)connection.send({200, {}, body}, yield);
     }
 
+    [[nodiscard]] platform::keyed_record record_for(const wire::http_request& request,
+                                                    platform::keyed_record record) const {
+        if (record.value)
+            record.value = this->value_for(request, *record.value);
+        return record;
+    }
+
     [[nodiscard]] wire::http_response newest_records(const wire::http_request& request) {
         const topic& target = this->topics[stand_in::query_parameter(request.target, "topic")];
         json items = this->malformed_items;
         for (const auto& [key, offset] : target.newest_offsets)
-            items.push_back({{"key", key},
-                             {"value", encode_base64(*target.records.at(offset).value)},
-                             {"offset", offset}});
+            items.push_back(
+                {{"key", key},
+                 {"value", encode_base64(this->value_for(request, *target.records.at(offset).value))},
+                 {"offset", offset}});
         return stand_in::json_response({{"items", items}, {"more", false}, {"end", target.end_offset}});
     }
 
@@ -198,6 +223,9 @@
         this->faults.failure_mode = body.value("mode", this->faults.failure_mode);
         this->faults.response_delay_ms = body.value("slow_ms", this->faults.response_delay_ms);
         this->faults.lost_responses = body.value("lose_answers", this->faults.lost_responses);
+        if (body.contains("links"))
+            this->faults.links =
+                body["links"].get<std::map<std::string, std::map<std::string, std::string>>>();
         if (body.contains("turned_away"))
             this->faults.affected_addresses = body["turned_away"].get<std::set<std::string>>();
         if (body.contains("put"))
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -108,17 +109,16 @@
                                  "--hosts=" + std::to_string(std::max(4, this->options.hosts))},
         this->folder + "/store.log");
     this->store_port = std::to_string(this->store_process->read_json().at("port").get<int>());
-    if (this->options.store_bytes_per_s > 0) {
-        this->proxy =
-            std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/stand_in_fault_proxy",
-                                            std::vector<std::string>{}, this->folder + "/proxy.log");
-        this->proxy_control = "127.0.0.1:" + std::to_string(this->proxy->read_json().at("port").get<int>());
-    }
+    if (this->options.store_bytes_per_s > 0 || this->options.has_server_links)
+        this->start_proxy();
     for (const server_plan& plan : this->options.servers) {
         this->plans[plan.id] = plan;
         this->start_server(plan.id, 0);
-        this->register_server(plan.id, "ready", 1);
     }
+    if (this->options.has_server_links)
+        this->create_server_links();
+    for (const server_plan& plan : this->options.servers)
+        this->register_server(plan.id, "ready", 1);
     if (this->options.has_configuration)
         this->publish(1);
     for (int number = 1; number <= this->options.hosts; ++number)
@@ -128,6 +128,58 @@
             throw std::runtime_error("a host did not become ready");
 }
 
+void gateway_cluster::start_proxy() {
+    this->proxy = std::make_unique<child_process>(std::string(POSTPADDLE_PROGRAMS) + "/stand_in_fault_proxy",
+                                                  std::vector<std::string>{}, this->folder + "/proxy.log");
+    this->proxy_control = "127.0.0.1:" + std::to_string(this->proxy->read_json().at("port").get<int>());
+}
+
+namespace {
+
+std::string link_name(int host, const std::string& server) {
+    return "host-" + std::to_string(host) + "-" + server;
+}
+
+json to_proxy_faults(link_fault fault) {
+    switch (fault) {
+    case link_fault::none:
+        return json::object();
+    case link_fault::hang:
+        return {{"freeze", true}, {"hang_new", true}};
+    case link_fault::reset:
+        return {{"cut", true}, {"refuse_new", true}};
+    case link_fault::hang_new:
+        return {{"hang_new", true}};
+    case link_fault::refuse_new:
+        return {{"refuse_new", true}};
+    }
+    return json::object();
+}
+
+} // namespace
+
+void gateway_cluster::create_server_links() {
+    json links = json::object();
+    for (int number = 1; number <= this->options.hosts; ++number)
+        for (const auto& [id, address] : this->server_addresses) {
+            const json created = stand_in::post_json(this->proxy_control, "/links",
+                                                     {{"link", link_name(number, id)}, {"target", address}});
+            links[this->host_ip(number)][address] =
+                "127.0.0.1:" + std::to_string(created.at("port").get<int>());
+        }
+    (void)this->store({{"links", links}});
+}
+
+void gateway_cluster::set_links(int host, link_fault fault, const std::vector<std::string>& ids) {
+    for (const auto& [id, address] : this->server_addresses) {
+        if (!ids.empty() && std::ranges::find(ids, id) == ids.end())
+            continue;
+        json faults = to_proxy_faults(fault);
+        faults["link"] = link_name(host, id);
+        (void)stand_in::post_json(this->proxy_control, "/faults", faults);
+    }
+}
+
 std::string gateway_cluster::host_ip(int number) const { return this->network + std::to_string(number); }
 
 std::string gateway_cluster::host_address(int number, int port) const {
@@ -164,7 +216,7 @@
 
 std::string gateway_cluster::store_address(int number) {
     std::string direct = this->host_ip(number) + ":" + this->store_port;
-    if (!this->proxy)
+    if (this->options.store_bytes_per_s <= 0)
         return direct;
     const std::string link = "store-" + std::to_string(number);
     const json created =
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -19,6 +19,15 @@
     std::string zone = "east";
 };
 
+/// What happens to the links between a host and servers.
+enum class link_fault {
+    none,
+    hang,       ///< New connections hang; open ones are silent.
+    reset,      ///< New connections are refused; open ones are closed.
+    hang_new,   ///< New connections hang; open ones live on.
+    refuse_new, ///< New connections are refused; open ones live on.
+};
+
 struct gateway_cluster_options {
     std::string name; ///< Name of the folder for logs.
     std::vector<server_plan> servers;
@@ -31,6 +40,7 @@
     bool admits_by_load = true;     ///< Whether plain requests wait or are refused by upstreams' load.
     int store_bytes_per_s = 0;      ///< Bandwidth of the link from the store to each host; 0 for no limit.
     int connections = 1'500;        ///< Maximum number of connections from callers of a host.
+    bool has_server_links = false;  ///< Whether each host reaches each server over a link of its own.
 };
 
 /// Gateway hosts, the platform's store and its servers as real processes on loopback addresses.
@@ -80,6 +90,8 @@
     [[nodiscard]] std::uint64_t bytes_from_store(int number) const;
     /// Sets faults of a server; returns its counters.
     nlohmann::json server(const std::string& id, const nlohmann::json& control = nlohmann::json::object());
+    /// Sets the fault of the links between a host and these servers; without ids, of all. Needs server links.
+    void set_links(int host, link_fault fault, const std::vector<std::string>& ids = {});
     /// Kills a server's process; its registry entry stays.
     void kill_server(const std::string& id);
     /// Restarts a server, killing its process first: same id and address, registered with the new `born`.
@@ -101,6 +113,9 @@
     [[nodiscard]] std::string host_address(int number, int port) const;
     /// Address of the store for the host: through a link of its own if links are limited.
     [[nodiscard]] std::string store_address(int number);
+    void start_proxy();
+    /// Creates a link from each host to each server, whose address the store names to that host.
+    void create_server_links();
 
     gateway_cluster_options options;
     std::string folder;
