gateway: Forward requests whose service only other hosts reach

What callers saw: hosts that had lost the path to all upstreams served 0 of 39 and 1 of 103 first tries, with the store, the other hosts and the callers in reach.

Cause: a request could be served over the links of its first host only. Class: one path to serve, where others exist.

Change: a host whose links to a service have failed (decision/reachability) forwards the request to a host that reaches it, which serves it as its own: one hop, never back (docs/design/0027). The answer says whether the request has run; only what has not goes on to a further host. Deadline, first try, rank, organisation, fingerprint, attempts and retries go along; key and limit stay. Waiting requests are woken and forwarded. The port for other hosts takes forwarded requests from known hosts at their own address only. A planned stop waits for what was forwarded to the host.

--- a/libraries/decision/attempt_rules.cpp
+++ b/libraries/decision/attempt_rules.cpp
@@ -49,6 +49,17 @@
     }
 }
 
+void record_forwarded(attempt_record& record, int attempts) {
+    record.attempts += attempts;
+    record.budgeted_attempts += attempts;
+    record.may_have_run |= attempts > 0;
+}
+
+int attempts_to_grant(const attempt_record& record) {
+    const int left = record.max_attempts - record.attempts;
+    return record.is_repeatable && left > 1 ? left - 1 : left;
+}
+
 bool may_retry(const attempt_record& record, attempt_result last) {
     if (last == attempt_result::answered)
         return false;
--- a/libraries/decision/attempt_rules.h
+++ b/libraries/decision/attempt_rules.h
@@ -51,6 +51,13 @@
 /// Updates the record with the result of an attempt.
 void record_result(attempt_record& record, attempt_kind kind, attempt_result result);
 
+/// Records that another host sent the request to that many upstreams, which may have run it.
+void record_forwarded(attempt_record& record, int attempts);
+
+/// Upstreams that another host may have run the request, if it is forwarded now. A request that may run again
+/// keeps one for a further host, as this host may hear nothing of the first one's attempts.
+[[nodiscard]] int attempts_to_grant(const attempt_record& record);
+
 /// Whether the request may be sent to another upstream after that result. The caller checks the retry budget
 /// and the remaining time.
 [[nodiscard]] bool may_retry(const attempt_record& record, attempt_result last);
--- a/libraries/gateway/caller_identity.cpp
+++ b/libraries/gateway/caller_identity.cpp
@@ -10,12 +10,18 @@
 
 namespace {
 
+const settings::organisation_entry* organisation_by_id(const settings_in_force& settings,
+                                                       const base::organisation_id& id) {
+    const auto& organisations = settings.document.value->organisations;
+    const auto found = organisations.find(id);
+    return found == organisations.end() ? nullptr : &found->second;
+}
+
 const settings::organisation_entry* organisation_by_key(const settings_in_force& settings,
                                                         const std::string& key_hash) {
     const settings::routing_settings& value = *settings.document.value;
     const auto* const id = key_hash.empty() ? nullptr : settings::organisation_of(value.keys, key_hash);
-    const auto found = id == nullptr ? value.organisations.end() : value.organisations.find(*id);
-    return found == value.organisations.end() ? nullptr : &found->second;
+    return id == nullptr ? nullptr : organisation_by_id(settings, *id);
 }
 
 /// Amount to charge against the limit, in the limit's unit.
@@ -64,7 +70,10 @@
     const auto& newest = request.state->settings;
     if (!request.needs_key || newest == request.checked_settings)
         return true;
-    const auto* const organisation = organisation_by_key(*newest, request.routed.key_hash);
+    // Only the host that forwarded the request knows the key.
+    const auto* const organisation = request.forwarded_by
+                                         ? organisation_by_id(*newest, request.routed.organisation)
+                                         : organisation_by_key(*newest, request.routed.key_hash);
     request.is_key_revoked = organisation == nullptr && newest->document.value->requires_keys;
     if (request.is_key_revoked)
         return false;
--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/engine_slot.h>
 
+#include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/request_quarantine.h>
 #include <gateway/send_slot_queue.h>
 #include <gateway/slot_candidate.h>
@@ -134,6 +135,8 @@
     while (time_left(request) > 0ms && !request.cancellation->is_caller_gone) {
         if (const char* const stop = reason_to_stop(request))
             return {.plan = std::nullopt, .reason = stop};
+        if (should_forward(request))
+            return {.plan = std::nullopt, .reason = "the service can't be reached from this host"};
         update_order(request);
         const auto candidate = find_slot(request, size, wait.entry_or_null());
         if (!candidate && !await_send_slot(request, yield))
--- /dev/null
+++ b/libraries/gateway/forwarding/forwarded_request.cpp
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/forwarding/forwarded_request.h>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* outcome_header = "Postpaddle-Forwarding";
+constexpr const char* attempts_header = "Postpaddle-Forwarding-Attempts";
+constexpr int first_server_error = 500;
+
+constexpr std::array all_outcomes = {forwarding_outcome::answered,     forwarding_outcome::refused,
+                                     forwarding_outcome::may_have_run, forwarding_outcome::unreachable,
+                                     forwarding_outcome::unavailable,  forwarding_outcome::other_settings};
+
+void erase_header(wire::http_headers& headers, const char* name) {
+    std::erase_if(headers,
+                  [name](const auto& header) { return boost::algorithm::iequals(header.name, name); });
+}
+
+json encode_message(const wire::http_request& message) {
+    json headers = json::array();
+    for (const wire::http_header& header : message.headers)
+        headers.push_back({header.name, header.value});
+    return {message.method, message.target, std::move(headers), message.body};
+}
+
+wire::http_request decode_message(const json& value) {
+    wire::http_request message{.method = value.at(0).get<std::string>(),
+                               .target = value.at(1).get<std::string>(),
+                               .headers = {},
+                               .body = value.at(3).get<std::string>()};
+    for (const json& header : value.at(2))
+        message.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
+    return message;
+}
+
+int parse_attempts(std::string_view text) {
+    int attempts = 0;
+    (void)std::from_chars(text.data(), text.data() + text.size(), attempts);
+    return std::max(0, attempts);
+}
+
+} // namespace
+
+std::string encode_forwarded(const forwarded_request& request) {
+    const json value = {request.from.value,
+                        request.settings_version,
+                        request.service,
+                        request.organisation.value,
+                        request.fingerprint.high,
+                        request.fingerprint.low,
+                        request.time_left.count(),
+                        request.since_first_try.count(),
+                        request.resume_after ? json(*request.resume_after) : json(),
+                        request.max_attempts,
+                        request.budgeted_attempts,
+                        encode_message(request.message)};
+    std::string bytes;
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+std::optional<forwarded_request> decode_forwarded(std::string_view bytes) {
+    try {
+        const json value = json::from_msgpack(bytes);
+        forwarded_request request{
+            .from = {value.at(0).get<std::string>()},
+            .settings_version = value.at(1).get<std::uint64_t>(),
+            .service = value.at(2).get<std::string>(),
+            .organisation = {value.at(3).get<std::string>()},
+            .fingerprint = {value.at(4).get<std::uint64_t>(), value.at(5).get<std::uint64_t>()},
+            .time_left = std::chrono::milliseconds(value.at(6).get<std::uint32_t>()),
+            .since_first_try = std::chrono::milliseconds(value.at(7).get<std::uint32_t>()),
+            .max_attempts = value.at(9).get<int>(),
+            .budgeted_attempts = value.at(10).get<int>(),
+            .message = decode_message(value.at(11))};
+        if (!value.at(8).is_null())
+            request.resume_after = value.at(8).get<std::uint64_t>();
+        if (request.from.is_empty() || request.max_attempts < 1 || request.budgeted_attempts < 0)
+            return std::nullopt;
+        return request;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+const char* to_text(forwarding_outcome outcome) {
+    switch (outcome) {
+    case forwarding_outcome::answered:
+        return "answered";
+    case forwarding_outcome::refused:
+        return "refused";
+    case forwarding_outcome::may_have_run:
+        return "may_have_run";
+    case forwarding_outcome::unreachable:
+        return "unreachable";
+    case forwarding_outcome::unavailable:
+        return "unavailable";
+    case forwarding_outcome::other_settings:
+        return "other_settings";
+    }
+    return "unknown";
+}
+
+void set_forwarding_label(wire::http_headers& headers, const forwarding_label& label) {
+    erase_header(headers, outcome_header);
+    erase_header(headers, attempts_header);
+    headers.push_back({outcome_header, to_text(label.outcome)});
+    headers.push_back({attempts_header, std::to_string(label.attempts)});
+}
+
+forwarding_label take_forwarding_label(wire::response_head& head) {
+    const std::string text(wire::find_header(head.headers, outcome_header));
+    const int attempts = parse_attempts(wire::find_header(head.headers, attempts_header));
+    erase_header(head.headers, outcome_header);
+    erase_header(head.headers, attempts_header);
+    for (const forwarding_outcome outcome : all_outcomes)
+        if (text == to_text(outcome))
+            return {.outcome = outcome, .attempts = attempts};
+    return {.outcome = head.status < first_server_error ? forwarding_outcome::unavailable
+                                                        : forwarding_outcome::may_have_run};
+}
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/peer_exchange.h>
 
+#include <gateway/forwarding/forwarded_request.h>
+#include <gateway/forwarding/forwarding_receiver.h>
 #include <gateway/peer_codec.h>
 #include <gateway/state_dump.h>
 #include <gateway/upstream_advertisements.h>
@@ -106,6 +108,10 @@
 
 bool peer_exchange::serve_one(const wire::http_request& request, wire::caller_connection& connection,
                               wire::yield_context yield) {
+    if (request.target == forwarding_path) {
+        serve_forwarded(*this->state, connection, request, yield);
+        return !connection.is_closed();
+    }
     if (!is_transfer(request))
         return connection.send(this->answer(request), yield).has_value();
     if (this->transfers >= max_transfers) {
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -2,6 +2,7 @@
 #include <gateway/plain_relay.h>
 
 #include <gateway/caller_identity.h>
+#include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/plain_choice.h>
 #include <gateway/request_quarantine.h>
 #include <gateway/send_slot_queue.h>
@@ -224,19 +225,67 @@
     return std::nullopt;
 }
 
+/// Whether to go on after an attempt that did not end the request.
+enum class next_step { try_again, give_up };
+
+/// One attempt at an upstream of this host's choice. Returns nothing if the request has not ended with that.
+std::optional<request_ending> attempt_here(gateway_request& request, relay_progress& progress,
+                                           next_step& next, wire::yield_context yield) {
+    const auto step = find_next_step(request, progress, yield);
+    if (!step) {
+        // The links may have failed while it waited.
+        next = should_forward(request) ? next_step::try_again : next_step::give_up;
+        return std::nullopt;
+    }
+    if (!try_charge_send(request)) {
+        progress.reason = "no budget for another upstream";
+        next = next_step::give_up;
+        return std::nullopt;
+    }
+    return attempt(request, *step, progress, yield);
+}
+
+/// Has another host serve the request. Returns nothing if the request has not ended with that.
+std::optional<request_ending> attempt_elsewhere(gateway_request& request, relay_progress& progress,
+                                                wire::yield_context yield) {
+    auto forwarded = forward_request(request, std::nullopt, yield);
+    if (!forwarded)
+        return std::nullopt;
+    exchange_result& exchange = forwarded->exchange;
+    std::string body;
+    if (exchange.head.status != 0)
+        body = read_body(exchange, request.deadline, yield);
+    require_seal(exchange);
+    end_forwarding(request, *forwarded);
+    if (request.cancellation->is_caller_gone)
+        return request_ending::caller_gone;
+    progress.last = exchange.result;
+    progress.reason = decision::to_text(exchange.result);
+    if (exchange.result == attempt_result::answered)
+        return forward_answer(request, exchange.head, std::move(body), yield);
+    if (exchange.result == attempt_result::not_run)
+        return forward_refusal(request, exchange.head, std::move(body), yield);
+    return std::nullopt;
+}
+
+/// Whether the request may be sent once more after the last attempt.
+bool may_try_again(const gateway_request& request, const relay_progress& progress) {
+    return time_left(request) > 0ms && !request.cancellation->is_caller_gone &&
+           decision::may_retry(request.record, progress.last);
+}
+
 } // namespace
 
 request_ending relay_plain(gateway_request& request, wire::yield_context yield) {
     relay_progress progress;
-    while (const auto step = find_next_step(request, progress, yield)) {
-        if (!try_charge_send(request)) {
-            progress.reason = "no budget for another upstream";
-            break;
-        }
-        if (const auto ending = attempt(request, *step, progress, yield))
+    next_step next = next_step::try_again;
+    while (next == next_step::try_again) {
+        const auto ending = should_forward(request) ? attempt_elsewhere(request, progress, yield)
+                                                    : attempt_here(request, progress, next, yield);
+        if (ending)
             return *ending;
-        if (!decision::may_retry(request.record, progress.last))
-            break;
+        if (next == next_step::try_again && !may_try_again(request, progress))
+            next = next_step::give_up;
     }
     if (request.cancellation->is_caller_gone)
         return request_ending::caller_gone;
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -63,6 +63,8 @@
         fields["settings_version"] = request.settings->document.value->version;
     if (request.route != nullptr)
         fields["route"] = request.route->name;
+    if (request.forwarded_by)
+        fields["forwarded_by"] = request.forwarded_by->value;
     if (request.organisation != nullptr)
         fields["organisation"] = request.organisation->id.value;
     if (request.routed.prompt_tokens > 0) {
@@ -91,12 +93,14 @@
     state.log->write("request_ended", std::move(fields));
 }
 
-/// Refuses a request before it is sent to any upstream.
+} // namespace
+
 void reject(gateway_request& request, int status, const char* reason, wire::yield_context yield,
-            std::optional<base::duration> retry_after = std::nullopt) {
+            std::optional<base::duration> retry_after) {
     wire::http_response response = rejection(status, reason);
     if (retry_after)
         response.headers.push_back({"Retry-After", format_seconds(*retry_after)});
+    label_answer(request, response.headers, forwarding_outcome::refused, 0);
     request.reason = reason;
     (void)request.connection->send(response, yield);
     log_request_end(request, retry_after ? request_ending::not_run : request_ending::rejected, status);
@@ -110,16 +114,22 @@
     return record;
 }
 
+void set_order(gateway_request& request) {
+    request.rank = rank_of(*request.settings, request.service,
+                           request.organisation == nullptr ? std::nullopt
+                                                           : std::optional(request.organisation->priority),
+                           request.route->priority, request.state->process->policy);
+    request.share_key = host::key_of(request.service, request.routed.organisation);
+}
+
+namespace {
+
 void prepare_request(gateway_request& request) {
     gateway_state& state = *request.state;
     std::uniform_real_distribution<double> draw(0, 1);
     request.service = decision::choose_service(*request.route, draw(state.random));
     request.record = make_record(*request.route);
-    request.rank = rank_of(*request.settings, request.service,
-                           request.organisation == nullptr ? std::nullopt
-                                                           : std::optional(request.organisation->priority),
-                           request.route->priority, state.process->policy);
-    request.share_key = host::key_of(request.service, request.routed.organisation);
+    set_order(request);
     base::duration timeout = request.route->time_limit;
     if (request.routed.time_left)
         timeout = std::min<base::duration>(timeout, *request.routed.time_left);
@@ -142,6 +152,20 @@
     return relay_plain(request, yield);
 }
 
+} // namespace
+
+void relay_request(gateway_request& request, wire::yield_context yield) {
+    request.connection->watch_for_disconnect(
+        [cancellation = request.cancellation] { cancellation->did_lose_caller(); });
+    const unsent_data_bound::scoped_reader reader(*request.state->unsent_data, request);
+    const request_ending ending = relay(request, yield);
+    request.connection->stop_watching();
+    refund_if_not_run(request);
+    log_request_end(request, ending, 0);
+}
+
+namespace {
+
 /// Delays requests that arrive right after the start until settings and registry have been read, up to a
 /// limit.
 void await_initial_state(gateway_state& state, wire::yield_context yield) {
@@ -194,13 +218,7 @@
         return reject(request, over_limit_status, "over the organisation's limit", yield, wait);
     }
     prepare_request(request);
-    connection.watch_for_disconnect(
-        [cancellation = request.cancellation] { cancellation->did_lose_caller(); });
-    const unsent_data_bound::scoped_reader reader(*state.unsent_data, request);
-    const request_ending ending = relay(request, yield);
-    connection.stop_watching();
-    refund_if_not_run(request);
-    log_request_end(request, ending, 0);
+    relay_request(request, yield);
 }
 
 } // namespace
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/send_slot_queue.h>
 
 #include <gateway/plain_choice.h>
@@ -194,7 +195,7 @@
 
 bool may_wait(gateway_request& request) {
     return time_left(request) > 0ms && !request.cancellation->is_caller_gone &&
-           reason_to_stop(request) == nullptr;
+           reason_to_stop(request) == nullptr && !should_forward(request);
 }
 
 /// Counts a refusal because of the upstreams' load.
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -4,6 +4,7 @@
 #include <base/try.h>
 #include <decision/stream_rules.h>
 #include <gateway/caller_identity.h>
+#include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/prefill_send.h>
 #include <gateway/prefix_cache_lookup.h>
 #include <gateway/request_quarantine.h>
@@ -140,7 +141,8 @@
     // stream.
     if (answer.stream == stream_end::complete) {
         record_success(*this->request);
-        record_complete_stream(*this->request, this->events_so_far());
+        if (!this->decode_engine.is_empty())
+            record_complete_stream(*this->request, this->events_so_far());
         return request_ending::passed_on;
     }
     if (this->request->cancellation->is_caller_gone || answer.stream == stream_end::caller_gone)
@@ -191,6 +193,11 @@
 }
 
 void stream_relay::did_receive_event() {
+    // Another host serves the request, and learns from it.
+    if (!this->reservation) {
+        ++this->events_forwarded;
+        return;
+    }
     this->reservation->did_read_prompt();
     if (const auto sent = std::exchange(this->transfer_started, std::nullopt))
         decision::add_sample(profile_of(*this->request).speed.first_event,
@@ -203,6 +210,9 @@
 
 void stream_relay::begin_stream() {
     wire::remove_connection_headers(this->first_head.headers);
+    // The attempt in progress has not been recorded yet.
+    label_answer(*this->request, this->first_head.headers, forwarding_outcome::answered,
+                 this->request->record.attempts + 1);
     this->request->connection->begin_stream(this->first_head);
     this->has_started = true;
     this->request->first_event = this->request->state->clock->now() - this->request->arrived;
@@ -315,7 +325,8 @@
 
 void stream_relay::find_held_prompt(wire::yield_context yield) {
     const settings::gateway_policy& policy = this->request->state->process->policy;
-    if (policy.find_retained_prompts && this->request->first_try < this->request->arrived)
+    if (policy.find_retained_prompts && this->request->first_try < this->request->arrived &&
+        !should_forward(*this->request))
         this->request->holding = find_engines_holding(*this->request, yield);
 }
 
@@ -348,8 +359,10 @@
     if (!this->is_caller_waiting())
         return tl::make_unexpected(failed_attempt::give_up);
     const auto plan = this->next_plan(yield);
+    // The links may have failed while it waited.
     if (!plan)
-        return tl::make_unexpected(failed_attempt::give_up);
+        return tl::make_unexpected(should_forward(*this->request) ? failed_attempt::try_again
+                                                                  : failed_attempt::give_up);
     // Another attempt of the same request may have failed during the wait for the plan.
     if (is_exit_check_pending(*this->request))
         return tl::make_unexpected(failed_attempt::try_again);
@@ -358,7 +371,32 @@
     return *plan;
 }
 
+tl::expected<request_ending, stream_relay::failed_attempt>
+stream_relay::attempt_elsewhere(wire::yield_context yield) {
+    this->did_end();
+    this->decode_engine = {};
+    POSTPADDLE_TRY_VOID(this->check_may_continue());
+    auto forwarded = forward_request(*this->request, this->last_event, yield);
+    if (!forwarded)
+        return tl::make_unexpected(failed_attempt::try_again);
+    exchange_result& exchange = forwarded->exchange;
+    this->is_resumed = this->has_started;
+    this->transfer_started.reset();
+    received_answer answer = this->receive_answer(exchange, this->request->deadline, yield);
+    end_forwarding(*this->request, *forwarded);
+    this->last_result = exchange.result;
+    this->reason = decision::to_text(exchange.result);
+    if (exchange.result == attempt_result::not_run && !this->has_started)
+        return forward_refusal(*this->request, exchange.head, std::move(answer.body), yield);
+    if (const auto ending = this->ending_after(exchange, std::move(answer), yield))
+        return *ending;
+    const bool may_retry = decision::may_retry(this->request->record, this->last_result);
+    return tl::make_unexpected(may_retry ? failed_attempt::try_again : failed_attempt::give_up);
+}
+
 tl::expected<request_ending, stream_relay::failed_attempt> stream_relay::attempt(wire::yield_context yield) {
+    if (should_forward(*this->request))
+        return this->attempt_elsewhere(yield);
     POSTPADDLE_TRY(plan, this->reserve_next_plan(yield));
     POSTPADDLE_TRY_VOID(this->check_may_continue());
     if (!this->prepare_plan(plan, yield))
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -45,6 +45,8 @@
     [[nodiscard]] bool is_caller_waiting() const;
     /// One attempt: choice and reservation of the engines, prefill and decode.
     [[nodiscard]] tl::expected<request_ending, failed_attempt> attempt(wire::yield_context yield);
+    /// Has another host serve the request.
+    [[nodiscard]] tl::expected<request_ending, failed_attempt> attempt_elsewhere(wire::yield_context yield);
     [[nodiscard]] tl::expected<decision::engine_plan, failed_attempt>
     reserve_next_plan(wire::yield_context yield);
     /// Fails if the request must not be sent any more, see `reason_to_stop`.
--- a/libraries/settings/gateway_policy.cpp
+++ b/libraries/settings/gateway_policy.cpp
@@ -22,6 +22,7 @@
         {"share_fairly", &gateway_policy::share_fairly},
         {"exchange_pace", &gateway_policy::exchange_pace},
         {"recheck_decode_engine", &gateway_policy::recheck_decode_engine},
+        {"forward_unreachable", &gateway_policy::forward_unreachable},
     };
     return fields;
 }
--- a/libraries/settings/gateway_policy.h
+++ b/libraries/settings/gateway_policy.h
@@ -24,6 +24,7 @@
     bool share_fairly = true;            ///< Serve organisations within their fair share first.
     bool exchange_pace = true;           ///< Exchange the engines' processing times with the other hosts.
     bool recheck_decode_engine = true;   ///< Choose the decode engine again once the prompt is processed.
+    bool forward_unreachable = true;     ///< Forward requests for services that only other hosts reach.
 
     bool operator==(const gateway_policy&) const = default;
 };
--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -308,6 +308,12 @@
     return request;
 }
 
+std::string caller_connection::remote_address() const {
+    error_code error;
+    const tcp::endpoint remote = this->impl->stream.socket().remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string();
+}
+
 void caller_connection::watch_for_disconnect(std::function<void()> on_disconnect) {
     this->impl->on_disconnect = std::move(on_disconnect);
     this->impl->watch_socket();
--- a/libraries/wire/caller_connection.h
+++ b/libraries/wire/caller_connection.h
@@ -45,6 +45,9 @@
     caller_connection& operator=(caller_connection&&) = delete;
     ~caller_connection();
 
+    /// IP address of the caller; empty if the connection has ended.
+    [[nodiscard]] std::string remote_address() const;
+
     /// Reads a complete request. Fails with `closed` if the connection ends between two requests, as is
     /// normal.
     [[nodiscard]] expected<http_request> read_request(yield_context yield);
