--- a/libraries/gateway/forwarding/reach_prober.cpp
+++ b/libraries/gateway/forwarding/reach_prober.cpp
@@ -96,7 +96,8 @@
     std::string address;
 };
 
-/// A few random instances other than `failed`, those of its service first.
+/// A few random instances of the service other than `failed`; of any service if it has no other. Links to one
+/// service may fail while those to another one work.
 std::vector<probe_target> confirmation_targets(gateway_state& state, const base::upstream_id& failed,
                                                const std::string& service) {
     std::vector<probe_target> own;
@@ -105,11 +106,10 @@
         if (id != failed && may_be_probed(state, known))
             (known.entry.service == service ? own : others)
                 .push_back({id, known.entry.service, known.entry.address});
-    std::ranges::shuffle(own, state.random);
-    std::ranges::shuffle(others, state.random);
-    own.insert(own.end(), others.begin(), others.end());
-    own.resize(std::min(own.size(), max_confirmations));
-    return own;
+    std::vector<probe_target>& targets = own.empty() ? others : own;
+    std::ranges::shuffle(targets, state.random);
+    targets.resize(std::min(targets.size(), max_confirmations));
+    return targets;
 }
 
 } // namespace
--- a/libraries/gateway/forwarding/reach_prober.h
+++ b/libraries/gateway/forwarding/reach_prober.h
@@ -29,8 +29,8 @@
 };
 
 /// Whether this host's links work, shown by a connection to an instance other than `failed`: one opened since
-/// `failed_at`, or one opened now. Tries a few instances, those of the service first. True if there is no
-/// other instance.
+/// `failed_at`, or one opened now. Tries a few instances of the service, or of others if it has no other one.
+/// True if there is no other instance at all.
 [[nodiscard]] bool confirm_own_links(gateway_state& state, const base::upstream_id& failed,
                                      base::time_point failed_at, wire::yield_context yield);
 
--- a/libraries/gateway/forwarding/upstream_reach.cpp
+++ b/libraries/gateway/forwarding/upstream_reach.cpp
@@ -40,14 +40,18 @@
 void did_connect_to_upstream(gateway_state& state, const std::string& service, base::time_point started) {
     decision::service_reachability& reach = state.instances.reachability[service];
     const auto unreachable_since = reach.unreachable_since;
-    if (!decision::record_connected(reach, started))
+    const bool has_failures = !reach.unreached.empty();
+    const bool was_unreachable = decision::record_connected(reach, started);
+    // Failures at other instances are worth reporting now.
+    if (has_failures)
+        state.did_change_load();
+    if (!was_unreachable)
         return;
     decision::restore_unreached(state.instances, service, *unreachable_since - failures_before);
     state.log->write_always(
         "service_reachable",
         {{"service", service},
          {"unreachable_ms", base::to_milliseconds(state.clock->now() - *unreachable_since)}});
-    state.did_change_load();
     state.did_change_slots();
 }
 
