gateway: Pay retries of forwarded requests where they were counted

The first host pays for the first send now.

Found by reading: such a refusal, "not run", was passed to the caller although an earlier attempt of the first host may have run the request. It is passed on only if none may have; otherwise the request ends as failed.

The port for other hosts takes bodies as large as callers may send.

--- a/libraries/gateway/forwarding/forwarded_request.cpp
+++ b/libraries/gateway/forwarding/forwarded_request.cpp
@@ -63,7 +63,7 @@
                         request.since_first_try.count(),
                         request.resume_after ? json(*request.resume_after) : json(),
                         request.max_attempts,
-                        request.budgeted_attempts,
+                        request.accepted_prompts,
                         encode_message(request.message)};
     std::string bytes;
     json::to_msgpack(value, bytes);
@@ -82,11 +82,11 @@
             .time_left = std::chrono::milliseconds(value.at(6).get<std::uint32_t>()),
             .since_first_try = std::chrono::milliseconds(value.at(7).get<std::uint32_t>()),
             .max_attempts = value.at(9).get<int>(),
-            .budgeted_attempts = value.at(10).get<int>(),
+            .accepted_prompts = value.at(10).get<int>(),
             .message = decode_message(value.at(11))};
         if (!value.at(8).is_null())
             request.resume_after = value.at(8).get<std::uint64_t>();
-        if (request.from.is_empty() || request.max_attempts < 1 || request.budgeted_attempts < 0)
+        if (request.from.is_empty() || request.max_attempts < 1 || request.accepted_prompts < 0)
             return std::nullopt;
         return request;
     } catch (const json::exception&) {
--- a/libraries/gateway/forwarding/forwarded_request.h
+++ b/libraries/gateway/forwarding/forwarded_request.h
@@ -31,8 +31,8 @@
     std::chrono::milliseconds since_first_try{}; ///< Since the client's first attempt, as estimated.
     std::optional<std::uint64_t> resume_after{}; ///< Last event that the caller has received.
     int max_attempts = 1;                        ///< Upstreams that may run it.
-    int budgeted_attempts = 0;                   ///< Attempts so far that count against the retry budget.
-    wire::http_request message;                  ///< As the caller sent it, without its key.
+    int accepted_prompts = 0;   ///< Prompts that engines may have processed; further ones count as retries.
+    wire::http_request message; ///< As the caller sent it, without its key.
 
     bool operator==(const forwarded_request&) const = default;
 };
--- a/libraries/gateway/forwarding/forwarding_receiver.cpp
+++ b/libraries/gateway/forwarding/forwarding_receiver.cpp
@@ -90,7 +90,7 @@
         return false;
     request.record = make_record(*request.route);
     request.record.max_attempts = std::min(request.record.max_attempts, forwarded.max_attempts);
-    request.record.budgeted_attempts = forwarded.budgeted_attempts;
+    request.record.accepted_prompts = forwarded.accepted_prompts;
     set_time(request, forwarded);
     set_order(request);
     return true;
--- a/libraries/gateway/forwarding/forwarding_sender.cpp
+++ b/libraries/gateway/forwarding/forwarding_sender.cpp
@@ -4,6 +4,7 @@
 #include <gateway/forwarding/upstream_reach.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace postpaddle::gateway {
 
@@ -36,7 +37,7 @@
             .since_first_try = duration_cast<milliseconds>(state.clock->now() - request.first_try),
             .resume_after = resume_after,
             .max_attempts = decision::attempts_to_grant(request.record),
-            .budgeted_attempts = request.record.budgeted_attempts,
+            .accepted_prompts = request.record.accepted_prompts,
             .message = request.routed.message};
 }
 
@@ -160,6 +161,14 @@
     return true;
 }
 
+/// Returns the retry that was charged for the forwarding, if one was and no upstream was sent the request.
+void settle_retry(gateway_request& request, int attempts) {
+    if (std::exchange(request.is_retry_charged, false) && attempts == 0) {
+        refund_retry(request);
+        request.state->metrics->count("extra_sends_given_back_total");
+    }
+}
+
 /// Asks one host. Returns nothing if it did not take the request.
 std::optional<forwarded_exchange> ask_host(gateway_request& request, const host::forwarding_target& target,
                                            const forwarded_request& message, search& asked,
@@ -204,7 +213,9 @@
                                                   wire::yield_context yield) {
     gateway_state& state = *request.state;
     search asked;
-    while (time_left(request) > 0ms && !request.cancellation->is_caller_gone) {
+    // This host has counted the request, so its part of the retry budget pays for the first send.
+    const bool is_paid = try_charge_send(request);
+    while (is_paid && time_left(request) > 0ms && !request.cancellation->is_caller_gone) {
         const auto target =
             asked.declined.size() < max_hosts_asked
                 ? host::choose_forwarding_target(state.peers, state.forwarding_peers,
@@ -215,9 +226,12 @@
         if (!target)
             continue;
         const forwarded_request message = make_forwarded(request, resume_after);
-        if (auto forwarded = ask_host(request, *target, message, asked, yield))
+        if (auto forwarded = ask_host(request, *target, message, asked, yield)) {
+            settle_retry(request, forwarded->told_attempts);
             return forwarded;
+        }
     }
+    settle_retry(request, 0);
     request.is_forwarding_exhausted = true;
     state.metrics->count("forwarding_exhausted_total");
     return std::nullopt;
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -168,7 +168,9 @@
 }
 
 void gateway_host::apply_caller_limits() {
-    this->caller_listener->set_bounds(bounds_of(this->state.settings->document.value->limits));
+    const settings::caller_limits& limits = this->state.settings->document.value->limits;
+    this->caller_listener->set_bounds(bounds_of(limits));
+    this->peers.set_caller_limits(limits);
 }
 
 shutdown_result
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -226,8 +226,12 @@
     return is_sent ? request_ending::passed_on : request_ending::caller_gone;
 }
 
-request_ending forward_refusal(gateway_request& request, const wire::response_head& head, std::string body,
-                               wire::yield_context yield) {
+std::optional<request_ending> end_after_refusal(gateway_request& request, const wire::response_head& head,
+                                                std::string body, wire::yield_context yield) {
+    if (request.record.may_have_run) {
+        request.is_forwarding_exhausted = true;
+        return std::nullopt;
+    }
     request.reason = "another host refused it";
     const request_ending ending = forward_answer(request, head, std::move(body), yield);
     return ending == request_ending::passed_on ? request_ending::not_run : ending;
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -129,9 +129,11 @@
 request_ending forward_answer(gateway_request& request, const wire::response_head& head, std::string body,
                               wire::yield_context yield);
 
-/// Forwards another host's refusal of a request that it was asked to serve.
-request_ending forward_refusal(gateway_request& request, const wire::response_head& head, std::string body,
-                               wire::yield_context yield);
+/// Ends a request that another host was asked to serve and refused, with that host's answer. Returns nothing,
+/// and prevents another forwarding, if the answer would be untrue: it says that the request has not run, and
+/// an earlier attempt may have run it.
+std::optional<request_ending> end_after_refusal(gateway_request& request, const wire::response_head& head,
+                                                std::string body, wire::yield_context yield);
 
 [[nodiscard]] const char* to_text(request_ending ending);
 
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -13,6 +13,8 @@
 #include <wire/endpoint.h>
 #include <wire/http_client.h>
 
+#include <algorithm>
+
 namespace postpaddle::gateway {
 
 namespace {
@@ -30,6 +32,9 @@
 /// Idle timeout of connections from other hosts. In a large system the same two hosts seldom talk again soon,
 /// and each idle connection holds a coroutine's stack.
 constexpr auto peer_idle_timeout = 5'000ms;
+const wire::connection_bounds listener_bounds = {.idle_timeout = peer_idle_timeout};
+/// Bytes of a forwarded request beside the caller's message: names, figures and encoding.
+constexpr std::size_t max_forwarding_overhead = 16UL * 1024;
 /// Timeout of a settings transfer: until it begins, and then between any two parts of it.
 constexpr auto transfer_timeout = 1'500ms;
 /// Size limit of settings from other hosts, compressed or not.
@@ -84,7 +89,7 @@
     POSTPADDLE_TRY(created, wire::http_listener::create(*this->state->context,
                                                         {.address = endpoint.address().to_string(),
                                                          .port = endpoint.port(),
-                                                         .bounds = {.idle_timeout = peer_idle_timeout}}));
+                                                         .bounds = listener_bounds}));
     this->listener = std::move(created);
     this->listener->start([this](wire::caller_connection& connection, wire::yield_context yield) {
         this->serve(connection, yield);
@@ -92,6 +97,13 @@
     return {};
 }
 
+void peer_exchange::set_caller_limits(const settings::caller_limits& limits) {
+    wire::connection_bounds bounds = listener_bounds;
+    bounds.body_bytes =
+        std::max(bounds.body_bytes, limits.body_bytes + limits.header_bytes + max_forwarding_overhead);
+    this->listener->set_bounds(bounds);
+}
+
 void peer_exchange::start() {
     wire::spawn_coroutine(*this->state->context, [this](wire::yield_context yield) { this->join(yield); });
     wire::spawn_coroutine(*this->state->context,
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -264,7 +264,7 @@
     if (exchange.result == attempt_result::answered)
         return forward_answer(request, exchange.head, std::move(body), yield);
     if (exchange.result == attempt_result::not_run)
-        return forward_refusal(request, exchange.head, std::move(body), yield);
+        return end_after_refusal(request, exchange.head, std::move(body), yield);
     return std::nullopt;
 }
 
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -387,7 +387,9 @@
     this->last_result = exchange.result;
     this->reason = decision::to_text(exchange.result);
     if (exchange.result == attempt_result::not_run && !this->has_started)
-        return forward_refusal(*this->request, exchange.head, std::move(answer.body), yield);
+        if (const auto ending =
+                end_after_refusal(*this->request, exchange.head, std::move(answer.body), yield))
+            return *ending;
     if (const auto ending = this->ending_after(exchange, std::move(answer), yield))
         return *ending;
     const bool may_retry = decision::may_retry(this->request->record, this->last_result);
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -106,19 +106,6 @@
     }
 }
 
-/// Refunds a charged retry: to those reserved for the sends that must follow, if the request reserves any.
-void refund_retry(gateway_request& request) {
-    gateway_state& state = *request.state;
-    decision::shared_budget& budget = budget_of(state, request.service);
-    const decision::shared_budget_options options = budget_options_of(state);
-    if (!request.reserves_retries) {
-        decision::refund(budget, options, state.clock->now());
-        return;
-    }
-    decision::refund_reserved(budget, options);
-    ++request.reserved_retries;
-}
-
 /// Records the result of a send. Refunds the retry budget if the send did not count.
 void record_send(gateway_request& request, decision::attempt_kind kind, attempt_result result) {
     gateway_state& state = *request.state;
@@ -159,6 +146,18 @@
 
 } // namespace
 
+void refund_retry(gateway_request& request) {
+    gateway_state& state = *request.state;
+    decision::shared_budget& budget = budget_of(state, request.service);
+    const decision::shared_budget_options options = budget_options_of(state);
+    if (!request.reserves_retries) {
+        decision::refund(budget, options, state.clock->now());
+        return;
+    }
+    decision::refund_reserved(budget, options);
+    ++request.reserved_retries;
+}
+
 void record_failure(exchange_result& exchange, const wire::wire_error& error) {
     exchange.result = result_of(error);
     exchange.is_port_closed = error.failure == wire::wire_failure::not_listening;
--- a/tests/gateway/test_forwarded_request.cpp
+++ b/tests/gateway/test_forwarded_request.cpp
@@ -21,7 +21,7 @@
             .since_first_try = 56ms,
             .resume_after = 12,
             .max_attempts = 2,
-            .budgeted_attempts = 1,
+            .accepted_prompts = 1,
             .message = {"POST",
                         "/once/?a=b",
                         {{"Host", "cluster.example"}, {"X-Attempt-Id", "id\xff"}},
