--- a/tests/gateway/test_unreachable_upstreams.cpp
+++ b/tests/gateway/test_unreachable_upstreams.cpp
@@ -176,8 +176,10 @@
         (void)cluster.server(id, {{"work_ms", 50}, {"events", 20}});
     caller requests(cluster);
     CHECK(requests.count_failures(1, 8) == 0);
+    static constexpr int requests_in_flight = 12;
     std::vector<std::jthread> in_flight;
-    for (int number = 0; number < 12; ++number)
+    in_flight.reserve(requests_in_flight);
+    for (int number = 0; number < requests_in_flight; ++number)
         in_flight.emplace_back([&cluster, number] {
             caller own(cluster, "flight-" + std::to_string(number));
             (void)own.send(1, all_paths[static_cast<std::size_t>(number) % all_paths.size()]);
@@ -309,8 +311,10 @@
         (void)cluster.server(id, {{"work_ms", 50}, {"events", 20}});
     std::atomic<int> failures = 0;
     {
+        static constexpr int count = 8;
         std::vector<std::jthread> callers;
-        for (int number = 0; number < 8; ++number)
+        callers.reserve(count);
+        for (int number = 0; number < count; ++number)
             callers.emplace_back([&cluster, &failures, number] {
                 caller own(cluster, "stop-" + std::to_string(number));
                 failures += own.count_failures(1, 3, {"/stream/", "/once/"});
@@ -387,7 +391,7 @@
     for (const char* id : {"one", "two", "three"})
         (void)cluster.server(id, {{"fatal_body", "body of fatal"}});
     int ended = 0;
-    for (int attempt = 0; attempt < 6; ++attempt) {
+    for (std::uint64_t attempt = 0; attempt < 6; ++attempt) {
         auto request = routed_request("/again/", "fatal");
         (void)stand_in::http_exchange(cluster.callers_address(1), request);
         ended = 0;
@@ -395,7 +399,7 @@
             ended += cluster.is_serving(id) ? 0 : 1;
         for (const char* id : {"one", "two", "three"})
             if (!cluster.is_serving(id)) {
-                cluster.restart_server(id, static_cast<std::uint64_t>(1'000 + attempt));
+                cluster.restart_server(id, 1'000 + attempt);
                 (void)cluster.server(id, {{"fatal_body", "body of fatal"}});
             }
         if (ended == 0)
