gateway: Stop forwarding what was revoked or refused in the middle

Found by reading the change anew: a plain request that came back from another host without an answer was forwarded again without a look at whether its key had been revoked or it had been quarantined meanwhile; a stream whose continuation another host refused was forwarded again and again, each time a round trip, until its deadline. The first checks as before each send; the second is not forwarded again.

--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -247,7 +247,12 @@
 
 /// Has another host serve the request. Returns nothing if the request has not ended with that.
 std::optional<request_ending> attempt_elsewhere(gateway_request& request, relay_progress& progress,
-                                                wire::yield_context yield) {
+                                                next_step& next, wire::yield_context yield) {
+    if (const char* const stop = reason_to_stop(request)) {
+        progress.reason = stop;
+        next = next_step::give_up;
+        return std::nullopt;
+    }
     auto forwarded = forward_request(request, std::nullopt, yield);
     if (!forwarded)
         return std::nullopt;
@@ -280,7 +285,7 @@
     relay_progress progress;
     next_step next = next_step::try_again;
     while (next == next_step::try_again) {
-        const auto ending = should_forward(request) ? attempt_elsewhere(request, progress, yield)
+        const auto ending = should_forward(request) ? attempt_elsewhere(request, progress, next, yield)
                                                     : attempt_here(request, progress, next, yield);
         if (ending)
             return *ending;
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -386,12 +386,13 @@
     end_forwarding(*this->request, *forwarded);
     this->last_result = exchange.result;
     this->reason = decision::to_text(exchange.result);
-    if (exchange.result == attempt_result::not_run && !this->has_started)
-        if (const auto ending =
-                end_after_refusal(*this->request, exchange.head, std::move(answer.body), yield))
-            return *ending;
-    if (const auto ending = this->ending_after(exchange, std::move(answer), yield))
+    const auto ending = exchange.result == attempt_result::not_run && !this->has_started
+                            ? end_after_refusal(*this->request, exchange.head, std::move(answer.body), yield)
+                            : this->ending_after(exchange, std::move(answer), yield);
+    if (ending)
         return *ending;
+    // A host that refused to resume the stream would refuse again.
+    this->request->is_forwarding_exhausted |= exchange.result == attempt_result::not_run;
     const bool may_retry = decision::may_retry(this->request->record, this->last_result);
     return tl::make_unexpected(may_retry ? failed_attempt::try_again : failed_attempt::give_up);
 }
