decision: Confirm a suspicion of the own links before forgiving upstreams

Found by reading: once a suspicion ended, every instance that had not been reached became usable again. Two dead instances in a row make a suspicion, the probe of a third one ends it at once, and the two dead ones were tried again, each try 120 ms, without their ejection growing. Now they are only forgiven if a further attempt failed after the suspicion began, as it does while the links are down.

--- a/libraries/decision/reachability.cpp
+++ b/libraries/decision/reachability.cpp
@@ -23,18 +23,25 @@
                       [now](const auto& item) { return now - item.second >= attempt_lifetime; });
     reach.unreached[attempt.instance] = now;
     const std::size_t needed = std::clamp<std::size_t>(attempt.instances, 1, min_unreached_instances);
-    if (is_unreachable(reach) || reach.unreached.size() < needed)
+    if (is_unreachable(reach)) {
+        ++reach.failures_since;
+        return false;
+    }
+    if (reach.unreached.size() < needed)
         return false;
     reach.unreachable_since = now;
     return true;
 }
 
-bool record_connected(service_reachability& reach, base::time_point started) {
-    const bool was_unreachable = is_unreachable(reach);
+suspicion record_connected(service_reachability& reach, base::time_point started) {
+    suspicion ended = suspicion::none;
+    if (is_unreachable(reach))
+        ended = reach.failures_since > 0 ? suspicion::confirmed : suspicion::unconfirmed;
     reach.last_connected = std::max(reach.last_connected, started);
     reach.unreached.clear();
     reach.unreachable_since.reset();
-    return was_unreachable;
+    reach.failures_since = 0;
+    return ended;
 }
 
 bool is_unreachable(const service_reachability& reach) { return reach.unreachable_since.has_value(); }
--- a/libraries/decision/reachability.h
+++ b/libraries/decision/reachability.h
@@ -25,6 +25,7 @@
     /// Instances to which new connections failed since then: when the last one did.
     std::map<base::upstream_id, base::time_point> unreached{};
     std::optional<base::time_point> unreachable_since{}; ///< Set while this host's own links are suspected.
+    int failures_since = 0; ///< Further failed attempts since then, which confirm the suspicion.
 
     bool operator==(const service_reachability&) const = default;
 };
@@ -39,8 +40,15 @@
 /// Records an attempt that failed. Returns whether the service counts as unreachable from now on.
 bool record_unconnected(service_reachability& reach, const connection_attempt& attempt, base::time_point now);
 
-/// Records an attempt that succeeded. Returns whether the service counted as unreachable until now.
-bool record_connected(service_reachability& reach, base::time_point started);
+/// What a new connection ended.
+enum class suspicion {
+    none,        ///< The service was reachable.
+    unconfirmed, ///< The first attempt after the suspicion succeeded: the failures were the instances' own.
+    confirmed,   ///< The links had failed.
+};
+
+/// Records an attempt that succeeded. Returns the suspicion that it ended.
+suspicion record_connected(service_reachability& reach, base::time_point started);
 
 /// Whether this host's links to the service are suspected to have failed.
 [[nodiscard]] bool is_unreachable(const service_reachability& reach);
--- a/libraries/gateway/forwarding/upstream_reach.cpp
+++ b/libraries/gateway/forwarding/upstream_reach.cpp
@@ -41,13 +41,14 @@
     decision::service_reachability& reach = state.instances.reachability[service];
     const auto unreachable_since = reach.unreachable_since;
     const bool has_failures = !reach.unreached.empty();
-    const bool was_unreachable = decision::record_connected(reach, started);
+    const decision::suspicion ended = decision::record_connected(reach, started);
     // Failures at other instances are worth reporting now.
     if (has_failures)
         state.did_change_load();
-    if (!was_unreachable)
+    if (ended == decision::suspicion::none)
         return;
-    decision::restore_unreached(state.instances, service, *unreachable_since - failures_before);
+    if (ended == decision::suspicion::confirmed)
+        decision::restore_unreached(state.instances, service, *unreachable_since - failures_before);
     state.log->write_always(
         "service_reachable",
         {{"service", service},
--- a/tests/decision/test_reachability.cpp
+++ b/tests/decision/test_reachability.cpp
@@ -45,9 +45,17 @@
     CHECK(fail(reach, "two", start + 2s));
     CHECK(is_unreachable(reach));
     CHECK_FALSE(fail(reach, "three", start + 3s));
-    CHECK(record_connected(reach, start + 4s));
+    CHECK(record_connected(reach, start + 4s) == decision::suspicion::confirmed);
     CHECK_FALSE(is_unreachable(reach));
-    CHECK_FALSE(record_connected(reach, start + 5s));
+    CHECK(record_connected(reach, start + 5s) == decision::suspicion::none);
+}
+
+// Guards against two dead instances being tried again and again, as if the links to them had healed.
+TEST_CASE("a suspicion that the first further attempt refutes is not confirmed") {
+    service_reachability reach;
+    (void)fail(reach, "one", start);
+    CHECK(fail(reach, "two", start + 1s));
+    CHECK(record_connected(reach, start + 2s) == decision::suspicion::unconfirmed);
 }
 
 TEST_CASE("a service with one instance is unreachable when that instance is") {
