--- a/libraries/host/forwarding_peers.h
+++ b/libraries/host/forwarding_peers.h
@@ -14,7 +14,7 @@
 /// Choice of the host to which a request is forwarded whose service this host can't reach.
 ///
 /// Nothing is asked beforehand: each forwarded request and each answer to one shows whether a host reaches
-/// the service, and heartbeats name the services that their sender can't reach.
+/// the service.
 namespace postpaddle::host {
 
 /// What another host showed of its links to a service.
