gateway: Show software versions and the attempts that callers resume

Callers got streams with events of two software versions of a service. No line of a host told the version of an upstream, or which stream a caller came back for, so nothing told the hypotheses apart.

Each upstream's software version is read from the registry, told between hosts with its entry, and stands in the state dump, in listing lines and in each send of a request's line; the id that a caller resumes stands in its line. Nothing is decided by them yet. Oversized ids are ignored.

--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -39,6 +39,7 @@
         return;
     state.log->write("instance_listing", {{"instance", id.value},
                                           {"service", known->entry.service},
+                                          {"software_version", known->entry.software_version},
                                           {"address", known->entry.address},
                                           {"born", known->entry.start_time_ms},
                                           {"listing", decision::to_text(known->state)},
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -128,10 +128,10 @@
     if (!change.entry)
         return row;
     const settings::upstream_entry& entry = *change.entry;
-    for (json field :
-         std::initializer_list<json>{entry.service, entry.address, entry.availability_zone.value, entry.slots,
-                                     static_cast<int>(entry.stage), entry.is_leaving, entry.sequence,
-                                     entry.start_time_ms, entry.cold_remaining.count()})
+    for (json field : std::initializer_list<json>{entry.service, entry.address, entry.availability_zone.value,
+                                                  entry.slots, static_cast<int>(entry.stage),
+                                                  entry.is_leaving, entry.sequence, entry.start_time_ms,
+                                                  entry.cold_remaining.count(), entry.software_version})
         row.push_back(std::move(field));
     return row;
 }
@@ -157,6 +157,9 @@
     static constexpr std::size_t cold_column = 10;
     if (row.size() > cold_column)
         entry.cold_remaining = std::chrono::milliseconds(row.at(cold_column).get<std::uint32_t>());
+    static constexpr std::size_t version_column = 11;
+    if (row.size() > version_column)
+        entry.software_version = row.at(version_column).get<std::string>();
     change.entry = std::move(entry);
     return change;
 }
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -75,6 +75,8 @@
         fields["time_left_ms"] = request.routed.time_left->count();
     if (request.routed.resume_after)
         fields["resume_after"] = *request.routed.resume_after;
+    if (!request.routed.resumes.empty())
+        fields["resumes"] = request.routed.resumes;
     if (request.first_event)
         fields["first_event_ms"] = base::to_milliseconds(*request.first_event);
     if (status != 0)
--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -13,6 +13,7 @@
 
 json dump_instance(const decision::instance& known, base::time_point now) {
     return {{"service", known.entry.service},
+            {"software_version", known.entry.software_version},
             {"address", known.entry.address},
             {"availability_zone", known.entry.availability_zone.value},
             {"stage", static_cast<int>(known.entry.stage)},
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -232,6 +232,7 @@
         return exchange;
     }
     exchange.start_time_ms = target->entry.start_time_ms;
+    exchange.software_version = target->entry.software_version;
     const std::string service = target->entry.service;
     target->last_send = exchange.sent;
     exchange.address = target->entry.address;
@@ -290,6 +291,8 @@
                              {"result", decision::to_text(exchange.result)},
                              {"status", exchange.head.status},
                              {"took_ms", base::to_milliseconds(now - exchange.sent)}});
+    if (!exchange.software_version.empty())
+        request.sends.back()["software_version"] = exchange.software_version;
     if (!exchange.detail.empty())
         request.sends.back()["detail"] = exchange.detail;
     if (exchange.result == attempt_result::not_run && exchange.facts.load)
--- a/libraries/gateway/upstream_exchange.h
+++ b/libraries/gateway/upstream_exchange.h
@@ -17,6 +17,7 @@
     std::shared_ptr<wire::upstream_connection> connection; ///< Reads the rest of the answer.
     std::string address;
     std::uint64_t start_time_ms = 0; ///< Start of the upstream that the request was sent to.
+    std::string software_version;    ///< Of that start; empty if unknown.
     base::time_point sent{};
     bool is_port_closed = false; ///< Nothing listens at the address.
     bool is_withheld = false;    ///< Not sent: placement limits forbid it now.
--- a/libraries/ports/request_protocol.h
+++ b/libraries/ports/request_protocol.h
@@ -22,6 +22,7 @@
     std::string host;
     std::optional<std::chrono::milliseconds> time_left; ///< Remaining time until the caller's deadline.
     std::optional<std::uint64_t> resume_after;          ///< Last event received by the caller.
+    std::string resumes;    ///< Id of the attempt that brought the stream's first event; empty if not named.
     std::string prompt_key; ///< Identifies the prompt; the same for all attempts of a caller.
     double prompt_tokens = 0;
     double output_tokens = 0;           ///< Upper limit.
--- a/libraries/settings/routing_settings.h
+++ b/libraries/settings/routing_settings.h
@@ -123,7 +123,8 @@
 struct upstream_entry {
     base::upstream_id id;
     std::string service;
-    std::string address; ///< IP number and port.
+    std::string software_version; ///< Of the server's program, not of its weights; empty if unknown.
+    std::string address;          ///< IP number and port.
     base::zone_id availability_zone;
     int slots = 1;
     engine_stage stage = engine_stage::none;
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -24,6 +24,7 @@
     entry.is_leaving = true;
     entry.sequence = 7;
     entry.cold_remaining = 1'500ms;
+    entry.software_version = "v2";
     return {
         .host = {"host-1"},
         .stamp = {.incarnation = 5, .sent = 900s},
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -56,6 +56,7 @@
     CHECK(entry->stage == settings::engine_stage::decode);
     CHECK(entry->sequence == 4);
     CHECK(entry->start_time_ms == 1'764'000'000'123);
+    CHECK(entry->software_version == "v1");
     CHECK_FALSE(platform::decode_upstream_entry("i-1", R"({"service":7})"));
     CHECK_FALSE(platform::decode_upstream_entry("i-1", "no json"));
 }
@@ -131,6 +132,21 @@
     CHECK(sent.body == "body");
 }
 
+TEST_CASE("the attempt that a caller resumes is read and passed on, and an oversized id ignored") {
+    const auto protocol = platform::make_request_protocol();
+    const auto read = [&protocol](const std::string& resumes) {
+        return protocol.read_request(
+            {"POST", "/p/1", {{"Host", "a.example"}, {"X-Attempt-Id", "abc"}, {"Resumes", resumes}}, ""});
+    };
+    const auto request = read("first-attempt");
+    REQUIRE(request);
+    CHECK(request->resumes == "first-attempt");
+    const auto sent = protocol.make_upstream_request(*request, {.instance = {"i-1"}});
+    CHECK(wire::find_header(sent.headers, platform::header_names::resumes) == "first-attempt");
+    CHECK(read("")->resumes.empty());
+    CHECK(read(std::string(10'000, 'x'))->resumes.empty());
+}
+
 TEST_CASE("the prompt key is the id of the last segment, and an engine's list of held prompts is parsed") {
     const auto protocol = platform::make_request_protocol();
     wire::http_request request{"POST", "/p/x", {{"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}}, ""};
