tests: Continue streams beside servers of another software version

The stand-in of a server names its version in each event; a cluster's server can be given one, and be added later.

--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_int32(work_ms, 5, "time that a request, or one event of a stream, takes");
 DEFINE_int32(events, 5, "events of a stream");
 DEFINE_int32(event_padding, 0, "bytes added to each event of a stream");
+DEFINE_string(software_version, "", "appended to the text of each event; empty: nothing is appended");
 
 namespace {
 
@@ -34,7 +35,8 @@
     int hung_responses = 0;             ///< While above 0, requests get no response.
     int duplicate_responses = 0;        ///< Answered twice.
     int unsealed_responses = 0;         ///< Answered without headers, including the seal.
-    int break_stream_after_events = -1; ///< Breaks the next new stream after this many events.
+    int break_stream_after_events = -1; ///< Breaks the next new streams after this many events.
+    int breaks = 1;                     ///< Number of streams still to be broken.
     int failed_kv_fetches = 0;          ///< Rejected because the KV cache can't be fetched.
     std::string fatal_body;             ///< The process exits when it executes this body.
     int exit_delay_ms = 0; ///< Between closing the connection of that request and the exit; not a count.
@@ -274,6 +276,10 @@
                                   yield);
     }
 
+    [[nodiscard]] static std::string version_suffix() {
+        return FLAGS_software_version.empty() ? "" : "@" + FLAGS_software_version;
+    }
+
     void stream_events(const wire::http_request& request, wire::caller_connection& connection,
                        wire::yield_context yield) {
         if (consume_fault(this->faults.failed_requests)) {
@@ -290,11 +296,12 @@
         const std::string padding(static_cast<std::size_t>(FLAGS_event_padding), ' ');
         for (int event = first; event <= last; ++event) {
             this->sleep(milliseconds(FLAGS_work_ms), yield);
-            const std::string text =
-                "id: " + std::to_string(event) + "\ndata: token-" + std::to_string(event) + padding;
+            const std::string text = "id: " + std::to_string(event) + "\ndata: token-" +
+                                     std::to_string(event) + version_suffix() + padding;
             if (first == 1 && this->faults.break_stream_after_events >= 0 &&
                 event > this->faults.break_stream_after_events) {
-                this->faults.break_stream_after_events = -1;
+                if (--this->faults.breaks <= 0)
+                    this->faults.break_stream_after_events = -1;
                 (void)connection.append(text);
                 this->sleep(milliseconds(5), yield);
                 connection.abort();
@@ -315,6 +322,7 @@
         this->faults.unsealed_responses = body.value("unsealed", this->faults.unsealed_responses);
         this->faults.break_stream_after_events =
             body.value("break_after", this->faults.break_stream_after_events);
+        this->faults.breaks = body.value("breaks", this->faults.breaks);
         this->faults.failed_kv_fetches = body.value("refuse_source", this->faults.failed_kv_fetches);
         this->faults.fatal_body = body.value("fatal_body", this->faults.fatal_body);
         this->faults.exit_delay_ms = body.value("exit_delay_ms", this->faults.exit_delay_ms);
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -296,6 +296,8 @@
         value["born"] = born;
     if (!this->plans.at(id).stage.empty())
         value["stage"] = this->plans.at(id).stage;
+    if (!this->plans.at(id).software_version.empty())
+        value["version"] = this->plans.at(id).software_version;
     this->put_registry_entry(id, value);
 }
 
@@ -331,7 +333,8 @@
     auto process = std::make_unique<child_process>(
         std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_server",
         std::vector<std::string>{"--id=" + id, "--port=" + std::to_string(port),
-                                 "--stage=" + this->plans.at(id).stage},
+                                 "--stage=" + this->plans.at(id).stage,
+                                 "--software_version=" + this->plans.at(id).software_version},
         this->folder + "/" + id + ".log");
     this->server_addresses[id] = "127.0.0.1:" + std::to_string(process->read_json().at("port").get<int>());
     this->servers[id] = std::move(process);
@@ -345,6 +348,12 @@
     this->register_server(id, "ready", 1, born);
 }
 
+void gateway_cluster::add_server(const server_plan& plan) {
+    this->plans[plan.id] = plan;
+    this->start_server(plan.id, 0);
+    this->register_server(plan.id, "ready", 1);
+}
+
 bool gateway_cluster::is_serving(const std::string& id) { return !this->server(id).is_null(); }
 
 void gateway_cluster::kill_server(const std::string& id) {
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -17,6 +17,7 @@
     std::string service = "plain";
     std::string stage{}; ///< Empty, `prefill` or `decode`.
     std::string zone = "east";
+    std::string software_version{}; ///< In its registry entry and in its events; empty: `v1`, not in events.
 };
 
 /// What happens to the links between a host and servers.
@@ -97,6 +98,8 @@
     void kill_server(const std::string& id);
     /// Restarts a server, killing its process first: same id and address, registered with the new `born`.
     void restart_server(const std::string& id, std::uint64_t born);
+    /// Starts a server that the cluster did not begin with, and registers it.
+    void add_server(const server_plan& plan);
     /// Whether the server's process answers.
     [[nodiscard]] bool is_serving(const std::string& id);
     [[nodiscard]] std::string server_address(const std::string& id) const {
