gateway: Continue streams only at the software version that began them

Cause: nothing that chooses knew the versions, and what began a stream was known to no host but its first, if at all. Class: state that a later step depends on lives in one process.

The service and version of a resumable stream's first event are recorded at four other hosts, drawn from the caller's id by consistent hashing, and confirmed before the event leaves. A request that continues a stream is restricted to them: own record, else the hosts that hold it are asked. Without a record only a service that had one version for as long as a stream lives goes on; otherwise 503, not run. Choices, moved and kept prompts, each send and the head of each answer look at it; another host that serves a forwarded request is told and tells the version. A pair of engines has one version where there is such a pair. A continued stream goes before new ones for room at its version, within its organisation's share.

--- a/libraries/decision/choice_context.h
+++ b/libraries/decision/choice_context.h
@@ -5,6 +5,7 @@
 #include <decision/placement.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -14,8 +15,10 @@
 struct choice_context {
     std::string service;
     base::zone_id own_zone;
-    std::set<base::upstream_id> excluded;  ///< Already tried for this request.
-    std::set<base::upstream_id> holding{}; ///< Engines that hold the request's prompt.
+    std::set<base::upstream_id> excluded;          ///< Already tried for this request.
+    std::set<base::upstream_id> holding{};         ///< Engines that hold the request's prompt.
+    std::optional<std::string> software_version{}; ///< The only one that may serve; unset: any.
+    std::set<std::string> unsettled_versions{};    ///< Software versions that may not serve yet.
     base::time_point now{};
     std::map<base::upstream_id, double>
         reserved{};       ///< Engine memory reserved for requests ahead in the queue.
@@ -25,6 +28,13 @@
     placement_limits limits{};
 };
 
+/// Whether an instance's software version may serve.
+[[nodiscard]] inline bool may_serve_version(const choice_context& context, const instance& candidate) {
+    const std::string& version = candidate.entry.software_version;
+    return context.software_version ? version == *context.software_version
+                                    : !context.unsettled_versions.contains(version);
+}
+
 /// Size of a request in tokens.
 struct prompt_size {
     double prompt_tokens = 0;
--- a/libraries/decision/choice_cost.cpp
+++ b/libraries/decision/choice_cost.cpp
@@ -58,7 +58,8 @@
     std::vector<const instance*> listed;
     std::vector<const instance*> unlisted;
     for (const auto& [id, candidate] : table.by_id) {
-        if (candidate.entry.service != context.service || !can_serve(candidate))
+        if (candidate.entry.service != context.service || !can_serve(candidate) ||
+            !may_serve_version(context, candidate))
             continue;
         if (check_placement(table, context.limits, candidate, context.now) != placement_verdict::allowed)
             continue;
--- a/libraries/decision/choice_cost.h
+++ b/libraries/decision/choice_cost.h
@@ -17,9 +17,9 @@
 /// Whether the instance's stage lets it serve a request by itself.
 [[nodiscard]] bool can_decode(const instance& candidate);
 
-/// Instances that are eligible for new work: those with known load; if none has, all listed ones; if none is
-/// listed, the unlisted ones. A request that has tried all listed instances does not fall back to unlisted
-/// ones, as these may be shutting down.
+/// Instances that are eligible for new work, of a software version that may serve: those with known load; if
+/// none has, all listed ones; if none is listed, the unlisted ones. A request that has tried all listed
+/// instances does not fall back to unlisted ones, as these may be shutting down.
 [[nodiscard]] std::vector<const instance*>
 eligible_instances(const instance_table& table, const choice_context& context,
                    const std::function<bool(const instance&)>& can_serve);
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -230,9 +230,20 @@
                        .cost = best.cost};
 }
 
-std::optional<engine_plan> choose_engines(const instance_table& table, const choice_context& context,
-                                          const settings::engine_capacity& capacity, const prompt_size& size,
-                                          std::mt19937_64& random) {
+namespace {
+
+/// The software versions of the instances that may serve.
+std::set<std::string> versions_of(const std::vector<const instance*>& candidates) {
+    std::set<std::string> versions;
+    for (const instance* candidate : candidates)
+        versions.insert(candidate->entry.software_version);
+    return versions;
+}
+
+/// The same choice whatever the engines' software versions.
+std::optional<engine_plan> choose_any_engines(const instance_table& table, const choice_context& context,
+                                              const settings::engine_capacity& capacity,
+                                              const prompt_size& size, std::mt19937_64& random) {
     auto colocated = choose_colocated(table, context, capacity, size, random);
     const auto prefill_cost = [&](const instance& candidate) {
         return base_cost(candidate, context, random) + prefill_time(candidate, size.prompt_tokens, context);
@@ -260,6 +271,29 @@
                        .cost = best.cost};
 }
 
+} // namespace
+
+std::optional<engine_plan> choose_engines(const instance_table& table, const choice_context& context,
+                                          const settings::engine_capacity& capacity, const prompt_size& size,
+                                          std::mt19937_64& random) {
+    const auto decode_versions = versions_of(eligible_instances(table, context, can_decode));
+    const auto prefill_versions = versions_of(eligible_instances(table, context, can_prefill));
+    const bool is_uniform = decode_versions.size() <= 1 && prefill_versions.size() <= 1;
+    const bool has_pair = std::ranges::any_of(
+        decode_versions, [&](const std::string& version) { return prefill_versions.contains(version); });
+    if (is_uniform || !has_pair)
+        return choose_any_engines(table, context, capacity, size, random);
+    std::optional<engine_plan> best;
+    choice_context of_version = context;
+    for (const std::string& version : decode_versions) {
+        of_version.software_version = version;
+        const auto plan = choose_any_engines(table, of_version, capacity, size, random);
+        if (plan && (!best || plan->cost < best->cost))
+            best = plan;
+    }
+    return best;
+}
+
 void record_prefill(instance& target, engine_speed& speed, const prefill_sample& sample,
                     base::time_point now) {
     const double alone = unqueued_prefill_seconds(speed, sample.prompt_tokens);
--- a/libraries/decision/instance_choice.h
+++ b/libraries/decision/instance_choice.h
@@ -32,7 +32,8 @@
 /// zones.
 ///
 /// Compares separate prefill and decode engines with a prefill at the decode engine, which avoids the KV
-/// cache transfer but is slower and delays the streams there.
+/// cache transfer but is slower and delays the streams there. Both engines have the same software version
+/// where there is such a pair.
 [[nodiscard]] std::optional<engine_plan> choose_engines(const instance_table& table,
                                                         const choice_context& context,
                                                         const settings::engine_capacity& capacity,
--- a/libraries/decision/send_slots.cpp
+++ b/libraries/decision/send_slots.cpp
@@ -13,7 +13,7 @@
     double per_second = 0;
     for (const auto& [id, candidate] : table.by_id) {
         if (candidate.entry.service != context.service || candidate.state != listing::listed ||
-            !can_decode(candidate) || context.excluded.contains(id))
+            !can_decode(candidate) || context.excluded.contains(id) || !may_serve_version(context, candidate))
             continue;
         const auto next = next_placement_time(table, context.limits, candidate, context.now);
         if (!next)
--- a/libraries/gateway/decode_engine_recheck.cpp
+++ b/libraries/gateway/decode_engine_recheck.cpp
@@ -102,7 +102,9 @@
         return reservation.engine;
     }
     const settings::engine_capacity capacity = capacity_of(request);
-    const decision::choice_context context = choice_context_of(request);
+    decision::choice_context context = choice_context_of(request);
+    // The prompt was read for an engine of this version.
+    context.software_version = target->entry.software_version;
     const auto concurrent = reservations_since(state, reservation);
     const bool has_failed = decision::is_avoided(*target, context.now);
     const bool must_leave = has_failed || is_displaced(state, reservation, *target, capacity, concurrent);
--- a/libraries/gateway/forwarding/forwarded_request.h
+++ b/libraries/gateway/forwarding/forwarded_request.h
@@ -31,8 +31,9 @@
     std::chrono::milliseconds since_first_try{}; ///< Since the client's first attempt, as estimated.
     std::optional<std::uint64_t> resume_after{}; ///< Last event that the caller has received.
     int max_attempts = 1;                        ///< Upstreams that may run it.
-    int accepted_prompts = 0;   ///< Prompts that engines may have processed; further ones count as retries.
-    wire::http_request message; ///< As the caller sent it, without its key.
+    int accepted_prompts = 0; ///< Prompts that engines may have processed; further ones count as retries.
+    std::string software_version{}; ///< That began the stream which the request continues; empty: none did.
+    wire::http_request message;     ///< As the caller sent it, without its key.
 
     bool operator==(const forwarded_request&) const = default;
 };
@@ -64,7 +65,8 @@
 /// What the receiving host adds to the head of its answer.
 struct forwarding_label {
     forwarding_outcome outcome = forwarding_outcome::unavailable;
-    int attempts = 0; ///< Upstreams that may have run the request so far.
+    int attempts = 0;               ///< Upstreams that may have run the request so far.
+    std::string software_version{}; ///< Of the upstream whose stream follows; empty if unknown.
 
     bool operator==(const forwarding_label&) const = default;
 };
--- a/libraries/gateway/forwarding/forwarding_receiver.cpp
+++ b/libraries/gateway/forwarding/forwarding_receiver.cpp
@@ -5,6 +5,7 @@
 #include <gateway/forwarding/upstream_reach.h>
 #include <gateway/request_handler.h>
 #include <gateway/request_quarantine.h>
+#include <gateway/stream_origin/request_origin.h>
 #include <wire/endpoint.h>
 
 #include <algorithm>
@@ -88,6 +89,9 @@
         request.routed.resume_after = forwarded.resume_after;
     if (!resolve(request, forwarded))
         return false;
+    if (!forwarded.software_version.empty())
+        request.origin =
+            host::stream_origin{.service = forwarded.service, .software_version = forwarded.software_version};
     request.record = make_record(*request.route);
     request.record.max_attempts = std::min(request.record.max_attempts, forwarded.max_attempts);
     request.record.accepted_prompts = forwarded.accepted_prompts;
@@ -153,6 +157,8 @@
     await_exit_checks(request, yield);
     if (const auto remaining = quarantine_time_left(request))
         return reject(request, unavailable_status, quarantine_reason, yield, remaining);
+    if (const char* const reason = resolve_stream_origin(request, yield))
+        return reject(request, unavailable_status, reason, yield, unknown_origin_retry_after);
     relay_request(request, yield);
 }
 
--- a/libraries/gateway/forwarding/forwarding_sender.cpp
+++ b/libraries/gateway/forwarding/forwarding_sender.cpp
@@ -38,6 +38,7 @@
             .resume_after = resume_after,
             .max_attempts = decision::attempts_to_grant(request.record),
             .accepted_prompts = request.record.accepted_prompts,
+            .software_version = request.origin ? request.origin->software_version : "",
             .message = request.routed.message};
 }
 
@@ -188,6 +189,7 @@
     if (exchange.head.status != 0)
         label = take_forwarding_label(exchange.head);
     forwarded.told_attempts = label.attempts;
+    exchange.software_version = label.software_version;
     if (!may_go_elsewhere(label.outcome)) {
         record_taken(request, forwarded, label.outcome);
         return forwarded;
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -10,6 +10,7 @@
 #include <gateway/quarantine_exchange.h>
 #include <gateway/stage_controller.h>
 #include <gateway/store_watch.h>
+#include <gateway/stream_origin/stream_origin_exchange.h>
 #include <gateway/unsent_data_bound.h>
 #include <wire/http_listener.h>
 
@@ -79,6 +80,7 @@
     store_watch store;
     stage_controller stages;
     quarantine_exchange quarantine;
+    stream_origin_exchange stream_origins;
     reach_prober prober;
     std::shared_ptr<wire::http_listener> caller_listener;
     std::shared_ptr<wire::http_listener> readiness_listener;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -67,12 +67,29 @@
     return request.state->profiles[request.service];
 }
 
+namespace {
+
+/// How long a host waits before streams begin at a software version that is new to it. By then every host
+/// whose registry is up to date knows the version.
+base::duration settling_time(const gateway_state& state) { return registry_freshness(state) * 3 / 2; }
+
+} // namespace
+
 decision::choice_context choice_context_of(const gateway_request& request) {
+    const gateway_state& state = *request.state;
+    const base::time_point now = state.clock->now();
+    std::set<std::string> unsettled;
+    if (request.route->kind == settings::route_kind::stream && request.route->is_resumable && !request.origin)
+        unsettled = decision::unsettled_versions(state.software_versions, state.instances, request.service,
+                                                 settling_time(state), now);
     return {.service = request.service,
             .own_zone = request.state->process->availability_zone,
             .excluded = request.tried,
             .holding = request.holding,
-            .now = request.state->clock->now(),
+            .software_version =
+                request.origin ? std::optional(request.origin->software_version) : std::nullopt,
+            .unsettled_versions = std::move(unsettled),
+            .now = now,
             .speed = profile_of(request).speed,
             .hold_seconds = mean_hold_seconds(request),
             .limits = placement_limits_of(request)};
@@ -185,7 +202,10 @@
 void label_answer(const gateway_request& request, wire::http_headers& headers, forwarding_outcome outcome,
                   int attempts) {
     if (request.forwarded_by)
-        set_forwarding_label(headers, {.outcome = outcome, .attempts = attempts});
+        set_forwarding_label(headers,
+                             {.outcome = outcome,
+                              .attempts = attempts,
+                              .software_version = request.origin ? request.origin->software_version : ""});
 }
 
 namespace {
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -5,6 +5,7 @@
 #include <decision/instance_choice.h>
 #include <gateway/forwarding/forwarded_request.h>
 #include <gateway/slot_order.h>
+#include <host/stream_origins.h>
 #include <wire/caller_connection.h>
 #include <wire/upstream_connection.h>
 
@@ -48,6 +49,9 @@
     bool is_key_revoked = false;             ///< The key was revoked before the request ran.
     std::int64_t charged_amount = 0;         ///< Charged against the organisation's limit, in its unit.
     std::string service;
+    /// What began the stream that the request has begun or continues: nothing else may continue it.
+    std::optional<host::stream_origin> origin{};
+    const char* origin_source = nullptr; ///< For the log: how the origin of a continued stream was found.
     int rank = 0;                  ///< Priority among waiting requests, from 0 (most urgent) to `max_rank`.
     host::share_key share_key = 0; ///< Of its organisation's share of the service.
     std::optional<scoped_share_use> share_use{}; ///< From its start at an engine to its end.
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -166,6 +166,19 @@
     return true;
 }
 
+namespace {
+
+/// Records the software version before and after a change: until now the former may have begun streams.
+void record_versions(gateway_state& state, const decision::registry_change& change) {
+    const base::time_point now = state.clock->now();
+    if (const decision::instance* const before = decision::find_instance(state.instances, change.id))
+        decision::record_version(state.software_versions, before->entry, now);
+    if (change.entry)
+        decision::record_version(state.software_versions, *change.entry, now);
+}
+
+} // namespace
+
 void apply_registry_changes(gateway_state& state, const std::vector<decision::registry_change>& changes,
                             const char* origin) {
     // NOTE: The cost of a change must not depend on the number of upstreams; changes arrive one at a time.
@@ -174,6 +187,7 @@
     bool has_restarted = false;
     bool has_gone = false;
     for (const decision::registry_change& change : changes) {
+        record_versions(state, change);
         const auto effect = decision::apply_change(state.instances, change, condition);
         record_advertised_cold(state, change);
         decision::instance* const known = decision::find_instance(state.instances, change.id);
@@ -203,6 +217,8 @@
     return condition_of(state) == decision::registry_condition::failing;
 }
 
+base::duration registry_freshness(const gateway_state& state) { return state.process->max_leaving_delay; }
+
 void expire_unlisted_instances(gateway_state& state) {
     if (is_registry_failing(state))
         return;
@@ -213,9 +229,13 @@
 }
 
 void apply_registry_snapshot(gateway_state& state, const ports::registry_page& page) {
+    const base::time_point now = state.clock->now();
+    decision::record_all_versions(state.software_versions, state.instances, now);
     const auto changed = decision::apply_snapshot(
         state.instances, {.entries = page.changes, .unreadable = page.unreadable, .end = page.next},
         condition_of(state));
+    decision::record_all_versions(state.software_versions, state.instances, now);
+    state.software_versions.known_since = state.software_versions.known_since.value_or(now);
     for (const decision::registry_change& change : page.changes)
         record_advertised_cold(state, change);
     ++state.registry_revision;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -11,6 +11,7 @@
 #include <decision/route_table.h>
 #include <decision/service_profile.h>
 #include <decision/shared_budget.h>
+#include <decision/software_versions.h>
 #include <decision/warm_up.h>
 #include <decision/zone_evacuations.h>
 #include <gateway/decision_log.h>
@@ -138,6 +139,7 @@
     nlohmann::json trace; ///< The same JSON as in its log line.
 };
 
+class stream_origin_exchange;
 class unsent_data_bound;
 
 /// State of a gateway host, shared by its coroutines. Used by one thread only; outlives every coroutine.
@@ -159,7 +161,11 @@
     bool has_registry = false;                ///< Whether the registry has been read at least once.
     std::uint64_t registry_next = 0;          ///< Offset from which to read the registry next.
     std::uint64_t registry_revision = 1;      ///< Incremented on every change to the known registry.
-    base::time_point registry_failed_at{};    ///< When reading the registry last failed.
+    /// Every record of the registry up to this time is known here.
+    base::time_point registry_known_until{};
+    decision::software_versions software_versions{}; ///< Of each service's upstreams, now and recently.
+    stream_origin_exchange* stream_origins = nullptr;
+    base::time_point registry_failed_at{};                    ///< When reading the registry last failed.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
     bool has_host_list = false;                ///< The list of hosts has been read from the store.
@@ -266,6 +272,9 @@
 /// Whether reading the registry failed recently: entries may have expired although their upstreams are alive.
 [[nodiscard]] bool is_registry_failing(const gateway_state& state);
 
+/// Age up to which the registry counts as up to date: within this bound each record must be known.
+[[nodiscard]] base::duration registry_freshness(const gateway_state& state);
+
 /// Call after reading the registry: removes unlisted instances that were kept while the registry was failing,
 /// once it has been healthy for long enough.
 void expire_unlisted_instances(gateway_state& state);
--- a/libraries/gateway/peer_datagrams.h
+++ b/libraries/gateway/peer_datagrams.h
@@ -16,9 +16,10 @@
 
 /// Type of a datagram between hosts; its first byte.
 enum class datagram_kind : char {
-    load = 'l',         ///< Work in progress on a host.
-    store_update = 's', ///< What a leader of a cell has read of the store.
-    quarantine = 'q',   ///< Requests suspected of crashing upstreams.
+    load = 'l',          ///< Work in progress on a host.
+    store_update = 's',  ///< What a leader of a cell has read of the store.
+    quarantine = 'q',    ///< Requests suspected of crashing upstreams.
+    stream_origin = 'o', ///< What began a stream.
 };
 
 /// Datagrams between hosts. Lost datagrams are made up for by later ones; malformed ones are counted and
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -4,6 +4,7 @@
 #include <gateway/caller_identity.h>
 #include <gateway/plain_relay.h>
 #include <gateway/request_quarantine.h>
+#include <gateway/stream_origin/request_origin.h>
 #include <gateway/stream_relay.h>
 #include <gateway/unsent_data_bound.h>
 
@@ -77,6 +78,11 @@
         fields["resume_after"] = *request.routed.resume_after;
     if (!request.routed.resumes.empty())
         fields["resumes"] = request.routed.resumes;
+    if (request.origin)
+        fields["origin"] = {{"service", request.origin->service},
+                            {"software_version", request.origin->software_version}};
+    if (request.origin_source != nullptr)
+        fields["origin_source"] = request.origin_source;
     if (request.first_event)
         fields["first_event_ms"] = base::to_milliseconds(*request.first_event);
     if (status != 0)
@@ -129,7 +135,8 @@
 void prepare_request(gateway_request& request) {
     gateway_state& state = *request.state;
     std::uniform_real_distribution<double> draw(0, 1);
-    request.service = decision::choose_service(*request.route, draw(state.random));
+    request.service = request.origin ? request.origin->service
+                                     : decision::choose_service(*request.route, draw(state.random));
     request.record = make_record(*request.route);
     set_order(request);
     base::duration timeout = request.route->time_limit;
@@ -215,6 +222,10 @@
         state.metrics->count("held_requests_refused_total");
         return reject(request, unavailable_status, quarantine_reason, yield, remaining);
     }
+    if (const char* const reason = resolve_stream_origin(request, yield))
+        return reject(request, unavailable_status, reason, yield, unknown_origin_retry_after);
+    if (const char* const reason = reason_without_version(request))
+        return reject(request, unavailable_status, reason, yield);
     if (const auto wait = count_against_limit(request)) {
         state.metrics->count("over_limit_total");
         return reject(request, over_limit_status, "over the organisation's limit", yield, wait);
--- a/libraries/gateway/retained_cache.cpp
+++ b/libraries/gateway/retained_cache.cpp
@@ -16,6 +16,37 @@
 /// Timeout of the release call. A cache that is not released expires by itself.
 constexpr auto release_timeout = 500ms;
 
+/// The engine that retains a cache.
+struct cache_source {
+    base::zone_id zone;
+    std::string software_version;
+};
+
+cache_source describe_source(gateway_state& state, const base::upstream_id& engine) {
+    const decision::instance* const known = decision::find_instance(state.instances, engine);
+    if (known == nullptr)
+        return {};
+    return {.zone = known->entry.availability_zone, .software_version = known->entry.software_version};
+}
+
+/// A decode engine of the source's software version where there is one, else of any that may serve.
+std::optional<decision::engine_plan> choose_for_source(gateway_state& state, decision::choice_context context,
+                                                       const settings::engine_capacity& capacity,
+                                                       const decision::prompt_size& size,
+                                                       const cache_source& source) {
+    const auto choose = [&] {
+        return decision::choose_decode(state.instances, context, capacity, size, source.zone, state.random);
+    };
+    if (context.software_version || source.software_version.empty())
+        return choose();
+    context.software_version = source.software_version;
+    auto plan = choose();
+    if (plan)
+        return plan;
+    context.software_version.reset();
+    return choose();
+}
+
 } // namespace
 
 void retained_cache::retain(ports::retained_prompt retained) {
@@ -31,8 +62,7 @@
                                                                          wire::yield_context yield) {
     gateway_state& state = *this->request->state;
     const settings::engine_capacity capacity = capacity_of(*this->request);
-    const decision::instance* const source = decision::find_instance(state.instances, this->prompt->upstream);
-    const base::zone_id zone = source == nullptr ? base::zone_id{} : source->entry.availability_zone;
+    const cache_source source = describe_source(state, this->prompt->upstream);
     wire::boot_timer timer(*state.context);
     while (decision::is_prompt_retained(this->age(), capacity, this->refusals) &&
            !this->request->cancellation->is_caller_gone) {
@@ -41,7 +71,7 @@
             state.process->policy.try_before_expiry && decision::is_prompt_expiring(this->age(), capacity);
         if (is_about_to_expire)
             context.excluded.insert(this->refused_by.begin(), this->refused_by.end());
-        auto plan = decision::choose_decode(state.instances, context, capacity, size, zone, state.random);
+        auto plan = choose_for_source(state, context, capacity, size, source);
         if (!plan && !is_about_to_expire && !decision::next_send_slot(state.instances, context))
             return std::nullopt;
         if (plan && (plan->has_room || is_about_to_expire))
--- a/libraries/gateway/slot_candidate.cpp
+++ b/libraries/gateway/slot_candidate.cpp
@@ -35,6 +35,12 @@
     return {.slots = slots, .queue = &*waiters.queue, .own = own, .ahead = waiters.queue->waiters_ahead(own)};
 }
 
+/// Whether the request goes before those that wait: it continues a stream, which only engines of one software
+/// version may do, while new ones may begin elsewhere. Not beyond its organisation's share.
+bool goes_first(const gateway_request& request, const slot_queue_view& view) {
+    return request.origin && !view.queue->position_of(view.own).is_beyond_share;
+}
+
 /// Whether the memory of the requests ahead is reserved in the choice of the engines.
 bool reserves_for_those_ahead(const slot_queue_view& view, const settings::gateway_policy& policy) {
     const bool is_queue_too_long = static_cast<double>(view.ahead.size()) >
@@ -109,7 +115,9 @@
     waiting.in_time = decision::max_wait_on_time(request.route->latency_target, plan->expected_first_event);
     if (entry != nullptr)
         entry->update({.in_time = waiting.in_time, .rank = request.rank, .share_key = request.share_key});
-    const slot_queue_view view = view_queue(request, size, context, waiting);
+    slot_queue_view view = view_queue(request, size, context, waiting);
+    if (goes_first(request, view))
+        view.ahead.clear();
     bool has_room = plan->has_room && view.slots.free_now > static_cast<double>(view.ahead.size());
     if (reserves_for_those_ahead(view, state.process->policy)) {
         context.reserved = decision::reserve_memory(state.instances, context, waiting.capacity, view.ahead);
--- a/libraries/gateway/store_updates.cpp
+++ b/libraries/gateway/store_updates.cpp
@@ -159,6 +159,7 @@
     }
     own.leadership.behind_since.reset();
     host::record_known(own.leadership, update.registry.until);
+    this->state->registry_known_until = std::max(this->state->registry_known_until, update.registry.until);
     expire_unlisted_instances(*this->state);
 }
 
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_watch.cpp
@@ -69,6 +69,8 @@
         const base::time_point until = is_old ? began + plan.wait : began;
         read.progress.known_until = std::max(read.progress.known_until, until);
         host::record_known(read.progress.leadership, until);
+        if (&read == &this->registry)
+            this->state->registry_known_until = std::max(this->state->registry_known_until, until);
         if (host::did_answer(read.reader, plan, began))
             this->state->log->write_always("dependency_regained",
                                            {{"dependency", std::string("store ") + read.name}});
--- /dev/null
+++ b/libraries/gateway/stream_origin/request_origin.h
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <gateway/gateway_request.h>
+
+#include <string>
+
+namespace postpaddle::gateway {
+
+/// `Retry-After` of a stream that can't go on since this host doesn't know what began it: another may.
+inline constexpr base::duration unknown_origin_retry_after = std::chrono::milliseconds(100);
+
+/// Whether the request continues a stream that an earlier attempt began. Then it may only go on at the
+/// service and the software version of that attempt.
+[[nodiscard]] bool continues_stream(const gateway_request& request);
+
+/// Finds out what began the stream that the request continues, and restricts the request to it. Returns why
+/// the stream can't go on, null if it can. Call once the route and the organisation are known.
+[[nodiscard]] const char* resolve_stream_origin(gateway_request& request, wire::yield_context yield);
+
+/// Why the request, restricted to its stream's software version, can't be served by any upstream now; null if
+/// it can be or is not restricted.
+[[nodiscard]] const char* reason_without_version(const gateway_request& request);
+
+/// Call before the first event of a stream goes to the caller, with the version of the upstream that it came
+/// from, empty if unknown. Records it for when the caller returns, at any host.
+void record_stream_origin(gateway_request& request, const std::string& software_version,
+                          wire::yield_context yield);
+
+} // namespace postpaddle::gateway
--- /dev/null
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.cpp
@@ -0,0 +1,198 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/stream_origin/stream_origin_exchange.h>
+
+#include <algorithm>
+#include <array>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+using message_kind = stream_origin_message_kind;
+
+/// Confirmations for which the first event of a stream waits; a single one suffices if they take long.
+constexpr std::size_t wanted_confirmations = 2;
+/// Pauses between repetitions of an unanswered message. Longer than a round trip between regions at first;
+/// the sum is the longest time for which an unreachable host delays a stream.
+constexpr std::array<base::duration, 3> repetition_pauses = {30ms, 60ms, 120ms};
+/// How long a ring may be used before it is compared with the known hosts again.
+constexpr base::duration ring_lifetime = 1s;
+
+/// Removes a pending message from the set when it goes out of scope, even if its coroutine is unwound.
+template <class Set, class Element> class scoped_member {
+public:
+    scoped_member(Set& set, Element* element) : set(&set), element(element) { this->set->insert(element); }
+    scoped_member(const scoped_member&) = delete;
+    scoped_member(scoped_member&&) = delete;
+    scoped_member& operator=(const scoped_member&) = delete;
+    scoped_member& operator=(scoped_member&&) = delete;
+    ~scoped_member() { this->set->erase(this->element); }
+
+private:
+    Set* set;
+    Element* element;
+};
+
+} // namespace
+
+stream_origin_exchange::pending_message::pending_message(wire::asio::io_context& context,
+                                                         stream_origin_message message)
+    : bytes(encode_stream_origin(message)), key(message.key), kind(message.kind), wake(context) {}
+
+stream_origin_exchange::stream_origin_exchange(gateway_state& state, peer_datagrams& datagrams)
+    : state(&state), datagrams(&datagrams) {}
+
+void stream_origin_exchange::start() {
+    this->state->stream_origins = this;
+    this->datagrams->on(datagram_kind::stream_origin,
+                        [this](std::string_view bytes) { return this->handle(bytes); });
+}
+
+const host::replica_ring& stream_origin_exchange::current_ring() {
+    const base::time_point now = this->state->clock->now();
+    const bool is_old = now - this->ring_made_at > ring_lifetime;
+    if (this->ring.points.empty() || (is_old && this->ring.hosts != this->state->peers.by_name.size()))
+        this->ring = host::make_replica_ring(this->state->peers, this->state->process->name);
+    if (is_old)
+        this->ring_made_at = now;
+    return this->ring;
+}
+
+host::replica_query stream_origin_exchange::query_for(const host::stream_key& key,
+                                                      const allowed_zones& zones) const {
+    return {.key = key.high ^ key.low,
+            .own = this->state->process->name,
+            .allowed_zones = zones,
+            .now = this->state->clock->now()};
+}
+
+std::map<base::host_id, std::string>
+stream_origin_exchange::addresses_of(const std::vector<base::host_id>& hosts) const {
+    std::map<base::host_id, std::string> addresses;
+    for (const base::host_id& host : hosts)
+        addresses[host] = this->state->peers.by_name.at(host).address;
+    return addresses;
+}
+
+void stream_origin_exchange::record_here(const host::stream_key& key, const host::stream_origin& origin,
+                                         base::duration lifetime) {
+    const base::time_point now = this->state->clock->now();
+    this->origins.remove_expired(now);
+    this->origins.record(key, origin, now + lifetime);
+    this->state->metrics->set("stream_origins", static_cast<double>(this->origins.size()));
+}
+
+void stream_origin_exchange::record(const host::stream_key& key, const host::stream_origin& origin,
+                                    base::duration lifetime, const allowed_zones& zones,
+                                    wire::yield_context yield) {
+    this->record_here(key, origin, lifetime);
+    if (!this->datagrams->is_open())
+        return;
+    pending_message told(*this->state->context,
+                         {.kind = message_kind::record,
+                          .from = this->state->process->name,
+                          .key = key,
+                          .origin = origin,
+                          .lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(lifetime)});
+    const auto query = this->query_for(key, zones);
+    told.unanswered =
+        this->addresses_of(host::choose_replicas(this->current_ring(), this->state->peers, query));
+    told.needed = std::min(wanted_confirmations, told.unanswered.size());
+    this->await_answers(told, yield);
+    this->state->metrics->count(told.received > 0 ? "stream_origins_confirmed_total"
+                                                  : "stream_origins_unconfirmed_total");
+}
+
+std::optional<host::stream_origin> stream_origin_exchange::find(const host::stream_key& key,
+                                                                const allowed_zones& zones,
+                                                                wire::yield_context yield) {
+    if (auto known = this->origins.find(key, this->state->clock->now()))
+        return known;
+    if (!this->datagrams->is_open())
+        return std::nullopt;
+    pending_message asked(*this->state->context,
+                          {.kind = message_kind::question, .from = this->state->process->name, .key = key});
+    const auto query = this->query_for(key, zones);
+    asked.unanswered =
+        this->addresses_of(host::hosts_to_ask(this->current_ring(), this->state->peers, query));
+    asked.needed = asked.unanswered.size();
+    this->await_answers(asked, yield);
+    return asked.origin;
+}
+
+void stream_origin_exchange::await_answers(pending_message& sent, wire::yield_context yield) {
+    const scoped_member member(this->pending, &sent);
+    for (const base::duration pause : repetition_pauses) {
+        if (sent.received >= sent.needed)
+            return;
+        std::vector<std::string> addresses;
+        for (const auto& [host, address] : sent.unanswered)
+            addresses.push_back(address);
+        this->datagrams->send(datagram_kind::stream_origin, sent.bytes, addresses);
+        sent.wake.expires_after(pause);
+        wire::error_code ignored;
+        sent.wake.async_wait(yield[ignored]);
+        if (sent.kind == message_kind::record)
+            sent.needed = std::min<std::size_t>(sent.needed, 1);
+    }
+}
+
+bool stream_origin_exchange::handle(std::string_view bytes) {
+    const auto message = decode_stream_origin(bytes);
+    if (!message)
+        return false;
+    host::record_received(this->state->peers, message->from, this->state->clock->now());
+    switch (message->kind) {
+    case message_kind::record:
+        this->handle_record(*message);
+        break;
+    case message_kind::question:
+        this->handle_question(*message);
+        break;
+    case message_kind::acknowledged:
+    case message_kind::answer:
+        this->handle_answer(*message);
+        break;
+    }
+    return true;
+}
+
+void stream_origin_exchange::handle_record(const stream_origin_message& message) {
+    this->record_here(message.key, *message.origin, message.lifetime);
+    this->reply(message.from,
+                {.kind = message_kind::acknowledged, .from = this->state->process->name, .key = message.key});
+}
+
+void stream_origin_exchange::handle_question(const stream_origin_message& message) {
+    this->reply(message.from, {.kind = message_kind::answer,
+                               .from = this->state->process->name,
+                               .key = message.key,
+                               .origin = this->origins.find(message.key, this->state->clock->now())});
+}
+
+void stream_origin_exchange::handle_answer(const stream_origin_message& message) {
+    const auto answered_kind =
+        message.kind == message_kind::answer ? message_kind::question : message_kind::record;
+    for (pending_message* const sent : this->pending) {
+        if (sent->key != message.key || sent->kind != answered_kind ||
+            sent->unanswered.erase(message.from) == 0)
+            continue;
+        ++sent->received;
+        if (message.origin) {
+            sent->origin = message.origin;
+            sent->needed = 0;
+        }
+        if (sent->received >= sent->needed)
+            sent->wake.cancel();
+    }
+}
+
+void stream_origin_exchange::reply(const base::host_id& host, const stream_origin_message& message) {
+    const auto known = this->state->peers.by_name.find(host);
+    if (known != this->state->peers.by_name.end())
+        this->datagrams->send(datagram_kind::stream_origin, encode_stream_origin(message),
+                              {known->second.address});
+}
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -8,6 +8,7 @@
 #include <gateway/prefill_send.h>
 #include <gateway/prefix_cache_lookup.h>
 #include <gateway/request_quarantine.h>
+#include <gateway/stream_origin/request_origin.h>
 
 #include <algorithm>
 
@@ -161,6 +162,11 @@
 stream_relay::stream_end stream_relay::relay_events(exchange_result& exchange, base::time_point deadline,
                                                     wire::yield_context yield) {
     wire::event_splitter events;
+    if (this->request->origin && this->request->origin->software_version != this->version_of(exchange)) {
+        exchange.detail = "another software version than the stream's";
+        exchange.connection->cancel();
+        return stream_end::broken;
+    }
     if (!this->has_started)
         this->first_head = exchange.head;
     while (true) {
@@ -173,7 +179,7 @@
             exchange.connection->cancel();
             return stream_end::broken;
         }
-        if (!this->forward_events(events))
+        if (!this->forward_events(exchange, events, yield))
             return stream_end::caller_gone;
         if (!*has_more)
             break;
@@ -208,7 +214,18 @@
     this->reservation->grow_memory(this->memory_after(this->events_forwarded));
 }
 
-void stream_relay::begin_stream() {
+std::string stream_relay::version_of(const exchange_result& exchange) const {
+    // Another host's word, if it was forwarded there.
+    if (this->decode_engine.is_empty())
+        return exchange.software_version;
+    const decision::instance* const engine =
+        decision::find_instance(this->request->state->instances, this->decode_engine);
+    const bool is_same_start = engine != nullptr && engine->entry.start_time_ms == exchange.start_time_ms;
+    return is_same_start ? exchange.software_version : "";
+}
+
+void stream_relay::begin_stream(const exchange_result& exchange, wire::yield_context yield) {
+    record_stream_origin(*this->request, this->version_of(exchange), yield);
     wire::remove_connection_headers(this->first_head.headers);
     // The attempt in progress has not been recorded yet.
     label_answer(*this->request, this->first_head.headers, forwarding_outcome::answered,
@@ -219,7 +236,8 @@
     this->request->state->metrics->observe("first_event_seconds", *this->request->first_event);
 }
 
-bool stream_relay::forward_events(wire::event_splitter& events) {
+bool stream_relay::forward_events(const exchange_result& exchange, wire::event_splitter& events,
+                                  wire::yield_context yield) {
     while (const auto event = events.next()) {
         this->did_receive_event();
         const bool is_duplicate = event->id && this->last_event && *event->id <= *this->last_event;
@@ -228,7 +246,7 @@
         if (event->id)
             this->last_event = event->id;
         if (!this->has_started)
-            this->begin_stream();
+            this->begin_stream(exchange, yield);
         if (!this->request->connection->append(event->text))
             return false;
     }
@@ -335,7 +353,9 @@
 }
 
 tl::expected<void, stream_relay::failed_attempt> stream_relay::check_may_continue() {
-    const char* const stop = reason_to_stop(*this->request);
+    const char* stop = reason_to_stop(*this->request);
+    if (stop == nullptr)
+        stop = reason_without_version(*this->request);
     if (stop == nullptr)
         return {};
     this->reason = stop;
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -49,7 +49,7 @@
     [[nodiscard]] tl::expected<request_ending, failed_attempt> attempt_elsewhere(wire::yield_context yield);
     [[nodiscard]] tl::expected<decision::engine_plan, failed_attempt>
     reserve_next_plan(wire::yield_context yield);
-    /// Fails if the request must not be sent any more, see `reason_to_stop`.
+    /// Fails if the request must not be sent any more: see `reason_to_stop` and `reason_without_version`.
     [[nodiscard]] tl::expected<void, failed_attempt> check_may_continue();
     [[nodiscard]] tl::expected<void, failed_attempt> charge_send();
     [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
@@ -82,10 +82,14 @@
     ending_after(const exchange_result& exchange, received_answer answer, wire::yield_context yield);
     [[nodiscard]] stream_end relay_events(exchange_result& exchange, base::time_point deadline,
                                           wire::yield_context yield);
-    [[nodiscard]] bool forward_events(wire::event_splitter& events);
+    [[nodiscard]] bool forward_events(const exchange_result& exchange, wire::event_splitter& events,
+                                      wire::yield_context yield);
+    /// Software version of the upstream that answers; empty if unknown, as after a restart under its name.
+    [[nodiscard]] std::string version_of(const exchange_result& exchange) const;
     [[nodiscard]] stream_events events_so_far() const;
     void did_receive_event();
-    void begin_stream();
+    /// Sends the head. Must wait until other hosts know what began the stream.
+    void begin_stream(const exchange_result& exchange, wire::yield_context yield);
     /// Releases what the request still holds elsewhere: before it waits for a caller that may read slowly.
     void did_end();
     [[nodiscard]] base::time_point next_event_deadline() const;
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -231,6 +231,12 @@
         exchange.detail = decision::to_text(verdict);
         return exchange;
     }
+    const bool is_run = send.purpose == ports::attempt_purpose::run;
+    if (is_run && request.origin && request.origin->software_version != target->entry.software_version) {
+        exchange.is_withheld = true;
+        exchange.detail = "another software version than the stream's";
+        return exchange;
+    }
     exchange.start_time_ms = target->entry.start_time_ms;
     exchange.software_version = target->entry.software_version;
     const std::string service = target->entry.service;
--- a/tests/gateway/test_forwarded_request.cpp
+++ b/tests/gateway/test_forwarded_request.cpp
@@ -33,6 +33,8 @@
 TEST_CASE("a forwarded request arrives as it was, whatever bytes it holds") {
     auto request = make_request();
     CHECK(gateway::decode_forwarded(gateway::encode_forwarded(request)) == request);
+    request.software_version = "v2";
+    CHECK(gateway::decode_forwarded(gateway::encode_forwarded(request)) == request);
     request.resume_after.reset();
     request.organisation = {};
     CHECK(gateway::decode_forwarded(gateway::encode_forwarded(request)) == request);
--- a/tests/gateway/test_software_versions.cpp
+++ b/tests/gateway/test_software_versions.cpp
@@ -206,6 +206,43 @@
         CHECK(counts.mixed == 0);
         CHECK(counts.complete == 24);
     }
+    SECTION("after another version was released in the middle of it") {
+        test::gateway_cluster cluster(
+            {.name = "versions-release",
+             .servers = {{.id = "p1", .service = "engines", .stage = "prefill", .software_version = "v1"},
+                         {.id = "d1", .service = "engines", .stage = "decode", .software_version = "v1"}},
+             .hosts = 2});
+        await_peers(cluster, 2);
+        (void)cluster.server("d1", {{"work_ms", 60}, {"events", stream_length}});
+        const auto callers = begin_streams(cluster, 1, 8, "release");
+        for (const auto* id : {"d2", "d3"})
+            cluster.add_server({.id = id, .service = "engines", .stage = "decode", .software_version = "v2"});
+        REQUIRE(test::eventually([&] { return cluster.state_of(2).at("instances").contains("d3"); }));
+        for (const auto& caller : callers)
+            caller->leave();
+        const stream_counts counts = resume_streams(cluster, callers, {1, 2});
+        CHECK(counts.mixed == 0);
+        CHECK(counts.complete == 8);
+    }
+    SECTION("through a host that reaches no upstream and forwards to others") {
+        test::gateway_cluster cluster({.name = "versions-forwarded",
+                                       .servers = engines_of_two_versions(),
+                                       .hosts = 3,
+                                       .linked_hosts = 1});
+        await_peers(cluster, 3);
+        for (const std::string& id : decode_engines)
+            (void)cluster.server(id, {{"work_ms", 20},
+                                      {"events", stream_length},
+                                      {"break_after", events_before_leaving + 1},
+                                      {"breaks", 6}});
+        cluster.set_links(1, test::link_fault::reset);
+        const auto callers = begin_streams(cluster, 1, 24, "forwarded");
+        for (const auto& caller : callers)
+            caller->leave();
+        const stream_counts counts = resume_streams(cluster, callers, {1, 2, 3});
+        CHECK(counts.mixed == 0);
+        CHECK(counts.complete == 24);
+    }
 }
 
 // Guards against a guess: a host that can't learn what began a stream, or finds no server of that version
