gateway: Know streams whose callers don't name the attempt, and services of one version

A stream is recorded under its request's fingerprint as well, at two hosts more; a returning request that names no attempt is found by it. Hosts are asked for the service's only version, too, and the first start of a system knows that no stream can have begun before.

Tests: 24 of 24 unnamed streams complete, none mixed; an attempt that began nothing is refused.

--- a/libraries/decision/software_versions.h
+++ b/libraries/decision/software_versions.h
@@ -24,7 +24,9 @@
 
 struct software_versions {
     std::map<std::string, std::map<std::string, version_sighting>> by_service; ///< Then by version.
-    std::optional<base::time_point> known_since{}; ///< When this host first read the whole registry.
+    /// Since when this host knows all versions: its first read of the registry, or long before if no stream
+    /// can have begun until then.
+    std::optional<base::time_point> known_since{};
 
     bool operator==(const software_versions&) const = default;
 };
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -51,7 +51,6 @@
     std::string service;
     /// What began the stream that the request has begun or continues: nothing else may continue it.
     std::optional<host::stream_origin> origin{};
-    const char* origin_source = nullptr; ///< For the log: how the origin of a continued stream was found.
     int rank = 0;                  ///< Priority among waiting requests, from 0 (most urgent) to `max_rank`.
     host::share_key share_key = 0; ///< Of its organisation's share of the service.
     std::optional<scoped_share_use> share_use{}; ///< From its start at an engine to its end.
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -23,6 +23,9 @@
 /// Completed requests kept for operators.
 constexpr std::size_t max_completed_requests = 128;
 
+/// Longer than any stream and all attempts of its caller.
+constexpr base::duration longest_stream = 24h;
+
 /// Upper bound on idle connections to one upstream.
 constexpr int max_idle_connections = 8;
 
@@ -235,7 +238,8 @@
         state.instances, {.entries = page.changes, .unreadable = page.unreadable, .end = page.next},
         condition_of(state));
     decision::record_all_versions(state.software_versions, state.instances, now);
-    state.software_versions.known_since = state.software_versions.known_since.value_or(now);
+    if (!state.software_versions.known_since)
+        state.software_versions.known_since = state.process->is_first_start ? now - longest_stream : now;
     for (const decision::registry_change& change : page.changes)
         record_advertised_cold(state, change);
     ++state.registry_revision;
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -81,8 +81,6 @@
     if (request.origin)
         fields["origin"] = {{"service", request.origin->service},
                             {"software_version", request.origin->software_version}};
-    if (request.origin_source != nullptr)
-        fields["origin_source"] = request.origin_source;
     if (request.first_event)
         fields["first_event_ms"] = base::to_milliseconds(*request.first_event);
     if (status != 0)
--- a/libraries/gateway/stream_origin/request_origin.cpp
+++ b/libraries/gateway/stream_origin/request_origin.cpp
@@ -18,36 +18,22 @@
 /// How much longer than its caller waits a stream's record is kept, for clocks and transit times.
 constexpr base::duration record_margin = 10s;
 
-host::stream_key key_of(const gateway_request& request, const std::string& request_id) {
-    return host::key_of_stream(
-        {.organisation = request.routed.organisation, .host = request.routed.host, .request_id = request_id});
-}
-
-/// The version of all streams of the service, if it can only have been one.
-std::optional<host::stream_origin> infer_origin(const gateway_request& request) {
-    const gateway_state& state = *request.state;
-    const base::time_point now = state.clock->now();
-    if (request.route->services.size() != 1 || now - state.registry_known_until > registry_freshness(state))
-        return std::nullopt;
-    const std::string& service = request.route->services.front().service;
-    const auto version = decision::sole_version(state.software_versions, state.instances, service,
-                                                2 * request.route->time_limit, now);
-    if (!version)
-        return std::nullopt;
-    return host::stream_origin{.service = service, .software_version = *version};
+/// The keys of the stream whose first event came with the attempt of that id.
+host::stream_keys keys_of(const gateway_request& request, const std::string& first_id) {
+    host::stream_keys keys{.by_id = {}, .by_content = {request.fingerprint.high, request.fingerprint.low}};
+    if (!first_id.empty())
+        keys.by_id = host::key_of_stream({.organisation = request.routed.organisation,
+                                          .host = request.routed.host,
+                                          .request_id = first_id});
+    return keys;
 }
 
 std::optional<host::stream_origin> find_origin(gateway_request& request, wire::yield_context yield) {
-    const std::string& id = request.routed.resumes;
-    if (!id.empty()) {
-        auto told = request.state->stream_origins->find(key_of(request, id),
-                                                        placement_limits_of(request).allowed_zones, yield);
-        request.origin_source = "record";
-        if (told)
-            return told;
-    }
-    request.origin_source = "inferred";
-    return infer_origin(request);
+    // With several services the stream may have begun at any of them.
+    const auto& services = request.route->services;
+    return request.state->stream_origins->find(keys_of(request, request.routed.resumes),
+                                               services.size() == 1 ? services.front().service : "",
+                                               placement_limits_of(request).allowed_zones, yield);
 }
 
 } // namespace
@@ -61,10 +47,9 @@
         return nullptr;
     if (!request.origin)
         request.origin = find_origin(request, yield);
-    if (!request.origin) {
-        request.origin_source = "unknown";
+    request.state->metrics->count(request.origin ? "streams_resumed_total" : "streams_unknown_total");
+    if (!request.origin)
         return unknown_version;
-    }
     const bool has_service = std::ranges::any_of(request.route->services, [&](const auto& choice) {
         return choice.service == request.origin->service;
     });
@@ -99,7 +84,7 @@
     const base::duration lifetime =
         std::max<base::duration>(request.route->time_limit, request.deadline - request.arrived) +
         record_margin;
-    request.state->stream_origins->record(key_of(request, first_id), *request.origin, lifetime,
+    request.state->stream_origins->record(keys_of(request, first_id), *request.origin, lifetime,
                                           placement_limits_of(request).allowed_zones, yield);
 }
 
--- a/libraries/gateway/stream_origin/stream_origin_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.cpp
@@ -11,6 +11,11 @@
 using namespace std::chrono_literals;
 using message_kind = stream_origin_message_kind;
 
+/// Hosts besides this one that hold a record by the id of the attempt, and further ones by the request.
+constexpr std::size_t id_replicas = 3;
+constexpr std::size_t content_replicas = 2;
+/// Time for which a caller may return to a stream, in time limits of the slowest route of its service.
+constexpr int return_factor = 2;
 /// Confirmations for which the first event of a stream waits; a single one suffices if they take long.
 constexpr std::size_t wanted_confirmations = 2;
 /// Pauses between repetitions of an unanswered message. Longer than a round trip between regions at first;
@@ -34,11 +39,20 @@
     Element* element;
 };
 
+/// The longest time after its beginning at which a stream of the service may be resumed.
+base::duration longest_return(const gateway_state& state, const std::string& service) {
+    base::duration longest{};
+    for (const settings::route_entry& route : state.settings->document.value->routes)
+        if (std::ranges::any_of(route.services, [&](const auto& part) { return part.service == service; }))
+            longest = std::max<base::duration>(longest, return_factor * route.time_limit);
+    return longest;
+}
+
 } // namespace
 
 stream_origin_exchange::pending_message::pending_message(wire::asio::io_context& context,
                                                          stream_origin_message message)
-    : bytes(encode_stream_origin(message)), key(message.key), kind(message.kind), wake(context) {}
+    : bytes(encode_stream_origin(message)), keys(message.keys), kind(message.kind), wake(context) {}
 
 stream_origin_exchange::stream_origin_exchange(gateway_state& state, peer_datagrams& datagrams)
     : state(&state), datagrams(&datagrams) {}
@@ -75,45 +89,76 @@
     return addresses;
 }
 
-void stream_origin_exchange::record_here(const host::stream_key& key, const host::stream_origin& origin,
+void stream_origin_exchange::record_here(const host::stream_keys& keys, const host::stream_origin& origin,
                                          base::duration lifetime) {
     const base::time_point now = this->state->clock->now();
     this->origins.remove_expired(now);
-    this->origins.record(key, origin, now + lifetime);
+    this->origins.record(keys, origin, now + lifetime);
     this->state->metrics->set("stream_origins", static_cast<double>(this->origins.size()));
 }
 
-void stream_origin_exchange::record(const host::stream_key& key, const host::stream_origin& origin,
+void stream_origin_exchange::record(const host::stream_keys& keys, const host::stream_origin& origin,
                                     base::duration lifetime, const allowed_zones& zones,
                                     wire::yield_context yield) {
-    this->record_here(key, origin, lifetime);
+    this->record_here(keys, origin, lifetime);
     if (!this->datagrams->is_open())
         return;
     pending_message told(*this->state->context,
                          {.kind = message_kind::record,
                           .from = this->state->process->name,
-                          .key = key,
+                          .keys = keys,
                           .origin = origin,
                           .lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(lifetime)});
-    const auto query = this->query_for(key, zones);
-    told.unanswered =
-        this->addresses_of(host::choose_replicas(this->current_ring(), this->state->peers, query));
+    told.unanswered = this->addresses_of(this->replicas_of(keys, zones));
     told.needed = std::min(wanted_confirmations, told.unanswered.size());
     this->await_answers(told, yield);
     this->state->metrics->count(told.received > 0 ? "stream_origins_confirmed_total"
                                                   : "stream_origins_unconfirmed_total");
 }
 
-std::optional<host::stream_origin> stream_origin_exchange::find(const host::stream_key& key,
+std::vector<base::host_id> stream_origin_exchange::replicas_of(const host::stream_keys& keys,
+                                                               const allowed_zones& zones) {
+    const host::replica_ring& hosts = this->current_ring();
+    const auto& peers = this->state->peers;
+    std::vector<base::host_id> replicas =
+        host::choose_replicas(hosts, peers, this->query_for(keys.by_id, zones), id_replicas);
+    const std::size_t count = replicas.size() + content_replicas;
+    for (const base::host_id& host :
+         host::choose_replicas(hosts, peers, this->query_for(keys.by_content, zones), host::asked_count))
+        if (replicas.size() < count && std::ranges::find(replicas, host) == replicas.end())
+            replicas.push_back(host);
+    return replicas;
+}
+
+std::optional<host::stream_origin> stream_origin_exchange::infer(const std::string& service) const {
+    const gateway_state& known = *this->state;
+    const base::time_point now = known.clock->now();
+    if (service.empty() || !known.settings || now - known.registry_known_until > registry_freshness(known))
+        return std::nullopt;
+    const auto version = decision::sole_version(known.software_versions, known.instances, service,
+                                                longest_return(known, service), now);
+    if (!version)
+        return std::nullopt;
+    return host::stream_origin{.service = service, .software_version = *version};
+}
+
+std::optional<host::stream_origin> stream_origin_exchange::find(const host::stream_keys& keys,
+                                                                const std::string& service,
                                                                 const allowed_zones& zones,
                                                                 wire::yield_context yield) {
-    if (auto known = this->origins.find(key, this->state->clock->now()))
+    if (auto known = this->origins.find(keys, this->state->clock->now()))
         return known;
+    if (auto inferred = this->infer(service))
+        return inferred;
     if (!this->datagrams->is_open())
         return std::nullopt;
     pending_message asked(*this->state->context,
-                          {.kind = message_kind::question, .from = this->state->process->name, .key = key});
-    const auto query = this->query_for(key, zones);
+                          {.kind = message_kind::question,
+                           .from = this->state->process->name,
+                           .keys = keys,
+                           .origin = host::stream_origin{.service = service, .software_version = {}}});
+    const bool is_named = keys.by_id != host::stream_key{};
+    const auto query = this->query_for(is_named ? keys.by_id : keys.by_content, zones);
     asked.unanswered =
         this->addresses_of(host::hosts_to_ask(this->current_ring(), this->state->peers, query));
     asked.needed = asked.unanswered.size();
@@ -152,6 +197,7 @@
         break;
     case message_kind::acknowledged:
     case message_kind::answer:
+    case message_kind::inference:
         this->handle_answer(*message);
         break;
     }
@@ -159,23 +205,30 @@
 }
 
 void stream_origin_exchange::handle_record(const stream_origin_message& message) {
-    this->record_here(message.key, *message.origin, message.lifetime);
-    this->reply(message.from,
-                {.kind = message_kind::acknowledged, .from = this->state->process->name, .key = message.key});
+    this->record_here(message.keys, *message.origin, message.lifetime);
+    this->reply(
+        message.from,
+        {.kind = message_kind::acknowledged, .from = this->state->process->name, .keys = message.keys});
 }
 
 void stream_origin_exchange::handle_question(const stream_origin_message& message) {
-    this->reply(message.from, {.kind = message_kind::answer,
+    auto origin = this->origins.find(message.keys, this->state->clock->now());
+    auto kind = message_kind::answer;
+    if (!origin && message.origin) {
+        origin = this->infer(message.origin->service);
+        kind = origin ? message_kind::inference : message_kind::answer;
+    }
+    this->reply(message.from, {.kind = kind,
                                .from = this->state->process->name,
-                               .key = message.key,
-                               .origin = this->origins.find(message.key, this->state->clock->now())});
+                               .keys = message.keys,
+                               .origin = std::move(origin)});
 }
 
 void stream_origin_exchange::handle_answer(const stream_origin_message& message) {
     const auto answered_kind =
-        message.kind == message_kind::answer ? message_kind::question : message_kind::record;
+        message.kind == message_kind::acknowledged ? message_kind::record : message_kind::question;
     for (pending_message* const sent : this->pending) {
-        if (sent->key != message.key || sent->kind != answered_kind ||
+        if (sent->keys != message.keys || sent->kind != answered_kind ||
             sent->unanswered.erase(message.from) == 0)
             continue;
         ++sent->received;
--- a/libraries/gateway/stream_origin/stream_origin_exchange.h
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.h
@@ -28,11 +28,14 @@
     void start();
     /// Records a stream here and at its replicas, for as long as it may be resumed. Returns once enough of
     /// them have confirmed it, or after a short time.
-    void record(const host::stream_key& key, const host::stream_origin& origin, base::duration lifetime,
+    void record(const host::stream_keys& keys, const host::stream_origin& origin, base::duration lifetime,
                 const allowed_zones& zones, wire::yield_context yield);
-    /// What began the stream, by this host's records or by those of its replicas.
-    [[nodiscard]] std::optional<host::stream_origin>
-    find(const host::stream_key& key, const allowed_zones& zones, wire::yield_context yield);
+    /// What began the stream, by this host's records or by those of its replicas. Without a record it can
+    /// only have been the version of the service, if that has had a single one by the word of any host asked.
+    [[nodiscard]] std::optional<host::stream_origin> find(const host::stream_keys& keys,
+                                                          const std::string& service,
+                                                          const allowed_zones& zones,
+                                                          wire::yield_context yield);
 
 private:
     /// A record or a question that other hosts have been sent, until enough of them have answered.
@@ -40,7 +43,7 @@
         pending_message(wire::asio::io_context& context, stream_origin_message message);
 
         std::string bytes; ///< As sent.
-        host::stream_key key;
+        host::stream_keys keys;
         stream_origin_message_kind kind;
         wire::boot_timer wake;                           ///< Cancelled by the last answer that is needed.
         std::map<base::host_id, std::string> unanswered; ///< Hosts and their addresses.
@@ -49,7 +52,8 @@
         std::optional<host::stream_origin> origin;       ///< As answered.
     };
 
-    void record_here(const host::stream_key& key, const host::stream_origin& origin, base::duration lifetime);
+    void record_here(const host::stream_keys& keys, const host::stream_origin& origin,
+                     base::duration lifetime);
     [[nodiscard]] bool handle(std::string_view bytes);
     void handle_record(const stream_origin_message& message);
     void handle_question(const stream_origin_message& message);
@@ -61,6 +65,10 @@
     addresses_of(const std::vector<base::host_id>& hosts) const;
     [[nodiscard]] host::replica_query query_for(const host::stream_key& key,
                                                 const allowed_zones& zones) const;
+    [[nodiscard]] std::vector<base::host_id> replicas_of(const host::stream_keys& keys,
+                                                         const allowed_zones& zones);
+    /// The origin of all streams of the service, if it has had a single version for long enough.
+    [[nodiscard]] std::optional<host::stream_origin> infer(const std::string& service) const;
     /// The ring of the hosts known now.
     [[nodiscard]] const host::replica_ring& current_ring();
 
--- a/libraries/gateway/stream_origin/stream_origin_message.h
+++ b/libraries/gateway/stream_origin/stream_origin_message.h
@@ -15,17 +15,19 @@
 enum class stream_origin_message_kind {
     record,       ///< Keep this record.
     acknowledged, ///< The record is kept.
-    question,     ///< What began this stream?
+    question,     ///< What began this stream, and has its service had a single version?
     answer,       ///< This did, or it isn't known here.
+    inference,    ///< It isn't known here, but the service has had only this version.
 };
 
 /// A datagram about the origin of one stream.
 struct stream_origin_message {
     stream_origin_message_kind kind = stream_origin_message_kind::record;
     base::host_id from;
-    host::stream_key key{};
-    std::optional<host::stream_origin> origin{}; ///< Of a record and of an answer.
-    std::chrono::milliseconds lifetime{};        ///< How long the record is needed.
+    host::stream_keys keys{};
+    /// Of a record, an answer and an inference. Of a question only the service, without a version.
+    std::optional<host::stream_origin> origin{};
+    std::chrono::milliseconds lifetime{}; ///< How long the record is needed.
 
     bool operator==(const stream_origin_message&) const = default;
 };
--- a/libraries/host/replica_ring.cpp
+++ b/libraries/host/replica_ring.cpp
@@ -51,11 +51,11 @@
 }
 
 std::vector<base::host_id> choose_replicas(const replica_ring& ring, const peer_directory& directory,
-                                           const replica_query& query) {
+                                           const replica_query& query, std::size_t count) {
     std::vector<base::host_id> left = hosts_to_ask(ring, directory, query);
     std::vector<base::host_id> chosen;
     std::set<base::zone_id> zones;
-    while (!left.empty() && chosen.size() < replica_count) {
+    while (!left.empty() && chosen.size() < count) {
         auto next = std::ranges::find_if(left, [&](const base::host_id& host) {
             return !zones.contains(directory.by_name.at(host).zone);
         });
--- a/libraries/host/replica_ring.h
+++ b/libraries/host/replica_ring.h
@@ -37,14 +37,13 @@
     base::time_point now{};
 };
 
-/// Number of hosts that hold the record of a key, besides the one that writes it.
-inline constexpr std::size_t replica_count = 4;
-/// Number of hosts asked for it: they include those told, unless many hosts have joined since.
-inline constexpr std::size_t asked_count = 2 * replica_count;
+/// Number of hosts asked for a key's record: they include those told, unless many hosts have joined since.
+inline constexpr std::size_t asked_count = 8;
 
-/// The hosts that hold the key's record: of the first `asked_count`, those of different zones first.
-[[nodiscard]] std::vector<base::host_id>
-choose_replicas(const replica_ring& ring, const peer_directory& directory, const replica_query& query);
+/// Up to `count` hosts to hold the key's record: of the first `asked_count`, those of different zones first.
+[[nodiscard]] std::vector<base::host_id> choose_replicas(const replica_ring& ring,
+                                                         const peer_directory& directory,
+                                                         const replica_query& query, std::size_t count);
 
 /// The first `asked_count` hosts in the key's order.
 [[nodiscard]] std::vector<base::host_id>
--- a/libraries/host/stream_origins.h
+++ b/libraries/host/stream_origins.h
@@ -32,6 +32,14 @@
     auto operator<=>(const stream_key&) const = default;
 };
 
+/// The keys under which a stream is recorded and sought.
+struct stream_keys {
+    stream_key by_id; ///< Of the attempt that brought the first event; zero if the caller doesn't name it.
+    stream_key by_content; ///< Of the request, which is the same in all attempts of most callers.
+
+    bool operator==(const stream_keys&) const = default;
+};
+
 /// The parts of the request that brought a stream's first event.
 struct stream_key_parts {
     base::organisation_id organisation; ///< Owner of the caller's key; empty if callers need none.
@@ -45,13 +53,17 @@
 /// Bounded: beyond `max_records` the oldest record is dropped.
 class stream_origins {
 public:
-    static constexpr std::size_t max_records = 65'536;
+    static constexpr std::size_t max_records = 131'072;
 
     /// Records what began a stream until `expires`. A stream with two different origins, whose caller has
     /// used an id twice, becomes an unknown one.
     void record(const stream_key& key, const stream_origin& origin, base::time_point expires);
+    /// Records it under both keys.
+    void record(const stream_keys& keys, const stream_origin& origin, base::time_point expires);
     /// Returns nothing for an unknown or expired stream.
     [[nodiscard]] std::optional<stream_origin> find(const stream_key& key, base::time_point now) const;
+    /// By the attempt's id if the caller names it, else by the request.
+    [[nodiscard]] std::optional<stream_origin> find(const stream_keys& keys, base::time_point now) const;
     void remove_expired(base::time_point now);
     [[nodiscard]] std::size_t size() const { return this->records.size(); }
 
--- a/libraries/settings/gateway_settings.cpp
+++ b/libraries/settings/gateway_settings.cpp
@@ -101,6 +101,7 @@
     value.retries = read_retries(reader.child("retries"));
     value.policy = read_policy(reader.child("policy"));
     value.min_order_pause = read_milliseconds(reader, "order_lease_ms", defaults.min_order_pause);
+    value.is_first_start = reader.flag("first_start", defaults.is_first_start);
     value.do_engines_check_tokens = reader.flag("engines_check_tokens", defaults.do_engines_check_tokens);
     value.log_level = reader.one_of("log_level", defaults.log_level, {"debug", "info", "warn", "error"});
     value.log_lines_per_second = static_cast<int>(
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -37,6 +37,7 @@
     std::string metrics;            ///< Address of the metrics endpoint; empty for none.
     std::vector<std::string> seeds; ///< Peers to contact while the store is unreachable; may be outdated.
     std::string store;              ///< Address of the platform's store.
+    bool is_first_start = false;    ///< No host of the system has served any request before.
     std::chrono::milliseconds grace_period{8'000};       ///< Maximum time from the stop signal to the exit.
     std::chrono::milliseconds balancer_delay{2'500};     ///< Until the balancer notices the readiness change.
     std::chrono::milliseconds registry_interval{300};    ///< Minimum pause between two reads of the registry.
--- a/tests/gateway/test_forwarded_request.cpp
+++ b/tests/gateway/test_forwarded_request.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/forwarding/forwarded_request.h>
+#include <gateway/stream_origin/stream_origin_message.h>
 
 #include <catch2/catch.hpp>
 
@@ -75,3 +76,27 @@
     wire::response_head failed{502, {}};
     CHECK(gateway::take_forwarding_label(failed).outcome == forwarding_outcome::may_have_run);
 }
+
+TEST_CASE("messages about the origin of a stream arrive as they were, and malformed ones are rejected") {
+    const gateway::stream_origin_message message = {
+        .kind = gateway::stream_origin_message_kind::record,
+        .from = {"host-1"},
+        .keys = {.by_id = {.high = 0xffff'ffff'ffff'ffff, .low = 1}, .by_content = {.high = 2, .low = 3}},
+        .origin = host::stream_origin{.service = "engines", .software_version = "v2"},
+        .lifetime = 24s};
+    const std::string bytes = gateway::encode_stream_origin(message);
+    CHECK(gateway::decode_stream_origin(bytes) == message);
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        REQUIRE_FALSE(gateway::decode_stream_origin(bytes.substr(0, size)));
+    std::mt19937_64 random(6);
+    for (int round = 0; round < 2'000; ++round) {
+        std::string changed = bytes;
+        changed[random() % changed.size()] = static_cast<char>(random());
+        (void)gateway::decode_stream_origin(changed);
+    }
+    auto without_origin = message;
+    without_origin.origin.reset();
+    CHECK_FALSE(gateway::decode_stream_origin(gateway::encode_stream_origin(without_origin)));
+    without_origin.kind = gateway::stream_origin_message_kind::answer;
+    CHECK(gateway::decode_stream_origin(gateway::encode_stream_origin(without_origin)) == without_origin);
+}
--- a/tests/gateway/test_software_versions.cpp
+++ b/tests/gateway/test_software_versions.cpp
@@ -92,12 +92,14 @@
         this->connection.reset();
     }
 
-    /// Returns to a host; returns the status of the answer, 0 if there is none.
-    int resume(const std::string& address) {
+    /// Returns to a host, and names the attempt that it resumes unless that is empty. Returns the status of
+    /// the answer, 0 if there is none.
+    int resume(const std::string& address, const std::string& resumed) {
         auto request = routed_request("/resume/", this->name + "-again");
         request.body = "body of " + this->name;
         request.headers.push_back({"Last-Event-Id", std::to_string(this->events.last)});
-        request.headers.push_back({"Resumes", this->name});
+        if (!resumed.empty())
+            request.headers.push_back({"Resumes", resumed});
         const auto answer = stand_in::http_exchange(address, request);
         if (!answer || answer->status != 200)
             return answer ? answer->status : 0;
@@ -108,6 +110,7 @@
         return answer->status;
     }
 
+    [[nodiscard]] const std::string& id() const { return this->name; }
     [[nodiscard]] const received_events& received() const { return this->events; }
     [[nodiscard]] bool is_complete() const {
         return this->events.is_in_order && this->events.last == stream_length;
@@ -151,11 +154,12 @@
 /// Resumes the streams at the hosts in turn, all at the same time.
 stream_counts resume_streams(const test::gateway_cluster& cluster,
                              const std::vector<std::unique_ptr<resumable_caller>>& callers,
-                             const std::vector<int>& hosts) {
+                             const std::vector<int>& hosts, bool names_attempt = true) {
     std::vector<std::future<int>> statuses;
     for (std::size_t stream = 0; stream < callers.size(); ++stream)
         statuses.push_back(std::async(std::launch::async, [&, stream] {
-            return callers[stream]->resume(cluster.callers_address(hosts[stream % hosts.size()]));
+            return callers[stream]->resume(cluster.callers_address(hosts[stream % hosts.size()]),
+                                           names_attempt ? callers[stream]->id() : "");
         }));
     stream_counts counts;
     for (std::size_t stream = 0; stream < callers.size(); ++stream)
@@ -194,6 +198,15 @@
         CHECK(counts.mixed == 0);
         CHECK(counts.complete == 24);
     }
+    SECTION("of a caller that doesn't name the attempt which began it") {
+        auto cluster = make_cluster("versions-unnamed");
+        const auto callers = begin_streams(cluster, 1, 24, "unnamed");
+        for (const auto& caller : callers)
+            caller->leave();
+        const stream_counts counts = resume_streams(cluster, callers, {1, 2, 3}, false);
+        CHECK(counts.mixed == 0);
+        CHECK(counts.complete == 24);
+    }
     SECTION("after its host was killed, at the others and at one that has just started") {
         auto cluster = make_cluster("versions-killed", 4);
         const auto callers = begin_streams(cluster, 1, 24, "killed");
@@ -259,6 +272,15 @@
         CHECK(counts.refused == 12);
         CHECK(cluster.runs() == runs);
     }
+    SECTION("where its caller names an attempt that began none") {
+        auto cluster = make_cluster("versions-misnamed", 2);
+        const auto callers = begin_streams(cluster, 1, 3, "misnamed");
+        for (const auto& caller : callers)
+            caller->leave();
+        CHECK(callers[0]->resume(cluster.callers_address(2), "never-sent") == 503);
+        CHECK(callers[1]->resume(cluster.callers_address(2), callers[1]->id() + "-again") == 503);
+        CHECK(callers[2]->resume(cluster.callers_address(2), std::string(200, 'x')) == 503);
+    }
     SECTION("where its version has no server left") {
         auto cluster = make_cluster("versions-gone", 2);
         const auto callers = begin_streams(cluster, 1, 12, "gone");
--- a/tests/host/test_stream_origins.cpp
+++ b/tests/host/test_stream_origins.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 const base::time_point start{1h};
+constexpr std::size_t replicas_told = 3;
 const stream_origin first_origin = {.service = "engines", .software_version = "v1"};
 const stream_origin second_origin = {.service = "engines", .software_version = "v2"};
 
@@ -56,7 +57,7 @@
         this->tables.at(first).record(key, origin, start + 1min);
         for (const base::host_id& replica :
              host::choose_replicas(host::make_replica_ring(this->directory, first), this->view_of(first),
-                                   this->query(key, first)))
+                                   this->query(key, first), replicas_told))
             if (!this->happens(loss))
                 this->tables.at(replica).record(key, origin, start + 1min);
     }
@@ -163,9 +164,9 @@
     for (std::uint64_t key = 0; key < 2'000; ++key) {
         const host::replica_query query = {
             .key = make_key(std::to_string(key)).low, .own = {"own"}, .now = start};
-        const auto replicas = host::choose_replicas(ring, directory, query);
+        const auto replicas = host::choose_replicas(ring, directory, query, replicas_told);
         const auto asked = host::hosts_to_ask(ring, directory, query);
-        REQUIRE(replicas.size() == host::replica_count);
+        REQUIRE(replicas.size() == replicas_told);
         std::set<base::zone_id> zones;
         for (const base::host_id& replica : replicas) {
             zones.insert(directory.by_name.at(replica).zone);
@@ -177,7 +178,7 @@
     CHECK(chosen.size() == 24);
     const host::replica_query limited = {
         .key = 1, .own = {"own"}, .allowed_zones = std::set<base::zone_id>{{"zone-2"}}, .now = start};
-    for (const base::host_id& replica : host::choose_replicas(ring, directory, limited))
+    for (const base::host_id& replica : host::choose_replicas(ring, directory, limited, replicas_told))
         CHECK(directory.by_name.at(replica).zone.value == "zone-2");
 }
 
