gateway: Let a host that has just started ask others what began a stream

It now waits for the list of hosts, for 500 ms after its start at the most, and small rings follow each change.

--- a/libraries/gateway/stream_origin/stream_origin_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.cpp
@@ -21,8 +21,13 @@
 /// Pauses between repetitions of an unanswered message. Longer than a round trip between regions at first;
 /// the sum is the longest time for which an unreachable host delays a stream.
 constexpr std::array<base::duration, 3> repetition_pauses = {30ms, 60ms, 120ms};
-/// How long a ring may be used before it is compared with the known hosts again.
+/// How long the ring of a large system is used although hosts have come.
 constexpr base::duration ring_lifetime = 1s;
+/// With up to this many other hosts the ring follows each change at once.
+constexpr std::size_t max_hosts_of_cheap_ring = 64;
+/// How long after its start a host waits until it knows whom to ask.
+constexpr base::duration max_wait_for_host_list = 500ms;
+constexpr base::duration host_list_poll_interval = 5ms;
 
 /// Removes a pending message from the set when it goes out of scope, even if its coroutine is unwound.
 template <class Set, class Element> class scoped_member {
@@ -65,14 +70,26 @@
 
 const host::replica_ring& stream_origin_exchange::current_ring() {
     const base::time_point now = this->state->clock->now();
-    const bool is_old = now - this->ring_made_at > ring_lifetime;
-    if (this->ring.points.empty() || (is_old && this->ring.hosts != this->state->peers.by_name.size()))
+    const std::size_t hosts = this->state->peers.by_name.size();
+    const bool may_remake = hosts <= max_hosts_of_cheap_ring || now - this->ring_made_at > ring_lifetime;
+    const bool is_outdated = this->ring.points.empty() || this->ring.hosts != hosts;
+    if (may_remake && is_outdated) {
         this->ring = host::make_replica_ring(this->state->peers, this->state->process->name);
-    if (is_old)
         this->ring_made_at = now;
+    }
     return this->ring;
 }
 
+void stream_origin_exchange::await_host_list(wire::yield_context yield) const {
+    const base::time_point until = this->state->started + max_wait_for_host_list;
+    wire::boot_timer timer(*this->state->context);
+    while (!this->state->has_host_list && this->state->clock->now() < until) {
+        timer.expires_after(host_list_poll_interval);
+        wire::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+}
+
 host::replica_query stream_origin_exchange::query_for(const host::stream_key& key,
                                                       const allowed_zones& zones) const {
     return {.key = key.high ^ key.low,
@@ -152,6 +169,7 @@
         return inferred;
     if (!this->datagrams->is_open())
         return std::nullopt;
+    this->await_host_list(yield);
     pending_message asked(*this->state->context,
                           {.kind = message_kind::question,
                            .from = this->state->process->name,
--- a/libraries/gateway/stream_origin/stream_origin_exchange.h
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.h
@@ -69,6 +69,8 @@
                                                          const allowed_zones& zones);
     /// The origin of all streams of the service, if it has had a single version for long enough.
     [[nodiscard]] std::optional<host::stream_origin> infer(const std::string& service) const;
+    /// Waits, shortly after the start, until the list of hosts has been read.
+    void await_host_list(wire::yield_context yield) const;
     /// The ring of the hosts known now.
     [[nodiscard]] const host::replica_ring& current_ring();
 
