platform: Read and log the parts of a prompt that other requests may share

Requests with one part in their prompts ended engines one after the other; no line told which parts a request has.

--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -68,6 +68,8 @@
         fields["forwarded_by"] = request.forwarded_by->value;
     if (request.organisation != nullptr)
         fields["organisation"] = request.organisation->id.value;
+    if (!request.routed.shared_parts.empty())
+        fields["shared_parts"] = request.routed.shared_parts;
     if (request.routed.prompt_tokens > 0) {
         fields["prompt_tokens"] = request.routed.prompt_tokens;
         fields["output_tokens"] = request.routed.output_tokens;
--- a/libraries/ports/request_protocol.h
+++ b/libraries/ports/request_protocol.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 /// Platform-independent interfaces that a platform adapter implements.
 namespace postpaddle::ports {
@@ -22,7 +23,9 @@
     std::string host;
     std::optional<std::chrono::milliseconds> time_left; ///< Remaining time until the caller's deadline.
     std::optional<std::uint64_t> resume_after;          ///< Last event received by the caller.
-    std::string resumes;    ///< Id of the attempt that brought the stream's first event; empty if not named.
+    std::string resumes; ///< Id of the attempt that brought the stream's first event; empty if not named.
+    /// Ids of the prompt's parts that other requests may share, in order and without repetitions; bounded.
+    std::vector<std::string> shared_parts;
     std::string prompt_key; ///< Identifies the prompt; the same for all attempts of a caller.
     double prompt_tokens = 0;
     double output_tokens = 0;           ///< Upper limit.
