--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_int32(work_ms, 5, "time that a request, or one event of a stream, takes");
 DEFINE_int32(events, 5, "events of a stream");
 DEFINE_int32(event_padding, 0, "bytes added to each event of a stream");
+DEFINE_string(fatal_part, "", "the process exits when it runs a request with this part in its prompt");
 DEFINE_string(software_version, "", "appended to the text of each event; empty: nothing is appended");
 
 namespace {
@@ -170,7 +171,12 @@
     }
 
     [[nodiscard]] bool is_fatal(const wire::http_request& request) const {
-        return !this->faults.fatal_body.empty() && request.body == this->faults.fatal_body;
+        const bool has_fatal_part =
+            !FLAGS_fatal_part.empty() &&
+            find_header(request.headers, "X-Prompt-Prefix").find(FLAGS_fatal_part + ":") !=
+                std::string_view::npos;
+        return has_fatal_part ||
+               (!this->faults.fatal_body.empty() && request.body == this->faults.fatal_body);
     }
 
     /// Crashes the process while it executes a request: all connections break and the port is closed. A
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -334,6 +334,7 @@
         std::string(POSTPADDLE_PROGRAMS) + "/stand_in_platform_server",
         std::vector<std::string>{"--id=" + id, "--port=" + std::to_string(port),
                                  "--stage=" + this->plans.at(id).stage,
+                                 "--fatal_part=" + this->plans.at(id).fatal_part,
                                  "--software_version=" + this->plans.at(id).software_version},
         this->folder + "/" + id + ".log");
     this->server_addresses[id] = "127.0.0.1:" + std::to_string(process->read_json().at("port").get<int>());
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -17,6 +17,7 @@
     std::string service = "plain";
     std::string stage{}; ///< Empty, `prefill` or `decode`.
     std::string zone = "east";
+    std::string fatal_part{};       ///< Part of a prompt under which it exits.
     std::string software_version{}; ///< In its registry entry and in its events; empty: `v1`, not in events.
 };
 
