gateway: Stop requests by the part of their prompts under which upstreams end

Cause: the suspect was the whole request, and no two of these are alike, so their ends never added up. Class: evidence keyed by an identity that the cause doesn't share.

A suspect is now a request or a part of prompts (never the last), of an organisation and service, in one table and one exchange. An exit accuses each part of the request; a run with the part that began later and has put out two events clears it, whichever host saw it. A part is quarantined for ten minutes after the last exit once three requests (or two, with one more exit) have ended upstreams in three moments, one second has passed for word of survivors, and runs without it survive meanwhile. Past successes don't clear it; one request sent again, a loss of power or a service that is down blame nothing.

--- a/libraries/gateway/forwarding/forwarding_receiver.cpp
+++ b/libraries/gateway/forwarding/forwarding_receiver.cpp
@@ -92,6 +92,7 @@
     if (!forwarded.software_version.empty())
         request.origin =
             host::stream_origin{.service = forwarded.service, .software_version = forwarded.software_version};
+    set_part_prints(request);
     request.record = make_record(*request.route);
     request.record.max_attempts = std::min(request.record.max_attempts, forwarded.max_attempts);
     request.record.accepted_prompts = forwarded.accepted_prompts;
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -46,8 +46,9 @@
     bool needs_key = false;
     std::shared_ptr<const settings_in_force> checked_settings{}; ///< Settings that last accepted the key.
     host::request_fingerprint fingerprint{}; ///< Same for all retries of the request, on every host.
-    bool is_key_revoked = false;             ///< The key was revoked before the request ran.
-    std::int64_t charged_amount = 0;         ///< Charged against the organisation's limit, in its unit.
+    std::vector<host::request_fingerprint> part_prints{}; ///< Of the parts that its prompt may share.
+    bool is_key_revoked = false;                          ///< The key was revoked before the request ran.
+    std::int64_t charged_amount = 0; ///< Charged against the organisation's limit, in its unit.
     std::string service;
     /// What began the stream that the request has begun or continues: nothing else may continue it.
     std::optional<host::stream_origin> origin{};
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -128,9 +128,15 @@
     std::function<void()> on_report_due{}; ///< Sends a report soon.
 };
 
+/// A request under which an upstream may have exited.
+struct accused_request {
+    std::string id;                                     ///< For the log.
+    std::vector<host::request_fingerprint> part_prints; ///< Of the parts of its prompt.
+};
+
 /// A check whether an upstream has exited, and the requests whose connections to it broke.
 struct exit_check {
-    std::map<host::request_fingerprint, std::string> requests; ///< Request ids for the log, by fingerprint.
+    std::map<host::request_fingerprint, accused_request> requests; ///< By fingerprint.
 };
 
 /// A recently completed request, kept for operators.
--- a/libraries/gateway/quarantine_codec.cpp
+++ b/libraries/gateway/quarantine_codec.cpp
@@ -43,7 +43,7 @@
     const std::int64_t wall = wall_milliseconds(clock);
     json ends = json::array();
     for (const host::upstream_exit& end : report.exits)
-        ends.push_back({end.upstream, wall - host::age_of(end.at, now)});
+        ends.push_back({end.upstream, wall - host::age_of(end.at, now), end.request});
     json value = {{"ends", std::move(ends)}};
     if (report.last_success)
         value["good"] = wall - host::age_of(*report.last_success, now);
@@ -62,7 +62,8 @@
         host::suspect_report report{.request = *request, .exits = {}};
         for (const json& row : value.at("ends"))
             report.exits.push_back({row.at(0).get<host::instance_key>(),
-                                    host::time_of(wall - row.at(1).get<std::int64_t>(), now)});
+                                    host::time_of(wall - row.at(1).get<std::int64_t>(), now),
+                                    row.size() > 2 ? row.at(2).get<std::uint64_t>() : 0});
         if (value.contains("good"))
             report.last_success = host::time_of(wall - value["good"].get<std::int64_t>(), now);
         return report;
--- a/libraries/gateway/quarantine_exchange.cpp
+++ b/libraries/gateway/quarantine_exchange.cpp
@@ -75,7 +75,10 @@
 }
 
 void quarantine_exchange::handle_report(const host::suspect_report& report) {
-    if (const auto update = this->apply_report(report, "peer")) {
+    const auto update = this->apply_report(report, "peer");
+    // Runs that clear a part of prompts come in quick succession; each host tells of its own.
+    const bool is_news = update && (!host::is_prompt_part(report.request) || !update->exits.empty());
+    if (is_news) {
         const base::time_point now = this->state->clock->now();
         std::vector<std::string> addresses = host::addresses_of_all(this->state->peers, now);
         std::ranges::shuffle(addresses, this->state->random);
@@ -99,6 +102,7 @@
             "request_suspected",
             {{"fingerprint", host::to_text(report.request)},
              {"is_held", is_now_quarantined},
+             {"is_prompt_part", host::is_prompt_part(report.request)},
              {"ends", host::report_of(this->state->quarantine, report.request).exits.size()},
              {"heard_from", origin}});
     // An outdated note would quarantine the request on hosts that start later.
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -137,6 +137,7 @@
     std::uniform_real_distribution<double> draw(0, 1);
     request.service = request.origin ? request.origin->service
                                      : decision::choose_service(*request.route, draw(state.random));
+    set_part_prints(request);
     request.record = make_record(*request.route);
     set_order(request);
     base::duration timeout = request.route->time_limit;
@@ -231,6 +232,12 @@
         return reject(request, over_limit_status, "over the organisation's limit", yield, wait);
     }
     prepare_request(request);
+    // The parts of its prompt are known by their service.
+    if (const auto remaining = quarantine_time_left(request)) {
+        state.metrics->count("held_requests_refused_total");
+        refund_if_not_run(request);
+        return reject(request, unavailable_status, quarantine_reason, yield, remaining);
+    }
     relay_request(request, yield);
 }
 
--- a/libraries/gateway/request_quarantine.cpp
+++ b/libraries/gateway/request_quarantine.cpp
@@ -22,19 +22,26 @@
 
 /// Records that the upstream exited while it ran the request.
 void record_exit(gateway_state& state, const upstream_start& start,
-                 const host::request_fingerprint& fingerprint, const std::string& request_id) {
+                 const host::request_fingerprint& fingerprint, const accused_request& accused) {
     state.metrics->count("upstreams_ended_total");
     state.log->write(
         "upstream_ended",
-        {{"instance", start.id.value}, {"request", request_id}, {"fingerprint", host::to_text(fingerprint)}});
+        {{"instance", start.id.value}, {"request", accused.id}, {"fingerprint", host::to_text(fingerprint)}});
     const base::time_point now = state.clock->now();
-    const host::upstream_exit exit = {host::key_of(start.id, start.start_time_ms), now};
+    host::upstream_exit exit = {.upstream = host::key_of(start.id, start.start_time_ms), .at = now};
     state.on_suspect_seen({.request = fingerprint, .exits = {exit}});
+    exit.request = fingerprint.high ^ fingerprint.low;
+    for (const host::request_fingerprint& part : accused.part_prints)
+        state.on_suspect_seen({.request = part, .exits = {exit}});
     decision::instance* const target = decision::find_instance(state.instances, start.id);
     if (target != nullptr && target->entry.start_time_ms == start.start_time_ms)
         decision::record_outcome(*target, decision::attempt_outcome::exited, now);
 }
 
+accused_request describe(const gateway_request& request) {
+    return {.id = request.routed.id, .part_prints = request.part_prints};
+}
+
 /// Probes the port again in the background, so that the caller's response does not wait for it. Requests
 /// whose connections to the upstream break meanwhile share the check.
 void check_exit_later(const gateway_request& request, const upstream_start& start) {
@@ -42,7 +49,7 @@
     const host::instance_key key = host::key_of(start.id, start.start_time_ms);
     const auto [check, is_first] = state.exit_checks.try_emplace(key);
     if (check->second.requests.size() < max_requests_per_check)
-        check->second.requests.emplace(request.fingerprint, request.routed.id);
+        check->second.requests.emplace(request.fingerprint, describe(request));
     if (!is_first)
         return;
     wire::spawn_coroutine(*state.context, [&state, start, key](wire::yield_context yield) {
@@ -53,8 +60,8 @@
         const exit_check ended = std::move(state.exit_checks.extract(key).mapped());
         if (!has_exited)
             return;
-        for (const auto& [fingerprint, request_id] : ended.requests)
-            record_exit(state, start, fingerprint, request_id);
+        for (const auto& [fingerprint, accused] : ended.requests)
+            record_exit(state, start, fingerprint, accused);
     });
 }
 
@@ -91,10 +98,36 @@
                                                 .body = routed.message.body});
 }
 
+void set_part_prints(gateway_request& request) {
+    request.part_prints.clear();
+    for (const std::string& part : request.routed.shared_parts)
+        request.part_prints.push_back(host::fingerprint_of(host::prompt_part{
+            .organisation = request.routed.organisation.value, .service = request.service, .id = part}));
+}
+
 std::optional<base::duration> quarantine_time_left(const gateway_request& request) {
     const gateway_state& state = *request.state;
-    return host::remaining_hold(state.quarantine, state.quarantine_options, request.fingerprint,
-                                state.clock->now());
+    const base::time_point now = state.clock->now();
+    const auto remaining = [&](const host::request_fingerprint& suspect) {
+        return host::remaining_hold(state.quarantine, state.quarantine_options, suspect, now);
+    };
+    std::optional<base::duration> longest = remaining(request.fingerprint);
+    for (const host::request_fingerprint& part : request.part_prints)
+        longest = std::max(longest, remaining(part));
+    return longest;
+}
+
+void record_survival(const gateway_request& request, base::time_point sent) {
+    gateway_state& state = *request.state;
+    const auto cleared = host::record_survival(state.quarantine, host::service_key_of(request.service),
+                                               request.part_prints, sent);
+    // Many hosts see such runs at the same time; a few words of them are enough.
+    static constexpr double expected_reports = 16;
+    std::uniform_real_distribution<double> draw(0, 1);
+    if (cleared.empty() || draw(state.random) * hosts_alive(state) > expected_reports)
+        return;
+    for (const host::request_fingerprint& part : cleared)
+        state.on_suspect_seen({.request = part, .exits = {}, .last_success = sent});
 }
 
 const char* reason_to_stop(gateway_request& request) {
@@ -128,7 +161,7 @@
         if (!confirm_own_links(state, start.id, broken_at, yield))
             break;
         request.sends.back()["has_ended"] = true;
-        record_exit(state, start, request.fingerprint, request.routed.id);
+        record_exit(state, start, request.fingerprint, describe(request));
         break;
     case wire::port_state::listening:
         // An upstream that is shutting down closes its port soon, whatever it ran.
--- a/libraries/gateway/request_quarantine.h
+++ b/libraries/gateway/request_quarantine.h
@@ -12,7 +12,15 @@
 /// Sets the request's fingerprint, which all its retries share. The caller must have been identified.
 void set_fingerprint(gateway_request& request);
 
-/// Remaining quarantine of a request during whose execution upstreams crashed. Nothing if it may be sent.
+/// Sets the fingerprints of the parts of its prompt. The service must be known.
+void set_part_prints(gateway_request& request);
+
+/// Records that a run of the request which was sent then has survived its start, which clears the parts of
+/// its prompt of exits before it.
+void record_survival(const gateway_request& request, base::time_point sent);
+
+/// Remaining quarantine of a request during whose execution, or with a part of whose prompt, upstreams
+/// crashed. Nothing if it may be sent.
 [[nodiscard]] std::optional<base::duration> quarantine_time_left(const gateway_request& request);
 
 /// Reason why the request must not be sent to another upstream (key revoked or quarantined), or null. To be
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -20,6 +20,8 @@
 using namespace std::chrono_literals;
 
 constexpr int ok_status = 200;
+/// Events after which a run has survived its start.
+constexpr int events_of_surviving_run = 2;
 /// Maximum number of times a request's prompt is sent to prefill engines.
 constexpr int max_prefills = 2;
 
@@ -87,6 +89,8 @@
     this->transfer_started.reset();
     if (send.source)
         this->transfer_started = this->request->state->clock->now();
+    this->events_of_run = 0;
+    this->run_sent = this->request->state->clock->now();
     exchange_result exchange = send_to_instance(*this->request, send, deadline, yield);
     return this->handle_answer(exchange, send, deadline, yield);
 }
@@ -209,6 +213,8 @@
         decision::add_sample(profile_of(*this->request).speed.first_event,
                              base::to_seconds(this->request->state->clock->now() - *sent));
     ++this->events_forwarded;
+    if (++this->events_of_run == events_of_surviving_run)
+        record_survival(*this->request, this->run_sent);
     if (this->events_forwarded == measured_events)
         record_event_interval(*this->request, this->events_so_far());
     this->reservation->grow_memory(this->memory_after(this->events_forwarded));
--- a/libraries/gateway/stream_relay.h
+++ b/libraries/gateway/stream_relay.h
@@ -106,6 +106,8 @@
     decision::attempt_result last_result = decision::attempt_result::not_connected;
     int prompts_sent = 0;
     int events_forwarded = 0;
+    int events_of_run = 0;       ///< Of the attempt in progress.
+    base::time_point run_sent{}; ///< When the attempt in progress was sent to its engine.
     std::optional<base::time_point> transfer_started; ///< Cache transfer without an event so far.
     bool has_started = false; ///< The head and events of the answer have been sent to the client.
     bool is_resumed = false;  ///< The current attempt continues a stream that another one has started.
--- a/libraries/host/quarantine.cpp
+++ b/libraries/host/quarantine.cpp
@@ -2,6 +2,7 @@
 #include <host/quarantine.h>
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace postpaddle::host {
@@ -16,14 +17,18 @@
 /// transit time. Smaller differences are not treated as a new event.
 constexpr base::duration same_event = std::chrono::seconds(5);
 
+/// The same for runs with a part of prompts, which come in quick succession. Their word is told by the host
+/// that saw them only.
+constexpr base::duration same_run = std::chrono::milliseconds(50);
+
 bool is_later_event(base::time_point reported, base::time_point known) {
     return reported >= known + same_event;
 }
 
 base::time_point latest_exit(const quarantine::suspect& suspect) {
     base::time_point latest{};
-    for (const auto& [upstream, at] : suspect.exits)
-        latest = std::max(latest, at);
+    for (const auto& [upstream, exit] : suspect.exits)
+        latest = std::max(latest, exit.at);
     return latest;
 }
 
@@ -46,7 +51,9 @@
 bool remember_success(quarantine& table, const quarantine_options& options,
                       const request_fingerprint& request, base::time_point at) {
     const auto [known, is_new] = table.last_success.try_emplace(request, at);
-    if (!is_new && !is_later_event(at, known->second))
+    const bool is_later =
+        is_prompt_part(request) ? at >= known->second + same_run : is_later_event(at, known->second);
+    if (!is_new && !is_later)
         return false;
     known->second = at;
     table.success_order.push_back({request, at});
@@ -59,13 +66,13 @@
 bool remember_exit(quarantine::suspect& suspect, const upstream_exit& observed) {
     const auto known = suspect.exits.find(observed.upstream);
     if (known != suspect.exits.end()) {
-        if (is_later_event(observed.at, known->second))
-            known->second = observed.at;
+        if (is_later_event(observed.at, known->second.at))
+            known->second.at = observed.at;
         return false;
     }
     if (suspect.exits.size() >= max_exits)
         return false;
-    suspect.exits.emplace(observed.upstream, observed.at);
+    suspect.exits.emplace(observed.upstream, observed);
     return true;
 }
 
@@ -76,9 +83,9 @@
     const auto last_success = find_success(table, request);
     if (found == table.suspects.end() || !last_success)
         return;
-    std::erase_if(found->second.exits, [&](const auto& observed) {
-        return observed.second < *last_success + options.success_lifetime;
-    });
+    const base::duration lifetime = is_prompt_part(request) ? base::duration{} : options.success_lifetime;
+    std::erase_if(found->second.exits,
+                  [&](const auto& observed) { return observed.second.at < *last_success + lifetime; });
     if (found->second.exits.empty())
         table.suspects.erase(found);
 }
@@ -101,7 +108,7 @@
         update.last_success = report.last_success;
     quarantine::suspect& suspect = table.suspects[report.request];
     for (const upstream_exit& observed : report.exits) {
-        const upstream_exit reported = {observed.upstream, std::min(observed.at, now)};
+        const upstream_exit reported = {observed.upstream, std::min(observed.at, now), observed.request};
         if (now - reported.at < options.hold && remember_exit(suspect, reported))
             update.exits.push_back(reported);
     }
@@ -124,10 +131,81 @@
     discard_exonerated_exits(table, options, request);
 }
 
+std::vector<request_fingerprint> record_survival(quarantine& table, service_key service,
+                                                 const std::vector<request_fingerprint>& parts,
+                                                 base::time_point began) {
+    base::time_point& last = table.last_survival[service];
+    last = std::max(last, began);
+    std::vector<request_fingerprint> cleared;
+    for (const request_fingerprint& part : parts) {
+        const auto suspect = table.suspects.find(part);
+        if (suspect != table.suspects.end() &&
+            std::ranges::any_of(suspect->second.exits,
+                                [began](const auto& exit) { return exit.second.at < began; }))
+            cleared.push_back(part);
+    }
+    return cleared;
+}
+
+namespace {
+
+/// When the exits under a part became enough to blame it; nothing if they are not.
+std::optional<base::time_point> blamed_at(const quarantine::suspect& suspect,
+                                          const quarantine_options& options) {
+    std::vector<upstream_exit> exits;
+    for (const auto& [upstream, exit] : suspect.exits)
+        exits.push_back(exit);
+    std::ranges::sort(exits, {}, &upstream_exit::at);
+    std::set<std::uint64_t> requests;
+    std::size_t moments = 0;
+    base::time_point last_moment{};
+    for (const upstream_exit& exit : exits) {
+        if (moments == 0 || exit.at - last_moment >= options.same_moment) {
+            ++moments;
+            last_moment = exit.at;
+            requests.insert(exit.request);
+        }
+        const bool has_requests =
+            requests.size() >= options.part_requests_to_hold ||
+            (requests.size() + 1 >= options.part_requests_to_hold && moments > options.part_moments_to_hold);
+        if (has_requests && moments >= options.part_moments_to_hold)
+            return exit.at;
+    }
+    return std::nullopt;
+}
+
+/// Whether runs of the service without the part have survived since its first exit. Otherwise the service as
+/// a whole may be down. A run with the part would have cleared it.
+bool do_others_survive(const quarantine& table, const request_fingerprint& part,
+                       const quarantine::suspect& suspect) {
+    const auto survival = table.last_survival.find(service_key_of(part));
+    return survival != table.last_survival.end() && std::ranges::any_of(suspect.exits, [&](const auto& exit) {
+               return exit.second.at < survival->second;
+           });
+}
+
+std::optional<base::duration> remaining_part_hold(const quarantine& table, const quarantine_options& options,
+                                                  const request_fingerprint& part,
+                                                  const quarantine::suspect& suspect, base::time_point now) {
+    const auto blamed = blamed_at(suspect, options);
+    if (!blamed || now - *blamed < options.part_grace || !do_others_survive(table, part, suspect))
+        return std::nullopt;
+    const base::time_point until = latest_exit(suspect) + options.part_hold;
+    if (now >= until)
+        return std::nullopt;
+    return until - now;
+}
+
+} // namespace
+
 std::optional<base::duration> remaining_hold(const quarantine& table, const quarantine_options& options,
                                              const request_fingerprint& request, base::time_point now) {
     const auto found = table.suspects.find(request);
-    if (found == table.suspects.end() || found->second.exits.size() < options.exits_to_hold)
+    if (found == table.suspects.end())
+        return std::nullopt;
+    if (is_prompt_part(request))
+        return remaining_part_hold(table, options, request, found->second, now);
+    if (found->second.exits.size() < options.exits_to_hold)
         return std::nullopt;
     const base::time_point until = latest_exit(found->second) + options.hold;
     if (now >= until)
@@ -148,8 +226,8 @@
     if (found == table.suspects.end())
         return report;
     report.is_stored = found->second.is_stored;
-    for (const auto& [upstream, at] : found->second.exits)
-        report.exits.push_back({upstream, at});
+    for (const auto& [upstream, exit] : found->second.exits)
+        report.exits.push_back(exit);
     return report;
 }
 
--- a/libraries/host/quarantine_codec.cpp
+++ b/libraries/host/quarantine_codec.cpp
@@ -23,7 +23,7 @@
     for (const suspect_report& report : reports) {
         json exits = json::array();
         for (const upstream_exit& observed : report.exits)
-            exits.push_back({observed.upstream, age_of(observed.at, now)});
+            exits.push_back({observed.upstream, age_of(observed.at, now), observed.request});
         const json last_success =
             report.last_success ? json(age_of(*report.last_success, now)) : json(nullptr);
         rows.push_back(
@@ -41,8 +41,10 @@
         if (!row.at(3).is_null())
             report.last_success = time_of(row.at(3).get<std::int64_t>(), now);
         for (const json& observed : row.at(4))
-            report.exits.push_back(
-                {observed.at(0).get<instance_key>(), time_of(observed.at(1).get<std::int64_t>(), now)});
+            // Hosts of an earlier version send no request.
+            report.exits.push_back({observed.at(0).get<instance_key>(),
+                                    time_of(observed.at(1).get<std::int64_t>(), now),
+                                    observed.size() > 2 ? observed.at(2).get<std::uint64_t>() : 0});
         reports.push_back(std::move(report));
     }
     return reports;
--- a/libraries/host/request_fingerprint.cpp
+++ b/libraries/host/request_fingerprint.cpp
@@ -38,6 +38,32 @@
     return {high, base::hash64(parts.body, high)};
 }
 
+namespace {
+
+/// Upper half of the second number in the fingerprint of a prompt part; the lower one names the service.
+constexpr std::uint64_t prompt_part_mark = 0x7061'7274;
+constexpr int mark_shift = 32;
+
+} // namespace
+
+service_key service_key_of(std::string_view service) {
+    return static_cast<service_key>(base::hash64(service));
+}
+
+service_key service_key_of(const request_fingerprint& prompt_part) {
+    return static_cast<service_key>(prompt_part.low);
+}
+
+request_fingerprint fingerprint_of(const prompt_part& part) {
+    const request_fingerprint named = fingerprint_of(
+        {.caller = part.organisation, .host = {}, .method = part.service, .target = part.id, .body = {}});
+    return {named.high, prompt_part_mark << mark_shift | service_key_of(part.service)};
+}
+
+bool is_prompt_part(const request_fingerprint& fingerprint) {
+    return fingerprint.low >> mark_shift == prompt_part_mark;
+}
+
 std::string to_text(const request_fingerprint& fingerprint) {
     static constexpr std::string_view digits = "0123456789abcdef";
     std::string text(2 * half_digits, '0');
--- a/libraries/host/request_fingerprint.h
+++ b/libraries/host/request_fingerprint.h
@@ -33,6 +33,25 @@
 
 [[nodiscard]] request_fingerprint fingerprint_of(const fingerprint_parts& parts);
 
+/// A part of a prompt that several requests of a service share.
+struct prompt_part {
+    std::string_view organisation; ///< Empty if callers have none: their parts are the same for all.
+    std::string_view service;
+    std::string_view id;
+};
+
+/// Fingerprint of all requests with that part of a prompt. Differs from every request's own but for a chance
+/// of one in four billions.
+[[nodiscard]] request_fingerprint fingerprint_of(const prompt_part& part);
+
+/// Whether it is the fingerprint of a part of prompts.
+[[nodiscard]] bool is_prompt_part(const request_fingerprint& fingerprint);
+
+/// Identifies the service in the fingerprint of a prompt part.
+using service_key = std::uint32_t;
+[[nodiscard]] service_key service_key_of(std::string_view service);
+[[nodiscard]] service_key service_key_of(const request_fingerprint& prompt_part);
+
 /// Hexadecimal form, as used in logs and in the store.
 [[nodiscard]] std::string to_text(const request_fingerprint& fingerprint);
 
--- a/tests/host/test_quarantine.cpp
+++ b/tests/host/test_quarantine.cpp
@@ -262,3 +262,136 @@
     const suspect_report only_good{.request = fatal, .exits = {}, .last_success = good};
     CHECK_FALSE(host::knows_later_success(world.table, only_good));
 }
+
+namespace {
+
+const auto first_part =
+    host::fingerprint_of(host::prompt_part{.organisation = "", .service = "s", .id = "first"});
+const auto fatal_part =
+    host::fingerprint_of(host::prompt_part{.organisation = "", .service = "s", .id = "bad"});
+
+/// Runs with parts of prompts, as one host sees them.
+struct part_fixture : fixture {
+    host::instance_key upstreams = 100;
+
+    /// An upstream exits under a run of that request with these parts.
+    void record_fatal_run(std::uint64_t request, const std::vector<request_fingerprint>& parts) {
+        const host::upstream_exit exit = {
+            .upstream = ++this->upstreams, .at = this->clock.now(), .request = request};
+        for (const request_fingerprint& part : parts)
+            (void)host::apply_report(this->table, this->options, {.request = part, .exits = {exit}},
+                                     this->clock.now());
+    }
+
+    /// A run with these parts that began some time ago has survived its start.
+    void record_surviving_run(const std::vector<request_fingerprint>& parts, base::duration ago = 0ms) {
+        const base::time_point began = this->clock.now() - ago;
+        for (const request_fingerprint& part :
+             host::record_survival(this->table, host::service_key_of("s"), parts, began))
+            (void)host::apply_report(this->table, this->options,
+                                     {.request = part, .exits = {}, .last_success = began},
+                                     this->clock.now());
+    }
+};
+
+} // namespace
+
+TEST_CASE("a part of prompts differs from requests, services and organisations") {
+    CHECK(host::is_prompt_part(first_part));
+    CHECK_FALSE(host::is_prompt_part(
+        host::fingerprint_of({.caller = "a", .host = "h", .method = "POST", .target = "/", .body = "b"})));
+    CHECK(first_part != fatal_part);
+    CHECK(first_part !=
+          host::fingerprint_of(host::prompt_part{.organisation = "", .service = "t", .id = "first"}));
+    CHECK(first_part !=
+          host::fingerprint_of(host::prompt_part{.organisation = "o", .service = "s", .id = "first"}));
+    CHECK(host::service_key_of(first_part) == host::service_key_of("s"));
+}
+
+// Guards against requests of which no two are alike ending upstreams by a part that they share, and against
+// condemning the parts that sound requests share with them.
+TEST_CASE("a part under which upstreams exit is quarantined within five exits, those beside it are not") {
+    part_fixture world;
+    for (std::uint64_t request = 1; request <= 5; ++request) {
+        world.record_fatal_run(request, {first_part, fatal_part});
+        world.clock.advance(300ms);
+        CHECK_FALSE(world.is_held(first_part));
+        world.record_surviving_run({first_part}, 200ms);
+    }
+    world.clock.advance(1s);
+    CHECK(world.is_held(fatal_part));
+    CHECK_FALSE(world.is_held(first_part));
+    world.clock.advance(10min);
+    CHECK_FALSE(world.is_held(fatal_part));
+    // It is to blame still.
+    world.record_fatal_run(6, {first_part, fatal_part});
+    CHECK(world.is_held(fatal_part));
+}
+
+TEST_CASE("the past successes of a part don't clear it, a later run that survives does") {
+    part_fixture world;
+    world.record_surviving_run({first_part, fatal_part});
+    for (std::uint64_t request = 1; request <= 4; ++request) {
+        world.clock.advance(300ms);
+        world.record_fatal_run(request, {fatal_part});
+    }
+    world.clock.advance(1s);
+    // It began before the exits.
+    world.record_surviving_run({fatal_part}, 5s);
+    world.record_surviving_run({first_part});
+    CHECK(world.is_held(fatal_part));
+    world.record_surviving_run({fatal_part});
+    CHECK_FALSE(world.is_held(fatal_part));
+}
+
+TEST_CASE("neither one request, nor upstreams that exit at once, nor a service that is down condemn a part") {
+    part_fixture world;
+    SECTION("one request that is sent again and again") {
+        for (int exit = 0; exit < 6; ++exit) {
+            world.record_fatal_run(1, {first_part});
+            world.clock.advance(300ms);
+        }
+        world.record_surviving_run({});
+    }
+    SECTION("a loss of power, twice") {
+        for (int loss = 0; loss < 2; ++loss) {
+            for (std::uint64_t request = 1; request <= 5; ++request)
+                world.record_fatal_run(request, {first_part});
+            world.clock.advance(1s);
+        }
+        world.record_surviving_run({});
+    }
+    SECTION("nothing survives, whatever its parts") {
+        for (std::uint64_t request = 1; request <= 6; ++request) {
+            world.record_fatal_run(request, {first_part});
+            world.clock.advance(500ms);
+        }
+    }
+    world.clock.advance(2s);
+    CHECK_FALSE(world.is_held(first_part));
+}
+
+TEST_CASE("hosts that heard the same of a part in any order hold the same") {
+    const base::time_point now{1h};
+    const host::quarantine_options options;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        std::mt19937_64 random(seed);
+        std::vector<suspect_report> reports;
+        for (host::instance_key exit = 1; exit <= 2 + seed % 4; ++exit)
+            reports.push_back(
+                {.request = fatal_part, .exits = {{exit, now - 4s + exit * 300ms, 1 + random() % 4}}});
+        if (random() % 3 == 0)
+            reports.push_back({.request = fatal_part, .exits = {}, .last_success = now - 3s});
+        std::optional<bool> held;
+        for (int host = 0; host < 3; ++host) {
+            host::quarantine table;
+            table.last_survival[host::service_key_of("s")] = now;
+            std::ranges::shuffle(reports, random);
+            for (const suspect_report& report : reports)
+                (void)host::apply_report(table, options, report, now);
+            const bool is_held = host::remaining_hold(table, options, fatal_part, now).has_value();
+            REQUIRE(held.value_or(is_held) == is_held);
+            held = is_held;
+        }
+    }
+}
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -132,6 +132,26 @@
     CHECK(sent.body == "body");
 }
 
+TEST_CASE("the shared parts of a prompt are all but the last, once each, and bounded") {
+    const auto protocol = platform::make_request_protocol();
+    const auto parts_of = [&protocol](const std::string& segments) {
+        return protocol
+            .read_request({"POST",
+                           "/p/1",
+                           {{"Host", "a.example"}, {"X-Attempt-Id", "abc"}, {"X-Prompt-Prefix", segments}},
+                           ""})
+            ->shared_parts;
+    };
+    CHECK(parts_of("5c1e:800,91bd:410,e440:250") == std::vector<std::string>{"5c1e", "91bd"});
+    CHECK(parts_of("5c1e:800,5c1e:1,,e440,x") == std::vector<std::string>{"5c1e", "e440"});
+    CHECK(parts_of("5c1e:800").empty());
+    CHECK(parts_of("").empty());
+    std::string many;
+    for (int part = 0; part < 1'000; ++part)
+        many += std::to_string(part) + std::string(100, 'x') + ":1,";
+    CHECK(parts_of(many).size() == 16);
+}
+
 TEST_CASE("the attempt that a caller resumes is read and passed on, and an oversized id ignored") {
     const auto protocol = platform::make_request_protocol();
     const auto read = [&protocol](const std::string& resumes) {
