wire: Don't keep a connection whose end was the end of its answer

An answer with neither a length nor chunks ends with its connection, which was returned to the idle ones all the same: the message says keep-alive, the parser knows better. Callers saw nothing but a failed reuse where the close wasn't noticed yet.

--- a/libraries/wire/upstream_connection.cpp
+++ b/libraries/wire/upstream_connection.cpp
@@ -126,7 +126,8 @@
             head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
         // NOTE: An eager parser would need fewer reads, but it reads until its buffer is full, which would
         // delay tokens.
-        this->is_keep_alive = this->parser->get().keep_alive();
+        // False as well for an answer that ends with its connection.
+        this->is_keep_alive = this->parser->keep_alive();
         this->is_response_complete = this->parser->is_done();
         this->keep_alive_timeout =
             parse_keep_alive_timeout(std::string(this->parser->get()[http::field::keep_alive]));
--- a/tests/wire/test_transfers.cpp
+++ b/tests/wire/test_transfers.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <functional>
 #include <string>
 
@@ -115,3 +116,66 @@
     CHECK(answer.error().failure == wire::wire_failure::late);
     CHECK(answer.error().arrived_bytes == parts_sent * part_bytes);
 }
+
+namespace {
+
+enum class answer_end { close, reset };
+
+/// Upstream that answers one request with neither a length nor chunks and ends the connection.
+class unframed_upstream {
+public:
+    unframed_upstream(wire::asio::io_context& context, std::string body, answer_end end)
+        : context(&context), acceptor(context, {wire::asio::ip::address_v4::loopback(), 0}),
+          body(std::move(body)), end(end) {
+        wire::spawn_coroutine(context, [this](wire::yield_context yield) { this->answer(yield); });
+    }
+
+    [[nodiscard]] std::string address() const {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+private:
+    void answer(wire::yield_context yield) {
+        wire::error_code error;
+        wire::asio::ip::tcp::socket socket(*this->context);
+        this->acceptor.async_accept(socket, yield[error]);
+        std::array<char, 4'096> request{};
+        (void)socket.async_read_some(wire::asio::buffer(request), yield[error]);
+        wire::asio::async_write(socket, wire::asio::buffer("HTTP/1.1 200 OK\r\n\r\n" + this->body),
+                                yield[error]);
+        // Lets the client read what it was sent: a reset may overtake it.
+        wire::boot_timer pause(*this->context, 50ms);
+        pause.async_wait(yield[error]);
+        if (this->end == answer_end::reset)
+            socket.set_option(wire::asio::socket_base::linger(true, 0), error);
+        socket.close(error);
+    }
+
+    wire::asio::io_context* context;
+    wire::asio::ip::tcp::acceptor acceptor;
+    std::string body;
+    answer_end end;
+};
+
+} // namespace
+
+// Guards against an answer that was reset on the way being taken for whole, and against the reuse of a
+// connection whose end is the end of its answer.
+TEST_CASE("an answer without length or chunks is whole when its connection is closed, not when it is reset") {
+    const auto end = GENERATE(answer_end::close, answer_end::reset);
+    const std::string body = GENERATE(std::string("answer"), std::string(100'000, 'x'), std::string());
+    wire::asio::io_context context;
+    unframed_upstream upstream(context, body, end);
+    wire::connection_pool pool(context, wire::response_bounds{});
+    wire::expected<wire::http_response> result = tl::make_unexpected(wire::wire_error{});
+    wire::spawn_coroutine(context, [&](wire::yield_context yield) {
+        result =
+            wire::fetch(pool, upstream.address(), wire::get_request("/", {{"Host", "upstream"}}), 5s, yield);
+        context.stop();
+    });
+    context.run();
+    CHECK(result.has_value() == (end == answer_end::close));
+    if (result)
+        CHECK(result->body == body);
+    CHECK(pool.idle_connections() == 0);
+}
