--- a/tests/gateway/test_unreachable_upstreams.cpp
+++ b/tests/gateway/test_unreachable_upstreams.cpp
@@ -11,7 +11,9 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <iostream>
 #include <map>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -61,11 +63,7 @@
             stand_in::http_exchange(this->cluster->callers_address(host),
                                     routed_request(path, this->name + "-" + std::to_string(++this->sent)));
         if (!answer || answer->status != 200)
-            UNSCOPED_INFO(
-                path << " at host " << host << ": "
-                     << (answer ? std::to_string(answer->status) + ' ' +
-                                      std::string(wire::find_header(answer->headers, "Postpaddle-Reason"))
-                                : "no answer"));
+            log_failure(path, host, answer);
         return answer ? answer->status : 0;
     }
 
@@ -89,6 +87,19 @@
     }
 
 private:
+    /// Catch2's messages may only be made by one thread, and callers run in many.
+    static void log_failure(const std::string& path, int host,
+                            const wire::expected<wire::http_response>& answer) {
+        static std::mutex mutex;
+        const std::lock_guard lock(mutex);
+        std::clog << path << " at host " << host << ": ";
+        if (answer)
+            std::clog << answer->status << ' ' << wire::find_header(answer->headers, "Postpaddle-Reason");
+        else
+            std::clog << "no answer";
+        std::clog << '\n';
+    }
+
     const test::gateway_cluster* cluster;
     std::string name;
     int sent = 0;
