decision: Look at the engines once for a choice among software versions

A choice scanned all upstreams five times, two of them for the versions. The candidates are found once and shared by the colocated choice and the pairs, two scans instead of the three before versions. Waits for word of a stream's origin keep their set themselves, since coroutines are unwound after the exchange is gone.

--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <map>
 
@@ -189,14 +190,19 @@
     return std::max(0.0, candidate.own.prompt_tokens + candidate.others.prompt_tokens);
 }
 
-std::optional<engine_plan> choose_colocated(const instance_table& table, const choice_context& context,
-                                            const settings::engine_capacity& capacity,
-                                            const prompt_size& size, std::mt19937_64& random) {
+namespace {
+
+using engine_list = std::vector<const instance*>;
+
+/// The same among the given decode engines.
+std::optional<engine_plan> choose_colocated_among(const engine_list& engines, const choice_context& context,
+                                                  const settings::engine_capacity& capacity,
+                                                  const prompt_size& size, std::mt19937_64& random) {
     const auto cost_of = [&](const instance& candidate) {
         return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
                decode_prefill_cost(candidate, size.prompt_tokens, context);
     };
-    auto scored = score(eligible_instances(table, context, can_decode), &engine_pace::decode, cost_of);
+    auto scored = score(engines, &engine_pace::decode, cost_of);
     const scored_candidate best = choose_one(scored, decode_weight(context, capacity), random);
     if (best.chosen == nullptr)
         return std::nullopt;
@@ -211,6 +217,15 @@
                        .cost = best.cost};
 }
 
+} // namespace
+
+std::optional<engine_plan> choose_colocated(const instance_table& table, const choice_context& context,
+                                            const settings::engine_capacity& capacity,
+                                            const prompt_size& size, std::mt19937_64& random) {
+    return choose_colocated_among(eligible_instances(table, context, can_decode), context, capacity, size,
+                                  random);
+}
+
 std::optional<engine_plan> choose_decode(const instance_table& table, const choice_context& context,
                                          const settings::engine_capacity& capacity, const prompt_size& size,
                                          const base::zone_id& source_zone, std::mt19937_64& random) {
@@ -232,30 +247,41 @@
 
 namespace {
 
-/// The software versions of the instances that may serve.
-std::set<std::string> versions_of(const std::vector<const instance*>& candidates) {
+/// The engines that may serve a request, by what they can do.
+struct engine_candidates {
+    engine_list prefill;
+    engine_list decode;
+};
+
+std::set<std::string> versions_of(const engine_list& engines) {
     std::set<std::string> versions;
-    for (const instance* candidate : candidates)
-        versions.insert(candidate->entry.software_version);
+    for (const instance* engine : engines)
+        versions.insert(engine->entry.software_version);
     return versions;
 }
 
-/// The same choice whatever the engines' software versions.
-std::optional<engine_plan> choose_any_engines(const instance_table& table, const choice_context& context,
-                                              const settings::engine_capacity& capacity,
-                                              const prompt_size& size, std::mt19937_64& random) {
-    auto colocated = choose_colocated(table, context, capacity, size, random);
+engine_list engines_of_version(const engine_list& engines, const std::string& version) {
+    engine_list matching;
+    std::ranges::copy_if(engines, std::back_inserter(matching), [&version](const instance* engine) {
+        return engine->entry.software_version == version;
+    });
+    return matching;
+}
+
+/// The cheapest engines of these, whatever their software versions.
+std::optional<engine_plan> choose_among(const engine_candidates& engines, const choice_context& context,
+                                        const settings::engine_capacity& capacity, const prompt_size& size,
+                                        std::mt19937_64& random) {
+    auto colocated = choose_colocated_among(engines.decode, context, capacity, size, random);
     const auto prefill_cost = [&](const instance& candidate) {
         return base_cost(candidate, context, random) + prefill_time(candidate, size.prompt_tokens, context);
     };
-    const auto prefill =
-        score(eligible_instances(table, context, can_prefill), &engine_pace::prefill, prefill_cost);
+    const auto prefill = score(engines.prefill, &engine_pace::prefill, prefill_cost);
     const auto decode_cost = [&](const instance& candidate) {
         return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
                first_event_time(candidate, context);
     };
-    const auto decode =
-        score(eligible_instances(table, context, can_decode), &engine_pace::decode, decode_cost);
+    const auto decode = score(engines.decode, &engine_pace::decode, decode_cost);
     const auto prefill_by_zone = choose_by_zone(prefill, prefill_weight, random);
     const auto decode_by_zone = choose_by_zone(decode, decode_weight(context, capacity), random);
     const engine_pair best = cheapest_pair(prefill_by_zone, decode_by_zone);
@@ -276,18 +302,20 @@
 std::optional<engine_plan> choose_engines(const instance_table& table, const choice_context& context,
                                           const settings::engine_capacity& capacity, const prompt_size& size,
                                           std::mt19937_64& random) {
-    const auto decode_versions = versions_of(eligible_instances(table, context, can_decode));
-    const auto prefill_versions = versions_of(eligible_instances(table, context, can_prefill));
+    const engine_candidates engines = {.prefill = eligible_instances(table, context, can_prefill),
+                                       .decode = eligible_instances(table, context, can_decode)};
+    const auto prefill_versions = versions_of(engines.prefill);
+    const auto decode_versions = versions_of(engines.decode);
     const bool is_uniform = decode_versions.size() <= 1 && prefill_versions.size() <= 1;
     const bool has_pair = std::ranges::any_of(
         decode_versions, [&](const std::string& version) { return prefill_versions.contains(version); });
     if (is_uniform || !has_pair)
-        return choose_any_engines(table, context, capacity, size, random);
+        return choose_among(engines, context, capacity, size, random);
     std::optional<engine_plan> best;
-    choice_context of_version = context;
     for (const std::string& version : decode_versions) {
-        of_version.software_version = version;
-        const auto plan = choose_any_engines(table, of_version, capacity, size, random);
+        const engine_candidates of_version = {.prefill = engines_of_version(engines.prefill, version),
+                                              .decode = engines_of_version(engines.decode, version)};
+        const auto plan = choose_among(of_version, context, capacity, size, random);
         if (plan && (!best || plan->cost < best->cost))
             best = plan;
     }
--- a/libraries/gateway/stream_origin/stream_origin_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.cpp
@@ -29,10 +29,14 @@
 constexpr base::duration max_wait_for_host_list = 500ms;
 constexpr base::duration host_list_poll_interval = 5ms;
 
-/// Removes a pending message from the set when it goes out of scope, even if its coroutine is unwound.
-template <class Set, class Element> class scoped_member {
+/// Keeps an element in a shared set for as long as the object lives. The set may outlive its first owner, as
+/// coroutines are unwound after that.
+template <class Element> class scoped_member {
 public:
-    scoped_member(Set& set, Element* element) : set(&set), element(element) { this->set->insert(element); }
+    scoped_member(std::shared_ptr<std::set<Element*>> owner, Element& member)
+        : set(std::move(owner)), element(&member) {
+        this->set->insert(this->element);
+    }
     scoped_member(const scoped_member&) = delete;
     scoped_member(scoped_member&&) = delete;
     scoped_member& operator=(const scoped_member&) = delete;
@@ -40,7 +44,7 @@
     ~scoped_member() { this->set->erase(this->element); }
 
 private:
-    Set* set;
+    std::shared_ptr<std::set<Element*>> set;
     Element* element;
 };
 
@@ -56,7 +60,7 @@
 } // namespace
 
 stream_origin_exchange::pending_message::pending_message(wire::asio::io_context& context,
-                                                         stream_origin_message message)
+                                                         const stream_origin_message& message)
     : bytes(encode_stream_origin(message)), keys(message.keys), kind(message.kind), wake(context) {}
 
 stream_origin_exchange::stream_origin_exchange(gateway_state& state, peer_datagrams& datagrams)
@@ -185,7 +189,7 @@
 }
 
 void stream_origin_exchange::await_answers(pending_message& sent, wire::yield_context yield) {
-    const scoped_member member(this->pending, &sent);
+    const scoped_member member(this->pending, sent);
     for (const base::duration pause : repetition_pauses) {
         if (sent.received >= sent.needed)
             return;
@@ -245,7 +249,7 @@
 void stream_origin_exchange::handle_answer(const stream_origin_message& message) {
     const auto answered_kind =
         message.kind == message_kind::acknowledged ? message_kind::record : message_kind::question;
-    for (pending_message* const sent : this->pending) {
+    for (pending_message* const sent : *this->pending) {
         if (sent->keys != message.keys || sent->kind != answered_kind ||
             sent->unanswered.erase(message.from) == 0)
             continue;
--- a/libraries/gateway/stream_origin/stream_origin_exchange.h
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.h
@@ -8,6 +8,7 @@
 #include <host/stream_origins.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -40,7 +41,7 @@
 private:
     /// A record or a question that other hosts have been sent, until enough of them have answered.
     struct pending_message {
-        pending_message(wire::asio::io_context& context, stream_origin_message message);
+        pending_message(wire::asio::io_context& context, const stream_origin_message& message);
 
         std::string bytes; ///< As sent.
         host::stream_keys keys;
@@ -79,7 +80,8 @@
     host::stream_origins origins;
     host::replica_ring ring;
     base::time_point ring_made_at{};
-    std::set<pending_message*> pending;
+    /// Also held by the coroutines that wait.
+    std::shared_ptr<std::set<pending_message*>> pending = std::make_shared<std::set<pending_message*>>();
 };
 
 } // namespace postpaddle::gateway
--- a/tests/host/test_stream_origins.cpp
+++ b/tests/host/test_stream_origins.cpp
@@ -35,9 +35,9 @@
 }
 
 std::vector<base::host_id> make_hosts(int number) {
-    std::vector<base::host_id> hosts;
-    for (int host = 0; host < number; ++host)
-        hosts.push_back({"host-" + std::to_string(host)});
+    std::vector<base::host_id> hosts(static_cast<std::size_t>(number));
+    for (std::size_t host = 0; host < hosts.size(); ++host)
+        hosts[host].value = "host-" + std::to_string(host);
     return hosts;
 }
 
