stand_ins: Serve the store at each host's address, on a port that all of them can have

Cause: the stand-in store let the system choose a port at 127.0.0.1 and ended when that port was held at another host's address, for example by a closed connection (TIME_WAIT) of an earlier section.

Change: it tries further ports until one is free at all addresses; pages of the store can be limited, so that one read brings only a part of the log; a cluster whose host isn't ready prints that host's state.

--- a/stand_ins/common/stand_in_server.cpp
+++ b/stand_ins/common/stand_in_server.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <common/stand_in_server.h>
 
+#include <base/try.h>
+
 #include <boost/asio/signal_set.hpp>
 
 #include <cstdlib>
@@ -23,17 +25,11 @@
     }
 }
 
-} // namespace
-
-std::shared_ptr<wire::http_listener> serve(wire::asio::io_context& context, std::uint16_t port,
-                                           request_handler handler) {
-    auto listener = serve_at(context, "127.0.0.1", port, std::move(handler));
-    std::cout << json{{"port", listener->port()}} << std::endl;
-    return listener;
-}
+/// Ports that are tried at several addresses before giving up.
+constexpr int max_port_choices = 100;
 
-std::shared_ptr<wire::http_listener> serve_at(wire::asio::io_context& context, const std::string& address,
-                                              std::uint16_t port, request_handler handler) {
+wire::expected<std::shared_ptr<wire::http_listener>>
+listen_at(wire::asio::io_context& context, const std::string& address, std::uint16_t port) {
     wire::listener_options options;
     options.address = address;
     options.port = port;
@@ -41,16 +37,45 @@
     options.bounds.body_bytes = 64UL * 1024 * 1024;
     options.bounds.idle_timeout = std::chrono::minutes(10);
     options.connections = 20'000;
-    auto listener = wire::http_listener::create(context, options);
-    if (!listener) {
-        std::cerr << "can't listen: " << listener.error().detail << '\n';
+    return wire::http_listener::create(context, options);
+}
+
+wire::expected<std::vector<std::shared_ptr<wire::http_listener>>>
+listen_at_each(wire::asio::io_context& context, const std::vector<std::string>& addresses,
+               std::uint16_t port) {
+    std::vector<std::shared_ptr<wire::http_listener>> listeners;
+    for (const std::string& address : addresses) {
+        const std::uint16_t shared_port = listeners.empty() ? port : listeners.front()->port();
+        POSTPADDLE_TRY(listener, listen_at(context, address, shared_port));
+        listeners.push_back(std::move(listener));
+    }
+    return listeners;
+}
+
+} // namespace
+
+std::shared_ptr<wire::http_listener> serve(wire::asio::io_context& context, std::uint16_t port,
+                                           const request_handler& handler) {
+    return serve_at_each(context, {"127.0.0.1"}, port, handler).front();
+}
+
+std::vector<std::shared_ptr<wire::http_listener>> serve_at_each(wire::asio::io_context& context,
+                                                                const std::vector<std::string>& addresses,
+                                                                std::uint16_t port,
+                                                                const request_handler& handler) {
+    auto listeners = listen_at_each(context, addresses, port);
+    for (int choice = 1; !listeners && port == 0 && choice < max_port_choices; ++choice)
+        listeners = listen_at_each(context, addresses, port);
+    if (!listeners) {
+        std::cerr << "can't listen: " << listeners.error().detail << '\n';
         std::exit(EXIT_FAILURE); // NOLINT(concurrency-mt-unsafe): single-threaded here.
     }
-    (*listener)->start(
-        [handler = std::move(handler)](wire::caller_connection& connection, wire::yield_context yield) {
+    for (const auto& listener : *listeners)
+        listener->start([handler](wire::caller_connection& connection, wire::yield_context yield) {
             serve_connection(handler, connection, yield);
         });
-    return *listener;
+    std::cout << json{{"port", listeners->front()->port()}} << std::endl;
+    return *listeners;
 }
 
 wire::http_response json_response(const json& body, int status) {
--- a/stand_ins/common/stand_in_server.h
+++ b/stand_ins/common/stand_in_server.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace postpaddle::stand_in {
 
@@ -24,12 +25,13 @@
 /// Listens on 127.0.0.1 and prints `{"port": N}` to standard output. Port 0 lets the system choose. Exits the
 /// process if it can't listen.
 [[nodiscard]] std::shared_ptr<wire::http_listener> serve(wire::asio::io_context& context, std::uint16_t port,
-                                                         request_handler handler);
+                                                         const request_handler& handler);
 
-/// Listens on another loopback address without printing the port. Exits the process if it can't listen.
-[[nodiscard]] std::shared_ptr<wire::http_listener> serve_at(wire::asio::io_context& context,
-                                                            const std::string& address, std::uint16_t port,
-                                                            request_handler handler);
+/// Likewise on the same port of several addresses. A port that the system chose at the first may be in use at
+/// another, then another port is tried.
+[[nodiscard]] std::vector<std::shared_ptr<wire::http_listener>>
+serve_at_each(wire::asio::io_context& context, const std::vector<std::string>& addresses, std::uint16_t port,
+              const request_handler& handler);
 
 [[nodiscard]] wire::http_response json_response(const json& body, int status = 200);
 /// Parses the body. Returns an empty object if it is not a JSON object.
--- a/stand_ins/platform_store/main.cpp
+++ b/stand_ins/platform_store/main.cpp
@@ -47,6 +47,14 @@
     std::uint64_t first_readable_offset = 0;
 };
 
+/// Limits of a response, as the store documents them. `/control` lowers them, so that few records fill a
+/// page.
+struct page_limits {
+    std::size_t read_bytes = 1'024UL * 1024;   ///< Of the records of a read, unless it asks for less.
+    std::size_t newest_records = 500;          ///< Of a listing of the newest records.
+    std::size_t newest_bytes = 1'024UL * 1024; ///< Likewise.
+};
+
 /// Faults injected through `/control`.
 struct store_faults {
     std::string failure_mode; ///< Empty, `busy` (503), `reset` or `silent`.
@@ -193,10 +201,19 @@
             (void)connection.send(stand_in::json_response({{"first", target.first_offset()}}, 410), yield);
             return;
         }
-        std::string body = encode_u64(target.end_offset) + encode_u64(target.first_offset());
-        for (auto record = target.records.lower_bound(from_offset); record != target.records.end(); ++record)
-            body += platform::encode_record(this->record_for(request, record->second));
-        (void)connection.send({200, {}, body}, yield);
+        const std::uint64_t asked_kb = field("max_kb");
+        const std::size_t max_bytes =
+            std::min<std::size_t>(this->pages.read_bytes, asked_kb > 0 ? asked_kb * 1024 : SIZE_MAX);
+        std::string records;
+        for (auto record = target.records.lower_bound(from_offset); record != target.records.end();
+             ++record) {
+            const std::string next = platform::encode_record(this->record_for(request, record->second));
+            if (!records.empty() && records.size() + next.size() > max_bytes)
+                break;
+            records += next;
+        }
+        const std::string offsets = encode_u64(target.end_offset) + encode_u64(target.first_offset());
+        (void)connection.send({200, {}, offsets + records}, yield);
     }
 
     [[nodiscard]] platform::keyed_record record_for(const wire::http_request& request,
@@ -208,13 +225,20 @@
 
     [[nodiscard]] wire::http_response newest_records(const wire::http_request& request) {
         const topic& target = this->topics[stand_in::query_parameter(request.target, "topic")];
-        json items = this->malformed_items;
-        for (const auto& [key, offset] : target.newest_offsets)
+        const std::string after = stand_in::query_parameter(request.target, "after");
+        json items = after.empty() ? this->malformed_items : json::array();
+        std::size_t bytes = 0;
+        auto next = after.empty() ? target.newest_offsets.begin() : target.newest_offsets.upper_bound(after);
+        for (; next != target.newest_offsets.end() && items.size() < this->pages.newest_records &&
+               bytes < this->pages.newest_bytes;
+             ++next) {
+            const std::string value = this->value_for(request, *target.records.at(next->second).value);
+            bytes += value.size();
             items.push_back(
-                {{"key", key},
-                 {"value", encode_base64(this->value_for(request, *target.records.at(offset).value))},
-                 {"offset", offset}});
-        return stand_in::json_response({{"items", items}, {"more", false}, {"end", target.end_offset}});
+                {{"key", next->first}, {"value", encode_base64(value)}, {"offset", next->second}});
+        }
+        const bool has_more = next != target.newest_offsets.end();
+        return stand_in::json_response({{"items", items}, {"more", has_more}, {"end", target.end_offset}});
     }
 
     /// Sets faults and changes records: `put` appends a JSON value, `put_text` appends a raw string, `drop`
@@ -228,6 +252,8 @@
                 body["links"].get<std::map<std::string, std::map<std::string, std::string>>>();
         if (body.contains("turned_away"))
             this->faults.affected_addresses = body["turned_away"].get<std::set<std::string>>();
+        this->pages.read_bytes = body.value("read_bytes", this->pages.read_bytes);
+        this->pages.newest_records = body.value("newest_records", this->pages.newest_records);
         if (body.contains("put"))
             this->topics[body["put"].at("topic")].append(body["put"].at("key"),
                                                          body["put"].at("value").dump());
@@ -247,6 +273,7 @@
     wire::asio::io_context* context;
     std::map<std::string, topic> topics;
     store_faults faults;
+    page_limits pages;
     json malformed_items = json::array(); ///< Prepended to the items of each `/api/log-newest` response.
     std::uint64_t calls = 0;
 };
@@ -260,11 +287,11 @@
     platform_store store(context);
     const auto handler = [&store](const wire::http_request& request, wire::caller_connection& connection,
                                   wire::yield_context yield) { store.serve(request, connection, yield); };
-    std::vector<std::shared_ptr<wire::http_listener>> listeners = {
-        stand_in::serve(context, static_cast<std::uint16_t>(FLAGS_port), handler)};
+    std::vector<std::string> addresses = {"127.0.0.1"};
     for (int host = 1; host <= FLAGS_hosts; ++host)
-        listeners.push_back(stand_in::serve_at(context, FLAGS_network + std::to_string(host),
-                                               listeners.front()->port(), handler));
+        addresses.push_back(FLAGS_network + std::to_string(host));
+    const auto listeners =
+        stand_in::serve_at_each(context, addresses, static_cast<std::uint16_t>(FLAGS_port), handler);
     stand_in::stop_on_signal(context);
     context.run();
     return 0;
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -125,7 +125,8 @@
         this->start_host(number);
     for (int number = 1; number <= this->options.hosts && this->options.has_configuration; ++number)
         if (!eventually([&] { return this->is_ready(number) && this->has_host_list(number); }))
-            throw std::runtime_error("a host did not become ready");
+            throw std::runtime_error("host " + std::to_string(number) +
+                                     " did not become ready; its state: " + this->state_of(number).dump());
 }
 
 void gateway_cluster::start_proxy() {
@@ -205,6 +206,7 @@
                         << "\nseeds: [" << this->host_address(1, this->peers_port)
                         << "]\nstore: " << this->store_address(number)
                         << "\nheartbeat_ms: " << this->options.heartbeat_ms
+                        << "\nleaving_bound_ms: " << this->options.leaving_bound_ms
                         << "\nconnections: " << this->options.connections
                         << "\nbalancer_lag_ms: 300\nretries: {slack: " << this->options.retry_slack
                         << "}\norder_lease_ms: 500\nengines_check_tokens: true\npolicy: {admit_by_load: "
@@ -335,6 +337,8 @@
         std::vector<std::string>{"--id=" + id, "--port=" + std::to_string(port),
                                  "--stage=" + this->plans.at(id).stage,
                                  "--fatal_part=" + this->plans.at(id).fatal_part,
+                                 "--events=" + std::to_string(this->plans.at(id).events),
+                                 "--work_ms=" + std::to_string(this->plans.at(id).event_ms),
                                  "--software_version=" + this->plans.at(id).software_version},
         this->folder + "/" + id + ".log");
     this->server_addresses[id] = "127.0.0.1:" + std::to_string(process->read_json().at("port").get<int>());
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -18,6 +18,8 @@
     std::string stage{}; ///< Empty, `prefill` or `decode`.
     std::string zone = "east";
     std::string fatal_part{};       ///< Part of a prompt under which it exits.
+    int event_ms = 5;               ///< Time that a request, or one event of a stream, takes.
+    int events = 5;                 ///< Events of a stream.
     std::string software_version{}; ///< In its registry entry and in its events; empty: `v1`, not in events.
 };
 
@@ -42,6 +44,7 @@
     bool admits_by_load = true;     ///< Whether plain requests wait or are refused by upstreams' load.
     int store_bytes_per_s = 0;      ///< Bandwidth of the link from the store to each host; 0 for no limit.
     int connections = 1'500;        ///< Maximum number of connections from callers of a host.
+    int leaving_bound_ms = 2'000;   ///< Until a leaving server gets no new requests.
     int linked_hosts = 0; ///< Hosts, from the first on, that reach each server over a link of their own.
 };
 
--- a/tests/support/test_main.cpp
+++ b/tests/support/test_main.cpp
@@ -54,6 +54,9 @@
         std::cerr << known_failures_file << " has more than " << max_known_failures << " lines\n";
         return 1;
     }
+    // Exclusions alone would select hidden cases, which only print figures.
+    if (session.configData().testsOrTags.empty())
+        session.configData().testsOrTags.push_back("~[.]");
     for (const std::string& line : known_failures) {
         std::cout << "known red, left out: " << line << '\n';
         session.configData().testsOrTags.push_back(make_exclusion_filter(test_title(line)));
