--- a/libraries/base/clock.h
+++ b/libraries/base/clock.h
@@ -61,4 +61,9 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+/// The duration times a factor.
+[[nodiscard]] constexpr duration scaled(duration value, double factor) {
+    return from_seconds(to_seconds(value) * factor);
+}
+
 } // namespace postpaddle::base
--- a/libraries/decision/attempt_rules.cpp
+++ b/libraries/decision/attempt_rules.cpp
@@ -90,12 +90,12 @@
 base::duration attempt_timeout(const attempt_record& record, base::duration left) {
     if (!may_retry_elsewhere(record))
         return left;
-    const base::duration fraction = base::from_seconds(base::to_seconds(left) * attempt_fraction);
+    const base::duration fraction = base::scaled(left, attempt_fraction);
     return std::min(left, std::max(min_attempt_timeout, fraction));
 }
 
 base::duration retry_after(base::duration left, base::duration max_wait, base::duration until_slot) {
-    const base::duration fraction = base::from_seconds(base::to_seconds(left) * retry_after_fraction);
+    const base::duration fraction = base::scaled(left, retry_after_fraction);
     return std::max(min_retry_after, std::min({std::max(min_slot_wait, until_slot), fraction, max_wait}));
 }
 
--- a/libraries/decision/overload/plain_admission.cpp
+++ b/libraries/decision/overload/plain_admission.cpp
@@ -224,7 +224,7 @@
     static constexpr double least = 0.25;
     static constexpr double most = 0.75;
     std::uniform_real_distribution<double> spread(least, most);
-    const base::duration delay = base::from_seconds(base::to_seconds(decision.spacing) * spread(random));
+    const base::duration delay = base::scaled(decision.spacing, spread(random));
     return std::clamp(delay, min_recheck_delay, max_recheck_delay);
 }
 
--- a/libraries/decision/pairing.cpp
+++ b/libraries/decision/pairing.cpp
@@ -107,7 +107,7 @@
 
 base::duration slot_wait_slack(const deployment_state& deployment, const request_facts& facts) {
     const double part = max_retention_slack * (1 - facts.waste_weight);
-    return base::from_seconds(base::to_seconds(deployment.facts.kv_retention) * part);
+    return base::scaled(deployment.facts.kv_retention, part);
 }
 
 candidate_pair describe(const router_state& state, const pair_choice& choice, base::time_point now) {
--- a/libraries/decision/stream_rules.cpp
+++ b/libraries/decision/stream_rules.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 base::duration step_timeout(base::duration expected) {
-    return base::from_seconds(base::to_seconds(expected) * late_factor) + late_grace;
+    return base::scaled(expected, late_factor) + late_grace;
 }
 
 base::duration idle_timeout(base::duration gap_target) { return gap_target * silence_factor; }
--- a/libraries/gateway/forwarding/reach_prober.cpp
+++ b/libraries/gateway/forwarding/reach_prober.cpp
@@ -59,7 +59,7 @@
     wire::error_code ignored;
     do {
         this->probe(service, yield);
-        timer.expires_after(base::from_seconds(base::to_seconds(probe_interval) * part(this->state->random)));
+        timer.expires_after(base::scaled(probe_interval, part(this->state->random)));
         timer.async_wait(yield[ignored]);
     } while (is_service_unreachable(*this->state, service));
 }
--- a/libraries/host/lease_table.cpp
+++ b/libraries/host/lease_table.cpp
@@ -13,10 +13,6 @@
 
 constexpr std::int64_t max_lease_milliseconds = 600'000;
 
-base::duration scaled(base::duration value, double factor) {
-    return base::from_seconds(base::to_seconds(value) * factor);
-}
-
 } // namespace
 
 std::string encode_bid(const lease_bid& bid) {
@@ -63,12 +59,12 @@
 }
 
 bool is_expired(const lease_entry& entry, const lease_margins& margins, base::time_point now) {
-    return now >= entry.read_at + scaled(entry.length, 1 + margins.clock_rate);
+    return now >= entry.read_at + base::scaled(entry.length, 1 + margins.clock_rate);
 }
 
 bool may_issue_orders(const lease_entry& entry, base::time_point bid_at, const lease_margins& margins,
                       base::time_point now) {
-    const base::duration safe = scaled(entry.length, 1 - margins.clock_rate) - margins.order_delay;
+    const base::duration safe = base::scaled(entry.length, 1 - margins.clock_rate) - margins.order_delay;
     return now < bid_at + safe;
 }
 
