--- a/libraries/gateway/forwarding/forwarding_receiver.cpp
+++ b/libraries/gateway/forwarding/forwarding_receiver.cpp
@@ -3,8 +3,8 @@
 
 #include <gateway/forwarding/forwarded_request.h>
 #include <gateway/forwarding/upstream_reach.h>
+#include <gateway/quarantine/request_quarantine.h>
 #include <gateway/request_handler.h>
-#include <gateway/request_quarantine.h>
 #include <gateway/stream_origin/request_origin.h>
 #include <wire/endpoint.h>
 
--- a/libraries/gateway/plain_relay.cpp
+++ b/libraries/gateway/plain_relay.cpp
@@ -4,7 +4,7 @@
 #include <gateway/caller_identity.h>
 #include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/plain_choice.h>
-#include <gateway/request_quarantine.h>
+#include <gateway/quarantine/request_quarantine.h>
 #include <gateway/send_slot_queue.h>
 #include <gateway/upstream_exchange.h>
 #include <gateway/upstream_load_exchange.h>
--- a/libraries/gateway/prefill_send.cpp
+++ b/libraries/gateway/prefill_send.cpp
@@ -2,7 +2,7 @@
 #include <gateway/prefill_send.h>
 
 #include <gateway/pace_exchange.h>
-#include <gateway/request_quarantine.h>
+#include <gateway/quarantine/request_quarantine.h>
 #include <gateway/upstream_exchange.h>
 
 namespace postpaddle::gateway {
--- a/libraries/gateway/quarantine_codec.cpp
+++ b/libraries/gateway/quarantine/quarantine_codec.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-#include <gateway/quarantine_codec.h>
+#include <gateway/quarantine/quarantine_codec.h>
 
 #include <host/quarantine_codec.h>
 
--- a/libraries/gateway/quarantine_exchange.cpp
+++ b/libraries/gateway/quarantine/quarantine_exchange.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-#include <gateway/quarantine_exchange.h>
+#include <gateway/quarantine/quarantine_exchange.h>
 
 #include <host/adaptive_timeout.h>
 
--- a/libraries/gateway/quarantine_exchange.h
+++ b/libraries/gateway/quarantine/quarantine_exchange.h
@@ -3,7 +3,7 @@
 
 #include <gateway/gateway_state.h>
 #include <gateway/peer_datagrams.h>
-#include <gateway/quarantine_codec.h>
+#include <gateway/quarantine/quarantine_codec.h>
 
 #include <map>
 
--- a/libraries/gateway/request_quarantine.cpp
+++ b/libraries/gateway/quarantine/request_quarantine.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
-#include <gateway/request_quarantine.h>
+#include <gateway/quarantine/request_quarantine.h>
+
+#include <gateway/store_sync/registry_lease.h>
 
 #include <gateway/caller_identity.h>
 #include <gateway/forwarding/reach_prober.h>
@@ -133,6 +135,8 @@
 const char* reason_to_stop(gateway_request& request) {
     if (!is_key_valid(request))
         return key_revoked_reason;
+    if (is_registry_lost(*request.state))
+        return old_registry_reason;
     return quarantine_time_left(request) ? quarantine_reason : nullptr;
 }
 
--- a/libraries/gateway/stream_relay.cpp
+++ b/libraries/gateway/stream_relay.cpp
@@ -7,7 +7,7 @@
 #include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/prefill_send.h>
 #include <gateway/prefix_cache_lookup.h>
-#include <gateway/request_quarantine.h>
+#include <gateway/quarantine/request_quarantine.h>
 #include <gateway/stream_origin/request_origin.h>
 
 #include <algorithm>
