wire: Ask the sender once more before a request is written

What callers saw: a request chosen for an upstream and then held up by connecting was written however long that took, to upstreams that had meanwhile said that they leave. Cause: the last look came before the connection was open. Change: exchange_limits::may_send is asked when the connection stands; if it says no, nothing is written and the failure is `withheld`, which counts as nothing sent.

--- a/libraries/service/completion_relay.cpp
+++ b/libraries/service/completion_relay.cpp
@@ -31,6 +31,7 @@
     case wire::wire_failure::bad_address:
     case wire::wire_failure::not_connected:
     case wire::wire_failure::not_listening:
+    case wire::wire_failure::withheld:
     case wire::wire_failure::refused:
         return decision::failure::refused;
     case wire::wire_failure::late:
@@ -52,6 +53,7 @@
     case wire::wire_failure::bad_address:
     case wire::wire_failure::not_connected:
     case wire::wire_failure::not_listening:
+    case wire::wire_failure::withheld:
         return run_certainty::nothing_sent;
     case wire::wire_failure::refused:
         return run_certainty::refused_upstream;
--- a/libraries/wire/http_client.cpp
+++ b/libraries/wire/http_client.cpp
@@ -28,6 +28,8 @@
         if (limits.on_connected)
             limits.on_connected();
     }
+    if (limits.may_send && !limits.may_send())
+        return tl::make_unexpected(wire_error{wire_failure::withheld, "must not be sent any more"});
     auto head = acquired.connection->exchange(request, limits.deadline, yield);
     if (head)
         return open_response{std::move(*head), std::move(acquired.connection)};
--- a/libraries/wire/http_client.h
+++ b/libraries/wire/http_client.h
@@ -31,6 +31,9 @@
     std::chrono::milliseconds connect_timeout{1'000};
     stale_connection_policy on_stale = stale_connection_policy::retry;
     std::function<void()> on_connected{}; ///< Called when a new connection has been opened.
+    /// The last look before the request is written; if false, nothing is sent and the exchange fails with
+    /// `withheld`.
+    std::function<bool()> may_send{};
 };
 
 /// Sends a request and reads the head of its response.
--- a/libraries/wire/wire_error.cpp
+++ b/libraries/wire/wire_error.cpp
@@ -13,6 +13,8 @@
         return "bad_address";
     case wire_failure::not_connected:
         return "not_connected";
+    case wire_failure::withheld:
+        return "withheld";
     case wire_failure::not_listening:
         return "not_listening";
     case wire_failure::broken:
@@ -37,7 +39,7 @@
 
 bool is_before_send(wire_failure failure) {
     return failure == wire_failure::bad_address || failure == wire_failure::not_connected ||
-           failure == wire_failure::not_listening;
+           failure == wire_failure::not_listening || failure == wire_failure::withheld;
 }
 
 wire_error to_wire_error(const boost::system::error_code& error) {
--- a/libraries/wire/wire_error.h
+++ b/libraries/wire/wire_error.h
@@ -13,6 +13,7 @@
 enum class wire_failure {
     bad_address,    ///< Not an IP address and port, or not available to listen at.
     not_connected,  ///< Could not connect; nothing was sent.
+    withheld,       ///< Not sent, as it must not be any more.
     not_listening,  ///< Connection refused, as nothing listens at the address; nothing was sent.
     broken,         ///< The connection ended within a message.
     late,           ///< Timed out.
