decision: Keep a tombstone of upstreams that left, and look at the listing again before a send

What callers saw: requests to upstreams that had said that they leave.

Change: decision/departed_starts keeps start, sequence and offset of what was dropped for the time in which older records may still come; a start that announced its shutdown in any record, however old, is leaving for good.

--- a/libraries/decision/engine_room.cpp
+++ b/libraries/decision/engine_room.cpp
@@ -13,6 +13,21 @@
 /// Fraction of an engine's memory that may be reserved.
 constexpr double reservable_fraction = 1.0;
 
+/// The decode engines whose room counts: those that are not avoided or, if there are none, those that may be
+/// chosen as a last resort.
+std::vector<const instance*> engines_with_slots(const instance_table& table, const choice_context& context) {
+    std::vector<const instance*> engines = eligible_instances(table, context, can_decode);
+    const auto is_avoided_now = [&context](const instance* engine) {
+        return is_avoided(*engine, context.now);
+    };
+    if (std::ranges::all_of(engines, is_avoided_now))
+        std::erase_if(engines,
+                      [&context](const instance* engine) { return !is_last_resort(*engine, context.now); });
+    else
+        std::erase_if(engines, is_avoided_now);
+    return engines;
+}
+
 } // namespace
 
 double available_memory(const instance& candidate, const settings::engine_capacity& capacity,
@@ -45,9 +60,8 @@
                                                    std::span<const waiter> ahead) {
     std::map<base::upstream_id, double> reserved;
     std::vector<std::pair<double, base::upstream_id>> left;
-    for (const instance* candidate : eligible_instances(table, context, can_decode))
-        if (!is_avoided(*candidate, context.now))
-            left.emplace_back(available_memory(*candidate, capacity, context.now), candidate->entry.id);
+    for (const instance* candidate : engines_with_slots(table, context))
+        left.emplace_back(available_memory(*candidate, capacity, context.now), candidate->entry.id);
     if (left.empty())
         return reserved;
     std::ranges::make_heap(left);
@@ -64,9 +78,7 @@
                                 const settings::engine_capacity& capacity, const prompt_size& size) {
     decode_slots slots;
     const double required = std::max(1.0, size.prompt_tokens + size.output_tokens);
-    for (const instance* candidate : eligible_instances(table, context, can_decode)) {
-        if (is_avoided(*candidate, context.now))
-            continue;
+    for (const instance* candidate : engines_with_slots(table, context)) {
         const double total =
             std::min<double>(capacity.slots, reservable_fraction * capacity.kv_tokens / required);
         const double available = std::max(0.0, available_memory(*candidate, capacity, context.now));
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -108,18 +108,41 @@
     return left;
 }
 
+namespace {
+
+/// Applies a record about an upstream that the table does not hold.
+change_effect apply_to_absent(instance_table& table, const registry_change& change) {
+    if (is_departed(table.departed, {.id = change.id, .entry = change.entry, .offset = change.offset}))
+        return change_effect::none;
+    if (!change.entry) {
+        // An earlier record of it may still come.
+        record_departed(table.departed, change.id, {.offset = change.offset});
+        return change_effect::none;
+    }
+    replace_start(table.by_id[change.id], change);
+    return change_effect::relisted;
+}
+
+/// Applies a record that is older than the newest one about the instance.
+change_effect apply_overtaken(instance& known, const registry_change& change) {
+    const bool announces_leaving =
+        change.entry && change.entry->is_leaving && change.entry->start_time_ms == known.entry.start_time_ms;
+    if (!announces_leaving || known.state == listing::leaving)
+        return change_effect::none;
+    known.state = listing::leaving;
+    return change_effect::relisted;
+}
+
+} // namespace
+
 change_effect apply_change(instance_table& table, const registry_change& change,
                            registry_condition condition) {
     const auto found = table.by_id.find(change.id);
-    if (found == table.by_id.end()) {
-        if (!change.entry)
-            return change_effect::none;
-        replace_start(table.by_id[change.id], change);
-        return change_effect::relisted;
-    }
+    if (found == table.by_id.end())
+        return apply_to_absent(table, change);
     instance& known = found->second;
     if (change.offset < known.offset)
-        return change_effect::none;
+        return apply_overtaken(known, change);
     if (change.entry)
         return apply_entry(known, change);
     known.offset = change.offset;
@@ -163,14 +186,23 @@
     return true;
 }
 
-void remove_gone(instance_table& table) {
-    // Keeps enough instances to recognise late heartbeats of those that have left.
+void remove_gone(instance_table& table, base::time_point now) {
+    // Enough for operators to see what has become of an upstream that has left a small deployment.
     static constexpr std::size_t max_instances = 512;
+    drop_old(table.departed, now);
     if (table.by_id.size() <= max_instances)
         return;
-    std::erase_if(table.by_id, [](const auto& item) {
-        const listing state = item.second.state;
-        return (state == listing::vanished || state == listing::leaving) && item.second.own.requests == 0;
+    std::erase_if(table.by_id, [&](const auto& item) {
+        const auto& [id, known] = item;
+        const bool has_gone = known.state == listing::vanished || known.state == listing::leaving;
+        if (!has_gone || known.own.requests != 0)
+            return false;
+        record_departed(table.departed, id,
+                        {.start_time_ms = known.entry.start_time_ms,
+                         .sequence = known.entry.sequence,
+                         .offset = known.offset,
+                         .is_leaving = known.state == listing::leaving});
+        return true;
     });
 }
 
@@ -299,6 +331,13 @@
     return is_ejected(target, now) || target.is_out_of_service_elsewhere || is_avoided_elsewhere;
 }
 
+bool is_last_resort(const instance& target, base::time_point now) {
+    const bool has_ended = is_out_of_service(target, now) || target.is_out_of_service_elsewhere;
+    const bool is_reached = target.health.unreached_at == base::time_point{};
+    const bool has_failed = target.health.failures_in_row >= failures_to_eject;
+    return !has_ended && is_reached && (has_failed || !is_ejected(target, now));
+}
+
 const char* to_text(listing state) {
     switch (state) {
     case listing::listed:
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/clock.h>
+#include <decision/departed_starts.h>
 #include <decision/estimate.h>
 #include <decision/overload/upstream_pace.h>
 #include <decision/reachability.h>
@@ -155,6 +156,7 @@
 
 struct instance_table {
     std::map<base::upstream_id, instance> by_id;
+    departed_starts departed{};          ///< Upstreams that left and are not in `by_id` any more.
     std::set<base::zone_id> evacuated{}; ///< Availability zones whose upstreams get no new work.
     std::map<std::string, service_reachability> reachability{}; ///< This host's own links, by service.
     bool has_unlisted =
@@ -168,8 +170,9 @@
     restarted, ///< A new start of a server replaced an earlier one with the same id.
 };
 
-/// Applies one change. Ignores older records, older heartbeats and records of an earlier start. A new start
-/// replaces the instance and everything known of it.
+/// Applies one change. Ignores older records, older heartbeats and records of an earlier start, but for one:
+/// a start that announced its shutdown in any record, however old, is leaving for good. A new start replaces
+/// the instance and everything known of it.
 change_effect apply_change(instance_table& table, const registry_change& change,
                            registry_condition condition);
 
@@ -192,9 +195,9 @@
 /// Marks an instance as leaving after it announced its shutdown; returns whether that is new.
 bool record_leaving(instance& target, base::time_point now);
 
-/// Removes instances that are leaving or have vanished and have no work of this host, once the table is
-/// large.
-void remove_gone(instance_table& table);
+/// Replaces instances that are leaving or have vanished and have no work of this host by tombstones, once the
+/// table is large.
+void remove_gone(instance_table& table, base::time_point now);
 
 /// The instance, or null.
 [[nodiscard]] instance* find_instance(instance_table& table, const base::upstream_id& id);
@@ -259,6 +262,10 @@
 /// Whether new work avoids it because of failures seen by this host or by others.
 [[nodiscard]] bool is_avoided(const instance& target, base::time_point now);
 
+/// Whether an instance that this host avoids runs and accepts requests for all it knows: it only failed some,
+/// or other hosts avoid it.
+[[nodiscard]] bool is_last_resort(const instance& target, base::time_point now);
+
 [[nodiscard]] const char* to_text(listing state);
 
 } // namespace postpaddle::decision
--- a/libraries/decision/placement.cpp
+++ b/libraries/decision/placement.cpp
@@ -9,6 +9,11 @@
     return !table.evacuated.empty() && table.evacuated.contains(candidate.entry.availability_zone);
 }
 
+bool is_withdrawn(const instance_table& table, const instance& candidate) {
+    return is_evacuated(table, candidate) || candidate.state == listing::leaving ||
+           candidate.state == listing::vanished;
+}
+
 placement_verdict check_placement(const instance_table& table, const placement_limits& limits,
                                   const instance& candidate, base::time_point now) {
     if (is_evacuated(table, candidate))
@@ -17,6 +22,8 @@
         return placement_verdict::foreign_region;
     if (candidate.state == listing::leaving)
         return placement_verdict::leaving;
+    if (candidate.state == listing::vanished)
+        return placement_verdict::gone;
     if (is_backing_off(candidate, now))
         return placement_verdict::backing_off;
     const auto next = next_limited_send(candidate, limits.group, now);
@@ -31,7 +38,7 @@
                                                     base::time_point now) {
     const placement_verdict verdict = check_placement(table, limits, candidate, now);
     if (verdict == placement_verdict::evacuated || verdict == placement_verdict::foreign_region ||
-        verdict == placement_verdict::leaving)
+        verdict == placement_verdict::leaving || verdict == placement_verdict::gone)
         return std::nullopt;
     const auto limited = next_limited_send(candidate, limits.group, now);
     if (!limited)
@@ -49,6 +56,8 @@
         return "outside the allowed regions";
     case placement_verdict::leaving:
         return "leaving";
+    case placement_verdict::gone:
+        return "its registry entry has gone";
     case placement_verdict::backing_off:
         return "asked for rest";
     case placement_verdict::limited:
--- a/libraries/decision/placement.h
+++ b/libraries/decision/placement.h
@@ -25,6 +25,7 @@
     evacuated,      ///< The operator has evacuated its availability zone.
     foreign_region, ///< The request may not leave its regions.
     leaving,        ///< It announced its shutdown.
+    gone,           ///< Its registry entry has gone.
     backing_off,    ///< It asked this host to back off.
     limited,        ///< This host's share of its advertised rate limit is used up.
     cold,           ///< It is cold, and this host's share of the warm-up rate is used up.
@@ -41,6 +42,10 @@
                                                                   const instance& candidate,
                                                                   base::time_point now);
 
+/// Whether nothing may be sent to an instance any more: its zone is evacuated, it is leaving, or its registry
+/// entry has gone. Cheaper than `check_placement`, for the moment before a request is written.
+[[nodiscard]] bool is_withdrawn(const instance_table& table, const instance& candidate);
+
 [[nodiscard]] bool is_evacuated(const instance_table& table, const instance& candidate);
 
 /// Text for logs.
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -324,6 +324,43 @@
     CHECK(decision::count_decode_slots(table, make_context(), capacity, {5'000, 700}).free == 0);
 }
 
+// Guards against refusing streams that only some engines may continue while all of these are ejected for
+// streams that broke: they run and are chosen as a last resort.
+TEST_CASE("engines that broke a few streams have slots while there is no other, those that ended have none") {
+    auto table =
+        make_table({make_entry("one", engine_stage::decode), make_entry("two", engine_stage::decode)});
+    const auto free_slots = [&table] {
+        return decision::count_decode_slots(table, make_context(), capacity, {5'000, 700}).free_now;
+    };
+    decision::instance& one = *decision::find_instance(table, {"one"});
+    decision::instance& two = *decision::find_instance(table, {"two"});
+    const double slots_of_both = free_slots();
+    const auto fail = [](decision::instance& engine, decision::attempt_outcome outcome) {
+        for (int failure = 0; failure < 3; ++failure)
+            decision::record_outcome(engine, outcome, now);
+        REQUIRE(decision::is_avoided(engine, now));
+    };
+    fail(one, decision::attempt_outcome::failed);
+    CHECK(free_slots() == slots_of_both / 2);
+    SECTION("both broke streams") {
+        fail(two, decision::attempt_outcome::failed);
+        CHECK(free_slots() == slots_of_both);
+    }
+    SECTION("the other one has ended") {
+        fail(two, decision::attempt_outcome::exited);
+        CHECK(free_slots() == slots_of_both / 2);
+    }
+    SECTION("the other one accepts no prompts now") {
+        fail(two, decision::attempt_outcome::closed);
+        CHECK(free_slots() == slots_of_both / 2);
+    }
+    SECTION("the other one can't be reached from here") {
+        fail(two, decision::attempt_outcome::unreachable);
+        decision::record_unreached(two, now);
+        CHECK(free_slots() == slots_of_both / 2);
+    }
+}
+
 TEST_CASE("the memory of the decode engines does not depend on the request's size or the engines' speed") {
     auto table = make_table({make_entry("p", engine_stage::prefill), make_entry("one", engine_stage::decode),
                              make_entry("two", engine_stage::decode)});
