host: Keep exits under a prompt part by moments, so that one moment can't fill the table

What callers saw: at higher rates every engine of the service kept ending, nobody was served, and the part of the prompts that caused it was never blamed, for good. Cause: of a part the first eight exits were kept; they must lie in three moments, 0.2 s apart, and where eight engines end within two moments the third never came to count. Class: a bounded table that is full of what says the least.

Change: the first exit of each moment is kept and, of these, the earliest and the latest.

--- a/libraries/host/quarantine.cpp
+++ b/libraries/host/quarantine.cpp
@@ -2,6 +2,8 @@
 #include <host/quarantine.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <iterator>
 #include <set>
 #include <tuple>
 
@@ -9,9 +11,11 @@
 
 namespace {
 
-/// Maximum number of exits kept per request. More than are needed for quarantine, since several hosts may
-/// observe the last ones at once.
+/// Maximum number of exits kept per request or part. More than are needed for quarantine, since several hosts
+/// may observe the last ones at once.
 constexpr std::size_t max_exits = 8;
+/// Of these, for a part, the earliest: they tell when it became suspicious.
+constexpr std::size_t max_early_exits = 5;
 
 /// Reports of one event may differ by this much: times are sent as ages, so each hop adds the message's
 /// transit time. Smaller differences are not treated as a new event.
@@ -62,6 +66,36 @@
     return true;
 }
 
+/// Drops the exits under a part that say the least, so that those of one moment never displace others: keeps
+/// the first of each moment and, of these, the earliest and the latest. What is kept does not depend on the
+/// order in which exits are recorded.
+void drop_redundant_exits(quarantine::suspect& suspect, const quarantine_options& options) {
+    std::map<std::int64_t, upstream_exit> first_of_moment;
+    for (const auto& [upstream, exit] : suspect.exits) {
+        const auto moment = exit.at.time_since_epoch() / options.same_moment;
+        const auto [known, is_new] = first_of_moment.try_emplace(moment, exit);
+        if (!is_new && std::tie(exit.at, exit.upstream) < std::tie(known->second.at, known->second.upstream))
+            known->second = exit;
+    }
+    if (first_of_moment.size() > max_exits) {
+        const auto first_dropped = std::next(first_of_moment.begin(), max_early_exits);
+        const auto first_late = std::prev(first_of_moment.end(), max_exits - max_early_exits);
+        first_of_moment.erase(first_dropped, first_late);
+    }
+    suspect.exits.clear();
+    for (const auto& [moment, exit] : first_of_moment)
+        suspect.exits.emplace(exit.upstream, exit);
+}
+
+/// Records an exit under a part. Returns whether it was unknown and is kept.
+bool remember_part_exit(quarantine::suspect& suspect, const quarantine_options& options,
+                        const upstream_exit& observed) {
+    if (!suspect.exits.emplace(observed.upstream, observed).second)
+        return false;
+    drop_redundant_exits(suspect, options);
+    return suspect.exits.contains(observed.upstream);
+}
+
 /// Records an exit. Returns whether it was unknown. Of two exits of one upstream, the later one is kept.
 bool remember_exit(quarantine::suspect& suspect, const upstream_exit& observed) {
     const auto known = suspect.exits.find(observed.upstream);
@@ -109,7 +143,11 @@
     quarantine::suspect& suspect = table.suspects[report.request];
     for (const upstream_exit& observed : report.exits) {
         const upstream_exit reported = {observed.upstream, std::min(observed.at, now), observed.request};
-        if (now - reported.at < options.hold && remember_exit(suspect, reported))
+        if (now - reported.at >= options.hold)
+            continue;
+        const bool is_new = is_prompt_part(report.request) ? remember_part_exit(suspect, options, reported)
+                                                           : remember_exit(suspect, reported);
+        if (is_new)
             update.exits.push_back(reported);
     }
     suspect.is_stored |= report.is_stored;
--- a/tests/gateway/test_fatal_parts.cpp
+++ b/tests/gateway/test_fatal_parts.cpp
@@ -20,22 +20,32 @@
 
 /// Time after the fifth crash from which requests with the part must not reach engines.
 constexpr auto contact_time = 3s;
-constexpr auto restart_time = 1'000ms;
-const std::vector<std::string> decode_engines = {"d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8"};
+std::vector<std::string> engine_names(int engines) {
+    std::vector<std::string> names;
+    for (int engine = 1; engine <= engines; ++engine)
+        names.push_back("d" + std::to_string(engine));
+    return names;
+}
 
-std::vector<test::server_plan> make_plans() {
+std::vector<test::server_plan> make_plans(int decode_engines, int event_ms, int events) {
     std::vector<test::server_plan> plans = {{.id = "p1", .service = "engines", .stage = "prefill"},
                                             {.id = "p2", .service = "engines", .stage = "prefill"}};
-    for (const std::string& id : decode_engines)
-        plans.push_back({.id = id, .service = "engines", .stage = "decode", .fatal_part = "bad"});
+    for (const std::string& id : engine_names(decode_engines))
+        plans.push_back({.id = id,
+                         .service = "engines",
+                         .stage = "decode",
+                         .fatal_part = "bad",
+                         .event_ms = event_ms,
+                         .events = events});
     return plans;
 }
 
 /// Restarts engines some time after they have exited.
 class engine_keeper {
 public:
-    explicit engine_keeper(test::gateway_cluster& cluster)
-        : thread([this, &cluster](const std::stop_token& stop) { this->run(cluster, stop); }) {}
+    engine_keeper(test::gateway_cluster& cluster, int engines, std::chrono::milliseconds restart_time)
+        : names(engine_names(engines)), restart_time(restart_time),
+          thread([this, &cluster](const std::stop_token& stop) { this->run(cluster, stop); }) {}
 
     [[nodiscard]] int crashes() const { return this->exits; }
 
@@ -43,19 +53,21 @@
     void run(test::gateway_cluster& cluster, const std::stop_token& stop) {
         std::map<std::string, base::time_point> exited_at;
         for (std::uint64_t born = 1; !stop.stop_requested(); std::this_thread::sleep_for(20ms))
-            for (const std::string& id : decode_engines) {
+            for (const std::string& id : this->names) {
                 const base::time_point now = base::boot_clock::now();
                 const auto exited = exited_at.find(id);
                 if (exited == exited_at.end() && !cluster.is_serving(id)) {
                     exited_at[id] = now;
                     ++this->exits;
-                } else if (exited != exited_at.end() && now - exited->second > restart_time) {
+                } else if (exited != exited_at.end() && now - exited->second > this->restart_time) {
                     cluster.restart_server(id, ++born);
                     exited_at.erase(id);
                 }
             }
     }
 
+    std::vector<std::string> names;
+    std::chrono::milliseconds restart_time;
     std::atomic<int> exits = 0;
     std::jthread thread; ///< Last: it uses the others.
 };
@@ -68,8 +80,8 @@
 /// Sends requests at a steady rate over all hosts, every sixth one with the fatal part.
 class steady_load {
 public:
-    steady_load(const test::gateway_cluster& cluster, std::string path)
-        : cluster(&cluster), path(std::move(path)) {}
+    steady_load(const test::gateway_cluster& cluster, std::string path, std::chrono::milliseconds interval)
+        : cluster(&cluster), path(std::move(path)), interval(interval) {}
 
     void run(std::chrono::milliseconds length) {
         const auto end = base::boot_clock::now() + length;
@@ -77,7 +89,7 @@
         while (base::boot_clock::now() < end) {
             const int number = ++this->requests;
             open.push_back(std::async(std::launch::async, [this, number] { this->send(number); }));
-            std::this_thread::sleep_for(50ms);
+            std::this_thread::sleep_for(this->interval);
         }
     }
 
@@ -106,29 +118,52 @@
 
     const test::gateway_cluster* cluster;
     std::string path;
+    std::chrono::milliseconds interval;
     std::atomic<int> requests = 0;
     std::mutex mutex;
 };
 
-} // namespace
+/// Requests and engines of a run.
+struct fatal_load {
+    int engines = 8;
+    std::chrono::milliseconds restart_time{1'000};
+    int event_ms = 5; ///< Time that an engine takes for an event, and to end under the part.
+    int events = 5;   ///< Of a stream.
+    std::chrono::milliseconds interval{50}; ///< Between two requests, every sixth one with the part.
+};
 
-// Guards against requests of which no two are alike ending one engine after the other by a part that they
-// share, and against sound requests being refused for the other parts that they share with these.
-TEST_CASE("requests with a part of their prompts under which engines end are stopped, sound ones are not") {
-    const std::string path = GENERATE("/stream/", "/resume/");
+/// Checks that requests with the part are stopped some time after the fifth crash, and others served.
+void check_part_is_stopped(const std::string& name, const std::string& path, const fatal_load& plan) {
     test::gateway_cluster cluster(
-        {.name = path == "/stream/" ? "fatal-part-once" : "fatal-part", .servers = make_plans(), .hosts = 3});
-    const engine_keeper engines(cluster);
-    steady_load load(cluster, path);
+        {.name = name, .servers = make_plans(plan.engines, plan.event_ms, plan.events), .hosts = 3});
+    const engine_keeper engines(cluster, plan.engines, plan.restart_time);
+    steady_load load(cluster, path, plan.interval);
     while (engines.crashes() < 5 && load.sound.sent < 400)
         load.run(200ms);
     load.run(contact_time);
     const int sent_before = load.fatal_sends;
     const answer_counts before = load.sound;
     load.run(6s);
-    INFO("crashes " << engines.crashes() << ", refused " << load.fatal_refusals);
+    INFO("crashes " << engines.crashes() << ", refused " << load.fatal_refusals << ", sound sent "
+                    << load.sound.sent << ", served " << load.sound.served);
     CHECK(load.fatal_sends - sent_before <= 3);
     CHECK(load.fatal_refusals > 0);
     const int sent = load.sound.sent - before.sent;
     CHECK(load.sound.served - before.served >= sent * 9 / 10);
 }
+
+} // namespace
+
+// Guards against requests of which no two are alike ending one engine after the other by a part that they
+// share, and against sound requests being refused for the other parts that they share with these.
+TEST_CASE("requests with a part of their prompts under which engines end are stopped, sound ones are not") {
+    const std::string path = GENERATE("/stream/", "/resume/");
+    check_part_is_stopped(path == "/stream/" ? "fatal-part-once" : "fatal-part", path, {});
+}
+
+// Guards against a service that stays down for good under such requests: where so many come that no engine
+// lives long, nothing survives that would tell the part to blame from the others.
+TEST_CASE("a part under which engines end is found although all engines of the service keep ending") {
+    check_part_is_stopped("fatal-part-storm", "/resume/",
+                          {.engines = 10, .restart_time = 1'500ms, .event_ms = 100, .interval = 12ms});
+}
--- a/tests/host/test_quarantine.cpp
+++ b/tests/host/test_quarantine.cpp
@@ -371,6 +371,36 @@
     CHECK_FALSE(world.is_held(first_part));
 }
 
+// Guards against a service that stays down for good: the exits of the first moment were all that was kept of
+// a part, so that those of later moments never counted against it.
+TEST_CASE("a part is found although many upstreams exit at its first moment") {
+    part_fixture world;
+    std::uint64_t request = 0;
+    for (int moment = 0; moment < 3; ++moment) {
+        for (int exit = 0; exit < 12; ++exit)
+            world.record_fatal_run(++request, {first_part, fatal_part});
+        world.clock.advance(500ms);
+        world.record_surviving_run({first_part}, 200ms);
+    }
+    world.clock.advance(1s);
+    CHECK(world.is_held(fatal_part));
+    CHECK_FALSE(world.is_held(first_part));
+}
+
+TEST_CASE("a part on which upstreams go on exiting stays quarantined until long after the last exit") {
+    part_fixture world;
+    for (std::uint64_t request = 1; request <= 40; ++request) {
+        world.record_fatal_run(request, {fatal_part});
+        world.clock.advance(300ms);
+    }
+    world.record_surviving_run({first_part});
+    CHECK(world.is_held(fatal_part));
+    world.clock.advance(world.options.part_hold - 400ms);
+    CHECK(world.is_held(fatal_part));
+    world.clock.advance(200ms);
+    CHECK_FALSE(world.is_held(fatal_part));
+}
+
 TEST_CASE("hosts that heard the same of a part in any order hold the same") {
     const base::time_point now{1h};
     const host::quarantine_options options;
@@ -380,6 +410,12 @@
         for (host::instance_key exit = 1; exit <= 2 + seed % 4; ++exit)
             reports.push_back(
                 {.request = fatal_part, .exits = {{exit, now - 4s + exit * 300ms, 1 + random() % 4}}});
+        // More than are kept, in few moments and in many.
+        const auto moments = static_cast<int>(1 + random() % 12);
+        for (host::instance_key exit = 10; seed % 2 == 0 && exit < 30; ++exit)
+            reports.push_back({.request = fatal_part,
+                               .exits = {{exit, now - 4s + static_cast<int>(random() % moments) * 300ms,
+                                          1 + random() % 4}}});
         if (random() % 3 == 0)
             reports.push_back({.request = fatal_part, .exits = {}, .last_success = now - 3s});
         std::optional<bool> held;
