host: A lease on the registry's replica, dated by proofs alone

Cause: a decision on replicated state without a bound on its age, and claims about that age that nothing proves: a page that brought a part of the log was taken for all, a listing that lags the log for the newest state, the age in an update was counted from an estimated sending time.

A part dates nothing, a listing dates nothing until the log confirms it, the reader waits no longer than its own knowledge lasts.

--- a/libraries/host/store_leadership.cpp
+++ b/libraries/host/store_leadership.cpp
@@ -26,14 +26,6 @@
 constexpr double leader_pause_fraction = 0.05;
 constexpr double solo_pause_fraction = 0.2;
 
-bool is_leader(const cell_position& position) {
-    return !has_followers(position) || position.rank < leaders_per_cell;
-}
-
-base::duration fraction_of(std::chrono::milliseconds bound, double fraction) {
-    return base::from_seconds(base::to_seconds(bound) * fraction);
-}
-
 } // namespace
 
 void record_known(store_leadership& leadership, base::time_point until) {
@@ -51,6 +43,10 @@
 
 bool has_followers(const cell_position& position) { return position.hosts > max_hosts_without_followers; }
 
+bool is_leader(const cell_position& position) {
+    return !has_followers(position) || position.rank < leaders_per_cell;
+}
+
 std::chrono::milliseconds probe_interval(const cell_position& position, std::chrono::milliseconds bound) {
     if (is_leader(position))
         return min_probe_interval;
@@ -66,20 +62,42 @@
     return has_followers(position) ? leader_pause_fraction : solo_pause_fraction;
 }
 
-bool must_read(const store_leadership& leadership, const leadership_facts& facts) {
+read_reason reason_to_read(const store_leadership& leadership, const leadership_facts& facts) {
+    const base::duration age = facts.now - leadership.known_until;
     // The other hosts are not known yet, shortly after the start. Rely on the initial read until it times
     // out.
     if (facts.position.hosts == 0)
-        return facts.now - leadership.known_until >= fraction_of(facts.bound, timeout_fraction);
+        return age >= base::scaled(facts.bound, timeout_fraction) ? read_reason::start : read_reason::none;
     if (is_leader(facts.position))
-        return true;
+        return read_reason::leader;
     const double stagger = stagger_fraction * static_cast<double>(facts.position.rank) /
                            static_cast<double>(facts.position.hosts);
-    if (facts.now - leadership.known_until >= fraction_of(facts.bound, timeout_fraction + stagger))
-        return true;
+    if (age >= base::scaled(facts.bound, timeout_fraction + stagger))
+        return read_reason::old;
     // Waits for its slot, as other hosts may deliver the missing record first.
-    return leadership.behind_since &&
-           facts.now - *leadership.behind_since >= fraction_of(facts.bound, stagger);
+    const bool is_behind =
+        leadership.behind_since && facts.now - *leadership.behind_since >= base::scaled(facts.bound, stagger);
+    return is_behind ? read_reason::behind : read_reason::none;
+}
+
+bool must_read(const store_leadership& leadership, const leadership_facts& facts) {
+    return reason_to_read(leadership, facts) != read_reason::none;
+}
+
+const char* to_text(read_reason reason) {
+    switch (reason) {
+    case read_reason::none:
+        return "none";
+    case read_reason::start:
+        return "start";
+    case read_reason::leader:
+        return "leader";
+    case read_reason::old:
+        return "old";
+    case read_reason::behind:
+        return "behind";
+    }
+    return "unknown";
 }
 
 } // namespace postpaddle::host
--- a/libraries/host/store_leadership.h
+++ b/libraries/host/store_leadership.h
@@ -65,8 +65,25 @@
 /// read together. Short in cells with followers, to keep them up to date.
 [[nodiscard]] double pause_fraction(const cell_position& position);
 
+/// Why a host reads the store itself.
+enum class read_reason {
+    none,   ///< It does not: it follows other hosts.
+    start,  ///< It knows no other hosts yet, and its knowledge is old.
+    leader, ///< It is a leader, or every host of its cell reads.
+    old,    ///< Its knowledge is old.
+    behind, ///< It has not received a record that a leader announced.
+};
+
+[[nodiscard]] read_reason reason_to_read(const store_leadership& leadership, const leadership_facts& facts);
+
 [[nodiscard]] bool must_read(const store_leadership& leadership, const leadership_facts& facts);
 
+/// Text for logs and metrics.
+[[nodiscard]] const char* to_text(read_reason reason);
+
+/// Whether a host in this position reads the store whatever it knows.
+[[nodiscard]] bool is_leader(const cell_position& position);
+
 /// Whether the cell is large enough to have followers.
 [[nodiscard]] bool has_followers(const cell_position& position);
 
--- a/libraries/host/store_reader.cpp
+++ b/libraries/host/store_reader.cpp
@@ -14,6 +14,16 @@
 /// probes never block new ones.
 constexpr int max_probes = 12;
 
+/// How long the next read may wait for a record.
+milliseconds wait_of(const store_reader& reader, base::time_point now) {
+    const auto longest = std::chrono::duration_cast<milliseconds>(reader.bound * reader.wait_fraction);
+    if (!reader.known_until)
+        return longest;
+    const base::duration oldest = base::scaled(reader.bound, max_waiting_age_fraction);
+    const auto left = std::chrono::floor<milliseconds>(oldest - (now - *reader.known_until));
+    return std::clamp(left, milliseconds::zero(), longest);
+}
+
 void close_read(store_reader& reader, const store_read& read) {
     if (read.wait > milliseconds::zero())
         reader.is_waiting = false;
@@ -31,12 +41,14 @@
     if (!reader.is_unavailable) {
         if (reader.is_waiting)
             return std::nullopt;
-        if (std::exchange(reader.is_stale, false)) {
+        const milliseconds wait = wait_of(reader, now);
+        if (std::exchange(reader.is_stale, false) || wait == milliseconds::zero()) {
+            if (reader.probes_open > 0)
+                return std::nullopt;
             ++reader.probes_open;
             return store_read{milliseconds::zero(), reader.timeout.limit};
         }
         reader.is_waiting = true;
-        const auto wait = std::chrono::duration_cast<milliseconds>(reader.bound * reader.wait_fraction);
         return store_read{wait, reader.timeout.limit};
     }
     if (now < reader.next_probe || reader.probes_open >= max_probes)
--- a/libraries/host/store_reader.h
+++ b/libraries/host/store_reader.h
@@ -20,6 +20,9 @@
 
 /// Fraction of the bound for which a read waits, on a host without followers.
 inline constexpr double solo_wait_fraction = 0.6;
+/// Fraction of the bound up to which a host's knowledge may age while a read waits. A read that a record ends
+/// shows nothing later than its start, so the next one waits for less.
+inline constexpr double max_waiting_age_fraction = 0.8;
 /// Shortest interval between two short reads while the store is unavailable.
 inline constexpr std::chrono::milliseconds min_probe_interval{500};
 
@@ -38,6 +41,9 @@
     /// Fraction of the bound for which a read waits. The rest is left for detecting a timeout, for the next
     /// read, and for updates from other hosts.
     double wait_fraction = solo_wait_fraction;
+    /// All records that the store had at this time are known. A read waits no longer than keeps this recent;
+    /// unset if that doesn't matter.
+    std::optional<base::time_point> known_until{};
     /// Interval between two short reads while the store is unavailable.
     std::chrono::milliseconds probe_interval = min_probe_interval;
     bool is_stale = false; ///< Nothing was read for a while: the next read must not wait for a record.
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -32,6 +32,7 @@
     feed_failure failure = feed_failure::unreachable;
     std::string detail;
     std::size_t arrived_bytes = 0; ///< Bytes received before the response was abandoned.
+    std::uint64_t first_kept = 0;  ///< With `history_lost`: offset of the oldest record that is left.
 
     bool operator==(const feed_error&) const = default;
 };
@@ -57,6 +58,7 @@
     std::optional<settings_document> newest;     ///< Empty if the page contains no valid settings.
     std::vector<unreadable_settings> unreadable; ///< Skipped; the current settings remain in force.
     std::uint64_t next = 0;                      ///< Offset to read from next.
+    bool has_more = false;                       ///< The store had further records, which this page lacks.
     decision::zone_record_page zones{};          ///< Records about availability zones.
 };
 
@@ -66,6 +68,7 @@
     std::vector<base::upstream_id>
         unreadable;         ///< Upstreams with invalid records; their previous entries remain valid.
     std::uint64_t next = 0; ///< Offset to read from next.
+    bool has_more = false;  ///< The store had further records, which this page lacks.
 };
 
 /// A host's entry in the host registry.
--- a/tests/host/test_recent_changes.cpp
+++ b/tests/host/test_recent_changes.cpp
@@ -94,3 +94,37 @@
     CHECK(host::changes_to_resend(recent, 10, start, 10).since == 0);
     CHECK(host::changes_to_resend(recent, 10, start + 500ms, 10).since == 5);
 }
+
+// Guards against updates that are larger than a datagram and lost as a whole.
+TEST_CASE("a run is split into parts without gaps") {
+    const auto run = make_run(100, 350);
+    const auto parts = host::split_run(run, 64);
+    REQUIRE(parts.size() == 4);
+    std::uint64_t next = run.since;
+    std::size_t changes = 0;
+    for (const auto& part : parts) {
+        CHECK(part.since == next);
+        CHECK(part.changes.size() <= 64);
+        next = part.next;
+        changes += part.changes.size();
+    }
+    CHECK(next == run.next);
+    CHECK(changes == run.changes.size());
+    CHECK(host::split_run(make_run(5, 5), 64).size() == 1);
+}
+
+TEST_CASE("a host that asks gets all changes since its offset, or is told that they are not known") {
+    host::recent_changes recent;
+    host::record_changes(recent, make_run(10, 14));
+    host::record_changes(recent, make_run(14, 20));
+    const auto since = host::changes_since(recent, 12, 20, 100);
+    REQUIRE(since);
+    CHECK(since->since == 12);
+    CHECK(since->next == 20);
+    CHECK(since->changes.size() == 8);
+    CHECK(since->changes.front().offset == 12);
+    CHECK_FALSE(host::changes_since(recent, 9, 20, 100));
+    CHECK_FALSE(host::changes_since(recent, 12, 21, 100));
+    CHECK_FALSE(host::changes_since(recent, 12, 20, 7));
+    CHECK(host::changes_since(recent, 20, 20, 100)->changes.empty());
+}
--- a/tests/host/test_store_leadership.cpp
+++ b/tests/host/test_store_leadership.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-#include <host/message_delay.h>
+#include <host/clock_bounds.h>
 #include <host/store_leadership.h>
 #include <host/store_reader.h>
 
@@ -75,7 +75,7 @@
 struct fake_host {
     host::store_reader reader{.bound = bound};
     host::store_leadership leadership;
-    host::message_delays delays;
+    host::clock_bounds clocks;
     std::vector<open_read> open;
     std::vector<host_fault> faults;
     bool has_read = false;
@@ -236,8 +236,12 @@
                 continue;
             // Each sender's monotonic clock has a different origin.
             const milliseconds clock_began = 7'919ms * static_cast<int>(update.leader);
-            const base::duration delay = host::record_arrival(own.delays, this->names[update.leader],
-                                                              {1, update.sent - clock_began}, start + now);
+            const host::send_stamp stamp{1, update.sent - clock_began};
+            // The leader answered a question when it sent its first update.
+            if (!own.clocks.senders.contains(this->names[update.leader]))
+                host::record_answer(own.clocks, this->names[update.leader], stamp,
+                                    start + update.sent - update_time, start + now);
+            const auto sent = host::earliest_send(own.clocks, this->names[update.leader], stamp, start + now);
             if (!own.has_read)
                 continue;
             const bool is_carried =
@@ -249,7 +253,7 @@
             }
             this->see(own, update.seen, now);
             own.leadership.behind_since.reset();
-            host::record_known(own.leadership, start + now - update.age - delay);
+            host::record_known(own.leadership, *sent - update.age);
         }
         std::erase_if(waiting, [now](const leader_update& update) { return update.arrives <= now; });
     }
