gateway: Send on knowledge within its bound only, and repair replicas by asking other hosts

Cause: nothing kept a host from sending, and a follower that missed an update noticed at half of the bound only. Change: gateway/store_sync holds the reader of the store (moved), updates of leaders, anti-entropy (questions to other hosts about gaps and about how new they are) and the lease: a request waits for it or ends unsent, as not run. Each send records on what knowledge it relied, in the log and in metrics, so that late, wrong though fresh and lenient are told apart.

--- a/libraries/gateway/engine_slot.cpp
+++ b/libraries/gateway/engine_slot.cpp
@@ -2,7 +2,7 @@
 #include <gateway/engine_slot.h>
 
 #include <gateway/forwarding/forwarding_sender.h>
-#include <gateway/request_quarantine.h>
+#include <gateway/quarantine/request_quarantine.h>
 #include <gateway/send_slot_queue.h>
 #include <gateway/slot_candidate.h>
 
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -7,9 +7,9 @@
 #include <gateway/load_exchange.h>
 #include <gateway/pace_exchange.h>
 #include <gateway/peer_exchange.h>
-#include <gateway/quarantine_exchange.h>
+#include <gateway/quarantine/quarantine_exchange.h>
 #include <gateway/stage_controller.h>
-#include <gateway/store_watch.h>
+#include <gateway/store_sync/store_watch.h>
 #include <gateway/stream_origin/stream_origin_exchange.h>
 #include <gateway/unsent_data_bound.h>
 #include <wire/http_listener.h>
--- a/libraries/gateway/gateway_metrics.cpp
+++ b/libraries/gateway/gateway_metrics.cpp
@@ -36,6 +36,11 @@
     histogram.sum_seconds += seconds;
 }
 
+void gateway_metrics::set_max(const std::string& name, double value) {
+    const auto [gauge, is_new] = this->gauges.try_emplace(name, value);
+    gauge->second = std::max(gauge->second, value);
+}
+
 std::string gateway_metrics::text() const {
     std::ostringstream out;
     for (const auto& [name, value] : this->counters)
--- a/libraries/gateway/gateway_metrics.h
+++ b/libraries/gateway/gateway_metrics.h
@@ -25,6 +25,8 @@
     /// Adds to a counter. The name includes the labels, e.g. `sends_total{result="answered"}`.
     void count(const std::string& name, std::uint64_t amount = 1) { this->counters[name] += amount; }
     void set(const std::string& name, double value) { this->gauges[name] = value; }
+    /// Raises a gauge to at least this value.
+    void set_max(const std::string& name, double value);
     /// Adds a latency to a histogram.
     void observe(const std::string& name, base::duration latency);
     /// Prometheus text exposition format, version 0.0.4.
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -2,7 +2,7 @@
 #include <gateway/gateway_request.h>
 
 #include <gateway/forwarding/upstream_reach.h>
-#include <gateway/request_quarantine.h>
+#include <gateway/quarantine/request_quarantine.h>
 
 #include <algorithm>
 #include <array>
@@ -71,7 +71,9 @@
 
 /// How long a host waits before streams begin at a software version that is new to it. By then every host
 /// whose registry is up to date knows the version.
-base::duration settling_time(const gateway_state& state) { return registry_freshness(state) * 3 / 2; }
+base::duration settling_time(const gateway_state& state) {
+    return base::duration(registry_bound(state)) * 3 / 2;
+}
 
 } // namespace
 
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -3,6 +3,7 @@
 
 #include <decision/overload/decode_recheck.h>
 #include <gateway/slot_order.h>
+#include <gateway/store_sync/registry_lease.h>
 
 #include <algorithm>
 #include <limits>
@@ -30,9 +31,10 @@
 constexpr int max_idle_connections = 8;
 
 decision::registry_condition condition_of(const gateway_state& state) {
-    const bool is_healthy = state.registry_failed_at == base::time_point{} ||
-                            state.clock->now() - state.registry_failed_at > recovery_time;
-    return is_healthy ? decision::registry_condition::healthy : decision::registry_condition::failing;
+    const bool is_failing =
+        host::is_outage_credible(state.outage_reports, state.registry_failed_at, count_other_hosts(state),
+                                 recovery_time, state.clock->now());
+    return is_failing ? decision::registry_condition::failing : decision::registry_condition::healthy;
 }
 
 void log_listing(gateway_state& state, const base::upstream_id& id, std::uint64_t offset,
@@ -72,7 +74,7 @@
 }
 
 bool is_ready(const gateway_state& state) {
-    return state.settings != nullptr && state.has_registry && !state.is_draining;
+    return state.settings != nullptr && state.has_registry && !state.is_draining && may_use_registry(state);
 }
 
 std::uint64_t settings_version(const gateway_state& state) {
@@ -190,6 +192,7 @@
     bool has_restarted = false;
     bool has_gone = false;
     for (const decision::registry_change& change : changes) {
+        has_gone |= !change.entry;
         record_versions(state, change);
         const auto effect = decision::apply_change(state.instances, change, condition);
         record_advertised_cold(state, change);
@@ -209,7 +212,7 @@
     if (has_restarted)
         host::apply_all_sums(state.instances, state.loads);
     if (has_gone)
-        decision::remove_gone(state.instances);
+        decision::remove_gone(state.instances, state.clock->now());
 }
 
 host::cell own_cell(const gateway_state& state) {
@@ -220,7 +223,9 @@
     return condition_of(state) == decision::registry_condition::failing;
 }
 
-base::duration registry_freshness(const gateway_state& state) { return state.process->max_leaving_delay; }
+std::chrono::milliseconds registry_bound(const gateway_state& state) {
+    return state.process->max_leaving_delay;
+}
 
 void expire_unlisted_instances(gateway_state& state) {
     if (is_registry_failing(state))
@@ -285,6 +290,18 @@
         .first->second;
 }
 
+std::size_t count_other_hosts(const gateway_state& state) {
+    // Without datagrams no host can be asked.
+    if (state.process->load_port == 0)
+        return 0;
+    // Until the first contact, the seeds stand for the hosts that may exist.
+    if (state.peers.by_name.empty())
+        return state.peers.seeds.size();
+    const base::time_point now = state.clock->now();
+    return static_cast<std::size_t>(std::ranges::count_if(
+        state.peers.by_name, [now](const auto& item) { return host::may_be_alive(item.second, now); }));
+}
+
 int hosts_alive(const gateway_state& state) { return host::count_alive(state.peers) + 1; }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -22,6 +22,7 @@
 #include <host/peer_directory.h>
 #include <host/peer_load_table.h>
 #include <host/quarantine.h>
+#include <host/replica_lease.h>
 #include <host/shared_limit.h>
 #include <host/store_leadership.h>
 #include <ports/control_feed.h>
@@ -169,9 +170,15 @@
     std::uint64_t registry_revision = 1;      ///< Incremented on every change to the known registry.
     /// Every record of the registry up to this time is known here.
     base::time_point registry_known_until{};
+    bool is_registry_read_failing = false;       ///< The last own read of the registry that ended failed.
+    host::replica_doubt registry_doubt{};        ///< While what is known of the registry is old.
+    std::function<void()> on_registry_doubted{}; ///< Asks other hosts for what is new in the registry.
+    /// Takes over the registry of another host, which knew it up to that time.
+    std::function<void(const ports::registry_page&, base::time_point)> on_registry_received{};
     decision::software_versions software_versions{}; ///< Of each service's upstreams, now and recently.
     stream_origin_exchange* stream_origins = nullptr;
-    base::time_point registry_failed_at{};                    ///< When reading the registry last failed.
+    std::optional<base::time_point> registry_failed_at{}; ///< When an own read of the registry last failed.
+    host::outage_reports outage_reports{};                ///< Of the other hosts' reads.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
     bool has_host_list = false;                ///< The list of hosts has been read from the store.
@@ -278,8 +285,8 @@
 /// Whether reading the registry failed recently: entries may have expired although their upstreams are alive.
 [[nodiscard]] bool is_registry_failing(const gateway_state& state);
 
-/// Age up to which the registry counts as up to date: within this bound each record must be known.
-[[nodiscard]] base::duration registry_freshness(const gateway_state& state);
+/// Time within which each record of the registry must be known.
+[[nodiscard]] std::chrono::milliseconds registry_bound(const gateway_state& state);
 
 /// Call after reading the registry: removes unlisted instances that were kept while the registry was failing,
 /// once it has been healthy for long enough.
@@ -297,6 +304,9 @@
 /// This host's share of a service's retry budget.
 [[nodiscard]] decision::shared_budget& budget_of(gateway_state& state, const std::string& service);
 
+/// Other hosts that may be alive and can be asked.
+[[nodiscard]] std::size_t count_other_hosts(const gateway_state& state);
+
 /// Hosts that may be alive, including this one; shared limits are divided by this number.
 [[nodiscard]] int hosts_alive(const gateway_state& state);
 
--- a/libraries/gateway/peer_codec.cpp
+++ b/libraries/gateway/peer_codec.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/peer_codec.h>
 
+#include <gateway/zone_record_codec.h>
 #include <host/quarantine_codec.h>
 
 #include <algorithm>
@@ -15,29 +16,6 @@
 /// Hosts of an earlier version send no zone; they still count for the shared retry budget.
 std::string zone_of(const json& value) { return value.value("availability_zone", std::string()); }
 
-/// The end offset, then a row for each zone that was ever evacuated: name, state, offset.
-json encode_zones(const decision::zone_record_page& zones) {
-    json value = {zones.end};
-    for (const decision::zone_record& record : zones.records)
-        value.push_back({record.zone.value, record.is_evacuated, record.offset});
-    return value;
-}
-
-/// Hosts of an earlier version send none. An implausibly long list is ignored.
-decision::zone_record_page decode_zones(const json& message) {
-    static constexpr std::size_t max_rows = 1'024;
-    decision::zone_record_page zones{.records = {}, .end = 0, .is_complete = true};
-    if (!message.contains("zones") || message["zones"].size() > max_rows)
-        return zones;
-    const json& value = message["zones"];
-    zones.end = value.at(0).get<std::uint64_t>();
-    for (std::size_t row = 1; row < value.size(); ++row)
-        zones.records.push_back({{value[row].at(0).get<std::string>()},
-                                 value[row].at(1).get<bool>(),
-                                 value[row].at(2).get<std::uint64_t>()});
-    return zones;
-}
-
 /// Bound on decoded rows; hosts send fewer.
 constexpr std::size_t max_advertisements = 256;
 /// Clamp for received ages, so that corrupt values cannot overflow a time point.
@@ -122,121 +100,6 @@
 
 namespace {
 
-/// Encodes a row without field names, since many rows go to many hosts during a rollout.
-json encode_change(const decision::registry_change& change) {
-    json row = {change.id.value, change.offset};
-    if (!change.entry)
-        return row;
-    const settings::upstream_entry& entry = *change.entry;
-    for (json field : std::initializer_list<json>{entry.service, entry.address, entry.availability_zone.value,
-                                                  entry.slots, static_cast<int>(entry.stage),
-                                                  entry.is_leaving, entry.sequence, entry.start_time_ms,
-                                                  entry.cold_remaining.count(), entry.software_version})
-        row.push_back(std::move(field));
-    return row;
-}
-
-decision::registry_change decode_change(const json& row) {
-    static constexpr std::size_t fields_without_entry = 2;
-    decision::registry_change change{
-        {row.at(0).get<std::string>()}, std::nullopt, row.at(1).get<std::uint64_t>()};
-    if (row.size() == fields_without_entry)
-        return change;
-    settings::upstream_entry entry;
-    entry.id = change.id;
-    entry.service = row.at(2).get<std::string>();
-    entry.address = row.at(3).get<std::string>();
-    entry.availability_zone.value = row.at(4).get<std::string>();
-    entry.slots = row.at(5).get<int>();
-    entry.stage = static_cast<settings::engine_stage>(row.at(6).get<int>());
-    entry.is_leaving = row.at(7).get<bool>();
-    entry.sequence = row.at(8).get<std::uint64_t>();
-    // Hosts of an earlier version send no start time.
-    static constexpr std::size_t born_column = 9;
-    entry.start_time_ms = row.size() > born_column ? row.at(born_column).get<std::uint64_t>() : 0;
-    static constexpr std::size_t cold_column = 10;
-    if (row.size() > cold_column)
-        entry.cold_remaining = std::chrono::milliseconds(row.at(cold_column).get<std::uint32_t>());
-    static constexpr std::size_t version_column = 11;
-    if (row.size() > version_column)
-        entry.software_version = row.at(version_column).get<std::string>();
-    change.entry = std::move(entry);
-    return change;
-}
-
-json encode_topic(const topic_update& topic, base::time_point now) {
-    return {topic.next, std::chrono::duration_cast<std::chrono::milliseconds>(now - topic.until).count()};
-}
-
-topic_update decode_topic(const json& value, base::time_point now) {
-    return {.next = value.at(0).get<std::uint64_t>(),
-            .until = now - std::chrono::milliseconds(value.at(1).get<std::uint32_t>())};
-}
-
-} // namespace
-
-json encode_registry(const decision::instance_table& table) {
-    json rows = json::array();
-    for (const auto& [id, known] : table.by_id) {
-        const bool is_there =
-            known.state == decision::listing::listed || known.state == decision::listing::leaving;
-        decision::registry_change change{id, std::nullopt, known.offset};
-        if (is_there) {
-            change.entry = known.entry;
-            change.entry->is_leaving = known.state == decision::listing::leaving;
-        }
-        rows.push_back(encode_change(change));
-    }
-    return rows;
-}
-
-std::vector<decision::registry_change> decode_registry(const json& value) {
-    std::vector<decision::registry_change> changes;
-    for (const json& row : value)
-        changes.push_back(decode_change(row));
-    return changes;
-}
-
-std::string encode_store_update(const store_update& update, base::time_point now) {
-    json changes = json::array();
-    for (const decision::registry_change& change : update.changes)
-        changes.push_back(encode_change(change));
-    const json value = {{"host", update.host.value},
-                        {"incarnation", update.stamp.incarnation},
-                        {"sent", update.stamp.sent.count()},
-                        {"settings_version", update.settings_version},
-                        {"settings", encode_topic(update.settings, now)},
-                        {"registry", encode_topic(update.registry, now)},
-                        {"is_registry_in_trouble", update.is_registry_failing},
-                        {"changes_since", update.changes_since},
-                        {"changes", std::move(changes)},
-                        {"zones", encode_zones(update.zones)}};
-    std::string bytes;
-    json::to_msgpack(value, bytes);
-    return bytes;
-}
-
-std::optional<store_update> decode_store_update(std::string_view bytes, base::time_point now) {
-    try {
-        const json value = json::from_msgpack(bytes);
-        return store_update{
-            .host = {value.at("host").get<std::string>()},
-            .stamp = {.incarnation = value.at("incarnation").get<std::uint64_t>(),
-                      .sent = std::chrono::milliseconds(value.at("sent").get<std::int64_t>())},
-            .settings_version = value.at("settings_version").get<std::uint64_t>(),
-            .settings = decode_topic(value.at("settings"), now),
-            .registry = decode_topic(value.at("registry"), now),
-            .is_registry_failing = value.at("is_registry_in_trouble").get<bool>(),
-            .changes_since = value.at("changes_since").get<std::uint64_t>(),
-            .changes = decode_registry(value.at("changes")),
-            .zones = decode_zones(value)};
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
-namespace {
-
 /// A larger number of hosts means that the report is corrupt.
 constexpr int max_hosts = 100'000;
 /// Bounds on decoded rows; hosts send fewer.
--- a/libraries/gateway/peer_codec.h
+++ b/libraries/gateway/peer_codec.h
@@ -4,7 +4,6 @@
 #include <decision/instance_table.h>
 #include <decision/zone_evacuations.h>
 
-#include <host/message_delay.h>
 #include <host/peer_directory.h>
 #include <host/peer_load_table.h>
 #include <host/quarantine.h>
@@ -38,12 +37,6 @@
 /// Returns nothing if the message is malformed.
 [[nodiscard]] std::optional<heartbeat> decode_heartbeat(std::string_view text, base::time_point now);
 
-/// Encodes the registry for transfer to another host.
-[[nodiscard]] nlohmann::json encode_registry(const decision::instance_table& table);
-
-/// Decodes a transferred registry. Throws `nlohmann::json::exception` if it is malformed.
-[[nodiscard]] std::vector<decision::registry_change> decode_registry(const nlohmann::json& value);
-
 /// Path under which a host serves the load of its cell's engines.
 inline constexpr const char* cell_loads_path = "/peers/loads";
 
@@ -51,33 +44,6 @@
 /// Returns nothing if the message is malformed.
 [[nodiscard]] std::optional<std::vector<host::reported_load>> decode_cell_loads(std::string_view bytes);
 
-/// Progress of a leader on one topic of the store.
-struct topic_update {
-    std::uint64_t next = 0;   ///< Offset after the newest record that it has read.
-    base::time_point until{}; ///< The store had no newer record at this time; encoded as an age.
-
-    bool operator==(const topic_update&) const = default;
-};
-
-/// Update from a leader of a cell, which reads the store, to its followers.
-struct store_update {
-    base::host_id host;
-    host::send_stamp stamp; ///< Time of sending, to which the encoded ages refer.
-    std::uint64_t settings_version = 0;
-    topic_update settings;
-    topic_update registry;
-    bool is_registry_failing = false; ///< Entries may expire although their upstreams are alive.
-    std::uint64_t changes_since = 0;  ///< Offset from which `changes` is complete.
-    std::vector<decision::registry_change> changes;        ///< Latest changes of the registry.
-    decision::zone_record_page zones{.is_complete = true}; ///< Known evacuations of availability zones.
-
-    bool operator==(const store_update&) const = default;
-};
-
-[[nodiscard]] std::string encode_store_update(const store_update& update, base::time_point now);
-/// Returns nothing if the message is malformed. Ages are subtracted from `now`, without transit time.
-[[nodiscard]] std::optional<store_update> decode_store_update(std::string_view bytes, base::time_point now);
-
 /// Encodes a load report as MessagePack.
 [[nodiscard]] std::string encode_load(const host::load_report& report);
 
--- a/libraries/gateway/peer_datagrams.cpp
+++ b/libraries/gateway/peer_datagrams.cpp
@@ -81,9 +81,11 @@
         if (!endpoint)
             continue;
         // Treat a failed send like a lost datagram.
-        wire::error_code ignored;
+        wire::error_code error;
         this->socket.send_to(wire::asio::buffer(message),
-                             udp::endpoint(endpoint->address(), this->state->process->load_port), 0, ignored);
+                             udp::endpoint(endpoint->address(), this->state->process->load_port), 0, error);
+        if (error)
+            this->state->metrics->count("datagrams_unsent_total{error=\"" + error.message() + "\"}");
     }
 }
 
--- a/libraries/gateway/peer_datagrams.h
+++ b/libraries/gateway/peer_datagrams.h
@@ -18,6 +18,7 @@
 enum class datagram_kind : char {
     load = 'l',          ///< Work in progress on a host.
     store_update = 's',  ///< What a leader of a cell has read of the store.
+    store_query = 'a',   ///< Asks what a host knows of the store.
     quarantine = 'q',    ///< Requests suspected of crashing upstreams.
     stream_origin = 'o', ///< What began a stream.
 };
--- a/libraries/gateway/peer_exchange.cpp
+++ b/libraries/gateway/peer_exchange.cpp
@@ -5,10 +5,12 @@
 #include <gateway/forwarding/forwarding_receiver.h>
 #include <gateway/peer_codec.h>
 #include <gateway/state_dump.h>
+#include <gateway/store_sync/registry_rows.h>
 #include <gateway/upstream_advertisements.h>
 #include <host/adaptive_timeout.h>
 
 #include <base/compression.h>
+#include <base/parse_number.h>
 #include <base/try.h>
 #include <wire/endpoint.h>
 #include <wire/http_client.h>
@@ -45,6 +47,9 @@
 constexpr int max_transfers = 4;
 /// HTTP's name for the zlib format.
 constexpr const char* compressed_encoding = "deflate";
+/// Headers of a transferred registry, see `registry_position`.
+constexpr const char* next_header = "Postpaddle-Registry-Next";
+constexpr const char* age_header = "Postpaddle-Registry-Age-Ms";
 /// Peers notified at once of new settings; each notifies as many others.
 constexpr std::size_t fanout = 2;
 /// Other hosts listed in a heartbeat.
@@ -72,6 +77,21 @@
     return wire::find_header(request.headers, "Accept-Encoding") == compressed_encoding;
 }
 
+/// Up to where the registry of an answer is complete.
+struct registry_position {
+    std::uint64_t next = 0;          ///< Offset after the newest record.
+    std::chrono::milliseconds age{}; ///< The store had no newer record that long before the answer.
+};
+
+/// Nothing if the answer doesn't say so.
+std::optional<registry_position> registry_position_of(const wire::http_headers& headers) {
+    const auto next = base::parse_number<std::uint64_t>(wire::find_header(headers, next_header));
+    const auto age = base::parse_number<std::uint32_t>(wire::find_header(headers, age_header));
+    if (!next || !age)
+        return std::nullopt;
+    return registry_position{.next = *next, .age = std::chrono::milliseconds(*age)};
+}
+
 /// The compressed text, cached per revision.
 wire::http_response compressed_answer(compressed_text& cached, std::uint64_t revision,
                                       const std::function<std::string()>& text) {
@@ -175,9 +195,15 @@
         this->state->metrics->count("registry_encodings_total");
         return encode_registry(this->state->instances).dump();
     };
-    if (!accepts_compressed(request))
-        return {ok_status, {}, text()};
-    return compressed_answer(this->compressed_registry, this->state->registry_revision, text);
+    wire::http_response answer =
+        accepts_compressed(request)
+            ? compressed_answer(this->compressed_registry, this->state->registry_revision, text)
+            : wire::http_response{ok_status, {}, text()};
+    const base::duration age = this->state->clock->now() - this->state->registry_known_until;
+    answer.headers.push_back({next_header, std::to_string(this->state->registry_next)});
+    answer.headers.push_back(
+        {age_header, std::to_string(std::chrono::ceil<std::chrono::milliseconds>(age).count())});
+    return answer;
 }
 
 std::string peer_exchange::own_heartbeat() const {
@@ -235,40 +261,49 @@
         this->handle_heartbeat(answer->body);
 }
 
-std::optional<std::string> peer_exchange::fetch_from_peer(const std::string& address, const char* path,
-                                                          std::chrono::milliseconds limit,
-                                                          wire::yield_context yield) {
+std::optional<wire::http_response> peer_exchange::fetch_from_peer(const std::string& address,
+                                                                  const char* path,
+                                                                  std::chrono::milliseconds limit,
+                                                                  wire::yield_context yield) {
     const wire::http_headers headers = {{"Host", address}, {"Accept-Encoding", compressed_encoding}};
-    const auto answer = wire::fetch_large(*this->state->pool, address, wire::get_request(path, headers),
-                                          {.head_timeout = limit, .stall_timeout = limit}, yield);
+    auto answer = wire::fetch_large(*this->state->pool, address, wire::get_request(path, headers),
+                                    {.head_timeout = limit, .stall_timeout = limit}, yield);
     if (!answer || answer->status != ok_status)
         return std::nullopt;
     auto text = decoded_body(*answer);
-    if (!text)
+    if (!text) {
         this->state->metrics->count("malformed_peer_answers_total");
-    return text;
+        return std::nullopt;
+    }
+    answer->body = std::move(*text);
+    return std::move(*answer);
 }
 
 void peer_exchange::fetch_settings(const std::string& address, wire::yield_context yield) {
     if (this->state->peer_transfer_since)
         return;
     this->state->peer_transfer_since = this->state->clock->now();
-    const auto text = this->fetch_from_peer(address, settings_path, transfer_timeout, yield);
+    const auto answer = this->fetch_from_peer(address, settings_path, transfer_timeout, yield);
     this->state->peer_transfer_since.reset();
-    if (!text)
+    if (!answer)
         return;
-    auto document = this->feed->read_document(*text);
+    auto document = this->feed->read_document(answer->body);
     if (document && apply_settings(*this->state, std::move(*document), "peer"))
         this->announce_settings();
 }
 
 void peer_exchange::fetch_registry(const std::string& address, wire::yield_context yield) {
-    const auto text = this->fetch_from_peer(address, registry_path, peer_timeout, yield);
-    if (!text)
+    const base::time_point asked = this->state->clock->now();
+    const auto answer = this->fetch_from_peer(address, registry_path, peer_timeout, yield);
+    if (!answer)
         return;
+    const auto position = registry_position_of(answer->headers);
     try {
-        apply_registry_changes(*this->state, decode_registry(json::parse(*text)), "peer");
-        this->state->has_registry = true;
+        if (position)
+            this->state->on_registry_received({.changes = decode_changes(json::parse(answer->body)),
+                                               .unreadable = {},
+                                               .next = position->next},
+                                              asked - position->age);
     } catch (const json::exception&) {
         this->state->metrics->count("malformed_peer_answers_total");
     }
@@ -301,8 +336,7 @@
     wire::boot_timer timer(*this->state->context);
     wire::error_code ignored;
     while (true) {
-        timer.expires_after(base::from_seconds(base::to_seconds(this->state->process->heartbeat) *
-                                               part(this->state->random)));
+        timer.expires_after(base::scaled(this->state->process->heartbeat, part(this->state->random)));
         timer.async_wait(yield[ignored]);
         this->send_heartbeats(1);
     }
--- a/libraries/gateway/peer_exchange.h
+++ b/libraries/gateway/peer_exchange.h
@@ -54,10 +54,11 @@
     [[nodiscard]] std::string own_heartbeat() const;
     void handle_heartbeat(const std::string& text);
     void send_heartbeat(const std::string& address, wire::yield_context yield);
-    /// Fetches `path` from another host; returns nothing on failure.
-    [[nodiscard]] std::optional<std::string> fetch_from_peer(const std::string& address, const char* path,
-                                                             std::chrono::milliseconds limit,
-                                                             wire::yield_context yield);
+    /// Fetches `path` from another host, with the body decompressed; returns nothing on failure.
+    [[nodiscard]] std::optional<wire::http_response> fetch_from_peer(const std::string& address,
+                                                                     const char* path,
+                                                                     std::chrono::milliseconds limit,
+                                                                     wire::yield_context yield);
     void fetch_settings(const std::string& address, wire::yield_context yield);
     void fetch_registry(const std::string& address, wire::yield_context yield);
     void run_heartbeats(wire::yield_context yield);
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -3,7 +3,8 @@
 
 #include <gateway/caller_identity.h>
 #include <gateway/plain_relay.h>
-#include <gateway/request_quarantine.h>
+#include <gateway/quarantine/request_quarantine.h>
+#include <gateway/store_sync/registry_lease.h>
 #include <gateway/stream_origin/request_origin.h>
 #include <gateway/stream_relay.h>
 #include <gateway/unsent_data_bound.h>
@@ -24,6 +25,8 @@
 constexpr int head_too_large_status = 431;
 constexpr int over_limit_status = 429;
 constexpr int unavailable_status = 503;
+/// Of the time that a request has left, one part in so many may go by until this host's knowledge is recent.
+constexpr int max_lease_wait_part = 4;
 /// Retry-After of a host that has just started and has no settings yet.
 constexpr base::duration settings_retry_after = 500ms;
 
@@ -232,6 +235,11 @@
         return reject(request, over_limit_status, "over the organisation's limit", yield, wait);
     }
     prepare_request(request);
+    if (!await_registry_lease(state, time_left(request) / max_lease_wait_part, yield)) {
+        state.metrics->count("refused_on_old_registry_total");
+        refund_if_not_run(request);
+        return reject(request, unavailable_status, old_registry_reason, yield, old_registry_retry_after);
+    }
     // The parts of its prompt are known by their service.
     if (const auto remaining = quarantine_time_left(request)) {
         state.metrics->count("held_requests_refused_total");
--- a/libraries/gateway/send_slot_queue.cpp
+++ b/libraries/gateway/send_slot_queue.cpp
@@ -3,7 +3,7 @@
 #include <gateway/send_slot_queue.h>
 
 #include <gateway/plain_choice.h>
-#include <gateway/request_quarantine.h>
+#include <gateway/quarantine/request_quarantine.h>
 #include <gateway/upstream_load_exchange.h>
 
 #include <algorithm>
--- a/libraries/gateway/store_watch.cpp
+++ b/libraries/gateway/store_sync/store_watch.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-#include <gateway/store_watch.h>
+#include <gateway/store_sync/store_watch.h>
 
 namespace postpaddle::gateway {
 
@@ -11,6 +11,9 @@
 /// must, half of the bound is over; this is a tenth of the rest. Proportional to the bound, so that long
 /// bounds cause few wakeups.
 constexpr double follow_check_fraction = 0.05;
+/// Fraction of the bound for which a host waits for other hosts to confirm a listing of the registry.
+constexpr double confirmation_fraction = 0.1;
+constexpr base::duration confirmation_check_interval = 10ms;
 
 } // namespace
 
@@ -18,10 +21,19 @@
                          callbacks handlers)
     : state(&state), feed(&feed), handlers(std::move(handlers)), settings(*state.context, "settings"),
       registry(*state.context, "registry"),
-      updates(state, datagrams, this->settings.progress, this->registry.progress) {}
+      updates(state, datagrams, this->settings.progress, this->registry.progress),
+      queries(state, datagrams, this->registry.progress, this->updates) {}
 
 void store_watch::start() {
-    this->updates.start();
+    this->updates.start(
+        {.on_undated_update = [this](const base::host_id& host) { this->queries.ask_clock_of(host); },
+         .on_gap = [this] { this->queries.ask_soon(); }});
+    this->queries.start();
+    this->state->on_registry_received = [this](const ports::registry_page& page,
+                                               base::time_point known_until) {
+        if (this->updates.take_over(page, known_until))
+            this->state->metrics->count("registries_taken_over_total");
+    };
     wire::spawn_coroutine(*this->state->context,
                           [this](wire::yield_context yield) { this->watch_settings(yield); });
     wire::spawn_coroutine(*this->state->context,
@@ -55,6 +67,16 @@
     read.wake.cancel();
 }
 
+void store_watch::did_reach_end(topic& read, read_outcome outcome, const host::store_read& plan,
+                                base::time_point began) {
+    const bool has_waited = this->state->clock->now() - began >= plan.wait;
+    const bool was_idle = outcome == read_outcome::nothing_new && has_waited;
+    const base::time_point until = was_idle ? began + plan.wait : began;
+    host::record_known(read.progress.leadership, until);
+    if (&read == &this->registry)
+        this->state->registry_known_until = std::max(this->state->registry_known_until, until);
+}
+
 void store_watch::run_read(topic& read, read_function function, host::store_read plan,
                            wire::yield_context yield) {
     const base::time_point began = this->state->clock->now();
@@ -64,44 +86,64 @@
     if (result) {
         this->state->metrics->count("store_reads_total");
         read.progress.leadership.behind_since.reset();
-        const bool has_waited = this->state->clock->now() - began >= plan.wait;
-        const bool is_old = *result == read_outcome::nothing_new && has_waited;
-        const base::time_point until = is_old ? began + plan.wait : began;
-        read.progress.known_until = std::max(read.progress.known_until, until);
-        host::record_known(read.progress.leadership, until);
+        const bool has_reached_end = *result == read_outcome::records || *result == read_outcome::nothing_new;
+        const bool is_complete = &read != &this->registry || !this->has_gap();
+        if (has_reached_end && is_complete)
+            this->did_reach_end(read, *result, plan, began);
         if (&read == &this->registry)
-            this->state->registry_known_until = std::max(this->state->registry_known_until, until);
+            this->is_listing_unconfirmed = *result == read_outcome::listing;
+        if (*result == read_outcome::listing)
+            this->queries.ask_soon();
+        this->updates.did_read();
+        const bool may_pause = &read == &this->registry && has_reached_end;
+        if (!is_complete)
+            this->pause(host::min_probe_interval, yield);
+        else if (may_pause && plan.wait > std::chrono::milliseconds::zero())
+            this->pause_after_changes(yield);
         if (host::did_answer(read.reader, plan, began))
             this->state->log->write_always("dependency_regained",
                                            {{"dependency", std::string("store ") + read.name}});
-        this->updates.did_read();
     } else {
         this->state->metrics->count("store_failures_total");
+        this->state->metrics->count(std::string("store_reads_failed_total{topic=\"") + read.name +
+                                    "\",failure=\"" + ports::to_text(result.error().failure) + "\"}");
         this->state->metrics->count("store_bytes_given_up_total", result.error().arrived_bytes);
         if (result.error().failure == ports::feed_failure::history_lost)
-            read.progress.has_offset = false;
+            this->did_lose_history(read, result.error().first_kept);
         const auto failure = result.error().failure == ports::feed_failure::unreachable
                                  ? host::read_failure::no_answer
                                  : host::read_failure::refusal;
         if (host::did_fail(read.reader, plan, failure, began))
             this->log_unavailable(read, result.error());
-        if (read.reader.is_unavailable)
+        if (&read == &this->registry && read.reader.is_unavailable)
             this->state->registry_failed_at = this->state->clock->now();
     }
+    if (&read == &this->registry)
+        this->update_failing();
     this->did_end(read);
 }
 
 void store_watch::read_or_follow(topic& read, std::chrono::milliseconds bound, read_function function,
                                  wire::yield_context yield) {
     read.reader.bound = bound;
+    const base::time_point known_until = read.progress.leadership.known_until;
+    // A listing is confirmed at once, without waiting for a record.
+    if (&read == &this->registry)
+        read.reader.known_until = known_until;
     read.reader.wait_fraction = host::wait_fraction(this->state->position_in_cell);
     read.reader.probe_interval = host::probe_interval(this->state->position_in_cell, bound);
+    if (&read == &this->registry)
+        this->update_failing();
+    if (&read == &this->registry && this->is_confirmation_pending(bound)) {
+        this->pause(confirmation_check_interval, yield);
+        return;
+    }
     if (this->updates.must_read(read.progress, bound)) {
         this->run_due_reads(read, function, yield);
         return;
     }
     read.reader.is_stale = true;
-    this->pause(base::from_seconds(base::to_seconds(bound) * follow_check_fraction), yield);
+    this->pause(base::scaled(bound, follow_check_fraction), yield);
 }
 
 void store_watch::run_due_reads(topic& read, read_function function, wire::yield_context yield) {
@@ -115,14 +157,44 @@
     read.wake.async_wait(yield[ignored]);
 }
 
+void store_watch::update_failing() {
+    // Other hosts may have confirmed the listing.
+    if (this->registry.progress.leadership.known_until >= this->listed_at)
+        this->is_listing_unconfirmed = false;
+    this->state->is_registry_read_failing =
+        this->registry.reader.is_unavailable || this->is_listing_unconfirmed || this->has_gap();
+}
+
+bool store_watch::is_confirmation_pending(std::chrono::milliseconds bound) const {
+    const host::cell_position& position = this->state->position_in_cell;
+    const bool is_first_to_read = position.hosts > 0 && host::is_leader(position);
+    const base::duration longest = base::scaled(bound, confirmation_fraction);
+    return this->is_listing_unconfirmed && !is_first_to_read && this->updates.can_receive() &&
+           count_other_hosts(*this->state) > 0 && this->state->clock->now() - this->listed_at < longest;
+}
+
+void store_watch::did_lose_history(topic& read, std::uint64_t first_kept) {
+    read.progress.has_offset = false;
+    if (&read == &this->registry)
+        this->log_begin = std::max(this->log_begin, first_kept);
+}
+
+store_watch::read_outcome store_watch::outcome_of(bool is_empty, bool has_more) {
+    if (has_more)
+        return read_outcome::part;
+    return is_empty ? read_outcome::nothing_new : read_outcome::records;
+}
+
 store_watch::read_result store_watch::read_settings(const ports::read_timeouts& timeouts,
                                                     wire::yield_context yield) {
     topic_progress& own = this->settings.progress;
+    // Updates may move the offset on during the read.
+    const std::optional<std::uint64_t> from = own.has_offset ? std::optional(own.next_offset) : std::nullopt;
     auto page = own.has_offset ? this->feed->settings_after(own.next_offset, timeouts, yield)
                                : this->feed->newest_settings(timeouts, yield);
     if (!page)
         return tl::make_unexpected(page.error());
-    const bool has_records = !own.has_offset || page->next > own.next_offset;
+    const bool is_empty = page->next == from;
     own.next_offset = std::max(own.next_offset, page->next);
     own.has_offset = true;
     for (const ports::unreadable_settings& record : page->unreadable)
@@ -132,7 +204,7 @@
         is_any_new |= apply_settings(*this->state, std::move(*page->newest), "store");
     if (is_any_new)
         this->handlers.on_new_settings();
-    return has_records ? read_outcome::records : read_outcome::nothing_new;
+    return outcome_of(is_empty, page->has_more);
 }
 
 void store_watch::log_unreadable_settings(const ports::unreadable_settings& record) {
@@ -173,35 +245,44 @@
 store_watch::read_result store_watch::read_registry(const ports::read_timeouts& timeouts,
                                                     wire::yield_context yield) {
     topic_progress& own = this->registry.progress;
-    const bool is_snapshot = !own.has_offset;
+    const bool is_listing_due = this->has_gap() && this->state->clock->now() >= this->listing_due;
+    const bool is_snapshot = !own.has_offset || is_listing_due;
+    const std::optional<std::uint64_t> from = is_snapshot ? std::nullopt : std::optional(own.next_offset);
     auto page = !is_snapshot ? this->feed->registry_after(own.next_offset, timeouts, yield)
                              : this->feed->newest_registry(timeouts, yield);
     if (!page)
         return tl::make_unexpected(page.error());
-    const bool has_records = is_snapshot || page->next > own.next_offset;
+    const bool is_empty = page->next == from;
     this->log_unreadable_entries(page->unreadable);
     if (is_snapshot) {
         apply_registry_snapshot(*this->state, *page);
         this->updates.did_read_snapshot();
+        this->listed_at = this->state->clock->now();
+        this->listed_until = page->next;
+        this->listing_due = this->state->clock->now() + 2 * host::min_probe_interval;
+        // A listing may be behind the log, and the log begins where its oldest record is.
+        page->next = std::max(page->next, this->log_begin);
     } else {
         apply_registry_changes(*this->state, page->changes, "store");
     }
     const std::uint64_t since = std::exchange(own.next_offset, std::max(own.next_offset, page->next));
     own.has_offset = true;
-    this->state->registry_next = own.next_offset;
-    if (has_records && !is_snapshot)
+    // What another host may take over is complete up to here.
+    this->state->registry_next = this->has_gap() ? this->listed_until : own.next_offset;
+    if (since < own.next_offset && !is_snapshot)
         this->updates.did_read_changes(since, page->changes);
-    if (timeouts.wait > std::chrono::milliseconds::zero())
-        this->pause_after_changes(yield);
     expire_unlisted_instances(*this->state);
-    return has_records ? read_outcome::records : read_outcome::nothing_new;
+    return is_snapshot ? read_outcome::listing : outcome_of(is_empty, page->has_more);
 }
 
 void store_watch::watch_registry(wire::yield_context yield) {
     while (true) {
         this->read_or_follow(this->registry, this->state->process->max_leaving_delay,
                              &store_watch::read_registry, yield);
-        if (this->registry.reader.is_unavailable)
+        // Other hosts answer questions with what is new; the whole registry is only for who can't use that.
+        const topic_progress& progress = this->registry.progress;
+        const bool lacks_changes = !progress.has_offset || progress.leadership.behind_since;
+        if (this->registry.reader.is_unavailable && (lacks_changes || !this->updates.can_receive()))
             this->handlers.on_registry_unavailable(yield);
         limit_idle_connections(*this->state);
     }
--- a/libraries/gateway/store_watch.h
+++ b/libraries/gateway/store_sync/store_watch.h
@@ -2,7 +2,8 @@
 #pragma once
 
 #include <gateway/gateway_state.h>
-#include <gateway/store_updates.h>
+#include <gateway/store_sync/anti_entropy.h>
+#include <gateway/store_sync/store_updates.h>
 #include <host/store_reader.h>
 
 #include <functional>
@@ -43,8 +44,10 @@
         topic_progress progress;
     };
     enum class read_outcome {
-        records,
-        nothing_new,
+        records,     ///< The page ends with the store's newest record.
+        part,        ///< The store has further records.
+        nothing_new, ///< The page is empty.
+        listing,     ///< The newest record of each key, which may be behind the log.
     };
     using read_result = ports::feed_result<read_outcome>;
     using read_function = read_result (store_watch::*)(const ports::read_timeouts&, wire::yield_context);
@@ -58,6 +61,18 @@
     void run_due_reads(topic& read, read_function function, wire::yield_context yield);
     /// Executes one read.
     void run_read(topic& read, read_function function, host::store_read plan, wire::yield_context yield);
+    /// Call when the store has dropped records that were to be read.
+    void did_lose_history(topic& read, std::uint64_t first_kept);
+    /// Updates whether this host's reads of the registry fail.
+    void update_failing();
+    /// Whether other hosts may still confirm the last listing, which saves a call to the store.
+    [[nodiscard]] bool is_confirmation_pending(std::chrono::milliseconds bound) const;
+    /// Whether records of the registry may be unknown here that neither the log nor the last listing has.
+    [[nodiscard]] bool has_gap() const { return this->listed_until < this->log_begin; }
+    [[nodiscard]] static read_outcome outcome_of(bool is_empty, bool has_more);
+    /// Records that every record which the store had at some time of the read is known now.
+    void did_reach_end(topic& read, read_outcome outcome, const host::store_read& plan,
+                       base::time_point began);
     /// Call when a part of a response has arrived.
     void did_arrive(topic& read, host::store_read& plan);
     /// Call when a read has ended, so that the next one can start.
@@ -76,7 +91,16 @@
     callbacks handlers;
     topic settings;
     topic registry;
+    /// Whether the registry was last read as a listing, which no read of the log has confirmed yet.
+    bool is_listing_unconfirmed = false;
+    /// First record of the registry's log that the store kept when it dropped others that were to be read.
+    /// Until a listing reaches it, records between the two may be unknown here.
+    std::uint64_t log_begin = 0;
+    base::time_point listed_at{};   ///< When the last listing was read.
+    std::uint64_t listed_until = 0; ///< Offset up to which the last listing reached.
+    base::time_point listing_due{}; ///< When to read the next listing while there is such a gap.
     store_updates updates;
+    anti_entropy queries;
     std::optional<std::uint64_t> unreadable_settings_logged; ///< Offset of the last one logged.
     std::set<base::upstream_id> unreadable_entries_logged;
 };
--- a/libraries/gateway/upstream_exchange.cpp
+++ b/libraries/gateway/upstream_exchange.cpp
@@ -2,6 +2,7 @@
 #include <gateway/upstream_exchange.h>
 
 #include <gateway/forwarding/upstream_reach.h>
+#include <gateway/store_sync/registry_lease.h>
 #include <gateway/upstream_advertisements.h>
 
 namespace postpaddle::gateway {
@@ -106,6 +107,25 @@
     }
 }
 
+/// Records on what knowledge of the registry the send to `target` relies.
+void record_basis(gateway_state& state, const decision::instance& target, exchange_result& exchange) {
+    exchange.registry_age = exchange.sent - state.registry_known_until;
+    exchange.entry_offset = target.offset;
+    exchange.listing = target.state;
+    state.metrics->observe("registry_age_at_send_seconds", exchange.registry_age);
+    state.metrics->set_max("max_registry_age_at_send_seconds", base::to_seconds(exchange.registry_age));
+    if (exchange.registry_age > registry_bound(state))
+        state.metrics->count("sends_on_old_registry_total");
+}
+
+/// What `record_basis` recorded, for the log.
+void log_basis(nlohmann::json& send_entry, const exchange_result& exchange) {
+    send_entry["registry_age_ms"] = base::to_milliseconds(exchange.registry_age);
+    send_entry["entry_offset"] = exchange.entry_offset;
+    if (exchange.listing != decision::listing::listed)
+        send_entry["listing"] = decision::to_text(exchange.listing);
+}
+
 /// Records the result of a send. Refunds the retry budget if the send did not count.
 void record_send(gateway_request& request, decision::attempt_kind kind, attempt_result result) {
     gateway_state& state = *request.state;
@@ -214,10 +234,30 @@
         this->state->did_change_load();
 }
 
+namespace {
+
+/// Whether the upstream, or what is known of it, has changed since it was chosen so that it must not be sent
+/// the request.
+bool is_withdrawn(const gateway_state& state, const ports::upstream_attempt& send,
+                  const exchange_result& exchange) {
+    const auto found = state.instances.by_id.find(send.instance);
+    return found == state.instances.by_id.end() ||
+           found->second.entry.start_time_ms != exchange.start_time_ms ||
+           decision::is_withdrawn(state.instances, found->second) || !may_use_registry(state);
+}
+
+} // namespace
+
 exchange_result send_to_instance(gateway_request& request, const ports::upstream_attempt& send,
                                  base::time_point deadline, wire::yield_context yield) {
     gateway_state& state = *request.state;
     exchange_result exchange;
+    if (!await_registry_lease(state, time_left(request), yield)) {
+        exchange.sent = state.clock->now();
+        exchange.is_withheld = true;
+        exchange.detail = old_registry_reason;
+        return exchange;
+    }
     exchange.sent = state.clock->now();
     decision::instance* const target = decision::find_instance(state.instances, send.instance);
     if (target == nullptr)
@@ -241,6 +281,7 @@
     exchange.software_version = target->entry.software_version;
     const std::string service = target->entry.service;
     target->last_send = exchange.sent;
+    record_basis(state, *target, exchange);
     exchange.address = target->entry.address;
     const auto on_connection = [&](const std::shared_ptr<wire::upstream_connection>& connection) {
         request.cancellation->connection = connection;
@@ -254,11 +295,13 @@
         {.deadline = deadline,
          .connect_timeout = connect_timeout,
          .on_stale = wire::stale_connection_policy::fail,
-         .on_connected = [&] { did_connect_to_upstream(state, service, exchange.sent); }},
+         .on_connected = [&] { did_connect_to_upstream(state, service, exchange.sent); },
+         .may_send = [&] { return !is_withdrawn(state, send, exchange); }},
         on_connection, yield);
     if (!response) {
         record_failure(exchange, response.error());
-        if (!request.cancellation->is_caller_gone)
+        exchange.is_withheld = response.error().failure == wire::wire_failure::withheld;
+        if (!request.cancellation->is_caller_gone && !exchange.is_withheld)
             record_link_failure(state, send.instance, exchange);
         return exchange;
     }
@@ -297,6 +340,8 @@
                              {"result", decision::to_text(exchange.result)},
                              {"status", exchange.head.status},
                              {"took_ms", base::to_milliseconds(now - exchange.sent)}});
+    if (exchange.entry_offset != 0 || exchange.start_time_ms != 0)
+        log_basis(request.sends.back(), exchange);
     if (!exchange.software_version.empty())
         request.sends.back()["software_version"] = exchange.software_version;
     if (!exchange.detail.empty())
--- a/tests/gateway/test_peer_codec.cpp
+++ b/tests/gateway/test_peer_codec.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/peer_codec.h>
+#include <gateway/store_sync/store_update_message.h>
 
 #include <catch2/catch.hpp>
 
@@ -28,10 +29,11 @@
     return {
         .host = {"host-1"},
         .stamp = {.incarnation = 5, .sent = 900s},
+        .in_reply_to = 800s,
         .settings_version = 4,
         .settings = {.next = 9, .until = start - 300ms},
         .registry = {.next = 21, .until = start - 1'200ms},
-        .is_registry_failing = true,
+        .is_read_failing = true,
         .changes_since = 19,
         .changes = {{{"engine-1"}, entry, 19}, {{"engine-2"}, std::nullopt, 20}},
         .zones = {.records = {{{"north"}, true, 6}, {{"south"}, false, 8}}, .end = 9, .is_complete = true}};
@@ -60,6 +62,12 @@
     CHECK(later->settings.until == update.settings.until + 50ms);
 }
 
+TEST_CASE("changes that the receiver of an update knows are not decoded") {
+    const std::string bytes = gateway::encode_store_update(make_update(), start);
+    CHECK(gateway::decode_store_update(bytes, start, 21)->changes.empty());
+    CHECK(gateway::decode_store_update(bytes, start, 20)->changes.size() == 2);
+}
+
 TEST_CASE("a heartbeat without an availability zone is accepted") {
     const gateway::heartbeat message = make_heartbeat();
     nlohmann::json value = gateway::encode_heartbeat(message, start);
--- a/tests/gateway/test_plain_load.cpp
+++ b/tests/gateway/test_plain_load.cpp
@@ -47,6 +47,7 @@
         this->state.clock = &this->clock;
         this->state.context = &this->context;
         this->state.process = &this->process;
+        this->state.registry_known_until = this->clock.now();
         this->state.metrics = &this->metrics;
         this->state.has_host_list = true;
         this->settings->document.value = std::make_shared<settings::routing_settings>();
--- a/tests/gateway/test_waiting_dump.cpp
+++ b/tests/gateway/test_waiting_dump.cpp
@@ -29,6 +29,7 @@
         this->route.name = "route";
         this->state.clock = &this->clock;
         this->state.process = &this->process;
+        this->state.registry_known_until = this->clock.now();
         this->state.metrics = &this->metrics;
         this->state.context = &this->context;
         settings::routing_settings value;
