decision: Don't search all upstreams when one that was dropped is removed again

What callers saw: nothing yet; found when the change was read. Cause: to drop old tombstones, each removal of an entry asked for remove_gone, which looks at all upstreams above 512 of them, though removing an upstream that is already dropped changes nothing. A registry of ten thousand that is cleaned up would have cost a search for each record.

The cost before ten thousand upstreams was not timed.

--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -186,10 +186,9 @@
     return true;
 }
 
-void remove_gone(instance_table& table, base::time_point now) {
+void remove_gone(instance_table& table) {
     // Enough for operators to see what has become of an upstream that has left a small deployment.
     static constexpr std::size_t max_instances = 512;
-    drop_old(table.departed, now);
     if (table.by_id.size() <= max_instances)
         return;
     std::erase_if(table.by_id, [&](const auto& item) {
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -197,7 +197,7 @@
 
 /// Replaces instances that are leaving or have vanished and have no work of this host by tombstones, once the
 /// table is large.
-void remove_gone(instance_table& table, base::time_point now);
+void remove_gone(instance_table& table);
 
 /// The instance, or null.
 [[nodiscard]] instance* find_instance(instance_table& table, const base::upstream_id& id);
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -192,7 +192,6 @@
     bool has_restarted = false;
     bool has_gone = false;
     for (const decision::registry_change& change : changes) {
-        has_gone |= !change.entry;
         record_versions(state, change);
         const auto effect = decision::apply_change(state.instances, change, condition);
         record_advertised_cold(state, change);
@@ -212,7 +211,8 @@
     if (has_restarted)
         host::apply_all_sums(state.instances, state.loads);
     if (has_gone)
-        decision::remove_gone(state.instances, state.clock->now());
+        decision::remove_gone(state.instances);
+    decision::drop_old(state.instances.departed, state.clock->now());
 }
 
 host::cell own_cell(const gateway_state& state) {
--- a/tests/decision/test_departed_upstreams.cpp
+++ b/tests/decision/test_departed_upstreams.cpp
@@ -39,7 +39,7 @@
 
 void apply(decision::instance_table& table, const decision::registry_change& change) {
     (void)decision::apply_change(table, change, registry_condition::healthy);
-    decision::remove_gone(table, now);
+    decision::remove_gone(table);
 }
 
 decision::instance_table make_table() {
--- a/tests/decision/test_software_versions.cpp
+++ b/tests/decision/test_software_versions.cpp
@@ -75,7 +75,7 @@
     CHECK_FALSE(model.sole(start + 2 * window));
     model.remove("d2", start + 2 * window);
     CHECK_FALSE(model.sole(start + 3 * window - 1s));
-    decision::remove_gone(model.table, start + 3 * window);
+    decision::remove_gone(model.table);
     model.table.by_id.erase({"d2"});
     CHECK_FALSE(model.sole(start + 3 * window - 1s));
     CHECK(model.sole(start + 3 * window) == "v1");
