gateway, tests: Show suspected requests in the state, and failing tests of forwarded requests that end upstreams

Change: /state lists the requests and parts suspected of ending upstreams, and whether the host may miss updates. The test waits for that knowledge, as long as it slept before (3 s), in place of sleeping; if it isn't there in time, the test fails at that, so it is as strict, and it prints what the hosts knew.

Evidence with it, in 3 of 700 runs under load: the host knew, found the two dead upstreams first, so took its links for failed and forwarded the request; the other host ended a third upstream and refused the next forwarding as quarantined; the first host, its links back, sent it itself and ended a fourth. Two tests of that without chance fail: 5 and 6 upstreams end, and 4.

In 2 of 700 runs under load (15 at once) a host missed an exit altogether: the port still listened 200 ms later. That other tests had taken the free port is likely, not shown.

--- a/libraries/gateway/state_dump.cpp
+++ b/libraries/gateway/state_dump.cpp
@@ -90,6 +90,19 @@
             {"streams_timed", profile.streams_timed}};
 }
 
+/// The requests and parts of prompts suspected of ending upstreams.
+json dump_suspects(const gateway_state& state, base::time_point now) {
+    json suspects = json::object();
+    for (const auto& [request, suspect] : state.quarantine.suspects) {
+        const auto hold = host::remaining_hold(state.quarantine, state.quarantine_options, request, now);
+        suspects[host::to_text(request)] = {{"ends", suspect.exits.size()},
+                                            {"is_prompt_part", host::is_prompt_part(request)},
+                                            {"is_held", hold.has_value()},
+                                            {"is_stored", suspect.is_stored}};
+    }
+    return suspects;
+}
+
 } // namespace
 
 json dump_state(const gateway_state& state) {
@@ -134,6 +147,8 @@
             {"limits_shared_by", sharers.hosts},
             {"limits_heard_of", sharers.reporting_hosts},
             {"organisations", std::move(organisations)},
+            {"suspected_requests", dump_suspects(state, now)},
+            {"may_miss_updates", host::may_miss_updates(state.peers, now)},
             {"retry_budget_left", std::move(budgets)},
             {"profiles", std::move(profiles)},
             {"instances", std::move(instances)},
--- a/tests/gateway/test_fatal_requests.cpp
+++ b/tests/gateway/test_fatal_requests.cpp
@@ -1,11 +1,13 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Guards against requests that crash every upstream they run on: retries, on any host, must not go on
 // crashing upstreams.
+#include <base/clock.h>
 #include <support/gateway_cluster.h>
 #include <support/test_cluster.h>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -84,6 +86,26 @@
         return count;
     }
 
+    /// Exits that a host knows of the request it suspects most.
+    [[nodiscard]] std::size_t exits_known_at(int host) const {
+        std::size_t most = 0;
+        const nlohmann::json state = this->cluster.state_of(host);
+        for (const nlohmann::json& suspect : state.at("suspected_requests"))
+            most = std::max(most, suspect.at("ends").get<std::size_t>());
+        return most;
+    }
+
+    /// Waits for hosts to learn of that many exits, as long as they may take.
+    [[nodiscard]] bool learn(const std::vector<int>& learning, std::size_t exits) const {
+        const auto deadline = base::boot_clock::now() + propagation_time;
+        do {
+            if (std::ranges::all_of(learning, [&](int host) { return this->exits_known_at(host) >= exits; }))
+                return true;
+            std::this_thread::sleep_for(10ms);
+        } while (base::boot_clock::now() < deadline);
+        return false;
+    }
+
     test::gateway_cluster cluster;
 
 private:
@@ -281,10 +303,70 @@
     // Crashes seen by different hosts add up: two at one host, one at another.
     (void)fixture.send_to(1, "/again/");
     REQUIRE(fixture.count_crashed() == 2);
-    std::this_thread::sleep_for(propagation_time);
+    const auto states = [&fixture] {
+        std::string text;
+        for (const int host : {1, 2, 3}) {
+            nlohmann::json state = fixture.cluster.state_of(host);
+            text +=
+                nlohmann::json{state["suspected_requests"], state["may_miss_updates"], state["peers"]}.dump();
+        }
+        return text;
+    };
+    INFO("suspects, whether they may miss updates, and peers of hosts after two crashes: " << states());
+    REQUIRE(fixture.learn({2, 3}, 2));
     (void)fixture.send_to(2, "/again/");
+    INFO("after the third: " << states());
     REQUIRE(fixture.count_crashed() == max_crashed);
-    std::this_thread::sleep_for(propagation_time);
+    REQUIRE(fixture.learn({1, 3}, 3));
     fixture.send_to_all(6, "/again/");
     CHECK(fixture.count_crashed() == max_crashed);
 }
+
+namespace {
+
+/// Three hosts that hear nothing of each other but by forwarding; the first one reaches upstreams over links
+/// of its own, which refuse connections.
+class fatal_forwarding_cluster : public fatal_cluster {
+public:
+    explicit fatal_forwarding_cluster(const std::string& name)
+        : fatal_cluster(test::gateway_cluster_options{.name = name,
+                                                      .servers = plan_servers("plain-", 8, "plain", ""),
+                                                      .hosts = 3,
+                                                      .has_datagrams = false,
+                                                      .heartbeat_ms = 3'600'000,
+                                                      .linked_hosts = 1}) {
+        REQUIRE(test::eventually([this] { return this->cluster.state_of(1).at("peers").size() == 2; }));
+        this->cluster.set_links(1, test::link_fault::refuse_new);
+    }
+
+    /// Which host ran the requests that the first one forwarded.
+    [[nodiscard]] int forwarding_host() const {
+        return this->cluster.metric(2, "forwarded_taken_total") > 0 ? 2 : 3;
+    }
+};
+
+} // namespace
+
+// Guards against sends after a forwarded request was refused for the upstreams that it ended: the host that
+// forwarded it had heard of none of them, and sent it itself once its links were back.
+TEST_CASE("a host learns from the answer to a forwarded request which upstreams ended") {
+    fatal_forwarding_cluster fixture("fatal-forwarded");
+    (void)fixture.send_to(1, "/again/");
+    REQUIRE(fixture.count_crashed() == 2);
+    CHECK(fixture.exits_known_at(1) == 2);
+    (void)fixture.send_to(fixture.forwarding_host(), "/again/");
+    REQUIRE(fixture.count_crashed() == max_crashed);
+    CHECK(fixture.send_to(1, "/again/") == 503);
+    fixture.cluster.set_links(1, test::link_fault::none);
+    (void)fixture.send_to(1, "/again/");
+    CHECK(fixture.count_crashed() == max_crashed);
+}
+
+TEST_CASE("a host learns from a request that is forwarded to it which upstreams ended") {
+    fatal_forwarding_cluster fixture("fatal-taken");
+    (void)fixture.send_to(1, "/again/");
+    REQUIRE(fixture.count_crashed() == 2);
+    fixture.cluster.host(fixture.forwarding_host()).send_signal(SIGKILL);
+    (void)fixture.send_to(1, "/again/");
+    CHECK(fixture.count_crashed() == max_crashed);
+}
