gateway: Tell the other host what ended upstreams when a request is forwarded, both ways

Cause: hosts that get no datagrams of each other learn of exits by heartbeats and the store, seconds later, but forward requests meanwhile. The host that a request was forwarded to ended upstreams, or refused the request as quarantined; the first host learned neither and, its links back, sent it again. Class: state that a later step depends on is not handed over with the request; software versions and attempts were, suspicion wasn't.

Change: a forwarded request and the answer to it carry what the host knows of exits under the request and the parts of its prompt; nothing where there are none. Hosts of earlier versions ignore the field and send none.

--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -207,7 +207,8 @@
         set_forwarding_label(headers,
                              {.outcome = outcome,
                               .attempts = attempts,
-                              .software_version = request.origin ? request.origin->software_version : ""});
+                              .software_version = request.origin ? request.origin->software_version : "",
+                              .suspicion = encode_suspicion(request)});
 }
 
 namespace {
@@ -234,6 +235,8 @@
     response.headers.push_back({"Postpaddle-Reason", reason});
     if (answer == decision::local_response::not_run && !is_key_revoked)
         response.headers.push_back({"Retry-After", format_retry_after(request)});
+    if (request.forwarded_by)
+        await_all_exit_checks(request, yield);
     label_answer(request, response.headers, outcome_for_sender(request), request.record.attempts);
     (void)request.connection->send(response, yield);
     return answer == decision::local_response::not_run ? request_ending::not_run : request_ending::failed;
--- a/libraries/gateway/quarantine/request_quarantine.cpp
+++ b/libraries/gateway/quarantine/request_quarantine.cpp
@@ -6,6 +6,8 @@
 #include <gateway/caller_identity.h>
 #include <gateway/forwarding/reach_prober.h>
 
+#include <host/quarantine_codec.h>
+
 #include <algorithm>
 
 namespace postpaddle::gateway {
@@ -72,11 +74,16 @@
     return target != nullptr && target->state == decision::listing::leaving;
 }
 
-/// Whether the request would be quarantined if all checks in progress found that its upstreams have exited.
-bool may_be_fatal(const gateway_state& state, const host::request_fingerprint& fingerprint) {
-    const auto checks = std::ranges::count_if(state.exit_checks, [&fingerprint](const auto& check) {
+/// Number of checks in progress on upstreams that may have exited while they ran the request.
+auto count_checks(const gateway_state& state, const host::request_fingerprint& fingerprint) {
+    return std::ranges::count_if(state.exit_checks, [&fingerprint](const auto& check) {
         return check.second.requests.contains(fingerprint);
     });
+}
+
+/// Whether the request would be quarantined if all checks in progress found that its upstreams have exited.
+bool may_be_fatal(const gateway_state& state, const host::request_fingerprint& fingerprint) {
+    const auto checks = count_checks(state, fingerprint);
     if (checks == 0)
         return false;
     const auto suspect = state.quarantine.suspects.find(fingerprint);
@@ -89,6 +96,17 @@
     return request.organisation != nullptr ? request.organisation->id.value : request.routed.key_hash;
 }
 
+void await_while(const gateway_request& request, const std::function<bool()>& is_pending,
+                 wire::yield_context yield) {
+    static constexpr base::duration poll_interval = std::chrono::milliseconds(5);
+    wire::boot_timer timer(*request.state->context);
+    while (!request.cancellation->is_caller_gone && is_pending()) {
+        timer.expires_after(poll_interval);
+        wire::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+}
+
 } // namespace
 
 void set_fingerprint(gateway_request& request) {
@@ -140,6 +158,29 @@
     return quarantine_time_left(request) ? quarantine_reason : nullptr;
 }
 
+std::string encode_suspicion(const gateway_request& request) {
+    const gateway_state& state = *request.state;
+    std::vector<host::suspect_report> reports;
+    const auto add = [&](const host::request_fingerprint& suspect) {
+        if (state.quarantine.suspects.contains(suspect))
+            reports.push_back(host::report_of(state.quarantine, suspect));
+    };
+    add(request.fingerprint);
+    std::ranges::for_each(request.part_prints, add);
+    return reports.empty() ? "" : host::encode_reports(reports, state.clock->now()).dump();
+}
+
+void apply_suspicion(gateway_state& state, const std::string& suspicion, const std::string& sender) {
+    if (suspicion.empty())
+        return;
+    try {
+        state.on_suspects_reported(host::decode_reports(nlohmann::json::parse(suspicion), state.clock->now()),
+                                   sender);
+    } catch (const nlohmann::json::exception&) {
+        state.metrics->count("malformed_suspicions_total");
+    }
+}
+
 void record_success(const gateway_request& request) {
     gateway_state& state = *request.state;
     const base::time_point now = state.clock->now();
@@ -182,14 +223,13 @@
 }
 
 void await_exit_checks(const gateway_request& request, wire::yield_context yield) {
-    static constexpr base::duration poll_interval = std::chrono::milliseconds(5);
-    const gateway_state& state = *request.state;
-    wire::boot_timer timer(*state.context);
-    while (!request.cancellation->is_caller_gone && is_exit_check_pending(request)) {
-        timer.expires_after(poll_interval);
-        wire::error_code ignored;
-        timer.async_wait(yield[ignored]);
-    }
+    await_while(
+        request, [&request] { return is_exit_check_pending(request); }, yield);
+}
+
+void await_all_exit_checks(const gateway_request& request, wire::yield_context yield) {
+    await_while(
+        request, [&request] { return count_checks(*request.state, request.fingerprint) > 0; }, yield);
 }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/quarantine/request_quarantine.h
+++ b/libraries/gateway/quarantine/request_quarantine.h
@@ -27,6 +27,13 @@
 /// checked right before each send, since the state may change while the request waits.
 [[nodiscard]] const char* reason_to_stop(gateway_request& request);
 
+/// What this host knows of upstreams that ended while they ran the request or another one with a part of its
+/// prompt, for the host that it is forwarded to or came from. Empty if there were none.
+[[nodiscard]] std::string encode_suspicion(const gateway_request& request);
+
+/// Applies what the host with that address knows, so that the next attempt, here or there, counts it.
+void apply_suspicion(gateway_state& state, const std::string& suspicion, const std::string& sender);
+
 /// Records a complete, successful answer, which clears the request of suspicion.
 void record_success(const gateway_request& request);
 
@@ -46,4 +53,8 @@
 /// Waits for checks in progress on upstreams of the request if their results could quarantine it.
 void await_exit_checks(const gateway_request& request, wire::yield_context yield);
 
+/// Waits for all checks in progress on upstreams of the request, for the host that forwarded it and may send
+/// it again.
+void await_all_exit_checks(const gateway_request& request, wire::yield_context yield);
+
 } // namespace postpaddle::gateway
--- a/tests/gateway/test_fatal_requests.cpp
+++ b/tests/gateway/test_fatal_requests.cpp
@@ -324,25 +324,24 @@
 
 namespace {
 
-/// Three hosts that hear nothing of each other but by forwarding; the first one reaches upstreams over links
-/// of its own, which refuse connections.
+/// Hosts that exchange no datagrams and few heartbeats; the first one reaches upstreams over links of its
+/// own, which refuse connections.
 class fatal_forwarding_cluster : public fatal_cluster {
 public:
-    explicit fatal_forwarding_cluster(const std::string& name)
+    fatal_forwarding_cluster(const std::string& name, int hosts)
         : fatal_cluster(test::gateway_cluster_options{.name = name,
                                                       .servers = plan_servers("plain-", 8, "plain", ""),
-                                                      .hosts = 3,
+                                                      .hosts = hosts,
                                                       .has_datagrams = false,
-                                                      .heartbeat_ms = 3'600'000,
+                                                      .heartbeat_ms = 3'000,
                                                       .linked_hosts = 1}) {
-        REQUIRE(test::eventually([this] { return this->cluster.state_of(1).at("peers").size() == 2; }));
+        // A host that doesn't know the sender takes nothing from it.
+        for (int host = 1; host <= hosts; ++host)
+            REQUIRE(test::eventually([&] {
+                return this->cluster.state_of(host).at("peers").size() == static_cast<std::size_t>(hosts - 1);
+            }));
         this->cluster.set_links(1, test::link_fault::refuse_new);
     }
-
-    /// Which host ran the requests that the first one forwarded.
-    [[nodiscard]] int forwarding_host() const {
-        return this->cluster.metric(2, "forwarded_taken_total") > 0 ? 2 : 3;
-    }
 };
 
 } // namespace
@@ -350,11 +349,11 @@
 // Guards against sends after a forwarded request was refused for the upstreams that it ended: the host that
 // forwarded it had heard of none of them, and sent it itself once its links were back.
 TEST_CASE("a host learns from the answer to a forwarded request which upstreams ended") {
-    fatal_forwarding_cluster fixture("fatal-forwarded");
+    fatal_forwarding_cluster fixture("fatal-forwarded", 2);
     (void)fixture.send_to(1, "/again/");
     REQUIRE(fixture.count_crashed() == 2);
     CHECK(fixture.exits_known_at(1) == 2);
-    (void)fixture.send_to(fixture.forwarding_host(), "/again/");
+    (void)fixture.send_to(2, "/again/");
     REQUIRE(fixture.count_crashed() == max_crashed);
     CHECK(fixture.send_to(1, "/again/") == 503);
     fixture.cluster.set_links(1, test::link_fault::none);
@@ -362,11 +361,12 @@
     CHECK(fixture.count_crashed() == max_crashed);
 }
 
+// Whichever host takes the second request, it knows of the upstreams that the first one ended.
 TEST_CASE("a host learns from a request that is forwarded to it which upstreams ended") {
-    fatal_forwarding_cluster fixture("fatal-taken");
+    fatal_forwarding_cluster fixture("fatal-taken", 4);
     (void)fixture.send_to(1, "/again/");
     REQUIRE(fixture.count_crashed() == 2);
-    fixture.cluster.host(fixture.forwarding_host()).send_signal(SIGKILL);
-    (void)fixture.send_to(1, "/again/");
+    for (int number = 0; number < 3; ++number)
+        (void)fixture.send_to(1, "/again/");
     CHECK(fixture.count_crashed() == max_crashed);
 }
