gateway: Wait for exit checks up to the request's deadline only; say suspects for suspects

Found when the change was read as a whole. A host that answers a failed forwarded request waits for its checks of exits, some 200 ms; close to the deadline the answer would have come after the other host had given up waiting, which then doesn't learn of the attempts either. Change: the wait ends at the deadline. What goes along with a forwarded request is called suspects, as the reports are; "suspicion" is that of a host's own links.

--- a/libraries/gateway/forwarding/forwarded_request.cpp
+++ b/libraries/gateway/forwarding/forwarded_request.cpp
@@ -17,7 +17,7 @@
 constexpr const char* outcome_header = "Postpaddle-Forwarding";
 constexpr const char* attempts_header = "Postpaddle-Forwarding-Attempts";
 constexpr const char* version_header = "Postpaddle-Forwarding-Software-Version";
-constexpr const char* suspicion_header = "Postpaddle-Forwarding-Suspicion";
+constexpr const char* suspects_header = "Postpaddle-Forwarding-Suspects";
 constexpr int first_server_error = 500;
 
 constexpr std::array all_outcomes = {forwarding_outcome::answered,     forwarding_outcome::refused,
@@ -30,7 +30,7 @@
 }
 
 void erase_label(wire::http_headers& headers) {
-    for (const char* const name : {outcome_header, attempts_header, version_header, suspicion_header})
+    for (const char* const name : {outcome_header, attempts_header, version_header, suspects_header})
         erase_header(headers, name);
 }
 
@@ -73,7 +73,7 @@
                         request.accepted_prompts,
                         encode_message(request.message),
                         request.software_version,
-                        request.suspicion};
+                        request.suspects};
     std::string bytes;
     json::to_msgpack(value, bytes);
     return bytes;
@@ -97,11 +97,11 @@
             request.resume_after = value.at(8).get<std::uint64_t>();
         // Hosts of earlier versions send neither or only the first of these.
         static constexpr std::size_t version_field = 12;
-        static constexpr std::size_t suspicion_field = 13;
+        static constexpr std::size_t suspects_field = 13;
         if (value.size() > version_field)
             request.software_version = value.at(version_field).get<std::string>();
-        if (value.size() > suspicion_field)
-            request.suspicion = value.at(suspicion_field).get<std::string>();
+        if (value.size() > suspects_field)
+            request.suspects = value.at(suspects_field).get<std::string>();
         if (request.from.is_empty() || request.max_attempts < 1 || request.accepted_prompts < 0)
             return std::nullopt;
         return request;
@@ -132,8 +132,8 @@
     erase_label(headers);
     if (!label.software_version.empty())
         headers.push_back({version_header, label.software_version});
-    if (!label.suspicion.empty())
-        headers.push_back({suspicion_header, label.suspicion});
+    if (!label.suspects.empty())
+        headers.push_back({suspects_header, label.suspects});
     headers.push_back({outcome_header, to_text(label.outcome)});
     headers.push_back({attempts_header, std::to_string(label.attempts)});
 }
@@ -142,14 +142,12 @@
     const std::string text(wire::find_header(head.headers, outcome_header));
     const int attempts = parse_attempts(wire::find_header(head.headers, attempts_header));
     const std::string version(wire::find_header(head.headers, version_header));
-    const std::string suspicion(wire::find_header(head.headers, suspicion_header));
+    const std::string suspects(wire::find_header(head.headers, suspects_header));
     erase_label(head.headers);
     for (const forwarding_outcome outcome : all_outcomes)
         if (text == to_text(outcome))
-            return {.outcome = outcome,
-                    .attempts = attempts,
-                    .software_version = version,
-                    .suspicion = suspicion};
+            return {
+                .outcome = outcome, .attempts = attempts, .software_version = version, .suspects = suspects};
     return {.outcome = head.status < first_server_error ? forwarding_outcome::unavailable
                                                         : forwarding_outcome::may_have_run};
 }
--- a/libraries/gateway/forwarding/forwarded_request.h
+++ b/libraries/gateway/forwarding/forwarded_request.h
@@ -33,8 +33,8 @@
     int max_attempts = 1;                        ///< Upstreams that may run it.
     int accepted_prompts = 0; ///< Prompts that engines may have processed; further ones count as retries.
     std::string software_version{}; ///< That began the stream which the request continues; empty: none did.
-    /// What the first host knows of upstreams that ended while they ran the request, see `encode_suspicion`.
-    std::string suspicion{};
+    /// What the first host knows of upstreams that ended while they ran the request, see `encode_suspects`.
+    std::string suspects{};
     wire::http_request message; ///< As the caller sent it, without its key.
 
     bool operator==(const forwarded_request&) const = default;
@@ -70,8 +70,8 @@
     int attempts = 0;               ///< Upstreams that may have run the request so far.
     std::string software_version{}; ///< Of the upstream whose stream follows; empty if unknown.
     /// What the receiving host knows of upstreams that ended while they ran the request, see
-    /// `encode_suspicion`.
-    std::string suspicion{};
+    /// `encode_suspects`.
+    std::string suspects{};
 
     bool operator==(const forwarding_label&) const = default;
 };
--- a/libraries/gateway/forwarding/forwarding_receiver.cpp
+++ b/libraries/gateway/forwarding/forwarding_receiver.cpp
@@ -146,7 +146,7 @@
     }
     host::record_peer_link(state.forwarding_peers, forwarded->service, forwarded->from,
                            host::peer_link::unreachable, state.clock->now());
-    apply_suspicion(state, forwarded->suspicion, state.peers.by_name.at(forwarded->from).address);
+    apply_suspects(state, forwarded->suspects, state.peers.by_name.at(forwarded->from).address);
     if (const auto reason = reason_to_decline(state, *forwarded))
         return decline(state, connection, *reason, yield);
     gateway_request request;
--- a/libraries/gateway/forwarding/forwarding_sender.cpp
+++ b/libraries/gateway/forwarding/forwarding_sender.cpp
@@ -40,7 +40,7 @@
             .max_attempts = decision::attempts_to_grant(request.record),
             .accepted_prompts = request.record.accepted_prompts,
             .software_version = request.origin ? request.origin->software_version : "",
-            .suspicion = encode_suspicion(request),
+            .suspects = encode_suspects(request),
             .message = request.routed.message};
 }
 
@@ -192,7 +192,7 @@
         label = take_forwarding_label(exchange.head);
     forwarded.told_attempts = label.attempts;
     exchange.software_version = label.software_version;
-    apply_suspicion(state, label.suspicion, target.address);
+    apply_suspects(state, label.suspects, target.address);
     if (!may_go_elsewhere(label.outcome)) {
         record_taken(request, forwarded, label.outcome);
         return forwarded;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -208,7 +208,7 @@
                              {.outcome = outcome,
                               .attempts = attempts,
                               .software_version = request.origin ? request.origin->software_version : "",
-                              .suspicion = encode_suspicion(request)});
+                              .suspects = encode_suspects(request)});
 }
 
 namespace {
--- a/libraries/gateway/quarantine/request_quarantine.cpp
+++ b/libraries/gateway/quarantine/request_quarantine.cpp
@@ -9,6 +9,7 @@
 #include <host/quarantine_codec.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace postpaddle::gateway {
 
@@ -96,6 +97,7 @@
     return request.organisation != nullptr ? request.organisation->id.value : request.routed.key_hash;
 }
 
+/// Waits until the caller is gone or nothing is pending any more.
 void await_while(const gateway_request& request, const std::function<bool()>& is_pending,
                  wire::yield_context yield) {
     static constexpr base::duration poll_interval = std::chrono::milliseconds(5);
@@ -158,7 +160,7 @@
     return quarantine_time_left(request) ? quarantine_reason : nullptr;
 }
 
-std::string encode_suspicion(const gateway_request& request) {
+std::string encode_suspects(const gateway_request& request) {
     const gateway_state& state = *request.state;
     std::vector<host::suspect_report> reports;
     const auto add = [&](const host::request_fingerprint& suspect) {
@@ -170,14 +172,14 @@
     return reports.empty() ? "" : host::encode_reports(reports, state.clock->now()).dump();
 }
 
-void apply_suspicion(gateway_state& state, const std::string& suspicion, const std::string& sender) {
-    if (suspicion.empty())
+void apply_suspects(gateway_state& state, const std::string& suspects, const std::string& sender) {
+    if (suspects.empty())
         return;
     try {
-        state.on_suspects_reported(host::decode_reports(nlohmann::json::parse(suspicion), state.clock->now()),
+        state.on_suspects_reported(host::decode_reports(nlohmann::json::parse(suspects), state.clock->now()),
                                    sender);
     } catch (const nlohmann::json::exception&) {
-        state.metrics->count("malformed_suspicions_total");
+        state.metrics->count("malformed_suspects_total");
     }
 }
 
@@ -228,8 +230,11 @@
 }
 
 void await_all_exit_checks(const gateway_request& request, wire::yield_context yield) {
-    await_while(
-        request, [&request] { return count_checks(*request.state, request.fingerprint) > 0; }, yield);
+    const auto is_pending = [&request] {
+        return time_left(request) > base::duration::zero() &&
+               count_checks(*request.state, request.fingerprint) > 0;
+    };
+    await_while(request, is_pending, yield);
 }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/quarantine/request_quarantine.h
+++ b/libraries/gateway/quarantine/request_quarantine.h
@@ -29,10 +29,10 @@
 
 /// What this host knows of upstreams that ended while they ran the request or another one with a part of its
 /// prompt, for the host that it is forwarded to or came from. Empty if there were none.
-[[nodiscard]] std::string encode_suspicion(const gateway_request& request);
+[[nodiscard]] std::string encode_suspects(const gateway_request& request);
 
 /// Applies what the host with that address knows, so that the next attempt, here or there, counts it.
-void apply_suspicion(gateway_state& state, const std::string& suspicion, const std::string& sender);
+void apply_suspects(gateway_state& state, const std::string& suspects, const std::string& sender);
 
 /// Records a complete, successful answer, which clears the request of suspicion.
 void record_success(const gateway_request& request);
@@ -53,8 +53,8 @@
 /// Waits for checks in progress on upstreams of the request if their results could quarantine it.
 void await_exit_checks(const gateway_request& request, wire::yield_context yield);
 
-/// Waits for all checks in progress on upstreams of the request, for the host that forwarded it and may send
-/// it again.
+/// Waits, up to the request's deadline, for all checks in progress on its upstreams: the host that forwarded
+/// it may send it again.
 void await_all_exit_checks(const gateway_request& request, wire::yield_context yield);
 
 } // namespace postpaddle::gateway
--- a/tests/gateway/test_forwarded_request.cpp
+++ b/tests/gateway/test_forwarded_request.cpp
@@ -36,7 +36,7 @@
     CHECK(gateway::decode_forwarded(gateway::encode_forwarded(request)) == request);
     request.software_version = "v2";
     CHECK(gateway::decode_forwarded(gateway::encode_forwarded(request)) == request);
-    request.suspicion = "[[1,2,false,null,[[3,40,0]]]]";
+    request.suspects = "[[1,2,false,null,[[3,40,0]]]]";
     CHECK(gateway::decode_forwarded(gateway::encode_forwarded(request)) == request);
     request.resume_after.reset();
     request.organisation = {};
@@ -62,12 +62,12 @@
     const auto outcome = GENERATE(forwarding_outcome::answered, forwarding_outcome::refused,
                                   forwarding_outcome::may_have_run, forwarding_outcome::unreachable,
                                   forwarding_outcome::unavailable, forwarding_outcome::other_settings);
-    const auto suspicion = GENERATE(std::string(), std::string("[[1,2,false,null,[[3,40,0]]]]"));
+    const auto suspects = GENERATE(std::string(), std::string("[[1,2,false,null,[[3,40,0]]]]"));
     wire::response_head head{200,
                              {{"postpaddle-forwarding", "unreachable"},
-                              {"postpaddle-forwarding-suspicion", "an upstream's"},
+                              {"postpaddle-forwarding-suspects", "an upstream's"},
                               {"X-Response-Seal", "s"}}};
-    const gateway::forwarding_label label = {.outcome = outcome, .attempts = 2, .suspicion = suspicion};
+    const gateway::forwarding_label label = {.outcome = outcome, .attempts = 2, .suspects = suspects};
     gateway::set_forwarding_label(head.headers, label);
     CHECK(gateway::take_forwarding_label(head) == label);
     CHECK(head.headers == wire::http_headers{{"X-Response-Seal", "s"}});
