streams: Derive what began a stream from its content and splits kept in the store

Cause: records lived in processes only, and the presence of one by content was taken for the absence of others.

--- a/libraries/decision/choice_context.h
+++ b/libraries/decision/choice_context.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace postpaddle::decision {
 
@@ -19,6 +20,8 @@
     std::set<base::upstream_id> holding{};         ///< Engines that hold the request's prompt.
     std::optional<std::string> software_version{}; ///< The only one that may serve; unset: any.
     std::set<std::string> unsettled_versions{};    ///< Software versions that may not serve yet.
+    /// Software versions in the order in which they should serve, as long as they have room; others follow.
+    std::vector<std::string> preferred_versions{};
     base::time_point now{};
     std::map<base::upstream_id, double>
         reserved{};       ///< Engine memory reserved for requests ahead in the queue.
--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -219,16 +219,42 @@
 
 } // namespace
 
+namespace {
+
+/// The choice among the engines of the first preferred version that has room, else among all.
+template <class Choose>
+std::optional<engine_plan> choose_by_preference(const choice_context& context, const Choose& choose) {
+    if (context.preferred_versions.empty() || context.software_version)
+        return choose(context);
+    choice_context restricted = context;
+    for (const std::string& version : context.preferred_versions) {
+        if (context.unsettled_versions.contains(version))
+            continue;
+        restricted.software_version = version;
+        const auto plan = choose(restricted);
+        if (plan && plan->has_room)
+            return plan;
+    }
+    return choose(context);
+}
+
+} // namespace
+
 std::optional<engine_plan> choose_colocated(const instance_table& table, const choice_context& context,
                                             const settings::engine_capacity& capacity,
                                             const prompt_size& size, std::mt19937_64& random) {
-    return choose_colocated_among(eligible_instances(table, context, can_decode), context, capacity, size,
-                                  random);
+    return choose_by_preference(context, [&](const choice_context& restricted) {
+        return choose_colocated_among(eligible_instances(table, restricted, can_decode), restricted, capacity,
+                                      size, random);
+    });
 }
 
-std::optional<engine_plan> choose_decode(const instance_table& table, const choice_context& context,
-                                         const settings::engine_capacity& capacity, const prompt_size& size,
-                                         const base::zone_id& source_zone, std::mt19937_64& random) {
+namespace {
+
+std::optional<engine_plan> choose_decode_near(const instance_table& table, const choice_context& context,
+                                              const settings::engine_capacity& capacity,
+                                              const prompt_size& size, const base::zone_id& source_zone,
+                                              std::mt19937_64& random) {
     const auto cost_of = [&](const instance& candidate) {
         const bool is_same_zone = candidate.entry.availability_zone == source_zone;
         return base_cost(candidate, context, random) + memory_cost(candidate, context, capacity, size) +
@@ -245,6 +271,16 @@
                        .cost = best.cost};
 }
 
+} // namespace
+
+std::optional<engine_plan> choose_decode(const instance_table& table, const choice_context& context,
+                                         const settings::engine_capacity& capacity, const prompt_size& size,
+                                         const base::zone_id& source_zone, std::mt19937_64& random) {
+    return choose_by_preference(context, [&](const choice_context& restricted) {
+        return choose_decode_near(table, restricted, capacity, size, source_zone, random);
+    });
+}
+
 namespace {
 
 /// The engines that may serve a request, by what they can do.
@@ -299,9 +335,11 @@
 
 } // namespace
 
-std::optional<engine_plan> choose_engines(const instance_table& table, const choice_context& context,
-                                          const settings::engine_capacity& capacity, const prompt_size& size,
-                                          std::mt19937_64& random) {
+namespace {
+
+std::optional<engine_plan> choose_pair(const instance_table& table, const choice_context& context,
+                                       const settings::engine_capacity& capacity, const prompt_size& size,
+                                       std::mt19937_64& random) {
     const engine_candidates engines = {.prefill = eligible_instances(table, context, can_prefill),
                                        .decode = eligible_instances(table, context, can_decode)};
     const auto prefill_versions = versions_of(engines.prefill);
@@ -322,6 +360,16 @@
     return best;
 }
 
+} // namespace
+
+std::optional<engine_plan> choose_engines(const instance_table& table, const choice_context& context,
+                                          const settings::engine_capacity& capacity, const prompt_size& size,
+                                          std::mt19937_64& random) {
+    return choose_by_preference(context, [&](const choice_context& restricted) {
+        return choose_pair(table, restricted, capacity, size, random);
+    });
+}
+
 void record_prefill(instance& target, engine_speed& speed, const prefill_sample& sample,
                     base::time_point now) {
     const double alone = unqueued_prefill_seconds(speed, sample.prompt_tokens);
--- a/libraries/gateway/endings/request_record.cpp
+++ b/libraries/gateway/endings/request_record.cpp
@@ -42,6 +42,8 @@
     if (request.origin)
         fields["origin"] = {{"service", request.origin->service},
                             {"software_version", request.origin->software_version}};
+    if (request.origin_source != nullptr)
+        fields["origin_source"] = request.origin_source;
     if (request.first_event)
         fields["first_event_ms"] = base::to_milliseconds(*request.first_event);
     if (status != 0)
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -84,7 +84,8 @@
              .on_registry_unavailable =
                  [this](wire::yield_context yield) { this->peers.ask_for_registry(yield); }}),
       stages(this->state, *this->feed), quarantine(this->state, *this->feed, this->datagrams),
-      stream_origins(this->state, this->datagrams), prober(this->state) {
+      stream_origins(this->state, this->datagrams), stream_journal(this->state, *this->feed, this->datagrams),
+      splits(this->state, *this->feed), prober(this->state) {
     this->state.peers.seeds = this->process.seeds;
     std::erase(this->state.peers.seeds, this->process.peers);
 }
@@ -153,6 +154,8 @@
     this->stages.start();
     this->quarantine.start();
     this->stream_origins.start();
+    this->stream_journal.start();
+    this->splits.start();
     this->prober.start();
     this->log.write_always("started", {{"availability_zone", this->process.availability_zone.value},
                                        {"callers", this->process.callers},
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -10,7 +10,9 @@
 #include <gateway/peers/peer_exchange.h>
 #include <gateway/quarantine/quarantine_exchange.h>
 #include <gateway/store_sync/store_watch.h>
+#include <gateway/stream_origin/stream_journal_exchange.h>
 #include <gateway/stream_origin/stream_origin_exchange.h>
+#include <gateway/stream_origin/version_splits.h>
 #include <gateway/unsent_data_bound.h>
 #include <wire/http_listener.h>
 
@@ -81,6 +83,8 @@
     stage_controller stages;
     quarantine_exchange quarantine;
     stream_origin_exchange stream_origins;
+    stream_journal_exchange stream_journal;
+    version_splits splits;
     reach_prober prober;
     std::shared_ptr<wire::http_listener> caller_listener;
     std::shared_ptr<wire::http_listener> readiness_listener;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -82,16 +82,20 @@
     const gateway_state& state = *request.state;
     const base::time_point now = state.clock->now();
     std::set<std::string> unsettled;
-    if (request.route->kind == settings::route_kind::stream && request.route->is_resumable && !request.origin)
+    version_choice versions;
+    if (begins_resumable_stream(request)) {
+        versions = choose_versions(request);
         unsettled = decision::unsettled_versions(state.software_versions, state.instances, request.service,
                                                  settling_time(state), now);
+    }
     return {.service = request.service,
             .own_zone = request.state->process->availability_zone,
             .excluded = request.tried,
             .holding = request.holding,
             .software_version =
-                request.origin ? std::optional(request.origin->software_version) : std::nullopt,
+                request.origin ? std::optional(request.origin->software_version) : versions.only,
             .unsettled_versions = std::move(unsettled),
+            .preferred_versions = std::move(versions.preferred),
             .now = now,
             .speed = profile_of(request).speed,
             .hold_seconds = mean_hold_seconds(request),
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -56,6 +56,9 @@
     std::string service;
     /// What began the stream that the request has begun or continues: nothing else may continue it.
     std::optional<host::stream_origin> origin{};
+    /// Origin that the journal has for this attempt, which has no event yet, and how often it was written.
+    std::optional<host::stream_origin> journalled{};
+    std::uint32_t journal_revisions = 0;
     int rank = 0;                  ///< Priority among waiting requests, from 0 (most urgent) to `max_rank`.
     host::share_key share_key = 0; ///< Of its organisation's share of the service.
     std::optional<scoped_share_use> share_use{}; ///< From its start at an engine to its end.
@@ -79,6 +82,7 @@
     nlohmann::json budget_facts;  ///< For the log: state of the retry budget when it was last charged.
     nlohmann::json recheck_facts; ///< For the log: what the recheck of the decode engine decided.
     std::optional<base::duration> first_event; ///< For the log: time until a stream's first event.
+    const char* origin_source = nullptr;       ///< For the log: how it was found what began its stream.
     const char* reason = nullptr;              ///< For the log: why there is no complete upstream answer.
     bool is_end_recorded = false;              ///< See `record_request_end`.
 };
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -156,8 +156,10 @@
 };
 
 class open_request;
+class stream_journal_exchange;
 class stream_origin_exchange;
 class unsent_data_bound;
+class version_splits;
 
 /// State of a gateway host, shared by its coroutines. Used by one thread only; outlives every coroutine.
 struct gateway_state {
@@ -188,6 +190,9 @@
     std::function<void(const ports::registry_page&, base::time_point)> on_registry_received{};
     decision::software_versions software_versions{}; ///< Of each service's upstreams, now and recently.
     stream_origin_exchange* stream_origins = nullptr;
+    stream_journal_exchange* stream_journal = nullptr;
+    version_splits* splits = nullptr;
+    std::optional<base::time_point> journal_failed_at{};  ///< When the store last failed to take a record.
     std::optional<base::time_point> registry_failed_at{}; ///< When an own read of the registry last failed.
     host::outage_reports outage_reports{};                ///< Of the other hosts' reads.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
--- a/libraries/gateway/peers/peer_datagrams.h
+++ b/libraries/gateway/peers/peer_datagrams.h
@@ -16,11 +16,12 @@
 
 /// Type of a datagram between hosts; its first byte.
 enum class datagram_kind : char {
-    load = 'l',          ///< Work in progress on a host.
-    store_update = 's',  ///< What a leader of a cell has read of the store.
-    store_query = 'a',   ///< Asks what a host knows of the store.
-    quarantine = 'q',    ///< Requests suspected of crashing upstreams.
-    stream_origin = 'o', ///< What began a stream.
+    load = 'l',           ///< Work in progress on a host.
+    store_update = 's',   ///< What a leader of a cell has read of the store.
+    store_query = 'a',    ///< Asks what a host knows of the store.
+    quarantine = 'q',     ///< Requests suspected of crashing upstreams.
+    stream_origin = 'o',  ///< What began a stream.
+    stream_journal = 'j', ///< Records of streams in the store.
 };
 
 /// Datagrams between hosts. Lost datagrams are made up for by later ones; malformed ones are counted and
--- a/libraries/gateway/stream_origin/request_origin.cpp
+++ b/libraries/gateway/stream_origin/request_origin.cpp
@@ -2,7 +2,10 @@
 #include <gateway/stream_origin/request_origin.h>
 
 #include <gateway/forwarding/forwarding_sender.h>
+#include <gateway/stream_origin/stream_journal_exchange.h>
 #include <gateway/stream_origin/stream_origin_exchange.h>
+#include <gateway/stream_origin/version_splits.h>
+#include <host/origin_evidence.h>
 
 #include <algorithm>
 
@@ -28,12 +31,112 @@
     return keys;
 }
 
-std::optional<host::stream_origin> find_origin(gateway_request& request, wire::yield_context yield) {
+/// For how long the request's stream may be resumed.
+std::chrono::milliseconds record_lifetime(const gateway_request& request) {
+    const base::duration patience =
+        std::max<base::duration>(request.route->time_limit, request.deadline - request.arrived);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(patience + record_margin);
+}
+
+/// Number by which versions are assigned to the request's content.
+std::uint64_t split_key_of(const gateway_request& request) {
+    return request.fingerprint.high ^ request.fingerprint.low;
+}
+
+/// The services at which streams of the request's route can have begun.
+std::set<std::string> services_of_streams(const gateway_request& request) {
+    const auto stored = request.state->splits->services_of(request.route->name);
+    std::set<std::string> services(stored.begin(), stored.end());
+    for (const settings::weighted_service& choice : request.route->services)
+        services.insert(choice.service);
+    return services;
+}
+
+/// Whether an engine of the version is in the registry and not leaving.
+bool has_listed_engine(const gateway_request& request, const std::string& service,
+                       const std::string& version) {
+    return std::ranges::any_of(request.state->instances.by_id, [&](const auto& item) {
+        const decision::instance& known = item.second;
+        return known.entry.service == service && known.entry.software_version == version &&
+               known.entry.stage != settings::engine_stage::prefill &&
+               known.state == decision::listing::listed;
+    });
+}
+
+/// The versions of the service in the order in which the request's content prefers them, up to the first that
+/// has an engine.
+std::vector<std::string> versions_until_listed(const gateway_request& request, const std::string& service) {
+    const service_splits* const known = request.state->splits->find(service);
+    if (known == nullptr || known->history.splits.empty())
+        return {};
+    auto versions = decision::versions_by_preference(known->history.splits.back(), split_key_of(request));
+    const auto first = std::ranges::find_if(
+        versions, [&](const std::string& version) { return has_listed_engine(request, service, version); });
+    if (first != versions.end())
+        versions.erase(std::next(first), versions.end());
+    return versions;
+}
+
+/// What the request's stream can have begun at without a record; nothing if that could be anything.
+std::optional<std::set<host::stream_origin>> find_unrecorded(const gateway_request& request) {
+    const version_splits& splits = *request.state->splits;
+    std::set<host::stream_origin> origins;
+    for (const std::string& service : services_of_streams(request)) {
+        const service_splits* const known = splits.find(service);
+        if (known == nullptr || !known->routes.contains(request.route->name) ||
+            !splits.covers_registry(service))
+            return std::nullopt;
+        for (const std::string& version : decision::assigned_versions(known->history, split_key_of(request)))
+            origins.insert({.service = service, .software_version = version});
+        // It may have begun at the next version if the store was away when the first had gone.
+        for (const std::string& version : versions_until_listed(request, service))
+            origins.insert({.service = service, .software_version = version});
+    }
+    return origins;
+}
+
+/// The origin of all the route's streams, if there can have been only one.
+std::optional<host::stream_origin> find_sole_origin(const gateway_request& request) {
+    const auto services = services_of_streams(request);
+    if (services.size() != 1)
+        return std::nullopt;
+    const service_splits* const known = request.state->splits->find(*services.begin());
+    if (known == nullptr || decision::versions_in(known->history).size() != 1)
+        return std::nullopt;
+    const auto unrecorded = find_unrecorded(request);
+    return unrecorded && unrecorded->size() == 1 ? std::optional(*unrecorded->begin()) : std::nullopt;
+}
+
+/// An origin and how it was found, for the log.
+struct found_origin {
+    std::optional<host::stream_origin> origin;
+    const char* source = "unknown";
+};
+
+found_origin find_origin(gateway_request& request, wire::yield_context yield) {
+    gateway_state& state = *request.state;
+    const host::stream_keys keys = keys_of(request, request.routed.resumes);
+    const auto zones = placement_limits_of(request).allowed_zones;
+    const bool is_store_read = state.splits->refresh(yield);
+    if (is_store_read)
+        if (auto sole = find_sole_origin(request))
+            return {.origin = std::move(sole), .source = "sole_version"};
     // With several services the stream may have begun at any of them.
     const auto& services = request.route->services;
-    return request.state->stream_origins->find(keys_of(request, request.routed.resumes),
-                                               services.size() == 1 ? services.front().service : "",
-                                               placement_limits_of(request).allowed_zones, yield);
+    const std::string inferred_for = !is_store_read && services.size() == 1 ? services.front().service : "";
+    if (auto known = state.stream_origins->find(keys, inferred_for, zones, yield))
+        return {.origin = std::move(known), .source = "host"};
+    if (!is_store_read)
+        return {};
+    const auto recorded = state.stream_journal->find(keys, yield);
+    if (!recorded)
+        return {};
+    auto resolved = host::resolve_origin({.unrecorded = find_unrecorded(request),
+                                          .recorded = *recorded,
+                                          .is_named = keys.by_id != host::stream_key{}});
+    if (!resolved)
+        return {};
+    return {.origin = std::move(resolved), .source = recorded->by_id ? "journal" : "split"};
 }
 
 } // namespace
@@ -42,11 +145,19 @@
     return request.route->kind == settings::route_kind::stream && request.routed.resume_after.has_value();
 }
 
+bool begins_resumable_stream(const gateway_request& request) {
+    return request.route->kind == settings::route_kind::stream && request.route->is_resumable &&
+           !request.origin;
+}
+
 const char* resolve_stream_origin(gateway_request& request, wire::yield_context yield) {
     if (!continues_stream(request))
         return nullptr;
-    if (!request.origin)
-        request.origin = find_origin(request, yield);
+    if (!request.origin) {
+        found_origin found = find_origin(request, yield);
+        request.origin = std::move(found.origin);
+        request.origin_source = found.source;
+    }
     request.state->metrics->count(request.origin ? "streams_resumed_total" : "streams_unknown_total");
     if (!request.origin)
         return unknown_version;
@@ -68,6 +179,100 @@
     return is_served ? nullptr : version_gone;
 }
 
+namespace {
+
+/// How long no record is written after the journal has not answered, so that streams don't wait in vain.
+constexpr base::duration journal_pause = 1s;
+
+bool is_journal_failing(const gateway_state& state) {
+    return state.journal_failed_at && state.clock->now() - *state.journal_failed_at < journal_pause;
+}
+
+/// The versions of the service in the order in which the request's content prefers them. Empty while there is
+/// only one.
+std::vector<std::string> preferred_versions(const gateway_request& request) {
+    const service_splits* const known = request.state->splits->find(request.service);
+    if (known == nullptr || known->history.splits.empty() || decision::versions_in(known->history).size() < 2)
+        return {};
+    return decision::versions_by_preference(known->history.splits.back(), split_key_of(request));
+}
+
+/// The version at which a stream may begin although no record of it can be written: the first in the
+/// content's order that has an engine. Whoever continues a stream considers that one.
+std::optional<std::string> default_version(const gateway_request& request) {
+    const auto versions = versions_until_listed(request, request.service);
+    const bool is_listed = !versions.empty() && has_listed_engine(request, request.service, versions.back());
+    return is_listed ? std::optional(versions.back()) : std::nullopt;
+}
+
+/// Whether the registry names one version of the service.
+bool has_single_version(const gateway_request& request) {
+    std::set<std::string> versions;
+    for (const auto& [id, known] : request.state->instances.by_id)
+        if (known.entry.service == request.service)
+            versions.insert(known.entry.software_version);
+    return versions.size() == 1;
+}
+
+/// Whether every host derives that a stream of the request began at the version.
+bool is_derivable(const gateway_request& request, const std::string& version) {
+    const version_splits& splits = *request.state->splits;
+    const service_splits* const known = splits.find(request.service);
+    return known != nullptr && known->routes.contains(request.route->name) &&
+           services_of_streams(request).size() == 1 && splits.is_confirmed(request.service) &&
+           decision::is_derivable(known->history, split_key_of(request), version);
+}
+
+bool write_journal(gateway_request& request, const host::stream_origin& origin, wire::yield_context yield) {
+    gateway_state& state = *request.state;
+    if (is_journal_failing(state))
+        return false;
+    // One stream at a time finds out whether the store is back.
+    if (state.journal_failed_at)
+        state.journal_failed_at = state.clock->now();
+    const host::journal_record record = {.keys = keys_of(request, request.routed.id),
+                                         .origin = origin,
+                                         .revision = request.journal_revisions,
+                                         .lifetime = record_lifetime(request)};
+    ++request.journal_revisions;
+    const bool is_written = state.stream_journal->write(record, yield);
+    if (is_written)
+        request.journalled = origin;
+    state.journal_failed_at = is_written ? std::nullopt : std::optional(state.clock->now());
+    return is_written;
+}
+
+} // namespace
+
+version_choice choose_versions(const gateway_request& request) {
+    version_choice choice{.preferred = preferred_versions(request)};
+    if (!choice.preferred.empty() && is_journal_failing(*request.state))
+        choice.only = default_version(request);
+    return choice;
+}
+
+bool prepare_stream_origin(gateway_request& request, const std::string& software_version,
+                           wire::yield_context yield) {
+    const bool is_resumable =
+        request.route->kind == settings::route_kind::stream && request.route->is_resumable;
+    if (!is_resumable)
+        return true;
+    const host::stream_origin origin = {.service = request.service, .software_version = software_version};
+    if (request.journalled == origin || (!request.journalled && is_derivable(request, software_version)))
+        return true;
+    if (write_journal(request, origin, yield))
+        return true;
+    request.state->metrics->count("streams_not_journalled_total");
+    // What began a stream that goes on is known, if only at some hosts.
+    if (request.origin)
+        return true;
+    if (request.journalled)
+        return false;
+    if (request.state->splits->find(request.service) == nullptr)
+        return has_single_version(request);
+    return default_version(request) == software_version;
+}
+
 void record_stream_origin(gateway_request& request, const std::string& software_version,
                           wire::yield_context yield) {
     if (!request.record.is_repeatable)
@@ -81,10 +286,8 @@
     const std::string& first_id = continues_stream(request) && !request.routed.resumes.empty()
                                       ? request.routed.resumes
                                       : request.routed.id;
-    const base::duration lifetime =
-        std::max<base::duration>(request.route->time_limit, request.deadline - request.arrived) +
-        record_margin;
-    request.state->stream_origins->record(keys_of(request, first_id), *request.origin, lifetime,
+    request.state->stream_origins->record(keys_of(request, first_id), *request.origin,
+                                          record_lifetime(request),
                                           placement_limits_of(request).allowed_zones, yield);
 }
 
--- /dev/null
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <gateway/peers/peer_datagrams.h>
+#include <gateway/stream_origin/journal_message.h>
+#include <gateway/stream_origin/journal_partition.h>
+#include <host/replica_ring.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace postpaddle::gateway {
+
+/// Writes to and reads from the stream journal, through the host that is in charge of a stream's partition.
+///
+/// One host for a partition keeps the calls to the store constant, however many hosts there are. It is only
+/// an optimisation: where that host doesn't answer, this one calls the store itself.
+class stream_journal_exchange {
+public:
+    stream_journal_exchange(gateway_state& state, ports::control_feed& feed, peer_datagrams& datagrams);
+
+    /// Starts receiving; runs as long as the process.
+    void start();
+    /// Returns whether the store has the record. Takes up to half a second if it doesn't answer.
+    [[nodiscard]] bool write(const host::journal_record& record, wire::yield_context yield);
+    /// What the journal has of the stream, complete as of the call; nothing if the store doesn't answer.
+    [[nodiscard]] std::optional<host::journal_findings> find(const host::stream_keys& keys,
+                                                             wire::yield_context yield);
+
+private:
+    /// A message to the host in charge, until its answer has come.
+    struct pending_message {
+        explicit pending_message(wire::asio::io_context& context) : wake(context) {}
+
+        std::optional<journal_message> answer;
+        wire::boot_timer wake; ///< Cancelled by the answer.
+    };
+
+    [[nodiscard]] bool handle(std::string_view bytes);
+    void answer(const journal_message& asked);
+    /// Asks the host in charge; nothing if that is this host, or it doesn't answer.
+    [[nodiscard]] std::optional<journal_message> ask(journal_message message, const host::stream_keys& keys,
+                                                     wire::yield_context yield);
+    /// Address of the host in charge of the partition, empty if that is this host.
+    [[nodiscard]] std::string address_in_charge(std::uint32_t partition);
+    [[nodiscard]] journal_partition& partition_of(const host::stream_keys& keys);
+    void reply(const base::host_id& host, const journal_message& message);
+    void remove_expired(wire::yield_context yield);
+
+    gateway_state* state;
+    peer_datagrams* datagrams;
+    std::vector<std::unique_ptr<journal_partition>> partitions;
+    std::uint64_t last_number = 0;
+    /// By number. Also held by the coroutines that wait.
+    std::shared_ptr<std::map<std::uint64_t, pending_message*>> pending =
+        std::make_shared<std::map<std::uint64_t, pending_message*>>();
+};
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/stream_origin/stream_origin_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/stream_origin/stream_origin_exchange.h>
 
+#include <gateway/stream_origin/version_splits.h>
+
 #include <algorithm>
 #include <array>
 
@@ -11,11 +13,8 @@
 using namespace std::chrono_literals;
 using message_kind = stream_origin_message_kind;
 
-/// Hosts besides this one that hold a record by the id of the attempt, and further ones by the request.
-constexpr std::size_t id_replicas = 3;
-constexpr std::size_t content_replicas = 2;
-/// Time for which a caller may return to a stream, in time limits of the slowest route of its service.
-constexpr int return_factor = 2;
+/// Hosts besides this one that hold a record.
+constexpr std::size_t replicas = 5;
 /// Confirmations for which the first event of a stream waits; a single one suffices if they take long.
 constexpr std::size_t wanted_confirmations = 2;
 /// Pauses between repetitions of an unanswered message. Longer than a round trip between regions at first;
@@ -48,15 +47,6 @@
     Element* element;
 };
 
-/// The longest time after its beginning at which a stream of the service may be resumed.
-base::duration longest_return(const gateway_state& state, const std::string& service) {
-    base::duration longest{};
-    for (const settings::route_entry& route : state.settings->document.value->routes)
-        if (std::ranges::any_of(route.services, [&](const auto& part) { return part.service == service; }))
-            longest = std::max<base::duration>(longest, return_factor * route.time_limit);
-    return longest;
-}
-
 } // namespace
 
 stream_origin_exchange::pending_message::pending_message(wire::asio::io_context& context,
@@ -127,27 +117,14 @@
                           .keys = keys,
                           .origin = origin,
                           .lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(lifetime)});
-    told.unanswered = this->addresses_of(this->replicas_of(keys, zones));
+    told.unanswered = this->addresses_of(host::choose_replicas(this->current_ring(), this->state->peers,
+                                                               this->query_for(keys.by_id, zones), replicas));
     told.needed = std::min(wanted_confirmations, told.unanswered.size());
     this->await_answers(told, yield);
     this->state->metrics->count(told.received > 0 ? "stream_origins_confirmed_total"
                                                   : "stream_origins_unconfirmed_total");
 }
 
-std::vector<base::host_id> stream_origin_exchange::replicas_of(const host::stream_keys& keys,
-                                                               const allowed_zones& zones) {
-    const host::replica_ring& hosts = this->current_ring();
-    const auto& peers = this->state->peers;
-    std::vector<base::host_id> replicas =
-        host::choose_replicas(hosts, peers, this->query_for(keys.by_id, zones), id_replicas);
-    const std::size_t count = replicas.size() + content_replicas;
-    for (const base::host_id& host :
-         host::choose_replicas(hosts, peers, this->query_for(keys.by_content, zones), host::asked_count))
-        if (replicas.size() < count && std::ranges::find(replicas, host) == replicas.end())
-            replicas.push_back(host);
-    return replicas;
-}
-
 std::optional<host::stream_origin> stream_origin_exchange::infer(const std::string& service) const {
     const gateway_state& known = *this->state;
     const base::time_point now = known.clock->now();
@@ -176,7 +153,10 @@
                            .from = this->state->process->name,
                            .keys = keys,
                            .origin = host::stream_origin{.service = service, .software_version = {}}});
+    // Records are found by the attempt's id only. Without one, hosts are asked what they infer.
     const bool is_named = keys.by_id != host::stream_key{};
+    if (!is_named && service.empty())
+        return std::nullopt;
     const auto query = this->query_for(is_named ? keys.by_id : keys.by_content, zones);
     asked.unanswered =
         this->addresses_of(host::hosts_to_ask(this->current_ring(), this->state->peers, query));
--- a/libraries/gateway/stream_origin/stream_origin_exchange.h
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.h
@@ -17,7 +17,9 @@
 namespace postpaddle::gateway {
 
 /// Keeps records of what began each resumable stream on several hosts, and asks these hosts when a caller
-/// returns. Nobody guesses: a stream that no reachable host knows is unknown.
+/// returns that names the attempt which brought the first event.
+///
+/// Only the presence of a record says anything: a host that has none may have been restarted.
 class stream_origin_exchange {
 public:
     /// Zones whose hosts may hold a record; none: all.
@@ -32,7 +34,8 @@
     void record(const host::stream_keys& keys, const host::stream_origin& origin, base::duration lifetime,
                 const allowed_zones& zones, wire::yield_context yield);
     /// What began the stream, by this host's records or by those of its replicas. Without a record it can
-    /// only have been the version of the service, if that has had a single one by the word of any host asked.
+    /// only have been the version of `service`, if that has had a single one by the word of any host asked;
+    /// with an empty `service`, that is not considered.
     [[nodiscard]] std::optional<host::stream_origin> find(const host::stream_keys& keys,
                                                           const std::string& service,
                                                           const allowed_zones& zones,
@@ -66,8 +69,6 @@
     addresses_of(const std::vector<base::host_id>& hosts) const;
     [[nodiscard]] host::replica_query query_for(const host::stream_key& key,
                                                 const allowed_zones& zones) const;
-    [[nodiscard]] std::vector<base::host_id> replicas_of(const host::stream_keys& keys,
-                                                         const allowed_zones& zones);
     /// The origin of all streams of the service, if it has had a single version for long enough.
     [[nodiscard]] std::optional<host::stream_origin> infer(const std::string& service) const;
     /// Waits, shortly after the start, until the list of hosts has been read.
--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -391,6 +391,20 @@
     return tl::make_unexpected(failed_attempt::give_up);
 }
 
+tl::expected<void, stream_relay::failed_attempt>
+stream_relay::prepare_origin(const decision::engine_plan& plan, wire::yield_context yield) {
+    const decision::instance* const engine =
+        decision::find_instance(this->request->state->instances, plan.decode);
+    const std::string version = engine == nullptr ? "" : engine->entry.software_version;
+    if (prepare_stream_origin(*this->request, version, yield))
+        return {};
+    this->reason = "where the stream begins can't be recorded";
+    const auto other = choose_versions(*this->request).only;
+    const bool may_choose_again =
+        other && *other != version && !this->request->journalled && !this->retained.has_value();
+    return tl::make_unexpected(may_choose_again ? failed_attempt::try_again : failed_attempt::give_up);
+}
+
 tl::expected<void, stream_relay::failed_attempt> stream_relay::charge_send() {
     if (try_charge_send(*this->request))
         return {};
@@ -464,11 +478,15 @@
         return this->attempt_elsewhere(yield);
     POSTPADDLE_TRY(plan, this->reserve_next_plan(yield));
     POSTPADDLE_TRY_VOID(this->check_may_continue());
+    // Before the prompt is sent: its KV cache is only retained for a short time.
+    POSTPADDLE_TRY_VOID(this->prepare_origin(plan, yield));
     if (!this->prepare_plan(plan, yield))
         return tl::make_unexpected(failed_attempt::try_again);
     // State may have changed, and time has passed, while the prompt was processed.
     if (!this->is_caller_waiting())
         return tl::make_unexpected(failed_attempt::give_up);
+    // It may run elsewhere than planned.
+    POSTPADDLE_TRY_VOID(this->prepare_origin(plan, yield));
     POSTPADDLE_TRY_VOID(this->check_may_continue());
     POSTPADDLE_TRY_VOID(this->charge_send());
     if (const auto ending = this->decode(plan, yield))
--- a/libraries/gateway/streams/stream_relay.h
+++ b/libraries/gateway/streams/stream_relay.h
@@ -60,6 +60,9 @@
     reserve_next_plan(wire::yield_context yield);
     /// Fails if the request must not be sent any more: see `reason_to_stop` and `reason_without_version`.
     [[nodiscard]] tl::expected<void, failed_attempt> check_may_continue();
+    /// Has it recorded where the stream begins, if that is needed.
+    [[nodiscard]] tl::expected<void, failed_attempt> prepare_origin(const decision::engine_plan& plan,
+                                                                    wire::yield_context yield);
     [[nodiscard]] tl::expected<void, failed_attempt> charge_send();
     [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
     [[nodiscard]] room_wait colocated_wait() const;
--- a/libraries/host/stream_origins.cpp
+++ b/libraries/host/stream_origins.cpp
@@ -41,11 +41,10 @@
 
 void stream_origins::record(const stream_keys& keys, const stream_origin& origin, base::time_point expires) {
     this->record(keys.by_id, origin, expires);
-    this->record(keys.by_content, origin, expires);
 }
 
 std::optional<stream_origin> stream_origins::find(const stream_keys& keys, base::time_point now) const {
-    return this->find(keys.by_id == stream_key{} ? keys.by_content : keys.by_id, now);
+    return keys.by_id == stream_key{} ? std::nullopt : this->find(keys.by_id, now);
 }
 
 void stream_origins::remove_expired(base::time_point now) {
--- a/libraries/host/stream_origins.h
+++ b/libraries/host/stream_origins.h
@@ -58,11 +58,12 @@
     /// Records what began a stream until `expires`. A stream with two different origins, whose caller has
     /// used an id twice, becomes an unknown one.
     void record(const stream_key& key, const stream_origin& origin, base::time_point expires);
-    /// Records it under both keys.
+    /// Records it under the attempt's id. The content is no key here: another stream with the same content
+    /// may have begun elsewhere, which this host need not know.
     void record(const stream_keys& keys, const stream_origin& origin, base::time_point expires);
     /// Returns nothing for an unknown or expired stream.
     [[nodiscard]] std::optional<stream_origin> find(const stream_key& key, base::time_point now) const;
-    /// By the attempt's id if the caller names it, else by the request.
+    /// By the attempt's id; nothing if the caller doesn't name it.
     [[nodiscard]] std::optional<stream_origin> find(const stream_keys& keys, base::time_point now) const;
     void remove_expired(base::time_point now);
     [[nodiscard]] std::size_t size() const { return this->records.size(); }
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -108,6 +108,36 @@
     std::uint64_t next = 0; ///< Offset to read from next.
 };
 
+/// Durable text about one service, which hosts share through the store.
+struct service_note {
+    std::string service;
+    std::string text;
+
+    bool operator==(const service_note&) const = default;
+};
+
+/// Result of reading the notes on services.
+struct service_note_page {
+    std::vector<service_note> notes;
+    std::uint64_t next = 0; ///< Offset to read from next, and for a conditional write.
+    bool has_more = false;  ///< The store had further notes, which this page lacks.
+};
+
+/// A batch of records of the stream journal; an empty `bytes` marks the batch as deleted.
+struct journal_batch {
+    std::string key;
+    std::optional<std::string> bytes;
+
+    bool operator==(const journal_batch&) const = default;
+};
+
+/// Result of reading a partition of the stream journal.
+struct journal_page {
+    std::vector<journal_batch> batches;
+    std::uint64_t next = 0; ///< Offset to read from next.
+    bool has_more = false;  ///< The store had further batches, which this page lacks.
+};
+
 /// Timeouts and progress callback of a read.
 struct read_timeouts {
     std::chrono::milliseconds wait{};      ///< Long-poll time for which the store may wait for a new record.
@@ -165,6 +195,30 @@
     [[nodiscard]] virtual feed_result<quarantine_note_page>
     quarantine_notes_after(std::uint64_t offset, const read_timeouts& timeouts,
                            wire::yield_context yield) = 0;
+    /// Reads the newest note on each service. May be behind the log.
+    [[nodiscard]] virtual feed_result<service_note_page> newest_service_notes(std::chrono::milliseconds limit,
+                                                                              wire::yield_context yield) = 0;
+    /// Reads the notes that were written from `offset` onwards.
+    [[nodiscard]] virtual feed_result<service_note_page>
+    service_notes_after(std::uint64_t offset, std::chrono::milliseconds limit, wire::yield_context yield) = 0;
+    /// Writes a note if the topic still ends at `end`.
+    [[nodiscard]] virtual feed_result<void> write_service_note(const service_note& note, std::uint64_t end,
+                                                               std::chrono::milliseconds limit,
+                                                               wire::yield_context yield) = 0;
+    /// Writes or deletes these batches in one partition of the stream journal: all or none. Batches outlive
+    /// hosts, and stay until they are deleted.
+    [[nodiscard]] virtual feed_result<void> append_journal(std::uint32_t partition,
+                                                           const std::vector<journal_batch>& batches,
+                                                           std::chrono::milliseconds limit,
+                                                           wire::yield_context yield) = 0;
+    /// Reads all batches of a partition.
+    [[nodiscard]] virtual feed_result<journal_page>
+    newest_journal(std::uint32_t partition, std::chrono::milliseconds limit, wire::yield_context yield) = 0;
+    /// Reads the batches of a partition that were written from `offset` onwards.
+    [[nodiscard]] virtual feed_result<journal_page> journal_after(std::uint32_t partition,
+                                                                  std::uint64_t offset,
+                                                                  std::chrono::milliseconds limit,
+                                                                  wire::yield_context yield) = 0;
     /// Parses a settings text received from another host.
     [[nodiscard]] virtual feed_result<settings_document> read_document(const std::string& text) const = 0;
 };
--- a/stand_ins/platform_store/main.cpp
+++ b/stand_ins/platform_store/main.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Stand-in for the platform's metadata store: single-partition keyed topics with long-poll reads. Faults are
+// Stand-in for the platform's metadata store: keyed topics with long-poll reads. Faults are
 // injected through `/control`.
 // Source: "What postpaddle speaks", The platform's metadata store.
 
@@ -155,9 +155,19 @@
         timer.async_wait(yield[ignored]);
     }
 
+    /// The partition that a call is about. Partition 0 has the topic's own name, by which `/control` knows
+    /// it.
+    topic& partition_of(const wire::http_request& request) {
+        std::string name = stand_in::query_parameter(request.target, "topic");
+        const std::string part = stand_in::query_parameter(request.target, "part");
+        if (!part.empty() && part != "0")
+            name += '/' + part;
+        return this->topics[name];
+    }
+
     void append(const wire::http_request& request, wire::caller_connection& connection,
                 wire::yield_context yield) {
-        topic& target = this->topics[stand_in::query_parameter(request.target, "topic")];
+        topic& target = this->partition_of(request);
         // Appended records are encoded like those of a read response, which starts with two offsets.
         const auto page =
             platform::decode_page(encode_u64(0) + encode_u64(0) + request.body, target.end_offset);
@@ -187,7 +197,7 @@
         const auto field = [&](const char* name) {
             return std::strtoull(stand_in::query_parameter(request.target, name).c_str(), nullptr, 10);
         };
-        const topic& target = this->topics[stand_in::query_parameter(request.target, "topic")];
+        const topic& target = this->partition_of(request);
         const std::uint64_t from_offset = field("source");
         const auto deadline = boot_clock::now() + milliseconds(field("waitMs"));
         while (from_offset >= target.end_offset && boot_clock::now() < deadline &&
@@ -224,7 +234,7 @@
     }
 
     [[nodiscard]] wire::http_response newest_records(const wire::http_request& request) {
-        const topic& target = this->topics[stand_in::query_parameter(request.target, "topic")];
+        const topic& target = this->partition_of(request);
         const std::string after = stand_in::query_parameter(request.target, "after");
         json items = after.empty() ? this->malformed_items : json::array();
         std::size_t bytes = 0;
