streams: Record recent streams that new splits no longer derive

A stream that began without a record, as its version could be derived, was unknown once a later split moved its content: its caller, named or not, was refused. The splits stand in the state dump.

--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -6,6 +6,7 @@
 #include <gateway/endings/request_drain.h>
 #include <gateway/operations/state_dump.h>
 #include <gateway/request_handler.h>
+#include <gateway/stream_origin/request_origin.h>
 
 #include <base/hashing.h>
 #include <base/try.h>
@@ -155,7 +156,7 @@
     this->quarantine.start();
     this->stream_origins.start();
     this->stream_journal.start();
-    this->splits.start();
+    this->splits.start([this](const std::string& service) { record_older_streams(this->state, service); });
     this->prober.start();
     this->log.write_always("started", {{"availability_zone", this->process.availability_zone.value},
                                        {"callers", this->process.callers},
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -23,6 +23,7 @@
 #include <host/peer_directory.h>
 #include <host/peer_load_table.h>
 #include <host/quarantine.h>
+#include <host/recent_streams.h>
 #include <host/replica_lease.h>
 #include <host/shared_limit.h>
 #include <host/spreading_limits.h>
@@ -192,6 +193,7 @@
     stream_origin_exchange* stream_origins = nullptr;
     stream_journal_exchange* stream_journal = nullptr;
     version_splits* splits = nullptr;
+    host::recent_streams recent_streams{};                ///< That began through this host.
     std::optional<base::time_point> journal_failed_at{};  ///< When the store last failed to take a record.
     std::optional<base::time_point> registry_failed_at{}; ///< When an own read of the registry last failed.
     host::outage_reports outage_reports{};                ///< Of the other hosts' reads.
--- a/libraries/gateway/operations/state_dump.cpp
+++ b/libraries/gateway/operations/state_dump.cpp
@@ -5,6 +5,7 @@
 #include <gateway/endings/open_request.h>
 #include <gateway/endings/request_record.h>
 #include <gateway/operations/waiting_dump.h>
+#include <gateway/stream_origin/version_splits.h>
 #include <gateway/unsent_data_bound.h>
 
 namespace postpaddle::gateway {
@@ -109,6 +110,20 @@
     return rows;
 }
 
+/// How streams are divided among software versions, as this host knows it.
+json dump_splits(const version_splits& splits) {
+    json rows = json::object();
+    for (const auto& [service, known] : splits.all())
+        rows[service] = {{"splits", json::array()},
+                         {"routes", known.routes},
+                         {"is_confirmed", splits.is_confirmed(service)},
+                         {"covers_registry", splits.covers_registry(service)}};
+    for (const auto& [service, known] : splits.all())
+        for (const decision::traffic_split& split : known.history.splits)
+            rows[service]["splits"].push_back(split.weights);
+    return rows;
+}
+
 /// The requests and parts of prompts suspected of ending upstreams.
 json dump_suspects(const gateway_state& state, base::time_point now) {
     json suspects = json::object();
@@ -172,6 +187,7 @@
             {"may_miss_updates", host::may_miss_updates(state.peers, now)},
             {"retry_budget_left", std::move(budgets)},
             {"profiles", std::move(profiles)},
+            {"version_splits", dump_splits(*state.splits)},
             {"instances", std::move(instances)},
             {"peers", dump_peers(state, now)}};
 }
--- a/libraries/gateway/stream_origin/journal_message.cpp
+++ b/libraries/gateway/stream_origin/journal_message.cpp
@@ -41,7 +41,7 @@
     switch (message.kind) {
     case journal_message_kind::record:
     case journal_message_kind::question:
-        return message.record.has_value();
+        return !message.records.empty();
     case journal_message_kind::findings:
         return message.findings.has_value();
     case journal_message_kind::written:
@@ -55,8 +55,8 @@
 
 std::string encode_journal_message(const journal_message& message) {
     json value = {static_cast<int>(message.kind), message.from.value, message.number, nullptr, nullptr};
-    if (message.record) {
-        const std::string batch = host::encode_journal_batch({*message.record});
+    if (!message.records.empty()) {
+        const std::string batch = host::encode_journal_batch(message.records);
         value[3] = json::binary_t(std::vector<std::uint8_t>(batch.begin(), batch.end()));
     }
     if (message.findings)
@@ -77,10 +77,10 @@
                                 .number = value.at(2).get<std::uint64_t>()};
         if (value.at(3).is_binary()) {
             const auto& batch = value.at(3).get_binary();
-            const auto records = host::decode_journal_batch(std::string(batch.begin(), batch.end()));
-            if (!records || records->size() != 1)
+            auto records = host::decode_journal_batch(std::string(batch.begin(), batch.end()));
+            if (!records)
                 return std::nullopt;
-            message.record = records->front();
+            message.records = std::move(*records);
         }
         if (value.at(4).is_array())
             message.findings = decode_findings(value.at(4));
--- a/libraries/gateway/stream_origin/journal_message.h
+++ b/libraries/gateway/stream_origin/journal_message.h
@@ -8,13 +8,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace postpaddle::gateway {
 
 /// What a datagram about the stream journal says.
 enum class journal_message_kind {
-    record,      ///< Write this record.
-    written,     ///< It is in the store.
+    record,      ///< Write these records, all of one partition.
+    written,     ///< They are in the store.
     question,    ///< What does the journal have of this stream?
     findings,    ///< This.
     unavailable, ///< The store doesn't answer.
@@ -25,7 +26,7 @@
     journal_message_kind kind = journal_message_kind::record;
     base::host_id from{};
     std::uint64_t number = 0;
-    std::optional<host::journal_record> record{};     ///< Of a record; of a question, with its keys only.
+    std::vector<host::journal_record> records{};      ///< Of a record; of a question one, with its keys only.
     std::optional<host::journal_findings> findings{}; ///< Of findings.
 
     bool operator==(const journal_message&) const = default;
--- a/libraries/gateway/stream_origin/journal_partition.cpp
+++ b/libraries/gateway/stream_origin/journal_partition.cpp
@@ -34,11 +34,11 @@
 journal_partition::journal_partition(gateway_state& state, ports::control_feed& feed, std::uint32_t number)
     : state(&state), feed(&feed), number(number), did_read(*state.context, base::time_point::max()) {}
 
-bool journal_partition::write(const host::journal_record& record, wire::yield_context yield) {
+bool journal_partition::write(const std::vector<host::journal_record>& records, wire::yield_context yield) {
     if (!this->next_batch || this->next_batch->records.size() >= max_records)
         this->next_batch = std::make_shared<batch>(*this->state->context);
     const std::shared_ptr<batch> own = this->next_batch;
-    own->records.push_back(record);
+    own->records.insert(own->records.end(), records.begin(), records.end());
     this->write_next();
     wire::error_code ignored;
     if (!own->is_written)
--- a/libraries/gateway/stream_origin/journal_partition.h
+++ b/libraries/gateway/stream_origin/journal_partition.h
@@ -20,8 +20,8 @@
 public:
     journal_partition(gateway_state& state, ports::control_feed& feed, std::uint32_t number);
 
-    /// Writes the record; returns whether the store has it.
-    [[nodiscard]] bool write(const host::journal_record& record, wire::yield_context yield);
+    /// Writes the records; returns whether the store has them.
+    [[nodiscard]] bool write(const std::vector<host::journal_record>& records, wire::yield_context yield);
     /// What the partition has of the stream, complete as of the call; nothing if the store doesn't answer.
     [[nodiscard]] std::optional<host::journal_findings> find(const host::stream_keys& keys,
                                                              wire::yield_context yield);
--- a/libraries/gateway/stream_origin/request_origin.cpp
+++ b/libraries/gateway/stream_origin/request_origin.cpp
@@ -223,6 +223,14 @@
            decision::is_derivable(known->history, split_key_of(request), version);
 }
 
+host::journal_record journal_record_of(const gateway_request& request, const std::string& id,
+                                       const host::stream_origin& origin) {
+    return {.keys = keys_of(request, id),
+            .origin = origin,
+            .revision = request.journal_revisions,
+            .lifetime = record_lifetime(request)};
+}
+
 bool write_journal(gateway_request& request, const host::stream_origin& origin, wire::yield_context yield) {
     gateway_state& state = *request.state;
     if (is_journal_failing(state))
@@ -230,10 +238,7 @@
     // One stream at a time finds out whether the store is back.
     if (state.journal_failed_at)
         state.journal_failed_at = state.clock->now();
-    const host::journal_record record = {.keys = keys_of(request, request.routed.id),
-                                         .origin = origin,
-                                         .revision = request.journal_revisions,
-                                         .lifetime = record_lifetime(request)};
+    const auto record = journal_record_of(request, request.routed.id, origin);
     ++request.journal_revisions;
     const bool is_written = state.stream_journal->write(record, yield);
     if (is_written)
@@ -283,6 +288,8 @@
     // The host whose caller it is tells the others: it decides whether the caller gets the events.
     if (request.forwarded_by || software_version.empty())
         return;
+    request.state->recent_streams.add(journal_record_of(request, request.routed.id, *request.origin),
+                                      request.journalled.has_value(), request.state->clock->now());
     const std::string& first_id = continues_stream(request) && !request.routed.resumes.empty()
                                       ? request.routed.resumes
                                       : request.routed.id;
@@ -291,4 +298,19 @@
                                           placement_limits_of(request).allowed_zones, yield);
 }
 
+void record_older_streams(gateway_state& state, const std::string& service) {
+    const service_splits* const known = state.splits->find(service);
+    if (known == nullptr)
+        return;
+    const auto is_needed = [&](const host::journal_record& record) {
+        const host::stream_key& content = record.keys.by_content;
+        return record.origin.service == service &&
+               !decision::is_derivable(known->history, content.high ^ content.low,
+                                       record.origin.software_version);
+    };
+    const auto records = state.recent_streams.take_unrecorded(is_needed, state.clock->now());
+    if (!records.empty())
+        state.stream_journal->write_later(records);
+}
+
 } // namespace postpaddle::gateway
--- a/libraries/gateway/stream_origin/request_origin.h
+++ b/libraries/gateway/stream_origin/request_origin.h
@@ -47,4 +47,8 @@
 void record_stream_origin(gateway_request& request, const std::string& software_version,
                           wire::yield_context yield);
 
+/// Writes to the journal what began this host's recent streams at the service, as far as that can no longer
+/// be derived. Call when the service's splits have changed.
+void record_older_streams(gateway_state& state, const std::string& service);
+
 } // namespace postpaddle::gateway
--- a/libraries/gateway/stream_origin/stream_journal_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.cpp
@@ -17,6 +17,10 @@
 /// for the write before it.
 constexpr std::array<base::duration, 2> repetition_pauses = {120ms, 80ms};
 constexpr base::duration cleanup_interval = 2s;
+/// How long it is not looked again which hosts are in charge.
+constexpr base::duration addresses_lifetime = 500ms;
+/// So that a datagram is rarely split.
+constexpr std::size_t records_per_datagram = 16;
 
 } // namespace
 
@@ -46,29 +50,29 @@
     }
 }
 
-journal_partition& stream_journal_exchange::partition_of(const host::stream_keys& keys) {
-    return *this->partitions[host::journal_partition_of(keys)];
-}
-
-std::string stream_journal_exchange::address_in_charge(std::uint32_t partition) {
-    // Rendezvous hashing over the hosts that may be alive.
+const std::string& stream_journal_exchange::address_in_charge(std::uint32_t partition) {
     const base::time_point now = this->state->clock->now();
-    std::uint64_t highest = base::hash64(this->state->process->name.value, partition);
-    std::string address;
-    for (const auto& [host, known] : this->state->peers.by_name) {
-        const std::uint64_t value = base::hash64(host.value, partition);
-        if (value <= highest || !host::may_be_alive(known, now))
-            continue;
-        highest = value;
-        address = known.address;
+    if (!this->addresses.empty() && now - this->addresses_found_at < addresses_lifetime)
+        return this->addresses[partition];
+    this->addresses_found_at = now;
+    this->addresses.assign(host::journal_partitions, "");
+    for (std::uint32_t number = 0; number < host::journal_partitions; ++number) {
+        // Rendezvous hashing over the hosts that may be alive.
+        std::uint64_t highest = base::hash64(this->state->process->name.value, number);
+        for (const auto& [host, known] : this->state->peers.by_name) {
+            const std::uint64_t value = base::hash64(host.value, number);
+            if (value <= highest || !host::may_be_alive(known, now))
+                continue;
+            highest = value;
+            this->addresses[number] = known.address;
+        }
     }
-    return address;
+    return this->addresses[partition];
 }
 
-std::optional<journal_message> stream_journal_exchange::ask(journal_message message,
-                                                            const host::stream_keys& keys,
+std::optional<journal_message> stream_journal_exchange::ask(journal_message message, std::uint32_t partition,
                                                             wire::yield_context yield) {
-    const std::string address = this->address_in_charge(host::journal_partition_of(keys));
+    const std::string address = this->address_in_charge(partition);
     if (address.empty() || !this->datagrams->is_open())
         return std::nullopt;
     message.from = this->state->process->name;
@@ -90,20 +94,45 @@
     return sent.answer;
 }
 
-bool stream_journal_exchange::write(const host::journal_record& record, wire::yield_context yield) {
-    const auto answer = this->ask({.kind = message_kind::record, .record = record}, record.keys, yield);
+bool stream_journal_exchange::write_to(std::uint32_t partition, std::vector<host::journal_record> records,
+                                       wire::yield_context yield) {
+    const auto answer = this->ask({.kind = message_kind::record, .records = records}, partition, yield);
     if (answer && answer->kind == message_kind::written)
         return true;
-    return this->partition_of(record.keys).write(record, yield);
+    return this->partitions[partition]->write(records, yield);
+}
+
+bool stream_journal_exchange::write(const host::journal_record& record, wire::yield_context yield) {
+    return this->write_to(host::journal_partition_of(record.keys), {record}, yield);
+}
+
+void stream_journal_exchange::write_later(const std::vector<host::journal_record>& records) {
+    std::map<std::uint32_t, std::vector<host::journal_record>> by_partition;
+    for (const host::journal_record& record : records)
+        by_partition[host::journal_partition_of(record.keys)].push_back(record);
+    for (auto& [number, all] : by_partition)
+        wire::spawn_coroutine(
+            *this->state->context, [this, number = number, all = std::move(all)](wire::yield_context yield) {
+                for (std::size_t begin = 0; begin < all.size(); begin += records_per_datagram) {
+                    const auto first = all.begin() + static_cast<std::ptrdiff_t>(begin);
+                    const auto count = std::min(records_per_datagram, all.size() - begin);
+                    const bool is_written =
+                        this->write_to(number, {first, first + static_cast<std::ptrdiff_t>(count)}, yield);
+                    this->state->metrics->count(is_written ? "streams_recorded_later_total"
+                                                           : "streams_not_journalled_total",
+                                                static_cast<double>(count));
+                }
+            });
 }
 
 std::optional<host::journal_findings> stream_journal_exchange::find(const host::stream_keys& keys,
                                                                     wire::yield_context yield) {
     const host::journal_record sought{.keys = keys, .origin = {}};
-    const auto answer = this->ask({.kind = message_kind::question, .record = sought}, keys, yield);
+    const std::uint32_t partition = host::journal_partition_of(keys);
+    const auto answer = this->ask({.kind = message_kind::question, .records = {sought}}, partition, yield);
     if (answer && answer->kind == message_kind::findings)
         return answer->findings;
-    return this->partition_of(keys).find(keys, yield);
+    return this->partitions[partition]->find(keys, yield);
 }
 
 bool stream_journal_exchange::handle(std::string_view bytes) {
@@ -126,11 +155,12 @@
     wire::spawn_coroutine(*this->state->context, [this, asked](wire::yield_context yield) {
         journal_message reply{
             .kind = message_kind::unavailable, .from = this->state->process->name, .number = asked.number};
-        journal_partition& partition = this->partition_of(asked.record->keys);
+        const host::stream_keys& keys = asked.records.front().keys;
+        journal_partition& partition = *this->partitions[host::journal_partition_of(keys)];
         if (asked.kind == message_kind::record) {
-            if (partition.write(*asked.record, yield))
+            if (partition.write(asked.records, yield))
                 reply.kind = message_kind::written;
-        } else if (auto findings = partition.find(asked.record->keys, yield)) {
+        } else if (auto findings = partition.find(keys, yield)) {
             reply.kind = message_kind::findings;
             reply.findings = std::move(findings);
         }
--- a/libraries/gateway/stream_origin/stream_journal_exchange.h
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.h
@@ -25,6 +25,8 @@
     void start();
     /// Returns whether the store has the record. Takes up to half a second if it doesn't answer.
     [[nodiscard]] bool write(const host::journal_record& record, wire::yield_context yield);
+    /// Writes records of streams that have begun, without waiting for the store.
+    void write_later(const std::vector<host::journal_record>& records);
     /// What the journal has of the stream, complete as of the call; nothing if the store doesn't answer.
     [[nodiscard]] std::optional<host::journal_findings> find(const host::stream_keys& keys,
                                                              wire::yield_context yield);
@@ -41,17 +43,20 @@
     [[nodiscard]] bool handle(std::string_view bytes);
     void answer(const journal_message& asked);
     /// Asks the host in charge; nothing if that is this host, or it doesn't answer.
-    [[nodiscard]] std::optional<journal_message> ask(journal_message message, const host::stream_keys& keys,
+    [[nodiscard]] std::optional<journal_message> ask(journal_message message, std::uint32_t partition,
                                                      wire::yield_context yield);
     /// Address of the host in charge of the partition, empty if that is this host.
-    [[nodiscard]] std::string address_in_charge(std::uint32_t partition);
-    [[nodiscard]] journal_partition& partition_of(const host::stream_keys& keys);
+    [[nodiscard]] const std::string& address_in_charge(std::uint32_t partition);
+    [[nodiscard]] bool write_to(std::uint32_t partition, std::vector<host::journal_record> records,
+                                wire::yield_context yield);
     void reply(const base::host_id& host, const journal_message& message);
     void remove_expired(wire::yield_context yield);
 
     gateway_state* state;
     peer_datagrams* datagrams;
     std::vector<std::unique_ptr<journal_partition>> partitions;
+    std::vector<std::string> addresses; ///< By partition, see `address_in_charge`.
+    base::time_point addresses_found_at{};
     std::uint64_t last_number = 0;
     /// By number. Also held by the coroutines that wait.
     std::shared_ptr<std::map<std::uint64_t, pending_message*>> pending =
--- a/libraries/gateway/stream_origin/version_splits.cpp
+++ b/libraries/gateway/stream_origin/version_splits.cpp
@@ -40,7 +40,8 @@
 version_splits::version_splits(gateway_state& state, ports::control_feed& feed)
     : state(&state), feed(&feed), did_read(*state.context, base::time_point::max()) {}
 
-void version_splits::start() {
+void version_splits::start(std::function<void(const std::string& service)> on_change) {
+    this->on_change = std::move(on_change);
     this->state->splits = this;
     wire::spawn_coroutine(*this->state->context, [this](wire::yield_context yield) { this->run(yield); });
 }
@@ -159,6 +160,7 @@
             continue;
         known = *splits;
         this->state->log->write_always("version_splits", {{"service", note.service}, {"splits", note.text}});
+        this->on_change(note.service);
     }
 }
 
--- a/libraries/gateway/stream_origin/version_splits.h
+++ b/libraries/gateway/stream_origin/version_splits.h
@@ -20,10 +20,13 @@
 public:
     version_splits(gateway_state& state, ports::control_feed& feed);
 
-    /// Starts reading and writing; runs as long as the process.
-    void start();
+    /// Starts reading and writing; runs as long as the process. `on_change` is called when another history of
+    /// a service has been read.
+    void start(std::function<void(const std::string& service)> on_change);
     /// Null if nothing is known of the service.
     [[nodiscard]] const service_splits* find(const std::string& service) const;
+    /// What is known of all services, by name.
+    [[nodiscard]] const std::map<std::string, service_splits>& all() const { return this->stored; }
     /// The services at which streams of the route can have begun.
     [[nodiscard]] std::vector<std::string> services_of(const std::string& route) const;
     /// Whether streams may begin on what is known, without a record: it is what the store had a short while
@@ -63,6 +66,7 @@
     base::time_point read_at{};                 ///< When the last read began.
     std::optional<base::time_point> mismatched_since{};
     bool is_reading = false;
+    std::function<void(const std::string&)> on_change;
     wire::boot_timer did_read; ///< Cancelled at the end of each read.
 };
 
