--- a/libraries/decision/traffic_split.h
+++ b/libraries/decision/traffic_split.h
@@ -26,6 +26,7 @@
 /// The splits under which streams that may still be resumed can have begun.
 struct split_history {
     std::vector<traffic_split> splits; ///< Oldest first; streams begin under the last one.
+    std::uint64_t first_number = 0;    ///< Number of the oldest one; each next one has the next number.
 
     auto operator<=>(const split_history&) const = default;
 };
--- a/libraries/gateway/forwarding/forwarded_request.cpp
+++ b/libraries/gateway/forwarding/forwarded_request.cpp
@@ -73,7 +73,8 @@
                         request.accepted_prompts,
                         encode_message(request.message),
                         request.software_version,
-                        request.suspects};
+                        request.suspects,
+                        request.journal_revisions};
     std::string bytes;
     json::to_msgpack(value, bytes);
     return bytes;
@@ -95,13 +96,16 @@
             .message = decode_message(value.at(11))};
         if (!value.at(8).is_null())
             request.resume_after = value.at(8).get<std::uint64_t>();
-        // Hosts of earlier versions send neither or only the first of these.
+        // Hosts of earlier versions send none or only the first of these.
         static constexpr std::size_t version_field = 12;
         static constexpr std::size_t suspects_field = 13;
+        static constexpr std::size_t journal_field = 14;
         if (value.size() > version_field)
             request.software_version = value.at(version_field).get<std::string>();
         if (value.size() > suspects_field)
             request.suspects = value.at(suspects_field).get<std::string>();
+        if (value.size() > journal_field)
+            request.journal_revisions = value.at(journal_field).get<std::uint32_t>();
         if (request.from.is_empty() || request.max_attempts < 1 || request.accepted_prompts < 0)
             return std::nullopt;
         return request;
--- a/libraries/gateway/forwarding/forwarded_request.h
+++ b/libraries/gateway/forwarding/forwarded_request.h
@@ -33,6 +33,7 @@
     int max_attempts = 1;                        ///< Upstreams that may run it.
     int accepted_prompts = 0; ///< Prompts that engines may have processed; further ones count as retries.
     std::string software_version{}; ///< That began the stream which the request continues; empty: none did.
+    std::uint32_t journal_revisions = 0; ///< Records that the stream journal may have of the attempt.
     /// What the first host knows of upstreams that ended while they ran the request, see `encode_suspects`.
     std::string suspects{};
     wire::http_request message; ///< As the caller sent it, without its key.
--- a/libraries/gateway/forwarding/forwarding_receiver.cpp
+++ b/libraries/gateway/forwarding/forwarding_receiver.cpp
@@ -93,6 +93,8 @@
         request.routed.resume_after = forwarded.resume_after;
     if (!resolve(request, forwarded))
         return false;
+    request.journal = {.is_unclear = forwarded.journal_revisions > 0,
+                       .revisions = forwarded.journal_revisions};
     if (!forwarded.software_version.empty())
         request.origin =
             host::stream_origin{.service = forwarded.service, .software_version = forwarded.software_version};
--- a/libraries/gateway/forwarding/forwarding_sender.cpp
+++ b/libraries/gateway/forwarding/forwarding_sender.cpp
@@ -43,6 +43,7 @@
             .max_attempts = decision::attempts_to_grant(request.record),
             .accepted_prompts = request.record.accepted_prompts,
             .software_version = request.origin ? request.origin->software_version : "",
+            .journal_revisions = request.journal.revisions,
             .suspects = encode_suspects(request),
             .message = request.routed.message};
 }
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -37,6 +37,19 @@
     }
 };
 
+/// What the stream journal has of an attempt that has brought no event yet.
+struct journal_state {
+    std::optional<host::stream_origin> written{};   ///< Of the last record, if the store has confirmed it.
+    std::optional<host::stream_origin> attempted{}; ///< Of the last record, whether or not it was written.
+    bool is_unclear = false;                        ///< Another host may have written a record.
+    std::uint32_t revisions = 0;                    ///< Records so far.
+
+    /// Whether the journal may name another origin.
+    [[nodiscard]] bool may_contradict(const host::stream_origin& origin) const {
+        return this->is_unclear || (this->attempted && *this->attempted != origin);
+    }
+};
+
 /// State of one client request, from its arrival until it has been answered.
 struct gateway_request {
     gateway_state* state = nullptr;
@@ -56,9 +69,7 @@
     std::string service;
     /// What began the stream that the request has begun or continues: nothing else may continue it.
     std::optional<host::stream_origin> origin{};
-    /// Origin that the journal has for this attempt, which has no event yet, and how often it was written.
-    std::optional<host::stream_origin> journalled{};
-    std::uint32_t journal_revisions = 0;
+    journal_state journal{};
     int rank = 0;                  ///< Priority among waiting requests, from 0 (most urgent) to `max_rank`.
     host::share_key share_key = 0; ///< Of its organisation's share of the service.
     std::optional<scoped_share_use> share_use{}; ///< From its start at an engine to its end.
--- a/libraries/gateway/stream_origin/request_origin.cpp
+++ b/libraries/gateway/stream_origin/request_origin.cpp
@@ -34,7 +34,7 @@
 /// For how long the request's stream may be resumed.
 std::chrono::milliseconds record_lifetime(const gateway_request& request) {
     const base::duration patience =
-        std::max<base::duration>(request.route->time_limit, request.deadline - request.arrived);
+        std::max(longest_return(*request.state, request.service), request.deadline - request.arrived);
     return std::chrono::duration_cast<std::chrono::milliseconds>(patience + record_margin);
 }
 
@@ -63,20 +63,6 @@
     });
 }
 
-/// The versions of the service in the order in which the request's content prefers them, up to the first that
-/// has an engine.
-std::vector<std::string> versions_until_listed(const gateway_request& request, const std::string& service) {
-    const service_splits* const known = request.state->splits->find(service);
-    if (known == nullptr || known->history.splits.empty())
-        return {};
-    auto versions = decision::versions_by_preference(known->history.splits.back(), split_key_of(request));
-    const auto first = std::ranges::find_if(
-        versions, [&](const std::string& version) { return has_listed_engine(request, service, version); });
-    if (first != versions.end())
-        versions.erase(std::next(first), versions.end());
-    return versions;
-}
-
 /// What the request's stream can have begun at without a record; nothing if that could be anything.
 std::optional<std::set<host::stream_origin>> find_unrecorded(const gateway_request& request) {
     const version_splits& splits = *request.state->splits;
@@ -88,25 +74,10 @@
             return std::nullopt;
         for (const std::string& version : decision::assigned_versions(known->history, split_key_of(request)))
             origins.insert({.service = service, .software_version = version});
-        // It may have begun at the next version if the store was away when the first had gone.
-        for (const std::string& version : versions_until_listed(request, service))
-            origins.insert({.service = service, .software_version = version});
     }
     return origins;
 }
 
-/// The origin of all the route's streams, if there can have been only one.
-std::optional<host::stream_origin> find_sole_origin(const gateway_request& request) {
-    const auto services = services_of_streams(request);
-    if (services.size() != 1)
-        return std::nullopt;
-    const service_splits* const known = request.state->splits->find(*services.begin());
-    if (known == nullptr || decision::versions_in(known->history).size() != 1)
-        return std::nullopt;
-    const auto unrecorded = find_unrecorded(request);
-    return unrecorded && unrecorded->size() == 1 ? std::optional(*unrecorded->begin()) : std::nullopt;
-}
-
 /// An origin and how it was found, for the log.
 struct found_origin {
     std::optional<host::stream_origin> origin;
@@ -118,25 +89,19 @@
     const host::stream_keys keys = keys_of(request, request.routed.resumes);
     const auto zones = placement_limits_of(request).allowed_zones;
     const bool is_store_read = state.splits->refresh(yield);
-    if (is_store_read)
-        if (auto sole = find_sole_origin(request))
-            return {.origin = std::move(sole), .source = "sole_version"};
+    if (const auto recorded = is_store_read ? state.stream_journal->find(keys, yield) : std::nullopt) {
+        auto resolved = host::resolve_origin({.unrecorded = find_unrecorded(request),
+                                              .recorded = *recorded,
+                                              .is_named = keys.by_id != host::stream_key{}});
+        if (resolved)
+            return {.origin = std::move(resolved), .source = recorded->by_id ? "journal" : "split"};
+    }
     // With several services the stream may have begun at any of them.
     const auto& services = request.route->services;
     const std::string inferred_for = !is_store_read && services.size() == 1 ? services.front().service : "";
-    if (auto known = state.stream_origins->find(keys, inferred_for, zones, yield))
-        return {.origin = std::move(known), .source = "host"};
-    if (!is_store_read)
-        return {};
-    const auto recorded = state.stream_journal->find(keys, yield);
-    if (!recorded)
-        return {};
-    auto resolved = host::resolve_origin({.unrecorded = find_unrecorded(request),
-                                          .recorded = *recorded,
-                                          .is_named = keys.by_id != host::stream_key{}});
-    if (!resolved)
-        return {};
-    return {.origin = std::move(resolved), .source = recorded->by_id ? "journal" : "split"};
+    auto known = state.stream_origins->find(keys, inferred_for, zones, yield);
+    const char* const source = known ? "host" : "unknown";
+    return {.origin = std::move(known), .source = source};
 }
 
 } // namespace
@@ -198,20 +163,15 @@
 }
 
 /// The version at which a stream may begin although no record of it can be written: the first in the
-/// content's order that has an engine. Whoever continues a stream considers that one.
+/// content's order, if it has an engine. Another one would be guessed wrongly once the first is back.
 std::optional<std::string> default_version(const gateway_request& request) {
-    const auto versions = versions_until_listed(request, request.service);
-    const bool is_listed = !versions.empty() && has_listed_engine(request, request.service, versions.back());
-    return is_listed ? std::optional(versions.back()) : std::nullopt;
-}
-
-/// Whether the registry names one version of the service.
-bool has_single_version(const gateway_request& request) {
-    std::set<std::string> versions;
-    for (const auto& [id, known] : request.state->instances.by_id)
-        if (known.entry.service == request.service)
-            versions.insert(known.entry.software_version);
-    return versions.size() == 1;
+    const service_splits* const known = request.state->splits->find(request.service);
+    if (known == nullptr || known->history.splits.empty())
+        return std::nullopt;
+    const auto versions =
+        decision::versions_by_preference(known->history.splits.back(), split_key_of(request));
+    const bool is_listed = !versions.empty() && has_listed_engine(request, request.service, versions.front());
+    return is_listed ? std::optional(versions.front()) : std::nullopt;
 }
 
 /// Whether every host derives that a stream of the request began at the version.
@@ -227,7 +187,7 @@
                                        const host::stream_origin& origin) {
     return {.keys = keys_of(request, id),
             .origin = origin,
-            .revision = request.journal_revisions,
+            .revision = request.journal.revisions,
             .lifetime = record_lifetime(request)};
 }
 
@@ -239,10 +199,14 @@
     if (state.journal_failed_at)
         state.journal_failed_at = state.clock->now();
     const auto record = journal_record_of(request, request.routed.id, origin);
-    ++request.journal_revisions;
+    ++request.journal.revisions;
+    request.journal.written.reset();
+    request.journal.attempted = origin;
     const bool is_written = state.stream_journal->write(record, yield);
-    if (is_written)
-        request.journalled = origin;
+    if (is_written) {
+        request.journal.written = origin;
+        request.journal.is_unclear = false;
+    }
     state.journal_failed_at = is_written ? std::nullopt : std::optional(state.clock->now());
     return is_written;
 }
@@ -251,7 +215,7 @@
 
 version_choice choose_versions(const gateway_request& request) {
     version_choice choice{.preferred = preferred_versions(request)};
-    if (!choice.preferred.empty() && is_journal_failing(*request.state))
+    if (is_journal_failing(*request.state))
         choice.only = default_version(request);
     return choice;
 }
@@ -263,19 +227,26 @@
     if (!is_resumable)
         return true;
     const host::stream_origin origin = {.service = request.service, .software_version = software_version};
-    if (request.journalled == origin || (!request.journalled && is_derivable(request, software_version)))
+    const bool is_recorded = request.journal.written == origin && !request.journal.is_unclear;
+    const bool has_record = request.journal.attempted || request.journal.is_unclear;
+    if (is_recorded || (!has_record && is_derivable(request, software_version)))
         return true;
+    // A record that is not confirmed may be in the store all the same.
+    const bool may_contradict = request.journal.may_contradict(origin);
     if (write_journal(request, origin, yield))
         return true;
     request.state->metrics->count("streams_not_journalled_total");
     // What began a stream that goes on is known, if only at some hosts.
     if (request.origin)
         return true;
-    if (request.journalled)
-        return false;
-    if (request.state->splits->find(request.service) == nullptr)
-        return has_single_version(request);
-    return default_version(request) == software_version;
+    return !may_contradict && default_version(request) == software_version;
+}
+
+void did_forward_stream(gateway_request& request) {
+    // More than a host writes for one attempt.
+    static constexpr std::uint32_t revisions_elsewhere = 256;
+    request.journal.is_unclear = true;
+    request.journal.revisions += revisions_elsewhere;
 }
 
 void record_stream_origin(gateway_request& request, const std::string& software_version,
@@ -289,7 +260,7 @@
     if (request.forwarded_by || software_version.empty())
         return;
     request.state->recent_streams.add(journal_record_of(request, request.routed.id, *request.origin),
-                                      request.journalled.has_value(), request.state->clock->now());
+                                      request.journal.written.has_value(), request.state->clock->now());
     const std::string& first_id = continues_stream(request) && !request.routed.resumes.empty()
                                       ? request.routed.resumes
                                       : request.routed.id;
--- a/libraries/gateway/stream_origin/request_origin.h
+++ b/libraries/gateway/stream_origin/request_origin.h
@@ -42,6 +42,9 @@
 [[nodiscard]] bool prepare_stream_origin(gateway_request& request, const std::string& software_version,
                                          wire::yield_context yield);
 
+/// Call after another host was sent the request: it may have written records of the attempt.
+void did_forward_stream(gateway_request& request);
+
 /// Call before the first event of a stream goes to the caller, with the version of the upstream that it came
 /// from, empty if unknown. Records it for when the caller returns, at any host.
 void record_stream_origin(gateway_request& request, const std::string& software_version,
--- a/libraries/gateway/stream_origin/service_splits.cpp
+++ b/libraries/gateway/stream_origin/service_splits.cpp
@@ -25,7 +25,8 @@
     json history = json::array();
     for (const decision::traffic_split& split : splits.history.splits)
         history.push_back(split.weights);
-    return json({{"splits", history}, {"routes", splits.routes}}).dump();
+    return json({{"first", splits.history.first_number}, {"splits", history}, {"routes", splits.routes}})
+        .dump();
 }
 
 std::optional<service_splits> decode_splits(std::string_view text) {
@@ -34,6 +35,7 @@
         service_splits splits;
         for (const json& weights : value.at("splits"))
             splits.history.splits.push_back({weights.get<std::map<std::string, std::uint32_t>>()});
+        splits.history.first_number = value.at("first").get<std::uint64_t>();
         splits.routes = value.at("routes").get<std::set<std::string>>();
         return splits;
     } catch (const json::exception&) {
@@ -67,6 +69,7 @@
     auto& splits = updated.history.splits;
     const std::size_t old = std::min(expired.splits, splits.empty() ? 0 : splits.size() - 1);
     splits.erase(splits.begin(), splits.begin() + static_cast<std::ptrdiff_t>(old));
+    updated.history.first_number += old;
     const auto newest = splits.empty() ? std::nullopt : std::optional(splits.back());
     const auto next = decision::next_split(newest, view.capacity);
     if (next && splits.size() < max_splits)
@@ -84,19 +87,13 @@
                  base::time_point now) {
     const auto& history = splits.history.splits;
     // The stored history loses its oldest splits and gets new ones at its end.
-    std::size_t dropped = 0;
-    const auto matches = [&](std::size_t first) {
-        const std::size_t common = ages.splits.size() - first;
-        return common <= history.size() &&
-               std::ranges::equal(ages.splits.begin() + static_cast<std::ptrdiff_t>(first), ages.splits.end(),
-                                  history.begin(), history.begin() + static_cast<std::ptrdiff_t>(common), {},
-                                  [](const auto& aged) { return aged.first; });
-    };
-    while (!matches(dropped))
-        ++dropped;
-    ages.splits.erase(ages.splits.begin(), ages.splits.begin() + static_cast<std::ptrdiff_t>(dropped));
-    for (std::size_t index = ages.splits.size(); index < history.size(); ++index)
-        ages.splits.emplace_back(history[index], now);
+    while (!ages.since.empty() && ages.first_number < splits.history.first_number) {
+        ages.since.pop_front();
+        ++ages.first_number;
+    }
+    ages.first_number = splits.history.first_number;
+    while (ages.since.size() < history.size())
+        ages.since.push_back(now);
     std::erase_if(ages.unused_routes, [&](const auto& item) { return view.routes.contains(item.first); });
     for (const std::string& route : splits.routes)
         if (!view.routes.contains(route))
@@ -106,8 +103,7 @@
 expired_splits find_expired(const split_ages& ages, base::duration retention, base::time_point now) {
     expired_splits expired;
     // A split is out of use since the next one is known.
-    while (expired.splits + 1 < ages.splits.size() &&
-           now - ages.splits[expired.splits + 1].second >= retention)
+    while (expired.splits + 1 < ages.since.size() && now - ages.since[expired.splits + 1] >= retention)
         ++expired.splits;
     for (const auto& [route, since] : ages.unused_routes)
         if (now - since >= retention)
--- a/libraries/gateway/stream_origin/service_splits.h
+++ b/libraries/gateway/stream_origin/service_splits.h
@@ -5,6 +5,8 @@
 #include <decision/traffic_split.h>
 #include <settings/routing_settings.h>
 
+#include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -53,7 +55,8 @@
 
 /// Since when a host has known each part of a service's splits, by its own clock.
 struct split_ages {
-    std::vector<std::pair<decision::traffic_split, base::time_point>> splits; ///< Aligned with the history.
+    std::deque<base::time_point> since;                    ///< Of each split, oldest first.
+    std::uint64_t first_number = 0;                        ///< Number of the oldest one.
     std::map<std::string, base::time_point> unused_routes; ///< Since when no route of that name leads here.
 };
 
--- a/libraries/gateway/stream_origin/version_splits.cpp
+++ b/libraries/gateway/stream_origin/version_splits.cpp
@@ -81,7 +81,7 @@
     if (!std::ranges::includes(known, view->second.versions))
         return false;
     const base::duration age = this->state->clock->now() - *this->known_at;
-    return splits->history.splits.size() == 1 || age < 2 * this->poll_interval() + call_timeout;
+    return known.size() == 1 || age < 2 * this->poll_interval() + call_timeout;
 }
 
 base::duration version_splits::poll_interval() const {
@@ -94,8 +94,9 @@
 }
 
 bool version_splits::has_several_splits() const {
-    return std::ranges::any_of(this->stored,
-                               [](const auto& item) { return item.second.history.splits.size() > 1; });
+    return std::ranges::any_of(this->stored, [](const auto& item) {
+        return item.second.history.splits.size() > 1 || decision::versions_in(item.second.history).size() > 1;
+    });
 }
 
 bool version_splits::refresh(wire::yield_context yield) {
--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -401,7 +401,7 @@
     this->reason = "where the stream begins can't be recorded";
     const auto other = choose_versions(*this->request).only;
     const bool may_choose_again =
-        other && *other != version && !this->request->journalled && !this->retained.has_value();
+        other && *other != version && !this->request->journal.attempted && !this->retained.has_value();
     return tl::make_unexpected(may_choose_again ? failed_attempt::try_again : failed_attempt::give_up);
 }
 
@@ -458,6 +458,7 @@
     received_answer answer = this->receive_answer(exchange, yield);
     this->watch.end(exchange);
     end_forwarding(*this->request, *forwarded);
+    did_forward_stream(*this->request);
     this->last_result = exchange.result;
     this->reason = decision::to_text(exchange.result);
     const auto ending = exchange.result == attempt_result::not_run && !this->progress.has_started
--- a/libraries/host/stream_journal.cpp
+++ b/libraries/host/stream_journal.cpp
@@ -73,7 +73,7 @@
             // Records of one attempt may arrive in any order; the last one made tells what it began at. Two
             // different ones with the same revision come from a caller that has used an id twice.
             if (record.revision > known->second.revision)
-                known->second = {record.origin, record.revision, expires};
+                known->second = {record.origin, record.revision, known->second.expires};
             else if (record.revision == known->second.revision && record.origin != known->second.origin)
                 known->second.origin = {};
             known->second.expires = std::max(known->second.expires, expires);
--- a/libraries/host/stream_origins.h
+++ b/libraries/host/stream_origins.h
@@ -37,7 +37,7 @@
     stream_key by_id; ///< Of the attempt that brought the first event; zero if the caller doesn't name it.
     stream_key by_content; ///< Of the request, which is the same in all attempts of most callers.
 
-    bool operator==(const stream_keys&) const = default;
+    auto operator<=>(const stream_keys&) const = default;
 };
 
 /// The parts of the request that brought a stream's first event.
