--- a/tests/gateway/test_service_splits.cpp
+++ b/tests/gateway/test_service_splits.cpp
@@ -271,3 +271,15 @@
     host.read(splits, 60s, without);
     CHECK(expired_routes(99s) == no_routes);
 }
+
+// Guards against splits that a host drops too early as it takes them for earlier ones with the same weights,
+// when it has not read the store for a while and a capacity went back and forth.
+TEST_CASE("splits that alternate keep their own ages") {
+    aged_splits host;
+    host.read(make_splits({first_split}), 0s);
+    host.read(make_splits({first_split, second_split}), 10s);
+    host.read(make_splits({first_split, second_split, first_split}), 20s);
+    // Others have dropped the two oldest meanwhile, and added two.
+    host.read(make_splits({first_split, second_split, first_split}), 70s);
+    CHECK(host.expired(71s) == 0);
+}
--- a/tests/gateway/test_split_model.cpp
+++ b/tests/gateway/test_split_model.cpp
@@ -227,3 +227,41 @@
     CHECK(result.named.gone_on == result.named.returns);
     CHECK(result.unnamed.gone_on == result.unnamed.returns);
 }
+
+// Guards against a stream that goes on at another software version after its hosts have gone.
+TEST_CASE("no stream goes on at another version through releases, outages and losses of hosts") {
+    const auto result = run_all({});
+    print(result);
+    CHECK(result.begun > 0);
+    CHECK(result.wrong == 0);
+}
+
+TEST_CASE("no wrong origin if a host has missed a split") { check_no_wrong_origin(make_missed_split()); }
+
+TEST_CASE("no wrong origin if the store doesn't answer one host for long") {
+    check_no_wrong_origin(make_host_turned_away());
+}
+
+TEST_CASE("no wrong origin if a version is gone for a moment where the store doesn't answer") {
+    check_no_wrong_origin(make_short_restarts());
+}
+
+TEST_CASE("no wrong origin if a record is written without an answer") {
+    check_no_wrong_origin(make_lost_answers());
+}
+
+TEST_CASE("no wrong origin if a request is forwarded after a failed run") {
+    check_no_wrong_origin(make_forwarded_requests());
+}
+
+TEST_CASE("no wrong origin if hosts start during a release") {
+    check_no_wrong_origin(make_start_during_release());
+}
+
+TEST_CASE("no wrong origin if hosts start while the store is away") {
+    check_no_wrong_origin(make_start_without_store());
+}
+
+TEST_CASE("no wrong origin if callers wait for twice the time limit") {
+    check_no_wrong_origin(make_long_waits());
+}
--- a/tests/host/test_stream_journal.cpp
+++ b/tests/host/test_stream_journal.cpp
@@ -174,3 +174,15 @@
     index.remove_expired(start + 25s);
     CHECK(index.size() == 0);
 }
+
+// Guards against a short record that shortens the time for which an earlier one of the stream is kept.
+TEST_CASE("a record keeps the longest of its lifetimes") {
+    host::journal_index index;
+    auto record = make_record(1, 7, first_origin);
+    index.add(record, start);
+    record.lifetime = 1s;
+    record.revision = 1;
+    index.add(record, start + 1s);
+    CHECK(find(index, 1, 7, 19s).by_id == first_origin);
+    CHECK(find(index, 1, 7, 19s).by_content == std::set{first_origin});
+}
