--- a/libraries/gateway/stream_origin/request_origin.cpp
+++ b/libraries/gateway/stream_origin/request_origin.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/stream_origin/request_origin.h>
 
+#include <gateway/endings/request_drain.h>
 #include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/stream_origin/stream_journal_exchange.h>
 #include <gateway/stream_origin/stream_origin_exchange.h>
@@ -213,6 +214,15 @@
 
 } // namespace
 
+void await_splits(const gateway_request& request, wire::yield_context yield) {
+    static constexpr base::duration max_time_since_start = 1s;
+    static constexpr base::duration poll_interval = 5ms;
+    const gateway_state& state = *request.state;
+    while (begins_resumable_stream(request) && state.splits->find(request.service) == nullptr &&
+           state.clock->now() - state.started < max_time_since_start && !is_wait_over(request))
+        pause_request(request, poll_interval, yield);
+}
+
 version_choice choose_versions(const gateway_request& request) {
     version_choice choice{.preferred = preferred_versions(request)};
     if (is_journal_failing(*request.state))
--- a/libraries/gateway/stream_origin/request_origin.h
+++ b/libraries/gateway/stream_origin/request_origin.h
@@ -33,6 +33,9 @@
     std::optional<std::string> only{};  ///< The only one at which it may begin now.
 };
 
+/// Waits shortly after this host's start until the splits of the request's service have been read or written.
+void await_splits(const gateway_request& request, wire::yield_context yield);
+
 /// Where a resumable stream should begin, so that what began it can be derived from its content.
 [[nodiscard]] version_choice choose_versions(const gateway_request& request);
 
--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -502,6 +502,7 @@
     this->events.last_id = this->request->routed.resume_after;
     this->request->reserves_retries = this->avoids_wasted_prefills;
     this->find_held_prompt(yield);
+    await_splits(*this->request, yield);
     while (this->is_caller_waiting()) {
         const auto ending = this->attempt(yield);
         if (ending) {
--- a/libraries/host/origin_evidence.cpp
+++ b/libraries/host/origin_evidence.cpp
@@ -10,9 +10,8 @@
     if (!evidence.unrecorded)
         return std::nullopt;
     std::set<stream_origin> possible = *evidence.unrecorded;
-    // A stream that its caller names and that has no record is not one of those recorded with its content.
-    if (!evidence.is_named)
-        possible.insert(evidence.recorded.by_content.begin(), evidence.recorded.by_content.end());
+    // Also of a caller that names an attempt without a record: it may have named another than the first.
+    possible.insert(evidence.recorded.by_content.begin(), evidence.recorded.by_content.end());
     if (possible.size() != 1 || possible.begin()->software_version.empty())
         return std::nullopt;
     return *possible.begin();
