--- a/libraries/gateway/stream_origin/version_splits.cpp
+++ b/libraries/gateway/stream_origin/version_splits.cpp
@@ -40,7 +40,8 @@
 version_splits::version_splits(gateway_state& state, ports::control_feed& feed)
     : state(&state), feed(&feed), did_read(*state.context, base::time_point::max()) {}
 
-void version_splits::start() {
+void version_splits::start(std::function<void(const std::string& service)> on_change) {
+    this->on_change = std::move(on_change);
     this->state->splits = this;
     wire::spawn_coroutine(*this->state->context, [this](wire::yield_context yield) { this->run(yield); });
 }
@@ -80,7 +81,7 @@
     if (!std::ranges::includes(known, view->second.versions))
         return false;
     const base::duration age = this->state->clock->now() - *this->known_at;
-    return splits->history.splits.size() == 1 || age < 2 * this->poll_interval() + call_timeout;
+    return known.size() == 1 || age < 2 * this->poll_interval() + call_timeout;
 }
 
 base::duration version_splits::poll_interval() const {
@@ -93,8 +94,9 @@
 }
 
 bool version_splits::has_several_splits() const {
-    return std::ranges::any_of(this->stored,
-                               [](const auto& item) { return item.second.history.splits.size() > 1; });
+    return std::ranges::any_of(this->stored, [](const auto& item) {
+        return item.second.history.splits.size() > 1 || decision::versions_in(item.second.history).size() > 1;
+    });
 }
 
 bool version_splits::refresh(wire::yield_context yield) {
@@ -159,6 +161,7 @@
             continue;
         known = *splits;
         this->state->log->write_always("version_splits", {{"service", note.service}, {"splits", note.text}});
+        this->on_change(note.service);
     }
 }
 
