--- a/tests/gateway/test_lost_hosts.cpp
+++ b/tests/gateway/test_lost_hosts.cpp
@@ -79,6 +79,7 @@
     REQUIRE(is_settled);
 }
 
+/// More than the 32 slots of the two decode engines of a version, by far.
 constexpr int crowding_streams = 60;
 
 /// Two hosts and engines with less room than `crowding_streams` of one content need at its version, so that
