streams: Keep a run while all other engines are silent with its own

Each cost a prompt, retry budget and memory at an engine that stood still as well.

Cause: a run at an upstream without a sign of life was replaced at its limit. Whether another engine was any better was not asked.

Change: `decision/shared_silence` decides with the signs of life of the other engines that could take the run over. From half of the limit on they are asked for one as the run's own engine is. While none has shown one, the run is kept; when they come back, for a quarter of the limit longer, unless that is too late for the caller. A claim takes only engines that have shown a sign of life. A single dead engine is left at the limit as before. Where this host suspects its own links, the others are not looked at. `was_shared` in the log's sends tells of it.

--- a/libraries/gateway/streams/stream_watch.cpp
+++ b/libraries/gateway/streams/stream_watch.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/streams/stream_watch.h>
 
+#include <decision/choice_cost.h>
 #include <decision/stream_rules.h>
 #include <gateway/engine_slots/engine_slot.h>
 #include <gateway/forwarding/forwarding_sender.h>
@@ -42,11 +43,16 @@
     return limits;
 }
 
+stall_source stream_watch::source_of(const base::upstream_id& engine, decision::attempt_kind kind) const {
+    return upstream_source(*this->request->state, engine,
+                           [this, engine, kind] { return this->other_engines(engine, kind); });
+}
+
 void stream_watch::watch_engine(const decision::engine_plan& plan) {
     this->monitor.reset();
     if (!decision::may_retry_elsewhere(this->request->record))
         return;
-    this->monitor.emplace(*this->request, upstream_source(*this->request->state, plan.decode),
+    this->monitor.emplace(*this->request, this->source_of(plan.decode, decision::attempt_kind::run),
                           stall_monitor_options{.limits = this->limits_of_first_event(plan),
                                                 .try_claim_next = [this, engine = plan.decode] {
                                                     return this->try_claim_next(engine,
@@ -62,7 +68,7 @@
     if (!may_have_run)
         limits.ending = decision::ending_alone::refusal;
     this->monitor.emplace(
-        *this->request, upstream_source(*this->request->state, *plan.prefill),
+        *this->request, this->source_of(*plan.prefill, decision::attempt_kind::prefill),
         stall_monitor_options{
             .limits = limits, .try_claim_next = [this, may_have_run, engine = *plan.prefill] {
                 return !may_have_run || this->try_claim_next(engine, decision::attempt_kind::prefill);
@@ -114,8 +120,27 @@
         this->monitor->did_receive_unfinished();
 }
 
+std::vector<base::upstream_id> stream_watch::other_engines(const base::upstream_id& engine,
+                                                           decision::attempt_kind kind) const {
+    if (should_forward(*this->request))
+        return {};
+    // A decode engine can process a prompt as well.
+    const auto can_take_over = [kind](const decision::instance& candidate) {
+        return kind == decision::attempt_kind::prefill || decision::can_decode(candidate);
+    };
+    std::vector<base::upstream_id> others;
+    for (const decision::instance* const candidate : decision::eligible_instances(
+             this->request->state->instances, choice_context_of(*this->request), can_take_over))
+        if (candidate->entry.id != engine)
+            others.push_back(candidate->entry.id);
+    return others;
+}
+
 std::optional<decision::engine_plan> stream_watch::find_next_plan(const base::upstream_id& engine) {
-    const bool is_new = this->request->tried.insert(engine).second;
+    const std::set<base::upstream_id> tried_before = this->request->tried;
+    this->request->tried.insert(engine);
+    const std::set<base::upstream_id>& silent = this->monitor->silent_others();
+    this->request->tried.insert(silent.begin(), silent.end());
     std::optional<decision::engine_plan> plan;
     if (may_send_prompt(*this->progress))
         plan = find_free_engine_slot(*this->request, this->progress->size);
@@ -126,8 +151,7 @@
         if (plan && !plan->has_room)
             plan.reset();
     }
-    if (is_new)
-        this->request->tried.erase(engine);
+    this->request->tried = tried_before;
     return plan;
 }
 
--- a/libraries/gateway/streams/stream_watch.h
+++ b/libraries/gateway/streams/stream_watch.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace postpaddle::gateway {
 
@@ -52,7 +53,14 @@
     [[nodiscard]] bool try_claim_next(const base::upstream_id& engine, decision::attempt_kind kind);
     /// The same for another host than these.
     [[nodiscard]] bool try_claim_other_host(const std::set<base::host_id>& excluded);
-    /// Engines with room for the next attempt, which leaves out the engine. Does not wait.
+    /// The engine as the source of an answer, with those that could take the request over.
+    [[nodiscard]] stall_source source_of(const base::upstream_id& engine, decision::attempt_kind kind) const;
+    /// Other engines that could take the request over from the engine, whether they have room or not. None if
+    /// another host would: this host's links are suspected then, and a silence says nothing of engines.
+    [[nodiscard]] std::vector<base::upstream_id> other_engines(const base::upstream_id& engine,
+                                                               decision::attempt_kind kind) const;
+    /// Engines with room for the next attempt, which leaves out the engine and those that are silent as well.
+    /// Does not wait.
     [[nodiscard]] std::optional<decision::engine_plan> find_next_plan(const base::upstream_id& engine);
     /// Limits for the silence before the first event of a run.
     [[nodiscard]] stall_limits limits_of_first_event(const decision::engine_plan& plan) const;
--- a/libraries/gateway/upstreams/stall_monitor.cpp
+++ b/libraries/gateway/upstreams/stall_monitor.cpp
@@ -84,6 +84,8 @@
     this->unfinished_since.reset();
     this->unfinished = {};
     this->is_postponed = false;
+    this->others_in_silence.clear();
+    this->shared_at.reset();
     return this->look_at(now + decision::silence_before_probe(this->options.limits.limit));
 }
 
@@ -104,6 +106,27 @@
     this->unfinished = now - *this->unfinished_since;
 }
 
+decision::other_upstreams stall_monitor::look_at_others(base::time_point now) {
+    const base::duration limit = this->options.limits.limit;
+    decision::other_upstreams others;
+    this->others_in_silence.clear();
+    for (const base::upstream_id& id :
+         this->source.others ? this->source.others() : std::vector<base::upstream_id>{}) {
+        const base::time_point heard_at = this->source.other_heard_at(id);
+        if (heard_at <= this->silent_since || now - heard_at >= decision::age_before_next_probe(limit))
+            this->source.request_sign_of_other(id);
+        if (decision::is_sign_of_life(heard_at, this->silent_since, limit, now)) {
+            ++others.alive;
+        } else {
+            ++others.silent;
+            this->others_in_silence.insert(id);
+        }
+    }
+    if (this->shared_at)
+        others.since_shared = now - *this->shared_at;
+    return others;
+}
+
 std::optional<base::time_point> stall_monitor::look() {
     // A timer asks, which nothing above would catch an exception from: the process would end.
     try {
@@ -127,10 +150,15 @@
     const base::time_point heard_at = this->source.heard_at();
     if (heard_at <= this->silent_since || now - heard_at >= decision::age_before_next_probe(limit))
         this->source.request_sign_of_life();
+    const decision::other_upstreams others = this->look_at_others(now);
     if (silent < limit)
         return this->look_at(this->silent_since + limit);
     if (this->should_postpone(now))
         return this->look_at(now + std::min<base::duration>(limit - probe_after, life_probe_timeout));
+    if (decision::is_silence_shared(others)) {
+        this->shared_at = now;
+        this->stalls.was_shared = true;
+    }
     const decision::stall_history* const history = this->source.history();
     this->stalls.was_alive = decision::is_sign_of_life(heard_at, this->silent_since, limit, now);
     const decision::stall_facts facts = {
@@ -141,8 +169,8 @@
         .is_alive = this->stalls.was_alive,
         .is_recovery_expected = history == nullptr || decision::is_recovery_expected(*history, now),
         .ending = this->options.limits.ending};
-    const bool is_replaced = decision::should_replace(facts) && this->options.try_claim_next();
-    if (!is_replaced && !decision::should_give_up_alone(facts))
+    const bool is_replaced = decision::should_replace(facts, others) && this->options.try_claim_next();
+    if (!is_replaced && !decision::should_give_up_alone(facts, others))
         return this->look_at(now + look_interval);
     this->stalls.is_given_up = true;
     return std::nullopt;
@@ -180,6 +208,18 @@
                 }};
 }
 
+stall_source upstream_source(gateway_state& state, const base::upstream_id& id,
+                             std::function<std::vector<base::upstream_id>()> others) {
+    stall_source source = upstream_source(state, id);
+    source.others = std::move(others);
+    source.other_heard_at = [&state](const base::upstream_id& other) {
+        const decision::instance* const known = decision::find_instance(state.instances, other);
+        return known == nullptr ? base::time_point{} : known->heard_at;
+    };
+    source.request_sign_of_other = [&state](const base::upstream_id& other) { probe_life(state, other); };
+    return source;
+}
+
 stall_source answer_only_source() {
     return {.heard_at = [] { return base::time_point{}; },
             .request_sign_of_life = [] {},
--- a/libraries/gateway/upstreams/stall_monitor.h
+++ b/libraries/gateway/upstreams/stall_monitor.h
@@ -1,10 +1,13 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <decision/shared_silence.h>
 #include <gateway/gateway_request.h>
 
 #include <functional>
 #include <optional>
+#include <set>
+#include <vector>
 
 namespace postpaddle::gateway {
 
@@ -14,6 +17,12 @@
     std::function<base::time_point()> heard_at;
     std::function<void()> request_sign_of_life; ///< Asks it for an answer of any kind, without waiting.
     std::function<decision::stall_history*()> history; ///< Null if none is kept.
+    /// The other upstreams that could take the request over; none where something else would. May be unset.
+    std::function<std::vector<base::upstream_id>()> others{};
+    /// When this host last received anything from one of these.
+    std::function<base::time_point(const base::upstream_id&)> other_heard_at{};
+    /// Asks one of these for an answer of any kind, without waiting.
+    std::function<void(const base::upstream_id&)> request_sign_of_other{};
 };
 
 /// When a silent source is doubted, and what depends on it. Changes with the answer's progress.
@@ -36,6 +45,7 @@
     base::duration longest{}; ///< Longest silence.
     bool is_given_up = false; ///< Replaced by another attempt because of its silence.
     bool was_alive = false;   ///< The source showed a sign of life during the last silence beyond the limit.
+    bool was_shared = false;  ///< All other upstreams were silent with it at some look.
 };
 
 /// Watches a send whose answer may stall, and decides whether to give it up.
@@ -59,11 +69,15 @@
     /// Call when the answer has ended otherwise, whole or not.
     void did_end();
     [[nodiscard]] const stall_record& record() const { return this->stalls; }
+    /// Other upstreams without a sign of life since the source fell silent, at the last look.
+    [[nodiscard]] const std::set<base::upstream_id>& silent_others() const { return this->others_in_silence; }
 
 private:
     /// Looks, and decides.
     [[nodiscard]] std::optional<base::time_point> judge();
     [[nodiscard]] base::duration silence() const;
+    /// Looks at the other upstreams, and asks those for a sign of life that were not heard of late.
+    [[nodiscard]] decision::other_upstreams look_at_others(base::time_point now);
     /// Notes when the next look is due.
     base::time_point look_at(base::time_point due);
     /// Whether this host has been held up, so that what has arrived meanwhile may not have been read.
@@ -79,12 +93,18 @@
     bool is_postponed = false;                        ///< The last look was.
     std::optional<base::time_point> unfinished_since; ///< First such part since the last progress.
     base::duration unfinished{};                      ///< From that part to the last one.
+    std::set<base::upstream_id> others_in_silence;
+    std::optional<base::time_point> shared_at; ///< Last look at which all of them shared this silence.
     stall_record stalls;
 };
 
 /// An upstream as the source of an answer.
 [[nodiscard]] stall_source upstream_source(gateway_state& state, const base::upstream_id& id);
 
+/// The same, with those that could take a request over from it.
+[[nodiscard]] stall_source upstream_source(gateway_state& state, const base::upstream_id& id,
+                                           std::function<std::vector<base::upstream_id>()> others);
+
 /// A source that shows no signs of life beside its answer.
 [[nodiscard]] stall_source answer_only_source();
 
--- a/libraries/gateway/upstreams/upstream_exchange.cpp
+++ b/libraries/gateway/upstreams/upstream_exchange.cpp
@@ -151,6 +151,8 @@
         send_entry["is_given_up"] = true;
     if (stalls.was_alive)
         send_entry["was_alive"] = true;
+    if (stalls.was_shared)
+        send_entry["was_shared"] = true;
 }
 
 /// What `record_basis` recorded, for the log.
--- a/tests/gateway/test_silent_upstreams.cpp
+++ b/tests/gateway/test_silent_upstreams.cpp
@@ -18,6 +18,10 @@
 /// about half a second before the first one.
 constexpr int long_silence_ms = 2'600;
 
+constexpr int never_ending_ms = 60'000;
+/// The route's own limit.
+constexpr int long_deadline_ms = 5'000;
+
 test::gateway_cluster make_cluster(const std::string& name, double retry_slack, int hosts = 1) {
     return test::gateway_cluster({.name = name,
                                   .servers = {{.id = "one"},
@@ -36,6 +40,26 @@
             {{"silences", 1'000}, {"silence_ms", long_silence_ms}, {"silence_before_event", before_event}});
 }
 
+/// Several decode engines, whose streams take 0.75 s.
+test::gateway_cluster make_engines(const std::string& name, const std::vector<std::string>& engines) {
+    test::gateway_cluster_options options{
+        .name = name, .servers = {{.id = "p1", .service = "engines", .stage = "prefill"}}};
+    for (const std::string& id : engines)
+        options.servers.push_back({.id = id, .service = "engines", .stage = "decode", .event_ms = 150});
+    return test::gateway_cluster(std::move(options));
+}
+
+void stop_answers(test::gateway_cluster& cluster, const std::vector<std::string>& engines, int duration_ms) {
+    for (const std::string& id : engines)
+        (void)cluster.server(id, {{"silent_ms", duration_ms}});
+}
+
+/// The engine that has received most requests.
+std::string busiest_of(test::gateway_cluster& cluster, const std::vector<std::string>& engines) {
+    return *std::ranges::max_element(engines, {},
+                                     [&cluster](const std::string& id) { return cluster.arrivals(id); });
+}
+
 std::string complete_stream() {
     std::string text;
     for (int event = 1; event <= 5; ++event)
@@ -44,13 +68,16 @@
 }
 
 /// Sends that many requests at once and counts the answers that are whole streams.
-int count_whole_streams(const test::gateway_cluster& cluster, const std::string& path, int requests) {
+int count_whole_streams(const test::gateway_cluster& cluster, const std::string& path, int requests,
+                        int deadline_ms = 4'000) {
     std::vector<std::future<bool>> answers;
     answers.reserve(static_cast<std::size_t>(requests));
     for (int request = 0; request < requests; ++request)
-        answers.push_back(std::async(std::launch::async, [&cluster, &path, request] {
-            const auto answer = stand_in::http_exchange(
-                cluster.callers_address(), routed_request(path, "id-" + std::to_string(request)));
+        answers.push_back(std::async(std::launch::async, [&cluster, &path, request, deadline_ms] {
+            wire::http_request sent = routed_request(path, "id-" + std::to_string(request));
+            std::ranges::find(sent.headers, "X-Deadline-Ms", &wire::http_header::name)->value =
+                std::to_string(deadline_ms);
+            const auto answer = stand_in::http_exchange(cluster.callers_address(), sent);
             return answer && answer->status == 200 && answer->body == complete_stream();
         }));
     int whole = 0;
@@ -59,6 +86,13 @@
     return whole;
 }
 
+/// The same in the background, with a deadline that a long silence leaves time for.
+std::future<int> send_streams(const test::gateway_cluster& cluster, int requests) {
+    return std::async(std::launch::async, [&cluster, requests] {
+        return count_whole_streams(cluster, "/resume/", requests, long_deadline_ms);
+    });
+}
+
 } // namespace
 
 // Guards against aborting a stream that its server would have finished, because the retry budget was asked
@@ -130,6 +164,64 @@
     CHECK(cluster.runs() == 2);
 }
 
+// Guards against giving up runs for others at engines that fell silent at the same moment, as after a stall
+// of the machines or the network that they share: each costs a prompt, retry budget and memory.
+TEST_CASE("no run is given up for another while all engines of its service stand still") {
+    const std::vector<std::string> engines = {"d1", "d2", "d3"};
+    auto cluster = make_engines("silent-together", engines);
+    constexpr int requests = 9;
+    std::future<int> whole;
+    SECTION("between two events") {
+        whole = send_streams(cluster, requests);
+        REQUIRE(test::eventually([&] { return cluster.runs() == requests; }));
+        stop_answers(cluster, engines, long_silence_ms);
+    }
+    SECTION("before the first event") {
+        stop_answers(cluster, engines, long_silence_ms);
+        whole = send_streams(cluster, requests);
+    }
+    CHECK(whole.get() == requests);
+    CHECK(cluster.runs() == requests);
+    CHECK(cluster.server("p1").at("arrivals").size() == requests);
+}
+
+// Guards against keeping runs at a dead engine because others had been silent as well.
+TEST_CASE("runs at the engine that does not come back from a common silence go on at another one") {
+    const std::vector<std::string> engines = {"d1", "d2", "d3"};
+    auto cluster = make_engines("silent-one-stays", engines);
+    constexpr int requests = 9;
+    auto whole = send_streams(cluster, requests);
+    REQUIRE(test::eventually([&] { return cluster.runs() == requests; }));
+    const std::string dead = busiest_of(cluster, engines);
+    const int lost = cluster.server(dead, {{"silent_ms", never_ending_ms}}).at("running");
+    REQUIRE(lost > 0);
+    for (const std::string& id : engines)
+        if (id != dead)
+            stop_answers(cluster, {id}, long_silence_ms);
+    const int arrived = cluster.arrivals(dead);
+    CHECK(whole.get() == requests);
+    CHECK(cluster.runs() == requests + lost);
+    CHECK(cluster.arrivals(dead) == arrived);
+}
+
+// Guards against holding on to a dead engine until others, which have no work, are heard by chance, and
+// against giving up runs at the others.
+TEST_CASE("only runs at the one engine of several that stands still go on at others") {
+    const std::vector<std::string> engines = {"d1", "d2", "d3", "d4"};
+    auto cluster = make_engines("silent-one-of-several", engines);
+    // At least two engines have no work.
+    constexpr int requests = 2;
+    auto whole = send_streams(cluster, requests);
+    REQUIRE(test::eventually([&] { return cluster.runs() == requests; }));
+    const std::string dead = busiest_of(cluster, engines);
+    const int lost = cluster.server(dead, {{"silent_ms", never_ending_ms}}).at("running");
+    REQUIRE(lost > 0);
+    const int arrived = cluster.arrivals(dead);
+    CHECK(whole.get() == requests);
+    CHECK(cluster.runs() == requests + lost);
+    CHECK(cluster.arrivals(dead) == arrived);
+}
+
 // Guards against waiting for a stream that never goes on until no other engine can end it in time.
 TEST_CASE("a stream that its server never ends is resumed elsewhere before the caller's deadline") {
     auto cluster = make_cluster("silent-until-deadline", 1'000'000);
--- a/tests/gateway/test_stall_monitor.cpp
+++ b/tests/gateway/test_stall_monitor.cpp
@@ -5,7 +5,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <set>
 #include <stdexcept>
+#include <vector>
 
 using namespace postpaddle;
 using namespace std::chrono_literals;
@@ -34,12 +37,52 @@
                  .try_claim_next = std::move(try_claim_next)}};
     }
 
+    /// The same with two other upstreams, each of which answers at once where that is set.
+    gateway::stall_monitor watch_with_others(std::function<bool()> try_claim_next) {
+        return {this->request,
+                {.heard_at = [this] { return this->heard_at; },
+                 .request_sign_of_life = [this] { ++this->probes; },
+                 .history = [] { return nullptr; },
+                 .others =
+                     [] {
+                         return std::vector<base::upstream_id>{{"two"}, {"three"}};
+                     },
+                 .other_heard_at =
+                     [this](const base::upstream_id& id) { return this->others_heard_at[id.value]; },
+                 .request_sign_of_other =
+                     [this](const base::upstream_id& id) {
+                         ++this->probes_of_others;
+                         if (this->answering.contains(id.value))
+                             this->others_heard_at[id.value] = this->clock.now();
+                     }},
+                {.limits = {.limit = limit,
+                            .takeover_limit = 3s,
+                            .ending = decision::ending_alone::broken_answer},
+                 .try_claim_next = std::move(try_claim_next)}};
+    }
+
+    /// Looks each time that the monitor asks for it, until that time after the start of the silence. Returns
+    /// when it gave the send up.
+    std::optional<base::duration> look_until(gateway::stall_monitor& monitor, base::duration until) {
+        const base::time_point silent_since = this->clock.now();
+        for (auto next = std::optional(monitor.did_progress()); *next <= silent_since + until;) {
+            this->clock.advance(*next - this->clock.now());
+            next = monitor.look();
+            if (!next)
+                return this->clock.now() - silent_since;
+        }
+        return std::nullopt;
+    }
+
     test::manual_clock clock;
     gateway::gateway_metrics metrics;
     gateway::gateway_state state;
     gateway::gateway_request request;
     base::time_point heard_at{};
     int probes = 0;
+    std::set<std::string> answering;
+    std::map<std::string, base::time_point> others_heard_at;
+    int probes_of_others = 0;
 };
 
 } // namespace
@@ -119,3 +162,54 @@
     send.clock.advance(14s);
     CHECK_FALSE(monitor.look());
 }
+
+// Guards against giving up a run for one at an upstream that stands still as well.
+TEST_CASE("a send is kept as long as all other upstreams are silent with it") {
+    watched_send send;
+    send.others_heard_at = {{"two", send.clock.now() + 30ms}, {"three", send.clock.now() - 30ms}};
+    auto monitor = send.watch_with_others([] { return true; });
+    SECTION("also beyond the time at which another one would come too late") {
+        CHECK_FALSE(send.look_until(monitor, 10s));
+    }
+    SECTION("until one of them has been back for a while") {
+        REQUIRE_FALSE(send.look_until(monitor, 2s));
+        send.answering = {"three"};
+        CHECK(monitor.look());
+        send.clock.advance(100ms);
+        CHECK(monitor.look());
+        CHECK(monitor.silent_others() == std::set<base::upstream_id>{{"two"}});
+    }
+    SECTION("or its upstream sends again") {
+        REQUIRE_FALSE(send.look_until(monitor, 2s));
+        CHECK(monitor.silent_others().size() == 2);
+        (void)monitor.did_progress();
+        CHECK(monitor.silent_others().empty());
+    }
+    CHECK(send.probes_of_others > 2);
+    CHECK(monitor.record().was_shared);
+}
+
+// Guards against leaving a dead upstream later than before, because the others have to be asked first.
+TEST_CASE("a send at the only upstream that is silent is given up at the limit") {
+    watched_send send;
+    auto monitor = send.watch_with_others([] { return true; });
+    SECTION("where all others answer") { send.answering = {"two", "three"}; }
+    SECTION("where one of them answers") { send.answering = {"three"}; }
+    CHECK(send.look_until(monitor, 10s) == limit);
+    CHECK_FALSE(monitor.record().was_shared);
+}
+
+// Guards against holding on to a dead upstream after a common silence.
+TEST_CASE("a send at the upstream that does not come back from a common silence is given up") {
+    watched_send send;
+    auto monitor = send.watch_with_others([] { return true; });
+    REQUIRE_FALSE(send.look_until(monitor, 1'500ms));
+    send.answering = {"two"};
+    std::optional<base::time_point> next = send.clock.now();
+    int looks = 0;
+    for (; next && looks < 10; ++looks) {
+        send.clock.advance(*next - send.clock.now());
+        next = monitor.look();
+    }
+    CHECK_FALSE(next);
+}
