tests: Add a mix of releases and losses of all hosts to the soak

Cause: the soak never ran engines of several software versions, and at least half of its hosts stayed up.

Change: two kinds of faults, `hosts_all_kill` (SIGKILL of all hosts at once) and `engines_release` (engines of a newer version replace running ones at once, one after the other, or in one half only), and a mix `releases` that is asked for by `--mix`, so that the seeds' own mixes stay as they are. Each plan of it has a loss of all hosts, most of them within four seconds of a release. The check of answers takes the version that the first server of a stream has, and an event of another one is reported; a stream may end with the last server of its version.

--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,15 @@
     store_slow,            ///< Each answer of the store takes `amount` ms more during `lasts`.
     store_down,            ///< `amount`: 0 refuses, 1 resets, 2 is silent, during `lasts`.
     store_lose,            ///< The next `amount` appends take effect without an answer.
+    hosts_all_kill,        ///< SIGKILL of all hosts at once; restarted after `lasts`.
+    engines_release,       ///< Engines of a newer version replace running ones; `amount` is a release_course.
+};
+
+/// How a release replaces engines. A new one starts and is registered before its predecessor leaves.
+enum class release_course {
+    fast,    ///< All at once.
+    slow,    ///< One after the other.
+    partial, ///< All of one half at once, so that the other half's version stays.
 };
 
 /// Name of the kind in reports.
@@ -54,7 +64,10 @@
     servers, ///< These and the servers' faults.
     hosts,   ///< These and the faults of hosts and the store.
     all,
+    releases, ///< Releases of engines, losses of all hosts at once, and faults of hosts and the store.
 };
+/// Mixes that a seed names by its remainder; the others are asked for.
+inline constexpr int mixes_of_seeds = 4;
 
 [[nodiscard]] const char* to_text(fault_mix mix);
 
@@ -70,19 +83,25 @@
     std::uint64_t seed = 1;
     int hosts = 3;
     milliseconds length{15'000};
+    std::optional<fault_mix> mix{}; ///< In place of the seed's own.
 };
 
 struct fault_plan {
     plan_options options;
     fault_mix mix = fault_mix::planned;
     bool has_limited_budget = false;   ///< Whether the slack of the retry budget is small.
+    bool has_two_versions = false;     ///< Whether the halves of the engines begin with different versions.
     std::vector<planned_fault> faults; ///< By time.
 
     bool operator==(const fault_plan&) const;
 };
 
-/// Draws a plan. The same options give the same plan on each machine. Hosts and servers of a kind are never
-/// all away at once: at least half of them have no planned stop, end or freeze.
+/// Half of the engines that a place belongs to, 0 or 1; each has a prefill engine and decode engines. Nothing
+/// for other servers.
+[[nodiscard]] std::optional<int> half_of_engines(int place);
+
+/// Draws a plan. The same options give the same plan on each machine. But for `hosts_all_kill`, hosts and
+/// servers of a kind are never all away at once: at least half of them have no planned stop, end or freeze.
 [[nodiscard]] fault_plan make_plan(const plan_options& options);
 
 } // namespace postpaddle::soak
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -50,6 +50,10 @@
     bool says_not_run = false;   ///< By its status or in words.
     std::string body;            ///< What arrived of it.
     int events = 0;              ///< Events that the request asked for; 0 for plain requests.
+    int events_before = 0;       ///< `Last-Event-Id` of a take-up: events that earlier attempts brought.
+    std::string stream;          ///< First attempt of a stream that its caller takes up; empty for others.
+    bool names_attempt = false;  ///< Whether a take-up says which attempt it resumes.
+    bool has_alike_body = false; ///< Whether other callers send the same body.
     std::size_t extra_bytes = 0; ///< Bytes after the end of the answer and before the next request.
 };
 
@@ -74,6 +78,7 @@
     host_frozen,     ///< From SIGSTOP to SIGCONT.
     server_ended,    ///< Its process was killed or told to end.
     store_disturbed, ///< Down, slow or without answers.
+    store_away,      ///< Down.
 };
 
 /// What the fault runner did; only what excuses something.
@@ -109,6 +114,16 @@
     time_point acknowledged_at{};
 };
 
+/// A start of an engine that names its software version in its events.
+struct engine_start {
+    std::string server; ///< Id of the start.
+    std::string version;
+    bool is_decode = false;                  ///< Whether streams come from it.
+    time_point registered_at{};              ///< When the store took its entry.
+    time_point left_at = time_point::max();  ///< When it began to announce that it leaves.
+    time_point ended_at = time_point::max(); ///< When its process was killed.
+};
+
 /// A host's process ended.
 struct host_exit {
     int host = 0;
@@ -127,6 +142,8 @@
     std::vector<settings_probe> probes;
     std::vector<departure> departures;
     std::vector<host_exit> exits;
+    std::vector<engine_start> engine_starts;
+    std::vector<time_point> losses_of_all_hosts;    ///< When all hosts had been killed.
     std::vector<std::size_t> peak_memory_bytes;     ///< Of each host's process.
     std::vector<int> hosts_that_do_not_serve;       ///< After the last fault.
     std::vector<std::string> servers_still_at_work; ///< After the last request has ended.
--- a/tests/soak/test_checkers.cpp
+++ b/tests/soak/test_checkers.cpp
@@ -250,6 +250,42 @@
     CHECK(check_answers_belong(seen).size() == 1);
 }
 
+TEST_CASE("events of another version than the first server's, or from the wrong place on, are reported") {
+    auto row = make_answer(request_kind::resumable_stream, 4);
+    row.events_before = 2;
+    row.seal = "seal.d1-1.a-1";
+    row.body = "id: 3\ndata: token-3 to a-1@v1\n\nid: 4\ndata: token-4 to a-1@v1\n\n";
+    auto seen = with_attempt(row);
+    CHECK(check_answers_belong(seen).size() == 1);
+    seen.engine_starts = {{.server = "d1-1", .version = "v1", .is_decode = true}};
+    CHECK(check_answers_belong(seen).empty());
+    seen.attempts[0].events_before = 1;
+    CHECK(check_answers_belong(seen).size() == 1);
+    seen.attempts[0].events_before = 2;
+    seen.engine_starts[0].version = "v2";
+    CHECK(check_answers_belong(seen).size() == 1);
+}
+
+TEST_CASE("a stream may end with the last server of its version, and not before") {
+    auto row = make_attempt(request_kind::resumable_stream, attempt_end::closed);
+    row.status = 200;
+    row.seal = "seal.d1-1.a-1";
+    arrival cut = make_run("d1-1");
+    cut.has_ended = false;
+    auto seen = with_attempt(row, {cut});
+    seen.incidents = {{incident_kind::server_ended, 0, "d1-1", at(900ms)}};
+    seen.engine_starts = {
+        {.server = "d1-1", .version = "v1", .is_decode = true, .left_at = at(100ms), .ended_at = at(900ms)},
+        {.server = "d2-1", .version = "v2", .is_decode = true}};
+    CHECK(check_answers_arrive(seen, bounds).empty());
+    seen.engine_starts[1].version = "v1";
+    CHECK(check_answers_arrive(seen, bounds).size() == 1);
+    seen.engine_starts[1].is_decode = false;
+    CHECK(check_answers_arrive(seen, bounds).empty());
+    seen.incidents.clear();
+    CHECK(check_answers_arrive(seen, bounds).size() == 1);
+}
+
 TEST_CASE("a second run of what may run once is reported") {
     for (const request_kind kind : {request_kind::once, request_kind::stream}) {
         const auto row = make_attempt(kind);
@@ -414,6 +450,31 @@
         CHECK(has_endless(seed, 12));
 }
 
+// Guards against a mix that changes what earlier seeds draw, and against a play without a loss of all hosts.
+TEST_CASE("only the mix of releases has releases and losses of all hosts, and each of its plans has a loss") {
+    int releases_before_a_loss = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        const auto count = [](const fault_plan& plan, fault_kind kind) {
+            return std::ranges::count(plan.faults, kind, &planned_fault::kind);
+        };
+        plan_options options{.seed = seed, .hosts = 3, .length = 12'000ms};
+        const auto own = make_plan(options);
+        CHECK(own.mix == static_cast<fault_mix>(seed % 4));
+        CHECK(count(own, fault_kind::hosts_all_kill) == 0);
+        CHECK(count(own, fault_kind::engines_release) == 0);
+        options.mix = fault_mix::releases;
+        const auto plan = make_plan(options);
+        CHECK(plan == make_plan(options));
+        CHECK(count(plan, fault_kind::hosts_all_kill) > 0);
+        CHECK_FALSE(plan.has_limited_budget);
+        const auto loss = std::ranges::find(plan.faults, fault_kind::hosts_all_kill, &planned_fault::kind);
+        releases_before_a_loss += std::any_of(plan.faults.begin(), loss, [&](const planned_fault& fault) {
+            return fault.kind == fault_kind::engines_release && loss->at - fault.at <= 4'000ms;
+        });
+    }
+    CHECK(releases_before_a_loss > 100);
+}
+
 TEST_CASE("a plan never has more than half of the hosts away") {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
         const auto plan = make_plan({.seed = seed, .hosts = 3, .length = 30'000ms});
