tests: Let callers of the soak take their streams up again

Cause: callers of the soak never sent `Last-Event-Id`, so that no stream went on over two attempts.

Change: in the mix of releases, eight in ten calls are resumable streams whose callers return, at any host, after a refusal, a break or after they left on purpose, until the time that they named in their first attempt is over (3 to 12 s). Half of them name the attempt that brought the first event, half have one of twenty bodies. They keep to `Retry-After`, else wait 100 to 300 ms. 40 callers, so that a loss cuts tens of streams.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <soak/soak_callers.h>
 
+#include <soak/event_text.h>
 #include <soak/settings_document.h>
 
 #include <algorithm>
@@ -13,15 +14,23 @@
 namespace {
 
 using base::boot_clock;
+using base::time_point;
 
 constexpr milliseconds request_deadline(12'000);
 /// How long a caller waits for the last word after its deadline.
 constexpr milliseconds patience(2'000);
 constexpr milliseconds connect_timeout(1'000);
+/// A caller with less time left does not take its stream up again.
+constexpr milliseconds shortest_take_up(500);
 constexpr milliseconds pause_without_host(30);
 constexpr int most_tries = 3;
 /// Events of a stream that its caller leaves early: it would last far longer.
 constexpr int events_of_left_stream = 300;
+/// Of ten calls of callers that take streams up, those that are such streams.
+constexpr int taken_up_of_ten = 8;
+/// Bodies that several callers send.
+constexpr int alike_bodies = 20;
+constexpr std::size_t bytes_of_named_body = 64;
 
 const char* path_of(request_kind kind) {
     switch (kind) {
@@ -53,10 +62,11 @@
     return attempt_end::closed;
 }
 
-wire::http_headers request_headers(const std::string& id, int events) {
+wire::http_headers request_headers(const std::string& id, int events,
+                                   milliseconds deadline = request_deadline) {
     return {{"Host", "cluster.example"},
             {"X-Attempt-Id", id},
-            {"X-Deadline-Ms", std::to_string(request_deadline.count())},
+            {"X-Deadline-Ms", std::to_string(deadline.count())},
             {"X-Token-Usage", "100," + std::to_string(std::max(1, events))}};
 }
 
@@ -68,7 +78,10 @@
 
     std::vector<attempt> run(const std::stop_token& stop) {
         while (!stop.stop_requested()) {
-            this->call(stop);
+            if (this->options->takes_up_streams && this->between(1, 10) <= taken_up_of_ten)
+                this->call_with_take_ups(stop);
+            else
+                this->call(stop);
             // Some connections rest for long between two requests.
             const bool is_long = this->between(1, 25) == 1;
             std::this_thread::sleep_for(is_long ? max_rest : milliseconds(this->between(2, 60)));
@@ -101,6 +114,78 @@
         }
     }
 
+    /// A stream that its caller takes up again at any host until it has all events or its time is over.
+    void call_with_take_ups(const std::stop_token& stop) {
+        attempt plan;
+        plan.kind = request_kind::resumable_stream;
+        plan.names_attempt = this->between(1, 2) == 1;
+        plan.has_alike_body = this->between(1, 2) == 1;
+        plan.events = this->between(40, 140);
+        std::string body = "prompt of " + std::to_string(this->number) + "-" + std::to_string(this->sent);
+        if (plan.has_alike_body) {
+            const int number_of_body = this->between(1, alike_bodies);
+            body = "prompt " + std::to_string(number_of_body);
+            plan.events = 40 + 5 * number_of_body;
+        }
+        body.resize(bytes_of_named_body, ' ');
+        plan.request_body_bytes = body.size();
+        std::string began_with;
+        const time_point ends_at =
+            boot_clock::now() +
+            milliseconds(this->between(3'000, static_cast<int>(request_deadline.count())));
+        while (!stop.stop_requested()) {
+            const bool is_kept = this->open_connection(stop);
+            plan.deadline = std::chrono::duration_cast<milliseconds>(ends_at - boot_clock::now());
+            if (!this->client.is_open() || plan.deadline < shortest_take_up)
+                return;
+            const exchange result = this->send_part_of_stream(plan, body, began_with, is_kept);
+            const attempt& row = this->attempts.back();
+            if (began_with.empty() && plan.events_before > 0)
+                began_with = row.id;
+            const bool is_whole = plan.events_before >= plan.events ||
+                                  (row.end == attempt_end::answered && wire::is_success(row.status));
+            const bool is_denied = row.status >= 400 && row.status < 500 && !row.says_not_run;
+            if (is_whole || is_denied)
+                return;
+            // Some stay with the host that refused them, as a caller with one connection does.
+            if (this->between(1, 2) == 1)
+                this->client.close();
+            if (wire::find_header(result.answer.headers, "Retry-After").empty())
+                std::this_thread::sleep_for(milliseconds(this->between(100, 300)));
+            else
+                this->wait_as_told(result);
+        }
+    }
+
+    /// Sends the next attempt of the stream and notes which event came last.
+    exchange send_part_of_stream(attempt& plan, const std::string& body, const std::string& began_with,
+                                 bool is_kept) {
+        attempt row = plan;
+        row.id = this->next_id();
+        if (plan.stream.empty())
+            plan.stream = row.stream = row.id;
+        row.host = this->host;
+        row.is_on_kept_connection = is_kept;
+        wire::http_request request{"POST", path_of(plan.kind),
+                                   request_headers(row.id, plan.events, plan.deadline), body};
+        if (plan.events_before > 0) {
+            request.headers.push_back({"Last-Event-Id", std::to_string(plan.events_before)});
+            if (plan.names_attempt)
+                request.headers.push_back({"Resumes", began_with});
+        }
+        exchange_options limits{.timeout = plan.deadline + patience};
+        if (this->between(1, 3) == 1)
+            limits.leave_after = milliseconds(this->between(50, 2'000));
+        exchange result = this->client.send(request, limits);
+        if (wire::is_success(result.answer.status))
+            for (const stream_event& event : parse_events(result.answer.body))
+                plan.events_before = std::max(plan.events_before, event.id);
+        this->record(std::move(row), result);
+        return result;
+    }
+
+    std::string next_id() { return "c" + std::to_string(this->number) + "-" + std::to_string(++this->sent); }
+
     std::size_t body_bytes() {
         const int draw = this->between(1, 20);
         return draw == 1 ? large_body_bytes : draw <= 3 ? allowed_body_bytes : 20;
@@ -125,7 +210,7 @@
         if (!this->client.is_open())
             return std::nullopt;
         attempt row = plan;
-        row.id = "c" + std::to_string(this->number) + "-" + std::to_string(++this->sent);
+        row.id = this->next_id();
         row.host = this->host;
         row.is_on_kept_connection = is_kept;
         row.deadline = request_deadline;
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -21,6 +21,7 @@
         std::uint64_t seed = 1;
         int count = 12;
         std::vector<std::string> hosts; ///< Their callers' addresses, from host 1 on.
+        bool takes_up_streams = false;  ///< Whether most calls are streams that are taken up again.
     };
 
     explicit soak_callers(options callers_options);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -23,6 +23,8 @@
 
 constexpr int callers_at_least = 8;
 constexpr int callers_per_host = 3;
+/// In releases, so that a loss of all hosts cuts tens of streams.
+constexpr int callers_in_releases = 40;
 /// Slack of the retry budget, in requests, of a run in which the budget may be used up.
 constexpr double limited_slack = 2;
 constexpr double ample_slack = 1'000'000;
@@ -130,9 +132,12 @@
     runner.publish_first_settings();
     const auto addresses = callers_addresses(cluster, options.hosts);
     settings_probers probers(addresses, journal);
+    const bool is_release = report.plan.mix == fault_mix::releases;
+    const int usual_callers = callers_at_least + callers_per_host * options.hosts;
     soak_callers callers({.seed = options.seed,
-                          .count = callers_at_least + callers_per_host * options.hosts,
-                          .hosts = addresses});
+                          .count = is_release ? std::max(callers_in_releases, usual_callers) : usual_callers,
+                          .hosts = addresses,
+                          .takes_up_streams = is_release});
     runner.run(is_interrupted);
     auto ended = std::async(std::launch::async, [&] {
         report.seen.attempts = callers.stop();
