tests: Check the streams that the soak's callers take up

Cause: no check of the soak looked at a stream over several attempts.

The events of a stream, and the runs of its take-ups, are of one software version; they are in order without gap or repetition over all attempts; after a loss of all hosts at least nine in ten named take-ups go on, and all where only one version has served; a take-up whose version has no server left is refused and does not run. After a loss the first take-up of each stream counts that was sent to a ready host while its version was served and the store had been there since the stream began. The share of the unnamed ones is printed without a bound.

--- a/tests/soak/checkers.cpp
+++ b/tests/soak/checkers.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <soak/checkers.h>
 
+#include <soak/stream_checkers.h>
+
 #include <algorithm>
 #include <map>
 #include <optional>
@@ -507,6 +509,10 @@
     add(check_callers_who_left(seen, bounds));
     add(check_processes(seen, bounds));
     add(check_departures(seen, bounds));
+    add(check_one_version(seen));
+    add(check_event_order(seen));
+    add(check_take_ups_after_losses(seen, bounds));
+    add(check_gone_versions(seen));
     return found;
 }
 
--- a/tests/soak/checkers.h
+++ b/tests/soak/checkers.h
@@ -64,7 +64,7 @@
 /// Leaving servers get no requests after the bound.
 [[nodiscard]] violations check_departures(const observations& seen, const promised_bounds& bounds);
 
-/// All of the above.
+/// All of the above and those of streams.
 [[nodiscard]] violations check_all(const observations& seen, const promised_bounds& bounds);
 
 } // namespace postpaddle::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,6 +29,14 @@
     return std::nullopt;
 }
 
+std::string describe_take_ups_after_losses(const nlohmann::json& take_ups) {
+    const auto share = [&take_ups](const char* key) {
+        return take_ups[key]["went_on"].dump() + " of " + take_ups[key]["counted"].dump();
+    };
+    return "  take-ups that went on after losses of all hosts: named " + share("named_after_losses") +
+           ", unnamed " + share("unnamed_after_losses") + "\n";
+}
+
 /// Set by signals: the processes of the cluster must be ended before this one.
 std::atomic<bool> is_interrupted = false;
 
@@ -62,6 +70,9 @@
             std::cout << "seed " << result["seed"] << " (" << result["mix"].get<std::string>()
                       << "): " << (report.found.empty() ? "kept" : "BROKEN") << ", faults "
                       << result["faults"] << ", attempts " << result["attempts"] << '\n'
+                      << (report.plan.mix == postpaddle::soak::fault_mix::releases
+                              ? describe_take_ups_after_losses(result["take_ups"])
+                              : "")
                       << describe_failure(report) << std::flush;
     }
     std::cerr << failed << " seeds broke a promise" << (is_interrupted ? ", interrupted\n" : "\n");
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -4,6 +4,7 @@
 #include <soak/fault_runner.h>
 #include <soak/settings_document.h>
 #include <soak/soak_callers.h>
+#include <soak/stream_checkers.h>
 #include <support/gateway_cluster.h>
 #include <support/test_cluster.h>
 
@@ -156,6 +157,26 @@
     return report;
 }
 
+namespace {
+
+/// What became of take-ups: of all, by their status, and of those after a loss of all hosts.
+json describe_take_ups(const observations& seen) {
+    std::map<std::string, std::map<std::string, int>> statuses;
+    for (const attempt& row : seen.attempts)
+        if (row.events_before > 0)
+            ++statuses[row.names_attempt ? "named" : "unnamed"][std::to_string(row.status)];
+    const auto counts = count_take_ups_after_losses(seen, {});
+    const auto after_losses = [](const take_up_count& count) {
+        return json{{"counted", count.counted}, {"went_on", count.went_on}, {"refused", count.refused}};
+    };
+    return {{"statuses", statuses},
+            {"losses_of_all_hosts", seen.losses_of_all_hosts.size()},
+            {"named_after_losses", after_losses(counts.named)},
+            {"unnamed_after_losses", after_losses(counts.unnamed)}};
+}
+
+} // namespace
+
 json to_json(const soak_report& report) {
     std::map<std::string, int> ends;
     for (const attempt& row : report.seen.attempts) {
@@ -183,6 +204,7 @@
             {"arrivals", report.seen.arrivals.size()},
             {"endless_answers", endless},
             {"probes", report.seen.probes.size()},
+            {"take_ups", describe_take_ups(report.seen)},
             {"peak_memory_bytes", memory.empty() ? 0 : *std::ranges::max_element(memory)},
             {"folder", report.folder},
             {"violations", found}};
