--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,12 +29,15 @@
     return std::nullopt;
 }
 
-std::string describe_take_ups_after_losses(const nlohmann::json& take_ups) {
-    const auto share = [&take_ups](const char* key) {
-        return take_ups[key]["went_on"].dump() + " of " + take_ups[key]["counted"].dump();
-    };
-    return "  take-ups that went on after losses of all hosts: named " + share("named_after_losses") +
-           ", unnamed " + share("unnamed_after_losses") + "\n";
+std::string describe_take_ups(const nlohmann::json& take_ups) {
+    std::string text;
+    for (const char* when : {"after_losses", "without_loss"}) {
+        text += std::string("  take-ups that went on, ") + when + ":";
+        for (const auto& [kind, count] : take_ups[when].items())
+            text += " " + kind + " " + count["went_on"].dump() + " of " + count["counted"].dump();
+        text += "\n";
+    }
+    return text;
 }
 
 /// Set by signals: the processes of the cluster must be ended before this one.
@@ -71,7 +74,7 @@
                       << "): " << (report.found.empty() ? "kept" : "BROKEN") << ", faults "
                       << result["faults"] << ", attempts " << result["attempts"] << '\n'
                       << (report.plan.mix == postpaddle::soak::fault_mix::releases
-                              ? describe_take_ups_after_losses(result["take_ups"])
+                              ? describe_take_ups(result["take_ups"])
                               : "")
                       << describe_failure(report) << std::flush;
     }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -165,14 +165,18 @@
     for (const attempt& row : seen.attempts)
         if (row.events_before > 0)
             ++statuses[row.names_attempt ? "named" : "unnamed"][std::to_string(row.status)];
-    const auto counts = count_take_ups_after_losses(seen, {});
-    const auto after_losses = [](const take_up_count& count) {
+    const auto describe_count = [](const take_up_count& count) {
         return json{{"counted", count.counted}, {"went_on", count.went_on}, {"refused", count.refused}};
     };
+    const auto describe_counts = [&](const take_up_counts& counts) {
+        return json{{"named", describe_count(counts.named)},
+                    {"unnamed", describe_count(counts.unnamed)},
+                    {"unnamed_alike", describe_count(counts.unnamed_alike)}};
+    };
     return {{"statuses", statuses},
             {"losses_of_all_hosts", seen.losses_of_all_hosts.size()},
-            {"named_after_losses", after_losses(counts.named)},
-            {"unnamed_after_losses", after_losses(counts.unnamed)}};
+            {"after_losses", describe_counts(count_take_ups_after_losses(seen, {}))},
+            {"without_loss", describe_counts(count_take_ups_without_loss(seen, {}))}};
 }
 
 } // namespace
--- a/tests/soak/stream_checkers.cpp
+++ b/tests/soak/stream_checkers.cpp
@@ -118,9 +118,8 @@
 
 /// Whether a take-up counts: what it needs was there, and its caller waited for the outcome.
 bool does_count(const observations& seen, const promised_bounds& bounds, const stream_attempts& stream,
-                const attempt& row, time_point loss, time_point next_loss) {
-    const auto ready = ready_after(seen, row.host, loss);
-    const bool is_in_time = ready && row.sent_at >= *ready && row.ended_at < next_loss &&
+                const attempt& row, std::optional<time_point> from, time_point to) {
+    const bool is_in_time = from && row.sent_at >= *from && row.ended_at < to &&
                             row.sent_at < stream.origin->sent_at + stream.origin->deadline;
     const bool has_outcome =
         row.status != 0 || row.end == attempt_end::closed || row.end == attempt_end::unanswered;
@@ -135,41 +134,64 @@
     });
 }
 
+void add_take_up(const observations& seen, const stream_attempts& stream, const attempt& row,
+                 take_up_counts& counts) {
+    take_up_count& count = row.names_attempt    ? counts.named
+                           : row.has_alike_body ? counts.unnamed_alike
+                                                : counts.unnamed;
+    ++count.counted;
+    if (is_success(row.status)) {
+        ++count.went_on;
+        return;
+    }
+    count.refused_with_one_version += has_one_version_until(seen, row.ended_at) ? 1 : 0;
+    count.refused.push_back(describe(row) + ", " +
+                            std::to_string((row.sent_at - stream.origin->sent_at) / milliseconds(1)) +
+                            " ms after " + stream.origin->id + " began it at " + stream.version);
+}
+
 } // namespace
 
 take_up_counts count_take_ups_after_losses(const observations& seen, const promised_bounds& bounds) {
     take_up_counts counts;
     const auto streams = streams_of(seen);
-    for (std::size_t number = 0; number < seen.losses_of_all_hosts.size(); ++number) {
-        const time_point loss = seen.losses_of_all_hosts[number];
-        const time_point next_loss = number + 1 < seen.losses_of_all_hosts.size()
-                                         ? seen.losses_of_all_hosts[number + 1]
-                                         : time_point::max();
+    const auto& losses = seen.losses_of_all_hosts;
+    for (std::size_t number = 0; number < losses.size(); ++number) {
+        const time_point loss = losses[number];
+        const time_point next_loss = number + 1 < losses.size() ? losses[number + 1] : time_point::max();
         for (const auto& entry : streams) {
             const stream_attempts& stream = entry.second;
             if (stream.origin == nullptr || stream.version.empty() || stream.origin->sent_at >= loss)
                 continue;
             const auto taken_up = std::ranges::find_if(stream.attempts, [&](const attempt* row) {
-                return does_count(seen, bounds, stream, *row, loss, next_loss);
+                return does_count(seen, bounds, stream, *row, ready_after(seen, row->host, loss), next_loss);
             });
-            if (taken_up == stream.attempts.end())
-                continue;
-            const attempt& row = **taken_up;
-            take_up_count& count = row.names_attempt ? counts.named : counts.unnamed;
-            ++count.counted;
-            if (is_success(row.status)) {
-                ++count.went_on;
-                continue;
-            }
-            count.refused_with_one_version += has_one_version_until(seen, row.ended_at) ? 1 : 0;
-            count.refused.push_back(
-                describe(row) + ", " + std::to_string((row.sent_at - loss) / milliseconds(1)) +
-                " ms after the loss, begun by " + stream.origin->id + " at " + stream.version);
+            if (taken_up != stream.attempts.end())
+                add_take_up(seen, stream, **taken_up, counts);
         }
     }
     return counts;
 }
 
+take_up_counts count_take_ups_without_loss(const observations& seen, const promised_bounds& bounds) {
+    take_up_counts counts;
+    const auto streams = streams_of(seen);
+    for (const auto& entry : streams) {
+        const stream_attempts& stream = entry.second;
+        if (stream.origin == nullptr || stream.version.empty())
+            continue;
+        const time_point began_at = stream.origin->sent_at;
+        const auto loss = std::ranges::upper_bound(seen.losses_of_all_hosts, began_at);
+        const time_point next_loss = loss == seen.losses_of_all_hosts.end() ? time_point::max() : *loss;
+        const auto taken_up = std::ranges::find_if(stream.attempts, [&](const attempt* row) {
+            return does_count(seen, bounds, stream, *row, began_at, next_loss);
+        });
+        if (taken_up != stream.attempts.end())
+            add_take_up(seen, stream, **taken_up, counts);
+    }
+    return counts;
+}
+
 violations check_one_version(const observations& seen) {
     violations found;
     std::map<std::string, std::string> version_of_server;
--- a/tests/soak/stream_checkers.h
+++ b/tests/soak/stream_checkers.h
@@ -7,8 +7,7 @@
 
 namespace postpaddle::soak {
 
-/// Streams that were taken up after a loss of all hosts while their version was served and the store was
-/// there. Of each stream and loss the first take-up at a host that is ready again counts.
+/// Streams that were taken up while their version was served and the store was there.
 struct take_up_count {
     int counted = 0;
     int went_on = 0;
@@ -19,12 +18,18 @@
 
 struct take_up_counts {
     take_up_count named;
-    take_up_count unnamed; ///< Of callers that don't say which attempt they resume.
+    take_up_count unnamed; ///< Of callers that don't say which attempt they resume, with a body of their own.
+    take_up_count unnamed_alike; ///< The same with a body that others send too.
 };
 
+/// Of each stream and loss the first take-up at a host that is ready again counts.
 [[nodiscard]] take_up_counts count_take_ups_after_losses(const observations& seen,
                                                          const promised_bounds& bounds);
 
+/// Of each stream the first take-up counts that no loss of all hosts separates from its beginning.
+[[nodiscard]] take_up_counts count_take_ups_without_loss(const observations& seen,
+                                                         const promised_bounds& bounds);
+
 /// The events of a stream come from one software version, over all its attempts, and none of them runs at
 /// another one.
 [[nodiscard]] violations check_one_version(const observations& seen);
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -5,13 +5,15 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
+
 using namespace postpaddle;
 
 namespace {
 
-void play(std::uint64_t seed) {
+void play(std::uint64_t seed, std::optional<soak::fault_mix> mix = std::nullopt) {
     const soak::soak_report report =
-        soak::run_soak({.seed = seed, .hosts = 3, .length = soak::milliseconds(12'000)}, false);
+        soak::run_soak({.seed = seed, .hosts = 3, .length = soak::milliseconds(12'000), .mix = mix}, false);
     INFO(soak::describe_failure(report));
     CHECK(report.found.empty());
     // A run in which nothing was answered proves nothing.
@@ -29,3 +31,7 @@
 TEST_CASE("soak: hosts that are killed or frozen and a disturbed store keep every promise") { play(6); }
 
 TEST_CASE("soak: all faults together keep every promise") { play(7); }
+
+TEST_CASE("soak: releases of engines and losses of all hosts keep every promise") {
+    play(1, soak::fault_mix::releases);
+}
--- a/tests/soak/test_stream_checkers.cpp
+++ b/tests/soak/test_stream_checkers.cpp
@@ -142,6 +142,19 @@
     CHECK(count_take_ups_after_losses(seen, bounds).unnamed.counted == 1);
 }
 
+TEST_CASE("a take-up that no loss of all hosts separates from its beginning counts for itself") {
+    auto seen = with_parts(events(1, 3, "v1"), "");
+    CHECK(count_take_ups_without_loss(seen, bounds).named.counted == 1);
+    CHECK(count_take_ups_without_loss(seen, bounds).named.went_on == 0);
+    CHECK(count_take_ups_after_losses(seen, bounds).named.counted == 0);
+    seen.attempts[1].names_attempt = false;
+    CHECK(count_take_ups_without_loss(seen, bounds).unnamed.counted == 1);
+    seen.attempts[1].has_alike_body = true;
+    CHECK(count_take_ups_without_loss(seen, bounds).unnamed_alike.counted == 1);
+    seen.losses_of_all_hosts = {at(1'000ms)};
+    CHECK(count_take_ups_without_loss(seen, bounds).unnamed_alike.counted == 0);
+}
+
 TEST_CASE("a take-up whose version has gone is reported if it runs or is not refused") {
     auto seen = with_parts(events(1, 3, "v1"), "");
     seen.engine_starts[0].ended_at = at(1'500ms);
