--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -4,6 +4,7 @@
 #include <soak/fault_runner.h>
 #include <soak/settings_document.h>
 #include <soak/soak_callers.h>
+#include <soak/stream_checkers.h>
 #include <support/gateway_cluster.h>
 #include <support/test_cluster.h>
 
@@ -23,6 +24,8 @@
 
 constexpr int callers_at_least = 8;
 constexpr int callers_per_host = 3;
+/// In releases, so that a loss of all hosts cuts tens of streams.
+constexpr int callers_in_releases = 40;
 /// Slack of the retry budget, in requests, of a run in which the budget may be used up.
 constexpr double limited_slack = 2;
 constexpr double ample_slack = 1'000'000;
@@ -45,7 +48,7 @@
     options.hosts = plan.options.hosts;
     options.retry_slack = plan.has_limited_budget ? limited_slack : ample_slack;
     for (int place = 0; place < static_cast<int>(server_places().size()); ++place) {
-        test::server_plan server = make_server_plan(place, 1);
+        test::server_plan server = make_server_plan(place, 1, first_version(plan, place));
         server.run_log = fault_runner::run_log_path(folder, server.id);
         options.servers.push_back(std::move(server));
     }
@@ -130,9 +133,12 @@
     runner.publish_first_settings();
     const auto addresses = callers_addresses(cluster, options.hosts);
     settings_probers probers(addresses, journal);
+    const bool is_release = report.plan.mix == fault_mix::releases;
+    const int usual_callers = callers_at_least + callers_per_host * options.hosts;
     soak_callers callers({.seed = options.seed,
-                          .count = callers_at_least + callers_per_host * options.hosts,
-                          .hosts = addresses});
+                          .count = is_release ? std::max(callers_in_releases, usual_callers) : usual_callers,
+                          .hosts = addresses,
+                          .takes_up_streams = is_release});
     runner.run(is_interrupted);
     auto ended = std::async(std::launch::async, [&] {
         report.seen.attempts = callers.stop();
@@ -151,6 +157,30 @@
     return report;
 }
 
+namespace {
+
+/// What became of take-ups: of all, by their status, and of those after a loss of all hosts.
+json describe_take_ups(const observations& seen) {
+    std::map<std::string, std::map<std::string, int>> statuses;
+    for (const attempt& row : seen.attempts)
+        if (row.events_before > 0)
+            ++statuses[row.names_attempt ? "named" : "unnamed"][std::to_string(row.status)];
+    const auto describe_count = [](const take_up_count& count) {
+        return json{{"counted", count.counted}, {"went_on", count.went_on}, {"refused", count.refused}};
+    };
+    const auto describe_counts = [&](const take_up_counts& counts) {
+        return json{{"named", describe_count(counts.named)},
+                    {"unnamed", describe_count(counts.unnamed)},
+                    {"unnamed_alike", describe_count(counts.unnamed_alike)}};
+    };
+    return {{"statuses", statuses},
+            {"losses_of_all_hosts", seen.losses_of_all_hosts.size()},
+            {"after_losses", describe_counts(count_take_ups_after_losses(seen, {}))},
+            {"without_loss", describe_counts(count_take_ups_without_loss(seen, {}))}};
+}
+
+} // namespace
+
 json to_json(const soak_report& report) {
     std::map<std::string, int> ends;
     for (const attempt& row : report.seen.attempts) {
@@ -178,6 +208,7 @@
             {"arrivals", report.seen.arrivals.size()},
             {"endless_answers", endless},
             {"probes", report.seen.probes.size()},
+            {"take_ups", describe_take_ups(report.seen)},
             {"peak_memory_bytes", memory.empty() ? 0 : *std::ranges::max_element(memory)},
             {"folder", report.folder},
             {"violations", found}};
