--- a/libraries/gateway/operations/state_dump.cpp
+++ b/libraries/gateway/operations/state_dump.cpp
@@ -111,8 +111,11 @@
 }
 
 /// How streams are divided among software versions, as this host knows it.
-json dump_splits(const version_splits& splits) {
+json dump_splits(const gateway_state& state) {
     json rows = json::object();
+    if (state.splits == nullptr)
+        return rows;
+    const version_splits& splits = *state.splits;
     for (const auto& [service, known] : splits.all())
         rows[service] = {{"splits", json::array()},
                          {"routes", known.routes},
@@ -187,7 +190,7 @@
             {"may_miss_updates", host::may_miss_updates(state.peers, now)},
             {"retry_budget_left", std::move(budgets)},
             {"profiles", std::move(profiles)},
-            {"version_splits", dump_splits(*state.splits)},
+            {"version_splits", dump_splits(state)},
             {"instances", std::move(instances)},
             {"peers", dump_peers(state, now)}};
 }
--- a/libraries/gateway/stream_origin/request_origin.cpp
+++ b/libraries/gateway/stream_origin/request_origin.cpp
@@ -163,6 +163,11 @@
     return decision::versions_by_preference(known->history.splits.back(), split_key_of(request));
 }
 
+bool has_several_versions(const gateway_request& request) {
+    const service_splits* const known = request.state->splits->find(request.service);
+    return known != nullptr && decision::versions_in(known->history).size() > 1;
+}
+
 /// The version at which a stream may begin although no record of it can be written: the first in the
 /// content's order, if it has an engine. Another one would be guessed wrongly once the first is back.
 std::optional<std::string> default_version(const gateway_request& request) {
@@ -269,8 +274,14 @@
     // The host whose caller it is tells the others: it decides whether the caller gets the events.
     if (request.forwarded_by || software_version.empty())
         return;
-    request.state->recent_streams.add(journal_record_of(request, request.routed.id, *request.origin),
-                                      request.journal.written.has_value(), request.state->clock->now());
+    const auto record = journal_record_of(request, request.routed.id, *request.origin);
+    // While several versions serve, a record by the attempt's id tells the stream from others with its
+    // content. It need not be there before the first event, as the version can be derived.
+    const bool is_recorded_late = !request.journal.written && has_several_versions(request);
+    if (is_recorded_late)
+        request.state->stream_journal->write_later({record});
+    request.state->recent_streams.add(record, request.journal.written || is_recorded_late,
+                                      request.state->clock->now());
     const std::string& first_id = continues_stream(request) && !request.routed.resumes.empty()
                                       ? request.routed.resumes
                                       : request.routed.id;
--- a/libraries/gateway/stream_origin/stream_journal_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.cpp
@@ -18,7 +18,7 @@
 constexpr std::array<base::duration, 2> repetition_pauses = {120ms, 80ms};
 constexpr base::duration cleanup_interval = 2s;
 /// How long it is not looked again which hosts are in charge.
-constexpr base::duration addresses_lifetime = 500ms;
+constexpr base::duration first_hosts_lifetime = 500ms;
 /// So that a datagram is rarely split.
 constexpr std::size_t records_per_datagram = 16;
 
@@ -50,29 +50,32 @@
     }
 }
 
-const std::string& stream_journal_exchange::address_in_charge(std::uint32_t partition) {
+const stream_journal_exchange::first_host&
+stream_journal_exchange::first_other_host(std::uint32_t partition) {
     const base::time_point now = this->state->clock->now();
-    if (!this->addresses.empty() && now - this->addresses_found_at < addresses_lifetime)
-        return this->addresses[partition];
-    this->addresses_found_at = now;
-    this->addresses.assign(host::journal_partitions, "");
+    if (!this->first_hosts.empty() && now - this->first_hosts_found_at < first_hosts_lifetime)
+        return this->first_hosts[partition];
+    this->first_hosts_found_at = now;
+    this->first_hosts.assign(host::journal_partitions, {});
     for (std::uint32_t number = 0; number < host::journal_partitions; ++number) {
         // Rendezvous hashing over the hosts that may be alive.
-        std::uint64_t highest = base::hash64(this->state->process->name.value, number);
+        std::uint64_t highest = 0;
         for (const auto& [host, known] : this->state->peers.by_name) {
             const std::uint64_t value = base::hash64(host.value, number);
             if (value <= highest || !host::may_be_alive(known, now))
                 continue;
             highest = value;
-            this->addresses[number] = known.address;
+            this->first_hosts[number].address = known.address;
         }
+        this->first_hosts[number].is_before_own =
+            highest > base::hash64(this->state->process->name.value, number);
     }
-    return this->addresses[partition];
+    return this->first_hosts[partition];
 }
 
 std::optional<journal_message> stream_journal_exchange::ask(journal_message message, std::uint32_t partition,
                                                             wire::yield_context yield) {
-    const std::string address = this->address_in_charge(partition);
+    const std::string address = this->first_other_host(partition).address;
     if (address.empty() || !this->datagrams->is_open())
         return std::nullopt;
     message.from = this->state->process->name;
@@ -94,12 +97,17 @@
     return sent.answer;
 }
 
-bool stream_journal_exchange::write_to(std::uint32_t partition, std::vector<host::journal_record> records,
+bool stream_journal_exchange::write_to(std::uint32_t partition,
+                                       const std::vector<host::journal_record>& records,
                                        wire::yield_context yield) {
-    const auto answer = this->ask({.kind = message_kind::record, .records = records}, partition, yield);
-    if (answer && answer->kind == message_kind::written)
-        return true;
-    return this->partitions[partition]->write(records, yield);
+    const auto write_elsewhere = [&] {
+        const auto answer = this->ask({.kind = message_kind::record, .records = records}, partition, yield);
+        return answer && answer->kind == message_kind::written;
+    };
+    const auto write_here = [&] { return this->partitions[partition]->write(records, yield); };
+    if (this->first_other_host(partition).is_before_own)
+        return write_elsewhere() || write_here();
+    return write_here() || write_elsewhere();
 }
 
 bool stream_journal_exchange::write(const host::journal_record& record, wire::yield_context yield) {
@@ -129,10 +137,18 @@
                                                                     wire::yield_context yield) {
     const host::journal_record sought{.keys = keys, .origin = {}};
     const std::uint32_t partition = host::journal_partition_of(keys);
-    const auto answer = this->ask({.kind = message_kind::question, .records = {sought}}, partition, yield);
-    if (answer && answer->kind == message_kind::findings)
-        return answer->findings;
-    return this->partitions[partition]->find(keys, yield);
+    const auto find_elsewhere = [&]() -> std::optional<host::journal_findings> {
+        const auto answer =
+            this->ask({.kind = message_kind::question, .records = {sought}}, partition, yield);
+        return answer && answer->kind == message_kind::findings ? answer->findings : std::nullopt;
+    };
+    const auto find_here = [&] { return this->partitions[partition]->find(keys, yield); };
+    if (this->first_other_host(partition).is_before_own) {
+        auto findings = find_elsewhere();
+        return findings ? findings : find_here();
+    }
+    auto findings = find_here();
+    return findings ? findings : find_elsewhere();
 }
 
 bool stream_journal_exchange::handle(std::string_view bytes) {
--- a/libraries/gateway/stream_origin/stream_journal_exchange.h
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.h
@@ -42,12 +42,16 @@
 
     [[nodiscard]] bool handle(std::string_view bytes);
     void answer(const journal_message& asked);
-    /// Asks the host in charge; nothing if that is this host, or it doesn't answer.
+    /// Asks the first other host; nothing if it doesn't answer.
     [[nodiscard]] std::optional<journal_message> ask(journal_message message, std::uint32_t partition,
                                                      wire::yield_context yield);
-    /// Address of the host in charge of the partition, empty if that is this host.
-    [[nodiscard]] const std::string& address_in_charge(std::uint32_t partition);
-    [[nodiscard]] bool write_to(std::uint32_t partition, std::vector<host::journal_record> records,
+    /// The host, besides this one, that comes first in the order of a partition.
+    struct first_host {
+        std::string address;        ///< Empty if there is no other host.
+        bool is_before_own = false; ///< Whether it is in charge rather than this host.
+    };
+    [[nodiscard]] const first_host& first_other_host(std::uint32_t partition);
+    [[nodiscard]] bool write_to(std::uint32_t partition, const std::vector<host::journal_record>& records,
                                 wire::yield_context yield);
     void reply(const base::host_id& host, const journal_message& message);
     void remove_expired(wire::yield_context yield);
@@ -55,8 +59,8 @@
     gateway_state* state;
     peer_datagrams* datagrams;
     std::vector<std::unique_ptr<journal_partition>> partitions;
-    std::vector<std::string> addresses; ///< By partition, see `address_in_charge`.
-    base::time_point addresses_found_at{};
+    std::vector<first_host> first_hosts; ///< By partition, see `first_other_host`.
+    base::time_point first_hosts_found_at{};
     std::uint64_t last_number = 0;
     /// By number. Also held by the coroutines that wait.
     std::shared_ptr<std::map<std::uint64_t, pending_message*>> pending =
