--- a/libraries/decision/instance_choice.cpp
+++ b/libraries/decision/instance_choice.cpp
@@ -231,7 +231,7 @@
         if (context.unsettled_versions.contains(version))
             continue;
         restricted.software_version = version;
-        const auto plan = choose(restricted);
+        auto plan = choose(restricted);
         if (plan && plan->has_room)
             return plan;
     }
--- a/libraries/decision/traffic_split.cpp
+++ b/libraries/decision/traffic_split.cpp
@@ -44,6 +44,7 @@
             valued.emplace_back(preference_value(version, weight, key), version);
     std::ranges::sort(valued);
     std::vector<std::string> versions;
+    versions.reserve(valued.size());
     for (auto& [value, version] : valued)
         versions.push_back(std::move(version));
     return versions;
--- a/libraries/gateway/stream_origin/stream_journal_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.cpp
@@ -128,7 +128,7 @@
                         this->write_to(number, {first, first + static_cast<std::ptrdiff_t>(count)}, yield);
                     this->state->metrics->count(is_written ? "streams_recorded_later_total"
                                                            : "streams_not_journalled_total",
-                                                static_cast<double>(count));
+                                                static_cast<std::uint64_t>(count));
                 }
             });
 }
