--- a/libraries/gateway/stream_origin/journal_partition.cpp
+++ b/libraries/gateway/stream_origin/journal_partition.cpp
@@ -35,9 +35,9 @@
     : state(&state), feed(&feed), number(number), did_read(*state.context, base::time_point::max()) {}
 
 bool journal_partition::write(const std::vector<host::journal_record>& records, wire::yield_context yield) {
-    if (!this->next_batch || this->next_batch->records.size() >= max_records)
-        this->next_batch = std::make_shared<batch>(*this->state->context);
-    const std::shared_ptr<batch> own = this->next_batch;
+    if (this->waiting.empty() || this->waiting.back()->records.size() >= max_records)
+        this->waiting.push_back(std::make_shared<batch>(*this->state->context));
+    const std::shared_ptr<batch> own = this->waiting.back();
     own->records.insert(own->records.end(), records.begin(), records.end());
     this->write_next();
     wire::error_code ignored;
@@ -53,11 +53,12 @@
     wire::spawn_coroutine(*this->state->context, [this](wire::yield_context yield) {
         wire::boot_timer pause(*this->state->context);
         wire::error_code ignored;
-        while (this->next_batch) {
+        while (!this->waiting.empty()) {
             pause.expires_at(this->written_at + write_interval);
             pause.async_wait(yield[ignored]);
             // Records may have come meanwhile.
-            const std::shared_ptr<batch> next = std::exchange(this->next_batch, nullptr);
+            const std::shared_ptr<batch> next = this->waiting.front();
+            this->waiting.pop_front();
             this->written_at = this->state->clock->now();
             this->write_batch(next, yield);
         }
@@ -115,13 +116,14 @@
     this->index.remove_expired(now);
     const bool has_expired =
         std::ranges::any_of(this->expiry_of_batch, [&](const auto& item) { return item.second <= now; });
-    if (!has_expired || this->next_batch)
+    if (!has_expired || !this->waiting.empty())
         return;
-    this->next_batch = std::make_shared<batch>(*this->state->context);
+    this->waiting.push_back(std::make_shared<batch>(*this->state->context));
     this->write_next();
 }
 
-void journal_partition::apply(const ports::journal_page& page) {
+bool journal_partition::apply(const ports::journal_page& page) {
+    bool is_readable = true;
     for (const ports::journal_batch& read : page.batches) {
         if (!read.bytes) {
             this->expiry_of_batch.erase(read.key);
@@ -132,15 +134,16 @@
         const auto records = host::decode_journal_batch(*read.bytes);
         if (records)
             this->record_batch(read.key, *records);
+        is_readable &= records.has_value();
     }
-    this->next_offset = page.next;
+    // What can't be read may be about any stream: the next read begins anew.
+    this->next_offset = is_readable ? std::optional(page.next) : std::nullopt;
+    return is_readable;
 }
 
 bool journal_partition::read_listing(wire::yield_context yield) {
     const auto page = this->feed->newest_journal(this->number, call_timeout, yield);
-    if (page)
-        this->apply(*page);
-    return page.has_value();
+    return page && this->apply(*page);
 }
 
 bool journal_partition::read_to_end(wire::yield_context yield) {
@@ -159,7 +162,8 @@
             this->next_offset.reset();
             continue;
         }
-        this->apply(*page);
+        if (!this->apply(*page))
+            return false;
         if (!page->has_more)
             return true;
     }
--- a/libraries/gateway/stream_origin/journal_partition.h
+++ b/libraries/gateway/stream_origin/journal_partition.h
@@ -4,7 +4,9 @@
 #include <gateway/gateway_state.h>
 #include <host/stream_journal.h>
 
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -44,7 +46,8 @@
     /// Returns whether the end of the log was reached.
     [[nodiscard]] bool read_to_end(wire::yield_context yield);
     [[nodiscard]] bool read_listing(wire::yield_context yield);
-    void apply(const ports::journal_page& page);
+    /// Returns whether all of the page could be read.
+    [[nodiscard]] bool apply(const ports::journal_page& page);
     void record_batch(const std::string& key, const std::vector<host::journal_record>& records);
     /// Takes up to some of the batches that have expired, as deletions.
     [[nodiscard]] std::vector<ports::journal_batch> take_expired();
@@ -54,7 +57,7 @@
     std::uint32_t number;
     host::journal_index index;
     std::map<std::string, base::time_point> expiry_of_batch; ///< By key; of the batches in the store.
-    std::shared_ptr<batch> next_batch;                       ///< Not being written yet.
+    std::deque<std::shared_ptr<batch>> waiting;              ///< Not being written yet, oldest first.
     bool is_writing = false;
     base::time_point written_at{};
     std::optional<std::uint64_t> next_offset; ///< Empty until the partition has been read.
--- a/libraries/gateway/stream_origin/request_origin.cpp
+++ b/libraries/gateway/stream_origin/request_origin.cpp
@@ -25,10 +25,13 @@
 /// The keys of the stream whose first event came with the attempt of that id.
 host::stream_keys keys_of(const gateway_request& request, const std::string& first_id) {
     host::stream_keys keys{.by_id = {}, .by_content = {request.fingerprint.high, request.fingerprint.low}};
-    if (!first_id.empty())
-        keys.by_id = host::key_of_stream({.organisation = request.routed.organisation,
-                                          .host = request.routed.host,
-                                          .request_id = first_id});
+    if (first_id.empty())
+        return keys;
+    keys.by_id = host::key_of_stream(
+        {.organisation = request.routed.organisation, .host = request.routed.host, .request_id = first_id});
+    // A caller that names an attempt for other content than its own must not get that one's origin.
+    keys.by_id.high ^= keys.by_content.high;
+    keys.by_id.low ^= keys.by_content.low;
     return keys;
 }
 
@@ -79,6 +82,15 @@
     return origins;
 }
 
+/// Whether streams of the request's route can have begun at several versions.
+bool has_several_versions(const gateway_request& request) {
+    const auto services = services_of_streams(request);
+    return services.size() > 1 || std::ranges::any_of(services, [&](const std::string& service) {
+               const service_splits* const known = request.state->splits->find(service);
+               return known == nullptr || decision::versions_in(known->history).size() > 1;
+           });
+}
+
 /// An origin and how it was found, for the log.
 struct found_origin {
     std::optional<host::stream_origin> origin;
@@ -90,19 +102,29 @@
     const host::stream_keys keys = keys_of(request, request.routed.resumes);
     const auto zones = placement_limits_of(request).allowed_zones;
     const bool is_store_read = state.splits->refresh(yield);
-    if (const auto recorded = is_store_read ? state.stream_journal->find(keys, yield) : std::nullopt) {
-        auto resolved = host::resolve_origin({.unrecorded = find_unrecorded(request),
-                                              .recorded = *recorded,
-                                              .is_named = keys.by_id != host::stream_key{}});
-        if (resolved)
-            return {.origin = std::move(resolved), .source = recorded->by_id ? "journal" : "split"};
-    }
+    const auto recorded = is_store_read ? state.stream_journal->find(keys, yield) : std::nullopt;
+    // The journal's word on the attempt is final, also if it contradicts itself.
+    if (recorded && recorded->by_id)
+        return {.origin = host::resolve_origin({.unrecorded = {}, .recorded = *recorded, .is_named = true}),
+                .source = "journal"};
+    std::optional<host::stream_origin> derived;
+    if (recorded)
+        derived = host::resolve_origin({.unrecorded = find_unrecorded(request),
+                                        .recorded = *recorded,
+                                        .is_named = keys.by_id != host::stream_key{}});
+    if (derived && !has_several_versions(request))
+        return {.origin = std::move(derived), .source = "split"};
     // With several services the stream may have begun at any of them.
     const auto& services = request.route->services;
     const std::string inferred_for = !is_store_read && services.size() == 1 ? services.front().service : "";
     auto known = state.stream_origins->find(keys, inferred_for, zones, yield);
-    const char* const source = known ? "host" : "unknown";
-    return {.origin = std::move(known), .source = source};
+    // A caller that names another attempt, or brings other content, is told so rather than guessed.
+    if (known && derived && *known != *derived)
+        return {};
+    if (known)
+        return {.origin = std::move(known), .source = "host"};
+    const char* const source = derived ? "split" : "unknown";
+    return {.origin = std::move(derived), .source = source};
 }
 
 } // namespace
@@ -163,11 +185,6 @@
     return decision::versions_by_preference(known->history.splits.back(), split_key_of(request));
 }
 
-bool has_several_versions(const gateway_request& request) {
-    const service_splits* const known = request.state->splits->find(request.service);
-    return known != nullptr && decision::versions_in(known->history).size() > 1;
-}
-
 /// The version at which a stream may begin although no record of it can be written: the first in the
 /// content's order, if it has an engine. Another one would be guessed wrongly once the first is back.
 std::optional<std::string> default_version(const gateway_request& request) {
--- a/libraries/gateway/stream_origin/stream_journal_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.cpp
@@ -22,11 +22,31 @@
 /// So that a datagram is rarely split.
 constexpr std::size_t records_per_datagram = 16;
 
+/// Keeps a message among those that wait for as long as the object lives. Coroutines may be unwound after
+/// the exchange has been destroyed.
+template <class Message> class scoped_number {
+public:
+    scoped_number(std::shared_ptr<std::map<std::uint64_t, Message*>> messages, std::uint64_t number,
+                  Message& message)
+        : messages(std::move(messages)), number(number) {
+        this->messages->emplace(number, &message);
+    }
+    scoped_number(const scoped_number&) = delete;
+    scoped_number(scoped_number&&) = delete;
+    scoped_number& operator=(const scoped_number&) = delete;
+    scoped_number& operator=(scoped_number&&) = delete;
+    ~scoped_number() { this->messages->erase(this->number); }
+
+private:
+    std::shared_ptr<std::map<std::uint64_t, Message*>> messages;
+    std::uint64_t number;
+};
+
 } // namespace
 
 stream_journal_exchange::stream_journal_exchange(gateway_state& state, ports::control_feed& feed,
                                                  peer_datagrams& datagrams)
-    : state(&state), datagrams(&datagrams) {
+    : state(&state), datagrams(&datagrams), last_number(state.random()) {
     for (std::uint32_t number = 0; number < host::journal_partitions; ++number)
         this->partitions.push_back(std::make_unique<journal_partition>(state, feed, number));
 }
@@ -82,9 +102,7 @@
     message.number = ++this->last_number;
     const std::string bytes = encode_journal_message(message);
     pending_message sent(*this->state->context);
-    // Coroutines may be unwound after this object has been destroyed.
-    const auto all = this->pending;
-    all->emplace(message.number, &sent);
+    const scoped_number entry(this->pending, message.number, sent);
     wire::error_code ignored;
     for (const base::duration pause : repetition_pauses) {
         this->datagrams->send(datagram_kind::stream_journal, bytes, {address});
@@ -93,7 +111,6 @@
         if (sent.answer)
             break;
     }
-    all->erase(message.number);
     return sent.answer;
 }
 
--- a/libraries/gateway/stream_origin/stream_journal_exchange.h
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.h
@@ -61,7 +61,7 @@
     std::vector<std::unique_ptr<journal_partition>> partitions;
     std::vector<first_host> first_hosts; ///< By partition, see `first_other_host`.
     base::time_point first_hosts_found_at{};
-    std::uint64_t last_number = 0;
+    std::uint64_t last_number = 0; ///< Begins at random, as answers to an earlier process may still come.
     /// By number. Also held by the coroutines that wait.
     std::shared_ptr<std::map<std::uint64_t, pending_message*>> pending =
         std::make_shared<std::map<std::uint64_t, pending_message*>>();
--- a/libraries/gateway/stream_origin/version_splits.cpp
+++ b/libraries/gateway/stream_origin/version_splits.cpp
@@ -130,9 +130,8 @@
         if (!this->next_offset) {
             ++listings;
             const auto listing = this->feed->newest_service_notes(call_timeout, yield);
-            if (!listing)
+            if (!listing || !this->apply(*listing))
                 return false;
-            this->apply(*listing);
         }
         const auto page = this->feed->service_notes_after(*this->next_offset, call_timeout, yield);
         if (!page && page.error().failure != ports::feed_failure::history_lost)
@@ -141,18 +140,20 @@
             this->next_offset.reset();
             continue;
         }
-        this->apply(*page);
+        if (!this->apply(*page))
+            return false;
         if (!page->has_more)
             return true;
     }
     return false;
 }
 
-void version_splits::apply(const ports::service_note_page& page) {
+bool version_splits::apply(const ports::service_note_page& page) {
     const base::time_point now = this->state->clock->now();
-    this->next_offset = page.next;
+    bool is_readable = true;
     for (const ports::service_note& note : page.notes) {
         const auto splits = decode_splits(note.text);
+        is_readable &= splits.has_value();
         if (!splits)
             continue;
         record_ages(this->ages[note.service], *splits, this->views[note.service], now);
@@ -163,6 +164,9 @@
         this->state->log->write_always("version_splits", {{"service", note.service}, {"splits", note.text}});
         this->on_change(note.service);
     }
+    // What can't be read may be newer than what is known: the next read begins anew.
+    this->next_offset = is_readable ? std::optional(page.next) : std::nullopt;
+    return is_readable;
 }
 
 void version_splits::update_views() {
@@ -175,6 +179,8 @@
     this->registry_revision = this->state->registry_revision;
     this->settings_revision = settings_version(*this->state);
     this->views = view_services(*this->state->settings->document.value, this->state->instances);
+    for (const auto& [service, splits] : this->stored)
+        record_ages(this->ages[service], splits, this->views[service], now);
 }
 
 std::vector<std::pair<std::string, service_splits>> version_splits::find_updates() const {
@@ -205,7 +211,8 @@
     if (!this->known_at || !this->mismatched_since)
         return false;
     const base::time_point now = this->state->clock->now();
-    if (now - this->read_at < retry_interval && *this->known_at != this->read_at)
+    const bool has_failed = *this->known_at != this->read_at;
+    if ((has_failed && now - this->read_at < retry_interval) || now - this->written_at < retry_interval)
         return false;
     const double position = this->state->position_among_hosts;
     const bool is_first = position * this->state->participating_hosts < 1;
@@ -215,6 +222,7 @@
 }
 
 void version_splits::write_updates(wire::yield_context yield) {
+    this->written_at = this->state->clock->now();
     if (!this->refresh(yield))
         return;
     for (const auto& [service, splits] : this->find_updates()) {
--- a/libraries/gateway/stream_origin/version_splits.h
+++ b/libraries/gateway/stream_origin/version_splits.h
@@ -43,7 +43,8 @@
     [[nodiscard]] bool read(wire::yield_context yield);
     /// Returns whether the end of the log was reached.
     [[nodiscard]] bool read_to_end(wire::yield_context yield);
-    void apply(const ports::service_note_page& page);
+    /// Returns whether all of the page could be read.
+    [[nodiscard]] bool apply(const ports::service_note_page& page);
     void update_views();
     void write_updates(wire::yield_context yield);
     [[nodiscard]] bool is_read_due() const;
@@ -61,6 +62,7 @@
     std::uint64_t registry_revision = 0;          ///< For which `views` were made.
     std::uint64_t settings_revision = 0;          ///< Likewise, the version of the settings.
     base::time_point views_made_at{};
+    base::time_point written_at{};              ///< When the last writes began.
     std::optional<std::uint64_t> next_offset;   ///< Empty until the notes have been read.
     std::optional<base::time_point> known_at{}; ///< When the last successful read began.
     base::time_point read_at{};                 ///< When the last read began.
