--- a/libraries/decision/traffic_split.cpp
+++ b/libraries/decision/traffic_split.cpp
@@ -72,6 +72,8 @@
     return versions;
 }
 
+bool has_several_versions(const split_history& history) { return versions_in(history).size() > 1; }
+
 std::optional<traffic_split> next_split(const std::optional<traffic_split>& newest,
                                         const std::map<std::string, std::uint32_t>& capacity) {
     traffic_split wanted;
--- a/libraries/decision/traffic_split.h
+++ b/libraries/decision/traffic_split.h
@@ -47,6 +47,9 @@
 /// All versions that the history names.
 [[nodiscard]] std::set<std::string> versions_in(const split_history& history);
 
+/// Whether streams can have begun at more than one version.
+[[nodiscard]] bool has_several_versions(const split_history& history);
+
 /// The split that should follow `newest` when the versions' upstreams have this capacity now; nothing if
 /// `newest` still fits. Versions without capacity get no share.
 [[nodiscard]] std::optional<traffic_split> next_split(const std::optional<traffic_split>& newest,
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -71,8 +71,8 @@
 
 decision::attempt_record make_record(const settings::route_entry& route) {
     decision::attempt_record record;
-    record.is_repeatable = route.kind == settings::route_kind::repeatable ||
-                           (route.kind == settings::route_kind::stream && route.is_resumable);
+    record.is_repeatable =
+        route.kind == settings::route_kind::repeatable || settings::is_resumable_stream(route);
     record.max_attempts = std::max(1, route.max_attempts);
     return record;
 }
--- a/libraries/gateway/stream_origin/journal_partition.cpp
+++ b/libraries/gateway/stream_origin/journal_partition.cpp
@@ -18,8 +18,6 @@
 constexpr std::size_t max_records = 512;
 /// Until deletions that failed are tried again.
 constexpr base::duration deletion_retry = 5s;
-/// Reads that may find a listing to be behind the log.
-constexpr int max_listings = 3;
 /// Batches that one write deletes.
 constexpr std::size_t max_deletions = 64;
 
@@ -32,7 +30,21 @@
 } // namespace
 
 journal_partition::journal_partition(gateway_state& state, ports::control_feed& feed, std::uint32_t number)
-    : state(&state), feed(&feed), number(number), did_read(*state.context, base::time_point::max()) {}
+    : state(&state), feed(&feed), number(number),
+      log(state, {.read_newest =
+                      [this](wire::yield_context yield) {
+                          return this->feed->newest_journal(this->number, call_timeout, yield);
+                      },
+                  .read_after =
+                      [this](std::uint64_t offset, wire::yield_context yield) {
+                          return this->feed->journal_after(this->number, offset, call_timeout, yield);
+                      },
+                  .apply = [this](const ports::journal_page& page) { return this->apply(page); },
+                  .did_read =
+                      [this](bool is_complete) {
+                          this->state->metrics->count(is_complete ? "journal_reads_total"
+                                                                  : "journal_reads_failed_total");
+                      }}) {}
 
 bool journal_partition::write(const std::vector<host::journal_record>& records, wire::yield_context yield) {
     if (this->waiting.empty() || this->waiting.back()->records.size() >= max_records)
@@ -136,64 +148,12 @@
             this->record_batch(read.key, *records);
         is_readable &= records.has_value();
     }
-    // What can't be read may be about any stream: the next read begins anew.
-    this->next_offset = is_readable ? std::optional(page.next) : std::nullopt;
     return is_readable;
 }
 
-bool journal_partition::read_listing(wire::yield_context yield) {
-    const auto page = this->feed->newest_journal(this->number, call_timeout, yield);
-    return page && this->apply(*page);
-}
-
-bool journal_partition::read_to_end(wire::yield_context yield) {
-    int listings = 0;
-    // A listing may be behind the log, so the end of the log has the last word.
-    while (listings < max_listings) {
-        if (!this->next_offset) {
-            ++listings;
-            if (!this->read_listing(yield))
-                return false;
-        }
-        const auto page = this->feed->journal_after(this->number, *this->next_offset, call_timeout, yield);
-        if (!page && page.error().failure != ports::feed_failure::history_lost)
-            return false;
-        if (!page) {
-            this->next_offset.reset();
-            continue;
-        }
-        if (!this->apply(*page))
-            return false;
-        if (!page->has_more)
-            return true;
-    }
-    return false;
-}
-
-void journal_partition::read(wire::yield_context yield) {
-    this->is_reading = true;
-    this->read_at = this->state->clock->now();
-    const base::time_point began = this->read_at;
-    const bool is_complete = this->read_to_end(yield);
-    this->state->metrics->count(is_complete ? "journal_reads_total" : "journal_reads_failed_total");
-    if (is_complete)
-        this->known_at = began;
-    this->is_reading = false;
-    this->did_read.cancel();
-}
-
 std::optional<host::journal_findings> journal_partition::find(const host::stream_keys& keys,
                                                               wire::yield_context yield) {
-    const base::time_point asked = this->state->clock->now();
-    while (this->read_at < asked || this->is_reading) {
-        if (!this->is_reading) {
-            this->read(yield);
-            break;
-        }
-        wire::error_code ignored;
-        this->did_read.async_wait(yield[ignored]);
-    }
-    if (this->known_at < asked)
+    if (!this->log.refresh(yield))
         return std::nullopt;
     return this->index.find(keys, this->state->clock->now());
 }
--- a/libraries/gateway/stream_origin/journal_partition.h
+++ b/libraries/gateway/stream_origin/journal_partition.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <gateway/gateway_state.h>
+#include <gateway/stream_origin/log_replica.h>
 #include <host/stream_journal.h>
 
 #include <deque>
@@ -42,10 +43,6 @@
 
     void write_next();
     void write_batch(const std::shared_ptr<batch>& next, wire::yield_context yield);
-    void read(wire::yield_context yield);
-    /// Returns whether the end of the log was reached.
-    [[nodiscard]] bool read_to_end(wire::yield_context yield);
-    [[nodiscard]] bool read_listing(wire::yield_context yield);
     /// Returns whether all of the page could be read.
     [[nodiscard]] bool apply(const ports::journal_page& page);
     void record_batch(const std::string& key, const std::vector<host::journal_record>& records);
@@ -60,11 +57,7 @@
     std::deque<std::shared_ptr<batch>> waiting;              ///< Not being written yet, oldest first.
     bool is_writing = false;
     base::time_point written_at{};
-    std::optional<std::uint64_t> next_offset; ///< Empty until the partition has been read.
-    bool is_reading = false;
-    base::time_point known_at{}; ///< When the last successful read began.
-    base::time_point read_at{};  ///< When the last read began.
-    wire::boot_timer did_read;   ///< Cancelled at the end of each read.
+    log_replica<ports::journal_page> log;
 };
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/stream_origin/request_origin.cpp
+++ b/libraries/gateway/stream_origin/request_origin.cpp
@@ -44,7 +44,7 @@
 
 /// Number by which versions are assigned to the request's content.
 std::uint64_t split_key_of(const gateway_request& request) {
-    return request.fingerprint.high ^ request.fingerprint.low;
+    return host::number_of({request.fingerprint.high, request.fingerprint.low});
 }
 
 /// The services at which streams of the request's route can have begun.
@@ -87,7 +87,7 @@
     const auto services = services_of_streams(request);
     return services.size() > 1 || std::ranges::any_of(services, [&](const std::string& service) {
                const service_splits* const known = request.state->splits->find(service);
-               return known == nullptr || decision::versions_in(known->history).size() > 1;
+               return known == nullptr || decision::has_several_versions(known->history);
            });
 }
 
@@ -134,8 +134,7 @@
 }
 
 bool begins_resumable_stream(const gateway_request& request) {
-    return request.route->kind == settings::route_kind::stream && request.route->is_resumable &&
-           !request.origin;
+    return settings::is_resumable_stream(*request.route) && !request.origin;
 }
 
 const char* resolve_stream_origin(gateway_request& request, wire::yield_context yield) {
@@ -176,11 +175,11 @@
     return state.journal_failed_at && state.clock->now() - *state.journal_failed_at < journal_pause;
 }
 
-/// The versions of the service in the order in which the request's content prefers them. Empty while there is
-/// only one.
-std::vector<std::string> preferred_versions(const gateway_request& request) {
+/// The versions of the service in the order in which the request's content prefers them. Empty if its splits
+/// are not known.
+std::vector<std::string> versions_in_order(const gateway_request& request) {
     const service_splits* const known = request.state->splits->find(request.service);
-    if (known == nullptr || known->history.splits.empty() || decision::versions_in(known->history).size() < 2)
+    if (known == nullptr || known->history.splits.empty())
         return {};
     return decision::versions_by_preference(known->history.splits.back(), split_key_of(request));
 }
@@ -188,11 +187,7 @@
 /// The version at which a stream may begin although no record of it can be written: the first in the
 /// content's order, if it has an engine. Another one would be guessed wrongly once the first is back.
 std::optional<std::string> default_version(const gateway_request& request) {
-    const service_splits* const known = request.state->splits->find(request.service);
-    if (known == nullptr || known->history.splits.empty())
-        return std::nullopt;
-    const auto versions =
-        decision::versions_by_preference(known->history.splits.back(), split_key_of(request));
+    const auto versions = versions_in_order(request);
     const bool is_listed = !versions.empty() && has_listed_engine(request, request.service, versions.front());
     return is_listed ? std::optional(versions.front()) : std::nullopt;
 }
@@ -206,9 +201,8 @@
            decision::is_derivable(known->history, split_key_of(request), version);
 }
 
-host::journal_record journal_record_of(const gateway_request& request, const std::string& id,
-                                       const host::stream_origin& origin) {
-    return {.keys = keys_of(request, id),
+host::journal_record journal_record_of(const gateway_request& request, const host::stream_origin& origin) {
+    return {.keys = keys_of(request, request.routed.id),
             .origin = origin,
             .revision = request.journal.revisions,
             .lifetime = record_lifetime(request)};
@@ -221,7 +215,7 @@
     // One stream at a time finds out whether the store is back.
     if (state.journal_failed_at)
         state.journal_failed_at = state.clock->now();
-    const auto record = journal_record_of(request, request.routed.id, origin);
+    const auto record = journal_record_of(request, origin);
     ++request.journal.revisions;
     request.journal.written.reset();
     request.journal.attempted = origin;
@@ -246,7 +240,10 @@
 }
 
 version_choice choose_versions(const gateway_request& request) {
-    version_choice choice{.preferred = preferred_versions(request)};
+    const service_splits* const known = request.state->splits->find(request.service);
+    version_choice choice;
+    if (known != nullptr && decision::has_several_versions(known->history))
+        choice.preferred = versions_in_order(request);
     if (is_journal_failing(*request.state))
         choice.only = default_version(request);
     return choice;
@@ -254,9 +251,7 @@
 
 bool prepare_stream_origin(gateway_request& request, const std::string& software_version,
                            wire::yield_context yield) {
-    const bool is_resumable =
-        request.route->kind == settings::route_kind::stream && request.route->is_resumable;
-    if (!is_resumable)
+    if (!settings::is_resumable_stream(*request.route))
         return true;
     const host::stream_origin origin = {.service = request.service, .software_version = software_version};
     const bool is_recorded = request.journal.written == origin && !request.journal.is_unclear;
@@ -291,7 +286,7 @@
     // The host whose caller it is tells the others: it decides whether the caller gets the events.
     if (request.forwarded_by || software_version.empty())
         return;
-    const auto record = journal_record_of(request, request.routed.id, *request.origin);
+    const auto record = journal_record_of(request, *request.origin);
     // While several versions serve, a record by the attempt's id tells the stream from others with its
     // content. It need not be there before the first event, as the version can be derived.
     const bool is_recorded_late = !request.journal.written && has_several_versions(request);
@@ -312,9 +307,8 @@
     if (known == nullptr)
         return;
     const auto is_needed = [&](const host::journal_record& record) {
-        const host::stream_key& content = record.keys.by_content;
         return record.origin.service == service &&
-               !decision::is_derivable(known->history, content.high ^ content.low,
+               !decision::is_derivable(known->history, host::number_of(record.keys.by_content),
                                        record.origin.software_version);
     };
     const auto records = state.recent_streams.take_unrecorded(is_needed, state.clock->now());
--- a/libraries/gateway/stream_origin/service_splits.cpp
+++ b/libraries/gateway/stream_origin/service_splits.cpp
@@ -15,10 +15,6 @@
 /// record.
 constexpr std::size_t max_splits = 32;
 
-bool is_resumable(const settings::route_entry& route) {
-    return route.kind == settings::route_kind::stream && route.is_resumable;
-}
-
 } // namespace
 
 std::string encode_splits(const service_splits& splits) {
@@ -47,7 +43,7 @@
                                                   const decision::instance_table& instances) {
     std::map<std::string, service_view> views;
     for (const settings::route_entry& route : settings.routes)
-        if (is_resumable(route))
+        if (settings::is_resumable_stream(route))
             for (const settings::weighted_service& part : route.services)
                 views[part.service].routes.insert(route.name);
     for (const auto& [id, known] : instances.by_id) {
--- a/libraries/gateway/stream_origin/stream_journal_exchange.h
+++ b/libraries/gateway/stream_origin/stream_journal_exchange.h
@@ -4,7 +4,6 @@
 #include <gateway/peers/peer_datagrams.h>
 #include <gateway/stream_origin/journal_message.h>
 #include <gateway/stream_origin/journal_partition.h>
-#include <host/replica_ring.h>
 
 #include <map>
 #include <memory>
--- a/libraries/gateway/stream_origin/stream_origin_exchange.cpp
+++ b/libraries/gateway/stream_origin/stream_origin_exchange.cpp
@@ -86,7 +86,7 @@
 
 host::replica_query stream_origin_exchange::query_for(const host::stream_key& key,
                                                       const allowed_zones& zones) const {
-    return {.key = key.high ^ key.low, .allowed_zones = zones, .now = this->state->clock->now()};
+    return {.key = host::number_of(key), .allowed_zones = zones, .now = this->state->clock->now()};
 }
 
 std::map<base::host_id, std::string>
--- a/libraries/gateway/stream_origin/version_splits.cpp
+++ b/libraries/gateway/stream_origin/version_splits.cpp
@@ -24,8 +24,6 @@
 constexpr base::duration takeover_delay = 1s;
 constexpr base::duration takeover_spread = 4s;
 constexpr auto call_timeout = std::chrono::milliseconds(400);
-/// Reads that may find a listing to be behind the log.
-constexpr int max_listings = 3;
 
 } // namespace
 
@@ -38,7 +36,21 @@
 }
 
 version_splits::version_splits(gateway_state& state, ports::control_feed& feed)
-    : state(&state), feed(&feed), did_read(*state.context, base::time_point::max()) {}
+    : state(&state), feed(&feed),
+      log(state, {.read_newest =
+                      [this](wire::yield_context yield) {
+                          return this->feed->newest_service_notes(call_timeout, yield);
+                      },
+                  .read_after =
+                      [this](std::uint64_t offset, wire::yield_context yield) {
+                          return this->feed->service_notes_after(offset, call_timeout, yield);
+                      },
+                  .apply = [this](const ports::service_note_page& page) { return this->apply(page); },
+                  .did_read =
+                      [this](bool is_complete) {
+                          this->state->metrics->count(is_complete ? "split_reads_total"
+                                                                  : "split_reads_failed_total");
+                      }}) {}
 
 void version_splits::start(std::function<void(const std::string& service)> on_change) {
     this->on_change = std::move(on_change);
@@ -71,7 +83,7 @@
 }
 
 bool version_splits::is_confirmed(const std::string& service) const {
-    if (!this->known_at)
+    if (!this->log.known_at())
         return false;
     const auto view = this->views.find(service);
     const service_splits* const splits = this->find(service);
@@ -80,7 +92,7 @@
     const auto known = decision::versions_in(splits->history);
     if (!std::ranges::includes(known, view->second.versions))
         return false;
-    const base::duration age = this->state->clock->now() - *this->known_at;
+    const base::duration age = this->state->clock->now() - *this->log.known_at();
     return known.size() == 1 || age < 2 * this->poll_interval() + call_timeout;
 }
 
@@ -95,58 +107,11 @@
 
 bool version_splits::has_several_splits() const {
     return std::ranges::any_of(this->stored, [](const auto& item) {
-        return item.second.history.splits.size() > 1 || decision::versions_in(item.second.history).size() > 1;
+        return item.second.history.splits.size() > 1 || decision::has_several_versions(item.second.history);
     });
 }
 
-bool version_splits::refresh(wire::yield_context yield) {
-    const base::time_point asked = this->state->clock->now();
-    while (this->read_at < asked || this->is_reading) {
-        if (!this->is_reading)
-            return this->read(yield);
-        wire::error_code ignored;
-        this->did_read.async_wait(yield[ignored]);
-    }
-    return this->known_at && *this->known_at >= asked;
-}
-
-bool version_splits::read(wire::yield_context yield) {
-    this->is_reading = true;
-    this->read_at = this->state->clock->now();
-    const base::time_point began = this->read_at;
-    const bool is_complete = this->read_to_end(yield);
-    this->state->metrics->count(is_complete ? "split_reads_total" : "split_reads_failed_total");
-    if (is_complete)
-        this->known_at = began;
-    this->is_reading = false;
-    this->did_read.cancel();
-    return is_complete;
-}
-
-bool version_splits::read_to_end(wire::yield_context yield) {
-    int listings = 0;
-    // A listing may be behind the log, so the end of the log has the last word.
-    while (listings < max_listings) {
-        if (!this->next_offset) {
-            ++listings;
-            const auto listing = this->feed->newest_service_notes(call_timeout, yield);
-            if (!listing || !this->apply(*listing))
-                return false;
-        }
-        const auto page = this->feed->service_notes_after(*this->next_offset, call_timeout, yield);
-        if (!page && page.error().failure != ports::feed_failure::history_lost)
-            return false;
-        if (!page) {
-            this->next_offset.reset();
-            continue;
-        }
-        if (!this->apply(*page))
-            return false;
-        if (!page->has_more)
-            return true;
-    }
-    return false;
-}
+bool version_splits::refresh(wire::yield_context yield) { return this->log.refresh(yield); }
 
 bool version_splits::apply(const ports::service_note_page& page) {
     const base::time_point now = this->state->clock->now();
@@ -164,8 +129,6 @@
         this->state->log->write_always("version_splits", {{"service", note.service}, {"splits", note.text}});
         this->on_change(note.service);
     }
-    // What can't be read may be newer than what is known: the next read begins anew.
-    this->next_offset = is_readable ? std::optional(page.next) : std::nullopt;
     return is_readable;
 }
 
@@ -200,19 +163,19 @@
 }
 
 bool version_splits::is_read_due() const {
-    const base::duration since = this->state->clock->now() - this->read_at;
-    if (!this->known_at)
+    const base::duration since = this->state->clock->now() - this->log.read_at();
+    if (!this->log.known_at())
         return since >= retry_interval;
     const bool is_polling = this->has_several_splits() || this->mismatched_since;
     return is_polling && since >= this->poll_interval();
 }
 
 bool version_splits::is_write_due() const {
-    if (!this->known_at || !this->mismatched_since)
+    if (!this->log.known_at() || !this->mismatched_since)
         return false;
     const base::time_point now = this->state->clock->now();
-    const bool has_failed = *this->known_at != this->read_at;
-    if ((has_failed && now - this->read_at < retry_interval) || now - this->written_at < retry_interval)
+    const bool has_failed = this->log.known_at() != this->log.read_at();
+    if ((has_failed && now - this->log.read_at() < retry_interval) || now - this->written_at < retry_interval)
         return false;
     const double position = this->state->position_among_hosts;
     const bool is_first = position * this->state->participating_hosts < 1;
@@ -227,7 +190,7 @@
         return;
     for (const auto& [service, splits] : this->find_updates()) {
         const auto written = this->feed->write_service_note({service, encode_splits(splits)},
-                                                            *this->next_offset, call_timeout, yield);
+                                                            *this->log.end(), call_timeout, yield);
         this->state->metrics->count(written ? "split_writes_total" : "split_writes_failed_total");
         // The next conditional write needs the new end, and another host may have written.
         if (!this->refresh(yield) || !written)
--- a/libraries/gateway/stream_origin/version_splits.h
+++ b/libraries/gateway/stream_origin/version_splits.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <gateway/gateway_state.h>
+#include <gateway/stream_origin/log_replica.h>
 #include <gateway/stream_origin/service_splits.h>
 
 #include <map>
@@ -40,9 +41,6 @@
 
 private:
     void run(wire::yield_context yield);
-    [[nodiscard]] bool read(wire::yield_context yield);
-    /// Returns whether the end of the log was reached.
-    [[nodiscard]] bool read_to_end(wire::yield_context yield);
     /// Returns whether all of the page could be read.
     [[nodiscard]] bool apply(const ports::service_note_page& page);
     void update_views();
@@ -62,14 +60,10 @@
     std::uint64_t registry_revision = 0;          ///< For which `views` were made.
     std::uint64_t settings_revision = 0;          ///< Likewise, the version of the settings.
     base::time_point views_made_at{};
-    base::time_point written_at{};              ///< When the last writes began.
-    std::optional<std::uint64_t> next_offset;   ///< Empty until the notes have been read.
-    std::optional<base::time_point> known_at{}; ///< When the last successful read began.
-    base::time_point read_at{};                 ///< When the last read began.
+    base::time_point written_at{}; ///< When the last writes began.
     std::optional<base::time_point> mismatched_since{};
-    bool is_reading = false;
     std::function<void(const std::string&)> on_change;
-    wire::boot_timer did_read; ///< Cancelled at the end of each read.
+    log_replica<ports::service_note_page> log;
 };
 
 /// The longest time after its beginning at which a stream of the service may be resumed.
--- a/libraries/host/stream_journal.cpp
+++ b/libraries/host/stream_journal.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 std::uint32_t journal_partition_of(const stream_keys& keys) {
-    return static_cast<std::uint32_t>((keys.by_content.high ^ keys.by_content.low) % journal_partitions);
+    return static_cast<std::uint32_t>(number_of(keys.by_content) % journal_partitions);
 }
 
 std::string encode_journal_batch(const std::vector<journal_record>& records) {
--- a/libraries/host/stream_origins.h
+++ b/libraries/host/stream_origins.h
@@ -32,6 +32,9 @@
     auto operator<=>(const stream_key&) const = default;
 };
 
+/// The key as a single number, by which hosts, partitions and versions are chosen.
+[[nodiscard]] constexpr std::uint64_t number_of(const stream_key& key) { return key.high ^ key.low; }
+
 /// The keys under which a stream is recorded and sought.
 struct stream_keys {
     stream_key by_id; ///< Of the attempt that brought the first event; zero if the caller doesn't name it.
--- a/libraries/settings/routing_settings.h
+++ b/libraries/settings/routing_settings.h
@@ -48,6 +48,11 @@
     bool operator==(const route_entry&) const = default;
 };
 
+/// Whether the route's answers are streams that a caller may take up again.
+[[nodiscard]] inline bool is_resumable_stream(const route_entry& route) {
+    return route.kind == route_kind::stream && route.is_resumable;
+}
+
 /// Capacity and timing of a service's model engines.
 struct engine_capacity {
     int slots = 1;                               ///< Requests that an engine runs concurrently.
