streams: Ask few other engines for a sign of life at a time

What was wrong: to tell a common silence from a single dead engine, each silent run asked all other engines of its service for a sign of life, again at each look: with ten thousand engines, 10,000 calls for one run (the new test, which failed before: 10000 <= 4). A cost that grows with the fleet, and a load on it just when it stands still. Change: a look asks at most four, in a random order each time so that none is left out for good, and nobody while sixteen such calls are in progress at the host. What is heard otherwise counts as before. Not measured at size: each look still goes over all engines of the service, as each choice of an engine does.

--- a/libraries/gateway/streams/stream_watch.cpp
+++ b/libraries/gateway/streams/stream_watch.cpp
@@ -133,6 +133,8 @@
              this->request->state->instances, choice_context_of(*this->request), can_take_over))
         if (candidate->entry.id != engine)
             others.push_back(candidate->entry.id);
+    // Only a few are asked at a time.
+    std::ranges::shuffle(others, this->request->state->random);
     return others;
 }
 
--- a/libraries/gateway/upstreams/stall_monitor.cpp
+++ b/libraries/gateway/upstreams/stall_monitor.cpp
@@ -18,6 +18,9 @@
 constexpr base::duration look_interval = 100ms;
 /// A look that is later than this shows that this host was held up.
 constexpr base::duration max_look_delay = 50ms;
+/// Calls for a sign of life in progress beyond which no further upstream is asked on behalf of others: many
+/// runs may fall silent at once.
+constexpr std::size_t max_life_probes = 16;
 /// Timeout of a call for a sign of life, which takes no slot at the upstream.
 constexpr auto life_probe_timeout = 400ms;
 
@@ -109,12 +112,17 @@
 decision::other_upstreams stall_monitor::look_at_others(base::time_point now) {
     const base::duration limit = this->options.limits.limit;
     decision::other_upstreams others;
+    int asked = 0;
     this->others_in_silence.clear();
     for (const base::upstream_id& id :
          this->source.others ? this->source.others() : std::vector<base::upstream_id>{}) {
         const base::time_point heard_at = this->source.other_heard_at(id);
-        if (heard_at <= this->silent_since || now - heard_at >= decision::age_before_next_probe(limit))
+        const bool is_due =
+            heard_at <= this->silent_since || now - heard_at >= decision::age_before_next_probe(limit);
+        if (is_due && asked < max_asked_at_a_look) {
             this->source.request_sign_of_other(id);
+            ++asked;
+        }
         if (decision::is_sign_of_life(heard_at, this->silent_since, limit, now)) {
             ++others.alive;
         } else {
@@ -216,7 +224,10 @@
         const decision::instance* const known = decision::find_instance(state.instances, other);
         return known == nullptr ? base::time_point{} : known->heard_at;
     };
-    source.request_sign_of_other = [&state](const base::upstream_id& other) { probe_life(state, other); };
+    source.request_sign_of_other = [&state](const base::upstream_id& other) {
+        if (state.life_probes.size() < max_life_probes)
+            probe_life(state, other);
+    };
     return source;
 }
 
--- a/libraries/gateway/upstreams/stall_monitor.h
+++ b/libraries/gateway/upstreams/stall_monitor.h
@@ -17,7 +17,8 @@
     std::function<base::time_point()> heard_at;
     std::function<void()> request_sign_of_life; ///< Asks it for an answer of any kind, without waiting.
     std::function<decision::stall_history*()> history; ///< Null if none is kept.
-    /// The other upstreams that could take the request over; none where something else would. May be unset.
+    /// The other upstreams that could take the request over, in the order in which to ask them, which should
+    /// differ each time; none where something else would. May be unset.
     std::function<std::vector<base::upstream_id>()> others{};
     /// When this host last received anything from one of these.
     std::function<base::time_point(const base::upstream_id&)> other_heard_at{};
@@ -54,6 +55,9 @@
 /// waits for the answer in progress until its deadline.
 class stall_monitor {
 public:
+    /// Other upstreams that are asked for a sign of life at one look, whatever their number.
+    static constexpr int max_asked_at_a_look = 4;
+
     /// `request` must outlive the monitor.
     stall_monitor(gateway_request& request, stall_source source, stall_monitor_options options);
 
--- a/tests/gateway/test_stall_monitor.cpp
+++ b/tests/gateway/test_stall_monitor.cpp
@@ -37,16 +37,13 @@
                  .try_claim_next = std::move(try_claim_next)}};
     }
 
-    /// The same with two other upstreams, each of which answers at once where that is set.
+    /// The same with other upstreams, each of which answers at once where that is set.
     gateway::stall_monitor watch_with_others(std::function<bool()> try_claim_next) {
         return {this->request,
                 {.heard_at = [this] { return this->heard_at; },
                  .request_sign_of_life = [this] { ++this->probes; },
                  .history = [] { return nullptr; },
-                 .others =
-                     [] {
-                         return std::vector<base::upstream_id>{{"two"}, {"three"}};
-                     },
+                 .others = [this] { return this->others; },
                  .other_heard_at =
                      [this](const base::upstream_id& id) { return this->others_heard_at[id.value]; },
                  .request_sign_of_other =
@@ -80,6 +77,7 @@
     gateway::gateway_request request;
     base::time_point heard_at{};
     int probes = 0;
+    std::vector<base::upstream_id> others = {{"two"}, {"three"}};
     std::set<std::string> answering;
     std::map<std::string, base::time_point> others_heard_at;
     int probes_of_others = 0;
@@ -189,6 +187,19 @@
     CHECK(monitor.record().was_shared);
 }
 
+// Guards against a host that asks all of ten thousand upstreams for a sign of life because one is silent.
+TEST_CASE("few of many other upstreams are asked for a sign of life at a time") {
+    watched_send send;
+    send.others.clear();
+    for (int number = 0; number < 10'000; ++number)
+        send.others.push_back({"other-" + std::to_string(number)});
+    auto monitor = send.watch_with_others([] { return true; });
+    send.clock.advance(monitor.did_progress() - send.clock.now());
+    CHECK(monitor.look());
+    CHECK(send.probes_of_others > 0);
+    CHECK(send.probes_of_others <= gateway::stall_monitor::max_asked_at_a_look);
+}
+
 // Guards against leaving a dead upstream later than before, because the others have to be asked first.
 TEST_CASE("a send at the only upstream that is silent is given up at the limit") {
     watched_send send;
