endings: Log how many retries each request was charged

Cause: whether arrivals beyond the first are paid for could be seen for a host as a whole only (extra_sends_total), so a send that nobody pays for could not be told from one that arrives later than it was paid for. Change: request_ended has charged_retries where a request was sent more than once. No change of behaviour.

--- a/libraries/gateway/endings/request_record.cpp
+++ b/libraries/gateway/endings/request_record.cpp
@@ -54,6 +54,8 @@
         fields["place"] = request.slot_facts;
     if (!request.limit_facts.is_null())
         fields["limit"] = request.limit_facts;
+    if (request.sends.size() > 1)
+        fields["charged_retries"] = request.charged_retries;
     if (!request.budget_facts.is_null())
         fields["retry_budget"] = request.budget_facts;
     if (!request.recheck_facts.is_null())
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -153,6 +153,7 @@
     decision::spend_reserved(budget_of(*request.state, request.service));
     --request.reserved_retries;
     request.is_retry_charged = true;
+    ++request.charged_retries;
     request.state->metrics->count("extra_sends_total");
     return true;
 }
@@ -211,6 +212,7 @@
     record_budget_facts(request, budget, options);
     const bool is_charged = decision::try_spend(budget, options, now);
     request.is_retry_charged = is_charged;
+    request.charged_retries += is_charged ? 1 : 0;
     state.metrics->count(is_charged ? "extra_sends_total" : "extra_sends_refused_total");
     return is_charged;
 }
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -84,6 +84,7 @@
     decision::attempt_record record;
     bool is_retry_charged = false; ///< The retry budget was charged for the send in progress.
     bool reserves_retries = false; ///< Retries for a prompt and its run are taken before the prompt is sent.
+    int charged_retries = 0;       ///< For the log: sends that the retry budget has paid for.
     int reserved_retries = 0;      ///< Taken from the retry budget for sends that are still to come.
     std::set<base::upstream_id> tried;
     std::shared_ptr<request_cancellation> cancellation = std::make_shared<request_cancellation>();
--- a/libraries/gateway/upstreams/upstream_exchange.cpp
+++ b/libraries/gateway/upstreams/upstream_exchange.cpp
@@ -205,6 +205,7 @@
 
 void refund_retry(gateway_request& request) {
     gateway_state& state = *request.state;
+    --request.charged_retries;
     decision::shared_budget& budget = budget_of(state, request.service);
     const decision::shared_budget_options options = budget_options_of(state);
     if (!request.reserves_retries) {
