--- a/stand_ins/platform_server/main.cpp
+++ b/stand_ins/platform_server/main.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <map>
+#include <random>
 #include <set>
 
 DEFINE_string(address, "127.0.0.1", "IP address to listen on");
@@ -62,10 +63,11 @@
     int silence_before_event = 1; ///< Event of a stream before which it is silent; not a count.
     int affects_one_in = 1;       ///< Silences and endless events strike one in so many runs that they could.
     bool is_leaving = false;      ///< Sends `Server-Leaving` in all responses.
-    int endless_responses = 0; ///< Body without end, also of a rejection; of a new stream: its second event.
-    std::string endless_text;  ///< What those repeat.
-    int endless_pause_ms = 0;  ///< Between two repetitions; 0: as fast as they are read. Not a count.
-    int endless_calls = 0;     ///< `/api/` calls whose response has a body without end.
+    int endless_responses = 0;  ///< Body without end, also of a rejection; of a new stream: its second event.
+    std::string endless_text;   ///< What those repeat.
+    int endless_pause_ms = 0;   ///< Between two repetitions; 0: as fast as they are read. Not a count.
+    int endless_calls = 0;      ///< `/api/` calls whose response has a body without end.
+    double closed_fraction = 0; ///< Of requests whose connection is closed without an answer.
     int endless_foreign_responses = 0; ///< Begins with a body without end that echoes another id.
     base::time_point silent_until{};   ///< Until then nothing is sent; the work goes on afterwards.
 };
@@ -184,7 +186,13 @@
         this->send_short({status, std::move(headers), ""}, connection, yield);
     }
 
-    void record_request(const wire::http_request& request, bool is_executed) {
+    /// Whether the connection of this request is to be closed without an answer, before any work on it.
+    bool draws_closed() {
+        return this->faults.closed_fraction > 0 &&
+               std::uniform_real_distribution<>(0, 1)(this->random) < this->faults.closed_fraction;
+    }
+
+    void record_request(const wire::http_request& request, bool is_executed, bool is_closed) {
         if (this->run_log.is_open())
             return;
         json headers = json::object();
@@ -196,7 +204,8 @@
              {"method", request.method},
              {"body", request.body},
              {"headers", std::move(headers)},
-             {"runs", is_executed}});
+             {"runs", is_executed},
+             {"is_closed", is_closed}});
     }
 
     void handle_request(const wire::http_request& request, wire::caller_connection& connection,
@@ -208,11 +217,15 @@
         const bool is_refused = is_other_instance || is_wrong_stage ||
                                 consume_fault(this->faults.rejected_requests) || this->is_full() ||
                                 (!cache_source.empty() && consume_fault(this->faults.failed_kv_fetches));
-        this->record_request(request, !is_refused && !is_prefill);
+        const bool is_closed = !is_refused && this->draws_closed();
+        this->record_request(request, !is_refused && !is_closed && !is_prefill, is_closed);
         const int refused_with = is_refused ? (is_other_instance || is_wrong_stage ? 421 : 503) : 0;
         const int number = this->run_log.write_arrival(request, is_prefill, refused_with, this->clock.now());
         answer_end end = answer_end::sent;
-        if (is_refused && consume_fault(this->faults.endless_responses)) {
+        if (is_closed) {
+            connection.abort();
+            end = answer_end::broken_off;
+        } else if (is_refused && consume_fault(this->faults.endless_responses)) {
             connection.begin_stream(
                 {503,
                  {{"X-Attempt-Id", std::string(find_header(request.headers, "X-Attempt-Id"))},
@@ -472,6 +485,7 @@
         this->faults.rejected_requests = body.value("refuse", this->faults.rejected_requests);
         this->faults.failed_requests = body.value("fail", this->faults.failed_requests);
         this->faults.lost_responses = body.value("lose_answer", this->faults.lost_responses);
+        this->faults.closed_fraction = body.value("closed_fraction", this->faults.closed_fraction);
         this->faults.hung_responses = body.value("hang", this->faults.hung_responses);
         this->faults.duplicate_responses = body.value("surplus", this->faults.duplicate_responses);
         this->faults.unsealed_responses = body.value("unsealed", this->faults.unsealed_responses);
@@ -520,6 +534,7 @@
     base::system_clock_source clock;
     stand_in::run_log run_log{FLAGS_run_log};
     server_faults faults;
+    std::mt19937 random{std::random_device{}()};
     std::map<const wire::caller_connection*, wire::http_response> late_answers; ///< Still to be sent.
     json received_requests = json::array();
     json orders = json::array();
