decision: Pay for each arrival but the first prompt that an engine answers

What callers saw: beside engines that close connections without an answer, upstreams received more arrivals beyond the first of each request than allowed. Cause: a prompt without an answer (broken, late) was taken for the one prompt that is free, and recorded as accepted. Upstreams free only a prompt that they read; what is closed without an answer is an arrival like a refused one. So one arrival of each request whose first prompt was closed was never paid for. Change: a request's arrivals are one value of their own, decision/arrival_account, with one rule: everything that may have arrived counts, except the first prompt that an engine answered. "after a lost prefill without retry budget the decode engine processes the prompt" asked for the arrival that nobody pays for; it is replaced by one that asks for a refusal with Retry-After, one arrival and no run.

--- a/libraries/decision/attempt_rules.cpp
+++ b/libraries/decision/attempt_rules.cpp
@@ -22,18 +22,11 @@
 
 } // namespace
 
-bool counts_against_budget(const attempt_record& record, attempt_kind kind, attempt_result result) {
-    if (result == attempt_result::not_connected)
-        return false;
-    return kind == attempt_kind::run || result == attempt_result::not_run || record.accepted_prompts > 0;
-}
-
 void record_result(attempt_record& record, attempt_kind kind, attempt_result result) {
-    if (counts_against_budget(record, kind, result))
-        ++record.budgeted_attempts;
+    record_arrival(record.arrivals, kind, result);
     if (kind == attempt_kind::prefill) {
         if (result != attempt_result::not_connected && result != attempt_result::not_run)
-            ++record.accepted_prompts;
+            ++record.prompts;
         return;
     }
     switch (result) {
@@ -51,7 +44,7 @@
 
 void record_forwarded(attempt_record& record, int attempts) {
     record.attempts += attempts;
-    record.budgeted_attempts += attempts;
+    record.arrivals.counted += attempts;
     record.may_have_run |= attempts > 0;
 }
 
@@ -70,19 +63,6 @@
     return record.is_repeatable && record.attempts < record.max_attempts;
 }
 
-bool is_retry(const attempt_record& record) { return record.budgeted_attempts > 0; }
-
-int retries_for_prompt_and_run(const attempt_record& record) {
-    int retries = 0;
-    attempt_record planned = record;
-    for (const attempt_kind kind : {attempt_kind::prefill, attempt_kind::run}) {
-        const bool is_charged = is_retry(planned);
-        retries += is_charged && counts_against_budget(planned, kind, attempt_result::answered) ? 1 : 0;
-        record_result(planned, kind, attempt_result::answered);
-    }
-    return retries;
-}
-
 bool may_retry_elsewhere(const attempt_record& record) {
     return record.is_repeatable && record.attempts + 1 < record.max_attempts;
 }
@@ -105,22 +85,4 @@
     return last == attempt_result::late ? local_response::timed_out : local_response::failed;
 }
 
-const char* to_text(attempt_result result) {
-    switch (result) {
-    case attempt_result::answered:
-        return "answered";
-    case attempt_result::server_error:
-        return "server_error";
-    case attempt_result::not_connected:
-        return "not_connected";
-    case attempt_result::not_run:
-        return "not_run";
-    case attempt_result::broken:
-        return "broken";
-    case attempt_result::late:
-        return "late";
-    }
-    return "unknown";
-}
-
 } // namespace postpaddle::decision
--- a/libraries/decision/attempt_rules.h
+++ b/libraries/decision/attempt_rules.h
@@ -2,35 +2,19 @@
 #pragma once
 
 #include <base/clock.h>
+#include <decision/arrival_account.h>
 
 namespace postpaddle::decision {
 
-/// How an attempt at an upstream ended.
-enum class attempt_result {
-    answered,      ///< A complete response, including error responses.
-    server_error,  ///< A complete response with a 5xx status, for work that the upstream began.
-    not_connected, ///< No connection: nothing was sent.
-    not_run,       ///< The upstream responded that it did not and will not run the request.
-    broken,        ///< Sent, but the response is missing, truncated or belongs to another request.
-    late,          ///< Sent, but there was no response in time.
-};
-
-/// Purpose of an attempt.
-enum class attempt_kind {
-    run,     ///< To answer the request.
-    prefill, ///< To prefill and retain its prompt.
-};
-
 /// Attempts of one request so far. `may_have_run` is never reset.
 struct attempt_record {
     bool is_repeatable = false;
-    int max_attempts = 1;     ///< Upstreams that may run the request.
-    int failed_connects = 0;  ///< Attempts that never connected.
-    int attempts = 0;         ///< Attempts that may have run.
-    int refusals = 0;         ///< Attempts that an upstream refused.
-    int accepted_prompts = 0; ///< Prefills that an engine may have accepted.
-    int budgeted_attempts =
-        0; ///< Attempts that count against the retry budget; all but the first are retries.
+    int max_attempts = 1;    ///< Upstreams that may run the request.
+    int failed_connects = 0; ///< Attempts that never connected.
+    int attempts = 0;        ///< Attempts that may have run.
+    int refusals = 0;        ///< Attempts that an upstream refused.
+    int prompts = 0;         ///< Prefills that an engine may have begun.
+    arrival_account arrivals{};
     bool may_have_run = false;
 
     bool operator==(const attempt_record&) const = default;
@@ -43,11 +27,6 @@
     timed_out, ///< 504: it may have run, and the time is up.
 };
 
-/// Whether an attempt with that result counts against the retry budget: runs that reached an upstream, even
-/// if refused; refused prefills; and accepted prefills after the first.
-[[nodiscard]] bool counts_against_budget(const attempt_record& record, attempt_kind kind,
-                                         attempt_result result);
-
 /// Updates the record with the result of an attempt.
 void record_result(attempt_record& record, attempt_kind kind, attempt_result result);
 
@@ -62,13 +41,6 @@
 /// and the remaining time.
 [[nodiscard]] bool may_retry(const attempt_record& record, attempt_result last);
 
-/// Whether the next attempt that reaches an upstream is a retry.
-[[nodiscard]] bool is_retry(const attempt_record& record);
-
-/// Retries that a prompt sent to a prefill engine now and the run that must follow it take together, if both
-/// are accepted. A refusal of the prompt takes no more.
-[[nodiscard]] int retries_for_prompt_and_run(const attempt_record& record);
-
 /// Whether the request may run on another upstream after the attempt in progress.
 [[nodiscard]] bool may_retry_elsewhere(const attempt_record& record);
 
@@ -83,7 +55,4 @@
 /// Response to send after the last attempt failed with that result.
 [[nodiscard]] local_response local_response_for(const attempt_record& record, attempt_result last);
 
-/// Text for logs.
-[[nodiscard]] const char* to_text(attempt_result result);
-
 } // namespace postpaddle::decision
--- a/libraries/gateway/endings/request_drain.cpp
+++ b/libraries/gateway/endings/request_drain.cpp
@@ -83,7 +83,7 @@
 
 bool is_beyond_drain(const gateway_request& request) {
     const auto& drain = request.state->drain;
-    const bool is_unsent = request.record.attempts == 0 && request.record.accepted_prompts == 0;
+    const bool is_unsent = request.record.attempts == 0 && request.record.prompts == 0;
     return drain && is_unsent &&
            request.state->clock->now() + expected_stream_time(request) >= drain->answer_by;
 }
--- a/libraries/gateway/forwarding/forwarding_receiver.cpp
+++ b/libraries/gateway/forwarding/forwarding_receiver.cpp
@@ -101,7 +101,8 @@
     set_part_prints(request);
     request.record = make_record(*request.route);
     request.record.max_attempts = std::min(request.record.max_attempts, forwarded.max_attempts);
-    request.record.accepted_prompts = forwarded.accepted_prompts;
+    request.record.prompts = forwarded.accepted_prompts;
+    request.record.arrivals.is_prompt_read = forwarded.accepted_prompts > 0;
     set_time(request, forwarded);
     set_order(request);
     return true;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -146,7 +146,7 @@
 }
 
 bool try_charge_send(gateway_request& request) {
-    if (!decision::is_retry(request.record))
+    if (!decision::is_retry(request.record.arrivals))
         return true;
     if (request.reserved_retries == 0)
         return try_charge_retry(request);
@@ -193,7 +193,7 @@
 }
 
 bool try_reserve_prompt_and_run(gateway_request& request) {
-    return try_reserve_retries(request, decision::retries_for_prompt_and_run(request.record));
+    return try_reserve_retries(request, decision::retries_for_prompt_and_run(request.record.arrivals));
 }
 
 void release_reserved_retries(gateway_request& request) {
--- a/libraries/gateway/streams/stream_watch.cpp
+++ b/libraries/gateway/streams/stream_watch.cpp
@@ -166,8 +166,8 @@
     if (!plan)
         return false;
     // The attempt in progress is recorded only when it has ended.
-    decision::attempt_record after = this->request->record;
-    decision::record_result(after, kind, decision::attempt_result::late);
+    decision::arrival_account after = this->request->record.arrivals;
+    decision::record_arrival(after, kind, decision::attempt_result::late);
     const int retries = plan->prefill ? decision::retries_for_prompt_and_run(after) : 1;
     if (!try_reserve_retries(*this->request, retries))
         return false;
--- a/libraries/gateway/upstreams/upstream_exchange.cpp
+++ b/libraries/gateway/upstreams/upstream_exchange.cpp
@@ -167,7 +167,7 @@
 void record_send(gateway_request& request, decision::attempt_kind kind, attempt_result result) {
     gateway_state& state = *request.state;
     const bool was_charged = std::exchange(request.is_retry_charged, false);
-    if (was_charged && !decision::counts_against_budget(request.record, kind, result)) {
+    if (was_charged && !decision::counts(request.record.arrivals, kind, result)) {
         refund_retry(request);
         state.metrics->count("extra_sends_given_back_total");
     }
--- a/tests/decision/test_attempt_rules.cpp
+++ b/tests/decision/test_attempt_rules.cpp
@@ -139,45 +139,6 @@
     CHECK(decision::expected_output(1e6, 600, 1'870) == Approx(1'870));
 }
 
-TEST_CASE(
-    "the retry budget counts runs that arrive, refused prefills, and accepted prefills after the first") {
-    using decision::attempt_kind;
-    struct step {
-        attempt_kind kind;
-        attempt_result result;
-        bool counts;
-    };
-    const std::vector<std::vector<step>> cases = {
-        {{attempt_kind::prefill, attempt_result::answered, false},
-         {attempt_kind::run, attempt_result::answered, true}},
-        {{attempt_kind::prefill, attempt_result::not_run, true},
-         {attempt_kind::prefill, attempt_result::answered, false},
-         {attempt_kind::run, attempt_result::answered, true}},
-        {{attempt_kind::prefill, attempt_result::answered, false},
-         {attempt_kind::run, attempt_result::not_run, true},
-         {attempt_kind::run, attempt_result::broken, true},
-         {attempt_kind::prefill, attempt_result::answered, true},
-         {attempt_kind::run, attempt_result::answered, true}},
-        {{attempt_kind::prefill, attempt_result::late, false},
-         {attempt_kind::prefill, attempt_result::answered, true},
-         {attempt_kind::run, attempt_result::answered, true}},
-        {{attempt_kind::prefill, attempt_result::not_connected, false},
-         {attempt_kind::run, attempt_result::not_connected, false},
-         {attempt_kind::run, attempt_result::server_error, true}},
-    };
-    for (const auto& steps : cases) {
-        decision::attempt_record record;
-        int budgeted_attempts = 0;
-        for (const step& next : steps) {
-            CHECK(decision::is_retry(record) == (budgeted_attempts > 0));
-            CHECK(decision::counts_against_budget(record, next.kind, next.result) == next.counts);
-            decision::record_result(record, next.kind, next.result);
-            budgeted_attempts += next.counts ? 1 : 0;
-            CHECK(record.budgeted_attempts == budgeted_attempts);
-        }
-    }
-}
-
 TEST_CASE("an attempt leaves time for another one only if a retry is allowed") {
     decision::attempt_record record = {.is_repeatable = true, .max_attempts = 2};
     CHECK(decision::attempt_timeout(record, 1'000ms) < 1'000ms);
@@ -245,34 +206,3 @@
         facts.in_time = 300ms;
     CHECK(decision::head_of_queue(queue, own, 3, 8) == std::vector<std::size_t>{29});
 }
-
-// Guards against a second prefill that ends in "no budget for another engine".
-TEST_CASE("a prompt and its run need a retry for each send that counts beyond the first") {
-    using decision::attempt_kind;
-    decision::attempt_record record = {.is_repeatable = true, .max_attempts = 3};
-    CHECK(decision::retries_for_prompt_and_run(record) == 0);
-    decision::attempt_record refused = record;
-    decision::record_result(refused, attempt_kind::prefill, attempt_result::not_run);
-    CHECK(decision::retries_for_prompt_and_run(refused) == 1);
-    decision::record_result(record, attempt_kind::prefill, attempt_result::late);
-    CHECK(decision::retries_for_prompt_and_run(record) == 1);
-    decision::record_result(record, attempt_kind::run, attempt_result::broken);
-    CHECK(decision::retries_for_prompt_and_run(record) == 2);
-}
-
-TEST_CASE("what a prompt and its run need is what they are charged") {
-    for (unsigned seed = 1; seed <= 500; ++seed) {
-        INFO("seed " << seed);
-        std::mt19937 random(seed);
-        decision::attempt_record record;
-        for (std::uint64_t count = random() % 4; count > 0; --count)
-            decision::record_result(record, static_cast<decision::attempt_kind>(random() % 2),
-                                    static_cast<attempt_result>(random() % 6));
-        const int needed = decision::retries_for_prompt_and_run(record);
-        const int counted_before = record.budgeted_attempts;
-        for (const auto kind : {decision::attempt_kind::prefill, decision::attempt_kind::run})
-            decision::record_result(record, kind, attempt_result::answered);
-        const int counted = record.budgeted_attempts - counted_before;
-        REQUIRE(needed == (counted_before == 0 ? counted - 1 : counted));
-    }
-}
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -313,15 +313,19 @@
     CHECK(cluster.metric(1, "extra_sends_total") == 1);
 }
 
-TEST_CASE("after a lost prefill without retry budget the decode engine processes the prompt") {
+// Guards against a run that no retry budget has paid for, after a prompt that an engine received and did not
+// answer.
+TEST_CASE("after a lost prefill without retry budget the request is refused and reaches no other engine") {
     auto cluster = make_organisation_cluster("budget-for-none", 0);
     (void)cluster.server("p1", {{"lose_answer", 1}});
     const auto answer =
         stand_in::http_exchange(cluster.callers_address(), organisation_request("/resume/", "id-1"));
     REQUIRE(answer);
-    CHECK(answer->body == complete_stream(5));
+    CHECK(answer->status == 503);
+    CHECK_FALSE(wire::find_header(answer->headers, "Retry-After").empty());
+    CHECK(prompts_at(cluster, "p1") == 1);
     CHECK(prompts_at(cluster, "p2") == 0);
-    CHECK(cluster.runs() == 1);
+    CHECK(cluster.runs() == 0);
     CHECK(cluster.metric(1, "extra_sends_total") == 0);
 }
 
