decision: Hold a retry until it is known to have arrived, and renew the slack each window

What callers saw: beside engines that break requests, callers were refused for want of retry budget while a quarter of what is allowed lay idle; and on hosts short of processor time a retry could arrive in another window than it was paid for in. Cause: a token bucket. What was once spent of the slack came back at a tenth of it in a window, though the limit allows all of it in each; and a retry was written off at the moment it was paid for, not when it arrived. Change: shared_budget keeps the retries and the requests of one window in fifty slots, and holds that in every span up to the window the retries are at most this host's share of the slack and the ratio of its own requests. A retry is held from before its send until it is known whether it counts, and is spent then: as it lies between the two, it is in each of the spans as long as it is held, however late it arrives. A new process counts its share as spent when it starts, as before. The fractions (0.8, 0.1, 0.95) stay as they were; the tenth that time added within each window is now what new processes get in their first. decision/retry_payment holds what a request has reserved and what pays for its send in progress. The tests of the bucket's refill and its refunds are replaced: the properties that they asked of the bucket (bounded at once, refunds within the capacity, even refill) are asked of windows now; those over kills, callers that move, many hosts and ranks stay as they were.

--- a/libraries/decision/shared_budget.cpp
+++ b/libraries/decision/shared_budget.cpp
@@ -8,24 +8,21 @@
 
 namespace {
 
-/// Fraction of the slack that all buckets together may hold: the retries available at once when an upstream
-/// fails. Where many hosts share it, each host's share is a few retries, and tokens that arrive at a full
-/// bucket are lost: with 0.45 here and for `refill_fraction`, three deployments of 58 to 87 hosts earned 0.02
-/// less of the value of their callers' answers.
+/// Fraction of the slack that all hosts share.
 constexpr double capacity_fraction = 0.8;
-/// Fraction of the slack that time adds within a window, so that a new process can retry before it has had
-/// many requests. The two fractions leave a tenth for hosts that have not learned of a new one yet, and for
-/// retries that reach their upstream some time after they were spent.
-constexpr double refill_fraction = 0.1;
+/// Fraction of the slack that new processes get within their first window, in addition to the share that
+/// their predecessors may have spent. The two leave a tenth for hosts that have not learned of a new one yet.
+constexpr double startup_fraction = 0.1;
 /// Fraction of the ratio that a request adds; the rest is kept as the same reserve.
 constexpr double ratio_fraction = 0.95;
 /// Capacity where there is no slack to share: with less than one, the host could never spend the ratio of its
 /// own requests.
 constexpr double min_capacity = 1;
+/// Part of the host's share below which its retries are scarce.
+constexpr double scarce_fraction = 0.5;
 
-/// Capacity of this host's bucket. Where hosts outnumber the available retries, whole retries are assigned to
-/// hosts by rank and the others get none, so that the total stays within the slack: with one retry for each
-/// host, 400 hosts saved up 400 retries of a slack of 56.
+/// Retries that this host may spend at once. Where hosts outnumber the available retries, whole retries are
+/// assigned to hosts by rank and the others get none, so that the total stays within the slack.
 double capacity_of(const shared_budget_options& options) {
     if (options.slack <= 0)
         return min_capacity;
@@ -35,66 +32,94 @@
     return std::floor((options.rank + 1) * share) - std::floor(options.rank * share);
 }
 
-/// Retries that the bucket can hold beside the reserved ones.
-double room_in(const shared_budget& budget, const shared_budget_options& options) {
-    return std::max(0.0, capacity_of(options) - budget.reserved);
+std::int64_t slot_number(base::duration window, base::time_point now) {
+    const base::duration length = window / (shared_budget::slot_count - 1);
+    return now.time_since_epoch() / std::max(length, base::duration(1));
 }
 
-void refill(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    budget.level = retries_left(budget, options, now);
-    budget.filled_at = std::max(budget.filled_at, now);
+budget_slot& slot_at(shared_budget& budget, std::int64_t number) {
+    return budget.slots.at(static_cast<std::size_t>(number) % shared_budget::slot_count);
+}
+
+/// Drops the slots that have left the window.
+void advance(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
+    // With another length of the window, the slots say nothing: begin as a new process does.
+    if (budget.window != options.window)
+        budget = {.window = options.window,
+                  .started = budget.window == base::duration{} ? budget.started : now,
+                  .held = budget.held};
+    const std::int64_t number = slot_number(budget.window, now);
+    const auto count = static_cast<std::int64_t>(shared_budget::slot_count);
+    const std::int64_t first_new = std::max(budget.newest + 1, number - count + 1);
+    for (std::int64_t next = first_new; next <= number; ++next)
+        slot_at(budget, next) = {};
+    budget.newest = std::max(budget.newest, number);
+}
+
+/// Adds retries, or what a request adds if negative.
+void add(shared_budget& budget, const shared_budget_options& options, double retries, base::time_point now) {
+    advance(budget, options, now);
+    budget_slot& slot = slot_at(budget, budget.newest);
+    slot.net += retries;
+    slot.peak = std::max(0.0, slot.peak + retries);
+}
+
+/// Retries minus those that requests added, within the window.
+struct net_spending {
+    double whole = 0; ///< In all of it.
+    double peak = 0;  ///< The largest of any span that ends now; 0 at least.
+};
+
+net_spending sum_up(const shared_budget& budget, base::time_point now) {
+    net_spending sum;
+    const auto count = static_cast<std::int64_t>(shared_budget::slot_count);
+    const std::int64_t oldest = std::max(slot_number(budget.window, now), budget.newest) - count + 1;
+    for (std::int64_t number = budget.newest; number >= std::max<std::int64_t>(0, oldest); --number) {
+        const budget_slot& slot =
+            budget.slots.at(static_cast<std::size_t>(number) % shared_budget::slot_count);
+        sum.peak = std::max(sum.peak, sum.whole + slot.peak);
+        sum.whole += slot.net;
+    }
+    return sum;
 }
 
 } // namespace
 
 void record_request(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    refill(budget, options, now);
-    budget.level = std::min(room_in(budget, options), budget.level + ratio_fraction * options.ratio);
+    add(budget, options, -ratio_fraction * options.ratio, now);
 }
 
 double retries_left(const shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    const double windows =
-        std::max(0.0, base::to_seconds(now - budget.filled_at)) / base::to_seconds(options.window);
-    const double added = windows * refill_fraction * options.slack / std::max(1, options.hosts);
-    return std::min(room_in(budget, options), budget.level + added);
+    const net_spending spent = sum_up(budget, now);
+    double left = capacity_of(options) - spent.peak;
+    // Without slack nothing comes back but what requests add.
+    if (options.slack <= 0)
+        left = std::min(left, -spent.whole);
+    const base::duration up = std::max(base::duration{}, now - budget.started);
+    if (up < options.window) {
+        const double part = base::to_seconds(up) / base::to_seconds(options.window);
+        const double startup = startup_fraction * options.slack * part / std::max(1, options.hosts);
+        left = std::min(left, startup - spent.whole);
+    }
+    return std::max(0.0, left - budget.held);
 }
 
-bool try_spend(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    refill(budget, options, now);
-    if (budget.level < 1)
-        return false;
-    budget.level -= 1;
-    return true;
+bool is_scarce(const shared_budget& budget, const shared_budget_options& options, base::time_point now) {
+    return retries_left(budget, options, now) < scarce_fraction * capacity_of(options);
 }
 
-bool try_reserve(shared_budget& budget, const shared_budget_options& options, int count,
-                 base::time_point now) {
-    refill(budget, options, now);
-    if (budget.level < count)
+bool try_hold(shared_budget& budget, const shared_budget_options& options, int count, base::time_point now) {
+    if (retries_left(budget, options, now) < count)
         return false;
-    budget.level -= count;
-    budget.reserved += count;
+    budget.held += count;
     return true;
 }
 
-void spend_reserved(shared_budget& budget) { --budget.reserved; }
-
-void refund_reserved(shared_budget& budget, const shared_budget_options& options) {
-    ++budget.reserved;
-    // The bucket may have filled up since the retry was spent.
-    budget.level = std::min(room_in(budget, options), budget.level);
-}
-
-void release_reserved(shared_budget& budget, const shared_budget_options& options, int count,
-                      base::time_point now) {
-    refill(budget, options, now);
-    budget.reserved -= count;
-    budget.level = std::min(room_in(budget, options), budget.level + count);
+void spend_held(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
+    --budget.held;
+    add(budget, options, 1, now);
 }
 
-void refund(shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    refill(budget, options, now);
-    budget.level = std::min(room_in(budget, options), budget.level + 1);
-}
+void release_held(shared_budget& budget, int count) { budget.held -= count; }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/shared_budget.h
+++ b/libraries/decision/shared_budget.h
@@ -3,6 +3,10 @@
 
 #include <base/clock.h>
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
 namespace postpaddle::decision {
 
 /// Retry budget of a service, shared by all hosts.
@@ -16,16 +20,33 @@
     bool operator==(const shared_budget_options&) const = default;
 };
 
+/// Retries and requests of a short span of time.
+struct budget_slot {
+    double net = 0; ///< Retries minus those that requests added.
+    /// The largest net of any span that begins within the slot and ends with it; 0 at least.
+    double peak = 0;
+
+    bool operator==(const budget_slot&) const = default;
+};
+
 /// This host's share of the retry budget, which hosts share without a message per request.
 ///
-/// A token bucket that is empty when the process starts. Each request adds the ratio, time adds this host's
-/// share of the slack, and the capacity is another share of the slack. All buckets together hold at most the
-/// slack minus what time adds within a window, so the limit holds in every window, also when hosts are
-/// partitioned or restarted: a new process starts with an empty bucket.
+/// In every time span up to the window, the host's retries are at most its share of the slack and the ratio
+/// of its own requests in that span. The shares of all hosts add up to the slack at most, so the limit holds
+/// for all hosts together, however callers move between them. A new process doesn't know what its predecessor
+/// spent, and counts the whole share as spent when it starts.
+///
+/// A retry is held before its request is sent, and spent once the request has reached its upstream. It may
+/// arrive at any time between, so it is in each of these spans as long as it is held.
 struct shared_budget {
-    double level = 0;             ///< Retries available.
-    base::time_point filled_at{}; ///< When time last added to it; initially the start of the process.
-    int reserved = 0; ///< Taken for sends that are still to come. They occupy capacity until they are spent.
+    /// One more than the slots of a window, as the newest one is incomplete.
+    static constexpr std::size_t slot_count = 51;
+
+    std::array<budget_slot, slot_count> slots{}; ///< By number, modulo their count.
+    std::int64_t newest = 0;                     ///< Number of the newest slot, from the clock's epoch.
+    base::duration window{};                     ///< That the slots divide.
+    base::time_point started{};                  ///< Start of the process, or of the window's length.
+    int held = 0;
 
     bool operator==(const shared_budget&) const = default;
 };
@@ -33,32 +54,23 @@
 /// Counts a request from a caller.
 void record_request(shared_budget& budget, const shared_budget_options& options, base::time_point now);
 
-/// Retries that this host may spend now.
+/// Retries that this host may hold now, in addition to those that it holds.
 [[nodiscard]] double retries_left(const shared_budget& budget, const shared_budget_options& options,
                                   base::time_point now);
 
-/// Spends one retry if available; returns whether it did.
-[[nodiscard]] bool try_spend(shared_budget& budget, const shared_budget_options& options,
+/// Whether less than half of the host's share is left, so that requests should be sent in the way that takes
+/// the fewest retries.
+[[nodiscard]] bool is_scarce(const shared_budget& budget, const shared_budget_options& options,
                              base::time_point now);
 
-/// Takes retries for sends that are still to come, all of them or none; returns whether it did.
-///
-/// A reserved retry still occupies the bucket: if the bucket filled up again meanwhile, a host could send
-/// more in a window than the limit.
-[[nodiscard]] bool try_reserve(shared_budget& budget, const shared_budget_options& options, int count,
-                               base::time_point now);
-
-/// Spends a reserved retry, for a send that begins now.
-void spend_reserved(shared_budget& budget);
-
-/// Refunds a retry to those reserved, for an attempt that turned out not to count as one.
-void refund_reserved(shared_budget& budget, const shared_budget_options& options);
+/// Holds retries for sends that are still to come, all of them or none; returns whether it did.
+[[nodiscard]] bool try_hold(shared_budget& budget, const shared_budget_options& options, int count,
+                            base::time_point now);
 
-/// Returns reserved retries that are not needed.
-void release_reserved(shared_budget& budget, const shared_budget_options& options, int count,
-                      base::time_point now);
+/// Spends a held retry: its request has reached an upstream, or may have.
+void spend_held(shared_budget& budget, const shared_budget_options& options, base::time_point now);
 
-/// Refunds a retry for an attempt that turned out not to count as one.
-void refund(shared_budget& budget, const shared_budget_options& options, base::time_point now);
+/// Returns held retries of sends that were not made or don't count.
+void release_held(shared_budget& budget, int count);
 
 } // namespace postpaddle::decision
--- a/libraries/gateway/endings/request_guard.cpp
+++ b/libraries/gateway/endings/request_guard.cpp
@@ -4,6 +4,7 @@
 #include <gateway/endings/request_record.h>
 #include <gateway/operations/decision_log.h>
 #include <gateway/operations/gateway_metrics.h>
+#include <gateway/retry_payment.h>
 
 namespace postpaddle::gateway {
 
@@ -18,6 +19,7 @@
     if (const auto upstream = std::exchange(request.cancellation->connection, nullptr))
         upstream->cancel();
     request.share_use.reset();
+    settle_send(request, true);
     release_reserved_retries(request);
 }
 
--- a/libraries/gateway/forwarding/forwarding_sender.cpp
+++ b/libraries/gateway/forwarding/forwarding_sender.cpp
@@ -4,6 +4,7 @@
 #include <gateway/endings/request_drain.h>
 #include <gateway/forwarding/upstream_reach.h>
 #include <gateway/quarantine/request_quarantine.h>
+#include <gateway/retry_payment.h>
 
 #include <algorithm>
 #include <utility>
@@ -184,14 +185,6 @@
     return true;
 }
 
-/// Returns the retry that was charged for the forwarding, if one was and no upstream was sent the request.
-void settle_retry(gateway_request& request, int attempts) {
-    if (std::exchange(request.is_retry_charged, false) && attempts == 0) {
-        refund_retry(request);
-        request.state->metrics->count("extra_sends_given_back_total");
-    }
-}
-
 /// Asks one host. Returns nothing if it did not take the request.
 std::optional<forwarded_exchange> ask_host(gateway_request& request, const host::forwarding_target& target,
                                            const forwarded_request& message, search& asked,
@@ -259,11 +252,11 @@
             continue;
         const forwarded_request message = make_forwarded(request, resume_after);
         if (auto forwarded = ask_host(request, *target, message, asked, yield)) {
-            settle_retry(request, forwarded->told_attempts);
+            settle_send(request, forwarded->told_attempts > 0);
             return forwarded;
         }
     }
-    settle_retry(request, 0);
+    settle_send(request, false);
     request.is_forwarding_exhausted = true;
     state.metrics->count("forwarding_exhausted_total");
     return std::nullopt;
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -145,78 +145,11 @@
     return request.deadline - request.state->clock->now();
 }
 
-bool try_charge_send(gateway_request& request) {
-    if (!decision::is_retry(request.record.arrivals))
-        return true;
-    if (request.reserved_retries == 0)
-        return try_charge_retry(request);
-    decision::spend_reserved(budget_of(*request.state, request.service));
-    --request.reserved_retries;
-    request.is_retry_charged = true;
-    ++request.charged_retries;
-    request.state->metrics->count("extra_sends_total");
-    return true;
-}
-
-namespace {
-
-/// Records the state of the retry budget for the request's log line.
-void record_budget_facts(gateway_request& request, const decision::shared_budget& budget,
-                         const decision::shared_budget_options& options) {
-    const gateway_state& state = *request.state;
-    const base::time_point now = state.clock->now();
-    request.budget_facts = {{"left", decision::retries_left(budget, options, now)},
-                            {"hosts", options.hosts},
-                            {"host_up_ms", base::to_milliseconds(now - state.started)}};
-}
-
-} // namespace
-
 bool may_be_sent_again(gateway_request& request) {
     return reason_to_stop(request) == nullptr && reason_without_version(request) == nullptr &&
            !is_exit_check_pending(request);
 }
 
-bool try_reserve_retries(gateway_request& request, int count) {
-    gateway_state& state = *request.state;
-    const int needed = count - request.reserved_retries;
-    if (needed <= 0)
-        return true;
-    decision::shared_budget& budget = budget_of(state, request.service);
-    const decision::shared_budget_options options = budget_options_of(state);
-    record_budget_facts(request, budget, options);
-    request.budget_facts["needed"] = needed;
-    if (!decision::try_reserve(budget, options, needed, state.clock->now()))
-        return false;
-    request.reserved_retries += needed;
-    return true;
-}
-
-bool try_reserve_prompt_and_run(gateway_request& request) {
-    return try_reserve_retries(request, decision::retries_for_prompt_and_run(request.record.arrivals));
-}
-
-void release_reserved_retries(gateway_request& request) {
-    gateway_state& state = *request.state;
-    const int count = std::exchange(request.reserved_retries, 0);
-    if (count > 0)
-        decision::release_reserved(budget_of(state, request.service), budget_options_of(state), count,
-                                   state.clock->now());
-}
-
-bool try_charge_retry(gateway_request& request) {
-    gateway_state& state = *request.state;
-    const base::time_point now = state.clock->now();
-    decision::shared_budget& budget = budget_of(state, request.service);
-    const decision::shared_budget_options options = budget_options_of(state);
-    record_budget_facts(request, budget, options);
-    const bool is_charged = decision::try_spend(budget, options, now);
-    request.is_retry_charged = is_charged;
-    request.charged_retries += is_charged ? 1 : 0;
-    state.metrics->count(is_charged ? "extra_sends_total" : "extra_sends_refused_total");
-    return is_charged;
-}
-
 void label_answer(const gateway_request& request, wire::http_headers& headers, forwarding_outcome outcome,
                   int attempts) {
     if (request.forwarded_by)
--- a/libraries/gateway/gateway_request.h
+++ b/libraries/gateway/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include <decision/attempt_rules.h>
 #include <decision/instance_choice.h>
+#include <decision/retry_payment.h>
 #include <gateway/engine_slots/slot_order.h>
 #include <gateway/forwarding/forwarded_request.h>
 #include <host/stream_origins.h>
@@ -82,10 +83,9 @@
     std::optional<base::duration>
         retry_delay; ///< `Retry-After`, if it was refused because of upstreams' load.
     decision::attempt_record record;
-    bool is_retry_charged = false; ///< The retry budget was charged for the send in progress.
+    decision::retry_payment payment;
     bool reserves_retries = false; ///< Retries for a prompt and its run are taken before the prompt is sent.
     int charged_retries = 0;       ///< For the log: sends that the retry budget has paid for.
-    int reserved_retries = 0;      ///< Taken from the retry budget for sends that are still to come.
     std::set<base::upstream_id> tried;
     std::shared_ptr<request_cancellation> cancellation = std::make_shared<request_cancellation>();
     nlohmann::json sends = nlohmann::json::array(); ///< For the log: one entry per send.
@@ -129,27 +129,10 @@
 /// Time until the deadline.
 [[nodiscard]] base::duration time_left(const gateway_request& request);
 
-/// Charges the retry budget if the next send would be a retry. Returns false if the budget is exhausted.
-[[nodiscard]] bool try_charge_send(gateway_request& request);
-
 /// Whether the request may be sent again now, as far as its own state says: its key, its quarantine and what
 /// is known of the upstreams. Does not wait.
 [[nodiscard]] bool may_be_sent_again(gateway_request& request);
 
-/// Reserves that many retries for sends that are still to come, unless the request has reserved them already.
-/// Returns false if the budget is too low.
-[[nodiscard]] bool try_reserve_retries(gateway_request& request, int count);
-
-/// Reserves the retries that sending the prompt to a prefill engine and the run that must follow it need.
-/// Returns false if the budget is too low for both.
-[[nodiscard]] bool try_reserve_prompt_and_run(gateway_request& request);
-
-/// Returns to the retry budget what was reserved and is not needed.
-void release_reserved_retries(gateway_request& request);
-
-/// Charges one retry to the service's retry budget. Returns false if the budget is exhausted.
-[[nodiscard]] bool try_charge_retry(gateway_request& request);
-
 /// Formats a duration for headers such as `Retry-After`: seconds with two decimals.
 [[nodiscard]] std::string format_seconds(base::duration value);
 
--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -288,7 +288,7 @@
 }
 
 decision::shared_budget& budget_of(gateway_state& state, const std::string& service) {
-    return state.budgets.try_emplace(service, decision::shared_budget{.filled_at = state.started})
+    return state.budgets.try_emplace(service, decision::shared_budget{.started = state.started})
         .first->second;
 }
 
--- a/libraries/gateway/plain/plain_relay.cpp
+++ b/libraries/gateway/plain/plain_relay.cpp
@@ -7,6 +7,7 @@
 #include <gateway/plain/send_slot_queue.h>
 #include <gateway/plain/upstream_load_exchange.h>
 #include <gateway/quarantine/request_quarantine.h>
+#include <gateway/retry_payment.h>
 #include <gateway/upstreams/upstream_exchange.h>
 
 #include <algorithm>
--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -8,6 +8,7 @@
 #include <gateway/endings/request_drain.h>
 #include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/quarantine/request_quarantine.h>
+#include <gateway/retry_payment.h>
 #include <gateway/stream_origin/request_origin.h>
 #include <gateway/streams/prefill_send.h>
 #include <gateway/streams/prefix_cache_lookup.h>
--- a/libraries/gateway/streams/stream_watch.cpp
+++ b/libraries/gateway/streams/stream_watch.cpp
@@ -5,6 +5,7 @@
 #include <decision/stream_rules.h>
 #include <gateway/engine_slots/engine_slot.h>
 #include <gateway/forwarding/forwarding_sender.h>
+#include <gateway/retry_payment.h>
 
 #include <algorithm>
 #include <utility>
--- a/libraries/gateway/upstreams/upstream_exchange.cpp
+++ b/libraries/gateway/upstreams/upstream_exchange.cpp
@@ -2,6 +2,7 @@
 #include <gateway/upstreams/upstream_exchange.h>
 
 #include <gateway/forwarding/upstream_reach.h>
+#include <gateway/retry_payment.h>
 #include <gateway/store_sync/registry_lease.h>
 #include <gateway/upstreams/upstream_advertisements.h>
 #include <wire/bounded_response.h>
@@ -163,14 +164,9 @@
         send_entry["listing"] = decision::to_text(exchange.listing);
 }
 
-/// Records the result of a send. Refunds the retry budget if the send did not count.
+/// Records the result of a send.
 void record_send(gateway_request& request, decision::attempt_kind kind, attempt_result result) {
-    gateway_state& state = *request.state;
-    const bool was_charged = std::exchange(request.is_retry_charged, false);
-    if (was_charged && !decision::counts(request.record.arrivals, kind, result)) {
-        refund_retry(request);
-        state.metrics->count("extra_sends_given_back_total");
-    }
+    settle_send(request, decision::counts(request.record.arrivals, kind, result));
     decision::record_result(request.record, kind, result);
 }
 
@@ -203,19 +199,6 @@
 
 } // namespace
 
-void refund_retry(gateway_request& request) {
-    gateway_state& state = *request.state;
-    --request.charged_retries;
-    decision::shared_budget& budget = budget_of(state, request.service);
-    const decision::shared_budget_options options = budget_options_of(state);
-    if (!request.reserves_retries) {
-        decision::refund(budget, options, state.clock->now());
-        return;
-    }
-    decision::refund_reserved(budget, options);
-    ++request.reserved_retries;
-}
-
 void record_failure(exchange_result& exchange, const wire::wire_error& error) {
     exchange.result = result_of(error);
     exchange.is_port_closed = error.failure == wire::wire_failure::not_listening;
@@ -370,6 +353,9 @@
         return exchange;
     }
     exchange.result = result_of(exchange.head, exchange.facts);
+    // Whether a prompt counts is known only after its whole answer.
+    if (is_run)
+        did_reach_upstream(request);
     // Apply now, as the rest of a stream may take long.
     if (decision::instance* const answering = find_answering(state, send, exchange))
         apply_advertised_state(state, *answering, exchange.facts, exchange.sent);
--- a/libraries/gateway/upstreams/upstream_exchange.h
+++ b/libraries/gateway/upstreams/upstream_exchange.h
@@ -75,9 +75,6 @@
 [[nodiscard]] std::string read_body(exchange_result& exchange, std::size_t max_bytes,
                                     base::time_point deadline, wire::yield_context yield);
 
-/// Refunds a charged retry: to those reserved for the sends that must follow, if the request reserves any.
-void refund_retry(gateway_request& request);
-
 /// Sets the exchange's result after a failure and closes its connection.
 void record_failure(exchange_result& exchange, const wire::wire_error& error);
 
