forwarding: Let a request's account of arrivals travel with it

What callers' upstreams saw: a request that one host forwards to another could arrive once for free at each of them. Cause: the receiving host began an account of its own, so its first send was free whatever the first host had sent; what it told back were runs only, so refusals and prompts that arrived there were not known to the first host, which took its own next prompt for the free one, refunded the retry that was paid for the forwarding, and asked up to six hosts. Change: decision/arrival_account travels with the forwarded request, with the retry that the first host has paid for it, and comes back with every answer, also with "unavailable" and "unreachable". What a host was granted and used, or may have used because it died or told nothing, is spent; the next host is paid for anew. A host of an earlier version tells nothing, which is taken for the worst case. A process test of a request that comes back from a host, and the encodings.

--- a/libraries/decision/arrival_account.cpp
+++ b/libraries/decision/arrival_account.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <decision/arrival_account.h>
 
+#include <algorithm>
 #include <initializer_list>
 
 namespace postpaddle::decision {
@@ -23,6 +24,13 @@
     account.is_prompt_read |= is_free_prompt(account, kind, result);
 }
 
+void take_over(arrival_account& account, const arrival_account& told) {
+    account.counted = std::max(account.counted, told.counted);
+    account.is_prompt_read |= told.is_prompt_read;
+}
+
+void assume_arrived(arrival_account& account) { take_over(account, {.counted = 1, .is_prompt_read = true}); }
+
 bool is_retry(const arrival_account& account) { return account.counted > 0; }
 
 int retries_for_prompt_and_run(const arrival_account& account) {
--- a/libraries/decision/arrival_account.h
+++ b/libraries/decision/arrival_account.h
@@ -23,6 +23,12 @@
 /// Records the result of an attempt.
 void record_arrival(arrival_account& account, attempt_kind kind, attempt_result result);
 
+/// Takes over the account of another host that went on with this one.
+void take_over(arrival_account& account, const arrival_account& told);
+
+/// Assumes the worst of another host that was sent the request and does not tell what it sent.
+void assume_arrived(arrival_account& account);
+
 /// Whether the next attempt must be paid for. A prompt that turns out not to count is refunded.
 [[nodiscard]] bool is_retry(const arrival_account& account);
 
--- a/libraries/decision/attempt_rules.cpp
+++ b/libraries/decision/attempt_rules.cpp
@@ -44,7 +44,6 @@
 
 void record_forwarded(attempt_record& record, int attempts) {
     record.attempts += attempts;
-    record.arrivals.counted += attempts;
     record.may_have_run |= attempts > 0;
 }
 
--- a/libraries/decision/attempt_rules.h
+++ b/libraries/decision/attempt_rules.h
@@ -30,7 +30,8 @@
 /// Updates the record with the result of an attempt.
 void record_result(attempt_record& record, attempt_kind kind, attempt_result result);
 
-/// Records that another host sent the request to that many upstreams, which may have run it.
+/// Records that another host sent the request to that many upstreams, which may have run it. What arrived is
+/// told apart, see `arrival_account`.
 void record_forwarded(attempt_record& record, int attempts);
 
 /// Upstreams that another host may have run the request, if it is forwarded now. A request that may run again
--- a/libraries/decision/retry_payment.cpp
+++ b/libraries/decision/retry_payment.cpp
@@ -36,6 +36,17 @@
     return !does_count;
 }
 
+void take_over(arrival_account& account, retry_payment& payment, shared_budget& budget,
+               const shared_budget_options& options, const std::optional<told_arrivals>& told,
+               base::time_point now) {
+    if (told)
+        take_over(account, told->account);
+    else
+        assume_arrived(account);
+    if (!told || told->unused_retries == 0)
+        settle(payment, budget, options, true, refund_to::budget, now);
+}
+
 int missing_retries(const retry_payment& payment, int count) {
     return std::max(0, count - payment.granted - payment.reserved);
 }
--- a/libraries/decision/retry_payment.h
+++ b/libraries/decision/retry_payment.h
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <decision/arrival_account.h>
 #include <decision/shared_budget.h>
 
+#include <optional>
+
 namespace postpaddle::decision {
 
 /// Who pays for a send.
@@ -37,6 +40,20 @@
 bool settle(retry_payment& payment, shared_budget& budget, const shared_budget_options& options,
             bool does_count, refund_to refund, base::time_point now);
 
+/// What a host to which a request was forwarded tells of its arrivals.
+struct told_arrivals {
+    arrival_account account{}; ///< Of all hosts, so far.
+    int unused_retries = 0;    ///< Of those that the forwarding host has paid for.
+
+    bool operator==(const told_arrivals&) const = default;
+};
+
+/// Takes over what the other host tells, or the worst if it tells nothing. The retry that was paid for it is
+/// spent if the host used it, or may have; otherwise it stays held.
+void take_over(arrival_account& account, retry_payment& payment, shared_budget& budget,
+               const shared_budget_options& options, const std::optional<told_arrivals>& told,
+               base::time_point now);
+
 /// Retries to take from the budget until there are that many for sends to come.
 [[nodiscard]] int missing_retries(const retry_payment& payment, int count);
 
--- a/libraries/gateway/endings/request_guard.cpp
+++ b/libraries/gateway/endings/request_guard.cpp
@@ -39,7 +39,9 @@
         internal_error_status,
         {{"Postpaddle-Outcome", "unknown"}, {"Postpaddle-Reason", internal_error_reason}},
         ""};
-    label_answer(request, response.headers, forwarding_outcome::may_have_run, request.record.max_attempts);
+    if (request.forwarded_by)
+        set_forwarding_label(response.headers, {.outcome = forwarding_outcome::may_have_run,
+                                                .attempts = request.record.max_attempts});
     (void)request.connection->send(response, yield);
     record_request_end(request, request_ending::failed, internal_error_status);
 }
--- a/libraries/gateway/forwarding/forwarded_request.h
+++ b/libraries/gateway/forwarding/forwarded_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/identifier.h>
+#include <decision/retry_payment.h>
 #include <host/request_fingerprint.h>
 #include <wire/http_message.h>
 
@@ -31,7 +32,9 @@
     std::chrono::milliseconds since_first_try{}; ///< Since the client's first attempt, as estimated.
     std::optional<std::uint64_t> resume_after{}; ///< Last event that the caller has received.
     int max_attempts = 1;                        ///< Upstreams that may run it.
-    int accepted_prompts = 0; ///< Prompts that engines may have processed; further ones count as retries.
+    int accepted_prompts = 0;                    ///< Prompts that engines may have processed.
+    decision::arrival_account arrivals{};        ///< At upstreams, so far.
+    int paid_retries = 0;                        ///< Retries that the first host has paid for.
     std::string software_version{}; ///< That began the stream which the request continues; empty: none did.
     std::uint32_t journal_revisions = 0; ///< Records that the stream journal may have of the attempt.
     /// What the first host knows of upstreams that ended while they ran the request, see `encode_suspects`.
@@ -73,6 +76,8 @@
     /// What the receiving host knows of upstreams that ended while they ran the request, see
     /// `encode_suspects`.
     std::string suspects{};
+    std::optional<decision::told_arrivals>
+        arrivals{}; ///< Unset by hosts of earlier versions, and if it isn't known.
 
     bool operator==(const forwarding_label&) const = default;
 };
--- a/libraries/gateway/forwarding/forwarding_receiver.cpp
+++ b/libraries/gateway/forwarding/forwarding_receiver.cpp
@@ -102,17 +102,18 @@
     request.record = make_record(*request.route);
     request.record.max_attempts = std::min(request.record.max_attempts, forwarded.max_attempts);
     request.record.prompts = forwarded.accepted_prompts;
-    request.record.arrivals.is_prompt_read = forwarded.accepted_prompts > 0;
+    request.record.arrivals = forwarded.arrivals;
+    request.payment.granted = forwarded.paid_retries;
     set_time(request, forwarded);
     set_order(request);
     return true;
 }
 
 void decline(gateway_state& state, wire::caller_connection& connection, forwarding_outcome outcome,
-             wire::yield_context yield) {
+             const decision::told_arrivals& arrivals, wire::yield_context yield) {
     state.metrics->count(std::string("forwarded_declined_total{reason=\"") + to_text(outcome) + "\"}");
     wire::http_response response{unavailable_status, {}, ""};
-    set_forwarding_label(response.headers, {.outcome = outcome});
+    set_forwarding_label(response.headers, {.outcome = outcome, .arrivals = arrivals});
     (void)connection.send(response, yield);
 }
 
@@ -157,13 +158,15 @@
     host::record_peer_link(state.forwarding_peers, forwarded->service, forwarded->from,
                            host::peer_link::unreachable, state.clock->now());
     apply_suspects(state, forwarded->suspects, state.peers.by_name.at(forwarded->from).address);
+    const decision::told_arrivals arrivals = {.account = forwarded->arrivals,
+                                              .unused_retries = forwarded->paid_retries};
     if (const auto reason = reason_to_decline(state, *forwarded))
-        return decline(state, connection, *reason, yield);
+        return decline(state, connection, *reason, arrivals, yield);
     open_request open(state, connection);
     gateway_request& request = open.request();
     if (!prepare(request, std::move(*forwarded))) {
         open.decline();
-        return decline(state, connection, forwarding_outcome::other_settings, yield);
+        return decline(state, connection, forwarding_outcome::other_settings, arrivals, yield);
     }
     state.metrics->count("forwarded_taken_total");
     const scoped_forwarded in_progress(state);
--- a/libraries/gateway/forwarding/forwarding_sender.cpp
+++ b/libraries/gateway/forwarding/forwarding_sender.cpp
@@ -43,6 +43,8 @@
             .resume_after = resume_after,
             .max_attempts = decision::attempts_to_grant(request.record),
             .accepted_prompts = request.record.prompts,
+            .arrivals = request.record.arrivals,
+            .paid_retries = request.payment.payer == decision::retry_payer::nobody ? 0 : 1,
             .software_version = request.origin ? request.origin->software_version : "",
             .journal_revisions = request.journal.revisions,
             .suspects = encode_suspects(request),
@@ -206,6 +208,7 @@
     forwarded.told_attempts = label.attempts;
     exchange.software_version = label.software_version;
     apply_suspects(state, label.suspects, target.address);
+    take_over_arrivals(request, label.arrivals);
     if (!may_go_elsewhere(label.outcome)) {
         record_taken(request, forwarded, label.outcome);
         return forwarded;
@@ -238,9 +241,11 @@
                                                   wire::yield_context yield) {
     gateway_state& state = *request.state;
     search asked;
-    // This host has counted the request, so its part of the retry budget pays for the first send.
-    const bool is_paid = try_charge_send(request);
-    while (is_paid && !is_wait_over(request)) {
+    while (!is_wait_over(request)) {
+        // This host has counted the request, so its part of the retry budget pays for the first send of each
+        // host that sends it.
+        if (request.payment.payer == decision::retry_payer::nobody && !try_charge_send(request))
+            break;
         const auto target =
             asked.declined.size() < max_hosts_asked
                 ? host::choose_forwarding_target(state.peers, state.forwarding_peers,
@@ -252,7 +257,7 @@
             continue;
         const forwarded_request message = make_forwarded(request, resume_after);
         if (auto forwarded = ask_host(request, *target, message, asked, yield)) {
-            settle_send(request, forwarded->told_attempts > 0);
+            settle_send(request, false);
             return forwarded;
         }
     }
@@ -273,9 +278,11 @@
     if (exchange.stalls.is_given_up)
         host::record_peer_failure(request.state->forwarding_peers, forwarded.host,
                                   request.state->clock->now());
-    if (is_without_end)
+    if (is_without_end) {
         decision::record_forwarded(request.record,
                                    std::max(0, forwarded.granted_attempts - forwarded.told_attempts));
+        decision::assume_arrived(request.record.arrivals);
+    }
     log_forwarding(request, forwarded.host, exchange, decision::to_text(exchange.result));
 }
 
--- a/libraries/gateway/gateway_request.cpp
+++ b/libraries/gateway/gateway_request.cpp
@@ -151,13 +151,15 @@
 }
 
 void label_answer(const gateway_request& request, wire::http_headers& headers, forwarding_outcome outcome,
-                  int attempts) {
+                  const decision::attempt_record& record) {
     if (request.forwarded_by)
-        set_forwarding_label(headers,
-                             {.outcome = outcome,
-                              .attempts = attempts,
-                              .software_version = request.origin ? request.origin->software_version : "",
-                              .suspects = encode_suspects(request)});
+        set_forwarding_label(
+            headers, {.outcome = outcome,
+                      .attempts = record.attempts,
+                      .software_version = request.origin ? request.origin->software_version : "",
+                      .suspects = encode_suspects(request),
+                      .arrivals = decision::told_arrivals{.account = record.arrivals,
+                                                          .unused_retries = request.payment.granted}});
 }
 
 namespace {
@@ -192,7 +194,7 @@
         response.headers.push_back({"Retry-After", format_retry_after(request)});
     if (request.forwarded_by)
         await_all_exit_checks(request, yield);
-    label_answer(request, response.headers, outcome_for_sender(request), request.record.attempts);
+    label_answer(request, response.headers, outcome_for_sender(request), request.record);
     (void)request.connection->send(response, yield);
     return answer == decision::local_response::not_run ? request_ending::not_run : request_ending::failed;
 }
@@ -201,7 +203,7 @@
                               wire::yield_context yield) {
     wire::http_response response{head.status, head.headers, std::move(body)};
     wire::remove_connection_headers(response.headers);
-    label_answer(request, response.headers, forwarding_outcome::answered, request.record.attempts);
+    label_answer(request, response.headers, forwarding_outcome::answered, request.record);
     const bool is_sent = request.connection->send(response, yield).has_value();
     return is_sent ? request_ending::passed_on : request_ending::caller_gone;
 }
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -63,7 +63,7 @@
     wire::http_response response = rejection(status, reason);
     if (retry_after)
         response.headers.push_back({"Retry-After", format_seconds(*retry_after)});
-    label_answer(request, response.headers, forwarding_outcome::refused, 0);
+    label_answer(request, response.headers, forwarding_outcome::refused, request.record);
     request.reason = reason;
     (void)request.connection->send(response, yield);
     record_request_end(request, retry_after ? request_ending::not_run : request_ending::rejected, status);
--- a/libraries/gateway/retry_payment.cpp
+++ b/libraries/gateway/retry_payment.cpp
@@ -52,6 +52,12 @@
     state.metrics->count("extra_sends_given_back_total");
 }
 
+void take_over_arrivals(gateway_request& request, const std::optional<decision::told_arrivals>& told) {
+    gateway_state& state = *request.state;
+    decision::take_over(request.record.arrivals, request.payment, budget_of(state, request.service),
+                        budget_options_of(state), told, state.clock->now());
+}
+
 bool try_reserve_retries(gateway_request& request, int count) {
     gateway_state& state = *request.state;
     const int missing = decision::missing_retries(request.payment, count);
--- a/libraries/gateway/retry_payment.h
+++ b/libraries/gateway/retry_payment.h
@@ -21,6 +21,10 @@
 /// at the upstream, returns it otherwise.
 void settle_send(gateway_request& request, bool does_count);
 
+/// Takes over what a host to which the request was forwarded tells of its arrivals; nothing if it told
+/// nothing.
+void take_over_arrivals(gateway_request& request, const std::optional<decision::told_arrivals>& told);
+
 /// Holds retries for sends that are still to come until there are that many. Returns false if the budget is
 /// too low.
 [[nodiscard]] bool try_reserve_retries(gateway_request& request, int count);
--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -248,9 +248,11 @@
 void stream_relay::begin_stream(const exchange_result& exchange, wire::yield_context yield) {
     record_stream_origin(*this->request, this->version_of(exchange), yield);
     wire::remove_connection_headers(this->first_head.headers);
-    // The attempt in progress has not been recorded yet.
-    label_answer(*this->request, this->first_head.headers, forwarding_outcome::answered,
-                 this->request->record.attempts + 1);
+    decision::attempt_record with_this_attempt = this->request->record;
+    decision::record_result(with_this_attempt, decision::attempt_kind::run, attempt_result::answered);
+    label_answer(*this->request, this->first_head.headers, forwarding_outcome::answered, with_this_attempt);
+    // The host that forwarded the request has been told of those that are unused, and takes them back.
+    this->request->payment.granted = 0;
     this->request->connection->begin_stream(this->first_head);
     this->progress.has_started = true;
     did_begin_response(*this->request);
--- a/tests/gateway/test_forwarded_request.cpp
+++ b/tests/gateway/test_forwarded_request.cpp
@@ -23,6 +23,8 @@
             .resume_after = 12,
             .max_attempts = 2,
             .accepted_prompts = 1,
+            .arrivals = {.counted = 3, .is_prompt_read = true},
+            .paid_retries = 1,
             .message = {"POST",
                         "/once/?a=b",
                         {{"Host", "cluster.example"}, {"X-Attempt-Id", "id\xff"}},
@@ -66,13 +68,28 @@
     wire::response_head head{200,
                              {{"postpaddle-forwarding", "unreachable"},
                               {"postpaddle-forwarding-suspects", "an upstream's"},
+                              {"postpaddle-forwarding-arrivals", "0,0,9"},
                               {"X-Response-Seal", "s"}}};
-    const gateway::forwarding_label label = {.outcome = outcome, .attempts = 2, .suspects = suspects};
+    const auto arrivals =
+        GENERATE(std::optional<decision::told_arrivals>(),
+                 std::optional(decision::told_arrivals{.account = {.counted = 12, .is_prompt_read = true},
+                                                       .unused_retries = 1}));
+    const gateway::forwarding_label label = {
+        .outcome = outcome, .attempts = 2, .suspects = suspects, .arrivals = arrivals};
     gateway::set_forwarding_label(head.headers, label);
     CHECK(gateway::take_forwarding_label(head) == label);
     CHECK(head.headers == wire::http_headers{{"X-Response-Seal", "s"}});
 }
 
+TEST_CASE("arrivals that can't be read are unknown") {
+    for (const char* text : {"", "1", "1,0", "1,0,", "1,0,0,", "1,0,-1", "-1,0,0", "a,0,0", "1;0;0"}) {
+        wire::response_head head{
+            502, {{"Postpaddle-Forwarding", "may_have_run"}, {"Postpaddle-Forwarding-Arrivals", text}}};
+        INFO(text);
+        CHECK_FALSE(gateway::take_forwarding_label(head).arrivals);
+    }
+}
+
 // Guards against a request counting as not run, or as run, by the word of a host that knows no forwarding.
 TEST_CASE("an answer without a label is a host's that has not run the request, unless it failed") {
     for (const int status : {200, 400, 403, 404}) {
--- a/tests/gateway/test_retry_budget.cpp
+++ b/tests/gateway/test_retry_budget.cpp
@@ -17,6 +17,7 @@
 
 using namespace postpaddle;
 using namespace std::chrono_literals;
+using test::link_fault;
 using test::routed_request;
 
 namespace {
@@ -173,3 +174,35 @@
     CHECK(static_cast<double>(most) <= allowed);
     CHECK(static_cast<double>(extra.size()) <= paid);
 }
+
+// Guards against a request whose arrivals are counted anew by each host that it is forwarded to: here one that
+// fails to reach one server, has the request refused by another, and gives it back.
+TEST_CASE("without retry budget a request that is forwarded and comes back reaches servers once") {
+    constexpr int hosts = 4;
+    constexpr int requests = 4;
+    test::gateway_cluster cluster({.name = "forwarded-back",
+                                   .servers = {{.id = "one"}, {.id = "two"}, {.id = "three"}},
+                                   .hosts = hosts,
+                                   .retry_slack = 0,
+                                   .linked_hosts = hosts});
+    for (int host = 1; host <= hosts; ++host)
+        REQUIRE(test::eventually([&] { return cluster.state_of(host).at("peers").size() == hosts - 1; }));
+    for (const auto* id : {"one", "two", "three"})
+        (void)cluster.server(id, {{"refuse", 1'000}});
+    cluster.set_links(1, link_fault::refuse_new);
+    for (int host = 2; host <= hosts; ++host)
+        cluster.set_links(host, link_fault::refuse_new, {"one", "two"});
+    std::map<std::string, int> arrivals;
+    for (int number = 0; number < requests; ++number)
+        (void)stand_in::http_exchange(cluster.callers_address(1),
+                                      routed_request("/again/", "id-" + std::to_string(number)));
+    for (const auto* id : {"one", "two", "three"}) {
+        const nlohmann::json counters = cluster.server(id);
+        for (const auto& arrival : counters.at("arrivals"))
+            ++arrivals[arrival.at("headers").at("X-Attempt-Id").get<std::string>()];
+    }
+    for (const auto& [id, count] : arrivals) {
+        INFO(id);
+        CHECK(count == 1);
+    }
+}
