streams: Spend retries on the send that needs the fewest, and refuse at once what can't be paid for

What callers saw: refused after waiting for an engine, for want of retry budget; and prompts processed for nothing, as the one retry that was reserved went with a prompt that broke, so that none was left for the run. Cause: retries_for_prompt_and_run took the prompt for answered. And beside engines that break requests, a prompt and its run are two sends that may fail; a run at a decode engine that processes the prompt itself is one. Change: a prompt is sent as a retry only with the retry for its run in hand; while more than half of the host's share of the budget is in use, retries go to a decode engine in one send; what nobody can pay for ends before the wait for an engine or an upstream. The test of retries_for_prompt_and_run asked for one retry after a failed prompt; it asks for two now, as the prompt is held for until it is answered. New: after a lost prefill with budget for one retry the decode engine processes the prompt.

--- a/libraries/decision/arrival_account.cpp
+++ b/libraries/decision/arrival_account.cpp
@@ -2,7 +2,6 @@
 #include <decision/arrival_account.h>
 
 #include <algorithm>
-#include <initializer_list>
 
 namespace postpaddle::decision {
 
@@ -34,14 +33,9 @@
 bool is_retry(const arrival_account& account) { return account.counted > 0; }
 
 int retries_for_prompt_and_run(const arrival_account& account) {
-    int retries = 0;
-    arrival_account planned = account;
-    for (const attempt_kind kind : {attempt_kind::prefill, attempt_kind::run}) {
-        const bool is_charged = is_retry(planned);
-        retries += is_charged && counts(planned, kind, attempt_result::answered) ? 1 : 0;
-        record_arrival(planned, kind, attempt_result::answered);
-    }
-    return retries;
+    arrival_account after_prompt = account;
+    record_arrival(after_prompt, attempt_kind::prefill, attempt_result::answered);
+    return (is_retry(account) ? 1 : 0) + (is_retry(after_prompt) ? 1 : 0);
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/retry_payment.cpp
+++ b/libraries/decision/retry_payment.cpp
@@ -60,8 +60,10 @@
     return true;
 }
 
-void release_reserved(retry_payment& payment, shared_budget& budget) {
-    release_held(budget, std::exchange(payment.reserved, 0));
+void release_reserved(retry_payment& payment, shared_budget& budget, int keep) {
+    const int kept = std::min(payment.reserved, keep);
+    release_held(budget, payment.reserved - kept);
+    payment.reserved = kept;
 }
 
 } // namespace postpaddle::decision
--- a/libraries/decision/retry_payment.h
+++ b/libraries/decision/retry_payment.h
@@ -61,7 +61,7 @@
 [[nodiscard]] bool try_reserve(retry_payment& payment, shared_budget& budget,
                                const shared_budget_options& options, int count, base::time_point now);
 
-/// Returns to the budget what is held for sends to come.
-void release_reserved(retry_payment& payment, shared_budget& budget);
+/// Returns to the budget what is held for more sends to come than that.
+void release_reserved(retry_payment& payment, shared_budget& budget, int keep);
 
 } // namespace postpaddle::decision
--- a/libraries/decision/shared_budget.cpp
+++ b/libraries/decision/shared_budget.cpp
@@ -18,7 +18,7 @@
 /// Capacity where there is no slack to share: with less than one, the host could never spend the ratio of its
 /// own requests.
 constexpr double min_capacity = 1;
-/// Part of the host's share below which its retries are scarce.
+/// Part of the host's share in use from which its retries are scarce.
 constexpr double scarce_fraction = 0.5;
 
 /// Retries that this host may spend at once. Where hosts outnumber the available retries, whole retries are
@@ -105,7 +105,8 @@
 }
 
 bool is_scarce(const shared_budget& budget, const shared_budget_options& options, base::time_point now) {
-    return retries_left(budget, options, now) < scarce_fraction * capacity_of(options);
+    const double used = sum_up(budget, now).peak + budget.held;
+    return used > scarce_fraction * capacity_of(options);
 }
 
 bool try_hold(shared_budget& budget, const shared_budget_options& options, int count, base::time_point now) {
--- a/libraries/decision/shared_budget.h
+++ b/libraries/decision/shared_budget.h
@@ -58,7 +58,7 @@
 [[nodiscard]] double retries_left(const shared_budget& budget, const shared_budget_options& options,
                                   base::time_point now);
 
-/// Whether less than half of the host's share is left, so that requests should be sent in the way that takes
+/// Whether more than half of the host's share is in use, so that requests should be sent in the way that takes
 /// the fewest retries.
 [[nodiscard]] bool is_scarce(const shared_budget& budget, const shared_budget_options& options,
                              base::time_point now);
--- a/libraries/gateway/plain/plain_relay.cpp
+++ b/libraries/gateway/plain/plain_relay.cpp
@@ -279,13 +279,15 @@
 /// One attempt at an upstream of this host's choice. Returns nothing if the request has not ended with that.
 std::optional<request_ending> attempt_here(gateway_request& request, relay_progress& progress,
                                            next_step& next, wire::yield_context yield) {
-    const auto step = find_next_step(request, progress, yield);
-    if (!step) {
+    // What nobody can pay for is not held back for want of an upstream.
+    const bool is_payable = can_pay_for_send(request);
+    const auto step = is_payable ? find_next_step(request, progress, yield) : std::nullopt;
+    if (is_payable && !step) {
         // The links may have failed while it waited.
         next = should_forward(request) ? next_step::try_again : next_step::give_up;
         return std::nullopt;
     }
-    if (!try_charge_send(request)) {
+    if (!is_payable || !try_charge_send(request)) {
         progress.reason = "no budget for another upstream";
         next = next_step::give_up;
         return std::nullopt;
--- a/libraries/gateway/retry_payment.cpp
+++ b/libraries/gateway/retry_payment.cpp
@@ -24,6 +24,18 @@
                                   state.clock->now());
 }
 
+bool can_pay_for_send(const gateway_request& request) {
+    return !decision::is_retry(request.record.arrivals) ||
+           decision::missing_retries(request.payment, 1) == 0 || retries_left(request) >= 1;
+}
+
+bool should_save_retries(const gateway_request& request) {
+    gateway_state& state = *request.state;
+    return decision::is_retry(request.record.arrivals) &&
+           decision::is_scarce(budget_of(state, request.service), budget_options_of(state),
+                               state.clock->now());
+}
+
 bool try_charge_send(gateway_request& request) {
     if (!decision::is_retry(request.record.arrivals))
         return true;
@@ -71,8 +83,8 @@
     return try_reserve_retries(request, decision::retries_for_prompt_and_run(request.record.arrivals));
 }
 
-void release_reserved_retries(gateway_request& request) {
-    decision::release_reserved(request.payment, budget_of(*request.state, request.service));
+void release_reserved_retries(gateway_request& request, int keep) {
+    decision::release_reserved(request.payment, budget_of(*request.state, request.service), keep);
 }
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/retry_payment.h
+++ b/libraries/gateway/retry_payment.h
@@ -10,6 +10,12 @@
 /// Retries that the host's share of the budget has left for the request's service.
 [[nodiscard]] double retries_left(const gateway_request& request);
 
+/// Whether the next send can be paid for now. A request that can't should not wait for an upstream.
+[[nodiscard]] bool can_pay_for_send(const gateway_request& request);
+
+/// Whether the request should be sent in the way that takes the fewest retries.
+[[nodiscard]] bool should_save_retries(const gateway_request& request);
+
 /// Holds a retry for the next send if that would be one. Returns false if the budget is exhausted.
 [[nodiscard]] bool try_charge_send(gateway_request& request);
 
@@ -32,7 +38,7 @@
 /// The same for sending the prompt to a prefill engine and for the run that must follow it.
 [[nodiscard]] bool try_reserve_prompt_and_run(gateway_request& request);
 
-/// Returns to the retry budget what is held for sends to come and not needed.
-void release_reserved_retries(gateway_request& request);
+/// Returns to the retry budget what is held for more sends to come than that.
+void release_reserved_retries(gateway_request& request, int keep = 0);
 
 } // namespace postpaddle::gateway
--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -40,7 +40,8 @@
         // The prompt is lost. Others may use the retries while this request waits.
         release_reserved_retries(*this->request);
     }
-    if (!may_send_prompt(this->progress))
+    // A prompt and its run are two sends that may fail.
+    if (!may_send_prompt(this->progress) || should_save_retries(*this->request))
         return await_colocated_engine(*this->request, this->progress.size, this->colocated_wait(), yield);
     engine_slot_result result = await_engine_slot(*this->request, this->progress.size, yield);
     if (!result.plan)
@@ -351,6 +352,7 @@
     this->watch.end();
     if (!is_prefilled)
         return false;
+    release_reserved_retries(*this->request, 1);
     if (this->avoids_wasted_prefills && !this->request->cancellation->is_caller_gone)
         this->recheck(plan, before);
     return this->is_usable(plan.decode);
@@ -408,11 +410,21 @@
     return tl::make_unexpected(may_choose_again ? failed_attempt::try_again : failed_attempt::give_up);
 }
 
+tl::expected<void, stream_relay::failed_attempt> stream_relay::give_up_without_budget() {
+    this->reason = "no budget for another engine";
+    return tl::make_unexpected(failed_attempt::give_up);
+}
+
 tl::expected<void, stream_relay::failed_attempt> stream_relay::charge_send() {
     if (try_charge_send(*this->request))
         return {};
-    this->reason = "no budget for another engine";
-    return tl::make_unexpected(failed_attempt::give_up);
+    return this->give_up_without_budget();
+}
+
+tl::expected<void, stream_relay::failed_attempt> stream_relay::check_budget() {
+    if (can_pay_for_send(*this->request))
+        return {};
+    return this->give_up_without_budget();
 }
 
 tl::expected<decision::engine_plan, stream_relay::failed_attempt>
@@ -427,6 +439,8 @@
     // A request that may have run would fail without them.
     if (!this->retained.has_value() && !this->request->record.may_have_run)
         release_reserved_retries(*this->request);
+    // What nobody can pay for is not held back for want of an engine.
+    POSTPADDLE_TRY_VOID(this->check_budget());
     // Wait before the choice, so that no engine's capacity is reserved meanwhile.
     await_exit_checks(*this->request, yield);
     if (!this->is_caller_waiting())
--- a/libraries/gateway/streams/stream_relay.h
+++ b/libraries/gateway/streams/stream_relay.h
@@ -64,6 +64,8 @@
     [[nodiscard]] tl::expected<void, failed_attempt> prepare_origin(const decision::engine_plan& plan,
                                                                     wire::yield_context yield);
     [[nodiscard]] tl::expected<void, failed_attempt> charge_send();
+    [[nodiscard]] tl::expected<void, failed_attempt> check_budget();
+    [[nodiscard]] tl::expected<void, failed_attempt> give_up_without_budget();
     [[nodiscard]] std::optional<decision::engine_plan> next_plan(wire::yield_context yield);
     [[nodiscard]] room_wait colocated_wait() const;
     /// Has the prompt processed where the plan has a prefill engine for it. May replace the decode engine.
--- a/tests/decision/test_arrival_account.cpp
+++ b/tests/decision/test_arrival_account.cpp
@@ -53,14 +53,15 @@
     }
 }
 
-// Guards against a second prefill that ends in "no budget for another engine".
-TEST_CASE("a prompt and its run need a retry for each send that counts beyond the first") {
+// Guards against a prompt that is processed without a run to follow: one that turns out to be the retry
+// leaves nothing for its run.
+TEST_CASE("a prompt and its run need a retry for each of them that may count beyond the first") {
     decision::arrival_account account;
     CHECK(decision::retries_for_prompt_and_run(account) == 0);
     for (const auto result : {attempt_result::not_run, attempt_result::broken, attempt_result::late}) {
         decision::arrival_account failed = account;
         decision::record_arrival(failed, attempt_kind::prefill, result);
-        CHECK(decision::retries_for_prompt_and_run(failed) == 1);
+        CHECK(decision::retries_for_prompt_and_run(failed) == 2);
     }
     decision::record_arrival(account, attempt_kind::prefill, attempt_result::answered);
     CHECK(decision::retries_for_prompt_and_run(account) == 1);
@@ -68,7 +69,7 @@
     CHECK(decision::retries_for_prompt_and_run(account) == 2);
 }
 
-TEST_CASE("what a prompt and its run need is what they are charged") {
+TEST_CASE("what a prompt and its run need is what is held for them, and at least what they are charged") {
     for (unsigned seed = 1; seed <= 500; ++seed) {
         INFO("seed " << seed);
         std::mt19937 random(seed);
@@ -77,10 +78,15 @@
             decision::record_arrival(account, static_cast<attempt_kind>(random() % 2),
                                      static_cast<attempt_result>(random() % 6));
         const int needed = decision::retries_for_prompt_and_run(account);
-        const int counted_before = account.counted;
-        for (const auto kind : {attempt_kind::prefill, attempt_kind::run})
+        int held = 0;
+        int charged = 0;
+        for (const auto kind : {attempt_kind::prefill, attempt_kind::run}) {
+            const bool is_held = decision::is_retry(account);
+            held += is_held ? 1 : 0;
+            charged += is_held && decision::counts(account, kind, attempt_result::answered) ? 1 : 0;
             decision::record_arrival(account, kind, attempt_result::answered);
-        const int counted = account.counted - counted_before;
-        REQUIRE(needed == (counted_before == 0 ? counted - 1 : counted));
+        }
+        REQUIRE(needed == held);
+        REQUIRE(needed >= charged);
     }
 }
--- a/tests/gateway/test_retry_budget.cpp
+++ b/tests/gateway/test_retry_budget.cpp
@@ -175,8 +175,8 @@
     CHECK(static_cast<double>(extra.size()) <= paid);
 }
 
-// Guards against a request whose arrivals are counted anew by each host that it is forwarded to: here one that
-// fails to reach one server, has the request refused by another, and gives it back.
+// Guards against a request whose arrivals are counted anew by each host that it is forwarded to: here one
+// that fails to reach one server, has the request refused by another, and gives it back.
 TEST_CASE("without retry budget a request that is forwarded and comes back reaches servers once") {
     constexpr int hosts = 4;
     constexpr int requests = 4;
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -329,6 +329,25 @@
     CHECK(cluster.metric(1, "extra_sends_total") == 0);
 }
 
+// Guards against a second prompt that leaves no budget for its run.
+TEST_CASE("after a lost prefill with budget for a single retry the decode engine processes the prompt") {
+    auto cluster = make_organisation_cluster("budget-for-a-run", 2);
+    // The ratio of these requests is more than one retry, and the host's share is less than two.
+    constexpr int earlier = 8;
+    for (int number = 0; number < earlier; ++number)
+        REQUIRE(stand_in::http_exchange(cluster.callers_address(),
+                                        organisation_request("/stream/", "other-" + std::to_string(number))));
+    for (const auto* id : {"p1", "p2"})
+        (void)cluster.server(id, {{"lose_answer", 1}});
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(), organisation_request("/resume/", "id-1"));
+    REQUIRE(answer);
+    CHECK(answer->body == complete_stream(5));
+    CHECK(prompts_at(cluster, "p1") + prompts_at(cluster, "p2") == earlier + 1);
+    CHECK(cluster.runs() == earlier + 1);
+    CHECK(cluster.metric(1, "extra_sends_total") == 1);
+}
+
 TEST_CASE("a prompt and its run are repeated after an interrupted run if the retry budget covers both") {
     auto cluster = make_organisation_cluster("budget-for-both");
     (void)cluster.server("d1", {{"break_after", 0}});
