--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -210,6 +210,23 @@
         CHECK_FALSE(cold_remaining_of(text));
 }
 
+// Guards against a head that was cut, with the head and the body of another answer behind it, being taken for
+// the answer that it begins.
+TEST_CASE("an answer that names its request or has its seal twice is neither the request's nor sealed") {
+    const auto protocol = platform::make_request_protocol();
+    const auto joined = protocol.read_answer({200,
+                                              {{"X-Attempt-Id", "id-1"},
+                                               {"X-Response-Seal", "seal.i-1.idHTTP/1.1 200 OK"},
+                                               {"X-Attempt-Id", "id-2"},
+                                               {"X-Response-Seal", "seal.i-1.id-2"}}});
+    CHECK(joined.request_id.empty());
+    CHECK_FALSE(joined.is_sealed);
+    const auto whole =
+        protocol.read_answer({200, {{"X-Attempt-Id", "id-1"}, {"X-Response-Seal", "seal.i-1.id-1"}}});
+    CHECK(whole.request_id == "id-1");
+    CHECK(whole.is_sealed);
+}
+
 TEST_CASE("advertised limit, back-off and shutdown are parsed within bounds, and malformed values ignored") {
     const auto protocol = platform::make_request_protocol();
     const auto limit_of = [&](const wire::http_headers& headers) {
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -173,11 +173,18 @@
 }
 
 void gateway_cluster::set_links(int host, link_fault fault, const std::vector<std::string>& ids) {
+    this->set_link_faults(host, to_proxy_faults(fault), ids);
+}
+
+void gateway_cluster::cut_answers(int host, int after_bytes, const std::vector<std::string>& ids) {
+    this->set_link_faults(host, {{"cut_after", after_bytes}}, ids);
+}
+
+void gateway_cluster::set_link_faults(int host, json faults, const std::vector<std::string>& ids) {
     json links = json::array();
     for (const auto& [id, address] : this->server_addresses)
         if (ids.empty() || std::ranges::find(ids, id) != ids.end())
             links.push_back(link_name(host, id));
-    json faults = to_proxy_faults(fault);
     faults["links"] = std::move(links);
     (void)stand_in::post_json(this->proxy_control, "/faults", faults);
 }
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -113,6 +113,8 @@
     /// Sets the fault of the links between a host and these servers; without ids, of all. Needs
     /// `linked_hosts`.
     void set_links(int host, link_fault fault, const std::vector<std::string>& ids = {});
+    /// Closes each connection between a host and these servers after that many bytes of answers; -1: none.
+    void cut_answers(int host, int after_bytes, const std::vector<std::string>& ids);
     /// Removes a server's registry entry.
     void drop_server(const std::string& id);
     /// Kills a server's process; its registry entry stays.
@@ -134,6 +136,7 @@
     [[nodiscard]] int runs();
 
 private:
+    void set_link_faults(int host, nlohmann::json faults, const std::vector<std::string>& ids);
     /// Writes a host's settings file, with that line of YAML at its end; returns its path.
     std::string write_settings(int number, const std::string& line = "");
     /// Starts a server's process; port 0 lets the system choose.
