tests: Count the retry budget in the soak from what servers received

A new checker: no window of ten seconds has more arrivals beyond the first of each request, counted as servers recorded them, than the ratio of the requests and the slack; with a test that makes it red.

--- a/tests/soak/checkers.cpp
+++ b/tests/soak/checkers.cpp
@@ -509,6 +509,7 @@
     add(check_callers_who_left(seen, bounds));
     add(check_processes(seen, bounds));
     add(check_departures(seen, bounds));
+    add(check_retry_budget(seen, bounds));
     add(check_one_version(seen));
     add(check_event_order(seen));
     add(check_take_ups_after_losses(seen, bounds));
--- a/tests/soak/checkers.h
+++ b/tests/soak/checkers.h
@@ -28,6 +28,9 @@
     milliseconds grace{8'000};
     /// Requests sent this long after SIGTERM may be cut if they outlast most of the grace time.
     milliseconds late_in_stop{3'000};
+    /// Retries that servers may receive for each request, beside the slack, within the window.
+    double retry_ratio = 0.2;
+    milliseconds retry_window{10'000};
     std::size_t host_memory_bytes = 120UL * 1000 * 1000;
 };
 
@@ -64,6 +67,10 @@
 /// Leaving servers get no requests after the bound.
 [[nodiscard]] violations check_departures(const observations& seen, const promised_bounds& bounds);
 
+/// The servers of a service receive no more beyond the first arrival of each request, in any window, than the
+/// retry budget of all hosts allows.
+[[nodiscard]] violations check_retry_budget(const observations& seen, const promised_bounds& bounds);
+
 /// All of the above and those of streams.
 [[nodiscard]] violations check_all(const observations& seen, const promised_bounds& bounds);
 
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -35,6 +35,10 @@
     if (mix == fault_mix::releases)
         return {{engines_release, 4}, {hosts_all_kill, 4}, {host_kill, 2},  {host_freeze, 2}, {host_stop, 1},
                 {host_reload, 1},     {server_break, 2},   {store_slow, 1}, {store_down, 1}};
+    if (mix == fault_mix::breaks)
+        return {{server_close, 8}, {server_refuse, 3}, {server_break, 3},    {server_lose, 2},
+                {server_kill, 1},  {host_stop, 2},     {host_kill, 3},       {hosts_all_kill, 1},
+                {host_freeze, 1},  {host_reload, 1},   {settings_change, 1}, {engines_release, 1}};
     std::vector<weighted_kind> kinds = {
         {host_stop, 3}, {host_reload, 2}, {settings_change, 4}, {server_silence, 3}, {stream_silence, 4}};
     if (mix == fault_mix::servers || mix == fault_mix::all)
@@ -120,6 +124,8 @@
             plan.has_two_versions = this->random.between(0, 1) == 1;
             this->add_first_loss();
         }
+        if (plan.mix == fault_mix::breaks)
+            plan.has_limited_budget = true;
         const auto kinds = kinds_of(plan.mix);
         const milliseconds gap = is_release ? mean_gap_of_releases : mean_gap;
         for (milliseconds at = quiet_start; at < this->options.length;
@@ -232,6 +238,8 @@
             fault.amount = this->random.between(1, 20);
         if (kind == server_endless)
             fault.amount = this->random.between(0, max_draw);
+        if (kind == server_close)
+            fault.amount = this->random.between(10, 80);
         const bool is_end = kind == server_kill || kind == server_leave || kind == server_leave_silently;
         const milliseconds away =
             fault.lasts + (kind == server_kill ? milliseconds(0) : leaving_time) + start_time;
@@ -253,16 +261,16 @@
 
 const char* to_text(fault_kind kind) {
     static constexpr std::array names = {
-        "host_stop",      "host_reload",    "host_kill",     "host_freeze",  "settings_change",
-        "server_silence", "stream_silence", "server_kill",   "server_leave", "server_leave_silently",
-        "server_refuse",  "server_late",    "server_double", "server_copy",  "server_break",
-        "server_lose",    "server_endless", "store_slow",    "store_down",   "store_lose",
-        "hosts_all_kill", "engines_release"};
+        "host_stop",      "host_reload",    "host_kill",      "host_freeze",  "settings_change",
+        "server_silence", "stream_silence", "server_kill",    "server_leave", "server_leave_silently",
+        "server_refuse",  "server_late",    "server_double",  "server_copy",  "server_break",
+        "server_lose",    "server_endless", "store_slow",     "store_down",   "store_lose",
+        "hosts_all_kill", "server_close",   "engines_release"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
 const char* to_text(fault_mix mix) {
-    static constexpr std::array names = {"planned", "servers", "hosts", "all", "releases"};
+    static constexpr std::array names = {"planned", "servers", "hosts", "all", "releases", "breaks"};
     return names.at(static_cast<std::size_t>(mix));
 }
 
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -35,6 +35,7 @@
     store_down,            ///< `amount`: 0 refuses, 1 resets, 2 is silent, during `lasts`.
     store_lose,            ///< The next `amount` appends take effect without an answer.
     hosts_all_kill,        ///< SIGKILL of all hosts at once; restarted after `lasts`.
+    server_close,          ///< Closes `amount` in a hundred requests without an answer during `lasts`.
     engines_release,       ///< Engines of a newer version replace running ones; `amount` is a release_course.
 };
 
@@ -65,6 +66,8 @@
     hosts,   ///< These and the faults of hosts and the store.
     all,
     releases, ///< Releases of engines, losses of all hosts at once, and faults of hosts and the store.
+    breaks,   ///< Requests that servers close, refuse and break off, with little retry budget, beside stops,
+            ///< kills and losses of hosts and releases.
 };
 /// Mixes that a seed names by its remainder; the others are asked for.
 inline constexpr int mixes_of_seeds = 4;
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -338,6 +338,12 @@
              {"silence_ms", fault.lasts.count()},
              {"silence_before_event", 1 + fault.amount % 5}});
         break;
+    case fault_kind::server_close: {
+        static constexpr double hundred = 100;
+        set({{"closed_fraction", fault.amount / hundred}});
+        this->schedule(boot_clock::now() + fault.lasts, [set] { set({{"closed_fraction", 0}}); });
+        break;
+    }
     case fault_kind::server_refuse:
         set({{"refuse", fault.amount}});
         break;
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -148,6 +148,7 @@
     std::vector<int> hosts_that_do_not_serve;       ///< After the last fault.
     std::vector<std::string> servers_still_at_work; ///< After the last request has ended.
     bool has_limited_budget = false; ///< Whether the retry budget may deny the resumption of a stream.
+    double retry_slack = 0;          ///< Of the retry budget of each service, in requests.
     int max_attempts = 0;            ///< Of the resumable route.
 };
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -29,6 +29,8 @@
 /// Slack of the retry budget, in requests, of a run in which the budget may be used up.
 constexpr double limited_slack = 2;
 constexpr double ample_slack = 1'000'000;
+/// The same where servers break many requests.
+constexpr double slack_of_breaks = 20;
 constexpr int ok_status = 200;
 
 std::string cluster_name(std::uint64_t seed) { return "soak-" + std::to_string(seed); }
@@ -42,11 +44,17 @@
     return folder.string();
 }
 
+double retry_slack_of(const fault_plan& plan) {
+    if (plan.mix == fault_mix::breaks)
+        return slack_of_breaks;
+    return plan.has_limited_budget ? limited_slack : ample_slack;
+}
+
 test::gateway_cluster_options make_cluster_options(const fault_plan& plan, const std::string& folder) {
     test::gateway_cluster_options options;
     options.name = cluster_name(plan.options.seed);
     options.hosts = plan.options.hosts;
-    options.retry_slack = plan.has_limited_budget ? limited_slack : ample_slack;
+    options.retry_slack = retry_slack_of(plan);
     for (int place = 0; place < static_cast<int>(server_places().size()); ++place) {
         test::server_plan server = make_server_plan(place, 1, first_version(plan, place));
         server.run_log = fault_runner::run_log_path(folder, server.id);
@@ -150,6 +158,7 @@
     check_recovery(cluster, runner, report.seen);
     report.seen.arrivals = read_run_logs(report.folder);
     report.seen.has_limited_budget = report.plan.has_limited_budget;
+    report.seen.retry_slack = retry_slack_of(report.plan);
     report.seen.max_attempts = resumable_attempts;
     report.found = check_all(report.seen, {});
     report.fault_log = runner.log();
--- a/tests/soak/test_checkers.cpp
+++ b/tests/soak/test_checkers.cpp
@@ -418,6 +418,41 @@
     CHECK(check_departures(seen, bounds).empty());
 }
 
+TEST_CASE("more arrivals beyond the first of each request than the retry budget allows are reported") {
+    auto seen = with_attempt(make_attempt(request_kind::resumable_stream));
+    const auto add = [&seen](milliseconds time, bool is_prefill, bool is_broken_off) {
+        seen.arrivals.push_back({.attempt = "a-1",
+                                 .server = "d1-1",
+                                 .at = at(time),
+                                 .is_prefill = is_prefill,
+                                 .has_ended = true,
+                                 .is_broken_off = is_broken_off});
+    };
+    // The first prompt that is read and the first other arrival are free.
+    add(0ms, true, false);
+    add(10ms, false, true);
+    CHECK(check_retry_budget(seen, bounds).empty());
+    add(20ms, false, false);
+    CHECK(check_retry_budget(seen, bounds).size() == 1);
+    seen.retry_slack = 1;
+    CHECK(check_retry_budget(seen, bounds).empty());
+    // A second prompt, and a prompt that is closed without an answer.
+    seen.arrivals.pop_back();
+    add(30ms, true, false);
+    CHECK(check_retry_budget(seen, bounds).empty());
+    add(40ms, true, true);
+    CHECK(check_retry_budget(seen, bounds).size() == 1);
+    // In another window.
+    seen.arrivals.back().at = at(30ms) + bounds.retry_window;
+    CHECK(check_retry_budget(seen, bounds).empty());
+    // Of a request that no caller sent.
+    for (int number = 0; number < 9; ++number) {
+        add(50ms, false, false);
+        seen.arrivals.back().attempt = "probe";
+    }
+    CHECK(check_retry_budget(seen, bounds).empty());
+}
+
 TEST_CASE("a seed gives the same plan each time, and seeds differ") {
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
         const plan_options options{.seed = seed, .hosts = 3, .length = 20'000ms};
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -35,3 +35,8 @@
 TEST_CASE("soak: releases of engines and losses of all hosts keep every promise") {
     play(1, soak::fault_mix::releases);
 }
+
+TEST_CASE(
+    "soak: requests that servers close and refuse, beside stops and kills, stay within the retry budget") {
+    play(2, soak::fault_mix::breaks);
+}
