--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -36,9 +36,9 @@
         return {{engines_release, 4}, {hosts_all_kill, 4}, {host_kill, 2},  {host_freeze, 2}, {host_stop, 1},
                 {host_reload, 1},     {server_break, 2},   {store_slow, 1}, {store_down, 1}};
     if (mix == fault_mix::breaks)
-        return {{server_close, 8}, {server_refuse, 3}, {server_break, 3},    {server_lose, 2},
-                {server_kill, 1},  {host_stop, 2},     {host_kill, 3},       {hosts_all_kill, 1},
-                {host_freeze, 1},  {host_reload, 1},   {settings_change, 1}, {engines_release, 1}};
+        return {{server_close, 8}, {server_refuse, 3}, {server_break, 3},   {server_lose, 2},
+                {server_kill, 1},  {host_stop, 2},     {host_kill, 3},      {hosts_all_kill, 1},
+                {host_freeze, 1},  {host_reload, 1},   {settings_change, 1}};
     std::vector<weighted_kind> kinds = {
         {host_stop, 3}, {host_reload, 2}, {settings_change, 4}, {server_silence, 3}, {stream_silence, 4}};
     if (mix == fault_mix::servers || mix == fault_mix::all)
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -67,7 +67,7 @@
     all,
     releases, ///< Releases of engines, losses of all hosts at once, and faults of hosts and the store.
     breaks,   ///< Requests that servers close, refuse and break off, with little retry budget, beside stops,
-            ///< kills and losses of hosts and releases.
+              ///< kills, freezes and losses of hosts.
 };
 /// Mixes that a seed names by its remainder; the others are asked for.
 inline constexpr int mixes_of_seeds = 4;
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -295,6 +295,9 @@
     // A later release may have overtaken a slow one.
     if (this->version_of_place.at(index) >= version)
         return;
+    // Engines without a version are not replaced.
+    if (this->version_of_place.at(index) == 0)
+        return;
     const std::string replaced = this->server_ids.at(index);
     this->version_of_place.at(index) = version;
     this->start_server(place);
