--- a/libraries/decision/arrival_account.h
+++ b/libraries/decision/arrival_account.h
@@ -32,8 +32,8 @@
 /// Whether the next attempt must be paid for. A prompt that turns out not to count is refunded.
 [[nodiscard]] bool is_retry(const arrival_account& account);
 
-/// Retries to hold before a prompt is sent to a prefill engine, for it and for the run that must follow it. One
-/// that is free in the end is returned.
+/// Retries to hold before a prompt is sent to a prefill engine, for it and for the run that must follow it.
+/// One that is free in the end is returned.
 [[nodiscard]] int retries_for_prompt_and_run(const arrival_account& account);
 
 } // namespace postpaddle::decision
--- a/libraries/decision/shared_budget.h
+++ b/libraries/decision/shared_budget.h
@@ -58,8 +58,8 @@
 [[nodiscard]] double retries_left(const shared_budget& budget, const shared_budget_options& options,
                                   base::time_point now);
 
-/// Whether more than half of the host's share is in use, so that requests should be sent in the way that takes
-/// the fewest retries.
+/// Whether more than half of the host's share is in use, so that requests should be sent in the way that
+/// takes the fewest retries.
 [[nodiscard]] bool is_scarce(const shared_budget& budget, const shared_budget_options& options,
                              base::time_point now);
 
