quarantine: Look for an exit although a later start is listed at another address

What callers saw: an upstream that ended under a request was not known to have ended if its successor was listed meanwhile, so a request that ends upstreams was sent on to more of them than allowed. Cause: a process closes its connections before its port. The first probe of the port then finds it open, and the later ones ended the check as soon as the registry listed a later start, also where that start listens at another address than the one that is probed. Only at the same address does an open or closed port say nothing of the earlier start.

--- a/libraries/decision/exit_check.h
+++ b/libraries/decision/exit_check.h
@@ -25,7 +25,7 @@
     base::duration since_break{};      ///< From the break to the start of the probe.
     bool is_port_known_closed = false; ///< It refused a connection while this host's other links worked.
     bool is_leaving = false;           ///< The upstream announced its shutdown, whatever it ran.
-    bool has_new_start = false;        ///< The registry lists a later start: what is probed is another one.
+    bool has_new_start = false;        ///< The registry lists a later start at the probed address.
 };
 
 enum class exit_verdict {
--- a/libraries/gateway/quarantine/request_quarantine.cpp
+++ b/libraries/gateway/quarantine/request_quarantine.cpp
@@ -55,9 +55,11 @@
     return target != nullptr && target->state == decision::listing::leaving;
 }
 
+/// Whether a later start may listen at the probed address.
 bool has_new_start(gateway_state& state, const upstream_start& start) {
     const decision::instance* const target = decision::find_instance(state.instances, start.id);
-    return target != nullptr && target->entry.start_time_ms != start.start_time_ms;
+    return target != nullptr && target->entry.start_time_ms != start.start_time_ms &&
+           target->entry.address == start.address;
 }
 
 /// What one probe in the background showed.
--- a/tests/gateway/test_upstream_backoff.cpp
+++ b/tests/gateway/test_upstream_backoff.cpp
@@ -50,6 +50,17 @@
     return max_count;
 }
 
+/// Lists a later start of the server at the address of another one, and waits until host 1 knows of it.
+void replace_start(test::gateway_cluster& cluster, const std::string& id, const std::string& replacement) {
+    const std::string address = cluster.server_address(replacement);
+    const nlohmann::json entry = {{"service", "plain"}, {"address", address}, {"zone", "east"},
+                                  {"version", "v1"},    {"slots", 8},         {"state", "ready"},
+                                  {"sequence", 1},      {"born", 7},          {"coldRemainingMs", 0}};
+    cluster.register_text(id, entry.dump());
+    REQUIRE(test::eventually(
+        [&] { return cluster.state_of(1).at("instances").at(id).at("address") == address; }));
+}
+
 } // namespace
 
 TEST_CASE("a plain upstream gets no requests from a host during the back-off it asked for") {
@@ -165,16 +176,26 @@
     (void)cluster.server("one", {{"hang", 1}});
     test::client_connection client(cluster.callers_address(), routed_request("/once/", "id-1"));
     REQUIRE(test::eventually([&] { return cluster.arrivals("one") == 1; }));
-    const nlohmann::json entry = {{"service", "plain"}, {"address", cluster.server_address("spare")},
-                                  {"zone", "east"},     {"version", "v1"},
-                                  {"slots", 8},         {"state", "ready"},
-                                  {"sequence", 1},      {"coldRemainingMs", 0},
-                                  {"born", 7}};
-    cluster.register_text("one", entry.dump());
-    const auto known = [&] { return cluster.state_of(1).at("instances").at("one"); };
-    REQUIRE(test::eventually([&] { return known().at("address") == cluster.server_address("spare"); }));
+    replace_start(cluster, "one", "spare");
     cluster.kill_server("one");
     REQUIRE(client.read_at_least(12).starts_with("HTTP/1.1 502"));
     REQUIRE(test::eventually([&] { return cluster.metric(1, "upstreams_ended_total") == 1; }));
-    CHECK(known().at("is_aside") == false);
+    CHECK(cluster.state_of(1).at("instances").at("one").at("is_aside") == false);
+}
+
+// Guards against a probe of the port that ends the check because a later start is listed elsewhere: a process
+// closes its connections before its port, so the first probe often finds the port open.
+TEST_CASE("an exit is recorded if the port closes after a start at another address replaced the upstream") {
+    test::gateway_cluster cluster(
+        {.name = "later-exit", .servers = {{.id = "one"}, {.id = "spare", .service = "other"}}});
+    (void)cluster.server("one", {{"hang", 1}, {"lose_answer", 1}});
+    test::client_connection client(cluster.callers_address(), routed_request("/once/", "id-1"));
+    REQUIRE(test::eventually([&] { return cluster.arrivals("one") == 1; }));
+    replace_start(cluster, "one", "spare");
+    // Closes the connection, but not the port.
+    (void)cluster.server("one", {{"hang", 0}});
+    REQUIRE(client.read_at_least(12).starts_with("HTTP/1.1 502"));
+    cluster.kill_server("one");
+    REQUIRE(test::eventually([&] { return cluster.metric(1, "upstreams_ended_total") == 1; }));
+    CHECK(cluster.state_of(1).at("instances").at("one").at("is_aside") == false);
 }
