streams: Send a prompt again only with its run's retry in hand, whoever calls

What callers saw: 502 'no budget for another engine' right after an engine had read their prompt a second time, for a paid retry; and the retry was lost to others. Cause: the retry for the run was held beforehand only where organisations, priorities or measured paces make the host check decode engines again. Elsewhere one retry was enough for the prompt. Change: the retries for prompt and run are held for all streams. Where they are short, the prompt goes to a decode engine in one send, which waits for room there as long as that is worth: a refusal would cost the last retry.

--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -50,7 +50,10 @@
 }
 
 room_wait stream_relay::colocated_wait() const {
-    return this->avoids_wasted_prefills ? room_wait::until_idle_timeout : room_wait::none;
+    // A refusal by an engine without room would cost a retry.
+    const bool is_refusal_dear =
+        this->avoids_wasted_prefills || decision::is_retry(this->request->record.arrivals);
+    return is_refusal_dear ? room_wait::until_idle_timeout : room_wait::none;
 }
 
 decision::instance_use stream_relay::use_at(const decision::engine_plan& plan) const {
@@ -334,7 +337,7 @@
 bool stream_relay::prepare_plan(decision::engine_plan& plan, wire::yield_context yield) {
     if (!plan.prefill || this->retained.has_value())
         return true;
-    if (this->avoids_wasted_prefills && !try_reserve_prompt_and_run(*this->request)) {
+    if (!try_reserve_prompt_and_run(*this->request)) {
         this->request->state->metrics->count("prefills_without_budget_total");
         return this->skip_prefill(plan, yield);
     }
@@ -517,7 +520,7 @@
 request_ending stream_relay::run(wire::yield_context yield) {
     this->progress.size = record_demand(*this->request);
     this->events.last_id = this->request->routed.resume_after;
-    this->request->reserves_retries = this->avoids_wasted_prefills;
+    this->request->reserves_retries = true;
     this->find_held_prompt(yield);
     await_splits(*this->request, yield);
     while (this->is_caller_waiting()) {
--- a/tests/gateway/test_streams.cpp
+++ b/tests/gateway/test_streams.cpp
@@ -348,6 +348,29 @@
     CHECK(cluster.metric(1, "extra_sends_total") == 1);
 }
 
+// Guards against the same where nothing ranks or shares the service's requests.
+TEST_CASE("without organisations, too, a prompt is sent again only with the retry for its run in hand") {
+    test::gateway_cluster cluster({.name = "budget-without-organisations",
+                                   .servers = {{.id = "p1", .service = "engines", .stage = "prefill"},
+                                               {.id = "p2", .service = "engines", .stage = "prefill"},
+                                               {.id = "d1", .service = "engines", .stage = "decode"},
+                                               {.id = "d2", .service = "engines", .stage = "decode"}},
+                                   .retry_slack = 2});
+    // The ratio of these requests is more than one retry, and the host's share is less than two.
+    constexpr int earlier = 8;
+    for (int number = 0; number < earlier; ++number)
+        REQUIRE(stand_in::http_exchange(cluster.callers_address(),
+                                        routed_request("/stream/", "other-" + std::to_string(number))));
+    for (const auto* id : {"p1", "p2"})
+        (void)cluster.server(id, {{"lose_answer", 1}});
+    const auto answer =
+        stand_in::http_exchange(cluster.callers_address(), routed_request("/resume/", "id-1"));
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(prompts_at(cluster, "p1") + prompts_at(cluster, "p2") == earlier + 1);
+    CHECK(cluster.metric(1, "extra_sends_total") == 1);
+}
+
 TEST_CASE("a prompt and its run are repeated after an interrupted run if the retry budget covers both") {
     auto cluster = make_organisation_cluster("budget-for-both");
     (void)cluster.server("d1", {{"break_after", 0}});
