--- a/tests/gateway/test_state_propagation.cpp
+++ b/tests/gateway/test_state_propagation.cpp
@@ -18,6 +18,20 @@
     return is_known ? state.at("instances").at(id).at("listing").get<std::string>() : "";
 }
 
+/// Why these hosts have begun to read the store, and how often.
+std::string describe_readers(const test::gateway_cluster& cluster, const std::vector<int>& readers) {
+    std::string text;
+    for (const int host : readers) {
+        text += "host " + std::to_string(host) + ":";
+        for (const std::string reason : {"start", "leader", "old", "behind"})
+            text += " " + reason + " " +
+                    std::to_string(static_cast<int>(
+                        cluster.metric(host, "store_duties_total{reason=\"" + reason + "\"}")));
+        text += "; ";
+    }
+    return text;
+}
+
 } // namespace
 
 TEST_CASE("new settings versions take effect on every host and older ones are ignored") {
@@ -173,6 +187,7 @@
     };
     REQUIRE(test::eventually([&] { return readers().size() == 2; }));
     const std::vector<int> first_readers = readers();
+    INFO(describe_readers(cluster, first_readers));
     REQUIRE(first_readers.size() == 2);
 
     cluster.publish(2, true);
--- a/tests/soak/fault_runner.h
+++ b/tests/soak/fault_runner.h
@@ -49,6 +49,7 @@
         bool is_starting = false;
         bool is_stopping = false;
         bool is_killed = false;
+        bool has_been_ready = false;
         milliseconds restart_after{0};
         std::size_t open_incident = 0; ///< Index of the start, stop or loss that is under way.
         std::jthread log_reader;
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -131,7 +131,8 @@
     time_point at{};
     int code = 0; ///< Exit code, or the negated signal.
     bool is_planned = false;
-    bool is_killed = false; ///< By the fault runner.
+    bool is_killed = false;      ///< By the fault runner.
+    bool has_been_ready = false; ///< Since its start.
 };
 
 /// Everything that was seen from outside in one run.
--- a/tests/soak/test_checkers.cpp
+++ b/tests/soak/test_checkers.cpp
@@ -228,6 +228,11 @@
             failed.incidents = {make_incident(incident_kind::links_failing, -600ms, -500ms, host)};
         CHECK(check_answers_arrive(closed, bounds).size() == 1);
         CHECK(check_failures(failed).size() == 1);
+        // The request may have been sent on to a host that is lost.
+        for (observations* const seen : {&closed, &failed})
+            seen->incidents.push_back(make_incident(incident_kind::host_lost, 500ms, 600ms, 3));
+        CHECK(check_answers_arrive(closed, bounds).empty());
+        CHECK(check_failures(failed).empty());
     }
 }
 
@@ -411,6 +416,13 @@
     CHECK(check_processes(seen, bounds).size() == 1);
     seen.exits = {{1, at(0ms), -11, true, false}};
     CHECK(check_processes(seen, bounds).size() == 1);
+    // By the signal to stop, before the process could take it; afterwards, and without being told to.
+    seen.exits = {{1, at(0ms), -15, true, false, false}};
+    CHECK(check_processes(seen, bounds).empty());
+    seen.exits = {{1, at(0ms), -15, true, false, true}};
+    CHECK(check_processes(seen, bounds).size() == 1);
+    seen.exits = {{1, at(0ms), -15, false, false, false}};
+    CHECK(check_processes(seen, bounds).size() == 1);
     seen.exits.clear();
     seen.peak_memory_bytes = {130'000'000};
     CHECK(check_processes(seen, bounds).size() == 1);
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -163,6 +164,7 @@
     nlohmann::json links = nlohmann::json::object(); ///< By host and server: the address of the link.
     std::map<std::string, std::unique_ptr<stand_in::child_process>> servers;
     std::map<std::string, std::string> server_addresses;
+    std::set<std::string> killed_servers;
     std::map<std::string, server_plan> plans;
     std::map<int, std::unique_ptr<stand_in::child_process>> hosts;
     int callers_port;
