--- a/stand_ins/harness/child_process.cpp
+++ b/stand_ins/harness/child_process.cpp
@@ -89,6 +89,9 @@
 }
 
 int child_process::wait() {
+    // `waitpid` would wait for any child.
+    if (this->pid <= 0)
+        throw std::logic_error("the process has been waited for");
     int status = 0;
     waitpid(this->pid, &status, 0);
     this->pid = -1;
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -164,7 +164,8 @@
     time_point last_action_at = this->started_at;
     const auto is_over = [this] {
         return this->actions.empty() && std::ranges::all_of(this->hosts, [](const auto& row) {
-                   return row.second.is_up && !row.second.is_starting && !row.second.is_stopping;
+                   const host_state& state = row.second;
+                   return state.is_up && !state.is_starting && !state.is_stopping && !state.is_killed;
                });
     };
     while (!is_over() && !is_interrupted && boot_clock::now() < last_action_at + recovery_limit) {
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -391,6 +391,7 @@
     this->server_addresses[id] =
         this->servers_ip() + ":" + std::to_string(process->read_json().at("port").get<int>());
     this->servers[id] = std::move(process);
+    this->killed_servers.erase(id);
 }
 
 void gateway_cluster::restart_server(const std::string& id, std::uint64_t born) {
@@ -414,6 +415,8 @@
 bool gateway_cluster::is_serving(const std::string& id) { return !this->server(id).is_null(); }
 
 void gateway_cluster::kill_server(const std::string& id) {
+    if (this->killed_servers.contains(id))
+        return;
     this->servers.at(id)->send_signal(SIGKILL);
     (void)this->servers.at(id)->wait();
     // The links would accept connections for it.
