streams: Look in the store for a record whose write got no answer

Cause: a host took a write without an answer for failed, though the store had the record: the stream began elsewhere, and the record then contradicted it. Change: after such a write the host reads the partition and looks for its own batch. A store that refuses is believed.

--- a/libraries/gateway/stream_origin/journal_partition.cpp
+++ b/libraries/gateway/stream_origin/journal_partition.cpp
@@ -86,17 +86,22 @@
         batches.push_back({key, host::encode_journal_batch(next->records)});
     const auto written = this->feed->append_journal(this->number, batches, call_timeout, yield);
     this->state->metrics->count(written ? "journal_writes_total" : "journal_writes_failed_total");
-    // After a failure the store may have taken them all the same, which harms nothing.
     if (written && !next->records.empty())
         this->record_batch(key, next->records);
     if (!written)
         for (const ports::journal_batch& deleted : batches)
             if (!deleted.bytes)
                 this->expiry_of_batch[deleted.key] = next_deletion;
-    next->is_written = written.has_value();
+    // The store may have taken them although its answer was lost.
+    const bool may_be_written = !written && written.error().failure == ports::feed_failure::unreachable;
+    next->is_written = written || (may_be_written && !next->records.empty() && this->has_batch(key, yield));
     next->done.cancel();
 }
 
+bool journal_partition::has_batch(const std::string& key, wire::yield_context yield) {
+    return this->log.refresh(yield) && this->expiry_of_batch.contains(key);
+}
+
 void journal_partition::record_batch(const std::string& key,
                                      const std::vector<host::journal_record>& records) {
     const base::time_point now = this->state->clock->now();
--- a/tests/gateway/split_model.cpp
+++ b/tests/gateway/split_model.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <memory>
 #include <queue>
 #include <random>
 
@@ -366,8 +367,12 @@
             this->store.journal.at(partition).push_back(decoded->front());
             return true;
         };
-        return std::ranges::any_of(this->hosts_for(partition, number),
-                                   [&](std::size_t writer) { return this->append(writer, take); });
+        // After a write without an answer the host reads whether the store has the record.
+        const auto is_taken = std::make_shared<bool>(false);
+        const auto take_and_note = [is_taken, take] { return *is_taken = take(); };
+        return std::ranges::any_of(this->hosts_for(partition, number), [&](std::size_t writer) {
+            return this->append(writer, take_and_note) || (*is_taken && this->reaches_store(writer));
+        });
     }
 
     std::optional<host::journal_findings> read_journal(std::size_t number, const host::stream_keys& keys) {
