tests: Close the links of a killed server in the soak only

Cause: since a killed server's links refused connections at once, while this test sets its server's link itself, as it stands in for the port; whether the first probe came before was chance. The soak asks for that by its own call now; kill_server does what it did.

--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -349,7 +349,7 @@
     this->schedule(leaves_at + replaced_leaving_time, [this, replaced, find_start] {
         find_start(replaced)->ended_at = boot_clock::now();
         (void)this->open_incident({incident_kind::server_ended, 0, replaced});
-        this->cluster->kill_server(replaced);
+        this->cluster->kill_server_and_links(replaced);
         this->cluster->drop_server(replaced);
         this->write_log("ended " + replaced);
     });
@@ -427,7 +427,7 @@
     const int place = fault.target;
     const auto kill_now = [this, id] {
         (void)this->open_incident({incident_kind::server_ended, 0, id});
-        this->cluster->kill_server(id);
+        this->cluster->kill_server_and_links(id);
         const auto start = std::ranges::find(this->engine_starts, id, &engine_start::server);
         if (start == this->engine_starts.end())
             return;
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -415,11 +415,14 @@
 bool gateway_cluster::is_serving(const std::string& id) { return !this->server(id).is_null(); }
 
 void gateway_cluster::kill_server(const std::string& id) {
-    if (this->killed_servers.contains(id))
-        return;
     this->servers.at(id)->send_signal(SIGKILL);
     (void)this->servers.at(id)->wait();
-    // The links would accept connections for it.
+}
+
+void gateway_cluster::kill_server_and_links(const std::string& id) {
+    if (this->killed_servers.contains(id))
+        return;
+    this->kill_server(id);
     for (int number = 1; number <= this->options.linked_hosts; ++number)
         this->set_links(number, link_fault::reset, {id});
     this->killed_servers.insert(id);
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -120,6 +120,8 @@
     void drop_server(const std::string& id);
     /// Kills a server's process; its registry entry stays.
     void kill_server(const std::string& id);
+    /// The same, unless it was killed so before. Links to it refuse connections for good, as its port does.
+    void kill_server_and_links(const std::string& id);
     /// Sends a signal to a server's process.
     void signal_server(const std::string& id, int signal);
     /// Restarts a server, killing its process first: same id and address, registered with the new `born`.
@@ -164,7 +166,7 @@
     nlohmann::json links = nlohmann::json::object(); ///< By host and server: the address of the link.
     std::map<std::string, std::unique_ptr<stand_in::child_process>> servers;
     std::map<std::string, std::string> server_addresses;
-    std::set<std::string> killed_servers;
+    std::set<std::string> killed_servers; ///< Those whose links refuse connections for good.
     std::map<std::string, server_plan> plans;
     std::map<int, std::unique_ptr<stand_in::child_process>> hosts;
     int callers_port;
