tests: Let the loss of its own host excuse no failure that a caller got

Change: failures are excused by a freeze of the own host as before, and by losses of any host only where links have failed.

--- a/tests/soak/checkers.cpp
+++ b/tests/soak/checkers.cpp
@@ -267,8 +267,12 @@
             return event.kind == incident_kind::server_ended && event.from >= row.sent_at &&
                    event.from <= row.ended_at;
         });
-        if (is_cut || did_server_end || did_links_fail(seen, row.sent_at, row.ended_at) ||
-            was_host_away(seen, row.host, row.sent_at, row.ended_at))
+        // The loss of its own host explains no failure that the caller got.
+        const bool is_host_away =
+            had_host_incident(seen, row.host, incident_kind::host_frozen, row.sent_at, row.ended_at) ||
+            (did_links_fail(seen, time_point::min(), row.ended_at) &&
+             was_host_away(seen, row.host, row.sent_at, row.ended_at));
+        if (is_cut || did_server_end || did_links_fail(seen, row.sent_at, row.ended_at) || is_host_away)
             continue;
         std::string what = describe(row) + ": status " + std::to_string(row.status) + ", sent to";
         for (const arrival* sent : arrivals)
--- a/tests/soak/test_checkers.cpp
+++ b/tests/soak/test_checkers.cpp
@@ -197,6 +197,8 @@
     seen.incidents = {make_incident(incident_kind::host_stopping, 0ms, 2'000ms),
                       make_incident(incident_kind::store_disturbed, 0ms, 2'000ms, 0)};
     CHECK(check_failures(seen).size() == 1);
+    seen.incidents = {make_incident(incident_kind::host_lost, 100ms, 200ms)};
+    CHECK(check_failures(seen).size() == 1);
     seen.incidents = {make_incident(incident_kind::host_frozen, 100ms, 200ms)};
     CHECK(check_failures(seen).empty());
     seen.incidents = {{incident_kind::server_ended, 0, "s1-1", at(500ms)}};
