state, tests: Show what a host's doubt about removals rests on, and that upstreams which left get requests

What callers saw: nothing; what upstreams saw: requests later than the bound after their entries had gone, or after they said that they leave. The state's new registry_doubt shows hosts without a failed read that doubt removals on the word of two others.

--- a/libraries/gateway/operations/state_dump.cpp
+++ b/libraries/gateway/operations/state_dump.cpp
@@ -140,6 +140,18 @@
     return suspects;
 }
 
+/// Whether this host doubts that entries which go belong to upstreams that leave, and on what that rests.
+json dump_registry_doubt(const gateway_state& state, base::time_point now) {
+    json complaints = json::object();
+    for (const auto& [host, failed_at] : state.outage_reports.failing_at)
+        complaints[host.value] = base::to_milliseconds(now - failed_at);
+    json doubt = {{"doubts_removals", is_registry_failing(state)},
+                  {"hosts_failed_ms_ago", std::move(complaints)}};
+    if (state.registry_failed_at)
+        doubt["own_read_failed_ms_ago"] = base::to_milliseconds(now - *state.registry_failed_at);
+    return doubt;
+}
+
 } // namespace
 
 json dump_state(const gateway_state& state) {
@@ -171,6 +183,7 @@
             {"evacuated_zones", std::move(evacuated)},
             {"routes", state.settings ? state.settings->document.value->routes.size() : 0},
             {"registry_next", state.registry_next},
+            {"registry_doubt", dump_registry_doubt(state, now)},
             {"reads_store", state.reads_store},
             {"leads_cell", host::is_leader(state.position_in_cell)},
             {"cell_hosts", state.position_in_cell.hosts},
--- /dev/null
+++ b/tests/gateway/test_leaving_upstreams.cpp
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: BSD-2-Clause
+// Guards against requests to an upstream that has left, by whichever word, while other hosts or clocks are in
+// trouble. Counted is what the upstream received.
+#include <support/gateway_cluster.h>
+#include <support/test_cluster.h>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace postpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int bound_ms = 2'000;
+constexpr auto bound = std::chrono::milliseconds(bound_ms);
+/// Until a host that has started has been served by the store for as long as an outage is remembered.
+constexpr auto settled_time = 4s;
+
+test::gateway_cluster_options options_for(const std::string& name, int hosts) {
+    return {.name = name,
+            .servers = {{.id = "p1", .service = "engines", .stage = "prefill"},
+                        {.id = "d1", .service = "engines", .stage = "decode"},
+                        {.id = "one"}},
+            .hosts = hosts,
+            .leaving_bound_ms = bound_ms};
+}
+
+/// Sends requests of both kinds to the hosts from `first` to `last` for that time.
+void call_hosts(const test::gateway_cluster& cluster, int first, int last, std::chrono::milliseconds length) {
+    const auto end = std::chrono::steady_clock::now() + length;
+    for (int number = 0; std::chrono::steady_clock::now() < end; ++number)
+        for (int host = first; host <= last; ++host) {
+            const std::string id = std::to_string(host) + "-" + std::to_string(number);
+            for (const std::string path : {"/again/", "/resume/"})
+                (void)stand_in::http_exchange(cluster.callers_address(host),
+                                              test::routed_request(path, path + id), 1s);
+            std::this_thread::sleep_for(10ms);
+        }
+}
+
+/// Requests that the two upstreams receive from these hosts in `length`, from the bound after now on.
+int late_arrivals(test::gateway_cluster& cluster, int first, int last, std::chrono::milliseconds length) {
+    call_hosts(cluster, first, last, bound);
+    const int before = cluster.arrivals("d1") + cluster.arrivals("one");
+    call_hosts(cluster, first, last, length);
+    return cluster.arrivals("d1") + cluster.arrivals("one") - before;
+}
+
+/// What the hosts know of an upstream, and why they doubt that entries which go belong to upstreams that
+/// leave.
+std::string describe(const test::gateway_cluster& cluster, int hosts) {
+    std::string text;
+    for (int host = 1; host <= hosts; ++host) {
+        const auto state = cluster.state_of(host);
+        text += "host " + std::to_string(host) + ": " + state.at("instances").at("one").at("listing").dump() +
+                " " + state.at("registry_doubt").dump() + "\n";
+    }
+    return text;
+}
+
+void drop_both(test::gateway_cluster& cluster) {
+    for (const auto* id : {"d1", "one"})
+        cluster.drop_server(id);
+}
+
+} // namespace
+
+// Guards against hosts that take other hosts' failing reads for a doubt about what they have read themselves.
+TEST_CASE("an upstream whose entry goes while two other hosts are turned away by the store gets no request "
+          "later than its bound") {
+    for (const auto* mode : {"busy", "silent", "reset"}) {
+        INFO(mode);
+        test::gateway_cluster cluster(options_for(std::string("gone-beside-") + mode, 6));
+        std::this_thread::sleep_for(settled_time);
+        (void)cluster.store({{"mode", mode}, {"turned_away", {cluster.host_ip(1), cluster.host_ip(2)}}});
+        std::this_thread::sleep_for(bound);
+        drop_both(cluster);
+        CHECK(late_arrivals(cluster, 3, 6, 3s) == 0);
+        INFO(describe(cluster, 6));
+        // Nor from the hosts that hear of it from others.
+        CHECK(late_arrivals(cluster, 1, 2, 1s) == 0);
+    }
+}
+
+// Guards against a doubt that outlives the other hosts' trouble.
+TEST_CASE("an upstream whose entry goes right after two hosts were turned away gets no request later than "
+          "its bound") {
+    test::gateway_cluster cluster(options_for("gone-after", 6));
+    std::this_thread::sleep_for(settled_time);
+    (void)cluster.store({{"mode", "busy"}, {"turned_away", {cluster.host_ip(1), cluster.host_ip(2)}}});
+    std::this_thread::sleep_for(bound);
+    (void)cluster.store({{"mode", ""}});
+    drop_both(cluster);
+    CHECK(late_arrivals(cluster, 1, 6, 3s) == 0);
+}
+
+// Guards against records that are ordered by the clocks of upstreams.
+TEST_CASE("an upstream that starts again with an earlier or no start time and then leaves gets no request "
+          "later than its bound") {
+    for (const std::uint64_t second_start : {1'000, 0}) {
+        INFO(second_start);
+        test::gateway_cluster cluster(options_for("earlier-start-" + std::to_string(second_start), 2));
+        for (const auto* id : {"d1", "one"}) {
+            cluster.register_server(id, "ready", 5, 9'000);
+            cluster.register_server(id, "ready", 1, second_start);
+        }
+        call_hosts(cluster, 1, 2, 500ms);
+        CHECK(cluster.arrivals("one") > 0);
+        for (const auto* id : {"d1", "one"})
+            cluster.register_server(id, "draining", 2, second_start);
+        CHECK(late_arrivals(cluster, 1, 2, 1s) == 0);
+    }
+}
+
+// Guards the reason for the doubt: entries may lapse while the store is away, although their upstreams live.
+TEST_CASE("while the store was away for all hosts, upstreams whose entries lapsed are used until they are "
+          "listed again") {
+    test::gateway_cluster cluster(options_for("lapsed", 3));
+    std::this_thread::sleep_for(settled_time);
+    (void)cluster.store({{"mode", "busy"}});
+    std::this_thread::sleep_for(bound + 1s);
+    drop_both(cluster);
+    (void)cluster.store({{"mode", ""}});
+    REQUIRE(test::eventually(
+        [&] { return cluster.state_of(3).at("instances").at("one").at("listing") != "listed"; }));
+    int served = 0;
+    for (int host = 1; host <= 3; ++host)
+        for (const auto* path : {"/again/", "/resume/"})
+            served += test::status_at(cluster, host, path) == 200 ? 1 : 0;
+    CHECK(served == 6);
+    for (const auto* id : {"d1", "one"})
+        cluster.register_server(id, "ready", 2);
+    CHECK(test::eventually(
+        [&] { return cluster.state_of(3).at("instances").at("one").at("listing") == "listed"; }));
+}
