decision: Order the starts of an upstream by the registry's log, not by its clock

What upstreams saw: one that had started again under its id with an earlier start time (its clock was set back), or with none, and then said that it leaves got requests from all hosts for as long as it served on. Cause: records were compared by the upstream's start time; all of an "earlier" start were dropped, its word included, while hosts sent to the address under that id. Tombstones compared likewise. Change: decision/start_history, used by the table and by tombstones alike: the log's offset orders starts, the heartbeat counter the records of one start, the start time only tells them apart (as load keys, quarantine, claims and take-ups do already). A start that announced its shutdown, by a record or in an answer, stays departed, also if its entry had gone before; a heartbeat written late doesn't list an entry that lapsed. The result doesn't depend on the order in which records arrive. Tests: the property test draws any start time now; two lines of test_departed_starts said that of two starts the one with the later clock is the current one although its record is older in the log: replaced by the same checks for earlier, later and no start times.

--- a/libraries/decision/departed_starts.cpp
+++ b/libraries/decision/departed_starts.cpp
@@ -2,6 +2,7 @@
 #include <decision/departed_starts.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace postpaddle::decision {
 
@@ -14,47 +15,30 @@
 /// Interval between two searches for old tombstones.
 constexpr base::duration expiry_interval = 1min;
 
-/// Merges a record into its upstream's tombstone, in whatever order they come. The tombstone is about the
-/// latest start that any of them names.
 void merge(departed_start& tombstone, const departed_record& record) {
+    if (record.entry)
+        record_entry(tombstone.history, *record.entry, record.offset);
+    else if (record.offset >= tombstone.offset)
+        record_removal(tombstone.history, record.offset);
     tombstone.offset = std::max(tombstone.offset, record.offset);
-    if (!record.entry || record.entry->start_time_ms < tombstone.start_time_ms)
-        return;
-    if (record.entry->start_time_ms > tombstone.start_time_ms) {
-        tombstone.start_time_ms = record.entry->start_time_ms;
-        tombstone.sequence = 0;
-        tombstone.is_leaving = false;
-    }
-    tombstone.sequence = std::max(tombstone.sequence, record.entry->sequence);
-    tombstone.is_leaving |= record.entry->is_leaving;
-}
-
-/// Whether the record shows that the upstream, which a tombstone says has gone, is there.
-bool is_present(const departed_start& tombstone, const departed_record& record) {
-    if (!record.entry || record.offset < tombstone.offset)
-        return false;
-    if (record.entry->start_time_ms != tombstone.start_time_ms)
-        return record.entry->start_time_ms > tombstone.start_time_ms;
-    return !tombstone.is_leaving && record.entry->sequence > tombstone.sequence;
 }
 
 } // namespace
 
-bool is_departed(departed_starts& departed, const departed_record& record) {
+std::optional<start_history> try_restore(departed_starts& departed, const departed_record& record) {
     const auto found = departed.by_id.find(record.id);
     if (found == departed.by_id.end())
-        return false;
-    if (is_present(found->second, record)) {
-        departed.by_id.erase(found);
-        return false;
-    }
+        return std::nullopt;
     merge(found->second, record);
-    return true;
+    if (!record.entry || !is_present(found->second.history))
+        return std::nullopt;
+    start_history history = std::move(found->second.history);
+    departed.by_id.erase(found);
+    return history;
 }
 
-void record_departed(departed_starts& departed, const base::upstream_id& id,
-                     const departed_start& tombstone) {
-    departed.by_id[id] = tombstone;
+void record_departed(departed_starts& departed, const base::upstream_id& id, departed_start tombstone) {
+    departed.by_id[id] = std::move(tombstone);
 }
 
 void drop_old(departed_starts& departed, base::time_point now) {
--- a/libraries/decision/departed_starts.h
+++ b/libraries/decision/departed_starts.h
@@ -3,7 +3,7 @@
 
 #include <base/clock.h>
 #include <base/identifier.h>
-
+#include <decision/start_history.h>
 #include <settings/routing_settings.h>
 
 #include <cstdint>
@@ -17,12 +17,10 @@
 /// tombstone is kept for as long as any record about its upstream may still come.
 namespace postpaddle::decision {
 
-/// Tombstone of one start of an upstream.
+/// Tombstone of an upstream.
 struct departed_start {
-    std::uint64_t start_time_ms = 0; ///< As in the registry entry; 0 if unknown.
-    std::uint64_t sequence = 0;      ///< Heartbeat counter of the newest record.
-    std::uint64_t offset = 0;        ///< Of the newest registry record about it.
-    bool is_leaving = false;         ///< It announced its shutdown; otherwise its entry has gone.
+    start_history history;
+    std::uint64_t offset = 0; ///< Of the newest registry record about it.
     /// When a search for old tombstones first met it.
     std::optional<base::time_point> met_at{};
 
@@ -41,12 +39,14 @@
     std::uint64_t offset = 0;
 };
 
-/// Whether a record leaves its upstream departed. If not, the record is about a later start, or about one
-/// whose entry only lapsed; its tombstone is then dropped.
-bool is_departed(departed_starts& departed, const departed_record& record);
+/// Merges a record into its upstream's tombstone, if there is one. Returns the upstream's history and drops
+/// the tombstone if the record shows that the upstream is there: it is about a later start, or about one
+/// whose entry only lapsed.
+[[nodiscard]] std::optional<start_history> try_restore(departed_starts& departed,
+                                                       const departed_record& record);
 
 /// Adds or replaces a tombstone.
-void record_departed(departed_starts& departed, const base::upstream_id& id, const departed_start& tombstone);
+void record_departed(departed_starts& departed, const base::upstream_id& id, departed_start tombstone);
 
 /// Drops tombstones that are old.
 void drop_old(departed_starts& departed, base::time_point now);
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -36,11 +36,19 @@
     target.health.ejected_until = std::max(target.health.ejected_until, now + length);
 }
 
-void replace_start(instance& known, const registry_change& change) {
+listing listing_of(const start_history& history) {
+    if (current_start(history)->is_leaving)
+        return listing::leaving;
+    return is_removed(history) ? listing::vanished : listing::listed;
+}
+
+/// Replaces the instance and what is known of it, but for its history.
+void replace_start(instance& known, const settings::upstream_entry& entry) {
     instance next;
-    next.entry = *change.entry;
-    next.state = change.entry->is_leaving ? listing::leaving : listing::listed;
-    next.offset = change.offset;
+    next.entry = entry;
+    next.offset = known.offset;
+    next.history = std::move(known.history);
+    next.state = listing_of(next.history);
     next.is_remote = known.is_remote;
     // Keep the latency of the earlier start: an initial estimate above the other upstreams' times would never
     // be corrected, as they would always be preferred.
@@ -48,35 +56,42 @@
     known = std::move(next);
 }
 
+/// Takes over what an entry says of the current start.
+void replace_entry(instance& known, const settings::upstream_entry& entry) {
+    // A new stage completes the stage change that kept the engine out of service.
+    if (known.entry.stage != entry.stage)
+        known.health = {};
+    known.entry = entry;
+}
+
+change_effect set_listing(instance& known, listing state) {
+    return std::exchange(known.state, state) == state ? change_effect::none : change_effect::relisted;
+}
+
 change_effect apply_entry(instance& known, const registry_change& change) {
-    const listing before = known.state;
-    if (change.entry->start_time_ms > known.entry.start_time_ms) {
-        replace_start(known, change);
+    const bool is_newest = change.offset >= known.offset;
+    known.offset = std::max(known.offset, change.offset);
+    record_entry(known.history, *change.entry, change.offset);
+    const known_start& current = *current_start(known.history);
+    const bool is_about_current = change.entry->start_time_ms == current.start_time_ms;
+    if (is_about_current && known.entry.start_time_ms != current.start_time_ms) {
+        replace_start(known, *change.entry);
         return change_effect::restarted;
     }
-    const bool is_earlier_start = change.entry->start_time_ms < known.entry.start_time_ms;
-    const bool is_stale_heartbeat =
-        before == listing::vanished && change.entry->sequence <= known.entry.sequence;
-    known.offset = change.offset;
-    if (is_earlier_start || is_stale_heartbeat)
-        return change_effect::none;
-    // A new stage completes the stage change that kept the engine out of service.
-    if (known.entry.stage != change.entry->stage)
-        known.health = {};
-    known.entry = *change.entry;
-    if (before == listing::leaving || change.entry->is_leaving)
-        known.state = listing::leaving;
-    else
-        known.state = listing::listed;
-    return known.state != before ? change_effect::relisted : change_effect::none;
+    const bool is_in_force = is_about_current && is_newest && !is_removed(known.history);
+    if (is_in_force)
+        replace_entry(known, *change.entry);
+    return is_in_force || current.is_leaving ? set_listing(known, listing_of(known.history))
+                                             : change_effect::none;
 }
 
 change_effect delist(instance_table& table, instance& known, registry_condition condition) {
+    record_removal(known.history, known.offset);
     if (known.state != listing::listed)
         return change_effect::none;
-    known.state = condition == registry_condition::healthy ? listing::vanished : listing::unlisted;
-    table.has_unlisted |= known.state == listing::unlisted;
-    return change_effect::relisted;
+    const bool is_doubtful = condition == registry_condition::failing;
+    table.has_unlisted |= is_doubtful;
+    return set_listing(known, is_doubtful ? listing::unlisted : listing::vanished);
 }
 
 /// How long a load report about a remote engine remains valid. Short compared with the time that requests
@@ -112,24 +127,23 @@
 
 /// Applies a record about an upstream that the table does not hold.
 change_effect apply_to_absent(instance_table& table, const registry_change& change) {
-    if (is_departed(table.departed, {.id = change.id, .entry = change.entry, .offset = change.offset}))
+    const bool is_departed = table.departed.by_id.contains(change.id);
+    auto history = try_restore(table.departed, {change.id, change.entry, change.offset});
+    if (is_departed && !history)
         return change_effect::none;
     if (!change.entry) {
         // An earlier record of it may still come.
-        record_departed(table.departed, change.id, {.offset = change.offset});
+        departed_start tombstone = {.history = {}, .offset = change.offset};
+        record_removal(tombstone.history, change.offset);
+        record_departed(table.departed, change.id, std::move(tombstone));
         return change_effect::none;
     }
-    replace_start(table.by_id[change.id], change);
-    return change_effect::relisted;
-}
-
-/// Applies a record that is older than the newest one about the instance.
-change_effect apply_overtaken(instance& known, const registry_change& change) {
-    const bool announces_leaving =
-        change.entry && change.entry->is_leaving && change.entry->start_time_ms == known.entry.start_time_ms;
-    if (!announces_leaving || known.state == listing::leaving)
-        return change_effect::none;
-    known.state = listing::leaving;
+    if (!history)
+        record_entry(history.emplace(), *change.entry, change.offset);
+    instance& known = table.by_id[change.id];
+    known.offset = change.offset;
+    known.history = std::move(*history);
+    replace_start(known, *change.entry);
     return change_effect::relisted;
 }
 
@@ -141,10 +155,10 @@
     if (found == table.by_id.end())
         return apply_to_absent(table, change);
     instance& known = found->second;
-    if (change.offset < known.offset)
-        return apply_overtaken(known, change);
     if (change.entry)
         return apply_entry(known, change);
+    if (change.offset < known.offset)
+        return change_effect::none;
     known.offset = change.offset;
     return delist(table, known, condition);
 }
@@ -179,10 +193,11 @@
 }
 
 bool record_leaving(instance& target, base::time_point now) {
-    if (target.state != listing::listed && target.state != listing::unlisted)
+    if (target.state == listing::leaving)
         return false;
     target.state = listing::leaving;
     target.leaving_since = now;
+    record_shutdown(target.history, target.entry, target.offset);
     return true;
 }
 
@@ -196,11 +211,7 @@
         const bool has_gone = known.state == listing::vanished || known.state == listing::leaving;
         if (!has_gone || known.own.requests != 0)
             return false;
-        record_departed(table.departed, id,
-                        {.start_time_ms = known.entry.start_time_ms,
-                         .sequence = known.entry.sequence,
-                         .offset = known.offset,
-                         .is_leaving = known.state == listing::leaving});
+        record_departed(table.departed, id, {.history = known.history, .offset = known.offset});
         return true;
     });
 }
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -7,6 +7,7 @@
 #include <decision/overload/upstream_pace.h>
 #include <decision/reachability.h>
 #include <decision/stalled_run.h>
+#include <decision/start_history.h>
 #include <settings/routing_settings.h>
 
 #include <deque>
@@ -107,6 +108,7 @@
     settings::upstream_entry entry;
     listing state = listing::listed;
     std::uint64_t offset = 0; ///< Of the newest registry record about it.
+    start_history history;    ///< Of this and earlier starts.
     instance_health health;
     instance_use own;       ///< Sent or reserved by this host and not ended.
     instance_use others;    ///< The same for the other hosts, as they report it.
@@ -175,7 +177,8 @@
 
 /// Applies one change. Ignores older records, older heartbeats and records of an earlier start, but for one:
 /// a start that announced its shutdown in any record, however old, is leaving for good. A new start replaces
-/// the instance and everything known of it.
+/// the instance and everything known of it. Which start is the later one is up to the log, see
+/// `start_history`.
 change_effect apply_change(instance_table& table, const registry_change& change,
                            registry_condition condition);
 
@@ -195,7 +198,8 @@
 /// listed again. Returns their ids.
 std::vector<base::upstream_id> expire_unlisted(instance_table& table);
 
-/// Marks an instance as leaving after it announced its shutdown; returns whether that is new.
+/// Marks an instance as leaving after it announced its shutdown, whatever its listing; returns whether that
+/// is new.
 bool record_leaving(instance& target, base::time_point now);
 
 /// Replaces instances that are leaving or have vanished and have no work of this host by tombstones, once the
--- a/tests/decision/test_departed_starts.cpp
+++ b/tests/decision/test_departed_starts.cpp
@@ -12,10 +12,15 @@
 const base::upstream_id id{"upstream"};
 constexpr std::uint64_t start_time_ms = 1'000;
 
+/// Tombstone of a start whose newest record is at offset 10, with the heartbeat counter 5.
 decision::departed_starts make_departed() {
     decision::departed_starts departed;
     decision::record_departed(
-        departed, id, {.start_time_ms = start_time_ms, .sequence = 5, .offset = 10, .is_leaving = true});
+        departed, id,
+        {.history =
+             {.starts = {{.start_time_ms = start_time_ms, .sequence = 5, .offset = 10, .is_leaving = true}},
+              .removed_at = {}},
+         .offset = 10});
     return departed;
 }
 
@@ -29,7 +34,7 @@
 
 bool is_departed(decision::departed_starts& departed, const std::optional<settings::upstream_entry>& entry,
                  std::uint64_t offset) {
-    return decision::is_departed(departed, {.id = id, .entry = entry, .offset = offset});
+    return !decision::try_restore(departed, {.id = id, .entry = entry, .offset = offset});
 }
 
 } // namespace
@@ -63,17 +68,27 @@
 
 TEST_CASE("an entry that only lapsed is there again with a later heartbeat, not with an earlier one") {
     decision::departed_starts departed;
-    decision::record_departed(departed, id, {.start_time_ms = start_time_ms, .sequence = 5, .offset = 10});
+    decision::record_departed(
+        departed, id,
+        {.history = {.starts = {{.start_time_ms = start_time_ms, .sequence = 5, .offset = 9}},
+                     .removed_at = 10},
+         .offset = 10});
     CHECK(is_departed(departed, make_entry(start_time_ms, 5), 11));
     CHECK(is_departed(departed, make_entry(start_time_ms, 6), 10));
     CHECK_FALSE(is_departed(departed, make_entry(start_time_ms, 7), 12));
     CHECK(departed.by_id.empty());
 }
 
-TEST_CASE("a later start is there, unless a record of it was older than the tombstone's newest") {
-    auto departed = make_departed();
-    CHECK(is_departed(departed, make_entry(start_time_ms + 1, 1), 9));
-    CHECK(departed.by_id.at(id).start_time_ms == start_time_ms + 1);
-    CHECK_FALSE(departed.by_id.at(id).is_leaving);
-    CHECK_FALSE(is_departed(departed, make_entry(start_time_ms + 2, 1), 11));
+// Guards against starts that are ordered by the upstream's clock, which may have been set back.
+TEST_CASE(
+    "a start whose records come later in the log is there, whatever its start time, an earlier one isn't") {
+    for (const std::uint64_t other_start : {start_time_ms + 1, start_time_ms - 1, std::uint64_t{0}}) {
+        INFO(other_start);
+        auto departed = make_departed();
+        CHECK(is_departed(departed, make_entry(other_start, 1), 9));
+        const auto* const current = decision::current_start(departed.by_id.at(id).history);
+        CHECK(current->start_time_ms == start_time_ms);
+        CHECK(current->is_leaving);
+        CHECK_FALSE(is_departed(departed, make_entry(other_start + 2, 1), 11));
+    }
 }
--- a/tests/decision/test_departed_upstreams.cpp
+++ b/tests/decision/test_departed_upstreams.cpp
@@ -59,6 +59,8 @@
 std::vector<decision::registry_change> make_log(std::mt19937_64& random) {
     std::uniform_int_distribution<int> any_upstream(0, many - 1);
     std::uniform_int_distribution<int> any_event(0, 6);
+    // Clocks may be set back or forward between two starts.
+    std::uniform_int_distribution<std::uint64_t> any_start_time(0, 1'000'000);
     std::vector<decision::registry_change> log;
     log.reserve(log_size);
     for (int number = 0; number < many; ++number)
@@ -75,7 +77,7 @@
             continue;
         }
         if (event == 6) {
-            entry.start_time_ms += 1'000;
+            entry.start_time_ms = any_start_time(random);
             entry.sequence = 0;
         }
         if (event != 1)
@@ -134,6 +136,42 @@
     CHECK(is_listed(table, {"upstream-7"}));
 }
 
+// Guards against an upstream whose word that it leaves is dropped, as its clock was set back between two
+// starts.
+TEST_CASE("a start with an earlier, an equal or no start time leaves by its own word") {
+    for (const std::uint64_t second_start : {500, 1'000, 0}) {
+        INFO(second_start);
+        auto table = make_table();
+        auto second = make_entry(7, 1);
+        second.start_time_ms = second_start;
+        apply(table, make_change(second, 1'000));
+        CHECK(is_listed(table, {"upstream-7"}));
+        second.sequence = 2;
+        second.is_leaving = true;
+        apply(table, make_change(second, 1'100));
+        CHECK_FALSE(is_listed(table, {"upstream-7"}));
+        // Neither start lists it again by a record that was overtaken or written late.
+        second.is_leaving = false;
+        apply(table, make_change(second, 1'050));
+        apply(table, make_change(make_entry(7, 1), 1'200));
+        CHECK_FALSE(is_listed(table, {"upstream-7"}));
+    }
+}
+
+TEST_CASE(
+    "an upstream that announced its shutdown after its entry went is not listed again by a late heartbeat") {
+    decision::instance_table table;
+    apply(table, make_change(make_entry(7, 1), 1));
+    apply(table, {{"upstream-7"}, std::nullopt, 2});
+    CHECK(decision::record_leaving(*decision::find_instance(table, {"upstream-7"}), now));
+    apply(table, make_change(make_entry(7, 2), 3));
+    CHECK_FALSE(is_listed(table, {"upstream-7"}));
+    auto later = make_entry(7, 1);
+    later.start_time_ms = 10;
+    apply(table, make_change(later, 4));
+    CHECK(is_listed(table, {"upstream-7"}));
+}
+
 TEST_CASE("in any order of records, a start that was known to leave is never listed again") {
     std::mt19937_64 random(7);
     for (int round = 0; round < 20; ++round) {
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -152,7 +152,11 @@
     auto table = make_table({make_entry("one"), make_entry("two")});
     for (const auto* id : {"one", "two"})
         (void)decision::apply_change(table, {{id}, std::nullopt, 9}, registry_condition::failing);
-    (void)decision::apply_change(table, make_change(make_entry("two"), 10), registry_condition::failing);
+    // Written late, from before its entry went.
+    (void)decision::apply_change(table, make_change(make_entry("one"), 10), registry_condition::failing);
+    CHECK(decision::find_instance(table, {"one"})->state == listing::unlisted);
+    (void)decision::apply_change(table, make_change(make_entry("two", engine_stage::none, "east", 2), 10),
+                                 registry_condition::failing);
     CHECK(decision::expire_unlisted(table) == std::vector<base::upstream_id>{{"one"}});
     CHECK(decision::find_instance(table, {"one"})->state == listing::vanished);
     CHECK(decision::find_instance(table, {"two"})->state == listing::listed);
