host: Let no other host's failing reads cast doubt on a removal that the store served

What upstreams saw: an upstream whose entry went while the store turned two hosts away got requests from all hosts, also from those that the store served all the time, for as long as the two complained and six seconds more. Cause: an entry that goes was taken for one that lapsed in an outage of the store as soon as two hosts said that they can't read. Doubt about readers was taken for doubt about records. Change: host/store_outage. A host that the store answered throughout the last seconds proves that the store was there: it believes what it reads, and its span travels with its updates and answers, dated by round trips, and refutes the doubt of others. While a host doubts, it asks others every twentieth of the bound. Doubt lasts three seconds after the last failed read in place of six: entries that lapsed are written again within about two, and what is missing then has gone. Not used: an upstream's health check, which waits for a slot and may be false either way.

--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -15,8 +15,9 @@
 using namespace std::chrono_literals;
 
 /// How long the registry counts as unhealthy after a failed read. Entries may have expired meanwhile; live
-/// instances re-register within about two seconds after the store recovers.
-constexpr base::duration recovery_time = 6s;
+/// instances re-register within about two seconds after the store recovers, and what is still missing then
+/// has gone.
+constexpr base::duration recovery_time = 3s;
 
 /// Fraction of the settings bound during which no second transfer is started.
 constexpr double transfer_fraction = 0.5;
@@ -31,9 +32,8 @@
 constexpr int max_idle_connections = 8;
 
 decision::registry_condition condition_of(const gateway_state& state) {
-    const bool is_failing =
-        host::is_outage_credible(state.outage_reports, state.registry_failed_at, count_other_hosts(state),
-                                 recovery_time, state.clock->now());
+    const bool is_failing = host::was_store_away(state.registry_outage, outage_options_of(state),
+                                                 count_other_hosts(state), state.clock->now());
     return is_failing ? decision::registry_condition::failing : decision::registry_condition::healthy;
 }
 
@@ -221,6 +221,10 @@
     return host::cell_of_host(state.cells, state.process->name, state.process->availability_zone);
 }
 
+host::outage_options outage_options_of(const gateway_state& state) {
+    return {.window = recovery_time, .max_proof_age = registry_bound(state)};
+}
+
 bool is_registry_failing(const gateway_state& state) {
     return condition_of(state) == decision::registry_condition::failing;
 }
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -28,6 +28,7 @@
 #include <host/shared_limit.h>
 #include <host/spreading_limits.h>
 #include <host/store_leadership.h>
+#include <host/store_outage.h>
 #include <ports/control_feed.h>
 #include <ports/request_protocol.h>
 #include <settings/gateway_settings.h>
@@ -193,10 +194,9 @@
     stream_origin_exchange* stream_origins = nullptr;
     stream_journal_exchange* stream_journal = nullptr;
     version_splits* splits = nullptr;
-    host::recent_streams recent_streams{};                ///< That began through this host.
-    std::optional<base::time_point> journal_failed_at{};  ///< When the store last failed to take a record.
-    std::optional<base::time_point> registry_failed_at{}; ///< When an own read of the registry last failed.
-    host::outage_reports outage_reports{};                ///< Of the other hosts' reads.
+    host::recent_streams recent_streams{};               ///< That began through this host.
+    std::optional<base::time_point> journal_failed_at{}; ///< When the store last failed to take a record.
+    host::outage_evidence registry_outage{};             ///< Of this and the other hosts' reads.
     std::map<std::string, decision::shared_budget> budgets{}; ///< By service.
     host::peer_directory peers{};
     bool has_host_list = false;                ///< The list of hosts has been read from the store.
@@ -304,14 +304,17 @@
 
 [[nodiscard]] host::cell own_cell(const gateway_state& state);
 
-/// Whether reading the registry failed recently: entries may have expired although their upstreams are alive.
+/// Options of the evidence that the store was away.
+[[nodiscard]] host::outage_options outage_options_of(const gateway_state& state);
+
+/// Whether the store was away recently: entries may have expired although their upstreams are alive.
 [[nodiscard]] bool is_registry_failing(const gateway_state& state);
 
 /// Time within which each record of the registry must be known.
 [[nodiscard]] std::chrono::milliseconds registry_bound(const gateway_state& state);
 
-/// Call after reading the registry: removes unlisted instances that were kept while the registry was failing,
-/// once it has been healthy for long enough.
+/// Call after reading the registry: removes unlisted instances that were kept as the registry was failing,
+/// once it has been healthy for long enough, or another host has proved that it was healthy all the while.
 void expire_unlisted_instances(gateway_state& state);
 
 /// Replaces the known registry by a full snapshot.
--- a/libraries/gateway/operations/state_dump.cpp
+++ b/libraries/gateway/operations/state_dump.cpp
@@ -143,12 +143,17 @@
 /// Whether this host doubts that entries which go belong to upstreams that leave, and on what that rests.
 json dump_registry_doubt(const gateway_state& state, base::time_point now) {
     json complaints = json::object();
-    for (const auto& [host, failed_at] : state.outage_reports.failing_at)
+    const host::outage_evidence& evidence = state.registry_outage;
+    for (const auto& [host, failed_at] : evidence.failing_at)
         complaints[host.value] = base::to_milliseconds(now - failed_at);
     json doubt = {{"doubts_removals", is_registry_failing(state)},
                   {"hosts_failed_ms_ago", std::move(complaints)}};
-    if (state.registry_failed_at)
-        doubt["own_read_failed_ms_ago"] = base::to_milliseconds(now - *state.registry_failed_at);
+    if (evidence.own_failed_at)
+        doubt["own_read_failed_ms_ago"] = base::to_milliseconds(now - *evidence.own_failed_at);
+    if (evidence.own.until != base::time_point{})
+        doubt["served_for_ms"] = base::to_milliseconds(evidence.own.until - evidence.own.since);
+    if (evidence.witness)
+        doubt["refuted_by"] = evidence.witness->host.value;
     return doubt;
 }
 
--- a/libraries/gateway/store_sync/anti_entropy.cpp
+++ b/libraries/gateway/store_sync/anti_entropy.cpp
@@ -19,7 +19,8 @@
 base::duration anti_entropy::interval() const { return host::ask_interval(registry_bound(*this->state)); }
 
 bool anti_entropy::is_in_doubt() const {
-    if (this->registry->leadership.behind_since)
+    // Another host may prove that entries which went didn't just lapse.
+    if (this->registry->leadership.behind_since || this->state->instances.has_unlisted)
         return true;
     const base::duration age = this->state->clock->now() - this->state->registry_known_until;
     return age >= host::age_to_ask(this->state->position_in_cell, registry_bound(*this->state));
@@ -83,7 +84,7 @@
         return true;
     host::record_received(this->state->peers, query->host, this->state->clock->now());
     if (query->is_read_failing)
-        this->state->outage_reports.failing_at[query->host] = this->state->clock->now();
+        host::record_failing(this->state->registry_outage, query->host, this->state->clock->now());
     this->updates->answer(*query);
     return true;
 }
--- a/libraries/gateway/store_sync/store_update_message.cpp
+++ b/libraries/gateway/store_sync/store_update_message.cpp
@@ -31,6 +31,21 @@
     return topic;
 }
 
+/// Ages in milliseconds of a span's beginning and end, rounded so that it does not seem longer than it is.
+json encode_span(const host::served_span& span, base::time_point now) {
+    const auto since = std::chrono::floor<std::chrono::milliseconds>(now - span.since).count();
+    const auto until = std::chrono::ceil<std::chrono::milliseconds>(now - span.until).count();
+    return {std::min(since, max_age_ms), until};
+}
+
+host::served_span decode_span(const json& value, base::time_point now) {
+    const auto since = value.at(0).get<std::int64_t>();
+    const auto until = value.at(1).get<std::int64_t>();
+    if (until < 0 || until > since || since > max_age_ms)
+        return {};
+    return {.since = now - std::chrono::milliseconds(since), .until = now - std::chrono::milliseconds(until)};
+}
+
 json to_json(const store_update& update, base::time_point now) {
     json value = {{"host", update.host.value},
                   {"incarnation", update.stamp.incarnation},
@@ -44,6 +59,8 @@
                   {"zones", encode_zones(update.zones)}};
     if (update.in_reply_to)
         value["in_reply_to"] = update.in_reply_to->count();
+    if (update.served != host::served_span{})
+        value["served"] = encode_span(update.served, now);
     return value;
 }
 
@@ -60,6 +77,9 @@
                         .zones = decode_zones(value)};
     if (update.registry.next > known_next)
         update.changes = decode_changes(json::from_msgpack(value.at("changes").get_binary()));
+    // Hosts of an earlier version send no span.
+    if (value.contains("served"))
+        update.served = decode_span(value["served"], now);
     if (value.contains("in_reply_to"))
         update.in_reply_to = std::chrono::milliseconds(value["in_reply_to"].get<std::int64_t>());
     return update;
--- a/libraries/gateway/store_sync/store_update_message.h
+++ b/libraries/gateway/store_sync/store_update_message.h
@@ -4,6 +4,7 @@
 #include <decision/instance_table.h>
 #include <decision/zone_evacuations.h>
 #include <host/clock_bounds.h>
+#include <host/store_outage.h>
 
 #include <chrono>
 #include <cstdint>
@@ -31,9 +32,10 @@
     std::uint64_t settings_version = 0;
     topic_update settings;
     topic_update registry;
-    bool is_read_failing = false;                   ///< The sender's last own read of the registry failed.
-    std::uint64_t changes_since = 0;                ///< Offset from which `changes` is complete.
-    std::vector<decision::registry_change> changes; ///< Latest changes of the registry.
+    bool is_read_failing = false; ///< The sender's last own read of the registry failed.
+    host::served_span served{};   ///< In which the store answered all of the sender's reads of the registry.
+    std::uint64_t changes_since = 0;                       ///< Offset from which `changes` is complete.
+    std::vector<decision::registry_change> changes;        ///< Latest changes of the registry.
     decision::zone_record_page zones{.is_complete = true}; ///< Known evacuations of availability zones.
 
     bool operator==(const store_update&) const = default;
--- a/libraries/gateway/store_sync/store_updates.cpp
+++ b/libraries/gateway/store_sync/store_updates.cpp
@@ -86,6 +86,7 @@
             // Only the last part of what is known here shows that there was nothing newer.
             .registry = {run.next, is_last ? this->registry->leadership.known_until : base::time_point{}},
             .is_read_failing = this->state->is_registry_read_failing,
+            .served = this->state->registry_outage.own,
             .changes_since = run.since,
             .changes = run.changes,
             .zones = decision::zone_records_of(this->state->evacuations)};
@@ -155,7 +156,10 @@
     this->state->metrics->count("store_updates_total{sender=\"" + update->host.value + "\"}");
     host::record_received(this->state->peers, update->host, this->state->clock->now());
     if (update->is_read_failing)
-        this->state->outage_reports.failing_at[update->host] = this->state->clock->now();
+        host::record_failing(this->state->registry_outage, update->host, this->state->clock->now());
+    else
+        host::record_span(this->state->registry_outage, outage_options_of(*this->state), update->host,
+                          update->served);
     this->apply_settings_update(*update);
     this->apply_registry_update(*update);
     this->record_doubt(*update);
@@ -173,6 +177,8 @@
     for (topic_update* const topic : {&update.settings, &update.registry})
         topic->until =
             sent && topic->until != base::time_point{} ? topic->until - (now - *sent) : base::time_point{};
+    // The span's beginning stays as it is: it must not seem earlier than it was.
+    update.served.until = sent ? update.served.until - (now - *sent) : base::time_point{};
     if (sent)
         this->state->metrics->observe("notice_delay_seconds", now - *sent);
 }
--- a/libraries/gateway/store_sync/store_watch.cpp
+++ b/libraries/gateway/store_sync/store_watch.cpp
@@ -116,7 +116,7 @@
         if (host::did_fail(read.reader, plan, failure, began))
             this->log_unavailable(read, result.error());
         if (&read == &this->registry && read.reader.is_unavailable)
-            this->state->registry_failed_at = this->state->clock->now();
+            host::record_failed(this->state->registry_outage, this->state->clock->now());
     }
     if (&read == &this->registry)
         this->update_failing();
@@ -253,6 +253,8 @@
     if (!page)
         return tl::make_unexpected(page.error());
     const bool is_empty = page->next == from;
+    host::record_served(this->state->registry_outage, outage_options_of(*this->state),
+                        this->state->clock->now());
     this->log_unreadable_entries(page->unreadable);
     if (is_snapshot) {
         apply_registry_snapshot(*this->state, *page);
--- a/libraries/host/replica_lease.cpp
+++ b/libraries/host/replica_lease.cpp
@@ -74,17 +74,6 @@
     return chosen;
 }
 
-bool is_outage_credible(const outage_reports& reports, std::optional<base::time_point> own_failure,
-                        std::size_t other_hosts, base::duration window, base::time_point now) {
-    const bool has_failed_here = own_failure && now - *own_failure <= window;
-    if (has_failed_here && other_hosts == 0)
-        return true;
-    const auto others = std::ranges::count_if(reports.failing_at,
-                                              [&](const auto& item) { return now - item.second <= window; });
-    static constexpr int hosts_to_believe = 2;
-    return others + (has_failed_here ? 1 : 0) >= hosts_to_believe;
-}
-
 void end_doubt(replica_doubt& doubt) {
     doubt.asked.clear();
     doubt.unanswered.clear();
--- a/libraries/host/replica_lease.h
+++ b/libraries/host/replica_lease.h
@@ -70,17 +70,6 @@
                                                     const peer_directory& directory, base::time_point now,
                                                     std::mt19937_64& random);
 
-/// Reports of other hosts that their reads of the store fail.
-struct outage_reports {
-    std::map<base::host_id, base::time_point> failing_at; ///< When each host last reported it.
-};
-
-/// Whether the store itself was in trouble within `window`, so that entries may have lapsed although their
-/// upstreams live. Reads of a single host may fail because of its own link or processor.
-[[nodiscard]] bool is_outage_credible(const outage_reports& reports,
-                                      std::optional<base::time_point> own_failure, std::size_t other_hosts,
-                                      base::duration window, base::time_point now);
-
 /// Call when the replica is recent again.
 void end_doubt(replica_doubt& doubt);
 
