decision: Keep work from entries that went while a listed upstream only rests

What upstreams saw (by reading): one whose entry had gone in an outage of the store was used as soon as all listed ones asked for rest, were at their limit or cold, although it may be shutting down and the others serve soon. Cause: the last resort counted only instances that may be sent a request right now. Change: instances that may serve later count as listed; those that never may (evacuated zone, foreign region, another version) don't, as before. Result: new test fails before, passes now; the pure tests of decision, host and codecs pass.

--- a/libraries/decision/choice_cost.cpp
+++ b/libraries/decision/choice_cost.cpp
@@ -57,12 +57,16 @@
     std::vector<const instance*> known;
     std::vector<const instance*> listed;
     std::vector<const instance*> unlisted;
+    bool has_resting = false; // Whether a listed one may serve later.
     for (const auto& [id, candidate] : table.by_id) {
         if (candidate.entry.service != context.service || !can_serve(candidate) ||
             !may_serve_version(context, candidate))
             continue;
-        if (check_placement(table, context.limits, candidate, context.now) != placement_verdict::allowed)
+        if (check_placement(table, context.limits, candidate, context.now) != placement_verdict::allowed) {
+            has_resting |= candidate.state == listing::listed &&
+                           next_placement_time(table, context.limits, candidate, context.now).has_value();
             continue;
+        }
         if (candidate.state == listing::listed)
             (is_load_known(candidate, context.now) ? known : listed).push_back(&candidate);
         if (candidate.state == listing::unlisted)
@@ -75,7 +79,7 @@
         return candidates;
     };
     if (known.empty() && listed.empty())
-        return without_tried(std::move(unlisted));
+        return has_resting ? std::vector<const instance*>{} : without_tried(std::move(unlisted));
     if (auto untried = without_tried(std::move(known)); !untried.empty())
         return untried;
     return without_tried(std::move(listed));
--- a/libraries/decision/choice_cost.h
+++ b/libraries/decision/choice_cost.h
@@ -19,7 +19,8 @@
 
 /// Instances that are eligible for new work, of a software version that may serve: those with known load; if
 /// none has, all listed ones; if none is listed, the unlisted ones. A request that has tried all listed
-/// instances does not fall back to unlisted ones, as these may be shutting down.
+/// instances, or finds them resting, limited or cold, does not fall back to unlisted ones, as these may be
+/// shutting down.
 [[nodiscard]] std::vector<const instance*>
 eligible_instances(const instance_table& table, const choice_context& context,
                    const std::function<bool(const instance&)>& can_serve);
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -147,6 +147,20 @@
     CHECK(decision::choose_plain(table, context, random));
 }
 
+// Guards against work for an upstream that may be shutting down while a sound one just asked for rest.
+TEST_CASE("an instance that the registry lost while it was failing is not used while a listed one rests") {
+    std::mt19937_64 random(1);
+    auto table = make_table({make_entry("one"), make_entry("two")});
+    (void)decision::apply_change(table, {{"one"}, std::nullopt, 9}, registry_condition::failing);
+    decision::record_backoff(*decision::find_instance(table, {"two"}), 1s, now);
+    CHECK_FALSE(decision::choose_plain(table, make_context(), random));
+    // One that the request may never be sent to is no reason to serve nobody.
+    auto context = make_context();
+    table.evacuated = {{"east"}};
+    decision::find_instance(table, {"one"})->entry.availability_zone = {"west"};
+    CHECK(decision::choose_plain(table, context, random)->value == "one");
+}
+
 TEST_CASE("an instance that the registry lost while it was failing vanishes if it is not listed again") {
     std::mt19937_64 random(1);
     auto table = make_table({make_entry("one"), make_entry("two")});
