base: Take what is nested too deep for malformed, on every way that foreign bytes come in

What callers saw: on the own interface a request whose body nests 120,000 levels got no answer and its host ended; everybody's requests there were lost. Elsewhere nothing was seen. Cause: a JSON value's copy, comparison and writing take stack for each level, and so does reading MessagePack; coroutines have small stacks. A parse of text takes none, so entries of upstreams did no harm. Rows of other hosts' registries are refused where a number is of another type or range (they were wrapped before), also a stage that doesn't exist.

--- /dev/null
+++ b/libraries/base/json_parser.h
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+/// Parsing of JSON and MessagePack that somebody else wrote.
+///
+/// Reading MessagePack, and copying, comparing and writing any value, take stack in proportion to its
+/// nesting, and coroutines have small stacks. So what is nested too deep is malformed.
+namespace postpaddle::base {
+
+/// Levels of nested arrays and objects that are accepted. Callers' requests nest deepest, with schemas of
+/// tools.
+inline constexpr std::size_t max_json_depth = 128;
+
+/// Parses JSON. Returns a discarded value if it is malformed, with which every access fails.
+[[nodiscard]] nlohmann::json parse_json(std::string_view text);
+
+/// The same for MessagePack.
+[[nodiscard]] nlohmann::json parse_msgpack(std::string_view bytes);
+[[nodiscard]] nlohmann::json parse_msgpack(const std::vector<std::uint8_t>& bytes);
+
+} // namespace postpaddle::base
--- a/libraries/gateway/forwarding/forwarded_request.cpp
+++ b/libraries/gateway/forwarding/forwarded_request.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/forwarding/forwarded_request.h>
 
+#include <base/json_parser.h>
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <nlohmann/json.hpp>
 
@@ -110,7 +112,7 @@
 
 std::optional<forwarded_request> decode_forwarded(std::string_view bytes) {
     try {
-        const json value = json::from_msgpack(bytes);
+        const json value = base::parse_msgpack(bytes);
         forwarded_request request{
             .from = {value.at(0).get<std::string>()},
             .settings_version = value.at(1).get<std::uint64_t>(),
--- a/libraries/gateway/peers/peer_codec.cpp
+++ b/libraries/gateway/peers/peer_codec.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/peers/peer_codec.h>
 
+#include <base/json_parser.h>
 #include <gateway/peers/zone_record_codec.h>
 #include <host/quarantine_codec.h>
 
@@ -75,7 +76,7 @@
 
 std::optional<heartbeat> decode_heartbeat(std::string_view text, base::time_point now) {
     try {
-        const json value = json::parse(text);
+        const json value = base::parse_json(text);
         heartbeat message = {.host = {value.at("host").get<std::string>()},
                              .address = value.at("address").get<std::string>(),
                              .availability_zone = {zone_of(value)},
@@ -234,7 +235,7 @@
 std::optional<std::vector<host::reported_load>> decode_cell_loads(std::string_view bytes) {
     try {
         std::vector<host::reported_load> loads;
-        for (const json& row : json::from_msgpack(bytes))
+        for (const json& row : base::parse_msgpack(bytes))
             loads.push_back({row.at(0).get<host::instance_key>(), decode_use(row), row.at(4).get<bool>()});
         return loads;
     } catch (const json::exception&) {
@@ -273,7 +274,7 @@
 
 std::optional<host::load_report> decode_load(std::string_view bytes) {
     try {
-        const json value = json::from_msgpack(bytes);
+        const json value = base::parse_msgpack(bytes);
         host::load_report report;
         report.host.value = value.at(0).get<std::string>();
         report.incarnation = value.at(1).get<std::uint64_t>();
--- a/libraries/gateway/peers/peer_exchange.cpp
+++ b/libraries/gateway/peers/peer_exchange.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/peers/peer_exchange.h>
 
+#include <base/json_parser.h>
 #include <gateway/caller_bounds.h>
 #include <gateway/forwarding/forwarded_request.h>
 #include <gateway/forwarding/forwarding_receiver.h>
@@ -312,15 +313,13 @@
     if (!answer)
         return;
     const auto position = registry_position_of(answer->headers);
-    try {
-        if (position)
-            this->state->on_registry_received({.changes = decode_changes(json::parse(answer->body)),
-                                               .unreadable = {},
-                                               .next = position->next},
-                                              asked - position->age);
-    } catch (const json::exception&) {
+    auto changes = decode_changes(base::parse_json(answer->body));
+    if (!changes)
         this->state->metrics->count("malformed_peer_answers_total");
-    }
+    else if (position)
+        this->state->on_registry_received(
+            {.changes = std::move(*changes), .unreadable = {}, .next = position->next},
+            asked - position->age);
 }
 
 void peer_exchange::ask_for_registry(wire::yield_context yield) {
--- a/libraries/gateway/quarantine/quarantine_codec.cpp
+++ b/libraries/gateway/quarantine/quarantine_codec.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/quarantine/quarantine_codec.h>
 
+#include <base/json_parser.h>
 #include <host/quarantine_codec.h>
 
 #include <nlohmann/json.hpp>
@@ -29,7 +30,7 @@
 
 std::optional<quarantine_message> decode_quarantine(std::string_view bytes, base::time_point now) {
     try {
-        const json value = json::from_msgpack(bytes);
+        const json value = base::parse_msgpack(bytes);
         return quarantine_message{.host = {value.at(0).get<std::string>()},
                                   .reports = host::decode_reports(value.at(1), now)};
     } catch (const json::exception&) {
@@ -58,7 +59,7 @@
     const base::time_point now = clock.now();
     const std::int64_t wall = wall_milliseconds(clock);
     try {
-        const json value = json::parse(*note.text);
+        const json value = base::parse_json(*note.text);
         host::suspect_report report{.request = *request, .exits = {}};
         for (const json& row : value.at("ends"))
             report.exits.push_back({row.at(0).get<host::instance_key>(),
--- a/libraries/gateway/quarantine/request_quarantine.cpp
+++ b/libraries/gateway/quarantine/request_quarantine.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/quarantine/request_quarantine.h>
 
+#include <base/json_parser.h>
 #include <gateway/store_sync/registry_lease.h>
 
 #include <gateway/caller_identity.h>
@@ -252,7 +253,7 @@
     if (suspects.empty())
         return;
     try {
-        state.on_suspects_reported(host::decode_reports(nlohmann::json::parse(suspects), state.clock->now()),
+        state.on_suspects_reported(host::decode_reports(base::parse_json(suspects), state.clock->now()),
                                    sender);
     } catch (const nlohmann::json::exception&) {
         state.metrics->count("malformed_suspects_total");
--- a/libraries/gateway/store_sync/registry_rows.h
+++ b/libraries/gateway/store_sync/registry_rows.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace postpaddle::gateway {
@@ -12,8 +13,9 @@
 /// Encodes registry changes for other hosts, a row each.
 [[nodiscard]] nlohmann::json encode_changes(const std::vector<decision::registry_change>& changes);
 
-/// Decodes rows. Throws `nlohmann::json::exception` if they are malformed.
-[[nodiscard]] std::vector<decision::registry_change> decode_changes(const nlohmann::json& value);
+/// Decodes rows. Returns nothing if any is malformed.
+[[nodiscard]] std::optional<std::vector<decision::registry_change>>
+decode_changes(const nlohmann::json& value);
 
 /// Encodes the whole registry, for transfer to another host.
 [[nodiscard]] nlohmann::json encode_registry(const decision::instance_table& table);
--- a/libraries/gateway/store_sync/store_update_message.cpp
+++ b/libraries/gateway/store_sync/store_update_message.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/store_sync/store_update_message.h>
 
+#include <base/json_parser.h>
 #include <gateway/peers/zone_record_codec.h>
 #include <gateway/store_sync/registry_rows.h>
 
@@ -64,7 +65,8 @@
     return value;
 }
 
-store_update update_from(const json& value, base::time_point now, std::uint64_t known_next) {
+/// Returns nothing if a change is malformed. Throws `json::exception` if another field is.
+std::optional<store_update> update_from(const json& value, base::time_point now, std::uint64_t known_next) {
     store_update update{.host = {value.at("host").get<std::string>()},
                         .stamp = {.incarnation = value.at("incarnation").get<std::uint64_t>(),
                                   .sent = std::chrono::milliseconds(value.at("sent").get<std::int64_t>())},
@@ -75,8 +77,12 @@
                         .changes_since = value.at("changes_since").get<std::uint64_t>(),
                         .changes = {},
                         .zones = decode_zones(value)};
-    if (update.registry.next > known_next)
-        update.changes = decode_changes(json::from_msgpack(value.at("changes").get_binary()));
+    if (update.registry.next > known_next) {
+        auto changes = decode_changes(base::parse_msgpack(value.at("changes").get_binary()));
+        if (!changes)
+            return std::nullopt;
+        update.changes = std::move(*changes);
+    }
     // Hosts of an earlier version send no span.
     if (value.contains("served"))
         update.served = decode_span(value["served"], now);
@@ -100,7 +106,7 @@
 std::optional<store_update> decode_store_update(std::string_view bytes, base::time_point now,
                                                 std::uint64_t known_next) {
     try {
-        return update_from(json::from_msgpack(bytes), now, known_next);
+        return update_from(base::parse_msgpack(bytes), now, known_next);
     } catch (const json::exception&) {
         return std::nullopt;
     }
@@ -113,7 +119,7 @@
 
 std::optional<store_query> decode_store_query(std::string_view bytes) {
     try {
-        const json value = json::from_msgpack(bytes);
+        const json value = base::parse_msgpack(bytes);
         return store_query{.host = {value.at(0).get<std::string>()},
                            .address = value.at(1).get<std::string>(),
                            .sent = std::chrono::milliseconds(value.at(2).get<std::int64_t>()),
--- a/libraries/gateway/stream_origin/journal_message.cpp
+++ b/libraries/gateway/stream_origin/journal_message.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/stream_origin/journal_message.h>
 
+#include <base/json_parser.h>
+
 #include <nlohmann/json.hpp>
 
 namespace postpaddle::gateway {
@@ -68,7 +70,7 @@
 
 std::optional<journal_message> decode_journal_message(std::string_view bytes) {
     try {
-        const json value = json::from_msgpack(bytes);
+        const json value = base::parse_msgpack(bytes);
         const int kind = value.at(0).get<int>();
         if (kind < 0 || kind > last_kind)
             return std::nullopt;
--- a/libraries/gateway/stream_origin/service_splits.cpp
+++ b/libraries/gateway/stream_origin/service_splits.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/stream_origin/service_splits.h>
 
+#include <base/json_parser.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -27,7 +29,7 @@
 
 std::optional<service_splits> decode_splits(std::string_view text) {
     try {
-        const json value = json::parse(text);
+        const json value = base::parse_json(text);
         service_splits splits;
         for (const json& weights : value.at("splits"))
             splits.history.splits.push_back({weights.get<std::map<std::string, std::uint32_t>>()});
--- a/libraries/gateway/stream_origin/stream_origin_message.cpp
+++ b/libraries/gateway/stream_origin/stream_origin_message.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/stream_origin/stream_origin_message.h>
 
+#include <base/json_parser.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -33,7 +35,7 @@
 std::optional<stream_origin_message> decode_stream_origin(std::string_view bytes) {
     static constexpr std::size_t fields_without_origin = 7;
     try {
-        const json value = json::from_msgpack(bytes);
+        const json value = base::parse_msgpack(bytes);
         const int kind = value.at(0).get<int>();
         if (kind < 0 || kind > last_kind)
             return std::nullopt;
--- a/libraries/host/claim_table.cpp
+++ b/libraries/host/claim_table.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <host/claim_table.h>
 
+#include <base/json_parser.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -34,7 +36,7 @@
 }
 
 std::optional<claim_batch> decode_batch(const std::string& payload) {
-    const json parsed = json::parse(payload, nullptr, false);
+    const json parsed = base::parse_json(payload);
     try {
         claim_batch batch;
         batch.id = parsed.at("id").get<std::string>();
--- a/libraries/host/lease_table.cpp
+++ b/libraries/host/lease_table.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <host/lease_table.h>
 
+#include <base/json_parser.h>
+
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -25,7 +27,7 @@
 }
 
 std::optional<lease_bid> decode_bid(const std::string& payload) {
-    const json parsed = json::parse(payload, nullptr, false);
+    const json parsed = base::parse_json(payload);
     try {
         lease_bid bid;
         bid.resource = parsed.at("resource").get<std::string>();
--- a/libraries/host/stream_journal.cpp
+++ b/libraries/host/stream_journal.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <host/stream_journal.h>
 
+#include <base/json_parser.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -52,7 +54,7 @@
 
 std::optional<std::vector<journal_record>> decode_journal_batch(std::string_view bytes) {
     try {
-        const json batch = json::from_msgpack(bytes);
+        const json batch = base::parse_msgpack(bytes);
         if (!batch.is_array())
             return std::nullopt;
         std::vector<journal_record> records;
--- a/libraries/service/authenticate_filter.cpp
+++ b/libraries/service/authenticate_filter.cpp
@@ -3,6 +3,8 @@
 #include <service/prompt_facts.h>
 #include <wire/authorization.h>
 
+#include <base/json_parser.h>
+
 #include <boost/algorithm/string/predicate.hpp>
 
 namespace postpaddle::service {
@@ -36,7 +38,7 @@
     if (context.request.method != "POST")
         return tl::make_unexpected(problem_details{
             405, "method-not-allowed", "Only POST goes here", "", run_outcome::not_run, {}, {}});
-    context.body = wire::json::parse(context.request.body, nullptr, false);
+    context.body = base::parse_json(context.request.body);
     if (!context.body.is_object())
         return tl::make_unexpected(bad_request("The body is not a JSON object."));
     auto prompt = read_prompt(context.body, context.api, *context.policy);
--- a/libraries/service/membership_controller.cpp
+++ b/libraries/service/membership_controller.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <service/membership_controller.h>
 
+#include <base/json_parser.h>
 #include <service/log.h>
 
 namespace postpaddle::service {
@@ -69,7 +70,7 @@
 
 std::string membership_controller::handle_indirect_probe(const std::string& payload,
                                                          wire::yield_context yield) {
-    const json parsed = json::parse(payload, nullptr, false);
+    const json parsed = base::parse_json(payload);
     bool is_reached = false;
     if (parsed.is_object() && parsed.contains("address") && parsed["address"].is_string())
         is_reached = this->try_probe({}, parsed["address"].get<std::string>(), yield);
@@ -128,8 +129,8 @@
             this->control->peers->call(helper.peers_address, "indirect", payload, indirect_timeout, yield);
         if (!response)
             continue;
-        const json parsed = json::parse(*response, nullptr, false);
-        if (parsed.is_object() && parsed.value("reached", false))
+        const json parsed = base::parse_json(*response);
+        if (parsed.is_object() && parsed.contains("reached") && parsed["reached"] == true)
             return true;
     }
     return false;
--- a/libraries/service/peer_codec.cpp
+++ b/libraries/service/peer_codec.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <service/peer_codec.h>
 
+#include <base/json_parser.h>
 #include <host/quarantine_codec.h>
 
 #include <algorithm>
@@ -43,7 +44,7 @@
 
 /// Parses a message; empty if it is malformed.
 template <class Message, class Read> std::optional<Message> decode_with(const std::string& text, Read read) {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = base::parse_json(text);
     if (!parsed.is_object())
         return std::nullopt;
     try {
--- a/libraries/service/settings_controller.cpp
+++ b/libraries/service/settings_controller.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <service/settings_controller.h>
 
+#include <base/json_parser.h>
 #include <service/log.h>
 
 #include <host/rendezvous.h>
@@ -179,7 +180,7 @@
             this->control->peers->call(peer.peers_address, "settings", "{}", peer_call_timeout, yield);
         if (!response)
             continue;
-        const auto parsed = nlohmann::json::parse(*response, nullptr, false);
+        const auto parsed = base::parse_json(*response);
         if (parsed.is_object() && parsed.contains("state") && parsed["state"].is_string())
             this->adopt(parsed["state"].get<std::string>());
     }
--- a/libraries/settings/routing_settings.h
+++ b/libraries/settings/routing_settings.h
@@ -124,6 +124,9 @@
 /// Processing stage that an engine serves.
 enum class engine_stage { none, prefill, decode, both };
 
+/// Upper bound on an upstream's concurrent requests; entries with more are malformed.
+inline constexpr std::uint64_t max_slots = 1'000'000;
+
 /// Registry entry of an upstream. Its id and start time identify one incarnation of a server.
 struct upstream_entry {
     base::upstream_id id;
--- a/libraries/settings/settings_log.cpp
+++ b/libraries/settings/settings_log.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <settings/settings_log.h>
 
+#include <base/json_parser.h>
 #include <settings/node_reader.h>
 
 #include <boost/algorithm/string.hpp>
@@ -31,8 +32,8 @@
 }
 
 tl::expected<settings_record, std::string> decode_record(const std::string& payload) {
-    const json parsed = json::parse(payload, nullptr, false);
-    if (!parsed.is_object() || parsed.value("type", json()) != "settings")
+    const json parsed = base::parse_json(payload);
+    if (!parsed.is_object() || !parsed.contains("type") || parsed["type"] != "settings")
         return tl::make_unexpected(std::string("another type"));
     try {
         settings_record record;
@@ -239,7 +240,7 @@
 }
 
 tl::expected<settings_state, std::string> decode_state(const std::string& text) {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = base::parse_json(text);
     try {
         settings_state state;
         state.phase = replay_phase::evaluating;
--- a/libraries/wire/engine_adapter.cpp
+++ b/libraries/wire/engine_adapter.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <wire/engine_adapter.h>
 
+#include <base/json_parser.h>
 #include <wire/http_client.h>
 
 #include <simdjson.h>
@@ -60,7 +61,7 @@
 }
 
 expected<prefill_response> parse_prefill_response(const std::string& text, const engine_attempt& attempt) {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = base::parse_json(text);
     if (!parsed.is_object())
         return tl::make_unexpected(malformed("prefill answer is not JSON"));
     try {
@@ -163,7 +164,7 @@
 http_request make_load_request() { return get_request("/load"); }
 
 expected<decision::load_report> parse_load(const std::string& text) {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = base::parse_json(text);
     if (!parsed.is_object())
         return tl::make_unexpected(malformed("load is not JSON"));
     try {
@@ -182,7 +183,7 @@
 http_request make_attempt_list_request() { return get_request("/requests"); }
 
 expected<std::vector<std::string>> parse_attempt_list(const std::string& text) {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = base::parse_json(text);
     try {
         return parsed.at("requests").get<std::vector<std::string>>();
     } catch (const json::exception& error) {
--- a/libraries/wire/host_list_client.cpp
+++ b/libraries/wire/host_list_client.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <wire/host_list_client.h>
 
+#include <base/json_parser.h>
 #include <wire/http_client.h>
 
 #include <base/try.h>
@@ -26,7 +27,7 @@
     POSTPADDLE_TRY(response,
                    fetch_large(this->pool, this->address, get_request("/hosts"),
                                {.head_timeout = request_timeout, .stall_timeout = request_timeout}, yield));
-    const json parsed = json::parse(response.body, nullptr, false);
+    const json parsed = base::parse_json(response.body);
     try {
         host_list list;
         for (const json& item : parsed.at("hosts"))
--- a/libraries/wire/log_client.cpp
+++ b/libraries/wire/log_client.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <wire/log_client.h>
 
+#include <base/json_parser.h>
 #include <wire/http_client.h>
 
 #include <base/try.h>
@@ -21,7 +22,7 @@
 expected<json> parse_json_response(const http_response& response) {
     if (response.status != ok_status)
         return tl::make_unexpected(wire_error{wire_failure::refused, std::to_string(response.status)});
-    json parsed = json::parse(response.body, nullptr, false);
+    json parsed = base::parse_json(response.body);
     if (!parsed.is_object())
         return tl::make_unexpected(wire_error{wire_failure::malformed, "log answer is not JSON"});
     return parsed;
--- a/tests/integration/test_callers.cpp
+++ b/tests/integration/test_callers.cpp
@@ -127,6 +127,17 @@
     }
 }
 
+// Guards against a host that a caller can end: copying and writing a deeply nested body exhausts its stack.
+TEST_CASE("a deeply nested body gets 400, and the host serves on") {
+    for (const std::size_t depth : {120'000, 300}) {
+        auto request = completion_request(make_prompt("nested"), 20);
+        const std::string levels(depth, '[');
+        request.body.insert(1, "\"user\":" + levels + std::string(depth, ']') + ",");
+        check_problem(send(request), 400, "not-run");
+    }
+    CHECK(send(completion_request(make_prompt("after"), 20)).status == 200);
+}
+
 TEST_CASE("prompts over the organisation's limit get 413") {
     check_problem(send(completion_request(make_prompt("long", 21'000), 5)), 413, "not-run");
 }
