decision: Pay for what engines receive on the own interface, too

Change: the router keeps decision/arrival_account of each request and pays from decision/shared_budget through decision/request_payment; prompt and run are held before the first of them is sent. decision/retry_budget is gone. Ratio and maximum are the bucket's (0.1, 50), the window is 10 s; the budget is one host's, as before. /state says retries_left in place of retry_credit.

--- a/libraries/decision/dispatch.cpp
+++ b/libraries/decision/dispatch.cpp
@@ -2,6 +2,7 @@
 #include <decision/dispatch.h>
 
 #include <decision/baseline.h>
+#include <decision/request_payment.h>
 
 #include <base/verify.h>
 
@@ -173,6 +174,7 @@
     }
     release_reservations(state, request);
     release_all(state, request, out);
+    release_retries(state, request);
     request.at = phase::ended;
     out.emplace_back(end_request{request.facts.id, reason, retry_after});
 }
@@ -180,6 +182,7 @@
 void start_attempt(router_state& state, deployment_state& deployment, request_state& request,
                    const pair_choice& choice, base::time_point now, effects& out) {
     engine_state& prefill = engine_at(state, choice.prefill);
+    pay_for_send(state, request, now);
     ++request.attempt;
     request.at = phase::prefilling;
     request.prefill = choice.prefill;
@@ -211,6 +214,7 @@
 void send_decode(router_state& state, request_state& request, base::time_point now, effects& out) {
     const engine_state& prefill = engine_at(state, request.prefill);
     const engine_state& decode = engine_at(state, request.decode);
+    pay_for_send(state, request, now);
     request.at = phase::transferring;
     request.decode_sent = now;
     request.holds.push_back({request.attempt, request.decode});
@@ -225,7 +229,7 @@
 
 void admit(router_state& state, const request_facts& facts, base::time_point now, effects& out) {
     ++state.counters.arrived;
-    add_retry_credit(state.retries);
+    record_request(state.retries, state.options.retry_budget, now);
     auto [position, is_new] = state.requests.try_emplace(facts.id);
     if (!is_new) {
         ++state.counters.ignored_events;
--- a/libraries/decision/recovery.cpp
+++ b/libraries/decision/recovery.cpp
@@ -4,6 +4,7 @@
 #include <decision/baseline.h>
 #include <decision/dispatch.h>
 #include <decision/pairing.h>
+#include <decision/request_payment.h>
 
 #include <algorithm>
 
@@ -34,7 +35,8 @@
     if (!choice)
         return false;
     const base::time_point needed = std::max(choice->ready, choice->slot_free_at) + retention_margin;
-    if (needed > request.retained_until || !try_spend_retry(state.retries))
+    const int retries = is_retry(request.arrivals) ? 1 : 0;
+    if (needed > request.retained_until || !try_reserve_retries(state, request, retries, now))
         return false;
     ++state.counters.retries;
     ++state.counters.kv_reused;
@@ -72,7 +74,7 @@
             choice.prefill_begin + base::from_seconds(request.facts.prompt_tokens /
                                                       engine_at(state, choice.prefill).prompt_rate.value);
     }
-    if (!try_spend_retry(state.retries))
+    if (!try_reserve_retries(state, request, retries_for_prompt_and_run(request.arrivals), now))
         return false;
     ++state.counters.retries;
     start_attempt(state, deployment, request, choice, now, out);
@@ -111,6 +113,9 @@
     add_trace_entry(request, now, "failed at " + engine_at(state, failed_engine).facts.id.value);
     release_reservations(state, request);
     release_failed(state, request, failed_engine, out);
+    if (failed_phase != phase::retained)
+        record_send(state, request, is_decode_side(failed_phase) ? attempt_kind::run : attempt_kind::prefill,
+                    result_of(failed.reason), now);
     const bool can_retry = may_retry(request, failed);
     if (can_retry && failed_phase == phase::transferring && failed.reason != failure::lost_kv &&
         try_reuse(state, deployment, request, failed_engine, now, out))
--- a/libraries/decision/router.cpp
+++ b/libraries/decision/router.cpp
@@ -4,6 +4,7 @@
 #include <decision/baseline.h>
 #include <decision/dispatch.h>
 #include <decision/recovery.h>
+#include <decision/request_payment.h>
 
 #include <algorithm>
 #include <cmath>
@@ -30,6 +31,7 @@
         record_error(this->errors_of(*request).prefill_bias, this->errors_of(*request).prefill_abs_error,
                      this->now - request->prefill_expected_end);
         record_success(prefill);
+        record_send(*this->state, *request, attempt_kind::prefill, attempt_result::answered, this->now);
         const int work = std::max(0, event.prompt_tokens - event.cached_tokens);
         this->state->counters.prefill_tokens += static_cast<std::uint64_t>(work);
         request->facts.prompt_tokens = std::max(1, event.prompt_tokens);
@@ -85,6 +87,8 @@
             return held.engine == request->decode && held.attempt == request->attempt;
         });
         release_all(*this->state, *request, *this->out);
+        record_send(*this->state, *request, attempt_kind::run, attempt_result::answered, this->now);
+        release_retries(*this->state, *request);
         request->at = phase::ended;
         ++this->state->counters.completed;
         add_trace_entry(*request, this->now,
@@ -115,6 +119,8 @@
             count_wasted_prefill(*this->state, request);
         release_reservations(*this->state, request);
         release_all(*this->state, request, *this->out);
+        give_up_send(*this->state, request, this->now);
+        release_retries(*this->state, request);
         request.at = phase::ended;
         ++this->state->counters.cancelled;
         add_trace_entry(request, this->now, "caller disconnected");
--- a/libraries/decision/router_state.h
+++ b/libraries/decision/router_state.h
@@ -8,7 +8,8 @@
 #include <decision/fair_queue.h>
 #include <decision/prefix_index.h>
 #include <decision/request_facts.h>
-#include <decision/retry_budget.h>
+#include <decision/retry_payment.h>
+#include <decision/shared_budget.h>
 #include <decision/topology.h>
 
 #include <array>
@@ -36,6 +37,8 @@
     std::size_t max_queue_length = 4096; ///< Maximum queue length of a deployment, over all organisations.
     std::size_t prefix_entries = 16'384; ///< Capacity of the prefix index.
     std::size_t explanations = 1024;     ///< Number of ended requests whose trace is retained.
+    /// Arrivals at engines beyond the first of each request, of this host.
+    shared_budget_options retry_budget{.ratio = 0.1, .slack = 50, .window = std::chrono::seconds(10)};
 
     bool operator==(const router_options&) const = default;
 };
@@ -75,6 +78,8 @@
     int engine_priority = 0;
     int tokens_relayed = 0;
     std::vector<hold> holds;
+    arrival_account arrivals; ///< What engines have received of it.
+    retry_payment payment;    ///< Of its retries.
     explanation trace;
 };
 
@@ -143,7 +148,7 @@
     std::map<std::string, deployment_state> deployments;
     std::unordered_map<base::request_id, request_state> requests;
     prefix_index prefixes{1};
-    retry_budget retries;
+    shared_budget retries;         ///< Of this host.
     std::deque<explanation> ended; ///< Oldest first.
     std::uint64_t arrivals = 0;
     std::mt19937_64 random;
--- a/libraries/service/state_dump.cpp
+++ b/libraries/service/state_dump.cpp
@@ -84,7 +84,7 @@
             {"requests", dump_requests(state, now)},
             {"counters", dump_counters(state.counters)},
             {"estimate_errors_ms", dump_errors(state.errors)},
-            {"retry_credit", state.retries.credit},
+            {"retries_left", decision::retries_left(state.retries, state.options.retry_budget, now)},
             {"remembered_prefixes", state.prefixes.size()}};
 }
 
