decision: Ask when a resting upstream may serve only while any is unlisted

What callers saw: nothing. Cause: each choice asked of every listed upstream that may not be sent a request right now when it may be, which only matters where an entry went under doubt; with many limited or cold upstreams that is work on the path of each request. Change: it is asked only while the table may hold unlisted upstreams, which it knows already. Behaviour is the same.

--- a/libraries/decision/choice_cost.cpp
+++ b/libraries/decision/choice_cost.cpp
@@ -63,7 +63,8 @@
             !may_serve_version(context, candidate))
             continue;
         if (check_placement(table, context.limits, candidate, context.now) != placement_verdict::allowed) {
-            has_resting |= candidate.state == listing::listed &&
+            // Only matters to unlisted ones, which are rare.
+            has_resting |= table.has_unlisted && candidate.state == listing::listed &&
                            next_placement_time(table, context.limits, candidate, context.now).has_value();
             continue;
         }
