gateway: Show on what the use of an entry that went rests, in the log and in the state

What callers saw: requests to servers that had left, as the store forgot its history. Cause: not known yet; the line that an entry is `unlisted` didn't say why its removal was doubted, and the state didn't say whether the host used its registry on a lease that it held or because it took the store for away. Change: store_sync/registry_doubt holds what was in three places and describes it once, for both; the lease's state has a name. Measured: no change of behaviour; builds.

--- a/libraries/gateway/gateway_state.cpp
+++ b/libraries/gateway/gateway_state.cpp
@@ -3,6 +3,7 @@
 
 #include <decision/overload/decode_recheck.h>
 #include <gateway/engine_slots/slot_order.h>
+#include <gateway/store_sync/registry_doubt.h>
 #include <gateway/store_sync/registry_lease.h>
 
 #include <algorithm>
@@ -14,11 +15,6 @@
 
 using namespace std::chrono_literals;
 
-/// How long the registry counts as unhealthy after a failed read. Entries may have expired meanwhile; live
-/// instances re-register within about two seconds after the store recovers, and what is still missing then
-/// has gone.
-constexpr base::duration recovery_time = 3s;
-
 /// Fraction of the settings bound during which no second transfer is started.
 constexpr double transfer_fraction = 0.5;
 
@@ -31,25 +27,22 @@
 /// Upper bound on idle connections to one upstream.
 constexpr int max_idle_connections = 8;
 
-decision::registry_condition condition_of(const gateway_state& state) {
-    const bool is_failing = host::was_store_away(state.registry_outage, outage_options_of(state),
-                                                 count_other_hosts(state), state.clock->now());
-    return is_failing ? decision::registry_condition::failing : decision::registry_condition::healthy;
-}
-
 void log_listing(gateway_state& state, const base::upstream_id& id, std::uint64_t offset,
                  const char* origin) {
     const decision::instance* const known = decision::find_instance(state.instances, id);
     if (known == nullptr)
         return;
-    state.log->write("instance_listing", {{"instance", id.value},
-                                          {"service", known->entry.service},
-                                          {"software_version", known->entry.software_version},
-                                          {"address", known->entry.address},
-                                          {"born", known->entry.start_time_ms},
-                                          {"listing", decision::to_text(known->state)},
-                                          {"offset", offset},
-                                          {"heard_from", origin}});
+    nlohmann::json fields = {{"instance", id.value},
+                             {"service", known->entry.service},
+                             {"software_version", known->entry.software_version},
+                             {"address", known->entry.address},
+                             {"born", known->entry.start_time_ms},
+                             {"listing", decision::to_text(known->state)},
+                             {"offset", offset},
+                             {"heard_from", origin}};
+    if (known->state == decision::listing::unlisted)
+        fields["doubt"] = describe_registry_doubt(state);
+    state.log->write("instance_listing", std::move(fields));
 }
 
 } // namespace
@@ -189,7 +182,7 @@
 void apply_registry_changes(gateway_state& state, const std::vector<decision::registry_change>& changes,
                             const char* origin) {
     // NOTE: The cost of a change must not depend on the number of upstreams; changes arrive one at a time.
-    const auto condition = condition_of(state);
+    const auto condition = registry_condition_of(state);
     const host::cell own = own_cell(state);
     bool has_restarted = false;
     bool has_gone = false;
@@ -221,20 +214,12 @@
     return host::cell_of_host(state.cells, state.process->name, state.process->availability_zone);
 }
 
-host::outage_options outage_options_of(const gateway_state& state) {
-    return {.window = recovery_time, .max_proof_age = registry_bound(state)};
-}
-
-bool is_registry_failing(const gateway_state& state) {
-    return condition_of(state) == decision::registry_condition::failing;
-}
-
 std::chrono::milliseconds registry_bound(const gateway_state& state) {
     return state.process->max_leaving_delay;
 }
 
 void expire_unlisted_instances(gateway_state& state) {
-    if (is_registry_failing(state))
+    if (registry_condition_of(state) == decision::registry_condition::failing)
         return;
     for (const base::upstream_id& id : decision::expire_unlisted(state.instances)) {
         ++state.registry_revision;
@@ -247,7 +232,7 @@
     decision::record_all_versions(state.software_versions, state.instances, now);
     const auto changed = decision::apply_snapshot(
         state.instances, {.entries = page.changes, .unreadable = page.unreadable, .end = page.next},
-        condition_of(state));
+        registry_condition_of(state));
     decision::record_all_versions(state.software_versions, state.instances, now);
     if (!state.software_versions.known_since)
         state.software_versions.known_since = state.process->is_first_start ? now - longest_stream : now;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -304,12 +304,6 @@
 
 [[nodiscard]] host::cell own_cell(const gateway_state& state);
 
-/// Options of the evidence that the store was away.
-[[nodiscard]] host::outage_options outage_options_of(const gateway_state& state);
-
-/// Whether the store was away recently: entries may have expired although their upstreams are alive.
-[[nodiscard]] bool is_registry_failing(const gateway_state& state);
-
 /// Time within which each record of the registry must be known.
 [[nodiscard]] std::chrono::milliseconds registry_bound(const gateway_state& state);
 
--- a/libraries/gateway/operations/state_dump.cpp
+++ b/libraries/gateway/operations/state_dump.cpp
@@ -5,6 +5,7 @@
 #include <gateway/endings/open_request.h>
 #include <gateway/endings/request_record.h>
 #include <gateway/operations/waiting_dump.h>
+#include <gateway/store_sync/registry_doubt.h>
 #include <gateway/stream_origin/version_splits.h>
 #include <gateway/unsent_data_bound.h>
 
@@ -140,23 +141,6 @@
     return suspects;
 }
 
-/// Whether this host doubts that entries which go belong to upstreams that leave, and on what that rests.
-json dump_registry_doubt(const gateway_state& state, base::time_point now) {
-    json complaints = json::object();
-    const host::outage_evidence& evidence = state.registry_outage;
-    for (const auto& [host, failed_at] : evidence.failing_at)
-        complaints[host.value] = base::to_milliseconds(now - failed_at);
-    json doubt = {{"doubts_removals", is_registry_failing(state)},
-                  {"hosts_failed_ms_ago", std::move(complaints)}};
-    if (evidence.own_failed_at)
-        doubt["own_read_failed_ms_ago"] = base::to_milliseconds(now - *evidence.own_failed_at);
-    if (evidence.own.until != base::time_point{})
-        doubt["served_for_ms"] = base::to_milliseconds(evidence.own.until - evidence.own.since);
-    if (evidence.witness)
-        doubt["refuted_by"] = evidence.witness->host.value;
-    return doubt;
-}
-
 } // namespace
 
 json dump_state(const gateway_state& state) {
@@ -188,7 +172,7 @@
             {"evacuated_zones", std::move(evacuated)},
             {"routes", state.settings ? state.settings->document.value->routes.size() : 0},
             {"registry_next", state.registry_next},
-            {"registry_doubt", dump_registry_doubt(state, now)},
+            {"registry_doubt", describe_registry_doubt(state)},
             {"reads_store", state.reads_store},
             {"leads_cell", host::is_leader(state.position_in_cell)},
             {"cell_hosts", state.position_in_cell.hosts},
--- /dev/null
+++ b/libraries/gateway/store_sync/registry_doubt.cpp
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <gateway/store_sync/registry_doubt.h>
+
+#include <gateway/store_sync/registry_lease.h>
+
+namespace postpaddle::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+/// How long the registry counts as unhealthy after a failed read. Entries may have expired meanwhile; live
+/// instances re-register within about two seconds after the store recovers, and what is still missing then
+/// has gone.
+constexpr base::duration recovery_time = 3s;
+
+} // namespace
+
+host::outage_options outage_options_of(const gateway_state& state) {
+    return {.window = recovery_time, .max_proof_age = registry_bound(state)};
+}
+
+decision::registry_condition registry_condition_of(const gateway_state& state) {
+    const bool is_failing = host::was_store_away(state.registry_outage, outage_options_of(state),
+                                                 count_other_hosts(state), state.clock->now());
+    return is_failing ? decision::registry_condition::failing : decision::registry_condition::healthy;
+}
+
+json describe_registry_doubt(const gateway_state& state) {
+    const base::time_point now = state.clock->now();
+    const host::outage_evidence& evidence = state.registry_outage;
+    json complaints = json::object();
+    for (const auto& [host, failed_at] : evidence.failing_at)
+        complaints[host.value] = base::to_milliseconds(now - failed_at);
+    const bool is_failing = registry_condition_of(state) == decision::registry_condition::failing;
+    json doubt = {{"doubts_removals", is_failing},
+                  {"hosts_failed_ms_ago", std::move(complaints)},
+                  {"lease", host::to_text(registry_lease_state(state))},
+                  {"known_for_ms", base::to_milliseconds(now - state.registry_known_until)}};
+    if (evidence.own_failed_at)
+        doubt["own_read_failed_ms_ago"] = base::to_milliseconds(now - *evidence.own_failed_at);
+    if (evidence.own.until != base::time_point{})
+        doubt["served_for_ms"] = base::to_milliseconds(evidence.own.until - evidence.own.since);
+    if (evidence.witness)
+        doubt["refuted_by"] = evidence.witness->host.value;
+    return doubt;
+}
+
+} // namespace postpaddle::gateway
--- a/libraries/gateway/store_sync/store_updates.cpp
+++ b/libraries/gateway/store_sync/store_updates.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/store_sync/store_updates.h>
 
+#include <gateway/store_sync/registry_doubt.h>
 #include <host/replica_lease.h>
 
 #include <algorithm>
--- a/libraries/gateway/store_sync/store_watch.cpp
+++ b/libraries/gateway/store_sync/store_watch.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/store_sync/store_watch.h>
 
+#include <gateway/store_sync/registry_doubt.h>
+
 namespace postpaddle::gateway {
 
 namespace {
--- a/libraries/host/replica_lease.cpp
+++ b/libraries/host/replica_lease.cpp
@@ -34,6 +34,18 @@
 
 } // namespace
 
+const char* to_text(lease_state state) {
+    switch (state) {
+    case lease_state::held:
+        return "held";
+    case lease_state::lapsed:
+        return "lapsed";
+    case lease_state::store_outage:
+        return "store_outage";
+    }
+    return "unknown";
+}
+
 base::time_point lease_end(const replica_lease_options& options, base::time_point known_until) {
     return known_until + options.bound - options.use_time;
 }
--- a/libraries/host/replica_lease.h
+++ b/libraries/host/replica_lease.h
@@ -41,6 +41,9 @@
     store_outage, ///< The store answers nobody; the replica is as new as any.
 };
 
+/// Name of a lease's state in logs and dumps.
+[[nodiscard]] const char* to_text(lease_state state);
+
 struct lease_facts {
     base::time_point known_until{};   ///< All records that the store had at this time are known here.
     bool is_own_read_failing = false; ///< The last own read of the store that ended failed.
