tests: Have the store forget its history while entries go

The stand-in forgets in one step with a change, and can answer with listings that are behind its log. What counts late requests is shared with the tests of leaving upstreams.

--- a/stand_ins/platform_store/main.cpp
+++ b/stand_ins/platform_store/main.cpp
@@ -42,11 +42,20 @@
         ++this->end_offset;
     }
 
+    /// Makes all records unreadable except through `/api/log-newest`.
+    void forget() { this->first_readable_offset = this->end_offset; }
+
     /// Offset of the oldest record that reads return. `/api/log-newest` also returns older records.
     [[nodiscard]] std::uint64_t first_offset() const { return this->first_readable_offset; }
     std::uint64_t first_readable_offset = 0;
 };
 
+/// What a listing of the newest records shows of a topic.
+struct topic_listing {
+    std::map<std::string, std::uint64_t> newest_offsets; ///< By key.
+    std::uint64_t end_offset = 0;
+};
+
 /// Limits of a response, as the store documents them. `/control` lowers them, so that few records fill a
 /// page.
 struct page_limits {
@@ -233,13 +242,25 @@
         return record;
     }
 
+    /// What a listing shows now: the topic as it is, or as it was when listings became stale.
+    [[nodiscard]] topic_listing listing_of(const wire::http_request& request) {
+        const std::string name = stand_in::query_parameter(request.target, "topic");
+        const auto stale = this->stale_listings.find(name);
+        if (stale != this->stale_listings.end())
+            return stale->second;
+        const topic& target = this->partition_of(request);
+        return {target.newest_offsets, target.end_offset};
+    }
+
     [[nodiscard]] wire::http_response newest_records(const wire::http_request& request) {
         const topic& target = this->partition_of(request);
+        const topic_listing listing = this->listing_of(request);
         const std::string after = stand_in::query_parameter(request.target, "after");
         json items = after.empty() ? this->malformed_items : json::array();
         std::size_t bytes = 0;
-        auto next = after.empty() ? target.newest_offsets.begin() : target.newest_offsets.upper_bound(after);
-        for (; next != target.newest_offsets.end() && items.size() < this->pages.newest_records &&
+        auto next =
+            after.empty() ? listing.newest_offsets.begin() : listing.newest_offsets.upper_bound(after);
+        for (; next != listing.newest_offsets.end() && items.size() < this->pages.newest_records &&
                bytes < this->pages.newest_bytes;
              ++next) {
             const std::string value = this->value_for(request, *target.records.at(next->second).value);
@@ -247,12 +268,14 @@
             items.push_back(
                 {{"key", next->first}, {"value", encode_base64(value)}, {"offset", next->second}});
         }
-        const bool has_more = next != target.newest_offsets.end();
-        return stand_in::json_response({{"items", items}, {"more", has_more}, {"end", target.end_offset}});
+        const bool has_more = next != listing.newest_offsets.end();
+        return stand_in::json_response({{"items", items}, {"more", has_more}, {"end", listing.end_offset}});
     }
 
     /// Sets faults and changes records: `put` appends a JSON value, `put_text` appends a raw string, `drop`
-    /// deletes a key, and `forget` makes all records of a topic unreadable except through `/api/log-newest`.
+    /// deletes a key, and `forget` makes all records of these topics unreadable except through
+    /// `/api/log-newest`, in one step with the change. `stale_listings` has that answer as of now until it is
+    /// false.
     wire::http_response control(const json& body) {
         this->faults.failure_mode = body.value("mode", this->faults.failure_mode);
         this->faults.response_delay_ms = body.value("slow_ms", this->faults.response_delay_ms);
@@ -271,17 +294,25 @@
             this->topics[body["put_text"].at("topic")].append(body["put_text"].at("key"),
                                                               body["put_text"].at("text").get<std::string>());
         this->malformed_items = body.value("bad_items", this->malformed_items);
+        if (body.contains("stale_listings"))
+            this->set_stale_listings(body["stale_listings"].get<bool>());
         if (body.contains("drop"))
             this->topics[body["drop"].at("topic")].append(body["drop"].at("key"), std::nullopt);
-        if (body.contains("forget")) {
-            topic& target = this->topics[body["forget"].get<std::string>()];
-            target.first_readable_offset = target.end_offset;
-        }
+        for (const auto& name : body.value("forget", std::vector<std::string>{}))
+            this->topics[name].forget();
         return stand_in::json_response({{"calls", this->calls}});
     }
 
+    void set_stale_listings(bool are_stale) {
+        this->stale_listings.clear();
+        for (const auto& [name, target] : this->topics)
+            if (are_stale)
+                this->stale_listings[name] = {target.newest_offsets, target.end_offset};
+    }
+
     wire::asio::io_context* context;
     std::map<std::string, topic> topics;
+    std::map<std::string, topic_listing> stale_listings; ///< By topic; empty while listings are current.
     store_faults faults;
     page_limits pages;
     json malformed_items = json::array(); ///< Prepended to the items of each `/api/log-newest` response.
--- a/tests/gateway/test_leaving_upstreams.cpp
+++ b/tests/gateway/test_leaving_upstreams.cpp
@@ -2,6 +2,7 @@
 // Guards against requests to an upstream that has left, by whichever word, while other hosts or clocks are in
 // trouble. Counted is what the upstream received.
 #include <support/gateway_cluster.h>
+#include <support/late_arrivals.h>
 #include <support/test_cluster.h>
 
 #include <catch2/catch.hpp>
@@ -27,44 +28,18 @@
             .leaving_bound_ms = bound_ms};
 }
 
-/// Sends requests of both kinds to the hosts from `first` to `last` for that time.
-void call_hosts(const test::gateway_cluster& cluster, int first, int last, std::chrono::milliseconds length) {
-    const auto end = std::chrono::steady_clock::now() + length;
-    for (int number = 0; std::chrono::steady_clock::now() < end; ++number)
-        for (int host = first; host <= last; ++host) {
-            const std::string id = std::to_string(host) + "-" + std::to_string(number);
-            for (const std::string path : {"/again/", "/resume/"})
-                (void)stand_in::http_exchange(cluster.callers_address(host),
-                                              test::routed_request(path, path + id), 1s);
-            std::this_thread::sleep_for(10ms);
-        }
-}
-
-/// Requests that the two upstreams receive from these hosts in `length`, from the bound after now on.
-int late_arrivals(test::gateway_cluster& cluster, int first, int last, std::chrono::milliseconds length) {
-    call_hosts(cluster, first, last, bound);
-    const int before = cluster.arrivals("d1") + cluster.arrivals("one");
-    call_hosts(cluster, first, last, length);
-    return cluster.arrivals("d1") + cluster.arrivals("one") - before;
-}
-
-/// What the hosts know of an upstream, and why they doubt that entries which go belong to upstreams that
-/// leave.
-std::string describe(const test::gateway_cluster& cluster, int hosts) {
-    std::string text;
-    for (int host = 1; host <= hosts; ++host) {
-        const auto state = cluster.state_of(host);
-        text += "host " + std::to_string(host) + ": " + state.at("instances").at("one").at("listing").dump() +
-                " " + state.at("registry_doubt").dump() + "\n";
-    }
-    return text;
-}
+const std::vector<std::string> leaving_servers = {"d1", "one"};
 
 void drop_both(test::gateway_cluster& cluster) {
-    for (const auto* id : {"d1", "one"})
+    for (const auto& id : leaving_servers)
         cluster.drop_server(id);
 }
 
+/// Requests that the two servers receive from these hosts in `length`, from the bound after now on.
+int late_arrivals(test::gateway_cluster& cluster, int first, int last, std::chrono::milliseconds length) {
+    return test::late_arrivals(cluster, leaving_servers, {.first = first, .last = last}, bound, length);
+}
+
 } // namespace
 
 // Guards against hosts that take other hosts' failing reads for a doubt about what they have read themselves.
@@ -78,7 +53,7 @@
         std::this_thread::sleep_for(bound);
         drop_both(cluster);
         CHECK(late_arrivals(cluster, 3, 6, 3s) == 0);
-        INFO(describe(cluster, 6));
+        INFO(test::describe_listing(cluster, "one", {.first = 1, .last = 6}));
         // Nor from the hosts that hear of it from others.
         CHECK(late_arrivals(cluster, 1, 2, 1s) == 0);
     }
@@ -106,7 +81,7 @@
             cluster.register_server(id, "ready", 5, 9'000);
             cluster.register_server(id, "ready", 1, second_start);
         }
-        call_hosts(cluster, 1, 2, 500ms);
+        test::call_hosts(cluster, {.first = 1, .last = 2}, 500ms);
         CHECK(cluster.arrivals("one") > 0);
         for (const auto* id : {"d1", "one"})
             cluster.register_server(id, "draining", 2, second_start);
--- a/tests/gateway/test_lost_hosts.cpp
+++ b/tests/gateway/test_lost_hosts.cpp
@@ -326,7 +326,7 @@
     SECTION("it has forgotten its history") {
         const auto callers = begin_streams(cluster, plan);
         for (const std::string& topic : topics_of_origins())
-            (void)cluster.store({{"forget", topic}});
+            (void)cluster.store({{"forget", nlohmann::json::array({topic})}});
         lose_hosts(cluster, hosts);
         const stream_counts counts = resume_streams(cluster, callers, {2, 3, 1}, naming);
         CHECK(counts.mixed == 0);
--- a/tests/gateway/test_state_propagation.cpp
+++ b/tests/gateway/test_state_propagation.cpp
@@ -94,8 +94,8 @@
     (void)cluster.store({{"mode", "reset"}});
     cluster.publish(2, true);
     cluster.register_server("two", "draining", 2);
-    (void)cluster.store({{"forget", "keyed.op"}});
-    (void)cluster.store({{"forget", "keyed.servers"}, {"mode", ""}});
+    (void)cluster.store({{"forget", nlohmann::json::array({"keyed.op"})}});
+    (void)cluster.store({{"forget", nlohmann::json::array({"keyed.servers"})}, {"mode", ""}});
     CHECK(test::eventually([&] { return settings_version_at(cluster, 1) == 2; }));
     CHECK(test::eventually([&] { return listing_at(cluster, 1, "two") == "leaving"; }));
 }
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -359,6 +359,17 @@
     (void)this->store({{"drop", {{"topic", "keyed.servers"}, {"key", id}}}});
 }
 
+void gateway_cluster::drop_server_and_history(const std::string& id) {
+    (void)this->store(
+        {{"drop", {{"topic", server_topic}, {"key", id}}}, {"forget", json::array({server_topic})}});
+}
+
+void gateway_cluster::forget_history(const std::vector<std::string>& topics) {
+    for (const std::string& topic : topics)
+        (void)this->store(
+            {{"drop", {{"topic", topic}, {"key", "unused"}}}, {"forget", json::array({topic})}});
+}
+
 void gateway_cluster::register_at(const std::string& id, const std::string& service,
                                   const std::string& running_id) {
     this->put_registry_entry(id, make_entry(service, this->server_addresses.at(running_id)));
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -105,6 +105,11 @@
     void register_text(const std::string& id, const std::string& text);
     /// Sets faults of the store; returns its counters.
     nlohmann::json store(const nlohmann::json& control = nlohmann::json::object());
+    /// Has the store forget the history of these topics, with a record that nobody has read yet, so that
+    /// reads which wait for one are answered that the history is gone.
+    void forget_history(const std::vector<std::string>& topics);
+    /// Removes a server's registry entry, and has the store forget the history in the same step.
+    void drop_server_and_history(const std::string& id);
     /// Folder of the processes' logs and settings files.
     [[nodiscard]] const std::string& log_folder() const { return this->folder; }
     /// Bytes received from the store over the host's link; the link must have a limit.
@@ -175,6 +180,10 @@
     int load_port;
 };
 
+/// Topics of the store's that hosts follow.
+inline constexpr const char* server_topic = "keyed.servers";
+inline constexpr const char* operator_topic = "keyed.op";
+
 /// Version of the settings in force on a host; 0 if there are none or it does not answer.
 [[nodiscard]] int settings_version_at(const gateway_cluster& cluster, int host);
 
