decision: Don't list an upstream again by a listing older than one that lacked it

What callers saw: requests to an upstream that had left, after the store had lost its history twice. Cause: an upstream whose removal is only seen as its absence from a listing kept the offset of its last known entry. A later listing that is behind the log, and names a newer entry from before the removal, put it back in service. Found by the model of departures as it drew a store that forgets its history. Change: its absence is dated with the end of the listing that lacked it.

--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -172,10 +172,14 @@
         if (apply_change(table, entry, condition) != change_effect::none)
             changed.push_back(entry.id);
     }
-    for (auto& [id, known] : table.by_id)
-        if (!named.contains(id) && known.offset < snapshot.end &&
-            delist(table, known, condition) != change_effect::none)
+    for (auto& [id, known] : table.by_id) {
+        if (named.contains(id) || known.offset >= snapshot.end)
+            continue;
+        // Its removal is among the records that the listing covers. An older listing may still name it.
+        known.offset = snapshot.end - 1;
+        if (delist(table, known, condition) != change_effect::none)
             changed.push_back(id);
+    }
     return changed;
 }
 
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -121,6 +121,24 @@
     }
 }
 
+// Guards against an upstream that left and is listed again by a listing that is behind the one that lacked
+// it.
+TEST_CASE("a listing older than one that lacked an instance doesn't list it again") {
+    auto table = make_table({make_entry("one")});
+    const auto renewed = make_change(make_entry("one", engine_stage::none, "east", 2), 28);
+    // Its renewal and its removal both came before the listing's end.
+    (void)decision::apply_snapshot(table, {.entries = {}, .unreadable = {}, .end = 30},
+                                   registry_condition::healthy);
+    CHECK(decision::find_instance(table, {"one"})->state == listing::vanished);
+    (void)decision::apply_snapshot(table, {.entries = {renewed}, .unreadable = {}, .end = 29},
+                                   registry_condition::healthy);
+    CHECK(decision::find_instance(table, {"one"})->state == listing::vanished);
+    // What comes after the listing that lacked it does.
+    (void)decision::apply_change(table, make_change(make_entry("one", engine_stage::none, "east", 3), 30),
+                                 registry_condition::healthy);
+    CHECK(decision::find_instance(table, {"one"})->state == listing::listed);
+}
+
 TEST_CASE(
     "instances missing from a registry snapshot have vanished, unless they are newer than the snapshot") {
     auto table = make_table({make_entry("one"), make_entry("two")});
