host, gateway: Say once, by type, what each ending of a read of the store proves

Cause, two of one class: the word "that history is gone" is an answer, and was taken for a failed read. It dropped each host's proof that the store was there, dated a failure, and was told to others, so that removals were doubted for three seconds and more. And what a host had yet to confirm (a listing that the log has not confirmed, records that the store forgot before anybody read them) was told as a failing read as well: all hosts then took the store for lost, and went on with an old registry.

Change: host/read_ending is the one table of what an ending proves (the store is there; it did not serve this host; nothing) and about what. Doubt of removals (host/store_outage) and the lease are built from it alone. An own read that ended because a single waiting connection broke, because its answer was cut or can't be decoded, or because this process did not run when its time was over, proves nothing. A host that complained once and reads no more stops complaining. A host that the store answers without telling it all says so, and nobody takes the store for lost then; a gap in the log is closed by a listing or by another host that knows the records, and only then counts as known (an answer that began behind the gap renewed the lease before). Hosts pass on for whom they can vouch, with what they know.

Evidence: tests/host/departure_model draws every ending, for one host, some and all, and a store that forgets with and without the newest record.

--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -185,7 +185,10 @@
     std::uint64_t registry_revision = 1;      ///< Incremented on every change to the known registry.
     /// Every record of the registry up to this time is known here.
     base::time_point registry_known_until{};
-    bool is_registry_read_failing = false;       ///< The last own read of the registry that ended failed.
+    /// How the last own read of the registry ended.
+    host::read_ending registry_read_ending = host::read_ending::answered;
+    /// It didn't prove that the store is there.
+    bool is_registry_read_failing = false;
     host::replica_doubt registry_doubt{};        ///< While what is known of the registry is old.
     std::function<void()> on_registry_doubted{}; ///< Asks other hosts for what is new in the registry.
     /// Takes over the registry of another host, which knew it up to that time.
--- a/libraries/gateway/store_sync/anti_entropy.cpp
+++ b/libraries/gateway/store_sync/anti_entropy.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/store_sync/anti_entropy.h>
 
+#include <gateway/store_sync/registry_doubt.h>
+
 namespace postpaddle::gateway {
 
 anti_entropy::anti_entropy(gateway_state& state, peer_datagrams& datagrams, topic_progress& registry,
@@ -71,7 +73,7 @@
                                .address = this->state->process->peers,
                                .sent = std::chrono::floor<std::chrono::milliseconds>(sent),
                                .registry_next = this->registry->has_offset ? this->registry->next_offset : 0,
-                               .is_read_failing = this->state->is_registry_read_failing};
+                               .is_store_absent = is_store_absent(*this->state)};
     this->state->metrics->count("store_queries_total", addresses.size());
     this->datagrams->send(datagram_kind::store_query, encode_store_query(query), addresses);
 }
@@ -83,8 +85,8 @@
     if (query->host == this->state->process->name)
         return true;
     host::record_received(this->state->peers, query->host, this->state->clock->now());
-    if (query->is_read_failing)
-        host::record_failing(this->state->registry_outage, query->host, this->state->clock->now());
+    if (query->is_store_absent)
+        host::record_absence(this->state->registry_outage, query->host, this->state->clock->now());
     this->updates->answer(*query);
     return true;
 }
--- a/libraries/gateway/store_sync/registry_doubt.cpp
+++ b/libraries/gateway/store_sync/registry_doubt.cpp
@@ -27,19 +27,24 @@
     return is_failing ? decision::registry_condition::failing : decision::registry_condition::healthy;
 }
 
+bool is_store_absent(const gateway_state& state) {
+    return host::is_absence_told(state.registry_outage, outage_options_of(state), state.clock->now());
+}
+
 json describe_registry_doubt(const gateway_state& state) {
     const base::time_point now = state.clock->now();
     const host::outage_evidence& evidence = state.registry_outage;
     json complaints = json::object();
-    for (const auto& [host, failed_at] : evidence.failing_at)
-        complaints[host.value] = base::to_milliseconds(now - failed_at);
+    for (const auto& [host, told_at] : evidence.absences_told)
+        complaints[host.value] = base::to_milliseconds(now - told_at);
     const bool is_failing = registry_condition_of(state) == decision::registry_condition::failing;
     json doubt = {{"doubts_removals", is_failing},
-                  {"hosts_failed_ms_ago", std::move(complaints)},
+                  {"last_read", host::to_text(state.registry_read_ending)},
+                  {"absence_told_ms_ago", std::move(complaints)},
                   {"lease", host::to_text(registry_lease_state(state))},
                   {"known_for_ms", base::to_milliseconds(now - state.registry_known_until)}};
-    if (evidence.own_failed_at)
-        doubt["own_read_failed_ms_ago"] = base::to_milliseconds(now - *evidence.own_failed_at);
+    if (evidence.own_absence_at)
+        doubt["own_absence_ms_ago"] = base::to_milliseconds(now - *evidence.own_absence_at);
     if (evidence.own.until != base::time_point{})
         doubt["served_for_ms"] = base::to_milliseconds(evidence.own.until - evidence.own.since);
     if (evidence.witness)
--- a/libraries/gateway/store_sync/registry_doubt.h
+++ b/libraries/gateway/store_sync/registry_doubt.h
@@ -13,6 +13,9 @@
 /// Whether the store was away recently: entries may have expired although their upstreams are alive.
 [[nodiscard]] decision::registry_condition registry_condition_of(const gateway_state& state);
 
+/// Whether this host tells others that the store is away.
+[[nodiscard]] bool is_store_absent(const gateway_state& state);
+
 /// For operators and the log: whether this host doubts that entries which go belong to upstreams that leave,
 /// on what that rests, and whether it may use what it knows of the registry.
 [[nodiscard]] nlohmann::json describe_registry_doubt(const gateway_state& state);
--- a/libraries/gateway/store_sync/registry_lease.cpp
+++ b/libraries/gateway/store_sync/registry_lease.cpp
@@ -45,6 +45,11 @@
                            .now = now});
 }
 
+bool is_registry_uninformed(const gateway_state& state) {
+    return host::is_uninformed(options_of(state), state.registry_doubt, state.process->name,
+                               state.clock->now());
+}
+
 bool may_use_registry(const gateway_state& state) {
     return registry_lease_state(state) != host::lease_state::lapsed;
 }
--- a/libraries/gateway/store_sync/registry_lease.h
+++ b/libraries/gateway/store_sync/registry_lease.h
@@ -15,6 +15,9 @@
 /// State of the lease on this host's replica of the registry, without which it sends nothing to upstreams.
 [[nodiscard]] host::lease_state registry_lease_state(const gateway_state& state);
 
+/// Whether the store answered this host within the bound without telling it all that it has.
+[[nodiscard]] bool is_registry_uninformed(const gateway_state& state);
+
 /// Whether requests may be sent on what this host knows of the registry.
 [[nodiscard]] bool may_use_registry(const gateway_state& state);
 
--- a/libraries/gateway/store_sync/store_update_message.cpp
+++ b/libraries/gateway/store_sync/store_update_message.cpp
@@ -39,12 +39,24 @@
     return {std::min(since, max_age_ms), until};
 }
 
-host::served_span decode_span(const json& value, base::time_point now) {
+std::optional<host::served_span> decode_span(const json& value, base::time_point now) {
     const auto since = value.at(0).get<std::int64_t>();
     const auto until = value.at(1).get<std::int64_t>();
     if (until < 0 || until > since || since > max_age_ms)
-        return {};
-    return {.since = now - std::chrono::milliseconds(since), .until = now - std::chrono::milliseconds(until)};
+        return std::nullopt;
+    return host::served_span{.since = now - std::chrono::milliseconds(since),
+                             .until = now - std::chrono::milliseconds(until)};
+}
+
+/// Hosts of an earlier version send no span, or one of their own without a name.
+std::optional<host::outage_witness> decode_witness(const json& value, base::time_point now) {
+    if (!value.contains("served"))
+        return std::nullopt;
+    const auto span = decode_span(value["served"], now);
+    if (!span)
+        return std::nullopt;
+    const auto name = value.contains("served_host") ? value["served_host"] : value.at("host");
+    return host::outage_witness{.host = {name.get<std::string>()}, .span = *span};
 }
 
 json to_json(const store_update& update, base::time_point now) {
@@ -55,13 +67,17 @@
                   {"settings", encode_topic(update.settings, now)},
                   {"registry", encode_topic(update.registry, now)},
                   {"is_read_failing", update.is_read_failing},
+                  {"is_store_absent", update.is_store_absent},
+                  {"is_uninformed", update.is_uninformed},
                   {"changes_since", update.changes_since},
                   {"changes", json::binary(json::to_msgpack(encode_changes(update.changes)))},
                   {"zones", encode_zones(update.zones)}};
     if (update.in_reply_to)
         value["in_reply_to"] = update.in_reply_to->count();
-    if (update.served != host::served_span{})
-        value["served"] = encode_span(update.served, now);
+    if (update.witness) {
+        value["served"] = encode_span(update.witness->span, now);
+        value["served_host"] = update.witness->host.value;
+    }
     return value;
 }
 
@@ -83,9 +99,10 @@
             return std::nullopt;
         update.changes = std::move(*changes);
     }
-    // Hosts of an earlier version send no span.
-    if (value.contains("served"))
-        update.served = decode_span(value["served"], now);
+    // Hosts of an earlier version only tell that their reads fail.
+    update.is_store_absent = value.value("is_store_absent", update.is_read_failing);
+    update.is_uninformed = value.value("is_uninformed", false);
+    update.witness = decode_witness(value, now);
     if (value.contains("in_reply_to"))
         update.in_reply_to = std::chrono::milliseconds(value["in_reply_to"].get<std::int64_t>());
     return update;
@@ -114,7 +131,7 @@
 
 std::string encode_store_query(const store_query& query) {
     return to_bytes(
-        {query.host.value, query.address, query.sent.count(), query.registry_next, query.is_read_failing});
+        {query.host.value, query.address, query.sent.count(), query.registry_next, query.is_store_absent});
 }
 
 std::optional<store_query> decode_store_query(std::string_view bytes) {
@@ -124,7 +141,7 @@
                            .address = value.at(1).get<std::string>(),
                            .sent = std::chrono::milliseconds(value.at(2).get<std::int64_t>()),
                            .registry_next = value.at(3).get<std::uint64_t>(),
-                           .is_read_failing = value.at(4).get<bool>()};
+                           .is_store_absent = value.at(4).get<bool>()};
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/libraries/gateway/store_sync/store_update_message.h
+++ b/libraries/gateway/store_sync/store_update_message.h
@@ -32,8 +32,11 @@
     std::uint64_t settings_version = 0;
     topic_update settings;
     topic_update registry;
-    bool is_read_failing = false; ///< The sender's last own read of the registry failed.
-    host::served_span served{};   ///< In which the store answered all of the sender's reads of the registry.
+    bool is_read_failing =
+        false; ///< The sender's last own read of the registry didn't prove the store there.
+    bool is_store_absent = false; ///< See `host::is_absence_told`.
+    bool is_uninformed = false;   ///< The store answers the sender without telling it all that it has.
+    std::optional<host::outage_witness> witness{};         ///< For whom the sender can vouch.
     std::uint64_t changes_since = 0;                       ///< Offset from which `changes` is complete.
     std::vector<decision::registry_change> changes;        ///< Latest changes of the registry.
     decision::zone_record_page zones{.is_complete = true}; ///< Known evacuations of availability zones.
@@ -54,7 +57,7 @@
     std::string address;              ///< Heartbeat address of the host that asks.
     std::chrono::milliseconds sent{}; ///< By its monotonic clock.
     std::uint64_t registry_next = 0;  ///< Offset after the newest registry record that it knows.
-    bool is_read_failing = false;     ///< Its last own read of the registry failed.
+    bool is_store_absent = false;     ///< See `host::is_absence_told`.
 
     bool operator==(const store_query&) const = default;
 };
--- a/libraries/gateway/store_sync/store_updates.cpp
+++ b/libraries/gateway/store_sync/store_updates.cpp
@@ -2,6 +2,7 @@
 #include <gateway/store_sync/store_updates.h>
 
 #include <gateway/store_sync/registry_doubt.h>
+#include <gateway/store_sync/registry_lease.h>
 #include <host/replica_lease.h>
 
 #include <algorithm>
@@ -87,7 +88,10 @@
             // Only the last part of what is known here shows that there was nothing newer.
             .registry = {run.next, is_last ? this->registry->leadership.known_until : base::time_point{}},
             .is_read_failing = this->state->is_registry_read_failing,
-            .served = this->state->registry_outage.own,
+            .is_store_absent = is_store_absent(*this->state),
+            .is_uninformed = is_registry_uninformed(*this->state),
+            .witness = host::witness_to_tell(this->state->registry_outage, outage_options_of(*this->state),
+                                             this->state->process->name),
             .changes_since = run.since,
             .changes = run.changes,
             .zones = decision::zone_records_of(this->state->evacuations)};
@@ -156,11 +160,10 @@
     this->date(*update);
     this->state->metrics->count("store_updates_total{sender=\"" + update->host.value + "\"}");
     host::record_received(this->state->peers, update->host, this->state->clock->now());
-    if (update->is_read_failing)
-        host::record_failing(this->state->registry_outage, update->host, this->state->clock->now());
-    else
-        host::record_span(this->state->registry_outage, outage_options_of(*this->state), update->host,
-                          update->served);
+    if (update->is_store_absent)
+        host::record_absence(this->state->registry_outage, update->host, this->state->clock->now());
+    if (update->witness)
+        host::record_witness(this->state->registry_outage, outage_options_of(*this->state), *update->witness);
     this->apply_settings_update(*update);
     this->apply_registry_update(*update);
     this->record_doubt(*update);
@@ -179,7 +182,8 @@
         topic->until =
             sent && topic->until != base::time_point{} ? topic->until - (now - *sent) : base::time_point{};
     // The span's beginning stays as it is: it must not seem earlier than it was.
-    update.served.until = sent ? update.served.until - (now - *sent) : base::time_point{};
+    if (update.witness)
+        update.witness->span.until = sent ? update.witness->span.until - (now - *sent) : base::time_point{};
     if (sent)
         this->state->metrics->observe("notice_delay_seconds", now - *sent);
 }
@@ -189,8 +193,11 @@
     if (now - this->state->registry_known_until <
         host::age_to_ask(this->state->position_in_cell, registry_bound(*this->state)))
         host::end_doubt(this->state->registry_doubt);
-    else if (update.in_reply_to && update.is_read_failing)
-        this->state->registry_doubt.unanswered[update.host] = now;
+    else if (update.in_reply_to)
+        host::record_answer(this->state->registry_doubt, {.host = update.host,
+                                                          .is_read_failing = update.is_read_failing,
+                                                          .is_uninformed = update.is_uninformed,
+                                                          .received = now});
 }
 
 void store_updates::apply_settings_update(const store_update& update) {
--- a/libraries/gateway/store_sync/store_watch.cpp
+++ b/libraries/gateway/store_sync/store_watch.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/store_sync/store_watch.h>
 
+#include <gateway/store_sync/feed_ending.h>
 #include <gateway/store_sync/registry_doubt.h>
 
+#include <utility>
+
 namespace postpaddle::gateway {
 
 namespace {
@@ -48,8 +51,10 @@
     timer.async_wait(yield[ignored]);
 }
 
-void store_watch::log_unavailable(const topic& read, const ports::feed_error& error) {
+void store_watch::log_unavailable(const topic& read, const ports::feed_error& error,
+                                  host::read_ending ending) {
     this->state->log->write_always("dependency_lost", {{"dependency", std::string("store ") + read.name},
+                                                       {"ending", host::to_text(ending)},
                                                        {"failure", ports::to_text(error.failure)},
                                                        {"detail", error.detail},
                                                        {"arrived_bytes", error.arrived_bytes},
@@ -82,49 +87,90 @@
 void store_watch::run_read(topic& read, read_function function, host::store_read plan,
                            wire::yield_context yield) {
     const base::time_point began = this->state->clock->now();
+    const bool waits_for_record = plan.wait > std::chrono::milliseconds::zero() && read.progress.has_offset;
     const ports::read_timeouts timeouts = {
         .wait = plan.wait, .limit = plan.limit, .on_part = [&] { this->did_arrive(read, plan); }};
     const auto result = (this->*function)(timeouts, yield);
-    if (result) {
-        this->state->metrics->count("store_reads_total");
-        read.progress.leadership.behind_since.reset();
-        const bool has_reached_end = *result == read_outcome::records || *result == read_outcome::nothing_new;
-        const bool is_complete = &read != &this->registry || !this->has_gap();
-        if (has_reached_end && is_complete)
-            this->did_reach_end(read, *result, plan, began);
-        if (&read == &this->registry)
-            this->is_listing_unconfirmed = *result == read_outcome::listing;
-        if (*result == read_outcome::listing)
-            this->queries.ask_soon();
-        this->updates.did_read();
-        const bool may_pause = &read == &this->registry && has_reached_end;
-        if (!is_complete)
-            this->pause(host::min_probe_interval, yield);
-        else if (may_pause && plan.wait > std::chrono::milliseconds::zero())
-            this->pause_after_changes(yield);
-        if (host::did_answer(read.reader, plan, began))
-            this->state->log->write_always("dependency_regained",
-                                           {{"dependency", std::string("store ") + read.name}});
-    } else {
-        this->state->metrics->count("store_failures_total");
-        this->state->metrics->count(std::string("store_reads_failed_total{topic=\"") + read.name +
-                                    "\",failure=\"" + ports::to_text(result.error().failure) + "\"}");
-        this->state->metrics->count("store_bytes_given_up_total", result.error().arrived_bytes);
-        if (result.error().failure == ports::feed_failure::history_lost)
-            this->did_lose_history(read, result.error().first_kept);
-        const auto failure = result.error().failure == ports::feed_failure::unreachable
-                                 ? host::read_failure::no_answer
-                                 : host::read_failure::refusal;
-        if (host::did_fail(read.reader, plan, failure, began))
-            this->log_unavailable(read, result.error());
-        if (&read == &this->registry && read.reader.is_unavailable)
-            host::record_failed(this->state->registry_outage, this->state->clock->now());
-    }
-    if (&read == &this->registry)
-        this->update_failing();
+    if (result)
+        this->did_answer(read, *result, plan, began, yield);
+    else
+        this->did_fail(read, result.error(), plan, {.began = began, .waits_for_record = waits_for_record},
+                       yield);
     this->did_end(read);
 }
 
+void store_watch::did_answer(topic& read, read_outcome outcome, const host::store_read& plan,
+                             base::time_point began, wire::yield_context yield) {
+    this->state->metrics->count("store_reads_total");
+    read.progress.leadership.behind_since.reset();
+    const bool has_reached_end = outcome == read_outcome::records || outcome == read_outcome::nothing_new;
+    const bool is_complete = &read != &this->registry || !this->has_gap();
+    if (has_reached_end && is_complete)
+        this->did_reach_end(read, outcome, plan, began);
+    if (&read == &this->registry)
+        this->is_listing_unconfirmed = outcome == read_outcome::listing;
+    if (outcome == read_outcome::listing)
+        this->queries.ask_soon();
+    this->updates.did_read();
+    const bool may_pause = &read == &this->registry && has_reached_end;
+    if (!is_complete) {
+        this->record_uninformed();
+        this->pause(host::min_probe_interval, yield);
+    } else if (may_pause && plan.wait > std::chrono::milliseconds::zero()) {
+        this->pause_after_changes(yield);
+    }
+    this->did_regain(read, plan, began);
+}
+
+void store_watch::did_regain(topic& read, const host::store_read& plan, base::time_point began) {
+    if (host::did_answer(read.reader, plan, began))
+        this->state->log->write_always("dependency_regained",
+                                       {{"dependency", std::string("store ") + read.name}});
+}
+
+void store_watch::did_fail(topic& read, const ports::feed_error& error, const host::store_read& plan,
+                           const read_start& start, wire::yield_context yield) {
+    const host::read_ending ending = ending_of({.failure = error.failure,
+                                                .waits_for_record = start.waits_for_record,
+                                                .took = this->state->clock->now() - start.began,
+                                                .limit = plan.wait + plan.limit});
+    this->state->metrics->count(std::string("store_reads_failed_total{topic=\"") + read.name +
+                                "\",ending=\"" + host::to_text(ending) + "\"}");
+    this->state->metrics->count("store_bytes_given_up_total", error.arrived_bytes);
+    if (ending == host::read_ending::history_lost) {
+        this->record_ending(read, ending);
+        this->did_lose_history(read, error.first_kept, yield);
+        this->did_regain(read, plan, start.began);
+        return;
+    }
+    this->state->metrics->count("store_failures_total");
+    const bool is_whole =
+        error.failure != ports::feed_failure::unreachable && error.failure != ports::feed_failure::cut;
+    const auto failure = is_whole ? host::read_failure::refusal : host::read_failure::no_answer;
+    if (host::did_fail(read.reader, plan, failure, start.began))
+        this->log_unavailable(read, error, ending);
+    // A later read was answered, if the store doesn't count as unavailable.
+    if (read.reader.is_unavailable)
+        this->record_ending(read, ending);
+}
+
+void store_watch::record_ending(const topic& read, host::read_ending ending) {
+    if (&read != &this->registry)
+        return;
+    const host::store_proof proof = host::evidence_of(ending).proof;
+    host::record_read(this->state->registry_outage, outage_options_of(*this->state), ending,
+                      this->state->clock->now());
+    this->state->registry_read_ending = ending;
+    this->state->is_registry_read_failing = proof != host::store_proof::present;
+    if (proof == host::store_proof::present && ending != host::read_ending::answered)
+        this->record_uninformed();
+}
+
+void store_watch::record_uninformed() {
+    host::record_uninformed(this->state->registry_doubt, this->state->process->name,
+                            this->state->clock->now());
+}
+
 void store_watch::read_or_follow(topic& read, std::chrono::milliseconds bound, read_function function,
                                  wire::yield_context yield) {
     read.reader.bound = bound;
@@ -135,7 +181,7 @@
     read.reader.wait_fraction = host::wait_fraction(this->state->position_in_cell);
     read.reader.probe_interval = host::probe_interval(this->state->position_in_cell, bound);
     if (&read == &this->registry)
-        this->update_failing();
+        this->update_listing();
     if (&read == &this->registry && this->is_confirmation_pending(bound)) {
         this->pause(confirmation_check_interval, yield);
         return;
@@ -159,12 +205,10 @@
     read.wake.async_wait(yield[ignored]);
 }
 
-void store_watch::update_failing() {
+void store_watch::update_listing() {
     // Other hosts may have confirmed the listing.
     if (this->registry.progress.leadership.known_until >= this->listed_at)
         this->is_listing_unconfirmed = false;
-    this->state->is_registry_read_failing =
-        this->registry.reader.is_unavailable || this->is_listing_unconfirmed || this->has_gap();
 }
 
 bool store_watch::is_confirmation_pending(std::chrono::milliseconds bound) const {
@@ -175,10 +219,17 @@
            count_other_hosts(*this->state) > 0 && this->state->clock->now() - this->listed_at < longest;
 }
 
-void store_watch::did_lose_history(topic& read, std::uint64_t first_kept) {
+void store_watch::did_lose_history(topic& read, std::uint64_t first_kept, wire::yield_context yield) {
+    this->state->log->write_always(
+        "store_history_lost",
+        {{"topic", read.name}, {"next_offset", read.progress.next_offset}, {"first_kept", first_kept}});
     read.progress.has_offset = false;
     if (&read == &this->registry)
         this->log_begin = std::max(this->log_begin, first_kept);
+    // The topic is listed at once, but not in a loop while it loses its history again and again.
+    const base::time_point now = this->state->clock->now();
+    if (now - std::exchange(read.history_lost_at, now) < host::min_probe_interval)
+        this->pause(host::min_probe_interval, yield);
 }
 
 store_watch::read_outcome store_watch::outcome_of(bool is_empty, bool has_more) {
@@ -248,35 +299,51 @@
                                                     wire::yield_context yield) {
     topic_progress& own = this->registry.progress;
     const bool is_listing_due = this->has_gap() && this->state->clock->now() >= this->listing_due;
-    const bool is_snapshot = !own.has_offset || is_listing_due;
-    const std::optional<std::uint64_t> from = is_snapshot ? std::nullopt : std::optional(own.next_offset);
-    auto page = !is_snapshot ? this->feed->registry_after(own.next_offset, timeouts, yield)
-                             : this->feed->newest_registry(timeouts, yield);
+    if (!own.has_offset || is_listing_due)
+        return this->list_registry(timeouts, yield);
+    const std::uint64_t from =
+        this->has_gap() ? std::max(this->log_begin, this->read_after_gap) : own.next_offset;
+    auto page = this->feed->registry_after(from, timeouts, yield);
     if (!page)
         return tl::make_unexpected(page.error());
-    const bool is_empty = page->next == from;
-    host::record_served(this->state->registry_outage, outage_options_of(*this->state),
-                        this->state->clock->now());
+    this->record_ending(this->registry, host::read_ending::answered);
     this->log_unreadable_entries(page->unreadable);
-    if (is_snapshot) {
-        apply_registry_snapshot(*this->state, *page);
-        this->updates.did_read_snapshot();
-        this->listed_at = this->state->clock->now();
-        this->listed_until = page->next;
-        this->listing_due = this->state->clock->now() + 2 * host::min_probe_interval;
-        // A listing may be behind the log, and the log begins where its oldest record is.
-        page->next = std::max(page->next, this->log_begin);
-    } else {
-        apply_registry_changes(*this->state, page->changes, "store");
-    }
-    const std::uint64_t since = std::exchange(own.next_offset, std::max(own.next_offset, page->next));
+    apply_registry_changes(*this->state, page->changes, "store");
+    if (this->has_gap())
+        this->read_after_gap = page->next;
+    else
+        this->did_read_log(from, *page);
+    expire_unlisted_instances(*this->state);
+    return outcome_of(page->next == from, page->has_more);
+}
+
+void store_watch::did_read_log(std::uint64_t from, const ports::registry_page& page) {
+    topic_progress& own = this->registry.progress;
+    // Updates may have moved the offset on during the read.
+    const std::uint64_t since = std::exchange(own.next_offset, std::max(own.next_offset, page.next));
+    this->state->registry_next = own.next_offset;
+    if (from <= since && since < own.next_offset)
+        this->updates.did_read_changes(since, page.changes);
+}
+
+store_watch::read_result store_watch::list_registry(const ports::read_timeouts& timeouts,
+                                                    wire::yield_context yield) {
+    topic_progress& own = this->registry.progress;
+    auto page = this->feed->newest_registry(timeouts, yield);
+    if (!page)
+        return tl::make_unexpected(page.error());
+    this->record_ending(this->registry, host::read_ending::answered);
+    this->log_unreadable_entries(page->unreadable);
+    apply_registry_snapshot(*this->state, *page);
+    this->updates.did_read_snapshot();
+    this->listed_at = this->state->clock->now();
+    this->listing_due = this->listed_at + 2 * host::min_probe_interval;
+    // A listing may be behind the log, and behind what was known before.
+    own.next_offset = std::max(own.next_offset, page->next);
     own.has_offset = true;
-    // What another host may take over is complete up to here.
-    this->state->registry_next = this->has_gap() ? this->listed_until : own.next_offset;
-    if (since < own.next_offset && !is_snapshot)
-        this->updates.did_read_changes(since, page->changes);
+    this->state->registry_next = own.next_offset;
     expire_unlisted_instances(*this->state);
-    return is_snapshot ? read_outcome::listing : outcome_of(is_empty, page->has_more);
+    return read_outcome::listing;
 }
 
 void store_watch::watch_registry(wire::yield_context yield) {
--- a/libraries/gateway/store_sync/store_watch.h
+++ b/libraries/gateway/store_sync/store_watch.h
@@ -42,6 +42,12 @@
         host::store_reader reader;
         wire::boot_timer wake; ///< Cancelled when a read ends.
         topic_progress progress;
+        base::time_point history_lost_at{}; ///< When the store last said that its history is gone.
+    };
+    /// What a read that failed began with.
+    struct read_start {
+        base::time_point began{};
+        bool waits_for_record = false;
     };
     enum class read_outcome {
         records,     ///< The page ends with the store's newest record.
@@ -61,14 +67,26 @@
     void run_due_reads(topic& read, read_function function, wire::yield_context yield);
     /// Executes one read.
     void run_read(topic& read, read_function function, host::store_read plan, wire::yield_context yield);
+    /// Call when a read was answered with what was asked for.
+    void did_answer(topic& read, read_outcome outcome, const host::store_read& plan, base::time_point began,
+                    wire::yield_context yield);
+    /// Call when a read has ended otherwise.
+    void did_fail(topic& read, const ports::feed_error& error, const host::store_read& plan,
+                  const read_start& start, wire::yield_context yield);
+    /// Closes a read to which the store was there.
+    void did_regain(topic& read, const host::store_read& plan, base::time_point began);
+    /// Records what a read of the registry proves.
+    void record_ending(const topic& read, host::read_ending ending);
+    /// Records that the store is there, but has not told all that it has.
+    void record_uninformed();
     /// Call when the store has dropped records that were to be read.
-    void did_lose_history(topic& read, std::uint64_t first_kept);
-    /// Updates whether this host's reads of the registry fail.
-    void update_failing();
+    void did_lose_history(topic& read, std::uint64_t first_kept, wire::yield_context yield);
+    /// Updates whether the last listing is confirmed.
+    void update_listing();
     /// Whether other hosts may still confirm the last listing, which saves a call to the store.
     [[nodiscard]] bool is_confirmation_pending(std::chrono::milliseconds bound) const;
     /// Whether records of the registry may be unknown here that neither the log nor the last listing has.
-    [[nodiscard]] bool has_gap() const { return this->listed_until < this->log_begin; }
+    [[nodiscard]] bool has_gap() const { return this->registry.progress.next_offset < this->log_begin; }
     [[nodiscard]] static read_outcome outcome_of(bool is_empty, bool has_more);
     /// Records that every record which the store had at some time of the read is known now.
     void did_reach_end(topic& read, read_outcome outcome, const host::store_read& plan,
@@ -79,11 +97,15 @@
     void did_end(topic& read);
     [[nodiscard]] read_result read_settings(const ports::read_timeouts& timeouts, wire::yield_context yield);
     [[nodiscard]] read_result read_registry(const ports::read_timeouts& timeouts, wire::yield_context yield);
+    /// Reads the newest record of each upstream.
+    [[nodiscard]] read_result list_registry(const ports::read_timeouts& timeouts, wire::yield_context yield);
+    /// Records that everything up to the end of a page is known, which was read from that offset on.
+    void did_read_log(std::uint64_t from, const ports::registry_page& page);
     /// Waits after a read, so that records written together are read together.
     void pause_after_changes(wire::yield_context yield);
     void log_unreadable_settings(const ports::unreadable_settings& record);
     void log_unreadable_entries(const std::vector<base::upstream_id>& ids);
-    void log_unavailable(const topic& read, const ports::feed_error& error);
+    void log_unavailable(const topic& read, const ports::feed_error& error, host::read_ending ending);
     void pause(base::duration length, wire::yield_context yield);
 
     gateway_state* state;
@@ -94,11 +116,11 @@
     /// Whether the registry was last read as a listing, which no read of the log has confirmed yet.
     bool is_listing_unconfirmed = false;
     /// First record of the registry's log that the store kept when it dropped others that were to be read.
-    /// Until a listing reaches it, records between the two may be unknown here.
+    /// Until a listing or another host's changes reach it, records before it may be unknown here.
     std::uint64_t log_begin = 0;
-    base::time_point listed_at{};   ///< When the last listing was read.
-    std::uint64_t listed_until = 0; ///< Offset up to which the last listing reached.
-    base::time_point listing_due{}; ///< When to read the next listing while there is such a gap.
+    std::uint64_t read_after_gap = 0; ///< Offset after the last record that was read behind such a gap.
+    base::time_point listed_at{};     ///< When the last listing was read.
+    base::time_point listing_due{};   ///< When to read the next listing while there is such a gap.
     store_updates updates;
     anti_entropy queries;
     std::optional<std::uint64_t> unreadable_settings_logged; ///< Offset of the last one logged.
--- a/libraries/gateway/stream_origin/journal_partition.cpp
+++ b/libraries/gateway/stream_origin/journal_partition.cpp
@@ -93,7 +93,7 @@
             if (!deleted.bytes)
                 this->expiry_of_batch[deleted.key] = next_deletion;
     // The store may have taken them although its answer was lost.
-    const bool may_be_written = !written && written.error().failure == ports::feed_failure::unreachable;
+    const bool may_be_written = !written && ports::may_have_taken_effect(written.error().failure);
     next->is_written = written || (may_be_written && !next->records.empty() && this->has_batch(key, yield));
     next->done.cancel();
 }
--- a/libraries/host/replica_lease.cpp
+++ b/libraries/host/replica_lease.cpp
@@ -22,14 +22,16 @@
 
 bool is_store_lost(const replica_lease_options& options, const replica_doubt& doubt,
                    const lease_facts& facts) {
-    if (!facts.is_own_read_failing)
+    const auto is_any_recent = [&](const std::map<base::host_id, base::time_point>& hosts) {
+        return std::ranges::any_of(hosts,
+                                   [&](const auto& item) { return facts.now - item.second < options.bound; });
+    };
+    if (!facts.is_own_read_failing || is_any_recent(doubt.uninformed))
         return false;
     if (facts.other_hosts == 0)
         return true;
     const bool has_asked = doubt.asked.size() >= std::min(facts.other_hosts, hosts_asked_for_outage);
-    return has_asked && std::ranges::any_of(doubt.unanswered, [&](const auto& item) {
-               return facts.now - item.second < options.bound;
-           });
+    return has_asked && is_any_recent(doubt.unanswered);
 }
 
 } // namespace
@@ -91,4 +93,21 @@
     doubt.unanswered.clear();
 }
 
+void record_answer(replica_doubt& doubt, const doubt_answer& answer) {
+    if (answer.is_read_failing)
+        doubt.unanswered[answer.host] = answer.received;
+    if (answer.is_uninformed)
+        doubt.uninformed[answer.host] = answer.received;
+}
+
+void record_uninformed(replica_doubt& doubt, const base::host_id& own, base::time_point now) {
+    doubt.uninformed[own] = now;
+}
+
+bool is_uninformed(const replica_lease_options& options, const replica_doubt& doubt, const base::host_id& own,
+                   base::time_point now) {
+    const auto found = doubt.uninformed.find(own);
+    return found != doubt.uninformed.end() && now - found->second < options.bound;
+}
+
 } // namespace postpaddle::host
--- a/libraries/host/replica_lease.h
+++ b/libraries/host/replica_lease.h
@@ -32,7 +32,10 @@
 struct replica_doubt {
     std::set<std::string> asked;                          ///< Their addresses.
     std::map<base::host_id, base::time_point> unanswered; ///< Hosts that the store does not answer either.
-    base::time_point asked_at{};                          ///< When hosts were last asked.
+    /// Hosts, this one included, that the store answers without telling them all that it has: it is there,
+    /// and may have accepted records that nobody knows.
+    std::map<base::host_id, base::time_point> uninformed;
+    base::time_point asked_at{}; ///< When hosts were last asked.
 };
 
 enum class lease_state {
@@ -46,7 +49,7 @@
 
 struct lease_facts {
     base::time_point known_until{};   ///< All records that the store had at this time are known here.
-    bool is_own_read_failing = false; ///< The last own read of the store that ended failed.
+    bool is_own_read_failing = false; ///< The last own read that ended didn't prove that the store is there.
     std::size_t other_hosts = 0;      ///< That may be alive.
     base::time_point now{};
 };
@@ -76,4 +79,21 @@
 /// Call when the replica is recent again.
 void end_doubt(replica_doubt& doubt);
 
+/// How another host, whose own replica is old as well, answered a question.
+struct doubt_answer {
+    base::host_id host;
+    bool is_read_failing = false; ///< Its last own read didn't prove that the store is there.
+    bool is_uninformed = false;   ///< The store answers it, without telling it all that it has.
+    base::time_point received{};
+};
+
+void record_answer(replica_doubt& doubt, const doubt_answer& answer);
+
+/// Records that the store answered a read of this host without telling all that it has.
+void record_uninformed(replica_doubt& doubt, const base::host_id& own, base::time_point now);
+
+/// Whether that was so within the bound.
+[[nodiscard]] bool is_uninformed(const replica_lease_options& options, const replica_doubt& doubt,
+                                 const base::host_id& own, base::time_point now);
+
 } // namespace postpaddle::host
--- a/libraries/host/store_outage.h
+++ b/libraries/host/store_outage.h
@@ -3,6 +3,7 @@
 
 #include <base/clock.h>
 #include <base/identifier.h>
+#include <host/read_ending.h>
 
 #include <cstddef>
 #include <map>
@@ -10,12 +11,14 @@
 
 /// Whether the store itself was away, so that registry entries may have lapsed although their upstreams live.
 ///
-/// Hosts tell each other when their reads fail, but such a host may just be cut off from the store or turned
-/// away by it. A host that the store answered all the while proves that the store was there, and that it took
-/// what that host has read, however many others complain.
+/// It rests on what the endings of reads prove, and on nothing else. Hosts tell each other when the store
+/// does not serve them, but such a host may just be cut off from the store or turned away by it. A host to
+/// which the store was there all the while proves that it took what that host has read, however many others
+/// complain.
 namespace postpaddle::host {
 
-/// Span of time within which the store answered each read that a host made. Empty if its last read failed.
+/// Span of time within which no read of a host proved that the store was away, and reads that proved that it
+/// was there followed each other closely. Empty since the last read that proved the opposite.
 struct served_span {
     base::time_point since{};
     base::time_point until{};
@@ -31,10 +34,10 @@
     base::duration max_proof_age{};
 };
 
-/// Another host that the store answered throughout a window.
+/// A host to which the store was there throughout a window.
 struct outage_witness {
     base::host_id host;
-    base::time_point until{}; ///< End of the span in which it was answered.
+    served_span span;
 
     bool operator==(const outage_witness&) const = default;
 };
@@ -42,23 +45,32 @@
 /// What a host knows of the store's trouble by its own reads and by what other hosts tell of theirs.
 struct outage_evidence {
     served_span own{};
-    std::optional<base::time_point> own_failed_at{};        ///< When an own read last failed.
-    std::map<base::host_id, base::time_point> failing_at{}; ///< When other hosts last said that theirs fail.
+    std::optional<base::time_point> own_absence_at{}; ///< When an own read last proved that it was away.
+    /// When other hosts last said so of their own reads.
+    std::map<base::host_id, base::time_point> absences_told{};
     std::optional<outage_witness> witness{};
 };
 
-/// Records an own read that the store answered. A gap of more than the proof's age between two of them begins
-/// a new span.
-void record_served(outage_evidence& evidence, const outage_options& options, base::time_point now);
+/// Records how an own read ended. A gap of more than the proof's age between two that prove that the store
+/// was there begins a new span.
+void record_read(outage_evidence& evidence, const outage_options& options, read_ending ending,
+                 base::time_point now);
 
-void record_failed(outage_evidence& evidence, base::time_point now);
+/// Whether this host tells others that the store is away: the last of its own reads that proved anything
+/// proved that, within the window. A host that follows others may have read nothing since.
+[[nodiscard]] bool is_absence_told(const outage_evidence& evidence, const outage_options& options,
+                                   base::time_point now);
 
-/// Records that another host's reads fail.
-void record_failing(outage_evidence& evidence, const base::host_id& host, base::time_point now);
+/// Records that another host told of the store's absence.
+void record_absence(outage_evidence& evidence, const base::host_id& host, base::time_point now);
 
-/// Records the span in which the store answered another host, by this host's clock.
-void record_span(outage_evidence& evidence, const outage_options& options, const base::host_id& host,
-                 const served_span& span);
+/// Records what another host, or a third one by its word, can vouch for, by this host's clock.
+void record_witness(outage_evidence& evidence, const outage_options& options, const outage_witness& told);
+
+/// What this host can vouch for to others: of itself or, if its own span is too short, of the witness that it
+/// has heard of.
+[[nodiscard]] std::optional<outage_witness>
+witness_to_tell(const outage_evidence& evidence, const outage_options& options, const base::host_id& own);
 
 /// Whether the store itself was away within the window. Reads of a single host may fail because of its own
 /// link or processor, so two must fail, unless this host knows no other.
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -20,8 +20,10 @@
 
 /// Why a store operation failed.
 enum class feed_failure {
-    unreachable,  ///< Connection failure, timeout, or truncated response.
-    unavailable,  ///< The store reports that it is overloaded or unavailable.
+    unreachable,  ///< Connection failure, or no response in time.
+    cut,          ///< The response began and did not arrive whole. A write may have taken effect.
+    unavailable,  ///< The store reports that it can't serve this host now (5xx).
+    rejected,     ///< The store refuses the call for what it says or for its rate (4xx).
     history_lost, ///< The requested records have been compacted; read the latest record of each key instead.
     malformed,    ///< Protocol violation or unparsable document.
     conflict,     ///< Conditional write lost to a concurrent record; nothing was written.
@@ -223,6 +225,9 @@
     [[nodiscard]] virtual feed_result<settings_document> read_document(const std::string& text) const = 0;
 };
 
+/// Whether a write that failed so may have been carried out, or may yet be.
+[[nodiscard]] bool may_have_taken_effect(feed_failure failure);
+
 /// Name of a failure as used in logs.
 [[nodiscard]] const char* to_text(feed_failure failure);
 
--- a/tests/host/test_departure_model.cpp
+++ b/tests/host/test_departure_model.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+
 using namespace postpaddle;
 using namespace std::chrono_literals;
 
@@ -15,6 +17,8 @@
 void check_all(test::departure_plan plan) {
     int departures = 0;
     int lapses = 0;
+    int losses = 0;
+    std::array<int, host::read_endings> endings{};
     for (plan.seed = 1; plan.seed <= seeds; ++plan.seed) {
         const auto result = test::run_departures(plan);
         INFO("seed " << plan.seed << ": latest " << base::to_milliseconds(result.latest) << " ms");
@@ -22,9 +26,19 @@
         CHECK(result.unserved == 0);
         departures += result.departures;
         lapses += result.lapses;
+        losses += result.losses;
+        for (std::size_t ending = 0; ending < host::read_endings; ++ending)
+            endings.at(ending) += result.endings.at(ending);
     }
     CHECK((departures > 0) == plan.has_departures);
     CHECK((lapses > 0) == plan.has_outages);
+    CHECK((losses > 0) == plan.forgets);
+    const bool draws_all =
+        plan.has_outages && plan.turns_hosts_away && plan.forgets && plan.has_unclear_endings;
+    for (std::size_t ending = 0; ending < host::read_endings && draws_all; ++ending) {
+        INFO(host::to_text(static_cast<host::read_ending>(ending)));
+        CHECK(endings.at(ending) > 0);
+    }
 }
 
 } // namespace
@@ -33,6 +47,11 @@
     check_all({.has_outages = false, .has_restarts = false, .writes_late = false});
 }
 
+TEST_CASE("an upstream that left is not used later than the bound, while the store forgets its history") {
+    check_all({.has_outages = false, .turns_hosts_away = false, .has_restarts = false, .writes_late = false});
+    check_all({.has_outages = false, .has_unclear_endings = false});
+}
+
 TEST_CASE("an upstream that starts again with any clock and then leaves is not used later than the bound") {
     check_all({.has_outages = false, .turns_hosts_away = false, .writes_late = false});
 }
--- a/tests/host/test_replica_lease.cpp
+++ b/tests/host/test_replica_lease.cpp
@@ -22,7 +22,7 @@
 }
 
 host::replica_doubt doubt_of(std::set<std::string> asked, std::chrono::milliseconds failing_age) {
-    return {.asked = std::move(asked), .unanswered = {{{"other"}, now - failing_age}}};
+    return {.asked = std::move(asked), .unanswered = {{{"other"}, now - failing_age}}, .uninformed = {}};
 }
 
 /// Names of the hosts of the model's first cell.
@@ -65,7 +65,7 @@
     CHECK(host::state_of(options, doubt_of({"a", "b", "c"}, 100ms), facts) == lease_state::store_outage);
     CHECK(host::state_of(options, doubt_of({"a", "b"}, 100ms), facts) == lease_state::lapsed);
     CHECK(host::state_of(options, doubt_of({"a", "b", "c"}, 2s), facts) == lease_state::lapsed);
-    CHECK(host::state_of(options, {.asked = {"a", "b", "c"}, .unanswered = {}}, facts) ==
+    CHECK(host::state_of(options, {.asked = {"a", "b", "c"}, .unanswered = {}, .uninformed = {}}, facts) ==
           lease_state::lapsed);
     auto own_reads = facts;
     own_reads.is_own_read_failing = false;
@@ -75,6 +75,29 @@
     CHECK(host::state_of(options, {}, alone) == lease_state::store_outage);
 }
 
+// Guards against hosts that go on with an old registry although the store only lacks records for them.
+TEST_CASE("the store does not count as lost while it answers any host without telling it all that it has") {
+    auto doubt = doubt_of({"a", "b", "c"}, 100ms);
+    SECTION("this one") {
+        host::record_uninformed(doubt, {"own"}, now - 1s);
+        CHECK(host::is_uninformed(options, doubt, {"own"}, now));
+    }
+    SECTION("or another one, which says so") {
+        host::record_answer(
+            doubt, {.host = {"b"}, .is_read_failing = false, .is_uninformed = true, .received = now - 1s});
+    }
+    CHECK(host::state_of(options, doubt, facts_at_age(3s)) == lease_state::lapsed);
+    // Nor does that end as this host becomes recent for a moment.
+    host::end_doubt(doubt);
+    CHECK(!doubt.uninformed.empty());
+    doubt.asked = {"a", "b", "c"};
+    host::record_answer(doubt,
+                        {.host = {"a"}, .is_read_failing = true, .is_uninformed = false, .received = now});
+    CHECK(host::state_of(options, doubt, facts_at_age(3s)) == lease_state::lapsed);
+    doubt.uninformed.begin()->second = now - 2s;
+    CHECK(host::state_of(options, doubt, facts_at_age(3s)) == lease_state::store_outage);
+}
+
 TEST_CASE("hosts are asked in turn, and again once all have been") {
     host::peer_directory directory;
     for (const auto* name : {"a", "b", "c", "d", "e"})
--- a/tests/host/test_store_outage.cpp
+++ b/tests/host/test_store_outage.cpp
@@ -14,14 +14,14 @@
 host::outage_evidence failing(std::initializer_list<std::pair<const char*, base::duration>> hosts) {
     host::outage_evidence evidence;
     for (const auto& [name, age] : hosts)
-        host::record_failing(evidence, {name}, now - age);
+        host::record_absence(evidence, {name}, now - age);
     return evidence;
 }
 
 /// Records reads that the store answered from `first` ago to `last` ago.
 void serve(host::outage_evidence& evidence, base::duration first, base::duration last) {
     for (base::duration age = first; age >= last; age -= 200ms)
-        host::record_served(evidence, options, now - age);
+        host::record_read(evidence, options, host::read_ending::answered, now - age);
 }
 
 } // namespace
@@ -33,7 +33,7 @@
     auto one = failing({{"a", 1s}});
     CHECK_FALSE(host::was_store_away(one, options, 3, now));
     for (auto* const evidence : {&none, &one})
-        host::record_failed(*evidence, now - 1s);
+        host::record_read(*evidence, options, host::read_ending::no_answer, now - 1s);
     CHECK_FALSE(host::was_store_away(none, options, 3, now));
     CHECK(host::was_store_away(one, options, 3, now));
     CHECK(host::was_store_away(failing({{"a", 1s}, {"b", 2s}}), options, 3, now));
@@ -53,7 +53,7 @@
         CHECK(host::was_store_away(fresh, options, 5, now));
     }
     SECTION("unless its own reads have failed since") {
-        host::record_failed(evidence, now - 300ms);
+        host::record_read(evidence, options, host::read_ending::no_answer, now - 300ms);
         serve(evidence, 200ms, 0s);
         CHECK(host::was_store_away(evidence, options, 5, now));
     }
@@ -72,18 +72,60 @@
 
 TEST_CASE("another host that the store has answered throughout refutes that it was away") {
     auto evidence = failing({{"a", 100ms}, {"b", 50ms}});
-    host::record_failed(evidence, now - 20ms);
-    host::record_span(evidence, options, {"c"}, {now - 2s, now});
+    host::record_read(evidence, options, host::read_ending::no_answer, now - 20ms);
+    host::record_witness(evidence, options, {.host = {"c"}, .span = {now - 2s, now}});
     CHECK(host::was_store_away(evidence, options, 5, now));
-    host::record_span(evidence, options, {"c"}, {now - 5s, now - 1s});
+    host::record_witness(evidence, options, {.host = {"c"}, .span = {now - 5s, now - 1s}});
     CHECK_FALSE(host::was_store_away(evidence, options, 5, now));
     CHECK(host::was_store_away(evidence, options, 5, now + 1'100ms));
     SECTION("until its own reads fail") {
-        host::record_failing(evidence, {"c"}, now);
+        host::record_absence(evidence, {"c"}, now);
         CHECK(host::was_store_away(evidence, options, 5, now));
+        // A third host that has not heard so may still name it.
+        host::record_witness(evidence, options, {.host = {"c"}, .span = {now - 5s, now - 100ms}});
+        CHECK(host::was_store_away(evidence, options, 5, now));
+    }
+    SECTION("and can be named to others by hosts that the store turns away") {
+        const auto told = host::witness_to_tell(evidence, options, {"own"});
+        CHECK(told == host::outage_witness{.host = {"c"}, .span = {now - 5s, now - 1s}});
     }
     SECTION("whatever an older message says") {
-        host::record_span(evidence, options, {"d"}, {now - 20s, now - 10s});
+        host::record_witness(evidence, options, {.host = {"d"}, .span = {now - 20s, now - 10s}});
         CHECK_FALSE(host::was_store_away(evidence, options, 5, now));
     }
 }
+
+// Guards against a doubt that is built from anything but reads that the store could have served and didn't.
+TEST_CASE("only reads that the store leaves unserved make a host tell that it is away") {
+    for (std::size_t number = 0; number < host::read_endings; ++number) {
+        const auto ending = static_cast<host::read_ending>(number);
+        INFO(host::to_text(ending));
+        host::outage_evidence evidence;
+        serve(evidence, 4s, 200ms);
+        host::record_read(evidence, options, ending, now);
+        const bool is_absent = host::evidence_of(ending).proof == host::store_proof::absent;
+        CHECK(host::is_absence_told(evidence, options, now) == is_absent);
+        CHECK(host::was_store_away(evidence, options, 0, now) == is_absent);
+        // A host that it was there for still refutes the others, unless its own read proved the opposite.
+        host::record_absence(evidence, {"a"}, now);
+        host::record_absence(evidence, {"b"}, now);
+        CHECK(host::was_store_away(evidence, options, 5, now) == is_absent);
+    }
+}
+
+// Guards against all hosts losing the proof that the store was there, as it forgets its history for all.
+TEST_CASE("a host goes on proving that the store was there when the store says that its history is gone") {
+    host::outage_evidence evidence;
+    serve(evidence, 4s, 400ms);
+    host::record_read(evidence, options, host::read_ending::history_lost, now - 200ms);
+    host::record_read(evidence, options, host::read_ending::history_lost, now);
+    CHECK(evidence.own == host::served_span{.since = now - 4s, .until = now});
+}
+
+// Guards against a host that complains for good, as it follows others and reads no more.
+TEST_CASE("a host tells of the store's absence no longer than an outage is remembered") {
+    host::outage_evidence evidence;
+    host::record_read(evidence, options, host::read_ending::turned_away, now);
+    CHECK(host::is_absence_told(evidence, options, now + 3s));
+    CHECK_FALSE(host::is_absence_told(evidence, options, now + 3'001ms));
+}
