gateway: Take a stream while the host stops only if it can end in time, whatever others took

What callers saw: in a planned stop, in calm, streams that came late in the grace were taken and broken off at its end, among them some that may not run again. Cause: a stopping host reckoned with the mean time of the service's streams, and took any stream where that wasn't known. Change: it reckons with the longest that the stream may be: as many events as its caller allows at the pace of its service and a quarter more, or, where the pace isn't known, as long as its caller waits. What may not end in time is refused as not run; other hosts take it. A check was replaced: "a stream whose time is not known is taken" asked for the fault; now the caller's patience counts there, for and against. Not played: requests that another host forwards while it stops, a grace shortened by a reload.

--- a/libraries/gateway/endings/request_drain.cpp
+++ b/libraries/gateway/endings/request_drain.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-/// Streams that must have been timed before a request is refused because of how long they take.
+/// Streams that must have been timed before a stream's time is reckoned from theirs.
 constexpr int min_streams_timed = 8;
+/// By how much a stream may be slower than the mean of its service.
+constexpr double pace_margin = 1.25;
 
 /// Lets a request that waits decide again.
 void wake(const gateway_request& request) {
@@ -27,16 +29,18 @@
     return request.connection->progress() != wire::response_progress::none;
 }
 
-/// Time that a stream takes from its send to its end, if that is known. Its caller's limit of tokens may be
-/// far above what streams really have.
-base::duration expected_stream_time(const gateway_request& request) {
+/// Longest time that a stream may take from its send to its end: as long as its caller waits or, where the
+/// pace of its service is known, as long as all the tokens take that its caller allows. Most streams are
+/// shorter, but one that isn't would be broken off.
+base::duration longest_stream_time(const gateway_request& request) {
+    const base::time_point end = request.deadline_before_drain.value_or(request.deadline);
+    const base::duration longest = end - request.state->clock->now();
     const decision::service_profile& profile = profile_of(request);
-    if (request.route->kind != settings::route_kind::stream || profile.streams_timed < min_streams_timed)
-        return {};
-    const int tokens_per_event = std::max(1, capacity_of(request).tokens_per_event);
-    const double own_events = request.routed.output_tokens / tokens_per_event;
-    const double own_seconds = profile.speed.first_event.value + own_events * profile.event_seconds.value;
-    return base::from_seconds(std::min(own_seconds, decision::hold_seconds(profile, tokens_per_event)));
+    if (profile.streams_timed < min_streams_timed || request.routed.output_tokens <= 0)
+        return longest;
+    const double events = request.routed.output_tokens / std::max(1, capacity_of(request).tokens_per_event);
+    const double seconds = profile.speed.first_event.value + events * profile.event_seconds.value;
+    return std::min(longest, base::from_seconds(seconds * pace_margin));
 }
 
 /// Lets a request's pause be ended for as long as the object lives.
@@ -84,8 +88,11 @@
 bool is_beyond_drain(const gateway_request& request) {
     const auto& drain = request.state->drain;
     const bool is_unsent = request.record.attempts == 0 && request.record.prompts == 0;
-    return drain && is_unsent &&
-           request.state->clock->now() + expected_stream_time(request) >= drain->answer_by;
+    if (!drain || !is_unsent)
+        return false;
+    const bool is_stream = request.route->kind == settings::route_kind::stream;
+    const base::duration longest = is_stream ? longest_stream_time(request) : base::duration::zero();
+    return request.state->clock->now() + longest >= drain->answer_by;
 }
 
 bool is_wait_over(const gateway_request& request) {
--- a/libraries/gateway/endings/request_drain.h
+++ b/libraries/gateway/endings/request_drain.h
@@ -18,8 +18,8 @@
 /// Lets a response that begins use the time until the host's end.
 void did_begin_response(gateway_request& request);
 
-/// Whether a request that no upstream has been sent would end later than the host. It can be served by
-/// another one.
+/// Whether a request that no upstream has been sent may end later than the host. It can be served by another
+/// one.
 [[nodiscard]] bool is_beyond_drain(const gateway_request& request);
 
 /// Whether nothing may be waited for any more on the request's behalf: its caller is gone, its deadline has
--- a/tests/gateway/test_request_endings.cpp
+++ b/tests/gateway/test_request_endings.cpp
@@ -312,6 +312,7 @@
     request.route = &route;
     request.service = "engines";
     request.routed.output_tokens = 50;
+    request.deadline = host.clock.now() + std::chrono::seconds(60);
     decision::service_profile& profile = host.state.profiles["engines"];
     profile.streams_timed = 1'000;
     profile.speed.first_event.value = 0.2;
@@ -324,10 +325,22 @@
     CHECK_FALSE(gateway::is_beyond_drain(request));
     gateway::begin_drain(host.state, drain_of(std::chrono::seconds(2)));
     CHECK(gateway::is_beyond_drain(request));
-    SECTION("not where its time is not known") {
+    SECTION("not where it is short enough by its caller's limit") {
+        request.routed.output_tokens = 5;
+        CHECK_FALSE(gateway::is_beyond_drain(request));
+    }
+    SECTION("not where its caller waits no longer than that") {
+        request.deadline_before_drain = host.clock.now() + std::chrono::milliseconds(1'200);
+        CHECK_FALSE(gateway::is_beyond_drain(request));
         profile.streams_timed = 0;
         CHECK_FALSE(gateway::is_beyond_drain(request));
     }
+    SECTION("nor where only its caller's patience is known, and is longer") {
+        profile.streams_timed = 0;
+        gateway::begin_drain(host.state, drain_of(std::chrono::seconds(8)));
+        request.deadline_before_drain = host.clock.now() + std::chrono::seconds(9);
+        CHECK(gateway::is_beyond_drain(request));
+    }
     SECTION("not once it may have run") {
         request.record.attempts = 1;
         CHECK_FALSE(gateway::is_beyond_drain(request));
