wire, gateway: Bound what a host collects of all bodies together

What callers saw: a server that sends bytes without end, to many requests at once, made the host that called it run out of memory, and so ended the requests of all others there. Change: wire/collected_data accounts for each body that a connection collects, by source, for each direction apart; all functions that collect go through it, event streams included. Beyond the bound (a sixteenth of the memory) the largest message of the source that fills most of it is given up. A request that finds no room is refused as not run, with when to come back, before it is read on. `memory_mb` names the memory. Not bounded by this: what arrived in socket buffers and isn't read yet, and what a connection needs by itself.

--- a/libraries/decision/overload/unsent_bytes.cpp
+++ b/libraries/decision/overload/unsent_bytes.cpp
@@ -11,6 +11,10 @@
 /// Part of the memory limit. Buffers may occupy twice the bytes that they contain, as strings double their
 /// capacity, so half of the memory remains for everything else.
 constexpr std::uint64_t memory_divisor = 4;
+/// The same for what is collected, in each direction. A body may stand twice for a moment, as it moves on.
+constexpr std::uint64_t collected_divisor = 16;
+/// For a process without a memory limit.
+constexpr std::uint64_t default_collected_bytes = 32UL * 1024 * 1024;
 /// Per connection, for a process without a memory limit. 16 KiB contain a whole stream of 69 events; with the
 /// default of 1,500 connections the bound is 24 MB, about a quarter of the smallest hosts' 88 MB.
 constexpr std::uint64_t bytes_per_connection = 16UL * 1024;
@@ -65,6 +69,10 @@
     return memory.connections * bytes_per_connection;
 }
 
+std::uint64_t collected_bound(const host_memory& memory) {
+    return memory.limit_bytes ? *memory.limit_bytes / collected_divisor : default_collected_bytes;
+}
+
 unsent_sums sum_unsent(const std::vector<unsent_reader>& readers) {
     unsent_sums sums;
     for (const unsent_reader& each : readers)
--- a/libraries/decision/overload/unsent_bytes.h
+++ b/libraries/decision/overload/unsent_bytes.h
@@ -28,6 +28,9 @@
 /// Largest amount of unsent response data on a host, in bytes.
 [[nodiscard]] std::uint64_t unsent_bound(const host_memory& memory);
 
+/// Largest amount of what a host collects of bodies, in bytes, for each direction.
+[[nodiscard]] std::uint64_t collected_bound(const host_memory& memory);
+
 /// Unsent data by organisation, in bytes; only organisations that hold any.
 using unsent_sums = std::map<base::organisation_id, std::uint64_t>;
 
--- a/libraries/gateway/caller_bounds.cpp
+++ b/libraries/gateway/caller_bounds.cpp
@@ -1,10 +1,14 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/caller_bounds.h>
 
+#include <gateway/collected_bodies.h>
+
 namespace postpaddle::gateway {
 
 wire::connection_bounds caller_bounds(const gateway_state& state) {
     wire::connection_bounds bounds;
+    if (state.collected != nullptr)
+        bounds.collected = &state.collected->requests;
     const auto limits = host::limits_in_force(state.caller_limits, state.clock->now());
     if (!limits)
         return bounds;
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -2,6 +2,7 @@
 #include <gateway/gateway_host.h>
 
 #include <gateway/caller_bounds.h>
+#include <gateway/collected_bodies.h>
 #include <gateway/endings/open_request.h>
 #include <gateway/endings/request_drain.h>
 #include <gateway/operations/state_dump.h>
@@ -14,6 +15,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace postpaddle::gateway {
@@ -37,6 +39,13 @@
     return base::hash64(name, wall ^ steady);
 }
 
+decision::host_memory memory_of(const settings::gateway_settings& process) {
+    std::optional<std::uint64_t> limit = process_memory_limit();
+    if (process.memory_bytes > 0)
+        limit = std::min(limit.value_or(process.memory_bytes), process.memory_bytes);
+    return {.limit_bytes = limit, .connections = process.connections};
+}
+
 /// Serves `path` with the result of `make_answer`; answers 404 for any other path.
 void serve_path(wire::caller_connection& connection, const std::string& path,
                 const std::function<wire::http_response()>& make_answer, wire::yield_context yield) {
@@ -72,10 +81,12 @@
             .forwarding_pool = &this->forwarding_pool,
             .log = &this->log,
             .metrics = &this->metrics,
-            .unsent_data = &this->unsent_data},
-      unsent_data(this->state, decision::unsent_bound({.limit_bytes = process_memory_limit(),
-                                                       .connections = this->process.connections})),
-      pool(this->context, wire::response_bounds{}), forwarding_pool(this->context, wire::response_bounds{}),
+            .unsent_data = &this->unsent_data,
+            .collected = &this->collected},
+      unsent_data(this->state, decision::unsent_bound(memory_of(this->process))),
+      collected(decision::collected_bound(memory_of(this->process))),
+      pool(this->context, {.collected = &this->collected.answers}),
+      forwarding_pool(this->context, {.collected = &this->collected.answers}),
       feed(external.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
       datagrams(this->state), loads(this->state, this->datagrams), paces(this->state),
       slot_waker(this->state),
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <gateway/collected_bodies.h>
 #include <gateway/engine_slots/engine_slot_waker.h>
 #include <gateway/engine_slots/stage_controller.h>
 #include <gateway/forwarding/reach_prober.h>
@@ -70,6 +71,7 @@
     gateway_metrics metrics;
     gateway_state state;
     unsent_data_bound unsent_data;
+    collected_bodies collected;
     wire::asio::io_context context{1};
     wire::connection_pool pool;
     wire::connection_pool forwarding_pool;
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -160,6 +160,7 @@
 class open_request;
 class stream_journal_exchange;
 class stream_origin_exchange;
+struct collected_bodies;
 class unsent_data_bound;
 class version_splits;
 
@@ -249,6 +250,7 @@
     decision_log* log = nullptr;
     gateway_metrics* metrics = nullptr;
     unsent_data_bound* unsent_data = nullptr;  ///< Of all requests in progress.
+    collected_bodies* collected = nullptr;     ///< Of all connections.
     std::deque<completed_request> completed{}; ///< Oldest first; bounded.
     bool reads_store = true; ///< False while this host follows updates from the leaders of its cell.
     bool is_draining = false;
--- a/libraries/gateway/operations/state_dump.cpp
+++ b/libraries/gateway/operations/state_dump.cpp
@@ -2,6 +2,7 @@
 #include <gateway/operations/state_dump.h>
 
 #include <gateway/caller_identity.h>
+#include <gateway/collected_bodies.h>
 #include <gateway/endings/open_request.h>
 #include <gateway/endings/request_record.h>
 #include <gateway/operations/waiting_dump.h>
@@ -143,6 +144,14 @@
 
 } // namespace
 
+namespace {
+
+json dump_collected(const wire::collected_data& collected) {
+    return {{"bytes", collected.bytes()}, {"bound", collected.bound()}, {"given_up", collected.given_up()}};
+}
+
+} // namespace
+
 json dump_state(const gateway_state& state) {
     const base::time_point now = state.clock->now();
     json instances = json::object();
@@ -184,6 +193,8 @@
             {"waiting", dump_waiting(state)},
             {"unsent_bytes", state.unsent_data->unsent_bytes()},
             {"unsent_bound", state.unsent_data->bound()},
+            {"collected_answers", dump_collected(state.collected->answers)},
+            {"collected_requests", dump_collected(state.collected->requests)},
             {"hosts_alive", hosts_alive(state)},
             {"has_host_list", state.has_host_list},
             {"limits_shared_by", sharers.hosts},
--- a/libraries/gateway/peers/peer_exchange.cpp
+++ b/libraries/gateway/peers/peer_exchange.cpp
@@ -74,6 +74,7 @@
 wire::connection_bounds bounds_of_hosts(const gateway_state& state) {
     wire::connection_bounds bounds = {.body_bytes = max_forwarded_bytes, .idle_timeout = peer_idle_timeout};
     const wire::connection_bounds callers = caller_bounds(state);
+    bounds.collected = callers.collected;
     bounds.body_bytes =
         std::max(bounds.body_bytes, callers.body_bytes + callers.header_bytes + max_forwarding_overhead);
     return bounds;
--- a/libraries/gateway/plain/plain_relay.cpp
+++ b/libraries/gateway/plain/plain_relay.cpp
@@ -29,6 +29,7 @@
 struct failure_answer {
     wire::response_head head;
     std::string body;
+    wire::collected_body held;
 };
 
 /// Treats a successful answer without a valid seal as broken.
@@ -265,10 +266,12 @@
     progress.last = exchange.result;
     if (exchange.result == attempt_result::answered) {
         record_answer(request, step, exchange);
+        // What its caller hasn't read is accounted for from now on.
+        answer.exchange.held.reset();
         return forward_answer(request, exchange.head, std::move(answer.body), yield);
     }
     if (exchange.result == attempt_result::server_error)
-        progress.failure = failure_answer{exchange.head, std::move(answer.body)};
+        progress.failure = failure_answer{exchange.head, std::move(answer.body), exchange.held};
     progress.reason = decision::to_text(exchange.result);
     return std::nullopt;
 }
@@ -316,6 +319,7 @@
         return request_ending::caller_gone;
     progress.last = exchange.result;
     progress.reason = decision::to_text(exchange.result);
+    exchange.held.reset();
     if (exchange.result == attempt_result::answered)
         return forward_answer(request, exchange.head, std::move(body), yield);
     if (exchange.result == attempt_result::not_run)
--- a/libraries/gateway/request_handler.cpp
+++ b/libraries/gateway/request_handler.cpp
@@ -31,6 +31,8 @@
 constexpr int unavailable_status = 503;
 /// Of the time that a request has left, one part in so many may go by until this host's knowledge is recent.
 constexpr int max_lease_wait_part = 4;
+/// Retry-After of a host that has no memory for a request's body. Other hosts may have.
+constexpr base::duration memory_retry_after = 500ms;
 /// Retry-After of a host that has just started and has no settings yet.
 constexpr base::duration settings_retry_after = 500ms;
 
@@ -44,6 +46,8 @@
         return head_too_large_status;
     case wire::wire_failure::late:
         return too_slow_status;
+    case wire::wire_failure::no_room:
+        return unavailable_status;
     default:
         return 0;
     }
@@ -201,6 +205,18 @@
 
 namespace {
 
+/// The answer to a request that was not read whole, which has run nowhere.
+wire::http_response answer_to_unread(gateway_state& state, const wire::wire_error& error, int status) {
+    wire::http_response response = rejection(status, wire::to_text(error.failure));
+    if (error.failure == wire::wire_failure::no_room) {
+        state.metrics->count("requests_without_room_total");
+        response.headers.push_back({"Retry-After", format_seconds(memory_retry_after)});
+    } else {
+        state.metrics->count("malformed_requests_total");
+    }
+    return response;
+}
+
 void serve_requests(gateway_state& state, wire::caller_connection& connection, wire::yield_context yield) {
     while (!connection.is_closed()) {
         auto message = connection.read_request(yield);
@@ -208,8 +224,7 @@
             const int status = status_of(message.error());
             if (status == 0)
                 return;
-            state.metrics->count("malformed_requests_total");
-            connection.send_and_close(rejection(status, wire::to_text(message.error().failure)), yield);
+            connection.send_and_close(answer_to_unread(state, message.error(), status), yield);
             connection.abort(message.error().failure == wire::wire_failure::late
                                  ? wire::connection_end::late_request
                                  : wire::connection_end::unreadable_request);
--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -157,6 +157,7 @@
 
 stream_relay::stream_end stream_relay::relay_events(exchange_result& exchange, wire::yield_context yield) {
     wire::event_splitter splitter(max_event_bytes);
+    const wire::collected_body held = exchange.connection->begin_collecting();
     if (this->request->origin && this->request->origin->software_version != this->version_of(exchange)) {
         exchange.detail = "another software version than the stream's";
         exchange.connection->cancel();
@@ -181,6 +182,10 @@
         const auto last_id_before = this->events.last_id;
         if (!this->forward_events(exchange, splitter, yield))
             return stream_end::caller_gone;
+        if (const auto room = exchange.connection->collect(held, splitter.input().capacity()); !room) {
+            record_failure(exchange, room.error());
+            return stream_end::broken;
+        }
         if (splitter.is_too_large() || decision::is_without_end(this->events)) {
             record_failure(exchange, {wire::wire_failure::too_large, "event exceeds the size limit"});
             return stream_end::broken;
--- a/libraries/gateway/upstreams/upstream_exchange.cpp
+++ b/libraries/gateway/upstreams/upstream_exchange.cpp
@@ -371,9 +371,11 @@
 
 std::string read_body(exchange_result& exchange, std::size_t max_bytes, base::time_point deadline,
                       wire::yield_context yield) {
-    auto body = wire::read_bounded_body(*exchange.connection, max_bytes, deadline, yield);
+    exchange.held = exchange.connection->begin_collecting();
+    auto body = wire::read_held_body(*exchange.connection, exchange.held, max_bytes, deadline, yield);
     if (body)
         return std::move(*body);
+    exchange.held.reset();
     const bool is_not_run = exchange.result == attempt_result::not_run;
     record_failure(exchange, body.error());
     if (is_not_run)
--- a/libraries/gateway/upstreams/upstream_exchange.h
+++ b/libraries/gateway/upstreams/upstream_exchange.h
@@ -26,6 +26,7 @@
     bool is_port_closed = false;        ///< Nothing listens at the address.
     bool is_withheld = false;           ///< Not sent: placement limits forbid it now.
     bool is_protocol_violation = false; ///< The upstream sent bytes that are no answer, or too many.
+    wire::collected_body held;          ///< Accounts for the answer's body for as long as it is kept.
     std::string detail;                 ///< For the log.
     stall_record stalls{};              ///< Of this send.
 };
--- a/libraries/service/completion_relay.cpp
+++ b/libraries/service/completion_relay.cpp
@@ -40,6 +40,7 @@
     case wire::wire_failure::too_large:
     case wire::wire_failure::head_too_large:
         return decision::failure::malformed;
+    case wire::wire_failure::no_room:
     case wire::wire_failure::closed:
     case wire::wire_failure::cancelled:
     case wire::wire_failure::broken:
--- a/libraries/service/relay_worker.cpp
+++ b/libraries/service/relay_worker.cpp
@@ -10,9 +10,14 @@
 namespace {
 
 wire::connection_bounds bounds_of(const settings::caller_bounds& bounds) {
-    return {bounds.header_bytes,         bounds.body_bytes,   bounds.request_read_timeout,
-            bounds.request_read_timeout, bounds.idle_timeout, bounds.unsent_bytes,
-            bounds.write_timeout};
+    return {.header_bytes = bounds.header_bytes,
+            .body_bytes = bounds.body_bytes,
+            .header_timeout = bounds.request_read_timeout,
+            .request_timeout = bounds.request_read_timeout,
+            .idle_timeout = bounds.idle_timeout,
+            .unsent_bytes = bounds.unsent_bytes,
+            .collected = nullptr,
+            .write_timeout = bounds.write_timeout};
 }
 
 } // namespace
--- a/libraries/settings/gateway_settings.cpp
+++ b/libraries/settings/gateway_settings.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::int64_t max_milliseconds = 3'600'000;
 constexpr std::int64_t max_connections = 100'000;
+constexpr std::int64_t max_memory_mb = 1'000'000;
+constexpr std::uint64_t bytes_per_mb = 1'000'000;
 constexpr std::int64_t max_port = 65'535;
 constexpr std::int64_t max_log_lines = 100'000;
 
@@ -97,6 +99,8 @@
     value.heartbeat = read_milliseconds(reader, "heartbeat_ms", defaults.heartbeat);
     value.connections = static_cast<std::size_t>(
         reader.integer("connections", static_cast<std::int64_t>(defaults.connections), {1, max_connections}));
+    value.memory_bytes =
+        static_cast<std::uint64_t>(reader.integer("memory_mb", 0, {0, max_memory_mb})) * bytes_per_mb;
     value.max_retry_after = reader.number("retry_after_limit_s", defaults.max_retry_after, {0, 3'600});
     value.retries = read_retries(reader.child("retries"));
     value.policy = read_policy(reader.child("policy"));
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -45,6 +45,7 @@
     std::chrono::milliseconds max_leaving_delay{2'000};  ///< Until a leaving upstream gets no new requests.
     std::chrono::milliseconds heartbeat{1'000};          ///< Interval between two heartbeats.
     std::size_t connections = 1'500; ///< Maximum number of concurrent connections from callers.
+    std::uint64_t memory_bytes = 0;  ///< That the process may use; 0: only the system's limits apply.
     double max_retry_after = 5;      ///< Maximum `Retry-After` for a refused caller, in seconds.
     retry_budget_settings retries;
     std::chrono::milliseconds min_order_pause{3'000}; ///< Minimum pause between orders of different hosts.
--- a/libraries/wire/bounded_response.cpp
+++ b/libraries/wire/bounded_response.cpp
@@ -19,18 +19,29 @@
            failure == wire_failure::head_too_large;
 }
 
-expected<std::string> read_bounded_body(upstream_connection& connection, std::size_t max_bytes,
-                                        base::boot_clock::time_point deadline, yield_context yield) {
+expected<std::string> read_held_body(upstream_connection& connection, const collected_body& held,
+                                     std::size_t max_bytes, base::boot_clock::time_point deadline,
+                                     yield_context yield) {
     std::string body;
     while (true) {
         POSTPADDLE_TRY(has_more, connection.read_part(body, deadline, yield));
-        if (!has_more)
+        if (!has_more) {
+            // From now on the connection may serve other requests.
+            if (held)
+                held->did_complete();
             return body;
+        }
         if (body.size() > max_bytes)
             return fail_as_too_large(connection);
+        POSTPADDLE_TRY_VOID(connection.collect(held, body.capacity()));
     }
 }
 
+expected<std::string> read_bounded_body(upstream_connection& connection, std::size_t max_bytes,
+                                        base::boot_clock::time_point deadline, yield_context yield) {
+    return read_held_body(connection, connection.begin_collecting(), max_bytes, deadline, yield);
+}
+
 expected<void> discard_bounded_body(upstream_connection& connection, std::size_t max_bytes,
                                     base::boot_clock::time_point deadline, yield_context yield) {
     std::size_t discarded_bytes = 0;
--- a/libraries/wire/bounded_response.h
+++ b/libraries/wire/bounded_response.h
@@ -18,6 +18,12 @@
                                                       base::boot_clock::time_point deadline,
                                                       yield_context yield);
 
+/// The same for a body that is accounted for by `held` for as long as the caller keeps it.
+[[nodiscard]] expected<std::string> read_held_body(upstream_connection& connection,
+                                                   const collected_body& held, std::size_t max_bytes,
+                                                   base::boot_clock::time_point deadline,
+                                                   yield_context yield);
+
 /// The same without keeping the body.
 [[nodiscard]] expected<void> discard_bounded_body(upstream_connection& connection, std::size_t max_bytes,
                                                   base::boot_clock::time_point deadline, yield_context yield);
--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -86,6 +86,7 @@
           all_written(this->stream.get_executor()), input_arrived(this->stream.get_executor()),
           write_watchdog(this->stream.get_executor()) {
         error_code ignored;
+        this->remote = this->stream.socket().remote_endpoint(ignored).address().to_string();
         this->stream.socket().non_blocking(true, ignored);
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
         this->stream.socket().set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
@@ -237,6 +238,15 @@
                                const input_deadline& deadline, yield_context yield);
     /// Reads a request within the size limits and timeouts.
     expected<void> read_message(request_parser& parser, yield_context yield);
+    /// Begins to account for the body that follows, which is kept until the next request. Fails with
+    /// `no_room` if there is none for it.
+    expected<void> begin_collecting(const connection_bounds& limits, std::uint64_t declared_bytes);
+    /// Accounts for the body as far as it has arrived.
+    expected<void> collect(std::uint64_t bytes);
+
+    static tl::unexpected<wire_error> no_room() {
+        return tl::unexpected<wire_error>({wire_failure::no_room, "no memory for the whole request"});
+    }
 
     expected<void> wait_until_written(yield_context yield) {
         error_code ignored;
@@ -282,6 +292,10 @@
     response_progress progress = response_progress::none;
     bool is_close_announced = false; ///< By the last response.
     bool is_reading = false;         ///< Part of a request has arrived.
+    std::string remote;              ///< Address of the caller, without its port.
+    /// The body of the request that was read last, or is being read; null if it isn't accounted for.
+    std::unique_ptr<collected_data::scoped_message> held;
+    bool is_given_up = false; ///< There was no room for the rest of the request.
 };
 
 caller_connection::caller_connection(tcp::socket socket, bounds_source bounds)
@@ -306,6 +320,8 @@
                                                              yield_context yield) {
     this->input.reserve(input_bytes);
     while (true) {
+        if (this->is_given_up)
+            return no_room();
         error_code error;
         const std::size_t size = beast::read_size(this->input, input_bytes);
         const std::size_t count = this->stream.socket().read_some(this->input.prepare(size), error);
@@ -353,6 +369,7 @@
         error_code error = http::error::need_more;
         if (this->input.size() > 0)
             this->input.consume(parser.put(this->input.data(), error));
+        POSTPADDLE_TRY_VOID(this->collect(parser.get().body().capacity()));
         if (error == http::error::need_more) {
             POSTPADDLE_TRY_VOID(this->read_input(deadline, yield));
             // A caller that sends without a pause must not keep other connections from being served.
@@ -387,6 +404,7 @@
         return tl::make_unexpected(to_wire_error(http::error::body_limit));
     if (parser.is_done())
         return {};
+    POSTPADDLE_TRY_VOID(this->begin_collecting(first, parser.content_length().value_or(0)));
     parser.body_limit(body_limit);
     parser.eager(true);
     if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -395,12 +413,38 @@
         if (error)
             return tl::make_unexpected(to_wire_error(error));
     }
-    return this->parse_until(&request_parser::is_done, parser, request_deadline, yield);
+    POSTPADDLE_TRY_VOID(this->parse_until(&request_parser::is_done, parser, request_deadline, yield));
+    if (this->held)
+        this->held->did_complete();
+    return {};
+}
+
+expected<void> caller_connection::implementation::begin_collecting(const connection_bounds& limits,
+                                                                   std::uint64_t declared_bytes) {
+    if (limits.collected == nullptr)
+        return {};
+    const auto did_give_up = [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->is_given_up = true;
+        self->input_arrived.cancel();
+    };
+    this->held =
+        std::make_unique<collected_data::scoped_message>(*limits.collected, this->remote, did_give_up);
+    return this->collect(declared_bytes);
+}
+
+expected<void> caller_connection::implementation::collect(std::uint64_t bytes) {
+    if (!this->held || this->held->try_hold(bytes))
+        return {};
+    return no_room();
 }
 
 expected<http_request> caller_connection::read_request(yield_context yield) {
     implementation& self = *this->impl;
     self.progress = response_progress::none;
+    self.held.reset();
     POSTPADDLE_TRY_VOID(self.await_first_byte(yield));
     self.is_reading = true;
     request_parser parser;
--- a/libraries/wire/caller_connection.h
+++ b/libraries/wire/caller_connection.h
@@ -3,6 +3,7 @@
 
 #include <base/clock.h>
 #include <wire/asio.h>
+#include <wire/collected_data.h>
 #include <wire/connection_end.h>
 #include <wire/http_message.h>
 #include <wire/wire_error.h>
@@ -24,6 +25,7 @@
     std::chrono::milliseconds request_timeout{10'000}; ///< For the whole request, from its first byte.
     std::chrono::milliseconds idle_timeout{60'000};
     std::size_t unsent_bytes = 256UL * 1024;
+    collected_data* collected = nullptr; ///< Where bodies of requests are accounted; null: nowhere.
     std::chrono::milliseconds write_timeout{10'000};
 };
 
--- a/libraries/wire/upstream_connection.cpp
+++ b/libraries/wire/upstream_connection.cpp
@@ -119,11 +119,21 @@
         this->deadline = boot_clock::time_point::max();
         if (this->is_cancelled)
             return {wire_failure::cancelled, "cancelled"};
+        if (this->is_given_up)
+            return no_room();
         if (this->did_time_out)
             return {wire_failure::late, "no whole answer within the limit", this->arrived_bytes};
         return error ? to_wire_error(error) : wire_error{};
     }
 
+    static wire_error no_room() { return {wire_failure::no_room, "no memory for the whole answer"}; }
+
+    /// Closes the connection in the midst of a body for which there is no room.
+    void give_up() {
+        this->is_given_up = true;
+        this->stream.close();
+    }
+
     /// Fails with this error. A connection on which the server violates the protocol is closed, as it would
     /// go on.
     tl::unexpected<wire_error> fail(wire_error failure) {
@@ -197,6 +207,8 @@
     std::size_t framing_bytes = 0; ///< Of the response, after its head.
     bool has_sent = false;
     bool is_cancelled = false;
+    bool is_given_up = false; ///< There was no room for its answer.
+    std::string peer;         ///< Address of the server.
     bool did_time_out = false;
     bool is_watchdog_armed = false;
     bool is_response_complete = false;
@@ -217,6 +229,7 @@
     implementation& self = *this->impl;
     if (self.is_cancelled)
         return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled before it began"});
+    self.peer = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
     error_code error;
     if (self.local_address) {
         self.stream.socket().open(endpoint.protocol(), error);
@@ -288,20 +301,42 @@
 expected<std::string> upstream_connection::read_remaining_body(boot_clock::time_point deadline,
                                                                yield_context yield) {
     std::string body;
+    const collected_body held = this->begin_collecting();
     while (true) {
         POSTPADDLE_TRY(has_more, this->read_part(body, deadline, yield));
         if (!has_more)
             return body;
+        POSTPADDLE_TRY_VOID(this->collect(held, body.capacity()));
     }
 }
 
+collected_body upstream_connection::begin_collecting() {
+    collected_data* const collected = this->impl->bounds.collected;
+    if (collected == nullptr)
+        return nullptr;
+    return std::make_shared<collected_data::scoped_message>(*collected, this->impl->peer,
+                                                            [weak = std::weak_ptr(this->impl)] {
+                                                                if (const auto self = weak.lock())
+                                                                    self->give_up();
+                                                            });
+}
+
+expected<void> upstream_connection::collect(const collected_body& body, std::size_t bytes) {
+    if (!body || body->try_hold(bytes))
+        return {};
+    this->impl->give_up();
+    return tl::unexpected<wire_error>(implementation::no_room());
+}
+
 expected<std::string> upstream_connection::read_remaining_body_unless_stalled(
     std::chrono::milliseconds stall_timeout, const std::function<void()>& on_part, yield_context yield) {
     std::string body;
+    const collected_body held = this->begin_collecting();
     while (true) {
         POSTPADDLE_TRY(has_more, this->read_part(body, boot_clock::now() + stall_timeout, yield));
         if (!has_more)
             return body;
+        POSTPADDLE_TRY_VOID(this->collect(held, body.capacity()));
         on_part();
     }
 }
@@ -318,8 +353,9 @@
 
 bool upstream_connection::is_reusable() const {
     const implementation& self = *this->impl;
-    return self.is_response_complete && self.is_keep_alive && self.is_request_written && !self.is_cancelled &&
-           !self.carried.is_full() && self.input.size() == 0 && self.stream.socket().is_open();
+    return self.is_response_complete && !self.is_given_up && self.is_keep_alive && self.is_request_written &&
+           !self.is_cancelled && !self.carried.is_full() && self.input.size() == 0 &&
+           self.stream.socket().is_open();
 }
 
 std::chrono::milliseconds upstream_connection::keep_alive_timeout() const {
--- a/libraries/wire/upstream_connection.h
+++ b/libraries/wire/upstream_connection.h
@@ -3,6 +3,7 @@
 
 #include <wire/asio.h>
 #include <wire/carried_requests.h>
+#include <wire/collected_data.h>
 #include <wire/http_message.h>
 #include <wire/wire_error.h>
 
@@ -19,8 +20,12 @@
 struct response_bounds {
     std::size_t header_bytes = 16UL * 1024;
     std::size_t body_bytes = 64UL * 1024 * 1024;
+    collected_data* collected = nullptr; ///< Where the bodies that are collected are accounted; may be null.
 };
 
+/// Accounts for a body while it is collected and kept; null where that is not accounted.
+using collected_body = std::shared_ptr<collected_data::scoped_message>;
+
 /// Called when the deadline of an exchange passes. Returns a later one to go on waiting, or nothing to end
 /// the wait. Must not destroy the connection.
 using deadline_extension = std::function<std::optional<base::boot_clock::time_point>()>;
@@ -52,6 +57,10 @@
     /// Appends the next part of the body to `into`. Returns false at the end of a complete body.
     [[nodiscard]] expected<bool> read_part(std::string& into, base::boot_clock::time_point deadline,
                                            yield_context yield);
+    /// Begins to account for the body that is read next. If it is given up, reads fail with `no_room`.
+    [[nodiscard]] collected_body begin_collecting();
+    /// Accounts for that many bytes of the body in all. Fails with `no_room` if it must be given up.
+    [[nodiscard]] expected<void> collect(const collected_body& body, std::size_t bytes);
     [[nodiscard]] expected<std::string> read_remaining_body(base::boot_clock::time_point deadline,
                                                             yield_context yield);
     /// Reads the rest of the body without an overall deadline. Fails with `late` if no data arrives for
--- a/libraries/wire/wire_error.cpp
+++ b/libraries/wire/wire_error.cpp
@@ -27,6 +27,8 @@
         return "too_large";
     case wire_failure::head_too_large:
         return "head_too_large";
+    case wire_failure::no_room:
+        return "no_room";
     case wire_failure::refused:
         return "refused";
     case wire_failure::cancelled:
--- a/libraries/wire/wire_error.h
+++ b/libraries/wire/wire_error.h
@@ -20,6 +20,7 @@
     malformed,      ///< Violates the protocol, or is not the expected message.
     too_large,      ///< The message's body exceeds the size limit.
     head_too_large, ///< The message's head exceeds the size limit.
+    no_room,        ///< This process has no memory left for the message.
     refused,        ///< The peer responded with an error status.
     cancelled,      ///< Cancelled by this side.
     closed,         ///< The connection ended between two messages.
--- a/tests/gateway/test_endless_answers.cpp
+++ b/tests/gateway/test_endless_answers.cpp
@@ -2,11 +2,11 @@
 // Upstreams that send bytes without end until the host closes the connection. Guards against a host that
 // collects and searches them until a caller's time is over, and against callers that pay for it.
 #include <support/gateway_cluster.h>
+#include <support/process_memory.h>
 #include <support/test_cluster.h>
 
 #include <catch2/catch.hpp>
 
-#include <fstream>
 #include <future>
 #include <string>
 #include <thread>
@@ -48,16 +48,6 @@
 /// Several times what a stream costs in an unoptimised build.
 constexpr double max_cpu_seconds_per_request = 0.02;
 
-/// Source: /proc/PID/status.
-std::size_t peak_memory_bytes(pid_t pid) {
-    static constexpr std::string_view field = "VmHWM:";
-    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-    for (std::string line; std::getline(file, line);)
-        if (line.starts_with(field))
-            return std::stoull(line.substr(field.size())) * 1024;
-    return 0;
-}
-
 /// Sends requests until one has been sent to server `one`, which has these faults and is preferred, as it is
 /// in the host's zone. All must be served.
 void serve_until_endless(test::gateway_cluster& cluster, const std::string& path,
@@ -120,7 +110,7 @@
         CHECK(complete.get() == streams_per_caller);
     // The engine was asked, and not only once.
     CHECK(cluster.arrivals("d1") > 1);
-    CHECK(peak_memory_bytes(cluster.host(1).id()) < max_host_memory_bytes);
+    CHECK(test::peak_memory_bytes(cluster.host(1).id()) < max_host_memory_bytes);
     const double cpu_seconds = stand_in::read_process_usage(cluster.host(1).id()).cpu_seconds;
     CHECK(cpu_seconds < max_cpu_seconds_per_request * callers * streams_per_caller);
 }
@@ -134,7 +124,7 @@
     REQUIRE(answer);
     CHECK(answer->body == complete_stream());
     CHECK(endless_bytes(cluster, "p1") < max_sent_bytes);
-    CHECK(peak_memory_bytes(cluster.host(1).id()) < max_host_memory_bytes);
+    CHECK(test::peak_memory_bytes(cluster.host(1).id()) < max_host_memory_bytes);
 }
 
 // Guards against a body that is collected up to 64 MB, also that of an answer to another request.
@@ -190,5 +180,5 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
         return sent_bytes() == before;
     }));
-    CHECK(peak_memory_bytes(cluster.host(1).id()) < max_host_memory_bytes);
+    CHECK(test::peak_memory_bytes(cluster.host(1).id()) < max_host_memory_bytes);
 }
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -230,6 +230,9 @@
                         << "\nbalancer_lag_ms: 300\nretries: {slack: " << this->options.retry_slack
                         << "}\norder_lease_ms: 500\nengines_check_tokens: true\npolicy: {admit_by_load: "
                         << (this->options.admits_by_load ? "true" : "false") << "}\n"
+                        << (this->options.memory_mb > 0
+                                ? "memory_mb: " + std::to_string(this->options.memory_mb) + "\n"
+                                : "")
                         << line << "\n";
     return path;
 }
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -52,6 +52,7 @@
     int leaving_bound_ms = 2'000;   ///< Until a leaving server gets no new requests.
     int grace_ms = 8'000;           ///< Grace period of a host's stop.
     int settings_bound_ms = 2'000;  ///< Until a version of the settings is in force on every host.
+    int memory_mb = 0;              ///< That a host may use; 0: as much as the system allows.
     int linked_hosts = 0; ///< Hosts, from the first on, that reach each server over a link of their own.
 };
 
