host: Take it that the store was there as long as it was to one host or another at each time

Cause: three hosts were turned away in turn. Each had been served without a break for less than the time for which an outage is remembered, so none could refute the others, although the store had been there to one of them at each time. Change: spans in which the store was there to some host are joined where they overlap, of this host and of others, and told on; while the store is away none of any host does. What a host heard so replaces the word for a single witness. A host that the store turns away with a word of its own was served until then.

--- a/libraries/gateway/store_sync/registry_doubt.cpp
+++ b/libraries/gateway/store_sync/registry_doubt.cpp
@@ -47,8 +47,9 @@
         doubt["own_absence_ms_ago"] = base::to_milliseconds(now - *evidence.own_absence_at);
     if (evidence.own.until != base::time_point{})
         doubt["served_for_ms"] = base::to_milliseconds(evidence.own.until - evidence.own.since);
-    if (evidence.witness)
-        doubt["refuted_by"] = evidence.witness->host.value;
+    if (evidence.known.until != base::time_point{})
+        doubt["present_ms_ago"] = {base::to_milliseconds(now - evidence.known.since),
+                                   base::to_milliseconds(now - evidence.known.until)};
     return doubt;
 }
 
--- a/libraries/gateway/store_sync/store_update_message.cpp
+++ b/libraries/gateway/store_sync/store_update_message.cpp
@@ -39,24 +39,12 @@
     return {std::min(since, max_age_ms), until};
 }
 
-std::optional<host::served_span> decode_span(const json& value, base::time_point now) {
+host::served_span decode_span(const json& value, base::time_point now) {
     const auto since = value.at(0).get<std::int64_t>();
     const auto until = value.at(1).get<std::int64_t>();
     if (until < 0 || until > since || since > max_age_ms)
-        return std::nullopt;
-    return host::served_span{.since = now - std::chrono::milliseconds(since),
-                             .until = now - std::chrono::milliseconds(until)};
-}
-
-/// Hosts of an earlier version send no span, or one of their own without a name.
-std::optional<host::outage_witness> decode_witness(const json& value, base::time_point now) {
-    if (!value.contains("served"))
-        return std::nullopt;
-    const auto span = decode_span(value["served"], now);
-    if (!span)
-        return std::nullopt;
-    const auto name = value.contains("served_host") ? value["served_host"] : value.at("host");
-    return host::outage_witness{.host = {name.get<std::string>()}, .span = *span};
+        return {};
+    return {.since = now - std::chrono::milliseconds(since), .until = now - std::chrono::milliseconds(until)};
 }
 
 json to_json(const store_update& update, base::time_point now) {
@@ -74,10 +62,8 @@
                   {"zones", encode_zones(update.zones)}};
     if (update.in_reply_to)
         value["in_reply_to"] = update.in_reply_to->count();
-    if (update.witness) {
-        value["served"] = encode_span(update.witness->span, now);
-        value["served_host"] = update.witness->host.value;
-    }
+    if (update.served != host::served_span{})
+        value["served"] = encode_span(update.served, now);
     return value;
 }
 
@@ -102,7 +88,8 @@
     // Hosts of an earlier version only tell that their reads fail.
     update.is_store_absent = value.value("is_store_absent", update.is_read_failing);
     update.is_uninformed = value.value("is_uninformed", false);
-    update.witness = decode_witness(value, now);
+    if (value.contains("served"))
+        update.served = decode_span(value["served"], now);
     if (value.contains("in_reply_to"))
         update.in_reply_to = std::chrono::milliseconds(value["in_reply_to"].get<std::int64_t>());
     return update;
--- a/libraries/gateway/store_sync/store_update_message.h
+++ b/libraries/gateway/store_sync/store_update_message.h
@@ -36,7 +36,7 @@
         false; ///< The sender's last own read of the registry didn't prove the store there.
     bool is_store_absent = false; ///< See `host::is_absence_told`.
     bool is_uninformed = false;   ///< The store answers the sender without telling it all that it has.
-    std::optional<host::outage_witness> witness{};         ///< For whom the sender can vouch.
+    host::served_span served{};   ///< In which the store was there to some host, as far as the sender knows.
     std::uint64_t changes_since = 0;                       ///< Offset from which `changes` is complete.
     std::vector<decision::registry_change> changes;        ///< Latest changes of the registry.
     decision::zone_record_page zones{.is_complete = true}; ///< Known evacuations of availability zones.
--- a/libraries/gateway/store_sync/store_updates.cpp
+++ b/libraries/gateway/store_sync/store_updates.cpp
@@ -90,8 +90,7 @@
             .is_read_failing = this->state->is_registry_read_failing,
             .is_store_absent = is_store_absent(*this->state),
             .is_uninformed = is_registry_uninformed(*this->state),
-            .witness = host::witness_to_tell(this->state->registry_outage, outage_options_of(*this->state),
-                                             this->state->process->name),
+            .served = this->state->registry_outage.known,
             .changes_since = run.since,
             .changes = run.changes,
             .zones = decision::zone_records_of(this->state->evacuations)};
@@ -162,8 +161,7 @@
     host::record_received(this->state->peers, update->host, this->state->clock->now());
     if (update->is_store_absent)
         host::record_absence(this->state->registry_outage, update->host, this->state->clock->now());
-    if (update->witness)
-        host::record_witness(this->state->registry_outage, outage_options_of(*this->state), *update->witness);
+    host::record_presence(this->state->registry_outage, update->served);
     this->apply_settings_update(*update);
     this->apply_registry_update(*update);
     this->record_doubt(*update);
@@ -182,8 +180,7 @@
         topic->until =
             sent && topic->until != base::time_point{} ? topic->until - (now - *sent) : base::time_point{};
     // The span's beginning stays as it is: it must not seem earlier than it was.
-    if (update.witness)
-        update.witness->span.until = sent ? update.witness->span.until - (now - *sent) : base::time_point{};
+    update.served.until = sent ? update.served.until - (now - *sent) : base::time_point{};
     if (sent)
         this->state->metrics->observe("notice_delay_seconds", now - *sent);
 }
--- a/libraries/host/store_outage.cpp
+++ b/libraries/host/store_outage.cpp
@@ -12,9 +12,10 @@
 }
 
 bool is_refuted(const outage_evidence& evidence, const outage_options& options, base::time_point now) {
-    if (covers_window(options, evidence.own) && now - evidence.own.until <= options.max_proof_age)
-        return true;
-    return evidence.witness && now - evidence.witness->span.until <= options.max_proof_age;
+    const auto refutes = [&](const served_span& span) {
+        return covers_window(options, span) && now - span.until <= options.max_proof_age;
+    };
+    return refutes(evidence.own) || refutes(evidence.known);
 }
 
 bool was_away_here(const outage_evidence& evidence, const outage_options& options, base::time_point now) {
@@ -27,16 +28,21 @@
     if (!is_continued)
         evidence.own.since = now;
     evidence.own.until = now;
+    record_presence(evidence, evidence.own);
 }
 
 } // namespace
 
 void record_read(outage_evidence& evidence, const outage_options& options, read_ending ending,
                  base::time_point now) {
-    switch (evidence_of(ending).proof) {
+    const read_evidence proven = evidence_of(ending);
+    switch (proven.proof) {
     case store_proof::present:
         return record_present(evidence, options, now);
     case store_proof::absent:
+        // It was there until it said so itself.
+        if (proven.subject == read_subject::store && evidence.own != served_span{})
+            record_presence(evidence, {.since = evidence.own.since, .until = now});
         evidence.own = {};
         evidence.own_absence_at = now;
         return;
@@ -51,23 +57,15 @@
 
 void record_absence(outage_evidence& evidence, const base::host_id& host, base::time_point now) {
     evidence.absences_told[host] = now;
-    if (evidence.witness && evidence.witness->host == host)
-        evidence.witness.reset();
-}
-
-void record_witness(outage_evidence& evidence, const outage_options& options, const outage_witness& told) {
-    const auto absence = evidence.absences_told.find(told.host);
-    const bool is_outdated = absence != evidence.absences_told.end() && told.span.until <= absence->second;
-    const bool is_later = !evidence.witness || evidence.witness->span.until < told.span.until;
-    if (!is_outdated && is_later && covers_window(options, told.span))
-        evidence.witness = told;
 }
 
-std::optional<outage_witness> witness_to_tell(const outage_evidence& evidence, const outage_options& options,
-                                              const base::host_id& own) {
-    if (covers_window(options, evidence.own))
-        return outage_witness{.host = own, .span = evidence.own};
-    return evidence.witness;
+void record_presence(outage_evidence& evidence, const served_span& span) {
+    served_span& known = evidence.known;
+    const bool do_overlap = span.since <= known.until && known.since <= span.until;
+    if (do_overlap)
+        known = {.since = std::min(known.since, span.since), .until = std::max(known.until, span.until)};
+    else if (known.until < span.until)
+        known = span;
 }
 
 bool was_store_away(const outage_evidence& evidence, const outage_options& options, std::size_t other_hosts,
--- a/libraries/host/store_outage.h
+++ b/libraries/host/store_outage.h
@@ -34,21 +34,14 @@
     base::duration max_proof_age{};
 };
 
-/// A host to which the store was there throughout a window.
-struct outage_witness {
-    base::host_id host;
-    served_span span;
-
-    bool operator==(const outage_witness&) const = default;
-};
-
 /// What a host knows of the store's trouble by its own reads and by what other hosts tell of theirs.
 struct outage_evidence {
     served_span own{};
     std::optional<base::time_point> own_absence_at{}; ///< When an own read last proved that it was away.
     /// When other hosts last said so of their own reads.
     std::map<base::host_id, base::time_point> absences_told{};
-    std::optional<outage_witness> witness{};
+    /// Span in which the store was there to one host or another at each time, this one included.
+    served_span known{};
 };
 
 /// Records how an own read ended. A gap of more than the proof's age between two that prove that the store
@@ -64,13 +57,9 @@
 /// Records that another host told of the store's absence.
 void record_absence(outage_evidence& evidence, const base::host_id& host, base::time_point now);
 
-/// Records what another host, or a third one by its word, can vouch for, by this host's clock.
-void record_witness(outage_evidence& evidence, const outage_options& options, const outage_witness& told);
-
-/// What this host can vouch for to others: of itself or, if its own span is too short, of the witness that it
-/// has heard of.
-[[nodiscard]] std::optional<outage_witness>
-witness_to_tell(const outage_evidence& evidence, const outage_options& options, const base::host_id& own);
+/// Records a span in which the store was there to some host, by this host's clock. Spans that overlap make
+/// one: while the store is away, none of any host does.
+void record_presence(outage_evidence& evidence, const served_span& span);
 
 /// Whether the store itself was away within the window. Reads of a single host may fail because of its own
 /// link or processor, so two must fail, unless this host knows no other.
--- a/tests/gateway/test_leaving_upstreams.cpp
+++ b/tests/gateway/test_leaving_upstreams.cpp
@@ -71,6 +71,23 @@
     CHECK(late_arrivals(cluster, 1, 6, 3s) == 0);
 }
 
+// Guards against a doubt that nobody refutes, as each host was turned away a short time ago.
+TEST_CASE(
+    "an upstream whose entry goes while the store turns hosts away in turn gets no request later than its "
+    "bound") {
+    test::gateway_cluster cluster(options_for("gone-in-turn", 3));
+    std::this_thread::sleep_for(settled_time);
+    (void)cluster.store({{"mode", "busy"}, {"turned_away", {cluster.host_ip(1)}}});
+    std::this_thread::sleep_for(bound);
+    (void)cluster.store({{"mode", ""}});
+    std::this_thread::sleep_for(600ms);
+    (void)cluster.store({{"mode", "busy"}, {"turned_away", {cluster.host_ip(2), cluster.host_ip(3)}}});
+    std::this_thread::sleep_for(100ms);
+    drop_both(cluster);
+    CHECK(late_arrivals(cluster, 1, 3, 2s) == 0);
+    INFO(test::describe_listing(cluster, "one", {.first = 1, .last = 3}));
+}
+
 // Guards against records that are ordered by the clocks of upstreams.
 TEST_CASE("an upstream that starts again with an earlier or no start time and then leaves gets no request "
           "later than its bound") {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -46,6 +46,8 @@
                        ///< is drawn from `amount`.
     server_restart,    ///< Starts again under its id, with `amount` as its start time, or none if 0.
     odd_entry,         ///< Somebody writes an entry that no server wrote, drawn from `amount`.
+    store_forget, ///< The store forgets the history of topics, at times again at once, and at times lists
+                  ///< only older records during `lasts`; which and how is drawn from `amount`.
 };
 
 /// How a release replaces engines. A new one starts and is registered before its predecessor leaves.
@@ -80,7 +82,8 @@
     combined, ///< The faults of the two before, links that fail and answers that are cut on them, in series
               ///< and at once, with little retry budget.
     departures, ///< Servers that leave with and without a word, all of a kind at once as well, or start again
-                ///< with any clock, beside hosts that the store turns away and odd entries.
+                ///< with any clock, beside hosts that the store turns away, history that it forgets and odd
+                ///< entries.
 };
 /// Mixes that a seed names by its remainder; the others are asked for.
 inline constexpr int mixes_of_seeds = 4;
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -222,6 +222,9 @@
     case fault_kind::hosts_turned_away:
         this->turn_hosts_away(fault);
         break;
+    case fault_kind::store_forget:
+        this->forget_history(fault);
+        break;
     case fault_kind::odd_entry:
         this->write_odd_entry(fault.amount);
         break;
@@ -524,6 +527,28 @@
     });
 }
 
+void fault_runner::forget_history(const planned_fault& fault) {
+    static const std::vector<std::vector<std::string>> topics = {
+        {test::server_topic},
+        {test::operator_topic},
+        {test::server_topic, test::operator_topic, "keyed.splits", "keyed.quarantine"}};
+    int draw = fault.amount;
+    const auto drawn_of = [&draw](int count) { return std::exchange(draw, draw / count) % count; };
+    const auto& chosen = topics.at(static_cast<std::size_t>(drawn_of(static_cast<int>(topics.size()))));
+    const bool is_twice = drawn_of(2) == 1;
+    const bool is_listing_stale = drawn_of(3) == 1;
+    if (is_listing_stale) {
+        (void)this->cluster->store({{"stale_listings", true}});
+        this->schedule(boot_clock::now() + fault.lasts, [this] {
+            (void)this->cluster->store({{"stale_listings", false}});
+        });
+    }
+    this->cluster->forget_history(chosen);
+    // Before hosts have listed what is left.
+    if (is_twice)
+        this->cluster->forget_history(chosen);
+}
+
 void fault_runner::write_odd_entry(int draw) {
     static constexpr int depth = 100'000;
     const std::array texts = {std::string(depth, '['), std::string("{"),
--- a/tests/soak/fault_runner.h
+++ b/tests/soak/fault_runner.h
@@ -65,6 +65,7 @@
     void carry_out_at_links(const planned_fault& fault);
     void turn_hosts_away(const planned_fault& fault);
     void write_odd_entry(int draw);
+    void forget_history(const planned_fault& fault);
     /// Starts a server again under its id, unless it is ending.
     void restart_server(const std::string& id, int start_time_ms);
     void publish(int draw);
