--- a/tests/host/test_store_outage.cpp
+++ b/tests/host/test_store_outage.cpp
@@ -116,8 +116,8 @@
         CHECK(host::is_absence_told(evidence, options, now) == is_absent);
         host::record_absence(evidence, {"a"}, now);
         host::record_absence(evidence, {"b"}, now);
-        // When it is answered again, and may read of entries that went, it still refutes the others unless its
-        // own read proved the opposite.
+        // When it is answered again, and may read of entries that went, it still refutes the others unless
+        // its own read proved the opposite.
         const base::time_point later = now + 600ms;
         host::record_read(evidence, options, host::read_ending::answered, later);
         CHECK(host::was_store_away(evidence, options, 0, later) == is_absent);
