--- a/tests/wire/test_collected_data.cpp
+++ b/tests/wire/test_collected_data.cpp
@@ -74,10 +74,12 @@
 
 // Guards against a bound that holds for few messages only.
 TEST_CASE("however many sources send without end, the bytes held never exceed the bound") {
-    constexpr int messages = 1'000;
-    wire::collected_data data(16 * messages);
+    constexpr std::size_t messages = 1'000;
+    constexpr std::uint64_t bytes_each = 16;
+    wire::collected_data data(bytes_each * messages);
     std::vector<std::unique_ptr<fake_message>> open;
-    for (int number = 0; number < messages; ++number)
+    open.reserve(messages);
+    for (std::size_t number = 0; number < messages; ++number)
         open.push_back(std::make_unique<fake_message>(data, "server-" + std::to_string(number % 7)));
     fake_message sound(data, "sound");
     for (std::uint64_t bytes = 1; bytes <= 256; bytes *= 2)
