gateway: End a store's outage for the lease only once a host knows what it missed

Cause: the answer "that history is gone" ended the outage for the lease at once, while the registry was still to be listed and the log to confirm it. Change: what began as an outage ends for the lease when all that the store has is known, or when the store is known to withhold some of it (a gap, a refusal). Doubt of removals is as before.

--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -188,7 +188,8 @@
     base::time_point registry_known_until{};
     /// How the last own read of the registry ended.
     host::read_ending registry_read_ending = host::read_ending::answered;
-    /// It didn't prove that the store is there.
+    /// A read didn't prove that the store is there, and none since has told all that it has, or that it
+    /// won't.
     bool is_registry_read_failing = false;
     host::replica_doubt registry_doubt{};        ///< While what is known of the registry is old.
     std::function<void()> on_registry_doubted{}; ///< Asks other hosts for what is new in the registry.
--- a/libraries/gateway/store_sync/store_watch.cpp
+++ b/libraries/gateway/store_sync/store_watch.cpp
@@ -81,7 +81,12 @@
     const base::time_point until = was_idle ? began + plan.wait : began;
     host::record_known(read.progress.leadership, until);
     if (&read == &this->registry)
-        this->state->registry_known_until = std::max(this->state->registry_known_until, until);
+        this->did_learn(until);
+}
+
+void store_watch::did_learn(base::time_point until) {
+    this->state->registry_known_until = std::max(this->state->registry_known_until, until);
+    this->state->is_registry_read_failing = false;
 }
 
 void store_watch::run_read(topic& read, read_function function, host::store_read plan,
@@ -161,12 +166,14 @@
     host::record_read(this->state->registry_outage, outage_options_of(*this->state), ending,
                       this->state->clock->now());
     this->state->registry_read_ending = ending;
-    this->state->is_registry_read_failing = proof != host::store_proof::present;
-    if (proof == host::store_proof::present && ending != host::read_ending::answered)
+    if (proof != host::store_proof::present)
+        this->state->is_registry_read_failing = true;
+    else if (ending == host::read_ending::rejected)
         this->record_uninformed();
 }
 
 void store_watch::record_uninformed() {
+    this->state->is_registry_read_failing = false;
     host::record_uninformed(this->state->registry_doubt, this->state->process->name,
                             this->state->clock->now());
 }
--- a/libraries/gateway/store_sync/store_watch.h
+++ b/libraries/gateway/store_sync/store_watch.h
@@ -77,6 +77,8 @@
     void did_regain(topic& read, const host::store_read& plan, base::time_point began);
     /// Records what a read of the registry proves.
     void record_ending(const topic& read, host::read_ending ending);
+    /// Records that all that the store had in the registry at that time is known.
+    void did_learn(base::time_point until);
     /// Records that the store is there, but has not told all that it has.
     void record_uninformed();
     /// Call when the store has dropped records that were to be read.
