tests: Give the host whose state is shown its account of collected bodies

Cause: shows what is collected in the state; this test's host, which is put together by hand, has no account of it. Change: the test's host has one, too, and the test checks that its figures are shown. Looked for elsewhere: dump_state is called by this test and by the exchange with other hosts alone; caller_bounds takes a missing account.

--- a/tests/gateway/test_waiting_dump.cpp
+++ b/tests/gateway/test_waiting_dump.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // What operators are shown of the requests that wait at a host. An overload in which callers compete.
+#include <gateway/collected_bodies.h>
 #include <gateway/gateway_request.h>
 #include <gateway/operations/state_dump.h>
 #include <gateway/operations/waiting_dump.h>
@@ -319,10 +320,15 @@
     test_host host;
     gateway::unsent_data_bound unsent(host.state, 1'000'000);
     host.state.unsent_data = &unsent;
+    gateway::collected_bodies collected(2'000'000);
+    host.state.collected = &collected;
     engine_waiters waiters(host);
     waiters.add("id\xff").slot_facts = {{"has_room", false}, {"waiting_ahead", 7}};
     const std::string text = gateway::to_operator_text(gateway::dump_state(host.state));
-    const auto row = nlohmann::json::parse(text).at("waiting").at(service).at("engine_slot").at("rows")[0];
+    const auto state = nlohmann::json::parse(text);
+    const auto row = state.at("waiting").at(service).at("engine_slot").at("rows")[0];
+    CHECK(state.at("collected_answers").at("bound") == 2'000'000);
+    CHECK(state.at("collected_requests").at("bytes") == 0);
     CHECK(row.at("last_decision").at("waiting_ahead") == 7);
     CHECK(row.at("request") == "id\xef\xbf\xbd");
     CHECK(text.find(secret_prompt) == std::string::npos);
