gateway: Take any request while the host stops only if it can end in time, forwarded ones as well

What callers saw: in a planned stop, plain requests that came late in the grace were sent to an upstream and answered 504 at its end, without knowing whether they had run, among them some that may not run twice. Requests that may be repeated were given up by the host itself, in favour of another attempt that had no time left. Cause: only streams were held against the grace; a plain request counted as one that takes no time. Change: decision/response_times has the longest of a service's latest plain responses; a stopping host reckons with it and a quarter more, as it does with the pace of streams, or with the caller's patience where neither is known. While the host stops, an attempt, also one that is forwarded, gets at least as much time.

--- a/libraries/decision/service_profile.h
+++ b/libraries/decision/service_profile.h
@@ -3,6 +3,7 @@
 
 #include <decision/engine_speed.h>
 #include <decision/estimate.h>
+#include <decision/response_times.h>
 
 namespace postpaddle::decision {
 
@@ -13,6 +14,7 @@
     estimate prompt_tokens = make_rough_estimate(3'000); ///< Per request.
     int streams_timed = 0;                               ///< Streams whose event intervals were measured.
     engine_speed speed;
+    response_times responses; ///< To plain requests.
 
     bool operator==(const service_profile&) const = default;
 };
--- a/libraries/gateway/endings/request_drain.cpp
+++ b/libraries/gateway/endings/request_drain.cpp
@@ -29,18 +29,23 @@
     return request.connection->progress() != wire::response_progress::none;
 }
 
-/// Longest time that a stream may take from its send to its end: as long as its caller waits or, where the
-/// pace of its service is known, as long as all the tokens take that its caller allows. Most streams are
-/// shorter, but one that isn't would be broken off.
-base::duration longest_stream_time(const gateway_request& request) {
-    const base::time_point end = request.deadline_before_drain.value_or(request.deadline);
-    const base::duration longest = end - request.state->clock->now();
+/// Longest time that a request is expected to take from its send to its end, as far as that is known of its
+/// service: that of all the tokens that its caller allows, or that of the service's plain responses. Most
+/// requests are shorter, but one that isn't would be broken off.
+std::optional<base::duration> longest_expected_time(const gateway_request& request) {
     const decision::service_profile& profile = profile_of(request);
     if (profile.streams_timed < min_streams_timed || request.routed.output_tokens <= 0)
-        return longest;
+        return decision::longest_response(profile.responses);
     const double events = request.routed.output_tokens / std::max(1, capacity_of(request).tokens_per_event);
     const double seconds = profile.speed.first_event.value + events * profile.event_seconds.value;
-    return std::min(longest, base::from_seconds(seconds * pace_margin));
+    return base::from_seconds(seconds * pace_margin);
+}
+
+/// Longest time that a request may take: as long as its caller waits, unless less is expected.
+base::duration longest_time(const gateway_request& request) {
+    const base::time_point end = request.deadline_before_drain.value_or(request.deadline);
+    const base::duration longest = end - request.state->clock->now();
+    return std::min(longest, longest_expected_time(request).value_or(longest));
 }
 
 /// Lets a request's pause be ended for as long as the object lives.
@@ -88,11 +93,15 @@
 bool is_beyond_drain(const gateway_request& request) {
     const auto& drain = request.state->drain;
     const bool is_unsent = request.record.attempts == 0 && request.record.prompts == 0;
-    if (!drain || !is_unsent)
-        return false;
-    const bool is_stream = request.route->kind == settings::route_kind::stream;
-    const base::duration longest = is_stream ? longest_stream_time(request) : base::duration::zero();
-    return request.state->clock->now() + longest >= drain->answer_by;
+    return drain && is_unsent && request.state->clock->now() + longest_time(request) >= drain->answer_by;
+}
+
+base::duration attempt_time(const gateway_request& request) {
+    const base::duration left = time_left(request);
+    const base::duration usual = decision::attempt_timeout(request.record, left);
+    if (!request.deadline_before_drain)
+        return usual;
+    return std::max(usual, std::min(left, longest_expected_time(request).value_or(usual)));
 }
 
 bool is_wait_over(const gateway_request& request) {
--- a/libraries/gateway/endings/request_drain.h
+++ b/libraries/gateway/endings/request_drain.h
@@ -22,6 +22,10 @@
 /// one.
 [[nodiscard]] bool is_beyond_drain(const gateway_request& request);
 
+/// How long an attempt may take before another upstream is asked. Of what a host's stop leaves of the
+/// request's time, an attempt gets as much as the service's responses need.
+[[nodiscard]] base::duration attempt_time(const gateway_request& request);
+
 /// Whether nothing may be waited for any more on the request's behalf: its caller is gone, its deadline has
 /// passed, or the host ends so soon that the request has to be answered now.
 [[nodiscard]] bool is_wait_over(const gateway_request& request);
--- a/libraries/gateway/forwarding/forwarding_sender.cpp
+++ b/libraries/gateway/forwarding/forwarding_sender.cpp
@@ -61,7 +61,7 @@
 
 /// Watches the host until its answer begins. The host watches the upstream by itself.
 stall_monitor watch_answer(gateway_request& request, const base::host_id& host) {
-    const base::duration timeout = decision::attempt_timeout(request.record, time_left(request));
+    const base::duration timeout = attempt_time(request);
     return {request,
             host_source(*request.state, host),
             {.limits = {.limit = timeout + answer_margin, .takeover_limit = base::duration::max()},
--- a/libraries/gateway/plain/plain_relay.cpp
+++ b/libraries/gateway/plain/plain_relay.cpp
@@ -2,6 +2,7 @@
 #include <gateway/plain/plain_relay.h>
 
 #include <gateway/caller_identity.h>
+#include <gateway/endings/request_drain.h>
 #include <gateway/forwarding/forwarding_sender.h>
 #include <gateway/plain/plain_choice.h>
 #include <gateway/plain/send_slot_queue.h>
@@ -200,7 +201,7 @@
 
 /// Watches an upstream's answer. One that is late is given up only once another attempt is certain.
 stall_monitor watch_answer(gateway_request& request, relay_progress& progress) {
-    const base::duration limit = decision::attempt_timeout(request.record, time_left(request));
+    const base::duration limit = attempt_time(request);
     return {request,
             answer_only_source(),
             {.limits = {.limit = limit, .takeover_limit = limit},
@@ -240,6 +241,7 @@
 void record_answer(const gateway_request& request, const plain_step& step, const exchange_result& exchange) {
     gateway_state& state = *request.state;
     const base::time_point now = state.clock->now();
+    decision::record_response(profile_of(request).responses, now - exchange.sent);
     if (decision::instance* const target = decision::find_instance(state.instances, *step.upstream))
         decision::record_response_time(
             *target, base::from_seconds(base::to_seconds(now - exchange.sent) / step.rounds), now);
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -250,6 +250,11 @@
     this->host(number).send_signal(SIGHUP);
 }
 
+void gateway_cluster::reload_with_grace(int number, std::chrono::milliseconds grace) {
+    this->options.grace_ms = static_cast<int>(grace.count());
+    this->reload_host(number, "");
+}
+
 std::string gateway_cluster::store_address(int number) {
     std::string direct = this->host_ip(number) + ":" + this->store_port;
     if (this->options.store_bytes_per_s <= 0)
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -65,6 +65,8 @@
     void start_host(int number);
     /// Has a running host read its settings file again, with that line of YAML in addition.
     void reload_host(int number, const std::string& line);
+    /// Has a running host read its settings file again, with that grace period.
+    void reload_with_grace(int number, std::chrono::milliseconds grace);
     [[nodiscard]] stand_in::child_process& host(int number) { return *this->hosts.at(number); }
     /// Whether the host's readiness check succeeds within that time.
     [[nodiscard]] bool is_ready(int number,
