decision, service: Don't let an older load report take back that an engine drains

What callers saw: nothing, read while looking for undated knowledge of leaving upstreams (the own interface). Reports reach a host directly and over the host that owns the engine; the one that arrived last counted, whatever its age, so one that was on its way longer listed a draining engine again for new requests. An answer's age began when it arrived, not when the engine was asked. Change: a report older than the known one is ignored; a report is as old as its question. Evidence: tests/decision/test_router, "an older load report doesn't take back that an engine drains" (by reading red before: the report was stored unconditionally). Left: a host whose questions hang while its requests get through goes on with the last report.

--- a/libraries/decision/engine_state.cpp
+++ b/libraries/decision/engine_state.cpp
@@ -110,9 +110,12 @@
 
 void apply_load_report(engine_state& engine, const load_report& report, base::duration age,
                        base::time_point now) {
+    const base::time_point reported_at = now - age;
+    if (engine.has_report && reported_at < engine.reported_at)
+        return;
     engine.report = report;
     engine.has_report = true;
-    engine.reported_at = now - age;
+    engine.reported_at = reported_at;
     engine.other_hosts_decodes =
         std::max(0, report.active_decodes + report.waiting_decodes - reserved_slots(engine));
 }
--- a/libraries/decision/engine_state.h
+++ b/libraries/decision/engine_state.h
@@ -107,7 +107,8 @@
 /// Changes the expected end of a reservation.
 void move_reservation(engine_state& engine, base::time_point old_end, base::time_point new_end);
 
-/// Stores a load report that was `age` old when received.
+/// Stores a load report that was `age` old when received, unless a newer one is known: one that came over
+/// another host must not take back that the engine drains.
 void apply_load_report(engine_state& engine, const load_report& report, base::duration age,
                        base::time_point now);
 
--- a/libraries/service/upstream_controller.cpp
+++ b/libraries/service/upstream_controller.cpp
@@ -61,13 +61,14 @@
         }
         const base::time_point now = this->control->clock->now();
         std::erase_if(this->received_loads,
-                      [now](const auto& item) { return now - item.second.received_at > load_lifetime; });
+                      [now](const auto& item) { return now - item.second.asked_at > load_lifetime; });
         this->control->pause(poll_interval, yield);
     }
 }
 
 void upstream_controller::poll(const base::upstream_id& id, const std::string& address,
                                wire::yield_context yield) {
+    const base::time_point asked_at = this->control->clock->now();
     const auto response = wire::fetch(this->pool, address, wire::make_load_request(), call_timeout, yield);
     if (!response || response->status != ok_status)
         return;
@@ -76,8 +77,10 @@
     const auto report = wire::parse_load(response->body);
     if (!report)
         return;
-    this->received_loads[id] = {*report, this->control->clock->now()};
-    this->control->report_to_decision(decision::load_report_received{id, *report, base::duration::zero()});
+    // The engine may have answered long before the answer arrived.
+    this->received_loads[id] = {*report, asked_at};
+    this->control->report_to_decision(
+        decision::load_report_received{id, *report, this->control->clock->now() - asked_at});
 }
 
 void upstream_controller::abort_orphans_forever(wire::yield_context yield) {
@@ -113,7 +116,7 @@
     for (const auto& [id, load] : this->received_loads)
         found[id.value] = {
             load.report,
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - load.received_at).count()};
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - load.asked_at).count()};
     return found;
 }
 
--- a/libraries/service/upstream_controller.h
+++ b/libraries/service/upstream_controller.h
@@ -22,7 +22,7 @@
 private:
     struct received_load {
         decision::load_report report;
-        base::time_point received_at{};
+        base::time_point asked_at{}; ///< The report is at most as old as that.
     };
 
     void poll_forever(wire::yield_context yield);
--- a/tests/decision/test_router.cpp
+++ b/tests/decision/test_router.cpp
@@ -149,6 +149,22 @@
     }
 }
 
+// Guards against a report that was longer on its way, over another host, and would have an engine that drains
+// get new requests.
+TEST_CASE("an older load report doesn't take back that an engine drains, a newer one does") {
+    router_fixture router(1, 1, 2);
+    const auto is_served = [&router](const std::string& id) {
+        return router_fixture::find<start_prefill>(router.send(request_arrived{make_facts(id)})) != nullptr;
+    };
+    router.now += 10s;
+    router.send(load_report_received{{"d0"}, {0, 0, 2, 0, true}, 100ms});
+    router.send(load_report_received{{"d0"}, {0, 0, 2, 0, false}, 600ms});
+    CHECK_FALSE(is_served("drained"));
+    router.now += 1s;
+    router.send(load_report_received{{"d0"}, {0, 0, 2, 0, false}, 900ms});
+    CHECK(is_served("back"));
+}
+
 TEST_CASE("an engine with repeated failures is ejected and later probed with one request") {
     router_fixture router(1, 1, 16);
     for (int index = 0; index < 4; ++index) {
