decision: Let a plain upstream's fresh answer outweigh another host's word that it is gone

Cause: two costs. A single host's "out of service" avoided the upstream whatever this host has first hand, and each report that it could not be reached cost 0.3 s in the order, more than a whole answer takes. Change: where a plain upstream answered this host within the last second, neither counts, as it was already for reports of failures by two hosts. An engine's word stands: it may be changing its stage and still answer what it began before. A host that has no fresh answer believes the word as before, and one that meets a refused connection itself knows at once. A trial that dated the word and asked for a later answer changed nothing: a host that avoids the upstream gets none.

--- a/libraries/decision/choice_cost.cpp
+++ b/libraries/decision/choice_cost.cpp
@@ -17,8 +17,8 @@
 /// Cost of an upstream that this host avoids now, see `is_avoided`. Charged once, and high enough that
 /// every other one is preferred.
 constexpr double avoided_upstream_cost = 30;
-/// Cost for each other host that could not reach the upstream recently, whether this host avoids it or not.
-/// Low, as the fault may be on their side.
+/// Cost for each other host whose word counts that it could not reach the upstream recently, whether this
+/// host avoids it or not. Low, as the fault may be on their side.
 constexpr double unreachable_report_cost = 0.3;
 /// Random tie-breaker, so that hosts with the same view do not all choose the same upstream.
 constexpr double tie_spread = 0.003;
@@ -93,7 +93,7 @@
         cost += other_zone_cost;
     if (is_avoided(candidate, context.now))
         cost += avoided_upstream_cost;
-    return cost + unreachable_report_cost * candidate.avoided_by;
+    return cost + unreachable_report_cost * count_avoiding_hosts(candidate, context.now);
 }
 
 scored_candidate cheapest(const std::vector<const instance*>& candidates,
--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -338,15 +338,36 @@
     return now < target.health.out_of_service_until;
 }
 
+namespace {
+
+/// Whether it answered this host so recently that other hosts' trouble must be with their links.
+bool has_answered_here(const instance& target, base::time_point now) {
+    return target.health.last_success != base::time_point{} &&
+           now - target.health.last_success < own_success_lifetime;
+}
+
+/// Whether another host's word that it is out of service counts here. An engine may be changing its stage,
+/// and still answer what it began before.
+bool is_taken_for_ended(const instance& target, base::time_point now) {
+    const bool is_engine = target.entry.stage != settings::engine_stage::none;
+    return target.is_out_of_service_elsewhere && (is_engine || !has_answered_here(target, now));
+}
+
+} // namespace
+
+int count_avoiding_hosts(const instance& target, base::time_point now) {
+    const bool is_engine = target.entry.stage != settings::engine_stage::none;
+    return is_engine || !has_answered_here(target, now) ? target.avoided_by : 0;
+}
+
 bool is_avoided(const instance& target, base::time_point now) {
-    const bool has_answered_here = target.health.last_success != base::time_point{} &&
-                                   now - target.health.last_success < own_success_lifetime;
-    const bool is_avoided_elsewhere = target.avoided_by >= min_avoiding_hosts && !has_answered_here;
-    return is_ejected(target, now) || target.is_out_of_service_elsewhere || is_avoided_elsewhere;
+    const bool is_avoided_elsewhere =
+        target.avoided_by >= min_avoiding_hosts && !has_answered_here(target, now);
+    return is_ejected(target, now) || is_taken_for_ended(target, now) || is_avoided_elsewhere;
 }
 
 bool is_last_resort(const instance& target, base::time_point now) {
-    const bool has_ended = is_out_of_service(target, now) || target.is_out_of_service_elsewhere;
+    const bool has_ended = is_out_of_service(target, now) || is_taken_for_ended(target, now);
     const bool is_reached = target.health.unreached_at == base::time_point{};
     const bool has_failed = target.health.failures_in_row >= failures_to_eject;
     return !has_ended && is_reached && (has_failed || !is_ejected(target, now));
--- a/libraries/decision/instance_table.h
+++ b/libraries/decision/instance_table.h
@@ -266,6 +266,10 @@
 /// Whether the other hosts' work there is known: it is not remote, or was reported on recently.
 [[nodiscard]] bool is_load_known(const instance& target, base::time_point now);
 
+/// Other hosts whose word that they could not reach the instance counts here: none, if it is a plain upstream
+/// that answered this host a moment ago.
+[[nodiscard]] int count_avoiding_hosts(const instance& target, base::time_point now);
+
 /// Whether new work avoids it because of failures seen by this host or by others.
 [[nodiscard]] bool is_avoided(const instance& target, base::time_point now);
 
--- a/tests/decision/test_instances.cpp
+++ b/tests/decision/test_instances.cpp
@@ -430,6 +430,31 @@
     }
 }
 
+// Guards against a single host whose link refuses a connection, and so has all others avoid an upstream that
+// answers them.
+TEST_CASE("a plain upstream that another host reports gone is avoided unless it responded recently") {
+    auto table = make_table({make_entry("plain"), make_entry("d1", engine_stage::decode)});
+    for (const auto* id : {"plain", "d1"}) {
+        decision::instance& known = *decision::find_instance(table, {id});
+        // An engine that is changing its stage completes what it began before.
+        const bool is_engine = known.entry.stage != engine_stage::none;
+        known.is_out_of_service_elsewhere = true;
+        known.avoided_by = 1;
+        CHECK(decision::is_avoided(known, now));
+        CHECK(decision::count_avoiding_hosts(known, now) == 1);
+        CHECK_FALSE(decision::is_last_resort(known, now));
+        decision::record_outcome(known, decision::attempt_outcome::good, now);
+        CHECK(decision::is_avoided(known, now + 500ms) == is_engine);
+        CHECK(decision::is_last_resort(known, now + 500ms) != is_engine);
+        CHECK(decision::count_avoiding_hosts(known, now + 500ms) == (is_engine ? 1 : 0));
+        CHECK(decision::is_avoided(known, now + 2s));
+        CHECK_FALSE(decision::is_last_resort(known, now + 2s));
+        CHECK(decision::count_avoiding_hosts(known, now + 2s) == 1);
+        decision::record_outcome(known, decision::attempt_outcome::exited, now);
+        CHECK(decision::is_avoided(known, now + 500ms));
+    }
+}
+
 TEST_CASE("an engine that two other hosts can't reach is avoided unless it responded to this host recently") {
     auto table = make_table({make_entry("one")});
     decision::instance& silent = *decision::find_instance(table, {"one"});
--- a/tests/gateway/test_unreachable_upstreams.cpp
+++ b/tests/gateway/test_unreachable_upstreams.cpp
@@ -300,6 +300,48 @@
     CHECK(requests.count_failures(1, 8, {"/stream/", "/resume/"}) == 0);
 }
 
+// Guards against one host whose link refuses connections, and so takes half of the upstreams from all others.
+TEST_CASE("other hosts go on using a plain upstream that answers them while one host can't reach it") {
+    test::gateway_cluster cluster({.name = "one-link",
+                                   .servers = {{.id = "one", .event_ms = 30}, {.id = "two", .event_ms = 30}},
+                                   .hosts = 2,
+                                   .linked_hosts = 1});
+    await_peers(cluster, 2);
+    caller requests(cluster);
+    const auto is_reported = [&] {
+        return cluster.state_of(2).at("instances").at("one").at("is_out_of_service_elsewhere").get<bool>();
+    };
+    std::atomic<int> failures = 0;
+    std::atomic<bool> is_over = false;
+    int used_while_reported = 0;
+    {
+        static constexpr int count = 16; // Twice the slots of one upstream.
+        std::vector<std::jthread> callers;
+        callers.reserve(count);
+        for (int number = 0; number < count; ++number)
+            callers.emplace_back([&, number] {
+                caller own(cluster, "other-" + std::to_string(number));
+                while (!is_over)
+                    failures += own.count_failures(2, 1, {"/again/"});
+            });
+        // The other host has had answers of both.
+        std::this_thread::sleep_for(500ms);
+        cluster.set_links(1, link_fault::refuse_new, {"one"});
+        const auto keep_reported = [&] {
+            (void)requests.send(1, "/again/");
+            return is_reported();
+        };
+        const bool was_reported = test::eventually(keep_reported);
+        const int before = cluster.arrivals("one");
+        std::this_thread::sleep_for(1s);
+        used_while_reported = cluster.arrivals("one") - before;
+        is_over = true;
+        CHECK(was_reported);
+    }
+    CHECK(used_while_reported > 10);
+    CHECK(failures == 0);
+}
+
 TEST_CASE("a host that reaches neither upstreams nor another host refuses what has not run") {
     test::gateway_cluster cluster = make_linked_cluster("with-nobody", 1);
     caller requests(cluster);
