--- a/libraries/service/upstream_controller.cpp
+++ b/libraries/service/upstream_controller.cpp
@@ -115,8 +115,7 @@
     const base::time_point now = this->control->clock->now();
     for (const auto& [id, load] : this->received_loads)
         found[id.value] = {
-            load.report,
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - load.asked_at).count()};
+            load.report, std::chrono::duration_cast<std::chrono::milliseconds>(now - load.asked_at).count()};
     return found;
 }
 
