tests: Play hosts that hardly run while upstreams go and the store forgets its history

Hypothesis 3 of docs/incidents/history-that-the-store-forgot.md was left to be played: hosts short of time end their own reads too late and take that for the store's absence. Six hosts that are stopped two thirds of the time, 0.1 or 0.9 s at most at once, each in its own turns.

--- a/tests/gateway/test_forgotten_history.cpp
+++ b/tests/gateway/test_forgotten_history.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
+#include <random>
 #include <thread>
 
 using namespace postpaddle;
@@ -42,8 +44,73 @@
     }
 }
 
+/// Lets each host run for only a part of the time, in turns of its own, for as long as the object lives.
+class starved_hosts {
+public:
+    /// A turn is a pause of at most `longest_pause`, then half as long a run.
+    starved_hosts(test::gateway_cluster& cluster, int hosts, milliseconds longest_pause) {
+        for (int host = 1; host <= hosts; ++host)
+            this->threads.emplace_back([&cluster, host, longest_pause](const std::stop_token& stop) {
+                std::mt19937 random(static_cast<unsigned>(host));
+                std::uniform_int_distribution<int> pauses(10, static_cast<int>(longest_pause.count()));
+                while (!stop.stop_requested()) {
+                    const milliseconds pause(pauses(random));
+                    cluster.host(host).send_signal(SIGSTOP);
+                    std::this_thread::sleep_for(pause);
+                    cluster.host(host).send_signal(SIGCONT);
+                    std::this_thread::sleep_for(pause / 2);
+                }
+            });
+    }
+
+private:
+    std::vector<std::jthread> threads;
+};
+
 } // namespace
 
+// Guards against hosts that take reads which they end too late themselves for the store's silence.
+TEST_CASE("a server whose entry goes gets no request later than its bound from hosts that hardly run") {
+    struct play {
+        std::string name;
+        milliseconds longest_pause{};
+        bool forgets = false; ///< Whether the store forgets its history before and with the entry.
+        bool says_so = false; ///< Whether the server says that it leaves, and its entry stays.
+    };
+    const std::vector<play> plays = {{"short-turns", 100ms, false, false},
+                                     {"long-turns", 900ms, false, false},
+                                     {"long-turns-forgotten", 900ms, true, false},
+                                     {"long-turns-announced", 900ms, true, true}};
+    constexpr int host_count = 6;
+    for (const play& each : plays) {
+        INFO(each.name);
+        test::gateway_cluster cluster(options_for("starved-" + each.name, host_count));
+        std::this_thread::sleep_for(settled_time);
+        const test::host_range hosts = {.first = 1, .last = host_count};
+        int late = 0;
+        {
+            const starved_hosts starved(cluster, host_count, each.longest_pause);
+            test::call_hosts(cluster, hosts, 1s);
+            REQUIRE(cluster.arrivals("one") > 0);
+            if (each.forgets)
+                forget_at(cluster, {400ms}, all_topics);
+            for (const auto* id : {"d1", "one"}) {
+                if (each.says_so)
+                    cluster.register_server(id, "draining", 2);
+                else if (each.forgets)
+                    cluster.drop_server_and_history(id);
+                else
+                    cluster.drop_server(id);
+            }
+            if (each.says_so)
+                cluster.forget_history({test::server_topic});
+            late = test::late_arrivals(cluster, {"d1", "one"}, hosts, bound, 2 * counted_time);
+        }
+        INFO(test::describe_listing(cluster, "one", hosts));
+        CHECK(late == 0);
+    }
+}
+
 // Guards against hosts that take the store's word that its history is gone for an outage.
 TEST_CASE("a server whose entry goes while the store forgets its history gets no request later than its "
           "bound") {
