decision: Count timed responses no further than needed

Read in the diff: a host that serves 1,000 plain responses a second would have overflowed the count after some 25 days. Change: the count ends at what makes an expectation. No other behaviour changes.

--- a/libraries/decision/response_times.cpp
+++ b/libraries/decision/response_times.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 void record_response(response_times& times, base::duration taken) {
-    ++times.timed;
+    times.timed = std::min(times.timed + 1, min_timed);
     const base::duration lowered = times.longest - base::scaled(times.longest - taken, decay);
     times.longest = std::max(taken, lowered);
 }
--- a/libraries/decision/response_times.h
+++ b/libraries/decision/response_times.h
@@ -9,7 +9,7 @@
 
 /// How long the plain responses of a service take, from the request's send to the response's end.
 struct response_times {
-    int timed = 0;            ///< Responses so far.
+    int timed = 0;            ///< Responses so far, up to as many as make an expectation.
     base::duration longest{}; ///< Of the latest ones: each shorter one lowers it a little.
 
     bool operator==(const response_times&) const = default;
