base, gateway: Let no signal end a host in the last moments of its planned stop

Cause: the set of awaited signals goes with the coroutine that carries out the stop, which gives them their default action back some milliseconds before the process exits. Change: the threads that must not end by them block these signals: the log's writer from its start, the other one once the stop is done. They wait without an effect until the exit. The look for an ended child process moved from the soak to tests/support.

--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -10,6 +10,7 @@
 #include <gateway/stream_origin/request_origin.h>
 
 #include <base/hashing.h>
+#include <base/signal_mask.h>
 #include <base/try.h>
 #include <wire/endpoint.h>
 
@@ -195,6 +196,8 @@
             continue;
         }
         this->drain(yield);
+        // Without the set, further signals would end the process as if it had not stopped by itself.
+        base::block_control_signals();
         return;
     }
 }
--- a/libraries/gateway/operations/decision_log.cpp
+++ b/libraries/gateway/operations/decision_log.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/operations/decision_log.h>
 
+#include <base/signal_mask.h>
+
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -85,6 +87,8 @@
 }
 
 void decision_log::run() {
+    // They are for the thread that waits for them.
+    base::block_control_signals();
     const auto logger = log4cxx::Logger::getLogger("postpaddle");
     bool is_last_round = false;
     while (!is_last_round) {
--- a/tests/gateway/test_request_endings.cpp
+++ b/tests/gateway/test_request_endings.cpp
@@ -2,6 +2,7 @@
 // How requests that were read whole end, and what is recorded of it.
 #include <support/gateway_cluster.h>
 #include <support/manual_clock.h>
+#include <support/process_state.h>
 #include <support/test_cluster.h>
 
 #include <gateway/endings/open_request.h>
@@ -16,6 +17,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <thread>
 
 using namespace postpaddle;
 using test::routed_request;
@@ -299,6 +301,29 @@
     CHECK(cluster.host(1).wait() == 0);
 }
 
+// Guards against a signal in the last moments of a planned stop, which would end the process in its own way.
+TEST_CASE("a host that is signalled until the end of its stop exits as planned") {
+    constexpr int stops = 4;
+    test::gateway_cluster cluster(
+        {.name = "stop-signals", .servers = {{.id = "one"}}, .hosts = 1, .grace_ms = 1'200});
+    for (int number = 0; number < stops; ++number) {
+        test::client_connection partial(cluster.callers_address(), std::string("POST /once/ HTTP/1.1\r\n"));
+        cluster.host(1).send_signal(SIGTERM);
+        {
+            const std::jthread sender([&](const std::stop_token& stop) {
+                for (int count = 0; !stop.stop_requested(); ++count) {
+                    cluster.host(1).send_signal(count % 2 == 0 ? SIGHUP : SIGTERM);
+                    std::this_thread::sleep_for(std::chrono::microseconds(100));
+                }
+            });
+            CHECK(test::eventually([&] { return test::has_ended(cluster.host(1).id()); }));
+        }
+        CHECK(cluster.host(1).wait() == 0);
+        cluster.start_host(1);
+        REQUIRE(test::eventually([&] { return cluster.is_ready(1); }));
+    }
+}
+
 // Guards against streams that a stopping host begins although it can't complete them.
 TEST_CASE("a stopping host takes a stream only if it can end before the host does") {
     recording_host host;
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -3,6 +3,7 @@
 
 #include <soak/checkers.h>
 #include <soak/settings_document.h>
+#include <support/process_state.h>
 #include <support/test_cluster.h>
 
 #include <algorithm>
@@ -40,15 +41,6 @@
 /// For the hosts to become ready after the last fault.
 constexpr milliseconds recovery_limit(30'000);
 
-/// Whether a child process has ended and waits to be reaped. Source: proc(5), state `Z`.
-bool has_ended(pid_t pid) {
-    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-    std::string line;
-    std::getline(file, line);
-    const auto name_end = line.rfind(')');
-    return name_end == std::string::npos || line.at(name_end + 2) == 'Z';
-}
-
 } // namespace
 
 test::server_plan make_server_plan(int place, int start, int version) {
@@ -616,7 +608,7 @@
         if (!state.is_up)
             continue;
         const pid_t pid = this->cluster->host(host).id();
-        if (has_ended(pid)) {
+        if (test::has_ended(pid)) {
             this->did_exit(host);
             continue;
         }
