--- a/libraries/decision/instance_table.cpp
+++ b/libraries/decision/instance_table.cpp
@@ -346,18 +346,21 @@
            now - target.health.last_success < own_success_lifetime;
 }
 
-/// Whether another host's word that it is out of service counts here. An engine may be changing its stage,
-/// and still answer what it began before.
-bool is_taken_for_ended(const instance& target, base::time_point now) {
+/// Whether another host's word about it counts here. An engine may be changing its stage, and still answer
+/// what it began before.
+bool does_word_count(const instance& target, base::time_point now) {
     const bool is_engine = target.entry.stage != settings::engine_stage::none;
-    return target.is_out_of_service_elsewhere && (is_engine || !has_answered_here(target, now));
+    return is_engine || !has_answered_here(target, now);
+}
+
+bool is_taken_for_ended(const instance& target, base::time_point now) {
+    return target.is_out_of_service_elsewhere && does_word_count(target, now);
 }
 
 } // namespace
 
 int count_avoiding_hosts(const instance& target, base::time_point now) {
-    const bool is_engine = target.entry.stage != settings::engine_stage::none;
-    return is_engine || !has_answered_here(target, now) ? target.avoided_by : 0;
+    return does_word_count(target, now) ? target.avoided_by : 0;
 }
 
 bool is_avoided(const instance& target, base::time_point now) {
--- a/libraries/gateway/operations/state_dump.cpp
+++ b/libraries/gateway/operations/state_dump.cpp
@@ -142,10 +142,6 @@
     return suspects;
 }
 
-} // namespace
-
-namespace {
-
 json dump_collected(const wire::collected_data& collected) {
     return {{"bytes", collected.bytes()}, {"bound", collected.bound()}, {"given_up", collected.given_up()}};
 }
--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -86,7 +86,6 @@
           all_written(this->stream.get_executor()), input_arrived(this->stream.get_executor()),
           write_watchdog(this->stream.get_executor()) {
         error_code ignored;
-        this->remote = this->stream.socket().remote_endpoint(ignored).address().to_string();
         this->stream.socket().non_blocking(true, ignored);
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
         this->stream.socket().set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
@@ -244,6 +243,13 @@
     /// Accounts for the body as far as it has arrived.
     expected<void> collect(std::uint64_t bytes);
 
+    /// Address of the caller, without its port; empty if it is not known any more.
+    [[nodiscard]] std::string remote_address() const {
+        error_code error;
+        const tcp::endpoint remote = this->stream.socket().remote_endpoint(error);
+        return error ? std::string() : remote.address().to_string();
+    }
+
     static tl::unexpected<wire_error> no_room() {
         return tl::unexpected<wire_error>({wire_failure::no_room, "no memory for the whole request"});
     }
@@ -292,7 +298,6 @@
     response_progress progress = response_progress::none;
     bool is_close_announced = false; ///< By the last response.
     bool is_reading = false;         ///< Part of a request has arrived.
-    std::string remote;              ///< Address of the caller, without its port.
     /// The body of the request that was read last, or is being read; null if it isn't accounted for.
     std::unique_ptr<collected_data::scoped_message> held;
     bool is_given_up = false; ///< There was no room for the rest of the request.
@@ -430,8 +435,8 @@
         self->is_given_up = true;
         self->input_arrived.cancel();
     };
-    this->held =
-        std::make_unique<collected_data::scoped_message>(*limits.collected, this->remote, did_give_up);
+    this->held = std::make_unique<collected_data::scoped_message>(*limits.collected, this->remote_address(),
+                                                                  did_give_up);
     return this->collect(declared_bytes);
 }
 
@@ -467,11 +472,7 @@
     return request;
 }
 
-std::string caller_connection::remote_address() const {
-    error_code error;
-    const tcp::endpoint remote = this->impl->stream.socket().remote_endpoint(error);
-    return error ? std::string() : remote.address().to_string();
-}
+std::string caller_connection::remote_address() const { return this->impl->remote_address(); }
 
 void caller_connection::watch_for_disconnect(std::function<void()> on_disconnect) {
     this->impl->on_disconnect = std::move(on_disconnect);
--- a/tests/gateway/test_leaving_upstreams.cpp
+++ b/tests/gateway/test_leaving_upstreams.cpp
@@ -115,15 +115,9 @@
     std::this_thread::sleep_for(bound + 1s);
     drop_both(cluster);
     (void)cluster.store({{"mode", ""}});
-    REQUIRE(test::eventually(
-        [&] { return cluster.state_of(3).at("instances").at("one").at("listing") != "listed"; }));
-    int served = 0;
-    for (int host = 1; host <= 3; ++host)
-        for (const auto* path : {"/again/", "/resume/"})
-            served += test::status_at(cluster, host, path) == 200 ? 1 : 0;
-    CHECK(served == 6);
+    REQUIRE(test::await_listing(cluster, 3, "one", false));
+    CHECK(test::count_served(cluster, {.first = 1, .last = 3}) == 6);
     for (const auto* id : {"d1", "one"})
         cluster.register_server(id, "ready", 2);
-    CHECK(test::eventually(
-        [&] { return cluster.state_of(3).at("instances").at("one").at("listing") == "listed"; }));
+    CHECK(test::await_listing(cluster, 3, "one", true));
 }
--- a/tests/support/late_arrivals.cpp
+++ b/tests/support/late_arrivals.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <support/late_arrivals.h>
 
+#include <support/test_cluster.h>
+
 #include <thread>
 
 namespace postpaddle::test {
@@ -38,6 +40,22 @@
     return arrivals_at(cluster, servers) - before;
 }
 
+int count_served(const gateway_cluster& cluster, const host_range& hosts) {
+    constexpr int ok_status = 200;
+    int served = 0;
+    for (int host = hosts.first; host <= hosts.last; ++host)
+        for (const auto* path : {"/again/", "/resume/"})
+            served += status_at(cluster, host, path) == ok_status ? 1 : 0;
+    return served;
+}
+
+bool await_listing(const gateway_cluster& cluster, int host, const std::string& server, bool is_listed) {
+    return eventually([&] {
+        const auto listing = cluster.state_of(host).at("instances").at(server).at("listing");
+        return (listing == "listed") == is_listed;
+    });
+}
+
 std::string describe_listing(const gateway_cluster& cluster, const std::string& server,
                              const host_range& hosts) {
     std::string text;
--- a/tests/support/late_arrivals.h
+++ b/tests/support/late_arrivals.h
@@ -23,6 +23,13 @@
                                 const host_range& hosts, std::chrono::milliseconds bound,
                                 std::chrono::milliseconds length);
 
+/// Of a plain request and a stream that may be resumed to each host, those that are served.
+[[nodiscard]] int count_served(const gateway_cluster& cluster, const host_range& hosts);
+
+/// Whether the host comes to list the server, or not to, before long.
+[[nodiscard]] bool await_listing(const gateway_cluster& cluster, int host, const std::string& server,
+                                 bool is_listed);
+
 /// What each host knows of a server, and why it doubts that entries which go belong to servers that leave.
 [[nodiscard]] std::string describe_listing(const gateway_cluster& cluster, const std::string& server,
                                            const host_range& hosts);
