settings: Give a field that is left empty its default, so that a host starts without it

What callers saw: nothing, as no host got ready.

Cause: the platform fills deploy/gateway.yaml, and a value that does not exist gives nothing. The reader took a field without a value for a wrong one.

Change: node_reader treats an empty field as a missing one, whatever its kind. A gateway host's mandatory fields have defaults: a name (its address for other hosts), a zone, addresses to listen at (the IP number of the others and a port that the system chooses, which is logged and told to other hosts), no store.

--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -62,6 +62,11 @@
     }
 }
 
+/// The address with the port that the system has chosen if it had none.
+std::string with_port(const std::string& address, std::uint16_t port) {
+    return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
+}
+
 } // namespace
 
 gateway_host::gateway_host(const base::clock& clock, settings::gateway_settings process_settings,
@@ -120,12 +125,14 @@
                                                               .connections = connections});
 }
 
-wire::expected<void> gateway_host::start() {
+wire::expected<void> gateway_host::listen() {
     POSTPADDLE_TRY(new_caller_listener, this->listen_at(this->process.callers, this->process.connections,
                                                         [this] { return caller_bounds(this->state); }));
     this->caller_listener = std::move(new_caller_listener);
+    this->process.callers = with_port(this->process.callers, this->caller_listener->port());
     POSTPADDLE_TRY(new_readiness_listener, this->listen_at(this->process.readiness, admin_connections));
     this->readiness_listener = std::move(new_readiness_listener);
+    this->process.readiness = with_port(this->process.readiness, this->readiness_listener->port());
     if (!this->process.metrics.empty()) {
         POSTPADDLE_TRY(new_metrics_listener, this->listen_at(this->process.metrics, admin_connections));
         this->metrics_listener = std::move(new_metrics_listener);
@@ -133,7 +140,13 @@
     POSTPADDLE_TRY(own_endpoint, wire::parse_endpoint(this->process.peers));
     this->forwarding_pool.set_local_address(own_endpoint.address());
     POSTPADDLE_TRY_VOID(this->peers.listen());
-    POSTPADDLE_TRY_VOID(this->datagrams.listen());
+    // Other hosts are told this address.
+    this->process.peers = with_port(this->process.peers, this->peers.port());
+    return this->datagrams.listen();
+}
+
+wire::expected<void> gateway_host::start() {
+    POSTPADDLE_TRY_VOID(this->listen());
     this->caller_listener->start([this](wire::caller_connection& connection, wire::yield_context yield) {
         serve_caller(this->state, connection, yield);
     });
@@ -172,6 +185,8 @@
     this->prober.start();
     this->log.write_always("started", {{"availability_zone", this->process.availability_zone.value},
                                        {"callers", this->process.callers},
+                                       {"readiness", this->process.readiness},
+                                       {"peers", this->process.peers},
                                        {"store", this->process.store}});
     return {};
 }
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -59,6 +59,8 @@
     [[nodiscard]] wire::expected<std::shared_ptr<wire::http_listener>>
     listen_at(const std::string& address, std::size_t connections,
               wire::bounds_source bounds = wire::fixed_bounds({})) const;
+    /// Binds all listeners, and completes the addresses of those whose port the system chooses.
+    [[nodiscard]] wire::expected<void> listen();
     void await_signals(wire::yield_context yield);
     void drain(wire::yield_context yield);
     void handle_reload();
--- a/libraries/gateway/peers/peer_exchange.h
+++ b/libraries/gateway/peers/peer_exchange.h
@@ -25,6 +25,8 @@
 
     /// Listens for the other hosts and for operators.
     [[nodiscard]] wire::expected<void> listen();
+    /// Port on which it listens.
+    [[nodiscard]] std::uint16_t port() const { return this->listener->port(); }
     /// Starts the coroutines; they run as long as the process.
     void start();
     /// Sends heartbeats to a few peers at once after newer settings or zone records were applied.
--- a/libraries/settings/gateway_settings.h
+++ b/libraries/settings/gateway_settings.h
@@ -24,19 +24,22 @@
     bool operator==(const retry_budget_settings&) const = default;
 };
 
-/// Settings of a gateway host, from its own file.
+/// Settings of a gateway host, from its own file. A field that is missing or left empty is no error: the file
+/// may be filled where the value is not known.
 struct gateway_settings {
-    base::host_id name;
+    base::host_id name; ///< The address for other hosts unless the file gives one.
     base::zone_id availability_zone;
     std::map<base::zone_id, base::region_id> regions; ///< Empty if all zones are in one region.
-    std::string callers;                              ///< Address to listen on: IP address and port.
-    std::string readiness;                            ///< Address of the readiness check.
+    /// Address to listen on: IP address and port; port 0 lets the system choose. One that the file doesn't
+    /// give has the IP address of the others.
+    std::string callers;
+    std::string readiness; ///< Address of the readiness check.
     std::string readiness_path = "/readyz";
     std::string peers;              ///< Address for other hosts and operators.
     std::uint16_t load_port = 0;    ///< UDP port for load reports, the same on all hosts; 0 disables them.
     std::string metrics;            ///< Address of the metrics endpoint; empty for none.
     std::vector<std::string> seeds; ///< Peers to contact while the store is unreachable; may be outdated.
-    std::string store;              ///< Address of the platform's store.
+    std::string store;              ///< Address of the platform's store; empty if it is not known.
     bool is_first_start = false;    ///< No host of the system has served any request before.
     std::chrono::milliseconds grace_period{8'000};       ///< Maximum time from the stop signal to the exit.
     std::chrono::milliseconds balancer_delay{2'500};     ///< Until the balancer notices the readiness change.
--- a/libraries/settings/node_reader.cpp
+++ b/libraries/settings/node_reader.cpp
@@ -24,6 +24,11 @@
     return "between " + std::to_string(range.min) + " and " + std::to_string(range.max);
 }
 
+/// Whether whoever filled the file had no value for the field.
+bool is_left_empty(const YAML::Node& field) {
+    return !field || field.IsNull() || (field.IsScalar() && field.Scalar().empty());
+}
+
 template <class T> bool parse_number(const std::string& text, T& value) {
     const char* const end = text.data() + text.size();
     const auto [rest, error] = std::from_chars(text.data(), end, value);
@@ -47,7 +52,8 @@
     this->known_keys.insert(key);
     if (!this->node || !this->node.IsMap())
         return YAML::Node(YAML::NodeType::Undefined);
-    return std::as_const(this->node)[key];
+    const YAML::Node field = std::as_const(this->node)[key];
+    return is_left_empty(field) ? YAML::Node(YAML::NodeType::Undefined) : field;
 }
 
 std::string node_reader::path_of(const std::string& key) const {
@@ -68,7 +74,7 @@
 
 std::string node_reader::required_text(const std::string& key) {
     const YAML::Node field = this->find(key);
-    if (!field || !field.IsScalar() || field.Scalar().empty()) {
+    if (!field || !field.IsScalar()) {
         this->add_problem(key, "text", describe(field));
         return {};
     }
@@ -151,7 +157,7 @@
 
 YAML::Node node_reader::map(const std::string& key) {
     const YAML::Node field = this->find(key);
-    if (!field || field.IsNull())
+    if (!field)
         return YAML::Node(YAML::NodeType::Map);
     if (!field.IsMap()) {
         this->add_problem(key, "a map", describe(field));
--- a/libraries/settings/node_reader.h
+++ b/libraries/settings/node_reader.h
@@ -21,7 +21,8 @@
 
 /// Reads a YAML map field by field, and collects all problems instead of stopping at the first.
 ///
-/// A missing or invalid field yields its default value, so that the remaining fields can still be checked.
+/// A field that is missing or left empty has its default value. So has an invalid one, which is a problem, so
+/// that the remaining fields can still be checked.
 class node_reader {
 public:
     node_reader(const YAML::Node& map_node, std::string file_name, std::string field_path,
