--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -208,6 +208,10 @@
     return this->host_address(number, this->callers_port);
 }
 
+std::string gateway_cluster::readiness_address(int number) const {
+    return this->host_address(number, this->readiness_port);
+}
+
 std::string gateway_cluster::peers_address(int number) const {
     return this->host_address(number, this->peers_port);
 }
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -80,6 +80,8 @@
     /// Value of a metric of the host; 0 if it does not exist.
     [[nodiscard]] double metric(int number, const std::string& name) const;
     [[nodiscard]] std::string callers_address(int number = 1) const;
+    /// Address of the readiness check.
+    [[nodiscard]] std::string readiness_address(int number = 1) const;
     /// Address for the other hosts and for operators.
     [[nodiscard]] std::string peers_address(int number = 1) const;
 
--- a/tests/wire/test_caller_connection.cpp
+++ b/tests/wire/test_caller_connection.cpp
@@ -276,3 +276,82 @@
     caller.run();
     CHECK_FALSE(caller.connection->is_keep_alive());
 }
+
+namespace {
+
+constexpr const char* chunked_head = "POST / HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Reads a request of which only these bytes arrive; returns why it fails, nothing if more is awaited.
+std::optional<wire::wire_failure> failure_of(const std::string& bytes, std::size_t header_bytes = 8'192) {
+    open_connection caller;
+    caller.bounds.header_bytes = header_bytes;
+    caller.begin_read();
+    constexpr std::size_t part_bytes = 16'384;
+    for (std::size_t sent = 0; sent < bytes.size() && !caller.result; sent += part_bytes) {
+        caller.send(bytes.substr(sent, part_bytes));
+        caller.run();
+    }
+    if (!caller.result)
+        return std::nullopt;
+    REQUIRE_FALSE(caller.result->has_value());
+    return caller.result->error().failure;
+}
+
+std::string repeat(const std::string& text, int times) {
+    std::string all;
+    for (int time = 0; time < times; ++time)
+        all += text;
+    return all;
+}
+
+} // namespace
+
+// Guards against fields that arrive after the checks of the head but count as if they stood there.
+TEST_CASE("trailer fields are no part of the request") {
+    open_connection caller;
+    caller.begin_read();
+    caller.send(std::string(chunked_head) +
+                "1\r\nx\r\n0\r\nX-Joined: yes\r\nHost: other\r\nAuthorization: Bearer other\r\n\r\n");
+    caller.run();
+    REQUIRE(caller.has_read_request());
+    const wire::http_request& request = **caller.result;
+    CHECK(request.body == "x");
+    CHECK(wire::find_header(request.headers, "X-Joined").empty());
+    CHECK(wire::find_header(request.headers, "Authorization").empty());
+    CHECK(wire::find_header(request.headers, "Host") == "host");
+    CHECK(request.headers.size() == 2);
+}
+
+// Guards against memory for what is read but not parsed yet, which no limit applied to.
+TEST_CASE("trailers and chunk extensions without end are refused") {
+    const std::string begin = std::string(chunked_head) + "1\r\nx\r\n";
+    CHECK(failure_of(begin + "0\r\n" + repeat("X-Trailer: " + std::string(100, 'x') + "\r\n", 2'000)) ==
+          wire::wire_failure::head_too_large);
+    CHECK(failure_of(begin + "0\r\nX-Trailer: " + std::string(200'000, 'x')) ==
+          wire::wire_failure::head_too_large);
+    CHECK(failure_of(begin + "1;extension=" + std::string(200'000, 'x')) ==
+          wire::wire_failure::head_too_large);
+    CHECK(failure_of(begin + repeat("1;extension=" + std::string(2'000, 'x') + "\r\nx\r\n", 100)) ==
+          wire::wire_failure::too_large);
+}
+
+// Guards against a bound on framing that sound requests meet.
+TEST_CASE("a body in chunks of one byte, short trailers and a long head are read") {
+    open_connection caller;
+    caller.bounds.header_bytes = 8'192;
+    caller.begin_read();
+    const std::string long_field = "X-Field: " + std::string(8'000, 'x') + "\r\n";
+    std::string head = chunked_head;
+    head.insert(head.size() - 2, long_field);
+    caller.send(head);
+    caller.run();
+    const std::string part = repeat("1\r\nx\r\n", 1'000);
+    for (int sent = 0; sent < 60; ++sent) {
+        caller.send(part);
+        caller.run();
+    }
+    caller.send("0\r\n" + long_field.substr(0, 4'000) + "\r\n\r\n");
+    caller.run();
+    REQUIRE(caller.has_read_request());
+    CHECK((*caller.result)->body.size() == 60'000);
+}
