wire: Give the bound on framing a type of its own, so that both sides can have it

The reader of upstreams' answers bounds chunk sizes, extensions and trailers; that of callers' requests doesn't. The bound becomes framing_limit, unchanged: 64 KB and 8 bytes for each byte of the body.

--- a/libraries/wire/upstream_connection.cpp
+++ b/libraries/wire/upstream_connection.cpp
@@ -2,6 +2,7 @@
 #include <wire/upstream_connection.h>
 
 #include <wire/bounded_response.h>
+#include <wire/framing_limit.h>
 
 #include <base/try.h>
 
@@ -33,10 +34,6 @@
 constexpr int max_informational_responses = 8;
 /// Shortest time by which a deadline is extended.
 constexpr auto min_extension = std::chrono::milliseconds(1);
-/// Limit on what frames the body in chunks, in all and for each byte of the body: a chunk of a single byte
-/// has five bytes of framing. Extensions and trailers beyond that are not accepted.
-constexpr std::size_t max_framing_bytes = 64UL * 1024;
-constexpr std::size_t max_framing_bytes_per_byte = 8;
 
 /// Assumed for servers that don't send `Keep-Alive: timeout`.
 constexpr std::chrono::milliseconds default_keep_alive_timeout{4'000};
@@ -122,7 +119,7 @@
         if (this->is_given_up)
             return no_room();
         if (this->did_time_out)
-            return {wire_failure::late, "no whole answer within the limit", this->arrived_bytes};
+            return {wire_failure::late, "no whole answer within the limit", this->framing.body_bytes};
         return error ? to_wire_error(error) : wire_error{};
     }
 
@@ -142,10 +139,6 @@
         return tl::unexpected<wire_error>(std::move(failure));
     }
 
-    [[nodiscard]] bool has_excessive_framing() const {
-        return this->framing_bytes > max_framing_bytes + max_framing_bytes_per_byte * this->arrived_bytes;
-    }
-
     /// Sends the request while the response is already being read, as an upstream may respond before it has
     /// read a long body. A connection whose request was not sent completely is not reused.
     void start_write(const http_request& request) {
@@ -160,8 +153,7 @@
     expected<response_head> read_head(yield_context yield) {
         error_code error;
         int informational_responses = 0;
-        this->arrived_bytes = 0;
-        this->framing_bytes = 0;
+        this->framing = {};
         do {
             if (informational_responses++ > max_informational_responses) {
                 error = http::error::bad_status;
@@ -202,9 +194,8 @@
     beast::flat_buffer input;
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, read_buffer_bytes> read_buffer{};
-    std::size_t arrived_bytes = 0; ///< Of the response's body.
+    framing_limit framing; ///< Of the response.
     carried_requests carried;
-    std::size_t framing_bytes = 0; ///< Of the response, after its head.
     bool has_sent = false;
     bool is_cancelled = false;
     bool is_given_up = false; ///< There was no room for its answer.
@@ -291,9 +282,9 @@
         return self.fail(std::move(failure));
     const std::size_t received = self.read_buffer.size() - self.parser->get().body().size;
     into.append(self.read_buffer.data(), received);
-    self.arrived_bytes += received;
-    self.framing_bytes += parsed - received;
-    if (self.has_excessive_framing())
+    self.framing.body_bytes += received;
+    self.framing.framing_bytes += parsed - received;
+    if (self.framing.is_exceeded())
         return self.fail({wire_failure::too_large, "framing of the body exceeds the size limit"});
     return true;
 }
