wire: Account for all that is held for a request before it is served, on every port

What callers saw: clients that keep no limit took a host to many times its memory, which ended the process with everybody's requests; a body of 4 MB in chunks, or any of 16 MB, was refused with 503 in calm.

Cause: the account knew bodies alone. What was read and not parsed yet (heads, a chunk's size with its extension, the whole trailer section) stood in a buffer without a maximum; an announced length counted as held; a buffer that doubles counted up to twice; and the bound knew nothing of the limits in force. Reads of a crowd came in the way of all else.

Change: each connection has one entry in the account from its beginning, made by http_listener, which has an account even if nobody gives it one. It reports buffer, head and body after each read, and a whole request as it stands while it is sent. The buffer has a maximum, framing the bound of the upstreams' side, a body in chunks a buffer that doesn't grow past its limit. The bound is the share and one whole request at the limits in force, at most half of the memory. What does not arrive with a request's first read is read in turns, one each round of the event loop, over all addresses. 100 Continue goes through the bounded, timed write. A host without room for a forwarded request says so with a label that it has not run, in place of closing the connection, which meant that it might have run.

--- a/libraries/decision/overload/unsent_bytes.cpp
+++ b/libraries/decision/overload/unsent_bytes.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t memory_divisor = 4;
 /// The same for what is collected, in each direction. A body may stand twice for a moment, as it moves on.
 constexpr std::uint64_t collected_divisor = 16;
+/// The same where a single message takes more than that.
+constexpr std::uint64_t max_collected_divisor = 2;
 /// For a process without a memory limit.
 constexpr std::uint64_t default_collected_bytes = 32UL * 1024 * 1024;
 /// Per connection, for a process without a memory limit. 16 KiB contain a whole stream of 69 events; with the
@@ -73,6 +75,10 @@
     return memory.limit_bytes ? *memory.limit_bytes / collected_divisor : default_collected_bytes;
 }
 
+std::uint64_t max_collected_bound(const host_memory& memory) {
+    return memory.limit_bytes ? *memory.limit_bytes / max_collected_divisor : UINT64_MAX;
+}
+
 unsent_sums sum_unsent(const std::vector<unsent_reader>& readers) {
     unsent_sums sums;
     for (const unsent_reader& each : readers)
--- a/libraries/decision/overload/unsent_bytes.h
+++ b/libraries/decision/overload/unsent_bytes.h
@@ -30,6 +30,8 @@
 
 /// Largest amount of what a host collects of bodies, in bytes, for each direction.
 [[nodiscard]] std::uint64_t collected_bound(const host_memory& memory);
+/// What that may become where a single message needs more, in bytes.
+[[nodiscard]] std::uint64_t max_collected_bound(const host_memory& memory);
 
 /// Unsent data by organisation, in bytes; only organisations that hold any.
 using unsent_sums = std::map<base::organisation_id, std::uint64_t>;
--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -90,7 +90,8 @@
             .unsent_data = &this->unsent_data,
             .collected = &this->collected},
       unsent_data(this->state, decision::unsent_bound(memory_of(this->process))),
-      collected(decision::collected_bound(memory_of(this->process))),
+      collected({.share = decision::collected_bound(memory_of(this->process)),
+                 .max_bound = decision::max_collected_bound(memory_of(this->process))}),
       pool(this->context, {.collected = &this->collected.answers}),
       forwarding_pool(this->context, {.collected = &this->collected.answers}),
       feed(external.make_feed(this->context, this->process.store)), peers(this->state, *this->feed),
@@ -122,7 +123,8 @@
     return wire::http_listener::create(*this->state.context, {.address = endpoint.address().to_string(),
                                                               .port = endpoint.port(),
                                                               .bounds = std::move(bounds),
-                                                              .connections = connections});
+                                                              .connections = connections,
+                                                              .account = this->collected.requests});
 }
 
 wire::expected<void> gateway_host::listen() {
--- a/libraries/gateway/operations/state_dump.cpp
+++ b/libraries/gateway/operations/state_dump.cpp
@@ -190,7 +190,7 @@
             {"unsent_bytes", state.unsent_data->unsent_bytes()},
             {"unsent_bound", state.unsent_data->bound()},
             {"collected_answers", dump_collected(state.collected->answers)},
-            {"collected_requests", dump_collected(state.collected->requests)},
+            {"collected_requests", dump_collected(*state.collected->requests)},
             {"hosts_alive", hosts_alive(state)},
             {"has_host_list", state.has_host_list},
             {"limits_shared_by", sharers.hosts},
--- a/libraries/gateway/peers/peer_exchange.cpp
+++ b/libraries/gateway/peers/peer_exchange.cpp
@@ -3,6 +3,7 @@
 
 #include <base/json_parser.h>
 #include <gateway/caller_bounds.h>
+#include <gateway/collected_bodies.h>
 #include <gateway/forwarding/forwarded_request.h>
 #include <gateway/forwarding/forwarding_receiver.h>
 #include <gateway/operations/state_dump.h>
@@ -43,8 +44,6 @@
 /// the limits in force at its sender, whose version may be another. This host declines it for that, but has
 /// to read it first; a connection that just ends would mean that the request may have run.
 constexpr std::size_t max_forwarded_bytes = 64UL * 1024 * 1024;
-/// Bytes of a forwarded request beside the caller's message: names, figures and encoding.
-constexpr std::size_t max_forwarding_overhead = 16UL * 1024;
 /// Timeout of a settings transfer: until it begins, and then between any two parts of it.
 constexpr auto transfer_timeout = 1'500ms;
 /// Size limit of settings from other hosts, compressed or not.
@@ -74,12 +73,22 @@
 wire::connection_bounds bounds_of_hosts(const gateway_state& state) {
     wire::connection_bounds bounds = {.body_bytes = max_forwarded_bytes, .idle_timeout = peer_idle_timeout};
     const wire::connection_bounds callers = caller_bounds(state);
-    bounds.collected = callers.collected;
-    bounds.body_bytes =
-        std::max(bounds.body_bytes, callers.body_bytes + callers.header_bytes + max_forwarding_overhead);
+    bounds.reserved_body_bytes = callers.reserved_body_bytes;
+    bounds.body_bytes = std::max(bounds.body_bytes, callers.reserved_body_bytes);
     return bounds;
 }
 
+/// The answer to a request, maybe a forwarded one, that was not read whole: it has not run.
+wire::http_response answer_without_room() {
+    wire::http_response response{unavailable_status, {}, ""};
+    set_forwarding_label(response.headers, {.outcome = forwarding_outcome::unavailable});
+    return response;
+}
+
+std::shared_ptr<wire::collected_data> account_of_requests(const gateway_state& state) {
+    return state.collected == nullptr ? nullptr : state.collected->requests;
+}
+
 bool is_transfer(const wire::http_request& request) {
     return request.target == settings_path || request.target == registry_path;
 }
@@ -128,7 +137,8 @@
                                 *this->state->context,
                                 {.address = endpoint.address().to_string(),
                                  .port = endpoint.port(),
-                                 .bounds = [state = this->state] { return bounds_of_hosts(*state); }}));
+                                 .bounds = [state = this->state] { return bounds_of_hosts(*state); },
+                                 .account = account_of_requests(*this->state)}));
     this->listener = std::move(created);
     this->listener->start([this](wire::caller_connection& connection, wire::yield_context yield) {
         this->serve(connection, yield);
@@ -145,6 +155,8 @@
 void peer_exchange::serve(wire::caller_connection& connection, wire::yield_context yield) {
     while (!connection.is_closed()) {
         const auto request = connection.read_request(yield);
+        if (!request && request.error().failure == wire::wire_failure::no_room)
+            connection.send_and_close(answer_without_room(), yield);
         if (!request || !this->serve_one(*request, connection, yield) || !connection.is_keep_alive())
             return;
     }
--- a/libraries/service/relay_worker.cpp
+++ b/libraries/service/relay_worker.cpp
@@ -16,7 +16,7 @@
             .request_timeout = bounds.request_read_timeout,
             .idle_timeout = bounds.idle_timeout,
             .unsent_bytes = bounds.unsent_bytes,
-            .collected = nullptr,
+            .reserved_body_bytes = bounds.body_bytes,
             .write_timeout = bounds.write_timeout};
 }
 
@@ -126,6 +126,9 @@
         problem.name = "head-too-large";
         problem.title = "The request's head is larger than allowed";
         break;
+    case wire::wire_failure::no_room:
+        problem = overloaded_problem("no memory is free for the whole request");
+        break;
     case wire::wire_failure::late:
         problem.status = 408;
         problem.name = "too-slow";
--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <wire/caller_connection.h>
 
+#include <wire/framing_limit.h>
+
 #include <base/try.h>
 
 #include <boost/beast/core.hpp>
@@ -29,6 +31,7 @@
 constexpr std::size_t input_bytes = 4UL * 1024;
 
 using request_parser = http::request_parser<http::string_body>;
+using request_message = http::request<http::string_body>;
 /// Until when to wait for input. Asked again when that time has come.
 using input_deadline = std::function<base::time_point()>;
 
@@ -51,6 +54,35 @@
     return message.count(http::field::host) <= 1;
 }
 
+/// What a whole request within the limits takes in all its forms: as read, parsed and copied to be sent.
+std::uint64_t whole_request_bytes(std::size_t header_bytes, std::size_t body_bytes) {
+    static constexpr std::uint64_t head_forms = 3;
+    static constexpr std::uint64_t body_forms = 2;
+    return head_forms * header_bytes + body_forms * body_bytes + 2 * input_bytes;
+}
+
+/// The request without its body.
+http_request copy_head(const request_message& message) {
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    return request;
+}
+
+/// Makes room for more of a body whose length is not known. Its buffer doubles, but not beyond the limit.
+void reserve_body(std::string& body, std::size_t more, std::size_t limit) {
+    const std::size_t needed = body.size() + more;
+    if (needed <= body.capacity())
+        return;
+    // NOTE: reserve() of the string itself would double its buffer, whatever it is asked for.
+    std::string larger;
+    larger.reserve(std::min(std::max(needed, 2 * body.capacity()), limit));
+    larger.append(body);
+    body.swap(larger);
+}
+
 /// Assigning an empty string would keep the buffer for later use: libstdc++ copies short strings.
 void free_buffer(std::string& buffer) { std::string().swap(buffer); }
 
@@ -81,15 +113,30 @@
 }
 
 struct caller_connection::implementation : std::enable_shared_from_this<implementation> {
-    implementation(tcp::socket socket, bounds_source connection_bounds)
+    implementation(tcp::socket socket, bounds_source connection_bounds, connection_intake connection_intake)
         : stream(std::move(socket)), bounds(std::move(connection_bounds)),
+          intake(std::move(connection_intake)), source(this->remote_address()),
           all_written(this->stream.get_executor()), input_arrived(this->stream.get_executor()),
-          write_watchdog(this->stream.get_executor()) {
+          write_watchdog(this->stream.get_executor()), turn(this->stream.get_executor()) {
         error_code ignored;
         this->stream.socket().non_blocking(true, ignored);
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
         this->stream.socket().set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
         this->all_written.expires_at(boot_timer::time_point::max());
+        this->turn.expires_at(boot_timer::time_point::max());
+    }
+
+    /// Begins to account for what is held for requests. Needs a shared pointer to this object.
+    void open_account() {
+        if (this->intake.account)
+            this->held.emplace(*this->intake.account, this->source, [this] { this->give_up(); });
+    }
+
+    /// Ends the reading of a request for which there is no room.
+    void give_up() {
+        this->is_given_up = true;
+        this->input_arrived.cancel();
+        this->turn.cancel();
     }
 
     /// Records why the connection ends, unless that is known already.
@@ -109,6 +156,7 @@
         this->stream.socket().close(ignored);
         this->all_written.cancel();
         this->input_arrived.cancel();
+        this->turn.cancel();
         if (this->on_disconnect)
             std::exchange(this->on_disconnect, nullptr)();
         this->did_change_unsent();
@@ -232,16 +280,27 @@
     /// Adds what has arrived to `input`; waits if nothing has. Fails with `late` if nothing arrives in time.
     expected<void> read_input(const input_deadline& deadline, yield_context yield);
     expected<void> await_first_byte(yield_context yield);
+    /// Waits until it is this connection's turn to read more.
+    void await_turn(yield_context yield);
     /// Parses input until the head or the whole request is complete.
     expected<void> parse_until(bool (request_parser::*is_complete)() const, request_parser& parser,
                                const input_deadline& deadline, yield_context yield);
+    /// Parses the input that is there. Fails if what frames the body is too long.
+    expected<void> parse_input(request_parser& parser, error_code& error);
     /// Reads a request within the size limits and timeouts.
-    expected<void> read_message(request_parser& parser, yield_context yield);
-    /// Begins to account for the body that follows, which is kept until the next request. Fails with
-    /// `no_room` if there is none for it.
-    expected<void> begin_collecting(const connection_bounds& limits, std::uint64_t declared_bytes);
-    /// Accounts for the body as far as it has arrived.
-    expected<void> collect(std::uint64_t bytes);
+    expected<http_request> read_message(request_parser& parser, yield_context yield);
+    /// Accounts for all that is held for the request so far. Fails with `no_room` if there is none for it.
+    expected<void> hold(const std::string& body);
+    /// Of the buffer for input, what is beyond the part that each connection keeps.
+    [[nodiscard]] std::uint64_t buffered_bytes() const {
+        return this->input.capacity() > input_bytes ? this->input.capacity() - input_bytes : 0;
+    }
+    /// The request can't be read: frees what was held for it.
+    void drop_message();
+    /// The request is whole: accounts for its forms until the next one.
+    expected<void> keep(const std::string& body);
+    /// Frees what the last request left, and ends its account.
+    void begin_message();
 
     /// Address of the caller, without its port; empty if it is not known any more.
     [[nodiscard]] std::string remote_address() const {
@@ -274,7 +333,12 @@
 
     beast::tcp_stream stream;
     bounds_source bounds;
+    connection_intake intake;
+    std::string source; ///< Address of the caller.
     beast::flat_buffer input;
+    std::size_t head_bytes = 0; ///< Of the request that is being read, once its head is whole.
+    std::size_t body_limit = 0; ///< Of that request.
+    framing_limit framing;      ///< Of that request.
     std::string unsent;
     std::string sending;
     std::optional<base::time_point> unsent_since; ///< When the first byte of `unsent` was added.
@@ -283,6 +347,7 @@
     boot_timer all_written;
     boot_timer input_arrived; ///< Cancelled when there is input, or the connection has ended.
     boot_timer write_watchdog;
+    boot_timer turn; ///< Cancelled when it is this connection's turn to read, or it has ended.
     base::boot_clock::time_point write_started_at{};
     bool is_write_watchdog_armed = false;
     std::function<void()> on_disconnect;
@@ -298,18 +363,22 @@
     response_progress progress = response_progress::none;
     bool is_close_announced = false; ///< By the last response.
     bool is_reading = false;         ///< Part of a request has arrived.
-    /// The body of the request that was read last, or is being read; null if it isn't accounted for.
-    std::unique_ptr<collected_data::scoped_message> held;
+    /// What is held for the request that was read last, or is being read; empty if it isn't accounted for.
+    std::optional<collected_data::scoped_message> held;
     bool is_given_up = false; ///< There was no room for the rest of the request.
 };
 
-caller_connection::caller_connection(tcp::socket socket, bounds_source bounds)
-    : impl(std::make_shared<implementation>(std::move(socket), std::move(bounds))) {}
+caller_connection::caller_connection(tcp::socket socket, bounds_source bounds, connection_intake intake)
+    : impl(std::make_shared<implementation>(std::move(socket), std::move(bounds), std::move(intake))) {
+    this->impl->open_account();
+}
 
 caller_connection::~caller_connection() {
     this->impl->on_disconnect = nullptr;
     this->impl->on_unsent_change = nullptr;
     this->abort();
+    // A write in progress may keep the rest for some time.
+    this->impl->held.reset();
 }
 
 void caller_connection::implementation::await_input(base::time_point end, yield_context yield) {
@@ -329,6 +398,9 @@
             return no_room();
         error_code error;
         const std::size_t size = beast::read_size(this->input, input_bytes);
+        if (size == 0)
+            return tl::make_unexpected(
+                wire_error{wire_failure::head_too_large, "a line or section is too long"});
         const std::size_t count = this->stream.socket().read_some(this->input.prepare(size), error);
         if (!error) {
             this->input.commit(count);
@@ -366,19 +438,52 @@
     return {};
 }
 
+void caller_connection::implementation::await_turn(yield_context yield) {
+    if (!this->intake.turns) {
+        asio::post(this->stream.get_executor(), yield);
+        return;
+    }
+    const read_turns::scoped_wait wait(*this->intake.turns, this->source, [this] { this->turn.cancel(); });
+    error_code ignored;
+    while (!wait.has_turn() && !this->is_closed && !this->is_given_up)
+        this->turn.async_wait(yield[ignored]);
+}
+
+expected<void> caller_connection::implementation::parse_input(request_parser& parser, error_code& error) {
+    std::string& body = parser.get().body();
+    const bool is_head = !parser.is_header_done();
+    const std::size_t body_bytes = body.size();
+    // The length of any other body is known, and its buffer allocated.
+    if (!is_head && parser.chunked())
+        reserve_body(body, this->input.size(), this->body_limit);
+    const std::size_t parsed = parser.put(this->input.data(), error);
+    this->input.consume(parsed);
+    if (is_head) {
+        this->head_bytes += parsed;
+        return {};
+    }
+    this->framing.body_bytes = body.size();
+    this->framing.framing_bytes += parsed - (body.size() - body_bytes);
+    if (this->framing.is_exceeded())
+        return tl::make_unexpected(
+            wire_error{wire_failure::too_large, "framing of the body exceeds the limit"});
+    return {};
+}
+
 expected<void> caller_connection::implementation::parse_until(bool (request_parser::*is_complete)() const,
                                                               request_parser& parser,
                                                               const input_deadline& deadline,
                                                               yield_context yield) {
     while (!(parser.*is_complete)()) {
         error_code error = http::error::need_more;
-        if (this->input.size() > 0)
-            this->input.consume(parser.put(this->input.data(), error));
-        POSTPADDLE_TRY_VOID(this->collect(parser.get().body().capacity()));
+        if (this->input.size() > 0) {
+            POSTPADDLE_TRY_VOID(this->parse_input(parser, error));
+        }
+        POSTPADDLE_TRY_VOID(this->hold(parser.get().body()));
         if (error == http::error::need_more) {
-            POSTPADDLE_TRY_VOID(this->read_input(deadline, yield));
             // A caller that sends without a pause must not keep other connections from being served.
-            asio::post(this->stream.get_executor(), yield);
+            this->await_turn(yield);
+            POSTPADDLE_TRY_VOID(this->read_input(deadline, yield));
         } else if (error) {
             return tl::make_unexpected(to_wire_error(error));
         }
@@ -386,7 +491,8 @@
     return {};
 }
 
-expected<void> caller_connection::implementation::read_message(request_parser& parser, yield_context yield) {
+expected<http_request> caller_connection::implementation::read_message(request_parser& parser,
+                                                                       yield_context yield) {
     // The limits may change while the request arrives. It may have been sent under the former ones, so the
     // larger ones apply.
     const connection_bounds first = this->bounds();
@@ -397,6 +503,10 @@
     const auto request_deadline = [&] {
         return began + std::max(first.request_timeout, this->bounds().request_timeout);
     };
+    // Lines and sections after the head are parsed as a whole, as the head is.
+    this->input.max_size(std::max(this->input.size(), first.header_bytes + input_bytes));
+    if (this->held && first.reserved_body_bytes > 0)
+        this->intake.account->set_reserve(whole_request_bytes(first.header_bytes, first.reserved_body_bytes));
     parser.header_limit(static_cast<std::uint32_t>(first.header_bytes));
     // The limit of the body is applied when the head has been read.
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -404,71 +514,83 @@
     POSTPADDLE_TRY_VOID(this->parse_until(&request_parser::is_header_done, parser, head_deadline, yield));
     if (!is_framing_sound(parser.get()))
         return tl::make_unexpected(wire_error{wire_failure::malformed, "the request's framing is not sound"});
-    const std::size_t body_limit = std::max(first.body_bytes, this->bounds().body_bytes);
-    if (parser.content_length().value_or(0) > body_limit)
+    this->body_limit = std::max(first.body_bytes, this->bounds().body_bytes);
+    if (parser.content_length().value_or(0) > this->body_limit)
         return tl::make_unexpected(to_wire_error(http::error::body_limit));
-    if (parser.is_done())
-        return {};
-    POSTPADDLE_TRY_VOID(this->begin_collecting(first, parser.content_length().value_or(0)));
-    parser.body_limit(body_limit);
-    parser.eager(true);
-    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        error_code error;
-        asio::async_write(this->stream.socket(), asio::buffer(continue_response), yield[error]);
-        if (error)
-            return tl::make_unexpected(to_wire_error(error));
+    if (!parser.is_done()) {
+        parser.body_limit(this->body_limit);
+        parser.eager(true);
+        if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            this->unsent += continue_response;
+            this->did_add_data();
+        }
+        POSTPADDLE_TRY_VOID(this->parse_until(&request_parser::is_done, parser, request_deadline, yield));
     }
-    POSTPADDLE_TRY_VOID(this->parse_until(&request_parser::is_done, parser, request_deadline, yield));
-    if (this->held)
-        this->held->did_complete();
-    return {};
+    POSTPADDLE_TRY_VOID(this->keep(parser.get().body()));
+    this->is_keep_alive = this->is_keep_alive && parser.keep_alive();
+    http_request request = copy_head(parser.get());
+    request.body = std::move(parser.get().body());
+    return request;
 }
 
-expected<void> caller_connection::implementation::begin_collecting(const connection_bounds& limits,
-                                                                   std::uint64_t declared_bytes) {
-    if (limits.collected == nullptr)
+expected<void> caller_connection::implementation::hold(const std::string& body) {
+    // Of a body whose length was announced, only what has arrived occupies memory.
+    const std::uint64_t body_bytes = this->framing.framing_bytes > 0 ? body.capacity() : body.size();
+    // The head stands twice: as parsed, and in the request.
+    if (!this->held || this->held->try_hold(this->buffered_bytes() + 2 * this->head_bytes + body_bytes))
         return {};
-    const auto did_give_up = [weak = this->weak_from_this()] {
-        const auto self = weak.lock();
-        if (!self)
-            return;
-        self->is_given_up = true;
-        self->input_arrived.cancel();
-    };
-    this->held = std::make_unique<collected_data::scoped_message>(*limits.collected, this->remote_address(),
-                                                                  did_give_up);
-    return this->collect(declared_bytes);
+    return no_room();
 }
 
-expected<void> caller_connection::implementation::collect(std::uint64_t bytes) {
-    if (!this->held || this->held->try_hold(bytes))
+expected<void> caller_connection::implementation::keep(const std::string& body) {
+    if (!this->held)
         return {};
-    return no_room();
+    // The body stands twice once it is sent.
+    if (!this->held->try_hold(this->buffered_bytes() + this->head_bytes + 2 * body.size()))
+        return no_room();
+    this->held->did_complete();
+    return {};
+}
+
+void caller_connection::implementation::drop_message() {
+    this->input.clear();
+    this->input.shrink_to_fit();
+    if (this->held)
+        (void)this->held->try_hold(0);
+    // Its answer, and what is read after that, are not given up.
+    this->is_given_up = false;
+}
+
+void caller_connection::implementation::begin_message() {
+    this->head_bytes = 0;
+    this->body_limit = 0;
+    this->framing = {};
+    if (this->input.size() == 0 && this->input.capacity() > max_idle_buffer) {
+        this->input.clear();
+        this->input.shrink_to_fit();
+    }
+    if (this->held)
+        this->held->begin_next();
 }
 
 expected<http_request> caller_connection::read_request(yield_context yield) {
     implementation& self = *this->impl;
     self.progress = response_progress::none;
-    self.held.reset();
+    self.begin_message();
     POSTPADDLE_TRY_VOID(self.await_first_byte(yield));
     self.is_reading = true;
     request_parser parser;
-    if (auto read = self.read_message(parser, yield); !read) {
+    auto request = self.read_message(parser, yield);
+    if (!request) {
         // A request that can't be read still gets an answer.
-        const wire_failure failure = read.error().failure;
+        const wire_failure failure = request.error().failure;
         if (failure == wire_failure::closed || failure == wire_failure::broken)
             self.record_end(connection_end::by_caller);
-        return tl::make_unexpected(std::move(read).error());
+        self.drop_message();
+        return request;
     }
+    self.progress = response_progress::none;
     self.is_reading = false;
-    http_request request;
-    auto message = parser.release();
-    self.is_keep_alive = self.is_keep_alive && message.keep_alive();
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message)
-        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    request.body = std::move(message.body());
     return request;
 }
 
@@ -527,6 +649,7 @@
     self.stream.socket().shutdown(tcp::socket::shutdown_send, error);
     self.stream.expires_after(linger_timeout);
     while (!error) {
+        self.await_turn(yield);
         self.input.clear();
         self.stream.async_read_some(self.input.prepare(4096), yield[error]);
     }
--- a/libraries/wire/caller_connection.h
+++ b/libraries/wire/caller_connection.h
@@ -6,6 +6,7 @@
 #include <wire/collected_data.h>
 #include <wire/connection_end.h>
 #include <wire/http_message.h>
+#include <wire/read_turns.h>
 #include <wire/wire_error.h>
 
 #include <chrono>
@@ -25,7 +26,9 @@
     std::chrono::milliseconds request_timeout{10'000}; ///< For the whole request, from its first byte.
     std::chrono::milliseconds idle_timeout{60'000};
     std::size_t unsent_bytes = 256UL * 1024;
-    collected_data* collected = nullptr; ///< Where bodies of requests are accounted; null: nowhere.
+    /// A body of up to this size always finds room if no other does: the account keeps a reserve for it. With
+    /// 0 the reserve stays as it is.
+    std::size_t reserved_body_bytes = 0;
     std::chrono::milliseconds write_timeout{10'000};
 };
 
@@ -35,6 +38,13 @@
 /// Limits that never change.
 [[nodiscard]] bounds_source fixed_bounds(const connection_bounds& bounds);
 
+/// What connections of a process share while their requests arrive. Without it nothing is bounded but each
+/// request for itself.
+struct connection_intake {
+    std::shared_ptr<collected_data> account; ///< Of all that is held for requests.
+    std::shared_ptr<read_turns> turns;
+};
+
 /// Response data that has not been written to the socket yet.
 struct unsent_data {
     std::size_t bytes = 0;
@@ -48,7 +58,7 @@
 class caller_connection {
 public:
     /// Asks for the limits each time that it applies them, so that changed ones apply to open connections.
-    caller_connection(asio::ip::tcp::socket socket, bounds_source bounds);
+    caller_connection(asio::ip::tcp::socket socket, bounds_source bounds, connection_intake intake = {});
     caller_connection(const caller_connection&) = delete;
     caller_connection(caller_connection&&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
--- a/libraries/wire/collected_data.cpp
+++ b/libraries/wire/collected_data.cpp
@@ -12,10 +12,7 @@
     this->held.source = owner.by_source.try_emplace(source).first;
     auto& messages = this->held.source->second.messages;
     this->held.position = messages.insert(messages.end(), &this->held);
-    this->held.give_up = [this, give_up = std::move(give_up)] {
-        this->is_given_up = true;
-        give_up();
-    };
+    this->held.give_up = std::move(give_up);
 }
 
 collected_data::scoped_message::~scoped_message() {
@@ -26,22 +23,31 @@
 }
 
 bool collected_data::scoped_message::try_hold(std::uint64_t bytes) {
-    if (this->is_given_up)
+    if (this->held.is_given_up)
         return false;
     this->owner->change(this->held, bytes);
-    while (this->owner->total > this->owner->byte_bound && !this->is_given_up) {
+    while (this->owner->total > this->owner->bound() && !this->held.is_given_up) {
         held_message* largest = this->owner->find_largest();
         // All others are complete: this one can't be taken.
         if (largest == nullptr)
             largest = &this->held;
         ++this->owner->given_up_messages;
         this->owner->change(*largest, 0);
-        if (largest == &this->held)
-            this->is_given_up = true;
-        else
-            std::exchange(largest->give_up, nullptr)();
+        largest->is_given_up = true;
+        if (largest != &this->held)
+            largest->give_up();
     }
-    return !this->is_given_up;
+    return !this->held.is_given_up;
+}
+
+void collected_data::scoped_message::begin_next() {
+    this->owner->change(this->held, 0);
+    this->held.may_be_given_up = true;
+}
+
+std::uint64_t collected_data::bound() const {
+    return std::min(this->options.share + this->reserve,
+                    std::max(this->options.share, this->options.max_bound));
 }
 
 void collected_data::change(held_message& held, std::uint64_t bytes) {
@@ -59,7 +65,7 @@
             continue;
         held_message* candidate = nullptr;
         for (held_message* const message : source.messages)
-            if (message->give_up && message->bytes > 0 &&
+            if (message->may_be_given_up && message->bytes > 0 &&
                 (candidate == nullptr || message->bytes > candidate->bytes))
                 candidate = message;
         if (candidate == nullptr)
--- a/libraries/wire/collected_data.h
+++ b/libraries/wire/collected_data.h
@@ -9,6 +9,13 @@
 
 namespace postpaddle::wire {
 
+/// Parts of an account's bound.
+struct collected_data_options {
+    std::uint64_t share = 0; ///< Bytes for all messages together.
+    /// The bound stays below this, however much one whole message needs.
+    std::uint64_t max_bound = UINT64_MAX;
+};
+
 /// Bounds the bytes of the messages that this process collects, over all its connections together.
 ///
 /// Each message is accounted to its source. Where there is no room for more, a message of the source that
@@ -25,7 +32,9 @@
         sources::iterator source;
         std::list<held_message*>::iterator position;
         std::uint64_t bytes = 0;
-        std::function<void()> give_up; ///< Null once it must not, or need not, be given up.
+        std::function<void()> give_up;
+        bool may_be_given_up = true;
+        bool is_given_up = false;
     };
 
 public:
@@ -43,27 +52,32 @@
         /// Accounts for that many bytes of the message in all. False if it must be given up.
         [[nodiscard]] bool try_hold(std::uint64_t bytes);
         /// The message is whole: it is kept, and not given up any more.
-        void did_complete() { this->held.give_up = nullptr; }
+        void did_complete() { this->held.may_be_given_up = false; }
+        /// Begins the next message of the same source, which holds nothing yet.
+        void begin_next();
 
     private:
         collected_data* owner;
         held_message held;
-        bool is_given_up = false;
     };
 
-    explicit collected_data(std::uint64_t bound) : byte_bound(bound) {}
+    explicit collected_data(std::uint64_t share) : collected_data(collected_data_options{.share = share}) {}
+    explicit collected_data(const collected_data_options& options) : options(options) {}
 
     [[nodiscard]] std::uint64_t bytes() const { return this->total; }
-    [[nodiscard]] std::uint64_t bound() const { return this->byte_bound; }
+    [[nodiscard]] std::uint64_t bound() const;
     /// Messages that were given up for want of room.
     [[nodiscard]] std::uint64_t given_up() const { return this->given_up_messages; }
+    /// Keeps room, beside the share, for a whole message of that many bytes.
+    void set_reserve(std::uint64_t bytes) { this->reserve = bytes; }
 
 private:
     void change(held_message& held, std::uint64_t bytes);
     /// The message to give up next; null if there is none.
     [[nodiscard]] held_message* find_largest() const;
 
-    std::uint64_t byte_bound;
+    collected_data_options options;
+    std::uint64_t reserve = 0;
     std::uint64_t total = 0;
     std::uint64_t given_up_messages = 0;
     sources by_source;
--- a/libraries/wire/http_listener.cpp
+++ b/libraries/wire/http_listener.cpp
@@ -23,7 +23,12 @@
 } // namespace
 
 http_listener::http_listener(asio::io_context& context, const listener_options& options)
-    : context(&context), options(options), acceptor(context), limit(options.connections) {}
+    : context(&context), options(options),
+      acceptor(context), intake{.account = options.account, .turns = std::make_shared<read_turns>(context)},
+      limit(options.connections) {
+    if (!this->intake.account)
+        this->intake.account = std::make_shared<collected_data>(options.account_bytes);
+}
 
 expected<std::shared_ptr<http_listener>> http_listener::create(asio::io_context& context,
                                                                const listener_options& options) {
@@ -86,7 +91,8 @@
 }
 
 void http_listener::serve(tcp::socket socket) {
-    auto connection = std::make_shared<caller_connection>(std::move(socket), this->options.bounds);
+    auto connection =
+        std::make_shared<caller_connection>(std::move(socket), this->options.bounds, this->intake);
     this->open_connections.insert(connection);
     this->limit.set_open(this->open_connections.size());
     spawn_coroutine(*this->context, [self = this->shared_from_this(), connection](yield_context yield) {
--- a/libraries/wire/http_listener.h
+++ b/libraries/wire/http_listener.h
@@ -22,6 +22,11 @@
     port_sharing sharing = port_sharing::exclusive;
     bounds_source bounds = fixed_bounds({});
     std::size_t connections = 4096; ///< Maximum open at once; further ones are closed on accept.
+    /// Accounts for what all connections hold for requests that arrive; null gives the listener its own
+    /// account.
+    std::shared_ptr<collected_data> account = nullptr;
+    /// Of the listener's own account: bytes for all requests together, beside the room for a single one.
+    std::uint64_t account_bytes = 16UL * 1024 * 1024;
 };
 
 /// Serves a connection. Runs in a coroutine; the connection ends when it returns.
@@ -55,6 +60,7 @@
     listener_options options;
     asio::ip::tcp::acceptor acceptor;
     connection_handler handler;
+    connection_intake intake;
     std::set<std::shared_ptr<caller_connection>> open_connections;
     connection_limit limit;
 };
--- a/stand_ins/common/stand_in_server.cpp
+++ b/stand_ins/common/stand_in_server.cpp
@@ -37,6 +37,7 @@
                                          .idle_timeout = std::chrono::minutes(10),
                                          .unsent_bytes = 64UL * 1024 * 1024});
     options.connections = 20'000;
+    options.account_bytes = 1024UL * 1024 * 1024;
     return wire::http_listener::create(context, options);
 }
 
--- a/tests/decision/test_unsent_bytes.cpp
+++ b/tests/decision/test_unsent_bytes.cpp
@@ -132,6 +132,12 @@
     CHECK(decision::unsent_bound({.connections = 1'500}) == 1'500UL * 16 * 1024);
 }
 
+TEST_CASE("what is collected may take more than its part of the memory for a single message, at most half") {
+    CHECK(decision::collected_bound({.limit_bytes = 160'000'000}) == 10'000'000);
+    CHECK(decision::max_collected_bound({.limit_bytes = 160'000'000}) == 80'000'000);
+    CHECK(decision::max_collected_bound({}) > decision::collected_bound({}));
+}
+
 // Guards against disconnecting callers of an organisation within its part for the slow readers of another
 // one.
 TEST_CASE("random slow readers: the rest fits, and no organisation within its part loses a reader") {
--- a/tests/wire/test_collected_data.cpp
+++ b/tests/wire/test_collected_data.cpp
@@ -90,3 +90,32 @@
         }
     CHECK(sound.times_given_up == 0);
 }
+
+// Guards against an account that has no room for a single message that the limits in force allow.
+TEST_CASE("a message finds room within the reserve, which the bound's own limit ends") {
+    wire::collected_data data({.share = bound, .max_bound = 5 * bound});
+    data.set_reserve(3 * bound);
+    fake_message small(data, "small");
+    REQUIRE(small.held.try_hold(bound));
+    fake_message large(data, "large");
+    CHECK(large.held.try_hold(3 * bound));
+    CHECK(small.times_given_up == 0);
+    data.set_reserve(100 * bound);
+    CHECK(data.bound() == 5 * bound);
+    data.set_reserve(0);
+    CHECK(data.bound() == bound);
+}
+
+// Guards against a kept connection whose earlier message was whole, so that none of its later ones gives way.
+TEST_CASE("the next message of a connection holds nothing at first and may be given up") {
+    wire::collected_data data(bound);
+    fake_message kept(data, "kept");
+    REQUIRE(kept.held.try_hold(90));
+    kept.held.did_complete();
+    kept.held.begin_next();
+    CHECK(data.bytes() == 0);
+    REQUIRE(kept.held.try_hold(60));
+    fake_message other(data, "other");
+    CHECK(other.held.try_hold(50));
+    CHECK(kept.times_given_up == 1);
+}
