wire: Take a request's fields when its head is whole, so that trailer fields are no part of it

What callers could do: a field sent behind a chunked body reached the upstream as if it stood in the head, after the head's framing and fields had been checked: a second Host, an Authorization, a name of the request.

Cause: the parser joins trailer fields to the head's, and the request was copied from it once the body was whole.

Change: the fields are copied before the body is read. Trailer fields are parsed and dropped (RFC 9110, section 6.5.1: not merged unless the field's definition allows it).

--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -61,7 +61,7 @@
     return head_forms * header_bytes + body_forms * body_bytes + 2 * input_bytes;
 }
 
-/// The request without its body.
+/// The request as far as its head says. Trailer fields are not part of it (RFC 9110, section 6.5.1).
 http_request copy_head(const request_message& message) {
     http_request request;
     request.method = std::string(message.method_string());
@@ -517,6 +517,7 @@
     this->body_limit = std::max(first.body_bytes, this->bounds().body_bytes);
     if (parser.content_length().value_or(0) > this->body_limit)
         return tl::make_unexpected(to_wire_error(http::error::body_limit));
+    http_request request = copy_head(parser.get());
     if (!parser.is_done()) {
         parser.body_limit(this->body_limit);
         parser.eager(true);
@@ -528,7 +529,6 @@
     }
     POSTPADDLE_TRY_VOID(this->keep(parser.get().body()));
     this->is_keep_alive = this->is_keep_alive && parser.keep_alive();
-    http_request request = copy_head(parser.get());
     request.body = std::move(parser.get().body());
     return request;
 }
