wire: Have a connection without a whole request give way to a new one

What callers saw: as many connections as a listener takes, that send nothing, kept everybody else out until their idle timeout, and made the readiness check fail; 32 did so at the readiness port.

Cause: a place belonged to whoever came first, whatever it did with it.

Change: at the limit one connection gives way: never one whose request is in progress, nor an idle one on which bytes have arrived; first of those that never had a request served, of the address with the most places, the one that was silent for longest (connection_places, a pure function). Only if all are being served is the newcomer closed, and only that counts for the readiness check. The port for other hosts takes 1,000 connections, which was 4,096: more than a small host has memory for.

--- a/libraries/gateway/peers/peer_exchange.cpp
+++ b/libraries/gateway/peers/peer_exchange.cpp
@@ -44,6 +44,8 @@
 /// the limits in force at its sender, whose version may be another. This host declines it for that, but has
 /// to read it first; a connection that just ends would mean that the request may have run.
 constexpr std::size_t max_forwarded_bytes = 64UL * 1024 * 1024;
+/// Connections of other hosts and operators; one that rests gives way to a new one.
+constexpr std::size_t max_connections_of_hosts = 1'000;
 /// Timeout of a settings transfer: until it begins, and then between any two parts of it.
 constexpr auto transfer_timeout = 1'500ms;
 /// Size limit of settings from other hosts, compressed or not.
@@ -138,6 +140,7 @@
                                 {.address = endpoint.address().to_string(),
                                  .port = endpoint.port(),
                                  .bounds = [state = this->state] { return bounds_of_hosts(*state); },
+                                 .connections = max_connections_of_hosts,
                                  .account = account_of_requests(*this->state)}));
     this->listener = std::move(created);
     this->listener->start([this](wire::caller_connection& connection, wire::yield_context yield) {
--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -363,6 +363,9 @@
     response_progress progress = response_progress::none;
     bool is_close_announced = false; ///< By the last response.
     bool is_reading = false;         ///< Part of a request has arrived.
+    bool is_serving = false;         ///< A whole request was read; the next one has not begun.
+    bool was_served = false;         ///< An earlier request was read and answered.
+    base::time_point last_arrival = base::boot_clock::now();
     /// What is held for the request that was read last, or is being read; empty if it isn't accounted for.
     std::optional<collected_data::scoped_message> held;
     bool is_given_up = false; ///< There was no room for the rest of the request.
@@ -404,6 +407,7 @@
         const std::size_t count = this->stream.socket().read_some(this->input.prepare(size), error);
         if (!error) {
             this->input.commit(count);
+            this->last_arrival = base::boot_clock::now();
             return {};
         }
         if (error == asio::error::eof)
@@ -562,6 +566,7 @@
 }
 
 void caller_connection::implementation::begin_message() {
+    this->was_served |= std::exchange(this->is_serving, false);
     this->head_bytes = 0;
     this->body_limit = 0;
     this->framing = {};
@@ -591,11 +596,24 @@
     }
     self.progress = response_progress::none;
     self.is_reading = false;
+    self.is_serving = true;
     return request;
 }
 
 std::string caller_connection::remote_address() const { return this->impl->remote_address(); }
 
+const std::string& caller_connection::source() const { return this->impl->source; }
+
+place_holder caller_connection::place() const {
+    const implementation& self = *this->impl;
+    return {.is_serving = self.is_serving, .was_served = self.was_served, .last_arrival = self.last_arrival};
+}
+
+bool caller_connection::has_unread_input() const {
+    error_code error;
+    return this->impl->stream.socket().available(error) > 0;
+}
+
 void caller_connection::watch_for_disconnect(std::function<void()> on_disconnect) {
     this->impl->on_disconnect = std::move(on_disconnect);
     this->impl->watch_socket();
--- a/libraries/wire/caller_connection.h
+++ b/libraries/wire/caller_connection.h
@@ -5,6 +5,7 @@
 #include <wire/asio.h>
 #include <wire/collected_data.h>
 #include <wire/connection_end.h>
+#include <wire/connection_places.h>
 #include <wire/http_message.h>
 #include <wire/read_turns.h>
 #include <wire/wire_error.h>
@@ -67,6 +68,8 @@
 
     /// IP address of the caller; empty if the connection has ended.
     [[nodiscard]] std::string remote_address() const;
+    /// The same, also after the connection has ended.
+    [[nodiscard]] const std::string& source() const;
 
     /// Reads a complete request. Fails with `closed` if the connection ends between two requests, as is
     /// normal. What has arrived is read even if its time is over, as this process may have been held up.
@@ -93,6 +96,10 @@
     [[nodiscard]] response_progress progress() const;
     /// Whether part of a request has been read.
     [[nodiscard]] bool has_partial_request() const;
+    /// What decides whether the connection gives way to a new one; without the number of its source's places.
+    [[nodiscard]] place_holder place() const;
+    /// Whether bytes have arrived that were not read yet.
+    [[nodiscard]] bool has_unread_input() const;
 
     /// Sends a complete response and waits until it is written.
     [[nodiscard]] expected<void> send(const http_response& response, yield_context yield);
--- a/libraries/wire/connection_end.cpp
+++ b/libraries/wire/connection_end.cpp
@@ -29,6 +29,8 @@
         return "host_unsent_bound";
     case connection_end::broken_answer:
         return "broken_answer";
+    case connection_end::gave_way:
+        return "gave_way";
     case connection_end::host_stopped:
         return "host_stopped";
     }
--- a/libraries/wire/connection_end.h
+++ b/libraries/wire/connection_end.h
@@ -17,6 +17,7 @@
     unsent_bound,       ///< The caller read too slowly: too much of its response was unsent.
     host_unsent_bound,  ///< The caller read too slowly: too much data was unsent to all callers of this host.
     broken_answer,      ///< Aborted, as its response can't be completed.
+    gave_way,           ///< No request of it was in progress, and a newcomer needed its place.
     host_stopped,       ///< This host stopped before.
 };
 
--- a/libraries/wire/http_listener.cpp
+++ b/libraries/wire/http_listener.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace postpaddle::wire {
 
@@ -85,7 +86,7 @@
             pause.async_wait(yield[error]);
             continue;
         }
-        if (this->limit.may_open())
+        if (this->try_make_place())
             this->serve(std::move(socket));
     }
 }
@@ -93,13 +94,54 @@
 void http_listener::serve(tcp::socket socket) {
     auto connection =
         std::make_shared<caller_connection>(std::move(socket), this->options.bounds, this->intake);
+    const std::string source = connection->remote_address();
     this->open_connections.insert(connection);
-    this->limit.set_open(this->open_connections.size());
-    spawn_coroutine(*this->context, [self = this->shared_from_this(), connection](yield_context yield) {
-        self->handler(*connection, yield);
-        self->open_connections.erase(connection);
-        self->limit.set_open(self->open_connections.size());
-    });
+    ++this->places_by_source[source];
+    const auto remove = [this, connection, source] {
+        this->open_connections.erase(connection);
+        if (--this->places_by_source[source] == 0)
+            this->places_by_source.erase(source);
+    };
+    spawn_coroutine(*this->context,
+                    [self = this->shared_from_this(), connection, remove](yield_context yield) {
+                        self->handler(*connection, yield);
+                        remove();
+                    });
+}
+
+bool http_listener::try_make_place() {
+    if (this->open_connections.size() < this->options.connections)
+        return true;
+    std::vector<place_holder> holders;
+    std::vector<caller_connection*> connections;
+    for (const auto& connection : this->open_connections) {
+        place_holder holder = connection->place();
+        if (holder.is_serving || connection->is_closed())
+            continue;
+        holder.source_places = this->places_by_source.at(connection->source());
+        holders.push_back(holder);
+        connections.push_back(connection.get());
+    }
+    while (const auto chosen = choose_to_give_way(holders)) {
+        // What has arrived may be a whole request.
+        if (!connections[*chosen]->has_unread_input()) {
+            connections[*chosen]->disconnect(connection_end::gave_way);
+            return true;
+        }
+        holders[*chosen].is_serving = true;
+    }
+    this->limit.set_open(this->options.connections);
+    return false;
+}
+
+std::size_t http_listener::serving_connections() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->open_connections, [](const auto& connection) { return connection->place().is_serving; }));
+}
+
+bool http_listener::has_room() {
+    this->limit.set_open(this->serving_connections());
+    return this->limit.has_room();
 }
 
 } // namespace postpaddle::wire
--- a/libraries/wire/http_listener.h
+++ b/libraries/wire/http_listener.h
@@ -7,6 +7,7 @@
 #include <wire/wire_error.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -21,7 +22,9 @@
     std::uint16_t port = 0; ///< 0 lets the operating system choose.
     port_sharing sharing = port_sharing::exclusive;
     bounds_source bounds = fixed_bounds({});
-    std::size_t connections = 4096; ///< Maximum open at once; further ones are closed on accept.
+    /// Maximum open at once. Beyond it, a connection without a whole request in progress gives way to a new
+    /// one; only if there is none the new one is closed.
+    std::size_t connections = 4096;
     /// Accounts for what all connections hold for requests that arrive; null gives the listener its own
     /// account.
     std::shared_ptr<collected_data> account = nullptr;
@@ -46,8 +49,9 @@
     void close_idle_connections();
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t connections() const { return this->open_connections.size(); }
-    /// Whether further connections are taken; false from when the limit is reached until part of it is free.
-    [[nodiscard]] bool has_room() const { return this->limit.has_room(); }
+    /// Whether further connections are taken; false from when as many requests as there may be connections
+    /// are in progress, until part of them has ended.
+    [[nodiscard]] bool has_room();
     /// Connections on which part of a request has been read.
     [[nodiscard]] std::size_t partial_requests() const;
 
@@ -55,6 +59,9 @@
     http_listener(asio::io_context& context, const listener_options& options);
     void accept_loop(yield_context yield);
     void serve(asio::ip::tcp::socket socket);
+    /// Whether there is a place for a new connection, if need be that of another one, which is closed.
+    bool try_make_place();
+    [[nodiscard]] std::size_t serving_connections() const;
 
     asio::io_context* context;
     listener_options options;
@@ -62,7 +69,8 @@
     connection_handler handler;
     connection_intake intake;
     std::set<std::shared_ptr<caller_connection>> open_connections;
-    connection_limit limit;
+    std::map<std::string, std::size_t> places_by_source; ///< Open connections by their address.
+    connection_limit limit;                              ///< Of requests in progress.
 };
 
 } // namespace postpaddle::wire
