wire, gateway: Let a connection for which no stack can be mapped cost nobody else's

What callers saw: a host with a limit on mapped memory (ulimit -d) ended with everybody's requests at some hundred connections that send nothing.

Cause: each connection maps a stack of 256 KB. A stack that can't be had throws where connections are taken, and nothing caught it.

Change: connections take at most half of what may be mapped, which lowers their limit; the listener closes a connection for whose coroutine there is no memory, and one whose handler runs out of it. Others go on.

Not covered: what else allocates while all that may be mapped is used.

--- a/libraries/gateway/gateway_host.cpp
+++ b/libraries/gateway/gateway_host.cpp
@@ -128,7 +128,8 @@
 }
 
 wire::expected<void> gateway_host::listen() {
-    POSTPADDLE_TRY(new_caller_listener, this->listen_at(this->process.callers, this->process.connections,
+    const std::size_t connections = connections_within(this->process.connections, mapped_memory_limit());
+    POSTPADDLE_TRY(new_caller_listener, this->listen_at(this->process.callers, connections,
                                                         [this] { return caller_bounds(this->state); }));
     this->caller_listener = std::move(new_caller_listener);
     this->process.callers = with_port(this->process.callers, this->caller_listener->port());
--- a/libraries/gateway/unsent_data_bound.cpp
+++ b/libraries/gateway/unsent_data_bound.cpp
@@ -24,8 +24,8 @@
 
 } // namespace
 
-std::optional<std::uint64_t> process_memory_limit(const std::string& cgroup_path) {
-    std::optional<std::uint64_t> smallest = read_limit(cgroup_path);
+std::optional<std::uint64_t> mapped_memory_limit() {
+    std::optional<std::uint64_t> smallest;
     for (const auto resource : std::array{RLIMIT_AS, RLIMIT_DATA}) {
         rlimit limit{};
         if (getrlimit(resource, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
@@ -34,6 +34,21 @@
     return smallest;
 }
 
+std::optional<std::uint64_t> process_memory_limit(const std::string& cgroup_path) {
+    const auto resident = read_limit(cgroup_path);
+    const auto mapped = mapped_memory_limit();
+    if (!resident || !mapped)
+        return resident ? resident : mapped;
+    return std::min(*resident, *mapped);
+}
+
+std::size_t connections_within(std::size_t connections, std::optional<std::uint64_t> mapped_bytes) {
+    static constexpr std::uint64_t part_for_stacks = 2;
+    if (!mapped_bytes)
+        return connections;
+    return std::min<std::size_t>(connections, *mapped_bytes / part_for_stacks / wire::coroutine_stack_bytes);
+}
+
 unsent_data_bound::unsent_data_bound(gateway_state& state, std::uint64_t bound)
     : state(&state), host_bound(bound) {}
 
--- a/libraries/gateway/unsent_data_bound.h
+++ b/libraries/gateway/unsent_data_bound.h
@@ -14,6 +14,15 @@
 /// Limit of this process's control group (version 2), as the process sees it in a container.
 inline constexpr const char* cgroup_memory_limit_path = "/sys/fs/cgroup/memory.max";
 
+/// Smallest limit on the memory that this process maps (`RLIMIT_AS`, `RLIMIT_DATA`); nullopt if there is
+/// none.
+[[nodiscard]] std::optional<std::uint64_t> mapped_memory_limit();
+
+/// Connections whose coroutines' stacks, which are mapped in full, leave half of the mapped memory free; at
+/// most `connections`.
+[[nodiscard]] std::size_t connections_within(std::size_t connections,
+                                             std::optional<std::uint64_t> mapped_bytes);
+
 /// Smallest limit on the memory of this process (`RLIMIT_AS`, `RLIMIT_DATA`, control group); nullopt if there
 /// is none. A file that is missing or contains no number, such as `max`, is no limit.
 [[nodiscard]] std::optional<std::uint64_t>
--- a/libraries/wire/http_listener.cpp
+++ b/libraries/wire/http_listener.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <new>
 #include <vector>
 
 namespace postpaddle::wire {
@@ -102,11 +103,24 @@
         if (--this->places_by_source[source] == 0)
             this->places_by_source.erase(source);
     };
-    spawn_coroutine(*this->context,
-                    [self = this->shared_from_this(), connection, remove](yield_context yield) {
-                        self->handler(*connection, yield);
-                        remove();
-                    });
+    try {
+        spawn_coroutine(*this->context,
+                        [self = this->shared_from_this(), connection, remove](yield_context yield) {
+                            self->run_handler(*connection, yield);
+                            remove();
+                        });
+    } catch (const std::bad_alloc&) {
+        // There is no memory for its coroutine. The other connections go on.
+        remove();
+    }
+}
+
+void http_listener::run_handler(caller_connection& connection, yield_context yield) {
+    try {
+        this->handler(connection, yield);
+    } catch (const std::bad_alloc&) {
+        connection.abort();
+    }
 }
 
 bool http_listener::try_make_place() {
--- a/libraries/wire/http_listener.h
+++ b/libraries/wire/http_listener.h
@@ -59,6 +59,7 @@
     http_listener(asio::io_context& context, const listener_options& options);
     void accept_loop(yield_context yield);
     void serve(asio::ip::tcp::socket socket);
+    void run_handler(caller_connection& connection, yield_context yield);
     /// Whether there is a place for a new connection, if need be that of another one, which is closed.
     bool try_make_place();
     [[nodiscard]] std::size_t serving_connections() const;
--- a/tests/gateway/test_memory_limit.cpp
+++ b/tests/gateway/test_memory_limit.cpp
@@ -47,3 +47,11 @@
     CHECK(limit_with("") == without);
     CHECK(limit_with("18446744073709551615\n") == without.value_or(UINT64_MAX));
 }
+
+// Guards against a stack that can't be mapped for a connection, although the limit on connections allows it.
+TEST_CASE("the stacks of all connections leave half of the memory that may be mapped") {
+    constexpr std::uint64_t stack_bytes = 256UL * 1024;
+    CHECK(gateway::connections_within(1'500, std::nullopt) == 1'500);
+    CHECK(gateway::connections_within(1'500, 2 * 200 * stack_bytes) == 200);
+    CHECK(gateway::connections_within(100, 2 * 200 * stack_bytes) == 100);
+}
