--- a/libraries/wire/http_listener.cpp
+++ b/libraries/wire/http_listener.cpp
@@ -87,21 +87,25 @@
             pause.async_wait(yield[error]);
             continue;
         }
-        if (this->try_make_place())
-            this->serve(std::move(socket));
+        try {
+            if (this->try_make_place())
+                this->serve(std::move(socket));
+        } catch (const std::bad_alloc&) {
+            // There is no memory for this connection. The other ones go on.
+        }
     }
 }
 
 void http_listener::serve(tcp::socket socket) {
     auto connection =
         std::make_shared<caller_connection>(std::move(socket), this->options.bounds, this->intake);
-    const std::string source = connection->remote_address();
     this->open_connections.insert(connection);
-    ++this->places_by_source[source];
-    const auto remove = [this, connection, source] {
+    ++this->places_by_source[connection->source()];
+    const auto remove = [this, connection] {
         this->open_connections.erase(connection);
-        if (--this->places_by_source[source] == 0)
-            this->places_by_source.erase(source);
+        const auto places = this->places_by_source.find(connection->source());
+        if (--places->second == 0)
+            this->places_by_source.erase(places);
     };
     try {
         spawn_coroutine(*this->context,
@@ -110,8 +114,8 @@
                             remove();
                         });
     } catch (const std::bad_alloc&) {
-        // There is no memory for its coroutine. The other connections go on.
         remove();
+        throw;
     }
 }
 
