soak: Explore clients that keep no limit beside stops, changes and servers without end

The crowds of docs/design/0032 move to tests/support/untrusted_clients, as they were, and the soak draws from them: `--mix crowds` sends crowds to hosts of 110 MB beside planned stops, reloads, changes of the settings and servers that send without end, are late or silent. The checkers are the ones that hold for all mixes: nobody else's request ends, no host ends or exceeds its memory, all serve again.

Findings of the linter in four test files are mended as well.

--- a/tests/gateway/test_deploy_template.cpp
+++ b/tests/gateway/test_deploy_template.cpp
@@ -170,7 +170,7 @@
         const std::string line = host.read_line();
         if (line.empty())
             return nullptr;
-        const json entry = json::parse(line, nullptr, false);
+        json entry = json::parse(line, nullptr, false);
         if (entry.is_object() && entry.value("event", "") == "started")
             return entry;
     }
--- a/tests/gateway/test_memory_limit.cpp
+++ b/tests/gateway/test_memory_limit.cpp
@@ -52,6 +52,6 @@
 TEST_CASE("the stacks of all connections leave half of the memory that may be mapped") {
     constexpr std::uint64_t stack_bytes = 256UL * 1024;
     CHECK(gateway::connections_within(1'500, std::nullopt) == 1'500);
-    CHECK(gateway::connections_within(1'500, 2 * 200 * stack_bytes) == 200);
-    CHECK(gateway::connections_within(100, 2 * 200 * stack_bytes) == 100);
+    CHECK(gateway::connections_within(1'500, 2UL * 200 * stack_bytes) == 200);
+    CHECK(gateway::connections_within(100, 2UL * 200 * stack_bytes) == 100);
 }
--- a/tests/gateway/test_request_endings.cpp
+++ b/tests/gateway/test_request_endings.cpp
@@ -250,6 +250,7 @@
     REQUIRE(cluster.is_ready(1));
     (void)cluster.server("one", {{"hang", 20}});
     std::vector<std::unique_ptr<test::client_connection>> clients;
+    clients.reserve(20);
     for (int number = 0; number < 20; ++number)
         clients.push_back(std::make_unique<test::client_connection>(
             cluster.callers_address(), routed_request("/once/", "id-" + std::to_string(number))));
@@ -282,6 +283,7 @@
     cluster.publish_limits(2, {{"headerTimeoutMs", 60'000}});
     REQUIRE(test::eventually([&] { return settings_version_at(cluster, 1) == 2; }));
     std::vector<std::unique_ptr<test::client_connection>> clients;
+    clients.reserve(25);
     for (int number = 0; number < 25; ++number)
         clients.push_back(std::make_unique<test::client_connection>(
             cluster.callers_address(), std::string("POST /once/ HTTP/1.1\r\nHost:")));
--- a/tests/gateway/test_untrusted_clients.cpp
+++ b/tests/gateway/test_untrusted_clients.cpp
@@ -9,6 +9,7 @@
 #include <support/gateway_cluster.h>
 #include <support/process_memory.h>
 #include <support/test_cluster.h>
+#include <support/untrusted_clients.h>
 
 #include <catch2/catch.hpp>
 
@@ -25,7 +26,8 @@
 using namespace postpaddle;
 using nlohmann::json;
 using test::crowd;
-using test::crowd_plan;
+using test::make_untrusted_clients;
+using test::named_crowd;
 
 namespace {
 
@@ -34,78 +36,6 @@
 constexpr int connections = 500;
 /// Beside the callers' connections: listeners, store, upstreams, other hosts, log.
 constexpr std::ptrdiff_t other_descriptors = 200;
-constexpr std::size_t endless_bytes = 4'000'000;
-constexpr const char* chunked_head =
-    "POST /again/ HTTP/1.1\r\nHost: cluster.example\r\nX-Attempt-Id: endless\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n";
-
-std::string head_with_length(std::size_t bytes) {
-    return "POST /again/ HTTP/1.1\r\nHost: cluster.example\r\nX-Attempt-Id: long\r\nContent-Length: " +
-           std::to_string(bytes) + "\r\n\r\n";
-}
-
-struct named_plan {
-    std::string name;
-    crowd_plan plan;
-};
-
-/// Clients that keep no limit, of each kind. All keep their connections open.
-std::vector<named_plan> make_plans() {
-    const std::string chunk_of_one = "1\r\nx\r\n";
-    const std::string large_chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
-    return {
-        {"trailers without end",
-         {.begin = std::string(chunked_head) + chunk_of_one + "0\r\n",
-          .repeated = "X-Trailer: " + std::string(100, 'x') + "\r\n",
-          .repeated_bytes = endless_bytes,
-          .clients = 60}},
-        {"a single trailer without end",
-         {.begin = std::string(chunked_head) + chunk_of_one + "0\r\nX-Trailer: ",
-          .repeated = "x",
-          .repeated_bytes = endless_bytes,
-          .clients = 60}},
-        {"a chunk extension without end",
-         {.begin = std::string(chunked_head) + "1;extension=",
-          .repeated = "x",
-          .repeated_bytes = endless_bytes,
-          .clients = 60}},
-        {"a chunk extension with each chunk",
-         {.begin = chunked_head,
-          .repeated = "1;extension=" + std::string(2'000, 'x') + "\r\nx\r\n",
-          .repeated_bytes = endless_bytes,
-          .clients = 60}},
-        {"chunks of one byte, short of their end",
-         {.begin = chunked_head,
-          .repeated = chunk_of_one,
-          .repeated_bytes = 60'000 * chunk_of_one.size(),
-          .clients = 200}},
-        {"large chunks, short of their end, each from its own address",
-         {.begin = chunked_head,
-          .repeated = large_chunk,
-          .repeated_bytes = 3 * large_chunk.size(),
-          .clients = 400,
-          .is_each_from_own_address = true}},
-        {"bodies with a length, short of their end",
-         {.begin = head_with_length(65'536),
-          .repeated = "x",
-          .repeated_bytes = 65'526,
-          .clients = 400,
-          .is_each_from_own_address = true}},
-        {"an announced length far over the limit",
-         {.begin = head_with_length(10'000'000'000),
-          .repeated = "x",
-          .repeated_bytes = endless_bytes,
-          .clients = 60}},
-        {"chunks far over the limit",
-         {.begin = chunked_head, .repeated = large_chunk, .repeated_bytes = endless_bytes, .clients = 60}},
-        {"a head without end",
-         {.begin = "GET /again/ HTTP/1.1\r\nHost: cluster.example\r\n",
-          .repeated = "X-Field: " + std::string(100, 'x') + "\r\n",
-          .repeated_bytes = endless_bytes,
-          .clients = 60}},
-        {"nothing", {.clients = 400, .is_each_from_own_address = true}},
-    };
-}
 
 test::gateway_cluster_options options_for(const std::string& name, int hosts = 1) {
     return {.name = name,
@@ -192,7 +122,7 @@
 
 TEST_CASE(
     "a host keeps within its memory before a crowd of each kind, and serves an ordinary request after") {
-    for (const named_plan& each : make_plans()) {
+    for (const named_crowd& each : make_untrusted_clients()) {
         DYNAMIC_SECTION(each.name) {
             test::gateway_cluster cluster(options_for("untrusted"));
             crowd clients(cluster.callers_address(), each.plan);
@@ -206,11 +136,12 @@
     test::gateway_cluster cluster(options_for("untrusted-mixed", 2));
     std::vector<std::unique_ptr<crowd>> crowds;
     for (const int host : {1, 2})
-        for (named_plan each : make_plans()) {
+        for (named_crowd each : make_untrusted_clients()) {
             each.plan.clients = 40;
             crowds.push_back(std::make_unique<crowd>(cluster.callers_address(host), each.plan));
         }
     std::vector<std::jthread> senders;
+    senders.reserve(crowds.size());
     for (const auto& each : crowds)
         senders.emplace_back([&each] { each->send_all(); });
     senders.clear();
@@ -243,6 +174,16 @@
     CHECK(cluster.is_ready(1));
 }
 
+// Guards against a connection whose address is not known any more when it is taken.
+TEST_CASE("a host whose connections are all held lives before clients that reset theirs at once") {
+    test::gateway_cluster cluster(options_for("untrusted-resets"));
+    const crowd clients(cluster.callers_address(), {.clients = connections + 20});
+    for (int round = 0; round < 100; ++round)
+        const crowd resets(cluster.callers_address(),
+                           {.clients = 10, .is_each_from_own_address = true, .does_reset = true});
+    check_host(cluster);
+}
+
 // Guards against an exception where a connection is taken, which would end everybody's requests: each
 // connection maps a stack.
 TEST_CASE("a host that may map little memory lives with all its connections held, and serves a newcomer") {
@@ -265,7 +206,7 @@
 }
 
 TEST_CASE("a host keeps within its memory before a crowd at the port for other hosts") {
-    const named_plan each = make_plans().front();
+    const named_crowd each = make_untrusted_clients().front();
     test::gateway_cluster cluster(options_for("untrusted-peers"));
     crowd clients(cluster.peers_address(), each.plan);
     clients.send_all();
@@ -273,6 +214,18 @@
     check_host(cluster);
 }
 
+// Guards against connections that nothing bounds beside those of callers.
+TEST_CASE("a host keeps within its memory before clients that send nothing to the port for other hosts") {
+    test::gateway_cluster cluster(options_for("untrusted-silent-peers"));
+    const crowd clients(cluster.peers_address(), {.clients = 3'000, .is_each_from_own_address = true});
+    CHECK(cluster.state_of(1).is_object());
+    const pid_t pid = cluster.host(1).id();
+    await_rest(pid);
+    CHECK(descriptors_of(pid) <= 1'000 + other_descriptors);
+    CHECK(ordinary_status(cluster) == 200);
+    CHECK(test::peak_memory_bytes(pid) < memory_bytes);
+}
+
 // Guards against an account that has no room for what the limits in force allow.
 TEST_CASE("a request at the limits in force is served in calm, in chunks and with a length") {
     const std::size_t body_bytes = GENERATE(65'536, 4'194'304, 16'777'216);
@@ -287,7 +240,7 @@
 }
 
 TEST_CASE("a host of the own interface keeps within its memory before a crowd of each kind") {
-    for (const named_plan& each : make_plans()) {
+    for (const named_crowd& each : make_untrusted_clients()) {
         DYNAMIC_SECTION(each.name) {
             stand_in::cluster cluster(test::small_cluster_options("untrusted"));
             REQUIRE(cluster.publish(test::cluster_document()));
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -53,6 +53,9 @@
     if (mix == fault_mix::memory)
         return {{server_endless, 8}, {host_stop, 6},      {host_reload, 1},   {settings_change, 2},
                 {server_late, 1},    {stream_silence, 1}, {server_silence, 1}};
+    if (mix == fault_mix::crowds)
+        return {{client_crowd, 8},   {host_stop, 4},   {host_reload, 1},   {settings_change, 3},
+                {server_endless, 3}, {server_late, 1}, {server_silence, 1}};
     std::vector<weighted_kind> kinds = {
         {host_stop, 3}, {host_reload, 2}, {settings_change, 4}, {server_silence, 3}, {stream_silence, 4}};
     if (mix == fault_mix::servers || mix == fault_mix::all)
@@ -170,6 +173,10 @@
         case host_reload:
             this->add_host_fault(kind, at);
             break;
+        case client_crowd:
+            this->faults.push_back({at, kind, this->random.between(1, this->options.hosts),
+                                    this->random.time(500, 5'000), this->random.between(0, max_draw)});
+            break;
         case engines_close:
             this->faults.push_back(
                 {at, kind, 0, this->random.time(2'000, 6'000), this->random.between(30, 70)});
@@ -325,16 +332,19 @@
         "server_refuse",  "server_late",       "server_double",   "server_copy",  "server_break",
         "server_lose",    "server_endless",    "store_slow",      "store_down",   "store_lose",
         "hosts_all_kill", "server_close",      "engines_release", "links_fail",   "engines_close",
-        "answers_cut",    "hosts_turned_away", "server_restart",  "odd_entry",    "store_forget"};
+        "answers_cut",    "hosts_turned_away", "server_restart",  "odd_entry",    "store_forget",
+        "client_crowd"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
 const char* to_text(fault_mix mix) {
-    static constexpr std::array names = {"planned", "servers",  "hosts",      "all",   "releases",
-                                         "breaks",  "combined", "departures", "memory"};
+    static constexpr std::array names = {"planned", "servers",  "hosts",      "all",    "releases",
+                                         "breaks",  "combined", "departures", "memory", "crowds"};
     return names.at(static_cast<std::size_t>(mix));
 }
 
+bool is_about_memory(fault_mix mix) { return mix == fault_mix::memory || mix == fault_mix::crowds; }
+
 bool has_software_versions(fault_mix mix) { return mix == fault_mix::releases || mix == fault_mix::combined; }
 
 const std::vector<server_place>& server_places() {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -48,6 +48,8 @@
     odd_entry,         ///< Somebody writes an entry that no server wrote, drawn from `amount`.
     store_forget, ///< The store forgets the history of topics, at times again at once, and at times lists
                   ///< only older records during `lasts`; which and how is drawn from `amount`.
+    client_crowd, ///< Clients that keep no limit come to a host, and leave after `lasts`; which is drawn from
+                  ///< `amount`.
 };
 
 /// How a release replaces engines. A new one starts and is registered before its predecessor leaves.
@@ -86,12 +88,17 @@
                 ///< entries.
     memory,     ///< Servers that send a lot without end to many callers at once, callers with large bodies,
                 ///< and planned stops beside long streams, before hosts with little memory.
+    crowds, ///< Clients that keep no limit, beside planned stops, changes of the settings and servers that
+            ///< send without end, before hosts with little memory.
 };
 /// Mixes that a seed names by its remainder; the others are asked for.
 inline constexpr int mixes_of_seeds = 4;
 
 [[nodiscard]] const char* to_text(fault_mix mix);
 
+/// Whether hosts have little memory.
+[[nodiscard]] bool is_about_memory(fault_mix mix);
+
 /// Whether engines have software versions, and callers take up their streams.
 [[nodiscard]] bool has_software_versions(fault_mix mix);
 
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -5,6 +5,7 @@
 #include <soak/settings_document.h>
 #include <support/process_state.h>
 #include <support/test_cluster.h>
+#include <support/untrusted_clients.h>
 
 #include <algorithm>
 #include <array>
@@ -83,7 +84,7 @@
     const char* const text = texts.at(take(texts.size()));
     const int pause_ms = pauses_ms.at(take(pauses_ms.size()));
     // As much as many connections take at once.
-    if (mix == fault_mix::memory)
+    if (is_about_memory(mix))
         return {{control, most_answers * (1 + take(most_answers))},
                 {"endless_text", std::string(bytes_of_large_part, 'x')},
                 {"endless_pause_ms", pause_ms}};
@@ -226,6 +227,9 @@
     case fault_kind::odd_entry:
         this->write_odd_entry(fault.amount);
         break;
+    case fault_kind::client_crowd:
+        this->send_crowd(fault);
+        break;
     case fault_kind::engines_close:
         for (int place = 0; place < static_cast<int>(server_places().size()); ++place)
             if (half_of_engines(place))
@@ -237,6 +241,19 @@
     }
 }
 
+void fault_runner::send_crowd(const planned_fault& fault) {
+    const auto kinds = test::make_untrusted_clients();
+    const test::named_crowd& chosen = kinds.at(static_cast<std::size_t>(fault.amount) % kinds.size());
+    this->write_log("clients of " + std::to_string(fault.target) + " that keep no limit: " + chosen.name);
+    this->crowds.emplace_back(
+        [plan = chosen.plan, address = this->cluster->callers_address(fault.target), lasts = fault.lasts] {
+            const auto end = boot_clock::now() + lasts;
+            test::crowd clients(address, plan);
+            clients.send_all(lasts);
+            std::this_thread::sleep_for(end - boot_clock::now());
+        });
+}
+
 void fault_runner::carry_out_at_host(const planned_fault& fault) {
     const int host = fault.target;
     host_state& state = this->hosts.at(host);
--- a/tests/soak/fault_runner.h
+++ b/tests/soak/fault_runner.h
@@ -57,6 +57,7 @@
 
     void schedule(time_point at, std::function<void()> action);
     void carry_out(const planned_fault& fault);
+    void send_crowd(const planned_fault& fault);
     void carry_out_at_host(const planned_fault& fault);
     void carry_out_loss_of_all(const planned_fault& fault);
     void carry_out_release(const planned_fault& fault);
@@ -106,6 +107,7 @@
     std::vector<host_exit> exits;
     std::vector<std::size_t> peak_memory_bytes;
     std::vector<std::string> log_lines;
+    std::vector<std::jthread> crowds; ///< Of clients that keep no limit; joined first.
 };
 
 /// Control of a stand-in by which its next answers, or those to calls, have no end: how many, what they
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -23,7 +23,8 @@
 /// The named mix; nothing for an unknown name.
 std::optional<postpaddle::soak::fault_mix> find_mix(const std::string& name) {
     using enum postpaddle::soak::fault_mix;
-    for (const auto mix : {planned, servers, hosts, all, releases, breaks, combined, departures, memory})
+    for (const auto mix :
+         {planned, servers, hosts, all, releases, breaks, combined, departures, memory, crowds})
         if (name == to_text(mix))
             return mix;
     return std::nullopt;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -66,7 +66,7 @@
     options.hosts = plan.options.hosts;
     options.retry_slack = retry_slack_of(plan);
     options.linked_hosts = plan.mix == fault_mix::combined ? plan.options.hosts : 0;
-    options.memory_mb = plan.mix == fault_mix::memory ? little_memory_mb : 0;
+    options.memory_mb = is_about_memory(plan.mix) ? little_memory_mb : 0;
     for (int place = 0; place < static_cast<int>(server_places().size()); ++place) {
         test::server_plan server = make_server_plan(place, 1, first_version(plan, place));
         server.run_log = fault_runner::run_log_path(folder, server.id);
@@ -137,7 +137,7 @@
 
 int count_callers(const fault_plan& plan) {
     const int usual = callers_at_least + callers_per_host * plan.options.hosts;
-    if (plan.mix == fault_mix::memory)
+    if (is_about_memory(plan.mix))
         return std::max(callers_for_memory, usual);
     return has_software_versions(plan.mix) ? std::max(callers_in_releases, usual) : usual;
 }
@@ -161,12 +161,12 @@
     const auto addresses = callers_addresses(cluster, options.hosts);
     settings_probers probers(addresses, journal);
     const bool takes_up_streams = has_software_versions(report.plan.mix);
-    const bool is_about_memory = report.plan.mix == fault_mix::memory;
+    const bool has_little_memory = is_about_memory(report.plan.mix);
     soak_callers callers({.seed = options.seed,
                           .count = count_callers(report.plan),
                           .hosts = addresses,
                           .takes_up_streams = takes_up_streams,
-                          .has_large_requests = is_about_memory,
+                          .has_large_requests = report.plan.mix == fault_mix::memory,
                           .max_refusals = report.plan.mix == fault_mix::combined
                                               ? refusals_of_combined
                                               : std::numeric_limits<int>::max()});
@@ -184,7 +184,7 @@
     report.seen.retry_slack = retry_slack_of(report.plan);
     report.seen.max_attempts = resumable_attempts;
     promised_bounds bounds;
-    if (is_about_memory)
+    if (has_little_memory)
         bounds.host_memory_bytes = 1'000'000UL * little_memory_mb;
     report.found = check_all(report.seen, bounds);
     report.fault_log = runner.log();
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -57,3 +57,10 @@
 TEST_CASE("soak: servers without end, large bodies and stops beside long streams end nobody else's request") {
     play(1, soak::fault_mix::memory);
 }
+
+// Guards against clients that nobody controls and who take the place, the memory or the time of others.
+TEST_CASE(
+    "soak: clients that keep no limit, beside stops, changes and servers without end, end nobody else's "
+    "request") {
+    play(1, soak::fault_mix::crowds);
+}
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -3,10 +3,10 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
-#include <chrono>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -18,8 +18,6 @@
 namespace {
 
 constexpr std::size_t max_piece_bytes = 32UL * 1024;
-/// Sending ends after this time, so that a host which reads nothing more can't hold up the test for good.
-constexpr auto max_sending_time = std::chrono::seconds(60);
 constexpr auto poll_interval = std::chrono::milliseconds(2);
 
 sockaddr_in make_endpoint(const std::string& ip, int port) {
@@ -30,6 +28,15 @@
     return endpoint;
 }
 
+/// Lets this process have as many descriptors as the system allows it.
+void raise_descriptor_limit() {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return;
+    limit.rlim_cur = limit.rlim_max;
+    (void)setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 /// A loopback address that no host of the tests has.
 std::string client_ip(int number) {
     constexpr int addresses_a_network = 200;
@@ -57,9 +64,14 @@
 
 crowd::crowd(const std::string& address, const crowd_plan& crowd_plan)
     : plan(crowd_plan), total_bytes(plan.begin.size() + plan.repeated_bytes + plan.end.size()) {
+    raise_descriptor_limit();
     for (int number = 0; number < this->plan.clients; ++number) {
         const std::string ip = client_ip(this->plan.is_each_from_own_address ? number : 0);
-        this->clients.push_back({.descriptor = connect_from(ip, address)});
+        const int descriptor = connect_from(ip, address);
+        const linger reset{.l_onoff = 1, .l_linger = 0};
+        if (this->plan.does_reset)
+            (void)setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        this->clients.push_back({.descriptor = descriptor});
     }
 }
 
@@ -102,8 +114,8 @@
     return ioctl(each.descriptor, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
 }
 
-void crowd::send_all() {
-    const auto end = std::chrono::steady_clock::now() + max_sending_time;
+void crowd::send_all(std::chrono::milliseconds at_most) {
+    const auto end = std::chrono::steady_clock::now() + at_most;
     bool has_more = true;
     while (has_more && std::chrono::steady_clock::now() < end) {
         has_more = false;
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -15,6 +16,7 @@
     std::string end{};
     int clients = 0;
     bool is_each_from_own_address = false; ///< Of 127.0.0.0/8; otherwise all come from one.
+    bool does_reset = false;               ///< Whether they reset their connections in place of closing them.
 };
 
 /// Clients that keep no limit: each sends what its plan says, reads nothing and leaves its connection open.
@@ -28,8 +30,9 @@
     crowd& operator=(crowd&&) = delete;
     ~crowd();
 
-    /// Sends until each client has sent everything and the peer's system has it, or was closed.
-    void send_all();
+    /// Sends until each client has sent everything and the peer's system has it, or was closed; ends after
+    /// that time, so that a peer which reads nothing more can't hold up its caller for good.
+    void send_all(std::chrono::milliseconds at_most = std::chrono::seconds(60));
     /// Clients whose connection the peer has not closed.
     [[nodiscard]] int open() const;
 
