wire: Give the buffer for a caller's input a maximum from the beginning

Before the first byte of a request had arrived the buffer had no maximum, though a single read of 4 KB is all that can come into it.

--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -334,11 +334,11 @@
     beast::tcp_stream stream;
     bounds_source bounds;
     connection_intake intake;
-    std::string source; ///< Address of the caller.
-    beast::flat_buffer input;
-    std::size_t head_bytes = 0; ///< Of the request that is being read, once its head is whole.
-    std::size_t body_limit = 0; ///< Of that request.
-    framing_limit framing;      ///< Of that request.
+    std::string source;                    ///< Address of the caller.
+    beast::flat_buffer input{input_bytes}; ///< Its maximum follows the limits once a request begins.
+    std::size_t head_bytes = 0;            ///< Of the request that is being read, once its head is whole.
+    std::size_t body_limit = 0;            ///< Of that request.
+    framing_limit framing;                 ///< Of that request.
     std::string unsent;
     std::string sending;
     std::optional<base::time_point> unsent_since; ///< When the first byte of `unsent` was added.
