tests: A table of what servers send in place of answers, on every way of reading one

One table of kinds, broken and sound, and a server that answers by it. The order of what happens on its connections is kept by what the kernel says was delivered, not by time. Played on the four ways in which hosts read answers (tests/wire/test_broken_responses) and by callers of real hosts (tests/gateway/test_broken_answers): on a route that may not repeat, on one that may, on a streaming one, over a second host, and on the own interface. Each exchange has a service and a server of its own, as hosts leave a server that failed for a while.

Sound and whole: answers without a length that end by a close, early ones too, a reset behind a close or behind a framed answer, 100 and 103 before the answer.

The ways of reading moved out of test_cut_responses, with the same checks. gateway_cluster can publish services of a test's own.

--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -66,6 +66,14 @@
             {"gapTargetMs", 500}};
 }
 
+json make_service(const std::string& name, bool has_engines, double cold_requests = 0) {
+    if (!has_engines)
+        return {{"name", name}, {"maxConnections", 50}, {"coldPerS", cold_requests}};
+    const json engine = {
+        {"slots", 16}, {"kvCapacityTokens", 60'000}, {"kvTtlS", 5.0}, {"stride", 1}, {"switchS", 0.5}};
+    return {{"name", name}, {"maxConnections", 50}, {"engine", engine}};
+}
+
 json make_configuration(int version, bool has_extra_route, double cold_requests = 0) {
     json routes = {make_route("/once/", "non_idempotent", "plain", 2, false),
                    make_route("/again/", "idempotent", "plain", 2, false),
@@ -73,13 +81,9 @@
                    make_route("/resume/", "streaming", "engines", 3, true)};
     if (has_extra_route)
         routes.push_back(make_route("/extra/", "idempotent", "plain", 2, false));
-    const json engine = {
-        {"slots", 16}, {"kvCapacityTokens", 60'000}, {"kvTtlS", 5.0}, {"stride", 1}, {"switchS", 0.5}};
     return {{"version", version},
             {"routes", routes},
-            {"services",
-             {{{"name", "plain"}, {"maxConnections", 50}, {"coldPerS", cold_requests}},
-              {{"name", "engines"}, {"maxConnections", 50}, {"engine", engine}}}},
+            {"services", {make_service("plain", false, cold_requests), make_service("engines", true)}},
             {"limits",
              {{"maxHeaderBytes", 4'096},
               {"maxBodyBytes", 65'536},
@@ -320,6 +324,18 @@
     (void)this->store({{"put", {{"topic", "keyed.op"}, {"key", "config"}, {"value", configuration}}}});
 }
 
+void gateway_cluster::publish_services(int version, const std::vector<service_plan>& services,
+                                       const json& limits) {
+    json configuration = make_configuration(version, false);
+    for (const service_plan& plan : services) {
+        configuration["services"].push_back(make_service(plan.name, plan.route_kind == "streaming"));
+        configuration["routes"].push_back(
+            make_route("/" + plan.name + "/", plan.route_kind, plan.name, 2, false));
+    }
+    configuration["limits"].update(limits);
+    this->publish_document(configuration);
+}
+
 std::size_t gateway_cluster::publish_large(int version, int more_routes) {
     json configuration = make_configuration(version, true);
     for (int number = 0; number < more_routes; ++number)
--- a/tests/support/gateway_cluster.h
+++ b/tests/support/gateway_cluster.h
@@ -28,6 +28,12 @@
     std::string run_log{}; ///< Path of the server's run log; empty for none.
 };
 
+/// A service with a route of its own.
+struct service_plan {
+    std::string name;
+    std::string route_kind; ///< `idempotent`, `non_idempotent` or `streaming`, whose service has engines.
+};
+
 /// What happens to the links between a host and servers.
 enum class link_fault {
     none,
@@ -94,6 +100,9 @@
     void publish_limits(int version, const nlohmann::json& limits);
     /// Publishes a configuration with that many additional routes; returns its size in bytes.
     std::size_t publish_large(int version, int more_routes);
+    /// Publishes a configuration with further services and these `limits`. Each has a route `/NAME/`.
+    void publish_services(int version, const std::vector<service_plan>& services,
+                          const nlohmann::json& limits);
     /// Publishes an arbitrary configuration; returns after the store has taken it.
     void publish_document(const nlohmann::json& configuration);
     /// Publishes a configuration with organisations, each with `name`, `apiKeys` and its limit, and a route
--- a/tests/wire/test_cut_responses.cpp
+++ b/tests/wire/test_cut_responses.cpp
@@ -1,15 +1,13 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Servers that stop within the head of their response, or within its body, and close or reset the connection.
 // Guards against a part of a response being taken for a whole one.
-#include <wire/bounded_response.h>
-#include <wire/http_client.h>
+#include <support/response_readers.h>
 
 #include <catch2/catch.hpp>
 
 #include <boost/asio/write.hpp>
 
 #include <array>
-#include <functional>
 #include <string>
 #include <vector>
 
@@ -92,51 +90,8 @@
                         early + "HTTP/1.1 200 OK\r\n" + fields, "answer: id-1")};
 }
 
-/// A way in which hosts read a response; returns its body.
-struct reader {
-    const char* name;
-    std::function<wire::expected<std::string>(wire::connection_pool&, const std::string& address,
-                                              wire::yield_context)>
-        read;
-};
-
-wire::expected<std::string> body_of(wire::expected<wire::http_response> response) {
-    if (!response)
-        return tl::make_unexpected(std::move(response).error());
-    return std::move(response->body);
-}
-
 const wire::http_request request = wire::get_request("/", {{"Host", "server"}});
 
-std::vector<reader> all_readers() {
-    return {{"of calls and peers' orders",
-             [](wire::connection_pool& pool, const std::string& address, wire::yield_context yield) {
-                 return body_of(wire::fetch(pool, address, request, 5s, yield));
-             }},
-            {"of the store and of peers",
-             [](wire::connection_pool& pool, const std::string& address, wire::yield_context yield) {
-                 return body_of(wire::fetch_large(pool, address, request,
-                                                  {.head_timeout = 5s, .stall_timeout = 5s}, yield));
-             }},
-            {"of reports",
-             [](wire::connection_pool& pool, const std::string& address, wire::yield_context yield) {
-                 return body_of(wire::fetch_bounded(pool, address, request,
-                                                    {.timeout = 5s, .body_bytes = 1'024}, yield));
-             }},
-            {"of upstreams and of forwarding hosts, part by part",
-             [](wire::connection_pool& pool, const std::string& address,
-                wire::yield_context yield) -> wire::expected<std::string> {
-                 const auto deadline = base::boot_clock::now() + 5s;
-                 auto open = wire::open_exchange(
-                     pool, address, request, wire::connection_use::may_reuse,
-                     {.deadline = deadline, .on_stale = wire::stale_connection_policy::fail},
-                     [](const std::shared_ptr<wire::upstream_connection>& /*connection*/) {}, yield);
-                 if (!open)
-                     return tl::make_unexpected(std::move(open).error());
-                 return wire::read_bounded_body(*open->call, 1'024, deadline, yield);
-             }}};
-}
-
 } // namespace
 
 TEST_CASE("a response that is cut anywhere in its head or body is not taken for whole, however it is read") {
@@ -145,14 +100,14 @@
     int whole = 0;
     bool has_ended = false;
     wire::spawn_coroutine(context, [&](wire::yield_context yield) {
-        for (const reader& way : all_readers())
+        for (const test::response_reader& way : test::response_readers())
             for (const framed_response& response : all_responses())
                 for (const auto ending : {connection_ending::closed, connection_ending::reset})
                     for (std::size_t size = 0; size < response.text.size(); ++size) {
                         // A connection that is kept would meet the ending of the one before.
                         wire::connection_pool pool(context, wire::response_bounds{});
                         server.set_answer(response.text.substr(0, size), ending);
-                        const auto body = way.read(pool, server.address(), yield);
+                        const auto body = way.read(pool, server.address(), request, yield);
                         const bool may_be_whole =
                             ending == connection_ending::closed && size >= response.whole_from;
                         INFO("read as " << way.name << ", framed by " << response.name << ", cut after "
@@ -184,7 +139,7 @@
               "HTTP/1.1 200 OK\r\nContent-Len", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 20"}) {
             wire::connection_pool pool(context, wire::response_bounds{});
             server.set_answer(cut + other, connection_ending::closed);
-            const auto body = body_of(wire::fetch(pool, server.address(), request, 5s, yield));
+            const auto body = test::body_of(wire::fetch(pool, server.address(), request, 5s, yield));
             INFO(cut << ": " << (body ? *body : ""));
             CHECK_FALSE(body);
             ++answers;
