wire: Take an answer without a length for whole only if its server closed in order

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got the part, sealed, as a complete answer; of a stream, the first events, ended as if whole; of a 500, its part.

Cause: a socket keeps one pending error, and reports it to the operation that asks first. Beside an upload that is the write; the read then sees the plain end of input, by which an answer without a length ends. The write's error was kept as "not written", which nobody asked.

Change: wire/message_framing says how a body ended: by its framing, by a close in order, or broken. upstream_connection asks it before it tells any reader that a body is complete. What it asks needs the end of the send: if that goes on, it is ended and its handler awaited, so that the order of the two handlers doesn't matter. A broken pipe says that the server had closed in order before its reset, as the system reports another error otherwise; such an answer stays whole.

--- a/libraries/wire/upstream_connection.cpp
+++ b/libraries/wire/upstream_connection.cpp
@@ -3,6 +3,7 @@
 
 #include <wire/bounded_response.h>
 #include <wire/framing_limit.h>
+#include <wire/message_framing.h>
 
 #include <base/try.h>
 
@@ -63,7 +64,8 @@
 
 struct upstream_connection::implementation : std::enable_shared_from_this<implementation> {
     implementation(asio::io_context& context, const response_bounds& response_bounds)
-        : stream(context), watchdog(context), bounds(response_bounds),
+        : stream(context), watchdog(context), send_ended(context, boot_clock::time_point::max()),
+          bounds(response_bounds),
           // A chunk's extensions and the trailer fields are parsed as a whole, as the head is.
           input(response_bounds.header_bytes + read_buffer_bytes) {}
 
@@ -142,14 +144,40 @@
     /// Sends the request while the response is already being read, as an upstream may respond before it has
     /// read a long body. A connection whose request was not sent completely is not reused.
     void start_write(const http_request& request) {
-        this->is_request_written = false;
+        this->send_result.reset();
         this->sending = std::make_unique<http::request<http::string_body>>(to_beast(request));
         http::async_write(this->stream, *this->sending,
                           [self = this->shared_from_this()](const error_code& error, std::size_t) {
-                              self->is_request_written = !error;
+                              self->send_result = error;
+                              self->send_ended.cancel();
                           });
     }
 
+    [[nodiscard]] bool is_request_written() const { return this->send_result == error_code(); }
+
+    /// Ends the sending of the request if it goes on, and with it the connection. Returns how it ended.
+    error_code end_send(yield_context yield) {
+        // An error that was reported to the send may be known only to its handler, which hasn't run yet.
+        while (!this->send_result) {
+            this->stream.close();
+            error_code ignored;
+            this->send_ended.async_wait(yield[ignored]);
+        }
+        return *this->send_result;
+    }
+
+    /// Fails if the body, which has ended, isn't whole.
+    expected<void> check_end(yield_context yield) {
+        if (end_of(*this->parser, {}) != body_end::closed)
+            return {};
+        const error_code send_error = this->end_send(yield);
+        if (this->is_cancelled)
+            return tl::unexpected<wire_error>({wire_failure::cancelled, "cancelled"});
+        if (end_of(*this->parser, send_error) == body_end::broken)
+            return this->fail({wire_failure::broken, "body without a length: " + send_error.message()});
+        return {};
+    }
+
     expected<response_head> read_head(yield_context yield) {
         error_code error;
         int informational_responses = 0;
@@ -185,7 +213,8 @@
     beast::tcp_stream stream;
     boot_timer watchdog;
     std::unique_ptr<http::request<http::string_body>> sending;
-    bool is_request_written = false;
+    std::optional<error_code> send_result; ///< Of the request; empty while it is being sent.
+    boot_timer send_ended;                 ///< Is cancelled when that is known.
     std::optional<asio::ip::address> local_address;
     std::chrono::milliseconds keep_alive_timeout = default_keep_alive_timeout;
     boot_clock::time_point deadline = boot_clock::time_point::max();
@@ -267,6 +296,7 @@
     if (self.is_cancelled)
         return tl::make_unexpected(wire_error{wire_failure::cancelled, "cancelled"});
     if (self.parser->is_done()) {
+        POSTPADDLE_TRY_VOID(self.check_end(yield));
         self.is_response_complete = true;
         return false;
     }
@@ -344,9 +374,9 @@
 
 bool upstream_connection::is_reusable() const {
     const implementation& self = *this->impl;
-    return self.is_response_complete && !self.is_given_up && self.is_keep_alive && self.is_request_written &&
-           !self.is_cancelled && !self.carried.is_full() && self.input.size() == 0 &&
-           self.stream.socket().is_open();
+    return self.is_response_complete && !self.is_given_up && self.is_keep_alive &&
+           self.is_request_written() && !self.is_cancelled && !self.carried.is_full() &&
+           self.input.size() == 0 && self.stream.socket().is_open();
 }
 
 std::chrono::milliseconds upstream_connection::keep_alive_timeout() const {
--- a/tests/gateway/test_broken_answers.cpp
+++ b/tests/gateway/test_broken_answers.cpp
@@ -23,6 +23,9 @@
 constexpr int first_failure_status = 500;
 /// Promises that the request has not run.
 constexpr int not_run_status = 503;
+/// Events of a whole stream, and those before a broken one ends.
+constexpr int all_events = 40;
+constexpr int first_events = 9;
 
 /// An answer to a request of one kind of route. Each has a service and a server of its own, as hosts leave a
 /// server that failed for a while.
@@ -107,6 +110,23 @@
     CHECK(answer->body.find("sound") == std::string::npos);
 }
 
+std::string events(int first, int last) {
+    std::string text;
+    for (int event = first; event <= last; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: token-" + std::to_string(event) + "\n\n";
+    return text;
+}
+
+/// A stream without a length of that many events.
+test::answer_kind stream_of(int count, test::connection_ending ending, request_size request) {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: @ID@\r\n"
+        "X-Response-Seal: seal.@INSTANCE@.@ID@\r\nContent-Type: text/event-stream\r\n\r\n";
+    return {.name = std::to_string(count) + " events, then " + to_text(ending),
+            .answer = {.parts = {head + events(1, 1), events(2, count)}, .ending = ending},
+            .request = request};
+}
+
 } // namespace
 
 TEST_CASE("callers get no broken answer, and what may have run is not sent again") {
@@ -147,6 +167,32 @@
     }
 }
 
+TEST_CASE("a stream whose server resets the connection between two events does not end as if it were whole") {
+    using test::connection_ending;
+    const int hosts = GENERATE(1, 2);
+    std::vector<test::answer_kind> broken = {
+        stream_of(first_events, connection_ending::none, request_size::large)};
+    std::vector<test::answer_kind> sound;
+    for (const auto request : {request_size::small, request_size::large}) {
+        broken.push_back(stream_of(first_events, connection_ending::reset, request));
+        sound.push_back(stream_of(all_events, connection_ending::close, request));
+        sound.push_back(stream_of(all_events, connection_ending::close_after_upload, request));
+    }
+    auto kinds = broken;
+    kinds.insert(kinds.end(), sound.begin(), sound.end());
+    const auto plans = plan_exchanges(kinds, {"streaming"});
+    scripted_cluster scripted("broken-streams-" + std::to_string(hosts), plans, hosts);
+    for (const exchange_plan& plan : plans) {
+        const auto answer = scripted.exchange(plan);
+        INFO(plan.describe());
+        const bool is_whole = plan.answer.answer.parts.back() == events(2, all_events);
+        CHECK(answer.has_value() == is_whole);
+        if (answer && is_whole)
+            CHECK(answer->body == events(1, all_events));
+        CHECK(scripted.arrivals(plan) == 1);
+    }
+}
+
 TEST_CASE("callers of plain upstreams of the own interface get no broken answer, and whole ones") {
     auto plans = plan_exchanges(test::broken_answers(), {"repeatable", "not repeatable"});
     const std::size_t broken = plans.size();
--- a/tests/support/broken_answers.cpp
+++ b/tests/support/broken_answers.cpp
@@ -55,9 +55,14 @@
          {"HTTP/1.1 103 Early Hints\r\n\r\n" + head("200 OK") + part}},
     };
     for (const auto& [name, parts] : answers)
-        kinds.push_back({.name = name + ", then a reset",
-                         .answer = {.parts = parts, .ending = connection_ending::reset},
-                         .request = request_size::small});
+        for (const auto request : {request_size::small, request_size::large})
+            kinds.push_back({.name = name + ", then a reset",
+                             .answer = {.parts = parts, .ending = connection_ending::reset},
+                             .request = request});
+    // The client's system gives the connection up after a time.
+    kinds.push_back({.name = "a part of a body, then nothing",
+                     .answer = {.parts = {head("200 OK") + part}, .ending = connection_ending::none},
+                     .request = request_size::large});
 }
 
 /// Heads whose status, or version, is none.
