wire: Read nothing behind a head that is no answer's as one

Callers saw: of a server that sent status 000 (001, 099), the answer that stood in its body or behind it, as a 200; the same for a 101 that nobody had asked for, and for a 100 or 103 that announced a length or chunks. Status 600 and 999 came through with the server's seal.

Cause: the reader skipped every head with a status below 200 as informational, and read what followed as the next head. Nothing asked whether the status is one of HTTP.

Change: wire/message_framing says what a head is: of a response, informational, or none. Valid are 100 to 599 (RFC 9110, section 15); 101 ends HTTP on the connection; an informational response has no body, so one that announces a body is none. What is none fails as malformed: a failure that may have run, which counts against the server, whose connection is closed. 600 and up are refused as well: RFC 9110 has a client treat them as a server error, which a 502 is, and what is no answer in the protocol is not passed on as one. A 100 with a length of 0 hides nothing and stays skipped.

--- a/libraries/wire/message_framing.cpp
+++ b/libraries/wire/message_framing.cpp
@@ -9,6 +9,17 @@
 
 namespace {
 
+constexpr int first_status = 100;
+constexpr int switching_protocols_status = 101;
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
+
+bool announces_body(const http::fields& fields) {
+    const auto length = fields.find(http::field::content_length);
+    return fields.count(http::field::transfer_encoding) > 0 ||
+           (length != fields.end() && length->value() != "0");
+}
+
 /// Whether the error of a send says no more than that no more may be sent: this side has ended the sending,
 /// or the server had closed the connection in order before it reset it.
 bool is_after_close(const error_code& send_error) {
@@ -18,6 +29,15 @@
 
 } // namespace
 
+head_kind kind_of(const http::response_header<>& head) {
+    const int status = static_cast<int>(head.result_int());
+    if (status < first_status || status > last_status || status == switching_protocols_status)
+        return head_kind::none;
+    if (status < first_final_status)
+        return announces_body(head) ? head_kind::none : head_kind::informational;
+    return head_kind::final_response;
+}
+
 body_end end_of(const http::basic_parser<false>& parser, const error_code& send_error) {
     if (!parser.is_done())
         return body_end::none;
--- a/libraries/wire/message_framing.h
+++ b/libraries/wire/message_framing.h
@@ -4,9 +4,23 @@
 #include <wire/asio.h>
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 
 namespace postpaddle::wire {
 
+/// What the head of a message from a server is.
+enum class head_kind {
+    final_response, ///< Of the response, whose body follows.
+    informational,  ///< Of a response before it, without a body (RFC 9110, section 15.2).
+    none,           ///< Of no response; what follows it can't be read as one either.
+};
+
+/// Only status codes from 100 to 599 are valid (RFC 9110, section 15). 101 ends HTTP on the connection, which
+/// no request here asks for. An informational response that announces a body is none (section 8.6, and RFC
+/// 9112, section 6.1): readers differ in whether the next head is within that body or behind it.
+[[nodiscard]] head_kind kind_of(const boost::beast::http::response_header<>& head);
+
 /// How the body of a response has ended.
 enum class body_end {
     none,   ///< It hasn't.
--- a/libraries/wire/upstream_connection.cpp
+++ b/libraries/wire/upstream_connection.cpp
@@ -31,7 +31,7 @@
 
 constexpr std::size_t read_buffer_bytes = 16UL * 1024;
 
-/// Informational responses (RFC 9110, section 15.2) skipped before a response.
+/// Informational responses skipped before a response.
 constexpr int max_informational_responses = 8;
 /// Shortest time by which a deadline is extended.
 constexpr auto min_extension = std::chrono::milliseconds(1);
@@ -178,11 +178,13 @@
         return {};
     }
 
+    /// Reads the head of the response behind informational ones (RFC 9110, section 15.2).
     expected<response_head> read_head(yield_context yield) {
         error_code error;
         int informational_responses = 0;
+        head_kind kind = head_kind::informational;
         this->framing = {};
-        do {
+        while (!error && kind == head_kind::informational) {
             if (informational_responses++ > max_informational_responses) {
                 error = http::error::bad_status;
                 break;
@@ -191,11 +193,18 @@
             this->parser->header_limit(static_cast<std::uint32_t>(this->bounds.header_bytes));
             this->parser->body_limit(this->bounds.body_bytes);
             http::async_read_header(this->stream, this->input, *this->parser, yield[error]);
-            // Skips informational responses (RFC 9110, section 15.2).
-        } while (!error && this->parser->get().result_int() < 200);
+            if (!error)
+                kind = kind_of(this->parser->get());
+        }
         wire_error failure = this->finish_operation(error);
         if (error)
             return this->fail(std::move(failure));
+        if (kind == head_kind::none)
+            return this->fail({wire_failure::malformed, "head of no response"});
+        return this->take_head();
+    }
+
+    response_head take_head() {
         response_head head;
         head.status = static_cast<int>(this->parser->get().result_int());
         for (const auto& field : this->parser->get())
--- a/tests/gateway/test_broken_answers.cpp
+++ b/tests/gateway/test_broken_answers.cpp
@@ -107,6 +107,7 @@
     CHECK(answer->status != not_run_status);
     CHECK(wire::find_header(answer->headers, "Postpaddle-Outcome") == "unknown");
     CHECK(wire::find_header(answer->headers, "X-Response-Seal").empty());
+    CHECK(answer->body.find(test::hidden_body) == std::string::npos);
     CHECK(answer->body.find("sound") == std::string::npos);
 }
 
--- a/tests/support/broken_answers.cpp
+++ b/tests/support/broken_answers.cpp
@@ -32,6 +32,8 @@
     return size + "\r\n" + body + "\r\n0\r\n\r\n";
 }
 
+std::string hidden_answer() { return with_length("200 OK", hidden_body); }
+
 answer_kind closed(std::string name, std::string text) {
     return {.name = std::move(name),
             .answer = {.parts = {std::move(text)}, .ending = connection_ending::close}};
@@ -65,8 +67,27 @@
                      .request = request_size::large});
 }
 
-/// Heads whose status, or version, is none.
+/// Heads whose status is that of no answer, with an answer behind them or in their body.
 void add_odd_statuses(std::vector<answer_kind>& kinds) {
+    const std::string hidden = hidden_answer();
+    for (const std::string& status : strings{"000", "001", "099", "101", "600", "999"}) {
+        kinds.push_back(closed("status " + status, with_length(status + " Status", sound_body())));
+        kinds.push_back(
+            closed("status " + status + ", an answer as its body", with_length(status + " Status", hidden)));
+        kinds.push_back(closed("status " + status + ", an answer as its body without a length",
+                               head(status + " Status") + hidden));
+        kinds.push_back(closed("status " + status + " without fields, then an answer",
+                               "HTTP/1.1 " + status + " Status\r\n\r\n" + hidden));
+    }
+    for (const std::string& status : strings{"100", "103"}) {
+        kinds.push_back(closed("status " + status + " with a length, an answer as its body",
+                               with_length(status + " Status", hidden)));
+        kinds.push_back(
+            closed("status " + status + " with chunks, an answer in them",
+                   head(status + " Status", "Transfer-Encoding: chunked\r\n") + in_chunks(hidden)));
+        kinds.push_back(closed("status " + status + " with chunks, then an answer",
+                               head(status + " Status", "Transfer-Encoding: chunked\r\n") + hidden));
+    }
     for (const std::string& status : strings{"20", "2000", "2x0", "-200", ""})
         kinds.push_back(closed("status '" + status + "'", with_length(status + " OK", sound_body())));
     kinds.push_back(closed("HTTP/2.0", head("200 OK", length_field(sound_bytes), "HTTP/2.0") + sound_body()));
--- a/tests/support/broken_answers.h
+++ b/tests/support/broken_answers.h
@@ -23,6 +23,8 @@
     bool operator==(const answer_kind&) const = default;
 };
 
+/// The body of an answer that is hidden within another one. No client may get it.
+inline constexpr const char* hidden_body = "hidden answer";
 /// The whole body of each sound answer.
 [[nodiscard]] std::string sound_body();
 
