wire: Refuse answers in codings that nobody asked for

Callers saw: of a server that sent `Transfer-Encoding: gzip`, `xchunked`, `chunked, gzip`, `gzip, chunked`, these in two fields, or an empty one, the coded bytes as the body of a sealed 200, the sizes of the chunks among them.

Cause: the reader of callers' requests refuses codings other than `chunked`; the reader of answers had no such check, and the field is taken off as one of the connection's.

Evidence: on the code before, six of the table's seven kinds (all but `chunked` and `gzip` in two fields, that order) reached callers, on routes that may and that may not repeat.

Change: one function in wire/message_framing, which both readers ask. It takes the empty list elements that RFC 9110, section 5.6.1 has receivers take: such answers are whole already, and callers' requests with them are no longer refused. Two equal lengths and chunks of HTTP/1.0 stay whole, as before (in the table).

--- a/libraries/wire/caller_connection.cpp
+++ b/libraries/wire/caller_connection.cpp
@@ -2,6 +2,7 @@
 #include <wire/caller_connection.h>
 
 #include <wire/framing_limit.h>
+#include <wire/message_framing.h>
 
 #include <base/try.h>
 
@@ -49,9 +50,7 @@
     const auto lengths = message.count(http::field::content_length);
     if (codings > 1 || lengths > 1 || (codings == 1 && lengths == 1))
         return false;
-    if (codings == 1 && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))
-        return false;
-    return message.count(http::field::host) <= 1;
+    return are_codings_understood(message) && message.count(http::field::host) <= 1;
 }
 
 /// What a whole request within the limits takes in all its forms: as read, parsed and copied to be sent.
--- a/libraries/wire/message_framing.cpp
+++ b/libraries/wire/message_framing.cpp
@@ -2,6 +2,10 @@
 #include <wire/message_framing.h>
 
 #include <boost/asio/error.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <iterator>
 
 namespace postpaddle::wire {
 
@@ -29,13 +33,23 @@
 
 } // namespace
 
+bool are_codings_understood(const http::fields& fields) {
+    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+    if (first == last)
+        return true;
+    const http::opt_token_list codings(first->value());
+    return std::next(first) == last && http::validate_list(codings) &&
+           std::distance(codings.begin(), codings.end()) == 1 &&
+           boost::beast::iequals(*codings.begin(), "chunked");
+}
+
 head_kind kind_of(const http::response_header<>& head) {
     const int status = static_cast<int>(head.result_int());
     if (status < first_status || status > last_status || status == switching_protocols_status)
         return head_kind::none;
     if (status < first_final_status)
         return announces_body(head) ? head_kind::none : head_kind::informational;
-    return head_kind::final_response;
+    return are_codings_understood(head) ? head_kind::final_response : head_kind::none;
 }
 
 body_end end_of(const http::basic_parser<false>& parser, const error_code& send_error) {
--- a/libraries/wire/message_framing.h
+++ b/libraries/wire/message_framing.h
@@ -9,6 +9,10 @@
 
 namespace postpaddle::wire {
 
+/// Whether a message has no transfer coding but `chunked`: none other is asked for (RFC 9110, section 10.1.4)
+/// or understood here, and the body would be taken for what it encodes.
+[[nodiscard]] bool are_codings_understood(const boost::beast::http::fields& fields);
+
 /// What the head of a message from a server is.
 enum class head_kind {
     final_response, ///< Of the response, whose body follows.
--- a/tests/support/broken_answers.cpp
+++ b/tests/support/broken_answers.cpp
@@ -93,8 +93,14 @@
     kinds.push_back(closed("HTTP/2.0", head("200 OK", length_field(sound_bytes), "HTTP/2.0") + sound_body()));
 }
 
-/// Lengths and chunks that don't say where the body ends.
+/// Bodies in codings that nobody asked for, and lengths that don't say where they end.
 void add_odd_framings(std::vector<answer_kind>& kinds) {
+    for (const std::string& codings :
+         strings{"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: xchunked\r\n",
+                 "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+                 "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+                 "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: \r\n"})
+        kinds.push_back(closed(codings, head("200 OK", codings) + in_chunks(sound_body())));
     const std::string length = std::to_string(sound_bytes);
     for (const std::string& lengths :
          strings{length_field(sound_bytes) + length_field(sound_bytes - 1),
