wire: Read a list of hosts from a success alone

Found while all readers of answers were looked through: the client of the list of hosts parsed the body of any answer, so that a failure whose body reads like a list would have replaced the list. The other readers of such answers ask for the status first. Test red before with 404 and 500, green now.

--- a/libraries/wire/host_list_client.cpp
+++ b/libraries/wire/host_list_client.cpp
@@ -27,6 +27,8 @@
     POSTPADDLE_TRY(response,
                    fetch_large(this->pool, this->address, get_request("/hosts"),
                                {.head_timeout = request_timeout, .stall_timeout = request_timeout}, yield));
+    if (response.status != ok_status)
+        return tl::make_unexpected(wire_error{wire_failure::refused, std::to_string(response.status)});
     const json parsed = base::parse_json(response.body);
     try {
         host_list list;
--- a/tests/wire/test_cut_responses.cpp
+++ b/tests/wire/test_cut_responses.cpp
@@ -3,6 +3,8 @@
 // Guards against a part of a response being taken for a whole one.
 #include <support/response_readers.h>
 
+#include <wire/host_list_client.h>
+
 #include <catch2/catch.hpp>
 
 #include <boost/asio/write.hpp>
@@ -149,3 +151,26 @@
     context.run();
     CHECK(answers == 5);
 }
+
+// Guards against the words of a failure being taken for the list.
+TEST_CASE("a list of hosts is read from a success alone") {
+    const std::string list =
+        R"({"hosts":[{"name":"host-1","peers_address":"127.0.0.1:1"}],"leaving_upstreams":[]})";
+    wire::asio::io_context context;
+    cutting_server server(context);
+    bool has_ended = false;
+    wire::spawn_coroutine(context, [&](wire::yield_context yield) {
+        for (const char* status : {"200 OK", "404 Not Found", "500 Internal Server Error"}) {
+            server.set_answer("HTTP/1.1 " + std::string(status) +
+                                  "\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list,
+                              connection_ending::closed);
+            wire::host_list_client client(context, server.address());
+            CAPTURE(status);
+            CHECK(client.read(yield).has_value() == (std::string(status) == "200 OK"));
+        }
+        has_ended = true;
+        context.stop();
+    });
+    context.run();
+    CHECK(has_ended);
+}
