gateway: Say that there is an answer's head by its being there

`status != 0` stood for "a head was read" in four files, so that a status that a server may send had a meaning of ours. A head of status 000 no longer comes that far; the result of an exchange has an optional head now, and logs 0 without one, as before.

--- a/libraries/gateway/forwarding/forwarding_sender.cpp
+++ b/libraries/gateway/forwarding/forwarding_sender.cpp
@@ -115,7 +115,7 @@
     request.sends.push_back({{"host", host.value},
                              {"purpose", "forward"},
                              {"result", result},
-                             {"status", exchange.head.status},
+                             {"status", exchange.status()},
                              {"took_ms", base::to_milliseconds(state.clock->now() - exchange.sent)}});
     if (!exchange.detail.empty())
         request.sends.back()["detail"] = exchange.detail;
@@ -155,14 +155,14 @@
 /// Records an answer of the host, or that there is none although it was sent the request.
 void record_taken(gateway_request& request, forwarded_exchange& forwarded, forwarding_outcome outcome) {
     exchange_result& exchange = forwarded.exchange;
-    if (exchange.head.status == 0) {
+    if (!exchange.head) {
         // Nothing is known of its attempts.
         forwarded.told_attempts = forwarded.granted_attempts;
         host::record_peer_failure(request.state->forwarding_peers, forwarded.host,
                                   request.state->clock->now());
     } else {
-        exchange.result = result_of(outcome, exchange.head.status);
-        exchange.facts = request.state->protocol.read_answer(exchange.head);
+        exchange.result = result_of(outcome, exchange.head->status);
+        exchange.facts = request.state->protocol.read_answer(*exchange.head);
         record_link(request, forwarded.host, outcome);
     }
     decision::record_forwarded(request.record, forwarded.told_attempts);
@@ -197,14 +197,14 @@
                                     .host = target.host,
                                     .granted_attempts = message.max_attempts};
     exchange_result& exchange = forwarded.exchange;
-    if (exchange.head.status == 0 && exchange.result == attempt_result::not_connected) {
+    if (!exchange.head && exchange.result == attempt_result::not_connected) {
         host::record_peer_failure(state.forwarding_peers, target.host, state.clock->now());
         log_forwarding(request, target.host, exchange, to_text(exchange.result));
         return std::nullopt;
     }
     forwarding_label label{.outcome = forwarding_outcome::may_have_run};
-    if (exchange.head.status != 0)
-        label = take_forwarding_label(exchange.head);
+    if (exchange.head)
+        label = take_forwarding_label(*exchange.head);
     forwarded.told_attempts = label.attempts;
     exchange.software_version = label.software_version;
     apply_suspects(state, label.suspects, target.address);
--- a/libraries/gateway/plain/plain_relay.cpp
+++ b/libraries/gateway/plain/plain_relay.cpp
@@ -218,7 +218,7 @@
     const scoped_plain_send sent(*request.state, send.instance);
     plain_answer answer = {.exchange = send_to_instance(request, send, wait, yield), .body = {}};
     exchange_result& exchange = answer.exchange;
-    if (exchange.head.status != 0 && exchange.result != attempt_result::broken)
+    if (exchange.head && exchange.result != attempt_result::broken)
         answer.body = read_body(exchange, max_plain_body_bytes, wait.deadline, yield);
     require_seal(exchange);
     exchange.stalls = monitor.record();
@@ -245,7 +245,7 @@
     if (decision::instance* const target = decision::find_instance(state.instances, *step.upstream))
         decision::record_response_time(
             *target, base::from_seconds(base::to_seconds(now - exchange.sent) / step.rounds), now);
-    if (wire::is_success(exchange.head.status))
+    if (wire::is_success(exchange.status()))
         record_success(request);
 }
 
@@ -270,10 +270,10 @@
         record_answer(request, step, exchange);
         // What its caller hasn't read is accounted for from now on.
         answer.exchange.held.reset();
-        return forward_answer(request, exchange.head, std::move(answer.body), yield);
+        return forward_answer(request, *exchange.head, std::move(answer.body), yield);
     }
     if (exchange.result == attempt_result::server_error)
-        progress.failure = failure_answer{exchange.head, std::move(answer.body), exchange.held};
+        progress.failure = failure_answer{*exchange.head, std::move(answer.body), exchange.held};
     progress.reason = decision::to_text(exchange.result);
     return std::nullopt;
 }
@@ -313,7 +313,7 @@
         return std::nullopt;
     exchange_result& exchange = forwarded->exchange;
     std::string body;
-    if (exchange.head.status != 0)
+    if (exchange.head)
         body = read_body(exchange, max_plain_body_bytes, request.deadline, yield);
     require_seal(exchange);
     end_forwarding(request, *forwarded);
@@ -323,9 +323,9 @@
     progress.reason = decision::to_text(exchange.result);
     exchange.held.reset();
     if (exchange.result == attempt_result::answered)
-        return forward_answer(request, exchange.head, std::move(body), yield);
+        return forward_answer(request, *exchange.head, std::move(body), yield);
     if (exchange.result == attempt_result::not_run)
-        return end_after_refusal(request, exchange.head, std::move(body), yield);
+        return end_after_refusal(request, *exchange.head, std::move(body), yield);
     return std::nullopt;
 }
 
--- a/libraries/gateway/streams/stream_relay.cpp
+++ b/libraries/gateway/streams/stream_relay.cpp
@@ -113,12 +113,12 @@
 stream_relay::received_answer stream_relay::receive_answer(exchange_result& exchange,
                                                            wire::yield_context yield) {
     received_answer answer;
-    const bool is_stream = exchange.result == attempt_result::answered && exchange.head.status == ok_status;
+    const bool is_stream = exchange.result == attempt_result::answered && exchange.status() == ok_status;
     if (is_stream && exchange.facts.is_sealed)
         answer.stream = this->relay_events(exchange, yield);
     else if (is_stream)
         exchange.detail = "answer without a valid seal";
-    else if (exchange.head.status != 0 && exchange.result != attempt_result::broken)
+    else if (exchange.head && exchange.result != attempt_result::broken)
         answer.body = read_body(exchange, max_failure_body_bytes, this->watch.look_at(), yield);
     if (is_stream && answer.stream == stream_end::broken && exchange.result == attempt_result::answered)
         exchange.result = attempt_result::broken;
@@ -147,7 +147,7 @@
     if (exchange.result == attempt_result::answered)
         return this->progress.has_started
                    ? this->end_with_failure(yield)
-                   : forward_answer(*this->request, exchange.head, std::move(answer.body), yield);
+                   : forward_answer(*this->request, *exchange.head, std::move(answer.body), yield);
     if (exchange.result == attempt_result::server_error) {
         this->failure = exchange;
         this->failure_body = std::move(answer.body);
@@ -164,7 +164,7 @@
         return stream_end::broken;
     }
     if (!this->progress.has_started)
-        this->first_head = exchange.head;
+        this->first_head = *exchange.head;
     this->held_events.clear();
     this->events.idle_bytes = 0;
     while (true) {
@@ -303,7 +303,7 @@
         return request_ending::broken_off;
     }
     if (this->failure)
-        return forward_answer(*this->request, this->failure->head, std::move(this->failure_body), yield);
+        return forward_answer(*this->request, *this->failure->head, std::move(this->failure_body), yield);
     return answer_locally(*this->request, this->last_result, this->reason, yield);
 }
 
@@ -487,7 +487,7 @@
     this->last_result = exchange.result;
     this->reason = decision::to_text(exchange.result);
     const auto ending = exchange.result == attempt_result::not_run && !this->progress.has_started
-                            ? end_after_refusal(*this->request, exchange.head, std::move(answer.body), yield)
+                            ? end_after_refusal(*this->request, *exchange.head, std::move(answer.body), yield)
                             : this->ending_after(exchange, std::move(answer), yield);
     if (ending)
         return *ending;
--- a/libraries/gateway/upstreams/upstream_exchange.cpp
+++ b/libraries/gateway/upstreams/upstream_exchange.cpp
@@ -104,7 +104,7 @@
         if (!head)
             return tl::make_unexpected(std::move(head).error());
         exchange.head = std::move(*head);
-        exchange.facts = request.state->protocol.read_answer(exchange.head);
+        exchange.facts = request.state->protocol.read_answer(*exchange.head);
     }
     return {};
 }
@@ -344,15 +344,15 @@
     record_sign_of_life(state, send.instance);
     did_progress();
     exchange.head = std::move(response->head);
-    exchange.facts = state.protocol.read_answer(exchange.head);
+    exchange.facts = state.protocol.read_answer(*exchange.head);
     if (const auto skipped = skip_foreign_answers(request, exchange, wait.deadline, yield); !skipped) {
         record_failure(exchange, skipped.error());
         // Nothing that a foreign answer says applies to this send.
-        exchange.head = {};
+        exchange.head.reset();
         exchange.facts = {};
         return exchange;
     }
-    exchange.result = result_of(exchange.head, exchange.facts);
+    exchange.result = result_of(*exchange.head, exchange.facts);
     // Whether a prompt counts is known only after its whole answer.
     if (is_run)
         did_reach_upstream(request);
@@ -397,7 +397,7 @@
     request.sends.push_back({{"instance", send.instance.value},
                              {"purpose", is_prefill ? "read_prompt" : "run"},
                              {"result", decision::to_text(exchange.result)},
-                             {"status", exchange.head.status},
+                             {"status", exchange.status()},
                              {"took_ms", base::to_milliseconds(now - exchange.sent)}});
     if (exchange.entry_offset != 0 || exchange.start_time_ms != 0)
         log_basis(request.sends.back(), exchange);
--- a/libraries/gateway/upstreams/upstream_exchange.h
+++ b/libraries/gateway/upstreams/upstream_exchange.h
@@ -6,6 +6,7 @@
 #include <wire/http_client.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace postpaddle::gateway {
@@ -13,7 +14,7 @@
 /// Result of one send to an upstream, up to the head of its answer.
 struct exchange_result {
     decision::attempt_result result = decision::attempt_result::not_connected;
-    wire::response_head head; ///< Set if the upstream answered.
+    std::optional<wire::response_head> head; ///< Of the upstream's answer, if there is one.
     ports::answer_facts facts;
     std::shared_ptr<wire::upstream_connection> connection; ///< Reads the rest of the answer.
     std::string address;
@@ -29,6 +30,9 @@
     wire::collected_body held;          ///< Accounts for the answer's body for as long as it is kept.
     std::string detail;                 ///< For the log.
     stall_record stalls{};              ///< Of this send.
+
+    /// For the log; 0 without an answer.
+    [[nodiscard]] int status() const { return this->head ? this->head->status : 0; }
 };
 
 /// Until when to wait for an answer, and what decides on the end of that.
