--- a/tests/support/broken_answers.cpp
+++ b/tests/support/broken_answers.cpp
@@ -32,6 +32,12 @@
     return size + "\r\n" + body + "\r\n0\r\n\r\n";
 }
 
+/// A head without fields.
+std::string bare_head(const std::string& status) {
+    std::string line = "HTTP/1.1 ";
+    return line.append(status).append("\r\n\r\n");
+}
+
 std::string hidden_answer() { return with_length("200 OK", hidden_body); }
 
 answer_kind closed(std::string name, std::string text) {
@@ -70,23 +76,19 @@
 /// Heads whose status is that of no answer, with an answer behind them or in their body.
 void add_odd_statuses(std::vector<answer_kind>& kinds) {
     const std::string hidden = hidden_answer();
-    for (const std::string& status : strings{"000", "001", "099", "101", "600", "999"}) {
-        kinds.push_back(closed("status " + status, with_length(status + " Status", sound_body())));
-        kinds.push_back(
-            closed("status " + status + ", an answer as its body", with_length(status + " Status", hidden)));
-        kinds.push_back(closed("status " + status + ", an answer as its body without a length",
-                               head(status + " Status") + hidden));
-        kinds.push_back(closed("status " + status + " without fields, then an answer",
-                               "HTTP/1.1 " + status + " Status\r\n\r\n" + hidden));
+    for (const std::string& status :
+         strings{"000 Status", "001 Status", "099 Status", "101 Status", "600 Status", "999 Status"}) {
+        kinds.push_back(closed(status, with_length(status, sound_body())));
+        kinds.push_back(closed(status + ", an answer as its body", with_length(status, hidden)));
+        kinds.push_back(closed(status + ", an answer as its body without a length", head(status) + hidden));
+        kinds.push_back(closed(status + " without fields, then an answer", bare_head(status) + hidden));
     }
-    for (const std::string& status : strings{"100", "103"}) {
-        kinds.push_back(closed("status " + status + " with a length, an answer as its body",
-                               with_length(status + " Status", hidden)));
+    for (const std::string& status : strings{"100 Continue", "103 Early Hints"}) {
+        const std::string chunked = head(status, "Transfer-Encoding: chunked\r\n");
         kinds.push_back(
-            closed("status " + status + " with chunks, an answer in them",
-                   head(status + " Status", "Transfer-Encoding: chunked\r\n") + in_chunks(hidden)));
-        kinds.push_back(closed("status " + status + " with chunks, then an answer",
-                               head(status + " Status", "Transfer-Encoding: chunked\r\n") + hidden));
+            closed(status + " with a length, an answer as its body", with_length(status, hidden)));
+        kinds.push_back(closed(status + " with chunks, an answer in them", chunked + in_chunks(hidden)));
+        kinds.push_back(closed(status + " with chunks, then an answer", chunked + hidden));
     }
     for (const std::string& status : strings{"20", "2000", "2x0", "-200", ""})
         kinds.push_back(closed("status '" + status + "'", with_length(status + " OK", sound_body())));
@@ -129,9 +131,10 @@
             const std::string where = name + (line == within ? " in" : " behind") + " a field's name";
             kinds.push_back(closed(where, head("200 OK", length_field(sound_bytes) + line) + sound_body()));
             kinds.push_back(closed(where + ", without a length", head("200 OK", line) + sound_body()));
-            kinds.push_back(closed(where + " of the first line", "HTTP/1.1 200 OK\r\n" + line + fields +
-                                                                     length_field(sound_bytes) + "\r\n" +
-                                                                     sound_body()));
+            const std::string first = line + fields;
+            kinds.push_back(
+                closed(where + " of the first line",
+                       "HTTP/1.1 200 OK\r\n" + first + length_field(sound_bytes) + "\r\n" + sound_body()));
             kinds.push_back(closed(where + " of the trailer",
                                    head("200 OK", "Transfer-Encoding: chunked\r\n") + "488\r\n" +
                                        sound_body() + "\r\n0\r\n" + line + "\r\n"));
