platform, wire: End each listing, and let an item that can't be read cost only itself

Callers saw: the same as with odd names in targets, if a name holds a surrogate without a partner or bytes that are no UTF-8, anywhere in a page: no host got ready. A listing whose page held no readable key ended there in silence; one whose pages did not move on never ended.

Cause: a page was parsed as a whole; a listing went on as long as the store said that there is more, behind the last key that could be read, and took a page without any for the last one. The log and the list of hosts of the own interface were read likewise.

What is no Unicode is replaced before a page is parsed, and only items whose key had some are left out.

--- a/libraries/base/json_parser.cpp
+++ b/libraries/base/json_parser.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <base/json_parser.h>
 
+#include <algorithm>
+#include <charconv>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -68,6 +71,58 @@
     std::string next_key;
 };
 
+constexpr std::size_t escape_length = 6; ///< Of `\u` and four digits.
+constexpr std::string_view escaped_replacement = "\\ufffd";
+constexpr unsigned first_high_surrogate = 0xD800;
+constexpr unsigned first_low_surrogate = 0xDC00;
+constexpr unsigned last_low_surrogate = 0xDFFF;
+
+/// The UTF-16 code unit of an escape such as `\u00e9` at the beginning of the text; nothing if there is none.
+std::optional<unsigned> escaped_unit(std::string_view text) {
+    if (text.size() < escape_length || !text.starts_with("\\u"))
+        return std::nullopt;
+    unsigned unit = 0;
+    const char* const end = text.data() + escape_length;
+    const auto parsed = std::from_chars(text.data() + 2, end, unit, 16);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(unit) : std::nullopt;
+}
+
+bool is_between(std::optional<unsigned> unit, unsigned first, unsigned last) {
+    return unit && *unit >= first && *unit <= last;
+}
+
+/// Length of the escape at the beginning of the text, with its partner if it is a pair of surrogates.
+std::size_t length_of_escape(std::string_view text) {
+    const auto unit = escaped_unit(text);
+    if (!unit)
+        return std::min<std::size_t>(2, text.size());
+    const bool is_pair =
+        is_between(unit, first_high_surrogate, first_low_surrogate - 1) &&
+        is_between(escaped_unit(text.substr(escape_length)), first_low_surrogate, last_low_surrogate);
+    return is_pair ? 2 * escape_length : escape_length;
+}
+
+/// The JSON text with U+FFFD in place of escaped surrogates that have no partner.
+std::string replace_lone_surrogates(std::string_view text) {
+    std::string replaced;
+    while (!text.empty()) {
+        const auto plain = std::min(text.find('\\'), text.size());
+        replaced += text.substr(0, plain);
+        text.remove_prefix(plain);
+        const std::size_t length = length_of_escape(text);
+        const bool is_lone = length == escape_length &&
+                             is_between(escaped_unit(text), first_high_surrogate, last_low_surrogate);
+        replaced += is_lone ? escaped_replacement : text.substr(0, length);
+        text.remove_prefix(length);
+    }
+    return replaced;
+}
+
+/// The text with U+FFFD in place of bytes that are no UTF-8.
+std::string replace_ill_formed(std::string_view text) {
+    return json::parse(write_json(text)).get<std::string>();
+}
+
 json parse(std::string_view bytes, json::input_format_t format) {
     value_builder builder;
     if (!json::sax_parse(bytes, &builder, format))
@@ -79,6 +134,17 @@
 
 json parse_json(std::string_view text) { return parse(text, json::input_format_t::json); }
 
+json parse_json_replacing(std::string_view text) {
+    json value = parse_json(text);
+    if (!value.is_discarded())
+        return value;
+    return parse_json(replace_lone_surrogates(replace_ill_formed(text)));
+}
+
+std::string write_json(const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 json parse_msgpack(std::string_view bytes) { return parse(bytes, json::input_format_t::msgpack); }
 
 json parse_msgpack(const std::vector<std::uint8_t>& bytes) {
--- a/libraries/service/settings_controller.cpp
+++ b/libraries/service/settings_controller.cpp
@@ -94,6 +94,9 @@
             return was_restored;
         if (page->records.empty() && from >= page->next)
             break;
+        // A page that does not move on is no better than none.
+        if (page->records.empty())
+            return was_restored;
         from = std::max(from, page->earliest);
         for (const wire::log_record& record : page->records) {
             from = record.offset + 1;
--- a/libraries/wire/host_list_client.cpp
+++ b/libraries/wire/host_list_client.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
+
 namespace postpaddle::wire {
 
 namespace {
@@ -18,6 +20,16 @@
 constexpr auto request_timeout = std::chrono::milliseconds(2000);
 constexpr int ok_status = 200;
 
+/// Nothing if the entry can't be read, which costs only this host.
+std::optional<listed_host> decode_host(const json& item) {
+    try {
+        return listed_host{item.at("name").get<std::string>(), item.at("peers_address").get<std::string>(),
+                           item.value("leaving", false)};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 host_list_client::host_list_client(asio::io_context& context, std::string address)
@@ -29,14 +41,15 @@
                                {.head_timeout = request_timeout, .stall_timeout = request_timeout}, yield));
     if (response.status != ok_status)
         return tl::make_unexpected(wire_error{wire_failure::refused, std::to_string(response.status)});
-    const json parsed = base::parse_json(response.body);
+    const json parsed = base::parse_json_replacing(response.body);
     try {
         host_list list;
         for (const json& item : parsed.at("hosts"))
-            list.hosts.push_back({item.at("name").get<std::string>(),
-                                  item.at("peers_address").get<std::string>(), item.value("leaving", false)});
+            if (auto host = decode_host(item))
+                list.hosts.push_back(std::move(*host));
         for (const json& item : parsed.at("leaving_upstreams"))
-            list.leaving_upstreams.push_back(item.get<std::string>());
+            if (item.is_string())
+                list.leaving_upstreams.push_back(item.get<std::string>());
         return list;
     } catch (const json::exception& error) {
         return tl::make_unexpected(wire_error{wire_failure::malformed, error.what()});
--- a/libraries/wire/log_client.cpp
+++ b/libraries/wire/log_client.cpp
@@ -9,6 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace postpaddle::wire {
 
 namespace {
@@ -23,12 +25,18 @@
 expected<json> parse_json_response(const http_response& response) {
     if (response.status != ok_status)
         return tl::make_unexpected(wire_error{wire_failure::refused, std::to_string(response.status)});
-    json parsed = base::parse_json(response.body);
+    json parsed = base::parse_json_replacing(response.body);
     if (!parsed.is_object())
         return tl::make_unexpected(wire_error{wire_failure::malformed, "log answer is not JSON"});
     return parsed;
 }
 
+/// The payload of a record. One that can't be read becomes empty, which no reader of payloads accepts.
+std::string payload_of(const json& record) {
+    const bool is_readable = record.contains("payload") && record["payload"].is_string();
+    return is_readable ? record["payload"].get<std::string>() : std::string();
+}
+
 } // namespace
 
 log_client::log_client(asio::io_context& context, std::string address)
@@ -69,8 +77,10 @@
         page.earliest = parsed.at("earliest").get<std::uint64_t>();
         page.next = parsed.at("next").get<std::uint64_t>();
         for (const json& record : parsed.at("records"))
-            page.records.push_back(
-                {record.at("offset").get<std::uint64_t>(), record.at("payload").get<std::string>()});
+            page.records.push_back({record.at("offset").get<std::uint64_t>(), payload_of(record)});
+        const auto is_older = [from](const log_record& record) { return record.offset < from; };
+        if (std::ranges::any_of(page.records, is_older))
+            return tl::make_unexpected(wire_error{wire_failure::malformed, "log page does not move on"});
         return page;
     } catch (const json::exception& error) {
         return tl::make_unexpected(wire_error{wire_failure::malformed, error.what()});
--- a/tests/base/test_json_parser.cpp
+++ b/tests/base/test_json_parser.cpp
@@ -64,3 +64,18 @@
                                      std::string("\xdb\xff\xff\xff\xff", 5), std::string("\xc1", 1)})
         CHECK(base::parse_msgpack(bytes).is_discarded());
 }
+
+// Guards against a list that can't be read, as one of the names in it is no Unicode.
+TEST_CASE("what is no Unicode is replaced where that is asked for") {
+    CHECK(base::parse_json_replacing(R"({"a":"\ud83d\ude00","b":"\\ud83d"})") ==
+          json{{"a", "\U0001f600"}, {"b", "\\ud83d"}});
+    CHECK(base::parse_json_replacing(R"(["\ud83d","\udc00\ud83d","\ud83d\ud83d\ude00","\\\ud83dx"])") ==
+          json{"\ufffd", "\ufffd\ufffd", "\ufffd\U0001f600", "\\\ufffdx"});
+    CHECK(base::parse_json_replacing("[\"a\xff\",\"\xe2\x82\"]") == json{"a\ufffd", "\ufffd"});
+    for (const auto* text : {"", "{", R"(["\ud8)", R"(["\)", R"(["\ud83d)", "[\"\xff"})
+        CHECK(base::parse_json_replacing(text).is_discarded());
+}
+
+TEST_CASE("a text that is no UTF-8 is written nonetheless") {
+    CHECK(base::write_json(json{{"a", "b\xff"}}) == "{\"a\":\"b\ufffd\"}");
+}
