gateway, platform: Go on beside a name that is no text

Callers saw: nothing yet. Whoever wrote a host's record with a zone that is no UTF-8 ended all hosts that started beside it.

Cause: hosts tell each other of hosts, zones and upstreams in JSON. The library's function throws on bytes that are no UTF-8, in a coroutine of the heartbeats, whose exception nobody catches. Values in the store are base64 and records that are read by offset are raw, so any bytes get that far: a host's zone, a zone that is evacuated, the deletion of what is no upstream.

Evidence: on the untouched code, test_odd_names "hosts go on beside entries that hold no text": all three hosts ended, "terminate called after throwing an instance of 'boost::asio::multiple_exceptions'".

What hosts write for each other, notes and logs go through base::write_json, which replaces what is no UTF-8.

--- a/libraries/gateway/operations/decision_log.cpp
+++ b/libraries/gateway/operations/decision_log.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <gateway/operations/decision_log.h>
 
+#include <base/json_parser.h>
 #include <base/signal_mask.h>
 
 #include <log4cxx/basicconfigurator.h>
@@ -82,7 +83,7 @@
     fields["at_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
     fields["event"] = event;
     fields["host"] = this->options.host;
-    if (!this->lines.try_push(fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)))
+    if (!this->lines.try_push(base::write_json(fields)))
         ++this->dropped_count;
 }
 
--- a/libraries/gateway/peers/peer_exchange.cpp
+++ b/libraries/gateway/peers/peer_exchange.cpp
@@ -221,7 +221,7 @@
 wire::http_response peer_exchange::registry_answer(const wire::http_request& request) {
     const auto text = [this] {
         this->state->metrics->count("registry_encodings_total");
-        return encode_registry(this->state->instances).dump();
+        return base::write_json(encode_registry(this->state->instances));
     };
     wire::http_response answer =
         accepts_compressed(request)
@@ -247,7 +247,7 @@
         .suspects = host::reports_to_resend(this->state->quarantine, heartbeat_suspects),
         .zones = decision::zone_records_of(this->state->evacuations),
         .advertisements = advertisements_to_send(*this->state, advertisement_source::any)};
-    return encode_heartbeat(message, now).dump();
+    return base::write_json(encode_heartbeat(message, now));
 }
 
 void peer_exchange::handle_heartbeat(const std::string& text) {
--- a/libraries/gateway/quarantine/quarantine_codec.cpp
+++ b/libraries/gateway/quarantine/quarantine_codec.cpp
@@ -48,7 +48,7 @@
     json value = {{"ends", std::move(ends)}};
     if (report.last_success)
         value["good"] = wall - host::age_of(*report.last_success, now);
-    return {host::to_text(report.request) + key_separator + writer.value, value.dump()};
+    return {host::to_text(report.request) + key_separator + writer.value, base::write_json(value)};
 }
 
 std::optional<host::suspect_report> decode_quarantine_note(const ports::quarantine_note& note,
--- a/libraries/gateway/stream_origin/service_splits.cpp
+++ b/libraries/gateway/stream_origin/service_splits.cpp
@@ -23,8 +23,8 @@
     json history = json::array();
     for (const decision::traffic_split& split : splits.history.splits)
         history.push_back(split.weights);
-    return json({{"first", splits.history.first_number}, {"splits", history}, {"routes", splits.routes}})
-        .dump();
+    return base::write_json(
+        {{"first", splits.history.first_number}, {"splits", history}, {"routes", splits.routes}});
 }
 
 std::optional<service_splits> decode_splits(std::string_view text) {
--- a/tests/gateway/test_odd_names.cpp
+++ b/tests/gateway/test_odd_names.cpp
@@ -126,3 +126,27 @@
     }
     CHECK_FALSE(cluster.store().at("topics").contains(test::injected_topic));
 }
+
+// Guards against hosts that end, as they tell each other of a name which is no text.
+TEST_CASE("hosts go on beside entries that hold no text") {
+    test::gateway_cluster cluster({.name = "odd-texts", .servers = {{.id = "one"}}, .hosts = hosts});
+    put(cluster, "keyed.hosts", "host-x", "127.0.0.1:9 \xff\xfe");
+    put(cluster, "keyed.hosts", "host-y", "nowhere east");
+    restart_hosts(cluster);
+    CHECK(are_serving(cluster));
+    put(cluster, test::operator_topic, "evacuate/\xff\xfe", "{}");
+    drop(cluster, test::server_topic, "\xff\xfe");
+    // Later than these records.
+    cluster.add_server({.id = "two"});
+    for (int host = 1; host <= hosts; ++host) {
+        INFO(host);
+        CHECK(test::eventually([&] {
+            const json state = cluster.state_of(host);
+            return state.is_object() && state.at("instances").contains("two") &&
+                   state.at("hosts_alive") == hosts;
+        }));
+        const double heartbeats = cluster.metric(host, "heartbeats_total");
+        CHECK(test::eventually([&] { return cluster.metric(host, "heartbeats_total") > heartbeats + 2; }));
+    }
+    CHECK(are_serving(cluster));
+}
