gateway: Let a record about streams that can't be read cost only itself

Callers saw: nothing yet.

Cause: a replica of a log counted as incomplete while any of its records could not be read, and began anew with each read.

Change: a replica takes over what can be read. Of a service whose newest note can't be read nothing is told and nothing is written, as it may say something else than what is known, until a readable one stands there or it is deleted; other services go on.

Both are counted: `unreadable_split_notes_total`, `unreadable_journal_batches_total`.

--- a/libraries/gateway/stream_origin/journal_partition.cpp
+++ b/libraries/gateway/stream_origin/journal_partition.cpp
@@ -39,7 +39,7 @@
                       [this](std::uint64_t offset, wire::yield_context yield) {
                           return this->feed->journal_after(this->number, offset, call_timeout, yield);
                       },
-                  .apply = [this](const ports::journal_page& page) { return this->apply(page); },
+                  .apply = [this](const ports::journal_page& page) { this->apply(page); },
                   .did_read =
                       [this](bool is_complete) {
                           this->state->metrics->count(is_complete ? "journal_reads_total"
@@ -139,8 +139,7 @@
     this->write_next();
 }
 
-bool journal_partition::apply(const ports::journal_page& page) {
-    bool is_readable = true;
+void journal_partition::apply(const ports::journal_page& page) {
     for (const ports::journal_batch& read : page.batches) {
         if (!read.bytes) {
             this->expiry_of_batch.erase(read.key);
@@ -148,12 +147,11 @@
         }
         if (this->expiry_of_batch.contains(read.key))
             continue;
-        const auto records = host::decode_journal_batch(*read.bytes);
-        if (records)
+        if (const auto records = host::decode_journal_batch(*read.bytes))
             this->record_batch(read.key, *records);
-        is_readable &= records.has_value();
+        else
+            this->state->metrics->count("unreadable_journal_batches_total");
     }
-    return is_readable;
 }
 
 std::optional<host::journal_findings> journal_partition::find(const host::stream_keys& keys,
--- a/libraries/gateway/stream_origin/journal_partition.h
+++ b/libraries/gateway/stream_origin/journal_partition.h
@@ -45,8 +45,7 @@
     void write_batch(const std::shared_ptr<batch>& next, wire::yield_context yield);
     /// Reads the log; returns whether the store has the batch.
     [[nodiscard]] bool has_batch(const std::string& key, wire::yield_context yield);
-    /// Returns whether all of the page could be read.
-    [[nodiscard]] bool apply(const ports::journal_page& page);
+    void apply(const ports::journal_page& page);
     void record_batch(const std::string& key, const std::vector<host::journal_record>& records);
     /// Takes up to some of the batches that have expired, as deletions.
     [[nodiscard]] std::vector<ports::journal_batch> take_expired();
--- a/libraries/gateway/stream_origin/log_replica.h
+++ b/libraries/gateway/stream_origin/log_replica.h
@@ -19,8 +19,8 @@
         std::function<ports::feed_result<Page>(wire::yield_context)> read_newest;
         /// Reads the records from an offset onwards.
         std::function<ports::feed_result<Page>(std::uint64_t, wire::yield_context)> read_after;
-        /// Takes over a page; returns whether all of it could be read.
-        std::function<bool(const Page&)> apply;
+        /// Takes over a page. What can't be read of it costs only itself.
+        std::function<void(const Page&)> apply;
         /// Called after each read, with whether it reached the end.
         std::function<void(bool)> did_read;
     };
@@ -48,7 +48,7 @@
     [[nodiscard]] base::time_point read_at() const { return this->began; }
     /// When the last read that reached the end began.
     [[nodiscard]] std::optional<base::time_point> known_at() const { return this->complete_at; }
-    /// Where the log ended; empty before the first read and after one that failed on what it read.
+    /// Where the log ended; empty before the first read and while the history is lost.
     [[nodiscard]] std::optional<std::uint64_t> end() const { return this->next_offset; }
 
 private:
@@ -74,8 +74,9 @@
             if (!this->next_offset) {
                 ++listings;
                 const auto listing = this->handlers.read_newest(yield);
-                if (!listing || !this->apply(*listing))
+                if (!listing)
                     return false;
+                this->apply(*listing);
             }
             const auto page = this->handlers.read_after(*this->next_offset, yield);
             if (!page && page.error().failure != ports::feed_failure::history_lost)
@@ -84,19 +85,16 @@
                 this->next_offset.reset();
                 continue;
             }
-            if (!this->apply(*page))
-                return false;
+            this->apply(*page);
             if (!page->has_more)
                 return true;
         }
         return false;
     }
 
-    [[nodiscard]] bool apply(const Page& page) {
-        const bool is_readable = this->handlers.apply(page);
-        // What can't be read may be newer than what is known: the next read begins anew.
-        this->next_offset = is_readable ? std::optional(page.next) : std::nullopt;
-        return is_readable;
+    void apply(const Page& page) {
+        this->handlers.apply(page);
+        this->next_offset = page.next;
     }
 
     gateway_state* state;
--- a/libraries/gateway/stream_origin/version_splits.cpp
+++ b/libraries/gateway/stream_origin/version_splits.cpp
@@ -45,7 +45,7 @@
                       [this](std::uint64_t offset, wire::yield_context yield) {
                           return this->feed->service_notes_after(offset, call_timeout, yield);
                       },
-                  .apply = [this](const ports::service_note_page& page) { return this->apply(page); },
+                  .apply = [this](const ports::service_note_page& page) { this->apply(page); },
                   .did_read =
                       [this](bool is_complete) {
                           this->state->metrics->count(is_complete ? "split_reads_total"
@@ -60,7 +60,8 @@
 
 const service_splits* version_splits::find(const std::string& service) const {
     const auto found = this->stored.find(service);
-    return found == this->stored.end() ? nullptr : &found->second;
+    const bool is_known = found != this->stored.end() && !this->unreadable.contains(service);
+    return is_known ? &found->second : nullptr;
 }
 
 std::vector<std::string> version_splits::services_of(const std::string& route) const {
@@ -123,12 +124,16 @@
 
 bool version_splits::refresh(wire::yield_context yield) { return this->log.refresh(yield); }
 
-bool version_splits::apply(const ports::service_note_page& page) {
+void version_splits::apply(const ports::service_note_page& page) {
     const base::time_point now = this->state->clock->now();
-    bool is_readable = true;
     for (const ports::service_note& note : page.notes) {
-        const auto splits = decode_splits(note.text);
-        is_readable &= splits.has_value();
+        const auto splits = note.text ? decode_splits(*note.text) : std::nullopt;
+        if (note.text && !splits) {
+            this->state->metrics->count("unreadable_split_notes_total");
+            this->unreadable.insert(note.service);
+            continue;
+        }
+        this->unreadable.erase(note.service);
         if (!splits)
             continue;
         record_ages(this->ages[note.service], *splits, this->views[note.service], now);
@@ -136,10 +141,9 @@
         if (known == *splits)
             continue;
         known = *splits;
-        this->state->log->write_always("version_splits", {{"service", note.service}, {"splits", note.text}});
+        this->state->log->write_always("version_splits", {{"service", note.service}, {"splits", *note.text}});
         this->on_change(note.service);
     }
-    return is_readable;
 }
 
 void version_splits::update_views() {
@@ -160,6 +164,8 @@
     std::vector<std::pair<std::string, service_splits>> updates;
     const base::time_point now = this->state->clock->now();
     for (const auto& [service, view] : this->views) {
+        if (this->unreadable.contains(service))
+            continue;
         const service_splits* const known = this->find(service);
         const auto aged = this->ages.find(service);
         const expired_splits expired = aged == this->ages.end()
--- a/libraries/gateway/stream_origin/version_splits.h
+++ b/libraries/gateway/stream_origin/version_splits.h
@@ -24,7 +24,7 @@
     /// Starts reading and writing; runs as long as the process. `on_change` is called when another history of
     /// a service has been read.
     void start(std::function<void(const std::string& service)> on_change);
-    /// Null if nothing is known of the service.
+    /// Null if nothing is known of the service, or its newest note can't be read.
     [[nodiscard]] const service_splits* find(const std::string& service) const;
     /// What is known of all services, by name.
     [[nodiscard]] const std::map<std::string, service_splits>& all() const { return this->stored; }
@@ -47,8 +47,7 @@
 
 private:
     void run(wire::yield_context yield);
-    /// Returns whether all of the page could be read.
-    [[nodiscard]] bool apply(const ports::service_note_page& page);
+    void apply(const ports::service_note_page& page);
     void update_views();
     void write_updates(wire::yield_context yield);
     [[nodiscard]] bool is_read_due() const;
@@ -61,10 +60,13 @@
     gateway_state* state;
     ports::control_feed* feed;
     std::map<std::string, service_splits> stored; ///< By service.
-    std::map<std::string, service_view> views;    ///< By service.
-    std::map<std::string, split_ages> ages;       ///< By service.
-    std::uint64_t registry_revision = 0;          ///< For which `views` were made.
-    std::uint64_t settings_revision = 0;          ///< Likewise, the version of the settings.
+    /// Services whose newest note can't be read. It may say something else than what is known, so nothing is
+    /// told of these services and nothing is written for them.
+    std::set<std::string> unreadable;
+    std::map<std::string, service_view> views; ///< By service.
+    std::map<std::string, split_ages> ages;    ///< By service.
+    std::uint64_t registry_revision = 0;       ///< For which `views` were made.
+    std::uint64_t settings_revision = 0;       ///< Likewise, the version of the settings.
     base::time_point views_made_at{};
     base::time_point written_at{}; ///< When the last writes began.
     std::optional<base::time_point> mismatched_since{};
--- a/libraries/ports/control_feed.h
+++ b/libraries/ports/control_feed.h
@@ -113,7 +113,7 @@
 /// Durable text about one service, which hosts share through the store.
 struct service_note {
     std::string service;
-    std::string text;
+    std::optional<std::string> text; ///< Empty if the note was deleted.
 
     bool operator==(const service_note&) const = default;
 };
--- a/tests/gateway/test_odd_names.cpp
+++ b/tests/gateway/test_odd_names.cpp
@@ -3,6 +3,7 @@
 // else's, as an entry's name went out as it stands: whoever writes an entry chooses its name.
 #include <support/gateway_cluster.h>
 #include <support/odd_names.h>
+#include <support/resumable_caller.h>
 #include <support/test_cluster.h>
 
 #include <boost/beast/core/detail/base64.hpp>
@@ -17,6 +18,10 @@
 
 constexpr int hosts = 3;
 constexpr int requests_per_host = 4;
+/// Of the streams' journal.
+constexpr int journal_partitions = 8;
+/// For how long a caller returns again to a stream that is refused.
+constexpr std::chrono::seconds caller_patience{6};
 
 std::string encode_base64(const std::string& bytes) {
     namespace base64 = boost::beast::detail::base64;
@@ -150,3 +155,34 @@
     }
     CHECK(are_serving(cluster));
 }
+
+// Guards against streams that can't be taken up, and topics that are listed again and again, as one record of
+// many can't be read.
+TEST_CASE("streams go on after a loss of all hosts beside records that can't be read") {
+    auto servers = test::engines_of_two_versions();
+    servers.push_back({.id = "plain-1"});
+    test::gateway_cluster cluster({.name = "odd-records", .servers = servers, .hosts = hosts});
+    test::await_peers(cluster, hosts);
+    for (const auto* id : {"d1", "d2", "d3", "d4"})
+        (void)cluster.server(id, {{"work_ms", 20}, {"events", test::resumed_stream_length}});
+    put(cluster, "keyed.splits", "another", "odd");
+    put(cluster, "keyed.splits", "\xff\xfe", "odd");
+    put(cluster, "keyed.streams", "odd", "odd");
+    for (int partition = 1; partition < journal_partitions; ++partition)
+        put(cluster, "keyed.streams/" + std::to_string(partition), "odd", "odd");
+    restart_hosts(cluster);
+    CHECK(are_serving(cluster));
+    constexpr int streams = 12;
+    const auto callers = test::begin_streams(
+        cluster, {.hosts = {1, 2, 3}, .number = streams, .name = "odd", .patience = caller_patience});
+    restart_hosts(cluster);
+    CHECK(are_serving(cluster));
+    const test::stream_counts counts = test::resume_streams(cluster, callers, {2, 3, 1});
+    CHECK(counts.mixed == 0);
+    CHECK(counts.complete == streams);
+    for (int host = 1; host <= hosts; ++host)
+        CHECK(test::eventually([&] {
+            const json splits = cluster.state_of(host).at("version_splits");
+            return splits.contains("engines") && splits.at("engines").at("is_confirmed");
+        }));
+}
