gateway: Quote names in the labels of metrics

A service's name comes from the settings or an entry, a host's from another host. One with a quote, a backslash or a line end would have ended its label, and with it what a collector reads. Found by reading; test_odd_names has a case of the function.

--- a/libraries/gateway/engine_slots/slot_order.cpp
+++ b/libraries/gateway/engine_slots/slot_order.cpp
@@ -230,7 +230,7 @@
     const decision::wait_order& made = known.queue->order();
     if (made.by_share) {
         const double level = std::min(made.shares.level, std::max(memory.total, memory.free));
-        state.metrics->set("share_level_tokens{service=\"" + service + "\"}", level);
+        state.metrics->set("share_level_tokens{service=" + quoted_label(service) + "}", level);
     }
     return known;
 }
--- a/libraries/gateway/operations/gateway_metrics.cpp
+++ b/libraries/gateway/operations/gateway_metrics.cpp
@@ -28,6 +28,19 @@
 
 } // namespace
 
+std::string quoted_label(std::string_view value) {
+    std::string quoted = "\"";
+    for (const char character : value) {
+        if (character == '\\' || character == '"')
+            quoted += '\\';
+        if (character == '\n')
+            quoted += "\\n";
+        else
+            quoted += character;
+    }
+    return quoted + '"';
+}
+
 void gateway_metrics::observe(const std::string& name, base::duration latency) {
     latency_histogram& histogram = this->histograms[name];
     const double seconds = base::to_seconds(latency);
--- a/libraries/gateway/operations/gateway_metrics.h
+++ b/libraries/gateway/operations/gateway_metrics.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace postpaddle::gateway {
 
@@ -19,6 +20,10 @@
     double sum_seconds = 0;
 };
 
+/// A label's value as the text format writes it: quoted, with what would end it escaped. For names that come
+/// from outside.
+[[nodiscard]] std::string quoted_label(std::string_view value);
+
 /// Counters, gauges and histograms of a gateway host. Not thread-safe.
 class gateway_metrics {
 public:
--- a/libraries/gateway/peers/pace_exchange.cpp
+++ b/libraries/gateway/peers/pace_exchange.cpp
@@ -31,7 +31,7 @@
 constexpr base::duration apply_interval = 1s;
 
 std::string labels(const std::string& service, const char* stage) {
-    return "{service=\"" + service + "\",stage=\"" + stage + "\"}";
+    return "{service=" + quoted_label(service) + ",stage=\"" + stage + "\"}";
 }
 
 bool is_recent(const decision::own_measurement& own, base::time_point now) {
@@ -86,8 +86,8 @@
     const bool is_used = decision::merge_measurement(merged, value, measured_at,
                                                      decision::measurement_confidence::needs_confirmation,
                                                      state.clock->now(), source);
-    state.metrics->count((is_used ? "paces_received_total{service=\"" : "paces_ignored_total{service=\"") +
-                         service + "\"}");
+    state.metrics->count((is_used ? "paces_received_total{service=" : "paces_ignored_total{service=") +
+                         quoted_label(service) + "}");
 }
 
 /// Whether a measurement that began at `begin` shows the engine's time and not this host's delays.
@@ -97,7 +97,7 @@
         return false;
     const bool is_on_time = decision::is_on_time(state.timer_delays, begin, state.clock->now());
     if (!is_on_time)
-        state.metrics->count("paces_not_measured_total{service=\"" + request.service + "\"}");
+        state.metrics->count("paces_not_measured_total{service=" + quoted_label(request.service) + "}");
     return is_on_time;
 }
 
--- a/libraries/gateway/store_sync/store_updates.cpp
+++ b/libraries/gateway/store_sync/store_updates.cpp
@@ -157,7 +157,7 @@
     if (update->host == this->state->process->name)
         return true;
     this->date(*update);
-    this->state->metrics->count("store_updates_total{sender=\"" + update->host.value + "\"}");
+    this->state->metrics->count("store_updates_total{sender=" + quoted_label(update->host.value) + "}");
     host::record_received(this->state->peers, update->host, this->state->clock->now());
     if (update->is_store_absent)
         host::record_absence(this->state->registry_outage, update->host, this->state->clock->now());
--- a/tests/gateway/test_odd_names.cpp
+++ b/tests/gateway/test_odd_names.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Guards against hosts that never get ready, ask the store without end or send it requests of somebody
 // else's, as an entry's name went out as it stands: whoever writes an entry chooses its name.
+#include <gateway/operations/gateway_metrics.h>
 #include <support/gateway_cluster.h>
 #include <support/odd_names.h>
 #include <support/resumable_caller.h>
@@ -186,3 +187,7 @@
             return splits.contains("engines") && splits.at("engines").at("is_confirmed");
         }));
 }
+
+TEST_CASE("a name in a metric's label ends neither the label nor the line") {
+    CHECK(gateway::quoted_label("a\"b\\c\nd") == R"("a\"b\\c\nd")");
+}
