--- a/libraries/gateway/stream_origin/version_splits.cpp
+++ b/libraries/gateway/stream_origin/version_splits.cpp
@@ -60,7 +60,7 @@
 
 const service_splits* version_splits::find(const std::string& service) const {
     const auto found = this->stored.find(service);
-    const bool is_known = found != this->stored.end() && !this->unreadable.contains(service);
+    const bool is_known = found != this->stored.end() && !this->unreadable_services.contains(service);
     return is_known ? &found->second : nullptr;
 }
 
@@ -130,10 +130,10 @@
         const auto splits = note.text ? decode_splits(*note.text) : std::nullopt;
         if (note.text && !splits) {
             this->state->metrics->count("unreadable_split_notes_total");
-            this->unreadable.insert(note.service);
+            this->unreadable_services.insert(note.service);
             continue;
         }
-        this->unreadable.erase(note.service);
+        this->unreadable_services.erase(note.service);
         if (!splits)
             continue;
         record_ages(this->ages[note.service], *splits, this->views[note.service], now);
@@ -164,7 +164,7 @@
     std::vector<std::pair<std::string, service_splits>> updates;
     const base::time_point now = this->state->clock->now();
     for (const auto& [service, view] : this->views) {
-        if (this->unreadable.contains(service))
+        if (this->unreadable_services.contains(service))
             continue;
         const service_splits* const known = this->find(service);
         const auto aged = this->ages.find(service);
--- a/libraries/gateway/stream_origin/version_splits.h
+++ b/libraries/gateway/stream_origin/version_splits.h
@@ -62,7 +62,7 @@
     std::map<std::string, service_splits> stored; ///< By service.
     /// Services whose newest note can't be read. It may say something else than what is known, so nothing is
     /// told of these services and nothing is written for them.
-    std::set<std::string> unreadable;
+    std::set<std::string> unreadable_services;
     std::map<std::string, service_view> views; ///< By service.
     std::map<std::string, split_ages> ages;    ///< By service.
     std::uint64_t registry_revision = 0;       ///< For which `views` were made.
--- a/libraries/wire/request_target.cpp
+++ b/libraries/wire/request_target.cpp
@@ -14,7 +14,7 @@
 using curl_text = std::unique_ptr<char, decltype(&curl_free)>;
 
 std::string encode(const std::string& text) {
-    // The library takes a length of 0 for a text that ends with a NUL.
+    // To the library, a length of 0 means that the text ends at its first NUL.
     if (text.empty())
         return {};
     const curl_text encoded(curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())), curl_free);
--- a/tests/gateway/test_odd_names.cpp
+++ b/tests/gateway/test_odd_names.cpp
@@ -70,7 +70,7 @@
     return true;
 }
 
-/// Pages that a listing of the topic took at most, on the average of all listings.
+/// Pages of a listing of the topic, on the average of all.
 double pages_per_listing(const json& store, const std::string& topic) {
     const json& counters = store.at("listings").at(topic);
     return counters.at("pages").get<double>() / counters.at("begun").get<double>();
