--- a/libraries/service/authenticate_filter.cpp
+++ b/libraries/service/authenticate_filter.cpp
@@ -4,6 +4,7 @@
 #include <wire/authorization.h>
 
 #include <base/json_parser.h>
+#include <decision/route_table.h>
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -32,8 +33,6 @@
     return {400, "bad-request", "The request can't be read", std::move(detail), run_outcome::not_run, {}, {}};
 }
 
-std::string_view path_of_target(std::string_view target) { return target.substr(0, target.find('?')); }
-
 filter_result read_completion(request_context& context) {
     if (context.request.method != "POST")
         return tl::make_unexpected(problem_details{
@@ -56,7 +55,7 @@
 }
 
 filter_result find_route(request_context& context) {
-    const std::string_view path = path_of_target(context.request.target);
+    const std::string_view path = decision::path_of_target(context.request.target);
     for (const settings::route_settings& route : context.policy->routes) {
         if (!boost::algorithm::starts_with(path, route.prefix))
             continue;
@@ -79,7 +78,7 @@
         ++context.services->process_metrics->counters.unauthorised;
         return tl::make_unexpected(unauthorised());
     }
-    const std::string_view path = path_of_target(context.request.target);
+    const std::string_view path = decision::path_of_target(context.request.target);
     if (path == wire::path_of(wire::completion_api::completions))
         return read_completion(context);
     if (path == wire::path_of(wire::completion_api::chat)) {
--- a/stand_ins/common/stand_in_server.cpp
+++ b/stand_ins/common/stand_in_server.cpp
@@ -4,6 +4,7 @@
 #include <base/try.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/beast/core/detail/base64.hpp>
 
 #include <algorithm>
 #include <cstdlib>
@@ -117,6 +118,13 @@
     return parsed.is_object() ? parsed : json::object();
 }
 
+std::string encode_base64(const std::string& bytes) {
+    namespace base64 = boost::beast::detail::base64;
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
 std::optional<std::string> find_query_parameter(const std::string& target, const std::string& name) {
     const auto begin = std::min(target.find('?'), target.size() - 1) + 1;
     std::istringstream query(target.substr(begin));
--- a/stand_ins/common/stand_in_server.h
+++ b/stand_ins/common/stand_in_server.h
@@ -40,6 +40,8 @@
 [[nodiscard]] wire::http_response json_response(const json& body, int status = 200);
 /// Parses the body. Returns an empty object if it is not a JSON object.
 [[nodiscard]] json parse_json_body(const wire::http_request& request);
+/// Encodes bytes as padded base64 (RFC 4648, section 4).
+[[nodiscard]] std::string encode_base64(const std::string& bytes);
 /// Value of the first query parameter of that name, form-decoded as servers do; nothing if absent.
 [[nodiscard]] std::optional<std::string> find_query_parameter(const std::string& target,
                                                               const std::string& name);
--- a/stand_ins/platform_store/main.cpp
+++ b/stand_ins/platform_store/main.cpp
@@ -8,7 +8,6 @@
 
 #include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/replace.hpp>
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/endian/conversion.hpp>
 #include <gflags/gflags.h>
 
@@ -97,13 +96,6 @@
     return bytes;
 }
 
-std::string encode_base64(const std::string& bytes) {
-    namespace base64 = boost::beast::detail::base64;
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
 /// Key or text of a change, which may hold any bytes: FIELD, or FIELD_base64.
 std::string bytes_of(const json& change, const std::string& field) {
     if (change.contains(field))
@@ -341,8 +333,9 @@
              ++next) {
             const std::string value = this->value_for(request, *target.records.at(next->second).value);
             bytes += value.size();
-            items.push_back("{\"key\":" + key_as_json(next->first) + ",\"value\":\"" + encode_base64(value) +
-                            "\",\"offset\":" + std::to_string(next->second) + "}");
+            items.push_back("{\"key\":" + key_as_json(next->first) + ",\"value\":\"" +
+                            stand_in::encode_base64(value) + "\",\"offset\":" + std::to_string(next->second) +
+                            "}");
         }
         const bool has_more = next != listing.newest_offsets.end();
         return {200,
@@ -352,11 +345,10 @@
     }
 
     /// Sets faults and changes records: `put` appends a JSON value, `put_text` appends a raw string, `drop`
-    /// deletes a key, `unknown_key` sets what listings do that go on after one which is not there
-    /// (`go_on`, `refuse` or `begin_anew`), and `forget` makes all records of these topics unreadable except
-    /// through
+    /// deletes a key, and `forget` makes all records of these topics unreadable except through
     /// `/api/log-newest`, in one step with the change. `stale_listings` has that answer as of now until it is
-    /// false.
+    /// false. `unknown_key` (`go_on`, `refuse` or `begin_anew`) says what a listing does that is to go on
+    /// after a key which isn't there.
     wire::http_response control(const json& body) {
         this->faults.failure_mode = body.value("mode", this->faults.failure_mode);
         this->faults.response_delay_ms = body.value("slow_ms", this->faults.response_delay_ms);
--- a/tests/gateway/test_odd_names.cpp
+++ b/tests/gateway/test_odd_names.cpp
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: BSD-2-Clause
 // Guards against hosts that never get ready, ask the store without end or send it requests of somebody
 // else's, as an entry's name went out as it stands: whoever writes an entry chooses its name.
+#include <common/stand_in_server.h>
 #include <gateway/operations/gateway_metrics.h>
 #include <support/gateway_cluster.h>
 #include <support/odd_names.h>
 #include <support/resumable_caller.h>
 #include <support/test_cluster.h>
 
-#include <boost/beast/core/detail/base64.hpp>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -24,13 +24,6 @@
 /// For how long a caller returns again to a stream that is refused.
 constexpr std::chrono::seconds caller_patience{6};
 
-std::string encode_base64(const std::string& bytes) {
-    namespace base64 = boost::beast::detail::base64;
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
 std::vector<test::server_plan> twelve_servers() {
     std::vector<test::server_plan> plans;
     for (char letter = 'a'; letter < 'm'; ++letter)
@@ -40,13 +33,14 @@
 
 void put(test::gateway_cluster& cluster, const std::string& topic, const std::string& key,
          const std::string& value) {
-    (void)cluster.store(
-        {{"put_text",
-          {{"topic", topic}, {"key_base64", encode_base64(key)}, {"text_base64", encode_base64(value)}}}});
+    (void)cluster.store({{"put_text",
+                          {{"topic", topic},
+                           {"key_base64", stand_in::encode_base64(key)},
+                           {"text_base64", stand_in::encode_base64(value)}}}});
 }
 
 void drop(test::gateway_cluster& cluster, const std::string& topic, const std::string& key) {
-    (void)cluster.store({{"drop", {{"topic", topic}, {"key_base64", encode_base64(key)}}}});
+    (void)cluster.store({{"drop", {{"topic", topic}, {"key_base64", stand_in::encode_base64(key)}}}});
 }
 
 void restart_hosts(test::gateway_cluster& cluster) {
