--- a/review/support-2/play.py
+++ b/review/support-2/play.py
@@ -1,5 +1,5 @@
 """Stand-ins and helpers for review scripts: store, servers, hosts, callers. Standard library only."""
-import asyncio, base64, json, os, random, signal, socket, struct, subprocess, sys, tempfile, time
+import asyncio, base64, json, os, random, shutil, signal, socket, struct, subprocess, sys, tempfile, time
 from urllib.parse import urlsplit, parse_qs
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -432,6 +432,7 @@
             if h.process and h.process.poll() is None:
                 h.process.kill()
                 h.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def post_headers(id, deadline_ms=4000):
